Add placement, routing and budget decisions with the replay tool

Cause: the decisions are the heart of the product and must be measurable before a daemon exists. Change: pure placer, router and load ledger, the catalog's changes, the replay tool with lru and affinity baselines, and a trace generator.

--- /dev/null
+++ b/models/fleet/event.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import "time"
+
+// EventKind names what the system did by itself.
+type EventKind string
+
+// The kinds of event.
+const (
+	EventTakeover       EventKind = "takeover"
+	EventRelease        EventKind = "release"
+	EventLoad           EventKind = "load"
+	EventLoaded         EventKind = "loaded"
+	EventLoadFailed     EventKind = "load_failed"
+	EventLoadGivenUp    EventKind = "load_given_up"
+	EventEvict          EventKind = "evict"
+	EventUnloaded       EventKind = "unloaded"
+	EventOrderRefused   EventKind = "order_refused"
+	EventSlotUnknown    EventKind = "slot_unknown"
+	EventGrant          EventKind = "grant"
+	EventQueued         EventKind = "queued"
+	EventRefused        EventKind = "refused"
+	EventRetry          EventKind = "retry"
+	EventFinished       EventKind = "finished"
+	EventFreeze         EventKind = "freeze"
+	EventThaw           EventKind = "thaw"
+	EventMemberJoined   EventKind = "member_joined"
+	EventMemberLost     EventKind = "member_lost"
+	EventMemberLeft     EventKind = "member_left"
+	EventRevision       EventKind = "revision"
+	EventRevisionBehind EventKind = "revision_behind"
+	EventRestarted      EventKind = "endpoint_restarted"
+	EventEndpointDown   EventKind = "endpoint_down"
+	EventEndpointUp     EventKind = "endpoint_up"
+	EventDrain          EventKind = "drain"
+	EventClaim          EventKind = "claim"
+	EventResume         EventKind = "resume"
+)
+
+// Event records one action of the system with its cause.
+type Event struct {
+	At       time.Time
+	Instance string
+	Kind     EventKind
+	Cause    string
+	Request  string
+	Adapter  string
+	Endpoint string
+	Pool     string
+	Other    string
+	Fence    uint64
+	Revision int64
+	Value    float64
+}
--- /dev/null
+++ b/services/placement/endpoint_state.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+)
+
+// slotState tells what is known of a slot.
+type slotState int
+
+const (
+	slotLoading slotState = iota
+	slotResident
+	slotUnknown
+)
+
+// slot is one adapter's place on an endpoint.
+type slot struct {
+	adapter fleet.AdapterRef
+	state   slotState
+	running int
+	// foreign is true while the endpoint reports work that no ticket explains.
+	foreign  bool
+	closing  bool
+	since    time.Time
+	lastUsed time.Time
+	evicting fleet.AdapterRef
+}
+
+// inUse tells whether unloading the slot could cut off a running request.
+func (s *slot) inUse() bool {
+	return s.running > 0 || s.foreign
+}
+
+// endpointState is what the placer knows of one endpoint.
+type endpointState struct {
+	spec        fleet.Endpoint
+	incarnation string
+	fence       uint64
+	up          bool
+	leaving     bool
+	drained     bool
+	uncertain   bool
+	running     int
+	tenants     map[string]int
+	slots       map[fleet.AdapterRef]*slot
+	loading     int
+	frozenUntil time.Time
+}
+
+func newEndpointState(spec fleet.Endpoint) *endpointState {
+	return &endpointState{
+		spec:    spec,
+		tenants: make(map[string]int),
+		slots:   make(map[fleet.AdapterRef]*slot),
+	}
+}
+
+// takesWork tells whether new requests may go to the endpoint.
+func (e *endpointState) takesWork() bool {
+	return e.up && !e.leaving && !e.drained
+}
+
+// takesLoads tells whether slots may be filled.
+func (e *endpointState) takesLoads() bool {
+	return e.takesWork() && !e.uncertain && e.spec.Kind != fleet.KindPlain
+}
+
+// mayUnload tells whether in-use knowledge is complete enough to unload.
+func (e *endpointState) mayUnload(now time.Time) bool {
+	return !e.uncertain && !now.Before(e.frozenUntil)
+}
+
+func (e *endpointState) free() int {
+	return e.spec.MaxBatch - e.running
+}
+
+// fill gives the used part of the batch, from 0 to 1.
+func (e *endpointState) fill() float64 {
+	if e.spec.MaxBatch == 0 {
+		return 1
+	}
+	return float64(e.running) / float64(e.spec.MaxBatch)
+}
+
+// loadTime gives the expected time of a load at full speed.
+func (e *endpointState) loadTime() time.Duration {
+	if e.spec.Load <= 0 {
+		return defaultLoadTime
+	}
+	return e.spec.Load
+}
--- /dev/null
+++ b/services/placement/load.go
@@ -0,0 +1,441 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+)
+
+const (
+	// waitGrowth is the wait that doubles the value of a load, against starvation.
+	waitGrowth       = 20 * time.Second
+	horizon          = 30 * time.Second
+	copyDiscount     = 0.25
+	tenantLoadLife   = 30 * time.Second
+	preloadMinRate   = 1e-4
+	coldStartFactor  = 0.02
+	preloadScanEvery = 5 * time.Second
+)
+
+// Bid is the most valuable load that a pool asks a permit for.
+type Bid struct {
+	Adapter fleet.AdapterRef
+	Value   float64
+	// Preload is true while nobody waits for the adapter.
+	Preload bool
+}
+
+// placeFor is where a load would go and what it would displace.
+type placeFor struct {
+	endpoint *endpointState
+	victim   *slot
+	cost     float64
+}
+
+// Bid gives the most valuable load of the pool, if any load is worth a permit.
+func (p *Placer) Bid(now time.Time) (Bid, bool) {
+	bid, _ := p.bestDemand(now)
+	if bid.Value > 0 {
+		return bid, true
+	}
+	return p.bestPreload(now)
+}
+
+// UsePermit spends a permit of the weight store on the best load of this moment;
+// it reports false where no load is wanted any more, so that the permit goes back.
+func (p *Placer) UsePermit(now time.Time) ([]Effect, bool) {
+	bid, place := p.bestDemand(now)
+	if bid.Value <= 0 {
+		var ok bool
+		bid, ok = p.bestPreload(now)
+		if !ok {
+			return p.take(), false
+		}
+		place, _ = p.findPlace(now, bid.Adapter, bid.Value)
+	}
+	if place.endpoint == nil {
+		return p.take(), false
+	}
+	p.startLoad(now, bid, place)
+	return p.take(), true
+}
+
+// bestDemand weighs every adapter that requests wait for.
+func (p *Placer) bestDemand(now time.Time) (Bid, placeFor) {
+	var best Bid
+	var where placeFor
+	for ref, a := range p.queue.adapters {
+		if ref.IsZero() {
+			continue
+		}
+		value := p.demandValue(now, ref, a)
+		if value <= 0 || value < best.Value || (value == best.Value && ref.String() > best.Adapter.String()) {
+			continue
+		}
+		place, ok := p.findPlace(now, ref, math.Inf(1))
+		if !ok {
+			p.makeRoom(now, ref, a)
+			continue
+		}
+		best, where = Bid{Adapter: ref, Value: value}, place
+	}
+	return best, where
+}
+
+// demandValue is the waiting that a load would remove: waiters by weight and the
+// arrivals to expect, raised with the wait so that no one starves.
+func (p *Placer) demandValue(now time.Time, ref fleet.AdapterRef, a *adapterQueue) float64 {
+	if f, ok := p.failures[ref]; ok && now.Before(f.until) {
+		return 0
+	}
+	wait := now.Sub(a.oldest)
+	value := a.weight + p.popular.rate(now, ref)*horizon.Seconds()
+	value *= 1 + wait.Seconds()/waitGrowth.Seconds()
+	value /= 1 + p.tenantLoads(now, a)
+	if len(p.copies[ref]) == 0 {
+		return value
+	}
+	if !p.wantsCopy(now, ref, a) {
+		return 0
+	}
+	return value * copyDiscount
+}
+
+// wantsCopy tells whether an adapter with copies deserves one more: its queue
+// waits for a place, and no copy is on its way.
+func (p *Placer) wantsCopy(now time.Time, ref fleet.AdapterRef, a *adapterQueue) bool {
+	if a.count <= a.patient && now.Sub(a.oldest) < p.options.GatherLimit {
+		return false
+	}
+	if now.Sub(a.oldest) < p.options.SecondCopyWait {
+		return false
+	}
+	for _, e := range p.copies[ref] {
+		s := e.slots[ref]
+		if s.state != slotResident || s.closing || (e.takesWork() && e.free() > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// tenantLoads gives the recent loads made for the tenants that wait, the least of them.
+func (p *Placer) tenantLoads(now time.Time, a *adapterQueue) float64 {
+	least := math.Inf(1)
+	for key := range a.lanes {
+		least = math.Min(least, p.recentLoads(now, key.tenant))
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
+func (p *Placer) recentLoads(now time.Time, tenant string) float64 {
+	s, ok := p.loadShare[tenant]
+	if !ok {
+		return 0
+	}
+	dt := now.Sub(s.last).Seconds()
+	return s.fast * math.Exp2(-dt/tenantLoadLife.Seconds())
+}
+
+func (p *Placer) countLoad(now time.Time, ref fleet.AdapterRef) {
+	a, ok := p.queue.adapters[ref]
+	if !ok {
+		return
+	}
+	for key := range a.lanes {
+		recent := p.recentLoads(now, key.tenant)
+		p.loadShare[key.tenant] = &arrivalStat{fast: recent + 1/float64(len(a.lanes)), last: now}
+	}
+}
+
+// bestPreload finds an adapter worth loading before anyone waits for it.
+func (p *Placer) bestPreload(now time.Time) (Bid, bool) {
+	for _, ref := range p.preload {
+		if len(p.copies[ref]) > 0 || p.backingOff(now, ref) {
+			continue
+		}
+		if _, ok := p.findPlace(now, ref, math.Inf(1)); ok {
+			return Bid{Adapter: ref, Value: 1, Preload: true}, true
+		}
+	}
+	best := p.popularAbsent(now)
+	if best.Value == 0 {
+		return Bid{}, false
+	}
+	place, ok := p.findPlace(now, best.Adapter, best.Value)
+	if !ok || place.cost*p.options.PreloadGain > best.Value {
+		return Bid{}, false
+	}
+	best.Value *= coldStartFactor
+	return best, true
+}
+
+// popularAbsent finds the adapter most called for that is not loaded; the scan of
+// all known adapters is made once in a while, since it only serves idle permits.
+func (p *Placer) popularAbsent(now time.Time) Bid {
+	best := p.absent
+	if now.Sub(p.absentAt) < preloadScanEvery && best.Value > 0 && len(p.copies[best.Adapter]) == 0 && !p.backingOff(now, best.Adapter) {
+		return best
+	}
+	if now.Sub(p.absentAt) < preloadScanEvery && best.Value == 0 {
+		return best
+	}
+	best = Bid{}
+	for ref := range p.popular.stats {
+		rate := p.popular.steady(now, ref)
+		if rate < preloadMinRate || rate < best.Value || len(p.copies[ref]) > 0 || p.backingOff(now, ref) {
+			continue
+		}
+		if rate == best.Value && ref.String() > best.Adapter.String() {
+			continue
+		}
+		best = Bid{Adapter: ref, Value: rate, Preload: true}
+	}
+	p.absent, p.absentAt = best, now
+	return best
+}
+
+func (p *Placer) backingOff(now time.Time, ref fleet.AdapterRef) bool {
+	f, ok := p.failures[ref]
+	return ok && now.Before(f.until)
+}
+
+// findPlace finds the slot whose loss costs least, below the given worth.
+func (p *Placer) findPlace(now time.Time, ref fleet.AdapterRef, worth float64) (placeFor, bool) {
+	var best placeFor
+	found := false
+	for _, e := range p.endpoints {
+		if !e.takesLoads() || !e.spec.Serves(p.bases[ref]) || e.slots[ref] != nil {
+			continue
+		}
+		place, ok := p.placeOn(now, e)
+		if !ok || place.cost >= worth {
+			continue
+		}
+		if !found || place.cost < best.cost || (place.cost == best.cost && emptier(place.endpoint, best.endpoint)) {
+			best, found = place, true
+		}
+	}
+	return best, found
+}
+
+// emptier compares two endpoints with equal cost: free slots first, then free places.
+func emptier(a, b *endpointState) bool {
+	if len(a.slots) != len(b.slots) {
+		return len(a.slots) < len(b.slots)
+	}
+	return a.running < b.running
+}
+
+// placeOn finds the cheapest slot of one endpoint.
+func (p *Placer) placeOn(now time.Time, e *endpointState) (placeFor, bool) {
+	if len(e.slots) < e.spec.Slots {
+		return placeFor{endpoint: e}, true
+	}
+	if !e.mayUnload(now) {
+		return placeFor{}, false
+	}
+	best := placeFor{endpoint: e, cost: math.Inf(1)}
+	for _, s := range e.slots {
+		cost, ok := p.keepValue(now, e, s)
+		if !ok {
+			continue
+		}
+		if cost < best.cost || (cost == best.cost && s.adapter.String() < best.victim.adapter.String()) {
+			best.cost, best.victim = cost, s
+		}
+	}
+	return best, best.victim != nil
+}
+
+// keepValue is what it would cost to evict the slot; false where it must not be evicted.
+func (p *Placer) keepValue(now time.Time, e *endpointState, s *slot) (float64, bool) {
+	if s.state != slotResident || s.inUse() || p.pinned[s.adapter] {
+		return 0, false
+	}
+	if a, ok := p.queue.adapters[s.adapter]; ok && !s.closing && (a.count > a.patient || e.takesWork()) {
+		return 0, false
+	}
+	rate := p.popular.rate(now, s.adapter)
+	if len(p.copies[s.adapter]) > 1 {
+		rate *= copyDiscount
+	}
+	return rate, true
+}
+
+// makeRoom closes the least valuable busy slot to new work, so that it becomes free for ref.
+func (p *Placer) makeRoom(now time.Time, ref fleet.AdapterRef, a *adapterQueue) {
+	if len(p.copies[ref]) > 0 || p.hasClosing() {
+		return
+	}
+	var least *slot
+	leastCost := math.Inf(1)
+	for _, e := range p.endpoints {
+		if !e.takesLoads() || !e.mayUnload(now) || !e.spec.Serves(p.bases[ref]) {
+			continue
+		}
+		for _, s := range e.slots {
+			if s.state != slotResident || p.pinned[s.adapter] || s.foreign {
+				continue
+			}
+			cost := p.popular.rate(now, s.adapter) * float64(1+s.running)
+			if cost < leastCost || (cost == leastCost && s.adapter.String() < least.adapter.String()) {
+				least, leastCost = s, cost
+			}
+		}
+	}
+	if least != nil && a.count > a.patient {
+		least.closing = true
+	}
+}
+
+func (p *Placer) hasClosing() bool {
+	for _, e := range p.endpoints {
+		for _, s := range e.slots {
+			if s.closing {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// reopen takes back closings that nobody needs any more.
+func (p *Placer) reopen(e *endpointState) {
+	for ref := range p.queue.adapters {
+		if len(p.copies[ref]) == 0 {
+			return
+		}
+	}
+	for _, s := range e.slots {
+		s.closing = false
+	}
+}
+
+// startLoad orders the load and takes the victim out of the books first.
+func (p *Placer) startLoad(now time.Time, bid Bid, place placeFor) {
+	e := place.endpoint
+	order := Load{Pool: p.pool, Endpoint: e.spec.Name, Incarnation: e.incarnation, Fence: e.fence, Adapter: bid.Adapter}
+	s := &slot{adapter: bid.Adapter, state: slotLoading, since: now, lastUsed: now}
+	if place.victim != nil {
+		order.Evict = place.victim.adapter
+		s.evicting = order.Evict
+		p.dropCopy(e, order.Evict)
+		p.note(now, fleet.Event{
+			Kind: fleet.EventEvict, Adapter: order.Evict.String(), Other: bid.Adapter.String(), Endpoint: e.spec.Name, Fence: e.fence, Value: place.cost,
+			Cause: "least expected calls among " + strconv.Itoa(len(e.slots)+1) + " slots, none in use",
+		})
+	}
+	p.addCopy(e, s)
+	e.loading++
+	p.loads++
+	p.countLoad(now, bid.Adapter)
+	p.effects = append(p.effects, order)
+	p.note(now, fleet.Event{Kind: fleet.EventLoad, Adapter: bid.Adapter.String(), Endpoint: e.spec.Name, Fence: e.fence, Value: bid.Value, Cause: loadCause(bid)})
+}
+
+func loadCause(b Bid) string {
+	if b.Preload {
+		return "expected to be called soon"
+	}
+	return "requests wait for it"
+}
+
+// Loaded takes the end of an ordered load.
+func (p *Placer) Loaded(now time.Time, endpoint, incarnation string, ref fleet.AdapterRef, result LoadResult, cause string) []Effect {
+	e := p.byName[endpoint]
+	if e == nil || e.incarnation != incarnation {
+		return p.take()
+	}
+	s := e.slots[ref]
+	if s == nil || s.state != slotLoading {
+		return p.take()
+	}
+	e.loading--
+	switch result {
+	case LoadDone:
+		s.state = slotResident
+		s.since = now
+		s.lastUsed = now
+		delete(p.failures, ref)
+		p.note(now, fleet.Event{Kind: fleet.EventLoaded, Adapter: ref.String(), Endpoint: endpoint})
+		p.dispatchEndpoint(now, e)
+	case LoadFailed:
+		p.dropCopy(e, ref)
+		p.failed(now, ref, endpoint, cause)
+		p.inspect(e)
+	case LoadUnknown:
+		s.state = slotUnknown
+		p.note(now, fleet.Event{Kind: fleet.EventSlotUnknown, Adapter: ref.String(), Endpoint: endpoint, Cause: cause})
+		p.inspect(e)
+	}
+	return p.take()
+}
+
+// inspect holds further orders back until the endpoint's own list is known.
+func (p *Placer) inspect(e *endpointState) {
+	e.uncertain = true
+	p.effects = append(p.effects, Inspect{Pool: p.pool, Endpoint: e.spec.Name})
+}
+
+// failed counts a failed load, backs off and refuses the waiters when it keeps failing.
+func (p *Placer) failed(now time.Time, ref fleet.AdapterRef, endpoint, cause string) {
+	f, ok := p.failures[ref]
+	if !ok {
+		f = &failure{}
+		p.failures[ref] = f
+	}
+	f.count++
+	wait := float64(p.options.BackoffBase) * math.Pow(2, float64(min(f.count, 10)-1)) * jitter(ref, f.count)
+	f.until = now.Add(min(time.Duration(wait), p.options.BackoffMax))
+	p.note(now, fleet.Event{Kind: fleet.EventLoadFailed, Adapter: ref.String(), Endpoint: endpoint, Cause: cause, Value: float64(f.count)})
+	if f.count < p.options.GiveUpFailures || len(p.copies[ref]) > 0 {
+		return
+	}
+	p.refuseAdapter(now, ref, fleet.Refusal{Reason: fleet.ReasonLoadFailing, RetryAfter: f.until.Sub(now)})
+}
+
+func (p *Placer) refuseAdapter(now time.Time, ref fleet.AdapterRef, refusal fleet.Refusal) {
+	a, ok := p.queue.adapters[ref]
+	if !ok {
+		return
+	}
+	for _, l := range a.lanes {
+		for _, w := range l.waiters {
+			if w == nil || w.gone {
+				continue
+			}
+			p.queue.remove(w)
+			p.refuse(now, w.request, refusal)
+		}
+	}
+}
+
+func (p *Placer) addCopy(e *endpointState, s *slot) {
+	e.slots[s.adapter] = s
+	p.copies[s.adapter] = append(p.copies[s.adapter], e)
+}
+
+func (p *Placer) dropCopy(e *endpointState, ref fleet.AdapterRef) {
+	delete(e.slots, ref)
+	list := p.copies[ref]
+	for i, other := range list {
+		if other == e {
+			list = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(p.copies, ref)
+		return
+	}
+	p.copies[ref] = list
+}
--- /dev/null
+++ b/services/routing/doc.go
@@ -0,0 +1,7 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package routing chooses, at a request's entry, the pool of endpoints that is
+// asked for a place: the hall where the adapter is loaded, or the one hall that
+// is to load it. It works from summaries that lag, and counts what it has sent since.
+package routing
