--- /dev/null
+++ b/models/catalog/codec.go
@@ -0,0 +1,159 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package catalog
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+)
+
+// ErrBadEncoding reports stored configuration that cannot be read.
+type ErrBadEncoding struct {
+	What   string
+	Reason string
+}
+
+// Error tells what could not be read.
+func (e ErrBadEncoding) Error() string {
+	return fmt.Sprintf("the stored %s cannot be read: %s", e.What, e.Reason)
+}
+
+// IsErrBadEncoding tells whether an error is an ErrBadEncoding.
+func IsErrBadEncoding(err error) bool {
+	var e ErrBadEncoding
+	return errors.As(err, &e)
+}
+
+// maxDecoded bounds what a stored value may unfold to, in bytes.
+const maxDecoded = 64 << 20
+
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDecoded))
+)
+
+// pack gives the compressed JSON of a value.
+func pack(v any) ([]byte, error) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return nil, ErrBadEncoding{What: "value", Reason: err.Error()}
+	}
+	return encoder.EncodeAll(raw, nil), nil
+}
+
+func unpack(what string, data []byte, into any) error {
+	raw, err := decoder.DecodeAll(data, nil)
+	if err != nil {
+		return ErrBadEncoding{What: what, Reason: err.Error()}
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return ErrBadEncoding{What: what, Reason: err.Error()}
+	}
+	return nil
+}
+
+// EncodeRecord gives a record's stored form.
+func EncodeRecord(r Record) ([]byte, error) {
+	return pack(r)
+}
+
+// DecodeRecord reads a record's stored form.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	err := unpack("record", data, &r)
+	return r, err
+}
+
+// snapshot is the stored form of a whole catalog.
+type snapshot struct {
+	Revision int64         `json:"revision"`
+	Adapters []*Adapter    `json:"adapters"`
+	Services []*Service    `json:"services"`
+	Rules    []Rule        `json:"rules"`
+	Classes  []fleet.Class `json:"classes"`
+	Pins     []string      `json:"pins"`
+	Preloads []string      `json:"preloads"`
+	Drained  []string      `json:"drained"`
+	Budget   Budget        `json:"budget"`
+}
+
+// EncodeSnapshot gives the stored form of a whole catalog.
+func EncodeSnapshot(c *Catalog) ([]byte, error) {
+	s := snapshot{Revision: c.Revision, Rules: c.Rules, Budget: c.Budget, Pins: refNames(c.Pins), Preloads: refNames(c.Preloads)}
+	for _, a := range c.Adapters {
+		s.Adapters = append(s.Adapters, a)
+	}
+	sort.Slice(s.Adapters, func(i, j int) bool { return s.Adapters[i].Name < s.Adapters[j].Name })
+	for _, service := range c.Services {
+		s.Services = append(s.Services, service)
+	}
+	sort.Slice(s.Services, func(i, j int) bool { return s.Services[i].Name < s.Services[j].Name })
+	for _, class := range c.Classes {
+		s.Classes = append(s.Classes, class)
+	}
+	sort.Slice(s.Classes, func(i, j int) bool { return s.Classes[i].Name < s.Classes[j].Name })
+	for name := range c.Drained {
+		s.Drained = append(s.Drained, name)
+	}
+	sort.Strings(s.Drained)
+	return pack(s)
+}
+
+func refNames(refs map[fleet.AdapterRef]bool) []string {
+	out := make([]string, 0, len(refs))
+	for ref := range refs {
+		out = append(out, ref.String())
+	}
+	sort.Strings(out)
+	return out
+}
+
+// DecodeSnapshot reads the stored form of a whole catalog.
+func DecodeSnapshot(data []byte) (*Catalog, error) {
+	var s snapshot
+	if err := unpack("snapshot", data, &s); err != nil {
+		return nil, err
+	}
+	c := New()
+	c.Revision, c.Rules, c.Budget = s.Revision, s.Rules, s.Budget
+	for _, a := range s.Adapters {
+		if a == nil {
+			return nil, ErrBadEncoding{What: "snapshot", Reason: "an adapter is null"}
+		}
+		c.Adapters[a.Name] = a
+	}
+	for _, service := range s.Services {
+		if service == nil {
+			return nil, ErrBadEncoding{What: "snapshot", Reason: "a service is null"}
+		}
+		c.Services[service.Name] = service
+	}
+	for _, class := range s.Classes {
+		c.Classes[class.Name] = class
+	}
+	for _, name := range s.Drained {
+		c.Drained[name] = true
+	}
+	if err := readRefs(s.Pins, c.Pins); err != nil {
+		return nil, err
+	}
+	return c, readRefs(s.Preloads, c.Preloads)
+}
+
+func readRefs(names []string, into map[fleet.AdapterRef]bool) error {
+	for _, name := range names {
+		ref, err := fleet.ParseAdapterRef(name)
+		if err != nil {
+			return ErrBadEncoding{What: "snapshot", Reason: err.Error()}
+		}
+		into[ref] = true
+	}
+	return nil
+}
--- a/models/fleet/endpoint.go
+++ b/models/fleet/endpoint.go
@@ -112,3 +112,8 @@
 	}
 	return false
 }
+
+// PlainBase gives the name that stands in for the base of a plain service under a path prefix.
+func PlainBase(prefix string) string {
+	return "plain:" + prefix
+}
--- a/models/fleet/message.go
+++ b/models/fleet/message.go
@@ -34,16 +34,15 @@
 type Heartbeat struct {
 	Instance Instance `msgpack:"i"`
 	// Stamp is the sender's own clock, which the receiver only echoes.
-	Stamp time.Duration `msgpack:"s"`
-	// Echo is the receiver's last stamp that the sender has seen.
-	Echo     time.Duration  `msgpack:"e"`
-	Revision int64          `msgpack:"r"`
-	Leaving  bool           `msgpack:"l,omitempty"`
-	Held     []HeldPool     `msgpack:"h,omitempty"`
-	Members  uint64         `msgpack:"m"`
-	Known    []Instance     `msgpack:"k,omitempty"`
-	Pools    []PoolSummary  `msgpack:"p,omitempty"`
-	Halls    []HallRevision `msgpack:"hr,omitempty"`
+	Stamp    time.Duration `msgpack:"s"`
+	Revision int64         `msgpack:"r"`
+	Leaving  bool          `msgpack:"l,omitempty"`
+	Held     []HeldPool    `msgpack:"h,omitempty"`
+	Members  uint64        `msgpack:"m"`
+	Known    []Instance    `msgpack:"k,omitempty"`
+	Pools    []PoolSummary `msgpack:"p,omitempty"`
+	// Wants names the pools of which the sender needs a full summary.
+	Wants []string `msgpack:"w,omitempty"`
 }
 
 // HeldPool announces that the sender is the placer of a pool.
@@ -52,11 +51,13 @@
 	Term uint64 `msgpack:"t"`
 }
 
-// PoolSummary is a full or partial account of a pool for routing.
+// PoolSummary is an account of a pool for routing: the whole of it, or what
+// changed after Base, for receivers that know the pool up to Base or later.
 type PoolSummary struct {
 	Pool    string   `msgpack:"p"`
 	Epoch   uint64   `msgpack:"e"`
 	Seq     uint64   `msgpack:"s"`
+	Base    uint64   `msgpack:"b,omitempty"`
 	Full    bool     `msgpack:"f,omitempty"`
 	Added   []string `msgpack:"a,omitempty"`
 	Removed []string `msgpack:"r,omitempty"`
@@ -66,14 +67,6 @@
 	Waiting int      `msgpack:"w"`
 }
 
-// HallRevision tells the lowest revision in force among a hall's instances.
-type HallRevision struct {
-	Hall     string `msgpack:"h"`
-	Revision int64  `msgpack:"r"`
-	// Age is how old the report was when it was sent.
-	Age time.Duration `msgpack:"a"`
-}
-
 // Digest is what one hall's speaker tells another hall's speakers, who pass it on.
 type Digest struct {
 	Hall      string        `msgpack:"h"`
@@ -82,8 +75,13 @@
 	Pools     []PoolSummary `msgpack:"p"`
 	Revision  int64         `msgpack:"r"`
 	Highest   int64         `msgpack:"hi"`
-	Relayed   bool          `msgpack:"re,omitempty"`
-	Age       time.Duration `msgpack:"a,omitempty"`
+	// Relayed is true where the hall's speaker passes the digest on; Speaker is its source.
+	Relayed bool     `msgpack:"re,omitempty"`
+	Speaker Instance `msgpack:"sp"`
+	// Age is how long a relay held the digest.
+	Age time.Duration `msgpack:"a,omitempty"`
+	// Wants names the receiver's pools of which the sender needs a full summary.
+	Wants []string `msgpack:"w,omitempty"`
 }
 
 // PlacerOf names the instance that places a pool.
@@ -111,8 +109,9 @@
 
 // Granted hands out a ticket; Stamp echoes the entry's clock, which bounds the grant's age.
 type Granted struct {
-	Ticket Ticket        `msgpack:"t"`
-	Stamp  time.Duration `msgpack:"s"`
+	Ticket  Ticket        `msgpack:"t"`
+	Stamp   time.Duration `msgpack:"s"`
+	Attempt int           `msgpack:"a,omitempty"`
 }
 
 // Refused tells an entry that its request was not run; Elsewhere asks it to find the placer anew.
@@ -120,6 +119,7 @@
 	Pool      string  `msgpack:"p"`
 	Refusal   Refusal `msgpack:"r"`
 	Elsewhere bool    `msgpack:"e,omitempty"`
+	Attempt   int     `msgpack:"a,omitempty"`
 }
 
 // Returned gives tickets back after their requests have ended.
--- /dev/null
+++ b/modules/language/grammar.go
@@ -0,0 +1,329 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package language
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// Script is a list of statements, separated by semicolons.
+type Script struct {
+	Statements []*Statement `parser:"( @@? ( ';' @@? )* )"`
+}
+
+// Statement is one command, query or explanation.
+type Statement struct {
+	Pos     lexer.Position
+	Show    *Show    `parser:"  'show' @@"`
+	Explain *Explain `parser:"| 'explain' @@"`
+	Change  *Change  `parser:"| @@"`
+}
+
+// Change is a command that makes a new revision.
+type Change struct {
+	DryRun     bool          `parser:"@( 'dry' 'run' )?"`
+	Create     *Create       `parser:"(  'create' @@"`
+	Alter      *Alter        `parser:" | 'change' @@"`
+	Retire     *Retire       `parser:" | 'retire' @@"`
+	Restore    *Ref          `parser:" | 'restore' 'version' @@"`
+	Live       *Ref          `parser:" | 'set' 'live' @@"`
+	Budget     *BudgetClause `parser:" | 'set' 'budget' @@"`
+	Class      *ClassClause  `parser:" | 'set' 'class' @@"`
+	ResetClass *Name         `parser:" | 'reset' 'class' @@"`
+	Roll       *Roll         `parser:" | 'roll' @@"`
+	Pin        *Ref          `parser:" | 'pin' @@"`
+	Unpin      *Ref          `parser:" | 'unpin' @@"`
+	Preload    *Ref          `parser:" | 'preload' @@"`
+	Unpreload  *Ref          `parser:" | 'unpreload' @@"`
+	Drain      *Drain        `parser:" | 'drain' @@"`
+	Undrain    *Drain        `parser:" | 'undrain' @@"`
+	Undo       *Number       `parser:" | 'undo' 'revision' @Word )"`
+	IfRevision *Number       `parser:"( 'if' 'revision' @Word )?"`
+}
+
+// Create makes a new thing.
+type Create struct {
+	Adapter *AdapterClause `parser:"  'adapter' @@"`
+	Version *VersionClause `parser:"| 'version' @@"`
+	Service *ServiceClause `parser:"| 'service' @@"`
+	Rule    *RuleClause    `parser:"| 'rule' @@"`
+}
+
+// Alter replaces a service or rule.
+type Alter struct {
+	Service *ServiceClause `parser:"  'service' @@"`
+	Rule    *RuleClause    `parser:"| 'rule' @@"`
+}
+
+// Retire takes a thing out of service.
+type Retire struct {
+	Adapter *Name `parser:"  'adapter' @@"`
+	Version *Ref  `parser:"| 'version' @@"`
+	Service *Name `parser:"| 'service' @@"`
+	Rule    *Name `parser:"| 'rule' @@"`
+}
+
+// Name is a name, quoted or not.
+type Name struct {
+	Text string `parser:"@( Word | String )"`
+}
+
+// Ref is adapter@version.
+type Ref struct {
+	Pos  lexer.Position
+	Text string `parser:"@( Word | String )"`
+}
+
+// AdapterClause describes a new adapter.
+type AdapterClause struct {
+	Name    string  `parser:"@( Word | String )"`
+	Base    string  `parser:"'base' @( Word | String )"`
+	Version *Number `parser:"( 'version' @Word )?"`
+	Source  string  `parser:"( 'source' @( Word | String ) )?"`
+}
+
+// VersionClause describes a new version.
+type VersionClause struct {
+	Ref    *Ref   `parser:"@@"`
+	Source string `parser:"( 'source' @( Word | String ) )?"`
+	Live   bool   `parser:"@'live'?"`
+}
+
+// ServiceClause describes a service by its shares.
+type ServiceClause struct {
+	Name   string         `parser:"@( Word | String ) 'as'"`
+	Shares []*ShareClause `parser:"@@ ( ',' @@ )*"`
+}
+
+// ShareClause is one share; without a version it follows the live one.
+type ShareClause struct {
+	Pos     lexer.Position
+	Adapter string  `parser:"@( Word | String )"`
+	Percent *Number `parser:"( @Word '%' )?"`
+}
+
+// Roll moves a service to another version by share, or back.
+type Roll struct {
+	Back    *Name   `parser:"  'back' 'service' @@"`
+	Service string  `parser:"| 'service' @( Word | String )"`
+	To      *Ref    `parser:"  'to' @@"`
+	Percent *Number `parser:"  ( 'at' @Word '%' )?"`
+}
+
+// RuleClause describes a rule.
+type RuleClause struct {
+	Name       string           `parser:"@( Word | String )"`
+	Conditions []*RuleCondition `parser:"( 'for' @@ ( 'and' @@ )* )?"`
+	Window     *Window          `parser:"@@?"`
+	Actions    []*RuleAction    `parser:"@@ ( ',' @@ )*"`
+}
+
+// RuleCondition limits a rule; patterns know * and ?.
+type RuleCondition struct {
+	Field   string `parser:"@( 'class' | 'caller' | 'base' | 'adapter' | 'hall' )"`
+	Pattern string `parser:"@( Word | String )"`
+}
+
+// Window limits a rule to a time of day.
+type Window struct {
+	From string `parser:"'between' @Time"`
+	To   string `parser:"'and' @Time"`
+	Zone string `parser:"( 'in' @( Word | String ) )?"`
+}
+
+// RuleAction is what a rule does.
+type RuleAction struct {
+	Halls    []string `parser:"  'run' 'in' @( Word | String ) ( '+' @( Word | String ) )*"`
+	Priority *Number  `parser:"| 'priority' @Word"`
+	Refuse   bool     `parser:"| @'refuse'"`
+}
+
+// BudgetClause sets the weight store's rate.
+type BudgetClause struct {
+	Rate   *Decimal `parser:"@Word 'loads' 'per' 'second'"`
+	AtOnce *Number  `parser:"@Word 'at' 'once'"`
+}
+
+// ClassClause sets a class.
+type ClassClause struct {
+	Name     string   `parser:"@( Word | String )"`
+	Priority *Number  `parser:"'priority' @Word"`
+	Weight   *Decimal `parser:"'weight' @Word"`
+	Queue    *Number  `parser:"( 'queue' @Word )?"`
+	Patient  bool     `parser:"@'patient'?"`
+}
+
+// Drain names an endpoint or a hall.
+type Drain struct {
+	Endpoint string `parser:"  'endpoint' @( Word | String )"`
+	Hall     string `parser:"| 'hall' @( Word | String )"`
+}
+
+// Show is a query.
+type Show struct {
+	Count bool     `parser:"@( 'count' 'of'? )?"`
+	Table string   `parser:"@Word"`
+	Where *Or      `parser:"( 'where' @@ )?"`
+	Group string   `parser:"( 'group' 'by' @Word )?"`
+	Order []*Order `parser:"( 'order' 'by' @@ ( ',' @@ )* )?"`
+	Limit *Number  `parser:"( 'limit' @Word )?"`
+}
+
+// Order is one column to sort by.
+type Order struct {
+	Column string `parser:"@Word"`
+	Desc   bool   `parser:"( @'desc' | 'asc' )?"`
+}
+
+// Or holds if any of its parts does.
+type Or struct {
+	Parts []*And `parser:"@@ ( 'or' @@ )*"`
+}
+
+// And holds if all of its parts do.
+type And struct {
+	Parts []*Condition `parser:"@@ ( 'and' @@ )*"`
+}
+
+// Condition is one comparison.
+type Condition struct {
+	Pos    lexer.Position
+	Not    *Condition `parser:"  'not' @@"`
+	Group  *Or        `parser:"| '(' @@ ')'"`
+	Column string     `parser:"| @Word"`
+	Op     string     `parser:"  @( '=' | '!=' | '<=' | '>=' | '<' | '>' | 'like' )"`
+	Value  string     `parser:"  @( Word | String )"`
+}
+
+// Explain asks why.
+type Explain struct {
+	Request  *Name   `parser:"  'request' @@"`
+	Adapter  *Name   `parser:"| 'adapter' @@"`
+	Slot     *Slot   `parser:"| 'slot' @@"`
+	Revision *Number `parser:"| 'revision' @Word"`
+}
+
+// Slot names an adapter on an endpoint.
+type Slot struct {
+	Endpoint string `parser:"@( Word | String )"`
+	Adapter  string `parser:"@( Word | String )?"`
+}
+
+// Number is a whole number of zero or more.
+type Number int64
+
+// Capture implements participle.Capture.
+func (n *Number) Capture(values []string) error {
+	v, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || v < 0 {
+		return fmt.Errorf("expected a whole number, found %q", values[0])
+	}
+	*n = Number(v)
+	return nil
+}
+
+// Decimal is a number of zero or more.
+type Decimal float64
+
+// Capture implements participle.Capture.
+func (n *Decimal) Capture(values []string) error {
+	v, err := strconv.ParseFloat(values[0], 64)
+	if err != nil || v < 0 {
+		return fmt.Errorf("expected a number, found %q", values[0])
+	}
+	*n = Decimal(v)
+	return nil
+}
+
+var lex = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `--[^\n]*`},
+	{Name: "Space", Pattern: `\s+`},
+	{Name: "String", Pattern: `'[^']*'|"[^"]*"`},
+	{Name: "Time", Pattern: `\d{1,2}:\d{2}`},
+	{Name: "Word", Pattern: `[\pL\d_*?][\pL\d_./@~*?-]*`},
+	{Name: "Op", Pattern: `!=|<=|>=|[=<>,;%()+]`},
+})
+
+var parser = participle.MustBuild[Script](
+	participle.Lexer(lex),
+	participle.Elide("Comment", "Space"),
+	participle.CaseInsensitive("Word"),
+	participle.Unquote("String"),
+	participle.UseLookahead(3),
+)
+
+// ErrSyntax reports a text that is not of the language, and where.
+type ErrSyntax struct {
+	Line   int
+	Column int
+	Reason string
+}
+
+// Error gives line, column and what was expected.
+func (e ErrSyntax) Error() string {
+	return fmt.Sprintf("line %d, column %d: %s", e.Line, e.Column, e.Reason)
+}
+
+// IsErrSyntax tells whether an error is an ErrSyntax.
+func IsErrSyntax(err error) bool {
+	var e ErrSyntax
+	return errors.As(err, &e)
+}
+
+// Point draws the line of the text with a mark under the column.
+func (e ErrSyntax) Point(text string) string {
+	lines := strings.Split(text, "\n")
+	if e.Line < 1 || e.Line > len(lines) {
+		return ""
+	}
+	return lines[e.Line-1] + "\n" + strings.Repeat(" ", max(0, e.Column-1)) + "^"
+}
+
+const maxText = 8 << 20
+
+// Parse reads statements.
+func Parse(text string) ([]*Statement, error) {
+	if len(text) > maxText {
+		return nil, ErrSyntax{Line: 1, Column: 1, Reason: "the text is longer than 8 MB"}
+	}
+	script, err := parser.ParseString("", text)
+	if err != nil {
+		return nil, syntaxError(err)
+	}
+	return script.Statements, nil
+}
+
+func syntaxError(err error) error {
+	var p participle.Error
+	if errors.As(err, &p) {
+		return ErrSyntax{Line: p.Position().Line, Column: p.Position().Column, Reason: plain(p.Message())}
+	}
+	return ErrSyntax{Line: 1, Column: 1, Reason: err.Error()}
+}
+
+// expected gives, for what the parser calls by the names of types, the words that may stand there.
+var expected = strings.NewReplacer(
+	"(expected Create)", "(expected adapter, version, service or rule)",
+	"(expected Alter)", "(expected service or rule)",
+	"(expected Retire)", "(expected adapter, version, service or rule)",
+	"(expected Change)", "(expected show, explain, create, change, retire, restore, set, reset, roll, pin, unpin, preload, unpreload, drain, undrain or undo)",
+	"(expected Explain)", "(expected request, adapter, slot or revision)",
+	"(expected Drain)", "(expected endpoint or hall)",
+	"(expected RuleAction", "(expected run in, priority or refuse",
+	"<EOF>", "end of text",
+	"<word> | <string>", "a name",
+	"<word>", "a word or number",
+	"<time>", "a time such as 08:30",
+	"failed to capture: ", "",
+)
+
+func plain(message string) string {
+	return expected.Replace(message)
+}
--- /dev/null
+++ b/modules/metric/metric.go
@@ -0,0 +1,172 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package metric
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/shelfledge/shelfledge/modules/kv"
+)
+
+// Metrics are a daemon's metrics in a registry of their own.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	Requests     *prometheus.CounterVec
+	Stall        *prometheus.HistogramVec
+	QueueWait    *prometheus.HistogramVec
+	FirstToken   *prometheus.HistogramVec
+	BetweenToken *prometheus.HistogramVec
+	Whole        *prometheus.HistogramVec
+	Retries      *prometheus.CounterVec
+	Events       *prometheus.CounterVec
+	KVCalls      *prometheus.GaugeVec
+	Streams      prometheus.Gauge
+	Waiting      prometheus.Gauge
+	Revision     prometheus.Gauge
+	Dropped      prometheus.Gauge
+	Claims       *prometheus.CounterVec
+	Logins       *prometheus.CounterVec
+
+	callers *bounded
+	classes *bounded
+}
+
+// otherLabel stands for all values beyond the bound of a label.
+const otherLabel = "other"
+
+// Options bound the number of label values.
+type Options struct {
+	MaxCallers int
+	MaxClasses int
+}
+
+var (
+	waitBuckets  = []float64{.001, .005, .01, .025, .05, .1, .25, .5, 1, 1.2, 2.5, 5, 10, 30, 60}
+	tokenBuckets = []float64{.005, .01, .02, .03, .041, .06, .1, .25, 1}
+)
+
+// New registers the metrics.
+func New(o Options) *Metrics {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m := &Metrics{Registry: r, callers: newBounded(o.MaxCallers), classes: newBounded(o.MaxClasses)}
+	labels := []string{"class", "caller"}
+	m.Requests = counter(r, "requests_total", "Requests by how they ended.", "class", "caller", "outcome", "reason")
+	m.Stall = histogram(r, "load_stall_seconds", "Time that requests waited for an adapter to load.", waitBuckets, labels)
+	m.QueueWait = histogram(r, "queue_wait_seconds", "Time from a request's arrival to its ticket, save the load stall.", waitBuckets, labels)
+	m.FirstToken = histogram(r, "first_token_seconds", "Time from a request's arrival to its first token.", waitBuckets, labels)
+	m.BetweenToken = histogram(r, "between_tokens_seconds", "Mean time between a stream's tokens.", tokenBuckets, labels)
+	m.Whole = histogram(r, "request_seconds", "Time from a request's arrival to its end.", waitBuckets, labels)
+	m.Retries = counter(r, "retries_total", "Attempts repeated, by cause.", "cause")
+	m.Events = counter(r, "events_total", "Actions of the system by kind.", "kind")
+	m.KVCalls = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "kv_calls", Help: "Calls to the key-value service since the start, by kind."}, []string{"kind"})
+	r.MustRegister(m.KVCalls)
+	m.Claims = counter(r, "once_claims_total", "Claims of requests that must not be repeated, by result.", "result")
+	m.Logins = counter(r, "operator_logins_total", "Operators' requests by the result of the check of their key.", "result")
+	m.Streams = gauge(r, "running_requests", "Requests that run through this instance.")
+	m.Waiting = gauge(r, "waiting_requests", "Requests of this instance that wait for a ticket.")
+	m.Revision = gauge(r, "configuration_revision", "Revision of the configuration in force.")
+	m.Dropped = gauge(r, "peer_messages_dropped", "Messages to peers that could not be sent.")
+	return m
+}
+
+const namespace = "shelfledge"
+
+func counter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	r.MustRegister(c)
+	return c
+}
+
+func histogram(r *prometheus.Registry, name, help string, buckets []float64, labels []string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+	r.MustRegister(h)
+	return h
+}
+
+func gauge(r *prometheus.Registry, name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	r.MustRegister(g)
+	return g
+}
+
+// Handler serves the metrics page.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
+}
+
+// Observation is what one request's end adds to the metrics.
+type Observation struct {
+	Class      string
+	Caller     string
+	Outcome    string
+	Reason     string
+	Stall      time.Duration
+	QueueWait  time.Duration
+	FirstToken time.Duration
+	Between    time.Duration
+	Whole      time.Duration
+	Ran        bool
+}
+
+// Observe adds one request.
+func (m *Metrics) Observe(o Observation) {
+	class, caller := m.classes.label(o.Class), m.callers.label(o.Caller)
+	m.Requests.WithLabelValues(class, caller, o.Outcome, o.Reason).Inc()
+	m.Whole.WithLabelValues(class, caller).Observe(o.Whole.Seconds())
+	if !o.Ran {
+		return
+	}
+	m.Stall.WithLabelValues(class, caller).Observe(o.Stall.Seconds())
+	m.QueueWait.WithLabelValues(class, caller).Observe(o.QueueWait.Seconds())
+	if o.FirstToken > 0 {
+		m.FirstToken.WithLabelValues(class, caller).Observe(o.FirstToken.Seconds())
+	}
+	if o.Between > 0 {
+		m.BetweenToken.WithLabelValues(class, caller).Observe(o.Between.Seconds())
+	}
+}
+
+// bounded gives label values as they are up to a number of different ones.
+type bounded struct {
+	mutex sync.RWMutex
+	most  int
+	seen  map[string]bool
+}
+
+func newBounded(most int) *bounded {
+	return &bounded{most: most, seen: make(map[string]bool)}
+}
+
+func (b *bounded) label(value string) string {
+	b.mutex.RLock()
+	ok := b.seen[value]
+	b.mutex.RUnlock()
+	if ok {
+		return value
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if !b.seen[value] && len(b.seen) >= b.most {
+		return otherLabel
+	}
+	b.seen[value] = true
+	return value
+}
+
+// SetKVCalls brings the counts of calls to the key-value service up to date.
+func (m *Metrics) SetKVCalls(c kv.Counts) {
+	for kind, n := range map[string]int64{
+		"read": c.Reads, "write": c.Writes, "watch": c.Watches, "unknown": c.Unknown, "not_done": c.NotDone, "throttled": c.Throttle,
+	} {
+		m.KVCalls.WithLabelValues(kind).Set(float64(n))
+	}
+}
--- /dev/null
+++ b/modules/peerlink/link.go
@@ -0,0 +1,270 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package peerlink
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+)
+
+// Options are the settings of the links.
+type Options struct {
+	// Receive takes the envelopes that arrive; it must not block for long.
+	Receive func(fleet.Envelope)
+	// Answer answers a peer's question.
+	Answer func(ctx context.Context, q Question) (Answer, error)
+	// ServerCredentials and ClientCredentials are nil for plain TCP.
+	ServerCredentials credentials.TransportCredentials
+	ClientCredentials credentials.TransportCredentials
+	// Blocked, if set, keeps messages to an address from leaving, for tests of cuts.
+	Blocked func(to netip.AddrPort) bool
+}
+
+// Links hold the streams to all peers; they are safe for concurrent use.
+type Links struct {
+	options Options
+	server  *grpc.Server
+	mutex   sync.Mutex
+	peers   map[netip.AddrPort]*peer
+	closed  bool
+	dropped atomic.Int64
+	bytes   atomic.Int64
+}
+
+const (
+	queueLength   = 4096
+	maxMessage    = 32 << 20
+	maxBackoff    = time.Second
+	idleLife      = 2 * time.Minute
+	reconnectWait = 100 * time.Millisecond
+)
+
+// New makes links that receive on the listener.
+func New(listener net.Listener, o Options) *Links {
+	l := &Links{options: o, peers: make(map[netip.AddrPort]*peer)}
+	creds := o.ServerCredentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	l.server = grpc.NewServer(
+		grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 10 * time.Second}),
+	)
+	l.server.RegisterService(&description, l)
+	go func() { _ = l.server.Serve(listener) }()
+	return l
+}
+
+func (l *Links) receive(e fleet.Envelope) {
+	l.options.Receive(e)
+}
+
+func (l *Links) answer(ctx context.Context, q Question) (Answer, error) {
+	return l.options.Answer(ctx, q)
+}
+
+// Dropped gives the number of envelopes that could not be sent.
+func (l *Links) Dropped() int64 {
+	return l.dropped.Load()
+}
+
+// Send queues an envelope for its peer, or drops it.
+func (l *Links) Send(e fleet.Envelope) {
+	if l.options.Blocked != nil && l.options.Blocked(e.To) {
+		l.dropped.Add(1)
+		return
+	}
+	p := l.peer(e.To)
+	if p == nil {
+		return
+	}
+	select {
+	case p.queue <- e:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+func (l *Links) peer(to netip.AddrPort) *peer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.closed || !to.IsValid() {
+		return nil
+	}
+	if p, ok := l.peers[to]; ok {
+		return p
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peer{links: l, address: to, queue: make(chan fleet.Envelope, queueLength), cancel: cancel}
+	l.peers[to] = p
+	go p.run(ctx)
+	return p
+}
+
+func (l *Links) forget(p *peer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.peers[p.address] == p && len(p.queue) == 0 {
+		delete(l.peers, p.address)
+		p.cancel()
+	}
+}
+
+func (l *Links) dial(to netip.AddrPort) (*grpc.ClientConn, error) {
+	creds := l.options.ClientCredentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	conn, err := grpc.NewClient("passthrough:///"+to.String(),
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{BaseDelay: reconnectWait, Multiplier: 1.6, Jitter: 0.3, MaxDelay: maxBackoff}, MinConnectTimeout: maxBackoff,
+		}),
+	)
+	if err != nil {
+		return nil, ErrUnreachable{To: to, Reason: err.Error()}
+	}
+	return conn, nil
+}
+
+// ErrUnreachable reports a peer that could not be asked.
+type ErrUnreachable struct {
+	To     netip.AddrPort
+	Reason string
+}
+
+// Error names the peer.
+func (e ErrUnreachable) Error() string {
+	return fmt.Sprintf("peer %s cannot be reached: %s", e.To, e.Reason)
+}
+
+// Ask puts a question to a peer and waits for the answer.
+func (l *Links) Ask(ctx context.Context, to netip.AddrPort, q Question) (Answer, error) {
+	if l.options.Blocked != nil && l.options.Blocked(to) {
+		return Answer{}, ErrUnreachable{To: to, Reason: "cut off"}
+	}
+	p := l.peer(to)
+	if p == nil {
+		return Answer{}, ErrUnreachable{To: to, Reason: "closed"}
+	}
+	conn, err := p.connection()
+	if err != nil {
+		return Answer{}, err
+	}
+	var a Answer
+	if err := conn.Invoke(ctx, askMethod, &q, &a); err != nil {
+		return Answer{}, ErrUnreachable{To: to, Reason: err.Error()}
+	}
+	return a, nil
+}
+
+// Close ends all streams at once.
+func (l *Links) Close() {
+	l.mutex.Lock()
+	l.closed = true
+	for _, p := range l.peers {
+		p.cancel()
+	}
+	l.mutex.Unlock()
+	l.server.Stop()
+}
+
+// peer is the sending side to one instance.
+type peer struct {
+	links   *Links
+	address netip.AddrPort
+	queue   chan fleet.Envelope
+	cancel  context.CancelFunc
+	mutex   sync.Mutex
+	conn    *grpc.ClientConn
+}
+
+func (p *peer) connection() (*grpc.ClientConn, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.conn != nil {
+		return p.conn, nil
+	}
+	conn, err := p.links.dial(p.address)
+	if err != nil {
+		return nil, err
+	}
+	p.conn = conn
+	return conn, nil
+}
+
+// run sends what is queued, over a stream that is made anew whenever it breaks.
+func (p *peer) run(ctx context.Context) {
+	defer p.close()
+	var stream grpc.ClientStream
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(idleLife):
+			p.links.forget(p)
+			if ctx.Err() != nil {
+				return
+			}
+		case e := <-p.queue:
+			stream = p.push(ctx, stream, e)
+		}
+	}
+}
+
+// push sends one envelope and gives the stream to go on with, or nil.
+func (p *peer) push(ctx context.Context, stream grpc.ClientStream, e fleet.Envelope) grpc.ClientStream {
+	if stream == nil {
+		stream = p.open(ctx)
+	}
+	if stream == nil {
+		p.links.dropped.Add(1)
+		return nil
+	}
+	if err := stream.SendMsg(&e); err != nil {
+		p.links.dropped.Add(1)
+		return nil
+	}
+	return stream
+}
+
+func (p *peer) open(ctx context.Context) grpc.ClientStream {
+	conn, err := p.connection()
+	if err != nil {
+		return nil
+	}
+	stream, err := conn.NewStream(ctx, &description.Streams[0], pushMethod)
+	if err != nil {
+		return nil
+	}
+	go func() {
+		// The server answers only by ending the stream; this frees what the stream holds.
+		_ = stream.RecvMsg(&pushed{})
+	}()
+	return stream
+}
+
+func (p *peer) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
+	}
+}
--- /dev/null
+++ b/modules/setting/decode.go
@@ -0,0 +1,160 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	Line   int
+	Name   string
+	Reason string
+}
+
+// ErrBadSettings reports all problems of a settings file.
+type ErrBadSettings struct {
+	File     string
+	Problems []Problem
+}
+
+// Error lists the problems, a line each.
+func (e ErrBadSettings) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d problems in the settings:", len(e.Problems))
+	for _, p := range e.Problems {
+		fmt.Fprintf(&b, "\n%s:%d: %s: %s", e.File, p.Line, p.Name, p.Reason)
+	}
+	return b.String()
+}
+
+// IsErrBadSettings tells whether an error is an ErrBadSettings.
+func IsErrBadSettings(err error) bool {
+	_, ok := err.(ErrBadSettings)
+	return ok
+}
+
+// document is a parsed file with the line of each name.
+type document struct {
+	raw      []byte
+	lines    map[string]int
+	problems []Problem
+}
+
+// decode fills into from the file's text and gathers every problem of form.
+func decode(raw []byte, into any) *document {
+	d := &document{raw: raw, lines: make(map[string]int)}
+	value, err := hujson.Parse(raw)
+	if err != nil {
+		d.problems = append(d.problems, Problem{Line: lineOf(err.Error()), Name: "file", Reason: err.Error()})
+		return d
+	}
+	d.fill(value, reflect.ValueOf(into).Elem(), "")
+	return d
+}
+
+func lineOf(message string) int {
+	line := 1
+	if at := strings.Index(message, "line "); at >= 0 {
+		_, _ = fmt.Sscanf(message[at:], "line %d", &line)
+	}
+	return line
+}
+
+func (d *document) add(name, format string, args ...any) {
+	d.problems = append(d.problems, Problem{Line: d.line(name), Name: name, Reason: fmt.Sprintf(format, args...)})
+}
+
+// line gives the line of a name, or of the nearest name around it.
+func (d *document) line(name string) int {
+	for name != "" {
+		if line, ok := d.lines[name]; ok {
+			return line
+		}
+		at := strings.LastIndexAny(name, ".[")
+		if at < 0 {
+			break
+		}
+		name = name[:at]
+	}
+	return 1
+}
+
+func (d *document) at(v hujson.Value) int {
+	return 1 + bytes.Count(d.raw[:min(v.StartOffset, len(d.raw))], []byte("\n"))
+}
+
+func (d *document) fill(v hujson.Value, into reflect.Value, name string) {
+	if name != "" {
+		d.lines[name] = d.at(v)
+	}
+	switch x := v.Value.(type) {
+	case *hujson.Object:
+		if into.Kind() == reflect.Struct && !isLeaf(into.Type()) {
+			d.fillObject(x, into, name)
+			return
+		}
+	case *hujson.Array:
+		if into.Kind() == reflect.Slice {
+			d.fillArray(x, into, name)
+			return
+		}
+	}
+	d.fillLeaf(v, into, name)
+}
+
+// isLeaf tells types that read their own text, such as addresses and durations.
+func isLeaf(t reflect.Type) bool {
+	return reflect.PointerTo(t).Implements(reflect.TypeFor[json.Unmarshaler]()) ||
+		reflect.PointerTo(t).Implements(reflect.TypeFor[interface{ UnmarshalText([]byte) error }]())
+}
+
+func (d *document) fillObject(o *hujson.Object, into reflect.Value, name string) {
+	for _, m := range o.Members {
+		key := m.Name.Value.(hujson.Literal).String()
+		full := key
+		if name != "" {
+			full = name + "." + key
+		}
+		field, ok := fieldFor(into, key)
+		if !ok {
+			d.lines[full] = d.at(m.Name)
+			d.add(full, "no such setting")
+			continue
+		}
+		d.fill(m.Value, field, full)
+	}
+}
+
+func fieldFor(into reflect.Value, key string) (reflect.Value, bool) {
+	for i := range into.NumField() {
+		if into.Type().Field(i).Tag.Get("json") == key {
+			return into.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func (d *document) fillArray(a *hujson.Array, into reflect.Value, name string) {
+	into.Set(reflect.MakeSlice(into.Type(), len(a.Elements), len(a.Elements)))
+	for i, e := range a.Elements {
+		d.fill(e, into.Index(i), name+"["+strconv.Itoa(i)+"]")
+	}
+}
+
+func (d *document) fillLeaf(v hujson.Value, into reflect.Value, name string) {
+	plain := v.Clone()
+	plain.Standardize()
+	if err := json.Unmarshal(plain.Pack(), into.Addr().Interface()); err != nil {
+		d.add(name, "%s", strings.TrimPrefix(err.Error(), "json: "))
+	}
+}
--- /dev/null
+++ b/modules/setting/endpoint.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+)
+
+// Endpoint is one back end.
+type Endpoint struct {
+	Name        string         `json:"name"`
+	Hall        string         `json:"hall"`
+	Kind        string         `json:"kind"`
+	Address     netip.AddrPort `json:"address"`
+	Bases       []string       `json:"bases"`
+	Slots       int            `json:"slots"`
+	MaxBatch    int            `json:"max_batch"`
+	Step        Duration       `json:"step"`
+	Load        Duration       `json:"load"`
+	ChecksFence bool           `json:"checks_fence"`
+	// Prefix is the path prefix under which callers reach a plain service.
+	Prefix string `json:"prefix"`
+}
+
+func (s *Settings) checkEndpoints(d *document, halls map[string]bool) {
+	seen := make(map[string]bool)
+	for i, e := range s.Endpoints {
+		name := fmt.Sprintf("endpoints[%d]", i)
+		if e.Name == "" || seen[e.Name] {
+			d.add(name+".name", "missing or given twice")
+		}
+		seen[e.Name] = true
+		if !halls[e.Hall] {
+			d.add(name+".hall", "%q is not among the halls", e.Hall)
+		}
+		if !e.Address.IsValid() {
+			d.add(name+".address", "must be set to IP:PORT")
+		}
+		e.checkKind(d, name)
+	}
+}
+
+func (e Endpoint) checkKind(d *document, name string) {
+	if e.MaxBatch < 1 {
+		d.add(name+".max_batch", "must be 1 or more")
+	}
+	switch fleet.EndpointKind(e.Kind) {
+	case fleet.KindEngine:
+		if len(e.Bases) == 0 {
+			d.add(name+".bases", "must not be empty")
+		}
+		if e.Slots < 1 {
+			d.add(name+".slots", "must be 1 or more")
+		}
+	case fleet.KindPlain:
+		if !strings.HasPrefix(e.Prefix, "/") || strings.HasPrefix(e.Prefix, "/v1/") {
+			d.add(name+".prefix", "must begin with / and not with /v1/")
+		}
+	default:
+		d.add(name+".kind", "%q is neither engine nor plain", e.Kind)
+	}
+}
+
+// FleetEndpoints gives the endpoints in the form that decisions use; a plain
+// service's prefix stands in for its base.
+func (s *Settings) FleetEndpoints() []fleet.Endpoint {
+	out := make([]fleet.Endpoint, 0, len(s.Endpoints))
+	for _, e := range s.Endpoints {
+		bases := e.Bases
+		if fleet.EndpointKind(e.Kind) == fleet.KindPlain {
+			bases = []string{fleet.PlainBase(e.Prefix)}
+		}
+		out = append(out, fleet.Endpoint{
+			Name: e.Name, Hall: e.Hall, Kind: fleet.EndpointKind(e.Kind), Address: e.Address, Bases: bases, Slots: e.Slots,
+			MaxBatch: e.MaxBatch, Step: e.Step.Duration(), Load: e.Load.Duration(), ChecksFence: e.ChecksFence, Prefix: e.Prefix,
+		})
+	}
+	return out
+}
+
+// Class is one service class.
+type Class struct {
+	Name            string  `json:"name"`
+	Priority        int     `json:"priority"`
+	StallWeight     float64 `json:"stall_weight"`
+	Patient         bool    `json:"patient"`
+	MaxQueuedTokens int     `json:"max_queued_tokens"`
+}
+
+func (s *Settings) checkClasses(d *document) {
+	seen := make(map[string]bool)
+	for i, c := range s.Classes {
+		name := fmt.Sprintf("classes[%d]", i)
+		if c.Name == "" || seen[c.Name] {
+			d.add(name+".name", "missing or given twice")
+		}
+		seen[c.Name] = true
+		if c.StallWeight < 0 {
+			d.add(name+".stall_weight", "must be 0 or more")
+		}
+		if c.MaxQueuedTokens < 0 {
+			d.add(name+".max_queued_tokens", "must be 0 or more")
+		}
+	}
+}
+
+// FleetClasses gives the classes in the form that decisions use.
+func (s *Settings) FleetClasses() []fleet.Class {
+	out := make([]fleet.Class, 0, len(s.Classes))
+	for _, c := range s.Classes {
+		out = append(out, fleet.Class(c))
+	}
+	return out
+}
--- /dev/null
+++ b/modules/setting/log.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package setting
+
+import "github.com/sirupsen/logrus"
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `json:"level"`
+	Format string `json:"format"`
+}
+
+func defaultLog() Log {
+	return Log{Level: "info", Format: "text"}
+}
+
+func (l Log) check(d *document) {
+	if _, err := logrus.ParseLevel(l.Level); err != nil {
+		d.add("log.level", "%q is not a level", l.Level)
+	}
+	if l.Format != "text" && l.Format != "json" {
+		d.add("log.format", "%q is neither text nor json", l.Format)
+	}
+}
+
+// Metrics bounds the number of label values.
+type Metrics struct {
+	MaxCallers int `json:"max_callers"`
+	MaxClasses int `json:"max_classes"`
+}
+
+func defaultMetrics() Metrics {
+	return Metrics{MaxCallers: 100, MaxClasses: 20}
+}
--- /dev/null
+++ b/services/control/input.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/services/node"
+	"github.com/shelfledge/shelfledge/services/placement"
+)
+
+// input is one thing that the control goroutine is told.
+type input interface {
+	apply(now time.Time, s *Service) []node.Effect
+}
+
+type envelopeInput struct{ envelope fleet.Envelope }
+
+func (i envelopeInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.Handle(now, i.envelope)
+}
+
+// Answer is what a submitted request gets: a ticket, or a refusal.
+type Answer struct {
+	Ticket   fleet.Ticket
+	NotAfter time.Time
+	Refusal  fleet.Refusal
+	Granted  bool
+}
+
+type submitInput struct {
+	request fleet.Request
+	answer  chan Answer
+}
+
+func (i submitInput) apply(now time.Time, s *Service) []node.Effect {
+	s.waiters[i.request.ID] = i.answer
+	return s.node.Submit(now, i.request)
+}
+
+type abandonInput struct{ requestID string }
+
+func (i abandonInput) apply(now time.Time, s *Service) []node.Effect {
+	delete(s.waiters, i.requestID)
+	return s.node.Abandon(now, i.requestID)
+}
+
+type finishInput struct{ ticketID string }
+
+func (i finishInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.Finish(now, i.ticketID)
+}
+
+type takenInput struct{ result node.TakeResult }
+
+func (i takenInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.Taken(now, i.result)
+}
+
+type inspectedInput struct {
+	pool       string
+	term       uint64
+	inspection placement.Inspection
+	leaving    bool
+}
+
+func (i inspectedInput) apply(now time.Time, s *Service) []node.Effect {
+	delete(s.inspecting, i.inspection.Endpoint)
+	effects := s.node.Inspected(now, i.pool, i.term, i.inspection)
+	if i.leaving {
+		effects = append(effects, s.node.EndpointLeaving(now, i.inspection.Endpoint)...)
+	}
+	return effects
+}
+
+type loadedInput struct{ result node.LoadResult }
+
+func (i loadedInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.Loaded(now, i.result)
+}
+
+type ownedInput struct{ result node.OwnerResult }
+
+func (i ownedInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.Owned(now, i.result)
+}
+
+type renewedInput struct{ result node.LeaseResult }
+
+func (i renewedInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.Renewed(now, i.result)
+}
+
+type recordsInput struct{ records fleet.Records }
+
+func (i recordsInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.TakeRecords(now, i.records)
+}
+
+type listedInput struct {
+	instances []fleet.Instance
+	leaving   []string
+}
+
+func (i listedInput) apply(now time.Time, s *Service) []node.Effect {
+	return s.node.SetListed(now, i.instances, i.leaving)
+}
+
+type leaveInput struct{ done chan struct{} }
+
+func (i leaveInput) apply(now time.Time, s *Service) []node.Effect {
+	defer close(i.done)
+	return s.node.Leave(now)
+}
+
+// viewInput lets a query read the node between two inputs; it must not change it.
+type viewInput struct {
+	read func(now time.Time, n *node.Node)
+	done chan struct{}
+}
+
+func (i viewInput) apply(now time.Time, s *Service) []node.Effect {
+	defer close(i.done)
+	i.read(now, s.node)
+	return nil
+}
--- /dev/null
+++ b/services/control/owner.go
@@ -0,0 +1,197 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/kv"
+	"github.com/shelfledge/shelfledge/services/node"
+)
+
+// owner keeps this instance's one lease and the pools owned under it, for endpoints
+// that check no fences. One goroutine makes its calls, one after the other.
+type owner struct {
+	service *Service
+	jobs    chan ownerJob
+	lease   int64
+	started bool
+}
+
+type ownerJob struct {
+	kind ownerJobKind
+	pool string
+}
+
+type ownerJobKind int
+
+const (
+	jobAcquire ownerJobKind = iota
+	jobRelease
+	jobRenew
+)
+
+// ownerRecord is what the key-value service holds of a pool's last owner; it outlives the lease.
+type ownerRecord struct {
+	Holder string `json:"holder"`
+	Boot   uint64 `json:"boot"`
+	// FormerHolder and FormerBoot tell whom this owner followed, for when the answer to its claim was lost.
+	FormerHolder string `json:"former_holder"`
+	FormerBoot   uint64 `json:"former_boot"`
+}
+
+const ownerQueue = 64
+
+func newOwner(s *Service) *owner {
+	return &owner{service: s, jobs: make(chan ownerJob, ownerQueue)}
+}
+
+func (o *owner) acquire(pool string) { o.add(ownerJob{kind: jobAcquire, pool: pool}) }
+func (o *owner) release(pool string) { o.add(ownerJob{kind: jobRelease, pool: pool}) }
+func (o *owner) renew()              { o.add(ownerJob{kind: jobRenew}) }
+
+func (o *owner) add(j ownerJob) {
+	if !o.started {
+		o.started = true
+		o.service.spawn(o.run)
+	}
+	select {
+	case o.jobs <- j:
+	default:
+		// The service is slow; the node asks again.
+	}
+}
+
+func (o *owner) run() {
+	for {
+		select {
+		case <-o.service.ctx.Done():
+			return
+		case j := <-o.jobs:
+			o.do(j)
+		}
+	}
+}
+
+func (o *owner) do(j ownerJob) {
+	switch j.kind {
+	case jobAcquire:
+		o.service.put(ownedInput{result: o.tryAcquire(j.pool)})
+	case jobRelease:
+		o.tryRelease(j.pool)
+	case jobRenew:
+		o.service.put(renewedInput{result: o.tryRenew()})
+	}
+}
+
+func (o *owner) leaseKey(pool string) string  { return o.service.options.Prefix + "/lease/" + pool }
+func (o *owner) recordKey(pool string) string { return o.service.options.Prefix + "/owner/" + pool }
+
+func (o *owner) ensureLease() (time.Time, bool) {
+	sent := o.service.options.Now()
+	ttl := o.service.options.Node.Timing.LeaseTTL
+	if o.lease != 0 {
+		err := o.service.options.KV.KeepAlive(o.service.ctx, o.lease)
+		if err == nil {
+			return sent, true
+		}
+		if !kv.IsErrLeaseGone(err) {
+			return sent, false
+		}
+	}
+	sent = o.service.options.Now()
+	id, err := o.service.options.KV.Grant(o.service.ctx, ttl)
+	if err != nil {
+		return sent, false
+	}
+	o.lease = id
+	return sent, true
+}
+
+func (o *owner) tryAcquire(pool string) node.OwnerResult {
+	result := node.OwnerResult{Pool: pool}
+	sent, ok := o.ensureLease()
+	if !ok {
+		return result
+	}
+	former, mod, ok := o.readRecord(pool)
+	if !ok {
+		return result
+	}
+	self := o.service.options.Node
+	if former.Holder == self.Self.ID && former.Boot == self.Boot {
+		former.Holder, former.Boot = former.FormerHolder, former.FormerBoot
+	}
+	value, _ := json.Marshal(ownerRecord{Holder: self.Self.ID, Boot: self.Boot, FormerHolder: former.Holder, FormerBoot: former.Boot})
+	leaseKey, recordKey := []byte(o.leaseKey(pool)), []byte(o.recordKey(pool))
+	resp, err := o.service.options.KV.Txn(o.service.ctx, kv.TxnRequest{
+		Compare: []kv.Compare{
+			{Key: leaseKey, Target: kv.TargetCreate, Result: kv.ResultEqual},
+			{Key: recordKey, Target: kv.TargetMod, Result: kv.ResultEqual, ModRevision: mod},
+		},
+		Success: []kv.Op{
+			{Put: &kv.PutRequest{Key: leaseKey, Value: value, Lease: o.lease}},
+			{Put: &kv.PutRequest{Key: recordKey, Value: value}},
+		},
+		Failure: []kv.Op{{Range: &kv.RangeRequest{Key: leaseKey}}},
+	})
+	if err != nil {
+		return result
+	}
+	if !resp.Succeeded && !o.heldHere(resp) {
+		return result
+	}
+	result.OK, result.SentAt, result.FormerID, result.FormerBoot = true, sent, former.Holder, former.Boot
+	return result
+}
+
+// heldHere tells whether the key is this instance's already, written by a call whose answer was lost.
+func (o *owner) heldHere(resp kv.TxnResponse) bool {
+	if len(resp.Responses) == 0 || resp.Responses[0].Range == nil || len(resp.Responses[0].Range.KVs) == 0 {
+		return false
+	}
+	return resp.Responses[0].Range.KVs[0].Lease == o.lease
+}
+
+func (o *owner) readRecord(pool string) (ownerRecord, int64, bool) {
+	var r ownerRecord
+	pair, found, err := o.service.options.KV.Get(o.service.ctx, o.recordKey(pool))
+	if err != nil {
+		return r, 0, false
+	}
+	if !found {
+		return r, 0, true
+	}
+	if err := json.Unmarshal(pair.Value, &r); err != nil {
+		return r, 0, false
+	}
+	return r, pair.ModRevision, true
+}
+
+func (o *owner) tryRelease(pool string) {
+	key := []byte(o.leaseKey(pool))
+	pair, found, err := o.service.options.KV.Get(o.service.ctx, string(key))
+	if err != nil || !found || pair.Lease != o.lease {
+		return
+	}
+	// A failure leaves the key to lapse with the lease.
+	_, _ = o.service.options.KV.Txn(o.service.ctx, kv.TxnRequest{
+		Compare: []kv.Compare{{Key: key, Target: kv.TargetMod, Result: kv.ResultEqual, ModRevision: pair.ModRevision}},
+		Success: []kv.Op{{Delete: &kv.DeleteRequest{Key: key}}},
+	})
+}
+
+func (o *owner) tryRenew() node.LeaseResult {
+	sent := o.service.options.Now()
+	if o.lease == 0 {
+		return node.LeaseResult{Gone: true}
+	}
+	err := o.service.options.KV.KeepAlive(o.service.ctx, o.lease)
+	if kv.IsErrLeaseGone(err) {
+		o.lease = 0
+		return node.LeaseResult{Gone: true}
+	}
+	return node.LeaseResult{OK: err == nil, SentAt: sent}
+}
--- /dev/null
+++ b/services/journal/doc.go
@@ -0,0 +1,5 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+// Package journal keeps a daemon's recent events in a bounded ring and finds them again.
+package journal
--- /dev/null
+++ b/services/node/view.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/catalog"
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/services/placement"
+)
+
+// HallView tells how a hall stands, as far as this instance knows.
+type HallView struct {
+	Hall     string
+	Revision int64
+	Age      time.Duration
+	Cut      bool
+	Speaker  fleet.Instance
+}
+
+// Halls lists the halls with the revision in force in each.
+func (n *Node) Halls(now time.Time) []HallView {
+	speaker, _ := n.speaker()
+	out := []HallView{{Hall: n.options.Self.Hall, Revision: n.hallRevision(), Speaker: speaker}}
+	for _, name := range n.options.Halls {
+		r := n.remotes[name]
+		if r == nil {
+			continue
+		}
+		v := HallView{Hall: name, Revision: r.revision, Cut: r.cut, Speaker: r.speaker}
+		if !r.heard.IsZero() {
+			v.Age = now.Sub(r.heard)
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b HallView) int {
+		if a.Hall < b.Hall {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// InstanceView is one instance of the hall as operators see it.
+type InstanceView struct {
+	Instance fleet.Instance
+	Alive    bool
+	Leaving  bool
+	Listed   bool
+	Revision int64
+	Age      time.Duration
+	Pools    []string
+}
+
+// Instances lists the hall's instances, this one included.
+func (n *Node) Instances(now time.Time) []InstanceView {
+	self := InstanceView{Instance: n.options.Self, Alive: true, Leaving: n.leaving, Listed: n.listed[n.options.Self.ID], Revision: n.config.revision()}
+	for _, ps := range n.order {
+		if ps.mine {
+			self.Pools = append(self.Pools, ps.pool.Name)
+		}
+	}
+	out := []InstanceView{self}
+	for _, i := range n.members.Known()[1:] {
+		m := n.members.Member(i.ID)
+		v := InstanceView{Instance: i, Alive: m.Alive, Leaving: m.Leaving, Listed: m.Listed, Revision: m.Revision, Age: now.Sub(m.Heard)}
+		for _, h := range m.Held {
+			v.Pools = append(v.Pools, h.Pool)
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// PoolView is one pool that this instance places.
+type PoolView struct {
+	Pool      string
+	Term      uint64
+	Slots     []placement.SlotView
+	Endpoints []placement.EndpointView
+	Waiting   []placement.WaitingView
+	Tickets   []fleet.Ticket
+}
+
+// Pools lists the pools that this instance places.
+func (n *Node) Pools(now time.Time) []PoolView {
+	var out []PoolView
+	for _, ps := range n.order {
+		if !ps.mine {
+			continue
+		}
+		out = append(out, PoolView{
+			Pool: ps.pool.Name, Term: ps.term, Slots: ps.placer.Slots(now), Endpoints: ps.placer.Endpoints(now),
+			Waiting: ps.placer.Waiting(), Tickets: ps.placer.Tickets(),
+		})
+	}
+	return out
+}
+
+// Revision gives the revision in force here and the highest that anyone has named.
+func (n *Node) Revision() (int64, int64) {
+	return n.config.revision(), n.config.head
+}
+
+// Records lists the recent records of the configuration, the oldest first.
+func (n *Node) Records() []catalog.Record {
+	return n.config.history.Records()
+}
+
+// Peers lists the live instances of the hall, without this one.
+func (n *Node) Peers() []fleet.Instance {
+	var out []fleet.Instance
+	for _, m := range n.members.Alive() {
+		out = append(out, m.Instance)
+	}
+	return out
+}
+
+// Ready tells whether every pool of the hall has a placer and the hall's configuration is known.
+func (n *Node) Ready() bool {
+	if n.leaving {
+		return false
+	}
+	for _, ps := range n.order {
+		if !ps.own {
+			continue
+		}
+		if _, ok := n.placerOf(ps); !ok && !ps.mine {
+			return false
+		}
+	}
+	return true
+}
--- a/services/placement/effect.go
+++ b/services/placement/effect.go
@@ -4,6 +4,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/shelfledge/shelfledge/models/fleet"
 )
 
@@ -30,15 +32,8 @@
 	Fence       uint64
 	Adapter     fleet.AdapterRef
 	Evict       fleet.AdapterRef
-}
-
-// Unload orders an endpoint to give up a slot with nothing to take its place.
-type Unload struct {
-	Pool        string
-	Endpoint    string
-	Incarnation string
-	Fence       uint64
-	Adapter     fleet.AdapterRef
+	// NotAfter is when the right to send the order ends; the zero time means never.
+	NotAfter time.Time
 }
 
 // Inspect asks for an endpoint's own list, after an order with an uncertain end.
@@ -55,7 +50,6 @@
 func (Grant) isEffect()   {}
 func (Refuse) isEffect()  {}
 func (Load) isEffect()    {}
-func (Unload) isEffect()  {}
 func (Inspect) isEffect() {}
 func (Note) isEffect()    {}
 
--- a/services/placement/endpoint_state.go
+++ b/services/placement/endpoint_state.go
@@ -50,6 +50,9 @@
 	slots       map[fleet.AdapterRef]*slot
 	loading     int
 	frozenUntil time.Time
+	// ordersUntil is when the right to order ends; the zero time means fences decide.
+	ordersUntil time.Time
+	leased      bool
 }
 
 func newEndpointState(spec fleet.Endpoint) *endpointState {
@@ -66,7 +69,10 @@
 }
 
 // takesLoads tells whether slots may be filled.
-func (e *endpointState) takesLoads() bool {
+func (e *endpointState) takesLoads(now time.Time) bool {
+	if e.leased && !now.Before(e.ordersUntil) {
+		return false
+	}
 	return e.takesWork() && !e.uncertain && e.spec.Kind != fleet.KindPlain
 }
 
--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -213,7 +213,7 @@
 	var best placeFor
 	found := false
 	for _, e := range p.endpoints {
-		if !e.takesLoads() || !e.spec.Serves(p.bases[ref]) || e.slots[ref] != nil {
+		if !e.takesLoads(now) || !e.spec.Serves(p.bases[ref]) || e.slots[ref] != nil {
 			continue
 		}
 		place, ok := p.placeOn(now, e)
@@ -279,7 +279,7 @@
 	var least *slot
 	leastCost := math.Inf(1)
 	for _, e := range p.endpoints {
-		if !e.takesLoads() || !e.mayUnload(now) || !e.spec.Serves(p.bases[ref]) {
+		if !e.takesLoads(now) || !e.mayUnload(now) || !e.spec.Serves(p.bases[ref]) {
 			continue
 		}
 		for _, s := range e.slots {
@@ -323,7 +323,7 @@
 // startLoad orders the load and takes the victim out of the books first.
 func (p *Placer) startLoad(now time.Time, bid Bid, place placeFor) {
 	e := place.endpoint
-	order := Load{Pool: p.pool, Endpoint: e.spec.Name, Incarnation: e.incarnation, Fence: e.fence, Adapter: bid.Adapter}
+	order := Load{Pool: p.pool, Endpoint: e.spec.Name, Incarnation: e.incarnation, Fence: e.fence, Adapter: bid.Adapter, NotAfter: e.ordersUntil}
 	s := &slot{adapter: bid.Adapter, state: slotLoading, since: now, lastUsed: now}
 	if place.victim != nil {
 		order.Evict = place.victim.adapter
--- a/services/placement/placer.go
+++ b/services/placement/placer.go
@@ -17,6 +17,7 @@
 type Placer struct {
 	pool      string
 	self      string
+	epoch     string
 	options   Options
 	classes   map[string]fleet.Class
 	endpoints []*endpointState
@@ -337,9 +338,15 @@
 	return out
 }
 
+// SetEpoch makes the ticket names of this placer differ from those of every other
+// life of the instance and every other term.
+func (p *Placer) SetEpoch(boot, term uint64) {
+	p.epoch = strconv.FormatUint(boot, 36) + "." + strconv.FormatUint(term, 36)
+}
+
 func (p *Placer) nextTicketID() string {
 	p.sequence++
-	return p.self + "/" + p.pool + "/" + strconv.FormatUint(p.sequence, 10)
+	return p.self + "/" + p.pool + "/" + p.epoch + "/" + strconv.FormatUint(p.sequence, 10)
 }
 
 // jitter spreads the retries of different adapters, from 0.5 to 1.5, without a random source.
--- a/services/placement/recovery.go
+++ b/services/placement/recovery.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -232,3 +233,64 @@
 	p.note(now, fleet.Event{Kind: fleet.EventFreeze, Endpoint: endpoint, Fence: e.fence, Cause: cause})
 	return p.take()
 }
+
+// Thaw lifts a freeze, once no grant of a former placer can start any more.
+func (p *Placer) Thaw(now time.Time, endpoint string, cause string) []Effect {
+	e := p.byName[endpoint]
+	if e == nil || !e.frozenUntil.After(now) {
+		return nil
+	}
+	e.frozenUntil = now
+	p.note(now, fleet.Event{Kind: fleet.EventThaw, Endpoint: endpoint, Fence: e.fence, Cause: cause})
+	return p.take()
+}
+
+// AllowOrders bounds the right to order loads and unloads on an endpoint that checks no fences.
+func (p *Placer) AllowOrders(endpoint string, until time.Time) {
+	e := p.byName[endpoint]
+	if e == nil {
+		return
+	}
+	e.leased = true
+	e.ordersUntil = until
+}
+
+// Reconfirm compares the books with the tickets that an entry says it uses: one that
+// the entry does not know, and whose grant is too old to be on its way, has ended.
+func (p *Placer) Reconfirm(now time.Time, entry string, uses []fleet.TicketUse, tooOld time.Duration) []Effect {
+	known := make(map[string]bool, len(uses))
+	for _, u := range uses {
+		known[u.Ticket.ID] = true
+		p.effects = append(p.effects, p.Redeclare(now, u.Ticket, u.Request)...)
+	}
+	for _, held := range p.heldBy(entry) {
+		if known[held.ticket.ID] || now.Sub(held.granted) < tooOld {
+			continue
+		}
+		if e := p.release(now, held); e != nil {
+			p.dispatchEndpoint(now, e)
+		}
+	}
+	return p.take()
+}
+
+func (p *Placer) heldBy(entry string) []*heldTicket {
+	var out []*heldTicket
+	for _, held := range p.tickets {
+		if held.ticket.Entry == entry {
+			out = append(out, held)
+		}
+	}
+	slices.SortFunc(out, func(a, b *heldTicket) int { return cmp.Compare(a.ticket.ID, b.ticket.ID) })
+	return out
+}
+
+// Uses lists the granted tickets with their requests, for a successor.
+func (p *Placer) Uses() []fleet.TicketUse {
+	out := make([]fleet.TicketUse, 0, len(p.tickets))
+	for _, held := range p.tickets {
+		out = append(out, fleet.TicketUse{Ticket: held.ticket, Request: held.request})
+	}
+	slices.SortFunc(out, func(a, b fleet.TicketUse) int { return cmp.Compare(a.Ticket.ID, b.Ticket.ID) })
+	return out
+}
--- /dev/null
+++ b/services/query/service.go
@@ -0,0 +1,215 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/catalog"
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/models/table"
+	"github.com/shelfledge/shelfledge/modules/language"
+	"github.com/shelfledge/shelfledge/modules/peerlink"
+	"github.com/shelfledge/shelfledge/services/journal"
+	"github.com/shelfledge/shelfledge/services/node"
+)
+
+// Options are what the service works with.
+type Options struct {
+	Self    fleet.Instance
+	Classes []fleet.Class
+	Catalog func() *catalog.Catalog
+	View    func(read func(now time.Time, n *node.Node))
+	Ask     func(ctx context.Context, to netip.AddrPort, q peerlink.Question) (peerlink.Answer, error)
+	Journal *journal.Journal
+	// Timeout bounds the wait for other instances' parts.
+	Timeout time.Duration
+	Now     func() time.Time
+}
+
+// Service answers queries.
+type Service struct {
+	options Options
+}
+
+// New makes a service.
+func New(o Options) *Service {
+	return &Service{options: o}
+}
+
+// Part tells how one hall's part of an answer came about.
+type Part struct {
+	Hall   string        `json:"hall"`
+	Age    time.Duration `json:"age_ns"`
+	Silent bool          `json:"silent"`
+	// Missing names instances of the hall that did not answer.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Result is an answer with the account of its parts.
+type Result struct {
+	Table table.Table `json:"table"`
+	Parts []Part      `json:"parts"`
+}
+
+// Complete tells whether every hall and instance answered.
+func (r Result) Complete() bool {
+	for _, p := range r.Parts {
+		if p.Silent || len(p.Missing) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Show answers a query, for the whole fleet where the table is made of every instance's part.
+func (s *Service) Show(ctx context.Context, q *language.Show) (Result, error) {
+	all, parts, err := s.gather(ctx, q.Table)
+	if err != nil {
+		return Result{}, err
+	}
+	out, err := Evaluate(q, all)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{Table: *out, Parts: parts}, nil
+}
+
+func (s *Service) gather(ctx context.Context, name string) (*table.Table, []Part, error) {
+	t, err := s.Local(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !definitions[name].wide {
+		return t, nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+	parts := s.gatherHalls(ctx, name, t)
+	slices.SortFunc(parts, func(a, b Part) int { return compareText(a.Hall, b.Hall) })
+	return t, parts, nil
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// source is one place that is asked for a part.
+type source struct {
+	hall    string
+	id      string
+	address netip.AddrPort
+	wide    bool
+}
+
+func (s *Service) sources() []source {
+	var out []source
+	s.options.View(func(now time.Time, n *node.Node) {
+		for _, i := range n.Instances(now)[1:] {
+			if i.Alive || i.Listed {
+				out = append(out, source{hall: i.Instance.Hall, id: i.Instance.ID, address: i.Instance.Address})
+			}
+		}
+		for _, h := range n.Halls(now) {
+			if h.Hall != s.options.Self.Hall {
+				out = append(out, source{hall: h.Hall, id: h.Speaker.ID, address: h.Speaker.Address, wide: true})
+			}
+		}
+	})
+	return out
+}
+
+// gatherHalls asks the hall's instances and the other halls' speakers at once.
+func (s *Service) gatherHalls(ctx context.Context, name string, t *table.Table) []Part {
+	parts := map[string]*Part{s.options.Self.Hall: {Hall: s.options.Self.Hall}}
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	for _, src := range s.sources() {
+		if parts[src.hall] == nil {
+			parts[src.hall] = &Part{Hall: src.hall}
+		}
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			began := s.options.Now()
+			answer, err := s.ask(ctx, src, name)
+			mutex.Lock()
+			defer mutex.Unlock()
+			s.merge(parts[src.hall], src, t, answer, err, s.options.Now().Sub(began))
+		}()
+	}
+	asked.Wait()
+	out := make([]Part, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, *p)
+	}
+	return out
+}
+
+func (s *Service) ask(ctx context.Context, src source, name string) (peerlink.Answer, error) {
+	if !src.address.IsValid() {
+		return peerlink.Answer{}, peerlink.ErrUnreachable{To: src.address, Reason: "its address is not known"}
+	}
+	return s.options.Ask(ctx, src.address, peerlink.Question{Table: name, HallWide: src.wide})
+}
+
+// merge adds one part's rows, or notes its silence.
+func (s *Service) merge(p *Part, src source, t *table.Table, a peerlink.Answer, err error, took time.Duration) {
+	var rows [][]table.Value
+	if err == nil {
+		err = json.Unmarshal(a.Rows, &rows)
+	}
+	if err != nil {
+		if src.wide {
+			p.Silent = true
+			return
+		}
+		p.Missing = append(p.Missing, src.id)
+		return
+	}
+	p.Age = max(p.Age, took)
+	p.Missing = append(p.Missing, a.Silent...)
+	for _, row := range rows {
+		if len(row) == len(t.Columns) {
+			t.Rows = append(t.Rows, row)
+		}
+	}
+}
+
+// Answer answers a peer's question with this instance's part, or with the whole hall's.
+func (s *Service) Answer(ctx context.Context, q peerlink.Question) (peerlink.Answer, error) {
+	t, err := s.Local(q.Table)
+	if err != nil {
+		return peerlink.Answer{}, err
+	}
+	var silent []string
+	if q.HallWide {
+		silent = s.hallPart(ctx, q.Table, t)
+	}
+	rows, err := json.Marshal(t.Rows)
+	return peerlink.Answer{Rows: rows, Silent: silent}, err
+}
+
+func (s *Service) hallPart(ctx context.Context, name string, t *table.Table) []string {
+	part := &Part{}
+	for _, src := range s.sources() {
+		if src.wide {
+			continue
+		}
+		answer, err := s.ask(ctx, src, name)
+		s.merge(part, src, t, answer, err, 0)
+	}
+	return part.Missing
+}
--- /dev/null
+++ b/services/relay/error.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+)
+
+// ErrNotRun tells a caller that its request was surely not run.
+type ErrNotRun struct {
+	Reason     fleet.Reason
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Error gives the reason.
+func (e ErrNotRun) Error() string {
+	if e.Detail != "" {
+		return fmt.Sprintf("the request was not run: %s: %s", e.Reason, e.Detail)
+	}
+	return fmt.Sprintf("the request was not run: %s", e.Reason)
+}
+
+// IsErrNotRun tells whether an error is an ErrNotRun.
+func IsErrNotRun(err error) bool {
+	var e ErrNotRun
+	return errors.As(err, &e)
+}
+
+// ErrUnknown tells a caller that its request may or may not have run.
+type ErrUnknown struct {
+	Detail string
+	// Claimed is true where an earlier request of the same identifier was claimed.
+	Claimed bool
+}
+
+// Error gives the detail.
+func (e ErrUnknown) Error() string {
+	return "the request may or may not have run: " + e.Detail
+}
+
+// IsErrUnknown tells whether an error is an ErrUnknown.
+func IsErrUnknown(err error) bool {
+	var e ErrUnknown
+	return errors.As(err, &e)
+}
+
+// errBroken reports an answer that broke off, with the events that were passed on.
+type errBroken struct {
+	reason string
+}
+
+func (e errBroken) Error() string { return "the answer broke off: " + e.reason }
+
+// errCallerGone reports a caller that has hung up or reads too slowly.
+type errCallerGone struct {
+	reason string
+}
+
+func (e errCallerGone) Error() string { return "the caller is gone: " + e.reason }
--- /dev/null
+++ b/services/relay/exchange.go
@@ -0,0 +1,174 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/engine"
+)
+
+const (
+	readBuffer    = 4 << 10
+	maxEventBytes = 1 << 20
+	maxAnswer     = 64 << 20
+)
+
+var buffers = sync.Pool{New: func() any { return newEventReader(nil) }}
+
+// exchange sends a request, or asks to resume it, and passes the answer on.
+func (r *run) exchange(ctx context.Context, call engine.Call) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := r.service.options.Dialect.Start(ctx, call)
+	if err != nil {
+		if call.ResumeFrom > 0 {
+			return errBroken{reason: err.Error()}
+		}
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := r.checkAnswer(resp); err != nil {
+		return err
+	}
+	if r.job.Stream && resp.StatusCode == http.StatusOK {
+		return r.stream(ctx, cancel, resp)
+	}
+	return r.whole(resp)
+}
+
+// checkAnswer makes sure that the answer is this request's, and from the adapter and version named.
+func (r *run) checkAnswer(resp *http.Response) error {
+	if id := resp.Header.Get(engine.HeaderRequestID); id != "" && id != r.job.Request.ID {
+		return ErrUnknown{Detail: "the endpoint answered another request"}
+	}
+	if r.job.Plain {
+		return nil
+	}
+	if model := resp.Header.Get(engine.HeaderModel); model != "" && model != r.job.Request.Adapter.String() {
+		return ErrUnknown{Detail: "the endpoint answered from " + model}
+	}
+	if !statusOK(resp) {
+		return errBroken{reason: resp.Status}
+	}
+	return nil
+}
+
+// modelOnly is the part of an answer or event that names the model.
+type modelOnly struct {
+	Model string `json:"model"`
+}
+
+func (r *run) checkModel(body []byte) error {
+	var m modelOnly
+	if err := json.Unmarshal(body, &m); err != nil {
+		return errBroken{reason: "the answer is not JSON: " + err.Error()}
+	}
+	if m.Model != r.job.Request.Adapter.String() {
+		return ErrUnknown{Detail: "the endpoint answered from " + m.Model}
+	}
+	return nil
+}
+
+// whole passes on an answer that is not streamed, once all of it is there.
+func (r *run) whole(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errBroken{reason: err.Error()}
+	}
+	if !r.job.Plain && resp.StatusCode == http.StatusOK {
+		if err := r.checkModel(body); err != nil {
+			return err
+		}
+	}
+	r.begin(resp)
+	return r.out.whole(resp.StatusCode, body)
+}
+
+// begin sets the answer's headers, once.
+func (r *run) begin(resp *http.Response) {
+	if r.out.started {
+		return
+	}
+	h := r.out.header()
+	if kind := resp.Header.Get("Content-Type"); kind != "" {
+		h.Set("Content-Type", kind)
+	}
+	if r.job.Headers != nil {
+		r.job.Headers(h, r.ticket)
+	}
+}
+
+// stream passes an answer on event by event, whole events only, so that a resumed
+// stream goes on exactly where it broke off.
+func (r *run) stream(ctx context.Context, cancel context.CancelFunc, resp *http.Response) error {
+	watch := time.AfterFunc(r.service.options.EndpointSilent, cancel)
+	defer watch.Stop()
+	in := buffers.Get().(*eventReader)
+	in.reset(resp.Body)
+	defer func() {
+		in.reset(nil)
+		buffers.Put(in)
+	}()
+	for {
+		event, err := in.next()
+		if err != nil {
+			return r.brokenStream(ctx, err)
+		}
+		watch.Reset(r.service.options.EndpointSilent)
+		if err := r.pass(resp, event); err != nil {
+			return err
+		}
+		if isDone(event) {
+			return r.out.flush()
+		}
+		if in.buffered() {
+			continue
+		}
+		if err := r.out.flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *run) brokenStream(ctx context.Context, err error) error {
+	if flushed := r.out.flush(); flushed != nil {
+		return flushed
+	}
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, io.EOF) {
+		return errBroken{reason: "cancelled or silent for too long: " + err.Error()}
+	}
+	return errBroken{reason: err.Error()}
+}
+
+// pass writes one event, after a check of the first.
+func (r *run) pass(resp *http.Response, event []byte) error {
+	if r.out.events == 0 && !isDone(event) {
+		if err := r.checkModel(eventData(event)); err != nil {
+			return err
+		}
+	}
+	r.begin(resp)
+	return r.out.event(event)
+}
+
+var (
+	dataPrefix = []byte("data: ")
+	doneEvent  = []byte("data: [DONE]")
+)
+
+func eventData(event []byte) []byte {
+	return bytes.TrimSpace(bytes.TrimPrefix(event, dataPrefix))
+}
+
+func isDone(event []byte) bool {
+	return bytes.HasPrefix(event, doneEvent)
+}
--- /dev/null
+++ b/services/relay/run.go
@@ -0,0 +1,264 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/modules/engine"
+	"github.com/shelfledge/shelfledge/modules/metric"
+	"github.com/shelfledge/shelfledge/services/control"
+	"github.com/shelfledge/shelfledge/services/once"
+)
+
+// run is one job on its way, over all its attempts.
+type run struct {
+	service *Service
+	job     Job
+	out     *writer
+	arrived time.Time
+	ticket  fleet.Ticket
+	granted bool
+	queued  time.Duration
+	stalled time.Duration
+	claimed bool
+}
+
+// serve makes attempts until the request is answered, refused or unknown.
+func (r *run) serve(ctx context.Context) error {
+	r.service.budget.earn()
+	if r.job.Request.Once {
+		if err := r.claim(ctx); err != nil {
+			return err
+		}
+	}
+	err := r.attempts(ctx)
+	if r.claimed && IsErrNotRun(err) {
+		r.unclaim()
+	}
+	return err
+}
+
+func (r *run) claim(ctx context.Context) error {
+	q := r.job.Request
+	result := r.service.options.Claims.Claim(ctx, q.Caller, r.job.ClaimID)
+	r.service.options.Metrics.Claims.WithLabelValues(string(result)).Inc()
+	switch result {
+	case once.Claimed:
+		r.claimed = true
+		return nil
+	case once.Taken:
+		return ErrUnknown{Claimed: true, Detail: "a request with this identifier was claimed before and is not run again"}
+	}
+	return ErrNotRun{Reason: fleet.ReasonClaimImpossib, RetryAfter: 2 * time.Second, Detail: "the claim that keeps it from running twice could not be made"}
+}
+
+const unclaimLimit = 5 * time.Second
+
+// unclaim lets the caller try again with the same identifier.
+func (r *run) unclaim() {
+	ctx, cancel := context.WithTimeout(context.Background(), unclaimLimit)
+	defer cancel()
+	if err := r.service.options.Claims.Release(ctx, r.job.Request.Caller, r.job.ClaimID); err != nil {
+		r.service.options.Metrics.Claims.WithLabelValues("release_failed").Inc()
+	}
+}
+
+func (r *run) attempts(ctx context.Context) error {
+	for attempt := 0; ; attempt++ {
+		r.job.Request.Attempt = attempt
+		err := r.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		again, final := r.judge(ctx, attempt, err)
+		if !again {
+			return final
+		}
+		r.note(fleet.EventRetry, err.Error())
+		r.service.options.Metrics.Retries.WithLabelValues(retryCause(err)).Inc()
+		r.job.Request.Avoid = r.ticket.Endpoint
+	}
+}
+
+func retryCause(err error) string {
+	if engine.IsErrNotRun(err) {
+		return "not_run"
+	}
+	return "broken"
+}
+
+// judge decides whether an attempt that failed may be repeated, and what the caller is told if not.
+func (r *run) judge(ctx context.Context, attempt int, err error) (bool, error) {
+	if IsErrNotRun(err) || IsErrUnknown(err) {
+		return false, err
+	}
+	var gone errCallerGone
+	if errors.As(err, &gone) || ctx.Err() != nil {
+		return false, ErrUnknown{Detail: err.Error()}
+	}
+	notRun := engine.IsErrNotRun(err)
+	final := r.final(err, notRun)
+	if !notRun && (r.job.Request.Once || r.job.SingleAttempt || r.out.started) {
+		return false, final
+	}
+	if attempt+1 >= r.service.options.MaxAttempts || !r.service.budget.spend() {
+		return false, final
+	}
+	return !r.job.Request.Expired(r.service.options.Now()), final
+}
+
+func (r *run) final(err error, notRun bool) error {
+	if !notRun {
+		return ErrUnknown{Detail: err.Error()}
+	}
+	var e engine.ErrNotRun
+	retryAfter := time.Second
+	if errors.As(err, &e) && e.RetryAfter > 0 {
+		retryAfter = e.RetryAfter
+	}
+	return ErrNotRun{Reason: fleet.ReasonNoEndpoint, RetryAfter: retryAfter, Detail: err.Error()}
+}
+
+// attempt gets a ticket and uses it once.
+func (r *run) attempt(ctx context.Context) error {
+	answer, err := r.wait(ctx)
+	if err != nil {
+		return err
+	}
+	r.ticket = answer.Ticket
+	r.granted = true
+	r.queued += answer.Ticket.Queued
+	r.stalled += answer.Ticket.Stalled
+	if !r.service.options.Now().Before(answer.NotAfter) {
+		r.service.options.Control.Finish(r.ticket.ID)
+		return engine.ErrNotRun{What: "request", Reason: "the ticket came too late to be used"}
+	}
+	return r.use(ctx)
+}
+
+// wait asks for a ticket and waits for it, the refusal, or the caller's end.
+func (r *run) wait(ctx context.Context) (control.Answer, error) {
+	r.service.options.Metrics.Waiting.Inc()
+	defer r.service.options.Metrics.Waiting.Dec()
+	answers := r.service.options.Control.Submit(r.job.Request)
+	select {
+	case a := <-answers:
+		if !a.Granted {
+			return a, ErrNotRun{Reason: a.Refusal.Reason, RetryAfter: a.Refusal.RetryAfter}
+		}
+		return a, nil
+	case <-ctx.Done():
+		r.service.options.Control.Abandon(r.job.Request.ID)
+		return control.Answer{}, r.abandoned(answers)
+	}
+}
+
+// abandoned gives back a ticket that came just as the caller went.
+func (r *run) abandoned(answers <-chan control.Answer) error {
+	select {
+	case a := <-answers:
+		if a.Granted {
+			r.service.options.Control.Finish(a.Ticket.ID)
+		}
+	default:
+	}
+	return ErrNotRun{Reason: fleet.ReasonCancelled}
+}
+
+// use runs the request under its ticket, and resumes a stream that breaks if it can.
+func (r *run) use(ctx context.Context) error {
+	call := r.call()
+	err := r.exchange(ctx, call)
+	var broken errBroken
+	for tries := 0; errors.As(err, &broken) && tries < maxResumes && r.resumable(ctx); tries++ {
+		call.ResumeFrom = r.out.events
+		r.note(fleet.EventResume, broken.reason)
+		err = r.exchange(ctx, call)
+	}
+	r.settle(err)
+	return err
+}
+
+const maxResumes = 2
+
+// resumable tells whether a broken stream may be asked for from where it broke off;
+// the endpoint runs the request once, whatever the number of connections.
+func (r *run) resumable(ctx context.Context) bool {
+	return ctx.Err() == nil && r.job.Stream && !r.job.Plain && r.out.events > 0 && r.service.budget.spend()
+}
+
+func (r *run) call() engine.Call {
+	j, t := r.job, r.ticket
+	return engine.Call{
+		Endpoint: r.service.endpoints[t.Endpoint], Method: j.Method, Path: j.Path, Body: j.Body, Header: j.Header, RequestID: j.Request.ID,
+		Attempt: j.Request.Attempt, Incarnation: t.Incarnation, Fence: t.Fence, Priority: j.Request.Priority,
+	}
+}
+
+// settle gives the ticket back once the endpoint surely no longer runs the request.
+func (r *run) settle(err error) {
+	if err == nil || engine.IsErrNotRun(err) {
+		r.service.options.Control.Finish(r.ticket.ID)
+		r.note(fleet.EventFinished, "answered")
+		return
+	}
+	r.service.running.Add(1)
+	go r.service.cancelUntilGone(r.ticket, r.job.Request.ID)
+}
+
+const cancelEvery = 500 * time.Millisecond
+
+// cancelUntilGone cancels a request that may still run, and gives its ticket back
+// only when the endpoint has answered, or after the longest life of a request.
+func (s *Service) cancelUntilGone(t fleet.Ticket, requestID string) {
+	defer s.running.Done()
+	defer s.options.Control.Finish(t.ID)
+	e := s.endpoints[t.Endpoint]
+	until := s.options.Now().Add(s.options.CancelLife)
+	for s.options.Now().Before(until) {
+		if s.options.Dialect.Cancel(context.Background(), e, requestID) == nil {
+			return
+		}
+		time.Sleep(cancelEvery)
+	}
+}
+
+func (r *run) note(kind fleet.EventKind, cause string) {
+	r.service.options.Control.Note(fleet.Event{
+		At: r.service.options.Now(), Kind: kind, Cause: cause, Request: r.job.Request.ID, Adapter: r.job.Request.Adapter.String(),
+		Endpoint: r.ticket.Endpoint, Pool: r.ticket.Pool, Fence: r.ticket.Fence,
+	})
+}
+
+func (r *run) observe(err error) {
+	now := r.service.options.Now()
+	o := metric.Observation{
+		Class: r.job.Request.Class, Caller: r.job.Request.Caller, Outcome: string(fleet.OutcomeAnswered), Whole: now.Sub(r.arrived), Ran: r.granted,
+		Stall: r.stalled, QueueWait: max(0, r.queued-r.stalled),
+	}
+	var notRun ErrNotRun
+	switch {
+	case errors.As(err, &notRun):
+		o.Outcome, o.Reason = string(fleet.OutcomeNotRun), string(notRun.Reason)
+	case err != nil:
+		o.Outcome = string(fleet.OutcomeUnknown)
+	}
+	if r.out.started {
+		o.FirstToken = r.out.first.Sub(r.arrived)
+	}
+	if r.out.events > 2 {
+		o.Between = r.out.last.Sub(r.out.first) / time.Duration(r.out.events-1)
+	}
+	r.service.options.Metrics.Observe(o)
+}
+
+// statusOK tells whether an answer is to be passed on as an answer.
+func statusOK(resp *http.Response) bool {
+	return resp.StatusCode < http.StatusInternalServerError
+}
--- /dev/null
+++ b/services/relay/service.go
@@ -0,0 +1,145 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/modules/engine"
+	"github.com/shelfledge/shelfledge/modules/metric"
+	"github.com/shelfledge/shelfledge/services/control"
+	"github.com/shelfledge/shelfledge/services/once"
+)
+
+// Control is what the relay needs of the control service.
+type Control struct {
+	Submit  func(r fleet.Request) <-chan control.Answer
+	Abandon func(requestID string)
+	Finish  func(ticketID string)
+	Note    func(e fleet.Event)
+}
+
+// Claims is what the relay needs of the claimer.
+type Claims struct {
+	Claim   func(ctx context.Context, caller, requestID string) once.Result
+	Release func(ctx context.Context, caller, requestID string) error
+}
+
+// Options are the settings of the relay.
+type Options struct {
+	Control   Control
+	Claims    Claims
+	Dialect   engine.Dialect
+	Endpoints []fleet.Endpoint
+	Metrics   *metric.Metrics
+	// MaxAttempts bounds the attempts of one request, RetryShare the part of all requests that may be repeated.
+	MaxAttempts    int
+	RetryShare     float64
+	SlowReader     time.Duration
+	EndpointSilent time.Duration
+	// CancelLife is how long a request that may still run is cancelled again and again.
+	CancelLife time.Duration
+	Now        func() time.Time
+}
+
+// Service relays requests; it is safe for concurrent use.
+type Service struct {
+	options   Options
+	endpoints map[string]fleet.Endpoint
+	budget    *retryBudget
+	running   sync.WaitGroup
+	count     atomic.Int64
+}
+
+// New makes a relay.
+func New(o Options) *Service {
+	s := &Service{options: o, endpoints: make(map[string]fleet.Endpoint), budget: newRetryBudget(o.RetryShare)}
+	for _, e := range o.Endpoints {
+		s.endpoints[e.Name] = e
+	}
+	return s
+}
+
+// Running gives the number of requests in the relay.
+func (s *Service) Running() int64 {
+	return s.count.Load()
+}
+
+// Wait returns when every request and every late cancel has ended.
+func (s *Service) Wait() {
+	s.running.Wait()
+}
+
+// Job is one caller's request.
+type Job struct {
+	Request fleet.Request
+	// ClaimID is the caller's own identifier of a request that must not be repeated.
+	ClaimID string
+	Method  string
+	Path    string
+	Body    []byte
+	Header  http.Header
+	Stream  bool
+	// SingleAttempt forbids repeats without a claim, for calls that cannot be told apart.
+	SingleAttempt bool
+	// Plain is true for services that are no model engines.
+	Plain bool
+	// Headers is called once, before the first byte, to set what the caller is to be told.
+	Headers func(h http.Header, t fleet.Ticket)
+}
+
+// Serve runs a job and writes its answer; an error means that nothing was written,
+// unless w shows otherwise, and is to be told to the caller.
+func (s *Service) Serve(ctx context.Context, w http.ResponseWriter, j Job) error {
+	s.running.Add(1)
+	s.count.Add(1)
+	s.options.Metrics.Streams.Inc()
+	defer func() {
+		s.options.Metrics.Streams.Dec()
+		s.count.Add(-1)
+		s.running.Done()
+	}()
+	run := &run{service: s, job: j, out: newWriter(w, s.options.SlowReader, s.options.Now), arrived: s.options.Now()}
+	err := run.serve(ctx)
+	run.observe(err)
+	return err
+}
+
+// retryBudget lets a part of all requests be repeated, so that a fault that hits
+// many does not multiply the load.
+type retryBudget struct {
+	mutex  sync.Mutex
+	share  float64
+	tokens float64
+}
+
+const (
+	budgetStart = 10.0
+	budgetMost  = 100.0
+)
+
+func newRetryBudget(share float64) *retryBudget {
+	return &retryBudget{share: share, tokens: budgetStart}
+}
+
+func (b *retryBudget) earn() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tokens = min(budgetMost, b.tokens+b.share)
+}
+
+func (b *retryBudget) spend() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/services/routing/publisher.go
+++ b/services/routing/publisher.go
@@ -5,59 +5,100 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/shelfledge/shelfledge/models/fleet"
 	"github.com/shelfledge/shelfledge/services/placement"
 )
 
+// recentSpan is how far back a partial summary reaches, so that a few lost ones do no harm.
+const recentSpan = 3 * time.Second
+
 // Publisher turns a pool's successive states into full and partial summaries.
 type Publisher struct {
 	epoch   uint64
 	seq     uint64
 	present map[string]bool
+	changes []summaryChange
 	last    fleet.PoolSummary
 }
 
-// NewPublisher makes a publisher; epoch must differ from that of every earlier publisher of the pool.
+// summaryChange tells when an adapter came to a pool or left it.
+type summaryChange struct {
+	name string
+	seq  uint64
+	at   time.Time
+}
+
+// NewPublisher makes a publisher; epoch must be higher than that of every earlier publisher of the pool.
 func NewPublisher(epoch uint64) *Publisher {
 	return &Publisher{epoch: epoch, present: make(map[string]bool)}
 }
 
-// Update gives the summary that leads from the last one to the given state.
-func (p *Publisher) Update(s placement.Summary) fleet.PoolSummary {
-	now := make(map[string]bool, len(s.Resident)+len(s.Loading))
+// Update takes the pool's present state.
+func (p *Publisher) Update(now time.Time, s placement.Summary) {
+	held := make(map[string]bool, len(s.Resident)+len(s.Loading))
 	for _, c := range s.Resident {
-		now[c.Adapter.String()] = true
+		held[c.Adapter.String()] = true
 	}
 	for _, ref := range s.Loading {
-		now[ref.String()] = true
+		held[ref.String()] = true
 	}
-	out := p.header(s)
-	for name := range now {
+	p.seq++
+	for name := range held {
 		if !p.present[name] {
-			out.Added = append(out.Added, name)
+			p.changes = append(p.changes, summaryChange{name: name, seq: p.seq, at: now})
 		}
 	}
 	for name := range p.present {
-		if !now[name] {
-			out.Removed = append(out.Removed, name)
+		if !held[name] {
+			p.changes = append(p.changes, summaryChange{name: name, seq: p.seq, at: now})
 		}
 	}
+	p.present = held
+	p.last = fleet.PoolSummary{
+		Pool: s.Pool, Epoch: p.epoch, Seq: p.seq, Free: s.Free, Places: s.Places, Slots: s.Slots, Waiting: s.Waiting,
+	}
+	p.forget(now)
+}
+
+func (p *Publisher) forget(now time.Time) {
+	old := 0
+	for old < len(p.changes) && now.Sub(p.changes[old].at) > recentSpan {
+		old++
+	}
+	p.changes = p.changes[old:]
+}
+
+// Recent gives the state with the changes of the last seconds.
+func (p *Publisher) Recent(now time.Time) fleet.PoolSummary {
+	p.forget(now)
+	out := p.last
+	out.Base = p.seq
+	if len(p.changes) > 0 {
+		out.Base = p.changes[0].seq - 1
+	}
+	seen := make(map[string]bool, len(p.changes))
+	for _, c := range p.changes {
+		if seen[c.name] {
+			continue
+		}
+		seen[c.name] = true
+		if p.present[c.name] {
+			out.Added = append(out.Added, c.name)
+			continue
+		}
+		out.Removed = append(out.Removed, c.name)
+	}
 	slices.Sort(out.Added)
 	slices.Sort(out.Removed)
-	p.present = now
-	p.seq++
-	out.Seq = p.seq
-	out.Full = p.seq == 1
-	p.last = out
 	return out
 }
 
-// Full gives the whole present state, for receivers that missed a part.
+// Full gives the whole present state, for receivers that know nothing or too little.
 func (p *Publisher) Full() fleet.PoolSummary {
 	out := p.last
 	out.Full = true
-	out.Removed = nil
 	out.Added = make([]string, 0, len(p.present))
 	for name := range p.present {
 		out.Added = append(out.Added, name)
@@ -65,9 +106,3 @@
 	slices.Sort(out.Added)
 	return out
 }
-
-func (p *Publisher) header(s placement.Summary) fleet.PoolSummary {
-	return fleet.PoolSummary{
-		Pool: s.Pool, Epoch: p.epoch, Free: s.Free, Places: s.Places, Slots: s.Slots, Waiting: s.Waiting,
-	}
-}
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -49,6 +49,7 @@
 	sent    int
 	cut     bool
 	gap     bool
+	recent  recentLog
 }
 
 // NewRouter makes the router of an entry in the given hall over the fleet's pools.
@@ -74,7 +75,8 @@
 	if v == nil {
 		return true
 	}
-	if s.Epoch < v.epoch || (s.Epoch == v.epoch && s.Seq < v.seq) {
+	stale := now.Sub(v.heard) > r.options.Fresh
+	if !stale && (s.Epoch < v.epoch || (s.Epoch == v.epoch && s.Seq < v.seq)) {
 		return true
 	}
 	v.heard = now
@@ -83,14 +85,23 @@
 		v.present = make(map[string]bool, len(s.Added))
 		v.gap = false
 	}
-	if !s.Full && (s.Epoch != v.epoch || s.Seq > v.seq+1) {
+	if !s.Full && (s.Epoch != v.epoch || s.Base > v.seq) {
 		v.gap = true
 	}
 	v.epoch, v.seq = s.Epoch, s.Seq
+	if s.Full {
+		v.recent.reset(s.Seq)
+	}
 	for _, name := range s.Added {
+		if !v.present[name] {
+			v.recent.add(now, name, s.Seq)
+		}
 		v.present[name] = true
 	}
 	for _, name := range s.Removed {
+		if v.present[name] {
+			v.recent.add(now, name, s.Seq)
+		}
 		delete(v.present, name)
 	}
 	return !v.gap
@@ -228,3 +239,25 @@
 		}
 	}
 }
+
+// Export passes on what this router knows of a pool, whole or only with the
+// latest part, under the numbers of its source.
+func (r *Router) Export(now time.Time, pool string, whole bool) (fleet.PoolSummary, bool) {
+	v := r.byName[pool]
+	if v == nil || v.epoch == 0 || v.gap {
+		return fleet.PoolSummary{}, false
+	}
+	out := fleet.PoolSummary{
+		Pool: pool, Epoch: v.epoch, Seq: v.seq, Free: v.free, Places: v.places, Slots: v.slots, Waiting: v.waiting,
+	}
+	if whole {
+		out.Full = true
+		for name := range v.present {
+			out.Added = append(out.Added, name)
+		}
+		slices.Sort(out.Added)
+		return out, true
+	}
+	v.recent.fill(now, v, &out)
+	return out, true
+}
--- /dev/null
+++ b/tests/integration/fleet_test.go
@@ -0,0 +1,230 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/modules/platform"
+	"github.com/shelfledge/shelfledge/modules/setting"
+	"github.com/shelfledge/shelfledge/routers/operator"
+	"github.com/shelfledge/shelfledge/services/daemon"
+	"github.com/shelfledge/shelfledge/tests/standin"
+)
+
+// testFleet is a cluster of stand-ins with daemons in front of it, all in one process.
+type testFleet struct {
+	t       testing.TB
+	cluster *standin.Cluster
+	daemons map[string]*daemon.Daemon
+	places  map[string]standin.InstancePlace
+	changes map[string]any
+}
+
+// patience bounds every wait of a test; it decides nothing, save that a hung test fails.
+const patience = 30 * time.Second
+
+func newFleet(t testing.TB, o standin.ClusterOptions, changes map[string]any, ids ...string) *testFleet {
+	c, err := standin.StartCluster(o)
+	require.NoError(t, err)
+	f := &testFleet{t: t, cluster: c, daemons: make(map[string]*daemon.Daemon), places: make(map[string]standin.InstancePlace), changes: changes}
+	t.Cleanup(f.close)
+	for _, id := range ids {
+		f.start(id)
+	}
+	f.publish()
+	for _, id := range ids {
+		f.waitReady(id)
+	}
+	return f
+}
+
+// start runs a daemon; its hall is the part of its name before the dash.
+func (f *testFleet) start(id string) {
+	hall, _, _ := strings.Cut(id, "-")
+	place := standin.Loopback(id, hall)
+	s, err := setting.Parse(id, []byte(f.cluster.SettingsText(place, f.changes)))
+	require.NoError(f.t, err)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, err := daemon.Start(daemon.Options{Settings: s, Log: logrus.NewEntry(logger)})
+	require.NoError(f.t, err)
+	a := d.Addresses()
+	place.Callers, place.Operators, place.Peers = a.Callers, a.Operators, a.Peers
+	f.daemons[id] = d
+	f.places[id] = place
+}
+
+// publish tells the platform's list of the daemons that run.
+func (f *testFleet) publish(leaving ...string) {
+	var entries []platform.Entry
+	for id := range f.daemons {
+		entries = append(entries, standin.ListEntry(f.places[id]))
+	}
+	for _, name := range leaving {
+		entries = append(entries, platform.Entry{Name: name, Kind: platform.KindEndpoint, State: platform.StateLeaving})
+	}
+	f.cluster.List.Set(entries)
+}
+
+func (f *testFleet) waitReady(id string) {
+	f.eventually(func() bool { return f.daemons[id].Ready() }, "daemon %s does not become ready", id)
+}
+
+func (f *testFleet) eventually(holds func() bool, format string, args ...any) {
+	f.t.Helper()
+	require.Eventually(f.t, holds, patience, 10*time.Millisecond, format, args)
+}
+
+func (f *testFleet) kill(id string) {
+	f.daemons[id].Kill()
+	delete(f.daemons, id)
+}
+
+func (f *testFleet) close() {
+	for _, d := range f.daemons {
+		d.Kill()
+	}
+	f.cluster.Close()
+}
+
+// run sends statements to a daemon and gives the answer.
+func (f *testFleet) run(id, text string) operator.RunResponse {
+	body, err := json.Marshal(operator.RunRequest{Text: text, WaitMS: 10000})
+	require.NoError(f.t, err)
+	q, err := http.NewRequest(http.MethodPost, "http://"+f.places[id].Operators.String()+"/operator/v1/run", bytes.NewReader(body))
+	require.NoError(f.t, err)
+	q.Header.Set("Authorization", "Bearer "+standin.OperatorKey)
+	resp, err := http.DefaultClient.Do(q)
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var out operator.RunResponse
+	require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
+
+// createAdapters makes adapters a-0 and on, each with versions one and two, version one live.
+func (f *testFleet) createAdapters(id string, count int) {
+	var text strings.Builder
+	for i := range count {
+		fmt.Fprintf(&text, "create adapter a-%d base base-a version 1; create version a-%d@2;\n", i, i)
+	}
+	out := f.run(id, text.String())
+	require.Nil(f.t, out.Error)
+	require.True(f.t, out.Answers[0].Change.InForce(), "not in force: %+v", out.Answers[0].Change.Halls)
+}
+
+// call is one request of a test and its answer.
+type call struct {
+	id, model, class, caller string
+	tokens                   int
+	once, whole              bool
+}
+
+type answer struct {
+	status   int
+	model    string
+	endpoint string
+	text     string
+	done     bool
+	failure  string
+	outcome  string
+	err      error
+}
+
+// expected gives the text of a whole answer.
+func expected(nonce string, tokens int) string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(standin.Token(nonce, i))
+	}
+	return text.String()
+}
+
+type chunk struct {
+	Model   string `json:"model"`
+	Choices []struct {
+		Delta   struct{ Content string } `json:"delta"`
+		Message struct{ Content string } `json:"message"`
+	} `json:"choices"`
+	Error *struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+}
+
+func (f *testFleet) send(ctx context.Context, instance string, c call) answer {
+	body, err := json.Marshal(map[string]any{
+		"model": c.model, "stream": !c.whole, "max_tokens": c.tokens, "messages": []map[string]string{{"role": "user", "content": "please answer " + c.id}},
+	})
+	require.NoError(f.t, err)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.places[instance].Callers.String()+"/v1/chat/completions", bytes.NewReader(body))
+	require.NoError(f.t, err)
+	q.Header.Set("X-Request-Id", c.id)
+	q.Header.Set("X-Class", c.class)
+	q.Header.Set("X-Caller", c.caller)
+	if c.once {
+		q.Header.Set("X-Once", "true")
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := answer{status: resp.StatusCode, model: resp.Header.Get("X-Model"), endpoint: resp.Header.Get("X-Endpoint")}
+	if c.whole || resp.StatusCode != http.StatusOK {
+		return readWhole(resp.Body, a)
+	}
+	return readStream(resp.Body, a)
+}
+
+func readWhole(in io.Reader, a answer) answer {
+	var one chunk
+	a.err = json.NewDecoder(in).Decode(&one)
+	if one.Error != nil {
+		a.failure, a.outcome = one.Error.Code, one.Error.Outcome
+		return a
+	}
+	if len(one.Choices) > 0 {
+		a.text, a.done = one.Choices[0].Message.Content, true
+	}
+	return a
+}
+
+func readStream(in io.Reader, a answer) answer {
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.done = true
+			return a
+		}
+		var one chunk
+		if a.err = json.Unmarshal([]byte(data), &one); a.err != nil {
+			return a
+		}
+		if one.Error != nil {
+			a.failure, a.outcome = one.Error.Code, one.Error.Outcome
+			return a
+		}
+		a.text += one.Choices[0].Delta.Content
+	}
+	a.err = lines.Err()
+	return a
+}
--- /dev/null
+++ b/tests/integration/path_test.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/tests/standin"
+)
+
+func TestManyAdaptersOnFewSlots(t *testing.T) {
+	f := newFleet(t, standin.DefaultClusterOptions(), nil, "h1-i1", "h1-i2", "h2-i1")
+	f.createAdapters("h1-i1", 40)
+	instances := []string{"h1-i1", "h1-i2", "h2-i1"}
+	var group sync.WaitGroup
+	for i := range 150 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			id := fmt.Sprintf("r-%d", i)
+			version := 1 + i%2
+			c := call{id: id, model: fmt.Sprintf("a-%d@%d", i%40, version), class: "kiosk", caller: "test", tokens: 8, whole: i%5 == 0}
+			a := f.send(context.Background(), instances[i%3], c)
+			require.NoError(t, a.err)
+			require.Equal(t, 200, a.status, a.failure)
+			require.True(t, a.done)
+			require.Equal(t, c.model, a.model)
+			require.Equal(t, expected(id, 8), a.text)
+		}()
+	}
+	group.Wait()
+	require.Empty(t, f.cluster.Violations())
+}
--- /dev/null
+++ b/tests/standin/engine.go
@@ -0,0 +1,449 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/engine"
+)
+
+// EngineOptions are the size and speed of an engine.
+type EngineOptions struct {
+	Name        string
+	Base        string
+	Slots       int
+	MaxBatch    int
+	Step        time.Duration
+	Load        time.Duration
+	ChecksFence bool
+	// Fetch takes the weights from the weight store; nil loads without it.
+	Fetch func(name string) error
+}
+
+// RunRecord is one run of a request, for oracles.
+type RunRecord struct {
+	RequestID string
+	Model     string
+	Count     int
+}
+
+// Engine is a model engine with continuous batches and adapter slots.
+type Engine struct {
+	options     EngineOptions
+	mutex       sync.Mutex
+	incarnation int
+	fence       uint64
+	holder      string
+	resident    map[string]bool
+	loading     map[string]bool
+	runs        map[string]*run
+	queue       []*run
+	running     int
+	ran         map[string]*RunRecord
+	failLoads   int
+	stopPart    int
+	leaving     bool
+	violations  []string
+	loads       int
+	evictions   int
+	down        bool
+}
+
+// run is one request on the engine.
+type run struct {
+	id      string
+	model   string
+	nonce   string
+	tokens  int
+	made    int
+	started bool
+	ended   bool
+	broken  bool
+	chat    bool
+	changed chan struct{}
+	readers int
+	idle    time.Time
+	stream  bool
+}
+
+// resumeLife is how long a run without a reader goes on before it counts as cancelled.
+const resumeLife = 3 * time.Second
+
+// NewEngine makes an empty engine; Run makes it work.
+func NewEngine(o EngineOptions) *Engine {
+	e := &Engine{options: o, ran: make(map[string]*RunRecord)}
+	e.reset()
+	return e
+}
+
+func (e *Engine) reset() {
+	e.incarnation++
+	e.fence, e.holder = 0, ""
+	e.resident = make(map[string]bool)
+	e.loading = make(map[string]bool)
+	for _, r := range e.runs {
+		r.broken = true
+		close(r.changed)
+	}
+	e.runs = make(map[string]*run)
+	e.queue = nil
+	e.running = 0
+}
+
+// Restart empties the engine and breaks off what ran.
+func (e *Engine) Restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.reset()
+}
+
+// FailLoads makes the coming loads fail; StopPartway makes them end without an answer, after their effect.
+func (e *Engine) FailLoads(count int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.failLoads = count
+}
+
+// StopPartway makes the coming loads take effect and never answer.
+func (e *Engine) StopPartway(count int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.stopPart = count
+}
+
+// SetLeaving makes the engine say that it is leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.leaving = leaving
+}
+
+// Violations lists promises that this engine saw broken.
+func (e *Engine) Violations() []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.violations)
+}
+
+// Ran lists every request that ever began to run here.
+func (e *Engine) Ran() []RunRecord {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	out := make([]RunRecord, 0, len(e.ran))
+	for _, r := range e.ran {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// Counts gives the loads and evictions so far.
+func (e *Engine) Counts() (loads, evictions int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.loads, e.evictions
+}
+
+// Run takes the batch's steps until stop is closed.
+func (e *Engine) Run(stop <-chan struct{}) {
+	ticker := time.NewTicker(e.options.Step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-ticker.C:
+			e.step(now)
+		}
+	}
+}
+
+// step makes one token for each running request and starts queued ones in free places.
+func (e *Engine) step(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, r := range e.runs {
+		if !r.started || r.ended {
+			continue
+		}
+		if r.readers == 0 && now.Sub(r.idle) > resumeLife {
+			e.end(r, true)
+			continue
+		}
+		r.made++
+		if r.made >= r.tokens {
+			e.end(r, false)
+			continue
+		}
+		r.wake()
+	}
+	e.admit()
+}
+
+// wake tells the readers of a run that something changed.
+func (r *run) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (e *Engine) end(r *run, broken bool) {
+	r.ended, r.broken = true, broken
+	e.running--
+	r.wake()
+	if r.readers == 0 {
+		delete(e.runs, r.id)
+	}
+}
+
+func (e *Engine) admit() {
+	for len(e.queue) > 0 && e.running < e.options.MaxBatch {
+		r := e.queue[0]
+		e.queue = e.queue[1:]
+		if r.ended {
+			continue
+		}
+		if !e.resident[r.model] {
+			e.violations = append(e.violations, "the adapter of a queued request was unloaded: "+r.model)
+		}
+		r.started = true
+		e.running++
+		record := e.ran[r.id]
+		if record == nil {
+			record = &RunRecord{RequestID: r.id, Model: r.model}
+			e.ran[r.id] = record
+		}
+		record.Count++
+	}
+}
+
+// Handler serves the engine's paths.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { e.mutex.Lock(); e.headers(w); e.mutex.Unlock() })
+	mux.HandleFunc("GET /metrics", e.metrics)
+	mux.HandleFunc("POST /v1/fence", e.take)
+	mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
+	mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("DELETE /v1/requests/{id...}", e.cancel)
+	return e.reachable(mux)
+}
+
+// SetDown makes the engine drop every connection.
+func (e *Engine) SetDown(down bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.down = down
+}
+
+func (e *Engine) reachable(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		e.mutex.Lock()
+		down := e.down
+		e.mutex.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+func (e *Engine) headers(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set(engine.HeaderIncarnation, e.incarnationName())
+	h.Set(engine.HeaderFence, strconv.FormatUint(e.fence, 10))
+	h.Set(engine.HeaderHolder, e.holder)
+	if e.leaving {
+		h.Set(engine.HeaderLeaving, "true")
+	}
+}
+
+func (e *Engine) incarnationName() string {
+	return e.options.Name + "-" + strconv.Itoa(e.incarnation)
+}
+
+type modelData struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Parent string `json:"parent,omitempty"`
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	data := []modelData{{ID: e.options.Base, Object: "model"}}
+	for name := range e.resident {
+		data = append(data, modelData{ID: name, Object: "model", Parent: e.options.Base})
+	}
+	e.headers(w)
+	_ = json.NewEncoder(w).Encode(map[string]any{"object": "list", "data": data})
+}
+
+func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	running, waiting := make(map[string]bool), make(map[string]bool)
+	for _, r := range e.runs {
+		switch {
+		case r.ended:
+		case r.started:
+			running[r.model] = true
+		default:
+			waiting[r.model] = true
+		}
+	}
+	e.headers(w)
+	_, _ = fmt.Fprintf(w, "vllm:num_requests_running %d\nvllm:num_requests_waiting %d\n", e.running, len(e.queue))
+	_, _ = fmt.Fprintf(w, "vllm:lora_requests_info{max_lora=\"%d\",running_lora_adapters=\"%s\",waiting_lora_adapters=\"%s\"} %d\n",
+		e.options.Slots, joined(running), joined(waiting), time.Now().Unix())
+}
+
+func joined(names map[string]bool) string {
+	out := make([]string, 0, len(names))
+	for name := range names {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return strings.Join(out, ",")
+}
+
+// allowed checks an order's fence and incarnation; the mutex is held.
+func (e *Engine) allowed(w http.ResponseWriter, q *http.Request, order bool) bool {
+	if !e.options.ChecksFence {
+		return true
+	}
+	fence, _ := strconv.ParseUint(q.Header.Get(engine.HeaderFence), 10, 64)
+	incarnation := q.Header.Get(engine.HeaderIncarnation)
+	same := !order || fence > e.fence || q.Header.Get(engine.HeaderHolder) == e.holder
+	if fence < e.fence || incarnation != e.incarnationName() || !same {
+		e.headers(w)
+		http.Error(w, "fence or incarnation", http.StatusPreconditionFailed)
+		return false
+	}
+	return true
+}
+
+func (e *Engine) take(w http.ResponseWriter, q *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.allowed(w, q, true) {
+		return
+	}
+	e.fence, _ = strconv.ParseUint(q.Header.Get(engine.HeaderFence), 10, 64)
+	e.holder = q.Header.Get(engine.HeaderHolder)
+	e.headers(w)
+}
+
+type loraBody struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path"`
+}
+
+func readLora(w http.ResponseWriter, q *http.Request) (loraBody, bool) {
+	var b loraBody
+	if err := json.NewDecoder(q.Body).Decode(&b); err != nil || b.Name == "" {
+		http.Error(w, "bad body", http.StatusBadRequest)
+		return b, false
+	}
+	return b, true
+}
+
+func (e *Engine) load(w http.ResponseWriter, q *http.Request) {
+	b, ok := readLora(w, q)
+	if !ok || !e.beginLoad(w, q, b.Name) {
+		return
+	}
+	err := e.fetch(b.Path)
+	time.Sleep(e.options.Load)
+	e.mutex.Lock()
+	delete(e.loading, b.Name)
+	if e.failLoads > 0 || err != nil {
+		e.failLoads = max(0, e.failLoads-1)
+		e.mutex.Unlock()
+		http.Error(w, "the load failed", http.StatusBadRequest)
+		return
+	}
+	e.resident[b.Name] = true
+	e.loads++
+	lost := e.stopPart > 0
+	e.stopPart = max(0, e.stopPart-1)
+	e.headers(w)
+	e.mutex.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) beginLoad(w http.ResponseWriter, q *http.Request, name string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.allowed(w, q, true) {
+		return false
+	}
+	if e.resident[name] || e.loading[name] {
+		http.Error(w, "loaded already", http.StatusBadRequest)
+		return false
+	}
+	if len(e.resident)+len(e.loading) >= e.options.Slots {
+		http.Error(w, "no free slot", http.StatusBadRequest)
+		return false
+	}
+	e.loading[name] = true
+	return true
+}
+
+func (e *Engine) fetch(path string) error {
+	if e.options.Fetch == nil {
+		return nil
+	}
+	return e.options.Fetch(path)
+}
+
+func (e *Engine) unload(w http.ResponseWriter, q *http.Request) {
+	b, ok := readLora(w, q)
+	if !ok {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.allowed(w, q, true) {
+		return
+	}
+	for _, r := range e.runs {
+		if r.model == b.Name && !r.ended {
+			e.violations = append(e.violations, "unloaded while in use: "+b.Name+" by "+r.id)
+		}
+	}
+	if !e.resident[b.Name] {
+		http.Error(w, "not loaded", http.StatusNotFound)
+		return
+	}
+	delete(e.resident, b.Name)
+	e.evictions++
+	e.headers(w)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, q *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	r := e.runs[q.PathValue("id")]
+	if r != nil && !r.ended {
+		if r.started {
+			e.end(r, true)
+		} else {
+			r.ended, r.broken = true, true
+			r.wake()
+		}
+	}
+	e.headers(w)
+}
--- /dev/null
+++ b/tests/standin/kv.go
@@ -0,0 +1,371 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/kv"
+)
+
+// KVFaults are the faults of a key-value service.
+type KVFaults struct {
+	// Down refuses every call before it is done.
+	Down bool `json:"down"`
+	// LoseAnswers is the number of coming writes that are done and never answered.
+	LoseAnswers int `json:"lose_answers"`
+	// Delay holds every answer back.
+	Delay time.Duration `json:"delay"`
+}
+
+// KV is a key-value service in etcd v3's HTTP/JSON form, held in memory.
+type KV struct {
+	mutex    sync.Mutex
+	revision int64
+	pairs    map[string]kv.Pair
+	leases   map[int64]*kvLease
+	nextID   int64
+	watchers map[*kvWatcher]bool
+	faults   KVFaults
+	reads    int64
+	writes   int64
+	bytes    int64
+	largest  int
+	now      func() time.Time
+}
+
+type kvLease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]bool
+}
+
+type kvWatcher struct {
+	key    string
+	events chan kv.WatchEvent
+}
+
+// NewKV makes an empty service.
+func NewKV() *KV {
+	return &KV{
+		pairs: make(map[string]kv.Pair), leases: make(map[int64]*kvLease), watchers: make(map[*kvWatcher]bool), now: time.Now,
+		nextID: 1000,
+	}
+}
+
+// SetFaults replaces the faults; watches break when the service goes down.
+func (s *KV) SetFaults(f KVFaults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = f
+	if !f.Down {
+		return
+	}
+	for w := range s.watchers {
+		close(w.events)
+		delete(s.watchers, w)
+	}
+}
+
+// Usage gives the reads, the writes and the bytes written so far, and the largest value.
+func (s *KV) Usage() (reads, writes, bytes int64, largest int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reads, s.writes, s.bytes, s.largest
+}
+
+// Dump copies all pairs, for tests that bring an older state back.
+func (s *KV) Dump() map[string]kv.Pair {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	out := make(map[string]kv.Pair, len(s.pairs))
+	for k, v := range s.pairs {
+		out[k] = v
+	}
+	return out
+}
+
+// Restore replaces all pairs, as a service does that was recovered from an old copy.
+func (s *KV) Restore(pairs map[string]kv.Pair) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pairs = make(map[string]kv.Pair, len(pairs))
+	for k, v := range pairs {
+		s.pairs[k] = v
+		s.revision++
+		s.notify(kv.WatchEvent{KV: v}, k)
+	}
+}
+
+// Handler serves the published paths.
+func (s *KV) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", serveKV(s, false, s.rangeKeys))
+	mux.HandleFunc("POST /v3/kv/txn", serveKV(s, true, s.txn))
+	mux.HandleFunc("POST /v3/lease/grant", serveKV(s, true, s.grant))
+	mux.HandleFunc("POST /v3/lease/keepalive", serveKV(s, true, s.keepAlive))
+	mux.HandleFunc("POST /v3/lease/revoke", serveKV(s, true, s.revoke))
+	mux.HandleFunc("POST /v3/watch", s.watch)
+	return mux
+}
+
+// serveKV reads a call, does it and answers, with the faults in between.
+func serveKV[In, Out any](s *KV, write bool, do func(In) Out) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		var in In
+		if err := json.NewDecoder(q.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.mutex.Lock()
+		faults := s.faults
+		if faults.Down {
+			s.mutex.Unlock()
+			http.Error(w, "the service is down", http.StatusServiceUnavailable)
+			return
+		}
+		s.expire()
+		s.count(write)
+		out := do(in)
+		lose := write && s.faults.LoseAnswers > 0
+		if lose {
+			s.faults.LoseAnswers--
+		}
+		s.mutex.Unlock()
+		time.Sleep(faults.Delay)
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	}
+}
+
+func (s *KV) count(write bool) {
+	if write {
+		s.writes++
+		return
+	}
+	s.reads++
+}
+
+// expire ends the leases whose time has come.
+func (s *KV) expire() {
+	now := s.now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *KV) endLease(id int64) {
+	l := s.leases[id]
+	if l == nil {
+		return
+	}
+	delete(s.leases, id)
+	for key := range l.keys {
+		s.remove(key)
+	}
+}
+
+func (s *KV) header() kv.Header {
+	return kv.Header{Revision: s.revision}
+}
+
+func (s *KV) rangeKeys(r kv.RangeRequest) kv.RangeResponse {
+	out := kv.RangeResponse{Header: s.header()}
+	for _, key := range s.matching(r.Key, r.RangeEnd) {
+		out.KVs = append(out.KVs, s.pairs[key])
+	}
+	out.Count = int64(len(out.KVs))
+	return out
+}
+
+func (s *KV) matching(key, end []byte) []string {
+	if len(end) == 0 {
+		if _, ok := s.pairs[string(key)]; ok {
+			return []string{string(key)}
+		}
+		return nil
+	}
+	var keys []string
+	for k := range s.pairs {
+		if k >= string(key) && k < string(end) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (s *KV) txn(r kv.TxnRequest) kv.TxnResponse {
+	ok := true
+	for _, c := range r.Compare {
+		ok = ok && s.holds(c)
+	}
+	ops := r.Success
+	if !ok {
+		ops = r.Failure
+	}
+	if ok && writes(ops) {
+		s.revision++
+	}
+	out := kv.TxnResponse{Succeeded: ok}
+	for _, op := range ops {
+		out.Responses = append(out.Responses, s.do(op))
+	}
+	out.Header = s.header()
+	return out
+}
+
+func writes(ops []kv.Op) bool {
+	for _, op := range ops {
+		if op.Put != nil || op.Delete != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *KV) holds(c kv.Compare) bool {
+	p := s.pairs[string(c.Key)]
+	switch c.Target {
+	case kv.TargetMod:
+		return p.ModRevision == c.ModRevision
+	case kv.TargetCreate:
+		return p.CreateRevision == c.CreateRevision
+	case kv.TargetValue:
+		return string(p.Value) == string(c.Value)
+	}
+	return false
+}
+
+func (s *KV) do(op kv.Op) kv.OpResponse {
+	switch {
+	case op.Range != nil:
+		r := s.rangeKeys(*op.Range)
+		return kv.OpResponse{Range: &r}
+	case op.Put != nil:
+		s.put(*op.Put)
+	case op.Delete != nil:
+		for _, key := range s.matching(op.Delete.Key, op.Delete.RangeEnd) {
+			s.remove(key)
+		}
+	}
+	return kv.OpResponse{}
+}
+
+func (s *KV) put(r kv.PutRequest) {
+	key := string(r.Key)
+	p, existed := s.pairs[key]
+	if !existed {
+		p = kv.Pair{Key: r.Key, CreateRevision: s.revision}
+	}
+	p.Value, p.ModRevision, p.Lease = r.Value, s.revision, r.Lease
+	p.Version++
+	s.pairs[key] = p
+	s.bytes += int64(len(r.Value))
+	s.largest = max(s.largest, len(r.Value))
+	if l := s.leases[r.Lease]; l != nil {
+		l.keys[key] = true
+	}
+	s.notify(kv.WatchEvent{KV: p}, key)
+}
+
+func (s *KV) remove(key string) {
+	p, ok := s.pairs[key]
+	if !ok {
+		return
+	}
+	delete(s.pairs, key)
+	s.notify(kv.WatchEvent{Type: "DELETE", KV: kv.Pair{Key: p.Key, ModRevision: s.revision}}, key)
+}
+
+func (s *KV) notify(e kv.WatchEvent, key string) {
+	for w := range s.watchers {
+		if w.key != key {
+			continue
+		}
+		select {
+		case w.events <- e:
+		default:
+		}
+	}
+}
+
+func (s *KV) grant(r kv.LeaseGrantRequest) kv.LeaseResponse {
+	s.nextID++
+	ttl := time.Duration(r.TTL) * time.Second
+	s.leases[s.nextID] = &kvLease{ttl: ttl, expires: s.now().Add(ttl), keys: make(map[string]bool)}
+	return kv.LeaseResponse{Header: s.header(), ID: s.nextID, TTL: r.TTL}
+}
+
+func (s *KV) keepAlive(r kv.LeaseRequest) kv.KeepAliveResponse {
+	l := s.leases[r.ID]
+	if l == nil {
+		return kv.KeepAliveResponse{Result: kv.LeaseResponse{Header: s.header(), ID: r.ID}}
+	}
+	l.expires = s.now().Add(l.ttl)
+	return kv.KeepAliveResponse{Result: kv.LeaseResponse{Header: s.header(), ID: r.ID, TTL: int64(l.ttl / time.Second)}}
+}
+
+func (s *KV) revoke(r kv.LeaseRequest) kv.LeaseResponse {
+	s.endLease(r.ID)
+	return kv.LeaseResponse{Header: s.header(), ID: r.ID}
+}
+
+const watchQueue = 256
+
+func (s *KV) watch(w http.ResponseWriter, q *http.Request) {
+	var in kv.WatchRequest
+	if err := json.NewDecoder(q.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	watcher := &kvWatcher{key: string(in.Create.Key), events: make(chan kv.WatchEvent, watchQueue)}
+	s.mutex.Lock()
+	if s.faults.Down {
+		s.mutex.Unlock()
+		http.Error(w, "the service is down", http.StatusServiceUnavailable)
+		return
+	}
+	s.reads++
+	s.watchers[watcher] = true
+	if p, ok := s.pairs[watcher.key]; ok && in.Create.StartRevision > 0 && p.ModRevision >= in.Create.StartRevision {
+		watcher.events <- kv.WatchEvent{KV: p}
+	}
+	first := kv.WatchResponse{Result: kv.WatchResult{Header: s.header(), Created: true}}
+	s.mutex.Unlock()
+	s.serveWatch(w, q, watcher, first)
+}
+
+func (s *KV) serveWatch(w http.ResponseWriter, q *http.Request, watcher *kvWatcher, first kv.WatchResponse) {
+	defer func() {
+		s.mutex.Lock()
+		delete(s.watchers, watcher)
+		s.mutex.Unlock()
+	}()
+	out := json.NewEncoder(w)
+	flusher := w.(http.Flusher)
+	_ = out.Encode(first)
+	flusher.Flush()
+	for {
+		select {
+		case <-q.Context().Done():
+			return
+		case e, open := <-watcher.events:
+			if !open {
+				return
+			}
+			_ = out.Encode(kv.WatchResponse{Result: kv.WatchResult{Events: []kv.WatchEvent{e}}})
+			flusher.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/tests/standin/platform.go
@@ -0,0 +1,157 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/platform"
+)
+
+// List is the platform's list of instances and endpoints, which shows an older state.
+type List struct {
+	mutex   sync.Mutex
+	lag     time.Duration
+	history []listState
+}
+
+type listState struct {
+	at   time.Time
+	list platform.List
+}
+
+// NewList makes an empty list with a lag.
+func NewList(lag time.Duration) *List {
+	return &List{lag: lag}
+}
+
+// Set replaces the entries; readers see them after the lag.
+func (l *List) Set(entries []platform.Entry) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.history = append(l.history, listState{at: time.Now(), list: platform.List{Entries: entries}})
+}
+
+func (l *List) visible(now time.Time) platform.List {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var out platform.List
+	for i, s := range l.history {
+		if i == 0 || now.Sub(s.at) >= l.lag {
+			out = s.list
+		}
+	}
+	return out
+}
+
+// Handler serves the list.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(l.visible(time.Now()))
+	})
+	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, q *http.Request) {
+		var in platform.List
+		if err := json.NewDecoder(q.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(in.Entries)
+	})
+	return mux
+}
+
+// Store is the weight store: a rate of fetches, and a number at once at full speed.
+type Store struct {
+	mutex  sync.Mutex
+	rate   float64
+	atFull int
+	time   time.Duration
+	next   time.Time
+	active int
+	count  int
+}
+
+// NewStore makes a weight store whose fetches take so long at full speed.
+func NewStore(rate float64, atFullSpeed int, fetch time.Duration) *Store {
+	return &Store{rate: rate, atFull: atFullSpeed, time: fetch}
+}
+
+// Fetch takes one adapter's weights and returns when they are there.
+func (s *Store) Fetch(name string) error {
+	if name == "" {
+		return fmt.Errorf("no weights without a name")
+	}
+	s.mutex.Lock()
+	now := time.Now()
+	begin := now
+	if s.next.After(now) {
+		begin = s.next
+	}
+	s.next = begin.Add(time.Duration(float64(time.Second) / s.rate))
+	s.active++
+	s.count++
+	slow := max(1, float64(s.active)/float64(s.atFull))
+	s.mutex.Unlock()
+	time.Sleep(begin.Sub(now) + time.Duration(float64(s.time)*slow))
+	s.mutex.Lock()
+	s.active--
+	s.mutex.Unlock()
+	return nil
+}
+
+// Handler serves the weights; the bytes themselves are of no interest here.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{name...}", func(w http.ResponseWriter, q *http.Request) {
+		if err := s.Fetch(q.PathValue("name")); err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+		}
+	})
+	return mux
+}
+
+// Plain is a plain service that counts the calls by their identifier.
+type Plain struct {
+	mutex sync.Mutex
+	calls map[string]int
+	delay time.Duration
+}
+
+// NewPlain makes a plain service that takes so long for a call.
+func NewPlain(delay time.Duration) *Plain {
+	return &Plain{calls: make(map[string]int), delay: delay}
+}
+
+// Calls gives the number of calls under an identifier's nonce.
+func (p *Plain) Calls(body string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.calls[body]
+}
+
+// Handler serves every path with an echo of the body.
+func (p *Plain) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/health" {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.mutex.Lock()
+		p.calls[string(body)]++
+		p.mutex.Unlock()
+		time.Sleep(p.delay)
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = fmt.Fprintf(w, "%s %s %s", q.Method, q.URL.Path, body)
+	})
+}
