--- a/modules/log/log.go
+++ b/modules/log/log.go
@@ -33,12 +33,21 @@
 		logger.SetFormatter(&logrus.JSONFormatter{})
 	}
 	entry := logger.WithFields(o.Fields)
-	logx.Disable()
+	logx.DisableStat()
+	logx.SetLevel(zeroLevel(level))
 	logx.SetWriter(&zeroWriter{entry: entry.WithField("library", "go-zero")})
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, &lineWriter{entry: entry.WithField("library", "grpc")}, &lineWriter{entry: entry.WithField("library", "grpc")}))
 	return entry, nil
 }
 
+// zeroLevel keeps go-zero from making a line for each request that nobody reads.
+func zeroLevel(level logrus.Level) uint32 {
+	if level >= logrus.DebugLevel {
+		return logx.DebugLevel
+	}
+	return logx.ErrorLevel
+}
+
 // lineWriter turns a library's lines into log entries.
 type lineWriter struct {
 	entry *logrus.Entry
--- a/modules/peerlink/link.go
+++ b/modules/peerlink/link.go
@@ -42,7 +42,6 @@
 	peers   map[netip.AddrPort]*peer
 	closed  bool
 	dropped atomic.Int64
-	bytes   atomic.Int64
 }
 
 const (
--- a/services/node/configuration.go
+++ b/services/node/configuration.go
@@ -82,12 +82,17 @@
 
 // TakeRecords puts newer configuration in force, from a peer or the key-value service; older is never applied.
 func (n *Node) TakeRecords(now time.Time, r fleet.Records) []Effect {
+	n.takeRecords(now, r)
+	return n.take()
+}
+
+func (n *Node) takeRecords(now time.Time, r fleet.Records) {
 	before := n.config.revision()
 	n.config.heardHead(r.Head)
 	if r.Head < before {
 		n.note(now, fleet.Event{Kind: fleet.EventRevisionBehind, Revision: r.Head, Cause: "an older configuration was offered and not applied"})
 		if !n.options.Defects.AcceptLowerRevision {
-			return n.take()
+			return
 		}
 	}
 	next, err := n.config.history.Advance(n.config.catalog, r.Snapshot, r.Records, n.options.Defects.AcceptLowerRevision)
@@ -95,7 +100,7 @@
 		n.note(now, fleet.Event{Kind: fleet.EventRevisionBehind, Revision: r.Head, Cause: err.Error()})
 	}
 	if next == nil || next.Revision == before {
-		return n.take()
+		return
 	}
 	n.config.catalog = next
 	n.config.wantedAt = time.Time{}
@@ -105,7 +110,6 @@
 	n.heartbeatAll(now)
 	n.digested = time.Time{}
 	n.sendDigests(now)
-	return n.take()
 }
 
 func (n *Node) applyConfiguration(now time.Time) {
--- a/services/node/digests.go
+++ b/services/node/digests.go
@@ -89,9 +89,7 @@
 			d.Pools = append(d.Pools, s)
 		}
 	}
-	for _, m := range n.members.Known() {
-		d.Instances = append(d.Instances, m)
-	}
+	d.Instances = append(d.Instances, n.members.Known()...)
 	for name := range r.gaps {
 		d.Wants = append(d.Wants, name)
 	}
--- a/services/node/node.go
+++ b/services/node/node.go
@@ -132,7 +132,7 @@
 	case e.WantRecords != nil:
 		n.wanted(now, e)
 	case e.Records != nil:
-		n.TakeRecords(now, *e.Records)
+		n.takeRecords(now, *e.Records)
 	case e.Digest != nil:
 		n.digest(now, e)
 	}
--- a/services/placement/dispatch.go
+++ b/services/placement/dispatch.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		waiting += a.patient
-		if now.Sub(a.oldest) > p.options.GatherLimit {
+		if now.After(a.holdUntil) {
 			return true
 		}
 	}
--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -109,7 +109,7 @@
 // wantsCopy tells whether an adapter with copies deserves one more: its queue
 // waits for a place, and no copy is on its way.
 func (p *Placer) wantsCopy(now time.Time, ref fleet.AdapterRef, a *adapterQueue) bool {
-	if a.count <= a.patient && now.Sub(a.oldest) < p.options.GatherLimit {
+	if a.count <= a.patient && now.Before(a.holdUntil) {
 		return false
 	}
 	if now.Sub(a.oldest) < p.options.SecondCopyWait {
--- a/services/placement/placer.go
+++ b/services/placement/placer.go
@@ -134,7 +134,7 @@
 			return p.take()
 		}
 	}
-	p.queue.push(now, r, class)
+	p.queue.push(now, r, class, p.options.GatherLimit)
 	p.note(now, fleet.Event{Kind: fleet.EventQueued, Request: r.ID, Adapter: r.Adapter.String(), Cause: p.waitCause(r)})
 	p.dispatchAdapter(now, r.Adapter)
 	return p.take()
--- a/services/placement/queue.go
+++ b/services/placement/queue.go
@@ -69,6 +69,8 @@
 	patient int
 	weight  float64
 	oldest  time.Time
+	// holdUntil is when patient work must start, gathered or not.
+	holdUntil time.Time
 }
 
 // fairQueue holds all waiting requests of a pool, bounded and fair by tokens.
@@ -104,7 +106,7 @@
 
 // push queues a request under its start tag: a tenant's next request starts
 // where its last one ended in virtual time, so a flood queues behind itself.
-func (q *fairQueue) push(now time.Time, r fleet.Request, c fleet.Class) *waiter {
+func (q *fairQueue) push(now time.Time, r fleet.Request, c fleet.Class, hold time.Duration) *waiter {
 	key := tenantKey{class: c.Name, tenant: r.Caller}
 	q.sequence++
 	w := &waiter{request: r, class: c, sequence: q.sequence, queued: now}
@@ -115,14 +117,14 @@
 	q.tokens[c.Name] += r.Tokens()
 	q.tenant[key] += r.Tokens()
 	q.byID[r.ID] = w
-	q.insert(now, w)
+	q.insert(now, w, hold)
 	if !r.Deadline.IsZero() {
 		heap.Push(&q.deadlines, w)
 	}
 	return w
 }
 
-func (q *fairQueue) insert(now time.Time, w *waiter) {
+func (q *fairQueue) insert(now time.Time, w *waiter, hold time.Duration) {
 	ref := w.request.Adapter
 	a, ok := q.adapters[ref]
 	if !ok {
@@ -140,9 +142,27 @@
 	a.weight += w.class.StallWeight
 	if w.class.Patient {
 		a.patient++
+		a.holdAtMost(now.Add(w.patience(now, hold)))
 	}
 }
 
+func (a *adapterQueue) holdAtMost(until time.Time) {
+	if a.holdUntil.IsZero() || until.Before(a.holdUntil) {
+		a.holdUntil = until
+	}
+}
+
+// holdShare is the part of a caller's wait that patient work may be held back.
+const holdShare = 0.2
+
+// patience is how long a request may be held back to fill a batch.
+func (w *waiter) patience(now time.Time, hold time.Duration) time.Duration {
+	if w.request.Deadline.IsZero() {
+		return hold
+	}
+	return min(hold, time.Duration(holdShare*float64(w.request.Deadline.Sub(now))))
+}
+
 // remove takes a waiter out; its lane drops the entry when it comes to the front.
 func (q *fairQueue) remove(w *waiter) {
 	if w.gone {
--- /dev/null
+++ b/services/shell/print.go
@@ -0,0 +1,191 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package shell
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/shelfledge/shelfledge/models/table"
+	"github.com/shelfledge/shelfledge/modules/operatorclient"
+	"github.com/shelfledge/shelfledge/routers/operator"
+	"github.com/shelfledge/shelfledge/services/command"
+	"github.com/shelfledge/shelfledge/services/query"
+)
+
+// The exit codes of shelfctl; docs/operators.md explains them.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitNotInForce  = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitUnsettled   = 6
+	ExitDenied      = 7
+	ExitIncomplete  = 8
+)
+
+// ExitCode gives the exit code for an answer or the lack of one.
+func ExitCode(out operator.RunResponse, err error) int {
+	if err != nil {
+		if operatorclient.IsErrNoDaemon(err) {
+			return ExitUnavailable
+		}
+		return ExitFailed
+	}
+	if out.Error != nil {
+		return errorCode(out.Error.Kind)
+	}
+	code := ExitOK
+	for _, a := range out.Answers {
+		if a.Change != nil && !a.Change.DryRun && !a.Change.InForce() {
+			return ExitNotInForce
+		}
+		if !(query.Result{Parts: a.Parts}).Complete() {
+			code = ExitIncomplete
+		}
+	}
+	return code
+}
+
+func errorCode(kind operator.ErrorKind) int {
+	switch kind {
+	case operator.KindConflict:
+		return ExitConflict
+	case operator.KindUnavailable:
+		return ExitUnavailable
+	case operator.KindUnsettled:
+		return ExitUnsettled
+	case operator.KindDenied, operator.KindTooMany:
+		return ExitDenied
+	case operator.KindSyntax, operator.KindMeaning:
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// PrintJSON prints an answer for programs.
+func PrintJSON(w io.Writer, out operator.RunResponse) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(out)
+}
+
+// Print prints an answer for people.
+func Print(w io.Writer, out operator.RunResponse) {
+	for _, a := range out.Answers {
+		switch {
+		case a.Explain != nil:
+			for _, line := range a.Explain.Lines {
+				_, _ = fmt.Fprintln(w, line)
+			}
+		case a.Change != nil:
+			printChange(w, *a.Change)
+		case a.Table != nil:
+			printTable(w, *a.Table)
+		}
+		printParts(w, a.Parts)
+	}
+	if out.Error != nil {
+		printError(w, *out.Error)
+	}
+}
+
+func printError(w io.Writer, e operator.Error) {
+	if e.Point != "" {
+		_, _ = fmt.Fprintf(w, "%s\nline %d, column %d: ", e.Point, e.Line, e.Column)
+	}
+	_, _ = fmt.Fprintf(w, "%s: %s\n", strings.ReplaceAll(string(e.Kind), "_", " "), e.Message)
+}
+
+func printChange(w io.Writer, c command.Result) {
+	verb := "accepted as revision"
+	if c.DryRun {
+		verb = "dry run: would become revision"
+	}
+	if c.Repeated {
+		verb = "had been accepted before as revision"
+	}
+	_, _ = fmt.Fprintf(w, "%s %d\n", verb, c.Revision)
+	for _, line := range c.Changes {
+		_, _ = fmt.Fprintf(w, "  %s\n", line)
+	}
+	for _, h := range c.Halls {
+		_, _ = fmt.Fprintf(w, "  %-8s %s\n", h.Hall, hallWords(h))
+	}
+}
+
+func hallWords(h command.HallResult) string {
+	switch {
+	case h.InForce:
+		return fmt.Sprintf("in force after %d ms", h.After.Milliseconds())
+	case h.Silent:
+		return "not known: the hall cannot be heard"
+	}
+	return "not yet in force"
+}
+
+// printParts names what is missing from an answer, or how old its parts are.
+func printParts(w io.Writer, parts []query.Part) {
+	for _, p := range parts {
+		switch {
+		case p.Silent:
+			_, _ = fmt.Fprintf(w, "-- hall %s did not answer: its part is missing\n", p.Hall)
+		case len(p.Missing) > 0:
+			_, _ = fmt.Fprintf(w, "-- hall %s: no answer from %s\n", p.Hall, strings.Join(p.Missing, ", "))
+		default:
+			_, _ = fmt.Fprintf(w, "-- hall %s: %d ms old\n", p.Hall, p.Age.Round(time.Millisecond).Milliseconds())
+		}
+	}
+}
+
+const maxCell = 60
+
+func printTable(w io.Writer, t table.Table) {
+	widths := make([]int, len(t.Columns))
+	for i, c := range t.Columns {
+		widths[i] = utf8.RuneCountInString(c.Name)
+		for _, row := range t.Rows {
+			widths[i] = max(widths[i], min(maxCell, utf8.RuneCountInString(row[i].String())))
+		}
+	}
+	header := make([]string, len(t.Columns))
+	for i, c := range t.Columns {
+		header[i] = c.Name
+	}
+	printRow(w, header, widths, t.Columns)
+	for _, row := range t.Rows {
+		cells := make([]string, len(row))
+		for i, v := range row {
+			cells[i] = cut(v.String())
+		}
+		printRow(w, cells, widths, t.Columns)
+	}
+	_, _ = fmt.Fprintf(w, "(%d rows)\n", len(t.Rows))
+}
+
+func cut(text string) string {
+	if utf8.RuneCountInString(text) <= maxCell {
+		return text
+	}
+	return string([]rune(text)[:maxCell-1]) + "…"
+}
+
+func printRow(w io.Writer, cells []string, widths []int, columns []table.Column) {
+	var line strings.Builder
+	for i, cell := range cells {
+		pad := strings.Repeat(" ", widths[i]-utf8.RuneCountInString(cell))
+		if columns[i].Kind == table.Number {
+			line.WriteString(pad + cell + "  ")
+			continue
+		}
+		line.WriteString(cell + pad + "  ")
+	}
+	_, _ = fmt.Fprintln(w, strings.TrimRight(line.String(), " "))
+}
--- a/tests/integration/fleet_test.go
+++ b/tests/integration/fleet_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/shelfledge/shelfledge/modules/log"
 	"github.com/shelfledge/shelfledge/modules/platform"
 	"github.com/shelfledge/shelfledge/modules/setting"
 	"github.com/shelfledge/shelfledge/routers/operator"
@@ -58,9 +58,9 @@
 	place := standin.Loopback(id, hall)
 	s, err := setting.Parse(id, []byte(f.cluster.SettingsText(place, f.changes)))
 	require.NoError(f.t, err)
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	d, err := daemon.Start(daemon.Options{Settings: s, Log: logrus.NewEntry(logger)})
+	entry, err := log.New(log.Options{Level: "error", Format: "text", Output: io.Discard})
+	require.NoError(f.t, err)
+	d, err := daemon.Start(daemon.Options{Settings: s, Log: entry})
 	require.NoError(f.t, err)
 	a := d.Addresses()
 	place.Callers, place.Operators, place.Peers = a.Callers, a.Operators, a.Peers
--- a/tests/standin/cluster.go
+++ b/tests/standin/cluster.go
@@ -150,8 +150,8 @@
 
 // Loopback makes a place whose ports the system picks.
 func Loopback(id, hall string) InstancePlace {
-	any := netip.MustParseAddrPort("127.0.0.1:0")
-	return InstancePlace{ID: id, Hall: hall, Callers: any, Operators: any, Peers: any}
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	return InstancePlace{ID: id, Hall: hall, Callers: anyPort, Operators: anyPort, Peers: anyPort}
 }
 
 // OperatorKey is the key of the one operator of stand-in settings.
--- a/tools/replay/sim/bound.go
+++ b/tools/replay/sim/bound.go
@@ -52,10 +52,10 @@
 	for _, l := range lines {
 		at := milliseconds(l.AtMS)
 		b.end = max(b.end, at)
-		switch {
-		case l.Event == StoreRate:
+		switch l.Event {
+		case StoreRate:
 			b.rates = append(b.rates, rateChange{from: at, until: milliseconds(l.UntilMS), rate: l.Rate})
-		case l.Event == "":
+		case "":
 			b.lines = append(b.lines, l)
 		}
 	}
--- a/tools/replay/sim/model.go
+++ b/tools/replay/sim/model.go
@@ -27,13 +27,12 @@
 
 // attempt is one run of a request on an endpoint.
 type attempt struct {
-	request  *request
-	engine   *engine
-	started  time.Time
-	first    time.Time
-	ends     time.Time
-	dead     bool
-	resident time.Time
+	request *request
+	engine  *engine
+	started time.Time
+	first   time.Time
+	ends    time.Time
+	dead    bool
 }
 
 // load is one load under way at the weight store.
--- a/tools/replay/sim/policy_baseline.go
+++ b/tools/replay/sim/policy_baseline.go
@@ -29,8 +29,6 @@
 	queue   []fleet.Request
 	used    map[fleet.AdapterRef]time.Time
 	leaving bool
-	// left holds what was bound here when the endpoint restarted.
-	loading int
 }
 
 func newLRU(w *world) Policy {
--- /dev/null
+++ b/tools/replay/sim/replay_test.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package sim_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/tools/replay/sim"
+)
+
+const traces = "../../../testdata/traces"
+
+func replay(t *testing.T, scenario, policy string) sim.Result {
+	t.Helper()
+	f, err := sim.ReadFleet(filepath.Join(traces, scenario+".fleet.json"))
+	require.NoError(t, err)
+	lines, err := sim.ReadTrace(filepath.Join(traces, scenario+".trace.jsonl"), f)
+	require.NoError(t, err)
+	r, err := sim.Run(f, lines, sim.Options{Policy: policy})
+	require.NoError(t, err)
+	return r
+}
+
+func TestEveryPolicyKeepsThePromises(t *testing.T) {
+	for _, scenario := range []string{"dakar", "plovdiv", "storm"} {
+		for _, policy := range []string{"shelfledge", "affinity", "lru"} {
+			r := replay(t, scenario, policy)
+			require.Zero(t, r.ViolationCount(), "%s under %s: %v", scenario, policy, r.Violations)
+			require.Equal(t, r.Requests, r.Answered+r.RefusedNot+r.Unknown+r.Expired, "%s under %s", scenario, policy)
+		}
+	}
+}
+
+func TestSameTraceSameOutcome(t *testing.T) {
+	first := replay(t, "storm", "shelfledge")
+	second := replay(t, "storm", "shelfledge")
+	first.DecideNS, second.DecideNS = sim.DecideFigures{}, sim.DecideFigures{}
+	require.Equal(t, first, second)
+}
+
+func TestBadFilesAreNamedByLineAndField(t *testing.T) {
+	f, err := sim.ReadFleet(filepath.Join(traces, "dakar.fleet.json"))
+	require.NoError(t, err)
+	good := `{"at_ms":0,"id":"r1","caller":"c","class":"kiosk","hall":"h1","base":"base-a","adapter":"x","version":1,"prompt_tokens":1,"output_tokens":1}`
+	for name, c := range map[string]struct {
+		text, field string
+		line        int
+	}{
+		"unknown hall":    {good + "\n" + `{"at_ms":1,"id":"r2","class":"kiosk","hall":"h9","base":"base-a","adapter":"x","version":1,"output_tokens":1}`, "hall", 2},
+		"time runs back":  {`{"at_ms":5,"event":"kv_down","until_ms":9}` + "\n" + good, "at_ms", 2},
+		"id given twice":  {good + "\n" + good, "id", 2},
+		"not a number":    {`{"at_ms":"soon"}`, "at_ms", 1},
+		"unknown field":   {`{"at_ms":0,"colour":"red"}`, "colour", 1},
+		"unknown event":   {`{"at_ms":0,"event":"flood"}`, "event", 1},
+		"no such server":  {`{"at_ms":0,"event":"endpoint_restart","endpoint":"h7-e1"}`, "endpoint", 1},
+		"empty cut":       {`{"at_ms":3,"event":"hall_cut","hall":"h1","until_ms":2}`, "until_ms", 1},
+		"version missing": {`{"at_ms":0,"id":"r1","class":"kiosk","hall":"h1","base":"base-a","adapter":"x","output_tokens":1}`, "version", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "trace.jsonl")
+			require.NoError(t, os.WriteFile(file, []byte(c.text), 0o600))
+			_, err := sim.ReadTrace(file, f)
+			var bad sim.ErrBadFile
+			require.ErrorAs(t, err, &bad)
+			require.Equal(t, c.field, bad.Field)
+			require.Equal(t, c.line, bad.Line)
+		})
+	}
+}
+
+func TestBadFleetIsNamedByLineAndField(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "fleet.json")
+	text := "// a comment\n{\"halls\":[{\"name\":\"h1\"}],\n\"endpoints\":[{\"name\":\"e1\",\"hall\":\"h1\",\n\"bases\":[\"b\"],\"slots\":\"many\"}]}"
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	_, err := sim.ReadFleet(file)
+	var bad sim.ErrBadFile
+	require.ErrorAs(t, err, &bad)
+	require.Equal(t, 4, bad.Line)
+	require.Contains(t, bad.Field, "slots")
+}
--- a/tools/replay/sim/world.go
+++ b/tools/replay/sim/world.go
@@ -48,7 +48,6 @@
 	tokens     int64
 	decisions  decisionClock
 	openCount  int
-	openSince  time.Time
 	lastEnd    time.Time
 }
 
