Never call a request not run after an attempt with an unknown end

Cause: the fuzz test found a request whose first attempt broke off after it had begun to run, and whose second was refused; its caller was told not_run. Ruled out: the placer (it never saw the first run). Change: the relay remembers an attempt of unknown end and tells unknown from then on. Conclusion: the outcome belongs to the request, not to its last attempt.

--- a/services/relay/run.go
+++ b/services/relay/run.go
@@ -27,6 +27,9 @@
 	queued  time.Duration
 	stalled time.Duration
 	claimed bool
+	// mayHaveRun is true once an attempt had an unknown end; from then on the request
+	// as a whole can never be called "not run", whatever becomes of later attempts.
+	mayHaveRun bool
 }
 
 // serve makes attempts until the request is answered, refused or unknown.
@@ -38,6 +41,9 @@
 		}
 	}
 	err := r.attempts(ctx)
+	if r.mayHaveRun && IsErrNotRun(err) {
+		err = ErrUnknown{Detail: "an earlier attempt broke off, and then " + err.Error()}
+	}
 	if r.claimed && IsErrNotRun(err) {
 		r.unclaim()
 	}
@@ -76,6 +82,7 @@
 		if err == nil {
 			return nil
 		}
+		r.mayHaveRun = r.mayHaveRun || !IsErrNotRun(err) && !engine.IsErrNotRun(err)
 		again, final := r.judge(ctx, attempt, err)
 		if !again {
 			return final
