Count tickets by adapter, whether or not the slot is known yet

Cause: after two believers' takeovers crossed, a successor was handed a ticket for an adapter that it did not yet know to be loaded; when the slot was found, it counted as idle and was evicted under the running request. Ruled out: the fences (both orders were allowed) and the list of running requests (the ticket hid it as explained). Change: tickets are counted per endpoint and adapter, apart from the slots. Conclusion: what is in use must never depend on what is known to be loaded.

--- a/services/placement/dispatch.go
+++ b/services/placement/dispatch.go
@@ -156,10 +156,8 @@
 	held := &heldTicket{ticket: ticket, request: r, granted: now}
 	p.tickets[ticket.ID] = held
 	p.byRequest[r.ID] = held
-	e.running++
-	e.tenants[r.Caller]++
+	e.enter(ticket, r.Caller)
 	if s, ok := e.slots[r.Adapter]; ok {
-		s.running++
 		s.lastUsed = now
 	}
 	p.prefixes.set(r.Prefix, e.spec.Name)
--- a/services/placement/endpoint_state.go
+++ b/services/placement/endpoint_state.go
@@ -22,7 +22,6 @@
 type slot struct {
 	adapter fleet.AdapterRef
 	state   slotState
-	running int
 	// foreign is true while the endpoint reports work that no ticket explains.
 	foreign  bool
 	closing  bool
@@ -31,11 +30,6 @@
 	evicting fleet.AdapterRef
 }
 
-// inUse tells whether unloading the slot could cut off a running request.
-func (s *slot) inUse() bool {
-	return s.running > 0 || s.foreign
-}
-
 // endpointState is what the placer knows of one endpoint.
 type endpointState struct {
 	spec        fleet.Endpoint
@@ -48,6 +42,9 @@
 	running     int
 	tenants     map[string]int
 	slots       map[fleet.AdapterRef]*slot
+	// using counts the tickets of each adapter, whether or not its slot is known yet: a
+	// ticket may be declared before the slot is found.
+	using       map[fleet.AdapterRef]int
 	loading     int
 	frozenUntil time.Time
 	// ordersUntil is when the right to order ends; the zero time means fences decide.
@@ -60,6 +57,34 @@
 		spec:    spec,
 		tenants: make(map[string]int),
 		slots:   make(map[fleet.AdapterRef]*slot),
+		using:   make(map[fleet.AdapterRef]int),
+	}
+}
+
+// inUse tells whether unloading the slot could cut off a running request.
+func (e *endpointState) inUse(s *slot) bool {
+	return e.using[s.adapter] > 0 || s.foreign
+}
+
+// enter counts a ticket.
+func (e *endpointState) enter(t fleet.Ticket, caller string) {
+	e.running++
+	e.tenants[caller]++
+	e.using[t.Adapter]++
+}
+
+// leave takes a ticket out of the counts.
+func (e *endpointState) leave(t fleet.Ticket, caller string) {
+	e.running--
+	drop(e.tenants, caller)
+	drop(e.using, t.Adapter)
+}
+
+// drop lowers a count and forgets it at zero.
+func drop[K comparable](counts map[K]int, key K) {
+	counts[key]--
+	if counts[key] <= 0 {
+		delete(counts, key)
 	}
 }
 
--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -258,7 +258,7 @@
 
 // keepValue is what it would cost to evict the slot; false where it must not be evicted.
 func (p *Placer) keepValue(now time.Time, e *endpointState, s *slot) (float64, bool) {
-	if s.state != slotResident || s.inUse() || p.pinned[s.adapter] {
+	if s.state != slotResident || e.inUse(s) || p.pinned[s.adapter] {
 		return 0, false
 	}
 	if a, ok := p.queue.adapters[s.adapter]; ok && !s.closing && (a.count > a.patient || e.takesWork()) {
@@ -286,7 +286,7 @@
 			if s.state != slotResident || p.pinned[s.adapter] || s.foreign {
 				continue
 			}
-			cost := p.popular.rate(now, s.adapter) * float64(1+s.running)
+			cost := p.popular.rate(now, s.adapter) * float64(1+e.using[s.adapter])
 			if cost < leastCost || (cost == leastCost && s.adapter.String() < least.adapter.String()) {
 				least, leastCost = s, cost
 			}
--- a/services/placement/placer.go
+++ b/services/placement/placer.go
@@ -249,13 +249,8 @@
 	if e == nil || e.incarnation != held.ticket.Incarnation {
 		return e
 	}
-	e.running--
-	e.tenants[held.request.Caller]--
-	if e.tenants[held.request.Caller] <= 0 {
-		delete(e.tenants, held.request.Caller)
-	}
+	e.leave(held.ticket, held.request.Caller)
 	if s, ok := e.slots[held.ticket.Adapter]; ok {
-		s.running--
 		s.lastUsed = now
 	}
 	return e
--- a/services/placement/recovery.go
+++ b/services/placement/recovery.go
@@ -71,6 +71,7 @@
 	e.loading = 0
 	e.uncertain = false
 	clear(e.tenants)
+	clear(e.using)
 }
 
 // reconcile makes the slots match the endpoint's list, save loads still on their way.
@@ -160,10 +161,8 @@
 	held := &heldTicket{ticket: t, request: r, granted: now}
 	p.tickets[t.ID] = held
 	p.byRequest[r.ID] = held
-	e.running++
-	e.tenants[r.Caller]++
+	e.enter(t, r.Caller)
 	if s, ok := e.slots[t.Adapter]; ok {
-		s.running++
 		s.foreign = false
 	}
 	return p.take()
--- a/tests/fuzz/endpoint_test.go
+++ b/tests/fuzz/endpoint_test.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
 package fuzz_test
 
 import (
@@ -92,6 +95,7 @@
 	for _, r := range e.running {
 		running = running || r.adapter == adapter
 	}
+	e.world.log("%s unloads %s", e.spec.Name, adapter)
 	e.world.oracle.unloaded(e.spec.Name, adapter, running, e.world.now.Sub(e.lastRun[adapter]))
 	delete(e.resident, adapter)
 	return true
@@ -115,6 +119,7 @@
 	if !e.obeys(t.Incarnation, t.Fence, "", false) || !e.resident[adapter] {
 		return false
 	}
+	e.world.log("%s runs %s of %s on %s, ticket %s", e.spec.Name, q.id, q.entry.id, adapter, t.ID)
 	e.world.oracle.ran(q.id, adapter, q.onceID)
 	if !e.shownAt.IsZero() {
 		e.world.oracle.stake(promiseLeaving)
@@ -127,6 +132,7 @@
 	e.world.at(r.ends, func() {
 		if e.incarnation == incarnation && e.running[q.id] == r {
 			delete(e.running, q.id)
+			e.world.log("%s has run %s", e.spec.Name, q.id)
 			e.world.completed(q)
 		}
 	})
--- a/tests/fuzz/fuzz_test.go
+++ b/tests/fuzz/fuzz_test.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
 package fuzz_test
 
 import (
@@ -5,6 +8,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -191,18 +195,19 @@
 }
 
 func (w *world) check(t *rapid.T) {
-	if w.quiet() {
-		// A pause or cut after the notice ends the count for it.
-		if len(w.oracle.violations) > 0 {
-			t.Fatalf("%s", w.oracle.violations[0])
+	if !w.quiet() {
+		// Who is cut off or paused after the notice learns of it late.
+		for _, e := range w.endpoints {
+			e.shownAt = time.Time{}
 		}
-		return
-	}
-	for _, e := range w.endpoints {
-		e.shownAt = time.Time{}
 	}
+	w.judge(t)
+}
+
+// judge fails with the first violation and the steps before it.
+func (w *world) judge(t *rapid.T) {
 	if len(w.oracle.violations) > 0 {
-		t.Fatalf("%s", w.oracle.violations[0])
+		t.Fatalf("%s\n%s", w.oracle.violations[0], strings.Join(w.history, "\n"))
 	}
 }
 
@@ -240,9 +245,7 @@
 			w.oracle.broken(promiseRevision, "%s has %d in force and not %d", n.id, n.revision(), w.kv.catalog.Revision)
 		}
 	}
-	if len(w.oracle.violations) > 0 {
-		t.Fatalf("%s", w.oracle.violations[0])
-	}
+	w.judge(t)
 }
 
 // property runs one history.
@@ -274,7 +277,7 @@
 }
 
 func setFlags(t testing.TB, seed, checks string) {
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": setting(envSteps, defaultSteps), "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": setting(envSteps, defaultSteps), "rapid.nofailfile": "true", "rapid.shrinktime": "8s"} {
 		require.NoError(t, flag.Set(name, value))
 	}
 }
--- a/tests/fuzz/kv_test.go
+++ b/tests/fuzz/kv_test.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
 package fuzz_test
 
 import (
--- a/tests/fuzz/world_test.go
+++ b/tests/fuzz/world_test.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
 package fuzz_test
 
 import (
@@ -34,6 +37,18 @@
 	boots     uint64
 	counter   int
 	leavers   []string
+	history   []string
+}
+
+const keptHistory = 120
+
+// log keeps the last steps, to be shown with a violation.
+func (w *world) log(format string, args ...any) {
+	line := fmt.Sprintf("%9.3f ", w.now.Sub(time.Unix(1000, 0)).Seconds()) + fmt.Sprintf(format, args...)
+	w.history = append(w.history, line)
+	if len(w.history) > keptHistory {
+		w.history = w.history[1:]
+	}
 }
 
 // trafficDefects are faults of the traffic side, for the proof that the oracle finds them.
@@ -154,6 +169,7 @@
 		Budget: budget.Limits{LoadsPerSecond: 20, AtFullSpeed: 6}, Timing: node.DefaultTiming(), Defects: w.defects,
 	}
 	n.node = node.New(n.clock(), n.options)
+	w.log("start %s", n.life())
 	w.nodes[id] = n
 	w.scheduleTick(n)
 }
@@ -275,6 +291,8 @@
 			w.deliver(n, e)
 		case node.Reject:
 			w.reject(n, e.RequestID)
+		case node.Note:
+			w.log("%s %s %s %s %s %s: %s", n.id, e.Event.Kind, e.Event.Pool, e.Event.Endpoint, e.Event.Adapter, e.Event.Request, e.Event.Cause)
 		case node.Take:
 			w.take(n, e)
 		case node.Inspect:
