Take no older list for a younger one, and stop using an endpoint whose fence is lost

Cause: two instances that could not hear each other both placed a pool; a list of running requests read before a takeover was taken in after it and hid a running request, and the loser went on ordering until its next try. Change: lists are taken in by the time at which their reading began; a refusal for the fence stops all use until the endpoint is taken again, more slowly each time. Conclusion: every account of an endpoint needs its age.

--- a/services/node/ownership.go
+++ b/services/node/ownership.go
@@ -39,6 +39,8 @@
 	permits   map[fleet.AdapterRef]heldPermit
 	bidding   bool
 	bidSent   time.Time
+	losses    int
+	lostAt    time.Time
 	bidValue  float64
 	// dealt tells that this entry has asked the pool for a ticket.
 	dealt bool
@@ -195,6 +197,7 @@
 		ps.placer.AllowOrders(e.Name, time.Time{})
 	}
 	n.lease.forget(ps.pool.Name)
+	ps.losses = 0
 	n.retryTakes(now, ps)
 	n.heartbeatAll(now)
 	n.resubmitPool(now, ps)
@@ -405,13 +408,32 @@
 	}
 	if r.FenceLost {
 		n.note(now, fleet.Event{Kind: fleet.EventOrderRefused, Pool: r.Pool, Endpoint: r.Endpoint, Adapter: r.Adapter.String(), Cause: r.Cause})
-		ps.adopted[r.Endpoint] = false
+		n.loseFence(now, ps, r.Endpoint)
 	}
 	n.run(now, ps, ps.placer.Loaded(now, r.Endpoint, r.Incarnation, r.Adapter, r.Result, r.Cause))
 	n.spend(now)
 	return n.take()
 }
 
+const (
+	maxFenceLosses = 5
+	forgetLosses   = time.Minute
+)
+
+// loseFence stops the use of an endpoint that obeys another holder. Two instances that
+// cannot hear each other may both believe that they place the pool; each comes back
+// more slowly every time, so that they do not spend the endpoint's time on their quarrel.
+func (n *Node) loseFence(now time.Time, ps *poolState, endpoint string) {
+	if now.Sub(ps.lostAt) > forgetLosses {
+		ps.losses = 0
+	}
+	ps.lostAt = now
+	ps.losses = min(ps.losses+1, maxFenceLosses)
+	ps.adopted[endpoint] = false
+	ps.asked[endpoint] = now.Add(n.options.Timing.TakeRetry * (1<<ps.losses - 2))
+	ps.placer.LoseFence(endpoint)
+}
+
 // applyDrains passes on what leaves by the platform's list or an operator's command.
 func (n *Node) applyDrains(now time.Time, ps *poolState) {
 	for _, e := range ps.pool.Endpoints {
--- a/services/placement/endpoint_state.go
+++ b/services/placement/endpoint_state.go
@@ -50,6 +50,10 @@
 	// ordersUntil is when the right to order ends; the zero time means fences decide.
 	ordersUntil time.Time
 	leased      bool
+	// fenceLost is true from a refusal for the fence until the endpoint is taken again.
+	fenceLost bool
+	// seen is when the last list that was taken in began to be read.
+	seen time.Time
 }
 
 func newEndpointState(spec fleet.Endpoint) *endpointState {
@@ -90,7 +94,7 @@
 
 // takesWork tells whether new requests may go to the endpoint.
 func (e *endpointState) takesWork() bool {
-	return e.up && !e.leaving && !e.drained
+	return e.up && !e.leaving && !e.drained && !e.fenceLost
 }
 
 // takesLoads tells whether slots may be filled.
--- a/services/placement/recovery.go
+++ b/services/placement/recovery.go
@@ -29,6 +29,7 @@
 		return nil
 	}
 	e.fence = fence
+	e.fenceLost = false
 	e.frozenUntil = frozenUntil
 	if frozenUntil.After(now) {
 		p.note(now, fleet.Event{Kind: fleet.EventFreeze, Endpoint: in.Endpoint, Fence: fence, Cause: "earlier grants may still start; no unload until they cannot"})
@@ -42,6 +43,11 @@
 	if e == nil {
 		return nil
 	}
+	if in.Began.Before(e.seen) {
+		// An older list that was overtaken by a younger one tells nothing new.
+		return p.take()
+	}
+	e.seen = in.Began
 	if !in.Up {
 		p.down(now, e)
 		return p.take()
@@ -293,3 +299,10 @@
 	slices.SortFunc(out, func(a, b fleet.TicketUse) int { return cmp.Compare(a.Ticket.ID, b.Ticket.ID) })
 	return out
 }
+
+// LoseFence stops all use of an endpoint that obeys another holder, until it is adopted again.
+func (p *Placer) LoseFence(endpoint string) {
+	if e := p.byName[endpoint]; e != nil {
+		e.fenceLost = true
+	}
+}
