Take restarted endpoints again, and let no own ticket hide a former placer's request

Cause: (1) an endpoint that restarted forgot its fence, and two believers that had only read its new incarnation both gave orders; (2) the list of running requests names adapters, so a ticket of the new placer explained a request of the old one away. Change: a new incarnation is used only after it has been taken under a new fence; what ran at a takeover stays protected until a list shows the adapter idle. Conclusion: a list proves idleness, never use.

--- a/services/node/placing.go
+++ b/services/node/placing.go
@@ -95,6 +95,10 @@
 		case placement.Inspect:
 			ps.inspected[e.Endpoint] = now
 			n.emit(Inspect{Pool: ps.pool.Name, Term: ps.term, Endpoint: n.endpointOf(ps, e.Endpoint)})
+		case placement.Retake:
+			ps.adopted[e.Endpoint] = false
+			ps.asked[e.Endpoint] = time.Time{}
+			n.retryTakes(now, ps)
 		case placement.Note:
 			event := e.Event
 			n.note(now, event)
--- a/services/placement/effect.go
+++ b/services/placement/effect.go
@@ -42,6 +42,11 @@
 	Endpoint string
 }
 
+// Retake asks for an endpoint to be taken again, since it has forgotten the fence.
+type Retake struct {
+	Endpoint string
+}
+
 // Note records an event.
 type Note struct {
 	Event fleet.Event
@@ -51,6 +56,7 @@
 func (Refuse) isEffect()  {}
 func (Load) isEffect()    {}
 func (Inspect) isEffect() {}
+func (Retake) isEffect()  {}
 func (Note) isEffect()    {}
 
 // LoadResult is how an ordered load ended.
--- a/services/placement/placer_test.go
+++ b/services/placement/placer_test.go
@@ -78,3 +78,42 @@
 	p.Return(at(5), "t1")
 	require.Equal(t, ref("a"), load(t, p, at(6)).Evict)
 }
+
+func TestOwnTicketDoesNotHideAFormerPlacersRequest(t *testing.T) {
+	p := newPlacer(endpoint("e1", 1, 4))
+	listed := func(began, now int, running ...fleet.AdapterRef) placement.Inspection {
+		return placement.Inspection{Endpoint: "e1", Incarnation: "e1-1", Began: at(began), Up: true, Resident: []fleet.AdapterRef{ref("a")}, Running: running}
+	}
+	p.Adopt(at(2), listed(1, 2, ref("a")), 2, at(2))
+	granted := only[placement.Grant](p.Submit(at(3), request("q1", "a")))
+	require.Len(t, granted, 1)
+	p.Inspected(at(5), listed(4, 5, ref("a")))
+	p.Return(at(6), granted[0].Ticket.ID)
+	p.Submit(at(7), request("q2", "b"))
+	_, used := p.UsePermit(at(8))
+	require.False(t, used, "a request of the former placer may still run on the adapter")
+	p.Inspected(at(10), listed(9, 10))
+	require.Equal(t, ref("a"), load(t, p, at(11)).Evict)
+}
+
+func TestOlderListIsNotTakenIn(t *testing.T) {
+	p := newPlacer(endpoint("e1", 1, 4))
+	young := placement.Inspection{Endpoint: "e1", Incarnation: "e1-1", Began: at(5), Up: true, Resident: []fleet.AdapterRef{ref("a")}, Running: []fleet.AdapterRef{ref("a")}}
+	p.Inspected(at(6), young)
+	p.Inspected(at(7), placement.Inspection{Endpoint: "e1", Incarnation: "e1-1", Began: at(3), Up: true, Resident: []fleet.AdapterRef{ref("a")}})
+	p.Submit(at(8), request("q1", "b"))
+	_, used := p.UsePermit(at(9))
+	require.False(t, used, "the older list does not show the request that the younger one does")
+}
+
+func TestRestartedEndpointIsTakenAgainBeforeUse(t *testing.T) {
+	p := newPlacer(endpoint("e1", 2, 4))
+	effects := p.Inspected(at(2), placement.Inspection{Endpoint: "e1", Incarnation: "e1-2", Began: at(1), Up: true})
+	require.Len(t, only[placement.Retake](effects), 1)
+	p.Submit(at(3), request("q1", "a"))
+	_, used := p.UsePermit(at(4))
+	require.False(t, used, "the restarted endpoint has forgotten the fence")
+	p.Adopt(at(6), placement.Inspection{Endpoint: "e1", Incarnation: "e1-2", Began: at(5), Up: true}, 2, at(6))
+	p.Submit(at(7), request("q2", "a"))
+	require.Equal(t, "e1-2", load(t, p, at(8)).Incarnation)
+}
--- a/services/placement/recovery.go
+++ b/services/placement/recovery.go
@@ -34,11 +34,18 @@
 	if frozenUntil.After(now) {
 		p.note(now, fleet.Event{Kind: fleet.EventFreeze, Endpoint: in.Endpoint, Fence: fence, Cause: "earlier grants may still start; no unload until they cannot"})
 	}
-	return p.Inspected(now, in)
+	if e.incarnation != in.Incarnation {
+		p.restart(now, e, in.Incarnation)
+	}
+	return p.takeIn(now, in, true)
 }
 
 // Inspected corrects the books by the endpoint's own list.
 func (p *Placer) Inspected(now time.Time, in Inspection) []Effect {
+	return p.takeIn(now, in, false)
+}
+
+func (p *Placer) takeIn(now time.Time, in Inspection, adopting bool) []Effect {
 	e := p.byName[in.Endpoint]
 	if e == nil {
 		return nil
@@ -54,12 +61,18 @@
 	}
 	if e.incarnation != in.Incarnation {
 		p.restart(now, e, in.Incarnation)
+		if e.spec.ChecksFence {
+			// It has forgotten the fence, so that a former holder's orders would count as well as ours.
+			e.fenceLost = true
+			p.effects = append(p.effects, Retake{Endpoint: e.spec.Name})
+			return p.take()
+		}
 	}
 	if !e.up {
 		e.up = true
 		p.note(now, fleet.Event{Kind: fleet.EventEndpointUp, Endpoint: in.Endpoint})
 	}
-	p.reconcile(now, e, in)
+	p.reconcile(now, e, in, adopting)
 	p.dispatchEndpoint(now, e)
 	return p.take()
 }
@@ -81,7 +94,7 @@
 }
 
 // reconcile makes the slots match the endpoint's list, save loads still on their way.
-func (p *Placer) reconcile(now time.Time, e *endpointState, in Inspection) {
+func (p *Placer) reconcile(now time.Time, e *endpointState, in Inspection, adopting bool) {
 	loading := false
 	for ref, s := range e.slots {
 		listed := slices.Contains(in.Resident, ref)
@@ -106,7 +119,7 @@
 	for _, ref := range in.Resident {
 		p.adoptSlot(now, e, ref)
 	}
-	p.markForeign(now, e, in)
+	p.markForeign(now, e, in, adopting)
 	if !loading {
 		e.uncertain = false
 	}
@@ -127,7 +140,7 @@
 
 // markForeign protects adapters that run without a ticket of ours, and lets
 // orphaned tickets go once the endpoint shows that their work has ended.
-func (p *Placer) markForeign(now time.Time, e *endpointState, in Inspection) {
+func (p *Placer) markForeign(now time.Time, e *endpointState, in Inspection, adopting bool) {
 	own := make(map[fleet.AdapterRef]bool)
 	for _, held := range p.tickets {
 		t := held.ticket
@@ -142,7 +155,9 @@
 		own[t.Adapter] = true
 	}
 	for ref, s := range e.slots {
-		s.foreign = slices.Contains(in.Running, ref) && !own[ref]
+		// The list names adapters and not requests, so that a ticket of ours explains a
+		// running adapter only if nothing else was known to run on it.
+		s.foreign = slices.Contains(in.Running, ref) && (s.foreign || adopting || !own[ref])
 	}
 }
 
@@ -168,9 +183,6 @@
 	p.tickets[t.ID] = held
 	p.byRequest[r.ID] = held
 	e.enter(t, r.Caller)
-	if s, ok := e.slots[t.Adapter]; ok {
-		s.foreign = false
-	}
 	return p.take()
 }
 
--- a/tests/fuzz/endpoint_test.go
+++ b/tests/fuzz/endpoint_test.go
@@ -41,6 +41,7 @@
 func (e *fakeEndpoint) restart() {
 	e.incarnation++
 	e.fence, e.holder = 0, ""
+	e.world.log("%s restarts", e.spec.Name)
 	e.resident = make(map[string]bool)
 	runs := e.running
 	e.running = make(map[string]*fakeRun)
--- a/tests/fuzz/world_test.go
+++ b/tests/fuzz/world_test.go
@@ -40,7 +40,7 @@
 	history   []string
 }
 
-const keptHistory = 120
+const keptHistory = 200
 
 // log keeps the last steps, to be shown with a violation.
 func (w *world) log(format string, args ...any) {
@@ -347,6 +347,7 @@
 			result.Fence = e.fence + 1
 			e.fence, e.holder = result.Fence, holder
 		}
+		w.log("%s obeys %s under %d", e.spec.Name, holder, e.fence)
 		result.OK = true
 		result.Inspection = e.status(began)
 	}, func() { n.do(n.node.Taken(n.clock(), result)) }, func() {
--- a/tools/replay/sim/policy_shelfledge.go
+++ b/tools/replay/sim/policy_shelfledge.go
@@ -353,6 +353,8 @@
 			p.actions.Refuse(now, e.Request.ID, e.Refusal.Reason)
 		case placement.Load:
 			p.actions.Load(now, e.Endpoint, e.Evict, e.Adapter)
+		case placement.Retake:
+			p.retake(now, pool, e.Endpoint)
 		case placement.Inspect:
 			p.actions.At(now, func(at time.Time) {
 				if placer := p.placers[pool]; placer != nil {
@@ -365,6 +367,13 @@
 	p.plan(now, pool)
 }
 
+// retake takes a restarted endpoint again, which the model answers at once.
+func (p *product) retake(now time.Time, pool, endpoint string) {
+	p.epoch++
+	placer := p.placers[pool]
+	p.run(now, pool, placer.Adopt(now, p.inspect(now, endpoint), p.epoch, now))
+}
+
 // plan sees to it that the pool's Tick is called in time.
 func (p *product) plan(now time.Time, pool string) {
 	placer := p.placers[pool]
