Grant nothing without fences before the lease was held; remember who was leaving

Cause: (1) a successor that had never held the lease granted tickets for what was resident, while the owner, cut off from it, rightly unloaded it; (2) the lagging list may show an older state after a newer one, and an endpoint shown as leaving came back into use. Change: an endpoint without fences is used only after its lease was held once, since only then do successors wait; a leaving endpoint counts as leaving for 4 s after it was last shown so. Conclusion: the argument for endpoints without fences stands on the lease alone, and grants are part of it.

--- a/services/node/node.go
+++ b/services/node/node.go
@@ -35,7 +35,7 @@
 	known    map[string]fleet.Instance
 	listed   map[string]bool
 	gone     map[string]time.Time
-	leavers  map[string]bool
+	leavers  map[string]time.Time
 	lastList time.Time
 	redo     time.Time
 	digested time.Time
@@ -80,7 +80,7 @@
 		known:   make(map[string]fleet.Instance),
 		listed:  make(map[string]bool),
 		gone:    make(map[string]time.Time),
-		leavers: make(map[string]bool),
+		leavers: make(map[string]time.Time),
 		config:  newConfiguration(),
 	}
 	pools := fleet.BuildPools(o.Endpoints)
@@ -187,10 +187,18 @@
 	return n.take()
 }
 
+// leaverMemory is how long an endpoint counts as leaving after it was last shown so:
+// the list lags, and a later look may show an older state.
+const leaverMemory = 4 * time.Second
+
 func (n *Node) setLeavers(now time.Time, names []string) {
-	clear(n.leavers)
 	for _, name := range names {
-		n.leavers[name] = true
+		n.leavers[name] = now
+	}
+	for name, seen := range n.leavers {
+		if now.Sub(seen) > leaverMemory {
+			delete(n.leavers, name)
+		}
 	}
 	for _, ps := range n.order {
 		if ps.mine {
@@ -201,7 +209,7 @@
 
 // EndpointLeaving takes an endpoint's own word that it is leaving, ahead of the list.
 func (n *Node) EndpointLeaving(now time.Time, endpoint string) []Effect {
-	n.leavers[endpoint] = true
+	n.leavers[endpoint] = now
 	for _, ps := range n.order {
 		if ps.mine {
 			n.applyDrains(now, ps)
--- a/services/node/ownership.go
+++ b/services/node/ownership.go
@@ -437,7 +437,7 @@
 // applyDrains passes on what leaves by the platform's list or an operator's command.
 func (n *Node) applyDrains(now time.Time, ps *poolState) {
 	for _, e := range ps.pool.Endpoints {
-		leaving := n.leavers[e.Name] && !n.options.Defects.IgnoreLeaving
+		leaving := !n.leavers[e.Name].IsZero() && !n.options.Defects.IgnoreLeaving
 		n.run(now, ps, ps.placer.SetLeaving(now, e.Name, leaving))
 		drained := n.config.catalog.Drained[e.Name] || n.config.catalog.Drained[ps.pool.Hall]
 		n.run(now, ps, ps.placer.SetDrained(now, e.Name, drained))
--- a/services/placement/endpoint_state.go
+++ b/services/placement/endpoint_state.go
@@ -50,6 +50,9 @@
 	// ordersUntil is when the right to order ends; the zero time means fences decide.
 	ordersUntil time.Time
 	leased      bool
+	// owned is true once the lease was held: only then does every successor wait for
+	// this placer's grants to end, and only then may it grant.
+	owned bool
 	// fenceLost is true from a refusal for the fence until the endpoint is taken again.
 	fenceLost bool
 	// seen is when the last list that was taken in began to be read.
@@ -94,6 +97,9 @@
 
 // takesWork tells whether new requests may go to the endpoint.
 func (e *endpointState) takesWork() bool {
+	if e.leased && !e.owned {
+		return false
+	}
 	return e.up && !e.leaving && !e.drained && !e.fenceLost
 }
 
--- a/services/placement/placer_test.go
+++ b/services/placement/placer_test.go
@@ -117,3 +117,18 @@
 	p.Submit(at(7), request("q2", "a"))
 	require.Equal(t, "e1-2", load(t, p, at(8)).Incarnation)
 }
+
+func TestNoGrantWithoutFencesBeforeTheLeaseWasHeld(t *testing.T) {
+	e := endpoint("e1", 1, 4)
+	e.ChecksFence = false
+	p := newPlacer(e)
+	p.AllowOrders("e1", time.Time{})
+	p.Inspected(at(2), placement.Inspection{Endpoint: "e1", Incarnation: "e1-1", Began: at(1), Up: true, Resident: []fleet.AdapterRef{ref("a")}})
+	require.Empty(t, only[placement.Grant](p.Submit(at(3), request("q1", "a"))), "the owner may unload the adapter at any time")
+	p.AllowOrders("e1", at(5))
+	require.Len(t, only[placement.Grant](p.Submit(at(4), request("q2", "a"))), 1)
+	require.Len(t, only[placement.Grant](p.Submit(at(50), request("q3", "a"))), 1, "after the lapse what is resident is served on")
+	p.Submit(at(51), request("q4", "b"))
+	_, used := p.UsePermit(at(52))
+	require.False(t, used, "no orders after the lapse")
+}
--- a/services/placement/recovery.go
+++ b/services/placement/recovery.go
@@ -262,13 +262,15 @@
 	return p.take()
 }
 
-// AllowOrders bounds the right to order loads and unloads on an endpoint that checks no fences.
+// AllowOrders bounds the right to order loads and unloads on an endpoint that checks no
+// fences; the zero time says that the lease was never held yet, and forbids all use.
 func (p *Placer) AllowOrders(endpoint string, until time.Time) {
 	e := p.byName[endpoint]
 	if e == nil {
 		return
 	}
 	e.leased = true
+	e.owned = e.owned || !until.IsZero()
 	e.ordersUntil = until
 }
 
--- a/tests/fuzz/world_test.go
+++ b/tests/fuzz/world_test.go
@@ -38,6 +38,7 @@
 	counter   int
 	leavers   []string
 	history   []string
+	lists     []listState
 }
 
 const keptHistory = 200
@@ -172,6 +173,7 @@
 	w.log("start %s", n.life())
 	w.nodes[id] = n
 	w.scheduleTick(n)
+	w.at(w.now.Add(pollList), func() { w.poll(n) })
 }
 
 func (w *world) scheduleTick(n *fakeNode) {
@@ -418,18 +420,41 @@
 	}, func() { finish(placement.LoadUnknown, false) })
 }
 
-// publishList brings the platform's list to every node, each after a lag of its own.
+// listState is the platform's list from some moment on.
+type listState struct {
+	at        time.Time
+	instances []fleet.Instance
+	leaving   []string
+}
+
+// publishList brings the platform's list up to date.
 func (w *world) publishList() {
-	var list []fleet.Instance
+	state := listState{at: w.now, leaving: append([]string(nil), w.leavers...)}
 	for _, n := range w.sortedNodes() {
 		if !n.dead {
-			list = append(list, instance(n.id))
+			state.instances = append(state.instances, instance(n.id))
 		}
 	}
-	leavers := append([]string(nil), w.leavers...)
-	for _, n := range w.sortedNodes() {
-		w.atNode(n, w.now.Add(time.Duration(w.random.IntN(1500))*time.Millisecond), func() {
-			n.do(n.node.SetListed(n.clock(), list, leavers))
-		})
+	w.lists = append(w.lists, state)
+}
+
+const (
+	pollList = 500 * time.Millisecond
+	listLag  = 1500
+)
+
+// poll reads the list as it was a while ago; a later look may show an older state.
+func (w *world) poll(n *fakeNode) {
+	if n.dead {
+		return
+	}
+	seen := w.now.Add(-time.Duration(w.random.IntN(listLag)) * time.Millisecond)
+	var state listState
+	for _, l := range w.lists {
+		if len(state.instances) == 0 || !l.at.After(seen) {
+			state = l
+		}
 	}
+	n.enter(func() { n.do(n.node.SetListed(n.clock(), state.instances, state.leaving)) })
+	w.at(w.now.Add(pollList), func() { w.poll(n) })
 }
