Wait for every former owner that nobody saw end, and scan for preloads once a second

Cause: (1) the record of a pool's owner named only the last one; an owner before it, cut off but still serving what was resident, was forgotten, and the third in the chain evicted under it; (2) the search for a preload ran over all known adapters at every bid while its last find was resident. Change: the record lists all former owners until a successor has seen each of them end; the search runs once a second. Conclusion: a freeze must be inherited with the ownership.

--- a/services/control/executor.go
+++ b/services/control/executor.go
@@ -33,6 +33,8 @@
 			s.owner.acquire(e.Pool)
 		case node.ReleaseOwner:
 			s.owner.release(e.Pool)
+		case node.SettleOwner:
+			s.owner.settle(e.Pool)
 		case node.RenewLease:
 			s.owner.renew()
 		case node.Publish:
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/modules/kv"
@@ -31,15 +32,24 @@
 	jobAcquire ownerJobKind = iota
 	jobRelease
 	jobRenew
+	jobSettle
 )
 
 // ownerRecord is what the key-value service holds of a pool's last owner; it outlives the lease.
 type ownerRecord struct {
 	Holder string `json:"holder"`
 	Boot   uint64 `json:"boot"`
-	// FormerHolder and FormerBoot tell whom this owner followed, for when the answer to its claim was lost.
-	FormerHolder string `json:"former_holder"`
-	FormerBoot   uint64 `json:"former_boot"`
+	// Formers are the owners before this one that nobody has seen end; each successor
+	// must wait for all of them, since any may still serve what was resident.
+	Formers []node.FormerOwner `json:"formers,omitempty"`
+}
+
+// formersFor gives the owners that the given life must wait for if it follows this record.
+func (r ownerRecord) formersFor(id string, boot uint64) []node.FormerOwner {
+	if r.Holder == "" || (r.Holder == id && r.Boot == boot) {
+		return r.Formers
+	}
+	return append(slices.Clone(r.Formers), node.FormerOwner{ID: r.Holder, Boot: r.Boot})
 }
 
 const ownerQueue = 64
@@ -50,6 +60,7 @@
 
 func (o *owner) acquire(pool string) { o.add(ownerJob{kind: jobAcquire, pool: pool}) }
 func (o *owner) release(pool string) { o.add(ownerJob{kind: jobRelease, pool: pool}) }
+func (o *owner) settle(pool string)  { o.add(ownerJob{kind: jobSettle, pool: pool}) }
 func (o *owner) renew()              { o.add(ownerJob{kind: jobRenew}) }
 
 func (o *owner) add(j ownerJob) {
@@ -81,6 +92,8 @@
 		o.service.put(ownedInput{result: o.tryAcquire(j.pool)})
 	case jobRelease:
 		o.tryRelease(j.pool)
+	case jobSettle:
+		o.trySettle(j.pool)
 	case jobRenew:
 		o.service.put(renewedInput{result: o.tryRenew()})
 	}
@@ -121,10 +134,8 @@
 		return result
 	}
 	self := o.service.options.Node
-	if former.Holder == self.Self.ID && former.Boot == self.Boot {
-		former.Holder, former.Boot = former.FormerHolder, former.FormerBoot
-	}
-	value, _ := json.Marshal(ownerRecord{Holder: self.Self.ID, Boot: self.Boot, FormerHolder: former.Holder, FormerBoot: former.Boot})
+	formers := former.formersFor(self.Self.ID, self.Boot)
+	value, _ := json.Marshal(ownerRecord{Holder: self.Self.ID, Boot: self.Boot, Formers: formers})
 	leaseKey, recordKey := []byte(o.leaseKey(pool)), []byte(o.recordKey(pool))
 	resp, err := o.service.options.KV.Txn(o.service.ctx, kv.TxnRequest{
 		Compare: []kv.Compare{
@@ -143,7 +154,7 @@
 	if !resp.Succeeded && !o.heldHere(resp) {
 		return result
 	}
-	result.OK, result.SentAt, result.FormerID, result.FormerBoot = true, sent, former.Holder, former.Boot
+	result.OK, result.SentAt, result.Formers = true, sent, formers
 	return result
 }
 
@@ -183,6 +194,21 @@
 	})
 }
 
+// trySettle writes that the former owners have ended; a failure only makes successors wait for them again.
+func (o *owner) trySettle(pool string) {
+	self := o.service.options.Node
+	record, mod, ok := o.readRecord(pool)
+	if !ok || record.Holder != self.Self.ID || record.Boot != self.Boot || len(record.Formers) == 0 {
+		return
+	}
+	key := []byte(o.recordKey(pool))
+	value, _ := json.Marshal(ownerRecord{Holder: self.Self.ID, Boot: self.Boot})
+	_, _ = o.service.options.KV.Txn(o.service.ctx, kv.TxnRequest{
+		Compare: []kv.Compare{{Key: key, Target: kv.TargetMod, Result: kv.ResultEqual, ModRevision: mod}},
+		Success: []kv.Op{{Put: &kv.PutRequest{Key: key, Value: value}}},
+	})
+}
+
 func (o *owner) tryRenew() node.LeaseResult {
 	sent := o.service.options.Now()
 	if o.lease == 0 {
--- a/services/node/effect.go
+++ b/services/node/effect.go
@@ -63,6 +63,11 @@
 	Pool string
 }
 
+// SettleOwner records that no former owner of a pool can grant any more.
+type SettleOwner struct {
+	Pool string
+}
+
 // RenewLease keeps this node's lease alive.
 type RenewLease struct{}
 
@@ -89,6 +94,7 @@
 func (Order) isEffect()        {}
 func (AcquireOwner) isEffect() {}
 func (ReleaseOwner) isEffect() {}
+func (SettleOwner) isEffect()  {}
 func (RenewLease) isEffect()   {}
 func (Publish) isEffect()      {}
 func (Watch) isEffect()        {}
--- a/services/node/lease.go
+++ b/services/node/lease.go
@@ -45,14 +45,20 @@
 	}
 }
 
+// FormerOwner is one life of an instance that owned a pool and may still grant.
+type FormerOwner struct {
+	ID   string
+	Boot uint64
+}
+
 // OwnerResult is the key-value service's answer to a request for a pool's ownership.
 type OwnerResult struct {
 	Pool string
 	OK   bool
 	// SentAt is when the request for the lease behind it was sent, by this node's clock.
-	SentAt     time.Time
-	FormerID   string
-	FormerBoot uint64
+	SentAt time.Time
+	// Formers are the owners before this one that no owner has seen end.
+	Formers []FormerOwner
 }
 
 // Owned takes the answer to a request for ownership.
@@ -74,21 +80,26 @@
 	return n.take()
 }
 
-// follow freezes what a former owner may still have granted, unless it handed the
-// pool over itself or was this same life of this instance.
+// follow freezes what former owners may still have granted, save the one that handed
+// the pool over itself.
 func (n *Node) follow(now time.Time, ps *poolState, r OwnerResult) {
-	same := r.FormerID == n.options.Self.ID && r.FormerBoot == n.options.Boot
-	handed := ps.handed != nil && ps.handedBy == r.FormerID
-	if same || handed || n.options.Defects.SkipFreeze {
-		for _, e := range ps.unfenced() {
-			n.run(now, ps, ps.placer.Thaw(now, e.Name, "the pool was never another's, or was handed over"))
+	var formers []FormerOwner
+	for _, f := range r.Formers {
+		handed := ps.handed != nil && ps.handedBy == f.ID
+		if !handed && f.ID != "" {
+			formers = append(formers, f)
 		}
-		ps.former = formerHolder{}
-		return
 	}
-	ps.former = formerHolder{id: r.FormerID, boot: r.FormerBoot, frozen: true}
+	ps.former = formerHolders{waiting: formers, frozen: len(formers) > 0 && !n.options.Defects.SkipFreeze}
 	for _, e := range ps.unfenced() {
-		n.run(now, ps, ps.placer.Freeze(now, e.Name, now.Add(frozenForever), "a former owner may have granted what still starts"))
+		if ps.former.frozen {
+			n.run(now, ps, ps.placer.Freeze(now, e.Name, now.Add(frozenForever), "a former owner may have granted what still starts"))
+			continue
+		}
+		n.run(now, ps, ps.placer.Thaw(now, e.Name, "the pool was never another's, or was handed over"))
+	}
+	if len(r.Formers) > 0 && !ps.former.frozen {
+		n.emit(SettleOwner{Pool: ps.pool.Name})
 	}
 }
 
@@ -135,25 +146,32 @@
 	}
 }
 
-// thawDue looks for evidence that the former placer grants no more.
+// thawDue looks for evidence that the former placers grant no more.
 func (n *Node) thawDue(now time.Time, ps *poolState) {
 	if !ps.former.frozen || !ps.former.ended.IsZero() || !n.lease.owned[ps.pool.Name] {
 		return
 	}
-	if n.formerEnded(ps) {
-		ps.former.ended = now
+	for _, f := range ps.former.waiting {
+		if !n.formerEnded(now, ps, f) {
+			return
+		}
 	}
+	ps.former.ended = now
 }
 
-func (n *Node) formerEnded(ps *poolState) bool {
-	f := ps.former
-	if f.id == "" || f.id == n.options.Self.ID {
+// absentFor is how long the platform's list must have left an instance out before it
+// counts as gone; it is longer than the list's lag.
+const absentFor = 10 * time.Second
+
+func (n *Node) formerEnded(now time.Time, ps *poolState, f FormerOwner) bool {
+	if f.ID == n.options.Self.ID {
 		return true
 	}
-	if m := n.members.Member(f.id); m != nil && m.Alive {
-		return m.Boot != f.boot || heldTerm(m, ps.pool.Name) == 0
+	if m := n.members.Member(f.ID); m != nil && m.Alive {
+		return m.Boot != f.Boot || heldTerm(m, ps.pool.Name) == 0
 	}
-	return !n.gone[f.id].IsZero()
+	gone := n.gone[f.ID]
+	return !gone.IsZero() && now.Sub(gone) >= absentFor
 }
 
 // thaw lifts the freeze on an endpoint whose list is younger than every grant of the former placer.
@@ -165,5 +183,9 @@
 	if in.Began.Before(safe) {
 		return
 	}
-	n.run(now, ps, ps.placer.Thaw(now, in.Endpoint, "the former placer "+ps.former.id+" has ended and its last grant is too old to start"))
+	n.run(now, ps, ps.placer.Thaw(now, in.Endpoint, "the former placers have ended and their last grants are too old to start"))
+	if !ps.former.settled {
+		ps.former.settled = true
+		n.emit(SettleOwner{Pool: ps.pool.Name})
+	}
 }
--- a/services/node/node.go
+++ b/services/node/node.go
@@ -173,11 +173,7 @@
 			hall = append(hall, i)
 		}
 	}
-	for id := range n.listed {
-		if !present[id] && n.gone[id].IsZero() {
-			n.gone[id] = now
-		}
-	}
+	n.markGone(now, present)
 	for id := range present {
 		delete(n.gone, id)
 	}
@@ -187,6 +183,23 @@
 	return n.take()
 }
 
+// markGone notes since when an instance that matters is missing from the list.
+func (n *Node) markGone(now time.Time, present map[string]bool) {
+	missing := func(id string) {
+		if !present[id] && n.gone[id].IsZero() {
+			n.gone[id] = now
+		}
+	}
+	for id := range n.listed {
+		missing(id)
+	}
+	for _, ps := range n.order {
+		for _, f := range ps.former.waiting {
+			missing(f.ID)
+		}
+	}
+}
+
 // leaverMemory is how long an endpoint counts as leaving after it was last shown so:
 // the list lags, and a later look may show an older state.
 const leaverMemory = 4 * time.Second
--- a/services/node/ownership.go
+++ b/services/node/ownership.go
@@ -34,7 +34,7 @@
 	waiting   []fleet.Envelope
 	handed    []fleet.TicketUse
 	handedBy  string
-	former    formerHolder
+	former    formerHolders
 	bidAt     time.Time
 	permits   map[fleet.AdapterRef]heldPermit
 	bidding   bool
@@ -46,13 +46,13 @@
 	dealt bool
 }
 
-// formerHolder is the placer before this one, as far as unloading must wait for its end.
-type formerHolder struct {
-	id     string
-	boot   uint64
-	frozen bool
-	// ended is when it was known to grant no more; zero while it may.
-	ended time.Time
+// formerHolders are the placers before this one, as far as unloading must wait for their end.
+type formerHolders struct {
+	waiting []FormerOwner
+	frozen  bool
+	// ended is when all were known to grant no more; zero while one may.
+	ended   time.Time
+	settled bool
 }
 
 const (
@@ -181,8 +181,9 @@
 	ps.holder = n.options.Self.ID
 	ps.tookAt = now
 	ps.handed = handed
-	ps.former = formerHolder{frozen: !n.options.Defects.SkipFreeze}
+	ps.former = formerHolders{frozen: !n.options.Defects.SkipFreeze}
 	options := n.options.Placement
+	options.EvictInUse = n.options.Defects.UnloadWithoutTickets
 	options.Classes = n.config.classes(n.options.Classes)
 	ps.placer = placement.NewPlacer(ps.pool.Name, n.options.Self.ID, ps.pool.Endpoints, options)
 	ps.placer.SetEpoch(n.options.Boot, ps.term)
--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -19,7 +19,7 @@
 	tenantLoadLife   = 30 * time.Second
 	preloadMinRate   = 1e-4
 	coldStartFactor  = 0.02
-	preloadScanEvery = 5 * time.Second
+	preloadScanEvery = time.Second
 )
 
 // Bid is the most valuable load that a pool asks a permit for.
@@ -182,10 +182,10 @@
 // all known adapters is made once in a while, since it only serves idle permits.
 func (p *Placer) popularAbsent(now time.Time) Bid {
 	best := p.absent
-	if now.Sub(p.absentAt) < preloadScanEvery && best.Value > 0 && len(p.copies[best.Adapter]) == 0 && !p.backingOff(now, best.Adapter) {
-		return best
-	}
-	if now.Sub(p.absentAt) < preloadScanEvery && best.Value == 0 {
+	if now.Sub(p.absentAt) < preloadScanEvery {
+		if len(p.copies[best.Adapter]) > 0 || p.backingOff(now, best.Adapter) {
+			return Bid{}
+		}
 		return best
 	}
 	best = Bid{}
@@ -258,7 +258,7 @@
 
 // keepValue is what it would cost to evict the slot; false where it must not be evicted.
 func (p *Placer) keepValue(now time.Time, e *endpointState, s *slot) (float64, bool) {
-	if s.state != slotResident || e.inUse(s) || p.pinned[s.adapter] {
+	if s.state != slotResident || (e.inUse(s) && !p.options.EvictInUse) || p.pinned[s.adapter] {
 		return 0, false
 	}
 	if a, ok := p.queue.adapters[s.adapter]; ok && !s.closing && (a.count > a.patient || e.takesWork()) {
--- a/services/placement/recovery.go
+++ b/services/placement/recovery.go
@@ -147,8 +147,7 @@
 		if t.Endpoint != e.spec.Name || t.Incarnation != e.incarnation {
 			continue
 		}
-		over := !held.orphaned.IsZero() && in.Began.After(held.orphaned.Add(p.options.StartWithin))
-		if over && !slices.Contains(in.Running, t.Adapter) {
+		if p.over(e, held, in) && !slices.Contains(in.Running, t.Adapter) {
 			p.release(now, held)
 			continue
 		}
@@ -161,6 +160,18 @@
 	}
 }
 
+// over tells whether an orphaned ticket's request can no longer start: by the fence
+// where the endpoint checks it, and else by the time within which it had to.
+func (p *Placer) over(e *endpointState, held *heldTicket, in Inspection) bool {
+	if held.orphaned.IsZero() {
+		return false
+	}
+	if e.spec.ChecksFence {
+		return e.fence > held.ticket.Fence
+	}
+	return in.Began.After(held.orphaned.Add(p.options.StartWithin))
+}
+
 // down takes an endpoint out of use until it answers again.
 func (p *Placer) down(now time.Time, e *endpointState) {
 	if !e.up {
@@ -188,9 +199,17 @@
 
 // EntryLost marks the tickets of a lost entry; they stay in use until the endpoint shows otherwise.
 func (p *Placer) EntryLost(now time.Time, entry string) []Effect {
-	for _, held := range p.tickets {
-		if held.ticket.Entry == entry && held.orphaned.IsZero() {
-			held.orphaned = now
+	retake := make(map[string]bool)
+	for _, held := range p.heldBy(entry) {
+		if !held.orphaned.IsZero() {
+			continue
+		}
+		held.orphaned = now
+		e := p.byName[held.ticket.Endpoint]
+		if e != nil && e.spec.ChecksFence && !retake[e.spec.Name] {
+			// Under a new fence the endpoint refuses what the lost entry may still send.
+			retake[e.spec.Name] = true
+			p.effects = append(p.effects, Retake{Endpoint: e.spec.Name})
 		}
 	}
 	for _, w := range p.waitersOf(entry) {
--- a/tests/fuzz/fuzz_test.go
+++ b/tests/fuzz/fuzz_test.go
@@ -68,6 +68,7 @@
 		"pause":       w.actPause,
 		"cut":         w.actCut,
 		"cut hall":    w.actCutHall,
+		"duel":        w.actDuel,
 		"heal":        func(*rapid.T) { clear(w.cuts) },
 		"restart":     func(t *rapid.T) { w.drawEndpoint(t).restart() },
 		"fail loads":  func(t *rapid.T) { w.drawEndpoint(t).failLoads = rapid.IntRange(1, 3).Draw(t, "count") },
@@ -132,6 +133,9 @@
 			w.oracle.stake(promiseStop)
 		}
 		n.do(n.node.Leave(n.clock()))
+		if w.traffic.dropOnStop {
+			n.dead = true
+		}
 	})
 }
 
@@ -163,6 +167,38 @@
 	}
 }
 
+// actDuel cuts an instance that places endpoints off from its peers and from the
+// platform, but not from the endpoints, until others have taken over; both sides get work.
+func (w *world) actDuel(t *rapid.T) {
+	n := w.holder("h1")
+	if n == nil {
+		t.Skip("nobody places the hall's endpoints")
+	}
+	for _, other := range []string{"h1-i1", "h1-i2", "h1-i3", "h2-i1", "h2-i2", "kv"} {
+		if other != n.id {
+			w.cuts[n.id+"|"+other] = true
+		}
+	}
+	w.advance(time.Duration(rapid.IntRange(1, 16).Draw(t, "s")) * time.Second)
+	for range rapid.IntRange(1, 3).Draw(t, "rounds") {
+		for range 3 {
+			w.submit(n, adapterRef(t), "", time.Duration(rapid.IntRange(500, 4000).Draw(t, "length"))*time.Millisecond)
+		}
+		w.repeat(t, 6, w.actRequest)
+		w.advance(time.Duration(rapid.IntRange(100, 2500).Draw(t, "ms")) * time.Millisecond)
+	}
+}
+
+// holder finds a live instance of a hall that believes to place its endpoints.
+func (w *world) holder(hall string) *fakeNode {
+	for _, n := range w.live() {
+		if n.hall == hall && !n.paused && len(n.node.Pools(n.clock())) > 0 {
+			return n
+		}
+	}
+	return nil
+}
+
 func (w *world) actChange(t *rapid.T) {
 	w.kv.commit(w.drawNode(t), catalog.Change{Kind: catalog.CreateAdapter, Name: fmt.Sprintf("n%d", len(w.kv.records)), Base: "base"})
 }
@@ -262,6 +298,7 @@
 
 const (
 	fixedSeed    = "20261202"
+	shrinkTime   = "100ms"
 	envSeconds   = "SHELFLEDGE_FUZZ_SECONDS"
 	envSeed      = "SHELFLEDGE_FUZZ_SEED"
 	envSteps     = "SHELFLEDGE_FUZZ_STEPS"
@@ -277,7 +314,7 @@
 }
 
 func setFlags(t testing.TB, seed, checks string) {
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": setting(envSteps, defaultSteps), "rapid.nofailfile": "true", "rapid.shrinktime": "8s"} {
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": setting(envSteps, defaultSteps), "rapid.nofailfile": "true", "rapid.shrinktime": shrinkTime} {
 		require.NoError(t, flag.Set(name, value))
 	}
 }
--- a/tests/fuzz/kv_test.go
+++ b/tests/fuzz/kv_test.go
@@ -4,6 +4,7 @@
 package fuzz_test
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/catalog"
@@ -25,10 +26,11 @@
 	records []fleet.Records
 }
 
-// formerOwner is the record of a pool's last owner and of the one before.
+// formerOwner is the record of a pool's last owner and of those before that nobody saw end.
 type formerOwner struct {
-	id, beforeID     string
-	boot, beforeBoot uint64
+	id      string
+	boot    uint64
+	formers []node.FormerOwner
 }
 
 func newFakeKV(w *world) *fakeKV {
@@ -81,11 +83,12 @@
 		k.leases[n.life()] = k.world.now.Add(n.options.Timing.LeaseTTL)
 		k.owners[pool] = n.life()
 		f := k.former[pool]
-		if f.id == n.id && f.boot == n.boot {
-			f.id, f.boot = f.beforeID, f.beforeBoot
+		formers := slices.Clone(f.formers)
+		if f.id != "" && (f.id != n.id || f.boot != n.boot) {
+			formers = append(formers, node.FormerOwner{ID: f.id, Boot: f.boot})
 		}
-		result.OK, result.SentAt, result.FormerID, result.FormerBoot = true, sent, f.id, f.boot
-		k.former[pool] = formerOwner{id: n.id, boot: n.boot, beforeID: f.id, beforeBoot: f.boot}
+		result.OK, result.SentAt, result.Formers = true, sent, formers
+		k.former[pool] = formerOwner{id: n.id, boot: n.boot, formers: formers}
 	}, func() { n.do(n.node.Owned(n.clock(), result)) }, func() {})
 }
 
@@ -98,6 +101,14 @@
 	}, func() {}, func() {})
 }
 
+func (k *fakeKV) settle(n *fakeNode, pool string) {
+	k.call(n, func() {
+		if f := k.former[pool]; f.id == n.id && f.boot == n.boot {
+			k.former[pool] = formerOwner{id: n.id, boot: n.boot}
+		}
+	}, func() {}, func() {})
+}
+
 func (k *fakeKV) renew(n *fakeNode) {
 	sent := n.clock()
 	life := n.life()
--- a/tests/fuzz/traffic_test.go
+++ b/tests/fuzz/traffic_test.go
@@ -71,6 +71,9 @@
 			return
 		}
 	}
+	if w.traffic.wrongAdapter && d.Ticket.Adapter.Version == 2 {
+		d.Ticket.Adapter.Version = 1
+	}
 	q.ticket = d.Ticket
 	q.running = true
 	n.enter(func() {
@@ -95,7 +98,7 @@
 			w.atNode(n, w.now.Add(w.delay()), func() { w.notRun(q) })
 			return
 		}
-		if w.lossy && w.random.IntN(15) == 0 {
+		if w.lossy && w.random.IntN(8) == 0 {
 			w.atNode(n, w.now.Add(w.delay()), func() { w.uncertain(q) })
 		}
 	})
--- a/tests/fuzz/world_test.go
+++ b/tests/fuzz/world_test.go
@@ -57,6 +57,8 @@
 	retryOnce     bool
 	unknownNotRun bool
 	wrongAnswer   bool
+	wrongAdapter  bool
+	dropOnStop    bool
 }
 
 // event is something that is to happen.
@@ -305,6 +307,8 @@
 			w.kv.acquire(n, e.Pool)
 		case node.ReleaseOwner:
 			w.kv.release(n, e.Pool)
+		case node.SettleOwner:
+			w.kv.settle(n, e.Pool)
 		case node.RenewLease:
 			w.kv.renew(n)
 		case node.Watch:
