Spend idle permits on preloads for real, and only on much better ones

Cause: a preload's slot was looked for again with its scaled-down bid as the limit, so that no preload was ever made. Change: the place found with the bid is the one used; a preload must promise three times what it evicts.

--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -43,7 +43,8 @@
 	if bid.Value > 0 {
 		return bid, true
 	}
-	return p.bestPreload(now)
+	bid, _, ok := p.bestPreload(now)
+	return bid, ok
 }
 
 // UsePermit spends a permit of the weight store on the best load of this moment;
@@ -52,11 +53,10 @@
 	bid, place := p.bestDemand(now)
 	if bid.Value <= 0 {
 		var ok bool
-		bid, ok = p.bestPreload(now)
+		bid, place, ok = p.bestPreload(now)
 		if !ok {
 			return p.take(), false
 		}
-		place, _ = p.findPlace(now, bid.Adapter, bid.Value)
 	}
 	if place.endpoint == nil {
 		return p.take(), false
@@ -157,25 +157,25 @@
 }
 
 // bestPreload finds an adapter worth loading before anyone waits for it.
-func (p *Placer) bestPreload(now time.Time) (Bid, bool) {
+func (p *Placer) bestPreload(now time.Time) (Bid, placeFor, bool) {
 	for _, ref := range p.preload {
 		if len(p.copies[ref]) > 0 || p.backingOff(now, ref) {
 			continue
 		}
-		if _, ok := p.findPlace(now, ref, math.Inf(1)); ok {
-			return Bid{Adapter: ref, Value: 1, Preload: true}, true
+		if place, ok := p.findPlace(now, ref, math.Inf(1)); ok {
+			return Bid{Adapter: ref, Value: 1, Preload: true}, place, true
 		}
 	}
 	best := p.popularAbsent(now)
 	if best.Value == 0 {
-		return Bid{}, false
+		return Bid{}, placeFor{}, false
 	}
-	place, ok := p.findPlace(now, best.Adapter, best.Value)
-	if !ok || place.cost*p.options.PreloadGain > best.Value {
-		return Bid{}, false
+	place, ok := p.findPlace(now, best.Adapter, best.Value/p.options.PreloadGain)
+	if !ok {
+		return Bid{}, placeFor{}, false
 	}
 	best.Value *= coldStartFactor
-	return best, true
+	return best, place, true
 }
 
 // popularAbsent finds the adapter most called for that is not loaded; the scan of
--- a/services/placement/options.go
+++ b/services/placement/options.go
@@ -62,7 +62,7 @@
 		GatherLimit:      10 * time.Minute,
 		ReserveShare:     0.1,
 		TenantBatchShare: 0.75,
-		PreloadGain:      1.5,
+		PreloadGain:      3,
 		BackoffBase:      2 * time.Second,
 		BackoffMax:       time.Minute,
 		GiveUpFailures:   5,
