Tell only what changed: partial summaries, quiet digests, heartbeats that scale

Cause: a partial summary named the sender's present number as its base, so that every receiver believed it had missed something and asked for the whole, each time; digests repeated the list of instances four times a second. Found by the new capacity tool. Change: the base is the last change that the list of changes has dropped; digests without news go out once a second and without the list; heartbeats slow down above ten members. Conclusion: measure bytes, not only time.

--- a/models/fleet/message.go
+++ b/models/fleet/message.go
@@ -75,7 +75,7 @@
 	Pools     []PoolSummary `msgpack:"p"`
 	Revision  int64         `msgpack:"r"`
 	Highest   int64         `msgpack:"hi"`
-	// Relayed is true where the hall's speaker passes the digest on; Speaker is its source.
+	// Relayed is true where the receiving hall's speaker passes the digest on; Speaker is its source.
 	Relayed bool     `msgpack:"re,omitempty"`
 	Speaker Instance `msgpack:"sp"`
 	// Age is how long a relay held the digest.
--- a/modules/setting/decision.go
+++ b/modules/setting/decision.go
@@ -62,7 +62,7 @@
 func defaultTiming() Timing {
 	return Timing{
 		Heartbeat: Duration(250 * time.Millisecond), LostAfter: Duration(1200 * time.Millisecond), Settle: Duration(1500 * time.Millisecond),
-		Digest: Duration(250 * time.Millisecond), HallSilence: Duration(2 * time.Second), Inspect: Duration(500 * time.Millisecond),
+		Digest: Duration(250 * time.Millisecond), HallSilence: Duration(3 * time.Second), Inspect: Duration(500 * time.Millisecond),
 		GrantAge: Duration(3 * time.Second), StartWithin: Duration(2 * time.Second), LeaseTTL: Duration(10 * time.Second),
 		LeaseMargin: Duration(3 * time.Second), LeaseRenew: Duration(3 * time.Second),
 	}
--- a/services/membership/members.go
+++ b/services/membership/members.go
@@ -159,6 +159,15 @@
 	return changes
 }
 
+// crowd is the number of known members up to which the timings hold as set; above it
+// they grow with the hall, so that a member's traffic does not.
+const crowd = 10
+
+// scaled stretches a time in a large hall.
+func (s *State) scaled(d time.Duration) time.Duration {
+	return d * time.Duration(max(crowd, len(s.members)+1)) / crowd
+}
+
 // Sweep finds members that have gone silent. A pause of this instance itself is
 // not held against the others.
 func (s *State) Sweep(now time.Time) []Change {
@@ -171,7 +180,7 @@
 	var changes []Change
 	for _, m := range s.sorted() {
 		silent := now.Sub(m.Heard)
-		if m.Alive && silent > s.options.LostAfter {
+		if m.Alive && silent > s.scaled(s.options.LostAfter) {
 			m.Alive = false
 			m.Held = nil
 			changes = append(changes, Change{Kind: Lost, Member: m})
@@ -187,9 +196,9 @@
 func (s *State) Due(now time.Time) []*Member {
 	var due []*Member
 	for _, m := range s.sorted() {
-		every := s.options.Interval
+		every := s.scaled(s.options.Interval)
 		if !m.Alive {
-			every = s.options.ProbeEvery
+			every = s.scaled(s.options.ProbeEvery)
 		}
 		if !m.Sent.IsZero() && now.Sub(m.Sent) < every {
 			continue
--- a/services/node/digests.go
+++ b/services/node/digests.go
@@ -60,7 +60,7 @@
 // sendDigests tells the other halls' speakers about this hall.
 func (n *Node) sendDigests(now time.Time) {
 	n.judgeCuts(now)
-	if now.Sub(n.digested) < n.options.Timing.Digest || !n.isSpeaker() {
+	if now.Sub(n.digested) < n.digestInterval(now) || !n.isSpeaker() {
 		return
 	}
 	n.digested = now
@@ -68,6 +68,7 @@
 	if full {
 		n.fulled = now
 	}
+	n.told = n.news()
 	for _, hall := range n.options.Halls {
 		if r := n.remotes[hall]; r != nil {
 			n.sendDigest(now, r, full)
@@ -75,6 +76,41 @@
 	}
 }
 
+// quietDigests is how many intervals pass between two digests that tell nothing new.
+const quietDigests = 4
+
+// digestInterval is short while there is news, and longer while there is none.
+func (n *Node) digestInterval(now time.Time) time.Duration {
+	if n.news() != n.told {
+		return n.options.Timing.Digest
+	}
+	for _, ps := range n.order {
+		if ps.own && n.router.Changing(now, ps.pool.Name) {
+			return n.options.Timing.Digest
+		}
+	}
+	return quietDigests * n.options.Timing.Digest
+}
+
+// news sums up what other halls must learn soon besides the slots.
+func (n *Node) news() digestNews {
+	out := digestNews{revision: n.config.revision(), lowest: n.hallRevision()}
+	for _, ps := range n.order {
+		if p, ok := n.placerRecord(ps); ok && ps.own {
+			out.terms += p.Term
+			out.placed++
+		}
+	}
+	return out
+}
+
+// digestNews is what a digest told of revision and placers.
+type digestNews struct {
+	revision, lowest int64
+	terms            uint64
+	placed           int
+}
+
 func (n *Node) sendDigest(now time.Time, r *remoteHall, full bool) {
 	d := &fleet.Digest{Hall: n.options.Self.Hall, Revision: n.hallRevision(), Highest: n.config.revision()}
 	for _, ps := range n.order {
@@ -89,7 +125,10 @@
 			d.Pools = append(d.Pools, s)
 		}
 	}
-	d.Instances = append(d.Instances, n.members.Known()...)
+	d.Speaker = n.options.Self
+	if full || r.cut || len(r.wants) > 0 {
+		d.Instances = append(d.Instances, n.members.Known()...)
+	}
 	for name := range r.gaps {
 		d.Wants = append(d.Wants, name)
 	}
@@ -154,15 +193,12 @@
 	}
 	r.heard = now.Add(-d.Age)
 	if !d.Relayed {
-		if i, ok := instanceIn(d.Instances, e.From); ok {
-			r.speaker = i
-		}
 		r.wants = d.Wants
 	}
-	if d.Relayed && d.Speaker.ID != "" {
-		r.speaker = d.Speaker
+	r.speaker = d.Speaker
+	if len(d.Instances) > 0 {
+		r.instances = d.Instances
 	}
-	r.instances = d.Instances
 	r.revision = d.Revision
 	for _, p := range d.Placers {
 		n.learnPlacer(now, r, p)
@@ -180,7 +216,7 @@
 		n.want(now, r.speaker)
 	}
 	if !d.Relayed {
-		n.relay(r, *d)
+		n.relay(*d)
 	}
 }
 
@@ -199,19 +235,9 @@
 	}
 }
 
-func instanceIn(list []fleet.Instance, id string) (fleet.Instance, bool) {
-	for _, i := range list {
-		if i.ID == id {
-			return i, true
-		}
-	}
-	return fleet.Instance{}, false
-}
-
 // relay passes another hall's digest on to the members of this one.
-func (n *Node) relay(r *remoteHall, d fleet.Digest) {
+func (n *Node) relay(d fleet.Digest) {
 	d.Relayed = true
-	d.Speaker = r.speaker
 	for _, m := range n.members.Alive() {
 		n.send(m.Instance, fleet.Envelope{Digest: &d})
 	}
--- a/services/node/node.go
+++ b/services/node/node.go
@@ -39,6 +39,7 @@
 	lastList time.Time
 	redo     time.Time
 	digested time.Time
+	told     digestNews
 	fulled   time.Time
 	effects  []Effect
 }
--- a/services/node/options.go
+++ b/services/node/options.go
@@ -67,7 +67,7 @@
 	return Timing{
 		Resubmit: time.Second, NoPlacer: 5 * time.Second, GrantAge: 3 * time.Second, Reconfirm: 2 * time.Second,
 		Inspect: 500 * time.Millisecond, TakeRetry: time.Second, Digest: 250 * time.Millisecond, FullSummary: 30 * time.Second,
-		HallSilence: 2 * time.Second, LeaseTTL: 10 * time.Second, LeaseMargin: 3 * time.Second, LeaseRenew: 3 * time.Second,
+		HallSilence: 3 * time.Second, LeaseTTL: 10 * time.Second, LeaseMargin: 3 * time.Second, LeaseRenew: 3 * time.Second,
 		Bid: 20 * time.Millisecond, PermitLife: 45 * time.Second,
 	}
 }
--- a/services/query/tables.go
+++ b/services/query/tables.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -80,42 +81,38 @@
 }
 
 func adapters(s *Service, t *table.Table) {
-	for _, a := range s.options.Catalog().Adapters {
+	all := s.options.Catalog().Adapters
+	t.Rows = make([][]table.Value, 0, len(all))
+	for _, name := range sortedNames(all) {
+		a := all[name]
 		t.Add(table.T(a.Name), table.T(a.Base), table.N(a.Live), table.N(len(a.Versions)))
 	}
-	sortFirst(t)
 }
 
-// sortFirst sorts rows by their first columns, where maps gave them in no order.
-func sortFirst(t *table.Table) {
-	sort.Slice(t.Rows, func(i, j int) bool {
-		for k := range min(2, len(t.Columns)) {
-			if c := table.Compare(t.Rows[i][k], t.Rows[j][k]); c != 0 {
-				return c < 0
-			}
-		}
-		return false
-	})
+// sortedNames puts a map's names in order, which is cheaper than sorting the rows made from it.
+func sortedNames[V any](all map[string]V) []string {
+	return slices.Sorted(maps.Keys(all))
 }
 
 func versions(s *Service, t *table.Table) {
 	c := s.options.Catalog()
-	for _, a := range c.Adapters {
+	for _, name := range sortedNames(c.Adapters) {
+		a := c.Adapters[name]
 		for _, v := range a.Versions {
 			ref := fleet.AdapterRef{Name: a.Name, Version: v.Number}
 			t.Add(table.T(a.Name), table.N(v.Number), table.T(v.Source), table.B(v.Number == a.Live), table.B(v.Retired), table.B(c.Pins[ref]), table.B(c.Preloads[ref]))
 		}
 	}
-	sortFirst(t)
 }
 
 func services(s *Service, t *table.Table) {
-	for _, x := range s.options.Catalog().Services {
+	all := s.options.Catalog().Services
+	for _, name := range sortedNames(all) {
+		x := all[name]
 		for _, share := range x.Shares {
 			t.Add(table.T(x.Name), table.T(share.Adapter), table.N(share.Version), table.N(share.Percent))
 		}
 	}
-	sortFirst(t)
 }
 
 func rules(s *Service, t *table.Table) {
--- a/services/routing/publisher.go
+++ b/services/routing/publisher.go
@@ -20,7 +20,9 @@
 	seq     uint64
 	present map[string]bool
 	changes []summaryChange
-	last    fleet.PoolSummary
+	// floor is the number of the last change that the list of changes no longer holds.
+	floor uint64
+	last  fleet.PoolSummary
 }
 
 // summaryChange tells when an adapter came to a pool or left it.
@@ -65,6 +67,7 @@
 func (p *Publisher) forget(now time.Time) {
 	old := 0
 	for old < len(p.changes) && now.Sub(p.changes[old].at) > recentSpan {
+		p.floor = p.changes[old].seq
 		old++
 	}
 	p.changes = p.changes[old:]
@@ -74,10 +77,7 @@
 func (p *Publisher) Recent(now time.Time) fleet.PoolSummary {
 	p.forget(now)
 	out := p.last
-	out.Base = p.seq
-	if len(p.changes) > 0 {
-		out.Base = p.changes[0].seq - 1
-	}
+	out.Base = p.floor
 	seen := make(map[string]bool, len(p.changes))
 	for _, c := range p.changes {
 		if seen[c.name] {
--- /dev/null
+++ b/services/routing/publisher_test.go
@@ -0,0 +1,95 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/services/placement"
+	"github.com/shelfledge/shelfledge/services/routing"
+)
+
+var begin = time.Unix(1000, 0)
+
+func state(names ...string) placement.Summary {
+	s := placement.Summary{Pool: "h2/base", Free: 4, Places: 8, Slots: 4}
+	for _, name := range names {
+		s.Resident = append(s.Resident, placement.ResidentCopy{Adapter: fleet.AdapterRef{Name: name, Version: 1}, Free: 4})
+	}
+	return s
+}
+
+func pools() []fleet.Pool {
+	return fleet.BuildPools([]fleet.Endpoint{
+		{Name: "e1", Hall: "h1", Bases: []string{"base"}, Slots: 4, MaxBatch: 8},
+		{Name: "e2", Hall: "h2", Bases: []string{"base"}, Slots: 4, MaxBatch: 8},
+	})
+}
+
+func choose(r *routing.Router, now time.Time, name string) string {
+	pool, _ := r.Choose(now, fleet.Request{Base: "base", Adapter: fleet.AdapterRef{Name: name, Version: 1}}, nil)
+	return pool
+}
+
+func TestUnchangedPoolNeedsNoWholeSummary(t *testing.T) {
+	p := routing.NewPublisher(1)
+	r := routing.NewRouter("h1", pools(), routing.DefaultOptions())
+	p.Update(begin, state("a"))
+	require.True(t, r.Learn(begin, p.Full()))
+	for i := 1; i <= 100; i++ {
+		now := begin.Add(time.Duration(i) * 250 * time.Millisecond)
+		p.Update(now, state("a"))
+		require.True(t, r.Learn(now, p.Recent(now)), "summary %d", i)
+	}
+}
+
+func TestLostSummariesAreMadeGood(t *testing.T) {
+	p := routing.NewPublisher(1)
+	r := routing.NewRouter("h1", pools(), routing.DefaultOptions())
+	p.Update(begin, state("a"))
+	require.True(t, r.Learn(begin, p.Full()))
+	soon := begin.Add(time.Second)
+	p.Update(soon, state("a", "b"))
+	p.Update(soon.Add(time.Second), state("b"))
+	now := soon.Add(2 * time.Second)
+	require.True(t, r.Learn(now, p.Recent(now)), "two lost ones are within the span of a partial summary")
+	require.Equal(t, "h2/base", choose(r, now, "b"))
+	late := now.Add(10 * time.Second)
+	p.Update(late, state("c"))
+	p.Update(late.Add(10*time.Second), state("c"))
+	now = late.Add(11 * time.Second)
+	require.False(t, r.Learn(now, p.Recent(now)), "the change was missed")
+	require.True(t, r.Learn(now, p.Full()))
+	require.Equal(t, "h2/base", choose(r, now, "c"))
+}
+
+func TestSilentHallIsNotChosen(t *testing.T) {
+	p := routing.NewPublisher(1)
+	r := routing.NewRouter("h1", pools(), routing.DefaultOptions())
+	p.Update(begin, state("a"))
+	r.Learn(begin, p.Full())
+	require.Equal(t, "h2/base", choose(r, begin, "a"))
+	require.Equal(t, "h1/base", choose(r, begin.Add(time.Minute), "a"))
+}
+
+func TestAHerdIsSpread(t *testing.T) {
+	r := routing.NewRouter("h1", pools(), routing.DefaultOptions())
+	for _, hall := range []string{"h1", "h2"} {
+		p := routing.NewPublisher(1)
+		s := state("a")
+		s.Pool = hall + "/base"
+		p.Update(begin, s)
+		r.Learn(begin, p.Full())
+	}
+	counts := make(map[string]int)
+	for range 40 {
+		counts[choose(r, begin, "a")]++
+	}
+	require.Greater(t, counts["h2/base"], 10, "what was sent since the last summary counts")
+	require.Greater(t, counts["h1/base"], 10)
+}
--- a/services/routing/recent_log.go
+++ b/services/routing/recent_log.go
@@ -39,10 +39,7 @@
 // fill puts the recent changes into a partial summary.
 func (l *recentLog) fill(now time.Time, v *view, out *fleet.PoolSummary) {
 	l.forget(now)
-	out.Base = v.seq
-	if len(l.changes) > 0 {
-		out.Base = max(l.floor, l.changes[0].seq-1)
-	}
+	out.Base = l.floor
 	seen := make(map[string]bool, len(l.changes))
 	for _, c := range l.changes {
 		if seen[c.name] {
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -240,6 +240,16 @@
 	}
 }
 
+// Changing tells whether adapters came to a pool or left it in the last seconds.
+func (r *Router) Changing(now time.Time, pool string) bool {
+	v := r.byName[pool]
+	if v == nil {
+		return false
+	}
+	v.recent.forget(now)
+	return len(v.recent.changes) > 0
+}
+
 // Export passes on what this router knows of a pool, whole or only with the
 // latest part, under the numbers of its source.
 func (r *Router) Export(now time.Time, pool string, whole bool) (fleet.PoolSummary, bool) {
--- a/tests/fuzz/endpoint_test.go
+++ b/tests/fuzz/endpoint_test.go
@@ -23,7 +23,6 @@
 	lastRun     map[string]time.Time
 	running     map[string]*fakeRun
 	failLoads   int
-	frozen      time.Time
 	shownAt     time.Time
 }
 
--- /dev/null
+++ b/tools/capacity/measure.go
@@ -0,0 +1,217 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/catalog"
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/models/table"
+	"github.com/shelfledge/shelfledge/modules/kv"
+	"github.com/shelfledge/shelfledge/modules/language"
+	"github.com/shelfledge/shelfledge/services/once"
+	"github.com/shelfledge/shelfledge/services/placement"
+	queries "github.com/shelfledge/shelfledge/services/query"
+	"github.com/shelfledge/shelfledge/services/routing"
+)
+
+const (
+	endpointsAHall = 75
+	knownAdapters  = 22000
+	repeats        = 5
+)
+
+// decision gives the time of one request's way through a placer, submitted and returned.
+func decision(endpoints int) float64 {
+	const rounds = 20000
+	now := time.Unix(1000, 0)
+	var specs []fleet.Endpoint
+	for n := range endpoints {
+		specs = append(specs, fleet.Endpoint{
+			Name: fmt.Sprintf("e%02d", n), Hall: "h1", Kind: fleet.KindEngine, Bases: []string{"base"}, Slots: slots, MaxBatch: 32,
+			Step: 25 * time.Millisecond, Load: time.Second, ChecksFence: true,
+		})
+	}
+	o := placement.DefaultOptions()
+	o.Classes = []fleet.Class{{Name: "c", Priority: 5, StallWeight: 1}}
+	p := placement.NewPlacer("h1/base", "i1", specs, o)
+	var resident []fleet.AdapterRef
+	for n, spec := range specs {
+		in := placement.Inspection{Endpoint: spec.Name, Incarnation: spec.Name, Began: now, Up: true}
+		for i := range slots {
+			in.Resident = append(in.Resident, fleet.AdapterRef{Name: fmt.Sprintf("a-%d", n*slots+i), Version: 1})
+		}
+		resident = append(resident, in.Resident...)
+		p.Adopt(now, in, 1, now)
+	}
+	for i := range knownAdapters {
+		p.Submit(now, ask(fmt.Sprintf("known-%d", i), fleet.AdapterRef{Name: fmt.Sprintf("cold-%d", i), Version: 1}, now))
+		p.Cancel(now, fmt.Sprintf("known-%d", i))
+	}
+	began := time.Now()
+	for i := range rounds {
+		now = now.Add(100 * time.Microsecond)
+		for _, e := range p.Submit(now, ask(fmt.Sprintf("q%d", i), resident[i*7%len(resident)], now)) {
+			if g, ok := e.(placement.Grant); ok {
+				p.Return(now, g.Ticket.ID)
+			}
+		}
+	}
+	return float64(time.Since(began).Microseconds()) / rounds
+}
+
+func ask(id string, ref fleet.AdapterRef, now time.Time) fleet.Request {
+	return fleet.Request{
+		ID: id, Caller: "caller", Class: "c", Base: "base", Adapter: ref, PromptTokens: 200, OutputTokens: 100, Entry: "i1", Deadline: now.Add(time.Minute),
+	}
+}
+
+func nodeProcessor(nodes int) float64 {
+	return newSimFleet(1, nodes, endpointsAHall).most(func(s *simNode) float64 { return float64(s.processor.Microseconds()) })
+}
+
+func nodeBytes(nodes int) float64 {
+	return newSimFleet(1, nodes, endpointsAHall).most(func(s *simNode) float64 { return float64(s.sent) })
+}
+
+func speakerBytes(halls int) float64 {
+	return newSimFleet(halls, 6, endpointsAHall).most(func(s *simNode) float64 { return float64(s.sent) })
+}
+
+func memberBytes(halls int) float64 {
+	return newSimFleet(halls, 6, endpointsAHall).most(func(s *simNode) float64 { return float64(s.received) })
+}
+
+// catalogOf makes a configuration of so many adapters with two versions each.
+func catalogOf(adapters int) *catalog.Catalog {
+	var changes []catalog.Change
+	for i := range adapters {
+		name := fmt.Sprintf("adapter-%05d", i)
+		changes = append(changes,
+			catalog.Change{Kind: catalog.CreateAdapter, Name: name, Base: "base-a", Version: 1, Source: "weights/" + name + "/1"},
+			catalog.Change{Kind: catalog.CreateVersion, Name: name, Version: 2, Source: "weights/" + name + "/2"})
+	}
+	c, _, err := catalog.New().Apply(1, changes)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// catalogHeap counts what a follower holds: the catalog as read from a snapshot.
+func catalogHeap(adapters int) float64 {
+	data, err := catalog.EncodeSnapshot(catalogOf(adapters))
+	if err != nil {
+		panic(err)
+	}
+	before := heapInUse()
+	c, err := catalog.DecodeSnapshot(data)
+	if err != nil {
+		panic(err)
+	}
+	used := heapInUse() - before
+	runtime.KeepAlive(c)
+	return float64(used) / 1024
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// best gives the shortest of several times, in microseconds.
+func best(work func()) float64 {
+	shortest := time.Duration(1<<63 - 1)
+	for range repeats {
+		began := time.Now()
+		work()
+		shortest = min(shortest, time.Since(began))
+	}
+	return float64(shortest.Nanoseconds()) / 1000
+}
+
+func catalogChange(adapters int) float64 {
+	c := catalogOf(adapters)
+	return best(func() {
+		if _, _, err := c.Apply(2, []catalog.Change{{Kind: catalog.SetLive, Name: "adapter-00001", Version: 2}}); err != nil {
+			panic(err)
+		}
+	})
+}
+
+func query(adapters int) float64 {
+	c := catalogOf(adapters)
+	s := queries.New(queries.Options{Catalog: func() *catalog.Catalog { return c }, Now: time.Now})
+	statements, err := language.Parse("show adapters where name like '*7' and live > 0 order by name desc limit 10")
+	if err != nil {
+		panic(err)
+	}
+	return best(func() {
+		t, err := s.Local("adapters")
+		if err != nil {
+			panic(err)
+		}
+		var out *table.Table
+		if out, err = queries.Evaluate(statements[0].Show, t); err != nil {
+			panic(err)
+		}
+		runtime.KeepAlive(out)
+	})
+}
+
+func routerHeap(resident int) float64 {
+	pool := fleet.Pool{Name: "h1/base", Hall: "h1", Bases: []string{"base"}}
+	summary := fleet.PoolSummary{Pool: pool.Name, Epoch: 1, Seq: 1, Full: true}
+	for i := range resident {
+		summary.Added = append(summary.Added, fmt.Sprintf("adapter-%05d@1", i))
+	}
+	before := heapInUse()
+	r := routing.NewRouter("h1", []fleet.Pool{pool}, routing.DefaultOptions())
+	r.Learn(time.Unix(1000, 0), summary)
+	used := heapInUse() - before
+	runtime.KeepAlive(r)
+	runtime.KeepAlive(summary)
+	return float64(used)
+}
+
+// claimsPerWrite gives the claims that one write carries while so many callers claim at once.
+func claimsPerWrite(atOnce int) float64 {
+	const rounds = 20
+	var mutex sync.Mutex
+	writes := 0
+	store := once.Store{
+		Txn: func(context.Context, kv.TxnRequest) (kv.TxnResponse, error) {
+			mutex.Lock()
+			writes++
+			mutex.Unlock()
+			return kv.TxnResponse{Succeeded: true}, nil
+		},
+		Get:   func(context.Context, string) (kv.Pair, bool, error) { return kv.Pair{}, false, nil },
+		Grant: func(context.Context, time.Duration) (int64, error) { return 1, nil },
+	}
+	c := once.New(store, once.DefaultOptions("/x", "i1"), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	for round := range rounds {
+		var group sync.WaitGroup
+		for i := range atOnce {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				c.Claim(ctx, "caller", fmt.Sprintf("%d-%d", round, i))
+			}()
+		}
+		group.Wait()
+	}
+	return float64(rounds*atOnce) / float64(writes)
+}
