--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,25 @@
 unit: ## All tests.
 	$(GO) test -count=1 $(PACKAGES)
 
+traces: ## Make the committed traces again from their seeds.
+	@for s in dakar plovdiv storm; do $(GO) run ./tools/tracegen $$s --seed 1 --out $(TRACES); done
+
+replay: ## All policies over all committed traces.
+	@for s in dakar plovdiv storm; do echo "== $$s"; $(GO) run ./tools/replay --fleet $(TRACES)/$$s.fleet.json --trace $(TRACES)/$$s.trace.jsonl --policy all; done
+
+SECONDS ?= 60
+SEED    ?= 20261202
+STEPS   ?= 60
+
+fuzz: ## Stateful fuzzing of the joint action of nodes: SECONDS, SEED, STEPS.
+	SHELFLEDGE_FUZZ_SECONDS=$(SECONDS) SHELFLEDGE_FUZZ_SEED=$(SEED) SHELFLEDGE_FUZZ_STEPS=$(STEPS) $(GO) test -count=1 -v -timeout 0 -run 'TestFleetKeepsItsPromises' ./tests/fuzz
+
+bench: ## What the daemon adds, and the figures of docs/.
+	$(GO) test -run XXX -bench 'FirstToken|InForce' -benchtime 100x ./tests/integration
+	$(GO) test -run XXX -bench 'Streams|Catalog|Takeover|Leaving|Killed|KVCalls' -benchtime 1x -timeout 20m ./tests/integration
+
+capacity: ## How each role's cost grows with the fleet.
+	$(GO) run ./tools/capacity
+
 clean: ## Remove what was built.
 	rm -rf $(BIN)
--- a/modules/language/grammar.go
+++ b/modules/language/grammar.go
@@ -325,5 +325,8 @@
 )
 
 func plain(message string) string {
+	if strings.HasPrefix(message, "unexpected token") && !strings.Contains(message, "(expected") {
+		message += " (expected Change)"
+	}
 	return expected.Replace(message)
 }
