Bound stalls by first calls; look for slots only for the best demands

Cause: the window bound was 0 on all traces, since a clairvoyant policy can prefetch all; and every demand had a slot searched for it at each bid. Change: no online policy can have an adapter resident sooner than a load after its first call; demands are weighed first.

--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -65,26 +65,62 @@
 	return p.take(), true
 }
 
-// bestDemand weighs every adapter that requests wait for.
+// demand is one adapter that requests wait for, with the worth of its load.
+type demand struct {
+	ref   fleet.AdapterRef
+	value float64
+}
+
+// bestDemand weighs every adapter that requests wait for, and looks for a slot for the
+// most valuable ones only, since that costs much more than the weighing.
 func (p *Placer) bestDemand(now time.Time) (Bid, placeFor) {
-	var best Bid
-	var where placeFor
-	for ref, a := range p.queue.adapters {
-		if ref.IsZero() {
-			continue
+	demands := p.demands(now)
+	for len(demands) > 0 {
+		best := 0
+		for i, d := range demands {
+			if d.value > demands[best].value || (d.value == demands[best].value && compareRefs(d.ref, demands[best].ref) < 0) {
+				best = i
+			}
 		}
-		value := p.demandValue(now, ref, a)
-		if value <= 0 || value < best.Value || (value == best.Value && ref.String() > best.Adapter.String()) {
+		d := demands[best]
+		if place, ok := p.findPlace(now, d.ref, math.Inf(1)); ok {
+			return Bid{Adapter: d.ref, Value: d.value}, place
+		}
+		p.makeRoom(now, d.ref, p.queue.adapters[d.ref])
+		demands[best] = demands[len(demands)-1]
+		demands = demands[:len(demands)-1]
+		if p.full(now) {
+			return Bid{}, placeFor{}
+		}
+	}
+	return Bid{}, placeFor{}
+}
+
+// full tells whether no endpoint has a slot to give, for whatever adapter.
+func (p *Placer) full(now time.Time) bool {
+	for _, e := range p.endpoints {
+		if !e.takesLoads(now) {
 			continue
 		}
-		place, ok := p.findPlace(now, ref, math.Inf(1))
-		if !ok {
-			p.makeRoom(now, ref, a)
+		if _, ok := p.placeOn(now, e); ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Placer) demands(now time.Time) []demand {
+	out := p.scratch[:0]
+	for ref, a := range p.queue.adapters {
+		if ref.IsZero() {
 			continue
 		}
-		best, where = Bid{Adapter: ref, Value: value}, place
+		if value := p.demandValue(now, ref, a); value > 0 {
+			out = append(out, demand{ref: ref, value: value})
+		}
 	}
-	return best, where
+	p.scratch = out
+	return out
 }
 
 // demandValue is the waiting that a load would remove: waiters by weight and the
--- a/services/placement/placer.go
+++ b/services/placement/placer.go
@@ -40,6 +40,7 @@
 	lastBusy  time.Time
 	absent    Bid
 	absentAt  time.Time
+	scratch   []demand
 }
 
 // heldTicket is a granted ticket that has not come back.
--- a/tools/replay/sim/bound.go
+++ b/tools/replay/sim/bound.go
@@ -11,10 +11,14 @@
 	"github.com/shelfledge/shelfledge/models/fleet"
 )
 
-// Bound is a lower bound on the load stalls of any policy, online or offline,
-// that answers every request, under the same model.
+// boundCalc gives lower bounds on the load stalls of any online policy that refuses
+// nothing, under the same model; the better of two counts.
 //
-// In a window from s, an endpoint's slots hold at most S adapters of a base at s,
+// First calls: a policy learns an adapter's name from its first call. Nobody can have
+// the adapter resident sooner than the fastest load after that, so that every call within
+// that time waits for the rest of it, or until its caller stops waiting.
+//
+// Windows, which hold for policies that know the future too: in a window from s, an endpoint's slots hold at most S adapters of a base at s,
 // and the weight store can complete only so many loads by u. If more different
 // adapters than both together have been called for in the window by u, the rest
 // are not resident, and all their callers since s still wait at u. Whichever they
@@ -38,10 +42,9 @@
 }
 
 const (
-	boundGridCells  = 1200
-	boundMaxWindow  = 240
-	boundLeastGrid  = 500 * time.Millisecond
-	secondsPerMilli = 0.001
+	boundGridCells = 1200
+	boundMaxWindow = 240
+	boundLeastGrid = 500 * time.Millisecond
 )
 
 func newBoundCalc(f *FleetFile, lines []Line) *boundCalc {
@@ -205,7 +208,32 @@
 		return out
 	}
 	count := float64(out.Requests)
-	out.WeightedMean = b.value(func(l Line) float64 { return b.weights[l.Class] }) / count
-	out.LoadStall.Mean = b.value(func(Line) float64 { return 1 }) / count
+	out.WeightedMean = b.best(func(l Line) float64 { return b.weights[l.Class] }) / count
+	out.LoadStall.Mean = b.best(func(Line) float64 { return 1 }) / count
 	return out
 }
+
+func (b *boundCalc) best(weigh func(Line) float64) float64 {
+	return math.Max(b.value(weigh), b.firstCalls(weigh))
+}
+
+// firstCalls adds up the waits that not knowing the names makes certain.
+func (b *boundCalc) firstCalls(weigh func(Line) float64) float64 {
+	load := float64(b.fastestLoad()) / perMillisecond
+	first := make(map[fleet.AdapterRef]float64)
+	sum := 0.0
+	for _, l := range b.lines {
+		ref := fleet.AdapterRef{Name: l.Adapter, Version: l.Version}
+		begun, known := first[ref]
+		if !known {
+			begun = l.AtMS
+			first[ref] = begun
+		}
+		wait := math.Max(0, begun+load-l.AtMS)
+		if l.DeadlineMS > 0 {
+			wait = math.Min(wait, l.DeadlineMS)
+		}
+		sum += wait * weigh(l)
+	}
+	return sum
+}
