--- a/services/node/node.go
+++ b/services/node/node.go
@@ -364,7 +364,7 @@
 		if !ps.mine || ps.placer == nil {
 			continue
 		}
-		ps.publisher.Update(now, ps.placer.Summary(now))
+		ps.publisher.Update(now, ps.placer.Summary())
 		if !n.router.Learn(now, ps.publisher.Recent(now)) {
 			n.router.Learn(now, ps.publisher.Full())
 		}
--- a/services/placement/load.go
+++ b/services/placement/load.go
@@ -39,14 +39,29 @@
 
 // Bid gives the most valuable load of the pool, if any load is worth a permit.
 func (p *Placer) Bid(now time.Time) (Bid, bool) {
+	if p.bid.fresh && now.Sub(p.bid.at) < bidFresh {
+		return p.bid.bid, p.bid.wants
+	}
 	bid, _ := p.bestDemand(now)
-	if bid.Value > 0 {
-		return bid, true
+	wants := bid.Value > 0
+	if !wants {
+		bid, _, wants = p.bestPreload(now)
 	}
-	bid, _, ok := p.bestPreload(now)
-	return bid, ok
+	p.bid = madeBid{bid: bid, wants: wants, at: now, fresh: true}
+	return bid, wants
+}
+
+// madeBid is a bid that holds until the pool changes, or for a short while.
+type madeBid struct {
+	bid   Bid
+	wants bool
+	at    time.Time
+	fresh bool
 }
 
+// bidFresh is how long a bid is good for in a pool where nothing happens.
+const bidFresh = 200 * time.Millisecond
+
 // UsePermit spends a permit of the weight store on the best load of this moment;
 // it reports false where no load is wanted any more, so that the permit goes back.
 func (p *Placer) UsePermit(now time.Time) ([]Effect, bool) {
--- a/services/placement/placer.go
+++ b/services/placement/placer.go
@@ -41,6 +41,7 @@
 	absent    Bid
 	absentAt  time.Time
 	scratch   []demand
+	bid       madeBid
 }
 
 // heldTicket is a granted ticket that has not come back.
@@ -222,6 +223,7 @@
 		return nil
 	}
 	p.queue.remove(w)
+	p.bid.fresh = false
 	if _, still := p.queue.adapters[w.request.Adapter]; !still {
 		p.note(now, fleet.Event{Kind: fleet.EventLoadGivenUp, Adapter: w.request.Adapter.String(), Cause: "nobody waits any more"})
 	}
@@ -242,6 +244,7 @@
 }
 
 func (p *Placer) release(now time.Time, held *heldTicket) *endpointState {
+	p.bid.fresh = false
 	delete(p.tickets, held.ticket.ID)
 	if p.byRequest[held.request.ID] == held {
 		delete(p.byRequest, held.request.ID)
@@ -331,6 +334,7 @@
 func (p *Placer) take() []Effect {
 	out := p.effects
 	p.effects = nil
+	p.bid.fresh = p.bid.fresh && len(out) == 0
 	return out
 }
 
--- a/services/placement/view.go
+++ b/services/placement/view.go
@@ -19,14 +19,11 @@
 	Resident []ResidentCopy
 	Loading  []fleet.AdapterRef
 	// Free is the number of free batch places on endpoints that take work.
-	Free     int
-	Places   int
-	Slots    int
-	Waiting  int
-	Tokens   int
-	Bid      float64
-	Wants    bool
-	Revision uint64
+	Free    int
+	Places  int
+	Slots   int
+	Waiting int
+	Tokens  int
 }
 
 // ResidentCopy tells where an adapter is loaded and how much room that leaves.
@@ -36,7 +33,7 @@
 }
 
 // Summary gives the pool's state for routing.
-func (p *Placer) Summary(now time.Time) Summary {
+func (p *Placer) Summary() Summary {
 	s := Summary{Pool: p.pool, Waiting: len(p.queue.byID)}
 	for _, n := range p.queue.tokens {
 		s.Tokens += n
@@ -56,8 +53,6 @@
 		}
 	}
 	s.Resident, s.Loading = p.copiesSummary()
-	bid, ok := p.Bid(now)
-	s.Bid, s.Wants = bid.Value, ok
 	return s
 }
 
--- a/tools/replay/sim/policy_shelfledge.go
+++ b/tools/replay/sim/policy_shelfledge.go
@@ -414,7 +414,7 @@
 			continue
 		}
 		p.dirty[pool.Name] = false
-		p.publisher[pool.Name].Update(now, placer.Summary(now))
+		p.publisher[pool.Name].Update(now, placer.Summary())
 		s := p.publisher[pool.Name].Recent(now)
 		for hall, r := range p.routers {
 			if hall != pool.Hall && (p.cut[hall] || p.cut[pool.Hall]) {
