Test the relay's outcomes and the claims with fakes

Cause: the outcomes were proved only end to end. Change: a fake placer and endpoint for the relay, a forgetful key-value service for the claimer.

--- /dev/null
+++ b/services/once/claimer_test.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package once_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/modules/kv"
+	"github.com/shelfledge/shelfledge/services/once"
+)
+
+// memory is a key-value service that can lose answers and be down.
+type memory struct {
+	mutex  sync.Mutex
+	values map[string][]byte
+	lose   int
+	down   bool
+	writes int
+}
+
+func (m *memory) store() once.Store {
+	return once.Store{Txn: m.txn, Get: m.get, Grant: func(context.Context, time.Duration) (int64, error) { return 1, nil }}
+}
+
+func (m *memory) txn(_ context.Context, r kv.TxnRequest) (kv.TxnResponse, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return kv.TxnResponse{}, kv.ErrNotDone{Call: "txn"}
+	}
+	m.writes++
+	for _, c := range r.Compare {
+		if _, taken := m.values[string(c.Key)]; taken {
+			return kv.TxnResponse{}, nil
+		}
+	}
+	for _, op := range r.Success {
+		m.values[string(op.Put.Key)] = op.Put.Value
+	}
+	if m.lose > 0 {
+		m.lose--
+		return kv.TxnResponse{}, kv.ErrUnknown{Call: "txn"}
+	}
+	return kv.TxnResponse{Succeeded: true}, nil
+}
+
+func (m *memory) get(_ context.Context, key string) (kv.Pair, bool, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return kv.Pair{}, false, kv.ErrNotDone{Call: "get"}
+	}
+	v, ok := m.values[key]
+	return kv.Pair{Key: []byte(key), Value: v}, ok, nil
+}
+
+func claimer(t *testing.T, m *memory, owner string) *once.Claimer {
+	c := once.New(m.store(), once.DefaultOptions("/x", owner), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	return c
+}
+
+func TestOneOfManyInstancesGetsTheClaim(t *testing.T) {
+	m := &memory{values: make(map[string][]byte)}
+	a, b := claimer(t, m, "a"), claimer(t, m, "b")
+	results := make(chan once.Result, 40)
+	for range 20 {
+		go func() { results <- a.Claim(context.Background(), "caller", "q") }()
+		go func() { results <- b.Claim(context.Background(), "caller", "q") }()
+	}
+	counts := make(map[once.Result]int)
+	for range 40 {
+		counts[<-results]++
+	}
+	require.Equal(t, map[once.Result]int{once.Claimed: 1, once.Taken: 39}, counts)
+}
+
+func TestLostAnswerIsSettledByReading(t *testing.T) {
+	m := &memory{values: make(map[string][]byte), lose: 1}
+	c := claimer(t, m, "a")
+	require.Equal(t, once.Claimed, c.Claim(context.Background(), "caller", "q"))
+	require.Equal(t, once.Taken, c.Claim(context.Background(), "caller", "q"))
+}
+
+func TestNoServiceNoClaim(t *testing.T) {
+	m := &memory{values: make(map[string][]byte), down: true}
+	require.Equal(t, once.Impossible, claimer(t, m, "a").Claim(context.Background(), "caller", "q"))
+}
+
+func TestCallersDoNotTakeEachOthersIdentifiers(t *testing.T) {
+	m := &memory{values: make(map[string][]byte)}
+	c := claimer(t, m, "a")
+	require.Equal(t, once.Claimed, c.Claim(context.Background(), "x", "q"))
+	require.Equal(t, once.Claimed, c.Claim(context.Background(), "y", "q"))
+}
--- /dev/null
+++ b/services/relay/relay_test.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/modules/engine"
+	"github.com/shelfledge/shelfledge/modules/metric"
+	"github.com/shelfledge/shelfledge/services/control"
+	"github.com/shelfledge/shelfledge/services/once"
+	"github.com/shelfledge/shelfledge/services/relay"
+)
+
+// attempt is what the fake endpoint does with one try.
+type attempt struct {
+	err  error
+	body string
+	// breaks ends the body with an error instead of its end.
+	breaks bool
+	model  string
+}
+
+// bench is a relay between a fake placer and a fake endpoint.
+type bench struct {
+	mutex    sync.Mutex
+	attempts []attempt
+	calls    []engine.Call
+	finished int
+	refusal  *fleet.Refusal
+	claim    once.Result
+	released int
+	relay    *relay.Service
+}
+
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func newBench(attempts ...attempt) *bench {
+	b := &bench{attempts: attempts, claim: once.Claimed}
+	b.relay = relay.New(relay.Options{
+		Control: relay.Control{Submit: b.submit, Abandon: func(string) {}, Finish: func(string) { b.mutex.Lock(); b.finished++; b.mutex.Unlock() }, Note: func(fleet.Event) {}},
+		Claims: relay.Claims{
+			Claim:   func(context.Context, string, string) once.Result { return b.claim },
+			Release: func(context.Context, string, string) error { b.released++; return nil },
+		},
+		Dialect: engine.Dialect{Start: b.start, Cancel: func(context.Context, fleet.Endpoint, string) error { return nil }},
+		Metrics: metric.New(metric.Options{MaxCallers: 5, MaxClasses: 5}), MaxAttempts: 3, RetryShare: 0.1, SlowReader: time.Minute,
+		EndpointSilent: time.Minute, CancelLife: time.Second, Now: time.Now,
+	})
+	return b
+}
+
+func (b *bench) submit(r fleet.Request) <-chan control.Answer {
+	answers := make(chan control.Answer, 1)
+	if b.refusal != nil {
+		answers <- control.Answer{Refusal: *b.refusal}
+		return answers
+	}
+	answers <- control.Answer{Granted: true, NotAfter: time.Now().Add(time.Minute), Ticket: fleet.Ticket{ID: "t", RequestID: r.ID, Adapter: r.Adapter}}
+	return answers
+}
+
+func (b *bench) start(_ context.Context, c engine.Call) (*http.Response, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	a := b.attempts[len(b.calls)]
+	b.calls = append(b.calls, c)
+	if a.err != nil {
+		return nil, a.err
+	}
+	var body io.Reader = strings.NewReader(a.body)
+	if a.breaks {
+		body = brokenBody{body}
+	}
+	h := http.Header{"Content-Type": {"text/event-stream"}, engine.HeaderRequestID: {c.RequestID}}
+	if a.model != "" {
+		h.Set(engine.HeaderModel, a.model)
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: h, Body: io.NopCloser(body)}, nil
+}
+
+func (b *bench) serve(isOnce bool) (string, error) {
+	w := httptest.NewRecorder()
+	err := b.relay.Serve(context.Background(), w, relay.Job{
+		Request: fleet.Request{ID: "q", Adapter: fleet.AdapterRef{Name: "a", Version: 1}, Once: isOnce}, ClaimID: "q", Stream: true, Method: http.MethodPost, Path: "/v1/completions",
+	})
+	b.relay.Wait()
+	return w.Body.String(), err
+}
+
+const (
+	one   = "data: {\"model\":\"a@1\",\"n\":1}\n\n"
+	two   = "data: {\"model\":\"a@1\",\"n\":2}\n\n"
+	alien = "data: {\"model\":\"b@1\",\"n\":1}\n\n"
+	done  = "data: [DONE]\n\n"
+)
+
+var (
+	notRun  = engine.ErrNotRun{What: "request", Reason: "refused"}
+	unknown = engine.ErrUnknown{What: "request", Reason: "broke off"}
+)
+
+func TestWholeStreamPassesUnchanged(t *testing.T) {
+	b := newBench(attempt{body: one + two + done, model: "a@1"})
+	text, err := b.serve(false)
+	require.NoError(t, err)
+	require.Equal(t, one+two+done, text)
+	require.Equal(t, 1, b.finished)
+}
+
+func TestBrokenStreamIsResumedWithoutLossOrRepeat(t *testing.T) {
+	b := newBench(attempt{body: one + "data: {\"model\"", breaks: true}, attempt{body: two + done})
+	text, err := b.serve(true)
+	require.NoError(t, err)
+	require.Equal(t, one+two+done, text)
+	require.Equal(t, 1, b.calls[1].ResumeFrom)
+}
+
+func TestBrokenStreamThatCannotBeResumedIsUnknown(t *testing.T) {
+	b := newBench(attempt{body: one, breaks: true}, attempt{err: notRun}, attempt{err: notRun})
+	text, err := b.serve(false)
+	require.True(t, relay.IsErrUnknown(err), "%v", err)
+	require.Equal(t, one, text)
+}
+
+func TestNotRunIsTriedAgain(t *testing.T) {
+	b := newBench(attempt{err: notRun}, attempt{body: one + done})
+	text, err := b.serve(true)
+	require.NoError(t, err)
+	require.Equal(t, one+done, text)
+}
+
+func TestOnceIsNeverTriedAgainAfterAnUnknownEnd(t *testing.T) {
+	b := newBench(attempt{err: unknown}, attempt{body: one + done})
+	_, err := b.serve(true)
+	require.True(t, relay.IsErrUnknown(err))
+	require.Len(t, b.calls, 1)
+	require.Zero(t, b.released, "the claim stands")
+}
+
+func TestUnknownThenRefusedIsUnknown(t *testing.T) {
+	b := newBench(attempt{err: unknown}, attempt{err: notRun}, attempt{err: notRun})
+	_, err := b.serve(false)
+	require.True(t, relay.IsErrUnknown(err), "the first attempt may have run: %v", err)
+}
+
+func TestRefusedIsNotRunAndGivesTheClaimBack(t *testing.T) {
+	b := newBench()
+	b.refusal = &fleet.Refusal{Reason: fleet.ReasonQueueFull, RetryAfter: time.Second}
+	_, err := b.serve(true)
+	require.True(t, relay.IsErrNotRun(err))
+	require.Equal(t, 1, b.released)
+}
+
+func TestNoClaimNoRun(t *testing.T) {
+	for claim, check := range map[once.Result]func(error) bool{once.Impossible: relay.IsErrNotRun, once.Taken: relay.IsErrUnknown} {
+		b := newBench(attempt{body: one + done})
+		b.claim = claim
+		_, err := b.serve(true)
+		require.True(t, check(err), "%s: %v", claim, err)
+		require.Empty(t, b.calls)
+	}
+}
+
+func TestForeignAnswerIsNotPassedOn(t *testing.T) {
+	for name, a := range map[string]attempt{"by header": {body: one + done, model: "b@1"}, "by event": {body: alien + done}} {
+		b := newBench(a)
+		text, err := b.serve(false)
+		require.True(t, relay.IsErrUnknown(err), name)
+		require.Empty(t, text, name)
+	}
+}
