--- a/tools/capacity/fleet.go
+++ b/tools/capacity/fleet.go
@@ -165,6 +165,8 @@
 		switch e := effect.(type) {
 		case node.Send:
 			f.post(s, e.Envelope)
+		case node.Deliver:
+			f.act(s, func() []node.Effect { return s.node.Finish(f.now, e.Ticket.ID) })
 		case node.Take:
 			f.act(s, func() []node.Effect {
 				return s.node.Taken(f.now, node.TakeResult{Pool: e.Pool, Term: e.Term, OK: true, Fence: 1, Inspection: f.list(e.Endpoint.Name)})
--- a/tools/capacity/measure.go
+++ b/tools/capacity/measure.go
@@ -15,6 +15,7 @@
 	"github.com/shelfledge/shelfledge/models/table"
 	"github.com/shelfledge/shelfledge/modules/kv"
 	"github.com/shelfledge/shelfledge/modules/language"
+	"github.com/shelfledge/shelfledge/services/node"
 	"github.com/shelfledge/shelfledge/services/once"
 	"github.com/shelfledge/shelfledge/services/placement"
 	queries "github.com/shelfledge/shelfledge/services/query"
@@ -215,3 +216,58 @@
 	}
 	return float64(rounds*atOnce) / float64(writes)
 }
+
+// ticketFleet runs one hall in which one node asks another for tickets at a rate, and
+// gives the placer's and the entry's cost of it, per second.
+func ticketFleet(rate int) (placer, entry simNode) {
+	const span = 10 * time.Second
+	f := newSimFleet(1, 4, 25)
+	var holder, asker *simNode
+	for _, s := range f.nodes {
+		if len(s.node.Pools(f.now)) > 0 && holder == nil {
+			holder = s
+			continue
+		}
+		asker = s
+	}
+	pool := holder.node.Pools(f.now)[0]
+	f.run(span)
+	quietHolder, quietAsker := *holder, *asker
+	gap := time.Second / time.Duration(rate)
+	for i := range rate * int(span/time.Second) {
+		f.run(gap / tickEvery * tickEvery)
+		f.now = f.now.Add(gap % tickEvery)
+		f.deliver(f.now)
+		ref, err := fleet.ParseAdapterRef(pool.Slots[i%len(pool.Slots)].Adapter)
+		if err != nil {
+			panic(err)
+		}
+		request := ask(fmt.Sprintf("q%d", i), ref, f.now)
+		request.Base = pool.Pool[len("h0/"):]
+		f.act(asker, func() []node.Effect { return asker.node.Submit(f.now, request) })
+	}
+	cost := func(after *simNode, before simNode) simNode {
+		// The second span is as long as the first, whose cost is the quiet one.
+		quiet := before.processor
+		return simNode{
+			processor: max(0, after.processor-before.processor-quiet) / time.Duration(span/time.Second),
+			sent:      max(0, after.sent-2*before.sent) / int(span/time.Second),
+		}
+	}
+	return cost(holder, quietHolder), cost(asker, quietAsker)
+}
+
+func placerProcessor(rate int) float64 {
+	placer, _ := ticketFleet(rate)
+	return float64(placer.processor.Microseconds())
+}
+
+func placerBytes(rate int) float64 {
+	placer, _ := ticketFleet(rate)
+	return float64(placer.sent)
+}
+
+func entryBytes(rate int) float64 {
+	_, entry := ticketFleet(rate)
+	return float64(entry.sent)
+}
