--- a/models/catalog/change.go
+++ b/models/catalog/change.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -184,6 +185,12 @@
 		a.Versions = append(a.Versions, Version{Number: ch.Version, Source: ch.Source})
 		return Change{Kind: RemoveVersion, Name: ch.Name, Version: ch.Version}, ""
 	}
+	if ch.Kind == SetLive && ch.Version == 0 {
+		// Only an inverse says so: the adapter had no live version before.
+		back := Change{Kind: SetLive, Name: ch.Name, Version: a.Live}
+		a.Live = 0
+		return back, ""
+	}
 	if at < 0 {
 		return Change{}, "no such version"
 	}
@@ -197,18 +204,21 @@
 			return Change{}, "the version is retired"
 		}
 		back := Change{Kind: SetLive, Name: ch.Name, Version: a.Live}
-		if a.Live == 0 {
-			back.Version = ch.Version
-		}
 		a.Live = ch.Version
 		return back, ""
 	case RestoreVersion:
+		if !a.Versions[at].Retired {
+			return Change{}, "it is not retired"
+		}
 		a.Versions[at].Retired = false
 		return Change{Kind: RetireVersion, Name: ch.Name, Version: ch.Version}, ""
 	}
 	if a.Live == ch.Version {
 		return Change{}, "it is the live version"
 	}
+	if a.Versions[at].Retired {
+		return Change{}, "it is retired already"
+	}
 	if s := c.serviceUsing(ch.Name, ch.Version); s != "" {
 		return Change{}, fmt.Sprintf("service %q uses it", s)
 	}
@@ -292,7 +302,8 @@
 		}
 		old := c.Rules[at]
 		c.Rules = append(c.Rules[:at:at], c.Rules[at+1:]...)
-		return Change{Kind: SetRule, Name: ch.Name, Rule: &old}, ""
+		// The place matters, since the first rule that matches decides.
+		return Change{Kind: SetRule, Name: ch.Name, Rule: &old, Version: at + 1}, ""
 	}
 	if ch.Rule == nil || !validName(ch.Name) {
 		return Change{}, "the rule is empty or its name is not valid"
@@ -301,7 +312,11 @@
 		return Change{}, fmt.Sprintf("no time zone %q", ch.Rule.Zone)
 	}
 	if at < 0 {
-		c.Rules = append(c.Rules, *ch.Rule)
+		place := len(c.Rules)
+		if ch.Version > 0 {
+			place = min(place, ch.Version-1)
+		}
+		c.Rules = slices.Insert(c.Rules, place, *ch.Rule)
 		return Change{Kind: RetireRule, Name: ch.Name}, ""
 	}
 	old := c.Rules[at]
--- a/models/catalog/codec.go
+++ b/models/catalog/codec.go
@@ -86,7 +86,7 @@
 
 // EncodeSnapshot gives the stored form of a whole catalog.
 func EncodeSnapshot(c *Catalog) ([]byte, error) {
-	s := snapshot{Revision: c.Revision, Rules: c.Rules, Budget: c.Budget, Pins: refNames(c.Pins), Preloads: refNames(c.Preloads)}
+	s := snapshot{Revision: c.Revision, Rules: append([]Rule(nil), c.Rules...), Budget: c.Budget, Pins: refNames(c.Pins), Preloads: refNames(c.Preloads)}
 	for _, a := range c.Adapters {
 		s.Adapters = append(s.Adapters, a)
 	}
--- a/services/routing/recent_log.go
+++ b/services/routing/recent_log.go
@@ -10,6 +10,16 @@
 	"github.com/shelfledge/shelfledge/models/fleet"
 )
 
+// recentSpan is how far back a partial summary reaches, so that a few lost ones do no harm.
+const recentSpan = 3 * time.Second
+
+// summaryChange tells when an adapter came to a pool or left it.
+type summaryChange struct {
+	name string
+	seq  uint64
+	at   time.Time
+}
+
 // recentLog remembers which adapters came or went in the last seconds.
 type recentLog struct {
 	changes []summaryChange
@@ -37,7 +47,7 @@
 }
 
 // fill puts the recent changes into a partial summary.
-func (l *recentLog) fill(now time.Time, v *view, out *fleet.PoolSummary) {
+func (l *recentLog) fill(now time.Time, present map[string]bool, out *fleet.PoolSummary) {
 	l.forget(now)
 	out.Base = l.floor
 	seen := make(map[string]bool, len(l.changes))
@@ -46,7 +56,7 @@
 			continue
 		}
 		seen[c.name] = true
-		if v.present[c.name] {
+		if present[c.name] {
 			out.Added = append(out.Added, c.name)
 			continue
 		}
--- a/services/routing/router.go
+++ b/services/routing/router.go
@@ -268,6 +268,6 @@
 		slices.Sort(out.Added)
 		return out, true
 	}
-	v.recent.fill(now, v, &out)
+	v.recent.fill(now, v.present, &out)
 	return out, true
 }
--- a/tools/capacity/measure.go
+++ b/tools/capacity/measure.go
@@ -250,7 +250,7 @@
 		// The second span is as long as the first, whose cost is the quiet one.
 		quiet := before.processor
 		return simNode{
-			processor: max(0, after.processor-before.processor-quiet) / time.Duration(span/time.Second),
+			processor: max(0, after.processor-before.processor-quiet) / (span / time.Second),
 			sent:      max(0, after.sent-2*before.sent) / int(span/time.Second),
 		}
 	}
