--- /dev/null
+++ b/services/node/node_test.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package node_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shelfledge/shelfledge/models/fleet"
+	"github.com/shelfledge/shelfledge/services/budget"
+	"github.com/shelfledge/shelfledge/services/membership"
+	"github.com/shelfledge/shelfledge/services/node"
+	"github.com/shelfledge/shelfledge/services/placement"
+	"github.com/shelfledge/shelfledge/services/routing"
+)
+
+var begin = time.Unix(1000, 0)
+
+func instance(id string, port uint16) fleet.Instance {
+	return fleet.Instance{ID: id, Hall: "h1", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)}
+}
+
+func newNode(boot uint64) *node.Node {
+	return node.New(begin, node.Options{
+		Self: instance("i1", 1), Boot: boot, Halls: []string{"h1", "h2"},
+		Endpoints: []fleet.Endpoint{
+			{Name: "e1", Hall: "h1", Kind: fleet.KindEngine, Bases: []string{"base"}, Slots: 2, MaxBatch: 4, ChecksFence: true},
+			{Name: "e2", Hall: "h1", Kind: fleet.KindEngine, Bases: []string{"base"}, Slots: 2, MaxBatch: 4},
+		},
+		Placement: placement.DefaultOptions(), Routing: routing.DefaultOptions(), Membership: membership.DefaultOptions(),
+		Budget: budget.Limits{LoadsPerSecond: 10, AtFullSpeed: 2}, Timing: node.DefaultTiming(),
+	})
+}
+
+func only[T node.Effect](effects []node.Effect) []T {
+	var out []T
+	for _, e := range effects {
+		if x, ok := e.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// alone lets the node settle as its hall's only instance and take its pool over.
+func alone(t *testing.T) (*node.Node, time.Time, node.Take) {
+	n := newNode(5)
+	now := begin.Add(2 * time.Second)
+	takes := only[node.Take](n.Tick(now))
+	require.Len(t, takes, 2)
+	return n, now, takes[0]
+}
+
+func heartbeat(id string, boot uint64, stamp time.Duration, held ...fleet.HeldPool) fleet.Envelope {
+	return fleet.Envelope{From: id, Boot: boot, Heartbeat: &fleet.Heartbeat{Instance: instance(id, 2), Stamp: stamp, Held: held}}
+}
+
+func TestNothingIsTakenOverBeforeTheNodeHasListened(t *testing.T) {
+	n := newNode(5)
+	require.Empty(t, only[node.Take](n.Tick(begin.Add(time.Second))))
+	n.Handle(begin.Add(1200*time.Millisecond), heartbeat("i2", 1, 1, fleet.HeldPool{Pool: "h1/base", Term: 9}))
+	require.Empty(t, only[node.Take](n.Tick(begin.Add(2*time.Second))), "another instance holds the pool")
+}
+
+func TestLowerTermYieldsAndHandsItsTicketsOver(t *testing.T) {
+	n, now, _ := alone(t)
+	effects := n.Handle(now.Add(time.Millisecond), heartbeat("i2", 1, 1, fleet.HeldPool{Pool: "h1/base", Term: 1 << 40}))
+	var released []*fleet.Release
+	for _, s := range only[node.Send](effects) {
+		if s.Envelope.Release != nil {
+			released = append(released, s.Envelope.Release)
+		}
+	}
+	require.Len(t, released, 1)
+	require.NotEmpty(t, only[node.ReleaseOwner](effects), "the lease goes to the successor")
+	require.Empty(t, n.Pools(now))
+}
+
+func TestOldGrantIsNotUsed(t *testing.T) {
+	n := newNode(5)
+	now := begin.Add(2 * time.Second)
+	n.Handle(now, heartbeat("i2", 1, 1, fleet.HeldPool{Pool: "h1/base", Term: 9}))
+	n.Submit(now, fleet.Request{ID: "q", Base: "base", Adapter: fleet.AdapterRef{Name: "a", Version: 1}, Deadline: now.Add(time.Minute)})
+	ticket := fleet.Ticket{ID: "t", RequestID: "q", Pool: "h1/base", Endpoint: "e1", StartWithin: time.Second}
+	late := now.Add(10 * time.Second)
+	old := n.Handle(late, fleet.Envelope{From: "i2", Boot: 1, Granted: &fleet.Granted{Ticket: ticket, Stamp: 2 * time.Second}})
+	require.Empty(t, only[node.Deliver](old), "by the entry's own clock the grant is up to 10 s old")
+	fresh := n.Handle(late, fleet.Envelope{From: "i2", Boot: 1, Granted: &fleet.Granted{Ticket: ticket, Stamp: 11 * time.Second}})
+	require.Len(t, only[node.Deliver](fresh), 1)
+	again := n.Handle(late, fleet.Envelope{From: "i2", Boot: 1, Granted: &fleet.Granted{Ticket: fleet.Ticket{ID: "t2", RequestID: "q", Pool: "h1/base"}, Stamp: 11 * time.Second}})
+	require.Empty(t, only[node.Deliver](again), "a second ticket for the same request goes back")
+	require.NotEmpty(t, only[node.Send](again))
+}
+
+func TestOlderConfigurationIsAnAlarmAndNothingElse(t *testing.T) {
+	n := newNode(5)
+	effects := n.TakeRecords(begin, fleet.Records{Head: -1})
+	require.Empty(t, only[node.Publish](effects))
+	notes := only[node.Note](effects)
+	require.Len(t, notes, 1)
+	require.Equal(t, fleet.EventRevisionBehind, notes[0].Event.Kind)
+}
+
+// FuzzHandle feeds a node whatever a peer might send.
+func FuzzHandle(f *testing.F) {
+	for _, e := range []fleet.Envelope{
+		heartbeat("i2", 1, 1, fleet.HeldPool{Pool: "h1/base", Term: 9}),
+		{From: "i2", Submit: &fleet.Submit{Pool: "h1/base", Request: fleet.Request{ID: "q", Base: "base"}}},
+		{From: "i2", Granted: &fleet.Granted{Ticket: fleet.Ticket{ID: "t"}}},
+		{From: "i2", Digest: &fleet.Digest{Hall: "h2", Pools: []fleet.PoolSummary{{Pool: "h1/base", Full: true}}}},
+		{From: "i2", Records: &fleet.Records{Head: 3, Snapshot: []byte("x"), Records: [][]byte{{1}}}},
+		{From: "i2", Release: &fleet.Release{Pool: "h1/base", Term: 1 << 62}},
+	} {
+		data, err := msgpack.Marshal(&e)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var e fleet.Envelope
+		if msgpack.Unmarshal(data, &e) != nil {
+			return
+		}
+		n := newNode(5)
+		now := begin.Add(2 * time.Second)
+		n.Tick(now)
+		n.Handle(now, e)
+		n.Tick(now.Add(time.Second))
+	})
+}
