--- a/tests/standin/engine.go
+++ b/tests/standin/engine.go
@@ -447,3 +447,10 @@
 	}
 	e.headers(w)
 }
+
+// Running gives the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.running
+}
