Let a hand-over count only for the life of the instance that made it

Cause: an instance that had been handed a pool, lost its lease and got it back did not wait for the owner in between, because that owner was a later life of the instance that had once handed the pool over; it evicted what the owner still served. Ruled out: the record (it named the owner) and the list of the platform. Change: a hand-over names instance and boot, and is forgotten at the first ownership after it. Conclusion: identities without a boot are not identities.

--- a/services/node/lease.go
+++ b/services/node/lease.go
@@ -25,10 +25,6 @@
 
 // tickLease asks for what is not owned yet and renews the lease of what is.
 func (n *Node) tickLease(now time.Time) {
-	if n.lease.owned == nil {
-		n.lease.owned = make(map[string]bool)
-		n.lease.askAt = make(map[string]time.Time)
-	}
 	for _, ps := range n.order {
 		if !ps.mine || len(ps.unfenced()) == 0 || n.lease.owned[ps.pool.Name] {
 			continue
@@ -85,11 +81,12 @@
 func (n *Node) follow(now time.Time, ps *poolState, r OwnerResult) {
 	var formers []FormerOwner
 	for _, f := range r.Formers {
-		handed := ps.handed != nil && ps.handedBy == f.ID
-		if !handed && f.ID != "" {
+		if f != ps.handedBy && f.ID != "" {
 			formers = append(formers, f)
 		}
 	}
+	// A hand-over says nothing about who owns the pool after it.
+	ps.handedBy = FormerOwner{}
 	ps.former = formerHolders{waiting: formers, frozen: len(formers) > 0 && !n.options.Defects.SkipFreeze}
 	for _, e := range ps.unfenced() {
 		if ps.former.frozen {
--- a/services/node/node.go
+++ b/services/node/node.go
@@ -83,6 +83,7 @@
 		gone:    make(map[string]time.Time),
 		leavers: make(map[string]time.Time),
 		config:  newConfiguration(),
+		lease:   leaseState{owned: make(map[string]bool), askAt: make(map[string]time.Time)},
 	}
 	pools := fleet.BuildPools(o.Endpoints)
 	n.router = routing.NewRouter(o.Self.Hall, pools, o.Routing)
--- a/services/node/node_test.go
+++ b/services/node/node_test.go
@@ -132,3 +132,23 @@
 		n.Tick(now.Add(time.Second))
 	})
 }
+
+func TestHandOverCountsOnlyForTheLifeThatMadeIt(t *testing.T) {
+	n := newNode(5)
+	now := begin.Add(2 * time.Second)
+	n.Handle(now, heartbeat("i2", 1, 1, fleet.HeldPool{Pool: "h1/base", Term: 9}))
+	n.Handle(now, fleet.Envelope{From: "i2", Boot: 1, Release: &fleet.Release{Pool: "h1/base", Term: 9}})
+	require.Len(t, n.Pools(now), 1)
+	owned := func(at time.Time, formers ...node.FormerOwner) bool {
+		effects := n.Owned(at, node.OwnerResult{Pool: "h1/base", OK: true, SentAt: at, Formers: formers})
+		for _, note := range only[node.Note](effects) {
+			if note.Event.Kind == fleet.EventFreeze && note.Event.Endpoint == "e2" {
+				return false
+			}
+		}
+		return true
+	}
+	require.True(t, owned(now, node.FormerOwner{ID: "i2", Boot: 1}), "the life that handed the pool over grants no more")
+	n.Renewed(now.Add(20*time.Second), node.LeaseResult{Gone: true})
+	require.False(t, owned(now.Add(21*time.Second), node.FormerOwner{ID: "i2", Boot: 2}), "a later life owned it meanwhile and may still grant")
+}
--- a/services/node/ownership.go
+++ b/services/node/ownership.go
@@ -33,7 +33,7 @@
 	inspected map[string]time.Time
 	waiting   []fleet.Envelope
 	handed    []fleet.TicketUse
-	handedBy  string
+	handedBy  FormerOwner
 	former    formerHolders
 	bidAt     time.Time
 	permits   map[fleet.AdapterRef]heldPermit
@@ -181,6 +181,9 @@
 	ps.holder = n.options.Self.ID
 	ps.tookAt = now
 	ps.handed = handed
+	if handed == nil {
+		ps.handedBy = FormerOwner{}
+	}
 	ps.former = formerHolders{frozen: !n.options.Defects.SkipFreeze}
 	options := n.options.Placement
 	options.EvictInUse = n.options.Defects.UnloadWithoutTickets
@@ -345,7 +348,7 @@
 	if m := n.members.Member(e.From); m != nil {
 		m.Held = slices.DeleteFunc(m.Held, func(h fleet.HeldPool) bool { return h.Pool == ps.pool.Name })
 	}
-	ps.handedBy = e.From
+	ps.handedBy = FormerOwner{ID: e.From, Boot: e.Boot}
 	n.takeOver(now, ps, uses, "handed over by "+e.From)
 }
 
