Count a repeated grant's age from its repetition

Cause: after a long cut an entry asked again and was granted its old ticket anew, while its list of tickets in use, sent before that, did not name it; the ticket was older than any grant could be, was dropped, and the adapter was evicted under the request. Ruled out: the entry's own check of the age (the repeated grant was fresh). Change: the repetition renews the age.

--- a/services/placement/placer.go
+++ b/services/placement/placer.go
@@ -114,6 +114,8 @@
 		r.Priority = class.Priority
 	}
 	if held, ok := p.byRequest[r.ID]; ok && held.ticket.Entry == r.Entry && held.request.Attempt == r.Attempt {
+		// The grant is on its way once more, so that its age counts from now.
+		held.granted = now
 		return []Effect{Grant{Request: r, Ticket: held.ticket}}
 	}
 	if _, ok := p.queue.byID[r.ID]; ok {
--- a/services/placement/placer_test.go
+++ b/services/placement/placer_test.go
@@ -132,3 +132,15 @@
 	_, used := p.UsePermit(at(52))
 	require.False(t, used, "no orders after the lapse")
 }
+
+func TestRepeatedGrantIsYoungAgain(t *testing.T) {
+	p := newPlacer(endpoint("e1", 1, 4))
+	p.Inspected(at(2), placement.Inspection{Endpoint: "e1", Incarnation: "e1-1", Began: at(1), Up: true, Resident: []fleet.AdapterRef{ref("a")}})
+	first := only[placement.Grant](p.Submit(at(3), request("q1", "a")))
+	again := only[placement.Grant](p.Submit(at(20000), request("q1", "a")))
+	require.Equal(t, first[0].Ticket.ID, again[0].Ticket.ID)
+	p.Reconfirm(at(20010), "i1", nil, 10*time.Second)
+	p.Submit(at(20020), request("q2", "b"))
+	_, used := p.UsePermit(at(20030))
+	require.False(t, used, "the entry may have the repeated grant by now")
+}
