--- /dev/null
+++ b/models/deployment/endpoint.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package deployment
+
+import (
+	"net/netip"
+	"time"
+)
+
+// EndpointID names one incarnation of an endpoint; a restart gives a new one.
+type EndpointID string
+
+// EndpointState says whether an endpoint takes new work.
+type EndpointState int
+
+// The states of an endpoint.
+const (
+	Ready EndpointState = iota
+	Draining
+)
+
+// Adapter names an adapter of a base model.
+type Adapter struct {
+	Model string
+	Name  string
+}
+
+// IsZero tells whether no adapter is named.
+func (a Adapter) IsZero() bool {
+	return a.Name == ""
+}
+
+// String gives MODEL/NAME.
+func (a Adapter) String() string {
+	if a.IsZero() {
+		return a.Model
+	}
+	return a.Model + "/" + a.Name
+}
+
+// Endpoint is one incarnation of a back end as its own entry in the store describes it.
+type Endpoint struct {
+	ID       EndpointID
+	Service  string
+	Address  netip.AddrPort
+	Zone     string
+	Slots    int
+	State    EndpointState
+	Sequence int64
+	// Models are the base models it holds.
+	Models []string
+	// Adapters maps each resident adapter to its version.
+	Adapters map[Adapter]int64
+	// Remaining is the time until a noticed removal; zero if none was announced.
+	Remaining time.Duration
+}
+
+// HasModel tells whether the endpoint holds a base model.
+func (e *Endpoint) HasModel(model string) bool {
+	for _, held := range e.Models {
+		if held == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/modules/upstream/client.go
@@ -0,0 +1,178 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	// MaxIdle is the longest rest after which a connection is used again.
+	MaxIdle time.Duration
+	// DialTimeout bounds the set-up of a connection.
+	DialTimeout time.Duration
+	// Now gives the present time.
+	Now func() time.Time
+	// Dial opens a connection; nil takes TCP.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+}
+
+// Client holds connections to endpoints; it is safe for concurrent use.
+type Client struct {
+	options Options
+	mutex   sync.Mutex
+	hosts   map[string]*host
+	dialed  uint64
+}
+
+// host is the connections to one incarnation of an endpoint.
+type host struct {
+	idle []*connection
+	open int
+	// retired hosts keep no connection after its exchange.
+	retired bool
+}
+
+// Target is where an exchange goes.
+type Target struct {
+	// Key names the incarnation; connections are never shared between keys.
+	Key     string
+	Address netip.AddrPort
+	// MaxConnections bounds the open connections of the key; 0 sets no bound.
+	MaxConnections int
+}
+
+// NewClient makes a client without connections.
+func NewClient(options Options) *Client {
+	if options.Dial == nil {
+		dialer := &net.Dialer{KeepAlive: -1}
+		options.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", address.String())
+		}
+	}
+	return &Client{options: options, hosts: make(map[string]*host)}
+}
+
+// Dialed gives the number of connections opened so far.
+func (c *Client) Dialed() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.dialed
+}
+
+// Retire closes the idle connections of a key and those in use after their exchange.
+func (c *Client) Retire(key string) {
+	c.mutex.Lock()
+	h, ok := c.hosts[key]
+	if !ok {
+		c.mutex.Unlock()
+		return
+	}
+	delete(c.hosts, key)
+	h.retired = true
+	idle := h.idle
+	h.idle = nil
+	h.open -= len(idle)
+	c.mutex.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+}
+
+// CloseIdle closes connections that have rested too long to be used again.
+func (c *Client) CloseIdle(now time.Time) {
+	var closing []*connection
+	c.mutex.Lock()
+	for _, h := range c.hosts {
+		kept := h.idle[:0]
+		for _, conn := range h.idle {
+			if conn.usable(now, c.options.MaxIdle) {
+				kept = append(kept, conn)
+				continue
+			}
+			closing = append(closing, conn)
+			h.open--
+		}
+		clear(h.idle[len(kept):])
+		h.idle = kept
+	}
+	c.mutex.Unlock()
+	for _, conn := range closing {
+		_ = conn.Close()
+	}
+}
+
+// acquire takes an idle connection or opens one.
+func (c *Client) acquire(ctx context.Context, target Target) (*connection, *host, error) {
+	now := c.options.Now()
+	c.mutex.Lock()
+	h, ok := c.hosts[target.Key]
+	if !ok {
+		h = &host{}
+		c.hosts[target.Key] = h
+	}
+	for len(h.idle) > 0 {
+		last := len(h.idle) - 1
+		conn := h.idle[last]
+		h.idle[last] = nil
+		h.idle = h.idle[:last]
+		if conn.usable(now, c.options.MaxIdle) {
+			c.mutex.Unlock()
+			return conn, h, nil
+		}
+		h.open--
+		_ = conn.Close()
+	}
+	if target.MaxConnections > 0 && h.open >= target.MaxConnections {
+		c.mutex.Unlock()
+		return nil, nil, ErrNoConnection
+	}
+	h.open++
+	c.dialed++
+	c.mutex.Unlock()
+	conn, err := c.dial(ctx, target.Address)
+	if err != nil {
+		c.discard(h, nil)
+		return nil, nil, err
+	}
+	return conn, h, nil
+}
+
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	defer cancel()
+	conn, err := c.options.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConnection(conn), nil
+}
+
+// release puts a connection back for the next exchange.
+func (c *Client) release(h *host, conn *connection) {
+	conn.idleSince = c.options.Now()
+	c.mutex.Lock()
+	if h.retired {
+		c.mutex.Unlock()
+		c.discard(h, conn)
+		return
+	}
+	h.idle = append(h.idle, conn)
+	c.mutex.Unlock()
+}
+
+// discard closes a connection and gives its place back.
+func (c *Client) discard(h *host, conn *connection) {
+	c.mutex.Lock()
+	h.open--
+	c.mutex.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/routers/gateway/server.go
@@ -0,0 +1,188 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Options are the settings of a Server.
+type Options struct {
+	Callers netip.AddrPort
+	Ready   netip.AddrPort
+	Metrics netip.AddrPort
+	// Handler serves callers; MetricsHandler serves figures.
+	Handler        http.Handler
+	MetricsHandler http.Handler
+	// IsReady answers the balancer's question.
+	IsReady func() bool
+	// Limits gives the limits in force; nil before a configuration is known.
+	Limits func() *deployment.Limits
+	Now    func() time.Time
+	Log    *logrus.Entry
+}
+
+const (
+	// headerTimeout and headerBytes hold until a configuration is known.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 32 << 10
+	// noticeTime is how long the balancer needs to see that this instance is not ready.
+	noticeTime = 2500 * time.Millisecond
+	// streamRefusalAfter is how long after the begin of a stop streams are still taken.
+	streamRefusalAfter = 2700 * time.Millisecond
+)
+
+// Server listens for callers, for the balancer and for metrics.
+type Server struct {
+	options  Options
+	callers  *http.Server
+	others   []*http.Server
+	idle     *idleCloser
+	stopping atomic.Int64
+	inFlight atomic.Int64
+}
+
+// New makes a server; Start begins to listen.
+func New(options Options) *Server {
+	s := &Server{options: options, idle: newIdleCloser(options.Limits)}
+	s.callers = &http.Server{
+		Handler: s.counted(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		IdleTimeout: -1, ConnState: s.idle.stateChanged, DisableGeneralOptionsHandler: true,
+	}
+	return s
+}
+
+// counted counts requests in flight, so that a stop can wait for them.
+func (s *Server) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// Start listens on all addresses.
+func (s *Server) Start() error {
+	if err := s.listen(s.callers, s.options.Callers); err != nil {
+		return err
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
+	if err := s.listen(ready, s.options.Ready); err != nil {
+		return err
+	}
+	s.others = append(s.others, ready)
+	if !s.options.Metrics.IsValid() || s.options.MetricsHandler == nil {
+		return nil
+	}
+	metrics := &http.Server{Handler: s.options.MetricsHandler, ReadHeaderTimeout: headerTimeout}
+	s.others = append(s.others, metrics)
+	return s.listen(metrics, s.options.Metrics)
+}
+
+func (s *Server) listen(server *http.Server, address netip.AddrPort) error {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.options.Log.WithError(err).WithField("address", address.String()).Error("listener ended")
+		}
+	}()
+	return nil
+}
+
+func (s *Server) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	if s.Leaving() || !s.options.IsReady() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// Leaving tells whether a stop has begun: connections close after their answer.
+func (s *Server) Leaving() bool {
+	return s.stopping.Load() != 0
+}
+
+// Refusing tells whether a new request could not be answered whole before the process ends.
+func (s *Server) Refusing(kind deployment.RouteKind) bool {
+	began := s.stopping.Load()
+	if began == 0 || kind != deployment.Streaming {
+		return false
+	}
+	return s.options.Now().Sub(time.Unix(0, began)) > streamRefusalAfter
+}
+
+// Stop says not ready, goes on serving until the balancer has noticed, then waits for what is
+// under way until the context ends.
+func (s *Server) Stop(ctx context.Context) {
+	s.stopping.Store(s.options.Now().UnixNano())
+	select {
+	case <-time.After(noticeTime):
+	case <-ctx.Done():
+	}
+	_ = s.callers.Shutdown(ctx)
+	for _, other := range s.others {
+		_ = other.Close()
+	}
+}
+
+// InFlight gives the number of requests that are being served.
+func (s *Server) InFlight() int64 {
+	return s.inFlight.Load()
+}
+
+// idleCloser closes callers' connections that rest longer than the configuration allows.
+type idleCloser struct {
+	limits func() *deployment.Limits
+	mutex  sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func newIdleCloser(limits func() *deployment.Limits) *idleCloser {
+	return &idleCloser{limits: limits, timers: make(map[net.Conn]*time.Timer)}
+}
+
+// idleDefault holds until a configuration is known.
+const idleDefault = 60 * time.Second
+
+func (c *idleCloser) stateChanged(conn net.Conn, state http.ConnState) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if timer, ok := c.timers[conn]; ok {
+		timer.Stop()
+		delete(c.timers, conn)
+	}
+	if state != http.StateIdle {
+		return
+	}
+	limit := idleDefault
+	if limits := c.limits(); limits != nil && limits.IdleTimeout > 0 {
+		limit = limits.IdleTimeout
+	}
+	c.timers[conn] = time.AfterFunc(limit, func() { c.close(conn) })
+}
+
+// close ends a connection that is still idle.
+func (c *idleCloser) close(conn net.Conn) {
+	c.mutex.Lock()
+	_, idle := c.timers[conn]
+	delete(c.timers, conn)
+	c.mutex.Unlock()
+	if idle {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/services/admission/decide.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// AdapterNotLoaded: the adapter will not be there in time.
+	AdapterNotLoaded Reason = "adapter not loaded"
+	// NoEndpoint: no endpoint of the service takes work.
+	NoEndpoint Reason = "no endpoint"
+)
+
+// Situation is what is known of a request that waits.
+type Situation struct {
+	Route    *deployment.Route
+	Arrived  time.Time
+	Deadline time.Time
+	// NoEndpoint says that no endpoint of the service takes work at all.
+	NoEndpoint bool
+	// Forecast is when the adapter is expected; zero if its load is not under way.
+	Forecast time.Time
+}
+
+// Decision is what becomes of the request.
+type Decision struct {
+	Wait       bool
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+const (
+	// patienceGap and the two factors are after which silence callers give a stream up: the
+	// longest of a span, of so many targets and of so many pauses.
+	patienceGap     = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+	// waitShare is the part of a caller's patience that may be spent on waiting.
+	waitShare = 0.7
+	// plainWait is how long a plain request waits for an endpoint.
+	plainWait = 100 * time.Millisecond
+	// retryPause is the least time after which a refused caller should come back.
+	retryPause = 400 * time.Millisecond
+)
+
+// Decide tells whether to wait on.
+func Decide(now time.Time, situation Situation) Decision {
+	waited := now.Sub(situation.Arrived)
+	limit := waitLimit(situation)
+	if waited < limit {
+		return Decision{Wait: true}
+	}
+	if situation.NoEndpoint {
+		return Decision{Reason: NoEndpoint, RetryAfter: retryPause}
+	}
+	return Decision{Reason: AdapterNotLoaded, RetryAfter: retryAfter(now, situation)}
+}
+
+func waitLimit(situation Situation) time.Duration {
+	remaining := situation.Deadline.Sub(situation.Arrived)
+	if situation.Route.Kind != deployment.Streaming {
+		return min(plainWait, remaining/4)
+	}
+	if situation.NoEndpoint {
+		return min(situation.Route.Target/4, remaining/4)
+	}
+	return min(time.Duration(float64(Patience(situation.Route))*waitShare), remaining/2)
+}
+
+// Patience is after how long a silence a caller gives a stream up.
+func Patience(route *deployment.Route) time.Duration {
+	return max(patienceGap, patienceTargets*route.Target, patiencePauses*route.PauseTarget)
+}
+
+func retryAfter(now time.Time, situation Situation) time.Duration {
+	if situation.Forecast.After(now) {
+		return max(retryPause, situation.Forecast.Sub(now)+retryPause/2)
+	}
+	return retryPause
+}
--- /dev/null
+++ b/services/balance/choose.go
@@ -0,0 +1,118 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/services/directory"
+)
+
+// Options are the settings of a choice.
+type Options struct {
+	// Zone is this instance's own.
+	Zone string
+	// ZonePenalty is how many requests in flight a crossing of zones weighs.
+	ZonePenalty float64
+	// PlainZonePenalty is the same for plain services.
+	PlainZonePenalty float64
+	// Random gives a number from 0 up to 1, to break ties.
+	Random func() float64
+}
+
+// Demand is what a request asks of an endpoint.
+type Demand struct {
+	Request *deployment.Request
+	// Version is the lowest version of the adapter that may run the request; 0 allows any.
+	Version int64
+	// Tried are endpoints that were sent the request already.
+	Tried []deployment.EndpointID
+}
+
+// Verdict says why no endpoint was chosen.
+type Verdict int
+
+// The verdicts of a choice.
+const (
+	// Chosen: an endpoint was found.
+	Chosen Verdict = iota
+	// NoEndpoint: no endpoint of the service takes work.
+	NoEndpoint
+	// NotResident: endpoints take work, but none holds the adapter.
+	NotResident
+)
+
+// Choose gives the endpoint for a request. Ejected endpoints are taken only where nothing
+// else can run it, or for a trial.
+func Choose(now time.Time, entries []*directory.Entry, demand Demand, options Options) (*directory.Entry, Verdict) {
+	verdict := NoEndpoint
+	var best, fallback *directory.Entry
+	bestCost, fallbackCost := 0.0, 0.0
+	for _, entry := range entries {
+		if entry.State != deployment.Ready || tried(demand.Tried, entry.ID) {
+			continue
+		}
+		verdict = NotResident
+		if demand.Request.UsesModel() && !entry.Holds(now, demand.Request.Adapter, demand.Version) {
+			continue
+		}
+		cost := cost(entry, demand.Request, options)
+		if entry.Health.Ejected(now) {
+			if fallback == nil || cost < fallbackCost {
+				fallback, fallbackCost = entry, cost
+			}
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = entry, cost
+		}
+	}
+	if best == nil {
+		best = fallback
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	return best, Chosen
+}
+
+func cost(entry *directory.Entry, request *deployment.Request, options Options) float64 {
+	cost := float64(entry.Load()) + options.Random()/2
+	if entry.Zone == options.Zone {
+		return cost
+	}
+	if request.UsesModel() {
+		return cost + options.ZonePenalty
+	}
+	return cost + options.PlainZonePenalty
+}
+
+func tried(list []deployment.EndpointID, id deployment.EndpointID) bool {
+	for _, other := range list {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ChooseBackend picks a service of a route by weight; random is from 0 up to 1.
+func ChooseBackend(route *deployment.Route, random float64) string {
+	total := 0.0
+	for _, backend := range route.Backends {
+		total += backend.Weight
+	}
+	rest := random * total
+	for _, backend := range route.Backends {
+		rest -= backend.Weight
+		if rest < 0 {
+			return backend.Service
+		}
+	}
+	if len(route.Backends) == 0 {
+		return ""
+	}
+	return route.Backends[len(route.Backends)-1].Service
+}
--- /dev/null
+++ b/services/coordinator/coordinator.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/store"
+	"github.com/shelfledge/shelfledge/services/directory"
+	"github.com/shelfledge/shelfledge/services/ownership"
+	"github.com/shelfledge/shelfledge/services/retry"
+)
+
+const (
+	// tickPace is how often time-bound decisions are looked at.
+	tickPace = 25 * time.Millisecond
+	// reportPace is the longest pause between two reports, and between two views.
+	reportPace = 250 * time.Millisecond
+	// plannerSilence is after how long without a view the planner counts as silent.
+	plannerSilence = 1200 * time.Millisecond
+	// readAgeLimit is the age of the planner's reading of endpoints beyond which an
+	// instance reads them itself.
+	readAgeLimit = 2500 * time.Millisecond
+)
+
+// serviceAdapter names an adapter of a service.
+type serviceAdapter struct {
+	service string
+	adapter deployment.Adapter
+}
+
+// namedVersion is a version that operators named.
+type namedVersion struct {
+	version int64
+	learned time.Time
+}
+
+// Coordinator is the control part of one process.
+type Coordinator struct {
+	options     Options
+	environment Environment
+	loop        *loop
+	context     context.Context
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
+
+	current atomic.Pointer[deployment.Configuration]
+	ready   atomic.Bool
+	leaving atomic.Bool
+
+	// What follows belongs to the control goroutine.
+	directory       *directory.Directory
+	endpointsKnown  bool
+	endpointsReadAt time.Time
+	items           map[string]store.Item
+	configurationAt int64
+	versions        map[deployment.Adapter]namedVersion
+	budget          *retry.Budget
+	waiters         []*waiter
+	arrivals        map[serviceAdapter]int
+	forecasts       map[serviceAdapter]time.Time
+	missing         []copyName
+	following       following
+	planning        *planning
+	// knownRecord is the ownership's record as last read.
+	knownRecord ownership.Record
+	// leadershipDue asks for a look at the record without delay.
+	leadershipDue bool
+	counters      counters
+}
+
+// New makes a coordinator; Start begins its work.
+func New(options Options, environment Environment) *Coordinator {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Coordinator{
+		options:     options,
+		environment: environment,
+		loop:        newLoop(options.Now),
+		context:     ctx,
+		cancel:      cancel,
+		directory:   directory.New(),
+		items:       make(map[string]store.Item),
+		versions:    make(map[deployment.Adapter]namedVersion),
+		budget:      retry.NewBudget(options.Retry, options.Now()),
+		arrivals:    make(map[serviceAdapter]int),
+		forecasts:   make(map[serviceAdapter]time.Time),
+	}
+}
+
+// Start begins to read the store, to listen to peers and to follow or become the planner.
+func (c *Coordinator) Start() error {
+	listener, err := c.environment.Listen(c.options.PeerAddress)
+	if err != nil {
+		return err
+	}
+	c.run(func() { c.loop.run(c.context.Done(), tickPace, c.tick) })
+	c.run(func() { c.servePeers(listener) })
+	c.run(c.followConfiguration)
+	c.run(c.followEndpoints)
+	c.run(c.followPlanner)
+	c.run(c.leadership)
+	return nil
+}
+
+func (c *Coordinator) run(task func()) {
+	c.tasks.Add(1)
+	go func() {
+		defer c.tasks.Done()
+		task()
+	}()
+}
+
+// Stop ends all work at once.
+func (c *Coordinator) Stop() {
+	c.cancel()
+	c.tasks.Wait()
+}
+
+// Configuration gives the configuration in force, or nil before the first one is known.
+func (c *Coordinator) Configuration() *deployment.Configuration {
+	return c.current.Load()
+}
+
+// Ready tells whether this instance knows enough to take requests.
+func (c *Coordinator) Ready() bool {
+	return c.ready.Load() && !c.leaving.Load()
+}
+
+func (c *Coordinator) tick(now time.Time) {
+	c.reviewWaiters(now)
+	if c.planning != nil {
+		c.plan(now)
+	}
+	if now.Sub(c.following.reported) >= reportPace {
+		c.sendReport(now)
+	}
+}
+
+// updateReady says ready once configuration and endpoints are known; it stays so.
+func (c *Coordinator) updateReady() {
+	if !c.ready.Load() && c.current.Load() != nil && c.endpointsKnown {
+		c.ready.Store(true)
+		c.options.Log.WithFields(map[string]any{
+			"configuration": c.current.Load().Version, "endpoints": c.directory.Size(),
+		}).Info("ready for requests")
+	}
+}
+
+// sleep waits for a span; false if the coordinator stops.
+func (c *Coordinator) sleep(span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.context.Done():
+		return false
+	}
+}
+
+// storeCall bounds one call to the store.
+func (c *Coordinator) storeCall() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.context, c.options.StoreTimeout)
+}
+
+func (c *Coordinator) jitter(span time.Duration) time.Duration {
+	return time.Duration(float64(span) * (0.5 + c.options.Random()))
+}
--- /dev/null
+++ b/services/coordinator/endpoints.go
@@ -0,0 +1,211 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/store"
+)
+
+const (
+	// endpointWatchWait is short, so that a watch which hangs is noticed soon.
+	endpointWatchWait = 4 * time.Second
+	// endpointWatchPause gathers changes into fewer calls.
+	endpointWatchPause = 450 * time.Millisecond
+	// endpointPollPause is the pause between readings while the planner is silent.
+	endpointPollPause = time.Second
+	// idlePause is how often an instance that follows looks whether the planner is silent.
+	idlePause = 200 * time.Millisecond
+)
+
+// readingMode is who reads the endpoints' keys for this instance.
+type readingMode int
+
+const (
+	// readByPlanner: the planner tells.
+	readByPlanner readingMode = iota
+	// readByPolling: the planner is silent or blind, so this instance reads by itself.
+	readByPolling
+	// readByWatching: this instance is the planner.
+	readByWatching
+)
+
+// followEndpoints reads the endpoints' keys once, and later as its mode demands.
+func (c *Coordinator) followEndpoints() {
+	watched := int64(0)
+	for c.context.Err() == nil {
+		switch c.readingMode() {
+		case readByPlanner:
+			watched = 0
+			c.sleep(idlePause)
+		case readByPolling:
+			watched = 0
+			if _, err := c.readEndpoints(); err != nil {
+				c.sleep(c.jitter(storeRetry))
+				continue
+			}
+			c.sleep(endpointPollPause)
+		case readByWatching:
+			watched = c.watchEndpoints(watched)
+		}
+	}
+}
+
+func (c *Coordinator) readingMode() readingMode {
+	mode := readByPolling
+	c.loop.call(func(now time.Time) {
+		switch {
+		case c.planning != nil:
+			mode = readByWatching
+		case c.endpointsKnown && c.following.fresh(now):
+			mode = readByPlanner
+		}
+	})
+	return mode
+}
+
+// readEndpoints reads all endpoints' keys and gives the revision to watch from.
+func (c *Coordinator) readEndpoints() (int64, error) {
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	sent := c.options.Now()
+	items, at, err := c.environment.Store.ReadAll(ctx, c.environment.EndpointPrefix)
+	if err != nil {
+		c.noteStore("read endpoints", err)
+		return 0, err
+	}
+	c.loop.post(func(now time.Time) { c.replaceEndpoints(now, sent, items, at) })
+	return at, nil
+}
+
+// watchEndpoints does one step of the planner's watch and gives the revision to go on from.
+func (c *Coordinator) watchEndpoints(after int64) int64 {
+	if after == 0 {
+		at, err := c.readEndpoints()
+		if err != nil {
+			c.sleep(c.jitter(storeRetry))
+			return 0
+		}
+		return at
+	}
+	sent := c.options.Now()
+	events, next, err := c.watch(c.environment.EndpointPrefix, after, endpointWatchWait)
+	if err != nil {
+		if !errors.Is(err, store.ErrCompacted) {
+			c.noteStore("watch endpoints", err)
+			c.sleep(c.jitter(storeRetry))
+		}
+		return 0
+	}
+	c.loop.post(func(now time.Time) { c.applyEndpointEvents(now, sent, events) })
+	if len(events) > 0 {
+		c.sleep(endpointWatchPause)
+	}
+	return next
+}
+
+// watch is one waiting call to the store.
+func (c *Coordinator) watch(prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	ctx, cancel := context.WithTimeout(c.context, wait+watchSlack)
+	defer cancel()
+	return c.environment.Store.Watch(ctx, prefix, after, wait)
+}
+
+func (c *Coordinator) replaceEndpoints(now, sent time.Time, items []store.Item, at int64) {
+	endpoints := make([]deployment.Endpoint, 0, len(items))
+	revisions := make([]int64, 0, len(items))
+	for _, item := range items {
+		endpoint, err := c.environment.ParseEndpoint(item)
+		if err != nil {
+			c.options.Log.WithError(err).WithField("key", item.Key).Warn("an endpoint's entry cannot be read")
+			continue
+		}
+		endpoints = append(endpoints, endpoint)
+		revisions = append(revisions, item.Revision)
+	}
+	before := c.endpointIDs()
+	c.directory.Replace(endpoints, revisions, at)
+	c.retireGone(before)
+	c.endpointsRead(now, sent)
+	if c.planning != nil {
+		c.planning.at = max(c.planning.at, at)
+	}
+	for id := range before {
+		if c.planning != nil && c.directory.Entry(id) == nil {
+			c.planning.removeEndpoint(id, at)
+		}
+	}
+	for _, endpoint := range endpoints {
+		c.endpointChanged(now, endpoint.ID)
+	}
+}
+
+func (c *Coordinator) applyEndpointEvents(now, sent time.Time, events []store.Event) {
+	for _, event := range events {
+		if event.Gone {
+			c.removeEndpoint(c.environment.EndpointOf(event.Key), event.Revision)
+			continue
+		}
+		endpoint, err := c.environment.ParseEndpoint(event.Item)
+		if err != nil {
+			c.options.Log.WithError(err).WithField("key", event.Key).Warn("an endpoint's entry cannot be read")
+			continue
+		}
+		if c.directory.Put(endpoint, event.Revision) {
+			c.endpointChanged(now, endpoint.ID)
+		}
+	}
+	c.endpointsRead(now, sent)
+}
+
+// endpointsRead notes that the endpoints are known as of the time a call was sent.
+func (c *Coordinator) endpointsRead(now, sent time.Time) {
+	c.endpointsKnown = true
+	if sent.After(c.endpointsReadAt) {
+		c.endpointsReadAt = sent
+	}
+	c.updateReady()
+	c.reviewWaiters(now)
+}
+
+// endpointChanged passes a changed description on to the plan.
+func (c *Coordinator) endpointChanged(now time.Time, id deployment.EndpointID) {
+	entry := c.directory.Entry(id)
+	if c.planning == nil || entry == nil {
+		return
+	}
+	c.planning.setEndpoint(now, entry.Endpoint)
+}
+
+func (c *Coordinator) removeEndpoint(id deployment.EndpointID, revision int64) {
+	if !c.directory.Remove(id, revision) {
+		return
+	}
+	c.options.Log.WithField("endpoint", id).Info("endpoint gone")
+	c.environment.Retire(id)
+	if c.planning != nil {
+		c.planning.removeEndpoint(id, revision)
+	}
+}
+
+func (c *Coordinator) endpointIDs() map[deployment.EndpointID]bool {
+	ids := make(map[deployment.EndpointID]bool, c.directory.Size())
+	for id := range c.directory.Entries() {
+		ids[id] = true
+	}
+	return ids
+}
+
+func (c *Coordinator) retireGone(before map[deployment.EndpointID]bool) {
+	for id := range before {
+		if c.directory.Entry(id) == nil {
+			c.options.Log.WithField("endpoint", id).Info("endpoint gone")
+			c.environment.Retire(id)
+		}
+	}
+}
--- /dev/null
+++ b/services/coordinator/leadership.go
@@ -0,0 +1,366 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/store"
+	"github.com/shelfledge/shelfledge/services/ownership"
+)
+
+const (
+	// leadershipPace is how often the ownership is looked at.
+	leadershipPace = 100 * time.Millisecond
+	// confirmPause is the pause between two confirming reads of the holder.
+	confirmPause = time.Second
+	// aliveLife is the life of the lease under the holder's sign of life.
+	aliveLife = 2500 * time.Millisecond
+	// lookPause is the pause between two looks at the record by an instance without planner.
+	lookPause = 500 * time.Millisecond
+	// takeoverSilence is after how long without the planner's word its record is looked at.
+	takeoverSilence = 1200 * time.Millisecond
+)
+
+// leadership runs beside the control goroutine: it keeps this instance's ownership, or looks
+// for a planner and takes the ownership where there is none.
+func (c *Coordinator) leadership() {
+	keeper := &keeper{coordinator: c}
+	for c.context.Err() == nil {
+		if c.holds() {
+			keeper.keep()
+		} else {
+			keeper.reset()
+			c.lookForPlanner(keeper)
+		}
+		c.sleep(leadershipPace)
+	}
+}
+
+func (c *Coordinator) holds() bool {
+	holds := false
+	c.loop.call(func(time.Time) { holds = c.planning != nil })
+	return holds
+}
+
+// keeper holds what the leadership goroutine remembers between two looks.
+type keeper struct {
+	coordinator *Coordinator
+	lease       int64
+	nextLook    time.Time
+	confirmedAt time.Time
+	started     time.Time
+}
+
+func (k *keeper) reset() {
+	k.lease = 0
+	k.confirmedAt = time.Time{}
+}
+
+// keep confirms the record, renews the sign of life and begins to order when the time has come.
+func (k *keeper) keep() {
+	c := k.coordinator
+	now := c.options.Now()
+	if now.Sub(k.confirmedAt) < confirmPause {
+		k.beginOrdering()
+		return
+	}
+	k.confirmedAt = now
+	k.renewSign()
+	k.confirm()
+	k.beginOrdering()
+}
+
+// renewSign keeps the lease of the sign of life, or makes a new one.
+func (k *keeper) renewSign() {
+	c := k.coordinator
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	if k.lease != noSuchTenure {
+		err := c.environment.Store.KeepLease(ctx, k.lease)
+		if !errors.Is(err, store.ErrLeaseGone) {
+			return
+		}
+	}
+	lease, err := c.environment.Store.GrantLease(ctx, aliveLife)
+	if err != nil {
+		c.noteStore("grant lease", err)
+		return
+	}
+	k.lease = lease
+	_, err = c.environment.Store.Commit(ctx, store.Transaction{
+		Writes: []store.Write{{Key: aliveKey, Value: []byte(c.options.Instance), Lease: lease}},
+	})
+	if err != nil {
+		c.noteStore("write sign of life", err)
+	}
+}
+
+func (k *keeper) confirm() {
+	c := k.coordinator
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	sent := c.options.Now()
+	item, err := c.environment.Store.Get(ctx, recordKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		c.noteStore("confirm ownership", err)
+	}
+	c.loop.call(func(time.Time) {
+		if c.planning == nil {
+			return
+		}
+		if err == nil {
+			c.planning.tenure.Confirm(sent, item.Revision)
+		}
+		c.endIfOver()
+	})
+}
+
+// endIfOver stops planning when another instance has the record. While the record only cannot
+// be confirmed, this instance orders nothing but still tells its members what it knows.
+func (c *Coordinator) endIfOver() {
+	if c.planning == nil || !c.planning.tenure.Over() {
+		return
+	}
+	c.options.Log.WithField("term", c.planning.tenure.Record().Term).Warn("planning ends: the ownership is lost")
+	for _, m := range c.planning.members {
+		if m.stream != nil {
+			m.stream.Close()
+		}
+	}
+	c.planning = nil
+	c.following = following{members: c.following.members, term: c.following.term}
+}
+
+// beginOrdering writes into the record that orders may follow, once the former holder's time
+// is surely over.
+func (k *keeper) beginOrdering() {
+	c := k.coordinator
+	var tenure *ownership.Tenure
+	c.loop.call(func(now time.Time) {
+		if c.planning != nil && c.planning.tenure.Waited(now) && !c.planning.tenure.Record().Ordering {
+			tenure = c.planning.tenure
+		}
+	})
+	if tenure == nil {
+		return
+	}
+	record := tenure.Record()
+	record.Ordering = true
+	c.rewriteRecord(tenure, record)
+}
+
+// rewriteRecord changes this holder's own record.
+func (c *Coordinator) rewriteRecord(tenure *ownership.Tenure, record ownership.Record) bool {
+	value, err := record.Encode()
+	if err != nil {
+		return false
+	}
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	sent := c.options.Now()
+	revision, err := c.environment.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: recordKey, Revision: tenure.Revision()}},
+		Writes:     []store.Write{{Key: recordKey, Value: value}},
+	})
+	if err != nil {
+		c.noteStore("rewrite ownership", err)
+		c.settleRewrite(tenure, record, err)
+		return false
+	}
+	c.loop.call(func(time.Time) { tenure.Rewrite(sent, record, revision) })
+	return true
+}
+
+// settleRewrite finds out whether a rewrite without an answer was done.
+func (c *Coordinator) settleRewrite(tenure *ownership.Tenure, record ownership.Record, cause error) {
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	sent := c.options.Now()
+	item, err := c.environment.Store.Get(ctx, recordKey)
+	if err != nil {
+		return
+	}
+	stored, err := ownership.DecodeRecord(item.Value)
+	if err != nil {
+		return
+	}
+	c.loop.call(func(time.Time) {
+		mine := stored.Holder == record.Holder && stored.Term == record.Term
+		switch {
+		case mine:
+			tenure.Rewrite(sent, stored, item.Revision)
+		case store.IsConflict(cause) || stored.Term > record.Term:
+			tenure.End()
+			c.endIfOver()
+		}
+	})
+}
+
+// lookForPlanner reads the record when no planner is heard, and takes the ownership where its
+// holder is gone.
+func (c *Coordinator) lookForPlanner(k *keeper) {
+	now := c.options.Now()
+	if k.started.IsZero() {
+		k.started = now
+	}
+	silentFor, due := c.plannerSilentFor(now, k.started)
+	if silentFor < takeoverSilence && !due && !k.nextLook.IsZero() {
+		return
+	}
+	if now.Before(k.nextLook) && !due {
+		return
+	}
+	k.nextLook = now.Add(c.jitter(lookPause))
+	record, revision, found, err := c.readRecord()
+	if err != nil {
+		c.noteStore("read ownership", err)
+		return
+	}
+	c.loop.call(func(time.Time) { c.noteRecord(record) })
+	if c.leaving.Load() || !c.ready.Load() {
+		return
+	}
+	switch {
+	case !found, record.Released:
+	case record.Holder == c.options.Instance:
+	case silentFor < takeoverSilence:
+		return
+	case c.planLives():
+		return
+	}
+	c.takeOwnership(record, revision, found)
+}
+
+// noteRecord remembers who plans; a link to a former planner ends.
+func (c *Coordinator) noteRecord(record ownership.Record) {
+	c.knownRecord = record
+	if c.following.stream != nil && record.Term > c.following.term {
+		c.following.stream.Close()
+		c.following.stream = nil
+	}
+}
+
+// plannerSilentFor tells for how long no planner was heard that could confirm its ownership,
+// and whether a look is due at once.
+func (c *Coordinator) plannerSilentFor(now, started time.Time) (time.Duration, bool) {
+	heard, due := started, false
+	c.loop.call(func(time.Time) {
+		confirmed := c.following.heard
+		if c.following.confirmedAge > c.options.Ownership.Window {
+			confirmed = confirmed.Add(-c.following.confirmedAge)
+		}
+		if confirmed.After(heard) {
+			heard = confirmed
+		}
+		due, c.leadershipDue = c.leadershipDue, false
+	})
+	return now.Sub(heard), due
+}
+
+func (c *Coordinator) readRecord() (record ownership.Record, revision int64, found bool, err error) {
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	item, err := c.environment.Store.Get(ctx, recordKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return record, 0, false, nil
+	}
+	if err != nil {
+		return record, 0, false, err
+	}
+	record, err = ownership.DecodeRecord(item.Value)
+	return record, item.Revision, true, err
+}
+
+// planLives tells whether the holder's sign of life is in the store, or cannot be looked for.
+func (c *Coordinator) planLives() bool {
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	_, err := c.environment.Store.Get(ctx, aliveKey)
+	return !errors.Is(err, store.ErrNotFound)
+}
+
+// takeOwnership writes this instance into the record if nobody changed it since it was read.
+func (c *Coordinator) takeOwnership(replaced ownership.Record, revision int64, found bool) {
+	record := ownership.Record{
+		Holder: c.options.Instance, Address: c.options.PeerAddress, Term: replaced.Term + 1, Former: replaced.Former,
+	}
+	if replaced.Ordering {
+		record.Former = replaced.Holder
+	}
+	value, err := record.Encode()
+	if err != nil {
+		return
+	}
+	wait := c.options.Ownership.Wait(c.options.Instance, replaced, found)
+	ctx, cancel := c.storeCall()
+	defer cancel()
+	sent := c.options.Now()
+	committed, err := c.environment.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: recordKey, Revision: revision}},
+		Writes:     []store.Write{{Key: recordKey, Value: value}},
+	})
+	if err != nil {
+		if !store.IsConflict(err) {
+			c.noteStore("take ownership", err)
+		}
+		return
+	}
+	c.loop.call(func(now time.Time) { c.beginPlanning(now, record, committed, sent, wait, replaced) })
+}
+
+func (c *Coordinator) beginPlanning(now time.Time, record ownership.Record, revision int64, sent time.Time, wait time.Duration, replaced ownership.Record) {
+	c.counters.takeovers++
+	c.options.Log.WithFields(map[string]any{
+		"term": record.Term, "wait": wait.String(), "replaced": replaced.Holder, "released": replaced.Released,
+	}).Info("planning begins")
+	tenure := ownership.Begin(c.options.Ownership, record, revision, sent, now, wait)
+	if c.following.stream != nil {
+		c.following.stream.Close()
+		c.following.stream = nil
+	}
+	c.planning = newPlanning(c, now, tenure, replaced.RecentLoads)
+}
+
+// Release hands the ownership over, if this instance has it: no more orders are sent, those
+// under way are awaited, and the record says that a successor need not wait.
+func (c *Coordinator) Release(ctx context.Context) {
+	c.leaving.Store(true)
+	var p *planning
+	c.loop.call(func(now time.Time) {
+		c.sendReport(now)
+		if p = c.planning; p != nil {
+			p.leaving = true
+		}
+	})
+	if p == nil {
+		return
+	}
+	for c.ordersUnderWay(p) && ctx.Err() == nil {
+		c.sleep(leadershipPace / 4)
+	}
+	record := p.tenure.Record()
+	record.Released = record.Ordering && !c.ordersUnderWay(p)
+	c.loop.call(func(now time.Time) { record.RecentLoads = p.recentLoads(now) })
+	if record.Released {
+		c.rewriteRecord(p.tenure, record)
+	}
+	c.loop.call(func(now time.Time) {
+		p.broadcast(now, true)
+		p.tenure.End()
+	})
+}
+
+func (c *Coordinator) ordersUnderWay(p *planning) bool {
+	underWay := false
+	c.loop.call(func(time.Time) { underWay = p.orders > 0 })
+	return underWay
+}
+
+// orderCall bounds one order, so that a later holder knows when the last one has arrived.
+func (c *Coordinator) orderCall() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.context, c.options.Ownership.OrderTimeout)
+}
--- /dev/null
+++ b/services/coordinator/message.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/store"
+)
+
+// message is what peers send each other; one field is set.
+type message struct {
+	Report  *report  `msgpack:"r,omitempty"`
+	View    *view    `msgpack:"v,omitempty"`
+	Request *request `msgpack:"q,omitempty"`
+}
+
+// request asks a peer for the configuration and for its word on the planner.
+type request struct {
+	Instance string `msgpack:"i"`
+}
+
+// report is what an instance tells the planner.
+type report struct {
+	Instance string `msgpack:"i"`
+	// WithdrawalsSeen is the last announcement of a withdrawal that the instance acts on.
+	WithdrawalsSeen uint64 `msgpack:"w"`
+	// ConfigurationAt is the newest revision of the configuration's keys that it knows.
+	ConfigurationAt int64           `msgpack:"c"`
+	InFlight        []endpointCount `msgpack:"f,omitempty"`
+	Demands         []adapterDemand `msgpack:"d,omitempty"`
+	// InUse are copies that it uses although they are withdrawn.
+	InUse    []copyName              `msgpack:"u,omitempty"`
+	Missing  []copyName              `msgpack:"m,omitempty"`
+	Suspects []deployment.EndpointID `msgpack:"s,omitempty"`
+	Items    []store.Item            `msgpack:"o,omitempty"`
+	Leaving  bool                    `msgpack:"l,omitempty"`
+}
+
+type endpointCount struct {
+	ID    deployment.EndpointID `msgpack:"e"`
+	Count int                   `msgpack:"n"`
+}
+
+type adapterDemand struct {
+	Service  string        `msgpack:"s"`
+	Model    string        `msgpack:"m"`
+	Name     string        `msgpack:"a"`
+	Waiting  int           `msgpack:"w,omitempty"`
+	InTime   time.Duration `msgpack:"t,omitempty"`
+	Arrivals int           `msgpack:"n,omitempty"`
+}
+
+type copyName struct {
+	ID    deployment.EndpointID `msgpack:"e"`
+	Model string                `msgpack:"m"`
+	Name  string                `msgpack:"a"`
+}
+
+// view is what the planner tells an instance.
+type view struct {
+	Planner string `msgpack:"p"`
+	Term    int64  `msgpack:"t"`
+	// Withdrawals is the number of the last announcement that this view contains.
+	Withdrawals uint64 `msgpack:"w"`
+	// ReadAge is how long ago the endpoints' keys were last known to be complete.
+	ReadAge time.Duration `msgpack:"g"`
+	// ConfirmedAge is how long ago the planner's ownership was confirmed.
+	ConfirmedAge time.Duration `msgpack:"k"`
+	// Full says that endpoints which are not listed are gone, as of revision At.
+	Full            bool            `msgpack:"x,omitempty"`
+	At              int64           `msgpack:"y,omitempty"`
+	Endpoints       []endpointView  `msgpack:"e,omitempty"`
+	Removed         []endpointGone  `msgpack:"d,omitempty"`
+	Totals          []endpointCount `msgpack:"f,omitempty"`
+	Forecasts       []forecast      `msgpack:"l,omitempty"`
+	Members         int             `msgpack:"n"`
+	ConfigurationAt int64           `msgpack:"c"`
+	Items           []store.Item    `msgpack:"o,omitempty"`
+	// Leaving says that the planner has released its ownership.
+	Leaving bool `msgpack:"b,omitempty"`
+}
+
+type endpointView struct {
+	ID       deployment.EndpointID    `msgpack:"i"`
+	Revision int64                    `msgpack:"r"`
+	Service  string                   `msgpack:"s"`
+	Address  netip.AddrPort           `msgpack:"a"`
+	Zone     string                   `msgpack:"z"`
+	Slots    int                      `msgpack:"n"`
+	State    deployment.EndpointState `msgpack:"t"`
+	Models   []string                 `msgpack:"m,omitempty"`
+	Adapters []adapterVersion         `msgpack:"d,omitempty"`
+}
+
+type adapterVersion struct {
+	Model   string `msgpack:"m"`
+	Name    string `msgpack:"a"`
+	Version int64  `msgpack:"v"`
+}
+
+type endpointGone struct {
+	ID       deployment.EndpointID `msgpack:"i"`
+	Revision int64                 `msgpack:"r"`
+}
+
+type forecast struct {
+	Service string        `msgpack:"s"`
+	Model   string        `msgpack:"m"`
+	Name    string        `msgpack:"a"`
+	Until   time.Duration `msgpack:"u"`
+}
+
+func toEndpointView(endpoint deployment.Endpoint, revision int64, adapters map[deployment.Adapter]int64) endpointView {
+	list := make([]adapterVersion, 0, len(adapters))
+	for adapter, version := range adapters {
+		list = append(list, adapterVersion{Model: adapter.Model, Name: adapter.Name, Version: version})
+	}
+	return endpointView{
+		ID: endpoint.ID, Revision: revision, Service: endpoint.Service, Address: endpoint.Address, Zone: endpoint.Zone,
+		Slots: endpoint.Slots, State: endpoint.State, Models: endpoint.Models, Adapters: list,
+	}
+}
+
+func (v *endpointView) endpoint() deployment.Endpoint {
+	adapters := make(map[deployment.Adapter]int64, len(v.Adapters))
+	for _, one := range v.Adapters {
+		adapters[deployment.Adapter{Model: one.Model, Name: one.Name}] = one.Version
+	}
+	return deployment.Endpoint{
+		ID: v.ID, Service: v.Service, Address: v.Address, Zone: v.Zone, Slots: v.Slots, State: v.State,
+		Models: v.Models, Adapters: adapters,
+	}
+}
--- /dev/null
+++ b/services/coordinator/options.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/store"
+	"github.com/shelfledge/shelfledge/services/loading"
+	"github.com/shelfledge/shelfledge/services/ownership"
+	"github.com/shelfledge/shelfledge/services/retry"
+)
+
+// Options are the settings of a Coordinator.
+type Options struct {
+	// Instance and Zone name this process's machine and its hall.
+	Instance string
+	Zone     string
+	// PeerAddress is where this process listens for its peers.
+	PeerAddress netip.AddrPort
+	// Seeds are peers that may know the configuration when the store does not answer.
+	Seeds []netip.AddrPort
+	// Retry is the budget of repeats.
+	Retry retry.Options
+	// Ownership bounds who may order.
+	Ownership ownership.Options
+	// LoadWindow, LoadTolerance and LoadSlack bound loads from the weight store.
+	LoadWindow    time.Duration
+	LoadTolerance float64
+	LoadSlack     float64
+	// VersionLimit is how long a request may still begin on an older version than named.
+	VersionLimit time.Duration
+	// StoreTimeout bounds one call to the store, apart from waiting watches.
+	StoreTimeout time.Duration
+	// Now gives the present time; Random a number from 0 up to 1.
+	Now    func() time.Time
+	Random func() float64
+	Log    *logrus.Entry
+}
+
+// Environment is the world around a Coordinator, as function fields.
+type Environment struct {
+	Store store.Client
+	// ConfigurationPrefix and EndpointPrefix are where the store keeps what operators and
+	// endpoints write.
+	ConfigurationPrefix string
+	EndpointPrefix      string
+	// ConfigurationKey holds the whole configuration.
+	ConfigurationKey string
+	// ParseConfiguration reads the value of ConfigurationKey.
+	ParseConfiguration func(value []byte) (*deployment.Configuration, error)
+	// ParseVersion reads a named version of an adapter; false if the key names none.
+	ParseVersion func(item store.Item) (deployment.Adapter, int64, bool)
+	// ParseEndpoint reads an endpoint's description.
+	ParseEndpoint func(item store.Item) (deployment.Endpoint, error)
+	// EndpointOf gives the endpoint that a key describes.
+	EndpointOf func(key string) deployment.EndpointID
+	// SendOrder sends one order under a term and gives its result.
+	SendOrder func(ctx context.Context, order loading.Order, holder string, term int64) loading.Result
+	// Dial and Listen connect peers.
+	Dial   func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Listen func(address netip.AddrPort) (net.Listener, error)
+	// Retire tells that an endpoint is gone, so that its connections can be closed.
+	Retire func(id deployment.EndpointID)
+}
+
+// The product's own keys in the store.
+const (
+	ownPrefix    = "shelfledge/"
+	recordKey    = ownPrefix + "planner"
+	aliveKey     = ownPrefix + "planner-alive"
+	noSuchTenure = 0
+)
--- /dev/null
+++ b/services/coordinator/planning.go
@@ -0,0 +1,345 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/peerstream"
+	"github.com/shelfledge/shelfledge/services/loading"
+	"github.com/shelfledge/shelfledge/services/ownership"
+)
+
+// planning is the state of the instance that holds the ownership.
+type planning struct {
+	coordinator *Coordinator
+	tenure      *ownership.Tenure
+	// at is the revision up to which the endpoints' keys were read.
+	at       int64
+	planners map[string]*loading.Planner
+	members  map[string]*member
+	removed  []endpointGone
+	changed  map[deployment.EndpointID]bool
+	// told is when the last view went to all.
+	told time.Time
+	// startRecent is what the former holder said of its loads.
+	startRecent int
+	leaving     bool
+	orders      int
+}
+
+// member is an instance that reports to this one.
+type member struct {
+	instance        string
+	stream          *peerstream.Stream[message]
+	heard           time.Time
+	lost            time.Time
+	withdrawalsSeen uint64
+	inUse           map[copyName]bool
+	inFlight        map[deployment.EndpointID]int
+	suspects        map[deployment.EndpointID]bool
+	configurationAt int64
+	behindSince     time.Time
+	needsFull       bool
+	leaving         bool
+}
+
+const (
+	// memberSilence is after how long without a report an instance counts as lost.
+	memberSilence = 1500 * time.Millisecond
+	// claimLife is how long a lost instance's requests may still use a withdrawn copy.
+	claimLife = 15 * time.Second
+)
+
+func newPlanning(c *Coordinator, now time.Time, tenure *ownership.Tenure, startRecent int) *planning {
+	p := &planning{
+		coordinator: c,
+		tenure:      tenure,
+		planners:    make(map[string]*loading.Planner),
+		members:     make(map[string]*member),
+		changed:     make(map[deployment.EndpointID]bool),
+		startRecent: startRecent,
+	}
+	if configuration := c.current.Load(); configuration != nil {
+		p.setConfiguration(now, configuration)
+	}
+	return p
+}
+
+// setConfiguration makes a plan for each service with engines.
+func (p *planning) setConfiguration(now time.Time, configuration *deployment.Configuration) {
+	for name, service := range configuration.Services {
+		if service.Engine == nil {
+			continue
+		}
+		if planner, ok := p.planners[name]; ok {
+			planner.SetEngine(*service.Engine)
+			continue
+		}
+		p.planners[name] = p.newPlanner(now, *service.Engine)
+	}
+	for name := range p.planners {
+		if _, ok := configuration.Services[name]; !ok {
+			delete(p.planners, name)
+		}
+	}
+	for _, entry := range p.coordinator.directory.Entries() {
+		p.setEndpoint(now, entry.Endpoint)
+	}
+	for adapter, named := range p.coordinator.versions {
+		p.setVersion(now, adapter, named.version)
+	}
+}
+
+func (p *planning) newPlanner(now time.Time, engine deployment.Engine) *loading.Planner {
+	options := p.coordinator.options
+	planner := loading.NewPlanner(engine, loading.Options{
+		Rate: loading.RateOptions{
+			PerSecond: engine.LoadsPerSecond, Window: options.LoadWindow, Tolerance: options.LoadTolerance, Slack: options.LoadSlack,
+		},
+		Random: options.Random,
+	})
+	planner.AssumeLoads(now, p.startRecent)
+	return planner
+}
+
+func (p *planning) setVersion(now time.Time, adapter deployment.Adapter, version int64) {
+	for name, planner := range p.planners {
+		if p.hasModel(name, adapter.Model) {
+			planner.SetVersion(now, adapter, version)
+		}
+	}
+}
+
+func (p *planning) hasModel(service, model string) bool {
+	configuration := p.coordinator.current.Load()
+	if configuration == nil || configuration.Services[service] == nil || configuration.Services[service].Engine == nil {
+		return false
+	}
+	for _, one := range configuration.Services[service].Engine.Models {
+		if one.Name == model {
+			return true
+		}
+	}
+	return false
+}
+
+// setEndpoint passes a description on to its service's plan and marks it for the next view.
+func (p *planning) setEndpoint(now time.Time, endpoint deployment.Endpoint) {
+	p.changed[endpoint.ID] = true
+	planner, ok := p.planners[endpoint.Service]
+	if !ok {
+		return
+	}
+	planner.SetEndpoint(now, endpoint, p.suspect(now, endpoint.ID))
+	p.publishCopies(endpoint.ID, planner)
+}
+
+// publishCopies makes the plan's copies this instance's own view of an endpoint.
+func (p *planning) publishCopies(id deployment.EndpointID, planner *loading.Planner) {
+	usable, _ := planner.Copies(id)
+	p.coordinator.directory.SetAdapters(id, usable)
+	p.changed[id] = true
+}
+
+func (p *planning) removeEndpoint(id deployment.EndpointID, revision int64) {
+	for _, planner := range p.planners {
+		planner.RemoveEndpoint(id)
+	}
+	delete(p.changed, id)
+	p.removed = append(p.removed, endpointGone{ID: id, Revision: revision})
+}
+
+// suspect tells whether an endpoint is bad for more than one instance, or for the only one.
+func (p *planning) suspect(now time.Time, id deployment.EndpointID) bool {
+	votes := 0
+	if entry := p.coordinator.directory.Entry(id); entry != nil && entry.Health.Ejected(now) {
+		votes++
+	}
+	for _, m := range p.members {
+		if m.suspects[id] {
+			votes++
+		}
+	}
+	return votes >= min(2, len(p.members)+1)
+}
+
+// plan starts all orders that may be sent now and tells the members what changed.
+func (c *Coordinator) plan(now time.Time) {
+	p := c.planning
+	if p == nil {
+		return
+	}
+	p.dropLost(now)
+	p.confirmWithdrawals(now)
+	for _, planner := range p.planners {
+		for !p.leaving && p.tenure.MayOrder(now) {
+			order, ok := planner.Next(now)
+			if !ok {
+				break
+			}
+			c.startOrder(order)
+		}
+		for _, id := range planner.TakeChanges() {
+			p.publishCopies(id, planner)
+		}
+	}
+	p.broadcast(now, now.Sub(p.told) >= reportPace)
+	c.reviewWaiters(now)
+}
+
+// startOrder sends an order beside the control goroutine.
+func (c *Coordinator) startOrder(order loading.Order) {
+	p := c.planning
+	p.orders++
+	term := p.tenure.Record().Term
+	c.counters.orders++
+	if !order.Poll {
+		c.options.Log.WithFields(map[string]any{
+			"kind": order.Kind.String(), "endpoint": order.Endpoint.ID, "adapter": order.Adapter.String(),
+			"sequence": order.ExpectedSequence, "term": term,
+		}).Info("order")
+	}
+	c.run(func() {
+		started := c.options.Now()
+		result := c.sendOrder(order, p, term)
+		result.Took = c.options.Now().Sub(started)
+		c.loop.post(func(now time.Time) { c.orderDone(now, p, result) })
+	})
+}
+
+// sendOrder looks at the tenure once more right before the order goes out.
+func (c *Coordinator) sendOrder(order loading.Order, p *planning, term int64) loading.Result {
+	allowed := false
+	c.loop.call(func(now time.Time) { allowed = c.planning == p && p.tenure.MayOrder(now) })
+	if !allowed {
+		return loading.Result{Order: order, Reply: loading.NotDelivered}
+	}
+	ctx, cancel := c.orderCall()
+	defer cancel()
+	return c.environment.SendOrder(ctx, order, c.options.Instance, term)
+}
+
+func (c *Coordinator) orderDone(now time.Time, p *planning, result loading.Result) {
+	p.orders--
+	if c.planning != p {
+		return
+	}
+	planner, ok := p.planners[result.Order.Endpoint.Service]
+	if !ok {
+		return
+	}
+	if result.Reply != loading.Holds && result.Reply != loading.Accepted && result.Reply != loading.Inspected {
+		c.counters.ordersFailed++
+		c.options.Log.WithFields(map[string]any{
+			"kind": result.Order.Kind.String(), "endpoint": result.Order.Endpoint.ID, "adapter": result.Order.Adapter.String(),
+			"reply": result.Reply.String(), "poll": result.Order.Poll, "sequence": result.Order.ExpectedSequence,
+		}).Warn("order not taken")
+	}
+	planner.Done(now, result)
+	c.plan(now)
+}
+
+func (p *planning) dropLost(now time.Time) {
+	for name, m := range p.members {
+		if m.lost.IsZero() && now.Sub(m.heard) > memberSilence {
+			m.lost = now
+			for _, planner := range p.planners {
+				planner.ForgetInstance(name)
+			}
+		}
+		if !m.lost.IsZero() && (m.leaving || now.Sub(m.lost) > claimLife) {
+			delete(p.members, name)
+		}
+	}
+}
+
+// confirmWithdrawals lets copies be unloaded that no instance uses any more.
+func (p *planning) confirmWithdrawals(now time.Time) {
+	for _, planner := range p.planners {
+		planner.ConfirmUnused(now, func(id deployment.EndpointID, adapter deployment.Adapter, withdrawal uint64) bool {
+			if entry := p.coordinator.directory.Entry(id); entry != nil && entry.OwnByAdapter[adapter] > 0 {
+				return false
+			}
+			for _, m := range p.members {
+				if m.withdrawalsSeen < withdrawal || m.inUse[copyName{ID: id, Model: adapter.Model, Name: adapter.Name}] {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// takeReport takes in one instance's report; this instance's own has no member.
+func (p *planning) takeReport(now time.Time, r *report) {
+	if m, ok := p.members[r.Instance]; ok {
+		p.updateMember(now, m, r)
+	}
+	byService := make(map[string][]loading.Demand)
+	for _, one := range r.Demands {
+		byService[one.Service] = append(byService[one.Service], loading.Demand{
+			Adapter: deployment.Adapter{Model: one.Model, Name: one.Name},
+			Waiting: one.Waiting, InTime: one.InTime, Arrivals: one.Arrivals,
+		})
+	}
+	for name, planner := range p.planners {
+		planner.Report(now, r.Instance, byService[name])
+	}
+	for _, copied := range r.Missing {
+		for _, planner := range p.planners {
+			planner.NoteMissing(copied.ID)
+		}
+	}
+}
+
+func (p *planning) updateMember(now time.Time, m *member, r *report) {
+	m.heard = now
+	m.lost = time.Time{}
+	m.withdrawalsSeen = r.WithdrawalsSeen
+	m.configurationAt = r.ConfigurationAt
+	m.leaving = r.Leaving
+	m.inUse = make(map[copyName]bool, len(r.InUse))
+	for _, used := range r.InUse {
+		m.inUse[used] = true
+	}
+	m.inFlight = make(map[deployment.EndpointID]int, len(r.InFlight))
+	for _, one := range r.InFlight {
+		m.inFlight[one.ID] = one.Count
+	}
+	former := m.suspects
+	m.suspects = make(map[deployment.EndpointID]bool, len(r.Suspects))
+	for _, id := range r.Suspects {
+		m.suspects[id] = true
+	}
+	for id := range former {
+		if !m.suspects[id] {
+			p.refreshSuspicion(now, id)
+		}
+	}
+	for id := range m.suspects {
+		if !former[id] {
+			p.refreshSuspicion(now, id)
+		}
+	}
+	p.coordinator.applyItems(now, r.Items)
+}
+
+func (p *planning) refreshSuspicion(now time.Time, id deployment.EndpointID) {
+	if entry := p.coordinator.directory.Entry(id); entry != nil {
+		if planner, ok := p.planners[entry.Service]; ok {
+			planner.SetSuspect(id, p.suspect(now, id))
+		}
+	}
+}
+
+// recentLoads gives the loads begun in the last window, over all services.
+func (p *planning) recentLoads(now time.Time) int {
+	count := 0
+	for _, planner := range p.planners {
+		count = max(count, planner.RecentLoads(now))
+	}
+	return count
+}
--- /dev/null
+++ b/services/coordinator/reporting.go
@@ -0,0 +1,256 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/peerstream"
+)
+
+// following is what an instance keeps of its link to the planner.
+type following struct {
+	stream  *peerstream.Stream[message]
+	planner string
+	term    int64
+	// heard is when the last view came, and readAge how old its reading of endpoints was.
+	heard   time.Time
+	readAge time.Duration
+	// confirmedAge is how long before that the planner's ownership was confirmed.
+	confirmedAge time.Duration
+	members      int
+	// withdrawals is the last announcement taken in.
+	withdrawals uint64
+	// reported is when the last report went out, and own what it said was in flight.
+	reported time.Time
+	own      map[deployment.EndpointID]int
+	// behindSince is when the planner was first seen to lack newer configuration keys.
+	behindSince time.Time
+	plannerAt   int64
+}
+
+// fresh tells whether the planner's word on endpoints can be relied on.
+func (f *following) fresh(now time.Time) bool {
+	return now.Sub(f.heard) < plannerSilence && f.readAge+now.Sub(f.heard) < readAgeLimit
+}
+
+// dialPause is the pause before the planner is looked for again.
+const dialPause = 150 * time.Millisecond
+
+// followPlanner keeps the link to the planner.
+func (c *Coordinator) followPlanner() {
+	for c.context.Err() == nil {
+		address, ok := c.plannerAddress()
+		if !ok {
+			c.sleep(dialPause)
+			continue
+		}
+		c.followAt(address)
+		c.sleep(c.jitter(dialPause))
+	}
+}
+
+// plannerAddress gives where another instance plans; false if none is known.
+func (c *Coordinator) plannerAddress() (netip.AddrPort, bool) {
+	var address netip.AddrPort
+	c.loop.call(func(time.Time) {
+		if c.planning == nil {
+			address = c.knownRecord.Address
+		}
+	})
+	return address, address.IsValid() && address != c.options.PeerAddress
+}
+
+// followAt holds one link until it fails or falls silent.
+func (c *Coordinator) followAt(address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(c.context, plannerSilence)
+	conn, err := c.environment.Dial(ctx, address)
+	cancel()
+	if err != nil {
+		return
+	}
+	stream := peerstream.New[message](conn)
+	defer stream.Close()
+	stopped := context.AfterFunc(c.context, stream.Close)
+	defer stopped()
+	c.loop.call(func(now time.Time) {
+		c.following.stream = stream
+		c.following.own = nil
+		c.sendReport(now)
+	})
+	for {
+		received, err := stream.Receive(plannerSilence, c.options.Now)
+		if err != nil {
+			break
+		}
+		if received.View != nil {
+			c.loop.post(func(now time.Time) { c.applyView(now, stream, received.View) })
+		}
+	}
+	c.loop.call(func(time.Time) {
+		if c.following.stream == stream {
+			c.following.stream = nil
+		}
+	})
+}
+
+// sendReport tells the planner, or this instance's own plan, what is asked here.
+func (c *Coordinator) sendReport(now time.Time) {
+	if c.planning == nil && c.following.stream == nil {
+		c.following.reported = now
+		return
+	}
+	built := c.buildReport(now)
+	c.following.reported = now
+	if c.planning != nil {
+		c.planning.takeReport(now, built)
+		c.plan(now)
+		return
+	}
+	if err := c.following.stream.Send(message{Report: built}); err != nil {
+		c.counters.reportsDropped++
+	}
+}
+
+func (c *Coordinator) buildReport(now time.Time) *report {
+	built := &report{
+		Instance: c.options.Instance, WithdrawalsSeen: c.following.withdrawals, ConfigurationAt: c.configurationAt,
+		Demands: c.buildDemands(now), Missing: c.missing, Leaving: c.leaving.Load(),
+	}
+	c.missing = nil
+	c.following.own = make(map[deployment.EndpointID]int, c.directory.Size())
+	for id, entry := range c.directory.Entries() {
+		if entry.Own > 0 {
+			built.InFlight = append(built.InFlight, endpointCount{ID: id, Count: entry.Own})
+			c.following.own[id] = entry.Own
+		}
+		if entry.Health.Ejected(now) {
+			built.Suspects = append(built.Suspects, id)
+		}
+		for adapter := range entry.OwnByAdapter {
+			if _, offered := entry.Adapters[adapter]; !offered {
+				built.InUse = append(built.InUse, copyName{ID: id, Model: adapter.Model, Name: adapter.Name})
+			}
+		}
+	}
+	if c.plannerLags(now) {
+		built.Items = c.newerItems(c.following.plannerAt)
+	}
+	return built
+}
+
+// relayAfter is how long a peer may lack newer configuration keys before they are sent to it.
+const relayAfter = 400 * time.Millisecond
+
+// plannerLags tells whether the planner has lacked newer configuration keys for long enough.
+func (c *Coordinator) plannerLags(now time.Time) bool {
+	if c.following.plannerAt >= c.configurationAt || c.following.stream == nil {
+		c.following.behindSince = time.Time{}
+		return false
+	}
+	if c.following.behindSince.IsZero() {
+		c.following.behindSince = now
+	}
+	return now.Sub(c.following.behindSince) > relayAfter
+}
+
+func (c *Coordinator) buildDemands(now time.Time) []adapterDemand {
+	demands := make(map[serviceAdapter]*adapterDemand, len(c.arrivals)+len(c.waiters))
+	demandOf := func(key serviceAdapter) *adapterDemand {
+		one, ok := demands[key]
+		if !ok {
+			one = &adapterDemand{Service: key.service, Model: key.adapter.Model, Name: key.adapter.Name}
+			demands[key] = one
+		}
+		return one
+	}
+	for key, count := range c.arrivals {
+		if !key.adapter.IsZero() {
+			demandOf(key).Arrivals = count
+		}
+	}
+	clear(c.arrivals)
+	for _, w := range c.waiters {
+		if w.request.Adapter.IsZero() {
+			continue
+		}
+		one := demandOf(serviceAdapter{w.request.Service, w.request.Adapter})
+		one.Waiting++
+		inTime := w.request.Arrived.Add(w.request.Route.Target).Sub(now)
+		if one.Waiting == 1 || inTime > one.InTime {
+			one.InTime = inTime
+		}
+	}
+	list := make([]adapterDemand, 0, len(demands))
+	for _, one := range demands {
+		list = append(list, *one)
+	}
+	return list
+}
+
+// applyView takes in the planner's word.
+func (c *Coordinator) applyView(now time.Time, stream *peerstream.Stream[message], v *view) {
+	if c.following.stream != stream || v.Term < c.following.term || c.planning != nil {
+		return
+	}
+	c.following.planner = v.Planner
+	c.following.term = v.Term
+	c.following.heard = now
+	c.following.readAge = v.ReadAge
+	c.following.confirmedAge = v.ConfirmedAge
+	c.following.members = v.Members
+	c.following.plannerAt = v.ConfigurationAt
+	c.budget.SetMembers(v.Members)
+	c.applyItems(now, v.Items)
+	c.applyViewEndpoints(v)
+	for _, entry := range c.directory.Entries() {
+		entry.Others = 0
+	}
+	for _, total := range v.Totals {
+		if entry := c.directory.Entry(total.ID); entry != nil {
+			entry.Others = max(0, total.Count-c.following.own[total.ID])
+		}
+	}
+	clear(c.forecasts)
+	for _, one := range v.Forecasts {
+		c.forecasts[serviceAdapter{one.Service, deployment.Adapter{Model: one.Model, Name: one.Name}}] = now.Add(one.Until)
+	}
+	announced := v.Withdrawals > c.following.withdrawals || v.Full
+	c.following.withdrawals = v.Withdrawals
+	if announced {
+		c.sendReport(now)
+	}
+	if v.Leaving {
+		c.following.heard = time.Time{}
+		c.leadershipDue = true
+	}
+	c.reviewWaiters(now)
+}
+
+func (c *Coordinator) applyViewEndpoints(v *view) {
+	listed := make(map[deployment.EndpointID]bool, len(v.Endpoints))
+	for i := range v.Endpoints {
+		one := &v.Endpoints[i]
+		listed[one.ID] = true
+		c.directory.Put(one.endpoint(), one.Revision)
+	}
+	for _, gone := range v.Removed {
+		c.removeEndpoint(gone.ID, gone.Revision)
+	}
+	if !v.Full {
+		return
+	}
+	for id := range c.endpointIDs() {
+		if !listed[id] {
+			c.removeEndpoint(id, v.At)
+		}
+	}
+	if v.At > 0 {
+		c.endpointsKnown = true
+		c.updateReady()
+	}
+}
--- /dev/null
+++ b/services/coordinator/viewing.go
@@ -0,0 +1,237 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"net"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/peerstream"
+	"github.com/shelfledge/shelfledge/modules/store"
+)
+
+// servePeers takes the links of instances that follow this one.
+func (c *Coordinator) servePeers(listener net.Listener) {
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-c.context.Done():
+		case <-stop:
+		}
+		_ = listener.Close()
+	}()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if c.context.Err() != nil {
+				return
+			}
+			c.sleep(dialPause)
+			continue
+		}
+		c.run(func() { c.servePeer(conn) })
+	}
+}
+
+// servePeer reads one instance's reports until it falls silent.
+func (c *Coordinator) servePeer(conn net.Conn) {
+	stream := peerstream.New[message](conn)
+	defer stream.Close()
+	go func() {
+		<-c.context.Done()
+		stream.Close()
+	}()
+	for {
+		received, err := stream.Receive(memberSilence, c.options.Now)
+		if err != nil {
+			break
+		}
+		planning := true
+		if received.Report != nil {
+			c.loop.call(func(now time.Time) { planning = c.takePeerReport(now, stream, received.Report) })
+		}
+		if received.Request != nil {
+			c.loop.call(func(now time.Time) { c.answerRequest(now, stream) })
+		}
+		if !planning {
+			break
+		}
+	}
+	c.loop.post(func(now time.Time) { c.peerLost(now, stream) })
+}
+
+// takePeerReport takes a report in if this instance plans.
+func (c *Coordinator) takePeerReport(now time.Time, stream *peerstream.Stream[message], r *report) bool {
+	if c.planning == nil {
+		return false
+	}
+	m, ok := c.planning.members[r.Instance]
+	if !ok {
+		m = &member{instance: r.Instance}
+		c.planning.members[r.Instance] = m
+	}
+	if m.stream != stream {
+		m.stream = stream
+		m.needsFull = true
+	}
+	c.planning.takeReport(now, r)
+	c.plan(now)
+	return true
+}
+
+// answerRequest tells a peer the operators' keys that are known here.
+func (c *Coordinator) answerRequest(now time.Time, stream *peerstream.Stream[message]) {
+	_ = stream.Send(message{View: &view{
+		Planner: c.following.planner, Items: c.newerItems(0), ConfigurationAt: c.configurationAt, ReadAge: now.Sub(c.endpointsReadAt),
+	}})
+}
+
+func (c *Coordinator) peerLost(now time.Time, stream *peerstream.Stream[message]) {
+	if c.planning == nil {
+		return
+	}
+	for _, m := range c.planning.members {
+		if m.stream == stream {
+			m.stream = nil
+			m.heard = now.Add(-memberSilence)
+		}
+	}
+}
+
+// broadcast tells all members what changed; with everything due, also those it changed nothing for.
+func (p *planning) broadcast(now time.Time, due bool) {
+	if !due && len(p.changed) == 0 && len(p.removed) == 0 && !p.anyNeedsFull() {
+		return
+	}
+	if due {
+		p.told = now
+	}
+	totals := p.totals()
+	p.applyTotals(totals)
+	changes := p.baseView(now, totals)
+	for id := range p.changed {
+		if entry := p.coordinator.directory.Entry(id); entry != nil {
+			changes.Endpoints = append(changes.Endpoints, toEndpointView(entry.Endpoint, entry.Revision, entry.Adapters))
+		}
+	}
+	changes.Removed = p.removed
+	for _, m := range p.members {
+		if m.stream != nil {
+			p.tell(now, m, changes, totals)
+		}
+	}
+	clear(p.changed)
+	p.removed = nil
+}
+
+func (p *planning) tell(now time.Time, m *member, changes *view, totals []endpointCount) {
+	told := changes
+	if m.needsFull {
+		told = p.fullView(now, totals)
+		m.needsFull = false
+	}
+	if items := p.itemsFor(now, m); len(items) > 0 {
+		withItems := *told
+		withItems.Items = items
+		told = &withItems
+	}
+	if err := m.stream.Send(message{View: told}); err != nil {
+		m.stream = nil
+	}
+}
+
+// itemsFor gives the operators' keys that a member has lacked for long enough.
+func (p *planning) itemsFor(now time.Time, m *member) []store.Item {
+	if m.configurationAt >= p.coordinator.configurationAt {
+		m.behindSince = time.Time{}
+		return nil
+	}
+	if m.behindSince.IsZero() {
+		m.behindSince = now
+	}
+	if now.Sub(m.behindSince) < relayAfter {
+		return nil
+	}
+	return p.coordinator.newerItems(m.configurationAt)
+}
+
+func (p *planning) anyNeedsFull() bool {
+	for _, m := range p.members {
+		if m.needsFull && m.stream != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *planning) baseView(now time.Time, totals []endpointCount) *view {
+	v := &view{
+		Planner: p.coordinator.options.Instance, Term: p.tenure.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
+		Totals: totals, Members: p.memberCount(), ConfigurationAt: p.coordinator.configurationAt, Leaving: p.leaving,
+		ConfirmedAge: p.tenure.Age(now),
+	}
+	clear(p.coordinator.forecasts)
+	for name, planner := range p.planners {
+		v.Withdrawals = max(v.Withdrawals, planner.Withdrawals())
+		for _, one := range planner.Forecasts(now) {
+			v.Forecasts = append(v.Forecasts, forecast{Service: name, Model: one.Adapter.Model, Name: one.Adapter.Name, Until: one.Until})
+			p.coordinator.forecasts[serviceAdapter{name, one.Adapter}] = now.Add(one.Until)
+		}
+	}
+	return v
+}
+
+func (p *planning) fullView(now time.Time, totals []endpointCount) *view {
+	v := p.baseView(now, totals)
+	v.Full = p.coordinator.endpointsKnown
+	v.At = p.at
+	for _, entry := range p.coordinator.directory.Entries() {
+		v.Endpoints = append(v.Endpoints, toEndpointView(entry.Endpoint, entry.Revision, entry.Adapters))
+	}
+	return v
+}
+
+// memberCount is the number of instances that share the fleet's bounds, this one included.
+func (p *planning) memberCount() int {
+	return len(p.members) + 1
+}
+
+// totals sums the requests in flight over all instances.
+func (p *planning) totals() []endpointCount {
+	sums := make(map[deployment.EndpointID]int, p.coordinator.directory.Size())
+	for id, entry := range p.coordinator.directory.Entries() {
+		sums[id] += entry.Own
+	}
+	for _, m := range p.members {
+		if !m.lost.IsZero() {
+			continue
+		}
+		for id, count := range m.inFlight {
+			sums[id] += count
+		}
+	}
+	list := make([]endpointCount, 0, len(sums))
+	for id, count := range sums {
+		if count > 0 {
+			list = append(list, endpointCount{ID: id, Count: count})
+		}
+	}
+	return list
+}
+
+func (p *planning) applyTotals(totals []endpointCount) {
+	c := p.coordinator
+	for _, entry := range c.directory.Entries() {
+		entry.Others = 0
+	}
+	for _, total := range totals {
+		if entry := c.directory.Entry(total.ID); entry != nil {
+			entry.Others = max(0, total.Count-entry.Own)
+		}
+	}
+	c.following.members = p.memberCount()
+	c.budget.SetMembers(p.memberCount())
+}
--- /dev/null
+++ b/services/directory/directory.go
@@ -0,0 +1,178 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Directory holds all endpoints; it is not safe for concurrent use.
+type Directory struct {
+	entries   map[deployment.EndpointID]*Entry
+	byService map[string][]*Entry
+	// gone remembers removed endpoints' revisions, so that an older description does not
+	// bring them back.
+	gone map[deployment.EndpointID]int64
+	// draining remembers who was seen draining: an incarnation never takes work again.
+	draining map[deployment.EndpointID]bool
+}
+
+// New makes an empty directory.
+func New() *Directory {
+	return &Directory{
+		entries:   make(map[deployment.EndpointID]*Entry),
+		byService: make(map[string][]*Entry),
+		gone:      make(map[deployment.EndpointID]int64),
+		draining:  make(map[deployment.EndpointID]bool),
+	}
+}
+
+// Put takes in a description, unless a newer one or a later removal is known. It tells
+// whether anything changed.
+func (d *Directory) Put(endpoint deployment.Endpoint, revision int64) bool {
+	if d.gone[endpoint.ID] >= revision && revision > 0 {
+		return false
+	}
+	if endpoint.State == deployment.Draining {
+		d.draining[endpoint.ID] = true
+	}
+	if d.draining[endpoint.ID] {
+		endpoint.State = deployment.Draining
+	}
+	entry, ok := d.entries[endpoint.ID]
+	if !ok {
+		entry = newEntry(endpoint, revision)
+		d.entries[endpoint.ID] = entry
+		d.byService[endpoint.Service] = append(d.byService[endpoint.Service], entry)
+		return true
+	}
+	if revision < entry.Revision {
+		if endpoint.State == deployment.Draining && entry.State != deployment.Draining {
+			entry.State = deployment.Draining
+			return true
+		}
+		return false
+	}
+	entry.Endpoint = endpoint
+	entry.Revision = revision
+	return true
+}
+
+// Remove forgets an endpoint that was gone at a revision.
+func (d *Directory) Remove(id deployment.EndpointID, revision int64) bool {
+	entry, ok := d.entries[id]
+	if ok && entry.Revision > revision {
+		return false
+	}
+	d.gone[id] = max(d.gone[id], revision)
+	if !ok {
+		return false
+	}
+	delete(d.entries, id)
+	list := d.byService[entry.Service]
+	for i, other := range list {
+		if other == entry {
+			d.byService[entry.Service] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	return true
+}
+
+// Replace takes a whole list as read at a revision: what it lacks is gone.
+func (d *Directory) Replace(endpoints []deployment.Endpoint, revisions []int64, at int64) {
+	listed := make(map[deployment.EndpointID]bool, len(endpoints))
+	for i, endpoint := range endpoints {
+		listed[endpoint.ID] = true
+		d.Put(endpoint, revisions[i])
+	}
+	for id := range d.entries {
+		if !listed[id] {
+			d.Remove(id, at)
+		}
+	}
+}
+
+// Entry gives one endpoint, or nil.
+func (d *Directory) Entry(id deployment.EndpointID) *Entry {
+	return d.entries[id]
+}
+
+// Service gives the endpoints of a service.
+func (d *Directory) Service(service string) []*Entry {
+	return d.byService[service]
+}
+
+// Entries gives all endpoints by name; the caller must not change the map.
+func (d *Directory) Entries() map[deployment.EndpointID]*Entry {
+	return d.entries
+}
+
+// Size gives the number of endpoints.
+func (d *Directory) Size() int {
+	return len(d.entries)
+}
+
+// Begin counts a request in flight.
+func (d *Directory) Begin(now time.Time, id deployment.EndpointID, adapter deployment.Adapter) {
+	entry, ok := d.entries[id]
+	if !ok {
+		return
+	}
+	entry.Own++
+	if !adapter.IsZero() {
+		entry.OwnByAdapter[adapter]++
+	}
+	if entry.Health.TrialDue(now) {
+		entry.Health.beginTrial()
+	}
+}
+
+// End takes a request out of flight and notes how its exchange ended.
+func (d *Directory) End(now time.Time, id deployment.EndpointID, adapter deployment.Adapter, outcome Outcome) {
+	entry, ok := d.entries[id]
+	if !ok {
+		return
+	}
+	entry.Own--
+	if !adapter.IsZero() {
+		entry.OwnByAdapter[adapter]--
+		if entry.OwnByAdapter[adapter] <= 0 {
+			delete(entry.OwnByAdapter, adapter)
+		}
+	}
+	entry.Health.note(now, outcome, d.failureRate(entry))
+}
+
+// failureRate is the mean failure rate of the other endpoints of a service.
+func (d *Directory) failureRate(except *Entry) float64 {
+	sum, count := 0.0, 0
+	for _, entry := range d.byService[except.Service] {
+		if entry == except || entry.Health.exchanges < minimumExchanges {
+			continue
+		}
+		sum += entry.Health.rate
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
+
+// NoteMissing remembers that an endpoint said it does not hold an adapter.
+func (d *Directory) NoteMissing(now time.Time, id deployment.EndpointID, adapter deployment.Adapter) {
+	if entry, ok := d.entries[id]; ok {
+		entry.missing[adapter] = now
+	}
+}
+
+// SetAdapters takes the planner's word on which adapters an endpoint holds for new requests.
+func (d *Directory) SetAdapters(id deployment.EndpointID, adapters map[deployment.Adapter]int64) {
+	if entry, ok := d.entries[id]; ok {
+		entry.Adapters = adapters
+	}
+}
--- /dev/null
+++ b/services/directory/entry.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Entry is one endpoint as this instance sees it.
+type Entry struct {
+	deployment.Endpoint
+	// Revision is the store's revision of the description.
+	Revision int64
+	// Own is the number of this instance's requests in flight there.
+	Own int
+	// Others is the number of the other instances' requests, as last told.
+	Others int
+	// OwnByAdapter counts this instance's requests by adapter.
+	OwnByAdapter map[deployment.Adapter]int
+	// Health is how the endpoint has behaved.
+	Health Health
+	// missing holds adapters that the endpoint lately said it does not hold.
+	missing map[deployment.Adapter]time.Time
+}
+
+// missingFor is how long an endpoint's word that an adapter is not there is believed
+// against an older description.
+const missingFor = 1500 * time.Millisecond
+
+func newEntry(endpoint deployment.Endpoint, revision int64) *Entry {
+	return &Entry{
+		Endpoint:     endpoint,
+		Revision:     revision,
+		OwnByAdapter: make(map[deployment.Adapter]int),
+		missing:      make(map[deployment.Adapter]time.Time),
+	}
+}
+
+// Holds tells whether a request for an adapter, or for its base model alone, can run here,
+// at a version of at least the one given.
+func (e *Entry) Holds(now time.Time, adapter deployment.Adapter, version int64) bool {
+	if adapter.IsZero() {
+		return e.HasModel(adapter.Model)
+	}
+	resident, ok := e.Adapters[adapter]
+	if !ok || resident < version {
+		return false
+	}
+	at, gone := e.missing[adapter]
+	return !gone || now.Sub(at) > missingFor
+}
+
+// Load is the number of requests known to be in flight.
+func (e *Entry) Load() int {
+	return e.Own + e.Others
+}
--- /dev/null
+++ b/services/entry/answer.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// answerWriter writes one answer to a caller.
+type answerWriter struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	now        func() time.Time
+	// status is what was answered; 0 before the head.
+	status int
+	headAt time.Time
+}
+
+// refuse answers with an error of this process's own; after is when to come back, 0 for never.
+func (a *answerWriter) refuse(status int, reason string, after time.Duration) {
+	header := a.writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header["Date"] = nil
+	if after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	a.begin(status)
+	_, _ = a.writer.Write([]byte(reason + "\n"))
+}
+
+// pass writes the head of an endpoint's answer; length is -1 where it is not known.
+func (a *answerWriter) pass(response *http.Response, length int64) {
+	header := a.writer.Header()
+	copyHeader(header, response.Header)
+	for _, added := range []string{"Date", "Content-Type"} {
+		if _, ok := header[added]; !ok {
+			// A nil value keeps net/http from adding its own.
+			header[added] = nil
+		}
+	}
+	header.Del("Content-Length")
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	a.begin(response.StatusCode)
+}
+
+func (a *answerWriter) begin(status int) {
+	a.status = status
+	a.headAt = a.now()
+	a.writer.WriteHeader(status)
+}
+
+func (a *answerWriter) write(content []byte) error {
+	_, err := a.writer.Write(content)
+	return err
+}
+
+func (a *answerWriter) flush() error {
+	return a.controller.Flush()
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// copyHeader copies all headers but those that concern one connection.
+func copyHeader(to, from http.Header) {
+	named := make(map[string]bool)
+	for _, line := range from["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range from {
+		if !hopHeaders[name] && !named[name] {
+			to[name] = append([]string(nil), values...)
+		}
+	}
+}
--- /dev/null
+++ b/services/entry/dialect.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Facts are what a caller's headers say of its request.
+type Facts struct {
+	ID      string
+	Adapter deployment.Adapter
+	// Patience is how long the caller waits; 0 if it did not say.
+	Patience     time.Duration
+	Prompt       []deployment.PromptPart
+	PromptTokens int
+	MaxTokens    int
+	// ResumeAfter is the last event the caller has; empty for a new stream.
+	ResumeAfter string
+}
+
+// Forward is what an endpoint must know beside the caller's own headers.
+type Forward struct {
+	Endpoint    deployment.EndpointID
+	HasDeadline bool
+	Remaining   time.Duration
+	UsesModel   bool
+	Priority    int
+	// Version is the version that the adapter must have; 0 demands none.
+	Version int64
+	// ResumeAfter asks to go on after an event; empty leaves the caller's own word.
+	ResumeAfter string
+}
+
+// Dialect is how requests and answers say what the entry must know, as function fields.
+type Dialect struct {
+	ReadRequest  func(header http.Header) Facts
+	WriteForward func(header http.Header, forward Forward)
+	// Belongs tells whether an answer belongs to the request with an id.
+	Belongs func(id string, header http.Header) bool
+	// NotRun tells whether an answer proves that the request did not run and will not.
+	NotRun func(status int, header http.Header) bool
+	// Genuine tells whether a success bears the endpoint's own mark.
+	Genuine func(header http.Header) bool
+}
--- /dev/null
+++ b/services/entry/service.go
@@ -0,0 +1,196 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/upstream"
+	"github.com/shelfledge/shelfledge/services/balance"
+	"github.com/shelfledge/shelfledge/services/coordinator"
+	"github.com/shelfledge/shelfledge/services/directory"
+)
+
+// Control is the part of the coordinator that requests need, as function fields.
+type Control struct {
+	Configuration func() *deployment.Configuration
+	Acquire       func(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error)
+	Finish        func(request *deployment.Request, assignment coordinator.Assignment, outcome directory.Outcome, missing bool)
+	CountRequest  func(service string)
+	TakeRepeat    func(service string) bool
+}
+
+// Options are the settings of a Service.
+type Options struct {
+	Now    func() time.Time
+	Random func() float64
+	Log    *logrus.Entry
+	// Refusing tells whether new requests are refused because the process ends.
+	Refusing func(kind deployment.RouteKind) bool
+	// Leaving tells whether connections are closed after their answer.
+	Leaving func() bool
+	// Observe is told the end of each request; nil ignores it.
+	Observe func(Observation)
+}
+
+// Observation is the end of one request.
+type Observation struct {
+	Route    string
+	Status   int
+	Reason   string
+	Attempts int
+	First    time.Duration
+	Whole    time.Duration
+}
+
+// Service serves callers' requests.
+type Service struct {
+	options  Options
+	control  Control
+	upstream *upstream.Client
+	dialect  Dialect
+}
+
+// New makes a service.
+func New(options Options, control Control, client *upstream.Client, dialect Dialect) *Service {
+	return &Service{options: options, control: control, upstream: client, dialect: dialect}
+}
+
+// bufferedBody is the size up to which a body is held, so that it can be sent again.
+const bufferedBody = 256 << 10
+
+// ServeHTTP serves one request.
+func (s *Service) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	arrived := s.options.Now()
+	if s.options.Leaving() {
+		writer.Header().Set("Connection", "close")
+	}
+	answer := &answerWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now}
+	configuration := s.control.Configuration()
+	if configuration == nil {
+		answer.refuse(http.StatusServiceUnavailable, "no configuration yet", unknownPause)
+		return
+	}
+	route := configuration.Match(incoming.Host, rawPath(incoming))
+	if route == nil {
+		answer.refuse(http.StatusNotFound, "no such route", 0)
+		return
+	}
+	if s.options.Refusing(route.Kind) {
+		answer.refuse(http.StatusServiceUnavailable, "stopping", stoppingPause)
+		return
+	}
+	s.serveRoute(answer, incoming, configuration, route, arrived)
+}
+
+// Pauses that refused callers are asked to make.
+const (
+	unknownPause  = 500 * time.Millisecond
+	stoppingPause = 100 * time.Millisecond
+	busyPause     = 250 * time.Millisecond
+)
+
+func (s *Service) serveRoute(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, route *deployment.Route, arrived time.Time) {
+	facts := s.dialect.ReadRequest(incoming.Header)
+	request := &deployment.Request{
+		ID: facts.ID, Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: facts.Adapter,
+		Prompt: facts.Prompt, PromptTokens: facts.PromptTokens, MaxTokens: facts.MaxTokens, Arrived: arrived,
+		Deadline: deadline(arrived, route, facts),
+	}
+	if service := configuration.Services[request.Service]; service == nil || service.Engine == nil {
+		request.Adapter = deployment.Adapter{}
+	}
+	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
+	if errors.Is(err, errBodyTooLarge) {
+		answer.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		return
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.control.CountRequest(request.Service)
+	ctx, cancel := context.WithDeadline(incoming.Context(), request.Deadline)
+	defer cancel()
+	run := &run{service: s, answer: answer, incoming: incoming, request: request, facts: facts, body: body, context: ctx}
+	run.serve()
+	s.observe(run)
+}
+
+func (s *Service) observe(r *run) {
+	if s.options.Observe == nil {
+		return
+	}
+	observation := Observation{
+		Route: r.request.Route.Name, Status: r.answer.status, Reason: r.reason, Attempts: r.attempts,
+		Whole: s.options.Now().Sub(r.request.Arrived),
+	}
+	if !r.answer.headAt.IsZero() {
+		observation.First = r.answer.headAt.Sub(r.request.Arrived)
+	}
+	s.options.Observe(observation)
+}
+
+func deadline(arrived time.Time, route *deployment.Route, facts Facts) time.Time {
+	limit := route.Timeout
+	if facts.Patience > 0 && (limit <= 0 || facts.Patience < limit) {
+		limit = facts.Patience
+	}
+	if limit <= 0 {
+		limit = longestRequest
+	}
+	return arrived.Add(limit)
+}
+
+// longestRequest bounds requests whose route and caller set no limit.
+const longestRequest = 10 * time.Minute
+
+// rawPath is the path as the caller wrote it.
+func rawPath(incoming *http.Request) string {
+	path, _, _ := strings.Cut(incoming.RequestURI, "?")
+	if strings.HasPrefix(path, "/") {
+		return path
+	}
+	return incoming.URL.EscapedPath()
+}
+
+var errBodyTooLarge = errors.New("entry: body too large")
+
+// requestBody is a body held in memory, or its beginning and the rest still to be read.
+type requestBody struct {
+	held   []byte
+	rest   io.Reader
+	length int64
+}
+
+// readBody holds a small body, or the beginning of a large one.
+func readBody(incoming *http.Request, limit int64) (requestBody, error) {
+	if incoming.Body == nil || incoming.Body == http.NoBody {
+		return requestBody{}, nil
+	}
+	if limit > 0 && incoming.ContentLength > limit {
+		return requestBody{}, errBodyTooLarge
+	}
+	held, err := io.ReadAll(io.LimitReader(incoming.Body, bufferedBody))
+	if err != nil {
+		return requestBody{}, err
+	}
+	body := requestBody{held: held, length: incoming.ContentLength}
+	if len(held) < bufferedBody {
+		body.length = int64(len(held))
+		return body, nil
+	}
+	body.rest = incoming.Body
+	if limit > 0 && incoming.ContentLength < 0 {
+		body.rest = io.LimitReader(incoming.Body, limit-int64(len(held)))
+	}
+	return body, nil
+}
--- /dev/null
+++ b/services/loading/copy.go
@@ -0,0 +1,118 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// copyState is how far a copy of an adapter has come on one endpoint.
+type copyState int
+
+const (
+	copyLoading copyState = iota
+	copyResident
+	copyWithdrawn
+	copyUnloading
+)
+
+// copyPlan is one adapter on one endpoint.
+type copyPlan struct {
+	state   copyState
+	version int64
+	since   time.Time
+	// cold marks a load that comes from the weight store.
+	cold bool
+	// pollAt is when to ask next whether a load has ended.
+	pollAt time.Time
+	// withdrawal numbers the announcement of a withdrawal.
+	withdrawal uint64
+}
+
+// endpointPlan is one endpoint.
+type endpointPlan struct {
+	endpoint deployment.Endpoint
+	sequence int64
+	copies   map[deployment.Adapter]*copyPlan
+	// held are adapters it held before: they load fast.
+	held map[deployment.Adapter]time.Time
+	// busy is set while an order to it is under way.
+	busy bool
+	// inspect asks for its report before the next order.
+	inspect bool
+	// restUntil keeps orders away after one failed.
+	restUntil time.Time
+	// suspect endpoints get no new copies.
+	suspect bool
+}
+
+func newEndpointPlan(endpoint deployment.Endpoint) *endpointPlan {
+	return &endpointPlan{
+		endpoint: endpoint,
+		sequence: endpoint.Sequence,
+		copies:   make(map[deployment.Adapter]*copyPlan),
+		held:     make(map[deployment.Adapter]time.Time),
+	}
+}
+
+// pending counts the loads under way.
+func (e *endpointPlan) pending() int {
+	count := 0
+	for _, c := range e.copies {
+		if c.state == copyLoading {
+			count++
+		}
+	}
+	return count
+}
+
+// descriptionLag is how long an endpoint's description may lag behind its state.
+const descriptionLag = 3 * time.Second
+
+// adopt takes in what the endpoint itself says it holds; recent results of own orders
+// outweigh it.
+func (e *endpointPlan) adopt(now time.Time, adapters map[deployment.Adapter]int64, lag time.Duration) {
+	for adapter, version := range adapters {
+		known, ok := e.copies[adapter]
+		if !ok {
+			if at, dropped := e.held[adapter]; dropped && now.Sub(at) < lag {
+				continue
+			}
+			e.copies[adapter] = &copyPlan{state: copyResident, version: version, since: now}
+			continue
+		}
+		if known.state == copyLoading {
+			known.state, known.since = copyResident, now
+		}
+		if version > known.version {
+			known.version = version
+		}
+	}
+	for adapter, known := range e.copies {
+		if _, listed := adapters[adapter]; listed || known.state == copyLoading || now.Sub(known.since) < lag {
+			continue
+		}
+		delete(e.copies, adapter)
+	}
+}
+
+// adoptReport takes in a report, which also says what is still to come.
+func (e *endpointPlan) adoptReport(now time.Time, report *Report) {
+	e.sequence = report.Sequence
+	e.adopt(now, report.Adapters, reportLag)
+	pending := make(map[deployment.Adapter]bool, len(report.Pending))
+	for _, adapter := range report.Pending {
+		pending[adapter] = true
+		if _, ok := e.copies[adapter]; !ok {
+			e.copies[adapter] = &copyPlan{state: copyLoading, since: now, cold: true, pollAt: now.Add(loadPoll)}
+		}
+	}
+	for adapter, known := range e.copies {
+		if known.state == copyLoading && !pending[adapter] && now.Sub(known.since) > reportLag {
+			delete(e.copies, adapter)
+		}
+	}
+}
--- /dev/null
+++ b/services/loading/decide.go
@@ -0,0 +1,334 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+const (
+	// horizon is how far ahead a copy's use is counted.
+	horizon = 15.0
+	// inTimeValue and lateValue are what a waiting request is worth against a future one.
+	inTimeValue = 1.0
+	lateValue   = 0.15
+	// evictionMargin is how much better than its victim a new copy must be.
+	evictionMargin = 1.3
+	// fullShare is the part of an endpoint's fair share of requests that one copy may take.
+	fullShare = 0.7
+	// extraCopyValue weighs relief of a crowded copy against a first copy.
+	extraCopyValue = 0.4
+	// leastExtraRate is the arrival rate below which one copy is always enough.
+	leastExtraRate = 0.8
+	// warmBonus favours an endpoint that held the adapter before.
+	warmBonus = 3.0
+	// settleTime is how long a new copy is safe from eviction.
+	settleTime = 2 * time.Second
+	// firstVersion is an adapter's version before another one is named.
+	firstVersion = 1
+)
+
+// Next gives the next order to send, if there is one. Its endpoint is busy until Done.
+func (p *Planner) Next(now time.Time) (Order, bool) {
+	for _, decide := range []func(time.Time) (Order, bool){p.nextInspection, p.nextPoll, p.nextUnload, p.nextLoad} {
+		if order, ok := decide(now); ok {
+			p.endpoints[order.Endpoint.ID].busy = true
+			return order, true
+		}
+	}
+	return Order{}, false
+}
+
+func (p *Planner) order(kind OrderKind, plan *endpointPlan, adapter deployment.Adapter) Order {
+	return Order{Kind: kind, Endpoint: plan.endpoint, Adapter: adapter, ExpectedSequence: plan.sequence}
+}
+
+// available tells whether an order may be sent to an endpoint now.
+func (e *endpointPlan) available(now time.Time) bool {
+	return !e.busy && !now.Before(e.restUntil) && e.endpoint.State == deployment.Ready
+}
+
+func (p *Planner) nextInspection(now time.Time) (Order, bool) {
+	for _, plan := range p.endpoints {
+		if plan.inspect && plan.available(now) {
+			return p.order(Inspect, plan, deployment.Adapter{}), true
+		}
+	}
+	return Order{}, false
+}
+
+func (p *Planner) nextPoll(now time.Time) (Order, bool) {
+	for _, plan := range p.endpoints {
+		if !plan.available(now) || plan.inspect {
+			continue
+		}
+		for adapter, c := range plan.copies {
+			if c.state != copyLoading || now.Before(c.pollAt) {
+				continue
+			}
+			order := p.order(Load, plan, adapter)
+			order.Poll = true
+			return order, true
+		}
+	}
+	return Order{}, false
+}
+
+// nextUnload unloads what is withdrawn and confirmed as unused.
+func (p *Planner) nextUnload(now time.Time) (Order, bool) {
+	for _, plan := range p.endpoints {
+		if !plan.available(now) || plan.inspect {
+			continue
+		}
+		for adapter, c := range plan.copies {
+			if c.state == copyUnloading {
+				return p.order(Unload, plan, adapter), true
+			}
+		}
+	}
+	return Order{}, false
+}
+
+// ConfirmUnused lets withdrawn copies be unloaded; unused tells whether every instance has
+// seen the announcement and uses the copy no more.
+func (p *Planner) ConfirmUnused(now time.Time, unused func(id deployment.EndpointID, adapter deployment.Adapter, withdrawal uint64) bool) {
+	for id, plan := range p.endpoints {
+		for adapter, c := range plan.copies {
+			if c.state == copyWithdrawn && unused(id, adapter, c.withdrawal) {
+				c.state, c.since = copyUnloading, now
+			}
+		}
+	}
+}
+
+// Withdrawals gives the number of the last announcement.
+func (p *Planner) Withdrawals() uint64 {
+	return p.withdrawals
+}
+
+// placement is a possible load.
+type placement struct {
+	adapter deployment.Adapter
+	plan    *endpointPlan
+	cold    bool
+	value   float64
+}
+
+// nextLoad starts the most valuable load, after withdrawing a lesser copy where there is no room.
+func (p *Planner) nextLoad(now time.Time) (Order, bool) {
+	p.indexCopies()
+	coldAllowed := p.coldLoads() < p.concurrency() && p.ledger.allows(now)
+	best, found := p.bestPlacement(now, coldAllowed)
+	p.withdrawOutdated(now)
+	if !found {
+		return Order{}, false
+	}
+	order := p.order(Load, best.plan, best.adapter)
+	duration := warmLoadTime
+	if best.cold {
+		duration = p.loadTime
+		p.ledger.begin(now)
+	}
+	best.plan.copies[best.adapter] = &copyPlan{
+		state: copyLoading, since: now, cold: best.cold, pollAt: now.Add(duration), version: max(firstVersion, p.demandOf(now, best.adapter).version),
+	}
+	return order, true
+}
+
+func (p *Planner) bestPlacement(now time.Time, coldAllowed bool) (placement, bool) {
+	loads := p.expectedLoads(now)
+	total := 0.0
+	for _, load := range loads {
+		total += load
+	}
+	var best placement
+	found := false
+	for adapter, known := range p.demand {
+		known.decay(now)
+		value := p.value(now, adapter, known, total)
+		if value <= 0 || (found && value <= best.value) {
+			continue
+		}
+		plan, cold, ok := p.chooseEndpoint(now, adapter, loads, coldAllowed, value)
+		if !ok {
+			continue
+		}
+		best = placement{adapter: adapter, plan: plan, cold: cold, value: value}
+		found = true
+	}
+	return best, found
+}
+
+// copyCount is how many copies of an adapter there are.
+type copyCount struct {
+	// usable copies are resident at the version to be served; coming ones are on their way.
+	usable, coming int
+}
+
+// indexCopies counts all adapters' copies on endpoints that take requests.
+func (p *Planner) indexCopies() {
+	clear(p.counts)
+	for _, plan := range p.endpoints {
+		if plan.endpoint.State != deployment.Ready || plan.suspect {
+			continue
+		}
+		for adapter, c := range plan.copies {
+			count := p.counts[adapter]
+			switch {
+			case c.state == copyLoading:
+				count.coming++
+			case c.state == copyResident && c.version >= p.versionOf(adapter):
+				count.usable++
+			}
+			p.counts[adapter] = count
+		}
+	}
+}
+
+func (p *Planner) versionOf(adapter deployment.Adapter) int64 {
+	if known, ok := p.demand[adapter]; ok {
+		return known.version
+	}
+	return 0
+}
+
+// value is the worth of one more copy, in requests served.
+func (p *Planner) value(now time.Time, adapter deployment.Adapter, known *adapterDemand, total float64) float64 {
+	usable, coming := p.counts[adapter].usable, p.counts[adapter].coming
+	if usable == 0 && coming == 0 {
+		waiting, inTime := known.waitingNow(now, p.loadTime)
+		if waiting == 0 && known.rate*horizon < 1 {
+			return 0
+		}
+		return float64(inTime)*inTimeValue + float64(waiting-min(waiting, inTime))*lateValue + known.rate*horizon
+	}
+	if coming > 0 || known.rate < leastExtraRate || total <= 0 {
+		return 0
+	}
+	fair := total / float64(max(1, p.readyEndpoints())) * fullShare
+	excess := known.rate/float64(usable) - fair
+	if excess <= 0 {
+		return 0
+	}
+	return excess * horizon * extraCopyValue
+}
+
+func (p *Planner) readyEndpoints() int {
+	count := 0
+	for _, plan := range p.endpoints {
+		if plan.endpoint.State == deployment.Ready && !plan.suspect {
+			count++
+		}
+	}
+	return count
+}
+
+// expectedLoads gives the request rate that each endpoint's copies draw.
+func (p *Planner) expectedLoads(now time.Time) map[deployment.EndpointID]float64 {
+	loads := make(map[deployment.EndpointID]float64, len(p.endpoints))
+	for id, plan := range p.endpoints {
+		for adapter, c := range plan.copies {
+			known, ok := p.demand[adapter]
+			if !ok || (c.state != copyResident && c.state != copyLoading) {
+				continue
+			}
+			known.decay(now)
+			count := p.counts[adapter]
+			loads[id] += known.rate / float64(max(1, count.usable+count.coming))
+		}
+	}
+	return loads
+}
+
+// chooseEndpoint gives the endpoint with room that draws the fewest requests. Where none has
+// room, it withdraws the least valuable copy and gives none.
+func (p *Planner) chooseEndpoint(now time.Time, adapter deployment.Adapter, loads map[deployment.EndpointID]float64, coldAllowed bool, value float64) (*endpointPlan, bool, bool) {
+	var best *endpointPlan
+	bestCost, bestCold, room := 0.0, false, false
+	for id, plan := range p.endpoints {
+		if _, has := plan.copies[adapter]; has || plan.suspect || plan.endpoint.State != deployment.Ready || !plan.endpoint.HasModel(adapter.Model) {
+			continue
+		}
+		if len(plan.copies) >= p.capacity(&plan.endpoint) {
+			continue
+		}
+		room = true
+		_, warm := plan.held[adapter]
+		if !plan.available(now) || plan.inspect || plan.pending() >= maxPending || (!warm && !coldAllowed) {
+			continue
+		}
+		cost := loads[id] + 0.02*float64(len(plan.copies)) + 0.01*p.options.Random()
+		if warm {
+			cost -= warmBonus
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, bestCold = plan, cost, !warm
+		}
+	}
+	if best == nil && !room {
+		p.makeRoom(now, adapter.Model, value)
+	}
+	return best, bestCold, best != nil
+}
+
+// makeRoom withdraws the least valuable copy, if it is worth clearly less than a new one.
+func (p *Planner) makeRoom(now time.Time, model string, value float64) {
+	var victim *copyPlan
+	var victimID deployment.EndpointID
+	least := value / evictionMargin
+	for id, plan := range p.endpoints {
+		if plan.suspect || plan.endpoint.State != deployment.Ready || !plan.endpoint.HasModel(model) {
+			continue
+		}
+		for adapter, c := range plan.copies {
+			if c.state == copyWithdrawn || c.state == copyUnloading {
+				return
+			}
+			if c.state != copyResident || now.Sub(c.since) < settleTime {
+				continue
+			}
+			worth := p.worth(now, adapter)
+			if worth < least {
+				victim, victimID, least = c, id, worth
+			}
+		}
+	}
+	if victim != nil {
+		p.withdraw(now, victimID, victim)
+	}
+}
+
+// worth is what a resident copy is expected to serve.
+func (p *Planner) worth(now time.Time, adapter deployment.Adapter) float64 {
+	known, ok := p.demand[adapter]
+	if !ok {
+		return 0
+	}
+	known.decay(now)
+	return known.rate * horizon / float64(max(1, p.counts[adapter].usable))
+}
+
+func (p *Planner) withdraw(now time.Time, id deployment.EndpointID, c *copyPlan) {
+	p.withdrawals++
+	c.state, c.since, c.withdrawal = copyWithdrawn, now, p.withdrawals
+	p.changed[id] = true
+}
+
+// withdrawOutdated withdraws copies of an older version once a newer copy takes requests, or
+// when nobody asks for the adapter.
+func (p *Planner) withdrawOutdated(now time.Time) {
+	for id, plan := range p.endpoints {
+		for adapter, c := range plan.copies {
+			known, ok := p.demand[adapter]
+			if !ok || c.state != copyResident || c.version >= known.version {
+				continue
+			}
+			if p.counts[adapter].usable > 0 || known.rate*horizon < 1 {
+				p.withdraw(now, id, c)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/services/loading/demand.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading
+
+import (
+	"math"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Demand is what one instance says of one adapter.
+type Demand struct {
+	Adapter deployment.Adapter
+	// Waiting is the number of its requests that wait for the adapter now.
+	Waiting int
+	// InTime is how long from now the newest of them can wait and still be answered in time.
+	InTime time.Duration
+	// Arrivals are the requests since the instance's last word.
+	Arrivals int
+}
+
+const (
+	// rateMemory is the time constant of the arrival rate.
+	rateMemory = 12 * time.Second
+	// forgetBelow is the rate, in requests a second, below which an adapter is forgotten.
+	forgetBelow = 1e-4
+)
+
+// adapterDemand is what all instances together ask of one adapter.
+type adapterDemand struct {
+	// rate is the arrival rate in requests a second.
+	rate    float64
+	updated time.Time
+	waiting map[string]waitingPart
+	version int64
+}
+
+type waitingPart struct {
+	count int
+	until time.Time
+}
+
+func (d *adapterDemand) decay(now time.Time) {
+	elapsed := now.Sub(d.updated)
+	if elapsed > 0 {
+		d.rate *= math.Exp(-elapsed.Seconds() / rateMemory.Seconds())
+		d.updated = now
+	}
+}
+
+func (d *adapterDemand) arrive(now time.Time, count int) {
+	d.decay(now)
+	d.rate += float64(count) / rateMemory.Seconds()
+}
+
+// waitingNow gives the waiting requests and how many instances' newest can still be in time.
+func (d *adapterDemand) waitingNow(now time.Time, loadTime time.Duration) (waiting, inTime int) {
+	for _, part := range d.waiting {
+		waiting += part.count
+		if part.until.Sub(now) > loadTime {
+			inTime++
+		}
+	}
+	return waiting, inTime
+}
--- /dev/null
+++ b/services/loading/planner.go
@@ -0,0 +1,250 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading
+
+import (
+	"math"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Options are the settings of a Planner.
+type Options struct {
+	Rate RateOptions
+	// Random gives a number from 0 up to 1, to break ties.
+	Random func() float64
+}
+
+const (
+	// maxPending is how many loads may be heading to one endpoint at once.
+	maxPending = 4
+	// loadPoll is the pause between questions whether a load has ended.
+	loadPoll = 25 * time.Millisecond
+	// reportLag is how old an endpoint's report may be.
+	reportLag = 500 * time.Millisecond
+	// firstLoadTime is the time of a load until one was measured.
+	firstLoadTime = 250 * time.Millisecond
+	// warmLoadTime is the time of a load of an adapter held lately.
+	warmLoadTime = 30 * time.Millisecond
+	// restAfterFailure keeps orders away from an endpoint after one failed.
+	restAfterFailure = 300 * time.Millisecond
+	// loadLimit is after how long a load that was accepted is looked into.
+	loadLimit = 3 * time.Second
+)
+
+// Planner plans for the endpoints of one service; it is not safe for concurrent use.
+type Planner struct {
+	options   Options
+	engine    deployment.Engine
+	endpoints map[deployment.EndpointID]*endpointPlan
+	demand    map[deployment.Adapter]*adapterDemand
+	ledger    *rateLedger
+	// loadTime is the shortest time of a load from the weight store, as measured.
+	loadTime time.Duration
+	// withdrawals counts announcements of withdrawals.
+	withdrawals uint64
+	// changed is set when a copy's state changed since TakeChanges.
+	changed map[deployment.EndpointID]bool
+	// counts is the number of copies by adapter, as of the last decision.
+	counts map[deployment.Adapter]copyCount
+}
+
+// NewPlanner makes a planner for a service's engines.
+func NewPlanner(engine deployment.Engine, options Options) *Planner {
+	return &Planner{
+		options:   options,
+		engine:    engine,
+		endpoints: make(map[deployment.EndpointID]*endpointPlan),
+		demand:    make(map[deployment.Adapter]*adapterDemand),
+		ledger:    newRateLedger(options.Rate),
+		loadTime:  firstLoadTime,
+		changed:   make(map[deployment.EndpointID]bool),
+		counts:    make(map[deployment.Adapter]copyCount),
+	}
+}
+
+// SetEngine takes a changed description of the engines.
+func (p *Planner) SetEngine(engine deployment.Engine) {
+	p.engine = engine
+}
+
+// AssumeLoads counts loads that a former planner may have begun in the last window.
+func (p *Planner) AssumeLoads(now time.Time, count int) {
+	p.ledger.assume(now, count)
+}
+
+// RecentLoads gives the loads begun in the last window, for a successor.
+func (p *Planner) RecentLoads(now time.Time) int {
+	return p.ledger.recent(now)
+}
+
+// SetEndpoint takes in a description; suspect endpoints get no new copies.
+func (p *Planner) SetEndpoint(now time.Time, endpoint deployment.Endpoint, suspect bool) {
+	plan, ok := p.endpoints[endpoint.ID]
+	if !ok {
+		plan = newEndpointPlan(endpoint)
+		p.endpoints[endpoint.ID] = plan
+	}
+	plan.suspect = suspect
+	plan.endpoint = endpoint
+	plan.sequence = max(plan.sequence, endpoint.Sequence)
+	plan.adopt(now, endpoint.Adapters, descriptionLag)
+}
+
+// SetSuspect tells whether an endpoint behaves badly; then its copies do not count.
+func (p *Planner) SetSuspect(id deployment.EndpointID, suspect bool) {
+	if plan, ok := p.endpoints[id]; ok {
+		plan.suspect = suspect
+	}
+}
+
+// NoteMissing asks for an endpoint's report, since it said that it lacks a copy.
+func (p *Planner) NoteMissing(id deployment.EndpointID) {
+	if plan, ok := p.endpoints[id]; ok {
+		plan.inspect = true
+	}
+}
+
+// RemoveEndpoint forgets an endpoint.
+func (p *Planner) RemoveEndpoint(id deployment.EndpointID) {
+	delete(p.endpoints, id)
+}
+
+// KeepOnly forgets all endpoints but those named.
+func (p *Planner) KeepOnly(ids map[deployment.EndpointID]bool) {
+	for id := range p.endpoints {
+		if !ids[id] {
+			delete(p.endpoints, id)
+		}
+	}
+}
+
+// Report takes in one instance's whole demand.
+func (p *Planner) Report(now time.Time, instance string, demands []Demand) {
+	for _, known := range p.demand {
+		delete(known.waiting, instance)
+	}
+	for _, one := range demands {
+		known := p.demandOf(now, one.Adapter)
+		known.arrive(now, one.Arrivals)
+		if one.Waiting > 0 {
+			known.waiting[instance] = waitingPart{count: one.Waiting, until: now.Add(one.InTime)}
+		}
+	}
+}
+
+// ForgetInstance drops the waiting requests of an instance that is gone.
+func (p *Planner) ForgetInstance(instance string) {
+	for _, known := range p.demand {
+		delete(known.waiting, instance)
+	}
+}
+
+// SetVersion names the version of an adapter that is to be served.
+func (p *Planner) SetVersion(now time.Time, adapter deployment.Adapter, version int64) {
+	known := p.demandOf(now, adapter)
+	known.version = max(known.version, version)
+}
+
+func (p *Planner) demandOf(now time.Time, adapter deployment.Adapter) *adapterDemand {
+	known, ok := p.demand[adapter]
+	if !ok {
+		known = &adapterDemand{updated: now, waiting: make(map[string]waitingPart)}
+		p.demand[adapter] = known
+	}
+	return known
+}
+
+// Sweep forgets adapters that nobody asks for.
+func (p *Planner) Sweep(now time.Time) {
+	for adapter, known := range p.demand {
+		known.decay(now)
+		if known.rate < forgetBelow && len(known.waiting) == 0 && known.version == 0 {
+			delete(p.demand, adapter)
+		}
+	}
+}
+
+// capacity is the number of adapters that an endpoint can hold.
+func (p *Planner) capacity(endpoint *deployment.Endpoint) int {
+	capacity := p.engine.AdapterCapacity
+	free := p.engine.WeightsMB
+	adapterMB := 0.0
+	for _, model := range p.engine.Models {
+		if endpoint.HasModel(model.Name) {
+			free -= model.WeightsMB
+			adapterMB = max(adapterMB, model.AdapterMB)
+		}
+	}
+	if adapterMB > 0 {
+		capacity = min(capacity, int(math.Floor(free/adapterMB)))
+	}
+	return capacity
+}
+
+// concurrency is how many loads from the weight store may run at once: enough to reach its
+// rate, since more only make each other slower.
+func (p *Planner) concurrency() int {
+	return max(1, int(math.Ceil(p.engine.LoadsPerSecond*p.loadTime.Seconds())))
+}
+
+func (p *Planner) coldLoads() int {
+	count := 0
+	for _, plan := range p.endpoints {
+		for _, c := range plan.copies {
+			if c.state == copyLoading && c.cold {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TakeChanges gives the endpoints whose copies changed since the last call.
+func (p *Planner) TakeChanges() []deployment.EndpointID {
+	ids := make([]deployment.EndpointID, 0, len(p.changed))
+	for id := range p.changed {
+		ids = append(ids, id)
+	}
+	clear(p.changed)
+	return ids
+}
+
+// Copies gives what an endpoint holds for new requests, and what is withdrawn from it.
+func (p *Planner) Copies(id deployment.EndpointID) (usable map[deployment.Adapter]int64, withdrawn []deployment.Adapter) {
+	plan, ok := p.endpoints[id]
+	if !ok {
+		return nil, nil
+	}
+	usable = make(map[deployment.Adapter]int64, len(plan.copies))
+	for adapter, c := range plan.copies {
+		switch c.state {
+		case copyResident:
+			usable[adapter] = c.version
+		case copyWithdrawn:
+			withdrawn = append(withdrawn, adapter)
+		}
+	}
+	return usable, withdrawn
+}
+
+// Forecast is when an adapter that is not resident will be.
+type Forecast struct {
+	Adapter deployment.Adapter
+	Until   time.Duration
+}
+
+// Forecasts gives the adapters on their way.
+func (p *Planner) Forecasts(now time.Time) []Forecast {
+	var list []Forecast
+	for _, plan := range p.endpoints {
+		for adapter, c := range plan.copies {
+			if c.state == copyLoading {
+				list = append(list, Forecast{Adapter: adapter, Until: max(0, c.since.Add(p.loadTime).Sub(now))})
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/services/loading/rate.go
@@ -0,0 +1,72 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading
+
+import (
+	"math"
+	"time"
+)
+
+// rateLedger keeps the loads that begin within every sliding window under the weight
+// store's bound.
+type rateLedger struct {
+	limit  int
+	window time.Duration
+	begun  []time.Time
+	// assumed is when the window is free of loads that a former planner may have begun.
+	assumed      time.Time
+	assumedCount int
+}
+
+// RateOptions are the weight store's bound: loads begun in any window stay at or below
+// rate x window x tolerance + slack.
+type RateOptions struct {
+	PerSecond float64
+	Window    time.Duration
+	Tolerance float64
+	Slack     float64
+}
+
+// reserve is kept free for loads whose beginning was not seen, such as orders done late.
+const reserve = 2
+
+func (o RateOptions) limit() int {
+	allowed := math.Floor(o.PerSecond*o.Window.Seconds()*o.Tolerance + o.Slack)
+	return max(1, int(allowed)-reserve)
+}
+
+func newRateLedger(options RateOptions) *rateLedger {
+	return &rateLedger{limit: options.limit(), window: options.Window}
+}
+
+// assume counts loads that a former planner may have begun in the window before now.
+func (l *rateLedger) assume(now time.Time, count int) {
+	l.assumed = now.Add(l.window)
+	l.assumedCount = count
+}
+
+// allows tells whether one more load may begin.
+func (l *rateLedger) allows(now time.Time) bool {
+	oldest := now.Add(-l.window)
+	kept := 0
+	for kept < len(l.begun) && !l.begun[kept].After(oldest) {
+		kept++
+	}
+	l.begun = append(l.begun[:0], l.begun[kept:]...)
+	count := len(l.begun)
+	if now.Before(l.assumed) {
+		count += l.assumedCount
+	}
+	return count < l.limit
+}
+
+func (l *rateLedger) begin(now time.Time) {
+	l.begun = append(l.begun, now)
+}
+
+// recent gives the number of loads begun in the last window.
+func (l *rateLedger) recent(now time.Time) int {
+	l.allows(now)
+	return len(l.begun)
+}
--- /dev/null
+++ b/services/loading/result.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading
+
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+)
+
+// Done takes in the end of an order.
+func (p *Planner) Done(now time.Time, result Result) {
+	plan, ok := p.endpoints[result.Order.Endpoint.ID]
+	if !ok {
+		return
+	}
+	plan.busy = false
+	switch result.Order.Kind {
+	case Inspect:
+		p.inspected(now, plan, result)
+	case Load:
+		p.loaded(now, plan, result)
+	case Unload:
+		p.unloaded(now, plan, result)
+	}
+}
+
+func (p *Planner) inspected(now time.Time, plan *endpointPlan, result Result) {
+	if result.Report == nil {
+		plan.restUntil = now.Add(restAfterFailure)
+		return
+	}
+	plan.inspect = false
+	plan.adoptReport(now, result.Report)
+	p.changed[plan.endpoint.ID] = true
+}
+
+func (p *Planner) loaded(now time.Time, plan *endpointPlan, result Result) {
+	adapter := result.Order.Adapter
+	c, ok := plan.copies[adapter]
+	if !ok {
+		return
+	}
+	switch result.Reply {
+	case Holds:
+		p.becomeResident(now, plan, adapter, c)
+	case Accepted:
+		if !result.Order.Poll {
+			plan.sequence = max(plan.sequence, result.Order.ExpectedSequence+1)
+		}
+		c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
+		if now.Sub(c.since) > loadLimit {
+			plan.inspect = true
+		}
+	case NotDelivered, Rejected:
+		if !result.Order.Poll {
+			delete(plan.copies, adapter)
+		}
+		plan.restUntil = now.Add(restAfterFailure)
+		plan.inspect = true
+	case Conflict, Unanswered, Inspected:
+		plan.restUntil = now.Add(loadPoll)
+		plan.inspect = true
+		c.pollAt = now.Add(loadPoll)
+	}
+}
+
+func (p *Planner) becomeResident(now time.Time, plan *endpointPlan, adapter deployment.Adapter, c *copyPlan) {
+	if c.state != copyLoading {
+		return
+	}
+	if c.cold {
+		p.loadTime = min(max(now.Sub(c.since), warmLoadTime), p.loadTime+p.loadTime/8)
+	}
+	c.state, c.since = copyResident, now
+	plan.held[adapter] = now
+	p.changed[plan.endpoint.ID] = true
+}
+
+func (p *Planner) unloaded(now time.Time, plan *endpointPlan, result Result) {
+	c, ok := plan.copies[result.Order.Adapter]
+	if !ok || c.state != copyUnloading {
+		return
+	}
+	switch result.Reply {
+	case Holds:
+		plan.sequence = max(plan.sequence, result.Order.ExpectedSequence+1)
+		plan.held[result.Order.Adapter] = now
+		delete(plan.copies, result.Order.Adapter)
+		p.changed[plan.endpoint.ID] = true
+	case Accepted:
+		plan.sequence = max(plan.sequence, result.Order.ExpectedSequence+1)
+		plan.restUntil = now.Add(loadPoll)
+	default:
+		plan.restUntil = now.Add(restAfterFailure)
+		plan.inspect = true
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/services/ownership/record.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ownership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Record is the store's word on who holds the ownership.
+type Record struct {
+	Holder  string
+	Address netip.AddrPort
+	Term    int64
+	// Ordering is set once the holder may have given orders in this term.
+	Ordering bool
+	// Released is set when the holder gives no more orders.
+	Released bool
+	// Former is the last holder that may have given orders, if the present one has not yet.
+	Former string
+	// RecentLoads is what a releasing holder says of loads it began in the last window.
+	RecentLoads int
+}
+
+// Encode gives the stored form.
+func (r Record) Encode() ([]byte, error) {
+	return msgpack.Marshal(r)
+}
+
+// DecodeRecord reads the stored form.
+func DecodeRecord(value []byte) (Record, error) {
+	var record Record
+	err := msgpack.Unmarshal(value, &record)
+	return record, err
+}
+
+// Options are the settings of ownership.
+type Options struct {
+	// Window is how long after a confirming read was sent orders may be given.
+	Window time.Duration
+	// OrderTimeout bounds the time an order may take to arrive.
+	OrderTimeout time.Duration
+	// Turn is the least time between the orders of two holders where the second one held
+	// the ownership before the first.
+	Turn time.Duration
+}
+
+// Wait is how long a new holder gives no orders, judged by the record it replaced.
+func (o Options) Wait(self string, replaced Record, found bool) time.Duration {
+	full := o.Window + 2*o.OrderTimeout
+	switch {
+	case !found:
+		return 0
+	case replaced.Released && replaced.Former == self:
+		return max(o.Turn, o.OrderTimeout)
+	case replaced.Released:
+		return 0
+	case replaced.Holder == self && replaced.Ordering:
+		// The former process on this machine is dead; its last bytes may still travel.
+		return o.OrderTimeout / 2
+	case !replaced.Ordering && replaced.Former == self:
+		// Nobody gave orders since this machine did.
+		return o.OrderTimeout / 2
+	default:
+		return full
+	}
+}
--- /dev/null
+++ b/services/ownership/tenure.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ownership
+
+import "time"
+
+// Tenure is one instance's hold on the record in one term; it is not safe for concurrent use.
+type Tenure struct {
+	options   Options
+	record    Record
+	revision  int64
+	ordersAt  time.Time
+	confirmed time.Time
+	over      bool
+}
+
+// Begin starts a tenure: the record was committed at a revision by a call sent at a time and
+// answered at another. wait comes from Options.Wait.
+func Begin(options Options, record Record, revision int64, sent, answered time.Time, wait time.Duration) *Tenure {
+	return &Tenure{options: options, record: record, revision: revision, confirmed: sent, ordersAt: answered.Add(wait)}
+}
+
+// Record gives the record as this holder last wrote it.
+func (t *Tenure) Record() Record {
+	return t.record
+}
+
+// Revision gives the revision of the record as this holder last wrote it.
+func (t *Tenure) Revision() int64 {
+	return t.revision
+}
+
+// Waited tells whether the former holder's time is surely over.
+func (t *Tenure) Waited(now time.Time) bool {
+	return !t.over && !now.Before(t.ordersAt)
+}
+
+// Confirm takes in a linearizable read sent at a time: the record is still this holder's if
+// its revision is unchanged.
+func (t *Tenure) Confirm(sent time.Time, revision int64) {
+	if revision != t.revision {
+		t.over = true
+		return
+	}
+	if sent.After(t.confirmed) {
+		t.confirmed = sent
+	}
+}
+
+// Rewrite takes in that this holder changed its own record by a call sent at a time.
+func (t *Tenure) Rewrite(sent time.Time, record Record, revision int64) {
+	t.record = record
+	t.revision = revision
+	if sent.After(t.confirmed) {
+		t.confirmed = sent
+	}
+}
+
+// End gives the tenure up for good.
+func (t *Tenure) End() {
+	t.over = true
+}
+
+// Over tells whether another instance is known to have the record, or it was given up.
+func (t *Tenure) Over() bool {
+	return t.over
+}
+
+// MayOrder tells whether an order may be sent now.
+func (t *Tenure) MayOrder(now time.Time) bool {
+	return t.Waited(now) && t.record.Ordering && now.Sub(t.confirmed) < t.options.Window
+}
+
+// Age is how long ago the read was sent that last confirmed the record.
+func (t *Tenure) Age(now time.Time) time.Duration {
+	return now.Sub(t.confirmed)
+}
--- /dev/null
+++ b/services/retry/budget.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package retry
+
+import "time"
+
+// Options are the settings of a Budget.
+type Options struct {
+	// Ratio is how many repeats each request allows.
+	Ratio float64
+	// Extra is how many more repeats the whole fleet may make in a window.
+	Extra float64
+	// Window is the length of every span in which the budget must hold.
+	Window time.Duration
+}
+
+// safetyShare is the part of the budget that is used, against requests that are counted at
+// the edge of a window.
+const safetyShare = 0.85
+
+// Budget counts requests and repeats for each service over a sliding window. It is not safe
+// for concurrent use.
+type Budget struct {
+	options  Options
+	started  time.Time
+	members  int
+	services map[string]*window
+}
+
+type window struct {
+	requests []time.Time
+	repeats  []time.Time
+}
+
+// NewBudget makes a budget for a process that started at a time. For one window after that
+// only its own requests count, since the repeats of the process before it are not known.
+func NewBudget(options Options, started time.Time) *Budget {
+	return &Budget{options: options, started: started, services: make(map[string]*window)}
+}
+
+// SetMembers tells how many instances share the extra repeats; 0 means that it is not known.
+func (b *Budget) SetMembers(members int) {
+	b.members = members
+}
+
+// Request counts one caller's request for a service.
+func (b *Budget) Request(now time.Time, service string) {
+	w := b.window(now, service)
+	w.requests = append(w.requests, now)
+}
+
+// Take asks for one repeat and counts it if it is granted.
+func (b *Budget) Take(now time.Time, service string) bool {
+	w := b.window(now, service)
+	if float64(len(w.repeats)+1) > b.allowance(now, w) {
+		return false
+	}
+	w.repeats = append(w.repeats, now)
+	return true
+}
+
+func (b *Budget) allowance(now time.Time, w *window) float64 {
+	allowed := b.options.Ratio * float64(len(w.requests))
+	if b.members > 0 && now.Sub(b.started) >= b.options.Window {
+		allowed += b.options.Extra / float64(b.members)
+	}
+	return allowed * safetyShare
+}
+
+func (b *Budget) window(now time.Time, service string) *window {
+	w, ok := b.services[service]
+	if !ok {
+		w = &window{}
+		b.services[service] = w
+	}
+	oldest := now.Add(-b.options.Window)
+	w.requests = dropBefore(w.requests, oldest)
+	w.repeats = dropBefore(w.repeats, oldest)
+	return w
+}
+
+func dropBefore(times []time.Time, oldest time.Time) []time.Time {
+	kept := 0
+	for kept < len(times) && times[kept].Before(oldest) {
+		kept++
+	}
+	if kept == 0 {
+		return times
+	}
+	return append(times[:0], times[kept:]...)
+}
