Poll loads by the count that an endpoint has after them; log each request

Change: one load at a time on an endpoint, asked about with the next count; one log line for each request.

--- a/models/deployment/endpoint.go
+++ b/models/deployment/endpoint.go
@@ -41,13 +41,12 @@
 
 // Endpoint is one incarnation of a back end as its own entry in the store describes it.
 type Endpoint struct {
-	ID       EndpointID
-	Service  string
-	Address  netip.AddrPort
-	Zone     string
-	Slots    int
-	State    EndpointState
-	Sequence int64
+	ID      EndpointID
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	Slots   int
+	State   EndpointState
 	// Models are the base models it holds.
 	Models []string
 	// Adapters maps each resident adapter to its version.
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/shelfledge/shelfledge/models/deployment"
 	"github.com/shelfledge/shelfledge/modules/peerstream"
 	"github.com/shelfledge/shelfledge/services/loading"
@@ -28,6 +30,8 @@
 	startRecent int
 	leaving     bool
 	orders      int
+	// wakeAt is when a plan is due for a load that ends.
+	wakeAt time.Time
 }
 
 // member is an instance that reports to this one.
@@ -188,6 +192,20 @@
 	}
 	p.broadcast(now, now.Sub(p.told) >= reportPace)
 	c.reviewWaiters(now)
+	c.wakeForPoll(now)
+}
+
+// wakeForPoll plans again when the next load is expected to have ended.
+func (c *Coordinator) wakeForPoll(now time.Time) {
+	for _, planner := range c.planning.planners {
+		next := planner.NextPoll()
+		if next.IsZero() || next.Sub(now) > tickPace || now.Before(c.planning.wakeAt) {
+			continue
+		}
+		span := max(next.Sub(now), time.Millisecond)
+		c.planning.wakeAt = now.Add(span)
+		time.AfterFunc(span, func() { c.loop.post(c.plan) })
+	}
 }
 
 // startOrder sends an order beside the control goroutine.
@@ -196,12 +214,6 @@
 	p.orders++
 	term := p.tenure.Record().Term
 	c.counters.orders++
-	if !order.Poll {
-		c.options.Log.WithFields(map[string]any{
-			"kind": order.Kind.String(), "endpoint": order.Endpoint.ID, "adapter": order.Adapter.String(),
-			"sequence": order.ExpectedSequence, "term": term,
-		}).Info("order")
-	}
 	c.run(func() {
 		started := c.options.Now()
 		result := c.sendOrder(order, p, term)
@@ -231,17 +243,39 @@
 	if !ok {
 		return
 	}
-	if result.Reply != loading.Holds && result.Reply != loading.Accepted && result.Reply != loading.Inspected {
-		c.counters.ordersFailed++
-		c.options.Log.WithFields(map[string]any{
-			"kind": result.Order.Kind.String(), "endpoint": result.Order.Endpoint.ID, "adapter": result.Order.Adapter.String(),
-			"reply": result.Reply.String(), "poll": result.Order.Poll, "sequence": result.Order.ExpectedSequence,
-		}).Warn("order not taken")
-	}
+	c.logResult(result)
 	planner.Done(now, result)
 	c.plan(now)
 }
 
+// logResult tells how an endpoint took an order; polls and reports only at the debug level.
+func (c *Coordinator) logResult(result loading.Result) {
+	level := logrus.InfoLevel
+	switch result.Reply {
+	case loading.Accepted, loading.Holds, loading.Inspected:
+		if result.Order.Poll || result.Report != nil {
+			level = logrus.DebugLevel
+		}
+	default:
+		level = logrus.WarnLevel
+		c.counters.ordersFailed++
+	}
+	if !c.options.Log.Logger.IsLevelEnabled(level) {
+		return
+	}
+	fields := logrus.Fields{
+		"kind": result.Order.Kind.String(), "endpoint": result.Order.Endpoint.ID, "adapter": result.Order.Adapter.String(),
+		"reply": result.Reply.String(), "poll": result.Order.Poll, "expected_sequence": result.Order.ExpectedSequence,
+		"took_ms": result.Took.Milliseconds(),
+	}
+	if result.Report != nil {
+		fields["reported_sequence"] = result.Report.Sequence
+		fields["resident"] = len(result.Report.Adapters)
+		fields["pending"] = result.Report.Pending
+	}
+	c.options.Log.WithFields(fields).Log(level, "order answered")
+}
+
 func (p *planning) dropLost(now time.Time) {
 	for name, m := range p.members {
 		if m.lost.IsZero() && now.Sub(m.heard) > memberSilence {
--- a/services/entry/run.go
+++ b/services/entry/run.go
@@ -36,6 +36,7 @@
 	// lastEvent is the last whole event passed on.
 	lastEvent string
 	reason    string
+	records   []AttemptRecord
 }
 
 // verdict is what follows from one attempt.
@@ -56,6 +57,11 @@
 	brokenOff
 )
 
+// String names the verdict in logs.
+func (v verdict) String() string {
+	return [...]string{"finished", "not sent", "not run", "uncertain", "server error", "broken off"}[v]
+}
+
 // maxDials is how many endpoints are tried that cannot be connected to.
 const maxDials = 3
 
@@ -202,10 +208,17 @@
 	cancel     context.CancelFunc
 	// held is a whole body that was read before anything was passed on.
 	held []byte
+	// status is the endpoint's own; 0 for none.
+	status int
 }
 
 func (a *attempt) do() verdict {
+	started := a.run.service.options.Now()
 	outcome, missing, result := a.exchange()
+	a.run.records = append(a.run.records, AttemptRecord{
+		Endpoint: a.assignment.Endpoint.ID, WaitedMS: a.assignment.Waited.Milliseconds(), Result: result.String(),
+		TookMS: a.run.service.options.Now().Sub(started).Milliseconds(), Status: a.status,
+	})
 	a.run.service.control.Finish(a.run.request, a.assignment, outcome, missing)
 	return result
 }
@@ -254,6 +267,7 @@
 	response := a.answer.Response
 	dialect := a.run.service.dialect
 	status := response.StatusCode
+	a.status = status
 	switch {
 	case dialect.NotRun(status, response.Header) && status != http.StatusBadRequest:
 		missing := status == http.StatusMisdirectedRequest
--- a/services/entry/service.go
+++ b/services/entry/service.go
@@ -42,16 +42,32 @@
 	Observe func(Observation)
 }
 
-// Observation is the end of one request.
+// Observation is the end of one request, with what decided it.
 type Observation struct {
-	Route    string
-	Status   int
+	ID      string
+	Route   string
+	Service string
+	Adapter string
+	// Status is 0 where the connection was closed without an answer.
+	Status int
+	// Reason says why there was no success; empty for a success.
 	Reason   string
-	Attempts int
+	Attempts []AttemptRecord
 	First    time.Duration
 	Whole    time.Duration
 }
 
+// AttemptRecord is one exchange with an endpoint.
+type AttemptRecord struct {
+	Endpoint deployment.EndpointID `json:"endpoint"`
+	// WaitedMS and TookMS are the waits for an endpoint and for the end of the exchange.
+	WaitedMS int64 `json:"waited_ms"`
+	TookMS   int64 `json:"took_ms"`
+	// Result is how the exchange ended; Status the endpoint's own, 0 for none.
+	Result string `json:"result"`
+	Status int    `json:"status,omitempty"`
+}
+
 // Service serves callers' requests.
 type Service struct {
 	options  Options
@@ -121,22 +137,37 @@
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.Deadline)
 	defer cancel()
 	run := &run{service: s, answer: answer, incoming: incoming, request: request, facts: facts, body: body, context: ctx}
+	// An answer that breaks off ends by a panic, which net/http takes for closing the connection.
+	defer s.observe(run)
 	run.serve()
-	s.observe(run)
 }
 
 func (s *Service) observe(r *run) {
-	if s.options.Observe == nil {
-		return
-	}
 	observation := Observation{
-		Route: r.request.Route.Name, Status: r.answer.status, Reason: r.reason, Attempts: r.attempts,
-		Whole: s.options.Now().Sub(r.request.Arrived),
+		ID: r.request.ID, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
+		Status: r.answer.status, Reason: r.reason, Attempts: r.records, Whole: s.options.Now().Sub(r.request.Arrived),
 	}
 	if !r.answer.headAt.IsZero() {
 		observation.First = r.answer.headAt.Sub(r.request.Arrived)
 	}
-	s.options.Observe(observation)
+	s.log(observation)
+	if s.options.Observe != nil {
+		s.options.Observe(observation)
+	}
+}
+
+func (s *Service) log(o Observation) {
+	level := logrus.InfoLevel
+	if o.Reason != "" {
+		level = logrus.WarnLevel
+	}
+	if !s.options.Log.Logger.IsLevelEnabled(level) {
+		return
+	}
+	s.options.Log.WithFields(logrus.Fields{
+		"request": o.ID, "route": o.Route, "service": o.Service, "adapter": o.Adapter, "status": o.Status, "reason": o.Reason,
+		"attempts": o.Attempts, "first_ms": o.First.Milliseconds(), "whole_ms": o.Whole.Milliseconds(),
+	}).Log(level, "request")
 }
 
 func deadline(arrived time.Time, route *deployment.Route, facts Facts) time.Time {
--- a/services/loading/copy.go
+++ b/services/loading/copy.go
@@ -35,6 +35,7 @@
 // endpointPlan is one endpoint.
 type endpointPlan struct {
 	endpoint deployment.Endpoint
+	// sequence counts the orders that it has carried out.
 	sequence int64
 	copies   map[deployment.Adapter]*copyPlan
 	// held are adapters it held before: they load fast.
@@ -52,9 +53,10 @@
 func newEndpointPlan(endpoint deployment.Endpoint) *endpointPlan {
 	return &endpointPlan{
 		endpoint: endpoint,
-		sequence: endpoint.Sequence,
 		copies:   make(map[deployment.Adapter]*copyPlan),
 		held:     make(map[deployment.Adapter]time.Time),
+		// An endpoint that holds something has taken orders, so its sequence has to be read.
+		inspect: len(endpoint.Adapters) > 0,
 	}
 }
 
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -71,6 +71,8 @@
 			}
 			order := p.order(Load, plan, adapter)
 			order.Poll = true
+			// The endpoint's count grows by one when the load ends.
+			order.ExpectedSequence++
 			return order, true
 		}
 	}
--- a/services/loading/planner.go
+++ b/services/loading/planner.go
@@ -18,10 +18,13 @@
 }
 
 const (
-	// maxPending is how many loads may be heading to one endpoint at once.
-	maxPending = 4
+	// maxPending is how many loads may be heading to one endpoint at once. An endpoint counts
+	// a load when it ends, so with one at a time its sequence is always known.
+	maxPending = 1
 	// loadPoll is the pause between questions whether a load has ended.
-	loadPoll = 25 * time.Millisecond
+	loadPoll = 12 * time.Millisecond
+	// answerRest is the pause before an endpoint is looked into whose answer was lost.
+	answerRest = 150 * time.Millisecond
 	// reportLag is how old an endpoint's report may be.
 	reportLag = 500 * time.Millisecond
 	// firstLoadTime is the time of a load until one was measured.
@@ -89,7 +92,6 @@
 	}
 	plan.suspect = suspect
 	plan.endpoint = endpoint
-	plan.sequence = max(plan.sequence, endpoint.Sequence)
 	plan.adopt(now, endpoint.Adapters, descriptionLag)
 }
 
@@ -248,3 +250,16 @@
 	}
 	return list
 }
+
+// NextPoll gives the earliest time at which a load is to be asked about; zero if there is none.
+func (p *Planner) NextPoll() time.Time {
+	var next time.Time
+	for _, plan := range p.endpoints {
+		for _, c := range plan.copies {
+			if c.state == copyLoading && (next.IsZero() || c.pollAt.Before(next)) {
+				next = c.pollAt
+			}
+		}
+	}
+	return next
+}
--- a/services/loading/result.go
+++ b/services/loading/result.go
@@ -44,25 +44,36 @@
 	}
 	switch result.Reply {
 	case Holds:
+		plan.sequence = result.Order.ExpectedSequence
 		p.becomeResident(now, plan, adapter, c)
 	case Accepted:
-		if !result.Order.Poll {
-			plan.sequence = max(plan.sequence, result.Order.ExpectedSequence+1)
-		}
-		c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
-		if now.Sub(c.since) > loadLimit {
-			plan.inspect = true
+		p.stillLoading(now, plan, c)
+	case Conflict:
+		if result.Order.Poll {
+			p.stillLoading(now, plan, c)
+			return
 		}
+		delete(plan.copies, adapter)
+		plan.inspect = true
 	case NotDelivered, Rejected:
 		if !result.Order.Poll {
 			delete(plan.copies, adapter)
 		}
 		plan.restUntil = now.Add(restAfterFailure)
 		plan.inspect = true
-	case Conflict, Unanswered, Inspected:
-		plan.restUntil = now.Add(loadPoll)
+	case Unanswered, Inspected:
+		plan.restUntil = now.Add(answerRest)
+		plan.inspect = true
+		c.pollAt = now.Add(answerRest)
+	}
+}
+
+// stillLoading asks again soon; a load that takes too long is looked into.
+func (p *Planner) stillLoading(now time.Time, plan *endpointPlan, c *copyPlan) {
+	c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
+	if now.Sub(c.since) > loadLimit {
 		plan.inspect = true
-		c.pollAt = now.Add(loadPoll)
+		plan.restUntil = now.Add(answerRest)
 	}
 }
 
