Hand rates and warm adapters over to a new planner; count all that a report lists

Change: instances tell a new planner their own arrival rates; what was unloaded by own orders is kept apart from what was ever held. The planner that the store no longer answers resigns to a member that it answers.

--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/shelfledge/shelfledge/models/deployment"
 	"github.com/shelfledge/shelfledge/modules/store"
 	"github.com/shelfledge/shelfledge/services/directory"
+	"github.com/shelfledge/shelfledge/services/loading"
 	"github.com/shelfledge/shelfledge/services/ownership"
 	"github.com/shelfledge/shelfledge/services/retry"
 )
@@ -21,6 +22,8 @@
 	tickPace = 25 * time.Millisecond
 	// reportPace is the longest pause between two reports, and between two views.
 	reportPace = 250 * time.Millisecond
+	// sweepPace is how often old state is forgotten.
+	sweepPace = time.Second
 	// plannerSilence is after how long without a view the planner counts as silent.
 	plannerSilence = 1200 * time.Millisecond
 	// readAgeLimit is the age of the planner's reading of endpoints beyond which an
@@ -64,11 +67,15 @@
 	waiters         []*waiter
 	arrivals        map[serviceAdapter]int
 	forecasts       map[serviceAdapter]time.Time
+	rates           map[serviceAdapter]*loading.Rate
+	sweptAt         time.Time
 	missing         []copyName
 	following       following
 	planning        *planning
 	// knownRecord is the ownership's record as last read.
 	knownRecord ownership.Record
+	// storeReadAt is when the store last answered a read of the record.
+	storeReadAt time.Time
 	// leadershipDue asks for a look at the record without delay.
 	leadershipDue bool
 	counters      counters
@@ -89,6 +96,7 @@
 		budget:      retry.NewBudget(options.Retry, options.Now()),
 		arrivals:    make(map[serviceAdapter]int),
 		forecasts:   make(map[serviceAdapter]time.Time),
+		rates:       make(map[serviceAdapter]*loading.Rate),
 	}
 }
 
@@ -139,6 +147,26 @@
 	if now.Sub(c.following.reported) >= reportPace {
 		c.sendReport(now)
 	}
+	if now.Sub(c.sweptAt) >= sweepPace {
+		c.sweep(now)
+	}
+}
+
+// sweep forgets what is too old to matter.
+func (c *Coordinator) sweep(now time.Time) {
+	c.sweptAt = now
+	c.directory.RememberHeld(now)
+	for key, rate := range c.rates {
+		if rate.PerSecond(now) < leastRate {
+			delete(c.rates, key)
+		}
+	}
+	if c.planning == nil {
+		return
+	}
+	for _, planner := range c.planning.planners {
+		planner.Sweep(now)
+	}
 }
 
 // updateReady says ready once configuration and endpoints are known; it stays so.
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -17,10 +17,18 @@
 	leadershipPace = 100 * time.Millisecond
 	// confirmPause is the pause between two confirming reads of the holder.
 	confirmPause = time.Second
+	// confirmTimeout bounds a confirming read, confirmRetry is the pause after a failed one.
+	confirmTimeout = 700 * time.Millisecond
+	confirmRetry   = 200 * time.Millisecond
+	// confirmTrouble is the age of the last confirmation from which on members are asked
+	// whether the store answers them.
+	confirmTrouble = 1300 * time.Millisecond
 	// aliveLife is the life of the lease under the holder's sign of life.
 	aliveLife = 2500 * time.Millisecond
 	// lookPause is the pause between two looks at the record by an instance without planner.
 	lookPause = 500 * time.Millisecond
+	// releasePause is how often a holder that gives up looks whether its orders have ended.
+	releasePause = 10 * time.Millisecond
 	// takeoverSilence is after how long without the planner's word its record is looked at.
 	takeoverSilence = 1200 * time.Millisecond
 )
@@ -51,61 +59,110 @@
 	coordinator *Coordinator
 	lease       int64
 	nextLook    time.Time
-	confirmedAt time.Time
-	started     time.Time
+	nextConfirm time.Time
+	// revision is the record's when it was last looked at, and since when it is that.
+	revision int64
+	since    time.Time
+	started  time.Time
 }
 
 func (k *keeper) reset() {
-	k.lease = 0
-	k.confirmedAt = time.Time{}
+	k.nextConfirm = time.Time{}
 }
 
 // keep confirms the record, renews the sign of life and begins to order when the time has come.
 func (k *keeper) keep() {
 	c := k.coordinator
 	now := c.options.Now()
-	if now.Sub(k.confirmedAt) < confirmPause {
+	if now.Before(k.nextConfirm) {
 		k.beginOrdering()
 		return
 	}
-	k.confirmedAt = now
+	k.nextConfirm = now.Add(confirmPause)
+	if !k.confirm() {
+		k.nextConfirm = c.options.Now().Add(confirmRetry)
+		c.resignIfOthersCan()
+		return
+	}
 	k.renewSign()
-	k.confirm()
 	k.beginOrdering()
 }
 
+// resignIfOthersCan gives the ownership up while the store does not answer this instance but
+// answers a member, so that the member need not wait until this holder's time is over.
+func (c *Coordinator) resignIfOthersCan() {
+	var p *planning
+	c.loop.call(func(now time.Time) {
+		if c.planning == nil || c.planning.resigned || c.planning.tenure.Age(now) < confirmTrouble {
+			return
+		}
+		for _, m := range c.planning.members {
+			if m.lost.IsZero() && m.storeReadAge < confirmTrouble {
+				p = c.planning
+				p.leaving = true
+			}
+		}
+	})
+	if p == nil {
+		return
+	}
+	for c.ordersUnderWay(p) && c.context.Err() == nil {
+		c.sleep(releasePause)
+	}
+	c.options.Log.WithField("term", p.tenure.Record().Term).Warn("planning resigned: the store answers others only")
+	c.loop.call(func(now time.Time) {
+		p.resigned = true
+		p.broadcast(now, true)
+	})
+}
+
 // renewSign keeps the lease of the sign of life, or makes a new one.
 func (k *keeper) renewSign() {
 	c := k.coordinator
 	ctx, cancel := c.storeCall()
 	defer cancel()
-	if k.lease != noSuchTenure {
+	if k.lease != 0 {
 		err := c.environment.Store.KeepLease(ctx, k.lease)
 		if !errors.Is(err, store.ErrLeaseGone) {
 			return
 		}
 	}
-	lease, err := c.environment.Store.GrantLease(ctx, aliveLife)
-	if err != nil {
-		c.noteStore("grant lease", err)
+	if !k.grantLease() {
 		return
 	}
-	k.lease = lease
-	_, err = c.environment.Store.Commit(ctx, store.Transaction{
-		Writes: []store.Write{{Key: aliveKey, Value: []byte(c.options.Instance), Lease: lease}},
-	})
+	_, err := c.environment.Store.Commit(ctx, store.Transaction{Writes: []store.Write{k.sign()}})
 	if err != nil {
 		c.noteStore("write sign of life", err)
 	}
 }
 
-func (k *keeper) confirm() {
+// grantLease makes the lease under the sign of life.
+func (k *keeper) grantLease() bool {
 	c := k.coordinator
 	ctx, cancel := c.storeCall()
 	defer cancel()
+	lease, err := c.environment.Store.GrantLease(ctx, aliveLife)
+	if err != nil {
+		c.noteStore("grant lease", err)
+		return false
+	}
+	k.lease = lease
+	return true
+}
+
+// sign is the holder's sign of life, which goes when its lease does.
+func (k *keeper) sign() store.Write {
+	return store.Write{Key: aliveKey, Value: []byte(k.coordinator.options.Instance), Lease: k.lease}
+}
+
+// confirm proves that the record is still this holder's; false if the store did not answer.
+func (k *keeper) confirm() bool {
+	c := k.coordinator
+	ctx, cancel := context.WithTimeout(c.context, confirmTimeout)
+	defer cancel()
 	sent := c.options.Now()
 	item, err := c.environment.Store.Get(ctx, recordKey)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	if err != nil {
 		c.noteStore("confirm ownership", err)
 	}
 	c.loop.call(func(time.Time) {
@@ -115,8 +172,13 @@
 		if err == nil {
 			c.planning.tenure.Confirm(sent, item.Revision)
 		}
+		if err == nil && c.planning.resigned {
+			// The promise holds for the whole term; a new one has to be taken.
+			c.planning.tenure.End()
+		}
 		c.endIfOver()
 	})
+	return err == nil
 }
 
 // endIfOver stops planning when another instance has the record. While the record only cannot
@@ -220,19 +282,31 @@
 		c.noteStore("read ownership", err)
 		return
 	}
-	c.loop.call(func(time.Time) { c.noteRecord(record) })
+	if revision != k.revision || k.since.IsZero() {
+		k.revision, k.since = revision, now
+	}
+	resigned := false
+	c.loop.call(func(now time.Time) {
+		c.storeReadAt = now
+		c.noteRecord(record)
+		resigned = found && record.Term == c.following.resignedTerm
+		if due {
+			c.sendReport(now)
+		}
+	})
 	if c.leaving.Load() || !c.ready.Load() {
 		return
 	}
 	switch {
-	case !found, record.Released:
+	case !found, record.Released, resigned:
 	case record.Holder == c.options.Instance:
-	case silentFor < takeoverSilence:
+	case silentFor < takeoverSilence || now.Sub(k.since) < takeoverSilence:
 		return
 	case c.planLives():
 		return
 	}
-	c.takeOwnership(record, revision, found)
+	record.Released = record.Released || resigned
+	k.takeOwnership(record, revision, found)
 }
 
 // noteRecord remembers who plans; a link to a former planner ends.
@@ -284,7 +358,11 @@
 }
 
 // takeOwnership writes this instance into the record if nobody changed it since it was read.
-func (c *Coordinator) takeOwnership(replaced ownership.Record, revision int64, found bool) {
+func (k *keeper) takeOwnership(replaced ownership.Record, revision int64, found bool) {
+	c := k.coordinator
+	if !k.grantLease() {
+		return
+	}
 	record := ownership.Record{
 		Holder: c.options.Instance, Address: c.options.PeerAddress, Term: replaced.Term + 1, Former: replaced.Former,
 	}
@@ -301,7 +379,7 @@
 	sent := c.options.Now()
 	committed, err := c.environment.Store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{{Key: recordKey, Revision: revision}},
-		Writes:     []store.Write{{Key: recordKey, Value: value}},
+		Writes:     []store.Write{{Key: recordKey, Value: value}, k.sign()},
 	})
 	if err != nil {
 		if !store.IsConflict(err) {
@@ -323,6 +401,8 @@
 		c.following.stream = nil
 	}
 	c.planning = newPlanning(c, now, tenure, replaced.RecentLoads)
+	c.following.ratesDue = true
+	c.sendReport(now)
 }
 
 // Release hands the ownership over, if this instance has it: no more orders are sent, those
@@ -340,7 +420,7 @@
 		return
 	}
 	for c.ordersUnderWay(p) && ctx.Err() == nil {
-		c.sleep(leadershipPace / 4)
+		c.sleep(releasePause)
 	}
 	record := p.tenure.Record()
 	record.Released = record.Ordering && !c.ordersUnderWay(p)
@@ -349,6 +429,7 @@
 		c.rewriteRecord(p.tenure, record)
 	}
 	c.loop.call(func(now time.Time) {
+		p.resigned = record.Released
 		p.broadcast(now, true)
 		p.tenure.End()
 	})
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -38,6 +38,10 @@
 	Suspects []deployment.EndpointID `msgpack:"s,omitempty"`
 	Items    []store.Item            `msgpack:"o,omitempty"`
 	Leaving  bool                    `msgpack:"l,omitempty"`
+	// Rates are the instance's arrival rates, told once to each new planner.
+	Rates []adapterRate `msgpack:"a,omitempty"`
+	// StoreReadAge is how long ago the instance last read from the store.
+	StoreReadAge time.Duration `msgpack:"k"`
 }
 
 type endpointCount struct {
@@ -80,8 +84,8 @@
 	Members         int             `msgpack:"n"`
 	ConfigurationAt int64           `msgpack:"c"`
 	Items           []store.Item    `msgpack:"o,omitempty"`
-	// Leaving says that the planner has released its ownership.
-	Leaving bool `msgpack:"b,omitempty"`
+	// Resigned says that the planner gives no more orders in its term.
+	Resigned bool `msgpack:"b,omitempty"`
 }
 
 type endpointView struct {
@@ -107,6 +111,13 @@
 	Revision int64                 `msgpack:"r"`
 }
 
+type adapterRate struct {
+	Service   string  `msgpack:"s"`
+	Model     string  `msgpack:"m"`
+	Name      string  `msgpack:"a"`
+	PerSecond float64 `msgpack:"r"`
+}
+
 type forecast struct {
 	Service string        `msgpack:"s"`
 	Model   string        `msgpack:"m"`
--- a/services/coordinator/options.go
+++ b/services/coordinator/options.go
@@ -73,8 +73,7 @@
 
 // The product's own keys in the store.
 const (
-	ownPrefix    = "shelfledge/"
-	recordKey    = ownPrefix + "planner"
-	aliveKey     = ownPrefix + "planner-alive"
-	noSuchTenure = 0
+	ownPrefix = "shelfledge/"
+	recordKey = ownPrefix + "planner"
+	aliveKey  = ownPrefix + "planner-alive"
 )
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -28,8 +28,11 @@
 	told time.Time
 	// startRecent is what the former holder said of its loads.
 	startRecent int
-	leaving     bool
-	orders      int
+	// leaving is set before the ownership is given up: no order is started any more.
+	leaving bool
+	// resigned tells the members that no order follows in this term.
+	resigned bool
+	orders   int
 	// wakeAt is when a plan is due for a load that ends.
 	wakeAt time.Time
 }
@@ -47,14 +50,16 @@
 	configurationAt int64
 	behindSince     time.Time
 	needsFull       bool
-	leaving         bool
+	// storeReadAge is how long ago it read the store, by its last report.
+	storeReadAge time.Duration
+	leaving      bool
 }
 
 const (
 	// memberSilence is after how long without a report an instance counts as lost.
 	memberSilence = 1500 * time.Millisecond
-	// claimLife is how long a lost instance's requests may still use a withdrawn copy.
-	claimLife = 15 * time.Second
+	// memberMemory is how long a lost instance still counts in the fleet's shares.
+	memberMemory = 20 * time.Second
 )
 
 func newPlanning(c *Coordinator, now time.Time, tenure *ownership.Tenure, startRecent int) *planning {
@@ -89,8 +94,11 @@
 			delete(p.planners, name)
 		}
 	}
-	for _, entry := range p.coordinator.directory.Entries() {
+	for id, entry := range p.coordinator.directory.Entries() {
 		p.setEndpoint(now, entry.Endpoint)
+		if planner, ok := p.planners[entry.Service]; ok {
+			planner.RememberHeld(id, entry.Held)
+		}
 	}
 	for adapter, named := range p.coordinator.versions {
 		p.setVersion(now, adapter, named.version)
@@ -143,8 +151,8 @@
 
 // publishCopies makes the plan's copies this instance's own view of an endpoint.
 func (p *planning) publishCopies(id deployment.EndpointID, planner *loading.Planner) {
-	usable, _ := planner.Copies(id)
-	p.coordinator.directory.SetAdapters(id, usable)
+	models, adapters := planner.Offered(id)
+	p.coordinator.directory.SetOffered(id, models, adapters)
 	p.changed[id] = true
 }
 
@@ -284,7 +292,7 @@
 				planner.ForgetInstance(name)
 			}
 		}
-		if !m.lost.IsZero() && (m.leaving || now.Sub(m.lost) > claimLife) {
+		if !m.lost.IsZero() && (m.leaving || now.Sub(m.lost) > memberMemory) {
 			delete(p.members, name)
 		}
 	}
@@ -298,6 +306,10 @@
 				return false
 			}
 			for _, m := range p.members {
+				if !m.lost.IsZero() {
+					// The endpoint itself keeps an adapter that a lost instance's request uses.
+					continue
+				}
 				if m.withdrawalsSeen < withdrawal || m.inUse[copyName{ID: id, Model: adapter.Model, Name: adapter.Name}] {
 					return false
 				}
@@ -322,6 +334,11 @@
 	for name, planner := range p.planners {
 		planner.Report(now, r.Instance, byService[name])
 	}
+	for name, rates := range ratesByService(r.Rates) {
+		if planner, ok := p.planners[name]; ok {
+			planner.AddRates(now, rates)
+		}
+	}
 	for _, copied := range r.Missing {
 		for _, planner := range p.planners {
 			planner.NoteMissing(copied.ID)
@@ -329,12 +346,26 @@
 	}
 }
 
+func ratesByService(list []adapterRate) map[string]map[deployment.Adapter]float64 {
+	byService := make(map[string]map[deployment.Adapter]float64)
+	for _, one := range list {
+		rates, ok := byService[one.Service]
+		if !ok {
+			rates = make(map[deployment.Adapter]float64)
+			byService[one.Service] = rates
+		}
+		rates[deployment.Adapter{Model: one.Model, Name: one.Name}] = one.PerSecond
+	}
+	return byService
+}
+
 func (p *planning) updateMember(now time.Time, m *member, r *report) {
 	m.heard = now
 	m.lost = time.Time{}
 	m.withdrawalsSeen = r.WithdrawalsSeen
 	m.configurationAt = r.ConfigurationAt
 	m.leaving = r.Leaving
+	m.storeReadAge = r.StoreReadAge
 	m.inUse = make(map[copyName]bool, len(r.InUse))
 	for _, used := range r.InUse {
 		m.inUse[used] = true
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -10,6 +10,7 @@
 
 	"github.com/shelfledge/shelfledge/models/deployment"
 	"github.com/shelfledge/shelfledge/modules/peerstream"
+	"github.com/shelfledge/shelfledge/services/loading"
 )
 
 // following is what an instance keeps of its link to the planner.
@@ -23,6 +24,10 @@
 	// confirmedAge is how long before that the planner's ownership was confirmed.
 	confirmedAge time.Duration
 	members      int
+	// resignedTerm is the last term whose holder said that it gives no more orders.
+	resignedTerm int64
+	// ratesDue asks for the arrival rates in the next report.
+	ratesDue bool
 	// withdrawals is the last announcement taken in.
 	withdrawals uint64
 	// reported is when the last report went out, and own what it said was in flight.
@@ -80,6 +85,7 @@
 	c.loop.call(func(now time.Time) {
 		c.following.stream = stream
 		c.following.own = nil
+		c.following.ratesDue = true
 		c.sendReport(now)
 	})
 	for {
@@ -120,6 +126,7 @@
 	built := &report{
 		Instance: c.options.Instance, WithdrawalsSeen: c.following.withdrawals, ConfigurationAt: c.configurationAt,
 		Demands: c.buildDemands(now), Missing: c.missing, Leaving: c.leaving.Load(),
+		StoreReadAge: now.Sub(c.storeReadAt),
 	}
 	c.missing = nil
 	c.following.own = make(map[deployment.EndpointID]int, c.directory.Size())
@@ -137,12 +144,33 @@
 			}
 		}
 	}
+	if c.following.ratesDue {
+		built.Rates = c.arrivalRates(now)
+		c.following.ratesDue = false
+	}
 	if c.plannerLags(now) {
 		built.Items = c.newerItems(c.following.plannerAt)
 	}
 	return built
 }
 
+// leastRate is the arrival rate, in requests a second, that is worth telling a new planner.
+const leastRate = 0.005
+
+// arrivalRates gives this instance's rates and forgets those that have become too small.
+func (c *Coordinator) arrivalRates(now time.Time) []adapterRate {
+	var list []adapterRate
+	for key, rate := range c.rates {
+		perSecond := rate.PerSecond(now)
+		if perSecond < leastRate {
+			delete(c.rates, key)
+			continue
+		}
+		list = append(list, adapterRate{Service: key.service, Model: key.adapter.Model, Name: key.adapter.Name, PerSecond: perSecond})
+	}
+	return list
+}
+
 // relayAfter is how long a peer may lack newer configuration keys before they are sent to it.
 const relayAfter = 400 * time.Millisecond
 
@@ -171,6 +199,7 @@
 	for key, count := range c.arrivals {
 		if !key.adapter.IsZero() {
 			demandOf(key).Arrivals = count
+			c.rateOf(key).Add(now, count)
 		}
 	}
 	clear(c.arrivals)
@@ -192,6 +221,15 @@
 	return list
 }
 
+func (c *Coordinator) rateOf(key serviceAdapter) *loading.Rate {
+	rate, ok := c.rates[key]
+	if !ok {
+		rate = &loading.Rate{}
+		c.rates[key] = rate
+	}
+	return rate
+}
+
 // applyView takes in the planner's word.
 func (c *Coordinator) applyView(now time.Time, stream *peerstream.Stream[message], v *view) {
 	if c.following.stream != stream || v.Term < c.following.term || c.planning != nil {
@@ -224,8 +262,11 @@
 	if announced {
 		c.sendReport(now)
 	}
-	if v.Leaving {
-		c.following.heard = time.Time{}
+	if v.Resigned && c.following.resignedTerm < v.Term {
+		c.following.resignedTerm = v.Term
+		c.leadershipDue = true
+	}
+	if v.ConfirmedAge > confirmTrouble && now.Sub(c.storeReadAt) > confirmTrouble {
 		c.leadershipDue = true
 	}
 	c.reviewWaiters(now)
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -170,7 +170,7 @@
 func (p *planning) baseView(now time.Time, totals []endpointCount) *view {
 	v := &view{
 		Planner: p.coordinator.options.Instance, Term: p.tenure.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
-		Totals: totals, Members: p.memberCount(), ConfigurationAt: p.coordinator.configurationAt, Leaving: p.leaving,
+		Totals: totals, Members: p.memberCount(), ConfigurationAt: p.coordinator.configurationAt, Resigned: p.resigned,
 		ConfirmedAge: p.tenure.Age(now),
 	}
 	clear(p.coordinator.forecasts)
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -170,9 +170,27 @@
 	}
 }
 
-// SetAdapters takes the planner's word on which adapters an endpoint holds for new requests.
-func (d *Directory) SetAdapters(id deployment.EndpointID, adapters map[deployment.Adapter]int64) {
+// SetOffered takes the planner's word on what an endpoint holds for new requests.
+func (d *Directory) SetOffered(id deployment.EndpointID, models []string, adapters map[deployment.Adapter]int64) {
 	if entry, ok := d.entries[id]; ok {
+		entry.Models = models
 		entry.Adapters = adapters
 	}
 }
+
+// RememberHeld notes what each endpoint holds now, and forgets what it held long ago.
+func (d *Directory) RememberHeld(now time.Time) {
+	for _, entry := range d.entries {
+		for adapter := range entry.Adapters {
+			entry.Held[adapter] = now
+		}
+		for adapter, at := range entry.Held {
+			if now.Sub(at) > heldMemory {
+				delete(entry.Held, adapter)
+			}
+		}
+	}
+}
+
+// heldMemory is how long an adapter that was dropped is expected to load fast.
+const heldMemory = 10 * time.Minute
--- a/services/directory/entry.go
+++ b/services/directory/entry.go
@@ -22,6 +22,8 @@
 	OwnByAdapter map[deployment.Adapter]int
 	// Health is how the endpoint has behaved.
 	Health Health
+	// Held are the adapters that it held at any time, and when each was last seen there.
+	Held map[deployment.Adapter]time.Time
 	// missing holds adapters that the endpoint lately said it does not hold.
 	missing map[deployment.Adapter]time.Time
 }
@@ -35,6 +37,7 @@
 		Endpoint:     endpoint,
 		Revision:     revision,
 		OwnByAdapter: make(map[deployment.Adapter]int),
+		Held:         make(map[deployment.Adapter]time.Time),
 		missing:      make(map[deployment.Adapter]time.Time),
 	}
 }
--- a/services/loading/copy.go
+++ b/services/loading/copy.go
@@ -24,10 +24,14 @@
 	state   copyState
 	version int64
 	since   time.Time
+	// accepted is set once the endpoint has taken the order to unload, which waits for its runs.
+	accepted bool
 	// cold marks a load that comes from the weight store.
 	cold bool
 	// pollAt is when to ask next whether a load has ended.
 	pollAt time.Time
+	// inspected is when a load that takes too long was last looked into.
+	inspected time.Time
 	// withdrawal numbers the announcement of a withdrawal.
 	withdrawal uint64
 }
@@ -38,8 +42,13 @@
 	// sequence counts the orders that it has carried out.
 	sequence int64
 	copies   map[deployment.Adapter]*copyPlan
+	// modelSince is when a base model was brought by an order.
+	modelSince time.Time
 	// held are adapters it held before: they load fast.
 	held map[deployment.Adapter]time.Time
+	// dropped are adapters that were unloaded by own orders, and when: a description that
+	// still lists them is too old.
+	dropped map[deployment.Adapter]time.Time
 	// busy is set while an order to it is under way.
 	busy bool
 	// inspect asks for its report before the next order.
@@ -55,6 +64,7 @@
 		endpoint: endpoint,
 		copies:   make(map[deployment.Adapter]*copyPlan),
 		held:     make(map[deployment.Adapter]time.Time),
+		dropped:  make(map[deployment.Adapter]time.Time),
 		// An endpoint that holds something has taken orders, so its sequence has to be read.
 		inspect: len(endpoint.Adapters) > 0,
 	}
@@ -71,6 +81,16 @@
 	return count
 }
 
+// unloading tells whether an unload was ordered that has not ended.
+func (e *endpointPlan) unloading() bool {
+	for _, c := range e.copies {
+		if c.state == copyUnloading && c.accepted {
+			return true
+		}
+	}
+	return false
+}
+
 // descriptionLag is how long an endpoint's description may lag behind its state.
 const descriptionLag = 3 * time.Second
 
@@ -80,7 +100,7 @@
 	for adapter, version := range adapters {
 		known, ok := e.copies[adapter]
 		if !ok {
-			if at, dropped := e.held[adapter]; dropped && now.Sub(at) < lag {
+			if at, dropped := e.dropped[adapter]; dropped && now.Sub(at) < lag {
 				continue
 			}
 			e.copies[adapter] = &copyPlan{state: copyResident, version: version, since: now}
@@ -94,7 +114,7 @@
 		}
 	}
 	for adapter, known := range e.copies {
-		if _, listed := adapters[adapter]; listed || known.state == copyLoading || now.Sub(known.since) < lag {
+		if _, listed := adapters[adapter]; listed || adapter.IsZero() || known.state == copyLoading || now.Sub(known.since) < lag {
 			continue
 		}
 		delete(e.copies, adapter)
@@ -113,7 +133,7 @@
 		}
 	}
 	for adapter, known := range e.copies {
-		if known.state == copyLoading && !pending[adapter] && now.Sub(known.since) > reportLag {
+		if known.state == copyLoading && !adapter.IsZero() && !pending[adapter] && now.Sub(known.since) > reportLag {
 			delete(e.copies, adapter)
 		}
 	}
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -15,8 +15,10 @@
 	// inTimeValue and lateValue are what a waiting request is worth against a future one.
 	inTimeValue = 1.0
 	lateValue   = 0.15
-	// evictionMargin is how much better than its victim a new copy must be.
-	evictionMargin = 1.3
+	// spareSlots is how many places of an endpoint are kept free for the next loads.
+	spareSlots = 2
+	// mostEvicted is the expected use, in requests, from which on a copy is never evicted.
+	mostEvicted = 12.0
 	// fullShare is the part of an endpoint's fair share of requests that one copy may take.
 	fullShare = 0.7
 	// extraCopyValue weighs relief of a crowded copy against a first copy.
@@ -33,7 +35,7 @@
 
 // Next gives the next order to send, if there is one. Its endpoint is busy until Done.
 func (p *Planner) Next(now time.Time) (Order, bool) {
-	for _, decide := range []func(time.Time) (Order, bool){p.nextInspection, p.nextPoll, p.nextUnload, p.nextLoad} {
+	for _, decide := range []func(time.Time) (Order, bool){p.nextInspection, p.nextPoll, p.nextUnload, p.nextModel, p.nextLoad} {
 		if order, ok := decide(now); ok {
 			p.endpoints[order.Endpoint.ID].busy = true
 			return order, true
@@ -79,16 +81,23 @@
 	return Order{}, false
 }
 
-// nextUnload unloads what is withdrawn and confirmed as unused.
+// nextUnload unloads what is withdrawn and confirmed as unused. An endpoint that is loading
+// is left alone until the load has ended, since its sequence moves then.
 func (p *Planner) nextUnload(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
-		if !plan.available(now) || plan.inspect {
+		if !plan.available(now) || plan.inspect || plan.pending() > 0 {
 			continue
 		}
 		for adapter, c := range plan.copies {
-			if c.state == copyUnloading {
-				return p.order(Unload, plan, adapter), true
+			if c.state != copyUnloading || now.Before(c.pollAt) {
+				continue
 			}
+			order := p.order(Unload, plan, adapter)
+			if c.accepted {
+				order.Poll = true
+				order.ExpectedSequence++
+			}
+			return order, true
 		}
 	}
 	return Order{}, false
@@ -111,6 +120,41 @@
 	return p.withdrawals
 }
 
+// nextModel brings a base model to an endpoint that holds none, as after its restart.
+func (p *Planner) nextModel(now time.Time) (Order, bool) {
+	if !p.ledger.allows(now) || p.modelLoads() > 0 {
+		return Order{}, false
+	}
+	for _, plan := range p.endpoints {
+		if len(plan.endpoint.Models) > 0 || len(plan.copies) > 0 || !plan.available(now) || plan.inspect {
+			continue
+		}
+		for _, model := range p.engine.Models {
+			if model.WeightsMB > p.engine.WeightsMB {
+				continue
+			}
+			adapter := deployment.Adapter{Model: model.Name}
+			p.ledger.begin(now)
+			plan.copies[adapter] = &copyPlan{state: copyLoading, since: now, pollAt: now.Add(modelPoll)}
+			return p.order(Load, plan, adapter), true
+		}
+	}
+	return Order{}, false
+}
+
+// modelLoads counts the base models on their way.
+func (p *Planner) modelLoads() int {
+	count := 0
+	for _, plan := range p.endpoints {
+		for adapter, c := range plan.copies {
+			if adapter.IsZero() && c.state == copyLoading {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // placement is a possible load.
 type placement struct {
 	adapter deployment.Adapter
@@ -119,20 +163,19 @@
 	value   float64
 }
 
-// nextLoad starts the most valuable load, after withdrawing a lesser copy where there is no room.
+// nextLoad starts the most valuable load.
 func (p *Planner) nextLoad(now time.Time) (Order, bool) {
 	p.indexCopies()
-	coldAllowed := p.coldLoads() < p.concurrency() && p.ledger.allows(now)
-	best, found := p.bestPlacement(now, coldAllowed)
+	best, found := p.bestPlacement(now, p.coldLoads() < p.pace.concurrency())
 	p.withdrawOutdated(now)
+	p.keepRoom(now)
 	if !found {
 		return Order{}, false
 	}
 	order := p.order(Load, best.plan, best.adapter)
 	duration := warmLoadTime
 	if best.cold {
-		duration = p.loadTime
-		p.ledger.begin(now)
+		duration = p.pace.shortest
 	}
 	best.plan.copies[best.adapter] = &copyPlan{
 		state: copyLoading, since: now, cold: best.cold, pollAt: now.Add(duration), version: max(firstVersion, p.demandOf(now, best.adapter).version),
@@ -154,7 +197,7 @@
 		if value <= 0 || (found && value <= best.value) {
 			continue
 		}
-		plan, cold, ok := p.chooseEndpoint(now, adapter, loads, coldAllowed, value)
+		plan, cold, ok := p.chooseEndpoint(now, adapter, loads, coldAllowed)
 		if !ok {
 			continue
 		}
@@ -201,7 +244,7 @@
 func (p *Planner) value(now time.Time, adapter deployment.Adapter, known *adapterDemand, total float64) float64 {
 	usable, coming := p.counts[adapter].usable, p.counts[adapter].coming
 	if usable == 0 && coming == 0 {
-		waiting, inTime := known.waitingNow(now, p.loadTime)
+		waiting, inTime := known.waitingNow(now, p.pace.typical)
 		if waiting == 0 && known.rate*horizon < 1 {
 			return 0
 		}
@@ -245,21 +288,20 @@
 	return loads
 }
 
-// chooseEndpoint gives the endpoint with room that draws the fewest requests. Where none has
-// room, it withdraws the least valuable copy and gives none.
-func (p *Planner) chooseEndpoint(now time.Time, adapter deployment.Adapter, loads map[deployment.EndpointID]float64, coldAllowed bool, value float64) (*endpointPlan, bool, bool) {
+// chooseEndpoint gives the endpoint with room that draws the fewest requests, preferably one
+// that held the adapter before.
+func (p *Planner) chooseEndpoint(now time.Time, adapter deployment.Adapter, loads map[deployment.EndpointID]float64, coldAllowed bool) (*endpointPlan, bool, bool) {
 	var best *endpointPlan
-	bestCost, bestCold, room := 0.0, false, false
+	bestCost, bestCold := 0.0, false
 	for id, plan := range p.endpoints {
-		if _, has := plan.copies[adapter]; has || plan.suspect || plan.endpoint.State != deployment.Ready || !plan.endpoint.HasModel(adapter.Model) {
+		if !plan.takesCopies(adapter) || !plan.available(now) || plan.inspect {
 			continue
 		}
-		if len(plan.copies) >= p.capacity(&plan.endpoint) {
+		if len(plan.copies) >= p.capacity(&plan.endpoint) || plan.pending() >= maxPending || plan.unloading() {
 			continue
 		}
-		room = true
 		_, warm := plan.held[adapter]
-		if !plan.available(now) || plan.inspect || plan.pending() >= maxPending || (!warm && !coldAllowed) {
+		if !warm && !coldAllowed {
 			continue
 		}
 		cost := loads[id] + 0.02*float64(len(plan.copies)) + 0.01*p.options.Random()
@@ -270,37 +312,65 @@
 			best, bestCost, bestCold = plan, cost, !warm
 		}
 	}
-	if best == nil && !room {
-		p.makeRoom(now, adapter.Model, value)
-	}
 	return best, bestCold, best != nil
 }
 
-// makeRoom withdraws the least valuable copy, if it is worth clearly less than a new one.
-func (p *Planner) makeRoom(now time.Time, model string, value float64) {
-	var victim *copyPlan
-	var victimID deployment.EndpointID
-	least := value / evictionMargin
+// takesCopies tells whether a copy of an adapter may be brought to an endpoint.
+func (e *endpointPlan) takesCopies(adapter deployment.Adapter) bool {
+	_, has := e.copies[adapter]
+	return !has && !e.suspect && e.endpoint.State == deployment.Ready && e.endpoint.HasModel(adapter.Model)
+}
+
+// keepRoom withdraws the least valuable copy of each endpoint that is nearly full, so that a
+// load need not wait for an unload.
+func (p *Planner) keepRoom(now time.Time) {
 	for id, plan := range p.endpoints {
-		if plan.suspect || plan.endpoint.State != deployment.Ready || !plan.endpoint.HasModel(model) {
+		if plan.suspect || plan.endpoint.State != deployment.Ready {
 			continue
 		}
-		for adapter, c := range plan.copies {
-			if c.state == copyWithdrawn || c.state == copyUnloading {
-				return
-			}
-			if c.state != copyResident || now.Sub(c.since) < settleTime {
-				continue
-			}
-			worth := p.worth(now, adapter)
-			if worth < least {
-				victim, victimID, least = c, id, worth
-			}
+		if p.capacity(&plan.endpoint)-len(plan.copies) >= spareSlots || plan.leaving() {
+			continue
+		}
+		if victim := p.leastValuable(now, plan); victim != nil {
+			p.withdraw(now, id, victim)
 		}
 	}
-	if victim != nil {
-		p.withdraw(now, victimID, victim)
+}
+
+// leaving tells whether a copy is on its way out.
+func (e *endpointPlan) leaving() bool {
+	for _, c := range e.copies {
+		if c.state == copyWithdrawn || c.state == copyUnloading {
+			return true
+		}
+	}
+	return false
+}
+
+// leastValuable gives the settled copy that is expected to serve the fewest requests, if
+// these are few enough.
+func (p *Planner) leastValuable(now time.Time, plan *endpointPlan) *copyPlan {
+	var victim *copyPlan
+	least := mostEvicted
+	for adapter, c := range plan.copies {
+		if c.state != copyResident || now.Sub(c.since) < settleTime || p.isWanted(now, adapter) {
+			continue
+		}
+		if worth := p.worth(now, adapter); worth < least {
+			victim, least = c, worth
+		}
+	}
+	return victim
+}
+
+// isWanted tells whether requests wait for an adapter.
+func (p *Planner) isWanted(now time.Time, adapter deployment.Adapter) bool {
+	known, ok := p.demand[adapter]
+	if !ok {
+		return false
 	}
+	waiting, _ := known.waitingNow(now, 0)
+	return waiting > 0
 }
 
 // worth is what a resident copy is expected to serve.
--- a/services/loading/demand.go
+++ b/services/loading/demand.go
@@ -28,6 +28,27 @@
 	forgetBelow = 1e-4
 )
 
+// Rate is an arrival rate that forgets over time.
+type Rate struct {
+	perSecond float64
+	updated   time.Time
+}
+
+// Add counts arrivals.
+func (r *Rate) Add(now time.Time, count int) {
+	r.perSecond = r.PerSecond(now) + float64(count)/rateMemory.Seconds()
+	r.updated = now
+}
+
+// PerSecond gives the rate in requests a second.
+func (r *Rate) PerSecond(now time.Time) float64 {
+	elapsed := now.Sub(r.updated)
+	if elapsed <= 0 || r.perSecond == 0 {
+		return r.perSecond
+	}
+	return r.perSecond * math.Exp(-elapsed.Seconds()/rateMemory.Seconds())
+}
+
 // adapterDemand is what all instances together ask of one adapter.
 type adapterDemand struct {
 	// rate is the arrival rate in requests a second.
--- a/services/loading/planner.go
+++ b/services/loading/planner.go
@@ -23,16 +23,18 @@
 	maxPending = 1
 	// loadPoll is the pause between questions whether a load has ended.
 	loadPoll = 12 * time.Millisecond
+	// unloadPoll is the pause between questions whether an unload has ended.
+	unloadPoll = 100 * time.Millisecond
 	// answerRest is the pause before an endpoint is looked into whose answer was lost.
 	answerRest = 150 * time.Millisecond
 	// reportLag is how old an endpoint's report may be.
 	reportLag = 500 * time.Millisecond
-	// firstLoadTime is the time of a load until one was measured.
-	firstLoadTime = 250 * time.Millisecond
 	// warmLoadTime is the time of a load of an adapter held lately.
 	warmLoadTime = 30 * time.Millisecond
 	// restAfterFailure keeps orders away from an endpoint after one failed.
 	restAfterFailure = 300 * time.Millisecond
+	// modelPoll is when to ask first whether a base model has come.
+	modelPoll = 400 * time.Millisecond
 	// loadLimit is after how long a load that was accepted is looked into.
 	loadLimit = 3 * time.Second
 )
@@ -44,8 +46,8 @@
 	endpoints map[deployment.EndpointID]*endpointPlan
 	demand    map[deployment.Adapter]*adapterDemand
 	ledger    *rateLedger
-	// loadTime is the shortest time of a load from the weight store, as measured.
-	loadTime time.Duration
+	// ledger bounds loads of base models; pace bounds loads of adapters.
+	pace pace
 	// withdrawals counts announcements of withdrawals.
 	withdrawals uint64
 	// changed is set when a copy's state changed since TakeChanges.
@@ -62,7 +64,7 @@
 		endpoints: make(map[deployment.EndpointID]*endpointPlan),
 		demand:    make(map[deployment.Adapter]*adapterDemand),
 		ledger:    newRateLedger(options.Rate),
-		loadTime:  firstLoadTime,
+		pace:      newPace(),
 		changed:   make(map[deployment.EndpointID]bool),
 		counts:    make(map[deployment.Adapter]copyCount),
 	}
@@ -91,6 +93,9 @@
 		p.endpoints[endpoint.ID] = plan
 	}
 	plan.suspect = suspect
+	if len(endpoint.Models) == 0 && now.Sub(plan.modelSince) < descriptionLag {
+		endpoint.Models = plan.endpoint.Models
+	}
 	plan.endpoint = endpoint
 	plan.adopt(now, endpoint.Adapters, descriptionLag)
 }
@@ -123,6 +128,26 @@
 	}
 }
 
+// RememberHeld tells that an endpoint held adapters before, so that it loads them fast.
+func (p *Planner) RememberHeld(id deployment.EndpointID, held map[deployment.Adapter]time.Time) {
+	plan, ok := p.endpoints[id]
+	if !ok {
+		return
+	}
+	for adapter, at := range held {
+		plan.held[adapter] = at
+	}
+}
+
+// AddRates takes in one instance's arrival rates, in requests a second, from before this plan.
+func (p *Planner) AddRates(now time.Time, rates map[deployment.Adapter]float64) {
+	for adapter, rate := range rates {
+		known := p.demandOf(now, adapter)
+		known.decay(now)
+		known.rate += rate
+	}
+}
+
 // Report takes in one instance's whole demand.
 func (p *Planner) Report(now time.Time, instance string, demands []Demand) {
 	for _, known := range p.demand {
@@ -167,6 +192,13 @@
 			delete(p.demand, adapter)
 		}
 	}
+	for _, plan := range p.endpoints {
+		for adapter, at := range plan.dropped {
+			if now.Sub(at) > descriptionLag {
+				delete(plan.dropped, adapter)
+			}
+		}
+	}
 }
 
 // capacity is the number of adapters that an endpoint can hold.
@@ -186,12 +218,6 @@
 	return capacity
 }
 
-// concurrency is how many loads from the weight store may run at once: enough to reach its
-// rate, since more only make each other slower.
-func (p *Planner) concurrency() int {
-	return max(1, int(math.Ceil(p.engine.LoadsPerSecond*p.loadTime.Seconds())))
-}
-
 func (p *Planner) coldLoads() int {
 	count := 0
 	for _, plan := range p.endpoints {
@@ -214,22 +240,19 @@
 	return ids
 }
 
-// Copies gives what an endpoint holds for new requests, and what is withdrawn from it.
-func (p *Planner) Copies(id deployment.EndpointID) (usable map[deployment.Adapter]int64, withdrawn []deployment.Adapter) {
+// Offered gives the models and adapters that an endpoint holds for new requests.
+func (p *Planner) Offered(id deployment.EndpointID) (models []string, adapters map[deployment.Adapter]int64) {
 	plan, ok := p.endpoints[id]
 	if !ok {
 		return nil, nil
 	}
-	usable = make(map[deployment.Adapter]int64, len(plan.copies))
+	adapters = make(map[deployment.Adapter]int64, len(plan.copies))
 	for adapter, c := range plan.copies {
-		switch c.state {
-		case copyResident:
-			usable[adapter] = c.version
-		case copyWithdrawn:
-			withdrawn = append(withdrawn, adapter)
+		if c.state == copyResident {
+			adapters[adapter] = c.version
 		}
 	}
-	return usable, withdrawn
+	return plan.endpoint.Models, adapters
 }
 
 // Forecast is when an adapter that is not resident will be.
@@ -244,7 +267,7 @@
 	for _, plan := range p.endpoints {
 		for adapter, c := range plan.copies {
 			if c.state == copyLoading {
-				list = append(list, Forecast{Adapter: adapter, Until: max(0, c.since.Add(p.loadTime).Sub(now))})
+				list = append(list, Forecast{Adapter: adapter, Until: max(0, c.since.Add(p.pace.typical).Sub(now))})
 			}
 		}
 	}
@@ -255,6 +278,9 @@
 func (p *Planner) NextPoll() time.Time {
 	var next time.Time
 	for _, plan := range p.endpoints {
+		if plan.busy || plan.inspect {
+			continue
+		}
 		for _, c := range plan.copies {
 			if c.state == copyLoading && (next.IsZero() || c.pollAt.Before(next)) {
 				next = c.pollAt
--- a/services/loading/result.go
+++ b/services/loading/result.go
@@ -71,7 +71,8 @@
 // stillLoading asks again soon; a load that takes too long is looked into.
 func (p *Planner) stillLoading(now time.Time, plan *endpointPlan, c *copyPlan) {
 	c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
-	if now.Sub(c.since) > loadLimit {
+	if now.Sub(c.since) > loadLimit && now.Sub(c.inspected) > loadLimit {
+		c.inspected = now
 		plan.inspect = true
 		plan.restUntil = now.Add(answerRest)
 	}
@@ -81,10 +82,18 @@
 	if c.state != copyLoading {
 		return
 	}
+	if adapter.IsZero() {
+		delete(plan.copies, adapter)
+		plan.endpoint.Models = append([]string{adapter.Model}, plan.endpoint.Models...)
+		plan.modelSince = now
+		p.changed[plan.endpoint.ID] = true
+		return
+	}
 	if c.cold {
-		p.loadTime = min(max(now.Sub(c.since), warmLoadTime), p.loadTime+p.loadTime/8)
+		p.pace.note(now.Sub(c.since))
 	}
 	c.state, c.since = copyResident, now
+	delete(plan.dropped, adapter)
 	plan.held[adapter] = now
 	p.changed[plan.endpoint.ID] = true
 }
@@ -96,19 +105,39 @@
 	}
 	switch result.Reply {
 	case Holds:
-		plan.sequence = max(plan.sequence, result.Order.ExpectedSequence+1)
+		plan.sequence = result.Order.ExpectedSequence
+		if !result.Order.Poll {
+			plan.sequence++
+		}
 		plan.held[result.Order.Adapter] = now
+		plan.dropped[result.Order.Adapter] = now
 		delete(plan.copies, result.Order.Adapter)
 		p.changed[plan.endpoint.ID] = true
 	case Accepted:
-		plan.sequence = max(plan.sequence, result.Order.ExpectedSequence+1)
-		plan.restUntil = now.Add(loadPoll)
+		c.accepted = true
+		c.pollAt = now.Add(unloadPoll)
+	case Conflict:
+		if !result.Order.Poll {
+			plan.inspect = true
+			return
+		}
+		p.stillUnloading(now, plan, c)
 	default:
 		plan.restUntil = now.Add(restAfterFailure)
 		plan.inspect = true
 	}
 }
 
+// stillUnloading asks again soon; an unload that takes too long is looked into.
+func (p *Planner) stillUnloading(now time.Time, plan *endpointPlan, c *copyPlan) {
+	c.pollAt = now.Add(unloadPoll)
+	if now.Sub(c.since) > loadLimit && now.Sub(c.inspected) > loadLimit {
+		c.inspected = now
+		c.accepted = false
+		plan.inspect = true
+	}
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
