Keep what an endpoint describes apart from what it is offered for

Ruled out: orders done late (the same without applied_late), reports behind. Change: directory entries hold the description and the offered copies as two fields.

--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -136,7 +136,7 @@
 	}
 	c.directory.Begin(now, entry.ID, w.request.Adapter)
 	assignment := Assignment{Endpoint: entry.Endpoint, MaxConnections: c.connectionShare(w.request.Service), Waited: now.Sub(w.since)}
-	if named, ok := c.versions[w.request.Adapter]; ok && entry.Adapters[w.request.Adapter] >= named.version {
+	if named, ok := c.versions[w.request.Adapter]; ok && entry.Offered[w.request.Adapter] >= named.version {
 		assignment.Version = named.version
 	}
 	w.result <- acquired{assignment: assignment}
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/shelfledge/shelfledge/models/deployment"
 	"github.com/shelfledge/shelfledge/modules/store"
+	"github.com/shelfledge/shelfledge/services/directory"
 )
 
 // message is what peers send each other; one field is set.
@@ -125,14 +126,14 @@
 	Until   time.Duration `msgpack:"u"`
 }
 
-func toEndpointView(endpoint deployment.Endpoint, revision int64, adapters map[deployment.Adapter]int64) endpointView {
-	list := make([]adapterVersion, 0, len(adapters))
-	for adapter, version := range adapters {
+func toEndpointView(entry *directory.Entry) endpointView {
+	list := make([]adapterVersion, 0, len(entry.Offered))
+	for adapter, version := range entry.Offered {
 		list = append(list, adapterVersion{Model: adapter.Model, Name: adapter.Name, Version: version})
 	}
 	return endpointView{
-		ID: endpoint.ID, Revision: revision, Service: endpoint.Service, Address: endpoint.Address, Zone: endpoint.Zone,
-		Slots: endpoint.Slots, State: endpoint.State, Models: endpoint.Models, Adapters: list,
+		ID: entry.ID, Revision: entry.Revision, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
+		Slots: entry.Slots, State: entry.State, Models: entry.OfferedModels, Adapters: list,
 	}
 }
 
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -88,23 +88,26 @@
 			continue
 		}
 		p.planners[name] = p.newPlanner(now, *service.Engine)
+		p.introduceEndpoints(now, name)
 	}
 	for name := range p.planners {
 		if _, ok := configuration.Services[name]; !ok {
 			delete(p.planners, name)
 		}
 	}
-	for id, entry := range p.coordinator.directory.Entries() {
-		p.setEndpoint(now, entry.Endpoint)
-		if planner, ok := p.planners[entry.Service]; ok {
-			planner.RememberHeld(id, entry.Held)
-		}
-	}
 	for adapter, named := range p.coordinator.versions {
 		p.setVersion(now, adapter, named.version)
 	}
 }
 
+// introduceEndpoints tells a new plan of its endpoints and of what they held before.
+func (p *planning) introduceEndpoints(now time.Time, service string) {
+	for _, entry := range p.coordinator.directory.Service(service) {
+		p.setEndpoint(now, entry.Endpoint)
+		p.planners[service].RememberHeld(entry.ID, entry.Held)
+	}
+}
+
 func (p *planning) newPlanner(now time.Time, engine deployment.Engine) *loading.Planner {
 	options := p.coordinator.options
 	planner := loading.NewPlanner(engine, loading.Options{
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -139,7 +139,7 @@
 			built.Suspects = append(built.Suspects, id)
 		}
 		for adapter := range entry.OwnByAdapter {
-			if _, offered := entry.Adapters[adapter]; !offered {
+			if _, offered := entry.Offered[adapter]; !offered {
 				built.InUse = append(built.InUse, copyName{ID: id, Model: adapter.Model, Name: adapter.Name})
 			}
 		}
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -114,7 +114,7 @@
 	changes := p.baseView(now, totals)
 	for id := range p.changed {
 		if entry := p.coordinator.directory.Entry(id); entry != nil {
-			changes.Endpoints = append(changes.Endpoints, toEndpointView(entry.Endpoint, entry.Revision, entry.Adapters))
+			changes.Endpoints = append(changes.Endpoints, toEndpointView(entry))
 		}
 	}
 	changes.Removed = p.removed
@@ -189,7 +189,7 @@
 	v.Full = p.coordinator.endpointsKnown
 	v.At = p.at
 	for _, entry := range p.coordinator.directory.Entries() {
-		v.Endpoints = append(v.Endpoints, toEndpointView(entry.Endpoint, entry.Revision, entry.Adapters))
+		v.Endpoints = append(v.Endpoints, toEndpointView(entry))
 	}
 	return v
 }
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -58,6 +58,7 @@
 	}
 	entry.Endpoint = endpoint
 	entry.Revision = revision
+	entry.OfferedModels, entry.Offered = endpoint.Models, endpoint.Adapters
 	return true
 }
 
@@ -173,15 +174,14 @@
 // SetOffered takes the planner's word on what an endpoint holds for new requests.
 func (d *Directory) SetOffered(id deployment.EndpointID, models []string, adapters map[deployment.Adapter]int64) {
 	if entry, ok := d.entries[id]; ok {
-		entry.Models = models
-		entry.Adapters = adapters
+		entry.OfferedModels, entry.Offered = models, adapters
 	}
 }
 
 // RememberHeld notes what each endpoint holds now, and forgets what it held long ago.
 func (d *Directory) RememberHeld(now time.Time) {
 	for _, entry := range d.entries {
-		for adapter := range entry.Adapters {
+		for adapter := range entry.Offered {
 			entry.Held[adapter] = now
 		}
 		for adapter, at := range entry.Held {
--- a/services/directory/entry.go
+++ b/services/directory/entry.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/deployment"
@@ -14,6 +15,10 @@
 	deployment.Endpoint
 	// Revision is the store's revision of the description.
 	Revision int64
+	// OfferedModels and Offered are the models and adapters that new requests may use: what the
+	// endpoint describes, unless the planner knows better.
+	OfferedModels []string
+	Offered       map[deployment.Adapter]int64
 	// Own is the number of this instance's requests in flight there.
 	Own int
 	// Others is the number of the other instances' requests, as last told.
@@ -34,11 +39,13 @@
 
 func newEntry(endpoint deployment.Endpoint, revision int64) *Entry {
 	return &Entry{
-		Endpoint:     endpoint,
-		Revision:     revision,
-		OwnByAdapter: make(map[deployment.Adapter]int),
-		Held:         make(map[deployment.Adapter]time.Time),
-		missing:      make(map[deployment.Adapter]time.Time),
+		Endpoint:      endpoint,
+		Revision:      revision,
+		OfferedModels: endpoint.Models,
+		Offered:       endpoint.Adapters,
+		OwnByAdapter:  make(map[deployment.Adapter]int),
+		Held:          make(map[deployment.Adapter]time.Time),
+		missing:       make(map[deployment.Adapter]time.Time),
 	}
 }
 
@@ -46,9 +53,9 @@
 // at a version of at least the one given.
 func (e *Entry) Holds(now time.Time, adapter deployment.Adapter, version int64) bool {
 	if adapter.IsZero() {
-		return e.HasModel(adapter.Model)
+		return slices.Contains(e.OfferedModels, adapter.Model)
 	}
-	resident, ok := e.Adapters[adapter]
+	resident, ok := e.Offered[adapter]
 	if !ok || resident < version {
 		return false
 	}
