Watch the store shortly at the planner and relay what members lack

Ruled out: an answer that skips the change (the watch went on from the last change seen, with no effect). Change: the planner's watches wait 0.9 s; others wait 20 s only while they hear a planner, which sends what they lack after 0.25 s.

--- a/services/coordinator/configuration.go
+++ b/services/coordinator/configuration.go
@@ -4,6 +4,7 @@
 package coordinator
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -11,10 +12,14 @@
 )
 
 const (
-	// watchWait is how long a watch of the configuration may wait in the store.
-	watchWait = 20 * time.Second
+	// longWatch is how long a watch may wait in the store while the planner watches too and
+	// tells what this instance lacks.
+	longWatch = 20 * time.Second
+	// shortWatch is how long a watch may wait otherwise: a store that drops its history may
+	// leave a waiting watch deaf without ending it.
+	shortWatch = 900 * time.Millisecond
 	// watchSlack is how much later than its wait a watch must have answered.
-	watchSlack = 2 * time.Second
+	watchSlack = time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
 )
@@ -39,7 +44,7 @@
 func (c *Coordinator) watchConfiguration(after int64) {
 	failures := 0
 	for c.context.Err() == nil {
-		events, next, err := c.watch(c.environment.ConfigurationPrefix, after, watchWait)
+		events, next, err := c.watchConfigurationOnce(after)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
 			return
@@ -58,6 +63,38 @@
 	}
 }
 
+// watchConfigurationOnce makes one waiting call; a long one ends early when the planner falls
+// silent or this instance becomes the planner.
+func (c *Coordinator) watchConfigurationOnce(after int64) ([]store.Event, int64, error) {
+	ctx, cancel := context.WithCancel(c.context)
+	defer cancel()
+	wait := shortWatch
+	c.loop.call(func(now time.Time) {
+		if c.reliesOnPlanner(now) {
+			wait = longWatch
+			c.endLongWatch = cancel
+		}
+	})
+	events, next, err := c.watch(ctx, c.environment.ConfigurationPrefix, after, wait)
+	if err != nil && ctx.Err() != nil {
+		return nil, after, nil
+	}
+	return events, next, err
+}
+
+// reliesOnPlanner tells whether another instance watches the store for this one.
+func (c *Coordinator) reliesOnPlanner(now time.Time) bool {
+	return c.planning == nil && c.following.fresh(now)
+}
+
+// checkWatch ends a long watch that cannot be relied on any more.
+func (c *Coordinator) checkWatch(now time.Time) {
+	if c.endLongWatch != nil && !c.reliesOnPlanner(now) {
+		c.endLongWatch()
+		c.endLongWatch = nil
+	}
+}
+
 func eventItems(events []store.Event) []store.Item {
 	items := make([]store.Item, 0, len(events))
 	for _, event := range events {
--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -76,6 +76,8 @@
 	knownRecord ownership.Record
 	// storeReadAt is when the store last answered a read of the record.
 	storeReadAt time.Time
+	// endLongWatch ends the waiting watch of the configuration; nil if it is a short one.
+	endLongWatch context.CancelFunc
 	// leadershipDue asks for a look at the record without delay.
 	leadershipDue bool
 	counters      counters
@@ -141,6 +143,7 @@
 
 func (c *Coordinator) tick(now time.Time) {
 	c.reviewWaiters(now)
+	c.checkWatch(now)
 	if c.planning != nil {
 		c.plan(now)
 	}
--- a/services/coordinator/endpoints.go
+++ b/services/coordinator/endpoints.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// endpointWatchWait is short, so that a watch which hangs is noticed soon.
-	endpointWatchWait = 4 * time.Second
 	// endpointWatchPause gathers changes into fewer calls.
 	endpointWatchPause = 450 * time.Millisecond
 	// endpointPollPause is the pause between readings while the planner is silent.
@@ -94,7 +92,7 @@
 		return at
 	}
 	sent := c.options.Now()
-	events, next, err := c.watch(c.environment.EndpointPrefix, after, endpointWatchWait)
+	events, next, err := c.watch(c.context, c.environment.EndpointPrefix, after, shortWatch)
 	if err != nil {
 		if !errors.Is(err, store.ErrCompacted) {
 			c.noteStore("watch endpoints", err)
@@ -110,8 +108,8 @@
 }
 
 // watch is one waiting call to the store.
-func (c *Coordinator) watch(prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
-	ctx, cancel := context.WithTimeout(c.context, wait+watchSlack)
+func (c *Coordinator) watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	return c.environment.Store.Watch(ctx, prefix, after, wait)
 }
