--- a/services/coordinator/configuration.go
+++ b/services/coordinator/configuration.go
@@ -16,8 +16,9 @@
 	// tells what this instance lacks.
 	longWatch = 20 * time.Second
 	// shortWatch is how long a watch may wait otherwise: a store that drops its history may
-	// leave a waiting watch deaf without ending it.
-	shortWatch = 900 * time.Millisecond
+	// leave waiting watches deaf for a second without ending them, and two deaf watches in a
+	// row must stay well below the time in which a change has to be in force.
+	shortWatch = 550 * time.Millisecond
 	// watchSlack is how much later than its wait a watch must have answered.
 	watchSlack = time.Second
 	// storeRetry is the pause after a failed call to the store.
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -172,7 +172,7 @@
 }
 
 // relayAfter is how long a peer may lack newer configuration keys before they are sent to it.
-const relayAfter = 250 * time.Millisecond
+const relayAfter = 120 * time.Millisecond
 
 // plannerLags tells whether the planner has lacked newer configuration keys for long enough.
 func (c *Coordinator) plannerLags(now time.Time) bool {
