Test the deciding parts of the entry program; compare failure rates from two exchanges on

Cause found by the test TestErrorsThatAllEndpointsMakeEjectNone: the first endpoint of a service whose endpoints all fail was ejected, since the others' rates did not count before their fifth exchange. Change: rates are compared from the second exchange on.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 test: fmt lint unit ## Formatter, linter and tests.
 
 fmt: ## Fail if a file is not formatted.
-	@unformatted=$$(gofmt -l cmd models modules routers services tests tools); \
+	@unformatted=$$(gofmt -l cmd models modules platform routers services tests tools); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 
 lint: ## Vet and lint.
--- /dev/null
+++ b/services/admission/decide_test.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/services/admission"
+)
+
+var (
+	start  = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	stream = &deployment.Route{Kind: deployment.Streaming, Target: 800 * time.Millisecond, PauseTarget: 250 * time.Millisecond}
+	plain  = &deployment.Route{Kind: deployment.Unsafe, Target: 150 * time.Millisecond}
+)
+
+func TestARequestWaitsForItsAdapterOnlyWhileItsCallerHasPatience(t *testing.T) {
+	situation := admission.Situation{Route: stream, Arrived: start, Deadline: start.Add(15 * time.Second)}
+	assert.True(t, admission.Decide(start.Add(time.Second), situation).Wait)
+	late := admission.Decide(start.Add(admission.Patience(stream)), situation)
+	assert.False(t, late.Wait)
+	assert.Equal(t, admission.AdapterNotLoaded, late.Reason)
+	assert.Positive(t, late.RetryAfter, "a refused caller is told when to come back")
+}
+
+func TestWithoutAnyEndpointTheRefusalComesSoon(t *testing.T) {
+	for _, route := range []*deployment.Route{stream, plain} {
+		situation := admission.Situation{Route: route, Arrived: start, Deadline: start.Add(15 * time.Second), NoEndpoint: true}
+		decision := admission.Decide(start.Add(route.Target), situation)
+		assert.False(t, decision.Wait)
+		assert.Equal(t, admission.NoEndpoint, decision.Reason)
+		assert.Positive(t, decision.RetryAfter)
+	}
+}
+
+func TestTheCallerIsToldToComeBackWhenTheAdapterIsExpected(t *testing.T) {
+	now := start.Add(5 * time.Second)
+	situation := admission.Situation{Route: stream, Arrived: start, Deadline: start.Add(15 * time.Second), Forecast: now.Add(2 * time.Second)}
+	decision := admission.Decide(now, situation)
+	assert.Greater(t, decision.RetryAfter, 2*time.Second)
+	assert.Less(t, decision.RetryAfter, 3*time.Second)
+}
+
+func TestPatienceIsTheLongestOfItsThreeBounds(t *testing.T) {
+	assert.Equal(t, 3200*time.Millisecond, admission.Patience(stream))
+	assert.Equal(t, 2*time.Second, admission.Patience(plain))
+	slow := &deployment.Route{PauseTarget: time.Second}
+	assert.Equal(t, 8*time.Second, admission.Patience(slow))
+}
--- /dev/null
+++ b/services/balance/choose_test.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/services/balance"
+	"github.com/shelfledge/shelfledge/services/directory"
+)
+
+var (
+	start   = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	adapter = deployment.Adapter{Model: "base", Name: "a1"}
+	options = balance.Options{Zone: "near", ZonePenalty: 1, PlainZonePenalty: 2.5, Random: func() float64 { return 0 }}
+)
+
+func build(endpoints ...deployment.Endpoint) *directory.Directory {
+	d := directory.New()
+	for _, endpoint := range endpoints {
+		endpoint.Service = "service"
+		d.Put(endpoint, 1)
+	}
+	return d
+}
+
+func holder(id, zone string) deployment.Endpoint {
+	return deployment.Endpoint{
+		ID: deployment.EndpointID(id), Zone: zone, Models: []string{"base"}, Adapters: map[deployment.Adapter]int64{adapter: 1},
+	}
+}
+
+func choose(d *directory.Directory, demand balance.Demand) (*directory.Entry, balance.Verdict) {
+	return balance.Choose(start, d.Service("service"), demand, options)
+}
+
+func TestOnlyEndpointsThatHoldTheAdapterAreChosen(t *testing.T) {
+	d := build(holder("far", "other"), deployment.Endpoint{ID: "empty", Zone: "near", Models: []string{"base"}})
+	entry, verdict := choose(d, balance.Demand{Request: &deployment.Request{Adapter: adapter}})
+	require.Equal(t, balance.Chosen, verdict)
+	assert.Equal(t, deployment.EndpointID("far"), entry.ID)
+}
+
+func TestVerdictsTellWhyNoneWasChosen(t *testing.T) {
+	_, verdict := choose(build(), balance.Demand{Request: &deployment.Request{}})
+	assert.Equal(t, balance.NoEndpoint, verdict)
+	leaving := holder("leaving", "near")
+	leaving.State = deployment.Draining
+	_, verdict = choose(build(leaving), balance.Demand{Request: &deployment.Request{Adapter: adapter}})
+	assert.Equal(t, balance.NoEndpoint, verdict)
+	_, verdict = choose(build(holder("old", "near")), balance.Demand{Request: &deployment.Request{Adapter: adapter}, Version: 2})
+	assert.Equal(t, balance.NotResident, verdict)
+}
+
+func TestTheLeastLoadedIsChosenAndOthersRequestsCount(t *testing.T) {
+	d := build(holder("a", "near"), holder("b", "near"))
+	d.Entry("a").Others = 3
+	d.Begin(start, "b", adapter)
+	entry, _ := choose(d, balance.Demand{Request: &deployment.Request{Adapter: adapter}})
+	assert.Equal(t, deployment.EndpointID("b"), entry.ID)
+}
+
+func TestTheOwnZoneIsPreferredUntilItIsBusier(t *testing.T) {
+	d := build(holder("near", "near"), holder("far", "other"))
+	request := balance.Demand{Request: &deployment.Request{Adapter: adapter}}
+	entry, _ := choose(d, request)
+	assert.Equal(t, deployment.EndpointID("near"), entry.ID)
+	d.Entry("near").Others = 2
+	entry, _ = choose(d, request)
+	assert.Equal(t, deployment.EndpointID("far"), entry.ID)
+}
+
+func TestTriedEndpointsAreNotChosenAgain(t *testing.T) {
+	d := build(holder("a", "near"))
+	entry, _ := choose(d, balance.Demand{Request: &deployment.Request{Adapter: adapter}, Tried: []deployment.EndpointID{"a"}})
+	assert.Nil(t, entry)
+}
+
+func TestEjectedEndpointsServeOnlyWhereNothingElseCan(t *testing.T) {
+	d := build(holder("bad", "near"), holder("good", "other"))
+	for range 3 {
+		d.Begin(start, "bad", adapter)
+		d.End(start, "bad", adapter, directory.Broken)
+	}
+	request := balance.Demand{Request: &deployment.Request{Adapter: adapter}}
+	entry, _ := choose(d, request)
+	assert.Equal(t, deployment.EndpointID("good"), entry.ID)
+	d.Remove("good", 2)
+	entry, _ = choose(d, request)
+	assert.Equal(t, deployment.EndpointID("bad"), entry.ID)
+}
+
+func TestBackendsAreChosenByWeight(t *testing.T) {
+	route := &deployment.Route{Backends: []deployment.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	assert.Equal(t, "a", balance.ChooseBackend(route, 0))
+	assert.Equal(t, "a", balance.ChooseBackend(route, 0.89))
+	assert.Equal(t, "b", balance.ChooseBackend(route, 0.91))
+	assert.Equal(t, "b", balance.ChooseBackend(route, 1))
+	assert.Empty(t, balance.ChooseBackend(&deployment.Route{}, 0.5))
+}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -152,7 +152,7 @@
 func (d *Directory) failureRate(except *Entry) float64 {
 	sum, count := 0.0, 0
 	for _, entry := range d.byService[except.Service] {
-		if entry == except || entry.Health.exchanges < minimumExchanges {
+		if entry == except || entry.Health.exchanges < comparedExchanges {
 			continue
 		}
 		sum += entry.Health.rate
--- /dev/null
+++ b/services/directory/directory_test.go
@@ -0,0 +1,151 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/services/directory"
+)
+
+var (
+	start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	one   = deployment.Adapter{Model: "base", Name: "a1"}
+)
+
+func endpoint(id string, state deployment.EndpointState) deployment.Endpoint {
+	return deployment.Endpoint{
+		ID: deployment.EndpointID(id), Service: "service", State: state, Models: []string{"base"},
+		Adapters: map[deployment.Adapter]int64{one: 2},
+	}
+}
+
+func TestADrainingEndpointNeverTakesWorkAgain(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Draining), 5)
+	d.Put(endpoint("e", deployment.Ready), 9)
+	assert.Equal(t, deployment.Draining, d.Entry("e").State)
+}
+
+func TestAnOlderWordOfDrainingStillCounts(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 9)
+	assert.True(t, d.Put(endpoint("e", deployment.Draining), 5))
+	assert.Equal(t, deployment.Draining, d.Entry("e").State)
+}
+
+func TestAnOlderDescriptionDoesNotBringBackWhatIsGone(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	require.True(t, d.Remove("e", 7))
+	assert.False(t, d.Put(endpoint("e", deployment.Ready), 6))
+	assert.Nil(t, d.Entry("e"))
+	assert.True(t, d.Put(endpoint("e", deployment.Ready), 8))
+}
+
+func TestAnOlderListDoesNotRemoveWhatIsNewer(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("new", deployment.Ready), 9)
+	d.Put(endpoint("old", deployment.Ready), 3)
+	d.Replace([]deployment.Endpoint{}, nil, 5)
+	assert.NotNil(t, d.Entry("new"))
+	assert.Nil(t, d.Entry("old"))
+}
+
+func TestOfferedCopiesDoNotChangeTheDescription(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	d.SetOffered("e", []string{"base"}, map[deployment.Adapter]int64{})
+	entry := d.Entry("e")
+	assert.False(t, entry.Holds(start, one, 0))
+	assert.Contains(t, entry.Adapters, one, "the endpoint's own word stays")
+}
+
+func TestHoldsLooksAtTheVersionAndAtTheEndpointsOwnWord(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	entry := d.Entry("e")
+	assert.True(t, entry.Holds(start, one, 2))
+	assert.False(t, entry.Holds(start, one, 3))
+	d.NoteMissing(start, "e", one)
+	assert.False(t, entry.Holds(start.Add(time.Second), one, 2))
+	assert.True(t, entry.Holds(start.Add(2*time.Second), one, 2))
+	assert.True(t, entry.Holds(start, deployment.Adapter{Model: "base"}, 0))
+	assert.False(t, entry.Holds(start, deployment.Adapter{Model: "other"}, 0))
+}
+
+func finish(d *directory.Directory, now time.Time, id string, outcome directory.Outcome) {
+	d.Begin(now, deployment.EndpointID(id), one)
+	d.End(now, deployment.EndpointID(id), one, outcome)
+}
+
+func TestBrokenExchangesEjectAndATrialBringsBack(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	finish(d, start, "e", directory.Broken)
+	assert.False(t, d.Entry("e").Health.Ejected(start))
+	finish(d, start, "e", directory.Broken)
+	require.True(t, d.Entry("e").Health.Ejected(start))
+
+	later := start.Add(time.Second)
+	require.False(t, d.Entry("e").Health.Ejected(later))
+	d.Begin(later, "e", one)
+	assert.True(t, d.Entry("e").Health.Ejected(later), "only one request tries")
+	d.End(later, "e", one, directory.Succeeded)
+	assert.False(t, d.Entry("e").Health.Ejected(later))
+}
+
+func TestAFailedTrialEjectsForLonger(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	finish(d, start, "e", directory.Broken)
+	finish(d, start, "e", directory.Broken)
+	later := start.Add(time.Second)
+	finish(d, later, "e", directory.Broken)
+	assert.True(t, d.Entry("e").Health.Ejected(later.Add(time.Second)))
+	assert.False(t, d.Entry("e").Health.Ejected(later.Add(1700*time.Millisecond)))
+}
+
+func TestErrorsThatAllEndpointsMakeEjectNone(t *testing.T) {
+	d := directory.New()
+	for _, id := range []string{"a", "b", "c"} {
+		d.Put(endpoint(id, deployment.Ready), 5)
+	}
+	for range 20 {
+		for _, id := range []string{"a", "b", "c"} {
+			finish(d, start, id, directory.Errored)
+		}
+	}
+	assert.False(t, d.Entry("a").Health.Ejected(start))
+}
+
+func TestErrorsOfOneEndpointEjectIt(t *testing.T) {
+	d := directory.New()
+	for _, id := range []string{"a", "b", "c"} {
+		d.Put(endpoint(id, deployment.Ready), 5)
+	}
+	for range 20 {
+		finish(d, start, "a", directory.Errored)
+		finish(d, start, "b", directory.Succeeded)
+		finish(d, start, "c", directory.Succeeded)
+	}
+	assert.True(t, d.Entry("a").Health.Ejected(start))
+	assert.False(t, d.Entry("b").Health.Ejected(start))
+}
+
+func TestCallersThatLeaveAreNotTheEndpointsFault(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	for range 10 {
+		finish(d, start, "e", directory.Neutral)
+	}
+	assert.False(t, d.Entry("e").Health.Ejected(start))
+	assert.Zero(t, d.Entry("e").Load())
+	assert.Empty(t, d.Entry("e").OwnByAdapter)
+}
--- a/services/directory/health.go
+++ b/services/directory/health.go
@@ -27,6 +27,9 @@
 	failureWeight = 0.2
 	// minimumExchanges is how many exchanges a rate needs to count.
 	minimumExchanges = 5
+	// comparedExchanges is how many exchanges another endpoint's rate needs to be compared with.
+	// It is smaller, so that a trouble of the whole service ejects nobody at its begin.
+	comparedExchanges = 2
 	// consecutiveBroken ejects an endpoint without regard to its rate.
 	consecutiveBroken = 2
 	firstEjection     = 800 * time.Millisecond
--- /dev/null
+++ b/services/loading/planner_test.go
@@ -0,0 +1,260 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/services/loading"
+)
+
+var (
+	start  = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	engine = deployment.Engine{
+		Slots: 8, WeightsMB: 1000, AdapterCapacity: 4, LoadsPerSecond: 3,
+		Models: []deployment.Model{{Name: "base", WeightsMB: 900, Adapters: 100, AdapterMB: 10}},
+	}
+	rate = loading.RateOptions{PerSecond: 3, Window: 5 * time.Second, Tolerance: 1.1, Slack: 3}
+)
+
+func adapter(number int) deployment.Adapter {
+	return deployment.Adapter{Model: "base", Name: fmt.Sprintf("a%d", number)}
+}
+
+func newPlanner(seed uint64) *loading.Planner {
+	return loading.NewPlanner(engine, loading.Options{Rate: rate, Random: rand.New(rand.NewPCG(seed, 1)).Float64})
+}
+
+func described(id string, adapters ...deployment.Adapter) deployment.Endpoint {
+	held := make(map[deployment.Adapter]int64)
+	for _, one := range adapters {
+		held[one] = 1
+	}
+	return deployment.Endpoint{ID: deployment.EndpointID(id), Service: "s", Models: []string{"base"}, Adapters: held}
+}
+
+func waiting(one deployment.Adapter) []loading.Demand {
+	return []loading.Demand{{Adapter: one, Waiting: 1, InTime: time.Second, Arrivals: 1}}
+}
+
+func answer(order loading.Order, reply loading.Reply) loading.Result {
+	return loading.Result{Order: order, Reply: reply}
+}
+
+func TestAWaitingAdapterIsLoadedAndPolledUntilItIsThere(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e"), false)
+	p.Report(start, "i", waiting(adapter(1)))
+
+	order, ok := p.Next(start)
+	require.True(t, ok)
+	assert.Equal(t, loading.Load, order.Kind)
+	assert.Zero(t, order.ExpectedSequence)
+	_, ok = p.Next(start)
+	assert.False(t, ok, "one order at a time for an endpoint")
+	p.Done(start, answer(order, loading.Accepted))
+
+	later := p.NextPoll()
+	poll, ok := p.Next(later)
+	require.True(t, ok)
+	assert.True(t, poll.Poll)
+	assert.Equal(t, int64(1), poll.ExpectedSequence, "the endpoint counts a load when it ends")
+	p.Done(later, answer(poll, loading.Conflict))
+	_, adapters := p.Offered("e")
+	assert.Empty(t, adapters)
+
+	later = p.NextPoll()
+	poll, ok = p.Next(later)
+	require.True(t, ok)
+	p.Done(later, answer(poll, loading.Holds))
+	_, adapters = p.Offered("e")
+	assert.Contains(t, adapters, adapter(1))
+}
+
+func TestAnOrderAtAWrongCountAsksForTheReportFirst(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e"), false)
+	p.Report(start, "i", waiting(adapter(1)))
+	order, _ := p.Next(start)
+	p.Done(start, answer(order, loading.Conflict))
+
+	inspect, ok := p.Next(start)
+	require.True(t, ok)
+	require.Equal(t, loading.Inspect, inspect.Kind)
+	report := &loading.Report{Sequence: 7, Adapters: map[deployment.Adapter]int64{adapter(9): 1}}
+	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: report})
+
+	order, ok = p.Next(start)
+	require.True(t, ok)
+	assert.Equal(t, int64(7), order.ExpectedSequence)
+	_, adapters := p.Offered("e")
+	assert.Contains(t, adapters, adapter(9))
+}
+
+// TestALostAnswerIsSettledByTheReport is about a load that was taken though nobody heard of it:
+// it must be counted before another one is ordered.
+func TestALostAnswerIsSettledByTheReport(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e"), false)
+	p.Report(start, "i", waiting(adapter(1)))
+	order, _ := p.Next(start)
+	p.Done(start, answer(order, loading.Unanswered))
+	_, ok := p.Next(start)
+	assert.False(t, ok, "the endpoint is left alone at first")
+
+	later := start.Add(200 * time.Millisecond)
+	inspect, ok := p.Next(later)
+	require.True(t, ok)
+	require.Equal(t, loading.Inspect, inspect.Kind)
+	p.Done(later, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Pending: []deployment.Adapter{adapter(1)}}})
+	poll, ok := p.Next(later.Add(200 * time.Millisecond))
+	require.True(t, ok)
+	assert.True(t, poll.Poll)
+	assert.Equal(t, adapter(1), poll.Adapter)
+}
+
+func TestAWithdrawnCopyIsUnloadedOnlyAfterAllInstancesAreDone(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e", adapter(1), adapter(2), adapter(3), adapter(4)), false)
+	inspect, _ := p.Next(start)
+	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{
+		Sequence: 4, Adapters: described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters,
+	}})
+	later := start.Add(3 * time.Second)
+	_, ok := p.Next(later)
+	assert.False(t, ok, "nothing is unloaded before it is confirmed as unused")
+	_, offered := p.Offered("e")
+	assert.Len(t, offered, 3, "one copy is withdrawn to keep room")
+
+	p.ConfirmUnused(later, func(deployment.EndpointID, deployment.Adapter, uint64) bool { return false })
+	_, ok = p.Next(later)
+	assert.False(t, ok)
+	p.ConfirmUnused(later, func(deployment.EndpointID, deployment.Adapter, uint64) bool { return true })
+	unload, ok := p.Next(later)
+	require.True(t, ok)
+	assert.Equal(t, loading.Unload, unload.Kind)
+	assert.NotContains(t, offered, unload.Adapter)
+}
+
+// TestCopiesSeenBeforeCountAfterATakeover is the fault of 2 December: a planner that took over
+// remembered the copies as held before, took them for dropped ones and overfilled the endpoint.
+func TestCopiesSeenBeforeCountAfterATakeover(t *testing.T) {
+	p := newPlanner(1)
+	full := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
+	p.SetEndpoint(start, described("e"), false)
+	held := make(map[deployment.Adapter]time.Time)
+	for one := range full.Adapters {
+		held[one] = start
+	}
+	p.RememberHeld("e", held)
+	p.SetEndpoint(start.Add(time.Millisecond), full, false)
+	p.Report(start, "i", waiting(adapter(5)))
+	for {
+		order, ok := p.Next(start.Add(2 * time.Millisecond))
+		if !ok {
+			break
+		}
+		require.NotEqual(t, loading.Load, order.Kind, "a full endpoint gets no load")
+		p.Done(start, answer(order, loading.NotDelivered))
+	}
+}
+
+func TestRatesOfAFormerPlannerKeepHotCopies(t *testing.T) {
+	p := newPlanner(1)
+	all := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
+	p.SetEndpoint(start, all, false)
+	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 5, adapter(2): 4, adapter(3): 3})
+	inspect, _ := p.Next(start)
+	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: all.Adapters}})
+	p.Next(start.Add(3 * time.Second))
+	_, offered := p.Offered("e")
+	assert.NotContains(t, offered, adapter(4), "the copy that nobody asks for goes")
+	assert.Len(t, offered, 3)
+}
+
+func TestANewVersionIsBroughtElsewhereBeforeTheOldCopyGoes(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("old", adapter(1)), false)
+	p.SetEndpoint(start, described("free"), false)
+	inspect, _ := p.Next(start)
+	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: described("", adapter(1)).Adapters}})
+	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 1})
+	p.SetVersion(start, adapter(1), 2)
+
+	order, ok := p.Next(start)
+	require.True(t, ok)
+	assert.Equal(t, deployment.EndpointID("free"), order.Endpoint.ID)
+	_, offered := p.Offered("old")
+	assert.Contains(t, offered, adapter(1), "the old copy serves until the new one is there")
+
+	p.Done(start, answer(order, loading.Accepted))
+	poll, _ := p.Next(p.NextPoll())
+	p.Done(start.Add(300*time.Millisecond), answer(poll, loading.Holds))
+	p.Next(start.Add(310 * time.Millisecond))
+	_, offered = p.Offered("old")
+	assert.NotContains(t, offered, adapter(1))
+	_, offered = p.Offered("free")
+	assert.Equal(t, int64(2), offered[adapter(1)])
+}
+
+func TestEndpointsWithoutABaseModelGetOneUnderTheRate(t *testing.T) {
+	p := newPlanner(1)
+	for i := range 40 {
+		p.SetEndpoint(start, deployment.Endpoint{ID: deployment.EndpointID(fmt.Sprint(i)), Service: "s"}, false)
+	}
+	var begun []time.Time
+	for step := range 1000 {
+		now := start.Add(time.Duration(step) * 20 * time.Millisecond)
+		for {
+			order, ok := p.Next(now)
+			if !ok {
+				break
+			}
+			require.True(t, order.Adapter.IsZero())
+			if order.Poll {
+				p.Done(now, answer(order, loading.Holds))
+				continue
+			}
+			begun = append(begun, now)
+			p.Done(now, answer(order, loading.Accepted))
+		}
+	}
+	require.Len(t, begun, 40)
+	for i, end := range begun {
+		inWindow := 0
+		for _, at := range begun[:i+1] {
+			if end.Sub(at) < rate.Window {
+				inWindow++
+			}
+		}
+		assert.LessOrEqual(t, inWindow, 19, "3 a second x 5 s x 1.1 + 3")
+	}
+}
+
+func TestSuspectAndDrainingEndpointsGetNoCopies(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("suspect"), true)
+	leaving := described("leaving")
+	leaving.State = deployment.Draining
+	p.SetEndpoint(start, leaving, false)
+	p.Report(start, "i", waiting(adapter(1)))
+	_, ok := p.Next(start)
+	assert.False(t, ok)
+}
+
+func TestAGoneInstancesWaitingRequestsLoadNothing(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e"), false)
+	p.Report(start, "i", []loading.Demand{{Adapter: adapter(1), Waiting: 1, InTime: time.Second}})
+	p.ForgetInstance("i")
+	_, ok := p.Next(start)
+	assert.False(t, ok)
+}
--- /dev/null
+++ b/services/retry/budget_test.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/services/retry"
+)
+
+var (
+	start   = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	options = retry.Options{Ratio: 0.2, Extra: 54, Window: 10 * time.Second}
+)
+
+// TestFleetStaysWithinTheBudgetInEverySlidingWindow drives seven instances that all want to
+// repeat everything, one of which restarts, and counts what all of them were granted.
+func TestFleetStaysWithinTheBudgetInEverySlidingWindow(t *testing.T) {
+	const instances = 7
+	random := rand.New(rand.NewPCG(1, 2))
+	budgets := make([]*retry.Budget, instances)
+	for i := range budgets {
+		budgets[i] = retry.NewBudget(options, start)
+		budgets[i].SetMembers(instances)
+	}
+	var requests, repeats []time.Time
+	for step := range 6000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		i := random.IntN(instances)
+		if step == 3000 {
+			budgets[0] = retry.NewBudget(options, now)
+			budgets[0].SetMembers(instances)
+		}
+		budgets[i].Request(now, "service")
+		requests = append(requests, now)
+		for budgets[i].Take(now, "service") {
+			repeats = append(repeats, now)
+		}
+	}
+	assert.NotEmpty(t, repeats)
+	for _, end := range repeats {
+		from := end.Add(-options.Window)
+		allowed := options.Ratio*float64(countBetween(requests, from, end)) + options.Extra
+		assert.LessOrEqual(t, float64(countBetween(repeats, from, end)), allowed, "window that ends at %s", end.Sub(start))
+	}
+}
+
+func countBetween(times []time.Time, from, to time.Time) int {
+	count := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAProcessThatStartedTakesNothingOfTheExtra(t *testing.T) {
+	budget := retry.NewBudget(options, start)
+	budget.SetMembers(1)
+	assert.False(t, budget.Take(start.Add(time.Second), "service"))
+	assert.True(t, budget.Take(start.Add(options.Window), "service"))
+}
+
+func TestNothingOfTheExtraWithoutKnownMembers(t *testing.T) {
+	budget := retry.NewBudget(options, start)
+	assert.False(t, budget.Take(start.Add(time.Hour), "service"))
+}
+
+func TestServicesHaveSeparateBudgets(t *testing.T) {
+	budget := retry.NewBudget(options, start)
+	for range 10 {
+		budget.Request(start, "busy")
+	}
+	assert.True(t, budget.Take(start, "busy"))
+	assert.False(t, budget.Take(start, "idle"))
+}
