--- a/routers/gateway/server.go
+++ b/routers/gateway/server.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// Close ends all listeners and connections at once.
+func (s *Server) Close() {
+	_ = s.callers.Close()
+	for _, other := range s.others {
+		_ = other.Close()
+	}
+}
+
 // InFlight gives the number of requests that are being served.
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -265,6 +265,9 @@
 // lookForPlanner reads the record when no planner is heard, and takes the ownership where its
 // holder is gone.
 func (c *Coordinator) lookForPlanner(k *keeper) {
+	if c.leaving.Load() || !c.ready.Load() {
+		return
+	}
 	now := c.options.Now()
 	if k.started.IsZero() {
 		k.started = now
@@ -294,9 +297,6 @@
 			c.sendReport(now)
 		}
 	})
-	if c.leaving.Load() || !c.ready.Load() {
-		return
-	}
 	switch {
 	case !found, record.Released, resigned:
 	case record.Holder == c.options.Instance:
--- a/services/entry/answer.go
+++ b/services/entry/answer.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,6 +34,20 @@
 	_, _ = a.writer.Write([]byte(reason + "\n"))
 }
 
+const (
+	// lingerTime and lingerBytes bound how long a caller is read that is still sending what
+	// was refused; without that the reset would take the answer with it.
+	lingerTime  = time.Second
+	lingerBytes = 16 << 20
+)
+
+// letReadAnswer reads on while a caller may still be sending, so that it gets its answer.
+func (a *answerWriter) letReadAnswer(body io.Reader) {
+	_ = a.flush()
+	_ = a.controller.SetReadDeadline(a.now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, body, lingerBytes)
+}
+
 // pass writes the head of an endpoint's answer; length is -1 where it is not known.
 func (a *answerWriter) pass(response *http.Response, length int64) {
 	header := a.writer.Header()
--- a/services/entry/service.go
+++ b/services/entry/service.go
@@ -128,6 +128,7 @@
 	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
 	if errors.Is(err, errBodyTooLarge) {
 		answer.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+		answer.letReadAnswer(incoming.Body)
 		return
 	}
 	if err != nil {
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -175,7 +175,7 @@
 	order := p.order(Load, best.plan, best.adapter)
 	duration := warmLoadTime
 	if best.cold {
-		duration = p.pace.shortest
+		duration = p.pace.firstLook()
 	}
 	best.plan.copies[best.adapter] = &copyPlan{
 		state: copyLoading, since: now, cold: best.cold, pollAt: now.Add(duration), version: max(firstVersion, p.demandOf(now, best.adapter).version),
--- a/services/loading/pace.go
+++ b/services/loading/pace.go
@@ -41,6 +41,12 @@
 	return int(p.limit)
 }
 
+// firstLook is after how long a load is asked about first: a little before the shortest time,
+// so that a shorter one is noticed.
+func (p *pace) firstLook() time.Duration {
+	return p.shortest * 4 / 5
+}
+
 // note takes in the time of one load.
 func (p *pace) note(took time.Duration) {
 	p.typical += time.Duration(smoothing * float64(took-p.typical))
--- a/services/process/process.go
+++ b/services/process/process.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -35,6 +36,8 @@
 	// Grace is the time between the signal to stop and the kill.
 	Grace    time.Duration
 	LogLevel logrus.Level
+	// LogOutput takes the log; nil is standard output.
+	LogOutput io.Writer
 }
 
 const (
@@ -50,33 +53,108 @@
 	collectorPercent = 50
 )
 
-// Run serves until the process is told to stop.
-func Run(options Options) error {
-	debug.SetGCPercent(collectorPercent)
+// Process is one entry process.
+type Process struct {
+	options  Options
+	log      *logrus.Entry
+	client   *upstream.Client
+	control  *coordinator.Coordinator
+	server   *gateway.Server
+	stopping chan struct{}
+}
+
+// New joins the parts of a process; Start starts them.
+func New(options Options) *Process {
 	log := newLog(options)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamIdle, DialTimeout: upstreamDial, Now: time.Now})
 	options.Coordinator.Now = time.Now
 	options.Coordinator.Random = rand.Float64
 	options.Coordinator.Log = log
 	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) { client.Retire(string(id)) }))
-	server := newServer(options, log, control, client)
-	if err := control.Start(); err != nil {
+	return &Process{
+		options: options, log: log, client: client, control: control, server: newServer(options, log, control, client),
+		stopping: make(chan struct{}),
+	}
+}
+
+// Start begins to serve.
+func (p *Process) Start() error {
+	if err := p.control.Start(); err != nil {
+		return err
+	}
+	if err := p.server.Start(); err != nil {
 		return err
 	}
-	if err := server.Start(); err != nil {
+	go p.closeIdle()
+	p.log.Info("started")
+	return nil
+}
+
+// Kill ends the process's work at once, as the loss of its machine does.
+func (p *Process) Kill() {
+	p.server.Close()
+	p.control.Stop()
+	close(p.stopping)
+}
+
+// Stop hands the ownership over at once and returns after the last request, or when the
+// grace is nearly over.
+func (p *Process) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), p.options.Grace-graceMargin)
+	defer cancel()
+	released := make(chan struct{})
+	go func() {
+		p.control.Release(ctx)
+		close(released)
+	}()
+	p.server.Stop(ctx)
+	<-released
+	p.log.WithField("in_flight", p.server.InFlight()).Info("stopped")
+	p.control.Stop()
+	close(p.stopping)
+}
+
+// closeIdle closes connections to endpoints that rest too long.
+func (p *Process) closeIdle() {
+	ticker := time.NewTicker(idlePause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.client.CloseIdle(time.Now())
+		case <-p.stopping:
+			return
+		}
+	}
+}
+
+// Run serves until the process is told to stop. A hang-up changes nothing: what may change
+// while a process runs comes from the store.
+func Run(options Options) error {
+	debug.SetGCPercent(collectorPercent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	process := New(options)
+	if err := process.Start(); err != nil {
 		return err
 	}
-	log.Info("started")
-	wait(signals, client, log)
-	stop(options, log, server, control)
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			process.log.WithField("signal", received.String()).Info("stopping")
+			break
+		}
+		process.log.Info("hang-up: settings of a running process stay as they are")
+	}
+	process.Stop()
 	return nil
 }
 
 func newLog(options Options) *logrus.Entry {
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
+	if options.LogOutput != nil {
+		logger.SetOutput(options.LogOutput)
+	}
 	logger.SetLevel(options.LogLevel)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	return logger.WithField("instance", options.Coordinator.Instance)
@@ -104,37 +182,3 @@
 	})
 	return server
 }
-
-// wait returns at a signal to stop; a hang-up changes nothing, since what may change while a
-// process runs comes from the store.
-func wait(signals <-chan os.Signal, client *upstream.Client, log *logrus.Entry) {
-	ticker := time.NewTicker(idlePause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			client.CloseIdle(time.Now())
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				log.WithField("signal", received.String()).Info("stopping")
-				return
-			}
-			log.Info("hang-up: settings of a running process stay as they are")
-		}
-	}
-}
-
-// stop hands the ownership over at once and ends after the last request.
-func stop(options Options, log *logrus.Entry, server *gateway.Server, control *coordinator.Coordinator) {
-	ctx, cancel := context.WithTimeout(context.Background(), options.Grace-graceMargin)
-	defer cancel()
-	released := make(chan struct{})
-	go func() {
-		control.Release(ctx)
-		close(released)
-	}()
-	server.Stop(ctx)
-	<-released
-	log.WithField("in_flight", server.InFlight()).Info("stopped")
-	control.Stop()
-}
--- /dev/null
+++ b/tests/platform/failure_test.go
@@ -0,0 +1,270 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package platform_test
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
+)
+
+const planning = "planning begins"
+
+// planner gives the entry that began to plan last, among those that run.
+func (s *site) planner() int {
+	s.t.Helper()
+	found := -1
+	s.waitFor("an entry plans", func() bool {
+		for i, e := range s.entries {
+			if !e.ended && s.logged(i, planning) {
+				found = i
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (s *site) other(than int) int {
+	return (than + 1) % len(s.entries)
+}
+
+// serves tells whether an adapter that was never asked for gets loaded and served.
+func (s *site) serves(entry int, adapter string) bool {
+	return s.do(call{entry: entry, path: "/chat/x", adapter: adapter}).status == http.StatusOK
+}
+
+// checkOrders checks, over all workers, that the fencing token never falls, belongs to one
+// holder, and that a holder never comes back with an old one.
+func (s *site) checkOrders() {
+	s.t.Helper()
+	holders := make(map[int64]string)
+	for _, worker := range s.models {
+		orders := worker.Orders()
+		sort.SliceStable(orders, func(i, j int) bool { return orders[i].At.Before(orders[j].At) })
+		last := int64(0)
+		for _, order := range orders {
+			assert.GreaterOrEqual(s.t, order.Token, last, "a lower token after a higher one")
+			last = order.Token
+			if holder, ok := holders[order.Token]; ok {
+				assert.Equal(s.t, holder, order.Holder, "two holders with one token")
+			}
+			holders[order.Token] = order.Holder
+		}
+		assert.Zero(s.t, worker.Overfull())
+	}
+}
+
+func TestAPlannedStopHandsTheOwnershipOverAtOnce(t *testing.T) {
+	s := newSite(t, 2)
+	former := s.planner()
+	next := s.other(former)
+	require.True(t, s.serves(former, "a1"))
+	began := time.Now()
+	var stopped sync.WaitGroup
+	stopped.Go(s.entries[former].process.Stop)
+	s.entries[former].ended = true
+	s.waitFor("the other entry plans", func() bool { return s.logged(next, planning) })
+	assert.Less(t, time.Since(began), 2*time.Second)
+	assert.True(t, s.serves(next, "a2"))
+	assert.Less(t, time.Since(began), 4*time.Second)
+	stopped.Wait()
+	s.checkOrders()
+}
+
+func TestAPlannedStopCutsNothingOff(t *testing.T) {
+	s := newSite(t, 1)
+	require.True(t, s.serves(0, "a1"))
+	var callers sync.WaitGroup
+	results := make(chan outcome, 100)
+	for range 20 {
+		callers.Go(func() { results <- s.do(call{path: "/chat/x", adapter: "a1"}) })
+	}
+	time.Sleep(5 * time.Millisecond)
+	var stopping sync.WaitGroup
+	stopping.Go(s.entries[0].process.Stop)
+	s.entries[0].ended = true
+	time.Sleep(300 * time.Millisecond)
+	assert.False(t, s.isReady(0))
+	for range 20 {
+		callers.Go(func() { results <- s.do(call{path: "/chat/x", adapter: "a1"}) })
+	}
+	callers.Wait()
+	stopping.Wait()
+	close(results)
+	for got := range results {
+		assert.NoError(t, got.broken)
+		assert.Equal(t, http.StatusOK, got.status)
+	}
+}
+
+func TestALostPlannerIsReplacedAfterItsTime(t *testing.T) {
+	s := newSite(t, 2)
+	former := s.planner()
+	next := s.other(former)
+	require.True(t, s.serves(former, "a1"))
+	s.kill(former)
+	s.waitFor("the other entry serves a new adapter", func() bool { return s.serves(next, "a2") })
+	s.checkOrders()
+}
+
+func TestAPlannerThatStartsAgainGoesOnAtOnce(t *testing.T) {
+	s := newSite(t, 1)
+	require.True(t, s.serves(0, "a1"))
+	s.kill(0)
+	began := time.Now()
+	s.entries[0] = s.startEntry(0)
+	s.waitFor("a new adapter is served", func() bool { return s.serves(0, "a2") })
+	assert.Less(t, time.Since(began), 4*time.Second, "the time of its own former process need not be waited for")
+	s.checkOrders()
+}
+
+func TestWhatIsLoadedIsServedWhileTheStoreIsDown(t *testing.T) {
+	s := newSite(t, 2)
+	require.True(t, s.serves(0, "a1"))
+	for _, faults := range []standin.StoreFaults{{Down: true}, {Silent: true}} {
+		s.store.SetFaults(faults)
+		for i := range 30 {
+			assert.True(t, s.serves(i%2, "a1"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		s.store.SetFaults(standin.StoreFaults{})
+	}
+	s.waitFor("new adapters are served again", func() bool { return s.serves(0, "a2") })
+	s.checkOrders()
+}
+
+func TestAConfigurationIsInForceEverywhereWithinItsTime(t *testing.T) {
+	s := newSite(t, 3)
+	cases := map[string]func(){
+		"sound":           func() {},
+		"history dropped": func() { s.store.DropHistory() },
+		"watches deaf": func() {
+			s.store.SetFaults(standin.StoreFaults{Deaf: true})
+			time.AfterFunc(time.Second, func() {
+				s.store.DropHistory()
+				s.store.SetFaults(standin.StoreFaults{})
+			})
+		},
+	}
+	version := 1
+	for name, trouble := range cases {
+		version++
+		trouble()
+		path := fmt.Sprintf("/new%d/", version)
+		s.store.Put("op/config", standin.Configuration(version, map[string]string{path: standin.PlainService}))
+		time.Sleep(2 * time.Second)
+		for i := range s.entries {
+			assert.Equal(t, http.StatusOK, s.do(call{entry: i, path: path, method: http.MethodGet}).status, "%s, entry %d", name, i)
+		}
+	}
+}
+
+func TestALeavingWorkerGetsNoNewWorkWithinItsTime(t *testing.T) {
+	s := newSite(t, 2)
+	for _, leave := range []func(*standin.Worker){(*standin.Worker).Drain, (*standin.Worker).Vanish} {
+		worker := s.plain[0]
+		s.plain = s.plain[1:]
+		leave(worker)
+		time.Sleep(2 * time.Second)
+		before := len(worker.Runs())
+		for i := range 40 {
+			s.do(call{entry: i % 2, path: "/hold/x"})
+		}
+		assert.Len(t, worker.Runs(), before)
+		if len(s.plain) == 1 {
+			s.plain = append(s.plain, standin.NewWorker(s.store, standin.WorkerOptions{ID: "i-plain-new", Service: standin.PlainService, Zone: "h1", Slots: 8}))
+			time.Sleep(time.Second)
+		}
+		worker.Close()
+	}
+}
+
+func TestRevokedKeysMakeNoSecondPlanner(t *testing.T) {
+	s := newSite(t, 3)
+	former := s.planner()
+	require.True(t, s.serves(former, "a1"))
+	for range 3 {
+		s.store.RevokeLeases()
+		time.Sleep(500 * time.Millisecond)
+	}
+	require.True(t, s.serves(former, "a2"))
+	for i := range s.entries {
+		assert.Equal(t, i == former, s.logged(i, planning))
+	}
+	s.checkOrders()
+}
+
+func TestLostAndLateWritesMakeNoSecondHolder(t *testing.T) {
+	s := newSite(t, 3)
+	former := s.planner()
+	require.True(t, s.serves(former, "a1"))
+	s.store.SetFaults(standin.StoreFaults{LoseAnswers: 1, LateWrites: 1, LateBy: 1500 * time.Millisecond})
+	s.kill(former)
+	s.waitFor("another entry serves a new adapter", func() bool { return s.serves(s.other(former), "a2") })
+	time.Sleep(2 * time.Second)
+	s.waitFor("and another one", func() bool { return s.serves(s.other(former), "a3") })
+	s.checkOrders()
+}
+
+func TestANamedVersionIsServedWithinItsTime(t *testing.T) {
+	s := newSite(t, 2)
+	require.True(t, s.serves(0, "a1"))
+	for _, worker := range s.models {
+		worker.Name("a1", 2)
+	}
+	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
+	time.Sleep(4 * time.Second)
+	for i := range 10 {
+		got := s.do(call{entry: i % 2, path: "/chat/x", adapter: "a1"})
+		require.Equal(t, http.StatusOK, got.status)
+		for _, worker := range s.models {
+			for _, run := range worker.Runs() {
+				if run.ID == got.id {
+					assert.Equal(t, 2, run.Version)
+				}
+			}
+		}
+	}
+}
+
+func TestLostOrdersAreSettled(t *testing.T) {
+	s := newSite(t, 1)
+	s.eachModel(standin.WorkerFaults{LoseOrders: 2})
+	for i := range 6 {
+		s.waitFor("the adapter is served", func() bool { return s.serves(0, fmt.Sprintf("a%d", i)) })
+	}
+	s.checkOrders()
+}
+
+func TestAllAtOnceStartAgainFromTheStoreAlone(t *testing.T) {
+	s := newSite(t, 3)
+	require.True(t, s.serves(0, "a1"))
+	for i := range s.entries {
+		s.kill(i)
+	}
+	began := time.Now()
+	for i := range s.entries {
+		s.entries[i] = s.startEntry(i)
+	}
+	s.waitFor("all entries serve", func() bool {
+		for i := range s.entries {
+			if !s.serves(i, "a1") {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Less(t, time.Since(began), 12*time.Second)
+	s.checkOrders()
+}
--- /dev/null
+++ b/tests/platform/site_test.go
@@ -0,0 +1,249 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package platform_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/platform"
+	"github.com/shelfledge/shelfledge/services/process"
+	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
+)
+
+// site is a whole deployment in one process: a store, workers and entries.
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	models  []*standin.Worker
+	plain   []*standin.Worker
+	entries []*entryProcess
+	ports   standin.Ports
+	ips     []string
+	next    int
+	mutex   sync.Mutex
+}
+
+type entryProcess struct {
+	name    string
+	ip      string
+	process *process.Process
+	log     *lockedBuffer
+	ended   bool
+}
+
+// lockedBuffer is a log that tests may read while it is written.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(content []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(content)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+const (
+	patience = 15 * time.Second
+	pace     = 10 * time.Millisecond
+)
+
+func newSite(t *testing.T, entries int) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore()}
+	t.Cleanup(s.close)
+	s.store.Put("op/config", standin.Configuration(1, nil))
+	for i := range 2 {
+		s.models = append(s.models, standin.NewWorker(s.store, standin.WorkerOptions{
+			ID: fmt.Sprintf("i-model-%d", i), Service: standin.ModelService, Zone: "h1", Slots: 8, Model: standin.Model,
+			Capacity: 8, LoadTime: 30 * time.Millisecond, Events: 5, Pause: 5 * time.Millisecond,
+		}))
+		s.plain = append(s.plain, standin.NewWorker(s.store, standin.WorkerOptions{
+			ID: fmt.Sprintf("i-plain-%d", i), Service: standin.PlainService, Zone: "h1", Slots: 8,
+		}))
+	}
+	for i := range entries {
+		s.ips = append(s.ips, fmt.Sprintf("127.0.0.%d", i+11))
+	}
+	var err error
+	s.ports, err = standin.FreePorts(s.ips)
+	require.NoError(t, err)
+	for i := range entries {
+		s.entries = append(s.entries, s.startEntry(i))
+	}
+	s.waitFor("all entries are ready", func() bool {
+		for i := range s.entries {
+			if !s.isReady(i) {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+func (s *site) startEntry(i int) *entryProcess {
+	s.t.Helper()
+	e := &entryProcess{name: fmt.Sprintf("entry-%d", i), ip: s.ips[i], log: &lockedBuffer{}}
+	encoded, err := json.Marshal(standin.Settings(e.name, "h1", e.ip, s.ports, nil, s.store.Address()))
+	require.NoError(s.t, err)
+	settings, err := platform.ParseSettings(encoded)
+	require.NoError(s.t, err)
+	options := settings.Process(logrus.InfoLevel)
+	options.LogOutput = e.log
+	e.process = process.New(options)
+	require.NoError(s.t, e.process.Start())
+	return e
+}
+
+func (s *site) close() {
+	for _, e := range s.entries {
+		if !e.ended {
+			e.process.Kill()
+		}
+		if s.t.Failed() {
+			s.t.Logf("log of %s:\n%s", e.name, e.log.String())
+		}
+	}
+	for _, worker := range append(s.models, s.plain...) {
+		worker.Close()
+	}
+	s.store.Close()
+}
+
+func (s *site) kill(i int) {
+	s.entries[i].process.Kill()
+	s.entries[i].ended = true
+}
+
+func (s *site) isReady(i int) bool {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/-/readyz", s.ips[i], s.ports.Ready))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *site) waitFor(what string, condition func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			require.FailNow(s.t, "waited in vain", "%s", what)
+		}
+		time.Sleep(pace)
+	}
+}
+
+// call is one request of a caller.
+type call struct {
+	entry   int
+	method  string
+	path    string
+	adapter string
+	body    string
+	header  map[string]string
+}
+
+// outcome is what the caller got.
+type outcome struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	// broken is set if the answer did not end as a whole one.
+	broken error
+}
+
+func (s *site) newID() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.next++
+	return fmt.Sprintf("id-%d", s.next)
+}
+
+func (s *site) request(c call) (*http.Request, string) {
+	s.t.Helper()
+	method := c.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", s.ips[c.entry], s.ports.Callers, c.path), strings.NewReader(c.body))
+	require.NoError(s.t, err)
+	id := s.newID()
+	request.Host = standin.Host
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Deadline-Ms", "5000")
+	if c.adapter != "" {
+		request.Header.Set("X-Model", standin.Model+"/"+c.adapter)
+		request.Header.Set("X-Token-Usage", "100,20")
+	}
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	return request, id
+}
+
+// callersClient never repeats and uses a new connection for each request.
+var callersClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+func (s *site) do(c call) outcome {
+	s.t.Helper()
+	request, id := s.request(c)
+	response, err := callersClient.Do(request)
+	if err != nil {
+		return outcome{id: id, broken: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return outcome{id: id, status: response.StatusCode, header: response.Header, body: string(body), broken: err}
+}
+
+// runsOf gives how often a request ran, over all workers.
+func (s *site) runsOf(id string) int {
+	count := 0
+	for _, worker := range append(append([]*standin.Worker(nil), s.models...), s.plain...) {
+		for _, run := range worker.Runs() {
+			if run.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (s *site) eachPlain(faults standin.WorkerFaults) {
+	for _, worker := range s.plain {
+		worker.SetFaults(faults)
+	}
+}
+
+func (s *site) eachModel(faults standin.WorkerFaults) {
+	for _, worker := range s.models {
+		worker.SetFaults(faults)
+	}
+}
+
+// planner gives the entry that holds the record, or -1.
+func (s *site) logged(i int, text string) bool {
+	return strings.Contains(s.entries[i].log.String(), text)
+}
--- /dev/null
+++ b/tests/platformstandin/site.go
@@ -0,0 +1,124 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package platformstandin
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+)
+
+// Names of the example site.
+const (
+	Host          = "site.example"
+	ModelService  = "models"
+	PlainService  = "plain"
+	Model         = "base"
+	StreamPrefix  = "/chat/"
+	ResumePrefix  = "/digest/"
+	UnsafePrefix  = "/hold/"
+	SafePrefix    = "/status/"
+	engineSlots   = 8
+	engineMB      = 1000.0
+	modelMB       = 900.0
+	adapterMB     = 10.0
+	siteCapacity  = 8
+	siteAdapters  = 500
+	storeLoadRate = 20.0
+)
+
+// Configuration gives the example configuration; more maps the prefixes of further routes to services.
+func Configuration(version int, more map[string]string) map[string]any {
+	routes := []map[string]any{
+		route("r-stream", StreamPrefix, "streaming", ModelService, 1, false),
+		route("r-resume", ResumePrefix, "streaming", ModelService, 2, true),
+		route("r-unsafe", UnsafePrefix, "unsafe", PlainService, 1, false),
+		route("r-safe", SafePrefix, "safe", PlainService, 2, false),
+	}
+	for prefix, service := range more {
+		routes = append(routes, route("r-"+prefix, prefix, "safe", service, 2, false))
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{
+			{"name": ModelService, "health_path": "/healthz", "max_connections": 200, "protocol": "h1", "engine": map[string]any{
+				"slots": engineSlots, "kv_capacity": 100000, "weights_mb": engineMB, "adapter_capacity": siteCapacity, "loads_per_s": storeLoadRate,
+				"models": []map[string]any{{"name": Model, "weights_mb": modelMB, "load_time_s": 0.1, "adapters": siteAdapters, "adapter_mb": adapterMB}},
+			}},
+			{"name": PlainService, "health_path": "/healthz", "max_connections": 200, "protocol": "h1"},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+func route(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"name": name, "hostname": Host, "path_prefix": prefix, "type": kind, "timeout_ms": 5000, "target_latency_ms": 800,
+		"priority": 1, "service": service, "max_attempts": attempts, "resumable": resumable, "itl_target_ms": 250, "sticky": kind == "streaming",
+	}
+}
+
+// Settings gives the settings of one entry process.
+func Settings(name, zone, ip string, ports Ports, seeds []string, store string) map[string]any {
+	return map[string]any{
+		"node_name": name, "zone": zone, "ip": ip, "role": "entry", "serves": []string{"edge"},
+		"listen": map[string]any{
+			"frontend": fmt.Sprintf("%s:%d", ip, ports.Callers), "ready": fmt.Sprintf("%s:%d", ip, ports.Ready),
+		},
+		"internal_ports": []uint16{ports.Peers, ports.Peers + 1}, "seeds": seeds,
+		"bounds": map[string]any{
+			"drain_ms": 2000, "grace_s": 8.0, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra_retries": 54,
+			"lease_ms": 3000, "ceiling_window_s": 5, "origin_rate_cap": 1.1, "version_ms": 5000,
+		},
+		"platform": map[string]any{"address": store, "form": "kv"},
+	}
+}
+
+// Ports are the ports of an entry process; all processes of a site use the same, each on an IP
+// of its own.
+type Ports struct {
+	Callers, Ready, Peers uint16
+}
+
+// FreePorts gives ports that are free on all the IPs.
+func FreePorts(ips []string) (Ports, error) {
+	for range 50 {
+		var ports [3]uint16
+		free := true
+		for i := range ports {
+			port, err := freePort(ips)
+			if err != nil {
+				return Ports{}, err
+			}
+			ports[i] = port
+			free = free && port != 0
+		}
+		if free && ports[0] != ports[1] && ports[1] != ports[2] && ports[0] != ports[2] {
+			return Ports{Callers: ports[0], Ready: ports[1], Peers: ports[2]}, nil
+		}
+	}
+	return Ports{}, fmt.Errorf("platformstandin: no free ports on %v", ips)
+}
+
+// freePort gives a port that is free on all the IPs, or 0.
+func freePort(ips []string) (uint16, error) {
+	first, err := net.Listen("tcp4", ips[0]+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = first.Close() }()
+	port := first.Addr().(*net.TCPAddr).AddrPort().Port()
+	for _, ip := range ips[1:] {
+		address, err := netip.ParseAddr(ip)
+		if err != nil {
+			return 0, err
+		}
+		other, err := net.Listen("tcp4", netip.AddrPortFrom(address, port).String())
+		if err != nil {
+			return 0, nil
+		}
+		_ = other.Close()
+	}
+	return port, nil
+}
