Send no request to an endpoint with 0.7 of its slots in flight

Change: entries take an endpoint with 0.7 of its slots in flight, by all instances' counts, as full; requests wait for a place by priority and are refused after their wait; the planner brings another copy elsewhere.

--- a/services/admission/decide.go
+++ b/services/admission/decide.go
@@ -18,6 +18,8 @@
 	AdapterNotLoaded Reason = "adapter not loaded"
 	// NoEndpoint: no endpoint of the service takes work.
 	NoEndpoint Reason = "no endpoint"
+	// Crowded: the endpoints that hold the adapter have too much to do.
+	Crowded Reason = "endpoints crowded"
 )
 
 // Situation is what is known of a request that waits.
@@ -27,6 +29,8 @@
 	Deadline time.Time
 	// NoEndpoint says that no endpoint of the service takes work at all.
 	NoEndpoint bool
+	// Crowded says that the adapter is there, but its endpoints have too much to do.
+	Crowded bool
 	// Forecast is when the adapter is expected; zero if its load is not under way.
 	Forecast time.Time
 }
@@ -48,6 +52,8 @@
 	waitShare = 0.7
 	// plainWait is how long a plain request waits for an endpoint.
 	plainWait = 100 * time.Millisecond
+	// crowdedPause is when a caller refused for crowded endpoints should come back.
+	crowdedPause = 1500 * time.Millisecond
 	// retryPause is the least time after which a refused caller should come back.
 	retryPause = 400 * time.Millisecond
 )
@@ -62,6 +68,9 @@
 	if situation.NoEndpoint {
 		return Decision{Reason: NoEndpoint, RetryAfter: retryPause}
 	}
+	if situation.Crowded {
+		return Decision{Reason: Crowded, RetryAfter: crowdedPause}
+	}
 	return Decision{Reason: AdapterNotLoaded, RetryAfter: retryAfter(now, situation)}
 }
 
--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -18,6 +18,9 @@
 	ZonePenalty float64
 	// PlainZonePenalty is the same for plain services.
 	PlainZonePenalty float64
+	// FullShare is the part of a model endpoint's slots beyond which it gets no more requests;
+	// with more in flight, all of them take longer than their callers wait.
+	FullShare float64
 	// Random gives a number from 0 up to 1, to break ties.
 	Random func() float64
 }
@@ -42,6 +45,8 @@
 	NoEndpoint
 	// NotResident: endpoints take work, but none holds the adapter.
 	NotResident
+	// Crowded: an endpoint holds the adapter, but has too many requests in flight.
+	Crowded
 )
 
 // Choose gives the endpoint for a request. Ejected endpoints are taken only where nothing
@@ -54,10 +59,14 @@
 		if entry.State != deployment.Ready || tried(demand.Tried, entry.ID) {
 			continue
 		}
-		verdict = NotResident
+		verdict = max(verdict, NotResident)
 		if demand.Request.UsesModel() && !entry.Holds(now, demand.Request.Adapter, demand.Version) {
 			continue
 		}
+		if demand.Request.UsesModel() && Full(entry, options.FullShare) {
+			verdict = Crowded
+			continue
+		}
 		cost := cost(entry, demand.Request, options)
 		if entry.Health.Ejected(now) {
 			if fallback == nil || cost < fallbackCost {
@@ -78,6 +87,11 @@
 	return best, Chosen
 }
 
+// Full tells whether a model endpoint has as many requests in flight as it should.
+func Full(entry *directory.Entry, share float64) bool {
+	return entry.Slots > 0 && float64(entry.Load()) >= share*float64(entry.Slots)
+}
+
 func cost(entry *directory.Entry, request *deployment.Request, options Options) float64 {
 	cost := float64(entry.Load()) + options.Random()/2
 	if entry.Zone == options.Zone {
--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -4,9 +4,11 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/deployment"
@@ -59,6 +61,8 @@
 	// zonePenalty and plainZonePenalty are what crossing a zone weighs, in requests in flight.
 	zonePenalty      = 1.0
 	plainZonePenalty = 2.5
+	// fullShare is the part of a model endpoint's slots that is used.
+	fullShare = 0.7
 	// assumedMembers shares connections while the number of instances is not known.
 	assumedMembers = 8
 )
@@ -118,7 +122,7 @@
 		c.dropWaiter(w)
 		return
 	}
-	if w.verdict == balance.NotResident {
+	if w.verdict == balance.NotResident || w.verdict == balance.Crowded {
 		c.sendReport(now)
 	}
 }
@@ -127,7 +131,7 @@
 func (c *Coordinator) serve(now time.Time, w *waiter) bool {
 	demand := balance.Demand{Request: w.request, Version: c.demandedVersion(now, w.request.Adapter), Tried: w.tried}
 	options := balance.Options{
-		Zone: c.options.Zone, ZonePenalty: zonePenalty, PlainZonePenalty: plainZonePenalty, Random: c.options.Random,
+		Zone: c.options.Zone, ZonePenalty: zonePenalty, PlainZonePenalty: plainZonePenalty, FullShare: fullShare, Random: c.options.Random,
 	}
 	entry, verdict := balance.Choose(now, c.directory.Service(w.request.Service), demand, options)
 	w.verdict = verdict
@@ -169,7 +173,7 @@
 func (c *Coordinator) decideWaiter(now time.Time, w *waiter) bool {
 	situation := admission.Situation{
 		Route: w.request.Route, Arrived: w.request.Arrived, Deadline: w.request.Deadline,
-		NoEndpoint: w.verdict == balance.NoEndpoint,
+		NoEndpoint: w.verdict == balance.NoEndpoint, Crowded: w.verdict == balance.Crowded,
 	}
 	if at, ok := c.forecasts[serviceAdapter{w.request.Service, w.request.Adapter}]; ok {
 		situation.Forecast = at
@@ -182,11 +186,12 @@
 	return false
 }
 
-// reviewWaiters serves or refuses the requests that wait, the most urgent and newest first.
+// reviewWaiters serves or refuses the requests that wait, the most urgent first.
 func (c *Coordinator) reviewWaiters(now time.Time) {
 	if len(c.waiters) == 0 {
 		return
 	}
+	slices.SortStableFunc(c.waiters, func(a, b *waiter) int { return cmp.Compare(a.request.Route.Priority, b.request.Route.Priority) })
 	kept := c.waiters[:0]
 	for _, w := range c.waiters {
 		if c.serve(now, w) || !c.decideWaiter(now, w) {
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -10,6 +10,7 @@
 
 	"github.com/shelfledge/shelfledge/models/deployment"
 	"github.com/shelfledge/shelfledge/modules/peerstream"
+	"github.com/shelfledge/shelfledge/services/balance"
 	"github.com/shelfledge/shelfledge/services/loading"
 	"github.com/shelfledge/shelfledge/services/ownership"
 )
@@ -189,6 +190,7 @@
 	}
 	p.dropLost(now)
 	p.confirmWithdrawals(now)
+	p.noteCrowds()
 	for _, planner := range p.planners {
 		for !p.leaving && p.tenure.MayOrder(now) {
 			order, ok := planner.Next(now)
@@ -287,6 +289,15 @@
 	c.options.Log.WithFields(fields).Log(level, "order answered")
 }
 
+// noteCrowds tells the plans which endpoints have enough to do.
+func (p *planning) noteCrowds() {
+	for id, entry := range p.coordinator.directory.Entries() {
+		if planner, ok := p.planners[entry.Service]; ok {
+			planner.SetCrowded(id, balance.Full(entry, fullShare))
+		}
+	}
+}
+
 func (p *planning) dropLost(now time.Time) {
 	for name, m := range p.members {
 		if m.lost.IsZero() && now.Sub(m.heard) > memberSilence {
--- a/services/loading/copy.go
+++ b/services/loading/copy.go
@@ -55,6 +55,8 @@
 	inspect bool
 	// restUntil keeps orders away after one failed.
 	restUntil time.Time
+	// crowded endpoints have as many requests in flight as they should.
+	crowded bool
 	// suspect endpoints get no new copies.
 	suspect bool
 }
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -209,8 +209,9 @@
 
 // copyCount is how many copies of an adapter there are.
 type copyCount struct {
-	// usable copies are resident at the version to be served; coming ones are on their way.
-	usable, coming int
+	// usable copies are resident at the version to be served; coming ones are on their way;
+	// free ones are usable and not crowded.
+	usable, coming, free int
 }
 
 // indexCopies counts all adapters' copies on endpoints that take requests.
@@ -227,6 +228,9 @@
 				count.coming++
 			case c.state == copyResident && c.version >= p.versionOf(adapter):
 				count.usable++
+				if !plan.crowded {
+					count.free++
+				}
 			}
 			p.counts[adapter] = count
 		}
@@ -243,8 +247,8 @@
 // value is the worth of one more copy, in requests served.
 func (p *Planner) value(now time.Time, adapter deployment.Adapter, known *adapterDemand, total float64) float64 {
 	usable, coming := p.counts[adapter].usable, p.counts[adapter].coming
-	if usable == 0 && coming == 0 {
-		waiting, inTime := known.waitingNow(now, p.pace.typical)
+	waiting, inTime := known.waitingNow(now, p.pace.typical)
+	if coming == 0 && (usable == 0 || (waiting > 0 && p.counts[adapter].free == 0)) {
 		if waiting == 0 && known.rate*horizon < 1 {
 			return 0
 		}
@@ -318,7 +322,7 @@
 // takesCopies tells whether a copy of an adapter may be brought to an endpoint.
 func (e *endpointPlan) takesCopies(adapter deployment.Adapter) bool {
 	_, has := e.copies[adapter]
-	return !has && !e.suspect && e.endpoint.State == deployment.Ready && e.endpoint.HasModel(adapter.Model)
+	return !has && !e.suspect && !e.crowded && e.endpoint.State == deployment.Ready && e.endpoint.HasModel(adapter.Model)
 }
 
 // keepRoom withdraws the least valuable copy of each endpoint that is nearly full, so that a
--- a/services/loading/planner.go
+++ b/services/loading/planner.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// SetCrowded tells whether an endpoint has as many requests in flight as it should; then its
+// copies do not help requests that wait.
+func (p *Planner) SetCrowded(id deployment.EndpointID, crowded bool) {
+	if plan, ok := p.endpoints[id]; ok {
+		plan.crowded = crowded
+	}
+}
+
 // NoteMissing asks for an endpoint's report, since it said that it lacks a copy.
 func (p *Planner) NoteMissing(id deployment.EndpointID) {
 	if plan, ok := p.endpoints[id]; ok {
