--- /dev/null
+++ b/modules/tcp/dialer_test.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package tcp_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/modules/tcp"
+)
+
+// TestAClosedConnectionIsReset is about an order that a cut link held up: closed by its
+// time-out, it must not arrive when the link heals.
+func TestAClosedConnectionIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := tcp.Dialer{Timeout: time.Second}.DialContext(context.Background(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	require.NoError(t, conn.Close())
+	_ = accepted.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = accepted.Read(make([]byte, 1))
+	assert.True(t, errors.Is(err, syscall.ECONNRESET), "got %v", err)
+}
--- a/modules/upstream/client.go
+++ b/modules/upstream/client.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/shelfledge/shelfledge/modules/tcp"
 )
 
 // Options are the settings of a Client.
@@ -51,7 +53,7 @@
 // NewClient makes a client without connections.
 func NewClient(options Options) *Client {
 	if options.Dial == nil {
-		dialer := &net.Dialer{KeepAlive: -1}
+		dialer := tcp.Dialer{}
 		options.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp4", address.String())
 		}
--- a/modules/upstream/exchange.go
+++ b/modules/upstream/exchange.go
@@ -55,7 +55,7 @@
 	_ = conn.SetDeadline(deadline)
 	answer.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	answer.written = conn.send(call.Request)
-	response, err := readHead(conn, call)
+	response, err := readHead(conn, call) //nolint:bodyclose // Answer.Close ends the exchange with its connection.
 	if err != nil {
 		answer.discard()
 		return nil, &ExchangeError{Stage: Sent, Cause: err}
--- a/services/coordinator/counters.go
+++ b/services/coordinator/counters.go
@@ -11,7 +11,6 @@
 	storeFailedAt  time.Time
 	orders         int
 	ordersFailed   int
-	loads          int
 	takeovers      int
 	reportsDropped int
 }
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -16,21 +16,21 @@
 	// leadershipPace is how often the ownership is looked at.
 	leadershipPace = 100 * time.Millisecond
 	// confirmPause is the pause between two confirming reads of the holder.
-	confirmPause = time.Second
+	confirmPause = 700 * time.Millisecond
 	// confirmTimeout bounds a confirming read, confirmRetry is the pause after a failed one.
-	confirmTimeout = 700 * time.Millisecond
+	confirmTimeout = 600 * time.Millisecond
 	confirmRetry   = 200 * time.Millisecond
 	// confirmTrouble is the age of the last confirmation from which on members are asked
 	// whether the store answers them.
-	confirmTrouble = 1300 * time.Millisecond
+	confirmTrouble = 1100 * time.Millisecond
 	// aliveLife is the life of the lease under the holder's sign of life.
-	aliveLife = 2500 * time.Millisecond
+	aliveLife = 1800 * time.Millisecond
 	// lookPause is the pause between two looks at the record by an instance without planner.
-	lookPause = 500 * time.Millisecond
+	lookPause = 300 * time.Millisecond
 	// releasePause is how often a holder that gives up looks whether its orders have ended.
 	releasePause = 10 * time.Millisecond
 	// takeoverSilence is after how long without the planner's word its record is looked at.
-	takeoverSilence = 1200 * time.Millisecond
+	takeoverSilence = 900 * time.Millisecond
 )
 
 // leadership runs beside the control goroutine: it keeps this instance's ownership, or looks
--- a/services/entry/passing.go
+++ b/services/entry/passing.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -72,7 +73,7 @@
 		if n > 0 && a.run.answer.write(buffer[:n]) != nil {
 			return directory.Neutral, false, brokenOff
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return directory.Succeeded, false, finished
 		}
 		if err != nil {
@@ -134,7 +135,7 @@
 				r.lastEvent = events.lastID(r.lastEvent)
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			start()
 			if rest := events.rest(); len(rest) > 0 && r.answer.write(rest) != nil {
 				return directory.Neutral, false, brokenOff
--- a/services/loading/pace.go
+++ b/services/loading/pace.go
@@ -10,9 +10,9 @@
 	firstLoadTime = 250 * time.Millisecond
 	// firstConcurrency, leastConcurrency and mostConcurrency bound how many adapters may come
 	// from the weight store at once.
-	firstConcurrency = 4.0
+	firstConcurrency = 8.0
 	leastConcurrency = 1.0
-	mostConcurrency  = 10.0
+	mostConcurrency  = 12.0
 	// crowded is how many times the shortest load time a load may take before there are too
 	// many at once.
 	crowded = 2.0
