--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: build ## Show the main job, with every answer checked.
 	$(BIN)/demo --bin $(BIN)
+	$(BIN)/entrydemo --bin $(BIN)
 
 test: fmt lint unit ## Formatter, linter and tests.
 
--- a/cmd/shelfledge-entry/main.go
+++ b/cmd/shelfledge-entry/main.go
@@ -26,6 +26,7 @@
 	Settings      string `help:"Settings file of the platform; by default the one that the environment names." type:"path"`
 	CheckSettings bool   `help:"Check the settings, report every problem and exit."`
 	LogLevel      string `help:"Least level of log lines: error, warn, info or debug." default:"info" enum:"error,warn,info,debug"`
+	MetricsPort   uint16 `help:"Port on this machine's address that serves figures as text; 0 serves none." default:"0"`
 	Version       bool   `help:"Print the version and exit."`
 }
 
@@ -58,7 +59,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
 	}
-	if err := process.Run(settings.Process(level)); err != nil {
+	if err := process.Run(settings.Process(level, args.MetricsPort)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- /dev/null
+++ b/modules/asynclog/writer.go
@@ -0,0 +1,141 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package asynclog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Options are the settings of a Writer.
+type Options struct {
+	Output io.Writer
+	// LinesPerSecond and Burst bound the volume.
+	LinesPerSecond float64
+	Burst          float64
+	// Queue is how many lines may wait for a slow reader.
+	Queue int
+	// Now gives the present time.
+	Now func() time.Time
+	// Summary gives the line that tells how many were suppressed.
+	Summary func(now time.Time, suppressed uint64) string
+}
+
+// summaryPace is how often suppressed lines are told.
+const summaryPace = time.Second
+
+// Writer is an io.Writer whose Write never blocks.
+type Writer struct {
+	options    Options
+	lines      chan []byte
+	stop       chan struct{}
+	done       chan struct{}
+	mutex      sync.Mutex
+	tokens     float64
+	filled     time.Time
+	suppressed uint64
+	total      uint64
+}
+
+// New starts a writer; Close ends it.
+func New(options Options) *Writer {
+	w := &Writer{
+		options: options, lines: make(chan []byte, options.Queue), stop: make(chan struct{}), done: make(chan struct{}),
+		tokens: options.Burst, filled: options.Now(),
+	}
+	go w.run()
+	return w
+}
+
+// Write queues one line, or counts it as suppressed.
+func (w *Writer) Write(line []byte) (int, error) {
+	if !w.take() {
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.suppress()
+	}
+	return len(line), nil
+}
+
+func (w *Writer) take() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := w.options.Now()
+	w.tokens = min(w.options.Burst, w.tokens+now.Sub(w.filled).Seconds()*w.options.LinesPerSecond)
+	w.filled = now
+	if w.tokens < 1 {
+		w.suppressed++
+		w.total++
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+func (w *Writer) suppress() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.suppressed++
+	w.total++
+}
+
+// Suppressed gives the number of lines that were not written.
+func (w *Writer) Suppressed() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.total
+}
+
+// Close writes what is queued, if the reader takes it within a span, and ends the writer.
+func (w *Writer) Close(patience time.Duration) {
+	close(w.stop)
+	select {
+	case <-w.done:
+	case <-time.After(patience):
+	}
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	ticker := time.NewTicker(summaryPace)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = w.options.Output.Write(line)
+		case <-ticker.C:
+			w.summarize()
+		case <-w.stop:
+			w.drain()
+			return
+		}
+	}
+}
+
+func (w *Writer) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = w.options.Output.Write(line)
+		default:
+			w.summarize()
+			return
+		}
+	}
+}
+
+func (w *Writer) summarize() {
+	w.mutex.Lock()
+	count := w.suppressed
+	w.suppressed = 0
+	w.mutex.Unlock()
+	if count > 0 {
+		_, _ = fmt.Fprintln(w.options.Output, w.options.Summary(w.options.Now(), count))
+	}
+}
--- /dev/null
+++ b/modules/entrymetric/metrics.go
@@ -0,0 +1,154 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package entrymetric
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Request is the end of one request. Class is the route's name.
+type Request struct {
+	Class  string
+	Status int
+	Reason string
+	// Repeats is how many further endpoints it was sent to.
+	Repeats int
+	Waited  time.Duration
+	First   time.Duration
+	Whole   time.Duration
+}
+
+// Gauges are figures read when the metrics are asked for.
+type Gauges struct {
+	ConfigurationVersion float64
+	Endpoints            float64
+	Ejected              float64
+	ResidentCopies       float64
+	Waiting              float64
+	InFlight             float64
+	Planning             float64
+	Term                 float64
+	Members              float64
+	Connections          float64
+	LogSuppressed        float64
+}
+
+// Metrics are the counters and histograms of a process.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	repeats  *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	store    *prometheus.CounterVec
+	waited   *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+	whole    *prometheus.HistogramVec
+}
+
+// buckets span a millisecond to the longest request, in seconds.
+var buckets = []float64{.01, .05, .1, .25, .5, .8, 1, 2, 4, 8, 15}
+
+// New makes metrics; gauges is asked at each reading.
+func New(gauges func() Gauges) *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "shelfledge", Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "shelfledge", Name: name, Help: help, Buckets: buckets}, []string{"class"})
+	}
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: counter("requests_total", "Requests by class and answered status; 0 is a connection closed without a whole answer.", "class", "status"),
+		refusals: counter("failures_total", "Requests without success, by reason.", "class", "reason"),
+		repeats:  counter("repeats_total", "Repeated sends to further endpoints.", "class"),
+		orders:   counter("orders_total", "Orders to endpoints, by kind and reply.", "kind", "reply"),
+		store:    counter("store_failures_total", "Calls to the store that failed, by call.", "call"),
+		waited:   histogram("wait_seconds", "Wait for an endpoint."),
+		first:    histogram("first_byte_seconds", "Time to the head of the answer."),
+		whole:    histogram("request_seconds", "Time to the end of the answer."),
+	}
+	m.registry.MustRegister(m.requests, m.refusals, m.repeats, m.orders, m.store, m.waited, m.first, m.whole, &gaugeCollector{read: gauges})
+	return m
+}
+
+// Handler serves the figures as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// ObserveRequest counts one request.
+func (m *Metrics) ObserveRequest(r Request) {
+	m.requests.WithLabelValues(r.Class, strconv.Itoa(r.Status)).Inc()
+	if r.Reason != "" {
+		m.refusals.WithLabelValues(r.Class, r.Reason).Inc()
+	}
+	if r.Repeats > 0 {
+		m.repeats.WithLabelValues(r.Class).Add(float64(r.Repeats))
+	}
+	m.waited.WithLabelValues(r.Class).Observe(r.Waited.Seconds())
+	if r.First > 0 {
+		m.first.WithLabelValues(r.Class).Observe(r.First.Seconds())
+	}
+	m.whole.WithLabelValues(r.Class).Observe(r.Whole.Seconds())
+}
+
+// ObserveOrder counts one order to an endpoint.
+func (m *Metrics) ObserveOrder(kind, reply string) {
+	m.orders.WithLabelValues(kind, reply).Inc()
+}
+
+// ObserveStoreFailure counts one failed call to the store.
+func (m *Metrics) ObserveStoreFailure(call string) {
+	m.store.WithLabelValues(call).Inc()
+}
+
+// gaugeCollector reads all gauges at once.
+type gaugeCollector struct {
+	read func() Gauges
+}
+
+// gauge describes one field of Gauges.
+type gauge struct {
+	description *prometheus.Desc
+	value       func(Gauges) float64
+}
+
+func describe(name, help string, value func(Gauges) float64) gauge {
+	return gauge{description: prometheus.NewDesc("shelfledge_"+name, help, nil, nil), value: value}
+}
+
+var allGauges = []gauge{
+	describe("configuration_version", "Version of the configuration in force.", func(g Gauges) float64 { return g.ConfigurationVersion }),
+	describe("endpoints", "Endpoints known.", func(g Gauges) float64 { return g.Endpoints }),
+	describe("endpoints_ejected", "Endpoints that get no requests for now.", func(g Gauges) float64 { return g.Ejected }),
+	describe("resident_copies", "Copies of adapters that take requests.", func(g Gauges) float64 { return g.ResidentCopies }),
+	describe("waiting_requests", "Requests that wait for an endpoint.", func(g Gauges) float64 { return g.Waiting }),
+	describe("in_flight_requests", "This instance's requests at endpoints.", func(g Gauges) float64 { return g.InFlight }),
+	describe("planning", "1 if this instance plans.", func(g Gauges) float64 { return g.Planning }),
+	describe("planner_term", "Term of the planner that this instance knows.", func(g Gauges) float64 { return g.Term }),
+	describe("members", "Instances that share the fleet's bounds.", func(g Gauges) float64 { return g.Members }),
+	describe("connections_opened", "Connections opened to endpoints.", func(g Gauges) float64 { return g.Connections }),
+	describe("log_lines_suppressed", "Log lines that were not written.", func(g Gauges) float64 { return g.LogSuppressed }),
+}
+
+// Describe implements prometheus.Collector.
+func (*gaugeCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, one := range allGauges {
+		descriptions <- one.description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *gaugeCollector) Collect(metrics chan<- prometheus.Metric) {
+	values := c.read()
+	for _, one := range allGauges {
+		metrics <- prometheus.MustNewConstMetric(one.description, prometheus.GaugeValue, one.value(values))
+	}
+}
--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -80,7 +80,6 @@
 	endLongWatch context.CancelFunc
 	// leadershipDue asks for a look at the record without delay.
 	leadershipDue bool
-	counters      counters
 }
 
 // New makes a coordinator; Start begins its work.
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -391,7 +391,6 @@
 }
 
 func (c *Coordinator) beginPlanning(now time.Time, record ownership.Record, revision int64, sent time.Time, wait time.Duration, replaced ownership.Record) {
-	c.counters.takeovers++
 	c.options.Log.WithFields(map[string]any{
 		"term": record.Term, "wait": wait.String(), "replaced": replaced.Holder, "released": replaced.Released,
 	}).Info("planning begins")
--- a/services/coordinator/options.go
+++ b/services/coordinator/options.go
@@ -43,6 +43,9 @@
 	Now    func() time.Time
 	Random func() float64
 	Log    *logrus.Entry
+	// ObserveOrder and ObserveStoreFailure count for the metrics; nil ignores.
+	ObserveOrder        func(kind, reply string)
+	ObserveStoreFailure func(call string)
 }
 
 // Environment is the world around a Coordinator, as function fields.
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -226,7 +226,6 @@
 	p := c.planning
 	p.orders++
 	term := p.tenure.Record().Term
-	c.counters.orders++
 	c.run(func() {
 		started := c.options.Now()
 		result := c.sendOrder(order, p, term)
@@ -263,6 +262,9 @@
 
 // logResult tells how an endpoint took an order; polls and reports only at the debug level.
 func (c *Coordinator) logResult(result loading.Result) {
+	if c.options.ObserveOrder != nil {
+		c.options.ObserveOrder(result.Order.Kind.String(), result.Reply.String())
+	}
 	level := logrus.InfoLevel
 	switch result.Reply {
 	case loading.Accepted, loading.Holds, loading.Inspected:
@@ -271,7 +273,6 @@
 		}
 	default:
 		level = logrus.WarnLevel
-		c.counters.ordersFailed++
 	}
 	if !c.options.Log.Logger.IsLevelEnabled(level) {
 		return
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if err := c.following.stream.Send(message{Report: built}); err != nil {
-		c.counters.reportsDropped++
+		c.options.Log.WithError(err).Warn("a report to the planner was dropped")
 	}
 }
 
--- /dev/null
+++ b/services/coordinator/status.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import "time"
+
+// Status is what a coordinator says of itself.
+type Status struct {
+	Configuration  int64
+	Endpoints      int
+	Ejected        int
+	ResidentCopies int
+	Waiting        int
+	InFlight       int
+	Planning       bool
+	Planner        string
+	Term           int64
+	Members        int
+}
+
+// Status gives the present state; it is zero once the coordinator has stopped.
+func (c *Coordinator) Status() Status {
+	var status Status
+	c.loop.call(func(now time.Time) {
+		status = Status{
+			Endpoints: c.directory.Size(), Waiting: len(c.waiters), Planning: c.planning != nil,
+			Planner: c.following.planner, Term: c.following.term, Members: c.following.members,
+		}
+		if configuration := c.current.Load(); configuration != nil {
+			status.Configuration = configuration.Version
+		}
+		if c.planning != nil {
+			status.Planner, status.Term = c.options.Instance, c.planning.tenure.Record().Term
+		}
+		for _, entry := range c.directory.Entries() {
+			status.InFlight += entry.Own
+			status.ResidentCopies += len(entry.Offered)
+			if entry.Health.Ejected(now) {
+				status.Ejected++
+			}
+		}
+	})
+	return status
+}
+
+// noteStore logs and counts a failed call to the store.
+func (c *Coordinator) noteStore(call string, err error) {
+	if c.context.Err() != nil {
+		return
+	}
+	if c.options.ObserveStoreFailure != nil {
+		c.options.ObserveStoreFailure(call)
+	}
+	c.options.Log.WithError(err).WithField("call", call).Warn("the store did not answer as it should")
+}
--- a/services/entry/service.go
+++ b/services/entry/service.go
@@ -38,7 +38,7 @@
 	Refusing func(kind deployment.RouteKind) bool
 	// Leaving tells whether connections are closed after their answer.
 	Leaving func() bool
-	// Observe is told the end of each request; nil ignores it.
+	// Observe is told the end of each request.
 	Observe func(Observation)
 }
 
@@ -57,6 +57,15 @@
 	Whole    time.Duration
 }
 
+// Waited is the wait for endpoints, over all attempts.
+func (o Observation) Waited() time.Duration {
+	waited := int64(0)
+	for _, attempt := range o.Attempts {
+		waited += attempt.WaitedMS
+	}
+	return time.Duration(waited) * time.Millisecond
+}
+
 // AttemptRecord is one exchange with an endpoint.
 type AttemptRecord struct {
 	Endpoint deployment.EndpointID `json:"endpoint"`
@@ -152,9 +161,7 @@
 		observation.First = r.answer.headAt.Sub(r.request.Arrived)
 	}
 	s.log(observation)
-	if s.options.Observe != nil {
-		s.options.Observe(observation)
-	}
+	s.options.Observe(observation)
 }
 
 func (s *Service) log(o Observation) {
--- a/services/process/process.go
+++ b/services/process/process.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/netip"
@@ -17,6 +18,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/asynclog"
+	"github.com/shelfledge/shelfledge/modules/entrymetric"
 	"github.com/shelfledge/shelfledge/modules/upstream"
 	"github.com/shelfledge/shelfledge/routers/gateway"
 	"github.com/shelfledge/shelfledge/services/coordinator"
@@ -49,6 +52,13 @@
 	upstreamDial = 500 * time.Millisecond
 	// idlePause is how often idle connections are looked at.
 	idlePause = time.Second
+	// logLinesPerSecond, logBurst and logQueue bound the log: some five times a busy instance's
+	// requests.
+	logLinesPerSecond = 300
+	logBurst          = 1500
+	logQueue          = 512
+	// logPatience bounds the wait for the log's reader at the end.
+	logPatience = 200 * time.Millisecond
 	// collectorPercent trades processor time for memory, which is dearer.
 	collectorPercent = 50
 )
@@ -57,6 +67,7 @@
 type Process struct {
 	options  Options
 	log      *logrus.Entry
+	writer   *asynclog.Writer
 	client   *upstream.Client
 	control  *coordinator.Coordinator
 	server   *gateway.Server
@@ -65,15 +76,19 @@
 
 // New joins the parts of a process; Start starts them.
 func New(options Options) *Process {
-	log := newLog(options)
+	log, writer := newLog(options)
 	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamIdle, DialTimeout: upstreamDial, Now: time.Now})
 	options.Coordinator.Now = time.Now
 	options.Coordinator.Random = rand.Float64
 	options.Coordinator.Log = log
+	var metrics *entrymetric.Metrics
+	options.Coordinator.ObserveOrder = func(kind, reply string) { metrics.ObserveOrder(kind, reply) }
+	options.Coordinator.ObserveStoreFailure = func(call string) { metrics.ObserveStoreFailure(call) }
 	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) { client.Retire(string(id)) }))
+	metrics = newMetrics(control, client, writer)
 	return &Process{
-		options: options, log: log, client: client, control: control, server: newServer(options, log, control, client),
-		stopping: make(chan struct{}),
+		options: options, log: log, writer: writer, client: client, control: control,
+		server: newServer(options, log, control, client, metrics), stopping: make(chan struct{}),
 	}
 }
 
@@ -95,6 +110,7 @@
 	p.server.Close()
 	p.control.Stop()
 	close(p.stopping)
+	p.writer.Close(logPatience)
 }
 
 // Stop hands the ownership over at once and returns after the last request, or when the
@@ -112,6 +128,7 @@
 	p.log.WithField("in_flight", p.server.InFlight()).Info("stopped")
 	p.control.Stop()
 	close(p.stopping)
+	p.writer.Close(logPatience)
 }
 
 // closeIdle closes connections to endpoints that rest too long.
@@ -149,30 +166,58 @@
 	return nil
 }
 
-func newLog(options Options) *logrus.Entry {
-	logger := logrus.New()
-	logger.SetOutput(os.Stdout)
-	if options.LogOutput != nil {
-		logger.SetOutput(options.LogOutput)
+// newLog gives a logger whose lines never block, and their writer.
+func newLog(options Options) (*logrus.Entry, *asynclog.Writer) {
+	output := options.LogOutput
+	if output == nil {
+		output = os.Stdout
 	}
+	writer := asynclog.New(asynclog.Options{
+		Output: output, LinesPerSecond: logLinesPerSecond, Burst: logBurst, Queue: logQueue, Now: time.Now,
+		Summary: func(now time.Time, suppressed uint64) string {
+			return fmt.Sprintf(`{"instance":%q,"level":"warning","msg":"log lines suppressed","count":%d,"time":%q}`,
+				options.Coordinator.Instance, suppressed, now.Format(time.RFC3339Nano))
+		},
+	})
+	logger := logrus.New()
+	logger.SetOutput(writer)
 	logger.SetLevel(options.LogLevel)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	return logger.WithField("instance", options.Coordinator.Instance)
+	return logger.WithField("instance", options.Coordinator.Instance), writer
+}
+
+// newMetrics gives the metrics of a process.
+func newMetrics(control *coordinator.Coordinator, client *upstream.Client, writer *asynclog.Writer) *entrymetric.Metrics {
+	return entrymetric.New(func() entrymetric.Gauges {
+		status := control.Status()
+		gauges := entrymetric.Gauges{
+			ConfigurationVersion: float64(status.Configuration), Endpoints: float64(status.Endpoints), Ejected: float64(status.Ejected),
+			ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
+			Term: float64(status.Term), Members: float64(status.Members),
+			Connections: float64(client.Dialed()), LogSuppressed: float64(writer.Suppressed()),
+		}
+		if status.Planning {
+			gauges.Planning = 1
+		}
+		return gauges
+	})
 }
 
-func newServer(options Options, log *logrus.Entry, control *coordinator.Coordinator, client *upstream.Client) *gateway.Server {
+func newServer(options Options, log *logrus.Entry, control *coordinator.Coordinator, client *upstream.Client, metrics *entrymetric.Metrics) *gateway.Server {
 	var server *gateway.Server
 	service := entry.New(entry.Options{
 		Now: time.Now, Random: rand.Float64, Log: log,
 		Refusing: func(kind deployment.RouteKind) bool { return server.Refusing(kind) },
 		Leaving:  func() bool { return server.Leaving() },
+		Observe:  func(o entry.Observation) { metrics.ObserveRequest(toMetric(o)) },
 	}, entry.Control{
 		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish,
 		CountRequest: control.CountRequest, TakeRepeat: control.TakeRepeat,
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
-		IsReady: control.Ready, Now: time.Now, Log: log,
+		MetricsHandler: metrics.Handler(),
+		IsReady:        control.Ready, Now: time.Now, Log: log,
 		Limits: func() *deployment.Limits {
 			if configuration := control.Configuration(); configuration != nil {
 				return &configuration.Limits
@@ -182,3 +227,10 @@
 	})
 	return server
 }
+
+func toMetric(o entry.Observation) entrymetric.Request {
+	return entrymetric.Request{
+		Class: o.Route, Status: o.Status, Reason: o.Reason, Repeats: max(0, len(o.Attempts)-1),
+		Waited: o.Waited(), First: o.First, Whole: o.Whole,
+	}
+}
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -107,7 +107,7 @@
 	require.NoError(s.t, err)
 	settings, err := platform.ParseSettings(encoded)
 	require.NoError(s.t, err)
-	options := settings.Process(logrus.InfoLevel)
+	options := settings.Process(logrus.InfoLevel, s.ports.Metrics)
 	options.LogOutput = e.log
 	e.process = process.New(options)
 	require.NoError(s.t, e.process.Start())
--- a/tests/platformstandin/site.go
+++ b/tests/platformstandin/site.go
@@ -78,24 +78,26 @@
 // Ports are the ports of an entry process; all processes of a site use the same, each on an IP
 // of its own.
 type Ports struct {
-	Callers, Ready, Peers uint16
+	Callers, Ready, Peers, Metrics uint16
 }
 
 // FreePorts gives ports that are free on all the IPs.
 func FreePorts(ips []string) (Ports, error) {
 	for range 50 {
-		var ports [3]uint16
-		free := true
+		var ports [4]uint16
+		different := make(map[uint16]bool)
 		for i := range ports {
 			port, err := freePort(ips)
 			if err != nil {
 				return Ports{}, err
 			}
 			ports[i] = port
-			free = free && port != 0
+			if port != 0 {
+				different[port] = true
+			}
 		}
-		if free && ports[0] != ports[1] && ports[1] != ports[2] && ports[0] != ports[2] {
-			return Ports{Callers: ports[0], Ready: ports[1], Peers: ports[2]}, nil
+		if len(different) == len(ports) {
+			return Ports{Callers: ports[0], Ready: ports[1], Peers: ports[2], Metrics: ports[3]}, nil
 		}
 	}
 	return Ports{}, fmt.Errorf("platformstandin: no free ports on %v", ips)
