--- a/modules/platform/doc.go
+++ /dev/null
@@ -1,5 +0,0 @@
-// Copyright 2026 The shelfledge Authors. All rights reserved.
-// SPDX-License-Identifier: MIT
-
-// Package platform reads the platform's lagging list of instances and endpoints.
-package platform
--- a/services/control/service.go
+++ b/services/control/service.go
@@ -14,9 +14,9 @@
 	"github.com/shelfledge/shelfledge/models/catalog"
 	"github.com/shelfledge/shelfledge/models/fleet"
 	"github.com/shelfledge/shelfledge/modules/engine"
+	"github.com/shelfledge/shelfledge/modules/instancelist"
 	"github.com/shelfledge/shelfledge/modules/kv"
 	"github.com/shelfledge/shelfledge/modules/metric"
-	"github.com/shelfledge/shelfledge/modules/platform"
 	"github.com/shelfledge/shelfledge/services/configuration"
 	"github.com/shelfledge/shelfledge/services/journal"
 	"github.com/shelfledge/shelfledge/services/node"
@@ -29,7 +29,7 @@
 	Dialect  engine.Dialect
 	KV       *kv.Client
 	Prefix   string
-	List     func(ctx context.Context) (platform.List, error)
+	List     func(ctx context.Context) (instancelist.List, error)
 	ListEach time.Duration
 	Send     func(fleet.Envelope)
 	Log      *logrus.Entry
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -21,10 +21,10 @@
 	"github.com/shelfledge/shelfledge/modules/certificate"
 	"github.com/shelfledge/shelfledge/modules/engine"
 	"github.com/shelfledge/shelfledge/modules/httpserver"
+	"github.com/shelfledge/shelfledge/modules/instancelist"
 	"github.com/shelfledge/shelfledge/modules/kv"
 	"github.com/shelfledge/shelfledge/modules/metric"
 	"github.com/shelfledge/shelfledge/modules/peerlink"
-	"github.com/shelfledge/shelfledge/modules/platform"
 	"github.com/shelfledge/shelfledge/modules/setting"
 	"github.com/shelfledge/shelfledge/routers/caller"
 	"github.com/shelfledge/shelfledge/routers/operator"
@@ -189,7 +189,7 @@
 		links.ServerCredentials = credentials.NewTLS(r.Server())
 		links.ClientCredentials = credentials.NewTLS(r.Client())
 	}
-	list := platform.Reader{Address: d.settings.Platform.List, Timeout: d.settings.Platform.Timeout.Duration(), Client: &http.Client{}}
+	list := instancelist.Reader{Address: d.settings.Platform.List, Timeout: d.settings.Platform.Timeout.Duration(), Client: &http.Client{}}
 	readList := list.Read
 	if !d.settings.Platform.List.IsValid() {
 		readList = nil
--- a/tests/integration/fleet_test.go
+++ b/tests/integration/fleet_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/shelfledge/shelfledge/modules/instancelist"
 	"github.com/shelfledge/shelfledge/modules/log"
-	"github.com/shelfledge/shelfledge/modules/platform"
 	"github.com/shelfledge/shelfledge/modules/setting"
 	"github.com/shelfledge/shelfledge/routers/operator"
 	"github.com/shelfledge/shelfledge/services/daemon"
@@ -70,12 +70,12 @@
 
 // publish tells the platform's list of the daemons that run.
 func (f *testFleet) publish(leaving ...string) {
-	var entries []platform.Entry
+	var entries []instancelist.Entry
 	for id := range f.daemons {
 		entries = append(entries, standin.ListEntry(f.places[id]))
 	}
 	for _, name := range leaving {
-		entries = append(entries, platform.Entry{Name: name, Kind: platform.KindEndpoint, State: platform.StateLeaving})
+		entries = append(entries, instancelist.Entry{Name: name, Kind: instancelist.KindEndpoint, State: instancelist.StateLeaving})
 	}
 	f.cluster.List.Set(entries)
 }
--- a/tests/standin/cluster.go
+++ b/tests/standin/cluster.go
@@ -14,7 +14,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/platform"
+	"github.com/shelfledge/shelfledge/modules/instancelist"
 )
 
 // ClusterOptions say what a cluster of stand-ins holds.
@@ -206,8 +206,8 @@
 }
 
 // ListEntry gives an instance's line in the platform's list.
-func ListEntry(p InstancePlace) platform.Entry {
-	return platform.Entry{Name: p.ID, Kind: platform.KindInstance, Hall: p.Hall, Address: p.Peers, Operator: p.Operators, State: platform.StateLive}
+func ListEntry(p InstancePlace) instancelist.Entry {
+	return instancelist.Entry{Name: p.ID, Kind: instancelist.KindInstance, Hall: p.Hall, Address: p.Peers, Operator: p.Operators, State: instancelist.StateLive}
 }
 
 // Violations lists every promise that an engine saw broken.
--- a/tests/standin/platform.go
+++ b/tests/standin/platform.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/platform"
+	"github.com/shelfledge/shelfledge/modules/instancelist"
 )
 
 // List is the platform's list of instances and endpoints, which shows an older state.
@@ -23,7 +23,7 @@
 
 type listState struct {
 	at   time.Time
-	list platform.List
+	list instancelist.List
 }
 
 // NewList makes an empty list with a lag.
@@ -32,16 +32,16 @@
 }
 
 // Set replaces the entries; readers see them after the lag.
-func (l *List) Set(entries []platform.Entry) {
+func (l *List) Set(entries []instancelist.Entry) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.history = append(l.history, listState{at: time.Now(), list: platform.List{Entries: entries}})
+	l.history = append(l.history, listState{at: time.Now(), list: instancelist.List{Entries: entries}})
 }
 
-func (l *List) visible(now time.Time) platform.List {
+func (l *List) visible(now time.Time) instancelist.List {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	var out platform.List
+	var out instancelist.List
 	for i, s := range l.history {
 		if i == 0 || now.Sub(s.at) >= l.lag {
 			out = s.list
@@ -57,7 +57,7 @@
 		_ = json.NewEncoder(w).Encode(l.visible(time.Now()))
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, q *http.Request) {
-		var in platform.List
+		var in instancelist.List
 		if err := json.NewDecoder(q.Body).Decode(&in); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/tools/demo/demo.go
+++ b/tools/demo/demo.go
@@ -20,7 +20,7 @@
 	"syscall"
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/platform"
+	"github.com/shelfledge/shelfledge/modules/instancelist"
 	"github.com/shelfledge/shelfledge/tests/standin"
 )
 
@@ -157,7 +157,7 @@
 
 // publish puts the daemons into the platform's list.
 func (d *demo) publish() error {
-	var l platform.List
+	var l instancelist.List
 	for _, p := range d.daemons {
 		if !p.stopped {
 			l.Entries = append(l.Entries, standin.ListEntry(p.place))
