--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -62,7 +62,7 @@
 	zonePenalty      = 1.0
 	plainZonePenalty = 2.5
 	// fullShare is the part of a model endpoint's slots that is used.
-	fullShare = 0.7
+	fullShare = 0.5
 	// assumedMembers shares connections while the number of instances is not known.
 	assumedMembers = 8
 )
