--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -288,6 +288,10 @@
 	if revision != k.revision || k.since.IsZero() {
 		k.revision, k.since = revision, now
 	}
+	if c.options.Reluctance > 0 && now.Sub(k.since) < c.options.Reluctance && record.Holder != c.options.Instance {
+		c.loop.call(func(time.Time) { c.noteRecord(record) })
+		return
+	}
 	resigned := false
 	c.loop.call(func(now time.Time) {
 		c.storeReadAt = now
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -91,7 +91,10 @@
 	Resigned bool `msgpack:"b,omitempty"`
 }
 
+// endpointView is sent for each change of an endpoint, so it is encoded without field names.
 type endpointView struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	ID       deployment.EndpointID    `msgpack:"i"`
 	Revision int64                    `msgpack:"r"`
 	Service  string                   `msgpack:"s"`
@@ -99,14 +102,22 @@
 	Zone     string                   `msgpack:"z"`
 	Slots    int                      `msgpack:"n"`
 	State    deployment.EndpointState `msgpack:"t"`
-	Models   []string                 `msgpack:"m,omitempty"`
-	Adapters []adapterVersion         `msgpack:"d,omitempty"`
+	Models   []modelView              `msgpack:"m"`
+}
+
+// modelView is a base model with the adapters that are on offer.
+type modelView struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Name     string
+	Adapters []adapterVersion
 }
 
 type adapterVersion struct {
-	Model   string `msgpack:"m"`
-	Name    string `msgpack:"a"`
-	Version int64  `msgpack:"v"`
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Name    string
+	Version int64
 }
 
 type endpointGone struct {
@@ -129,23 +140,32 @@
 }
 
 func toEndpointView(entry *directory.Entry) endpointView {
-	list := make([]adapterVersion, 0, len(entry.Offered))
-	for adapter, version := range entry.Offered {
-		list = append(list, adapterVersion{Model: adapter.Model, Name: adapter.Name, Version: version})
+	models := make([]modelView, 0, len(entry.OfferedModels))
+	for _, name := range entry.OfferedModels {
+		model := modelView{Name: name}
+		for adapter, version := range entry.Offered {
+			if adapter.Model == name {
+				model.Adapters = append(model.Adapters, adapterVersion{Name: adapter.Name, Version: version})
+			}
+		}
+		models = append(models, model)
 	}
 	return endpointView{
 		ID: entry.ID, Revision: entry.Revision, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
-		Slots: entry.Slots, State: entry.State, Models: entry.OfferedModels, Adapters: list,
+		Slots: entry.Slots, State: entry.State, Models: models,
 	}
 }
 
 func (v *endpointView) endpoint() deployment.Endpoint {
-	adapters := make(map[deployment.Adapter]int64, len(v.Adapters))
-	for _, one := range v.Adapters {
-		adapters[deployment.Adapter{Model: one.Model, Name: one.Name}] = one.Version
-	}
-	return deployment.Endpoint{
+	endpoint := deployment.Endpoint{
 		ID: v.ID, Service: v.Service, Address: v.Address, Zone: v.Zone, Slots: v.Slots, State: v.State,
-		Models: v.Models, Adapters: adapters,
+		Adapters: make(map[deployment.Adapter]int64),
+	}
+	for _, model := range v.Models {
+		endpoint.Models = append(endpoint.Models, model.Name)
+		for _, one := range model.Adapters {
+			endpoint.Adapters[deployment.Adapter{Model: model.Name, Name: one.Name}] = one.Version
+		}
 	}
+	return endpoint
 }
--- a/services/coordinator/options.go
+++ b/services/coordinator/options.go
@@ -35,6 +35,9 @@
 	LoadWindow    time.Duration
 	LoadTolerance float64
 	LoadSlack     float64
+	// Reluctance is how much longer than others this machine leaves the planner's work to them;
+	// a machine with a weak link or processor takes it only if nobody else does.
+	Reluctance time.Duration
 	// VersionLimit is how long a request may still begin on an older version than named.
 	VersionLimit time.Duration
 	// StoreTimeout bounds one call to the store, apart from waiting watches.
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -61,7 +61,7 @@
 	// memberSilence is after how long without a report an instance counts as lost.
 	memberSilence = 1500 * time.Millisecond
 	// changePace is the least pause between two views of changes.
-	changePace = 2 * time.Millisecond
+	changePace = 4 * time.Millisecond
 	// memberMemory is how long a lost instance still counts in the fleet's shares.
 	memberMemory = 20 * time.Second
 )
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -258,7 +258,9 @@
 			entry.Others = max(0, total.Count-c.following.own[total.ID])
 		}
 	}
-	clear(c.forecasts)
+	if v.Heartbeat {
+		clear(c.forecasts)
+	}
 	for _, one := range v.Forecasts {
 		c.forecasts[serviceAdapter{one.Service, deployment.Adapter{Model: one.Model, Name: one.Name}}] = now.Add(one.Until)
 	}
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -116,7 +116,10 @@
 		p.applyTotals(totals)
 	}
 	changes := p.baseView(now, totals)
-	changes.Heartbeat = due
+	if due {
+		changes.Heartbeat = true
+		p.addForecasts(now, changes)
+	}
 	for id := range p.changed {
 		if entry := p.coordinator.directory.Entry(id); entry != nil {
 			changes.Endpoints = append(changes.Endpoints, toEndpointView(entry))
@@ -191,15 +194,21 @@
 		Totals: totals, Members: p.memberCount(), ConfigurationAt: p.coordinator.configurationAt, Resigned: p.resigned,
 		ConfirmedAge: p.tenure.Age(now),
 	}
+	for _, planner := range p.planners {
+		v.Withdrawals = max(v.Withdrawals, planner.Withdrawals())
+	}
+	return v
+}
+
+// addForecasts tells which adapters are on their way; heartbeats carry them.
+func (p *planning) addForecasts(now time.Time, v *view) {
 	clear(p.coordinator.forecasts)
 	for name, planner := range p.planners {
-		v.Withdrawals = max(v.Withdrawals, planner.Withdrawals())
 		for _, one := range planner.Forecasts(now) {
 			v.Forecasts = append(v.Forecasts, forecast{Service: name, Model: one.Adapter.Model, Name: one.Adapter.Name, Until: one.Until})
 			p.coordinator.forecasts[serviceAdapter{name, one.Adapter}] = now.Add(one.Until)
 		}
 	}
-	return v
 }
 
 func (p *planning) fullView(now time.Time) *view {
