--- a/services/balance/choose_test.go
+++ b/services/balance/choose_test.go
@@ -104,3 +104,21 @@
 	assert.Equal(t, "b", balance.ChooseBackend(route, 1))
 	assert.Empty(t, balance.ChooseBackend(&deployment.Route{}, 0.5))
 }
+
+func TestAFullEndpointGetsNoMoreRequests(t *testing.T) {
+	full := holder("full", "near")
+	full.Slots = 4
+	d := build(full)
+	bounded := options
+	bounded.FullShare = 0.5
+	demand := balance.Demand{Request: &deployment.Request{Adapter: adapter}}
+	d.Entry("full").Others = 1
+	_, verdict := balance.Choose(start, d.Service("service"), demand, bounded)
+	assert.Equal(t, balance.Chosen, verdict)
+	d.Entry("full").Others = 2
+	_, verdict = balance.Choose(start, d.Service("service"), demand, bounded)
+	assert.Equal(t, balance.Crowded, verdict)
+	plain := balance.Demand{Request: &deployment.Request{}}
+	_, verdict = balance.Choose(start, d.Service("service"), plain, bounded)
+	assert.Equal(t, balance.Chosen, verdict, "a plain service has a queue of its own")
+}
--- a/services/coordinator/endpoints.go
+++ b/services/coordinator/endpoints.go
@@ -47,13 +47,21 @@
 				c.sleep(c.jitter(storeRetry))
 				continue
 			}
-			c.sleep(endpointPollPause)
+			c.sleep(c.alonePause(endpointPollPause))
 		case readByWatching:
 			watched = c.watchEndpoints(watched)
 		}
 	}
 }
 
+// alonePause is the pause between two calls of an instance that reads the store by itself; in
+// a large fleet it is up to twice as long, since all instances call at once then.
+func (c *Coordinator) alonePause(pause time.Duration) time.Duration {
+	stretched := pause
+	c.loop.call(func(time.Time) { stretched = min(c.pace(pause), 2*pause) })
+	return stretched
+}
+
 func (c *Coordinator) readingMode() readingMode {
 	mode := readByPolling
 	c.loop.call(func(now time.Time) {
--- a/services/loading/planner_test.go
+++ b/services/loading/planner_test.go
@@ -258,3 +258,21 @@
 	_, ok := p.Next(start)
 	assert.False(t, ok)
 }
+
+func TestRequestsThatWaitForACrowdedCopyGetAnotherOne(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("crowded", adapter(1)), false)
+	p.SetEndpoint(start, described("free"), false)
+	inspect, _ := p.Next(start)
+	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: described("", adapter(1)).Adapters}})
+	p.Report(start, "i", waiting(adapter(1)))
+	_, ok := p.Next(start)
+	assert.False(t, ok, "the copy has room")
+
+	p.SetCrowded("crowded", true)
+	later := start.Add(time.Second)
+	p.Report(later, "i", waiting(adapter(1)))
+	order, ok := p.Next(later)
+	require.True(t, ok)
+	assert.Equal(t, deployment.EndpointID("free"), order.Endpoint.ID)
+}
