Take back the expected return of refused callers

Conclusion: the loads that such a demand asks for compete with those of fresh requests, which are worth more; failed try, reverted.

--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -63,8 +63,6 @@
 	plainZonePenalty = 2.5
 	// fullShare is the part of a model endpoint's slots that is used.
 	fullShare = 0.5
-	// returnSlack is how long after the time it was told a refused caller is expected back.
-	returnSlack = 500 * time.Millisecond
 	// assumedMembers shares connections while the number of instances is not known.
 	assumedMembers = 8
 )
@@ -184,9 +182,6 @@
 	if decision.Wait {
 		return true
 	}
-	if decision.Reason == admission.AdapterNotLoaded && !w.request.Adapter.IsZero() {
-		c.expected[serviceAdapter{w.request.Service, w.request.Adapter}] = now.Add(decision.RetryAfter + returnSlack)
-	}
 	w.result <- acquired{err: &Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter}}
 	return false
 }
--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -70,14 +70,12 @@
 	budget          *retry.Budget
 	waiters         []*waiter
 	arrivals        map[serviceAdapter]int
-	// expected are adapters whose callers were refused and told to come back, and until when.
-	expected  map[serviceAdapter]time.Time
-	forecasts map[serviceAdapter]time.Time
-	rates     map[serviceAdapter]*loading.Rate
-	sweptAt   time.Time
-	missing   []copyName
-	following following
-	planning  *planning
+	forecasts       map[serviceAdapter]time.Time
+	rates           map[serviceAdapter]*loading.Rate
+	sweptAt         time.Time
+	missing         []copyName
+	following       following
+	planning        *planning
 	// knownRecord is the ownership's record as last read.
 	knownRecord ownership.Record
 	// storeReadAt is when the store last answered a read of the record.
@@ -104,7 +102,6 @@
 		versions:    make(map[deployment.Adapter]namedVersion),
 		budget:      retry.NewBudget(options.Retry, options.Now()),
 		arrivals:    make(map[serviceAdapter]int),
-		expected:    make(map[serviceAdapter]time.Time),
 		forecasts:   make(map[serviceAdapter]time.Time),
 		rates:       make(map[serviceAdapter]*loading.Rate),
 	}
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -217,7 +217,6 @@
 			one.InTime = inTime
 		}
 	}
-	c.addExpected(now, demandOf)
 	list := make([]adapterDemand, 0, len(demands))
 	for _, one := range demands {
 		list = append(list, *one)
@@ -225,19 +224,6 @@
 	return list
 }
 
-// addExpected asks for adapters whose refused callers come back, so that they are not refused again.
-func (c *Coordinator) addExpected(now time.Time, demandOf func(serviceAdapter) *adapterDemand) {
-	for key, until := range c.expected {
-		if now.After(until) {
-			delete(c.expected, key)
-			continue
-		}
-		one := demandOf(key)
-		one.Waiting++
-		one.InTime = max(one.InTime, until.Sub(now))
-	}
-}
-
 func (c *Coordinator) rateOf(key serviceAdapter) *loading.Rate {
 	rate, ok := c.rates[key]
 	if !ok {
