Let an entry that starts without the store learn from its peers

Cause: an instance that starts while the store is down or turns it away stayed unready until the store came back. Change: it asks the seeds for the operators' keys, endpoints and the planner's address, and serves; the store's own word replaces them. Test: TestAnEntryThatStartsWhileTheStoreIsDownLearnsFromItsPeers, failed before.

--- a/services/coordinator/configuration.go
+++ b/services/coordinator/configuration.go
@@ -33,6 +33,7 @@
 		cancel()
 		if err != nil {
 			c.noteStore("read configuration", err)
+			c.askSeeds()
 			c.sleep(c.jitter(storeRetry))
 			continue
 		}
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -73,6 +73,8 @@
 	Withdrawals uint64 `msgpack:"w"`
 	// ReadAge is how long ago the endpoints' keys were last known to be complete.
 	ReadAge time.Duration `msgpack:"g"`
+	// Address is where the planner is reached; only answers to requests name it.
+	Address netip.AddrPort `msgpack:"z,omitempty"`
 	// ConfirmedAge is how long ago the planner's ownership was confirmed.
 	ConfirmedAge time.Duration `msgpack:"k"`
 	// Full says that endpoints which are not listed are gone, as of revision At.
--- /dev/null
+++ b/services/coordinator/seeds.go
@@ -0,0 +1,63 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/peerstream"
+)
+
+// seedTimeout bounds the call to one seed.
+const seedTimeout = 600 * time.Millisecond
+
+// askSeeds lets an instance that has just started learn from its peers what the store does not
+// tell it, so that it can serve while the store is down or turns it away.
+func (c *Coordinator) askSeeds() {
+	for _, seed := range c.options.Seeds {
+		if c.ready.Load() || c.context.Err() != nil {
+			return
+		}
+		if seed != c.options.PeerAddress {
+			c.askSeed(seed)
+		}
+	}
+}
+
+func (c *Coordinator) askSeed(seed netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(c.context, seedTimeout)
+	defer cancel()
+	conn, err := c.environment.Dial(ctx, seed)
+	if err != nil {
+		return
+	}
+	stream := peerstream.New[message](conn)
+	defer stream.Close()
+	if err := stream.Send(message{Request: &request{Instance: c.options.Instance}}); err != nil {
+		return
+	}
+	received, err := stream.Receive(seedTimeout, c.options.Now)
+	if err != nil || received.View == nil {
+		return
+	}
+	c.loop.call(func(now time.Time) { c.learnFromSeed(now, received.View) })
+}
+
+// learnFromSeed takes in a peer's word; what the store tells later replaces it.
+func (c *Coordinator) learnFromSeed(now time.Time, v *view) {
+	if c.ready.Load() {
+		return
+	}
+	c.options.Log.WithField("configuration_at", v.ConfigurationAt).Info("learned from a peer, since the store does not answer")
+	if v.Address.IsValid() && v.Term > c.knownRecord.Term {
+		c.knownRecord.Address, c.knownRecord.Term = v.Address, v.Term
+	}
+	for i := range v.Endpoints {
+		c.directory.Put(v.Endpoints[i].endpoint(), v.Endpoints[i].Revision)
+	}
+	c.endpointsKnown = true
+	c.applyItems(now, v.Items)
+}
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -84,11 +84,24 @@
 	return true
 }
 
-// answerRequest tells a peer the operators' keys that are known here.
+// answerRequest tells a peer that cannot read the store what is known here; an instance that
+// is not ready itself tells nothing.
 func (c *Coordinator) answerRequest(now time.Time, stream *peerstream.Stream[message]) {
-	_ = stream.Send(message{View: &view{
-		Planner: c.following.planner, Items: c.newerItems(0), ConfigurationAt: c.configurationAt, ReadAge: now.Sub(c.endpointsReadAt),
-	}})
+	if !c.ready.Load() {
+		stream.Close()
+		return
+	}
+	told := &view{
+		Planner: c.following.planner, Term: c.following.term, Items: c.newerItems(0), ConfigurationAt: c.configurationAt,
+		ReadAge: now.Sub(c.endpointsReadAt), Address: c.knownRecord.Address,
+	}
+	if c.planning != nil {
+		told.Planner, told.Term, told.Address = c.options.Instance, c.planning.tenure.Record().Term, c.options.PeerAddress
+	}
+	for _, entry := range c.directory.Entries() {
+		told.Endpoints = append(told.Endpoints, toEndpointView(entry))
+	}
+	_ = stream.Send(message{View: told})
 }
 
 func (c *Coordinator) peerLost(now time.Time, stream *peerstream.Stream[message]) {
--- a/tests/platform/failure_test.go
+++ b/tests/platform/failure_test.go
@@ -268,3 +268,18 @@
 	assert.Less(t, time.Since(began), 12*time.Second)
 	s.checkOrders()
 }
+
+// TestAnEntryThatStartsWhileTheStoreIsDownLearnsFromItsPeers is about an instance that joins with
+// nothing in hand.
+func TestAnEntryThatStartsWhileTheStoreIsDownLearnsFromItsPeers(t *testing.T) {
+	s := newSite(t, 2)
+	require.True(t, s.serves(0, "a1"))
+	s.store.SetFaults(standin.StoreFaults{Down: true})
+	s.kill(1)
+	s.entries[1] = s.startEntry(1)
+	s.waitFor("it is ready", func() bool { return s.isReady(1) })
+	assert.True(t, s.serves(1, "a1"))
+	s.store.SetFaults(standin.StoreFaults{})
+	s.waitFor("new adapters are served again", func() bool { return s.serves(1, "a2") })
+	s.checkOrders()
+}
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -103,7 +103,7 @@
 func (s *site) startEntry(i int) *entryProcess {
 	s.t.Helper()
 	e := &entryProcess{name: fmt.Sprintf("entry-%d", i), ip: s.ips[i], log: &lockedBuffer{}}
-	encoded, err := json.Marshal(standin.Settings(e.name, "h1", e.ip, s.ports, nil, s.store.Address()))
+	encoded, err := json.Marshal(standin.Settings(e.name, "h1", e.ip, s.ports, s.seeds(), s.store.Address()))
 	require.NoError(s.t, err)
 	settings, err := platform.ParseSettings(encoded)
 	require.NoError(s.t, err)
@@ -114,6 +114,15 @@
 	return e
 }
 
+// seeds are the first entries, at a port that only their IP counts of.
+func (s *site) seeds() []string {
+	var seeds []string
+	for _, ip := range s.ips[:min(3, len(s.ips))] {
+		seeds = append(seeds, ip+":1")
+	}
+	return seeds
+}
+
 func (s *site) close() {
 	for _, e := range s.entries {
 		if !e.ended {
