--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -95,7 +95,7 @@
 
 // endpointView is sent for each change of an endpoint, so it is encoded without field names.
 type endpointView struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
 
 	ID       deployment.EndpointID    `msgpack:"i"`
 	Revision int64                    `msgpack:"r"`
@@ -109,14 +109,14 @@
 
 // modelView is a base model with the adapters that are on offer.
 type modelView struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
 
 	Name     string
 	Adapters []adapterVersion
 }
 
 type adapterVersion struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
 
 	Name    string
 	Version int64
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -252,7 +252,7 @@
 	}
 }
 
-// planner gives the entry that holds the record, or -1.
+// logged tells whether an entry's log has a text.
 func (s *site) logged(i int, text string) bool {
 	return strings.Contains(s.entries[i].log.String(), text)
 }
