Let an old description that is read again drop no copy

Ruled out: a lost worker, a failed order (the load was accepted and served before). Change: only a description of a newer revision says anew what an endpoint holds. The stand-in's workers describe themselves again after loads, as the platform's do. Test: TestAnOldDescriptionReadAgainDropsNoCopy, failed before.

--- a/services/coordinator/endpoints.go
+++ b/services/coordinator/endpoints.go
@@ -185,7 +185,7 @@
 	if c.planning == nil || entry == nil {
 		return
 	}
-	c.planning.setEndpoint(now, entry.Endpoint)
+	c.planning.setEndpoint(now, entry.Endpoint, entry.Revision)
 }
 
 func (c *Coordinator) removeEndpoint(id deployment.EndpointID, revision int64) {
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -112,7 +112,7 @@
 // introduceEndpoints tells a new plan of its endpoints and of what they held before.
 func (p *planning) introduceEndpoints(now time.Time, service string) {
 	for _, entry := range p.coordinator.directory.Service(service) {
-		p.setEndpoint(now, entry.Endpoint)
+		p.setEndpoint(now, entry.Endpoint, entry.Revision)
 		p.planners[service].RememberHeld(entry.ID, entry.Held)
 	}
 }
@@ -151,13 +151,13 @@
 }
 
 // setEndpoint passes a description on to its service's plan and marks it for the next view.
-func (p *planning) setEndpoint(now time.Time, endpoint deployment.Endpoint) {
+func (p *planning) setEndpoint(now time.Time, endpoint deployment.Endpoint, revision int64) {
 	p.changed[endpoint.ID] = true
 	planner, ok := p.planners[endpoint.Service]
 	if !ok {
 		return
 	}
-	planner.SetEndpoint(now, endpoint, p.suspect(now, endpoint.ID))
+	planner.SetEndpoint(now, endpoint, revision, p.suspect(now, endpoint.ID))
 	p.publishCopies(endpoint.ID, planner)
 }
 
--- a/services/loading/copy.go
+++ b/services/loading/copy.go
@@ -39,6 +39,8 @@
 // endpointPlan is one endpoint.
 type endpointPlan struct {
 	endpoint deployment.Endpoint
+	// revision is the store's revision of the description last taken in.
+	revision int64
 	// sequence counts the orders that it has carried out.
 	sequence int64
 	copies   map[deployment.Adapter]*copyPlan
--- a/services/loading/endpoint_model_test.go
+++ b/services/loading/endpoint_model_test.go
@@ -107,7 +107,7 @@
 				if step%100 == 0 || step%700 == 699 {
 					description := described(string(id))
 					description.Adapters = endpoint.report().Adapters
-					planner.SetEndpoint(now, description, false)
+					planner.SetEndpoint(now, description, nextRevision(), false)
 				}
 			}
 			if step%5 == 0 {
--- a/services/loading/planner.go
+++ b/services/loading/planner.go
@@ -87,8 +87,10 @@
 	return p.ledger.recent(now)
 }
 
-// SetEndpoint takes in a description; suspect endpoints get no new copies.
-func (p *Planner) SetEndpoint(now time.Time, endpoint deployment.Endpoint, suspect bool) {
+// SetEndpoint takes in a description at a revision of the store; suspect endpoints get no new
+// copies. One that is no newer than the last says nothing new of what the endpoint holds: while the
+// store is down, endpoints cannot describe what has been loaded since.
+func (p *Planner) SetEndpoint(now time.Time, endpoint deployment.Endpoint, revision int64, suspect bool) {
 	plan, ok := p.endpoints[endpoint.ID]
 	if !ok {
 		plan = newEndpointPlan(endpoint)
@@ -99,7 +101,10 @@
 		endpoint.Models = plan.endpoint.Models
 	}
 	plan.endpoint = endpoint
-	plan.adopt(now, endpoint.Adapters, descriptionLag)
+	if revision > plan.revision {
+		plan.revision = revision
+		plan.adopt(now, endpoint.Adapters, descriptionLag)
+	}
 }
 
 // SetSuspect tells whether an endpoint behaves badly; then its copies do not count.
--- a/services/loading/planner_test.go
+++ b/services/loading/planner_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,13 @@
 	return deployment.Adapter{Model: "base", Name: fmt.Sprintf("a%d", number)}
 }
 
+// revisions numbers the descriptions of all tests.
+var revisions atomic.Int64
+
+func nextRevision() int64 {
+	return revisions.Add(1)
+}
+
 func newPlanner(seed uint64) *loading.Planner {
 	return loading.NewPlanner(engine, loading.Options{Rate: rate, Random: rand.New(rand.NewPCG(seed, 1)).Float64})
 }
@@ -51,7 +59,7 @@
 
 func TestAWaitingAdapterIsLoadedAndPolledUntilItIsThere(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), false)
+	p.SetEndpoint(start, described("e"), nextRevision(), false)
 	p.Report(start, "i", waiting(adapter(1)))
 
 	order, ok := p.Next(start)
@@ -81,7 +89,7 @@
 
 func TestAnOrderAtAWrongCountAsksForTheReportFirst(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), false)
+	p.SetEndpoint(start, described("e"), nextRevision(), false)
 	p.Report(start, "i", waiting(adapter(1)))
 	order, _ := p.Next(start)
 	p.Done(start, answer(order, loading.Conflict))
@@ -103,7 +111,7 @@
 // it must be counted before another one is ordered.
 func TestALostAnswerIsSettledByTheReport(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), false)
+	p.SetEndpoint(start, described("e"), nextRevision(), false)
 	p.Report(start, "i", waiting(adapter(1)))
 	order, _ := p.Next(start)
 	p.Done(start, answer(order, loading.Unanswered))
@@ -123,7 +131,7 @@
 
 func TestAWithdrawnCopyIsUnloadedOnlyAfterAllInstancesAreDone(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("e", adapter(1), adapter(2), adapter(3), adapter(4)), false)
+	p.SetEndpoint(start, described("e", adapter(1), adapter(2), adapter(3), adapter(4)), nextRevision(), false)
 	inspect, _ := p.Next(start)
 	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{
 		Sequence: 4, Adapters: described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters,
@@ -149,13 +157,13 @@
 func TestCopiesSeenBeforeCountAfterATakeover(t *testing.T) {
 	p := newPlanner(1)
 	full := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
-	p.SetEndpoint(start, described("e"), false)
+	p.SetEndpoint(start, described("e"), nextRevision(), false)
 	held := make(map[deployment.Adapter]time.Time)
 	for one := range full.Adapters {
 		held[one] = start
 	}
 	p.RememberHeld("e", held)
-	p.SetEndpoint(start.Add(time.Millisecond), full, false)
+	p.SetEndpoint(start.Add(time.Millisecond), full, nextRevision(), false)
 	p.Report(start, "i", waiting(adapter(5)))
 	for {
 		order, ok := p.Next(start.Add(2 * time.Millisecond))
@@ -170,7 +178,7 @@
 func TestRatesOfAFormerPlannerKeepHotCopies(t *testing.T) {
 	p := newPlanner(1)
 	all := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
-	p.SetEndpoint(start, all, false)
+	p.SetEndpoint(start, all, nextRevision(), false)
 	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 5, adapter(2): 4, adapter(3): 3})
 	inspect, _ := p.Next(start)
 	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: all.Adapters}})
@@ -182,8 +190,8 @@
 
 func TestANewVersionIsBroughtElsewhereBeforeTheOldCopyGoes(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("old", adapter(1)), false)
-	p.SetEndpoint(start, described("free"), false)
+	p.SetEndpoint(start, described("old", adapter(1)), nextRevision(), false)
+	p.SetEndpoint(start, described("free"), nextRevision(), false)
 	inspect, _ := p.Next(start)
 	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: described("", adapter(1)).Adapters}})
 	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 1})
@@ -208,7 +216,7 @@
 func TestEndpointsWithoutABaseModelGetOneUnderTheRate(t *testing.T) {
 	p := newPlanner(1)
 	for i := range 40 {
-		p.SetEndpoint(start, deployment.Endpoint{ID: deployment.EndpointID(fmt.Sprint(i)), Service: "s"}, false)
+		p.SetEndpoint(start, deployment.Endpoint{ID: deployment.EndpointID(fmt.Sprint(i)), Service: "s"}, nextRevision(), false)
 	}
 	var begun []time.Time
 	for step := range 1000 {
@@ -241,10 +249,10 @@
 
 func TestSuspectAndDrainingEndpointsGetNoCopies(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("suspect"), true)
+	p.SetEndpoint(start, described("suspect"), nextRevision(), true)
 	leaving := described("leaving")
 	leaving.State = deployment.Draining
-	p.SetEndpoint(start, leaving, false)
+	p.SetEndpoint(start, leaving, nextRevision(), false)
 	p.Report(start, "i", waiting(adapter(1)))
 	_, ok := p.Next(start)
 	assert.False(t, ok)
@@ -252,7 +260,7 @@
 
 func TestAGoneInstancesWaitingRequestsLoadNothing(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), false)
+	p.SetEndpoint(start, described("e"), nextRevision(), false)
 	p.Report(start, "i", []loading.Demand{{Adapter: adapter(1), Waiting: 1, InTime: time.Second}})
 	p.ForgetInstance("i")
 	_, ok := p.Next(start)
@@ -261,8 +269,8 @@
 
 func TestRequestsThatWaitForACrowdedCopyGetAnotherOne(t *testing.T) {
 	p := newPlanner(1)
-	p.SetEndpoint(start, described("crowded", adapter(1)), false)
-	p.SetEndpoint(start, described("free"), false)
+	p.SetEndpoint(start, described("crowded", adapter(1)), nextRevision(), false)
+	p.SetEndpoint(start, described("free"), nextRevision(), false)
 	inspect, _ := p.Next(start)
 	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: described("", adapter(1)).Adapters}})
 	p.Report(start, "i", waiting(adapter(1)))
@@ -276,3 +284,21 @@
 	require.True(t, ok)
 	assert.Equal(t, deployment.EndpointID("free"), order.Endpoint.ID)
 }
+
+// TestAnOldDescriptionReadAgainDropsNoCopy is about a store that was down: the endpoint could not
+// describe what was loaded meanwhile, and its description is read once more.
+func TestAnOldDescriptionReadAgainDropsNoCopy(t *testing.T) {
+	p := newPlanner(1)
+	revision := nextRevision()
+	p.SetEndpoint(start, described("e"), revision, false)
+	p.Report(start, "i", waiting(adapter(1)))
+	order, _ := p.Next(start)
+	p.Done(start, answer(order, loading.Holds))
+	later := start.Add(10 * time.Second)
+	p.SetEndpoint(later, described("e"), revision, false)
+	_, offered := p.Offered("e")
+	assert.Contains(t, offered, adapter(1))
+	p.SetEndpoint(later, described("e"), revision+1, false)
+	_, offered = p.Offered("e")
+	assert.NotContains(t, offered, adapter(1), "a newer description that lacks it counts")
+}
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -82,29 +82,67 @@
 	orders   []OrderSeen
 	overfull int
 	state    string
+	// described is the sequence at the last description; stop ends the heartbeats.
+	described int64
+	stop      chan struct{}
 }
 
 // NewWorker starts a worker and writes its entry.
 func NewWorker(store *Store, options WorkerOptions) *Worker {
 	w := &Worker{
 		options: options, store: store, adapters: make(map[string]int), pending: make(map[string]time.Time),
-		versions: make(map[string]int), inUse: make(map[string]int), state: "ready",
+		versions: make(map[string]int), inUse: make(map[string]int), state: "ready", stop: make(chan struct{}),
 	}
 	w.server = httptest.NewServer(w)
 	w.Describe()
+	go w.beat()
 	return w
 }
 
+// beatPace is the pause between two heartbeats.
+const beatPace = 300 * time.Millisecond
+
+// beat describes the worker again when what it holds has changed.
+func (w *Worker) beat() {
+	ticker := time.NewTicker(beatPace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+			w.mutex.Lock()
+			w.settle()
+			due := w.sequence != w.described && w.state == "ready"
+			w.mutex.Unlock()
+			if due {
+				w.Describe()
+			}
+		}
+	}
+}
+
 // Close ends the worker without a word.
 func (w *Worker) Close() {
+	w.endBeats()
 	w.server.CloseClientConnections()
 	w.server.Close()
 }
 
+func (w *Worker) endBeats() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.state != "closed" {
+		w.state = "closed"
+		close(w.stop)
+	}
+}
+
 // Describe writes the worker's entry.
 func (w *Worker) Describe() {
 	w.mutex.Lock()
 	w.settle()
+	w.described = w.sequence
 	entry := map[string]any{
 		"service": w.options.Service, "address": w.server.Listener.Addr().String(), "zone": w.options.Zone, "version": "v1",
 		"slots": w.options.Slots, "state": w.state, "sequence": 0, "models": w.models(),
@@ -123,6 +161,9 @@
 
 // Vanish removes the entry without a notice.
 func (w *Worker) Vanish() {
+	w.mutex.Lock()
+	w.state = "gone"
+	w.mutex.Unlock()
 	w.store.Remove("servers/" + w.options.ID)
 }
 
