Learn the planner from the conflict of a lost race for the record

Ruled out: a dropped copy (mended before; the planner offered it all the time, its own requests were served). Change: the conflict's answer holds the record; it is taken from there.

--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -386,7 +386,7 @@
 		Writes:     []store.Write{{Key: recordKey, Value: value}, k.sign()},
 	})
 	if err != nil {
-		if !store.IsConflict(err) {
+		if !c.learnHolder(err) {
 			c.noteStore("take ownership", err)
 		}
 		return
@@ -394,6 +394,24 @@
 	c.loop.call(func(now time.Time) { c.beginPlanning(now, record, committed, sent, wait, replaced) })
 }
 
+// learnHolder takes the record of the instance that was quicker from a conflict; false if the
+// error is none. Without it the planner would be unknown until the next look.
+func (c *Coordinator) learnHolder(err error) bool {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	for _, item := range conflict.Current {
+		if item.Key != recordKey {
+			continue
+		}
+		if record, err := ownership.DecodeRecord(item.Value); err == nil {
+			c.loop.call(func(time.Time) { c.noteRecord(record) })
+		}
+	}
+	return true
+}
+
 func (c *Coordinator) beginPlanning(now time.Time, record ownership.Record, revision int64, sent time.Time, wait time.Duration, replaced ownership.Record) {
 	c.options.Log.WithFields(map[string]any{
 		"term": record.Term, "wait": wait.String(), "replaced": replaced.Holder, "released": replaced.Released,
