Withdraw idle copies first; end base models' loads by the endpoint's word; pass over stale reports

Change: reports count requests in flight by copy; only idle copies are withdrawn, the next one as soon as the last is confirmed, and one that stays in use is offered again. Change: description and report end the load; models that an endpoint has on its own disk come at once, others one by one from the weight store. Change: a report with a lower sequence is read again. Ruled out: the weight store's pace (5 of 12 loads in use), crowded endpoints (0 to 3 of 12). Tests: services/loading/eviction_test.go, each failed before.

--- a/models/deployment/endpoint.go
+++ b/models/deployment/endpoint.go
@@ -49,6 +49,9 @@
 	State   EndpointState
 	// Models are the base models it holds.
 	Models []string
+	// CachedModels are the base models of which it has a copy in its memory or on its disk, so that
+	// they need not come from the weight store.
+	CachedModels []string
 	// Adapters maps each resident adapter to its version.
 	Adapters map[Adapter]int64
 	// Remaining is the time until a noticed removal; zero if none was announced.
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -33,8 +33,8 @@
 	ConfigurationAt int64           `msgpack:"c"`
 	InFlight        []endpointCount `msgpack:"f,omitempty"`
 	Demands         []adapterDemand `msgpack:"d,omitempty"`
-	// InUse are copies that it uses although they are withdrawn.
-	InUse    []copyName              `msgpack:"u,omitempty"`
+	// InUse are the copies that its requests in flight use.
+	InUse    []copyCount             `msgpack:"u,omitempty"`
 	Missing  []copyName              `msgpack:"m,omitempty"`
 	Suspects []deployment.EndpointID `msgpack:"s,omitempty"`
 	Items    []store.Item            `msgpack:"o,omitempty"`
@@ -65,6 +65,21 @@
 	Name  string                `msgpack:"a"`
 }
 
+// copyCount counts one instance's requests in flight that use a copy; there is one for each copy in
+// use in each report, so it is encoded without field names.
+type copyCount struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+
+	ID    deployment.EndpointID
+	Model string
+	Name  string
+	Count int
+}
+
+func (c copyCount) copyName() copyName {
+	return copyName{ID: c.ID, Model: c.Model, Name: c.Name}
+}
+
 // view is what the planner tells an instance.
 type view struct {
 	Planner string `msgpack:"p"`
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -25,6 +25,8 @@
 	members  map[string]*member
 	removed  []endpointGone
 	changed  map[deployment.EndpointID]bool
+	// uses sums the members' requests in flight by copy.
+	uses map[copyName]int
 	// told is when the last heartbeat went to all, changesTold when the last view did.
 	told        time.Time
 	changesTold time.Time
@@ -46,7 +48,7 @@
 	heard           time.Time
 	lost            time.Time
 	withdrawalsSeen uint64
-	inUse           map[copyName]bool
+	inUse           map[copyName]int
 	inFlight        map[deployment.EndpointID]int
 	suspects        map[deployment.EndpointID]bool
 	configurationAt int64
@@ -77,6 +79,7 @@
 		tenure:      tenure,
 		planners:    make(map[string]*loading.Planner),
 		members:     make(map[string]*member),
+		uses:        make(map[copyName]int),
 		changed:     make(map[deployment.EndpointID]bool),
 		startRecent: startRecent,
 	}
@@ -124,6 +127,7 @@
 			PerSecond: engine.LoadsPerSecond, Window: options.LoadWindow, Tolerance: options.LoadTolerance, Slack: options.LoadSlack,
 		},
 		Random: options.Random,
+		Uses:   p.copyUses,
 	})
 	planner.AssumeLoads(now, p.startRecent)
 	return planner
@@ -316,6 +320,7 @@
 			}
 		}
 		if !m.lost.IsZero() && (m.leaving || now.Sub(m.lost) > memberMemory) {
+			p.addUses(m, -1)
 			delete(p.members, name)
 		}
 	}
@@ -333,7 +338,7 @@
 					// The endpoint itself keeps an adapter that a lost instance's request uses.
 					continue
 				}
-				if m.withdrawalsSeen < withdrawal || m.inUse[copyName{ID: id, Model: adapter.Model, Name: adapter.Name}] {
+				if m.withdrawalsSeen < withdrawal || m.inUse[copyName{ID: id, Model: adapter.Model, Name: adapter.Name}] > 0 {
 					return false
 				}
 			}
@@ -389,10 +394,12 @@
 	m.configurationAt = r.ConfigurationAt
 	m.leaving = r.Leaving
 	m.storeReadAge = r.StoreReadAge
-	m.inUse = make(map[copyName]bool, len(r.InUse))
+	p.addUses(m, -1)
+	m.inUse = make(map[copyName]int, len(r.InUse))
 	for _, used := range r.InUse {
-		m.inUse[used] = true
+		m.inUse[used.copyName()] = used.Count
 	}
+	p.addUses(m, 1)
 	m.inFlight = make(map[deployment.EndpointID]int, len(r.InFlight))
 	for _, one := range r.InFlight {
 		m.inFlight[one.ID] = one.Count
@@ -415,6 +422,25 @@
 	p.coordinator.applyItems(now, r.Items)
 }
 
+// addUses adds a member's requests in flight to the sums over all members, or takes them out.
+func (p *planning) addUses(m *member, sign int) {
+	for name, count := range m.inUse {
+		p.uses[name] += sign * count
+		if p.uses[name] <= 0 {
+			delete(p.uses, name)
+		}
+	}
+}
+
+// copyUses gives the requests in flight that use a copy, by all instances' last reports.
+func (p *planning) copyUses(id deployment.EndpointID, adapter deployment.Adapter) int {
+	uses := p.uses[copyName{ID: id, Model: adapter.Model, Name: adapter.Name}]
+	if entry := p.coordinator.directory.Entry(id); entry != nil {
+		uses += entry.OwnByAdapter[adapter]
+	}
+	return uses
+}
+
 func (p *planning) refreshSuspicion(now time.Time, id deployment.EndpointID) {
 	if entry := p.coordinator.directory.Entry(id); entry != nil {
 		if planner, ok := p.planners[entry.Service]; ok {
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -141,10 +141,8 @@
 		if entry.Health.Ejected(now) {
 			built.Suspects = append(built.Suspects, id)
 		}
-		for adapter := range entry.OwnByAdapter {
-			if _, offered := entry.Offered[adapter]; !offered {
-				built.InUse = append(built.InUse, copyName{ID: id, Model: adapter.Model, Name: adapter.Name})
-			}
+		for adapter, count := range entry.OwnByAdapter {
+			built.InUse = append(built.InUse, copyCount{ID: id, Model: adapter.Model, Name: adapter.Name, Count: count})
 		}
 	}
 	if c.following.ratesDue {
--- a/services/loading/copy.go
+++ b/services/loading/copy.go
@@ -24,6 +24,8 @@
 	state   copyState
 	version int64
 	since   time.Time
+	// settledSince is when an own load brought the copy; zero for one that was there before.
+	settledSince time.Time
 	// accepted is set once the endpoint has taken the order to unload, which waits for its runs.
 	accepted bool
 	// cold marks a load that comes from the weight store.
@@ -156,8 +158,12 @@
 	}
 }
 
-// adoptReport takes in a report, which also says what is still to come.
-func (e *endpointPlan) adoptReport(now time.Time, report *Report) {
+// adoptReport takes in a report, which also says what is still to come; false if it is older than
+// what the results of own orders have shown, since a sequence never falls.
+func (e *endpointPlan) adoptReport(now time.Time, report *Report) bool {
+	if report.Sequence < e.sequence {
+		return false
+	}
 	e.sequence = report.Sequence
 	if !e.introduced {
 		// A former planner's last order may still be carried out.
@@ -177,4 +183,5 @@
 			delete(e.copies, adapter)
 		}
 	}
+	return true
 }
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -4,6 +4,7 @@
 package loading
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/deployment"
@@ -33,6 +34,8 @@
 	longestSearchPause = 50 * time.Millisecond
 	// settleTime is how long a new copy is safe from eviction.
 	settleTime = 2 * time.Second
+	// withdrawalPatience is after how long a withdrawn copy that is still in use is offered again.
+	withdrawalPatience = 400 * time.Millisecond
 	// firstVersion is an adapter's version before another one is named.
 	firstVersion = 1
 )
@@ -108,27 +111,42 @@
 }
 
 // ConfirmUnused lets withdrawn copies be unloaded; unused tells whether every instance has
-// seen the announcement and uses the copy no more.
+// seen the announcement and uses the copy no more. A copy that stays in use is offered again, unless
+// it is outdated, so that another one can make room.
 func (p *Planner) ConfirmUnused(now time.Time, unused func(id deployment.EndpointID, adapter deployment.Adapter, withdrawal uint64) bool) {
 	for id, plan := range p.endpoints {
 		for adapter, c := range plan.copies {
-			if c.state == copyWithdrawn && unused(id, adapter, c.withdrawal) {
+			if c.state != copyWithdrawn {
+				continue
+			}
+			switch {
+			case unused(id, adapter, c.withdrawal):
 				c.state, c.since = copyUnloading, now
+			case now.Sub(c.since) > withdrawalPatience && p.uses(id, adapter) > 0 && c.version >= p.versionOf(adapter):
+				c.state, c.since = copyResident, now
+				p.changed[id] = true
 			}
 		}
 	}
 }
 
+// uses gives the requests in flight that use a copy, as last reported.
+func (p *Planner) uses(id deployment.EndpointID, adapter deployment.Adapter) int {
+	if p.options.Uses == nil {
+		return 0
+	}
+	return p.options.Uses(id, adapter)
+}
+
 // Withdrawals gives the number of the last announcement.
 func (p *Planner) Withdrawals() uint64 {
 	return p.withdrawals
 }
 
-// nextModel brings a base model to an endpoint that holds none, as after its restart.
+// nextModel brings a base model to an endpoint that holds none, as after its restart. Copies that
+// endpoints have themselves come at once; from the weight store they come one after the other.
 func (p *Planner) nextModel(now time.Time) (Order, bool) {
-	if !p.ledger.allows(now) || p.modelLoads() > 0 {
-		return Order{}, false
-	}
+	storeAllowed := p.coldModelLoads() == 0 && p.ledger.allows(now)
 	for _, plan := range p.endpoints {
 		if len(plan.endpoint.Models) > 0 || len(plan.copies) > 0 || !plan.available(now) || plan.inspect {
 			continue
@@ -137,21 +155,27 @@
 			if model.WeightsMB > p.engine.WeightsMB {
 				continue
 			}
+			cached := slices.Contains(plan.endpoint.CachedModels, model.Name)
+			if !cached && !storeAllowed {
+				continue
+			}
+			if !cached {
+				p.ledger.begin(now)
+			}
 			adapter := deployment.Adapter{Model: model.Name}
-			p.ledger.begin(now)
-			plan.copies[adapter] = &copyPlan{state: copyLoading, since: now, pollAt: now.Add(modelPoll)}
+			plan.copies[adapter] = &copyPlan{state: copyLoading, since: now, cold: !cached, pollAt: now.Add(modelPoll)}
 			return p.order(Load, plan, adapter), true
 		}
 	}
 	return Order{}, false
 }
 
-// modelLoads counts the base models on their way.
-func (p *Planner) modelLoads() int {
+// coldModelLoads counts the base models on their way from the weight store.
+func (p *Planner) coldModelLoads() int {
 	count := 0
 	for _, plan := range p.endpoints {
 		for adapter, c := range plan.copies {
-			if adapter.IsZero() && c.state == copyLoading {
+			if adapter.IsZero() && c.state == copyLoading && c.cold {
 				count++
 			}
 		}
@@ -340,32 +364,38 @@
 		if plan.suspect || plan.endpoint.State != deployment.Ready {
 			continue
 		}
-		if p.capacity(&plan.endpoint)-plan.taken(now) >= spareSlots || plan.leaving() {
+		outgoing, unconfirmed := plan.outgoing()
+		if p.capacity(&plan.endpoint)-plan.taken(now)+outgoing >= spareSlots || unconfirmed {
 			continue
 		}
-		if victim := p.leastValuable(now, plan); victim != nil {
+		if victim := p.leastValuable(now, id, plan); victim != nil {
 			p.withdraw(now, id, victim)
 		}
 	}
 }
 
-// leaving tells whether a copy is on its way out.
-func (e *endpointPlan) leaving() bool {
+// outgoing counts the copies that are withdrawn or being unloaded, and tells whether one of them is
+// not confirmed as unused yet.
+func (e *endpointPlan) outgoing() (count int, unconfirmed bool) {
 	for _, c := range e.copies {
-		if c.state == copyWithdrawn || c.state == copyUnloading {
-			return true
+		switch c.state {
+		case copyWithdrawn:
+			count++
+			unconfirmed = true
+		case copyUnloading:
+			count++
 		}
 	}
-	return false
+	return count, unconfirmed
 }
 
-// leastValuable gives the settled copy that is expected to serve the fewest requests, if
-// these are few enough.
-func (p *Planner) leastValuable(now time.Time, plan *endpointPlan) *copyPlan {
+// leastValuable gives the settled copy that no request uses and that is expected to serve the fewest
+// requests, if these are few enough.
+func (p *Planner) leastValuable(now time.Time, id deployment.EndpointID, plan *endpointPlan) *copyPlan {
 	var victim *copyPlan
 	least := mostEvicted
 	for adapter, c := range plan.copies {
-		if c.state != copyResident || now.Sub(c.since) < settleTime || p.isWanted(now, adapter) {
+		if c.state != copyResident || now.Sub(c.settledSince) < settleTime || p.isWanted(now, adapter) || p.uses(id, adapter) > 0 {
 			continue
 		}
 		if worth := p.worth(now, adapter); worth < least {
--- /dev/null
+++ b/services/loading/eviction_test.go
@@ -0,0 +1,175 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/services/loading"
+)
+
+// copyUse counts requests in flight by copy for the planner under test.
+type copyUse map[deployment.Adapter]int
+
+func (u copyUse) of(_ deployment.EndpointID, adapter deployment.Adapter) int {
+	return u[adapter]
+}
+
+// fullPlanner plans for one endpoint whose four places are taken by the adapters 1 to 4.
+func fullPlanner(use copyUse) *loading.Planner {
+	p := loading.NewPlanner(engine, loading.Options{Rate: rate, Random: rand.New(rand.NewPCG(1, 1)).Float64, Uses: use.of})
+	full := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
+	p.SetEndpoint(start, full, nextRevision(), false)
+	inspect, _ := p.Next(start)
+	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 4, Adapters: full.Adapters}})
+	return p
+}
+
+func confirmAll(deployment.EndpointID, deployment.Adapter, uint64) bool { return true }
+
+func confirmNone(deployment.EndpointID, deployment.Adapter, uint64) bool { return false }
+
+// TestACopyInUseIsNotWithdrawn is about loaded days: the copy with the lowest rate was withdrawn
+// though a long stream used it, and nothing was unloaded for as long as the stream ran.
+func TestACopyInUseIsNotWithdrawn(t *testing.T) {
+	p := fullPlanner(copyUse{adapter(1): 1, adapter(2): 1, adapter(4): 1})
+	p.Next(start.Add(time.Second))
+	_, offered := p.Offered("e")
+	assert.Len(t, offered, 3)
+	assert.NotContains(t, offered, adapter(3), "the only copy without a request in flight")
+}
+
+func TestTwoCopiesMayBeOnTheirWayOut(t *testing.T) {
+	p := fullPlanner(copyUse{})
+	p.Next(start.Add(time.Second))
+	p.Next(start.Add(1100 * time.Millisecond))
+	_, offered := p.Offered("e")
+	assert.Len(t, offered, 3, "one is withdrawn at a time")
+
+	p.ConfirmUnused(start.Add(1200*time.Millisecond), confirmAll)
+	unload, ok := p.Next(start.Add(1300 * time.Millisecond))
+	require.True(t, ok)
+	require.Equal(t, loading.Unload, unload.Kind)
+	p.Next(start.Add(1400 * time.Millisecond))
+	_, offered = p.Offered("e")
+	assert.Len(t, offered, 2, "the next one need not wait for the end of the unload")
+}
+
+func TestAWithdrawnCopyThatStaysInUseIsOfferedAgain(t *testing.T) {
+	use := copyUse{}
+	p := fullPlanner(use)
+	p.Next(start.Add(time.Second))
+	_, offered := p.Offered("e")
+	require.Len(t, offered, 3)
+	for number := 1; number <= 4; number++ {
+		if _, kept := offered[adapter(number)]; !kept {
+			use[adapter(number)] = 1
+		}
+	}
+	p.ConfirmUnused(start.Add(1100*time.Millisecond), confirmNone)
+	_, offered = p.Offered("e")
+	assert.Len(t, offered, 3, "its request may be about to end")
+	p.ConfirmUnused(start.Add(2*time.Second), confirmNone)
+	_, offered = p.Offered("e")
+	assert.Len(t, offered, 4)
+}
+
+// TestAReportOlderThanAConfirmedOrderIsNotTaken is the day hunt-14a9-7: a report that lagged behind
+// an unload set the count back; the load ordered next was asked about with a wrong count for ever, and
+// the unloaded copy counted again.
+func TestAReportOlderThanAConfirmedOrderIsNotTaken(t *testing.T) {
+	p := fullPlanner(copyUse{})
+	p.Next(start.Add(time.Second))
+	p.ConfirmUnused(start.Add(time.Second), confirmAll)
+	now := start.Add(1100 * time.Millisecond)
+	unload, ok := p.Next(now)
+	require.True(t, ok)
+	p.Done(now, answer(unload, loading.Holds))
+
+	p.NoteMissing("e")
+	inspect, ok := p.Next(now)
+	require.True(t, ok)
+	require.Equal(t, loading.Inspect, inspect.Kind)
+	stale := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
+	p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 4, Adapters: stale.Adapters}})
+	_, ok = p.Next(now)
+	assert.False(t, ok, "the report is read again a little later")
+
+	now = now.Add(200 * time.Millisecond)
+	inspect, ok = p.Next(now)
+	require.True(t, ok)
+	require.Equal(t, loading.Inspect, inspect.Kind)
+	delete(stale.Adapters, unload.Adapter)
+	p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 5, Adapters: stale.Adapters}})
+	p.Report(now, "i", waiting(adapter(9)))
+	order, ok := p.Next(now)
+	require.True(t, ok)
+	assert.Equal(t, loading.Load, order.Kind)
+	assert.Equal(t, int64(5), order.ExpectedSequence)
+}
+
+// TestABaseModelThatIsThereEndsItsLoad is about a restarted endpoint whose base model took longer
+// than the first look: the count that the load was asked about was wrong from then on, and the endpoint
+// got no adapter any more.
+func TestABaseModelThatIsThereEndsItsLoad(t *testing.T) {
+	for name, notice := range map[string]func(p *loading.Planner, now time.Time){
+		"by its description": func(p *loading.Planner, now time.Time) {
+			p.SetEndpoint(now, described("e"), nextRevision(), false)
+			inspect, _ := p.Next(now)
+			p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 1}})
+		},
+		"by its report": func(p *loading.Planner, now time.Time) {
+			p.NoteMissing("e")
+			inspect, _ := p.Next(now)
+			report := &loading.Report{Sequence: 1, Models: []string{"base"}}
+			p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: report})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlanner(1)
+			p.SetEndpoint(start, deployment.Endpoint{ID: "e", Service: "s"}, nextRevision(), false)
+			order, ok := p.Next(start)
+			require.True(t, ok)
+			require.True(t, order.Adapter.IsZero())
+			p.Done(start, answer(order, loading.Accepted))
+
+			now := start.Add(6 * time.Second)
+			notice(p, now)
+			p.Report(now, "i", waiting(adapter(1)))
+			order, ok = p.Next(now)
+			require.True(t, ok)
+			assert.Equal(t, adapter(1), order.Adapter)
+			assert.False(t, order.Poll)
+			assert.Equal(t, int64(1), order.ExpectedSequence)
+		})
+	}
+}
+
+func TestBaseModelsFromOwnDisksComeAtOnceAndOthersOneByOne(t *testing.T) {
+	p := newPlanner(1)
+	for _, id := range []deployment.EndpointID{"disk-1", "disk-2", "empty-1", "empty-2"} {
+		endpoint := deployment.Endpoint{ID: id, Service: "s"}
+		if id == "disk-1" || id == "disk-2" {
+			endpoint.CachedModels = []string{"base"}
+		}
+		p.SetEndpoint(start, endpoint, nextRevision(), false)
+	}
+	ordered := make(map[deployment.EndpointID]bool)
+	for {
+		order, ok := p.Next(start)
+		if !ok {
+			break
+		}
+		ordered[order.Endpoint.ID] = true
+		p.Done(start, answer(order, loading.Accepted))
+	}
+	assert.True(t, ordered["disk-1"] && ordered["disk-2"])
+	assert.NotEqual(t, ordered["empty-1"], ordered["empty-2"], "one at a time from the weight store")
+}
--- a/services/loading/order.go
+++ b/services/loading/order.go
@@ -67,6 +67,8 @@
 // Report is an endpoint's own word on what it holds.
 type Report struct {
 	Sequence int64
+	// Models are the base models that it holds.
+	Models   []string
 	Adapters map[deployment.Adapter]int64
 	Pending  []deployment.Adapter
 }
--- a/services/loading/planner.go
+++ b/services/loading/planner.go
@@ -15,6 +15,8 @@
 	Rate RateOptions
 	// Random gives a number from 0 up to 1, to break ties.
 	Random func() float64
+	// Uses gives the requests in flight that use a copy, as last reported; nil knows of none.
+	Uses func(id deployment.EndpointID, adapter deployment.Adapter) int
 }
 
 const (
@@ -35,8 +37,10 @@
 	restAfterFailure = 300 * time.Millisecond
 	// modelPoll is when to ask first whether a base model has come.
 	modelPoll = 400 * time.Millisecond
-	// loadLimit is after how long a load that was accepted is looked into.
-	loadLimit = 3 * time.Second
+	// loadLimit and modelLoadLimit are after how long a load of an adapter and of a base model that
+	// was accepted is looked into.
+	loadLimit      = 1200 * time.Millisecond
+	modelLoadLimit = 5 * time.Second
 )
 
 // Planner plans for the endpoints of one service; it is not safe for concurrent use.
@@ -101,6 +105,12 @@
 		endpoint.Models = plan.endpoint.Models
 	}
 	plan.endpoint = endpoint
+	for _, model := range endpoint.Models {
+		if _, loading := plan.copies[deployment.Adapter{Model: model}]; loading {
+			p.modelArrived(now, plan, model)
+			plan.inspect = true
+		}
+	}
 	if revision > plan.revision {
 		plan.revision = revision
 		plan.adopt(now, endpoint.Adapters, descriptionLag)
--- a/services/loading/result.go
+++ b/services/loading/result.go
@@ -31,8 +31,24 @@
 		plan.restUntil = now.Add(restAfterFailure)
 		return
 	}
+	if !plan.adoptReport(now, result.Report) {
+		plan.restUntil = now.Add(answerRest)
+		return
+	}
 	plan.inspect = false
-	plan.adoptReport(now, result.Report)
+	for _, model := range result.Report.Models {
+		p.modelArrived(now, plan, model)
+	}
+	p.changed[plan.endpoint.ID] = true
+}
+
+// modelArrived takes in that an endpoint holds a base model.
+func (p *Planner) modelArrived(now time.Time, plan *endpointPlan, model string) {
+	delete(plan.copies, deployment.Adapter{Model: model})
+	if !plan.endpoint.HasModel(model) {
+		plan.endpoint.Models = append([]string{model}, plan.endpoint.Models...)
+	}
+	plan.modelSince = now
 	p.changed[plan.endpoint.ID] = true
 }
 
@@ -47,10 +63,10 @@
 		plan.sequence = result.Order.ExpectedSequence
 		p.becomeResident(now, plan, adapter, c)
 	case Accepted:
-		p.stillLoading(now, plan, c)
+		p.stillLoading(now, plan, adapter, c)
 	case Conflict:
 		if result.Order.Poll {
-			p.stillLoading(now, plan, c)
+			p.stillLoading(now, plan, adapter, c)
 			return
 		}
 		delete(plan.copies, adapter)
@@ -70,9 +86,13 @@
 }
 
 // stillLoading asks again soon; a load that takes too long is looked into.
-func (p *Planner) stillLoading(now time.Time, plan *endpointPlan, c *copyPlan) {
+func (p *Planner) stillLoading(now time.Time, plan *endpointPlan, adapter deployment.Adapter, c *copyPlan) {
+	limit := loadLimit
+	if adapter.IsZero() {
+		limit = modelLoadLimit
+	}
 	c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
-	if now.Sub(c.since) > loadLimit && now.Sub(c.inspected) > loadLimit {
+	if now.Sub(c.since) > limit && now.Sub(c.inspected) > loadLimit {
 		c.inspected = now
 		plan.inspect = true
 		plan.restUntil = now.Add(answerRest)
@@ -84,16 +104,13 @@
 		return
 	}
 	if adapter.IsZero() {
-		delete(plan.copies, adapter)
-		plan.endpoint.Models = append([]string{adapter.Model}, plan.endpoint.Models...)
-		plan.modelSince = now
-		p.changed[plan.endpoint.ID] = true
+		p.modelArrived(now, plan, adapter.Model)
 		return
 	}
 	if c.cold {
 		p.pace.note(now.Sub(c.since))
 	}
-	c.state, c.since = copyResident, now
+	c.state, c.since, c.settledSince = copyResident, now, now
 	delete(plan.dropped, adapter)
 	plan.held[adapter] = now
 	p.changed[plan.endpoint.ID] = true
