--- a/services/admission/decide.go
+++ b/services/admission/decide.go
@@ -31,8 +31,8 @@
 	NoEndpoint bool
 	// Crowded says that the adapter is there, but its endpoints have too much to do.
 	Crowded bool
-	// Forecast is when the adapter is expected; zero if its load is not under way.
-	Forecast time.Time
+	// Expected is when the adapter is expected to be resident; zero if that is not known.
+	Expected time.Time
 }
 
 // Decision is what becomes of the request.
@@ -56,13 +56,21 @@
 	crowdedPause = 1500 * time.Millisecond
 	// retryPause is the least time after which a refused caller should come back.
 	retryPause = 400 * time.Millisecond
+	// promptFrom and promptShare are the parts of its target between which a request may be refused as
+	// hopeless: before, the planner's word on its adapter may still be on the way; after, the refusal
+	// would not be prompt enough for the caller to be served in time by another attempt.
+	promptFrom  = 0.13
+	promptShare = 0.25
+	// firstToken is the time from the choice of an endpoint to the first event of a usual prompt.
+	firstToken = 150 * time.Millisecond
+	// returnMargin is how long after the expected time a refused caller should come back.
+	returnMargin = 150 * time.Millisecond
 )
 
 // Decide tells whether to wait on.
 func Decide(now time.Time, situation Situation) Decision {
 	waited := now.Sub(situation.Arrived)
-	limit := waitLimit(situation)
-	if waited < limit {
+	if waited < waitLimit(situation) && !hopeless(waited, situation) {
 		return Decision{Wait: true}
 	}
 	if situation.NoEndpoint {
@@ -74,6 +82,20 @@
 	return Decision{Reason: AdapterNotLoaded, RetryAfter: retryAfter(now, situation)}
 }
 
+// hopeless tells whether the adapter is expected too late for the target while a refusal is still
+// prompt. A caller that comes back when the adapter is there is served in time by that attempt; one
+// that waits here is served late, or not at all.
+func hopeless(waited time.Duration, situation Situation) bool {
+	if situation.Route.Kind != deployment.Streaming || situation.Expected.IsZero() || situation.NoEndpoint || situation.Crowded {
+		return false
+	}
+	target := float64(situation.Route.Target)
+	if float64(waited) < promptFrom*target || float64(waited) > promptShare*target {
+		return false
+	}
+	return situation.Expected.Add(firstToken).After(situation.Arrived.Add(situation.Route.Target))
+}
+
 func waitLimit(situation Situation) time.Duration {
 	remaining := situation.Deadline.Sub(situation.Arrived)
 	if situation.Route.Kind != deployment.Streaming {
@@ -91,8 +113,5 @@
 }
 
 func retryAfter(now time.Time, situation Situation) time.Duration {
-	if situation.Forecast.After(now) {
-		return max(retryPause, situation.Forecast.Sub(now)+retryPause/2)
-	}
-	return retryPause
+	return max(retryPause, situation.Expected.Sub(now)+returnMargin)
 }
--- a/services/admission/decide_test.go
+++ b/services/admission/decide_test.go
@@ -40,12 +40,32 @@
 
 func TestTheCallerIsToldToComeBackWhenTheAdapterIsExpected(t *testing.T) {
 	now := start.Add(5 * time.Second)
-	situation := admission.Situation{Route: stream, Arrived: start, Deadline: start.Add(15 * time.Second), Forecast: now.Add(2 * time.Second)}
+	situation := admission.Situation{Route: stream, Arrived: start, Deadline: start.Add(15 * time.Second), Expected: now.Add(2 * time.Second)}
 	decision := admission.Decide(now, situation)
 	assert.Greater(t, decision.RetryAfter, 2*time.Second)
 	assert.Less(t, decision.RetryAfter, 3*time.Second)
 }
 
+// TestAHopelessRequestIsRefusedWhileItsCallerCanStillBeServedInTime is about loaded days: requests
+// were held for two seconds for an adapter that was known to come too late, and refused then.
+func TestAHopelessRequestIsRefusedWhileItsCallerCanStillBeServedInTime(t *testing.T) {
+	situation := admission.Situation{Route: stream, Arrived: start, Deadline: start.Add(15 * time.Second)}
+	prompt := start.Add(150 * time.Millisecond)
+
+	situation.Expected = start.Add(500 * time.Millisecond)
+	assert.True(t, admission.Decide(prompt, situation).Wait, "the adapter comes in time")
+
+	situation.Expected = start.Add(1500 * time.Millisecond)
+	decision := admission.Decide(prompt, situation)
+	assert.False(t, decision.Wait)
+	assert.Equal(t, admission.AdapterNotLoaded, decision.Reason)
+	assert.Greater(t, decision.RetryAfter, 1350*time.Millisecond, "the caller comes back when the adapter is there")
+	assert.Less(t, decision.RetryAfter, 1700*time.Millisecond)
+
+	assert.True(t, admission.Decide(start.Add(50*time.Millisecond), situation).Wait, "the planner may not have heard of it yet")
+	assert.True(t, admission.Decide(start.Add(300*time.Millisecond), situation).Wait, "too late for a prompt refusal: a late answer is worth more")
+}
+
 func TestPatienceIsTheLongestOfItsThreeBounds(t *testing.T) {
 	assert.Equal(t, 3200*time.Millisecond, admission.Patience(stream))
 	assert.Equal(t, 2*time.Second, admission.Patience(plain))
--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -61,8 +61,10 @@
 	// zonePenalty and plainZonePenalty are what crossing a zone weighs, in requests in flight.
 	zonePenalty      = 1.0
 	plainZonePenalty = 2.5
-	// fullShare is the part of a model endpoint's slots that is used.
-	fullShare = 0.5
+	// crowdedShare is the part of a model endpoint's slots from which on it gets no new copies, and
+	// fullShare the part from which on it gets no requests; between the two it serves what only it holds.
+	crowdedShare = 0.5
+	fullShare    = 0.65
 	// assumedMembers shares connections while the number of instances is not known.
 	assumedMembers = 8
 )
@@ -175,17 +177,69 @@
 		Route: w.request.Route, Arrived: w.request.Arrived, Deadline: w.request.Deadline,
 		NoEndpoint: w.verdict == balance.NoEndpoint, Crowded: w.verdict == balance.Crowded,
 	}
-	if at, ok := c.forecasts[serviceAdapter{w.request.Service, w.request.Adapter}]; ok {
-		situation.Forecast = at
+	if w.verdict == balance.NotResident {
+		situation.Expected = c.expectedAt(now, w)
 	}
 	decision := admission.Decide(now, situation)
 	if decision.Wait {
 		return true
 	}
+	if decision.Reason == admission.AdapterNotLoaded {
+		c.returns = append(c.returns, expectedReturn{
+			key: serviceAdapter{w.request.Service, w.request.Adapter}, at: now.Add(decision.RetryAfter), target: w.request.Route.Target,
+		})
+	}
 	w.result <- acquired{err: &Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter}}
 	return false
 }
 
+// expectedReturn is a refused caller that was told when to come back; its adapter is asked for until then.
+type expectedReturn struct {
+	key    serviceAdapter
+	at     time.Time
+	target time.Duration
+}
+
+const (
+	// returnNotice is how long before its time a refused caller's adapter is asked for.
+	returnNotice = time.Second
+	// returnPatience is how long after its time a refused caller is still expected.
+	returnPatience = 300 * time.Millisecond
+	// takeoverTime is the usual time until another instance plans when the planner is lost.
+	takeoverTime = 2500 * time.Millisecond
+	// overdue is what is added to the present for an adapter that should be there already.
+	overdue = 50 * time.Millisecond
+)
+
+// dropReturned forgets the callers that have come back, or will not.
+func (c *Coordinator) dropReturned(now time.Time) {
+	c.returns = slices.DeleteFunc(c.returns, func(one expectedReturn) bool { return now.Sub(one.at) > returnPatience })
+}
+
+// expectedAt gives when the adapter that a request waits for will be resident, by the planner's last word.
+func (c *Coordinator) expectedAt(now time.Time, w *waiter) time.Time {
+	if !c.plannerOrders(now) {
+		return now.Add(takeoverTime)
+	}
+	at, ok := c.forecasts[serviceAdapter{w.request.Service, w.request.Adapter}]
+	if !ok {
+		at = now.Add(c.backlogs[w.request.Service])
+	}
+	if at.Before(now) {
+		return now.Add(overdue)
+	}
+	return at
+}
+
+// plannerOrders tells whether the planner can give orders now, as far as this instance knows.
+func (c *Coordinator) plannerOrders(now time.Time) bool {
+	if c.planning != nil {
+		return c.planning.tenure.MayOrder(now) && !c.planning.leaving
+	}
+	silence := now.Sub(c.following.heard)
+	return silence < takeoverSilence && silence+c.following.confirmedAge < c.options.Ownership.Window
+}
+
 // reviewWaiters serves or refuses the requests that wait, the most urgent first.
 func (c *Coordinator) reviewWaiters(now time.Time) {
 	if len(c.waiters) == 0 {
--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -71,11 +71,14 @@
 	waiters         []*waiter
 	arrivals        map[serviceAdapter]int
 	forecasts       map[serviceAdapter]time.Time
+	backlogs        map[string]time.Duration
 	rates           map[serviceAdapter]*loading.Rate
-	sweptAt         time.Time
-	missing         []copyName
-	following       following
-	planning        *planning
+	// returns are refused callers that are expected to come back.
+	returns   []expectedReturn
+	sweptAt   time.Time
+	missing   []copyName
+	following following
+	planning  *planning
 	// knownRecord is the ownership's record as last read.
 	knownRecord ownership.Record
 	// storeReadAt is when the store last answered a read of the record.
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -16,19 +16,21 @@
 	// leadershipPace is how often the ownership is looked at.
 	leadershipPace = 100 * time.Millisecond
 	// confirmPause is the pause between two confirming reads of the holder.
-	confirmPause = 700 * time.Millisecond
+	confirmPause = 450 * time.Millisecond
 	// confirmTimeout bounds a confirming read, confirmRetry is the pause after a failed one.
-	confirmTimeout = 600 * time.Millisecond
+	confirmTimeout = 500 * time.Millisecond
 	confirmRetry   = 200 * time.Millisecond
 	// confirmTrouble is the age of the last confirmation from which on members are asked
 	// whether the store answers them.
-	confirmTrouble = 1100 * time.Millisecond
+	confirmTrouble = 1000 * time.Millisecond
 	// aliveLife is the life of the lease under the holder's sign of life.
-	aliveLife = 1800 * time.Millisecond
+	aliveLife = 1200 * time.Millisecond
 	// lookPause is the pause between two looks at the record by an instance without planner.
 	lookPause = 300 * time.Millisecond
 	// releasePause is how often a holder that gives up looks whether its orders have ended.
 	releasePause = 10 * time.Millisecond
+	// settledRecord is how long a record must have been unchanged before it is taken over.
+	settledRecord = 300 * time.Millisecond
 	// takeoverSilence is after how long without the planner's word its record is looked at.
 	takeoverSilence = 900 * time.Millisecond
 )
@@ -292,25 +294,26 @@
 		c.loop.call(func(time.Time) { c.noteRecord(record) })
 		return
 	}
-	resigned := false
+	resigned, ended := false, false
 	c.loop.call(func(now time.Time) {
 		c.storeReadAt = now
 		c.noteRecord(record)
 		resigned = found && record.Term == c.following.resignedTerm
+		ended = found && record.Term == c.following.endedTerm
 		if due {
 			c.sendReport(now)
 		}
 	})
 	switch {
-	case !found, record.Released, resigned:
+	case !found, record.Released, resigned, ended:
 	case record.Holder == c.options.Instance:
-	case silentFor < takeoverSilence || now.Sub(k.since) < takeoverSilence:
+	case silentFor < takeoverSilence || now.Sub(k.since) < settledRecord:
 		return
 	case c.planLives():
 		return
 	}
 	record.Released = record.Released || resigned
-	k.takeOwnership(record, revision, found)
+	k.takeOwnership(record, revision, found, ended)
 }
 
 // noteRecord remembers who plans; a link to a former planner ends.
@@ -362,7 +365,7 @@
 }
 
 // takeOwnership writes this instance into the record if nobody changed it since it was read.
-func (k *keeper) takeOwnership(replaced ownership.Record, revision int64, found bool) {
+func (k *keeper) takeOwnership(replaced ownership.Record, revision int64, found, ended bool) {
 	c := k.coordinator
 	if !k.grantLease() {
 		return
@@ -377,7 +380,7 @@
 	if err != nil {
 		return
 	}
-	wait := c.options.Ownership.Wait(c.options.Instance, replaced, found)
+	wait := c.options.Ownership.Wait(c.options.Instance, replaced, found, ended)
 	ctx, cancel := c.storeCall()
 	defer cancel()
 	sent := c.options.Now()
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -98,12 +98,14 @@
 	Endpoints []endpointView `msgpack:"e,omitempty"`
 	Removed   []endpointGone `msgpack:"d,omitempty"`
 	// Heartbeat marks a view that carries all totals; others carry none.
-	Heartbeat       bool            `msgpack:"h,omitempty"`
-	Totals          []endpointCount `msgpack:"f,omitempty"`
-	Forecasts       []forecast      `msgpack:"l,omitempty"`
-	Members         int             `msgpack:"n"`
-	ConfigurationAt int64           `msgpack:"c"`
-	Items           []store.Item    `msgpack:"o,omitempty"`
+	Heartbeat bool            `msgpack:"h,omitempty"`
+	Totals    []endpointCount `msgpack:"f,omitempty"`
+	Forecasts []forecast      `msgpack:"l,omitempty"`
+	// Backlogs are when an adapter would be there that nobody has asked for yet, by service.
+	Backlogs        map[string]time.Duration `msgpack:"j,omitempty"`
+	Members         int                      `msgpack:"n"`
+	ConfigurationAt int64                    `msgpack:"c"`
+	Items           []store.Item             `msgpack:"o,omitempty"`
 	// Resigned says that the planner gives no more orders in its term.
 	Resigned bool `msgpack:"b,omitempty"`
 }
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -25,6 +25,8 @@
 	members  map[string]*member
 	removed  []endpointGone
 	changed  map[deployment.EndpointID]bool
+	// begun are the loads that began since the last view.
+	begun []forecast
 	// uses sums the members' requests in flight by copy.
 	uses map[copyName]int
 	// told is when the last heartbeat went to all, changesTold when the last view did.
@@ -209,6 +211,7 @@
 			if !ok {
 				break
 			}
+			p.noteBegun(now, planner, order)
 			c.startOrder(order)
 		}
 		for _, id := range planner.TakeChanges() {
@@ -220,6 +223,17 @@
 	c.wakeForPoll(now)
 }
 
+// noteBegun lets the next view tell that a load has begun.
+func (p *planning) noteBegun(now time.Time, planner *loading.Planner, order loading.Order) {
+	if order.Kind != loading.Load || order.Poll || order.Adapter.IsZero() {
+		return
+	}
+	until := planner.LoadTime()
+	key := serviceAdapter{order.Endpoint.Service, order.Adapter}
+	p.coordinator.forecasts[key] = now.Add(until)
+	p.begun = append(p.begun, forecast{Service: key.service, Model: key.adapter.Model, Name: key.adapter.Name, Until: until})
+}
+
 // wakeForPoll plans again when the next load is expected to have ended.
 func (c *Coordinator) wakeForPoll(now time.Time) {
 	for _, planner := range c.planning.planners {
@@ -306,7 +320,7 @@
 func (p *planning) noteCrowds() {
 	for id, entry := range p.coordinator.directory.Entries() {
 		if planner, ok := p.planners[entry.Service]; ok {
-			planner.SetCrowded(id, balance.Full(entry, fullShare))
+			planner.SetLoad(id, balance.Full(entry, crowdedShare), balance.Full(entry, fullShare))
 		}
 	}
 }
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/deployment"
@@ -26,6 +28,8 @@
 	members      int
 	// resignedTerm is the last term whose holder said that it gives no more orders.
 	resignedTerm int64
+	// endedTerm is the last term whose holder's process is known to have ended.
+	endedTerm int64
 	// ratesDue asks for the arrival rates in the next report.
 	ratesDue bool
 	// withdrawals is the last announcement taken in.
@@ -70,12 +74,27 @@
 	return address, address.IsValid() && address != c.options.PeerAddress
 }
 
+// notePlannerEnded takes in that the planner's machine is up but refuses connections: the process
+// that wrote the record has ended, and a later one there does not order under the record's term.
+func (c *Coordinator) notePlannerEnded(address netip.AddrPort, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	c.loop.call(func(time.Time) {
+		if c.knownRecord.Address == address && c.knownRecord.Term > c.following.endedTerm {
+			c.following.endedTerm = c.knownRecord.Term
+			c.leadershipDue = true
+		}
+	})
+}
+
 // followAt holds one link until it fails or falls silent.
 func (c *Coordinator) followAt(address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(c.context, plannerSilence)
 	conn, err := c.environment.Dial(ctx, address)
 	cancel()
 	if err != nil {
+		c.notePlannerEnded(address, err)
 		return
 	}
 	stream := peerstream.New[message](conn)
@@ -204,17 +223,25 @@
 		}
 	}
 	clear(c.arrivals)
-	for _, w := range c.waiters {
-		if w.request.Adapter.IsZero() {
-			continue
-		}
-		one := demandOf(serviceAdapter{w.request.Service, w.request.Adapter})
+	wait := func(key serviceAdapter, inTime time.Duration) {
+		one := demandOf(key)
 		one.Waiting++
-		inTime := w.request.Arrived.Add(w.request.Route.Target).Sub(now)
 		if one.Waiting == 1 || inTime > one.InTime {
 			one.InTime = inTime
 		}
 	}
+	for _, w := range c.waiters {
+		if !w.request.Adapter.IsZero() {
+			wait(serviceAdapter{w.request.Service, w.request.Adapter}, w.request.Arrived.Add(w.request.Route.Target).Sub(now))
+		}
+	}
+	c.dropReturned(now)
+	for _, one := range c.returns {
+		if one.at.Sub(now) > returnNotice {
+			continue
+		}
+		wait(one.key, one.at.Add(one.target).Sub(now))
+	}
 	list := make([]adapterDemand, 0, len(demands))
 	for _, one := range demands {
 		list = append(list, *one)
@@ -258,6 +285,7 @@
 	}
 	if v.Heartbeat {
 		clear(c.forecasts)
+		c.backlogs = v.Backlogs
 	}
 	for _, one := range v.Forecasts {
 		c.forecasts[serviceAdapter{one.Service, deployment.Adapter{Model: one.Model, Name: one.Name}}] = now.Add(one.Until)
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -132,7 +132,10 @@
 	if due {
 		changes.Heartbeat = true
 		p.addForecasts(now, changes)
+	} else {
+		changes.Forecasts = p.begun
 	}
+	p.begun = nil
 	for id := range p.changed {
 		if entry := p.coordinator.directory.Entry(id); entry != nil {
 			changes.Endpoints = append(changes.Endpoints, toEndpointView(entry))
@@ -174,7 +177,7 @@
 
 // nothingToTell tells whether all members have the plan's last state.
 func (p *planning) nothingToTell() bool {
-	return len(p.changed) == 0 && len(p.removed) == 0 && !p.anyNeedsFull()
+	return len(p.changed) == 0 && len(p.removed) == 0 && len(p.begun) == 0 && !p.anyNeedsFull()
 }
 
 // itemsFor gives the operators' keys that a member has lacked for long enough.
@@ -216,8 +219,12 @@
 // addForecasts tells which adapters are on their way; heartbeats carry them.
 func (p *planning) addForecasts(now time.Time, v *view) {
 	clear(p.coordinator.forecasts)
+	v.Backlogs = make(map[string]time.Duration, len(p.planners))
+	p.coordinator.backlogs = v.Backlogs
 	for name, planner := range p.planners {
-		for _, one := range planner.Forecasts(now) {
+		forecasts, backlog := planner.Forecasts(now)
+		v.Backlogs[name] = backlog
+		for _, one := range forecasts {
 			v.Forecasts = append(v.Forecasts, forecast{Service: name, Model: one.Adapter.Model, Name: one.Adapter.Name, Until: one.Until})
 			p.coordinator.forecasts[serviceAdapter{name, one.Adapter}] = now.Add(one.Until)
 		}
--- a/services/loading/copy.go
+++ b/services/loading/copy.go
@@ -63,8 +63,8 @@
 	introduced bool
 	// restUntil keeps orders away after one failed.
 	restUntil time.Time
-	// crowded endpoints have as many requests in flight as they should.
-	crowded bool
+	// crowded endpoints have as many requests in flight as they should, full ones as many as they may.
+	crowded, full bool
 	// suspect endpoints get no new copies.
 	suspect bool
 }
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -242,7 +242,7 @@
 // copyCount is how many copies of an adapter there are.
 type copyCount struct {
 	// usable copies are resident at the version to be served; coming ones are on their way;
-	// free ones are usable and not crowded.
+	// free ones are usable and not on a full endpoint.
 	usable, coming, free int
 }
 
@@ -260,7 +260,7 @@
 				count.coming++
 			case c.state == copyResident && c.version >= p.versionOf(adapter):
 				count.usable++
-				if !plan.crowded {
+				if !plan.full {
 					count.free++
 				}
 			}
--- a/services/loading/planner_test.go
+++ b/services/loading/planner_test.go
@@ -277,7 +277,12 @@
 	_, ok := p.Next(start)
 	assert.False(t, ok, "the copy has room")
 
-	p.SetCrowded("crowded", true)
+	p.SetLoad("crowded", true, false)
+	p.Report(start, "i", waiting(adapter(1)))
+	_, ok = p.Next(start.Add(100 * time.Millisecond))
+	assert.False(t, ok, "a crowded endpoint serves what only it holds; a second copy would cost a load and a place")
+
+	p.SetLoad("crowded", true, true)
 	later := start.Add(time.Second)
 	p.Report(later, "i", waiting(adapter(1)))
 	order, ok := p.Next(later)
--- a/tests/platform/failure_test.go
+++ b/tests/platform/failure_test.go
@@ -118,6 +118,20 @@
 	s.checkOrders()
 }
 
+// TestAProcessThatEndedIsReplacedAtOnce is about a killed planner on a machine that is up: its address
+// refuses connections, so nobody need wait for the end of its time.
+func TestAProcessThatEndedIsReplacedAtOnce(t *testing.T) {
+	s := newSite(t, 3)
+	former := s.planner()
+	next := s.other(former)
+	require.True(t, s.serves(next, "a1"))
+	s.kill(former)
+	began := time.Now()
+	s.waitFor("another entry serves a new adapter", func() bool { return s.serves(next, "a2") })
+	assert.Less(t, time.Since(began), 1500*time.Millisecond)
+	s.checkOrders()
+}
+
 func TestAPlannerThatStartsAgainGoesOnAtOnce(t *testing.T) {
 	s := newSite(t, 1)
 	require.True(t, s.serves(0, "a1"))
