--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -238,8 +238,9 @@
 	if c.planning != nil && !c.planning.leaving {
 		return c.planning.tenure.Remaining(now) + handOverTime
 	}
-	term := max(c.knownRecord.Term, c.following.term)
-	if term == 0 || c.following.resignedTerm == term || c.following.endedTerm == term || c.knownRecord.Released {
+	term := c.following.term
+	newTerm := term == 0 || c.knownRecord.Term > term
+	if newTerm || c.following.resignedTerm == term || c.following.endedTerm == term || c.knownRecord.Released {
 		return handOverTime
 	}
 	return takeoverTime
