Let the planner keep up with large fleets

Signs of life are sent each 0.4 s now, whatever the size; only totals are stretched. 2. Loads were bounded at 11 at once. The bound doubles in the time of a load until loads get longer, and falls at most once for loads that ran beside each other; the store there brings some 100 a second. 3. Half of 12 slots is no bound that serves: batches of up to 12 do not slow each other down much. 4. Two of ten places were kept free on each of 140 endpoints; 15% now, at least one. 5. Each withdrawal made 91 reports at once; acknowledgements are paced with the fleet. 6. After a resignation a weak machine took the record at once and could not bear the work; weak machines leave vacant records to others for their reluctance, too. Ruled out: the planner's processor (0.22 of 0.8 cores) and link.

--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -21,6 +21,9 @@
 	// FullShare is the part of a model endpoint's slots beyond which it gets no more requests;
 	// with more in flight, all of them take longer than their callers wait.
 	FullShare float64
+	// SmallBatch is how many requests an endpoint may have in flight whatever its share, as far as it
+	// has slots: batches this small do not slow each other down much.
+	SmallBatch int
 	// Random gives a number from 0 up to 1, to break ties.
 	Random func() float64
 }
@@ -63,7 +66,7 @@
 		if demand.Request.UsesModel() && !entry.Holds(now, demand.Request.Adapter, demand.Version) {
 			continue
 		}
-		if demand.Request.UsesModel() && Full(entry, options.FullShare) {
+		if demand.Request.UsesModel() && Full(entry, options.FullShare, options.SmallBatch) {
 			verdict = Crowded
 			continue
 		}
@@ -88,8 +91,9 @@
 }
 
 // Full tells whether a model endpoint has as many requests in flight as it should.
-func Full(entry *directory.Entry, share float64) bool {
-	return entry.Slots > 0 && float64(entry.Load()) >= share*float64(entry.Slots)
+func Full(entry *directory.Entry, share float64, smallBatch int) bool {
+	limit := max(share*float64(entry.Slots), float64(min(entry.Slots, smallBatch)))
+	return entry.Slots > 0 && float64(entry.Load()) >= limit
 }
 
 func cost(entry *directory.Entry, request *deployment.Request, options Options) float64 {
--- a/services/balance/choose_test.go
+++ b/services/balance/choose_test.go
@@ -118,6 +118,12 @@
 	d.Entry("full").Others = 2
 	_, verdict = balance.Choose(start, d.Service("service"), demand, bounded)
 	assert.Equal(t, balance.Crowded, verdict)
+	bounded.SmallBatch = 3
+	_, verdict = balance.Choose(start, d.Service("service"), demand, bounded)
+	assert.Equal(t, balance.Chosen, verdict, "a batch this small is fast enough")
+	d.Entry("full").Others = 3
+	_, verdict = balance.Choose(start, d.Service("service"), demand, bounded)
+	assert.Equal(t, balance.Crowded, verdict)
 	plain := balance.Demand{Request: &deployment.Request{}}
 	_, verdict = balance.Choose(start, d.Service("service"), plain, bounded)
 	assert.Equal(t, balance.Chosen, verdict, "a plain service has a queue of its own")
--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -65,6 +65,9 @@
 	// fullShare the part from which on it gets no requests; between the two it serves what only it holds.
 	crowdedShare = 0.5
 	fullShare    = 0.65
+	// crowdedBatch and fullBatch are the least such bounds, for endpoints with few slots.
+	crowdedBatch = 10
+	fullBatch    = 12
 	// assumedMembers shares connections while the number of instances is not known.
 	assumedMembers = 8
 )
@@ -133,7 +136,7 @@
 func (c *Coordinator) serve(now time.Time, w *waiter) bool {
 	demand := balance.Demand{Request: w.request, Version: c.demandedVersion(now, w.request.Adapter), Tried: w.tried}
 	options := balance.Options{
-		Zone: c.options.Zone, ZonePenalty: zonePenalty, PlainZonePenalty: plainZonePenalty, FullShare: fullShare, Random: c.options.Random,
+		Zone: c.options.Zone, ZonePenalty: zonePenalty, PlainZonePenalty: plainZonePenalty, FullShare: fullShare, SmallBatch: fullBatch, Random: c.options.Random,
 	}
 	entry, verdict := balance.Choose(now, c.directory.Service(w.request.Service), demand, options)
 	w.verdict = verdict
--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -24,6 +24,8 @@
 	reportPace = 250 * time.Millisecond
 	// urgentPace is the least pause between two reports about requests that wait.
 	urgentPace = 2 * time.Millisecond
+	// acknowledgePace is the least pause between two reports that only acknowledge withdrawals.
+	acknowledgePace = 5 * time.Millisecond
 	// membersAtPace is the number of instances up to which no pause is stretched.
 	membersAtPace = 16
 	// sweepPace is how often old state is forgotten.
@@ -87,6 +89,8 @@
 	endLongWatch context.CancelFunc
 	// reportDue asks for a report as soon as the last one is old enough.
 	reportDue bool
+	// acknowledgeDue asks for a report that says which withdrawals are acted on.
+	acknowledgeDue bool
 	// leadershipDue asks for a look at the record without delay.
 	leadershipDue bool
 }
@@ -156,7 +160,7 @@
 		c.resignIfOthersCan(now)
 		c.plan(now)
 	}
-	if now.Sub(c.following.reported) >= c.pace(reportPace) || (c.reportDue && now.Sub(c.following.reported) >= c.pace(urgentPace)) {
+	if c.reportIsDue(now) {
 		c.sendReport(now)
 	}
 	if now.Sub(c.sweptAt) >= sweepPace {
@@ -164,6 +168,18 @@
 	}
 }
 
+func (c *Coordinator) reportIsDue(now time.Time) bool {
+	age := now.Sub(c.following.reported)
+	switch {
+	case c.reportDue && age >= c.pace(urgentPace):
+		return true
+	case c.acknowledgeDue && age >= c.pace(acknowledgePace):
+		return true
+	default:
+		return age >= c.pace(reportPace)
+	}
+}
+
 // pace stretches a pause with the number of instances, so that what the planner sends and
 // receives grows more slowly than the fleet.
 func (c *Coordinator) pace(pause time.Duration) time.Duration {
@@ -181,7 +197,7 @@
 
 // silence is after how long without a view the planner counts as silent.
 func (c *Coordinator) silence() time.Duration {
-	return max(plannerSilence, 3*c.pace(reportPace))
+	return max(plannerSilence, 3*signPace)
 }
 
 // sweep forgets what is too old to matter.
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -66,6 +66,9 @@
 	revision int64
 	since    time.Time
 	started  time.Time
+	// vacantSince is since when the record of vacantTerm was seen without a holder that orders.
+	vacantTerm  int64
+	vacantSince time.Time
 }
 
 func (k *keeper) reset() {
@@ -290,10 +293,6 @@
 	if revision != k.revision || k.since.IsZero() {
 		k.revision, k.since = revision, now
 	}
-	if c.options.Reluctance > 0 && now.Sub(k.since) < c.options.Reluctance && record.Holder != c.options.Instance {
-		c.loop.call(func(time.Time) { c.noteRecord(record) })
-		return
-	}
 	resigned, ended := false, false
 	c.loop.call(func(now time.Time) {
 		c.storeReadAt = now
@@ -304,8 +303,12 @@
 			c.sendReport(now)
 		}
 	})
+	vacant := !found || record.Released || resigned || ended
+	if record.Holder != c.options.Instance && now.Sub(k.openSince(now, record.Term, vacant)) < c.options.Reluctance {
+		return
+	}
 	switch {
-	case !found, record.Released, resigned, ended:
+	case vacant:
 	case record.Holder == c.options.Instance:
 	case silentFor < takeoverSilence || now.Sub(k.since) < settledRecord:
 		return
@@ -316,6 +319,18 @@
 	k.takeOwnership(record, revision, found, ended)
 }
 
+// openSince is since when the record could be taken over, as far as this instance knows: since it was
+// first seen without a holder that orders, or else since it was first seen as it is.
+func (k *keeper) openSince(now time.Time, term int64, vacant bool) time.Time {
+	if !vacant {
+		return k.since
+	}
+	if k.vacantTerm != term || k.vacantSince.IsZero() {
+		k.vacantTerm, k.vacantSince = term, now
+	}
+	return k.vacantSince
+}
+
 // noteRecord remembers who plans; a link to a former planner ends.
 func (c *Coordinator) noteRecord(record ownership.Record) {
 	c.knownRecord = record
--- a/services/coordinator/planning.go
+++ b/services/coordinator/planning.go
@@ -64,6 +64,9 @@
 const (
 	// memberSilence is after how long without a report an instance counts as lost.
 	memberSilence = 1500 * time.Millisecond
+	// signPace is the longest pause between two views, also those that carry no news; it is not
+	// stretched, since members must notice a lost planner as soon in a large fleet.
+	signPace = 400 * time.Millisecond
 	// changePace is the least pause between two views of changes.
 	changePace = 4 * time.Millisecond
 	// memberMemory is how long a lost instance still counts in the fleet's shares.
@@ -320,7 +323,7 @@
 func (p *planning) noteCrowds() {
 	for id, entry := range p.coordinator.directory.Entries() {
 		if planner, ok := p.planners[entry.Service]; ok {
-			planner.SetLoad(id, balance.Full(entry, crowdedShare), balance.Full(entry, fullShare))
+			planner.SetLoad(id, balance.Full(entry, crowdedShare, crowdedBatch), balance.Full(entry, fullShare, fullBatch))
 		}
 	}
 }
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -134,6 +134,7 @@
 	built := c.buildReport(now)
 	c.following.reported = now
 	c.reportDue = false
+	c.acknowledgeDue = false
 	if c.planning != nil {
 		c.planning.takeReport(now, built)
 		c.plan(now)
@@ -293,7 +294,7 @@
 	announced := v.Withdrawals > c.following.withdrawals || v.Full
 	c.following.withdrawals = v.Withdrawals
 	if announced {
-		c.sendReport(now)
+		c.acknowledge(now)
 	}
 	if v.Resigned && c.following.resignedTerm < v.Term {
 		c.following.resignedTerm = v.Term
@@ -305,6 +306,14 @@
 	c.reviewWaiters(now)
 }
 
+// acknowledge reports that an announcement was taken in, at once where the last report is old enough.
+func (c *Coordinator) acknowledge(now time.Time) {
+	c.acknowledgeDue = true
+	if now.Sub(c.following.reported) >= c.pace(acknowledgePace) {
+		c.sendReport(now)
+	}
+}
+
 func (c *Coordinator) applyViewEndpoints(v *view) {
 	listed := make(map[deployment.EndpointID]bool, len(v.Endpoints))
 	for i := range v.Endpoints {
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -118,7 +118,8 @@
 
 // broadcast tells all members what changed; with everything due, also those it changed nothing for.
 func (p *planning) broadcast(now time.Time, due bool) {
-	if !due && (now.Sub(p.changesTold) < p.coordinator.pace(changePace) || p.nothingToTell()) {
+	sinceTold := now.Sub(p.changesTold)
+	if !due && sinceTold < signPace && (sinceTold < p.coordinator.pace(changePace) || p.nothingToTell()) {
 		return
 	}
 	p.changesTold = now
--- a/services/loading/decide.go
+++ b/services/loading/decide.go
@@ -16,8 +16,10 @@
 	// inTimeValue and lateValue are what a waiting request is worth against a future one.
 	inTimeValue = 1.0
 	lateValue   = 0.15
-	// spareSlots is how many places of an endpoint are kept free for the next loads.
-	spareSlots = 2
+	// spareShare is the part of an endpoint's places that is kept free for the next loads, and
+	// mostSpare the most places.
+	spareShare = 0.15
+	mostSpare  = 2
 	// mostEvicted is the expected use, in requests, from which on a copy is never evicted.
 	mostEvicted = 12.0
 	// fullShare is the part of an endpoint's fair share of requests that one copy may take.
@@ -374,7 +376,7 @@
 			continue
 		}
 		outgoing, unconfirmed := plan.outgoing()
-		if p.capacity(&plan.endpoint)-plan.taken(now)+outgoing >= spareSlots || unconfirmed {
+		if p.capacity(&plan.endpoint)-plan.taken(now)+outgoing >= p.spare(&plan.endpoint) || unconfirmed {
 			continue
 		}
 		if victim := p.leastValuable(now, id, plan); victim != nil {
@@ -383,6 +385,11 @@
 	}
 }
 
+// spare is how many places of an endpoint are kept free.
+func (p *Planner) spare(endpoint *deployment.Endpoint) int {
+	return max(1, min(mostSpare, int(spareShare*float64(p.capacity(endpoint)))))
+}
+
 // outgoing counts the copies that are withdrawn or being unloaded, and tells whether one of them is
 // not confirmed as unused yet.
 func (e *endpointPlan) outgoing() (count int, unconfirmed bool) {
--- a/services/loading/pace.go
+++ b/services/loading/pace.go
@@ -12,10 +12,10 @@
 	// from the weight store at once.
 	firstConcurrency = 8.0
 	leastConcurrency = 1.0
-	mostConcurrency  = 11.0
-	// crowded is how many times the shortest load time a load may take before there are too
-	// many at once.
-	crowded = 2.0
+	mostConcurrency  = 200.0
+	// crowded is how many times the shortest load time a load may take before there are too many at
+	// once; from then on more loads at once only make each other longer.
+	crowded = 1.5
 	// backOff is the factor by which concurrency falls after a crowded load.
 	backOff = 0.85
 	// forgetting lets the shortest load time follow a store that became slower for good.
@@ -27,13 +27,17 @@
 // pace finds how many adapters the weight store can bring at once: more while loads take
 // their shortest time, fewer when they make each other slower.
 type pace struct {
-	limit    float64
-	shortest time.Duration
-	typical  time.Duration
+	limit float64
+	// probing is set until the first crowded load: the limit then doubles in the time of one load.
+	probing bool
+	// backedOff is when the limit last fell: loads that ran beside each other tell the same once.
+	backedOff time.Time
+	shortest  time.Duration
+	typical   time.Duration
 }
 
 func newPace() pace {
-	return pace{limit: firstConcurrency, shortest: firstLoadTime, typical: firstLoadTime}
+	return pace{limit: firstConcurrency, probing: true, shortest: firstLoadTime, typical: firstLoadTime}
 }
 
 // concurrency is how many loads may run at once.
@@ -48,12 +52,21 @@
 }
 
 // note takes in the time of one load.
-func (p *pace) note(took time.Duration) {
+func (p *pace) note(now time.Time, took time.Duration) {
 	p.typical += time.Duration(smoothing * float64(took-p.typical))
 	p.shortest = min(took, time.Duration(float64(p.shortest)*forgetting))
 	if float64(took) > crowded*float64(p.shortest) {
+		p.probing = false
+		if now.Sub(p.backedOff) < p.typical {
+			return
+		}
+		p.backedOff = now
 		p.limit = max(leastConcurrency, p.limit*backOff)
 		return
 	}
-	p.limit = min(mostConcurrency, p.limit+1/p.limit)
+	step := 1 / p.limit
+	if p.probing {
+		step = 1
+	}
+	p.limit = min(mostConcurrency, p.limit+step)
 }
--- a/services/loading/result.go
+++ b/services/loading/result.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if c.cold && c.timed {
-		p.pace.note(now.Sub(c.since))
+		p.pace.note(now, now.Sub(c.since))
 	}
 	c.state, c.since, c.settledSince = copyResident, now, now
 	delete(plan.dropped, adapter)
