Tell a planner that the store does not answer who plans now

Change: members tell a former planner its successor when they leave it; an instance without store and planner asks the seeds. Ruled out: a lag of views (the former planner had no link at all). Test: TestAPlannerCutFromTheStoreFollowsItsSuccessor, failed before (waited 15 s in vain), passes in 1.8 s.

--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -288,6 +288,9 @@
 	record, revision, found, err := c.readRecord()
 	if err != nil {
 		c.noteStore("read ownership", err)
+		if silentFor >= takeoverSilence {
+			c.askSeedsForPlanner()
+		}
 		return
 	}
 	if revision != k.revision || k.since.IsZero() {
@@ -331,15 +334,33 @@
 	return k.vacantSince
 }
 
-// noteRecord remembers who plans; a link to a former planner ends.
+// farewellTime is how long the last message to a former planner may take.
+const farewellTime = 50 * time.Millisecond
+
+// noteRecord remembers who plans; a link to a former planner ends with the word on its successor.
 func (c *Coordinator) noteRecord(record ownership.Record) {
 	c.knownRecord = record
-	if c.following.stream != nil && record.Term > c.following.term {
-		c.following.stream.Close()
+	if stream := c.following.stream; stream != nil && record.Term > c.following.term {
+		_ = stream.Send(message{Successor: &successor{Term: record.Term, Address: record.Address}})
+		time.AfterFunc(farewellTime, stream.Close)
 		c.following.stream = nil
 	}
 }
 
+// learnSuccessor takes in a peer's word on who plans; this instance's own term, if it has one, is over
+// when a later one has begun.
+func (c *Coordinator) learnSuccessor(told successor) {
+	if told.Term <= c.knownRecord.Term || !told.Address.IsValid() {
+		return
+	}
+	c.options.Log.WithFields(map[string]any{"term": told.Term, "address": told.Address.String()}).Info("planner learned from a peer")
+	c.knownRecord = ownership.Record{Term: told.Term, Address: told.Address}
+	if c.planning != nil && told.Term > c.planning.tenure.Record().Term {
+		c.planning.tenure.End()
+		c.endIfOver()
+	}
+}
+
 // plannerSilentFor tells for how long no planner was heard that could confirm its ownership,
 // and whether a look is due at once.
 func (c *Coordinator) plannerSilentFor(now, started time.Time) (time.Duration, bool) {
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -17,6 +17,15 @@
 	Report  *report  `msgpack:"r,omitempty"`
 	View    *view    `msgpack:"v,omitempty"`
 	Request *request `msgpack:"q,omitempty"`
+	// Successor tells a former planner who plans now.
+	Successor *successor `msgpack:"s,omitempty"`
+}
+
+// successor names the planner of a later term; an instance that the store does not answer learns it from
+// its peers.
+type successor struct {
+	Term    int64          `msgpack:"t"`
+	Address netip.AddrPort `msgpack:"z"`
 }
 
 // request asks a peer for the configuration and for its word on the planner.
--- a/services/coordinator/seeds.go
+++ b/services/coordinator/seeds.go
@@ -27,23 +27,44 @@
 	}
 }
 
+// askSeed takes in what one peer knows.
 func (c *Coordinator) askSeed(seed netip.AddrPort) {
+	if told := c.wordOf(seed); told != nil {
+		c.loop.call(func(now time.Time) { c.learnFromSeed(now, told) })
+	}
+}
+
+// askSeedsForPlanner lets an instance that the store does not answer learn from a peer who plans.
+func (c *Coordinator) askSeedsForPlanner() {
+	for _, seed := range c.options.Seeds {
+		if c.context.Err() != nil || seed == c.options.PeerAddress {
+			continue
+		}
+		if told := c.wordOf(seed); told != nil {
+			c.loop.call(func(time.Time) { c.learnSuccessor(successor{Term: told.Term, Address: told.Address}) })
+			return
+		}
+	}
+}
+
+// wordOf asks a peer for what it knows; nil if it does not answer.
+func (c *Coordinator) wordOf(seed netip.AddrPort) *view {
 	ctx, cancel := context.WithTimeout(c.context, seedTimeout)
 	defer cancel()
 	conn, err := c.environment.Dial(ctx, seed)
 	if err != nil {
-		return
+		return nil
 	}
 	stream := peerstream.New[message](conn)
 	defer stream.Close()
 	if err := stream.Send(message{Request: &request{Instance: c.options.Instance}}); err != nil {
-		return
+		return nil
 	}
 	received, err := stream.Receive(seedTimeout, c.options.Now)
-	if err != nil || received.View == nil {
-		return
+	if err != nil {
+		return nil
 	}
-	c.loop.call(func(now time.Time) { c.learnFromSeed(now, received.View) })
+	return received.View
 }
 
 // learnFromSeed takes in a peer's word; what the store tells later replaces it.
--- a/services/coordinator/viewing.go
+++ b/services/coordinator/viewing.go
@@ -55,6 +55,9 @@
 		if received.Report != nil {
 			c.loop.call(func(now time.Time) { planning = c.takePeerReport(now, stream, received.Report) })
 		}
+		if received.Successor != nil {
+			c.loop.call(func(time.Time) { c.learnSuccessor(*received.Successor) })
+		}
 		if received.Request != nil {
 			c.loop.call(func(now time.Time) { c.answerRequest(now, stream) })
 		}
@@ -92,7 +95,7 @@
 		return
 	}
 	told := &view{
-		Planner: c.following.planner, Term: c.following.term, Items: c.newerItems(0), ConfigurationAt: c.configurationAt,
+		Planner: c.following.planner, Term: c.knownRecord.Term, Items: c.newerItems(0), ConfigurationAt: c.configurationAt,
 		ReadAge: now.Sub(c.endpointsReadAt), Address: c.knownRecord.Address,
 	}
 	if c.planning != nil {
--- a/tests/platform/failure_test.go
+++ b/tests/platform/failure_test.go
@@ -132,6 +132,29 @@
 	s.checkOrders()
 }
 
+// TestAPlannerCutFromTheStoreFollowsItsSuccessor is about callers of a planner that the store answers no
+// more: another entry plans, and the former planner could not read who, so that it refused all
+// adapters that were loaded since.
+func TestAPlannerCutFromTheStoreFollowsItsSuccessor(t *testing.T) {
+	s := newSite(t, 3)
+	former := s.planner()
+	require.True(t, s.serves(former, "a1"))
+	s.entries[former].cut.Store(true)
+	next := -1
+	s.waitFor("another entry plans", func() bool {
+		for i := range s.entries {
+			if i != former && s.logged(i, planning) {
+				next = i
+			}
+		}
+		return next >= 0
+	})
+	s.waitFor("it loads adapters", func() bool { return s.serves(next, "a2") })
+	s.waitFor("the former planner serves what the new one loaded", func() bool { return s.serves(former, "a2") })
+	s.waitFor("the former planner gets adapters through the new one", func() bool { return s.serves(former, "a3") })
+	s.checkOrders()
+}
+
 func TestAPlannerThatStartsAgainGoesOnAtOnce(t *testing.T) {
 	s := newSite(t, 1)
 	require.True(t, s.serves(0, "a1"))
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -5,19 +5,24 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/shelfledge/shelfledge/models/deployment"
+	"github.com/shelfledge/shelfledge/modules/store"
 	"github.com/shelfledge/shelfledge/platform"
+	"github.com/shelfledge/shelfledge/services/coordinator"
 	"github.com/shelfledge/shelfledge/services/process"
 	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
 )
@@ -41,6 +46,51 @@
 	process *process.Process
 	log     *lockedBuffer
 	ended   bool
+	// cut makes the store unreachable for this entry alone.
+	cut atomic.Bool
+}
+
+// gated makes a store's calls fail as long as the entry is cut from it.
+func (e *entryProcess) gated(client store.Client) store.Client {
+	gate := func(ctx context.Context) error {
+		if !e.cut.Load() {
+			return nil
+		}
+		<-ctx.Done()
+		return &store.UnknownError{Cause: ctx.Err()}
+	}
+	gated := client
+	gated.Get = func(ctx context.Context, key string) (store.Item, error) {
+		if err := gate(ctx); err != nil {
+			return store.Item{}, err
+		}
+		return client.Get(ctx, key)
+	}
+	gated.Range = func(ctx context.Context, prefix, after string) (store.Page, error) {
+		if err := gate(ctx); err != nil {
+			return store.Page{}, err
+		}
+		return client.Range(ctx, prefix, after)
+	}
+	gated.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+		if err := gate(ctx); err != nil {
+			return nil, after, err
+		}
+		return client.Watch(ctx, prefix, after, wait)
+	}
+	gated.Commit = func(ctx context.Context, transaction store.Transaction) (int64, error) {
+		if err := gate(ctx); err != nil {
+			return 0, err
+		}
+		return client.Commit(ctx, transaction)
+	}
+	gated.KeepLease = func(ctx context.Context, lease int64) error {
+		if err := gate(ctx); err != nil {
+			return err
+		}
+		return client.KeepLease(ctx, lease)
+	}
+	return gated
 }
 
 // lockedBuffer is a log that tests may read while it is written.
@@ -109,6 +159,11 @@
 	require.NoError(s.t, err)
 	options := settings.Process(logrus.InfoLevel, s.ports.Metrics)
 	options.LogOutput = e.log
+	options.Environment = func(retire func(deployment.EndpointID)) coordinator.Environment {
+		environment := settings.Environment(retire)
+		environment.Store = e.gated(environment.Store)
+		return environment
+	}
 	e.process = process.New(options)
 	require.NoError(s.t, e.process.Start())
 	return e
