Enforce the configured bound of heads; test a store over its rate; call halls halls

Change: a head over the bound gets 431; the stand-in's store refuses calls over a rate; Zone is Hall outside platform/. Tests: TestAHeadOverTheConfiguredLimitIsRefused (failed before), TestAStoreOverItsRateDelaysButBreaksNothing (passes without a change to the product).

--- a/models/deployment/endpoint.go
+++ b/models/deployment/endpoint.go
@@ -44,7 +44,7 @@
 	ID      EndpointID
 	Service string
 	Address netip.AddrPort
-	Zone    string
+	Hall    string
 	Slots   int
 	State   EndpointState
 	// Models are the base models it holds.
--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -12,12 +12,12 @@
 
 // Options are the settings of a choice.
 type Options struct {
-	// Zone is this instance's own.
-	Zone string
-	// ZonePenalty is how many requests in flight a crossing of zones weighs.
-	ZonePenalty float64
-	// PlainZonePenalty is the same for plain services.
-	PlainZonePenalty float64
+	// Hall is this instance's own.
+	Hall string
+	// HallPenalty is how many requests in flight a crossing of halls weighs.
+	HallPenalty float64
+	// PlainHallPenalty is the same for plain services.
+	PlainHallPenalty float64
 	// FullShare is the part of a model endpoint's slots beyond which it gets no more requests;
 	// with more in flight, all of them take longer than their callers wait.
 	FullShare float64
@@ -98,13 +98,13 @@
 
 func cost(entry *directory.Entry, request *deployment.Request, options Options) float64 {
 	cost := float64(entry.Load()) + options.Random()/2
-	if entry.Zone == options.Zone {
+	if entry.Hall == options.Hall {
 		return cost
 	}
 	if request.UsesModel() {
-		return cost + options.ZonePenalty
+		return cost + options.HallPenalty
 	}
-	return cost + options.PlainZonePenalty
+	return cost + options.PlainHallPenalty
 }
 
 func tried(list []deployment.EndpointID, id deployment.EndpointID) bool {
--- a/services/balance/choose_test.go
+++ b/services/balance/choose_test.go
@@ -18,7 +18,7 @@
 var (
 	start   = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 	adapter = deployment.Adapter{Model: "base", Name: "a1"}
-	options = balance.Options{Zone: "near", ZonePenalty: 1, PlainZonePenalty: 2.5, Random: func() float64 { return 0 }}
+	options = balance.Options{Hall: "near", HallPenalty: 1, PlainHallPenalty: 2.5, Random: func() float64 { return 0 }}
 )
 
 func build(endpoints ...deployment.Endpoint) *directory.Directory {
@@ -30,9 +30,9 @@
 	return d
 }
 
-func holder(id, zone string) deployment.Endpoint {
+func holder(id, hall string) deployment.Endpoint {
 	return deployment.Endpoint{
-		ID: deployment.EndpointID(id), Zone: zone, Models: []string{"base"}, Adapters: map[deployment.Adapter]int64{adapter: 1},
+		ID: deployment.EndpointID(id), Hall: hall, Models: []string{"base"}, Adapters: map[deployment.Adapter]int64{adapter: 1},
 	}
 }
 
@@ -41,7 +41,7 @@
 }
 
 func TestOnlyEndpointsThatHoldTheAdapterAreChosen(t *testing.T) {
-	d := build(holder("far", "other"), deployment.Endpoint{ID: "empty", Zone: "near", Models: []string{"base"}})
+	d := build(holder("far", "other"), deployment.Endpoint{ID: "empty", Hall: "near", Models: []string{"base"}})
 	entry, verdict := choose(d, balance.Demand{Request: &deployment.Request{Adapter: adapter}})
 	require.Equal(t, balance.Chosen, verdict)
 	assert.Equal(t, deployment.EndpointID("far"), entry.ID)
--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -58,9 +58,9 @@
 }
 
 const (
-	// zonePenalty and plainZonePenalty are what crossing a zone weighs, in requests in flight.
-	zonePenalty      = 1.0
-	plainZonePenalty = 2.5
+	// hallPenalty and plainHallPenalty are what crossing between halls weighs, in requests in flight.
+	hallPenalty      = 1.0
+	plainHallPenalty = 2.5
 	// crowdedShare is the part of a model endpoint's slots from which on it gets no new copies, and
 	// fullShare the part from which on it gets no requests; between the two it serves what only it holds.
 	crowdedShare = 0.5
@@ -136,7 +136,7 @@
 func (c *Coordinator) serve(now time.Time, w *waiter) bool {
 	demand := balance.Demand{Request: w.request, Version: c.demandedVersion(now, w.request.Adapter), Tried: w.tried}
 	options := balance.Options{
-		Zone: c.options.Zone, ZonePenalty: zonePenalty, PlainZonePenalty: plainZonePenalty, FullShare: fullShare, SmallBatch: fullBatch, Random: c.options.Random,
+		Hall: c.options.Hall, HallPenalty: hallPenalty, PlainHallPenalty: plainHallPenalty, FullShare: fullShare, SmallBatch: fullBatch, Random: c.options.Random,
 	}
 	entry, verdict := balance.Choose(now, c.directory.Service(w.request.Service), demand, options)
 	w.verdict = verdict
--- a/services/coordinator/message.go
+++ b/services/coordinator/message.go
@@ -127,7 +127,7 @@
 	Revision int64                    `msgpack:"r"`
 	Service  string                   `msgpack:"s"`
 	Address  netip.AddrPort           `msgpack:"a"`
-	Zone     string                   `msgpack:"z"`
+	Hall     string                   `msgpack:"z"`
 	Slots    int                      `msgpack:"n"`
 	State    deployment.EndpointState `msgpack:"t"`
 	Models   []modelView              `msgpack:"m"`
@@ -179,14 +179,14 @@
 		models = append(models, model)
 	}
 	return endpointView{
-		ID: entry.ID, Revision: entry.Revision, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
+		ID: entry.ID, Revision: entry.Revision, Service: entry.Service, Address: entry.Address, Hall: entry.Hall,
 		Slots: entry.Slots, State: entry.State, Models: models,
 	}
 }
 
 func (v *endpointView) endpoint() deployment.Endpoint {
 	endpoint := deployment.Endpoint{
-		ID: v.ID, Service: v.Service, Address: v.Address, Zone: v.Zone, Slots: v.Slots, State: v.State,
+		ID: v.ID, Service: v.Service, Address: v.Address, Hall: v.Hall, Slots: v.Slots, State: v.State,
 		Adapters: make(map[deployment.Adapter]int64),
 	}
 	for _, model := range v.Models {
--- a/services/coordinator/options.go
+++ b/services/coordinator/options.go
@@ -20,9 +20,9 @@
 
 // Options are the settings of a Coordinator.
 type Options struct {
-	// Instance and Zone name this process's machine and its hall.
+	// Instance and Hall name this process's machine and its hall.
 	Instance string
-	Zone     string
+	Hall     string
 	// PeerAddress is where this process listens for its peers.
 	PeerAddress netip.AddrPort
 	// Seeds are peers that may know the configuration when the store does not answer.
--- a/services/entry/service.go
+++ b/services/entry/service.go
@@ -110,6 +110,10 @@
 		answer.refuse(http.StatusNotFound, "no such route", 0)
 		return
 	}
+	if limit := configuration.Limits.MaxHeaderBytes; limit > 0 && headerBytes(incoming) > limit {
+		answer.refuse(http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)
+		return
+	}
 	if s.options.Refusing(route.Kind) {
 		answer.refuse(http.StatusServiceUnavailable, "stopping", stoppingPause)
 		return
@@ -178,6 +182,18 @@
 	}).Log(level, "request")
 }
 
+// headerBytes is the size of a request's head as it was sent, but for spaces that were dropped.
+func headerBytes(incoming *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(incoming.Method) + len(incoming.RequestURI) + len("Host") + len(incoming.Host) + 2*separators
+	for name, values := range incoming.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func deadline(arrived time.Time, route *deployment.Route, facts Facts) time.Time {
 	limit := route.Timeout
 	if facts.Patience > 0 && (limit <= 0 || facts.Patience < limit) {
--- a/tests/platform/failure_test.go
+++ b/tests/platform/failure_test.go
@@ -320,3 +320,24 @@
 	s.waitFor("new adapters are served again", func() bool { return s.serves(1, "a2") })
 	s.checkOrders()
 }
+
+// TestAStoreOverItsRateDelaysButBreaksNothing lets three entries share a rate that refuses a part of their
+// calls.
+func TestAStoreOverItsRateDelaysButBreaksNothing(t *testing.T) {
+	s := newSite(t, 3)
+	require.True(t, s.serves(0, "a1"))
+	s.store.SetFaults(standin.StoreFaults{PerSecond: 5})
+	time.Sleep(1500 * time.Millisecond)
+	for i := range s.entries {
+		assert.True(t, s.serves(i, "a1"), "what is loaded is served")
+	}
+	s.store.Put("op/config", standin.Configuration(2, map[string]string{"/late/": standin.PlainService}))
+	for i := range s.entries {
+		s.waitFor("the configuration is in force", func() bool {
+			return s.do(call{entry: i, path: "/late/x", method: http.MethodGet}).status == http.StatusOK
+		})
+	}
+	s.store.SetFaults(standin.StoreFaults{})
+	s.waitFor("new adapters are served again", func() bool { return s.serves(1, "a2") })
+	s.checkOrders()
+}
--- a/tests/platform/path_test.go
+++ b/tests/platform/path_test.go
@@ -199,3 +199,13 @@
 	}
 	assert.NotZero(t, unloads)
 }
+
+func TestAHeadOverTheConfiguredLimitIsRefused(t *testing.T) {
+	s := newSite(t, 1)
+	within := call{path: "/hold/x", header: map[string]string{"X-Note": strings.Repeat("x", 12<<10)}}
+	assert.Equal(t, http.StatusOK, s.do(within).status)
+	over := call{path: "/hold/x", header: map[string]string{"X-Note": strings.Repeat("x", 17<<10)}}
+	got := s.do(over)
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, got.status)
+	assert.Zero(t, s.runsOf(got.id))
+}
--- a/tests/platformstandin/store.go
+++ b/tests/platformstandin/store.go
@@ -30,6 +30,8 @@
 	Deaf bool
 	// Delay holds every answer back.
 	Delay time.Duration
+	// PerSecond is how many calls are answered in each second; the rest get 429. 0 sets no bound.
+	PerSecond int
 	// TurnAway refuses calls from these callers' addresses (IP) only.
 	TurnAway map[string]bool
 }
@@ -46,6 +48,9 @@
 	nextLease int64
 	changed   chan struct{}
 	faults    StoreFaults
+	// second is the second that rated calls are counted in, and rated how many it has seen.
+	second int64
+	rated  int
 	calls     map[string]int
 	closed    chan struct{}
 }
@@ -215,11 +220,24 @@
 	s.wake()
 }
 
+// overRate counts a call against the rate, if one is set.
+func (s *Store) overRate() bool {
+	if s.faults.PerSecond == 0 {
+		return false
+	}
+	if second := time.Now().Unix(); second != s.second {
+		s.second, s.rated = second, 0
+	}
+	s.rated++
+	return s.rated > s.faults.PerSecond
+}
+
 // ServeHTTP serves one call.
 func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
 	s.calls[request.URL.Path]++
 	faults := s.faults
+	limited := s.overRate()
 	s.mutex.Unlock()
 	caller, _, _ := net.SplitHostPort(request.RemoteAddr)
 	switch {
@@ -229,6 +247,9 @@
 	case faults.Down || faults.TurnAway[caller]:
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case limited:
+		writer.WriteHeader(http.StatusTooManyRequests)
+		return
 	case faults.Delay > 0:
 		time.Sleep(faults.Delay)
 	}
