Name the revision of a whole view by the planner's last watch, not by its first reading

Ruled out: late relaying, a late connection, the store. Change: the planner's revision goes on with each answer of its watch, so that a whole view removes what left since. Test: TestAnEndpointThatLeftDuringACutIsNotUsedAfterIt, failed before.

--- a/services/coordinator/endpoints.go
+++ b/services/coordinator/endpoints.go
@@ -108,7 +108,7 @@
 		}
 		return 0
 	}
-	c.loop.post(func(now time.Time) { c.applyEndpointEvents(now, sent, events) })
+	c.loop.post(func(now time.Time) { c.applyEndpointEvents(now, sent, events, next) })
 	if len(events) > 0 {
 		c.sleep(endpointWatchPause)
 	}
@@ -151,7 +151,11 @@
 	}
 }
 
-func (c *Coordinator) applyEndpointEvents(now, sent time.Time, events []store.Event) {
+// applyEndpointEvents takes in what a watch told, up to a revision.
+func (c *Coordinator) applyEndpointEvents(now, sent time.Time, events []store.Event, upTo int64) {
+	if c.planning != nil {
+		c.planning.at = max(c.planning.at, upTo)
+	}
 	for _, event := range events {
 		if event.Gone {
 			c.removeEndpoint(c.environment.EndpointOf(event.Key), event.Revision)
--- a/tests/platform/failure_test.go
+++ b/tests/platform/failure_test.go
@@ -341,3 +341,32 @@
 	s.waitFor("new adapters are served again", func() bool { return s.serves(1, "a2") })
 	s.checkOrders()
 }
+
+// TestAnEndpointThatLeftDuringACutIsNotUsedAfterIt is the mix day 771079186914 of mezhda (DRAIN): an entry that was
+// frozen while a worker left linked to the planner again, whose whole view named the revision of its first
+// reading; the entry knew a newer description of the worker and kept it.
+func TestAnEndpointThatLeftDuringACutIsNotUsedAfterIt(t *testing.T) {
+	s := newSite(t, 2)
+	follower := s.other(s.planner())
+	// The planner reads all endpoints within its first two seconds and follows them by watches from then on.
+	time.Sleep(2 * time.Second)
+	adapters := []string{"a1", "a2", "a3", "a4"}
+	for _, adapter := range adapters {
+		require.True(t, s.serves(follower, adapter))
+	}
+	// The workers describe what they hold now, at revisions after that reading.
+	time.Sleep(standin.BeatPace + 200*time.Millisecond)
+	entry := s.entries[follower]
+	entry.cut.Store(true)
+	entry.cutPeers(true)
+	gone := s.models[0]
+	gone.Vanish()
+	time.Sleep(700 * time.Millisecond)
+	entry.cutPeers(false)
+	time.Sleep(1200 * time.Millisecond)
+	before := len(gone.Runs())
+	for _, adapter := range adapters {
+		s.serves(follower, adapter)
+	}
+	assert.Len(t, gone.Runs(), before)
+}
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -7,9 +7,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,8 +49,38 @@
 	process *process.Process
 	log     *lockedBuffer
 	ended   bool
-	// cut makes the store unreachable for this entry alone.
-	cut atomic.Bool
+	// cut makes the store unreachable for this entry alone, peersCut its peers.
+	cut      atomic.Bool
+	peersCut atomic.Bool
+	mutex    sync.Mutex
+	links    []net.Conn
+}
+
+// cutPeers breaks the links to other entries and makes new ones impossible until it is told otherwise.
+func (e *entryProcess) cutPeers(cut bool) {
+	e.peersCut.Store(cut)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, link := range e.links {
+		_ = link.Close()
+	}
+	e.links = nil
+}
+
+// gatedDial dials peers unless the entry is cut from them.
+func (e *entryProcess) gatedDial(dial func(context.Context, netip.AddrPort) (net.Conn, error)) func(context.Context, netip.AddrPort) (net.Conn, error) {
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		if e.peersCut.Load() {
+			return nil, errors.New("cut from the peers")
+		}
+		conn, err := dial(ctx, address)
+		if err == nil {
+			e.mutex.Lock()
+			e.links = append(e.links, conn)
+			e.mutex.Unlock()
+		}
+		return conn, err
+	}
 }
 
 // gated makes a store's calls fail as long as the entry is cut from it.
@@ -162,6 +195,7 @@
 	options.Environment = func(retire func(deployment.EndpointID)) coordinator.Environment {
 		environment := settings.Environment(retire)
 		environment.Store = e.gated(environment.Store)
+		environment.Dial = e.gatedDial(environment.Dial)
 		return environment
 	}
 	e.process = process.New(options)
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -99,12 +99,12 @@
 	return w
 }
 
-// beatPace is the pause between two heartbeats.
-const beatPace = 300 * time.Millisecond
+// BeatPace is the pause between two heartbeats.
+const BeatPace = 300 * time.Millisecond
 
 // beat describes the worker again when what it holds has changed.
 func (w *Worker) beat() {
-	ticker := time.NewTicker(beatPace)
+	ticker := time.NewTicker(BeatPace)
 	defer ticker.Stop()
 	for {
 		select {
