Avoid a hall that cannot be reached; give connections up whose bytes nobody acknowledges

Change: three broken exchanges in a row with a hall's endpoints, without any answer in between, let the hall be avoided for 0.6 to 2.4 s; bytes to an endpoint that stay unacknowledged for 1.2 s end the connection (silence after an acknowledgement never does). Endpoints behind the cut stay the last resort. Ruled out: a shorter patience for answers, since silence does not justify an end. Tests: TestAHallThatCannotBeReachedIsAvoided, TestSentBytesWithoutAcknowledgementAreBounded.

--- a/modules/tcp/dialer.go
+++ b/modules/tcp/dialer.go
@@ -7,6 +7,8 @@
 	"context"
 	"net"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Dialer opens TCP connections that are reset when they are closed: what a cut link held up is
@@ -14,6 +16,10 @@
 type Dialer struct {
 	// Timeout bounds the set-up; 0 leaves it to the context.
 	Timeout time.Duration
+	// Unacknowledged is how long sent bytes may stay without the peer's acknowledgement until the
+	// connection is given up; 0 leaves it to the system. Silence of a peer that has acknowledged
+	// everything never ends a connection.
+	Unacknowledged time.Duration
 }
 
 // DialContext opens a connection over IPv4.
@@ -27,5 +33,27 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	if d.Unacknowledged > 0 {
+		if err := setUserTimeout(conn.(*net.TCPConn), d.Unacknowledged); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+	}
 	return conn, nil
 }
+
+// setUserTimeout bounds the time that sent bytes may stay unacknowledged.
+func setUserTimeout(conn *net.TCPConn, span time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(span.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- a/modules/tcp/dialer_test.go
+++ b/modules/tcp/dialer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/shelfledge/shelfledge/modules/tcp"
 )
@@ -33,3 +34,22 @@
 	_, err = accepted.Read(make([]byte, 1))
 	assert.True(t, errors.Is(err, syscall.ECONNRESET), "got %v", err)
 }
+
+// TestSentBytesWithoutAcknowledgementAreBounded reads the bound back from the connection; a cut link cannot
+// be made on loopback.
+func TestSentBytesWithoutAcknowledgementAreBounded(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := tcp.Dialer{Unacknowledged: 1200 * time.Millisecond}.DialContext(context.Background(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var span int
+	require.NoError(t, raw.Control(func(descriptor uintptr) {
+		span, err = unix.GetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	require.NoError(t, err)
+	assert.Equal(t, 1200, span)
+}
--- a/modules/upstream/client.go
+++ b/modules/upstream/client.go
@@ -50,10 +50,14 @@
 	MaxConnections int
 }
 
+// unacknowledged is how long an endpoint's machine may leave sent bytes without acknowledgement: a link
+// that loses packets needs some tries, a cut one never answers.
+const unacknowledged = 1200 * time.Millisecond
+
 // NewClient makes a client without connections.
 func NewClient(options Options) *Client {
 	if options.Dial == nil {
-		dialer := tcp.Dialer{}
+		dialer := tcp.Dialer{Unacknowledged: unacknowledged}
 		options.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp4", address.String())
 		}
--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		cost := cost(entry, demand.Request, options)
-		if entry.Health.Ejected(now) {
+		if entry.Avoided(now) {
 			if fallback == nil || cost < fallbackCost {
 				fallback, fallbackCost = entry, cost
 			}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -18,6 +18,8 @@
 	gone map[deployment.EndpointID]int64
 	// draining remembers who was seen draining: an incarnation never takes work again.
 	draining map[deployment.EndpointID]bool
+	// halls is how this instance reaches each other hall.
+	halls map[string]*reach
 }
 
 // New makes an empty directory.
@@ -27,6 +29,7 @@
 		byService: make(map[string][]*Entry),
 		gone:      make(map[deployment.EndpointID]int64),
 		draining:  make(map[deployment.EndpointID]bool),
+		halls:     make(map[string]*reach),
 	}
 }
 
@@ -44,7 +47,7 @@
 	}
 	entry, ok := d.entries[endpoint.ID]
 	if !ok {
-		entry = newEntry(endpoint, revision)
+		entry = newEntry(endpoint, revision, d.reachOf(endpoint.Hall))
 		d.entries[endpoint.ID] = entry
 		d.byService[endpoint.Service] = append(d.byService[endpoint.Service], entry)
 		return true
@@ -97,6 +100,15 @@
 	}
 }
 
+func (d *Directory) reachOf(hall string) *reach {
+	known, ok := d.halls[hall]
+	if !ok {
+		known = &reach{}
+		d.halls[hall] = known
+	}
+	return known
+}
+
 // Entry gives one endpoint, or nil.
 func (d *Directory) Entry(id deployment.EndpointID) *Entry {
 	return d.entries[id]
@@ -146,6 +158,7 @@
 		}
 	}
 	entry.Health.note(now, outcome, d.failureRate(entry))
+	entry.hall.note(now, outcome)
 }
 
 // failureRate is the mean failure rate of the other endpoints of a service.
--- a/services/directory/directory_test.go
+++ b/services/directory/directory_test.go
@@ -149,3 +149,41 @@
 	assert.Zero(t, d.Entry("e").Load())
 	assert.Empty(t, d.Entry("e").OwnByAdapter)
 }
+
+// TestAHallThatCannotBeReachedIsAvoided is about a cut between halls: each endpoint behind it had to
+// break two exchanges of its own before it was avoided.
+func TestAHallThatCannotBeReachedIsAvoided(t *testing.T) {
+	d := directory.New()
+	for i, id := range []string{"far-1", "far-2", "far-3", "far-4", "near"} {
+		one := endpoint(id, deployment.Ready)
+		one.Hall = "far"
+		if id == "near" {
+			one.Hall = "near"
+		}
+		d.Put(one, int64(i+1))
+	}
+	now := start
+	exchange := func(id deployment.EndpointID, outcome directory.Outcome) {
+		d.Begin(now, id, deployment.Adapter{})
+		d.End(now, id, deployment.Adapter{}, outcome)
+	}
+	exchange("far-1", directory.Broken)
+	exchange("far-2", directory.Broken)
+	exchange("far-2", directory.Refused)
+	exchange("far-3", directory.Broken)
+	assert.False(t, d.Entry("far-4").Avoided(now), "an answer in between shows that the hall is reached")
+
+	exchange("far-1", directory.Broken)
+	exchange("far-2", directory.Broken)
+	assert.True(t, d.Entry("far-4").Avoided(now))
+	assert.False(t, d.Entry("near").Avoided(now))
+
+	now = now.Add(700 * time.Millisecond)
+	assert.False(t, d.Entry("far-4").Avoided(now), "it is tried again")
+	exchange("far-4", directory.Broken)
+	assert.True(t, d.Entry("far-4").Avoided(now.Add(time.Second)), "for longer each time")
+
+	now = now.Add(2 * time.Second)
+	exchange("far-4", directory.Succeeded)
+	assert.False(t, d.Entry("far-4").Avoided(now))
+}
--- a/services/directory/entry.go
+++ b/services/directory/entry.go
@@ -29,6 +29,8 @@
 	Health Health
 	// Held are the adapters that it held at any time, and when each was last seen there.
 	Held map[deployment.Adapter]time.Time
+	// hall is how this instance reaches the endpoint's hall.
+	hall *reach
 	// missing holds adapters that the endpoint lately said it does not hold.
 	missing map[deployment.Adapter]time.Time
 }
@@ -37,9 +39,10 @@
 // against an older description.
 const missingFor = 1500 * time.Millisecond
 
-func newEntry(endpoint deployment.Endpoint, revision int64) *Entry {
+func newEntry(endpoint deployment.Endpoint, revision int64, hall *reach) *Entry {
 	return &Entry{
 		Endpoint:      endpoint,
+		hall:          hall,
 		Revision:      revision,
 		OfferedModels: endpoint.Models,
 		Offered:       endpoint.Adapters,
@@ -63,6 +66,12 @@
 	return !gone || now.Sub(at) > missingFor
 }
 
+// Avoided tells whether the endpoint gets requests only where no other can run them: it behaved badly,
+// or its hall cannot be reached.
+func (e *Entry) Avoided(now time.Time) bool {
+	return e.Health.Ejected(now) || e.hall.cut(now)
+}
+
 // Load is the number of requests known to be in flight.
 func (e *Entry) Load() int {
 	return e.Own + e.Others
--- /dev/null
+++ b/services/directory/reach.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory
+
+import "time"
+
+const (
+	// cutAfter is how many exchanges in a row with a hall's endpoints must break, without any answer in
+	// between, until the hall counts as cut off.
+	cutAfter = 3
+	// firstCut and longestCut bound how long a hall then gets no requests; after that one round of
+	// requests tries it again.
+	firstCut   = 600 * time.Millisecond
+	longestCut = 2400 * time.Millisecond
+)
+
+// reach is how this instance reaches the endpoints of one hall. A cut between halls breaks the exchanges
+// with all endpoints there, which would otherwise have to be found out for each of them.
+type reach struct {
+	broken int
+	until  time.Time
+	span   time.Duration
+}
+
+// cut tells whether the hall is taken for cut off.
+func (r *reach) cut(now time.Time) bool {
+	return now.Before(r.until)
+}
+
+// note takes in the end of an exchange with any endpoint of the hall.
+func (r *reach) note(now time.Time, outcome Outcome) {
+	switch outcome {
+	case Neutral:
+		return
+	case Succeeded, Errored, Refused:
+		*r = reach{}
+		return
+	case Broken:
+		r.broken++
+	}
+	if r.broken < cutAfter || r.cut(now) {
+		return
+	}
+	r.span = min(max(2*r.span, firstCut), longestCut)
+	r.until = now.Add(r.span)
+}
