--- a/tests/platformstandin/store.go
+++ b/tests/platformstandin/store.go
@@ -51,8 +51,8 @@
 	// second is the second that rated calls are counted in, and rated how many it has seen.
 	second int64
 	rated  int
-	calls     map[string]int
-	closed    chan struct{}
+	calls  map[string]int
+	closed chan struct{}
 }
 
 type item struct {
