--- a/services/coordinator/acquire.go
+++ b/services/coordinator/acquire.go
@@ -243,7 +243,7 @@
 	}
 	term := c.following.term
 	newTerm := term == 0 || c.knownRecord.Term > term
-	if newTerm || c.following.resignedTerm == term || c.following.endedTerm == term || c.knownRecord.Released {
+	if newTerm || c.following.resignedTerm == term || c.knownRecord.Released {
 		return handOverTime
 	}
 	return takeoverTime
--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -296,17 +296,16 @@
 	if revision != k.revision || k.since.IsZero() {
 		k.revision, k.since = revision, now
 	}
-	resigned, ended := false, false
+	resigned := false
 	c.loop.call(func(now time.Time) {
 		c.storeReadAt = now
 		c.noteRecord(record)
 		resigned = found && record.Term == c.following.resignedTerm
-		ended = found && record.Term == c.following.endedTerm
 		if due {
 			c.sendReport(now)
 		}
 	})
-	vacant := !found || record.Released || resigned || ended
+	vacant := !found || record.Released || resigned
 	if record.Holder != c.options.Instance && now.Sub(k.openSince(now, record.Term, vacant)) < c.options.Reluctance {
 		return
 	}
@@ -319,7 +318,7 @@
 		return
 	}
 	record.Released = record.Released || resigned
-	k.takeOwnership(record, revision, found, ended)
+	k.takeOwnership(record, revision, found)
 }
 
 // openSince is since when the record could be taken over, as far as this instance knows: since it was
@@ -401,7 +400,7 @@
 }
 
 // takeOwnership writes this instance into the record if nobody changed it since it was read.
-func (k *keeper) takeOwnership(replaced ownership.Record, revision int64, found, ended bool) {
+func (k *keeper) takeOwnership(replaced ownership.Record, revision int64, found bool) {
 	c := k.coordinator
 	if !k.grantLease() {
 		return
@@ -416,7 +415,7 @@
 	if err != nil {
 		return
 	}
-	wait := c.options.Ownership.Wait(c.options.Instance, replaced, found, ended)
+	wait := c.options.Ownership.Wait(c.options.Instance, replaced, found)
 	ctx, cancel := c.storeCall()
 	defer cancel()
 	sent := c.options.Now()
--- a/services/coordinator/reporting.go
+++ b/services/coordinator/reporting.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/deployment"
@@ -28,8 +26,6 @@
 	members      int
 	// resignedTerm is the last term whose holder said that it gives no more orders.
 	resignedTerm int64
-	// endedTerm is the last term whose holder's process is known to have ended.
-	endedTerm int64
 	// ratesDue asks for the arrival rates in the next report.
 	ratesDue bool
 	// withdrawals is the last announcement taken in.
@@ -74,27 +70,12 @@
 	return address, address.IsValid() && address != c.options.PeerAddress
 }
 
-// notePlannerEnded takes in that the planner's machine is up but refuses connections: the process
-// that wrote the record has ended, and a later one there does not order under the record's term.
-func (c *Coordinator) notePlannerEnded(address netip.AddrPort, err error) {
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
-	}
-	c.loop.call(func(time.Time) {
-		if c.knownRecord.Address == address && c.knownRecord.Term > c.following.endedTerm {
-			c.following.endedTerm = c.knownRecord.Term
-			c.leadershipDue = true
-		}
-	})
-}
-
 // followAt holds one link until it fails or falls silent.
 func (c *Coordinator) followAt(address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(c.context, plannerSilence)
 	conn, err := c.environment.Dial(ctx, address)
 	cancel()
 	if err != nil {
-		c.notePlannerEnded(address, err)
 		return
 	}
 	stream := peerstream.New[message](conn)
--- a/services/ownership/record.go
+++ b/services/ownership/record.go
@@ -48,9 +48,8 @@
 	Turn time.Duration
 }
 
-// Wait is how long a new holder gives no orders, judged by the record it replaced; holderEnded tells
-// that the process which wrote that record is known to have ended.
-func (o Options) Wait(self string, replaced Record, found, holderEnded bool) time.Duration {
+// Wait is how long a new holder gives no orders, judged by the record it replaced.
+func (o Options) Wait(self string, replaced Record, found bool) time.Duration {
 	full := o.Window + 2*o.OrderTimeout
 	switch {
 	case !found:
@@ -59,8 +58,8 @@
 		return max(o.Turn, o.OrderTimeout)
 	case replaced.Released:
 		return 0
-	case (replaced.Holder == self || holderEnded) && replaced.Ordering:
-		// The former process is dead; its last bytes may still travel.
+	case replaced.Holder == self && replaced.Ordering:
+		// The former process on this machine is dead; its last bytes may still travel.
 		return o.OrderTimeout / 2
 	case !replaced.Ordering && replaced.Former == self:
 		// Nobody gave orders since this machine did.
