--- a/services/coordinator/leadership.go
+++ b/services/coordinator/leadership.go
@@ -27,8 +27,6 @@
 	aliveLife = 1200 * time.Millisecond
 	// lookPause is the pause between two looks at the record by an instance without planner.
 	lookPause = 300 * time.Millisecond
-	// releasePause is how often a holder that gives up looks whether its orders have ended.
-	releasePause = 10 * time.Millisecond
 	// settledRecord is how long a record must have been unchanged before it is taken over.
 	settledRecord = 300 * time.Millisecond
 	// takeoverSilence is after how long without the planner's word its record is looked at.
@@ -92,35 +90,6 @@
 	k.beginOrdering()
 }
 
-// resignIfOthersCan gives the ownership up while the store does not answer this instance but
-// answers a member, so that the member need not wait until this holder's time is over.
-func (c *Coordinator) resignIfOthersCan(now time.Time) {
-	p := c.planning
-	if p.leaving || p.tenure.Age(now) < confirmTrouble {
-		return
-	}
-	for _, m := range p.members {
-		if m.lost.IsZero() && m.storeReadAge < confirmTrouble && now.Sub(m.heard) < confirmTrouble {
-			p.leaving = true
-		}
-	}
-	if p.leaving {
-		c.run(func() { c.resign(p) })
-	}
-}
-
-// resign tells the members that no more orders follow, once those under way have ended.
-func (c *Coordinator) resign(p *planning) {
-	for c.ordersUnderWay(p) && c.context.Err() == nil {
-		c.sleep(releasePause)
-	}
-	c.options.Log.WithField("term", p.tenure.Record().Term).Warn("planning resigned: the store answers others only")
-	c.loop.call(func(now time.Time) {
-		p.resigned = true
-		p.broadcast(now, true)
-	})
-}
-
 // renewSign keeps the lease of the sign of life, or makes a new one.
 func (k *keeper) renewSign() {
 	c := k.coordinator
@@ -464,42 +433,6 @@
 	c.sendReport(now)
 }
 
-// Release hands the ownership over, if this instance has it: no more orders are sent, those
-// under way are awaited, and the record says that a successor need not wait.
-func (c *Coordinator) Release(ctx context.Context) {
-	c.leaving.Store(true)
-	var p *planning
-	c.loop.call(func(now time.Time) {
-		c.sendReport(now)
-		if p = c.planning; p != nil {
-			p.leaving = true
-		}
-	})
-	if p == nil {
-		return
-	}
-	for c.ordersUnderWay(p) && ctx.Err() == nil {
-		c.sleep(releasePause)
-	}
-	record := p.tenure.Record()
-	record.Released = record.Ordering && !c.ordersUnderWay(p)
-	c.loop.call(func(now time.Time) { record.RecentLoads = p.recentLoads(now) })
-	if record.Released {
-		c.rewriteRecord(p.tenure, record)
-	}
-	c.loop.call(func(now time.Time) {
-		p.resigned = record.Released
-		p.broadcast(now, true)
-		p.tenure.End()
-	})
-}
-
-func (c *Coordinator) ordersUnderWay(p *planning) bool {
-	underWay := false
-	c.loop.call(func(time.Time) { underWay = p.orders > 0 })
-	return underWay
-}
-
 // orderCall bounds one order, so that a later holder knows when the last one has arrived.
 func (c *Coordinator) orderCall() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(c.context, c.options.Ownership.OrderTimeout)
