--- a/tests/platform/explain_test.go
+++ b/tests/platform/explain_test.go
@@ -138,7 +138,7 @@
 		"../../modules/entrymetric/metrics.go", "../../services/entry/service.go", "../../services/entry/run.go", "../../services/admission/decide.go",
 		"../../services/coordinator/planning.go", "../../services/coordinator/leadership.go", "../../services/coordinator/status.go",
 		"../../services/coordinator/configuration.go", "../../services/coordinator/endpoints.go", "../../services/process/process.go",
-		"../../services/coordinator/coordinator.go", "../../services/loading/order.go",
+		"../../services/coordinator/coordinator.go", "../../services/coordinator/handover.go", "../../services/loading/order.go",
 	} {
 		content, err := os.ReadFile(path)
 		require.NoError(t, err)
