Tell what waits for peers, and how old the endpoints in use are

Cause: the logs could not tell the hypotheses about the incident of large configurations apart: nothing told how many bytes wait for peers, when a link is closed for them, how large a configuration is, when an instance begins to read endpoints itself. No decision changes.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -42,6 +42,8 @@
 	Members              float64
 	Connections          float64
 	LogSuppressed        float64
+	PeerQueueBytes       float64
+	EndpointsAgeSeconds  float64
 }
 
 // Metrics are the counters and histograms of a process.
@@ -52,6 +54,8 @@
 	retries  *prometheus.CounterVec
 	orders   *prometheus.CounterVec
 	store    *prometheus.CounterVec
+	relayed  prometheus.Counter
+	closed   prometheus.Counter
 	waited   *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
@@ -66,6 +70,9 @@
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "shelfledge", Name: name, Help: help}, labels)
 	}
+	plain := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "shelfledge", Name: name, Help: help})
+	}
 	histogram := func(name, help string) *prometheus.HistogramVec {
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "shelfledge", Name: name, Help: help, Buckets: buckets}, []string{"class"})
 	}
@@ -77,11 +84,13 @@
 		retries: counter("repeats_total", "Repeated sends to further endpoints.", "class"),
 		orders:  counter("orders_total", "Orders to endpoints, by kind and reply.", "kind", "reply"),
 		store:   counter("store_failures_total", "Calls to the store that failed, by call.", "call"),
+		relayed: plain("configuration_relayed_bytes_total", "Bytes of the operators' keys sent to peers that lacked them."),
+		closed:  plain("peer_links_closed_total", "Links of peers closed because too much waited for the peer."),
 		waited:  histogram("wait_seconds", "Wait for an endpoint."),
 		first:   histogram("first_byte_seconds", "Time to the head of the answer."),
 		whole:   histogram("request_seconds", "Time to the end of the answer."),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.waited, m.first, m.whole, &gaugeCollector{read: gauges})
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -116,6 +125,16 @@
 	m.store.WithLabelValues(call).Inc()
 }
 
+// ObserveRelay counts bytes of the operators' keys that were sent to a peer.
+func (m *Metrics) ObserveRelay(bytes int) {
+	m.relayed.Add(float64(bytes))
+}
+
+// ObserveLinkClosed counts one peer's link that was closed because too much waited for the peer.
+func (m *Metrics) ObserveLinkClosed() {
+	m.closed.Inc()
+}
+
 // gaugeCollector reads all gauges at once.
 type gaugeCollector struct {
 	read func() Gauges
@@ -142,6 +161,8 @@
 	describe("planner_term", "Term of the planner that this instance knows.", func(g Gauges) float64 { return g.Term }),
 	describe("members", "Instances that share the fleet's bounds.", func(g Gauges) float64 { return g.Members }),
 	describe("connections_opened", "Connections opened to endpoints.", func(g Gauges) float64 { return g.Connections }),
+	describe("peer_queue_bytes", "Bytes that wait to be written to peers.", func(g Gauges) float64 { return g.PeerQueueBytes }),
+	describe("endpoints_age_seconds", "For how long the endpoints in use may have changed unnoticed.", func(g Gauges) float64 { return g.EndpointsAgeSeconds }),
 	describe("log_lines_suppressed", "Log lines that were not written.", func(g Gauges) float64 { return g.LogSuppressed }),
 }
 
--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -41,8 +42,10 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	outgoing chan Frame
-	closed   chan struct{}
-	once     sync.Once
+	// queued counts the bytes of the frames that wait or are being written.
+	queued atomic.Int64
+	closed chan struct{}
+	once   sync.Once
 }
 
 // New starts the sender of a stream; Close ends it.
@@ -82,15 +85,23 @@
 
 // SendFrame queues an encoded message like Send.
 func (s *Stream[M]) SendFrame(frame Frame) error {
+	s.queued.Add(int64(len(frame)))
 	select {
 	case s.outgoing <- frame:
 		return nil
 	default:
+		s.queued.Add(-int64(len(frame)))
 		s.Close()
 		return ErrCongested
 	}
 }
 
+// Queued is how many bytes of messages wait for the peer to read, the one that is being written included; a frame that waits
+// on several streams counts on each.
+func (s *Stream[M]) Queued() int64 {
+	return s.queued.Load()
+}
+
 // Receive waits for the next message, at most for the silence that is allowed. Its errors are ErrTooLarge, those of the
 // connection and those of decoding; the stream is of no use after any of them.
 func (s *Stream[M]) Receive(silence time.Duration, now func() time.Time) (M, error) {
@@ -135,7 +146,9 @@
 			if s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 				return
 			}
-			if _, err := s.conn.Write(frame); err != nil {
+			_, err := s.conn.Write(frame)
+			s.queued.Add(-int64(len(frame)))
+			if err != nil {
 				return
 			}
 		}
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -126,7 +126,9 @@
 		return
 	}
 	c.current.Store(configuration)
-	c.options.Log.WithFields(map[string]any{"version": configuration.Version, "revision": item.Revision}).Info("configuration in force")
+	c.options.Log.WithFields(map[string]any{
+		"version": configuration.Version, "revision": item.Revision, "bytes": len(item.Value),
+	}).Info("configuration in force")
 	if c.planning != nil {
 		c.planning.plans.SetConfiguration(now, configuration, c.versions.All())
 	}
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -29,6 +29,9 @@
 	tickPace = 25 * time.Millisecond
 	// sweepPace is the pause between two sweeps of old state. Not measured.
 	sweepPace = time.Second
+	// queueWarning is how many bytes may wait for peers before a line says so: an eighth of the smallest instance's 184 MB.
+	// Not measured.
+	queueWarning = 23 << 20
 )
 
 // Coordinator is the control part of one process.
@@ -169,6 +172,9 @@
 	c.sweptAt = now
 	c.directory.RememberHeld(now)
 	c.demand.Sweep(now)
+	if queued := c.peerQueueBytes(); queued > queueWarning {
+		c.options.Log.WithField("queued_bytes", queued).Warn("much waits for peers")
+	}
 	if c.planning != nil {
 		c.planning.plans.Sweep(now)
 	}
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -28,8 +28,14 @@
 // followEndpoints reads the endpoints' keys once, and later as its mode demands.
 func (c *Coordinator) followEndpoints() {
 	watched := int64(0)
+	former := follow.ReadByPolling
 	for c.context.Err() == nil {
-		switch c.endpointReader() {
+		reader := c.endpointReader()
+		if reader == follow.ReadByPolling && former != reader {
+			c.notePolling()
+		}
+		former = reader
+		switch reader {
 		case follow.ReadByPlanner:
 			watched = 0
 			c.sleep(idlePause)
@@ -46,6 +52,18 @@
 	}
 }
 
+// notePolling tells that this instance begins to read the endpoints' keys itself, and how old what it knows of them is.
+func (c *Coordinator) notePolling() {
+	var silence, age time.Duration
+	c.loop.Call(func(now time.Time) {
+		silence = now.Sub(c.following.ReceivedAt)
+		age = c.endpointsAge(now)
+	})
+	c.options.Log.WithFields(map[string]any{
+		"planner_silent_ms": silence.Milliseconds(), "endpoints_age_ms": age.Milliseconds(),
+	}).Info("endpoints are read here, since the planner's views are too old")
+}
+
 // alonePause is the pause between two calls of an instance that reads the store by itself; in
 // a large fleet it is up to twice as long, since all instances call at once then.
 func (c *Coordinator) alonePause(pause time.Duration) time.Duration {
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -55,6 +55,7 @@
 	}
 	if c.plannerLags(now) {
 		built.Items = c.keys.After(c.following.PlannerRevision)
+		c.observeRelay(built.Items)
 	}
 	return built
 }
--- a/services/entry/coordinator/status.go
+++ b/services/entry/coordinator/status.go
@@ -17,6 +17,10 @@
 	Planner        string
 	Term           int64
 	Members        int
+	// PeerQueueBytes is what waits to be written to peers, in bytes; a message for several peers counts for each.
+	PeerQueueBytes int64
+	// EndpointsAge is for how long the endpoints in use may have changed unnoticed; 0 before they were known.
+	EndpointsAge time.Duration
 }
 
 // Status gives the present state; it is zero once the coordinator has stopped.
@@ -26,6 +30,7 @@
 		status = Status{
 			Endpoints: c.directory.Size(), Waiting: c.waiters.Len(), Planning: c.planning != nil,
 			Planner: c.following.Planner, Term: c.following.Term, Members: c.following.Members,
+			PeerQueueBytes: c.peerQueueBytes(), EndpointsAge: c.endpointsAge(now),
 		}
 		if configuration := c.current.Load(); configuration != nil {
 			status.Configuration = configuration.Version
@@ -43,3 +48,33 @@
 	})
 	return status
 }
+
+// peerQueueBytes sums what waits on the links to peers.
+func (c *Coordinator) peerQueueBytes() int64 {
+	var sum int64
+	if c.following.stream != nil {
+		sum += c.following.stream.Queued()
+	}
+	if c.planning == nil {
+		return sum
+	}
+	for _, m := range c.planning.members.All() {
+		if m.Link != nil {
+			sum += m.Link.Queued()
+		}
+	}
+	return sum
+}
+
+// endpointsAge is for how long the endpoints in use may have changed unnoticed: since this instance or the planner, by its
+// last view, read them.
+func (c *Coordinator) endpointsAge(now time.Time) time.Duration {
+	if !c.endpointsKnown {
+		return 0
+	}
+	age := now.Sub(c.endpointsReadAt)
+	if c.planning == nil && !c.following.ReceivedAt.IsZero() {
+		age = min(age, c.following.ReadAge+now.Sub(c.following.ReceivedAt))
+	}
+	return age
+}
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -71,10 +71,7 @@
 func (p *planning) sendView(now time.Time, m *member.Member, changes *wire.View, frame peerstream.Frame) {
 	items := p.itemsFor(now, m)
 	if !m.NeedsFull && len(items) == 0 {
-		if err := m.Link.SendFrame(frame); err != nil {
-			// The member dials again and gets a full view.
-			m.Link = nil
-		}
+		p.sent(m, m.Link.SendFrame(frame))
 		return
 	}
 	own := *changes
@@ -83,10 +80,37 @@
 		m.NeedsFull = false
 	}
 	own.Items = items
-	if err := m.Link.Send(wire.Message{View: &own}); err != nil {
-		// As above: the member dials again.
-		m.Link = nil
+	p.coordinator.observeRelay(items)
+	p.sent(m, m.Link.Send(wire.Message{View: &own}))
+}
+
+// sent takes in how the sending of a view ended. After a failure the member dials again and gets a whole view.
+func (p *planning) sent(m *member.Member, err error) {
+	if err == nil {
+		return
+	}
+	p.coordinator.noteLinkClosed(m.Link.Queued(), err)
+	m.Link = nil
+}
+
+// noteLinkClosed logs and counts a peer's link that was given up since a message could not be queued.
+func (c *Coordinator) noteLinkClosed(queued int64, err error) {
+	if c.options.ObserveLinkClosed != nil {
+		c.options.ObserveLinkClosed()
+	}
+	c.options.Log.WithError(err).WithField("queued_bytes", queued).Warn("a peer's link was closed, since too much waits for it")
+}
+
+// observeRelay counts the operators' keys that are sent to a peer.
+func (c *Coordinator) observeRelay(items []store.Item) {
+	if len(items) == 0 || c.options.ObserveRelay == nil {
+		return
+	}
+	bytes := 0
+	for _, item := range items {
+		bytes += len(item.Value)
 	}
+	c.options.ObserveRelay(bytes)
 }
 
 // noChanges tells whether all members have the plan's last state.
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -92,6 +92,8 @@
 	var metrics *metric.Metrics
 	options.Coordinator.ObserveOrder = func(kind, reply string) { metrics.ObserveOrder(kind, reply) }
 	options.Coordinator.ObserveStoreFailure = func(call string) { metrics.ObserveStoreFailure(call) }
+	options.Coordinator.ObserveRelay = func(bytes int) { metrics.ObserveRelay(bytes) }
+	options.Coordinator.ObserveLinkClosed = func() { metrics.ObserveLinkClosed() }
 	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) { client.Retire(string(id)) }))
 	metrics = newMetrics(control, client, writer)
 	return &Process{
@@ -203,6 +205,7 @@
 			ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
 			Term: float64(status.Term), Members: float64(status.Members),
 			Connections: float64(client.Dialed()), LogSuppressed: float64(writer.Suppressed()),
+			PeerQueueBytes: float64(status.PeerQueueBytes), EndpointsAgeSeconds: status.EndpointsAge.Seconds(),
 		}
 		if status.Planning {
 			gauges.Planning = 1
