--- a/services/entry/coordinator/coordinator_test.go
+++ b/services/entry/coordinator/coordinator_test.go
@@ -46,6 +46,7 @@
 	Demands         []wireDemand  `msgpack:"d,omitempty"`
 	Leaving         bool          `msgpack:"l,omitempty"`
 	StoreReadAge    time.Duration `msgpack:"k"`
+	Items           []store.Item  `msgpack:"o,omitempty"`
 }
 
 type wireCount struct {
@@ -79,6 +80,9 @@
 	ConfigurationAt int64                    `msgpack:"c"`
 	Items           []store.Item             `msgpack:"o,omitempty"`
 	Resigned        bool                     `msgpack:"b,omitempty"`
+	Made            time.Duration            `msgpack:"m,omitempty"`
+	AsksForKeys     bool                     `msgpack:"q,omitempty"`
+	KeysFrom        string                   `msgpack:"u,omitempty"`
 }
 
 type wireEndpoint struct {
