Let a weak instance leave a lost planner's record to others

Cause: an instance with a weak link or processor leaves a vacant record to others for a while, counted for a planner that was killed from when its record was first seen as it is: long ago, for one that planned for long. Change: the rule: the wait counts from when the holder's heartbeat was found ended. Measured: TestAWeakInstanceLeavesALostHoldersRecordToOthers; tests of services/entry/lease pass.

--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -68,6 +68,9 @@
 	// vacantSince is since when the record of vacantTerm was seen without a holder that orders.
 	vacantTerm  int64
 	vacantSince time.Time
+	// endedSince is since when the heartbeat of the holder of the record at endedRevision was found ended; zero if it was not.
+	endedRevision int64
+	endedSince    time.Time
 }
 
 // Decide tells whether this instance takes the record that it looked at.
@@ -91,6 +94,23 @@
 	}
 }
 
+// HeartbeatEnded decides again after TakeWithoutHeartbeat, where the holder's heartbeat was found ended now: a weak instance
+// leaves the record to others from then on, however long the record was seen as it is before.
+func (c *Candidate) HeartbeatEnded(now time.Time, sighting Sighting) Verdict {
+	if c.endedSince.IsZero() || c.endedRevision != sighting.Revision {
+		c.endedRevision, c.endedSince = sighting.Revision, now
+	}
+	if now.Sub(c.endedSince) < sighting.Reluctance {
+		return LeaveToOthers
+	}
+	return Take
+}
+
+// HeartbeatAlive notes that the holder's heartbeat was found alive.
+func (c *Candidate) HeartbeatAlive() {
+	c.endedSince = time.Time{}
+}
+
 // openSince is since when the record could be taken, as far as this instance knows: since it was first seen
 // without a holder that orders, or else since it was first seen as it is.
 func (c *Candidate) openSince(now time.Time, sighting Sighting) time.Time {
--- a/services/entry/lease/candidate_test.go
+++ b/services/entry/lease/candidate_test.go
@@ -124,6 +124,33 @@
 	})
 }
 
+// TestAWeakInstanceLeavesALostHoldersRecordToOthers is part of the incident of large configurations: the record of a planner that had
+// held it for long was open to weak instances at once, so that one took it whose link could not carry the views.
+func TestAWeakInstanceLeavesALostHoldersRecordToOthers(t *testing.T) {
+	const reluctance = 2400 * time.Millisecond
+	weak := silentHolder(func(s *lease.Sighting) { s.Reluctance = reluctance })
+	strong := silentHolder(nil)
+	lost := start.Add(time.Hour)
+
+	var candidate lease.Candidate
+	candidate.Decide(start, strong)
+	assert.Equal(t, lease.TakeWithoutHeartbeat, candidate.Decide(lost, strong))
+	assert.Equal(t, lease.Take, candidate.HeartbeatEnded(lost, strong), "a strong instance takes it at once")
+
+	candidate = lease.Candidate{}
+	candidate.Decide(start, weak)
+	assert.Equal(t, lease.TakeWithoutHeartbeat, candidate.Decide(lost, weak))
+	assert.Equal(t, lease.LeaveToOthers, candidate.HeartbeatEnded(lost, weak))
+	assert.Equal(t, lease.LeaveToOthers, candidate.HeartbeatEnded(lost.Add(reluctance-step), weak))
+	assert.Equal(t, lease.Take, candidate.HeartbeatEnded(lost.Add(reluctance), weak))
+
+	candidate.HeartbeatAlive()
+	assert.Equal(t, lease.LeaveToOthers, candidate.HeartbeatEnded(lost.Add(reluctance), weak), "it was alive since")
+	next := weak
+	next.Revision = 9
+	assert.Equal(t, lease.LeaveToOthers, candidate.HeartbeatEnded(lost.Add(2*reluctance), next), "another holder")
+}
+
 func TestLooksAtTheRecord(t *testing.T) {
 	next := start
 	cases := map[string]struct {
