End the plan of a service that loses its engine

Cause: SetConfiguration ended only the plans of services that were gone from the configuration. One that stayed and lost its engine kept its plan, whose endpoints went on getting orders until another instance planned. Change: a service without engine ends its plan like one that is gone. A plan that begins anew, as the engine comes back, takes in the endpoints that are known, as before. Looked for the same cause: of the entry program's consumers of a configuration (routes, limits, budget, directory, proxy) none keeps state by whether a service has an engine; proxy reads the configuration in force for each request. The daemon's pools come from its settings and are never changed by a configuration.

--- a/services/entry/coordinator/plan/engine_test.go
+++ b/services/entry/coordinator/plan/engine_test.go
@@ -12,8 +12,8 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 )
 
-// TestAServiceThatLosesItsEngineIsPlannedNoMore fails as listed in KNOWN-RED.txt: only services that are gone lose their
-// plan, so that the endpoints of one that is still configured, now without engine, go on getting orders.
+// TestAServiceThatLosesItsEngineIsPlannedNoMore takes the engine from a service that stays configured: its endpoints get no
+// orders any more, as if it were gone.
 func TestAServiceThatLosesItsEngineIsPlannedNoMore(t *testing.T) {
 	f := newFixture()
 	plain := deployment.NewConfiguration(2, nil, map[string]*deployment.Service{service: {Name: service}}, deployment.Limits{})
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -47,7 +47,7 @@
 }
 
 // SetConfiguration makes a plan for each service with engines, which begins with the endpoints that are known, and
-// ends those of services that are gone.
+// ends those of services that are gone or have no engines any more.
 func (p *Plans) SetConfiguration(now time.Time, configuration *deployment.Configuration, versions iter.Seq2[deployment.Adapter, int64]) {
 	p.configuration = configuration
 	for name, service := range configuration.Services {
@@ -62,7 +62,7 @@
 		p.introduceEndpoints(now, name)
 	}
 	for name := range p.planners {
-		if _, ok := configuration.Services[name]; !ok {
+		if service := configuration.Services[name]; service == nil || service.Engine == nil {
 			delete(p.planners, name)
 		}
 	}
