Wake for the earliest end of a load of all services

Cause: NextPoll gave the next poll of whichever service the map named first, so that with several services the end of a load was asked about later than planned, by up to one tick of 25 ms. Change: it gives the earliest of all services, and none if that one is beyond the limit. Looked for the same cause, a search over a map that returns the first find where the best is meant: services, models, modules and routers of both programs. The searches left return what is unique (a share, a rule by its order, a speaker, a record) or any that fits by design (services/entry/loading/next.go: any order that is due).

--- a/services/entry/coordinator/plan/next_poll_test.go
+++ b/services/entry/coordinator/plan/next_poll_test.go
@@ -37,8 +37,8 @@
 	f.plans.Done(now, loading.Result{Order: started[0], Reply: loading.Accepted, Took: time.Millisecond})
 }
 
-// TestTheNextPollIsTheEarliestOfAllServices fails as listed in KNOWN-RED.txt: the answer is the next poll of whichever
-// service the map names first, so that the planner wakes too late for the end of another one's load.
+// TestTheNextPollIsTheEarliestOfAllServices begins two loads of two services, one after the other: whichever service the map
+// names first, the planner has to wake for the end of the earlier one.
 func TestTheNextPollIsTheEarliestOfAllServices(t *testing.T) {
 	f := newFixture()
 	f.directory.Put(deployment.Endpoint{
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -228,15 +228,20 @@
 	return p.planners[service] != nil
 }
 
-// NextPoll is when a load under way is expected to have ended, at most a limit after now; false if none is. With
-// several services it is any one of theirs.
+// NextPoll is when the first of all loads under way is expected to have ended, at most a limit after now; false if none
+// is.
 func (p *Plans) NextPoll(now time.Time, limit time.Duration) (time.Time, bool) {
+	var earliest time.Time
 	for _, planner := range p.planners {
-		if next := planner.NextPoll(); !next.IsZero() && next.Sub(now) <= limit {
-			return next, true
+		next := planner.NextPoll()
+		if !next.IsZero() && (earliest.IsZero() || next.Before(earliest)) {
+			earliest = next
 		}
 	}
-	return time.Time{}, false
+	if earliest.IsZero() || earliest.Sub(now) > limit {
+		return time.Time{}, false
+	}
+	return earliest, true
 }
 
 // RecentLoads gives the base models' loads begun in the last window, by the service that began most.
