Name the planner's address in the answer to a starting instance

Cause: a view's address was encoded with omitempty. The codec takes a structure for empty whose exported fields are all left out, and netip.AddrPort has none, so that no address was ever sent: an instance that started while the store was down found no planner through its seeds, and one that the store no longer answered learned no later one from them. Change: the field's type wire.Address says itself when it is empty. Looked for the same cause in every encoded type of both programs: MessagePack (entry: wire, peerstream, the planner's record; daemon: models/daemon/fleet by modules/daemon/peerlink) has omitempty beside this field only on pointers to types without IsZero, slices, maps, strings, numbers and truth values; fleet's addresses and the record's have none. JSON (daemon: catalog, kv, query, operator, caller, engine, owners; entry: platform, proxy) has it on the same kinds only, time.Time (catalog.Record.At) has none.

--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -120,10 +120,11 @@
 func (c *Coordinator) seedView(now time.Time) *wire.View {
 	answer := &wire.View{
 		Planner: c.following.Planner, Term: c.knownRecord.Term, Items: c.keys.After(0), ConfigurationRevision: c.keys.Revision(),
-		ReadAge: now.Sub(c.endpointsReadAt), Address: c.knownRecord.Address,
+		ReadAge: now.Sub(c.endpointsReadAt), Address: wire.Address{AddrPort: c.knownRecord.Address},
 	}
 	if c.planning != nil {
-		answer.Planner, answer.Term, answer.Address = c.options.Instance, c.planning.lease.Record().Term, c.options.PeerAddress
+		answer.Planner, answer.Term = c.options.Instance, c.planning.lease.Record().Term
+		answer.Address = wire.Address{AddrPort: c.options.PeerAddress}
 	}
 	for _, status := range c.directory.Endpoints() {
 		answer.Endpoints = append(answer.Endpoints, wire.FromStatus(status))
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -20,7 +20,7 @@
 // askSeedsForPlanner lets an instance that the store does not answer learn from a peer who plans.
 func (c *Coordinator) askSeedsForPlanner() {
 	if answer := c.seeds.First(c.context); answer != nil {
-		c.loop.Call(func(time.Time) { c.learnSuccessor(wire.Successor{Term: answer.Term, Address: answer.Address}) })
+		c.loop.Call(func(time.Time) { c.learnSuccessor(wire.Successor{Term: answer.Term, Address: answer.Address.AddrPort}) })
 	}
 }
 
@@ -31,7 +31,7 @@
 	}
 	c.options.Log.WithField("configuration_at", v.ConfigurationRevision).Info("learned from a peer, since the store does not answer")
 	if v.Address.IsValid() && v.Term > c.knownRecord.Term {
-		c.knownRecord.Address, c.knownRecord.Term = v.Address, v.Term
+		c.knownRecord.Address, c.knownRecord.Term = v.Address.AddrPort, v.Term
 	}
 	for i := range v.Endpoints {
 		c.directory.Put(v.Endpoints[i].Endpoint(), v.Endpoints[i].Revision)
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -28,6 +28,17 @@
 	Address netip.AddrPort `msgpack:"z"`
 }
 
+// Address is an address that may be left out. The codec takes a structure without exported fields for empty, which
+// netip.AddrPort is, unless the type says itself what its zero value is.
+type Address struct {
+	netip.AddrPort
+}
+
+// IsZero tells whether there is no address.
+func (a Address) IsZero() bool {
+	return !a.IsValid()
+}
+
 // Request asks a peer for the configuration and for who plans.
 type Request struct {
 	Instance string `msgpack:"i"`
@@ -113,7 +124,7 @@
 	// ReadAge is how long ago the endpoints' keys were last known to be complete.
 	ReadAge time.Duration `msgpack:"g"`
 	// Address is where the planner is reached; only answers to requests name it.
-	Address netip.AddrPort `msgpack:"z,omitempty"`
+	Address Address `msgpack:"z,omitempty"`
 	// ConfirmedAge is how long ago the planner's lease was confirmed.
 	ConfirmedAge time.Duration `msgpack:"k"`
 	// Full says that endpoints which are not listed are gone, as of EndpointsRevision.
