Read the lease on the control goroutine only

Cause: Release and resign read the lease's record, and rewriteRecord its revision, on goroutines of their own, while the control goroutine may write both: a planned stop in the moment in which the holder begins to order could read half of a record. Change: the control goroutine makes the change of the record (rewrite: lease, revision, record as it shall be), another one carries it out. Release takes in one step that no order is under way and what the record shall say; resign is given its term. Looked for the same cause: every use of planning, following, directory and leases outside the functions that the loop runs, by reading services/entry/coordinator, and under the race detector the packages with goroutines of both programs: none found.

--- a/services/entry/coordinator/handover.go
+++ b/services/entry/coordinator/handover.go
@@ -22,17 +22,18 @@
 	}
 	p.givingUp = p.members.ReachStore(now)
 	if p.givingUp {
-		c.run(func() { c.resign(p) })
+		term := p.lease.Record().Term
+		c.run(func() { c.resign(p, term) })
 	}
 }
 
 // resign tells the members that no more orders follow, once those under way have ended. It logs so also if the
 // process stops or the term ends before that.
-func (c *Coordinator) resign(p *planning) {
+func (c *Coordinator) resign(p *planning, term int64) {
 	for c.ordersUnderWay(p) && c.context.Err() == nil {
 		c.sleep(releasePause)
 	}
-	c.options.Log.WithField("term", p.lease.Record().Term).Warn("planning resigned: the store answers others only")
+	c.options.Log.WithField("term", term).Warn("planning resigned: the store answers others only")
 	c.loop.Call(func(now time.Time) {
 		p.resigned = true
 		p.broadcast(now, true)
@@ -56,19 +57,28 @@
 	for c.ordersUnderWay(p) && ctx.Err() == nil {
 		c.sleep(releasePause)
 	}
-	record := p.lease.Record()
-	record.Released = record.Ordering && !c.ordersUnderWay(p)
-	c.loop.Call(func(now time.Time) { record.RecentLoads = p.plans.RecentLoads(now) })
-	if record.Released {
-		c.rewriteRecord(p.lease, record)
+	var release *rewrite
+	c.loop.Call(func(now time.Time) { release = p.release(now) })
+	if release != nil {
+		c.rewriteRecord(release)
 	}
 	c.loop.Call(func(now time.Time) {
-		p.resigned = record.Released
+		p.resigned = release != nil
 		p.broadcast(now, true)
 		p.lease.End()
 	})
 }
 
+// release gives the change of the record by which no order follows; nil if none may have been given yet, or one is under way.
+func (p *planning) release(now time.Time) *rewrite {
+	if p.orders > 0 || !p.lease.Record().Ordering {
+		return nil
+	}
+	due := newRewrite(p.lease)
+	due.record.Released, due.record.RecentLoads = true, p.plans.RecentLoads(now)
+	return due
+}
+
 func (c *Coordinator) ordersUnderWay(p *planning) bool {
 	underWay := false
 	c.loop.Call(func(time.Time) { underWay = p.orders > 0 })
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -108,29 +108,40 @@
 
 // beginOrdering writes into the record that orders may follow, once the former holder's time is surely over.
 func (c *Coordinator) beginOrdering() {
-	var held *lease.Lease
+	var due *rewrite
 	c.loop.Call(func(now time.Time) {
 		if c.planning != nil && c.planning.lease.Waited(now) && !c.planning.lease.Record().Ordering {
-			held = c.planning.lease
+			due = newRewrite(c.planning.lease)
+			due.record.Ordering = true
 		}
 	})
-	if held == nil {
-		return
+	if due != nil {
+		c.rewriteRecord(due)
 	}
-	record := held.Record()
-	record.Ordering = true
-	c.rewriteRecord(held, record)
+}
+
+// rewrite is a change of the holder's own record: the record as it shall be, and the revision that it replaces. It is made by the
+// control goroutine, which alone reads and writes the lease, and carried out by another one.
+type rewrite struct {
+	held     *lease.Lease
+	revision int64
+	record   lease.Record
+}
+
+// newRewrite gives a change of a lease's record that changes nothing yet.
+func newRewrite(held *lease.Lease) *rewrite {
+	return &rewrite{held: held, revision: held.Revision(), record: held.Record()}
 }
 
 // rewriteRecord changes this holder's own record.
-func (c *Coordinator) rewriteRecord(held *lease.Lease, record lease.Record) {
-	taken, end := c.leases.Rewrite(c.context, held.Revision(), record)
+func (c *Coordinator) rewriteRecord(due *rewrite) {
+	taken, end := c.leases.Rewrite(c.context, due.revision, due.record)
 	switch end {
 	case leasestore.Done, leasestore.Settled:
-		c.loop.Call(func(time.Time) { held.NoteRewritten(taken.Sent, taken.Record, taken.Revision) })
+		c.loop.Call(func(time.Time) { due.held.NoteRewritten(taken.Sent, taken.Record, taken.Revision) })
 	case leasestore.Lost:
 		c.loop.Call(func(time.Time) {
-			held.End()
+			due.held.End()
 			c.endIfOver()
 		})
 	case leasestore.Unknown:
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -300,8 +300,15 @@
 	engines *engines
 	pipes   *pipes
 	control *coordinator.Coordinator
+	// now is the instance's clock.
+	now func() time.Time
+	// aroundCommit wraps the store's writes, as the instance makes them.
+	aroundCommit func(commit commitFunc) commitFunc
 }
 
+// commitFunc is a call that writes to the store.
+type commitFunc = func(ctx context.Context, transaction store.Transaction) (int64, error)
+
 func parseEndpoint(item store.Item) (deployment.Endpoint, error) {
 	return deployment.Endpoint{
 		ID: deployment.EndpointID(strings.TrimPrefix(item.Key, endpointPrefix)), Service: service, Hall: "hall",
@@ -323,6 +330,7 @@
 	s := &site{
 		store: newMemoryStore(), engines: &engines{adapters: make(map[deployment.Adapter]int64)},
 		pipes: &pipes{dialed: make(chan net.Conn), incoming: make(chan net.Conn), closed: make(chan struct{})},
+		now:   time.Now, aroundCommit: func(commit commitFunc) commitFunc { return commit },
 	}
 	s.store.put(configurationKey, "3")
 	s.store.put(endpointPrefix+"e1", "")
@@ -337,10 +345,12 @@
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
 		LoadWindow: time.Second, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
-		Now: time.Now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
+		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
 	}
+	client := s.store.client()
+	client.Commit = s.aroundCommit(client.Commit)
 	environment := coordinator.Environment{
-		Store: s.store.client(), ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
+		Store: client, ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
 		ParseConfiguration: func([]byte) (*deployment.Configuration, error) { return configuration(), nil },
 		ParseVersion:       func(store.Item) (deployment.Adapter, int64, bool) { return deployment.Adapter{}, 0, false },
 		ParseEndpoint:      parseEndpoint,
