Run the packages with goroutines under the race detector in make test

Cause: make test ran without the race detector, so that races of the control part were found by reading only. Change: make race runs the packages with goroutines of both programs under it, and is part of make test. A data race fails it also in a test of KNOWN-RED.txt; such a test may fail in it and need not, since make unit judges that. It needs cgo.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 LINT     := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PACKAGES := ./...
 TRACES   := testdata/traces
+# Packages that start goroutines, for the race detector.
+RACES    := ./services/entry/coordinator/... ./modules/entry/... ./routers/entry/... ./services/daemon/control/... ./modules/daemon/...
 
-.PHONY: all build demo test unit lint fmt programs deadcode replay traces fuzz bench capacity clean
+.PHONY: all build demo test unit race lint fmt programs deadcode replay traces fuzz bench capacity clean
 
 all: build
 
@@ -16,7 +18,7 @@
 demo: build ## Show the main job, with every answer checked.
 	$(BIN)/demo --bin $(BIN)
 
-test: fmt lint unit ## Formatter, linter and tests.
+test: fmt lint unit race ## Formatter, linter, tests and race detector.
 
 fmt: ## Fail if a file is not formatted.
 	@unformatted=$$(gofmt -l cmd models modules platform routers services tests tools); \
@@ -38,6 +40,11 @@
 	@status=0; $(GO) test -count=1 -json $(PACKAGES) > $(BIN)/test.json || status=$$?; \
 	$(GO) run ./tools/knownred --status $$status $(BIN)/test.json
 
+race: ## Packages with goroutines under the race detector, which needs cgo; a race fails also in a test of KNOWN-RED.txt.
+	@mkdir -p $(BIN)
+	@status=0; CGO_ENABLED=1 $(GO) test -race -count=1 -json $(RACES) > $(BIN)/race.json || status=$$?; \
+	$(GO) run ./tools/knownred --part --status $$status $(BIN)/race.json
+
 traces: ## Make the committed traces again from their seeds.
 	DRAW_TRACES=dakar,plovdiv,storm $(GO) test -count=1 -run CommittedTraces ./tools/replay/sim
 
--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -16,6 +16,7 @@
 type options struct {
 	List   string `help:"The list of known failures." default:"KNOWN-RED.txt" type:"path"`
 	Status int    `help:"The exit status of go test."`
+	Part   bool   `help:"The run repeats a part of the tests: listed ones may fail in it and need not."`
 	Events string `arg:"" help:"The file with the events of go test -json." type:"existingfile"`
 }
 
@@ -52,6 +53,9 @@
 	if err != nil {
 		return false, err
 	}
+	if arguments.Part {
+		entries = run.Failed(entries)
+	}
 	result := run.Judge(entries, arguments.Status)
 	return len(result.Problems) == 0, result.Write(os.Stdout)
 }
--- a/tools/knownred/verdict/judge.go
+++ b/tools/knownred/verdict/judge.go
@@ -48,9 +48,38 @@
 		verdict.reject("%s failed and is not listed", name)
 	}
 	verdict.judgePackages(failing, status)
+	verdict.judgeRaces()
 	return verdict
 }
 
+// raceWarning is what the race detector prints of each race that it finds.
+const raceWarning = "WARNING: DATA RACE"
+
+// judgeRaces rejects a data race, also in a test that is known to fail.
+func (v *Verdict) judgeRaces() {
+	for name, lines := range v.run.output {
+		if !slices.ContainsFunc(lines, func(line string) bool { return strings.Contains(line, raceWarning) }) {
+			continue
+		}
+		v.reject("%s has a data race", name)
+		if !slices.Contains(v.failed, name) {
+			v.failed = append(v.failed, name)
+		}
+	}
+	slices.Sort(v.Problems)
+}
+
+// Failed gives those of the entries that failed in the run.
+func (r *Run) Failed(entries []Entry) []Entry {
+	var failed []Entry
+	for _, entry := range entries {
+		if r.results[entry.Test] == actionFail {
+			failed = append(failed, entry)
+		}
+	}
+	return failed
+}
+
 // judgeListed looks up each listed test and gives the names of those that failed.
 func (v *Verdict) judgeListed(entries []Entry) map[string]bool {
 	listed := make(map[string]bool)
--- a/tools/knownred/verdict/verdict_test.go
+++ b/tools/knownred/verdict/verdict_test.go
@@ -62,6 +62,30 @@
 	assert.Len(t, result.Targets, 1)
 }
 
+func TestARaceIsRejectedAlsoInAListedTest(t *testing.T) {
+	race := `{"Action":"output","Package":"example/p","Test":"TestBad","Output":"WARNING: DATA RACE\n"}` + "\n"
+	result := judge(t, race+events, "example/p.TestBad | a fault | issue 1", 1)
+	assert.Equal(t, []string{"example/p.TestBad has a data race"}, result.Problems)
+	var text strings.Builder
+	require.NoError(t, result.Write(&text))
+	assert.Contains(t, text.String(), "it broke", "its output is shown")
+	outside := `{"Action":"output","Package":"example/q","Output":"WARNING: DATA RACE\n"}` + "\n"
+	result = judge(t, outside+events, "example/p.TestBad | a fault | issue 1", 1)
+	assert.Equal(t, []string{"example/q has a data race"}, result.Problems, "after its tests have ended")
+}
+
+func TestAPartOfTheTestsShowsOnlyTheListedOnesThatFail(t *testing.T) {
+	list := "example/p.TestBad | a | 1\nexample/q.TestFine | b | 2\nexample/other.TestElsewhere | c | 3\nmake demo | d | 4\n"
+	run, err := verdict.ReadRun(strings.NewReader(events))
+	require.NoError(t, err)
+	entries, err := verdict.ParseList(list)
+	require.NoError(t, err)
+	failed := run.Failed(entries)
+	assert.Equal(t, entries[:1], failed)
+	assert.Empty(t, run.Judge(failed, 1).Problems)
+	assert.Equal(t, []string{"example/p.TestBad failed and is not listed"}, run.Judge(run.Failed(entries[1:]), 1).Problems)
+}
+
 func TestAFailureWithoutAFailingTestIsRejected(t *testing.T) {
 	passed := `{"Action":"pass","Package":"example/q","Test":"TestFine"}` + "\n"
 	build := `{"ImportPath":"example/p","Action":"build-output","Output":"does not compile\n"}
