Keep the loads that began among the changes until a view went out

Cause: a view's encoder takes the loads that began out of the plan before it has succeeded; Plans.Sent, which is called after success, left them to that. Change: Sent forgets them with the other changes, and Changes names them, so that a view can be built without taking anything. Measured: TestLoadsThatBeganAreChangesUntilAViewWentOut fails before (they stay after Sent) and passes now.

--- a/services/entry/coordinator/plan/changes.go
+++ b/services/entry/coordinator/plan/changes.go
@@ -29,17 +29,17 @@
 	return len(c.Endpoints) == 0 && len(c.Removed) == 0 && len(c.Begun) == 0
 }
 
-// TakeBegun gives the loads that began and forgets them.
+// TakeBegun gives the loads that began and forgets them, whether or not a view with them goes out.
 func (p *Plans) TakeBegun() []wire.Forecast {
 	begun := p.changes.Begun
 	p.changes.Begun = nil
 	return begun
 }
 
-// Sent forgets the changes of endpoints, since a view with them went out.
+// Sent forgets all changes, since a view with them went out.
 func (p *Plans) Sent() {
 	clear(p.changes.Endpoints)
-	p.changes.Removed = nil
+	p.changes.Removed, p.changes.Begun = nil, nil
 }
 
 // Forecasts gives the loads under way and, by service, when an adapter would be resident that nobody has asked for
--- a/services/entry/coordinator/plan/plan_test.go
+++ b/services/entry/coordinator/plan/plan_test.go
@@ -120,6 +120,20 @@
 	assert.Zero(t, f.plans.RecentLoads(start), "only base models count")
 }
 
+func TestLoadsThatBeganAreChangesUntilAViewWentOut(t *testing.T) {
+	f := newFixture()
+	f.plans.TakeDemand(start, asks())
+	f.order(start)
+	for range 2 {
+		begun := f.plans.Changes().Begun
+		require.Len(t, begun, 1, "looking at them forgets nothing")
+		assert.Equal(t, key, begun[0].Key())
+	}
+	f.plans.Sent()
+	assert.Empty(t, f.plans.Changes().Begun)
+	assert.True(t, f.plans.Changes().Empty())
+}
+
 func TestARepeatedReportAsksForNothingMore(t *testing.T) {
 	f := newFixture()
 	f.plans.TakeDemand(start, asks())
