Count base models' loads of a planner that did not release its record

Cause: only a released record told a successor how many base models' loads the former planner began in the last window (RecentLoads). After a kill, a failed rewrite or a view that says resigned the successor counted none, and both together could begin more than the weight store's bound. A service that was configured later counted a released record's loads anew, and a release told only the planner's own loads, not those that it had been told of itself. Change: views tell the number (a), one goes out at once when a base model's load begins; followers keep the last word and pass it on in their first report to a new planner (b). A new planner takes the released record, else the last word of that term, else begins no such load for a window or until a member tells; the youngest word counts. Looked for the same cause, by reading: the daemon's load budget saves up one load at most (burst), so that a ledger that moves to another instance exceeds its rate by one load, and by the permits that are still out; not changed.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -66,6 +66,8 @@
 	following       following
 	planning        *planning
 	seedAnswer      seedAnswer
+	// heardLoads is what was last heard of a planner's loads.
+	heardLoads formerLoads
 	// knownRecord is the planner's record as last read.
 	knownRecord lease.Record
 	// storeReadAt is when the store last answered a read of the record.
--- a/services/entry/coordinator/coordinator_test.go
+++ b/services/entry/coordinator/coordinator_test.go
@@ -47,6 +47,13 @@
 	Leaving         bool          `msgpack:"l,omitempty"`
 	StoreReadAge    time.Duration `msgpack:"k"`
 	Items           []store.Item  `msgpack:"o,omitempty"`
+	FormerLoads     *wireLoads    `msgpack:"b,omitempty"`
+}
+
+type wireLoads struct {
+	Term  int64         `msgpack:"t"`
+	Count int           `msgpack:"n"`
+	Age   time.Duration `msgpack:"g"`
 }
 
 type wireCount struct {
@@ -80,6 +87,7 @@
 	ConfigurationAt int64                    `msgpack:"c"`
 	Items           []store.Item             `msgpack:"o,omitempty"`
 	Resigned        bool                     `msgpack:"b,omitempty"`
+	RecentLoads     *int                     `msgpack:"a,omitempty"`
 	Made            time.Duration            `msgpack:"m,omitempty"`
 	AsksForKeys     bool                     `msgpack:"q,omitempty"`
 	KeysFrom        string                   `msgpack:"u,omitempty"`
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -107,6 +107,7 @@
 		return
 	}
 	effects := c.following.Take(now, v)
+	c.noteLoads(now, v)
 	c.budget.SetMembers(v.Members)
 	c.applyItems(now, v.Items)
 	c.applyViewEndpoints(v)
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -76,7 +76,7 @@
 // another's, or if this instance resigned in its term.
 func (c *Coordinator) confirm() bool {
 	confirmation, err := c.leases.Confirm(c.context)
-	c.loop.Call(func(time.Time) {
+	c.loop.Call(func(now time.Time) {
 		if c.planning == nil {
 			return
 		}
@@ -87,7 +87,7 @@
 			// The promise holds for the whole term; a new one has to be taken.
 			c.planning.lease.End()
 		}
-		c.endIfOver()
+		c.endIfOver(now)
 	})
 	return err == nil
 }
@@ -95,12 +95,13 @@
 // endIfOver stops planning when the term is over: another instance has the record, or this one released it or resigned.
 // The log line is the same for all three; a resignation has logged its own before. While the record only cannot be
 // confirmed, this instance orders nothing but still tells its members what it knows.
-func (c *Coordinator) endIfOver() {
+func (c *Coordinator) endIfOver(now time.Time) {
 	if c.planning == nil || !c.planning.lease.Over() {
 		return
 	}
 	c.options.Log.WithField("term", c.planning.lease.Record().Term).Warn("planning ends: the ownership is lost")
 	c.planning.members.CloseLinks()
+	c.noteOwnLoads(now, c.planning)
 	c.planning = nil
 	c.following = following{Followed: c.following.Restarted()}
 	c.reports.Restart()
@@ -140,9 +141,9 @@
 	case leasestore.Done, leasestore.Settled:
 		c.loop.Call(func(time.Time) { due.held.NoteRewritten(taken.Sent, taken.Record, taken.Revision) })
 	case leasestore.Lost:
-		c.loop.Call(func(time.Time) {
+		c.loop.Call(func(now time.Time) {
 			due.held.End()
-			c.endIfOver()
+			c.endIfOver(now)
 		})
 	case leasestore.Unknown:
 	}
@@ -184,8 +185,7 @@
 	default:
 		return
 	}
-	stored.Record.Released = stored.Record.Released || resigned
-	c.takeLease(stored)
+	c.takeLease(stored, resigned)
 }
 
 // learnRecord takes in the record as read from the store and tells whether its holder resigned. Where the look
@@ -222,14 +222,20 @@
 }
 
 // takeLease writes this instance into the record and begins to plan. If another instance was quicker, it is
-// learned from the conflict; without that the planner would be unknown until the next look.
-func (c *Coordinator) takeLease(replaced leasestore.Stored) {
-	wait := c.options.Lease.Wait(c.options.Instance, replaced.Record, replaced.Found)
+// learned from the conflict; without that the planner would be unknown until the next look. A holder that resigned is
+// waited for no longer than one that released its record.
+func (c *Coordinator) takeLease(replaced leasestore.Stored, resigned bool) {
+	awaited := replaced.Record
+	awaited.Released = awaited.Released || resigned
+	wait := c.options.Lease.Wait(c.options.Instance, awaited, replaced.Found)
 	taken, err := c.leases.Take(c.context, replaced)
 	var lost *leasestore.LostRaceError
 	switch {
 	case err == nil:
-		c.loop.Call(func(now time.Time) { c.beginPlanning(now, taken, wait, replaced.Record) })
+		c.loop.Call(func(now time.Time) {
+			c.logTerm(taken, wait, awaited)
+			c.beginPlanning(now, taken, wait, replaced.Record)
+		})
 	case errors.As(err, &lost) && lost.Current != nil:
 		c.loop.Call(func(time.Time) { c.noteRecord(*lost.Current) })
 	}
@@ -251,7 +257,7 @@
 
 // learnSuccessor takes in who plans, by a peer; this instance's own term, if it has one, is over
 // when a later one has begun.
-func (c *Coordinator) learnSuccessor(successor wire.Successor) {
+func (c *Coordinator) learnSuccessor(now time.Time, successor wire.Successor) {
 	if successor.Term <= c.knownRecord.Term || !successor.Address.IsValid() {
 		return
 	}
@@ -259,22 +265,26 @@
 	c.knownRecord = lease.Record{Term: successor.Term, Address: successor.Address}
 	if c.planning != nil && successor.Term > c.planning.lease.Record().Term {
 		c.planning.lease.End()
-		c.endIfOver()
+		c.endIfOver(now)
 	}
 }
 
+// logTerm logs a term that begins; released tells that the former holder gives no more orders, by its record or its view.
+func (c *Coordinator) logTerm(taken leasestore.Taken, wait time.Duration, awaited lease.Record) {
+	c.options.Log.WithFields(map[string]any{
+		"term": taken.Record.Term, "wait": wait.String(), "replaced": awaited.Holder, "released": awaited.Released,
+	}).Info("planning begins")
+}
+
 // beginPlanning makes this instance the planner, by a record that it wrote in place of another. It gives no order before
 // wait is over.
 func (c *Coordinator) beginPlanning(now time.Time, taken leasestore.Taken, wait time.Duration, replaced lease.Record) {
-	c.options.Log.WithFields(map[string]any{
-		"term": taken.Record.Term, "wait": wait.String(), "replaced": replaced.Holder, "released": replaced.Released,
-	}).Info("planning begins")
 	held := lease.Begin(c.options.Lease, taken.Record, taken.Revision, taken.Sent, now, wait)
 	if c.following.stream != nil {
 		c.following.stream.Close()
 		c.following.stream = nil
 	}
-	c.planning = newPlanning(c, now, held, replaced.RecentLoads)
+	c.planning = newPlanning(c, now, held, c.loadsBefore(now, replaced))
 	c.following.ratesDue = true
 	c.sendReport(now)
 }
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -67,7 +67,7 @@
 		c.loop.Call(func(now time.Time) { planning = c.takePeerReport(now, stream, received.Report) })
 	}
 	if received.Successor != nil {
-		c.loop.Call(func(time.Time) { c.learnSuccessor(*received.Successor) })
+		c.loop.Call(func(now time.Time) { c.learnSuccessor(now, *received.Successor) })
 	}
 	if received.Request != nil {
 		c.loop.Call(func(now time.Time) { c.answerRequest(now, stream) })
--- a/services/entry/coordinator/plan/changes.go
+++ b/services/entry/coordinator/plan/changes.go
@@ -17,6 +17,8 @@
 	Removed   []wire.Gone
 	// Begun are the loads that began.
 	Begun []wire.Forecast
+	// ModelBegun tells that a base model's load began.
+	ModelBegun bool
 }
 
 // Changes gives what changed since the last view; the caller must not change it.
@@ -26,7 +28,7 @@
 
 // Empty tells whether nothing changed.
 func (c *Changes) Empty() bool {
-	return len(c.Endpoints) == 0 && len(c.Removed) == 0 && len(c.Begun) == 0
+	return len(c.Endpoints) == 0 && len(c.Removed) == 0 && len(c.Begun) == 0 && !c.ModelBegun
 }
 
 // TakeBegun gives the loads that began and forgets them, whether or not a view with them goes out.
@@ -39,7 +41,7 @@
 // Sent forgets all changes, since a view with them went out.
 func (p *Plans) Sent() {
 	clear(p.changes.Endpoints)
-	p.changes.Removed, p.changes.Begun = nil, nil
+	p.changes.Removed, p.changes.Begun, p.changes.ModelBegun = nil, nil, false
 }
 
 // Forecasts gives the loads under way and, by service, when an adapter would be resident that nobody has asked for
--- a/services/entry/coordinator/plan/plan_test.go
+++ b/services/entry/coordinator/plan/plan_test.go
@@ -55,7 +55,7 @@
 	f := &fixture{directory: directory.New(), members: member.NewTable(), begun: make(map[deployment.ServiceAdapter]time.Duration), may: true}
 	f.plans = plan.New(plan.Options{
 		LoadWindow: time.Second, LoadTolerance: 1, LoadSlack: 10, Random: func() float64 { return 0.5 },
-	}, f.directory, f.members, 0)
+	}, f.directory, f.members, plan.AssumedLoads{})
 	f.directory.Put(deployment.Endpoint{
 		ID: "e1", Service: service, Slots: 16, Models: []string{"base"}, CachedModels: []string{"base"}, Adapters: map[deployment.Adapter]int64{},
 	}, 5)
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -32,16 +32,16 @@
 	members       *member.Table
 	configuration *deployment.Configuration
 	planners      map[string]*loading.Planner
-	// assumedLoads is how many base models' loads the former holder said it began in the last window.
-	assumedLoads int
-	changes      Changes
+	// assumed are the loads that former planners may have begun.
+	assumed AssumedLoads
+	changes Changes
 }
 
-// New makes plans over a directory and members, whose changes it sees; assumedLoads is the number of base models' loads
-// that a former holder began in the last window.
-func New(options Options, known *directory.Directory, members *member.Table, assumedLoads int) *Plans {
+// New makes plans over a directory and members, whose changes it sees; assumed are the loads that former planners may have
+// begun.
+func New(options Options, known *directory.Directory, members *member.Table, assumed AssumedLoads) *Plans {
 	return &Plans{
-		options: options, directory: known, members: members, assumedLoads: assumedLoads,
+		options: options, directory: known, members: members, assumed: assumed,
 		planners: make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
 	}
 }
@@ -58,7 +58,7 @@
 			planner.SetEngine(*service.Engine)
 			continue
 		}
-		p.planners[name] = p.newPlanner(now, *service.Engine)
+		p.planners[name] = p.newPlanner(*service.Engine)
 		p.introduceEndpoints(now, name)
 	}
 	for name := range p.planners {
@@ -79,7 +79,7 @@
 	}
 }
 
-func (p *Plans) newPlanner(now time.Time, engine deployment.Engine) *loading.Planner {
+func (p *Plans) newPlanner(engine deployment.Engine) *loading.Planner {
 	planner := loading.NewPlanner(engine, loading.Options{
 		Rate: loading.RateOptions{
 			PerSecond: engine.LoadsPerSecond, Window: p.options.LoadWindow, Tolerance: p.options.LoadTolerance, Slack: p.options.LoadSlack,
@@ -87,7 +87,7 @@
 		Random: p.options.Random,
 		Uses:   p.uses,
 	})
-	planner.AssumeLoads(now, p.assumedLoads)
+	planner.AssumeLoads(p.assumed.At, p.assumed.Count)
 	return planner
 }
 
@@ -198,7 +198,7 @@
 			if !ok {
 				break
 			}
-			if order.Kind == loading.Load && !order.Poll && !order.Adapter.IsZero() {
+			if order.Kind == loading.Load && !order.Poll {
 				p.noteBegun(order, planner.LoadTime(), begun)
 			}
 			start(order)
@@ -209,8 +209,12 @@
 	}
 }
 
-// noteBegun lets the next view tell that a load has begun.
+// noteBegun lets the next view tell that a load has begun; base models' loads are told by their number only.
 func (p *Plans) noteBegun(order loading.Order, remaining time.Duration, begun func(deployment.ServiceAdapter, time.Duration)) {
+	if order.Adapter.IsZero() {
+		p.changes.ModelBegun = true
+		return
+	}
 	key := deployment.ServiceAdapter{Service: order.Endpoint.Service, Adapter: order.Adapter}
 	begun(key, remaining)
 	p.changes.Begun = append(p.changes.Begun, wire.Forecast{Service: key.Service, Model: key.Adapter.Model, Name: key.Adapter.Name, Remaining: remaining})
@@ -244,15 +248,6 @@
 	return earliest, true
 }
 
-// RecentLoads gives the base models' loads begun in the last window, by the service that began most.
-func (p *Plans) RecentLoads(now time.Time) int {
-	count := 0
-	for _, planner := range p.planners {
-		count = max(count, planner.RecentLoads(now))
-	}
-	return count
-}
-
 // Withdrawals is the number of the last announcement of a withdrawal.
 func (p *Plans) Withdrawals() uint64 {
 	last := uint64(0)
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -37,6 +37,8 @@
 	givingUp bool
 	// resigned tells the members that no order follows in this term.
 	resigned bool
+	// former is what is known of the former planner's loads.
+	former formerLoads
 	// orders is the number of orders under way.
 	orders int
 	// wakeAt is when a plan is due for a load that ends.
@@ -48,14 +50,15 @@
 	return member.SilenceLimit(c.following.Members)
 }
 
-func newPlanning(c *Coordinator, now time.Time, held *lease.Lease, assumedLoads int) *planning {
+func newPlanning(c *Coordinator, now time.Time, held *lease.Lease, former formerLoads) *planning {
 	members := member.NewTable()
 	options := plan.Options{
 		LoadWindow: c.options.LoadWindow, LoadTolerance: c.options.LoadTolerance, LoadSlack: c.options.LoadSlack,
 		Random: c.options.Random,
 	}
 	p := &planning{
-		coordinator: c, lease: held, members: members, since: now, plans: plan.New(options, c.directory, members, assumedLoads),
+		coordinator: c, lease: held, members: members, since: now, former: former,
+		plans: plan.New(options, c.directory, members, former.loads),
 	}
 	if configuration := c.current.Load(); configuration != nil {
 		p.plans.SetConfiguration(now, configuration, c.versions.All())
@@ -179,4 +182,5 @@
 		p.coordinator.applyItems(now, r.Items)
 	}
 	p.plans.TakeDemand(now, r)
+	p.takeFormerLoads(now, r.FormerLoads)
 }
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -51,7 +51,7 @@
 		}
 	}
 	if c.following.ratesDue {
-		built.Rates = c.demand.Rates(now)
+		built.Rates, built.FormerLoads = c.demand.Rates(now), c.tellLoads(now)
 		c.following.ratesDue = false
 	}
 	if c.keysDue(now) {
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -20,7 +20,9 @@
 // askSeedsForPlanner lets an instance that the store does not answer learn from a peer who plans.
 func (c *Coordinator) askSeedsForPlanner() {
 	if answer := c.seeds.First(c.context); answer != nil {
-		c.loop.Call(func(time.Time) { c.learnSuccessor(wire.Successor{Term: answer.Term, Address: answer.Address.AddrPort}) })
+		c.loop.Call(func(now time.Time) {
+			c.learnSuccessor(now, wire.Successor{Term: answer.Term, Address: answer.Address.AddrPort})
+		})
 	}
 }
 
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -302,6 +302,8 @@
 	control *coordinator.Coordinator
 	// now is the instance's clock.
 	now func() time.Time
+	// loadWindow is the span in which loads from the weight store are counted.
+	loadWindow time.Duration
 	// aroundCommit wraps the store's writes, as the instance makes them.
 	aroundCommit func(commit commitFunc) commitFunc
 }
@@ -309,12 +311,18 @@
 // commitFunc is a call that writes to the store.
 type commitFunc = func(ctx context.Context, transaction store.Transaction) (int64, error)
 
+// emptyEndpoint is the value of the key of an endpoint that has never held the base model.
+const emptyEndpoint = "empty"
+
 func parseEndpoint(item store.Item) (deployment.Endpoint, error) {
-	return deployment.Endpoint{
+	endpoint := deployment.Endpoint{
 		ID: deployment.EndpointID(strings.TrimPrefix(item.Key, endpointPrefix)), Service: service, Hall: "hall",
-		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Models: []string{"base"}, CachedModels: []string{"base"},
-		Adapters: make(map[deployment.Adapter]int64),
-	}, nil
+		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Adapters: make(map[deployment.Adapter]int64),
+	}
+	if string(item.Value) != emptyEndpoint {
+		endpoint.Models, endpoint.CachedModels = []string{"base"}, []string{"base"}
+	}
+	return endpoint, nil
 }
 
 func configuration() *deployment.Configuration {
@@ -330,7 +338,7 @@
 	s := &site{
 		store: newMemoryStore(), engines: &engines{adapters: make(map[deployment.Adapter]int64)},
 		pipes: &pipes{dialed: make(chan net.Conn), incoming: make(chan net.Conn), closed: make(chan struct{})},
-		now:   time.Now, aroundCommit: func(commit commitFunc) commitFunc { return commit },
+		now:   time.Now, loadWindow: time.Second, aroundCommit: func(commit commitFunc) commitFunc { return commit },
 	}
 	s.store.put(configurationKey, "3")
 	s.store.put(endpointPrefix+"e1", "")
@@ -344,7 +352,7 @@
 	options := coordinator.Options{
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
-		LoadWindow: time.Second, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
+		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
 		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
 	}
 	client := s.store.client()
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -179,7 +179,7 @@
 	v := &wire.View{
 		Planner: p.coordinator.options.Instance, Term: p.lease.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
 		Totals: totals, Members: p.members.Fleet(), ConfigurationRevision: p.coordinator.keys.Revision(), Resigned: p.resigned,
-		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(),
+		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(), RecentLoads: p.recentLoads(now),
 		Made: max(leastMade, now.Sub(p.since)), AsksForKeys: true,
 	}
 	return v
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -67,10 +67,19 @@
 	Leaving bool `msgpack:"l,omitempty"`
 	// Rates are the instance's arrival rates, sent once to each new planner.
 	Rates []Rate `msgpack:"a,omitempty"`
+	// FormerLoads is what the last view with RecentLoads told, sent once to each new planner.
+	FormerLoads *FormerLoads `msgpack:"b,omitempty"`
 	// StoreReadAge is how long ago the instance last read from the store.
 	StoreReadAge time.Duration `msgpack:"k"`
 }
 
+// FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
+type FormerLoads struct {
+	Term  int64         `msgpack:"t"`
+	Count int           `msgpack:"n"`
+	Age   time.Duration `msgpack:"g"`
+}
+
 // EndpointCount counts requests in flight on an endpoint.
 type EndpointCount struct {
 	ID    deployment.EndpointID `msgpack:"e"`
@@ -158,6 +167,9 @@
 	AsksForKeys bool `msgpack:"q,omitempty"`
 	// KeysFrom is the instance that the planner asks for keys of the configuration now; empty if it asks none.
 	KeysFrom string `msgpack:"u,omitempty"`
+	// RecentLoads counts the base models' loads that began in the load window before this view, also under former planners;
+	// nil if the planner does not tell them, as one of the version before does not.
+	RecentLoads *int `msgpack:"a,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
--- a/services/entry/coordinator/wire/message_test.go
+++ b/services/entry/coordinator/wire/message_test.go
@@ -45,11 +45,13 @@
 		InUse:   []wire.CopyCount{{ID: "e", Model: "m", Name: "a", Count: 3}}, Missing: []wire.Copy{{ID: "e", Model: "m", Name: "a"}},
 		Suspects: []deployment.EndpointID{"e"}, Items: []store.Item{{Key: "k"}}, Leaving: true,
 		Rates: []wire.Rate{{Service: "s", Model: "m", Name: "a", PerSecond: 0.5}}, StoreReadAge: time.Second,
+		FormerLoads: &wire.FormerLoads{Term: 1, Count: 2, Age: time.Second},
 	}
 	message := names(t, wire.Message{Report: &full})
 	require.Equal(t, []string{"r"}, keys(message))
 	report := message["r"].(map[string]any)
-	assert.ElementsMatch(t, []string{"i", "w", "c", "f", "d", "u", "m", "s", "o", "l", "a", "k"}, keys(report))
+	assert.ElementsMatch(t, []string{"i", "w", "c", "f", "d", "u", "m", "s", "o", "l", "a", "b", "k"}, keys(report))
+	assert.ElementsMatch(t, []string{"t", "n", "g"}, keys(report["b"].(map[string]any)))
 	assert.ElementsMatch(t, []string{"e", "n"}, keys(report["f"].([]any)[0].(map[string]any)))
 	assert.ElementsMatch(t, []string{"s", "m", "a", "w", "t", "n"}, keys(report["d"].([]any)[0].(map[string]any)))
 	assert.EqualValues(t, []any{"e", "m", "a", int8(3)}, report["u"].([]any)[0])
@@ -68,11 +70,12 @@
 		Removed: []wire.Gone{{ID: "e", Revision: 1}}, Heartbeat: true, Totals: []wire.EndpointCount{{ID: "e"}},
 		Forecasts: []wire.Forecast{{Service: "s", Model: "m", Name: "a", Remaining: time.Second}},
 		Backlogs:  map[string]time.Duration{"s": 1}, Members: 1, ConfigurationRevision: 1, Items: []store.Item{{Key: "k"}}, Resigned: true,
+		RecentLoads: new(int),
 	}
 	message := names(t, wire.Message{View: &full})
 	require.Equal(t, []string{"v"}, keys(message))
 	view := message["v"].(map[string]any)
-	assert.ElementsMatch(t, []string{"p", "t", "w", "g", "z", "k", "x", "y", "e", "d", "h", "f", "l", "j", "n", "c", "o", "b"}, keys(view))
+	assert.ElementsMatch(t, []string{"p", "t", "w", "g", "z", "k", "x", "y", "e", "d", "h", "f", "l", "j", "n", "c", "o", "b", "a"}, keys(view))
 	endpoint := view["e"].([]any)[0].([]any)
 	require.Len(t, endpoint, 8)
 	assert.Equal(t, []any{"e", int64(2), "s"}, endpoint[:3])
