Number withdrawals across services and terms

Cause: each service's plan numbered its announcements of withdrawals by itself, from 1, and views told the highest of all: a member that had seen the third withdrawal of one service counted as having seen the first of another, whose copy was then unloaded before the member knew that it was off offer. In the same way a member's first report to a new planner, which tells what it saw of the former one, acknowledged the new planner's first withdrawals. Change: all plans of a planner share one count, which begins at the term times 2^32. Looked for the same cause, numbers of several sources compared as one: revisions are the store's, one for all; sequences are kept for each endpoint; terms are the record's; the daemon has no announcements, its placers count tickets by pool and term. Measured: TestACopyIsKeptUntilItsOwnServicesWithdrawalWasSeen and TestAWithdrawalOfAFormerTermIsNoAcknowledgement fail before (the unload is ordered at once) and pass now.

--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -23,6 +23,8 @@
 	LoadSlack     float64
 	// Random gives a number from 0 up to 1.
 	Random func() float64
+	// Term is the planner's.
+	Term int64
 }
 
 // Plans holds a plan for each service with engines; it is not safe for concurrent use.
@@ -35,14 +37,21 @@
 	// assumed are the loads that former planners may have begun.
 	assumed AssumedLoads
 	changes Changes
+	// withdrawals is the number of the last announcement of a withdrawal, of all services.
+	withdrawals uint64
 }
 
+// termShift is by how many bits the term stands above the count in the numbers of withdrawals, so that those of a later
+// term are above all of the earlier ones: a term withdraws fewer than 2^32 copies.
+const termShift = 32
+
 // New makes plans over a directory and members, whose changes it sees; assumed are the loads that former planners may have
 // begun.
 func New(options Options, known *directory.Directory, members *member.Table, assumed AssumedLoads) *Plans {
 	return &Plans{
 		options: options, directory: known, members: members, assumed: assumed,
-		planners: make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
+		withdrawals: uint64(options.Term) << termShift,
+		planners:    make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
 	}
 }
 
@@ -84,8 +93,9 @@
 		Rate: loading.RateOptions{
 			PerSecond: engine.LoadsPerSecond, Window: p.options.LoadWindow, Tolerance: p.options.LoadTolerance, Slack: p.options.LoadSlack,
 		},
-		Random: p.options.Random,
-		Uses:   p.uses,
+		Random:         p.options.Random,
+		Uses:           p.uses,
+		NextWithdrawal: p.nextWithdrawal,
 	})
 	planner.AssumeLoads(p.assumed.At, p.assumed.Count)
 	return planner
@@ -248,11 +258,12 @@
 	return earliest, true
 }
 
-// Withdrawals is the number of the last announcement of a withdrawal.
+// Withdrawals is the number of the last announcement of a withdrawal, of all services: who has seen it has seen all before.
 func (p *Plans) Withdrawals() uint64 {
-	last := uint64(0)
-	for _, planner := range p.planners {
-		last = max(last, planner.Withdrawals())
-	}
-	return last
+	return p.withdrawals
+}
+
+func (p *Plans) nextWithdrawal() uint64 {
+	p.withdrawals++
+	return p.withdrawals
 }
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -98,11 +98,18 @@
 
 // withdraw takes a copy off offer; it is unloaded once all instances have seen that and use it no more.
 func (p *Planner) withdraw(now time.Time, id deployment.EndpointID, c *copyPlan) {
-	p.withdrawals++
+	p.withdrawals = p.nextWithdrawal()
 	c.state, c.since, c.withdrawal = copyWithdrawn, now, p.withdrawals
 	p.changed[id] = true
 }
 
+func (p *Planner) nextWithdrawal() uint64 {
+	if p.options.NextWithdrawal == nil {
+		return p.withdrawals + 1
+	}
+	return p.options.NextWithdrawal()
+}
+
 // withdrawOutdated withdraws copies of an older version once a newer copy takes requests, or
 // when nobody asks for the adapter.
 func (p *Planner) withdrawOutdated(now time.Time) {
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -17,6 +17,9 @@
 	Random func() float64
 	// Uses gives the requests in flight that use a copy, as last reported; nil knows of none.
 	Uses func(id deployment.EndpointID, adapter deployment.Adapter) int
+	// NextWithdrawal numbers the announcements of withdrawals, each above the last; nil numbers them from 1. Planners whose
+	// announcements are acknowledged together share it.
+	NextWithdrawal func() uint64
 }
 
 // Planner plans for the endpoints of one service; it is not safe for concurrent use.
@@ -29,7 +32,7 @@
 	modelLimiter *windowLimiter
 	// pace bounds loads of adapters.
 	pace pace
-	// withdrawals counts announcements of withdrawals.
+	// withdrawals is the number of the last announcement of a withdrawal.
 	withdrawals uint64
 	// changed is set when a copy's state changed since TakeChanges.
 	changed map[deployment.EndpointID]bool
