Plan for the end of a load only while orders may be given

Cause: a plan sets a timer for when the next load is to be asked about. While the store does not answer the planner it may give no order, the time of that poll passes, and each plan set the next timer to 1 ms: a load that began late in the order window kept the planner planning without pause until the store answered again. Change: no timer is set where no order may be given; ticks plan each 25 ms as before. Looked for the same cause, a timer for what cannot be done yet: the entry program's other timers are the loop's tick and time-outs; in the daemon NextWake of services/daemon/budget gives no time where a token would not help.

--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -80,10 +80,13 @@
 	p.plans.Order(now, mayOrder, c.startOrder, begun)
 	p.broadcast(now, p.views.TotalsDue(now, c.following.Members))
 	c.reviewWaiters(now)
-	c.wakeForPoll(now)
+	if mayOrder() {
+		c.wakeForPoll(now)
+	}
 }
 
-// wakeForPoll plans again when the next load is expected to have ended.
+// wakeForPoll plans again when the next load is expected to have ended. Where no order may be given, nothing can be asked: the
+// time of the next poll is past then, and each plan would bring the next one at once.
 func (c *Coordinator) wakeForPoll(now time.Time) {
 	p := c.planning
 	if now.Before(p.wakeAt) {
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -202,6 +202,8 @@
 	adapters map[deployment.Adapter]int64
 	loads    int
 	silent   bool
+	// endless keeps loads under way for good.
+	endless bool
 	// held, if not nil, keeps loads under way until it is closed.
 	held chan struct{}
 }
@@ -226,6 +228,8 @@
 			report.Adapters[name] = version
 		}
 		result.Report = report
+	case order.Kind == loading.Load && held && e.endless:
+		result.Reply = loading.Accepted
 	case order.Kind == loading.Load && held:
 		result.Reply = loading.Holds
 	case order.Kind == loading.Load:
@@ -241,6 +245,12 @@
 	return result
 }
 
+func (e *engines) loadForever() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.endless = true
+}
+
 func (e *engines) hold() (release func()) {
 	held := make(chan struct{})
 	e.mutex.Lock()
