Begin the wait of a weak instance when the holder falls silent

Change: it counts from when the holder fell silent, and once more from when its heartbeat was found ended, which the coordinator now asks.

--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -172,20 +172,26 @@
 		return
 	}
 	resigned := c.learnRecord(stored, asked)
-	verdict := l.candidate.Decide(now, lease.Sighting{
+	sighting := lease.Sighting{
 		Self: c.options.Instance, Record: stored.Record, Revision: stored.Revision, Found: stored.Found,
 		Resigned: resigned, Silence: silence, Reluctance: c.options.Reluctance,
-	})
-	switch verdict {
-	case lease.Take:
-	case lease.TakeWithoutHeartbeat:
-		if c.leases.HolderAlive(c.context) {
-			return
-		}
-	default:
-		return
 	}
-	c.takeLease(stored, resigned)
+	verdict := l.candidate.Decide(now, sighting)
+	if verdict == lease.TakeWithoutHeartbeat {
+		verdict = l.lookForHeartbeat(now, sighting)
+	}
+	if verdict == lease.Take {
+		c.takeLease(stored, resigned)
+	}
+}
+
+// lookForHeartbeat decides about the record of a silent holder by its heartbeat in the store.
+func (l *leaseLoop) lookForHeartbeat(now time.Time, sighting lease.Sighting) lease.Verdict {
+	if l.coordinator.leases.HolderAlive(l.coordinator.context) {
+		l.candidate.HeartbeatAlive()
+		return lease.HolderActive
+	}
+	return l.candidate.HeartbeatEnded(now, sighting)
 }
 
 // learnRecord takes in the record as read from the store and tells whether its holder resigned. Where the look
--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -68,6 +68,9 @@
 	// vacantSince is since when the record of vacantTerm was seen without a holder that orders.
 	vacantTerm  int64
 	vacantSince time.Time
+	// silentSince is since when the holder of the record at silentRevision was silent; zero while it was heard.
+	silentRevision int64
+	silentSince    time.Time
 	// endedSince is since when the heartbeat of the holder of the record at endedRevision was found ended; zero if it was not.
 	endedRevision int64
 	endedSince    time.Time
@@ -78,6 +81,7 @@
 	if !c.seen || sighting.Revision != c.revision {
 		c.seen, c.revision, c.since = true, sighting.Revision, now
 	}
+	c.noteSilence(now, sighting)
 	own := sighting.Record.Holder == sighting.Self
 	if !own && now.Sub(c.openSince(now, sighting)) < sighting.Reluctance {
 		return LeaveToOthers
@@ -94,6 +98,17 @@
 	}
 }
 
+// noteSilence remembers since when the holder has been silent.
+func (c *Candidate) noteSilence(now time.Time, sighting Sighting) {
+	switch {
+	case sighting.Silence < TakeoverSilence:
+		c.silentSince = time.Time{}
+	case c.silentSince.IsZero() || c.silentRevision != sighting.Revision:
+		c.silentRevision = sighting.Revision
+		c.silentSince = now.Add(TakeoverSilence - sighting.Silence)
+	}
+}
+
 // HeartbeatEnded decides again after TakeWithoutHeartbeat, where the holder's heartbeat was found ended now: a weak instance
 // leaves the record to others from then on, however long the record was seen as it is before.
 func (c *Candidate) HeartbeatEnded(now time.Time, sighting Sighting) Verdict {
@@ -112,10 +127,10 @@
 }
 
 // openSince is since when the record could be taken, as far as this instance knows: since it was first seen
-// without a holder that orders, or else since it was first seen as it is.
+// without a holder that orders, or else since it was first seen as it is with a holder that is silent.
 func (c *Candidate) openSince(now time.Time, sighting Sighting) time.Time {
 	if !sighting.vacant() {
-		return c.since
+		return c.silentOpenSince(now)
 	}
 	if c.vacantTerm != sighting.Record.Term || c.vacantSince.IsZero() {
 		c.vacantTerm, c.vacantSince = sighting.Record.Term, now
@@ -123,6 +138,17 @@
 	return c.vacantSince
 }
 
+func (c *Candidate) silentOpenSince(now time.Time) time.Time {
+	switch {
+	case c.silentSince.IsZero():
+		return now
+	case c.silentSince.After(c.since):
+		return c.silentSince
+	default:
+		return c.since
+	}
+}
+
 // LookDue tells whether an instance without the record looks at it now: at once when it was asked to, first when
 // it starts, and later while the planner is silent and the time next has come.
 func LookDue(now time.Time, asked bool, silence time.Duration, next time.Time) bool {
