Pass large configurations on in time, and tell a loose bound of a view's age from a delay

The window of 1 MiB let 65 members that lack 1 MB wait for 56 s; a place in it was taken over with the next heartbeat only; what was lost with a link was kept back for 2 s; a first view that was made late loosened the bound of the age of all later ones; a large answer that had begun was given up at the call's own time-out and begun anew; the whole configuration was asked for only to learn who plans; the pause between two readings of the endpoints counted from the end of one. Change: the window follows the own link's rate, up to 8 MiB, and counts by link, which ends it; a report frees a place at once, and a view goes out for it. A member whose bound is loose probes it: the planner answers the report's number. Messages between instances and answers of the store get the time that their bytes take on a slow link once they have begun. A starting planner is asked for alone. Readings of endpoints are paced from their sending. Of several changes of one key in a watch's answer the newest is read. The loads that began stay among the changes until a view went out; a view that cannot be encoded has a log line. Two fields are added to reports and views, one to requests.

--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -28,9 +28,12 @@
 	// the most that the platform's store holds in one value. A single larger message is still sent when nothing else waits. More
 	// bears a slower link, less bounds the memory. Not measured.
 	outgoingBytes = 2 << 20
-	// writeTimeout is how long the writing of one message may take. Longer bears a slow link, shorter notices a cut one sooner.
+	// writeTimeout is how long the writing of one message may take, beside the time that its bytes take on a slow link. Longer bears a slow link, shorter notices a cut one sooner.
 	// Not measured.
 	writeTimeout = 2 * time.Second
+	// leastRate is how many bytes a second a link carries at the least, so that a large message gets more time than a small one:
+	// three quarters of the users' slowest links of 10 Mbit/s. Not measured.
+	leastRate = 900_000
 	// lengthBytes is the size of the length before each message; part of the form on the wire.
 	lengthBytes = 4
 )
@@ -123,7 +126,8 @@
 	return s.queued.Load()
 }
 
-// Receive waits for the next message, at most for the silence that is allowed. Its errors are ErrTooLarge, those of the
+// Receive waits for the next message, at most for the silence that is allowed; one that has begun gets the time that its bytes take on
+// a slow link besides. Its errors are ErrTooLarge, those of the
 // connection and those of decoding; the stream is of no use after any of them.
 func (s *Stream[M]) Receive(silence time.Duration, now func() time.Time) (M, error) {
 	var message M
@@ -138,6 +142,9 @@
 	if size > maxMessageBytes {
 		return message, ErrTooLarge
 	}
+	if err := s.conn.SetReadDeadline(now().Add(silence + transferTime(int(size)))); err != nil {
+		return message, err
+	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(s.reader, body); err != nil {
 		return message, err
@@ -174,13 +181,18 @@
 
 func (s *Stream[M]) writeFrame(frame Frame) error {
 	defer s.queued.Add(-int64(len(frame)))
-	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout + transferTime(len(frame)))); err != nil {
 		return err
 	}
 	_, err := s.conn.Write(frame)
 	return err
 }
 
+// transferTime is how long so many bytes take on a slow link.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / leastRate
+}
+
 // drop lets go of what waits on a closed stream, which others may hold for longer.
 func (s *Stream[M]) drop() {
 	for {
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -88,11 +88,21 @@
 	}
 }
 
+// eventItems gives the newest item of each key that was written, so that of changes in quick succession one is read and put in force.
 func eventItems(events []store.Event) []store.Item {
+	newest := make(map[string]int, len(events))
 	items := make([]store.Item, 0, len(events))
 	for _, event := range events {
-		if !event.Gone {
+		if event.Gone {
+			continue
+		}
+		place, known := newest[event.Key]
+		switch {
+		case !known:
+			newest[event.Key] = len(items)
 			items = append(items, event.Item)
+		case event.Revision > items[place].Revision:
+			items[place] = event.Item
 		}
 	}
 	return items
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -41,17 +41,24 @@
 			c.sleep(idlePause)
 		case follow.ReadByPolling:
 			watched = 0
-			if _, err := c.readEndpoints(); err != nil {
-				c.sleep(c.jitter(storeRetry))
-				continue
-			}
-			c.sleep(c.alonePause(endpointPollPause))
+			c.pollEndpoints()
 		case follow.ReadByWatching:
 			watched = c.watchEndpoints(watched)
 		}
 	}
 }
 
+// pollEndpoints reads the endpoints and waits for the next reading. The pause counts from when this one was sent, as does the age of
+// what it gives.
+func (c *Coordinator) pollEndpoints() {
+	sent := c.options.Now()
+	if _, err := c.readEndpoints(); err != nil {
+		c.sleep(c.jitter(storeRetry))
+		return
+	}
+	c.sleep(c.alonePause(endpointPollPause) - c.options.Now().Sub(sent))
+}
+
 // notePolling tells that this instance begins to read the endpoints' keys itself, and how old what it knows of them is.
 func (c *Coordinator) notePolling() {
 	var silence, age time.Duration
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -26,6 +26,8 @@
 	ratesDue bool
 	// own is what the last report said was in flight.
 	own map[deployment.EndpointID]int
+	// heard tells that a view came over the link.
+	heard bool
 	// keysAsked asks for the keys that the planner lacks in the next report.
 	keysAsked bool
 	// plannerLag is how long a planner that asks for no keys has lacked newer ones, keysSentAt when it was sent them last.
@@ -77,6 +79,7 @@
 	c.loop.Call(func(now time.Time) {
 		c.following.stream = stream
 		c.following.Opened(now)
+		c.following.heard, c.following.keysAsked = false, false
 		c.following.own = nil
 		c.following.ratesDue = true
 		c.sendReport(now)
@@ -106,6 +109,7 @@
 	if c.following.Judge(v, arrival) != view.Keep {
 		return
 	}
+	c.following.heard = true
 	effects := c.following.Take(now, v)
 	c.noteLoads(now, v)
 	c.budget.SetMembers(v.Members)
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -46,6 +46,8 @@
 	ConfigurationRevision int64
 	// Lag is how long it has lacked newer ones.
 	Lag Lag
+	// Probe is the number of the report to which the next view to it answers; 0 if it asked for none.
+	Probe uint64
 
 	reportedAt time.Time
 	// lost is since when it counts as lost; zero if it does not.
@@ -88,6 +90,7 @@
 	m.withdrawalsSeen = r.WithdrawalsSeen
 	m.ConfigurationRevision = r.ConfigurationRevision
 	m.leaving = r.Leaving
+	m.Probe = max(m.Probe, r.Probe)
 	m.storeReadAge = r.StoreReadAge
 	m.inUse = make(map[wire.Copy]int, len(r.InUse))
 	for _, used := range r.InUse {
--- a/services/entry/coordinator/member/member_test.go
+++ b/services/entry/coordinator/member/member_test.go
@@ -112,17 +112,17 @@
 
 func TestANewLinkNeedsAWholeView(t *testing.T) {
 	members := member.NewTable()
-	assert.False(t, members.NeedFull())
+	assert.False(t, members.NeedOwn())
 	first := link(t)
 	members.Join("a", first)
-	assert.True(t, members.NeedFull())
+	assert.True(t, members.NeedOwn())
 	members.All()["a"].NeedsFull = false
 	members.Join("a", first)
-	assert.False(t, members.NeedFull(), "the same link again")
+	assert.False(t, members.NeedOwn(), "the same link again")
 	members.Join("a", link(t))
-	assert.True(t, members.NeedFull())
+	assert.True(t, members.NeedOwn())
 	members.All()["a"].Link = nil
-	assert.False(t, members.NeedFull(), "nobody is there to be told")
+	assert.False(t, members.NeedOwn(), "nobody is there to be told")
 	members.CloseLinks()
 }
 
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -63,6 +63,7 @@
 	if m.Link != link {
 		m.Link = link
 		m.NeedsFull = true
+		m.Probe = 0
 	}
 }
 
@@ -175,10 +176,10 @@
 	return false
 }
 
-// NeedFull tells whether any member waits for a whole view.
-func (t *Table) NeedFull() bool {
+// NeedOwn tells whether any member waits for a whole view, or for the answer to a probe.
+func (t *Table) NeedOwn() bool {
 	for _, m := range t.members {
-		if m.NeedsFull && m.Link != nil {
+		if m.Link != nil && (m.NeedsFull || m.Probe > 0) {
 			return true
 		}
 	}
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -38,6 +38,8 @@
 	// Reluctance is how much longer than others this instance leaves the planner's work to them;
 	// an instance with a weak link or processor takes it only if nobody else does.
 	Reluctance time.Duration
+	// LinkRate is how many bytes a second the own link carries; 0 if it is not known.
+	LinkRate int
 	// VersionLimit is how long a request may still begin on an older version than named.
 	VersionLimit time.Duration
 	// StoreTimeout bounds one call to the store, apart from waiting watches.
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -70,7 +70,7 @@
 		c.loop.Call(func(now time.Time) { c.learnSuccessor(now, *received.Successor) })
 	}
 	if received.Request != nil {
-		c.loop.Call(func(now time.Time) { c.answerRequest(now, stream) })
+		c.loop.Call(func(now time.Time) { c.answerRequest(now, stream, received.Request) })
 	}
 	return planning
 }
@@ -81,6 +81,7 @@
 		return false
 	}
 	c.planning.members.Join(r.Instance, stream)
+	c.planning.relays.Reported(stream, r.ConfigurationRevision)
 	c.planning.takeReport(now, r)
 	c.plan(now)
 	return true
@@ -88,11 +89,16 @@
 
 // answerRequest tells a peer that cannot read the store what is known here; an instance that
 // is not ready itself tells nothing.
-func (c *Coordinator) answerRequest(now time.Time, stream *peerstream.Stream[wire.Message]) {
+func (c *Coordinator) answerRequest(now time.Time, stream *peerstream.Stream[wire.Message], request *wire.Request) {
 	if !c.ready.Load() {
 		stream.Close()
 		return
 	}
+	if request.PlannerOnly {
+		// As below.
+		_ = stream.Send(wire.Message{View: c.plannerView(now)})
+		return
+	}
 	if frame := c.seedFrame(now); frame != nil {
 		// A peer that does not read loses the stream and asks another.
 		_ = stream.SendFrame(frame)
@@ -117,15 +123,23 @@
 	return frame
 }
 
-func (c *Coordinator) seedView(now time.Time) *wire.View {
+// plannerView tells who plans, as far as it is known here.
+func (c *Coordinator) plannerView(now time.Time) *wire.View {
 	answer := &wire.View{
-		Planner: c.following.Planner, Term: c.knownRecord.Term, Items: c.keys.After(0), ConfigurationRevision: c.keys.Revision(),
-		ReadAge: now.Sub(c.endpointsReadAt), Address: wire.Address{AddrPort: c.knownRecord.Address},
+		Planner: c.following.Planner, Term: c.knownRecord.Term, ReadAge: now.Sub(c.endpointsReadAt),
+		Address: wire.Address{AddrPort: c.knownRecord.Address},
 	}
 	if c.planning != nil {
 		answer.Planner, answer.Term = c.options.Instance, c.planning.lease.Record().Term
 		answer.Address = wire.Address{AddrPort: c.options.PeerAddress}
 	}
+	return answer
+}
+
+// seedView tells all that is known here.
+func (c *Coordinator) seedView(now time.Time) *wire.View {
+	answer := c.plannerView(now)
+	answer.Items, answer.ConfigurationRevision = c.keys.After(0), c.keys.Revision()
 	for _, status := range c.directory.Endpoints() {
 		answer.Endpoints = append(answer.Endpoints, wire.FromStatus(status))
 	}
@@ -142,5 +156,6 @@
 	if c.planning == nil {
 		return
 	}
+	c.planning.relays.Ended(stream)
 	c.planning.members.Unlink(now, stream, c.memberSilence())
 }
--- a/services/entry/coordinator/plan/changes.go
+++ b/services/entry/coordinator/plan/changes.go
@@ -31,13 +31,6 @@
 	return len(c.Endpoints) == 0 && len(c.Removed) == 0 && len(c.Begun) == 0 && !c.ModelBegun
 }
 
-// TakeBegun gives the loads that began and forgets them, whether or not a view with them goes out.
-func (p *Plans) TakeBegun() []wire.Forecast {
-	begun := p.changes.Begun
-	p.changes.Begun = nil
-	return begun
-}
-
 // Sent forgets all changes, since a view with them went out.
 func (p *Plans) Sent() {
 	clear(p.changes.Endpoints)
--- a/services/entry/coordinator/plan/plan_test.go
+++ b/services/entry/coordinator/plan/plan_test.go
@@ -117,12 +117,12 @@
 	changes := f.plans.Changes()
 	assert.False(t, changes.Empty())
 	assert.True(t, changes.Endpoints["e1"])
-	begun := f.plans.TakeBegun()
+	begun := changes.Begun
 	require.Len(t, begun, 1)
 	assert.Equal(t, key, begun[0].Key())
 	assert.Equal(t, f.begun[key], begun[0].Remaining)
-	assert.Empty(t, f.plans.TakeBegun(), "given once")
 	f.plans.Sent()
+	assert.Empty(t, f.plans.Changes().Begun, "told once")
 	assert.True(t, f.plans.Changes().Empty())
 	assert.Zero(t, f.plans.RecentLoads(start), "only base models count")
 }
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -31,7 +31,7 @@
 	// since is when this instance began to plan.
 	since time.Time
 	// relays bounds the operators' keys under way to members, request is whom this instance asks for keys that it lacks.
-	relays  relay.Window
+	relays  *relay.Window[*member.Link]
 	request relay.Request
 	// givingUp is set before the lease is given up: no order is started any more.
 	givingUp bool
@@ -58,7 +58,8 @@
 	}
 	p := &planning{
 		coordinator: c, lease: held, members: members, since: now, former: former,
-		plans: plan.New(options, c.directory, members, former.loads),
+		relays: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
+		plans:  plan.New(options, c.directory, members, former.loads),
 	}
 	if configuration := c.current.Load(); configuration != nil {
 		p.plans.SetConfiguration(now, configuration, c.versions.All())
--- /dev/null
+++ b/services/entry/coordinator/relay/reach_test.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
+)
+
+// TestAChangeReachesAllWhoLackItInTime simulates for how long members lack a configuration that only the planner has read: each has a link of
+// 10 Mbit/s, the planner one of 200, and each reports at once when it has the keys.
+func TestAChangeReachesAllWhoLackItInTime(t *testing.T) {
+	const (
+		slowLink = 1_250_000
+		fastLink = 25_000_000
+		round    = 20 * time.Millisecond
+		// bound is the time in which a change has to be in force where the store turns instances away: 3 s and 6 s more.
+		bound = 9 * time.Second
+	)
+	cases := []struct{ members, bytes int }{{33, 264_641}, {33, 519_622}, {33, 1_000_000}, {65, 519_622}, {65, 1_000_000}, {195, 264_641}}
+	for _, one := range cases {
+		t.Run(fmt.Sprintf("%d members, %d bytes", one.members, one.bytes), func(t *testing.T) {
+			window := relay.NewWindow[string](relay.WindowFor(fastLink))
+			due := make(map[string]time.Time)
+			left := make(map[string]bool)
+			for i := range one.members {
+				left[fmt.Sprint(i)] = true
+			}
+			patience := relay.PatienceFor(one.bytes)
+			transfer := time.Duration(one.bytes) * time.Second / slowLink
+			free := start
+			now := start.Add(patience)
+			for ; len(left) > 0 && now.Sub(start) < time.Minute; now = now.Add(round) {
+				for name := range left {
+					if at, sent := due[name]; sent && !now.Before(at) {
+						window.Reported(name, 5)
+						delete(left, name)
+						continue
+					}
+					if window.Send(now, name, 5, one.bytes) {
+						if free.Before(now) {
+							free = now
+						}
+						free = free.Add(time.Duration(one.bytes) * time.Second / fastLink)
+						due[name] = free.Add(transfer)
+					}
+				}
+			}
+			assert.Empty(t, left)
+			assert.LessOrEqual(t, now.Sub(start), bound)
+		})
+	}
+}
--- a/services/entry/coordinator/relay/relay_test.go
+++ b/services/entry/coordinator/relay/relay_test.go
@@ -24,7 +24,7 @@
 var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 
 func TestKeysAreSentOnceUntilTheyAreReportedOrLost(t *testing.T) {
-	var window relay.Window
+	window := relay.NewWindow[string](relay.DefaultWindow)
 	assert.True(t, window.Send(start, "a", 5, kib))
 	assert.False(t, window.Send(start.Add(step), "a", 5, kib))
 	assert.False(t, window.Send(start.Add(again-step), "a", 5, kib))
@@ -34,12 +34,12 @@
 	assert.False(t, window.Send(start.Add(again+step), "a", 7, kib), "an older revision was reported")
 	window.Reported("a", 6)
 	assert.True(t, window.Send(start.Add(again+step), "a", 7, kib))
-	window.Unlinked("a")
+	window.Ended("a")
 	assert.True(t, window.Send(start.Add(again+step), "a", 7, kib), "the link ended with what was on it")
 }
 
 func TestTheWindowBoundsWhatIsUnderWay(t *testing.T) {
-	var window relay.Window
+	window := relay.NewWindow[string](relay.DefaultWindow)
 	sent := 0
 	for i := range 100 {
 		if window.Send(start, fmt.Sprint(i), 5, 256*kib) {
@@ -54,13 +54,21 @@
 }
 
 func TestWhatIsLargerThanTheWindowGoesToOneMember(t *testing.T) {
-	var window relay.Window
+	window := relay.NewWindow[string](relay.DefaultWindow)
 	assert.True(t, window.Send(start, "a", 5, 4096*kib))
 	assert.False(t, window.Send(start, "b", 5, kib))
 	window.Reported("a", 5)
 	assert.True(t, window.Send(start, "b", 5, kib))
 }
 
+func TestTheWindowFollowsTheOwnLink(t *testing.T) {
+	assert.Equal(t, relay.DefaultWindow, relay.WindowFor(0))
+	assert.Equal(t, 256*kib, relay.WindowFor(1))
+	assert.Equal(t, 437_500, relay.WindowFor(1_250_000))
+	assert.Equal(t, 8192*kib, relay.WindowFor(25_000_000))
+	assert.Equal(t, 8192*kib, relay.WindowFor(125_000_000))
+}
+
 func TestPatienceGrowsWithTheTimeOfReading(t *testing.T) {
 	assert.Equal(t, patience, relay.PatienceFor(0))
 	assert.Equal(t, patience+time.Second, relay.PatienceFor(900_000))
--- a/services/entry/coordinator/relay/request.go
+++ b/services/entry/coordinator/relay/request.go
@@ -21,19 +21,31 @@
 // Next gives the instance that is asked now, if any: the planner has read up to a revision itself. The one asked last is passed over
 // if another one can be asked.
 func (r *Request) Next(now time.Time, revision int64, sources []member.Source) (string, bool) {
+	best, due := r.next(now, revision, sources)
+	if !due {
+		return "", false
+	}
+	r.asked, r.askedAt = best.Instance, now
+	return best.Instance, true
+}
+
+// Due tells whether an instance is asked now.
+func (r *Request) Due(now time.Time, revision int64, sources []member.Source) bool {
+	_, due := r.next(now, revision, sources)
+	return due
+}
+
+func (r *Request) next(now time.Time, revision int64, sources []member.Source) (member.Source, bool) {
 	best, found := r.choose(revision, sources)
 	if !found {
 		*r = Request{}
-		return "", false
+		return best, false
 	}
 	if r.lacking.IsZero() {
 		r.lacking = now
 	}
-	if now.Sub(r.lacking) < member.RelayAfter || (r.asked != "" && now.Sub(r.askedAt) < Again) {
-		return "", false
-	}
-	r.asked, r.askedAt = best.Instance, now
-	return best.Instance, true
+	waited := now.Sub(r.lacking) >= member.RelayAfter
+	return best, waited && (r.asked == "" || now.Sub(r.askedAt) >= Again)
 }
 
 // choose gives the source of the newest keys; of several, the first by name that was not asked last.
--- a/services/entry/coordinator/relay/window.go
+++ b/services/entry/coordinator/relay/window.go
@@ -10,10 +10,17 @@
 )
 
 const (
-	// WindowBytes is how many bytes of keys may be under way to members that have not reported them, 1 MiB: more reaches
-	// many members sooner, less takes less of the planner's memory and link. What is larger goes to one member at a time. Not
-	// measured.
-	WindowBytes = 1 << 20
+	// DefaultWindow is how many bytes of keys may be under way to members that have not reported them where the own link's
+	// rate is not known, 1 MiB: more reaches many members sooner, less takes less of the planner's memory and link. What is
+	// larger goes to one member at a time. Not measured.
+	DefaultWindow = 1 << 20
+	// smallestWindow and largestWindow bound the window of an instance whose link's rate is known, in bytes: 256 KiB, and
+	// 8 MiB, with which 65 members have 1 MB of keys 8.9 s after it is new, each on a link of 10 Mbit/s
+	// (TestAChangeReachesAllWhoLackItInTime), and which the smallest instance's memory of 184 MB holds several times.
+	smallestWindow = 256 << 10
+	largestWindow  = 8 << 20
+	// windowTime is for how long a full window takes the own link: views wait behind it. Not measured.
+	windowTime = 350 * time.Millisecond
 	// Again is after how long keys that a member has not reported are sent to it anew, and another member is asked: longer than
 	// 1 MiB takes on the slowest link with a report after it. Not measured.
 	Again = 2 * time.Second
@@ -28,53 +35,71 @@
 	return member.RelayAfter + time.Duration(bytes)*time.Second/readRate
 }
 
-// Window bounds the keys that are under way to members. The zero value has sent none; it is not safe for concurrent use.
-type Window struct {
-	sent map[string]sending
+// WindowFor gives the window of an instance whose link carries so many bytes a second; 0 if it is not known.
+func WindowFor(bytesPerSecond int) int {
+	if bytesPerSecond <= 0 {
+		return DefaultWindow
+	}
+	return min(max(int(windowTime.Seconds()*float64(bytesPerSecond)), smallestWindow), largestWindow)
+}
+
+// Window bounds the keys that are under way to members, by the links that lead to them: what was under way on a link is lost
+// with it. It is not safe for concurrent use.
+type Window[Link comparable] struct {
+	bytes int
+	sent  map[Link]sending
 }
 
-// sending is what was sent to one member last.
+// sending is what was sent over one link last.
 type sending struct {
 	revision int64
 	bytes    int
 	at       time.Time
 }
 
-// Send tells whether keys up to a revision are sent to an instance now, and counts them as under way if they are. While a member
-// has not reported what was sent to it, it is sent nothing more, so that changes in quick succession do not pile up.
-func (w *Window) Send(now time.Time, instance string, revision int64, bytes int) bool {
-	if last, ok := w.sent[instance]; ok && now.Sub(last.at) < Again {
+// NewWindow makes a window of so many bytes.
+func NewWindow[Link comparable](bytes int) *Window[Link] {
+	return &Window[Link]{bytes: bytes, sent: make(map[Link]sending)}
+}
+
+// Room tells whether so many bytes of keys can be sent over a link now. While a member has not reported what was sent to it, it is
+// sent nothing more, so that changes in quick succession do not pile up.
+func (w *Window[Link]) Room(now time.Time, link Link, bytes int) bool {
+	if last, ok := w.sent[link]; ok && now.Sub(last.at) < Again {
 		return false
 	}
-	if others := w.underWay(now, instance); others > 0 && others+bytes > WindowBytes {
+	others := w.underWay(now, link)
+	return others == 0 || others+bytes <= w.bytes
+}
+
+// Send tells whether keys up to a revision are sent over a link now, and counts them as under way if they are.
+func (w *Window[Link]) Send(now time.Time, link Link, revision int64, bytes int) bool {
+	if !w.Room(now, link, bytes) {
 		return false
 	}
-	if w.sent == nil {
-		w.sent = make(map[string]sending)
-	}
-	w.sent[instance] = sending{revision: revision, bytes: bytes, at: now}
+	w.sent[link] = sending{revision: revision, bytes: bytes, at: now}
 	return true
 }
 
-// underWay sums what is under way to other instances than one; what was sent too long ago counts as lost.
-func (w *Window) underWay(now time.Time, except string) int {
+// underWay sums what is under way over other links than one; what was sent too long ago counts as lost.
+func (w *Window[Link]) underWay(now time.Time, except Link) int {
 	sum := 0
-	for instance, one := range w.sent {
-		if instance != except && now.Sub(one.at) < Again {
+	for link, one := range w.sent {
+		if link != except && now.Sub(one.at) < Again {
 			sum += one.bytes
 		}
 	}
 	return sum
 }
 
-// Reported notes up to which revision an instance says that it knows the keys.
-func (w *Window) Reported(instance string, revision int64) {
-	if last, ok := w.sent[instance]; ok && revision >= last.revision {
-		delete(w.sent, instance)
+// Reported notes up to which revision the instance at the end of a link says that it knows the keys.
+func (w *Window[Link]) Reported(link Link, revision int64) {
+	if last, ok := w.sent[link]; ok && revision >= last.revision {
+		delete(w.sent, link)
 	}
 }
 
-// Unlinked notes that the link to an instance has ended, with what was under way on it.
-func (w *Window) Unlinked(instance string) {
-	delete(w.sent, instance)
+// Ended notes that a link has ended, with what was under way on it.
+func (w *Window[Link]) Ended(link Link) {
+	delete(w.sent, link)
 }
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -54,6 +54,9 @@
 		built.Rates, built.FormerLoads = c.demand.Rates(now), c.tellLoads(now)
 		c.following.ratesDue = false
 	}
+	if probe, ok := c.following.NextProbe(now); ok && c.following.stream != nil {
+		built.Probe = probe
+	}
 	if c.keysDue(now) {
 		built.Items = c.keys.After(c.following.PlannerRevision)
 		c.observeRelay(built.Items)
@@ -64,7 +67,7 @@
 // keysDue tells whether the next report carries the operators' keys that the planner lacks: when it asked for them, and, where it
 // is of a version that does not ask, when it has lacked them for long enough.
 func (c *Coordinator) keysDue(now time.Time) bool {
-	if c.following.stream == nil {
+	if c.following.stream == nil || !c.following.heard {
 		c.following.plannerLag = member.Lag{}
 		return false
 	}
--- a/services/entry/coordinator/seed/seed.go
+++ b/services/entry/coordinator/seed/seed.go
@@ -30,6 +30,10 @@
 // Ask asks one seed after the other and hands each answer to take, until enough says so or the context ends. A seed
 // that does not answer is passed over.
 func (a *Asker) Ask(ctx context.Context, enough func() bool, take func(*wire.View)) {
+	a.askAll(ctx, wire.Request{Instance: a.Instance}, enough, take)
+}
+
+func (a *Asker) askAll(ctx context.Context, request wire.Request, enough func() bool, take func(*wire.View)) {
 	for _, seed := range a.Seeds {
 		if enough() || ctx.Err() != nil {
 			return
@@ -37,21 +41,22 @@
 		if seed == a.Own {
 			continue
 		}
-		if answer := a.askOne(ctx, seed); answer != nil {
+		if answer := a.askOne(ctx, seed, request); answer != nil {
 			take(answer)
 		}
 	}
 }
 
-// First gives the first answer; nil if no seed answers.
-func (a *Asker) First(ctx context.Context) *wire.View {
+// Planner asks who plans and gives the first answer; nil if no seed answers.
+func (a *Asker) Planner(ctx context.Context) *wire.View {
 	var first *wire.View
-	a.Ask(ctx, func() bool { return first != nil }, func(answer *wire.View) { first = answer })
+	request := wire.Request{Instance: a.Instance, PlannerOnly: true}
+	a.askAll(ctx, request, func() bool { return first != nil }, func(answer *wire.View) { first = answer })
 	return first
 }
 
 // askOne asks a peer for what it knows; nil if it does not answer, whatever the reason.
-func (a *Asker) askOne(ctx context.Context, address netip.AddrPort) *wire.View {
+func (a *Asker) askOne(ctx context.Context, address netip.AddrPort, request wire.Request) *wire.View {
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
 	conn, err := a.Dial(ctx, address)
@@ -60,7 +65,7 @@
 	}
 	stream := peerstream.New[wire.Message](conn)
 	defer stream.Close()
-	if err := stream.Send(wire.Message{Request: &wire.Request{Instance: a.Instance}}); err != nil {
+	if err := stream.Send(wire.Message{Request: &request}); err != nil {
 		return nil
 	}
 	received, err := stream.Receive(Timeout, a.Now)
--- a/services/entry/coordinator/seed/seed_test.go
+++ b/services/entry/coordinator/seed/seed_test.go
@@ -88,7 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			asker, p := newAsker(t, answers)
 			began := time.Now()
-			first := asker.First(t.Context())
+			first := asker.Planner(t.Context())
 			if assert.NotNil(t, first) {
 				assert.EqualValues(t, 5, first.Term)
 			}
@@ -100,15 +100,15 @@
 
 func TestWithoutAnAnswerThereIsNone(t *testing.T) {
 	asker, _ := newAsker(t, nil)
-	assert.Nil(t, asker.First(t.Context()))
+	assert.Nil(t, asker.Planner(t.Context()))
 	asker.Seeds = nil
-	assert.Nil(t, asker.First(t.Context()))
+	assert.Nil(t, asker.Planner(t.Context()))
 }
 
 func TestNobodyIsAskedWhenTheProcessEnds(t *testing.T) {
 	asker, p := newAsker(t, answers{one: tells(4)})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.Nil(t, asker.First(ctx))
+	assert.Nil(t, asker.Planner(ctx))
 	assert.Empty(t, p.asked)
 }
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -19,7 +19,7 @@
 
 // askSeedsForPlanner lets an instance that the store does not answer learn from a peer who plans.
 func (c *Coordinator) askSeedsForPlanner() {
-	if answer := c.seeds.First(c.context); answer != nil {
+	if answer := c.seeds.Planner(c.context); answer != nil {
 		c.loop.Call(func(now time.Time) {
 			c.learnSuccessor(now, wire.Successor{Term: answer.Term, Address: answer.Address.AddrPort})
 		})
--- a/services/entry/coordinator/view/followed.go
+++ b/services/entry/coordinator/view/followed.go
@@ -68,6 +68,10 @@
 	ResignedTerm int64
 	// openedAt is when the link was opened over which no view has come yet; zero otherwise.
 	openedAt time.Time
+	// probe is the number of the last probe and probedAt when it was sent; answered is the last one that a view answered.
+	probe    uint64
+	probedAt time.Time
+	answered uint64
 	// begun is no later than the planner's term began, on the own clock, as near to it as is known; zero if it is not.
 	begun time.Time
 }
@@ -99,9 +103,29 @@
 	f.openedAt = now
 }
 
+const (
+	// probeDelay is the delay from which on an instance asks for a tighter bound of it: a quarter of SilenceLimit, so that the
+	// pause between heartbeats still fits beside it. Not measured.
+	probeDelay = SilenceLimit / 4
+	// probePause is the least pause between two probes. Not measured.
+	probePause = time.Second
+)
+
+// NextProbe gives the number of a probe that the next report carries, where the bound of the delay is a loose one: the first view over
+// the link was made long after it was opened, or views really wait.
+func (f *Followed) NextProbe(now time.Time) (uint64, bool) {
+	if f.begun.IsZero() || f.Delay < probeDelay || now.Sub(f.probedAt) < probePause {
+		return 0, false
+	}
+	f.probe++
+	f.probedAt = now
+	return f.probe, true
+}
+
 // delayOf gives the longest that a view which came now can have waited on its way. The first view over a link was made after the link
-// was opened; from this and the time that the planner tells in each view follows a bound for all later ones, without a
-// comparison of two clocks. It is 0 where the planner is of a version that does not tell it.
+// was opened, and one that answers a probe after the probe was sent; from this and the time that the planner tells in each
+// view follows a bound for all later ones, without a comparison of two clocks. It is 0 where the planner is of a
+// version that does not tell it.
 func (f *Followed) delayOf(now time.Time, v *wire.View) time.Duration {
 	if v.Made == 0 {
 		return 0
@@ -110,17 +134,26 @@
 		f.begun = time.Time{}
 	}
 	if !f.openedAt.IsZero() {
-		if begun := f.openedAt.Add(-v.Made); begun.After(f.begun) {
-			f.begun = begun
-		}
+		f.madeAfter(f.openedAt, v)
 		f.openedAt = time.Time{}
 	}
+	if v.Probe > f.answered && v.Probe == f.probe {
+		f.madeAfter(f.probedAt, v)
+		f.answered = v.Probe
+	}
 	if f.begun.IsZero() {
 		return 0
 	}
 	return max(0, now.Sub(f.begun.Add(v.Made)))
 }
 
+// madeAfter takes in that a view was made after a time.
+func (f *Followed) madeAfter(at time.Time, v *wire.View) {
+	if begun := at.Add(-v.Made); begun.After(f.begun) {
+		f.begun = begun
+	}
+}
+
 // Age is for how long what the planner's views tell may have changed unnoticed: since it read the endpoints.
 func (f *Followed) Age(now time.Time) time.Duration {
 	return now.Sub(f.ReceivedAt) + f.Delay + f.ReadAge
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -4,6 +4,7 @@
 package coordinator
 
 import (
+	"errors"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -30,14 +31,13 @@
 		p.applyOwnTotals(totals)
 	}
 	changes := p.baseView(now, totals)
-	begun := p.plans.TakeBegun()
+	changed := p.plans.Changes()
 	if withTotals {
 		changes.Heartbeat = true
 		p.addForecasts(now, changes)
 	} else {
-		changes.Forecasts = begun
+		changes.Forecasts = changed.Begun
 	}
-	changed := p.plans.Changes()
 	for id := range changed.Endpoints {
 		if status := p.coordinator.directory.Endpoint(id); status != nil {
 			changes.Endpoints = append(changes.Endpoints, wire.FromStatus(status))
@@ -46,15 +46,15 @@
 	changes.Removed = changed.Removed
 	frame, err := peerstream.Encode(wire.Message{View: changes})
 	if err != nil {
-		// No value of a view is known that makes its encoding fail; changed endpoints stay for the next one.
+		// No value of a view is known that makes its encoding fail; what changed stays for the next one.
 		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
 		return
 	}
 	round := &viewRound{changes: changes, frame: frame}
-	asked, asks := p.request.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
+	round.asked, _ = p.request.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
 	for instance, m := range p.members.All() {
 		if m.Link != nil {
-			p.sendView(now, instance, m, round, asks && instance == asked)
+			p.sendView(now, instance, m, round)
 		}
 	}
 	p.plans.Sent()
@@ -66,6 +66,8 @@
 	frame   peerstream.Frame
 	// whole is the frame of a whole view; nil until a member needs it.
 	whole peerstream.Frame
+	// asked is the member that is asked for the operators' keys; empty if none is.
+	asked string
 }
 
 // viewDue tells whether a view without totals goes out now.
@@ -74,18 +76,18 @@
 	case view.Now:
 		return true
 	case view.OnlyChanges:
-		return !p.noChanges()
+		return !p.noChanges() || p.keysDue(now)
 	default:
 		return false
 	}
 }
 
-// sendView sends a member the changes or a whole view, whose frames serve all, or a view of its own that passes keys on to it or
-// asks it for keys.
-func (p *planning) sendView(now time.Time, instance string, m *member.Member, round *viewRound, asked bool) {
-	items := p.itemsFor(now, instance, m)
-	if len(items) > 0 || asked {
-		p.sendOwnView(now, instance, m, round, items, asked)
+// sendView sends a member the changes or a whole view, whose frames serve all, or a view of its own that passes keys on to it, asks
+// it for keys or answers its probe.
+func (p *planning) sendView(now time.Time, instance string, m *member.Member, round *viewRound) {
+	items := p.itemsFor(now, m)
+	if len(items) > 0 || round.asked == instance || m.Probe > 0 {
+		p.sendOwnView(now, instance, m, round, items)
 		return
 	}
 	frame := round.frame
@@ -96,7 +98,7 @@
 		return
 	}
 	m.NeedsFull = false
-	p.sent(instance, m, m.Link.SendFrame(frame))
+	p.sent(m, m.Link.SendFrame(frame))
 }
 
 // wholeFrame gives the frame of a whole view, or nil where it cannot be encoded.
@@ -113,27 +115,30 @@
 	return frame
 }
 
-func (p *planning) sendOwnView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item, asked bool) {
+func (p *planning) sendOwnView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
 	own := *round.changes
 	if m.NeedsFull {
 		own = *p.fullView(now)
 		m.NeedsFull = false
 	}
-	own.Items = items
-	if asked {
+	own.Items, own.Probe = items, m.Probe
+	m.Probe = 0
+	if round.asked == instance {
 		own.KeysFrom = instance
 	}
 	p.coordinator.observeRelay(items)
-	p.sent(instance, m, m.Link.Send(wire.Message{View: &own}))
+	p.sent(m, m.Link.Send(wire.Message{View: &own}))
 }
 
 // sent takes in how the sending of a view ended. After a failure the member dials again and gets a whole view.
-func (p *planning) sent(instance string, m *member.Member, err error) {
+func (p *planning) sent(m *member.Member, err error) {
 	if err == nil {
 		return
 	}
-	p.coordinator.noteLinkClosed(m.Link.Queued(), err)
-	p.relays.Unlinked(instance)
+	if errors.Is(err, peerstream.ErrCongested) {
+		p.coordinator.noteLinkClosed(m.Link.Queued(), err)
+	}
+	p.relays.Ended(m.Link)
 	m.Link = nil
 }
 
@@ -155,26 +160,46 @@
 
 // noChanges tells whether all members have the plan's last state.
 func (p *planning) noChanges() bool {
-	return p.plans.Changes().Empty() && !p.members.NeedFull()
+	return p.plans.Changes().Empty() && !p.members.NeedOwn()
 }
 
-// itemsFor gives the operators' keys that a member has lacked for longer than it would need to read them itself, as far as what is
-// under way to all members allows it.
-func (p *planning) itemsFor(now time.Time, instance string, m *member.Member) []store.Item {
-	p.relays.Reported(instance, m.ConfigurationRevision)
+// itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
+func (p *planning) itemsFor(now time.Time, m *member.Member) []store.Item {
+	items := p.lackedBy(now, m)
+	if len(items) == 0 || !p.relays.Send(now, m.Link, p.coordinator.keys.Revision(), follow.SizeOf(items)) {
+		return nil
+	}
+	return items
+}
+
+// lackedBy gives the operators' keys that a member has lacked for longer than it would need to read them itself.
+func (p *planning) lackedBy(now time.Time, m *member.Member) []store.Item {
 	keys := p.coordinator.keys
 	lag, behind := m.Lag.Observe(now, m.ConfigurationRevision, keys.Revision())
 	if !behind || lag < member.RelayAfter {
 		return nil
 	}
 	items := keys.After(m.ConfigurationRevision)
-	size := follow.SizeOf(items)
-	if lag < relay.PatienceFor(size) || !p.relays.Send(now, instance, keys.Revision(), size) {
+	if lag < relay.PatienceFor(follow.SizeOf(items)) {
 		return nil
 	}
 	return items
 }
 
+// keysDue tells whether a view goes out now to pass the operators' keys on, or to ask for them.
+func (p *planning) keysDue(now time.Time) bool {
+	for _, m := range p.members.All() {
+		if m.Link == nil {
+			continue
+		}
+		items := p.lackedBy(now, m)
+		if len(items) > 0 && p.relays.Room(now, m.Link, follow.SizeOf(items)) {
+			return true
+		}
+	}
+	return p.request.Due(now, p.coordinator.keys.Revision(), p.members.Sources())
+}
+
 func (p *planning) baseView(now time.Time, totals []wire.EndpointCount) *wire.View {
 	v := &wire.View{
 		Planner: p.coordinator.options.Instance, Term: p.lease.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -42,6 +42,8 @@
 // Request asks a peer for the configuration and for who plans.
 type Request struct {
 	Instance string `msgpack:"i"`
+	// PlannerOnly asks for who plans alone. Earlier versions answer with the configuration and the endpoints all the same.
+	PlannerOnly bool `msgpack:"p,omitempty"`
 }
 
 // Report is what an instance tells the planner.
@@ -69,6 +71,9 @@
 	Rates []Rate `msgpack:"a,omitempty"`
 	// FormerLoads is what the last view with RecentLoads told, sent once to each new planner.
 	FormerLoads *FormerLoads `msgpack:"b,omitempty"`
+	// Probe asks for a view that names this number, from which the instance learns how long views wait on their way; 0 asks for
+	// none.
+	Probe uint64 `msgpack:"p,omitempty"`
 	// StoreReadAge is how long ago the instance last read from the store.
 	StoreReadAge time.Duration `msgpack:"k"`
 }
@@ -165,6 +170,8 @@
 	Made time.Duration `msgpack:"m,omitempty"`
 	// AsksForKeys says that the planner asks for keys that it lacks: no instance sends them otherwise. Earlier versions do not ask.
 	AsksForKeys bool `msgpack:"q,omitempty"`
+	// Probe is the number of the report that this view answers; 0 for others. Earlier versions answer none.
+	Probe uint64 `msgpack:"i,omitempty"`
 	// KeysFrom is the instance that the planner asks for keys of the configuration now; empty if it asks none.
 	KeysFrom string `msgpack:"u,omitempty"`
 	// RecentLoads counts the base models' loads that began in the load window before this view, also under former planners;
