Hold patient work back beside urgent requests of other adapters

Cause: gathered asked each adapter of the endpoint for the end of its hold; where only urgent requests wait there is none, and the zero time counts as passed, so that patient work of every other adapter started at once. Change: an adapter that no patient work waits for has no part in gathering. Looked for the same cause, a missing time taken for one that has passed: the comparisons of times in the daemon's placement, routing and node and in the entry program's loading, admission, directory and forecast; elsewhere the zero time is checked or means "at once".

--- a/services/daemon/placement/dispatch.go
+++ b/services/daemon/placement/dispatch.go
@@ -102,6 +102,9 @@
 		if !ok || s.state != slotResident {
 			continue
 		}
+		if a.Patient() == 0 {
+			continue
+		}
 		waiting += a.Patient()
 		if now.After(a.HoldUntil()) {
 			return true
--- a/services/daemon/placement/hold_test.go
+++ b/services/daemon/placement/hold_test.go
@@ -12,9 +12,8 @@
 	"github.com/shelfledge/shelfledge/services/daemon/placement"
 )
 
-// TestUrgentWaiterDoesNotEndTheHoldOfPatientWork fails as listed in KNOWN-RED.txt: of an
-// adapter that no patient work waits for, the missing end of the hold is taken for one that
-// has passed, and patient work of every other adapter of the endpoint starts at once.
+// TestUrgentWaiterDoesNotEndTheHoldOfPatientWork has an urgent request wait for an adapter that no patient work waits
+// for: the missing end of its hold is none that has passed.
 func TestUrgentWaiterDoesNotEndTheHoldOfPatientWork(t *testing.T) {
 	held := func(urgentWaits bool) bool {
 		first, second := endpoint(2), endpoint(2)
