Count only those who still wait in an adapter's wait, hold and lanes

Cause: the entry of an adapter kept what had gone. Since was when the row of waiters began, so that a waiter of 2 ms counted as one of SecondCopyWait, and the value of a load grew with the age of the row, though waitGrowth and SecondCopyWait are said to be of those who wait. HoldUntil outlived the patient request that set it, so that later work was not gathered. Change: lanes go with their last waiter and drop those who have gone; Since is of the oldest waiter, HoldUntil of the patient work left. TestCountsOfWhatWaits held the lazy dropping of lanes: it now asks for one lane at once, where it asked for three and, after a look, one. Looked for the same cause: the entry program tells the planner of its waiting requests anew in each report (services/entry/coordinator/report).

--- a/services/daemon/placement/queue/adapter.go
+++ b/services/daemon/placement/queue/adapter.go
@@ -4,46 +4,33 @@
 package queue
 
 import (
+	"container/heap"
 	"iter"
 	"time"
 )
 
-// lane holds one customer's waiters of one class for one adapter, first come first served.
-type lane struct {
-	waiters []*Waiter
-}
-
-// head gives the first waiter that is still there.
-func (l *lane) head() *Waiter {
-	for len(l.waiters) > 0 {
-		if !l.waiters[0].gone {
-			return l.waiters[0]
-		}
-		l.waiters[0] = nil
-		l.waiters = l.waiters[1:]
-	}
-	return nil
-}
-
 // Adapter holds what waits for one adapter, a lane for each class and customer.
 type Adapter struct {
-	lanes   map[customerKey]*lane
-	count   int
-	patient int
-	weight  float64
-	since   time.Time
-	// holdUntil is when patient work must start, gathered or not.
-	holdUntil time.Time
+	// lanes has no lane without a waiter.
+	lanes  map[customerKey]*lane
+	count  int
+	weight float64
+	// holds has the waiting patient work, the first that must start at the front.
+	holds holdHeap
+}
+
+func newAdapter() *Adapter {
+	return &Adapter{lanes: make(map[customerKey]*lane)}
 }
 
 // Patient gives the number of waiting requests of patient classes.
 func (a *Adapter) Patient() int {
-	return a.patient
+	return len(a.holds)
 }
 
 // Urgent tells whether a request waits that is not patient.
 func (a *Adapter) Urgent() bool {
-	return a.count > a.patient
+	return a.count > len(a.holds)
 }
 
 // Weight sums the stall weights of those who wait.
@@ -51,19 +38,29 @@
 	return a.weight
 }
 
-// Since gives the time since when somebody has waited, without a gap.
+// Since gives the time at which the oldest of those who wait was queued. The age of the row does not count: a load is worth
+// more, and a further copy is justified, by how long a request waits.
 func (a *Adapter) Since() time.Time {
-	return a.since
+	var oldest time.Time
+	for _, l := range a.lanes {
+		queued := l.head().Queued
+		if oldest.IsZero() || queued.Before(oldest) {
+			oldest = queued
+		}
+	}
+	return oldest
 }
 
-// HoldUntil gives the time at which patient work must start, gathered or not; the zero time
-// where none has waited.
+// HoldUntil gives the time at which the first of the waiting patient work must start, gathered or not; the zero time where
+// none waits.
 func (a *Adapter) HoldUntil() time.Time {
-	return a.holdUntil
+	if len(a.holds) == 0 {
+		return time.Time{}
+	}
+	return a.holds[0].holdUntil
 }
 
-// Lanes gives the number of lanes; one whose waiters have all gone counts until Heads has
-// looked at it.
+// Lanes gives the number of lanes.
 func (a *Adapter) Lanes() int {
 	return len(a.lanes)
 }
@@ -80,16 +77,11 @@
 	}
 }
 
-// Heads gives the first waiter of each lane, in no order, and drops lanes without any.
+// Heads gives the first waiter of each lane, in no order.
 func (a *Adapter) Heads() iter.Seq[*Waiter] {
 	return func(yield func(*Waiter) bool) {
-		for key, l := range a.lanes {
-			w := l.head()
-			if w == nil {
-				delete(a.lanes, key)
-				continue
-			}
-			if !yield(w) {
+		for _, l := range a.lanes {
+			if !yield(l.head()) {
 				return
 			}
 		}
@@ -118,13 +110,22 @@
 		l = &lane{}
 		a.lanes[key] = l
 	}
-	l.waiters = append(l.waiters, w)
+	l.add(w)
 	a.count++
 	a.weight += w.Class.StallWeight
+	if w.Class.Patient {
+		heap.Push(&a.holds, w)
+	}
 }
 
-func (a *Adapter) holdAtMost(until time.Time) {
-	if a.holdUntil.IsZero() || until.Before(a.holdUntil) {
-		a.holdUntil = until
+// remove takes out a waiter that is marked as gone.
+func (a *Adapter) remove(w *Waiter, key customerKey) {
+	if l := a.lanes[key]; l.remove() == 0 {
+		delete(a.lanes, key)
+	}
+	a.count--
+	a.weight -= w.Class.StallWeight
+	if w.Class.Patient {
+		heap.Remove(&a.holds, w.holdIndex)
 	}
 }
--- a/services/daemon/placement/queue/queue.go
+++ b/services/daemon/placement/queue/queue.go
@@ -59,6 +59,7 @@
 func (q *Queue) Push(now time.Time, r fleet.Request, c fleet.Class, hold time.Duration) {
 	q.sequence++
 	w := &Waiter{Request: r, Class: c, Queued: now, sequence: q.sequence}
+	w.holdUntil = now.Add(w.holdLimit(now, hold))
 	key := keyOf(w)
 	if !q.plain {
 		w.tag = max(q.virtual[c.Name], q.finish[key])
@@ -69,20 +70,16 @@
 	q.byID[r.ID] = w
 	a, ok := q.adapters[r.Adapter]
 	if !ok {
-		a = &Adapter{lanes: make(map[customerKey]*lane), since: now}
+		a = newAdapter()
 		q.adapters[r.Adapter] = a
 	}
 	a.add(w, key)
-	if c.Patient {
-		a.patient++
-		a.holdAtMost(now.Add(w.holdLimit(now, hold)))
-	}
 	if !r.Deadline.IsZero() {
 		heap.Push(&q.deadlines, w)
 	}
 }
 
-// Remove takes a waiter out, once; its lane drops the entry when it comes to the front.
+// Remove takes a waiter out, once.
 func (q *Queue) Remove(w *Waiter) {
 	if w.gone {
 		return
@@ -97,11 +94,7 @@
 		delete(q.byCustomer, key)
 	}
 	a := q.adapters[r.Adapter]
-	a.count--
-	a.weight -= w.Class.StallWeight
-	if w.Class.Patient {
-		a.patient--
-	}
+	a.remove(w, key)
 	if a.count == 0 {
 		delete(q.adapters, r.Adapter)
 	}
--- a/services/daemon/placement/queue/queue_test.go
+++ b/services/daemon/placement/queue/queue_test.go
@@ -155,11 +155,11 @@
 		left = append(left, w.Request.ID)
 	}
 	require.Equal(t, []string{"p1"}, left)
-	require.Equal(t, 3, adapter.Lanes())
-	for range adapter.Heads() {
-		continue
+	require.Equal(t, 1, adapter.Lanes(), "lanes without waiters are dropped at once")
+	require.Equal(t, []string{"c"}, slices.Collect(adapter.Customers()))
+	for w := range adapter.Heads() {
+		require.Equal(t, "p1", w.Request.ID)
 	}
-	require.Equal(t, 1, adapter.Lanes(), "lanes without waiters are dropped")
 }
 
 func TestRequestsEndAtTheirDeadlines(t *testing.T) {
--- a/services/daemon/placement/queue/waiter.go
+++ b/services/daemon/placement/queue/waiter.go
@@ -25,6 +25,9 @@
 	tag      float64
 	sequence uint64
 	gone     bool
+	// holdUntil is when the request must start if it is patient, and holdIndex its place in its adapter's holds.
+	holdUntil time.Time
+	holdIndex int
 }
 
 // Before tells whether w goes before other: priority raised by waiting, one level each
@@ -61,26 +64,3 @@
 	}
 	return min(hold, time.Duration(holdShare*float64(w.Request.Deadline.Sub(now))))
 }
-
-// deadlineHeap orders waiters by the time at which their callers stop waiting.
-type deadlineHeap []*Waiter
-
-func (h deadlineHeap) Len() int { return len(h) }
-
-func (h deadlineHeap) Less(i, j int) bool {
-	return h[i].Request.Deadline.Before(h[j].Request.Deadline)
-}
-
-func (h deadlineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(*Waiter)) }
-
-// Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
-}
