Take a request out of the queue's deadlines when it starts

Change: each waiter knows its place in the heap and is taken out of it at once. Shown by: TestRequestsWithDistantDeadlinesAreForgottenOnceTheyStart failed before.

--- a/services/daemon/placement/queue/growth_test.go
+++ b/services/daemon/placement/queue/growth_test.go
@@ -48,3 +48,16 @@
 		}
 	}), mostHeap)
 }
+
+func TestRequestsWithDistantDeadlinesAreForgottenOnceTheyStart(t *testing.T) {
+	require.Less(t, heapOf(func(q *queue.Queue) {
+		for i := range many {
+			r := request(fmt.Sprint("q", i), "c")
+			r.Deadline = after(24 * time.Hour)
+			q.Push(begin, r, urgent, hold)
+			w, ok := q.Find(r.ID)
+			require.True(t, ok)
+			q.Dispatch(w)
+		}
+	}), mostHeap)
+}
--- a/services/daemon/placement/queue/heap.go
+++ b/services/daemon/placement/queue/heap.go
@@ -12,10 +12,17 @@
 	return h[i].Request.Deadline.Before(h[j].Request.Deadline)
 }
 
-func (h deadlineHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].deadlineIndex, h[j].deadlineIndex = i, j
+}
 
 // Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(*Waiter)) }
+func (h *deadlineHeap) Push(x any) {
+	w := x.(*Waiter)
+	w.deadlineIndex = len(*h)
+	*h = append(*h, w)
+}
 
 // Pop implements heap.Interface.
 func (h *deadlineHeap) Pop() any {
--- a/services/daemon/placement/queue/queue.go
+++ b/services/daemon/placement/queue/queue.go
@@ -16,8 +16,9 @@
 
 // Queue holds all waiting requests of a pool.
 type Queue struct {
-	adapters  map[fleet.AdapterRef]*Adapter
-	byID      map[string]*Waiter
+	adapters map[fleet.AdapterRef]*Adapter
+	byID     map[string]*Waiter
+	// deadlines has the waiters with a deadline, the earliest at the front.
 	deadlines deadlineHeap
 	// virtual is each class's virtual time, and finish where a customer's last request ends
 	// in it, both in tokens.
@@ -87,6 +88,9 @@
 	w.gone = true
 	r := w.Request
 	delete(q.byID, r.ID)
+	if !r.Deadline.IsZero() {
+		heap.Remove(&q.deadlines, w.deadlineIndex)
+	}
 	key := keyOf(w)
 	q.byClass[w.Class.Name] -= r.Tokens()
 	q.byCustomer[key] -= r.Tokens()
@@ -117,15 +121,8 @@
 // Expired takes out and returns the waiters whose callers have stopped waiting.
 func (q *Queue) Expired(now time.Time) []*Waiter {
 	var out []*Waiter
-	for len(q.deadlines) > 0 {
+	for len(q.deadlines) > 0 && q.deadlines[0].Request.Expired(now) {
 		w := q.deadlines[0]
-		if !w.gone && !w.Request.Expired(now) {
-			break
-		}
-		heap.Pop(&q.deadlines)
-		if w.gone {
-			continue
-		}
 		q.Remove(w)
 		out = append(out, w)
 	}
@@ -134,13 +131,10 @@
 
 // NextDeadline gives the earliest deadline of a waiter, or the zero time.
 func (q *Queue) NextDeadline() time.Time {
-	for len(q.deadlines) > 0 {
-		if !q.deadlines[0].gone {
-			return q.deadlines[0].Request.Deadline
-		}
-		heap.Pop(&q.deadlines)
+	if len(q.deadlines) == 0 {
+		return time.Time{}
 	}
-	return time.Time{}
+	return q.deadlines[0].Request.Deadline
 }
 
 // Len gives the number of waiters.
--- a/services/daemon/placement/queue/waiter.go
+++ b/services/daemon/placement/queue/waiter.go
@@ -28,6 +28,8 @@
 	// holdUntil is when the request must start if it is patient, and holdIndex its place in its adapter's holds.
 	holdUntil time.Time
 	holdIndex int
+	// deadlineIndex is the place of a request with a deadline among all of them.
+	deadlineIndex int
 }
 
 // Before tells whether w goes before other: priority raised by waiting, one level each
