--- a/services/daemon/placement/forgotten_test.go
+++ b/services/daemon/placement/forgotten_test.go
@@ -145,3 +145,25 @@
 	require.Zero(t, q.Len())
 	require.Less(t, retained(q), many/2, "virtual time has passed every tag")
 }
+
+// TestForgettingDoesNotDependOnTheNumberOfGrants has 255 grants between two sweeps, so that ticket names and sweeps together
+// are never a multiple of 256 at a sweep.
+func TestForgettingDoesNotDependOnTheNumberOfGrants(t *testing.T) {
+	const grantsBetween, fade = 255, 12 * time.Hour
+	p := newPlacer(endpoint(2))
+	p.Inspected(at(2), list(1, ref("a")))
+	p.Submit(at(3), request("once", "b"))
+	p.Cancel(at(3), "once")
+	before := retained(p)
+	now := begin.Add(fade)
+	for range 1024 {
+		now = now.Add(time.Second)
+		p.Tick(now)
+		for range grantsBetween {
+			granted := only[placement.Grant](p.Submit(now, request("q", "a")))
+			require.Len(t, granted, 1)
+			p.Return(now, granted[0].Ticket.ID)
+		}
+	}
+	require.Less(t, retained(p), before+2, "b is forgotten, a has come")
+}
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -34,6 +34,7 @@
 	loadsOf   customerLoads
 	prefixes  prefixHints
 	sequence  uint64
+	sweeps    uint64
 	loads     int
 	lastSweep time.Time
 	effects   []Effect
@@ -111,14 +112,14 @@
 // shorter looks at every endpoint more often. Not measured.
 const sweepEvery = time.Second
 
-// forgetEvery is the number of ticket names and sweeps between two scans for forgotten
-// adapters; it bounds the cost of the scan. Not measured.
+// forgetEvery is the number of sweeps between two scans for adapters that
+// are long gone; it bounds the cost of the scan. Not measured.
 const forgetEvery = 256
 
 // sweep does the work of once a second.
 func (p *Placer) sweep(now time.Time) {
-	p.sequence++
-	if p.sequence%forgetEvery == 0 {
+	p.sweeps++
+	if p.sweeps%forgetEvery == 0 {
 		p.popular.Forget(now)
 	}
 	for _, e := range p.endpoints {
