Forget the loads of customers that are long gone

Cause: the placer kept the fading count of loads of every customer for whom it ever loaded an adapter, faded to nothing or not. The entry program keeps nothing by customer in its services.

--- a/services/daemon/placement/customer_loads.go
+++ b/services/daemon/placement/customer_loads.go
@@ -14,6 +14,10 @@
 // stall without, plovdiv 986 against 991, docs/design/0003); the half-life was not.
 const customerLoadLife = 30 * time.Second
 
+// leastCustomerLoads is the count of loads below which a customer is forgotten: one load, 20 half-lives or 10 minutes after
+// it, which divides the value of a load by less than 1.000001. Higher frees memory sooner, lower is more exact. Not measured.
+const leastCustomerLoads = 1e-6
+
 // customerLoads counts the recent loads that each customer waited for, by its name.
 type customerLoads map[string]recentLoads
 
@@ -37,3 +41,12 @@
 func (c customerLoads) add(now time.Time, customer string, part float64) {
 	c[customer] = recentLoads{count: c.recent(now, customer) + part, last: now}
 }
+
+// forget drops the customers whose counts have faded, which bounds the memory.
+func (c customerLoads) forget(now time.Time) {
+	for customer := range c {
+		if c.recent(now, customer) < leastCustomerLoads {
+			delete(c, customer)
+		}
+	}
+}
--- a/services/daemon/placement/forgotten_test.go
+++ b/services/daemon/placement/forgotten_test.go
@@ -86,8 +86,7 @@
 	return p
 }
 
-// TestLoadsOfCustomersLongGoneAreForgotten fails as listed in KNOWN-RED.txt: the placer
-// keeps the fading count of loads of every customer for whom it ever loaded an adapter.
+// TestLoadsOfCustomersLongGoneAreForgotten looks at the fading count of loads of each customer for whom an adapter was loaded.
 func TestLoadsOfCustomersLongGoneAreForgotten(t *testing.T) {
 	o := placement.DefaultOptions()
 	// The plain queue keeps nothing of a customer that does not wait.
@@ -95,6 +94,32 @@
 	require.Less(t, retained(served(t, many, o))-retained(served(t, 1, o)), many/2)
 }
 
+// TestLoadsOfACustomerCountForTheirSpan has a customer for whom an adapter was loaded ask for a, and another for b: the load
+// of b is worth more while that load counts, and a goes first by its name when it does not.
+func TestLoadsOfACustomerCountForTheirSpan(t *testing.T) {
+	const span = 10 * time.Minute
+	for _, row := range []struct {
+		later time.Duration
+		first string
+	}{{time.Second, "b"}, {span - 10*time.Second, "b"}, {2 * span, "a"}} {
+		p := newPlacer(endpoint(2))
+		p.Submit(at(1), request("q", "x"))
+		load(t, p, at(2))
+		p.Cancel(at(3), "q")
+		now := at(2)
+		for end := now.Add(row.later); now.Before(end); now = now.Add(time.Second) {
+			p.Tick(now)
+		}
+		p.Submit(now, request("q1", "a"))
+		other := request("q2", "b")
+		other.Caller = "other"
+		p.Submit(now, other)
+		bid, wants := p.Bid(now)
+		require.True(t, wants)
+		require.Equal(t, ref(row.first), bid.Adapter, "after %v", row.later)
+	}
+}
+
 // TestFailuresOfAdaptersLongGoneAreForgotten fails as listed in KNOWN-RED.txt: the placer
 // keeps the failures of every adapter whose last load failed. Other state of the adapters is
 // the same where the loads succeed.
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -112,7 +112,7 @@
 // shorter looks at every endpoint more often. Not measured.
 const sweepEvery = time.Second
 
-// forgetEvery is the number of sweeps between two scans for adapters that
+// forgetEvery is the number of sweeps between two scans for adapters and customers that
 // are long gone; it bounds the cost of the scan. Not measured.
 const forgetEvery = 256
 
@@ -120,7 +120,7 @@
 func (p *Placer) sweep(now time.Time) {
 	p.sweeps++
 	if p.sweeps%forgetEvery == 0 {
-		p.popular.Forget(now)
+		p.forget(now)
 	}
 	for _, e := range p.endpoints {
 		p.reopen(e)
@@ -133,6 +133,12 @@
 	}
 }
 
+// forget drops what has faded of adapters and customers that nobody has asked for or heard of in a long time.
+func (p *Placer) forget(now time.Time) {
+	p.popular.Forget(now)
+	p.loadsOf.forget(now)
+}
+
 // NextWake gives the next time at which Tick has something to do, or the zero time.
 func (p *Placer) NextWake() time.Time {
 	next := p.queue.NextDeadline()
