Forget the failures of adapters that are long gone

Cause: the placer kept the failures of every adapter whose last load failed until one succeeded, which never comes for an adapter that nobody asks for any more. While somebody waits, a load is tried each minute at least, so that the hour is over only for adapters without demand; the memory is bounded by the loads of an hour. Looked for the same cause: the entry program notes a failed load at its endpoint alone (restUntil of services/entry/loading), which goes with it.

--- a/services/daemon/placement/backoff/failures.go
+++ b/services/daemon/placement/backoff/failures.go
@@ -18,6 +18,10 @@
 	// the wait, so that they do not fail together again. Not measured.
 	leastJitter = 0.5
 	jitterSteps = 1000
+	// forgetAfter is how long after the end of its wait an adapter's failures still count, if no load of it is tried.
+	// Longer spares the weight store loads that are likely to fail, shorter frees memory sooner; a load is tried each
+	// Max at least while somebody waits for the adapter. Not measured.
+	forgetAfter = time.Hour
 )
 
 // Options are the settings of the wait after failed loads.
@@ -30,13 +34,13 @@
 
 // Failure is the state of an adapter whose last load failed.
 type Failure struct {
-	// Count is the number of failures since the last success.
+	// Count is the number of failures since the last success, or since the adapter was forgotten.
 	Count int
 	// Until is when the next load may start.
 	Until time.Time
 }
 
-// Failures keeps the adapters whose last load failed.
+// Failures keeps the adapters whose last load failed, until Forget drops them.
 type Failures struct {
 	options Options
 	byRef   map[fleet.AdapterRef]Failure
@@ -63,6 +67,15 @@
 	delete(f.byRef, ref)
 }
 
+// Forget drops the adapters of which no load was tried in a long time, which bounds the memory.
+func (f *Failures) Forget(now time.Time) {
+	for ref, failure := range f.byRef {
+		if now.Sub(failure.Until) > forgetAfter {
+			delete(f.byRef, ref)
+		}
+	}
+}
+
 // Waiting tells whether the next load of an adapter has to wait.
 func (f *Failures) Waiting(now time.Time, ref fleet.AdapterRef) bool {
 	return now.Before(f.byRef[ref].Until)
--- a/services/daemon/placement/backoff/failures_test.go
+++ b/services/daemon/placement/backoff/failures_test.go
@@ -66,3 +66,29 @@
 	_, refused := f.Refuses(begin, b)
 	require.False(t, refused)
 }
+
+func TestFailuresAreForgottenAfterTheirSpan(t *testing.T) {
+	const span = time.Hour
+	for _, row := range []struct {
+		later time.Duration
+		count int
+	}{{0, options.GiveUp + 1}, {span, options.GiveUp + 1}, {span + 1, 1}} {
+		f := backoff.New(options)
+		var failure backoff.Failure
+		for range options.GiveUp {
+			failure = f.Fail(begin, a)
+		}
+		now := failure.Until.Add(row.later)
+		f.Forget(now)
+		require.Equal(t, row.count, f.Fail(now, a).Count, "%v after the wait", row.later)
+	}
+}
+
+func TestForgettingEndsNoWait(t *testing.T) {
+	f := backoff.New(backoff.Options{Base: 24 * time.Hour, Max: 24 * time.Hour, GiveUp: 1})
+	until := f.Fail(begin, a).Until
+	f.Forget(until.Add(-1))
+	require.True(t, f.Waiting(until.Add(-1), a))
+	_, refused := f.Refuses(until.Add(-1), a)
+	require.True(t, refused)
+}
--- a/services/daemon/placement/forgotten_test.go
+++ b/services/daemon/placement/forgotten_test.go
@@ -120,9 +120,8 @@
 	}
 }
 
-// TestFailuresOfAdaptersLongGoneAreForgotten fails as listed in KNOWN-RED.txt: the placer
-// keeps the failures of every adapter whose last load failed. Other state of the adapters is
-// the same where the loads succeed.
+// TestFailuresOfAdaptersLongGoneAreForgotten has the last load of each adapter fail. Other state of the adapters is the same
+// where the loads succeed.
 func TestFailuresOfAdaptersLongGoneAreForgotten(t *testing.T) {
 	after := func(result placement.LoadResult) int {
 		p := newPlacer(endpoint(1))
