Forget the tags of customers and classes that are long gone

Cause: the queue dropped a customer's last tag only when another request of that customer left after virtual time had passed it. A customer who comes once is kept for good, with each class name that it makes up, of which the queue also kept its tokens and virtual time. Change: fairOrder holds tags and virtual times. Tags that virtual time has passed go with a scan of as many starts as there are tags, which changes no order; others go 10 minutes (tagLife) after a request of the customer was last seen to wait, by the placer's scan, and with its last tag a class. A class's tokens go at zero. Looked for the same cause: the entry program has no fair queue; its waiting requests (services/entry/coordinator/waiting) keep no tags.

--- a/services/daemon/placement/forgotten_test.go
+++ b/services/daemon/placement/forgotten_test.go
@@ -146,9 +146,7 @@
 	require.Less(t, after(placement.LoadFailed)-after(placement.LoadDone), many/2)
 }
 
-// TestTagsOfCustomersLongGoneAreForgotten fails as listed in KNOWN-RED.txt: a customer's
-// last tag is dropped only when a request of the same customer leaves the queue after virtual
-// time has passed the tag.
+// TestTagsOfCustomersLongGoneAreForgotten lets the virtual time of the class pass the tags of customers who come once.
 func TestTagsOfCustomersLongGoneAreForgotten(t *testing.T) {
 	q := queue.New(false)
 	class := fleet.Class{Name: "c"}
@@ -170,6 +168,28 @@
 	require.Less(t, retained(q), many/2, "virtual time has passed every tag")
 }
 
+// TestTagsOfCustomersWhoComeOnceAreForgotten has no virtual time pass, since each customer is the first to start.
+func TestTagsOfCustomersWhoComeOnceAreForgotten(t *testing.T) {
+	o := placement.DefaultOptions()
+	require.Less(t, retained(served(t, many, o))-retained(served(t, 1, o)), many/2)
+}
+
+// TestClassesThatAreNamedOnceAreForgotten uses a class of its own for each request, since callers name classes freely.
+func TestClassesThatAreNamedOnceAreForgotten(t *testing.T) {
+	after := func(classes int) int {
+		p := newPlacer(endpoint(1))
+		for i := range many {
+			r := request(fmt.Sprint("q", i), "a")
+			r.Class = fmt.Sprint("class", i%classes)
+			p.Submit(at(i), r)
+		}
+		p.RefuseAll(at(many), fleet.ReasonStopping, 0)
+		quiet(p, at(many))
+		return retained(p)
+	}
+	require.Less(t, after(many)-after(1), many/2)
+}
+
 // TestForgettingDoesNotDependOnTheNumberOfGrants has 255 grants between two sweeps, so that ticket names and sweeps together
 // are never a multiple of 256 at a sweep.
 func TestForgettingDoesNotDependOnTheNumberOfGrants(t *testing.T) {
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -138,6 +138,7 @@
 	p.popular.Forget(now)
 	p.loadsOf.forget(now)
 	p.failures.Forget(now)
+	p.queue.Forget(now)
 }
 
 // NextWake gives the next time at which Tick has something to do, or the zero time.
--- a/services/daemon/placement/queue/queue.go
+++ b/services/daemon/placement/queue/queue.go
@@ -19,11 +19,8 @@
 	adapters map[fleet.AdapterRef]*Adapter
 	byID     map[string]*Waiter
 	// deadlines has the waiters with a deadline, the earliest at the front.
-	deadlines deadlineHeap
-	// virtual is each class's virtual time, and finish where a customer's last request ends
-	// in it, both in tokens.
-	virtual    map[string]float64
-	finish     map[customerKey]float64
+	deadlines  deadlineHeap
+	fair       fairOrder
 	byClass    map[string]int
 	byCustomer map[customerKey]int
 	sequence   uint64
@@ -46,8 +43,7 @@
 	return &Queue{
 		adapters:   make(map[fleet.AdapterRef]*Adapter),
 		byID:       make(map[string]*Waiter),
-		virtual:    make(map[string]float64),
-		finish:     make(map[customerKey]float64),
+		fair:       newFairOrder(),
 		byClass:    make(map[string]int),
 		byCustomer: make(map[customerKey]int),
 		plain:      plain,
@@ -63,8 +59,7 @@
 	w.holdUntil = now.Add(w.holdLimit(now, hold))
 	key := keyOf(w)
 	if !q.plain {
-		w.tag = max(q.virtual[c.Name], q.finish[key])
-		q.finish[key] = w.tag + float64(r.Tokens())
+		w.tag = q.fair.begin(now, key, r.Tokens())
 	}
 	q.byClass[c.Name] += r.Tokens()
 	q.byCustomer[key] += r.Tokens()
@@ -93,6 +88,9 @@
 	}
 	key := keyOf(w)
 	q.byClass[w.Class.Name] -= r.Tokens()
+	if q.byClass[w.Class.Name] <= 0 {
+		delete(q.byClass, w.Class.Name)
+	}
 	q.byCustomer[key] -= r.Tokens()
 	if q.byCustomer[key] <= 0 {
 		delete(q.byCustomer, key)
@@ -102,20 +100,25 @@
 	if a.count == 0 {
 		delete(q.adapters, r.Adapter)
 	}
-	q.trim(key)
 }
 
 // Dispatch takes a waiter out that starts, and moves its class's virtual time on.
 func (q *Queue) Dispatch(w *Waiter) {
-	q.virtual[w.Class.Name] = max(q.virtual[w.Class.Name], w.tag)
 	q.Remove(w)
+	if !q.plain {
+		q.fair.advance(w.Class.Name, w.tag, q.waits)
+	}
 }
 
-// trim forgets a customer's last tag once virtual time has passed it.
-func (q *Queue) trim(key customerKey) {
-	if q.byCustomer[key] == 0 && q.finish[key] <= q.virtual[key.class] {
-		delete(q.finish, key)
-	}
+// Forget drops the tags of customers who have asked for nothing in a long time, which bounds the memory.
+func (q *Queue) Forget(now time.Time) {
+	q.fair.forget(now, q.waits)
+}
+
+// waits tells whether a request of a customer waits in a class.
+func (q *Queue) waits(key customerKey) bool {
+	_, ok := q.byCustomer[key]
+	return ok
 }
 
 // Expired takes out and returns the waiters whose callers have stopped waiting.
--- /dev/null
+++ b/services/daemon/placement/queue/tags_test.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/services/daemon/placement/queue"
+)
+
+// TestTagIsKeptForItsSpan looks at the customer who is ahead of another: both have a request again, and the one whose tag
+// is kept goes second.
+func TestTagIsKeptForItsSpan(t *testing.T) {
+	const span = 10 * time.Minute
+	serve := func(q *queue.Queue, now time.Time, r fleet.Request) {
+		q.Push(now, r, urgent, hold)
+		w, ok := q.Find(r.ID)
+		require.True(t, ok)
+		q.Dispatch(w)
+	}
+	for _, row := range []struct {
+		quiet time.Duration
+		first string
+	}{{0, "quiet"}, {span, "quiet"}, {span + 1, "flood"}} {
+		q := queue.New(false)
+		serve(q, begin, request("f1", "flood"))
+		q.Forget(after(row.quiet))
+		q.Push(after(row.quiet), request("flood", "flood"), urgent, hold)
+		q.Push(after(row.quiet), request("quiet", "quiet"), urgent, hold)
+		require.Equal(t, row.first, drain(q, after(row.quiet))[0], "after %v", row.quiet)
+	}
+}
+
+func TestTagOfACustomerWhoWaitsIsKept(t *testing.T) {
+	q := queue.New(false)
+	q.Push(begin, request("f1", "flood"), urgent, hold)
+	q.Push(begin, request("f2", "flood"), urgent, hold)
+	q.Forget(after(time.Hour))
+	remove(t, q, "f1")
+	remove(t, q, "f2")
+	q.Push(after(time.Hour), request("f3", "flood"), urgent, hold)
+	q.Push(after(time.Hour), request("quiet", "quiet"), urgent, hold)
+	require.Equal(t, []string{"quiet", "f3"}, drain(q, after(time.Hour)), "the span begins when nothing of it waits")
+}
