Load the adapter of a retried request at a placer that has not seen it before

Cause: the base of an adapter was noted with first attempts only. A placer that gets a later attempt first, after a takeover or a retry in another pool, knew no base for it, so that no endpoint served it and no load of it was worth a permit: the request waited until its deadline, or until a first attempt for the same adapter came. Change: the base is noted with every attempt; popularity counts first attempts as before. Shown by: TestTheBaseOfARetriedRequestIsKnown failed before. Looked for the same cause: no other state of the daemon's placement and routing is kept for first attempts alone, save popularity, which is meant; in the entry program the base is a part of an adapter's name.

--- a/services/daemon/placement/row_test.go
+++ b/services/daemon/placement/row_test.go
@@ -46,3 +46,12 @@
 	require.Zero(t, grants(p.Tick(at(4000))), "the fifth of the time of the request that has gone has passed")
 	require.Equal(t, 1, grants(p.Tick(at(4).Add(placement.DefaultOptions().GatherLimit+1))))
 }
+
+// TestTheBaseOfARetriedRequestIsKnown submits a later attempt to a placer that has not seen the first one.
+func TestTheBaseOfARetriedRequestIsKnown(t *testing.T) {
+	p := newPlacer(endpoint(1))
+	r := request("q1", "a")
+	r.Attempt = 1
+	p.Submit(at(1), r)
+	require.Equal(t, ref("a"), load(t, p, at(2)).Adapter)
+}
--- a/services/daemon/placement/submit.go
+++ b/services/daemon/placement/submit.go
@@ -32,9 +32,11 @@
 	if _, ok := p.queue.Find(r.ID); ok {
 		return nil
 	}
+	if !r.Adapter.IsZero() {
+		p.bases[r.Adapter] = r.Base
+	}
 	if !r.Adapter.IsZero() && r.Attempt == 0 {
 		p.popular.Add(now, r.Adapter, class.StallWeight)
-		p.bases[r.Adapter] = r.Base
 	}
 	if !class.Patient {
 		p.lastBusy = now
