Forget the bases of adapters that are long gone

Cause: the placer kept the base of every adapter that was ever asked for, or ever preloaded, as long as it holds the pool. Shown by: TestBasesOfAdaptersLongGoneAreForgotten failed before; TestBaseOfAnAdapterThatIsWaitedForIsKept holds the other side. Looked for the same cause: the other maps by adapter of the daemon's placement have bounds; in the entry program the base is a part of an adapter's name.

--- a/services/daemon/placement/forgotten_test.go
+++ b/services/daemon/placement/forgotten_test.go
@@ -211,3 +211,31 @@
 	}
 	require.Less(t, retained(p), before+2, "b is forgotten, a has come")
 }
+
+// TestBasesOfAdaptersLongGoneAreForgotten compares adapters that were asked for once with one that was asked for as often.
+func TestBasesOfAdaptersLongGoneAreForgotten(t *testing.T) {
+	after := func(adapters int) int {
+		p := newPlacer(endpoint(1))
+		for i := range many {
+			id := fmt.Sprint("q", i)
+			p.Submit(at(i), request(id, fmt.Sprint("a", i%adapters)))
+			p.Cancel(at(i), id)
+		}
+		quiet(p, at(many))
+		return retained(p)
+	}
+	require.Less(t, after(many)-after(1), many/2)
+}
+
+// TestBaseOfAnAdapterThatIsWaitedForIsKept lets an adapter's rate fade while one request still waits for it.
+func TestBaseOfAnAdapterThatIsWaitedForIsKept(t *testing.T) {
+	p := newPlacer(endpoint(1))
+	p.SetPreload([]fleet.AdapterRef{ref("preloaded")}, func(fleet.AdapterRef) string { return "base" })
+	p.Submit(at(1), request("q1", "a"))
+	quiet(p, at(2))
+	now := at(2).Add(24 * time.Hour)
+	require.Equal(t, ref("a"), load(t, p, now).Adapter)
+	p.Cancel(now, "q1")
+	p.Loaded(now, "e1", "e1-1", ref("a"), placement.LoadDone, "")
+	require.Equal(t, ref("preloaded"), load(t, p, now).Adapter)
+}
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -39,12 +39,13 @@
 	lastSweep time.Time
 	effects   []Effect
 	preload   []fleet.AdapterRef
-	bases     map[fleet.AdapterRef]string
-	lastBusy  time.Time
-	absent    Bid
-	absentAt  time.Time
-	scratch   []demand
-	bid       madeBid
+	// bases has the base of each adapter that a load may be worth.
+	bases    map[fleet.AdapterRef]string
+	lastBusy time.Time
+	absent   Bid
+	absentAt time.Time
+	scratch  []demand
+	bid      madeBid
 }
 
 // NewPlacer makes the placer of a pool, run by the instance self.
@@ -139,6 +140,22 @@
 	p.loadsOf.forget(now)
 	p.failures.Forget(now)
 	p.queue.Forget(now)
+	p.forgetBases()
+}
+
+// forgetBases drops the bases of adapters of which no load is worth anything: nobody waits for them, no call is expected and no
+// operator asked for them.
+func (p *Placer) forgetBases() {
+	asked := make(map[fleet.AdapterRef]bool, len(p.preload))
+	for _, ref := range p.preload {
+		asked[ref] = true
+	}
+	for ref := range p.bases {
+		_, waits := p.queue.Adapter(ref)
+		if !waits && !asked[ref] && !p.popular.Knows(ref) {
+			delete(p.bases, ref)
+		}
+	}
 }
 
 // NextWake gives the next time at which Tick has something to do, or the zero time.
--- a/services/daemon/placement/popularity/estimates.go
+++ b/services/daemon/placement/popularity/estimates.go
@@ -97,6 +97,12 @@
 	return maps.Keys(p.rates)
 }
 
+// Knows tells whether an adapter is not forgotten.
+func (p *Estimates) Knows(ref fleet.AdapterRef) bool {
+	_, ok := p.rates[ref]
+	return ok
+}
+
 // Forget drops adapters whose rates have faded, which bounds the memory.
 func (p *Estimates) Forget(now time.Time) {
 	for ref, r := range p.rates {
--- a/services/daemon/placement/popularity/estimates_test.go
+++ b/services/daemon/placement/popularity/estimates_test.go
@@ -77,5 +77,7 @@
 	require.ElementsMatch(t, []fleet.AdapterRef{a, b}, slices.Collect(p.Adapters()), "at 1.6e-6 a second it is still known")
 	p.Forget(after(10 * time.Hour))
 	require.Equal(t, []fleet.AdapterRef{b}, slices.Collect(p.Adapters()), "below 1e-7 a second it is not")
+	require.False(t, p.Knows(a))
+	require.True(t, p.Knows(b))
 	require.Zero(t, p.Rate(after(10*time.Hour), a))
 }
