Forget instances that the platform's list has long left out

Cause: the list kept every instance that a look ever showed, and since when it is gone; a hall that is cut off was spoken to at all their addresses in turn. Change: an instance is forgotten an hour (goneMemory) after the first look that left it out, unless a new owner awaits its end: then the time since which it is gone stays, so that no wait begins anew. One that is shown again is known again.

--- a/services/daemon/node/listing/forgotten_test.go
+++ b/services/daemon/node/listing/forgotten_test.go
@@ -14,8 +14,7 @@
 	"github.com/shelfledge/shelfledge/services/daemon/node/listing"
 )
 
-// TestInstancesLongGoneAreForgotten fails as listed in KNOWN-RED.txt: the list keeps every
-// instance that it ever showed, and when it went.
+// TestInstancesLongGoneAreForgotten replaces the only instance each day for a year.
 func TestInstancesLongGoneAreForgotten(t *testing.T) {
 	const day, days = 24 * time.Hour, 365
 	first := time.Unix(1000, 0)
@@ -26,3 +25,51 @@
 	require.Less(t, len(l.Instances()), days/2, "one instance a day in place of another, for a year")
 	require.Zero(t, l.GoneSince("i0"))
 }
+
+// TestInstanceIsKeptForItsSpan looks at one instance that the list leaves out from begin on.
+func TestInstanceIsKeptForItsSpan(t *testing.T) {
+	const span = time.Hour
+	for _, row := range []struct {
+		at      time.Duration
+		awaited []string
+		gone    time.Time
+		known   bool
+	}{
+		{span, nil, begin, true},
+		{span + 1, nil, time.Time{}, false},
+		{span + 1, []string{"i2"}, begin, true},
+	} {
+		l := listing.New()
+		l.SetInstances(after(-time.Second), instances("i1", "i2"), nil)
+		l.SetInstances(begin, instances("i1"), nil)
+		l.SetInstances(after(row.at), instances("i1"), row.awaited)
+		require.Equal(t, row.gone, l.GoneSince("i2"), "%+v", row)
+		_, known := l.Instance("i2")
+		require.Equal(t, row.known, known, "%+v", row)
+		_, known = l.Instance("i1")
+		require.True(t, known, "the list shows it")
+	}
+}
+
+// TestAwaitedInstanceThatWasNeverShownIsForgotten lets the wait for its end be over.
+func TestAwaitedInstanceThatWasNeverShownIsForgotten(t *testing.T) {
+	l := listing.New()
+	l.SetInstances(begin, instances("i1"), []string{"i9"})
+	l.SetInstances(after(2*time.Hour), instances("i1"), []string{"i9"})
+	require.Equal(t, begin, l.GoneSince("i9"), "it is still awaited")
+	l.SetInstances(after(2*time.Hour+time.Second), instances("i1"), nil)
+	require.Zero(t, l.GoneSince("i9"))
+}
+
+// TestAnInstanceThatComesBackIsKnownAgain begins the span anew.
+func TestAnInstanceThatComesBackIsKnownAgain(t *testing.T) {
+	l := listing.New()
+	l.SetInstances(begin, instances("i1", "i2"), nil)
+	l.SetInstances(after(time.Second), instances("i1"), nil)
+	l.SetInstances(after(2*time.Hour), instances("i1"), nil)
+	require.Len(t, l.Instances(), 1)
+	l.SetInstances(after(3*time.Hour), instances("i1", "i2"), nil)
+	l.SetInstances(after(4*time.Hour), instances("i1"), nil)
+	require.Len(t, l.Instances(), 2)
+	require.Equal(t, after(4*time.Hour), l.GoneSince("i2"))
+}
--- a/services/daemon/node/listing/list.go
+++ b/services/daemon/node/listing/list.go
@@ -4,6 +4,7 @@
 package listing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
@@ -16,6 +17,11 @@
 // 120 s (commit 005ffb1); the time itself was not measured.
 const leavingMemory = 4 * time.Second
 
+// goneMemory is how long an instance is known after the list first left it out, so that it is spoken to when a hall comes
+// back that the list did not show, and since when it is gone is known. Longer finds it again after a longer cut, shorter frees
+// memory sooner and speaks less to addresses that others may have by now. Not measured.
+const goneMemory = time.Hour
+
 // List is the platform's list as this instance has seen it.
 type List struct {
 	known   map[string]fleet.Instance
@@ -34,7 +40,8 @@
 
 // SetInstances enters a look at the list. An instance counts as gone from the first look
 // that leaves it out, if an earlier one showed it or if it is among the awaited ones,
-// whose end somebody waits for; a look that shows it takes that back.
+// whose end somebody waits for; a look that shows it takes that back. One that is gone for
+// goneMemory is forgotten, unless it is awaited.
 func (l *List) SetInstances(now time.Time, instances []fleet.Instance, awaited []string) {
 	present := make(map[string]bool, len(instances))
 	for _, i := range instances {
@@ -56,6 +63,17 @@
 		delete(l.gone, id)
 	}
 	l.listed = present
+	l.forget(now, awaited)
+}
+
+// forget drops what is known of instances that are long gone and that nobody awaits.
+func (l *List) forget(now time.Time, awaited []string) {
+	for id, since := range l.gone {
+		if now.Sub(since) > goneMemory && !slices.Contains(awaited, id) {
+			delete(l.gone, id)
+			delete(l.known, id)
+		}
+	}
 }
 
 // SetLeaving enters the endpoints that a look shows as leaving.
@@ -80,7 +98,7 @@
 	return !l.leaving[endpoint].IsZero()
 }
 
-// GoneSince gives the first look that left an instance out, or the zero time.
+// GoneSince gives the first look that left an instance out, or the zero time, also for one that is forgotten.
 func (l *List) GoneSince(id string) time.Time {
 	return l.gone[id]
 }
@@ -90,13 +108,13 @@
 	return l.listed[id]
 }
 
-// Instance finds an instance that any look has shown.
+// Instance finds an instance that a look has shown and that is not forgotten.
 func (l *List) Instance(id string) (fleet.Instance, bool) {
 	i, ok := l.known[id]
 	return i, ok
 }
 
-// Instances gives every instance that any look has shown, by name; it must not be changed.
+// Instances gives every instance that a look has shown and that is not forgotten, by name; it must not be changed.
 func (l *List) Instances() map[string]fleet.Instance {
 	return l.known
 }
