Report each rate of the key-value service by its own name

Cause: one check covered both rates and named that of reads, so that a faulty rate of writes was reported under another name and line. Change: each rate has its own check, with the same reason. Looked for the same cause: each check of modules/daemon/setting and of platform/ (settings, configuration, endpoint); checks of several settings that are left, such as cert and key or lease_margin and lease_renew, are of their relation and say so.

--- a/modules/daemon/setting/kv.go
+++ b/modules/daemon/setting/kv.go
@@ -36,7 +36,10 @@
 	}
 	positive(d, "kv.timeout", k.Timeout)
 	positive(d, "kv.claim_ttl", k.ClaimTTL)
-	if k.ReadsPerSecond <= 0 || k.WritesPerSecond <= 0 {
+	if k.ReadsPerSecond <= 0 {
 		d.add("kv.reads_per_second", "the rates must be above 0")
 	}
+	if k.WritesPerSecond <= 0 {
+		d.add("kv.writes_per_second", "the rates must be above 0")
+	}
 }
--- a/modules/daemon/setting/problem_name_test.go
+++ b/modules/daemon/setting/problem_name_test.go
@@ -14,15 +14,27 @@
 	"github.com/shelfledge/shelfledge/modules/daemon/setting"
 )
 
-// TestRateOfWritesIsReportedByItsOwnName fails as listed in KNOWN-RED.txt: the faulty rate
-// is reported under the name, and in the line, of the rate of reads.
+// TestRateOfWritesIsReportedByItsOwnName has the rate of reads right beside the faulty one of writes.
 func TestRateOfWritesIsReportedByItsOwnName(t *testing.T) {
+	bad := problems(t, `"writes_per_second": 15`, `"writes_per_second": 0`)
+	require.Len(t, bad, 1)
+	require.Equal(t, "kv.writes_per_second", bad[0].Name)
+}
+
+func TestBothRatesAreReported(t *testing.T) {
+	bad := problems(t, `"reads_per_second": 100`, `"reads_per_second": -1`, `"writes_per_second": 15`, `"writes_per_second": 0`)
+	require.Len(t, bad, 2)
+	require.Equal(t, "kv.reads_per_second", bad[0].Name)
+	require.Equal(t, "kv.writes_per_second", bad[1].Name)
+}
+
+// problems gives those of the sample with the second of each two texts in place of the first.
+func problems(t *testing.T, texts ...string) []setting.Problem {
+	t.Helper()
 	raw, err := os.ReadFile(sample)
 	require.NoError(t, err)
-	text := strings.Replace(string(raw), `"writes_per_second": 15`, `"writes_per_second": 0`, 1)
-	_, err = setting.Parse("file", []byte(text))
+	_, err = setting.Parse("file", []byte(strings.NewReplacer(texts...).Replace(string(raw))))
 	var bad setting.ErrBadSettings
 	require.True(t, errors.As(err, &bad))
-	require.Len(t, bad.Problems, 1)
-	require.Equal(t, "kv.writes_per_second", bad.Problems[0].Name)
+	return bad.Problems
 }
