Report faulty times of a topic in the order of their names

Cause: checkDurations went through a map, so that several faulty times of one topic came in another order each time. Change: it goes by the sorted names. Looked for the same cause: the loops over maps of modules/daemon/setting, platform/, models/ and the daemon's routers. serviceUsing of models/daemon/catalog names whichever service the map gives first where several use what is to be retired; that is left.

--- a/modules/daemon/setting/check.go
+++ b/modules/daemon/setting/check.go
@@ -3,7 +3,11 @@
 
 package setting
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 func positive(d *document, name string, v Duration) {
 	if v <= 0 {
@@ -17,9 +21,9 @@
 	}
 }
 
-// checkDurations reports every time of a list that is not above zero.
+// checkDurations reports every time of a list that is not above zero, in the order of their names.
 func checkDurations(d *document, topic string, list map[string]Duration) {
-	for name, v := range list {
-		positive(d, fmt.Sprintf("%s.%s", topic, name), v)
+	for _, name := range slices.Sorted(maps.Keys(list)) {
+		positive(d, fmt.Sprintf("%s.%s", topic, name), list[name])
 	}
 }
--- a/modules/daemon/setting/problem_order_test.go
+++ b/modules/daemon/setting/problem_order_test.go
@@ -13,8 +13,7 @@
 	"github.com/shelfledge/shelfledge/modules/daemon/setting"
 )
 
-// TestProblemsComeInTheSameOrderEachTime fails as listed in KNOWN-RED.txt: faulty times of
-// one topic are reported in the order of a map, another each time.
+// TestProblemsComeInTheSameOrderEachTime has many faulty times of one topic.
 func TestProblemsComeInTheSameOrderEachTime(t *testing.T) {
 	var times []string
 	for _, name := range []string{
