Say that the class with the empty name is that of requests that name none

Cause: the command sets a class without a name, which the settings file refuses; which of the two is meant was open. Change: both are. The command is the only way to give requests without a class their priority and weight, its answer and the stored record are pinned as others see them (tests/pinned/daemon), and it has to write the empty name out; in the settings an empty name can't be told from one that was left out. Shown by: TestTheClassOfRequestsThatNameNoneMayBeSetAndReset and TestRequestsThatNameNoClassHaveTheOneWithoutAName, which pass without a change of logic. Looked for the same cause: adapters, services and rules without a name are refused by command (validName); the entry program has no classes of requests.

--- a/services/daemon/command/service_test.go
+++ b/services/daemon/command/service_test.go
@@ -211,3 +211,13 @@
 		require.ErrorContains(t, err, "is no time of day", text)
 	}
 }
+
+func TestTheClassOfRequestsThatNameNoneMayBeSetAndReset(t *testing.T) {
+	o := newOperator(t)
+	for _, name := range []string{"''", `""`} {
+		o.must(t, "set class "+name+" priority 7 weight 2 queue 1000 patient")
+		require.Equal(t, map[string]fleet.Class{"": {Priority: 7, StallWeight: 2, MaxQueuedTokens: 1000, Patient: true}}, o.catalog.Classes)
+		o.must(t, "reset class "+name)
+		require.Empty(t, o.catalog.Classes)
+	}
+}
--- a/services/daemon/command/translate.go
+++ b/services/daemon/command/translate.go
@@ -223,6 +223,8 @@
 	return one(catalog.Change{Kind: catalog.SetService, Name: name, Shares: []catalog.Share{old}})
 }
 
+// class sets a class. The empty name is meant: it is the class of the requests that name none. The settings refuse it, since
+// there it can't be told from a name that was left out.
 func class(c *language.ClassClause) ([]catalog.Change, error) {
 	f := fleet.Class{Name: c.Name, Priority: int(*c.Priority), StallWeight: float64(*c.Weight), Patient: c.Patient}
 	if c.Queue != nil {
--- a/services/daemon/placement/submit_test.go
+++ b/services/daemon/placement/submit_test.go
@@ -110,3 +110,24 @@
 	require.Equal(t, fleet.Refusal{RequestID: "q1", Reason: fleet.ReasonNoPlacer, RetryAfter: time.Second}, refused[1].Refusal)
 	require.Empty(t, p.RefuseAll(at(3), fleet.ReasonNoPlacer, time.Second))
 }
+
+func TestRequestsThatNameNoClassHaveTheOneWithoutAName(t *testing.T) {
+	for _, row := range []struct {
+		classes []fleet.Class
+		first   string
+	}{
+		{[]fleet.Class{{Name: "named", Priority: 2, StallWeight: 1}}, "named"},
+		{[]fleet.Class{{Name: "named", Priority: 2, StallWeight: 1}, {Priority: 3, StallWeight: 1}}, "none"},
+	} {
+		p := newPlacer(endpoint(1))
+		p.SetClasses(row.classes)
+		named, none := request("named", "a"), request("none", "a")
+		named.Class, none.Class = "named", ""
+		p.Submit(at(1), none)
+		p.Submit(at(1), named)
+		load(t, p, at(3))
+		granted := only[placement.Grant](p.Loaded(at(4), "e1", "e1-1", ref("a"), placement.LoadDone, ""))
+		require.Len(t, granted, 2)
+		require.Equal(t, row.first, granted[0].Request.ID, "%+v", row.classes)
+	}
+}
