Bound the log lines that wait for a slow reader by their bytes

Cause: the queue of lines was bounded by their number alone (512), so that a reader that stands still held as much memory as the lines are long: 500 lines of 64 KiB were 32.8 MB. Change: lines of 512 KiB together (maxWaiting) may wait; one beyond that is counted as suppressed, as those beyond the number are. Shown by: TestLongLinesThatWaitAreBoundedByTheirBytes and TestALineLongerThanAllThatMayWaitIsCounted failed before; 20 runs under the race detector passed. Looked for the same cause: the daemon's log writes where logrus does and has no queue. By reading, modules/daemon/peerlink (queueLength) and modules/entry/peerstream (outgoingMessages) bound what waits for a peer by number alone; that is left.

--- a/modules/entry/asynclog/doc.go
+++ b/modules/entry/asynclog/doc.go
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: MIT
 
 // Package asynclog writes log lines without ever blocking who logs. The volume is bounded: lines
-// beyond a rate, or beyond what a slow reader takes, are counted and reported in one line.
+// beyond a rate, or beyond what a slow reader takes in number or in bytes, are counted and reported in one line.
 //
 // It owns the queue of lines. It relies on its caller for the output and the form of lines, and starts one goroutine a writer,
 // which ends with Close.
--- a/modules/entry/asynclog/writer.go
+++ b/modules/entry/asynclog/writer.go
@@ -15,7 +15,7 @@
 	// LinesPerSecond and Burst bound the volume: so many lines a second in the long run, and so many at once.
 	LinesPerSecond float64
 	Burst          float64
-	// Queue is how many lines may wait for a slow reader.
+	// Queue is how many lines may wait for a slow reader, of maxWaiting bytes together at most.
 	Queue int
 	// Now gives the present time.
 	Now func() time.Time
@@ -23,18 +23,25 @@
 	Summary func(now time.Time, suppressed uint64) string
 }
 
+// maxWaiting bounds the lines that wait for a slow reader, in bytes: 512 lines of 1 KiB, three times the longest line of a
+// request in tests/pinned/entry (345 bytes). Higher loses fewer long lines, lower takes less memory of a small instance. Not
+// measured.
+const maxWaiting = 512 << 10
+
 // summaryInterval is how often suppressed lines are reported. Longer adds fewer lines, shorter reports sooner. Not measured.
 const summaryInterval = time.Second
 
 // Writer is an io.Writer whose Write never blocks.
 type Writer struct {
-	options    Options
-	lines      chan []byte
-	stop       chan struct{}
-	done       chan struct{}
-	mutex      sync.Mutex
-	tokens     float64
-	filled     time.Time
+	options Options
+	lines   chan []byte
+	stop    chan struct{}
+	done    chan struct{}
+	mutex   sync.Mutex
+	tokens  float64
+	filled  time.Time
+	// waiting counts the bytes of the lines that are queued or being written.
+	waiting    int
 	suppressed uint64
 	total      uint64
 }
@@ -51,39 +58,58 @@
 
 // Write queues one line, or counts it as suppressed.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.take() {
+	if !w.take(len(line)) {
 		return len(line), nil
 	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.suppress()
+		w.refuse(len(line))
 	}
 	return len(line), nil
 }
 
-func (w *Writer) take() bool {
+// take tells whether rate and memory allow a line of the given length, and counts it: as waiting, or as suppressed.
+func (w *Writer) take(length int) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.options.Now()
 	w.tokens = min(w.options.Burst, w.tokens+now.Sub(w.filled).Seconds()*w.options.LinesPerSecond)
 	w.filled = now
 	if w.tokens < 1 {
-		w.suppressed++
-		w.total++
+		w.suppress()
 		return false
 	}
 	w.tokens--
+	if w.waiting+length > maxWaiting {
+		w.suppress()
+		return false
+	}
+	w.waiting += length
 	return true
 }
 
-func (w *Writer) suppress() {
+// refuse takes a line back that found no place in the queue.
+func (w *Writer) refuse(length int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.waiting -= length
+	w.suppress()
+}
+
+// suppress counts a line that is not written; the caller holds the mutex.
+func (w *Writer) suppress() {
 	w.suppressed++
 	w.total++
 }
 
+// written takes account of a line that waits no more.
+func (w *Writer) written(length int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.waiting -= length
+}
+
 // Suppressed gives the number of lines that were not written.
 func (w *Writer) Suppressed() uint64 {
 	w.mutex.Lock()
@@ -108,6 +134,7 @@
 		select {
 		case line := <-w.lines:
 			w.output(line)
+			w.written(len(line))
 		case <-ticker.C:
 			w.summarize()
 		case <-w.stop:
@@ -122,6 +149,7 @@
 		select {
 		case line := <-w.lines:
 			w.output(line)
+			w.written(len(line))
 		default:
 			w.summarize()
 			return
--- a/modules/entry/asynclog/writer_test.go
+++ b/modules/entry/asynclog/writer_test.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -54,3 +56,51 @@
 	assert.GreaterOrEqual(t, writer.Suppressed(), uint64(980))
 	writer.Close(10 * time.Millisecond)
 }
+
+// TestLongLinesThatWaitAreBoundedByTheirBytes has a reader that stands still and lines of 64 KiB, far fewer than the queue
+// takes by their number.
+func TestLongLinesThatWaitAreBoundedByTheirBytes(t *testing.T) {
+	const length, count, bound = 64 << 10, 500, 512 << 10
+	reader, output := io.Pipe()
+	writer := asynclog.New(asynclog.Options{Output: output, LinesPerSecond: 1e6, Burst: 1e6, Queue: 512, Summary: summary, Now: time.Now})
+	line := append(bytes.Repeat([]byte("x"), length-1), '\n')
+	for range count {
+		_, _ = writer.Write(line)
+	}
+	kept := (count - int(writer.Suppressed())) * length
+	assert.Equal(t, bound, kept, "bytes that wait")
+
+	var read bytes.Buffer
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.Copy(&read, reader)
+	}()
+	assert.Eventually(t, func() bool {
+		before := writer.Suppressed()
+		_, _ = writer.Write([]byte("short\n"))
+		return writer.Suppressed() == before
+	}, 10*time.Second, time.Millisecond, "what was written makes room")
+	writer.Close(10 * time.Second)
+	_ = output.Close()
+	<-done
+	assert.Equal(t, bound, strings.Count(read.String(), "x")+bound/length, "each line that waited is whole")
+	var told uint64
+	for _, found := range regexp.MustCompile(`suppressed (\d+)`).FindAllStringSubmatch(read.String(), -1) {
+		one, err := strconv.ParseUint(found[1], 10, 64)
+		assert.NoError(t, err)
+		told += one
+	}
+	assert.Equal(t, writer.Suppressed(), told, "each line that was left out is told of once")
+}
+
+func TestALineLongerThanAllThatMayWaitIsCounted(t *testing.T) {
+	var output bytes.Buffer
+	writer := asynclog.New(asynclog.Options{Output: &output, LinesPerSecond: 1e6, Burst: 1e6, Queue: 512, Summary: summary, Now: time.Now})
+	_, _ = writer.Write(make([]byte, 512<<10+1))
+	_, _ = writer.Write([]byte("line\n"))
+	writer.Close(time.Second)
+	assert.Equal(t, uint64(1), writer.Suppressed())
+	assert.Equal(t, len("line\nsuppressed 1\n"), output.Len())
+	assert.True(t, strings.HasSuffix(output.String(), "line\nsuppressed 1\n"))
+}
