Load no adapter whose eviction on the same endpoint is under way

Cause: the placer forgets an adapter when it orders its eviction, and could order it loaded on the same endpoint again before that order had come. Where the two orders come in the other order, the endpoint says that it holds the adapter, requests are granted on it, and the first order unloads it in use. Change: no load of an adapter is ordered on an endpoint while a load there that evicts it has not ended; at the latest after LoadTimeout the endpoint's own list settles it. Looked for the same cause: the entry program binds each order to the endpoint's count of orders, so that a late one is refused.

--- a/services/daemon/placement/endpoint_state.go
+++ b/services/daemon/placement/endpoint_state.go
@@ -116,6 +116,20 @@
 	return !e.uncertain && !now.Before(e.frozenUntil)
 }
 
+// evicting tells whether an order that unloads the adapter is under way: until it is known to have ended it may come at any
+// time, also after an order to load the adapter again.
+func (e *endpointState) evicting(ref fleet.AdapterRef) bool {
+	if ref.IsZero() {
+		return false
+	}
+	for _, s := range e.slots {
+		if s.state == slotLoading && s.evicting == ref {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *endpointState) free() int {
 	return e.spec.MaxBatch - e.running
 }
