Let the tickets of silent entries of other halls go

Cause: the placer is told of the loss of entries of its own hall alone. The tickets of an entry of another hall that died were kept as long as the placer held the pool, with their places in the batch and their adapters in use. Change: a ticket that its entry has not named for TicketLife (10 minutes; entries name the tickets they use each 2 s) counts as that of a lost entry: the endpoint gets a new fence and its list shows whether the request has ended, as before. A ticket that is named again is no more that of a lost entry, so that after a cut no request in use loses its ticket. Shown by: TestTicketOfASilentEntryIsThatOfALostOne and TestTicketThatItsEntryNamesAgainIsKept failed before. Looked for the same cause: in the entry program requests in flight and copies in use of a member go with it (services/entry/coordinator/member).

--- a/services/daemon/placement/options.go
+++ b/services/daemon/placement/options.go
@@ -42,7 +42,8 @@
 	SecondCopyWait time.Duration
 	// StartWithin bounds the time between a grant and the request's start.
 	StartWithin time.Duration
-	// TicketLife bounds how long a lost entry's ticket keeps an adapter in use.
+	// TicketLife bounds how long a lost entry's ticket keeps an adapter in use; an entry that has
+	// not named its ticket for so long counts as lost.
 	TicketLife time.Duration
 	// LoadTimeout is when a load without an answer makes its slot unknown.
 	LoadTimeout time.Duration
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -127,11 +127,7 @@
 		p.reopen(e)
 		p.dispatchEndpoint(now, e)
 	}
-	for _, held := range p.tickets {
-		if !held.orphaned.IsZero() && now.Sub(held.orphaned) > p.options.TicketLife {
-			p.release(now, held)
-		}
-	}
+	p.sweepTickets(now)
 }
 
 // forget drops what has faded of adapters and customers that nobody has asked for or heard of in a long time.
--- a/services/daemon/placement/ticket.go
+++ b/services/daemon/placement/ticket.go
@@ -15,12 +15,20 @@
 
 // heldTicket is a granted ticket that has not come back.
 type heldTicket struct {
-	ticket   fleet.Ticket
-	request  fleet.Request
-	granted  time.Time
+	ticket  fleet.Ticket
+	request fleet.Request
+	granted time.Time
+	// named is when the entry last said that it uses the ticket, or the zero time.
+	named time.Time
+	// orphaned is when the entry was lost, or the zero time.
 	orphaned time.Time
 }
 
+// silent tells whether the entry has not named the ticket for the given time.
+func (h *heldTicket) silent(now time.Time, limit time.Duration) bool {
+	return now.Sub(h.granted) > limit && now.Sub(h.named) > limit
+}
+
 func (p *Placer) nextTicketID() string {
 	p.sequence++
 	return p.self + "/" + p.pool + "/" + p.epoch + "/" + strconv.FormatUint(p.sequence, 10)
@@ -74,8 +82,17 @@
 
 // EntryLost marks the tickets of a lost entry; they stay in use until the endpoint shows otherwise.
 func (p *Placer) EntryLost(now time.Time, entry string) []Effect {
+	p.orphan(now, p.heldBy(entry))
+	for _, w := range p.waitersOf(entry) {
+		p.queue.Remove(w)
+	}
+	return p.take()
+}
+
+// orphan marks tickets whose entries are lost.
+func (p *Placer) orphan(now time.Time, tickets []*heldTicket) {
 	retake := make(map[string]bool)
-	for _, held := range p.heldBy(entry) {
+	for _, held := range tickets {
 		if !held.orphaned.IsZero() {
 			continue
 		}
@@ -87,10 +104,17 @@
 			p.effects = append(p.effects, Retake{Endpoint: e.spec.Name})
 		}
 	}
-	for _, w := range p.waitersOf(entry) {
-		p.queue.Remove(w)
+}
+
+// sweepTickets takes entries that have long not named a ticket for lost, since a loss is told of entries in the pool's hall
+// alone, and lets the tickets of lost entries go after their life.
+func (p *Placer) sweepTickets(now time.Time) {
+	p.orphan(now, p.heldWhere(func(held *heldTicket) bool { return held.silent(now, p.options.TicketLife) }))
+	for _, held := range p.tickets {
+		if !held.orphaned.IsZero() && now.Sub(held.orphaned) > p.options.TicketLife {
+			p.release(now, held)
+		}
 	}
-	return p.take()
 }
 
 func (p *Placer) waitersOf(entry string) []*queue.Waiter {
@@ -104,12 +128,17 @@
 }
 
 // Reconfirm compares what was granted with the tickets that an entry says it uses: one that
-// the entry does not know, and whose grant is too old to be on its way, has ended.
+// the entry does not know, and whose grant is too old to be on its way, has ended. One that it
+// names is not, or no more, that of a lost entry.
 func (p *Placer) Reconfirm(now time.Time, entry string, uses []fleet.TicketUse, tooOld time.Duration) []Effect {
 	known := make(map[string]bool, len(uses))
 	for _, u := range uses {
 		known[u.Ticket.ID] = true
 		p.effects = append(p.effects, p.Redeclare(now, u.Ticket, u.Request)...)
+		if held, ok := p.tickets[u.Ticket.ID]; ok {
+			held.named = now
+			held.orphaned = time.Time{}
+		}
 	}
 	for _, held := range p.heldBy(entry) {
 		if known[held.ticket.ID] || now.Sub(held.granted) < tooOld {
@@ -123,9 +152,14 @@
 }
 
 func (p *Placer) heldBy(entry string) []*heldTicket {
+	return p.heldWhere(func(held *heldTicket) bool { return held.ticket.Entry == entry })
+}
+
+// heldWhere lists the tickets of one kind by their names.
+func (p *Placer) heldWhere(match func(held *heldTicket) bool) []*heldTicket {
 	var out []*heldTicket
 	for _, held := range p.tickets {
-		if held.ticket.Entry == entry {
+		if match(held) {
 			out = append(out, held)
 		}
 	}
--- a/services/daemon/placement/ticket_test.go
+++ b/services/daemon/placement/ticket_test.go
@@ -102,6 +102,50 @@
 	}
 }
 
+// TestTicketOfASilentEntryIsThatOfALostOne has an entry of another hall, whose loss nobody tells.
+func TestTicketOfASilentEntryIsThatOfALostOne(t *testing.T) {
+	const granted, silence, named = 3, 600_000, 300_000
+	for _, row := range []struct {
+		name  string
+		now   int
+		names bool
+		left  int
+	}{
+		{"at the end of the silence", granted + silence, false, 1},
+		{"after it", granted + silence + 1, false, 0},
+		{"at the end of the silence since it was named", named + silence, true, 1},
+		{"after that", named + silence + 1, true, 0},
+	} {
+		p, ticket := running(t)
+		if row.names {
+			p.Reconfirm(at(named), "i2", []fleet.TicketUse{{Ticket: ticket, Request: fleet.Request{ID: "q1"}}}, 10*time.Second)
+		}
+		retakes := only[placement.Retake](p.Tick(at(row.now)))
+		require.Len(t, retakes, 1-row.left, row.name)
+		p.Adopt(at(row.now+2), list(row.now+1, ref("a")), 2, at(row.now+2))
+		require.Len(t, p.Tickets(), row.left, row.name)
+	}
+}
+
+// TestTicketThatItsEntryNamesAgainIsKept cuts an entry off for longer than it may be silent.
+func TestTicketThatItsEntryNamesAgainIsKept(t *testing.T) {
+	p, ticket := running(t)
+	uses := []fleet.TicketUse{{Ticket: ticket, Request: fleet.Request{ID: "q1"}}}
+	p.EntryLost(at(10), "i2")
+	p.Reconfirm(at(20), "i2", uses, 10*time.Second)
+	p.Adopt(at(22), list(21, ref("a")), 2, at(22))
+	require.Len(t, p.Tickets(), 1, "the entry uses it")
+	later := at(20)
+	for range 1000 {
+		later = later.Add(2 * time.Second)
+		p.Reconfirm(later, "i2", uses, 10*time.Second)
+		p.Tick(later)
+	}
+	require.Len(t, p.Tickets(), 1)
+	p.Return(later, ticket.ID)
+	require.Empty(t, p.Tickets())
+}
+
 func TestRequestsOfALostEntryWaitNoMore(t *testing.T) {
 	p := newPlacer(endpoint(1))
 	p.Submit(at(1), request("q1", "a"))
