--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -34,16 +34,18 @@
 	loadsOf   customerLoads
 	prefixes  prefixHints
 	sequence  uint64
+	sweeps    uint64
 	loads     int
 	lastSweep time.Time
 	effects   []Effect
 	preload   []fleet.AdapterRef
-	bases     map[fleet.AdapterRef]string
-	lastBusy  time.Time
-	absent    Bid
-	absentAt  time.Time
-	scratch   []demand
-	bid       madeBid
+	// bases has the base of each adapter that a load may be worth.
+	bases    map[fleet.AdapterRef]string
+	lastBusy time.Time
+	absent   Bid
+	absentAt time.Time
+	scratch  []demand
+	bid      madeBid
 }
 
 // NewPlacer makes the placer of a pool, run by the instance self.
@@ -111,23 +113,43 @@
 // shorter looks at every endpoint more often. Not measured.
 const sweepEvery = time.Second
 
-// forgetEvery is the number of ticket names and sweeps between two scans for forgotten
-// adapters; it bounds the cost of the scan. Not measured.
+// forgetEvery is the number of sweeps between two scans for adapters and customers that
+// are long gone; it bounds the cost of the scan. Not measured.
 const forgetEvery = 256
 
 // sweep does the work of once a second.
 func (p *Placer) sweep(now time.Time) {
-	p.sequence++
-	if p.sequence%forgetEvery == 0 {
-		p.popular.Forget(now)
+	p.sweeps++
+	if p.sweeps%forgetEvery == 0 {
+		p.forget(now)
 	}
 	for _, e := range p.endpoints {
 		p.reopen(e)
 		p.dispatchEndpoint(now, e)
 	}
-	for _, held := range p.tickets {
-		if !held.orphaned.IsZero() && now.Sub(held.orphaned) > p.options.TicketLife {
-			p.release(now, held)
+	p.sweepTickets(now)
+}
+
+// forget drops what has faded of adapters and customers that nobody has asked for or heard of in a long time.
+func (p *Placer) forget(now time.Time) {
+	p.popular.Forget(now)
+	p.loadsOf.forget(now)
+	p.failures.Forget(now)
+	p.queue.Forget(now)
+	p.forgetBases()
+}
+
+// forgetBases drops the bases of adapters of which no load is worth anything: nobody waits for them, no call is expected and no
+// operator asked for them.
+func (p *Placer) forgetBases() {
+	asked := make(map[fleet.AdapterRef]bool, len(p.preload))
+	for _, ref := range p.preload {
+		asked[ref] = true
+	}
+	for ref := range p.bases {
+		_, waits := p.queue.Adapter(ref)
+		if !waits && !asked[ref] && !p.popular.Knows(ref) {
+			delete(p.bases, ref)
 		}
 	}
 }
