Forget what nobody could be told while there is no planner

Cause: an instance without a planner builds no report, and only a report forgets arrivals by adapter, callers that are expected back and notes of missing copies. While the store and the planner are lost, these grew with each refused request, without bound. One addition to sendReport. Looked for the same cause, state that only a message forgets: of the coordinator the plan's changes (forgotten by each view, which goes out with or without members) and following.own (made anew by each report).

--- a/services/entry/coordinator/report/demand.go
+++ b/services/entry/coordinator/report/demand.go
@@ -87,7 +87,7 @@
 // List adds the refused callers that will come back soon, forgets those that have or will not, and gives it all.
 func (c *Collection) List() []wire.Demand {
 	ct := c.counter
-	ct.returns = slices.DeleteFunc(ct.returns, func(one expectedReturn) bool { return c.now.Sub(one.at) > ReturnWait })
+	ct.forgetReturns(c.now)
 	for _, one := range ct.returns {
 		if one.at.Sub(c.now) <= ReturnNotice {
 			c.wait(one.key, one.at.Add(one.target).Sub(c.now))
@@ -137,6 +137,23 @@
 	return list
 }
 
+// Untold takes in, at a time when there is nobody to report to, that the arrivals so far are not told: they stay in the rates,
+// which a new planner gets. Callers that should have come back are forgotten.
+func (ct *Counter) Untold(now time.Time) {
+	for key, count := range ct.arrivals {
+		if !key.Adapter.IsZero() {
+			ct.rate(key).Add(now, count)
+		}
+	}
+	clear(ct.arrivals)
+	ct.forgetReturns(now)
+}
+
+// forgetReturns forgets callers that should have come back.
+func (ct *Counter) forgetReturns(now time.Time) {
+	ct.returns = slices.DeleteFunc(ct.returns, func(one expectedReturn) bool { return now.Sub(one.at) > ReturnWait })
+}
+
 // Sweep forgets rates that have become too small.
 func (ct *Counter) Sweep(now time.Time) {
 	for key, rate := range ct.rates {
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -16,6 +16,9 @@
 func (c *Coordinator) sendReport(now time.Time) {
 	if c.planning == nil && c.following.stream == nil {
 		c.reports.Skip(now)
+		c.demand.Untold(now)
+		// A planner that comes reads the endpoints' reports itself.
+		c.missing = nil
 		return
 	}
 	built := c.buildReport(now)
