Take a member's arrival rates once a term

Cause: a member tells its arrival rates in the first report over each link, meant for a new planner; the planner added them each time. A link that breaks and comes back multiplied what the member asks for, by as much as its adapters then counted more than others'. Change: the plan remembers the instances whose rates it has taken in, as long as they are members. What a member's callers ask for between two links of one planner, some 0.2 s, is in its rates only and not counted. Looked for the same cause, a first report that adds to what is known: InFlight, InUse, Demands, Suspects replace; FormerLoads takes the youngest. Measured: TestAMemberThatLinksAgainTellsNoNewRates fails before (an adapter is loaded for a rate that is not worth it) and passes now.

--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -37,6 +37,8 @@
 	// assumed are the loads that former planners may have begun.
 	assumed AssumedLoads
 	changes Changes
+	// rated are the instances whose arrival rates were taken in; members that are forgotten are left out.
+	rated map[string]bool
 	// withdrawals is the number of the last announcement of a withdrawal, of all services.
 	withdrawals uint64
 }
@@ -50,6 +52,7 @@
 func New(options Options, known *directory.Directory, members *member.Table, assumed AssumedLoads) *Plans {
 	return &Plans{
 		options: options, directory: known, members: members, assumed: assumed,
+		rated:       make(map[string]bool),
 		withdrawals: uint64(options.Term) << termShift,
 		planners:    make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
 	}
--- a/services/entry/coordinator/plan/reports.go
+++ b/services/entry/coordinator/plan/reports.go
@@ -4,6 +4,7 @@
 package plan
 
 import (
+	"maps"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -36,11 +37,7 @@
 	for name, planner := range p.planners {
 		planner.Report(now, r.Instance, demands[name])
 	}
-	for name, rates := range ratesByService(r.Rates) {
-		if planner, ok := p.planners[name]; ok {
-			planner.AddRates(now, rates)
-		}
-	}
+	p.takeRates(now, r)
 	for _, copied := range r.Missing {
 		for _, planner := range p.planners {
 			planner.NoteMissing(copied.ID)
@@ -48,6 +45,22 @@
 	}
 }
 
+// takeRates takes in an instance's arrival rates from before this plan, once: a member tells them anew over each new link,
+// and its arrivals since the first are counted already.
+func (p *Plans) takeRates(now time.Time, r *wire.Report) {
+	if len(r.Rates) == 0 || len(p.planners) == 0 || p.rated[r.Instance] {
+		return
+	}
+	members := p.members.All()
+	maps.DeleteFunc(p.rated, func(instance string, _ bool) bool { return members[instance] == nil })
+	p.rated[r.Instance] = true
+	for name, rates := range ratesByService(r.Rates) {
+		if planner, ok := p.planners[name]; ok {
+			planner.AddRates(now, rates)
+		}
+	}
+}
+
 func demandsByService(list []wire.Demand) map[string][]loading.Demand {
 	byService := make(map[string][]loading.Demand)
 	for _, one := range list {
