--- a/services/entry/coordinator/view/followed.go
+++ b/services/entry/coordinator/view/followed.go
@@ -106,7 +106,7 @@
 const (
 	// probeDelay is the delay from which on an instance asks for a tighter bound of it: a quarter of SilenceLimit, so that the
 	// pause between heartbeats still fits beside it. Not measured.
-	probeDelay = SilenceLimit / 4
+	probeDelay = 300 * time.Millisecond
 	// probePause is the least pause between two probes. Not measured.
 	probePause = time.Second
 )
