--- a/tests/capacity/entry_peak_test.go
+++ b/tests/capacity/entry_peak_test.go
@@ -33,7 +33,7 @@
 // role, which writes a line for each step and goes on when it reads one.
 const (
 	roleVariable   = "CAPACITY_ROLE"
-	routesVariable = "CAPACITY_ROUTES"
+	numberVariable = "CAPACITY_NUMBER"
 	sourceVariable = "CAPACITY_SOURCE"
 	roleStore      = "store"
 	rolePeer       = "peer"
@@ -103,13 +103,13 @@
 	output  *bufio.Reader
 }
 
-func startPlayer(b *testing.B, role string, routes int, source string) *player {
+func startPlayer(b *testing.B, role string, number int, source string) *player {
 	program, err := os.Executable()
 	must(err)
 	ctx, cancel := context.WithTimeout(context.Background(), peakTimeout)
 	b.Cleanup(cancel)
 	p := &player{command: exec.CommandContext(ctx, program)}
-	p.command.Env = append(os.Environ(), roleVariable+"="+role, routesVariable+"="+strconv.Itoa(routes), sourceVariable+"="+source)
+	p.command.Env = append(os.Environ(), roleVariable+"="+role, numberVariable+"="+strconv.Itoa(number), sourceVariable+"="+source)
 	p.command.Stderr = os.Stderr
 	p.input, err = p.command.StdinPipe()
 	must(err)
@@ -142,10 +142,11 @@
 	must(p.command.Wait())
 }
 
-func playedRoutes() int {
-	routes, err := strconv.Atoi(os.Getenv(routesVariable))
+// playedNumber is the number that a role is given: of routes, or a port.
+func playedNumber() int {
+	number, err := strconv.Atoi(os.Getenv(numberVariable))
 	must(err)
-	return routes
+	return number
 }
 
 // waitLine returns at the next line of the input, false at its end.
@@ -159,13 +160,13 @@
 	input := bufio.NewReader(os.Stdin)
 	service := standin.NewStore()
 	defer service.Close()
-	service.Put("op/config", json.RawMessage(configurationValue(1, playedRoutes())))
+	service.Put("op/config", json.RawMessage(configurationValue(1, playedNumber())))
 	for i := range entryEndpoints {
 		service.Put("servers/"+string(entryEndpointID(i)), endpointValue(i))
 	}
 	fmt.Println(service.Address())
 	for version := int64(2); waitLine(input); version++ {
-		service.Put("op/config", json.RawMessage(configurationValue(version, playedRoutes())))
+		service.Put("op/config", json.RawMessage(configurationValue(version, playedNumber())))
 	}
 }
 
@@ -179,7 +180,7 @@
 	must(err)
 	stream := peerstream.New[wire.Message](conn)
 	for version := int64(1); ; version++ {
-		must(stream.Send(viewWith(configurationItem(version, playedRoutes()))))
+		must(stream.Send(viewWith(configurationItem(version, playedNumber()))))
 		if !waitLine(input) {
 			return
 		}
--- a/tests/capacity/entry_process_test.go
+++ b/tests/capacity/entry_process_test.go
@@ -138,7 +138,7 @@
 	debug.SetGCPercent(collectorPercent)
 	settings, err := platform.ParseSettings([]byte(os.Getenv(sourceVariable)))
 	must(err)
-	options := settings.Process(logrus.InfoLevel, uint16(playedRoutes()))
+	options := settings.Process(logrus.InfoLevel, uint16(playedNumber()))
 	options.LogOutput = io.Discard
 	entry := process.New(options)
 	must(entry.Start())
--- a/tests/capacity/entry_test.go
+++ b/tests/capacity/entry_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/netip"
 	"runtime"
 	"strings"
@@ -279,7 +278,7 @@
 }
 
 // stoppedOutput is a reader of the log that takes nothing until it is let go.
-type stoppedOutput struct{ io.Writer }
+type stoppedOutput struct{}
 
 func (stoppedOutput) Write([]byte) (int, error) { select {} }
 
