--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -53,6 +53,8 @@
 	Deadline string
 	Resumed  string
 	Canceled bool
+	// Began is when the worker began to work on it.
+	Began time.Time
 }
 
 // OrderSeen is one order that arrived.
@@ -80,6 +82,8 @@
 	orders   []OrderSeen
 	overfull int
 	state    string
+	// queueWait is how long each request waits before it begins.
+	queueWait time.Duration
 	// described is the sequence at the last description; stop ends the heartbeats.
 	described int64
 	stop      chan struct{}
@@ -172,6 +176,20 @@
 	w.faults = faults
 }
 
+// SetQueueWait makes each coming request wait before it begins, as in the queue of an endpoint that is full.
+func (w *Worker) SetQueueWait(wait time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.queueWait = wait
+}
+
+// SetLoadTime sets how long each coming load takes.
+func (w *Worker) SetLoadTime(loadTime time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.options.LoadTime = loadTime
+}
+
 // Name names the version that later loads of an adapter bring.
 func (w *Worker) Name(adapter string, version int) {
 	w.mutex.Lock()
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -52,6 +52,9 @@
 		return
 	}
 	model, adapter, _ := strings.Cut(request.Header.Get("X-Model"), "/")
+	if !w.queue(request) {
+		return
+	}
 	w.mutex.Lock()
 	w.settle()
 	version, resident := w.adapters[adapter]
@@ -72,7 +75,7 @@
 	}
 	run := &Run{
 		ID: request.Header.Get(HeaderRequestID), Adapter: adapter, Version: version,
-		Deadline: request.Header.Get("X-Deadline-Ms"), Resumed: request.Header.Get("Last-Event-Id"),
+		Deadline: request.Header.Get("X-Deadline-Ms"), Resumed: request.Header.Get("Last-Event-Id"), Began: time.Now(),
 	}
 	w.runs = append(w.runs, run)
 	w.inUse[adapter]++
@@ -86,6 +89,22 @@
 	w.answer(writer, request, trouble, run, body)
 }
 
+// queue waits until a request begins; false if its caller left before.
+func (w *Worker) queue(request *http.Request) bool {
+	w.mutex.Lock()
+	wait := w.queueWait
+	w.mutex.Unlock()
+	if wait == 0 {
+		return true
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
 func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, trouble fault, run *Run, body []byte) {
 	switch trouble {
 	case faultHang:
