Count the endpoint's own queue into the time of a former version

The rule counted to the sending, the promise counts to the run.

The wait that is expected at the endpoint now goes off the half of the limit: the longest of the waits that own requests of the last 3 s had there until they ran, and of those that still wait. Nothing in flight means no wait; where the wait is not known, the former version is not used.

TestANewVersionIsDemandedAfterHalfOfItsLimit asked the function that is gone; its successor asks for the same instants, and for the time that is left between them.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -47,6 +47,11 @@
 	Request *deployment.Request
 	// Version is the lowest version of the adapter that may run the request, as named in the store; 0 allows any.
 	Version int64
+	// FormerWait allows older versions where the request is known to wait less than that in the endpoint's own queue until it
+	// runs; 0 allows them nowhere.
+	FormerWait time.Duration
+	// OthersKnown says that the others' requests in flight are those of a fresh view, so that none means none.
+	OthersKnown bool
 	// Tried are endpoints that were sent the request already, by this instance.
 	Tried []deployment.EndpointID
 }
@@ -77,7 +82,7 @@
 			continue
 		}
 		verdict = max(verdict, NotResident)
-		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.Version) {
+		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.versionAt(now, endpoint)) {
 			continue
 		}
 		if required.Request.UsesModel() && options.Limit.Reached(endpoint) {
@@ -104,6 +109,19 @@
 	return best, Chosen
 }
 
+// versionAt is the lowest version that may run the request at an endpoint. Where the wait there is not known, the request might
+// run after the time of older versions is over: they are not allowed.
+func (r *Requirement) versionAt(now time.Time, endpoint *directory.EndpointStatus) int64 {
+	if r.Version == 0 || r.FormerWait <= 0 {
+		return r.Version
+	}
+	wait, known := endpoint.ExpectedWait(now, r.Request.Route.Priority, r.OthersKnown)
+	if known && wait < r.FormerWait {
+		return 0
+	}
+	return r.Version
+}
+
 // cost is what a request adds to at an endpoint, in requests in flight; the lowest is chosen.
 func cost(endpoint *directory.EndpointStatus, request *deployment.Request, options Options) float64 {
 	cost := float64(endpoint.Load()) + tieSpread*options.Random()
--- /dev/null
+++ b/services/entry/balance/version_test.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/balance"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
+)
+
+// TestAFormerVersionServesOnlyWhereItsTimeCoversTheWait asks for version 2 at an endpoint that holds version 1.
+func TestAFormerVersionServesOnlyWhereItsTimeCoversTheWait(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	waits := func(d *directory.Directory) {
+		d.Begin(start.Add(-wait), "old", adapter)
+		d.Running(start, "old", start.Add(-wait), 0)
+	}
+	for name, test := range map[string]struct {
+		play        func(d *directory.Directory)
+		formerWait  time.Duration
+		othersKnown bool
+		verdict     balance.Verdict
+	}{
+		"its time is over":                    {func(*directory.Directory) {}, 0, true, balance.NotResident},
+		"it is long over":                     {func(*directory.Directory) {}, -time.Hour, true, balance.NotResident},
+		"nobody waits":                        {func(*directory.Directory) {}, 1, true, balance.Chosen},
+		"nobody of this instance waits":       {func(*directory.Directory) {}, time.Hour, false, balance.NotResident},
+		"the wait is within its time":         {waits, wait + 1, true, balance.Chosen},
+		"the wait is as long as its time":     {waits, wait, true, balance.NotResident},
+		"others are at work, no wait is seen": {func(d *directory.Directory) { d.Endpoint("old").Others = 1 }, time.Hour, true, balance.NotResident},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := build(holder("old", "near"))
+			test.play(d)
+			request := &deployment.Request{Adapter: adapter, Route: &deployment.Route{}}
+			required := balance.Requirement{Request: request, Version: 2, FormerWait: test.formerWait, OthersKnown: test.othersKnown}
+			_, verdict := choose(d, required)
+			assert.Equal(t, test.verdict, verdict)
+
+			endpoint := holder("new", "near")
+			endpoint.Adapters = map[deployment.Adapter]int64{adapter: 2}
+			d = build(endpoint)
+			d.Endpoint("new").Others = 1
+			_, verdict = choose(d, required)
+			assert.Equal(t, balance.Chosen, verdict, "the named version serves in any case")
+		})
+	}
+}
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -42,6 +42,8 @@
 	MaxConnections int
 	// Waited is how long the request waited for the endpoint.
 	Waited time.Duration
+	// Assigned is when the endpoint was chosen; from then on the request waits there until it runs.
+	Assigned time.Time
 }
 
 // waiter is a request that waits for an endpoint.
@@ -90,7 +92,7 @@
 		select {
 		case result := <-w.Result:
 			if result.err == nil {
-				c.directory.End(now, result.assignment.Endpoint.ID, w.Adapter, directory.Neutral)
+				c.end(now, result.assignment, w.Adapter, directory.Neutral)
 			}
 		default:
 			c.waiters.Drop(w)
@@ -118,15 +120,21 @@
 
 // serve assigns an endpoint if one can take the request now.
 func (c *Coordinator) serve(now time.Time, w *waiter) bool {
-	required := balance.Requirement{Request: w.Request, Version: c.versions.Demanded(now, w.Adapter, c.options.VersionLimit), Tried: w.Tried}
+	named := c.versions.Named(w.Adapter)
+	required := balance.Requirement{
+		Request: w.Request, Tried: w.Tried, Version: named, FormerWait: c.versions.FormerWait(now, w.Adapter, c.options.VersionLimit),
+		OthersKnown: c.planning != nil || c.following.Fresh(now),
+	}
 	status, verdict := balance.Choose(now, c.directory.Service(w.Service), required, balance.NewOptions(c.options.Hall, c.options.Random))
 	w.Verdict = verdict
 	if verdict != balance.Chosen {
 		return false
 	}
 	c.directory.Begin(now, status.ID, w.Adapter)
-	assignment := Assignment{Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since)}
-	if named := c.versions.Named(w.Adapter); status.Offered[w.Adapter] >= named {
+	assignment := Assignment{
+		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
+	}
+	if status.Offered[w.Adapter] >= named {
 		assignment.Version = named
 	}
 	w.Result <- acquired{assignment: assignment}
@@ -192,10 +200,23 @@
 	c.waiters.Review(func(w *waiter) bool { return !c.serve(now, w) && c.decideWaiter(now, w) })
 }
 
+// Running notes that an endpoint runs a request: its answer has begun.
+func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
+	c.loop.Post(func(now time.Time) {
+		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request.Route.Priority)
+	})
+}
+
+// end takes a request out of flight and out of its endpoint's queue.
+func (c *Coordinator) end(now time.Time, assignment Assignment, adapter deployment.Adapter, outcome directory.Outcome) {
+	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned)
+	c.directory.End(now, assignment.Endpoint.ID, adapter, outcome)
+}
+
 // Finish takes a request out of flight; missing tells that the endpoint did not hold the adapter.
 func (c *Coordinator) Finish(request *deployment.Request, assignment Assignment, outcome directory.Outcome, missing bool) {
 	c.loop.Post(func(now time.Time) {
-		c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
+		c.end(now, assignment, request.Adapter, outcome)
 		if missing {
 			c.directory.NoteMissing(now, assignment.Endpoint.ID, request.Adapter)
 			c.missing = append(c.missing, wire.Copy{ID: assignment.Endpoint.ID, Model: request.Adapter.Model, Name: request.Adapter.Name})
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -58,17 +58,20 @@
 	}
 }
 
-func TestANewVersionIsDemandedAfterHalfOfItsLimit(t *testing.T) {
+func TestAFormerVersionServesForHalfOfItsLimitLessTheWait(t *testing.T) {
 	const limit = 2 * time.Second
 	versions := follow.NewVersions()
-	assert.Zero(t, versions.Demanded(start.Add(time.Hour), adapter, limit))
+	assert.Negative(t, versions.FormerWait(start.Add(time.Hour), adapter, limit), "no version is named")
 	versions.Name(start, adapter, 3)
-	assert.Zero(t, versions.Demanded(start.Add(time.Second-1), adapter, limit))
-	assert.EqualValues(t, 3, versions.Demanded(start.Add(time.Second), adapter, limit))
+	assert.Equal(t, time.Second, versions.FormerWait(start, adapter, limit))
+	assert.Equal(t, 400*time.Millisecond, versions.FormerWait(start.Add(600*time.Millisecond), adapter, limit))
+	assert.Equal(t, time.Duration(1), versions.FormerWait(start.Add(time.Second-1), adapter, limit))
+	assert.Zero(t, versions.FormerWait(start.Add(time.Second), adapter, limit), "from here on, none may begin on it")
 	versions.Name(start.Add(500*time.Millisecond), adapter, 3)
-	assert.EqualValues(t, 3, versions.Demanded(start.Add(time.Second), adapter, limit), "a repeated word puts it off no further")
+	assert.Zero(t, versions.FormerWait(start.Add(time.Second), adapter, limit), "a repeated word puts it off no further")
 	versions.Name(start.Add(time.Second), adapter, 4)
-	assert.Zero(t, versions.Demanded(start.Add(time.Second), adapter, limit), "a newer version begins its limit anew")
+	assert.Equal(t, time.Second, versions.FormerWait(start.Add(time.Second), adapter, limit), "a newer version begins its limit anew")
+	assert.EqualValues(t, 4, versions.Named(adapter))
 }
 
 func TestWhoReadsTheStore(t *testing.T) {
--- a/services/entry/coordinator/follow/keys.go
+++ b/services/entry/coordinator/follow/keys.go
@@ -79,15 +79,16 @@
 	return v.named[adapter].version
 }
 
-// Demanded gives the lowest version that a new request may begin on, where it may begin on an older one for a limit
-// after the new one was named; 0 allows any. Half of the limit is kept for what happens after the choice. The
-// half was not measured.
-func (v *Versions) Demanded(now time.Time, adapter deployment.Adapter, limit time.Duration) int64 {
-	named, ok := v.named[adapter]
-	if !ok || now.Sub(named.learned) < limit/2 {
-		return 0
-	}
-	return named.version
+// reservedParts is in how many parts a limit is cut of which one is kept for what is not known at the choice of an endpoint: how
+// long before it was learned the version was acknowledged, the connection, and a wait that is longer than expected. Fewer keep
+// more, and refuse the former version sooner. Not measured.
+const reservedParts = 2
+
+// FormerWait gives how long a request that is assigned now may wait until it runs on a version older than the one named last,
+// where requests may begin on older ones for a limit after that was acknowledged. With zero and less, none may; where no
+// version was named, it tells nothing.
+func (v *Versions) FormerWait(now time.Time, adapter deployment.Adapter, limit time.Duration) time.Duration {
+	return limit - limit/reservedParts - now.Sub(v.named[adapter].learned)
 }
 
 // All gives each adapter with its named version.
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -129,13 +129,16 @@
 	return len(d.endpoints)
 }
 
-// Begin counts a request in flight.
+// Begin counts a request in flight, which waits in the endpoint's own queue until Running or Leave tells otherwise.
 func (d *Directory) Begin(now time.Time, id deployment.EndpointID, adapter deployment.Adapter) {
 	status, ok := d.endpoints[id]
 	if !ok {
 		return
 	}
 	status.Own++
+	if adapter.Model != "" {
+		status.wait.enter(now)
+	}
 	if !adapter.IsZero() {
 		status.OwnByAdapter[adapter]++
 	}
--- a/services/entry/directory/status.go
+++ b/services/entry/directory/status.go
@@ -31,6 +31,8 @@
 	Held map[deployment.Adapter]time.Time
 	// hall is how this instance reaches the endpoint's hall.
 	hall *reach
+	// wait is what own requests tell of the endpoint's own queue.
+	wait queueWait
 	// missing holds adapters that the endpoint lately said it does not hold.
 	missing map[deployment.Adapter]time.Time
 }
--- /dev/null
+++ b/services/entry/directory/wait_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
+)
+
+const (
+	urgent  = 1
+	patient = 5
+)
+
+var queuing = deployment.Adapter{Model: "base", Name: "a1"}
+
+// at gives a time of the tests, in milliseconds after their start.
+func at(ms int) time.Time {
+	return start.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// TestWhatIsKnownOfAnEndpointsQueue plays requests that are assigned and run, and asks 1 s after the start for a patient one.
+func TestWhatIsKnownOfAnEndpointsQueue(t *testing.T) {
+	ran := func(d *directory.Directory, assigned, began, priority int) {
+		d.Begin(at(assigned), "e", queuing)
+		d.Running(at(began), "e", at(assigned), priority)
+	}
+	ended := func(d *directory.Directory, assigned, end int) {
+		d.Leave(at(end), "e", at(assigned))
+		d.End(at(end), "e", queuing, directory.Neutral)
+	}
+	for name, test := range map[string]struct {
+		play  func(d *directory.Directory)
+		wait  time.Duration
+		known bool
+	}{
+		"nothing in flight":                 {func(*directory.Directory) {}, 0, true},
+		"one that waits":                    {func(d *directory.Directory) { d.Begin(at(200), "e", queuing) }, 800 * time.Millisecond, false},
+		"one that ran after 300 ms":         {func(d *directory.Directory) { ran(d, 100, 400, patient) }, 300 * time.Millisecond, true},
+		"one that ran, no longer in flight": {func(d *directory.Directory) { ran(d, 100, 400, patient); ended(d, 100, 500) }, 0, true},
+		"an urgent one ran":                 {func(d *directory.Directory) { ran(d, 100, 400, urgent) }, 300 * time.Millisecond, false},
+		"the longest of late counts":        {func(d *directory.Directory) { ran(d, 0, 700, patient); ran(d, 800, 850, patient) }, 700 * time.Millisecond, true},
+		"one that ran and one that waits":   {func(d *directory.Directory) { ran(d, 0, 10, patient); d.Begin(at(100), "e", queuing) }, 900 * time.Millisecond, true},
+		"one that gave up, another's at work": {func(d *directory.Directory) {
+			d.Endpoint("e").Others = 1
+			d.Begin(at(0), "e", queuing)
+			ended(d, 0, 600)
+		}, 600 * time.Millisecond, false},
+		"others' requests alone":     {func(d *directory.Directory) { d.Endpoint("e").Others = 3 }, 0, false},
+		"a wait of 3.1 s before":     {func(d *directory.Directory) { ran(d, -2600, -2100, patient) }, 0, false},
+		"a wait of 3 s before":       {func(d *directory.Directory) { ran(d, -2300, -2000, patient) }, 300 * time.Millisecond, true},
+		"a request of another kind":  {func(d *directory.Directory) { d.Begin(at(0), "e", deployment.Adapter{}) }, 0, false},
+		"told twice, that it runs":   {func(d *directory.Directory) { ran(d, 0, 300, patient); d.Running(at(900), "e", at(0), patient) }, 300 * time.Millisecond, true},
+		"an endpoint that is gone":   {func(d *directory.Directory) { d.Running(at(1), "x", at(0), patient); d.Leave(at(1), "x", at(0)) }, 0, true},
+		"the shorter one came later": {func(d *directory.Directory) { ran(d, 0, 500, urgent); ran(d, 500, 600, patient) }, 500 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := directory.New()
+			d.Put(endpoint("e", deployment.Ready), 1)
+			test.play(d)
+			wait, known := d.Endpoint("e").ExpectedWait(at(1000), patient, true)
+			assert.Equal(t, test.known, known)
+			assert.Equal(t, test.wait, wait)
+		})
+	}
+}
+
+func TestNothingInFlightIsNoProofWithoutTheOthersCounts(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 1)
+	_, known := d.Endpoint("e").ExpectedWait(start, patient, false)
+	assert.False(t, known)
+}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -219,7 +219,7 @@
 		Leaving:  func() bool { return server.Leaving() },
 		Observe:  func(o proxy.Observation) { metrics.ObserveRequest(toMetric(o)) },
 	}, proxy.Control{
-		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish,
+		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish, Running: control.Running,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -25,6 +25,8 @@
 	held []byte
 	// status is the endpoint's own; 0 for none.
 	status int
+	// running is set once the answer shows that the endpoint runs the request.
+	running bool
 }
 
 // do sends the request, passes the answer on and reports to the coordinator how it ended.
@@ -92,6 +94,10 @@
 	case attempt.PassStream:
 		return e.passStream(true)
 	case attempt.PassWhole:
+		if e.status < http.StatusMultipleChoices {
+			// An error may have been made before the request's turn came.
+			e.noteRunning()
+		}
 		return e.passWhole()
 	}
 	if verdict.Result == attempt.NotRun {
@@ -101,6 +107,15 @@
 	return verdict
 }
 
+// noteRunning tells the coordinator once that the request has left the endpoint's own queue.
+func (e *exchange) noteRunning() {
+	if e.running || !e.run.request.UsesModel() {
+		return
+	}
+	e.running = true
+	e.run.service.control.Running(e.run.request, e.assignment)
+}
+
 // startHeadTimer starts the timer that gives the endpoint up when the head of the answer takes too long; nil for none.
 func (e *exchange) startHeadTimer(giveUp func()) *time.Timer {
 	timeout, bounded := attempt.HeadTimeout(e.run.service.options.Now(), e.run.situation())
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -27,6 +27,8 @@
 	// Acquire waits for an endpoint; Finish must follow the exchange with it.
 	Acquire func(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error)
 	Finish  func(request *deployment.Request, assignment coordinator.Assignment, outcome directory.Outcome, missing bool)
+	// Running tells, at most once before Finish, that the endpoint runs a request that uses a model.
+	Running func(request *deployment.Request, assignment coordinator.Assignment)
 	// CountRequest counts a request for the budget of retries; TakeRetry asks it for one.
 	CountRequest func(service string)
 	TakeRetry    func(service string) bool
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -32,6 +32,7 @@
 		n, err := e.answer.Read(buffer)
 		if n > 0 {
 			silence.Reset(pauseTimeout)
+			e.noteRunning()
 			if !s.passOn(buffer[:n]) {
 				return attempt.NotTaken()
 			}
