Demand the version that the endpoint offers, not an older name of it

An endpoint refuses a request whose version is another than its own, a newer one, too. Where it held a version newer than the name that an instance knew, each request of that instance was sent with the older number, refused as not run, and the copy taken for missing for 1.5 s: the adapter was not served there until the name came. The offered version is demanded now, which is never below the named one.

Looked for elsewhere: the daemon resolves a request's version when it comes in and names it to the endpoint; no second number is compared. New and red before: tests/platform.TestAVersionNewerThanTheNamedOneServes (not served once in 15 s; 20 of 20 now).

--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -36,7 +36,7 @@
 // Assignment is an endpoint that takes a request; Finish must be called with it.
 type Assignment struct {
 	Endpoint deployment.Endpoint
-	// Version is the version that the endpoint must hold; 0 demands none.
+	// Version is the version that the endpoint must hold: the one that it offers, the named one or newer; 0 demands none.
 	Version int64
 	// MaxConnections bounds this instance's connections to the endpoint.
 	MaxConnections int
@@ -134,8 +134,9 @@
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
 	}
-	if status.Offered[w.Adapter] >= named {
-		assignment.Version = named
+	if held := status.Offered[w.Adapter]; named > 0 && held >= named {
+		// Endpoints refuse any other version, newer ones too, and this one may be newer than the name that is known here.
+		assignment.Version = held
 	}
 	w.Result <- acquired{assignment: assignment}
 	return true
--- /dev/null
+++ b/tests/platform/newer_test.go
@@ -0,0 +1,27 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package platform_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
+)
+
+// TestAVersionNewerThanTheNamedOneServes: an endpoint may hold a version whose name is still on its way to this instance.
+func TestAVersionNewerThanTheNamedOneServes(t *testing.T) {
+	s := newSite(t, 1)
+	for _, worker := range s.models {
+		worker.Name("a1", 3)
+	}
+	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
+	s.waitFor("the version is named", func() bool { return s.logged(0, "version named") })
+	s.waitFor("the adapter is served", func() bool { return s.serves(0, "a1") })
+	for range 20 {
+		assert.Equal(t, http.StatusOK, s.do(call{path: "/chat/x", adapter: "a1"}).Status)
+	}
+}
