Log what is refused before its route is served

No configuration, no such route, too large a head or body, and a stop were answered without a line, so that an identifier that a caller reports was found nowhere. Each writes the line that all other refusals write, with reason and status; it is not counted in the figures, as before. The log's bounds of lines hold for these, too. An identifier or adapter takes 256 bytes of a line at most: a caller may send 32 KiB, and the log's queue holds 512 lines.

--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -75,7 +75,8 @@
 	busyPause = 250 * time.Millisecond
 )
 
-// Refusals of requests for which no endpoint is asked. They are answered and not logged.
+// Refusals of requests for which no endpoint is asked. They are answered and logged, and not counted. BodyTooLarge also ends
+// requests whose bodies tell their size late.
 var (
 	// NoConfiguration: this instance knows no configuration yet.
 	NoConfiguration = Ending{Status: http.StatusServiceUnavailable, Reason: "no configuration yet", RetryAfter: unknownPause}
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -104,25 +104,39 @@
 	answer := &answerWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now}
 	configuration := s.control.Configuration()
 	if configuration == nil {
-		answer.refuse(attempt.NoConfiguration)
+		s.refuse(answer, incoming, nil, arrived, attempt.NoConfiguration)
 		return
 	}
 	route := configuration.Match(incoming.Host, rawPath(incoming))
 	if route == nil {
-		answer.refuse(attempt.NoRoute)
+		s.refuse(answer, incoming, nil, arrived, attempt.NoRoute)
 		return
 	}
 	if limit := configuration.Limits.MaxHeaderBytes; limit > 0 && headerBytes(incoming) > limit {
-		answer.refuse(attempt.HeaderTooLarge)
+		s.refuse(answer, incoming, route, arrived, attempt.HeaderTooLarge)
 		return
 	}
 	if s.options.Refusing(route.Kind) {
-		answer.refuse(attempt.Stopping)
+		s.refuse(answer, incoming, route, arrived, attempt.Stopping)
 		return
 	}
 	s.serveRoute(answer, incoming, configuration, route, arrived)
 }
 
+// refuse answers and logs a request for which no endpoint is asked; it is not counted. The route is nil where none is known.
+func (s *Service) refuse(answer *answerWriter, incoming *http.Request, route *deployment.Route, arrived time.Time, ending attempt.Ending) {
+	answer.refuse(ending)
+	caller := s.dialect.ReadRequest(incoming.Header)
+	observation := Observation{
+		ID: caller.ID, Adapter: caller.Adapter.String(), Status: answer.status, Reason: string(ending.Reason),
+		First: answer.headAt.Sub(arrived), Whole: s.options.Now().Sub(arrived),
+	}
+	if route != nil {
+		observation.Route = route.Name
+	}
+	s.log(observation)
+}
+
 func (s *Service) serveRoute(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, route *deployment.Route, arrived time.Time) {
 	caller := s.dialect.ReadRequest(incoming.Header)
 	request := &deployment.Request{
@@ -134,7 +148,7 @@
 	}
 	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
 	if errors.Is(err, errBodyTooLarge) {
-		answer.refuse(attempt.BodyTooLarge)
+		s.refuse(answer, incoming, route, arrived, attempt.BodyTooLarge)
 		answer.letReadAnswer(incoming.Body)
 		return
 	}
@@ -163,6 +177,15 @@
 	s.options.Observe(observation)
 }
 
+// loggedBytes bounds each text of a caller's in its log line, in bytes: identifiers are far shorter, and the queue of lines
+// holds as many as any caller sends. Longer finds longer identifiers whole, shorter bounds the memory more. Not measured.
+const loggedBytes = 256
+
+// shortened cuts a caller's text for the log.
+func shortened(text string) string {
+	return text[:min(len(text), loggedBytes)]
+}
+
 func (s *Service) log(o Observation) {
 	level := logrus.InfoLevel
 	if o.Reason != "" {
@@ -172,7 +195,7 @@
 		return
 	}
 	s.options.Log.WithFields(logrus.Fields{
-		"request": o.ID, "route": o.Route, "service": o.Service, "adapter": o.Adapter, "status": o.Status, "reason": o.Reason,
+		"request": shortened(o.ID), "route": o.Route, "service": o.Service, "adapter": shortened(o.Adapter), "status": o.Status, "reason": o.Reason,
 		"attempts": o.Attempts, "first_ms": o.First.Milliseconds(), "whole_ms": o.Whole.Milliseconds(),
 	}).Log(level, "request")
 }
