Forget endpoints that are long gone, and adapters they lacked

The directory remembered each endpoint that ever went or said that it leaves, by its identifier and revision, and each endpoint every adapter that it ever refused as missing: both grew with restarts and with names for the life of the process. Endpoints that are gone are remembered for 10 min, far beyond what delays a description; a missing adapter as long as it counts, 1.5 s; a service's list ends with its last endpoint.

New and red before: TestEndpointsLongGoneAreForgotten (3,600 remembered after an hour of one a second, bound 601) and TestAdaptersThatWereMissingAreForgotten. TestWhatIsGoneIsRememberedAsLongAsItMayBeTold holds what must stay; green before, too.

--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"maps"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -13,21 +14,29 @@
 type Directory struct {
 	endpoints map[deployment.EndpointID]*EndpointStatus
 	byService map[string][]*EndpointStatus
-	// gone remembers removed endpoints' revisions, so that an older description does not
-	// bring them back.
-	gone map[deployment.EndpointID]int64
-	// draining remembers who was seen draining: an incarnation never takes work again.
+	// gone remembers removed endpoints for goneRetention, so that an older description does not bring them back.
+	gone map[deployment.EndpointID]removal
+	// draining remembers who was seen draining, as long as it is known or remembered as gone: an incarnation never takes work
+	// again.
 	draining map[deployment.EndpointID]bool
 	// halls is how this instance reaches each other hall.
 	halls map[string]*reach
 }
 
+// removal is how an endpoint went.
+type removal struct {
+	// revision is the store's, as of which it was gone.
+	revision int64
+	// seen is when forget first met it; zero before.
+	seen time.Time
+}
+
 // New makes an empty directory.
 func New() *Directory {
 	return &Directory{
 		endpoints: make(map[deployment.EndpointID]*EndpointStatus),
 		byService: make(map[string][]*EndpointStatus),
-		gone:      make(map[deployment.EndpointID]int64),
+		gone:      make(map[deployment.EndpointID]removal),
 		draining:  make(map[deployment.EndpointID]bool),
 		halls:     make(map[string]*reach),
 	}
@@ -36,7 +45,7 @@
 // Put takes in a description, unless a newer one or a later removal is known. It reports
 // whether anything changed.
 func (d *Directory) Put(endpoint deployment.Endpoint, revision int64) bool {
-	if d.gone[endpoint.ID] >= revision && revision > 0 {
+	if d.gone[endpoint.ID].revision >= revision && revision > 0 {
 		return false
 	}
 	if endpoint.State == deployment.Draining {
@@ -71,7 +80,7 @@
 	if ok && status.Revision > revision {
 		return false
 	}
-	d.gone[id] = max(d.gone[id], revision)
+	d.gone[id] = removal{revision: max(d.gone[id].revision, revision)}
 	if !ok {
 		return false
 	}
@@ -83,6 +92,9 @@
 			break
 		}
 	}
+	if len(d.byService[status.Service]) == 0 {
+		delete(d.byService, status.Service)
+	}
 	return true
 }
 
@@ -198,8 +210,32 @@
 // lost it since, shorter loads from the weight store what an endpoint still has. Not measured.
 const heldRetention = 10 * time.Minute
 
-// RememberHeld notes what each endpoint holds now, and forgets what it held long ago.
+// goneRetention is how long an endpoint that is gone is remembered. Longer bears descriptions that come later, which a peer or the
+// store's watch delays by seconds at most; shorter takes less memory for endpoints that come and go. Not measured.
+const goneRetention = 10 * time.Minute
+
+// forget drops what is remembered of endpoints that have been gone for long, and what endpoints lacked before.
+func (d *Directory) forget(now time.Time) {
+	for id, removed := range d.gone {
+		switch {
+		case removed.seen.IsZero():
+			removed.seen = now
+			d.gone[id] = removed
+		case now.Sub(removed.seen) > goneRetention:
+			delete(d.gone, id)
+			if _, known := d.endpoints[id]; !known {
+				delete(d.draining, id)
+			}
+		}
+	}
+	for _, status := range d.endpoints {
+		maps.DeleteFunc(status.missing, func(_ deployment.Adapter, at time.Time) bool { return now.Sub(at) > missingFor })
+	}
+}
+
+// RememberHeld notes what each endpoint holds now, and forgets what it held, and which endpoints were there, long ago.
 func (d *Directory) RememberHeld(now time.Time) {
+	d.forget(now)
 	for _, status := range d.endpoints {
 		for adapter := range status.Offered {
 			status.Held[adapter] = now
--- /dev/null
+++ b/services/entry/directory/forget_test.go
@@ -0,0 +1,61 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
+)
+
+// TestEndpointsLongGoneAreForgotten plays an hour in which endpoints come and go, every second one after it said that it leaves.
+func TestEndpointsLongGoneAreForgotten(t *testing.T) {
+	d := directory.New()
+	now := start
+	for i := range 3600 {
+		id := fmt.Sprint("e", i)
+		state := deployment.EndpointState(i % 2)
+		d.Put(endpoint(id, state), int64(2*i+1))
+		d.Remove(deployment.EndpointID(id), int64(2*i+2))
+		now = now.Add(time.Second)
+		d.RememberHeld(now)
+	}
+	// Ten minutes and the second until the next look.
+	assert.LessOrEqual(t, d.Remembered(), 601)
+}
+
+// TestWhatIsGoneIsRememberedAsLongAsItMayBeTold: neither an older description nor one that says ready brings it back.
+func TestWhatIsGoneIsRememberedAsLongAsItMayBeTold(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Draining), 5)
+	d.Remove("e", 7)
+	for _, passed := range []time.Duration{0, time.Minute, 9 * time.Minute} {
+		d.RememberHeld(start.Add(passed))
+		assert.False(t, d.Put(endpoint("e", deployment.Ready), 6), passed)
+	}
+	assert.True(t, d.Put(endpoint("e", deployment.Ready), 8))
+	assert.Equal(t, deployment.Draining, d.Endpoint("e").State)
+	d.RememberHeld(start.Add(time.Hour))
+	assert.False(t, d.Put(endpoint("e", deployment.Ready), 7), "what is known is not forgotten")
+	assert.True(t, d.Put(endpoint("e", deployment.Ready), 9))
+	assert.Equal(t, deployment.Draining, d.Endpoint("e").State, "an incarnation that leaves stays so while it is known")
+}
+
+// TestAdaptersThatWereMissingAreForgotten asks an endpoint for adapters that it does not hold.
+func TestAdaptersThatWereMissingAreForgotten(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 5)
+	for i := range 1000 {
+		d.NoteMissing(start, "e", deployment.Adapter{Model: "base", Name: fmt.Sprint("a", i)})
+	}
+	d.RememberHeld(start.Add(time.Second))
+	assert.Equal(t, 1000, d.Endpoint("e").Missing())
+	d.RememberHeld(start.Add(2 * time.Second))
+	assert.Zero(t, d.Endpoint("e").Missing())
+}
