Forget the keys of endpoints to which no connection is left

Retiring an endpoint's key drops its connections, but a request that was assigned before made the key anew, and nobody retired it again: it stayed for the life of the process. The look at idle connections, once a second, now drops keys without any.

New and red before: modules/entry/upstream.TestKeysWithoutConnectionsAreForgotten (101 keys, 1 in use). Looked for elsewhere: modules/daemon/engine uses net/http's transport, which keeps no host without connections; its endpoints are the settings'.

--- a/modules/entry/upstream/client.go
+++ b/modules/entry/upstream/client.go
@@ -93,11 +93,12 @@
 	}
 }
 
-// CloseIdle closes connections that have been idle too long to be used again.
+// CloseIdle closes connections that have been idle too long to be used again, and forgets keys without connections: one may be
+// asked for after it was retired.
 func (c *Client) CloseIdle(now time.Time) {
 	var closing []*connection
 	c.mutex.Lock()
-	for _, h := range c.hosts {
+	for key, h := range c.hosts {
 		kept := h.idle[:0]
 		for _, conn := range h.idle {
 			if conn.usable(now, c.options.MaxIdle) {
@@ -109,6 +110,9 @@
 		}
 		clear(h.idle[len(kept):])
 		h.idle = kept
+		if h.open == 0 {
+			delete(c.hosts, key)
+		}
 	}
 	c.mutex.Unlock()
 	for _, conn := range closing {
--- /dev/null
+++ b/modules/entry/upstream/forget_test.go
@@ -0,0 +1,50 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/modules/entry/upstream"
+)
+
+// TestKeysWithoutConnectionsAreForgotten: a request may reach a key after that was retired, and nobody retires it again.
+func TestKeysWithoutConnectionsAreForgotten(t *testing.T) {
+	held := make(chan struct{})
+	e := newEndpoint(t, func(number int64) string {
+		if number > 100 {
+			<-held
+		}
+		return whole("", "x")
+	})
+	now := time.Now()
+	client := upstream.NewClient(upstream.Options{MaxIdle: time.Minute, DialTimeout: time.Second, Now: func() time.Time { return now }})
+	target := e.target()
+	for i := range 100 {
+		target.Key = fmt.Sprint("gone", i)
+		client.Retire(target.Key)
+		exchange(t, client, upstream.Call{Target: target, Request: request("")})
+	}
+	inUse := make(chan struct{})
+	go func() {
+		defer close(inUse)
+		target := e.target()
+		answer, err := client.Do(context.Background(), upstream.Call{Target: target, Request: request("")})
+		if assert.NoError(t, err) {
+			answer.Close()
+		}
+	}()
+	for e.requests.Load() <= 100 {
+		time.Sleep(time.Millisecond)
+	}
+	client.CloseIdle(now.Add(time.Hour))
+	assert.Equal(t, 1, client.Keys(), "the one in use")
+	close(held)
+	<-inUse
+}
