Bound the event that is held until it ends

Of a stream that may be resumed, what follows the last whole event is held: an endpoint that sends an event without end took as much memory as it sent. An event of more than 1 MiB without an end now counts as a stream that broke off, which goes on elsewhere where it may. Only what is new is searched for the end of an event, not all that is held: 1 MiB took 256 searches of all of it.

Looked for elsewhere: services/daemon/relay bounds an event at 1 MiB (maxEventBytes); streams that may not be resumed are passed on as they come.

--- a/services/entry/proxy/event_buffer.go
+++ b/services/entry/proxy/event_buffer.go
@@ -13,6 +13,15 @@
 	last      string
 }
 
+// longestEvent is the size in bytes up to which an event is held that has not ended. Larger passes larger events on, smaller bounds
+// the memory that a faulty endpoint takes. Not measured.
+const longestEvent = 1 << 20
+
+// tooLong reports whether an event is held that is too long to be waited for.
+func (b *eventBuffer) tooLong() bool {
+	return len(b.pending) > longestEvent
+}
+
 func newEventBuffer(wholeOnly bool) *eventBuffer {
 	return &eventBuffer{wholeOnly: wholeOnly}
 }
@@ -27,12 +36,14 @@
 	if !b.wholeOnly {
 		return content
 	}
+	// What was held has no end in it, but may end with the beginning of one.
+	searched := max(0, len(b.pending)-len(eventEnd)+1)
 	b.pending = append(b.pending, content...)
-	end := bytes.LastIndex(b.pending, eventEnd)
+	end := bytes.LastIndex(b.pending[searched:], eventEnd)
 	if end < 0 {
 		return nil
 	}
-	end += len(eventEnd)
+	end += searched + len(eventEnd)
 	whole := append([]byte(nil), b.pending[:end]...)
 	b.pending = append(b.pending[:0], b.pending[end:]...)
 	b.noteID(whole)
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -40,7 +40,7 @@
 		if errors.Is(err, io.EOF) {
 			return s.end()
 		}
-		if err != nil {
+		if err != nil || s.events.tooLong() {
 			return attempt.JudgeBroken(e.run.situation())
 		}
 	}
