--- /dev/null
+++ b/services/entry/retry/growth_test.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/services/entry/retry"
+)
+
+// TestAWindowTakesTheSameForAnyRate asks 10,000 times a second for two windows.
+func TestAWindowTakesTheSameForAnyRate(t *testing.T) {
+	budget := retry.NewBudget(options, start)
+	budget.SetMembers(1)
+	granted := 0
+	for i := range 200_000 {
+		now := start.Add(time.Duration(i) * 100 * time.Microsecond)
+		budget.Request(now, "service")
+		if budget.Take(now, "service") {
+			granted++
+		}
+	}
+	_, entries := budget.Kept()
+	assert.LessOrEqual(t, entries, 2*102)
+	// 0.85 of 0.2 of 200,000, of which the first window's share is granted within it.
+	assert.InDelta(t, 34_000, granted, 34_000*0.02)
+}
+
+// TestMergedTimesNeverGrantMore: a merged request is forgotten with the first, a merged retry with the last.
+func TestMergedTimesNeverGrantMore(t *testing.T) {
+	budget := retry.NewBudget(options, start)
+	for i := range 12 {
+		budget.Request(start.Add(time.Duration(i)*time.Millisecond), "service")
+	}
+	last := start.Add(11 * time.Millisecond)
+	assert.Equal(t, 2, granted(budget, last))
+	for range 12 {
+		budget.Request(start.Add(options.Window), "service")
+	}
+	assert.Equal(t, 2, granted(budget, start.Add(options.Window)), "both windows' requests, two of four taken")
+	assert.Equal(t, 0, granted(budget, last.Add(options.Window)), "twelve requests, and what was taken of late")
+	assert.Equal(t, 0, granted(budget, last.Add(options.Window+1)))
+}
+
+func TestServicesThatAskForNothingAreForgotten(t *testing.T) {
+	budget := retry.NewBudget(options, start)
+	for i := range 1000 {
+		budget.Request(start.Add(time.Duration(i)*time.Second), fmt.Sprint("service", i))
+	}
+	services, _ := budget.Kept()
+	assert.LessOrEqual(t, services, 21, "those of two windows")
+}
