Bound the lines that wait for the log's reader in bytes

512 lines might wait, of any length: a configuration that cannot be read is logged with all its problems, and a caller's texts were as long as its head.

Looked for elsewhere: modules/daemon/log writes without a queue of its own.

--- a/modules/entry/asynclog/writer.go
+++ b/modules/entry/asynclog/writer.go
@@ -15,8 +15,9 @@
 	// LinesPerSecond and Burst bound the volume: so many lines a second in the long run, and so many at once.
 	LinesPerSecond float64
 	Burst          float64
-	// Queue is how many lines may wait for a slow reader.
-	Queue int
+	// Queue is how many lines may wait for a slow reader, QueueBytes how many bytes of them; 0 bytes set no bound.
+	Queue      int
+	QueueBytes int
 	// Now gives the present time.
 	Now func() time.Time
 	// Summary gives the line that says how many were suppressed since the last such line.
@@ -37,6 +38,8 @@
 	filled     time.Time
 	suppressed uint64
 	total      uint64
+	// queued is how many bytes wait.
+	queued int
 }
 
 // New starts a writer; Close ends it.
@@ -51,32 +54,43 @@
 
 // Write queues one line, or counts it as suppressed.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.take() {
+	if !w.take(len(line)) {
 		return len(line), nil
 	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.giveBack(len(line))
 		w.suppress()
 	}
 	return len(line), nil
 }
 
-func (w *Writer) take() bool {
+// take asks for a line of so many bytes, which count until giveBack.
+func (w *Writer) take(size int) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.options.Now()
 	w.tokens = min(w.options.Burst, w.tokens+now.Sub(w.filled).Seconds()*w.options.LinesPerSecond)
 	w.filled = now
-	if w.tokens < 1 {
+	full := w.options.QueueBytes > 0 && w.queued+size > w.options.QueueBytes
+	if w.tokens < 1 || full {
 		w.suppressed++
 		w.total++
 		return false
 	}
 	w.tokens--
+	w.queued += size
 	return true
 }
 
+// giveBack takes the bytes of a line that waits no more out of the count.
+func (w *Writer) giveBack(size int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.queued -= size
+}
+
 func (w *Writer) suppress() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -107,6 +121,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.giveBack(len(line))
 			w.output(line)
 		case <-ticker.C:
 			w.summarize()
@@ -121,6 +136,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.giveBack(len(line))
 			w.output(line)
 		default:
 			w.summarize()
