Bound the waits that are kept of an endpoint's queue

Each wait of a queue that empties is shorter than the one before, so that none outweighs another, and all of the last 3 s were kept. Beyond 32 the two oldest are merged, the longer of them for the time of the later: the expected wait never gets shorter.

New and red before: TestTheWaitsOfAQueueThatEmptiesAreBounded (1,000 kept, bound 32).

--- a/services/entry/directory/wait.go
+++ b/services/entry/directory/wait.go
@@ -14,11 +14,15 @@
 // goes by queues that are gone, shorter knows fewer. Not measured.
 const waitMemory = 3 * time.Second
 
+// mostSeen is how many waits are kept of an endpoint. More tell how long the longest counts more exactly, fewer take less memory.
+// Not measured.
+const mostSeen = 32
+
 // queueWait is what this instance's own requests tell of an endpoint's own queue, in which a request waits until it runs.
 type queueWait struct {
 	// queued are when the requests were assigned that are not known to run, the oldest first; at most those in flight.
 	queued []time.Time
-	// seen are the waits of the last waitMemory, the oldest first, without those that a later one outweighs.
+	// seen are the waits of the last waitMemory, the oldest first, without those that a later one outweighs; mostSeen at most.
 	seen []seenWait
 }
 
@@ -62,6 +66,11 @@
 		return one.at.Sub(older.at) > waitMemory || one.outweighs(older)
 	})
 	q.seen = append(q.seen, one)
+	if len(q.seen) > mostSeen {
+		// The longer of the two oldest counts as long as the later one: what is merged never makes the wait shorter.
+		q.seen[1].wait = max(q.seen[0].wait, q.seen[1].wait)
+		q.seen = slices.Delete(q.seen, 0, 1)
+	}
 }
 
 // expected gives how long a request of a priority will wait by what was seen, and whether enough was seen to know it: a request
--- a/services/entry/directory/wait_test.go
+++ b/services/entry/directory/wait_test.go
@@ -77,3 +77,18 @@
 	_, known := d.Endpoint("e").ExpectedWait(start, patient, false)
 	assert.False(t, known)
 }
+
+// TestTheWaitsOfAQueueThatEmptiesAreBounded: each is shorter than the one before, so that none outweighs another.
+func TestTheWaitsOfAQueueThatEmptiesAreBounded(t *testing.T) {
+	d := directory.New()
+	d.Put(endpoint("e", deployment.Ready), 1)
+	for i := range 1000 {
+		assigned := at(2*i - 1000)
+		d.Begin(assigned, "e", queuing)
+		d.Running(at(i), "e", assigned, patient)
+	}
+	wait, known := d.Endpoint("e").ExpectedWait(at(1000), patient, true)
+	assert.True(t, known)
+	assert.Equal(t, time.Second, wait, "the longest of the last 3 s")
+	assert.LessOrEqual(t, d.Endpoint("e").Seen(), 32)
+}
