Give each former version of an adapter its own time

A newer name began the time of all older versions anew. Version 1, whose time had ended when version 2 was 2.5 s old, was allowed again for 2.5 s after version 3 was named, wherever a copy of it was left: requests began on it 14 to 18 s after version 2 was acknowledged, bound 5 s. The names whose time is not over are kept now, and versions older than the newest name whose time is over are allowed nowhere.

New and red before: tests/platform.TestANewerNameBringsNoVersionBackWhoseTimeIsOver.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -47,8 +47,9 @@
 	Request *deployment.Request
 	// Version is the lowest version of the adapter that may run the request, as named in the store; 0 allows any.
 	Version int64
-	// FormerWait allows older versions where the request is known to wait less than that in the endpoint's own queue until it
-	// runs; 0 allows them nowhere.
+	// Former is the lowest older version that is allowed, 0 any, where the request is known to wait less than FormerWait in the
+	// endpoint's own queue until it runs; with a FormerWait of 0, older versions are allowed nowhere.
+	Former     int64
 	FormerWait time.Duration
 	// OthersKnown says that the others' requests in flight are those of a fresh view, so that none means none.
 	OthersKnown bool
@@ -117,7 +118,7 @@
 	}
 	wait, known := endpoint.ExpectedWait(now, r.Request.Route.Priority, r.OthersKnown)
 	if known && wait < r.FormerWait {
-		return 0
+		return r.Former
 	}
 	return r.Version
 }
--- a/services/entry/balance/version_test.go
+++ b/services/entry/balance/version_test.go
@@ -14,7 +14,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
-// TestAFormerVersionServesOnlyWhereItsTimeCoversTheWait asks for version 2 at an endpoint that holds version 1.
+// TestAFormerVersionServesOnlyWhereItsTimeCoversTheWait asks for version 3 at an endpoint that holds version 1.
 func TestAFormerVersionServesOnlyWhereItsTimeCoversTheWait(t *testing.T) {
 	const wait = 300 * time.Millisecond
 	waits := func(d *directory.Directory) {
@@ -34,17 +34,21 @@
 		"the wait is within its time":         {waits, wait + 1, true, balance.Chosen},
 		"the wait is as long as its time":     {waits, wait, true, balance.NotResident},
 		"others are at work, no wait is seen": {func(d *directory.Directory) { d.Endpoint("old").Others = 1 }, time.Hour, true, balance.NotResident},
+		"its own time is over":                {func(*directory.Directory) {}, time.Hour, true, balance.NotResident},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := build(holder("old", "near"))
 			test.play(d)
 			request := &deployment.Request{Adapter: adapter, Route: &deployment.Route{}}
-			required := balance.Requirement{Request: request, Version: 2, FormerWait: test.formerWait, OthersKnown: test.othersKnown}
+			required := balance.Requirement{Request: request, Version: 3, Former: 1, FormerWait: test.formerWait, OthersKnown: test.othersKnown}
+			if name == "its own time is over" {
+				required.Former = 2
+			}
 			_, verdict := choose(d, required)
 			assert.Equal(t, test.verdict, verdict)
 
 			endpoint := holder("new", "near")
-			endpoint.Adapters = map[deployment.Adapter]int64{adapter: 2}
+			endpoint.Adapters = map[deployment.Adapter]int64{adapter: 3}
 			d = build(endpoint)
 			d.Endpoint("new").Others = 1
 			_, verdict = choose(d, required)
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -121,8 +121,9 @@
 // serve assigns an endpoint if one can take the request now.
 func (c *Coordinator) serve(now time.Time, w *waiter) bool {
 	named := c.versions.Named(w.Adapter)
+	former, formerWait := c.versions.Former(now, w.Adapter, c.options.VersionLimit)
 	required := balance.Requirement{
-		Request: w.Request, Tried: w.Tried, Version: named, FormerWait: c.versions.FormerWait(now, w.Adapter, c.options.VersionLimit),
+		Request: w.Request, Tried: w.Tried, Version: named, Former: former, FormerWait: formerWait,
 		OthersKnown: c.planning != nil || c.following.Fresh(now),
 	}
 	status, verdict := balance.Choose(now, c.directory.Service(w.Service), required, balance.NewOptions(c.options.Hall, c.options.Random))
--- /dev/null
+++ b/services/entry/coordinator/follow/export_test.go
@@ -0,0 +1,11 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package follow
+
+import "github.com/shelfledge/shelfledge/models/entry/deployment"
+
+// Kept gives how many names are kept of an adapter.
+func (v *Versions) Kept(adapter deployment.Adapter) int {
+	return len(v.named[adapter])
+}
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -58,20 +58,77 @@
 	}
 }
 
+// TestAFormerVersionServesForHalfOfItsLimitLessTheWait names version 3 and asks what may run beside it.
 func TestAFormerVersionServesForHalfOfItsLimitLessTheWait(t *testing.T) {
 	const limit = 2 * time.Second
 	versions := follow.NewVersions()
-	assert.Negative(t, versions.FormerWait(start.Add(time.Hour), adapter, limit), "no version is named")
+	former := func(after time.Duration) (int64, time.Duration) {
+		return versions.Former(start.Add(after), adapter, limit)
+	}
+	oldest, wait := former(time.Hour)
+	assert.Zero(t, oldest)
+	assert.Zero(t, wait, "no version is named")
 	versions.Name(start, adapter, 3)
-	assert.Equal(t, time.Second, versions.FormerWait(start, adapter, limit))
-	assert.Equal(t, 400*time.Millisecond, versions.FormerWait(start.Add(600*time.Millisecond), adapter, limit))
-	assert.Equal(t, time.Duration(1), versions.FormerWait(start.Add(time.Second-1), adapter, limit))
-	assert.Zero(t, versions.FormerWait(start.Add(time.Second), adapter, limit), "from here on, none may begin on it")
+	for after, left := range map[time.Duration]time.Duration{
+		0: time.Second, 600 * time.Millisecond: 400 * time.Millisecond, time.Second - 1: 1,
+	} {
+		oldest, wait = former(after)
+		assert.Zero(t, oldest, "any")
+		assert.Equal(t, left, wait)
+	}
 	versions.Name(start.Add(500*time.Millisecond), adapter, 3)
-	assert.Zero(t, versions.FormerWait(start.Add(time.Second), adapter, limit), "a repeated word puts it off no further")
-	versions.Name(start.Add(time.Second), adapter, 4)
-	assert.Equal(t, time.Second, versions.FormerWait(start.Add(time.Second), adapter, limit), "a newer version begins its limit anew")
-	assert.EqualValues(t, 4, versions.Named(adapter))
+	for _, after := range []time.Duration{time.Second, time.Hour} {
+		oldest, wait = former(after)
+		assert.EqualValues(t, 3, oldest, "from here on, none may begin on an older one, and a repeated word puts it off no further")
+		assert.LessOrEqual(t, wait, time.Duration(0))
+	}
+	assert.EqualValues(t, 3, versions.Named(adapter))
+}
+
+// TestEachFormerVersionHasItsOwnTime: a newer name gives the version before it time, none to those before that.
+func TestEachFormerVersionHasItsOwnTime(t *testing.T) {
+	const limit = 2 * time.Second
+	for name, test := range map[string]struct {
+		named  []time.Duration
+		oldest int64
+		wait   time.Duration
+	}{
+		"the time of 1 is over when 3 is named": {[]time.Duration{-time.Second, 0}, 2, time.Second},
+		"it is over later":                      {[]time.Duration{-time.Second, -400 * time.Millisecond}, 2, 600 * time.Millisecond},
+		"the time of 1 ends first":              {[]time.Duration{-700 * time.Millisecond, -100 * time.Millisecond}, 0, 300 * time.Millisecond},
+		"the time of 1 and 2 is over":           {[]time.Duration{-5 * time.Second, -2 * time.Second, -time.Millisecond}, 3, 999 * time.Millisecond},
+		"all are over":                          {[]time.Duration{-5 * time.Second, -2 * time.Second}, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			versions := follow.NewVersions()
+			for i, at := range test.named {
+				versions.Name(start.Add(at), adapter, int64(i+2))
+			}
+			for range 2 {
+				oldest, wait := versions.Former(start, adapter, limit)
+				assert.Equal(t, test.oldest, oldest)
+				assert.Equal(t, test.wait, wait)
+			}
+			assert.EqualValues(t, len(test.named)+1, versions.Named(adapter))
+		})
+	}
+}
+
+// TestNamesThatNobodyAsksForAreBounded names a version each 10 ms: where names are merged, no version's time gets longer.
+func TestNamesThatNobodyAsksForAreBounded(t *testing.T) {
+	const limit = 2 * time.Second
+	versions := follow.NewVersions()
+	for version := int64(2); version <= 1000; version++ {
+		versions.Name(start.Add(time.Duration(version)*10*time.Millisecond), adapter, version)
+	}
+	assert.LessOrEqual(t, versions.Kept(adapter), 8)
+	assert.EqualValues(t, 1000, versions.Named(adapter))
+	oldest, wait := versions.Former(start.Add(10*time.Second), adapter, limit)
+	assert.GreaterOrEqual(t, oldest, int64(900), "named a second before")
+	assert.LessOrEqual(t, wait, time.Second)
+	oldest, wait = versions.Former(start.Add(11*time.Second), adapter, limit)
+	assert.EqualValues(t, 1000, oldest)
+	assert.LessOrEqual(t, wait, time.Duration(0))
 }
 
 func TestWhoReadsTheStore(t *testing.T) {
--- a/services/entry/coordinator/follow/keys.go
+++ b/services/entry/coordinator/follow/keys.go
@@ -4,10 +4,6 @@
 package follow
 
 import (
-	"iter"
-	"time"
-
-	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
 )
 
@@ -48,56 +44,3 @@
 	}
 	return items
 }
-
-// Versions holds the versions of adapters that operators named; it is not safe for concurrent use.
-type Versions struct {
-	named map[deployment.Adapter]namedVersion
-}
-
-// namedVersion is a version that operators named, and when this instance learned it.
-type namedVersion struct {
-	version int64
-	learned time.Time
-}
-
-// NewVersions makes a set in which no version is named.
-func NewVersions() *Versions {
-	return &Versions{named: make(map[deployment.Adapter]namedVersion)}
-}
-
-// Name takes in a version that was named. It tells whether the version is newer: versions only grow.
-func (v *Versions) Name(now time.Time, adapter deployment.Adapter, version int64) bool {
-	if version <= v.named[adapter].version {
-		return false
-	}
-	v.named[adapter] = namedVersion{version: version, learned: now}
-	return true
-}
-
-// Named gives the version that was named last; 0 if none was.
-func (v *Versions) Named(adapter deployment.Adapter) int64 {
-	return v.named[adapter].version
-}
-
-// reservedParts is in how many parts a limit is cut of which one is kept for what is not known at the choice of an endpoint: how
-// long before it was learned the version was acknowledged, the connection, and a wait that is longer than expected. Fewer keep
-// more, and refuse the former version sooner. Not measured.
-const reservedParts = 2
-
-// FormerWait gives how long a request that is assigned now may wait until it runs on a version older than the one named last,
-// where requests may begin on older ones for a limit after that was acknowledged. With zero and less, none may; where no
-// version was named, it tells nothing.
-func (v *Versions) FormerWait(now time.Time, adapter deployment.Adapter, limit time.Duration) time.Duration {
-	return limit - limit/reservedParts - now.Sub(v.named[adapter].learned)
-}
-
-// All gives each adapter with its named version.
-func (v *Versions) All() iter.Seq2[deployment.Adapter, int64] {
-	return func(yield func(deployment.Adapter, int64) bool) {
-		for adapter, named := range v.named {
-			if !yield(adapter, named.version) {
-				return
-			}
-		}
-	}
-}
--- /dev/null
+++ b/services/entry/coordinator/follow/versions.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package follow
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+)
+
+// Versions holds the versions of adapters that operators named; it is not safe for concurrent use.
+type Versions struct {
+	// named holds the last names of each adapter, the oldest first: the time of versions older than the second is not over, as
+	// of the last look, and at most mostNames are kept.
+	named map[deployment.Adapter][]name
+}
+
+// name is a version that operators named, and when this instance learned it.
+type name struct {
+	version int64
+	learned time.Time
+}
+
+const (
+	// reservedParts is in how many parts a limit is cut of which one is kept for what is not known at the choice of an endpoint:
+	// how long before it was learned the version was acknowledged, the connection, and a wait that is longer than expected.
+	// Fewer keep more, and refuse the former version sooner. Not measured.
+	reservedParts = 2
+	// mostNames is how many names of an adapter are kept. More give each version its own time where names follow each other
+	// fast, fewer take less memory. Not measured.
+	mostNames = 8
+)
+
+// NewVersions makes a set in which no version is named.
+func NewVersions() *Versions {
+	return &Versions{named: make(map[deployment.Adapter][]name)}
+}
+
+// Name takes in a version that was named. It tells whether the version is newer: versions only grow.
+func (v *Versions) Name(now time.Time, adapter deployment.Adapter, version int64) bool {
+	if version <= v.Named(adapter) {
+		return false
+	}
+	names := v.named[adapter]
+	if len(names) < mostNames {
+		v.named[adapter] = append(names, name{version: version, learned: now})
+		return true
+	}
+	// It takes the place of the last name, since when the time of older versions counts: that ends sooner, never later.
+	names[len(names)-1].version = version
+	return true
+}
+
+// Named gives the version that was named last; 0 if none was.
+func (v *Versions) Named(adapter deployment.Adapter) int64 {
+	names := v.named[adapter]
+	if len(names) == 0 {
+		return 0
+	}
+	return names[len(names)-1].version
+}
+
+// Former gives what a request that is assigned now may run on beside the version named last, where requests may begin on an
+// older version for a limit after a newer one was acknowledged: versions from oldest on, if it runs within so long a wait; with
+// zero and less, none. An oldest of 0 allows any.
+func (v *Versions) Former(now time.Time, adapter deployment.Adapter, limit time.Duration) (oldest int64, wait time.Duration) {
+	names := v.named[adapter]
+	left := func(one name) time.Duration { return limit - limit/reservedParts - now.Sub(one.learned) }
+	for len(names) > 1 && left(names[1]) <= 0 {
+		names = names[1:]
+	}
+	v.keep(adapter, names)
+	switch {
+	case len(names) == 0:
+		return 0, 0
+	case left(names[0]) > 0:
+		return 0, left(names[0])
+	case len(names) == 1:
+		return names[0].version, 0
+	default:
+		return names[0].version, left(names[1])
+	}
+}
+
+// keep forgets the names before those that are left.
+func (v *Versions) keep(adapter deployment.Adapter, left []name) {
+	if len(left) < len(v.named[adapter]) {
+		v.named[adapter] = slices.Clone(left)
+	}
+}
+
+// All gives each adapter with its named version.
+func (v *Versions) All() iter.Seq2[deployment.Adapter, int64] {
+	return func(yield func(deployment.Adapter, int64) bool) {
+		for adapter := range v.named {
+			if !yield(adapter, v.Named(adapter)) {
+				return
+			}
+		}
+	}
+}
--- a/tests/platform/queue_test.go
+++ b/tests/platform/queue_test.go
@@ -4,6 +4,7 @@
 package platform_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -58,3 +59,22 @@
 		assert.Equal(t, http.StatusOK, s.do(call{path: "/chat/x", adapter: "a1"}).Status)
 	}
 }
+
+// TestANewerNameBringsNoVersionBackWhoseTimeIsOver: version 1 had its time when version 2 was named, and gets none with version 3.
+func TestANewerNameBringsNoVersionBackWhoseTimeIsOver(t *testing.T) {
+	s := newSite(t, 1)
+	require.True(t, s.serves(0, "a1"))
+	for _, worker := range s.models {
+		worker.SetLoadTime(time.Minute)
+	}
+	name := func(version int) {
+		s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": version})
+		s.waitFor("the version is named", func() bool { return s.logged(0, fmt.Sprintf(`"version":%d}`, version)) })
+	}
+	name(2)
+	time.Sleep(versionLimit / 2)
+	name(3)
+	got := s.do(call{path: "/chat/x", adapter: "a1"})
+	assert.Equal(t, http.StatusServiceUnavailable, got.Status)
+	assert.Zero(t, s.runsOf(got.ID))
+}
