--- a/modules/entry/asynclog/writer.go
+++ b/modules/entry/asynclog/writer.go
@@ -15,9 +15,8 @@
 	// LinesPerSecond and Burst bound the volume: so many lines a second in the long run, and so many at once.
 	LinesPerSecond float64
 	Burst          float64
-	// Queue is how many lines may wait for a slow reader, QueueBytes how many bytes of them; 0 bytes set no bound.
-	Queue      int
-	QueueBytes int
+	// Queue is how many lines may wait for a slow reader.
+	Queue int
 	// Now gives the present time.
 	Now func() time.Time
 	// Summary gives the line that says how many were suppressed since the last such line.
@@ -38,8 +37,6 @@
 	filled     time.Time
 	suppressed uint64
 	total      uint64
-	// queued is how many bytes wait.
-	queued int
 }
 
 // New starts a writer; Close ends it.
@@ -54,43 +51,32 @@
 
 // Write queues one line, or counts it as suppressed.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.take(len(line)) {
+	if !w.take() {
 		return len(line), nil
 	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.giveBack(len(line))
 		w.suppress()
 	}
 	return len(line), nil
 }
 
-// take asks for a line of so many bytes, which count until giveBack.
-func (w *Writer) take(size int) bool {
+func (w *Writer) take() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := w.options.Now()
 	w.tokens = min(w.options.Burst, w.tokens+now.Sub(w.filled).Seconds()*w.options.LinesPerSecond)
 	w.filled = now
-	full := w.options.QueueBytes > 0 && w.queued+size > w.options.QueueBytes
-	if w.tokens < 1 || full {
+	if w.tokens < 1 {
 		w.suppressed++
 		w.total++
 		return false
 	}
 	w.tokens--
-	w.queued += size
 	return true
 }
 
-// giveBack takes the bytes of a line that waits no more out of the count.
-func (w *Writer) giveBack(size int) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.queued -= size
-}
-
 func (w *Writer) suppress() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -121,7 +107,6 @@
 	for {
 		select {
 		case line := <-w.lines:
-			w.giveBack(len(line))
 			w.output(line)
 		case <-ticker.C:
 			w.summarize()
@@ -136,7 +121,6 @@
 	for {
 		select {
 		case line := <-w.lines:
-			w.giveBack(len(line))
 			w.output(line)
 		default:
 			w.summarize()
--- a/modules/entry/asynclog/writer_test.go
+++ b/modules/entry/asynclog/writer_test.go
@@ -54,26 +54,3 @@
 	assert.GreaterOrEqual(t, writer.Suppressed(), uint64(980))
 	writer.Close(10 * time.Millisecond)
 }
-
-// TestTheQueueIsBoundedInBytes: beside a reader that stands still, lines wait up to a number of bytes, however many they are.
-func TestTheQueueIsBoundedInBytes(t *testing.T) {
-	reader, output := io.Pipe()
-	writer := asynclog.New(asynclog.Options{
-		Output: output, LinesPerSecond: 1e6, Burst: 1e6, Queue: 100, QueueBytes: 1000, Summary: summary, Now: time.Now,
-	})
-	long := strings.Repeat("x", 299) + "\n"
-	for range 50 {
-		_, _ = writer.Write([]byte(long))
-	}
-	// One may be with the reader, three wait.
-	assert.GreaterOrEqual(t, writer.Suppressed(), uint64(46))
-	assert.LessOrEqual(t, writer.Suppressed(), uint64(47))
-	_, _ = writer.Write([]byte(strings.Repeat("y", 2000) + "\n"))
-	go func() { _, _ = io.Copy(io.Discard, reader) }()
-	for wrote := false; !wrote; time.Sleep(time.Millisecond) {
-		before := writer.Suppressed()
-		_, _ = writer.Write([]byte(long))
-		wrote = writer.Suppressed() == before
-	}
-	writer.Close(time.Second)
-}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -61,10 +61,6 @@
 	logLinesPerSecond = 300
 	logBurst          = 1500
 	logQueue          = 512
-	// logQueueBytes bounds the lines that wait for the log's reader, in bytes: 2 KiB for each of logQueue; the examples of
-	// docs/OPERATIONS.md take 254 to 339. Higher loses fewer lines of a reader that stands still, lower bounds the memory
-	// more. Not measured.
-	logQueueBytes = 1 << 20
 	// logTimeout bounds the wait for the log's reader at the end. Longer loses fewer of the last lines, shorter ends sooner.
 	// Not measured.
 	logTimeout = 200 * time.Millisecond
@@ -185,7 +181,7 @@
 		output = os.Stdout
 	}
 	writer := asynclog.New(asynclog.Options{
-		Output: output, LinesPerSecond: logLinesPerSecond, Burst: logBurst, Queue: logQueue, QueueBytes: logQueueBytes, Now: time.Now,
+		Output: output, LinesPerSecond: logLinesPerSecond, Burst: logBurst, Queue: logQueue, Now: time.Now,
 		Summary: func(now time.Time, suppressed uint64) string {
 			return fmt.Sprintf(`{"instance":%q,"level":"warning","msg":"log lines suppressed","count":%d,"time":%q}`,
 				options.Coordinator.Instance, suppressed, now.Format(time.RFC3339Nano))
