--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -23,9 +24,16 @@
 	// outgoingMessages is how many messages may wait for a slow peer. More bear a longer pause of the peer, fewer take less
 	// memory and notice it sooner. Not measured.
 	outgoingMessages = 64
-	// writeTimeout is how long the writing of one message may take. Longer bears a slow link, shorter notices a cut one sooner.
+	// outgoingBytes is how many bytes may wait for a slow peer, 2 MiB: a whole view of 600 endpoints and a configuration of 1 MB,
+	// the most that the platform's store holds in one value. A single larger message is still sent when nothing else waits. More
+	// bears a slower link, less bounds the memory. Not measured.
+	outgoingBytes = 2 << 20
+	// writeTimeout is how long the writing of one message may take, beside the time that its bytes take on a slow link. Longer bears a slow link, shorter notices a cut one sooner.
 	// Not measured.
 	writeTimeout = 2 * time.Second
+	// leastRate is how many bytes a second a link carries at the least, so that a large message gets more time than a small one:
+	// three quarters of the users' slowest links of 10 Mbit/s. Not measured.
+	leastRate = 900_000
 	// lengthBytes is the size of the length before each message; part of the form on the wire.
 	lengthBytes = 4
 )
@@ -33,6 +41,9 @@
 // ErrCongested reports a peer that does not read fast enough.
 var ErrCongested = errors.New("peerstream: too many messages wait")
 
+// ErrClosed reports a message for a stream that was closed.
+var ErrClosed = errors.New("peerstream: closed")
+
 // ErrTooLarge reports a message over the bound.
 var ErrTooLarge = errors.New("peerstream: message too large")
 
@@ -41,8 +52,10 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	outgoing chan Frame
-	closed   chan struct{}
-	once     sync.Once
+	// queued counts the bytes of the frames that wait or are being written.
+	queued atomic.Int64
+	closed chan struct{}
+	once   sync.Once
 }
 
 // New starts the sender of a stream; Close ends it.
@@ -71,7 +84,8 @@
 	return append(frame, body...), nil
 }
 
-// Send queues a message. It returns ErrCongested, after closing the stream, if too many wait.
+// Send queues a message. It returns ErrCongested, after closing the stream, if too many messages or bytes wait, and ErrClosed
+// if the stream was closed before.
 func (s *Stream[M]) Send(message M) error {
 	frame, err := Encode(message)
 	if err != nil {
@@ -82,16 +96,38 @@
 
 // SendFrame queues an encoded message like Send.
 func (s *Stream[M]) SendFrame(frame Frame) error {
+	select {
+	case <-s.closed:
+		return ErrClosed
+	default:
+	}
+	size := int64(len(frame))
+	if waiting := s.queued.Add(size); waiting > outgoingBytes && waiting > size {
+		return s.refuse(size)
+	}
 	select {
 	case s.outgoing <- frame:
 		return nil
 	default:
-		s.Close()
-		return ErrCongested
+		return s.refuse(size)
 	}
 }
 
-// Receive waits for the next message, at most for the silence that is allowed. Its errors are ErrTooLarge, those of the
+// refuse gives up a stream whose peer does not read, and with it what waits on it.
+func (s *Stream[M]) refuse(size int64) error {
+	s.queued.Add(-size)
+	s.Close()
+	return ErrCongested
+}
+
+// Queued is how many bytes of messages wait for the peer to read, the one that is being written included; a frame that waits
+// on several streams counts on each.
+func (s *Stream[M]) Queued() int64 {
+	return s.queued.Load()
+}
+
+// Receive waits for the next message, at most for the silence that is allowed; one that has begun gets the time that its bytes take on
+// a slow link besides. Its errors are ErrTooLarge, those of the
 // connection and those of decoding; the stream is of no use after any of them.
 func (s *Stream[M]) Receive(silence time.Duration, now func() time.Time) (M, error) {
 	var message M
@@ -106,6 +142,9 @@
 	if size > maxMessageBytes {
 		return message, ErrTooLarge
 	}
+	if err := s.conn.SetReadDeadline(now().Add(silence + transferTime(int(size)))); err != nil {
+		return message, err
+	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(s.reader, body); err != nil {
 		return message, err
@@ -126,18 +165,42 @@
 // write sends what is queued until the stream is closed or a message cannot be sent in time, which closes it. The reader
 // gets the error.
 func (s *Stream[M]) write() {
+	defer s.drop()
 	defer s.Close()
 	for {
 		select {
 		case <-s.closed:
 			return
 		case frame := <-s.outgoing:
-			if s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
-				return
-			}
-			if _, err := s.conn.Write(frame); err != nil {
+			if err := s.writeFrame(frame); err != nil {
 				return
 			}
 		}
 	}
 }
+
+func (s *Stream[M]) writeFrame(frame Frame) error {
+	defer s.queued.Add(-int64(len(frame)))
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout + transferTime(len(frame)))); err != nil {
+		return err
+	}
+	_, err := s.conn.Write(frame)
+	return err
+}
+
+// transferTime is how long so many bytes take on a slow link.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / leastRate
+}
+
+// drop lets go of what waits on a closed stream, which others may hold for longer.
+func (s *Stream[M]) drop() {
+	for {
+		select {
+		case frame := <-s.outgoing:
+			s.queued.Add(-int64(len(frame)))
+		default:
+			return
+		}
+	}
+}
--- a/services/daemon/placement/queue/queue.go
+++ b/services/daemon/placement/queue/queue.go
@@ -16,13 +16,11 @@
 
 // Queue holds all waiting requests of a pool.
 type Queue struct {
-	adapters  map[fleet.AdapterRef]*Adapter
-	byID      map[string]*Waiter
-	deadlines deadlineHeap
-	// virtual is each class's virtual time, and finish where a customer's last request ends
-	// in it, both in tokens.
-	virtual    map[string]float64
-	finish     map[customerKey]float64
+	adapters map[fleet.AdapterRef]*Adapter
+	byID     map[string]*Waiter
+	// deadlines has the waiters with a deadline, the earliest at the front.
+	deadlines  deadlineHeap
+	fair       fairOrder
 	byClass    map[string]int
 	byCustomer map[customerKey]int
 	sequence   uint64
@@ -45,8 +43,7 @@
 	return &Queue{
 		adapters:   make(map[fleet.AdapterRef]*Adapter),
 		byID:       make(map[string]*Waiter),
-		virtual:    make(map[string]float64),
-		finish:     make(map[customerKey]float64),
+		fair:       newFairOrder(),
 		byClass:    make(map[string]int),
 		byCustomer: make(map[customerKey]int),
 		plain:      plain,
@@ -59,30 +56,26 @@
 func (q *Queue) Push(now time.Time, r fleet.Request, c fleet.Class, hold time.Duration) {
 	q.sequence++
 	w := &Waiter{Request: r, Class: c, Queued: now, sequence: q.sequence}
+	w.holdUntil = now.Add(w.holdLimit(now, hold))
 	key := keyOf(w)
 	if !q.plain {
-		w.tag = max(q.virtual[c.Name], q.finish[key])
-		q.finish[key] = w.tag + float64(r.Tokens())
+		w.tag = q.fair.begin(now, key, r.Tokens())
 	}
 	q.byClass[c.Name] += r.Tokens()
 	q.byCustomer[key] += r.Tokens()
 	q.byID[r.ID] = w
 	a, ok := q.adapters[r.Adapter]
 	if !ok {
-		a = &Adapter{lanes: make(map[customerKey]*lane), since: now}
+		a = newAdapter()
 		q.adapters[r.Adapter] = a
 	}
 	a.add(w, key)
-	if c.Patient {
-		a.patient++
-		a.holdAtMost(now.Add(w.holdLimit(now, hold)))
-	}
 	if !r.Deadline.IsZero() {
 		heap.Push(&q.deadlines, w)
 	}
 }
 
-// Remove takes a waiter out, once; its lane drops the entry when it comes to the front.
+// Remove takes a waiter out, once.
 func (q *Queue) Remove(w *Waiter) {
 	if w.gone {
 		return
@@ -90,49 +83,49 @@
 	w.gone = true
 	r := w.Request
 	delete(q.byID, r.ID)
+	if !r.Deadline.IsZero() {
+		heap.Remove(&q.deadlines, w.deadlineIndex)
+	}
 	key := keyOf(w)
 	q.byClass[w.Class.Name] -= r.Tokens()
+	if q.byClass[w.Class.Name] <= 0 {
+		delete(q.byClass, w.Class.Name)
+	}
 	q.byCustomer[key] -= r.Tokens()
 	if q.byCustomer[key] <= 0 {
 		delete(q.byCustomer, key)
 	}
 	a := q.adapters[r.Adapter]
-	a.count--
-	a.weight -= w.Class.StallWeight
-	if w.Class.Patient {
-		a.patient--
-	}
+	a.remove(w, key)
 	if a.count == 0 {
 		delete(q.adapters, r.Adapter)
 	}
-	q.trim(key)
 }
 
 // Dispatch takes a waiter out that starts, and moves its class's virtual time on.
 func (q *Queue) Dispatch(w *Waiter) {
-	q.virtual[w.Class.Name] = max(q.virtual[w.Class.Name], w.tag)
 	q.Remove(w)
+	if !q.plain {
+		q.fair.advance(w.Class.Name, w.tag, q.waits)
+	}
 }
 
-// trim forgets a customer's last tag once virtual time has passed it.
-func (q *Queue) trim(key customerKey) {
-	if q.byCustomer[key] == 0 && q.finish[key] <= q.virtual[key.class] {
-		delete(q.finish, key)
-	}
+// Forget drops the tags of customers who have asked for nothing in a long time, which bounds the memory.
+func (q *Queue) Forget(now time.Time) {
+	q.fair.forget(now, q.waits)
+}
+
+// waits tells whether a request of a customer waits in a class.
+func (q *Queue) waits(key customerKey) bool {
+	_, ok := q.byCustomer[key]
+	return ok
 }
 
 // Expired takes out and returns the waiters whose callers have stopped waiting.
 func (q *Queue) Expired(now time.Time) []*Waiter {
 	var out []*Waiter
-	for len(q.deadlines) > 0 {
+	for len(q.deadlines) > 0 && q.deadlines[0].Request.Expired(now) {
 		w := q.deadlines[0]
-		if !w.gone && !w.Request.Expired(now) {
-			break
-		}
-		heap.Pop(&q.deadlines)
-		if w.gone {
-			continue
-		}
 		q.Remove(w)
 		out = append(out, w)
 	}
@@ -141,13 +134,10 @@
 
 // NextDeadline gives the earliest deadline of a waiter, or the zero time.
 func (q *Queue) NextDeadline() time.Time {
-	for len(q.deadlines) > 0 {
-		if !q.deadlines[0].gone {
-			return q.deadlines[0].Request.Deadline
-		}
-		heap.Pop(&q.deadlines)
+	if len(q.deadlines) == 0 {
+		return time.Time{}
 	}
-	return time.Time{}
+	return q.deadlines[0].Request.Deadline
 }
 
 // Len gives the number of waiters.
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -88,11 +88,21 @@
 	}
 }
 
+// eventItems gives the newest item of each key that was written, so that of changes in quick succession one is read and put in force.
 func eventItems(events []store.Event) []store.Item {
+	newest := make(map[string]int, len(events))
 	items := make([]store.Item, 0, len(events))
 	for _, event := range events {
-		if !event.Gone {
+		if event.Gone {
+			continue
+		}
+		place, known := newest[event.Key]
+		switch {
+		case !known:
+			newest[event.Key] = len(items)
 			items = append(items, event.Item)
+		case event.Revision > items[place].Revision:
+			items[place] = event.Item
 		}
 	}
 	return items
@@ -101,6 +111,7 @@
 // applyItems takes in the operators' keys from the store or from a peer; older ones are
 // passed over, so that nothing ever reverts.
 func (c *Coordinator) applyItems(now time.Time, items []store.Item) {
+	before := c.keys.Revision()
 	for _, item := range items {
 		if !c.keys.Take(item) {
 			continue
@@ -111,6 +122,10 @@
 		}
 		c.applyVersion(now, item)
 	}
+	if c.keys.Revision() > before && c.following.stream != nil {
+		// The planner passes keys on to those who have not said that they have them.
+		c.acknowledge(now)
+	}
 	c.updateReady()
 }
 
@@ -126,7 +141,9 @@
 		return
 	}
 	c.current.Store(configuration)
-	c.options.Log.WithFields(map[string]any{"version": configuration.Version, "revision": item.Revision}).Info("configuration in force")
+	c.options.Log.WithFields(map[string]any{
+		"version": configuration.Version, "revision": item.Revision, "bytes": len(item.Value),
+	}).Info("configuration in force")
 	if c.planning != nil {
 		c.planning.plans.SetConfiguration(now, configuration, c.versions.All())
 	}
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -29,6 +29,9 @@
 	tickPace = 25 * time.Millisecond
 	// sweepPace is the pause between two sweeps of old state. Not measured.
 	sweepPace = time.Second
+	// queueWarning is how many bytes may wait for peers before a line says so: an eighth of the smallest instance's 184 MB.
+	// Not measured.
+	queueWarning = 23 << 20
 )
 
 // Coordinator is the control part of one process.
@@ -62,6 +65,9 @@
 	missing         []wire.Copy
 	following       following
 	planning        *planning
+	seedAnswer      seedAnswer
+	// heardLoads is what was last heard of a planner's loads.
+	heardLoads formerLoads
 	// knownRecord is the planner's record as last read.
 	knownRecord lease.Record
 	// storeReadAt is when the store last answered a read of the record.
@@ -169,6 +175,12 @@
 	c.sweptAt = now
 	c.directory.RememberHeld(now)
 	c.demand.Sweep(now)
+	if now.Sub(c.seedAnswer.at) >= seedAnswerLife {
+		c.seedAnswer = seedAnswer{}
+	}
+	if queued := c.peerQueueBytes(); queued > queueWarning {
+		c.options.Log.WithField("queued_bytes", queued).Warn("much waits for peers")
+	}
 	if c.planning != nil {
 		c.planning.plans.Sweep(now)
 	}
--- a/services/entry/coordinator/coordinator_test.go
+++ b/services/entry/coordinator/coordinator_test.go
@@ -46,6 +46,14 @@
 	Demands         []wireDemand  `msgpack:"d,omitempty"`
 	Leaving         bool          `msgpack:"l,omitempty"`
 	StoreReadAge    time.Duration `msgpack:"k"`
+	Items           []store.Item  `msgpack:"o,omitempty"`
+	FormerLoads     *wireLoads    `msgpack:"b,omitempty"`
+}
+
+type wireLoads struct {
+	Term  int64         `msgpack:"t"`
+	Count int           `msgpack:"n"`
+	Age   time.Duration `msgpack:"g"`
 }
 
 type wireCount struct {
@@ -67,7 +75,7 @@
 	Term            int64                    `msgpack:"t"`
 	Withdrawals     uint64                   `msgpack:"w"`
 	ReadAge         time.Duration            `msgpack:"g"`
-	Address         netip.AddrPort           `msgpack:"z,omitempty"`
+	Address         *netip.AddrPort          `msgpack:"z,omitempty"`
 	ConfirmedAge    time.Duration            `msgpack:"k"`
 	Full            bool                     `msgpack:"x,omitempty"`
 	At              int64                    `msgpack:"y,omitempty"`
@@ -79,6 +87,10 @@
 	ConfigurationAt int64                    `msgpack:"c"`
 	Items           []store.Item             `msgpack:"o,omitempty"`
 	Resigned        bool                     `msgpack:"b,omitempty"`
+	RecentLoads     *int                     `msgpack:"a,omitempty"`
+	Made            time.Duration            `msgpack:"m,omitempty"`
+	AsksForKeys     bool                     `msgpack:"q,omitempty"`
+	KeysFrom        string                   `msgpack:"u,omitempty"`
 }
 
 type wireEndpoint struct {
@@ -283,7 +295,14 @@
 	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning && status.Endpoints == 1 })
 	member := s.join(t)
 	require.NoError(t, member.Send(wireMessage{Report: &wireReport{Instance: "peer"}}))
-	first := receive(t, member, func(m wireMessage) bool { return m.View != nil })
+	var items []store.Item
+	view := func(m wireMessage) bool {
+		if m.View != nil {
+			items = append(items, m.View.Items...)
+		}
+		return m.View != nil
+	}
+	first := receive(t, member, view)
 	assert.True(t, first.View.Full)
 	assert.Len(t, first.View.Endpoints, 1)
 	assert.Equal(t, selfName, first.View.Planner)
@@ -293,15 +312,17 @@
 	require.NoError(t, member.Send(wireMessage{Report: report}))
 	require.NoError(t, member.Send(wireMessage{Report: report}), "a repeated report asks for nothing more")
 	loaded := receive(t, member, func(m wireMessage) bool {
-		return m.View != nil && len(m.View.Endpoints) == 1 && len(m.View.Endpoints[0].Models[0].Adapters) == 1
+		return view(m) && len(m.View.Endpoints) == 1 && len(m.View.Endpoints[0].Models[0].Adapters) == 1
 	})
 	assert.False(t, loaded.View.Full)
 	assert.Equal(t, "a7", loaded.View.Endpoints[0].Models[0].Adapters[0].Name)
 	assert.Equal(t, 1, s.engines.loadCount())
-	receive(t, member, func(m wireMessage) bool { return m.View != nil && m.View.Heartbeat && !m.View.Full })
-	// A member that lacks the operators' keys for a while gets them.
-	items := receive(t, member, func(m wireMessage) bool { return m.View != nil && len(m.View.Items) > 0 })
-	assert.Equal(t, configurationKey, items.View.Items[0].Key)
+	// A member that lacks the operators' keys for a while gets them, once.
+	for range 3 {
+		receive(t, member, func(m wireMessage) bool { return view(m) && m.View.Heartbeat && !m.View.Full })
+	}
+	require.Len(t, items, 1)
+	assert.Equal(t, configurationKey, items[0].Key)
 	go drain(member)
 }
 
@@ -407,13 +428,45 @@
 	asked := receive(t, seed, func(m wireMessage) bool { return m.Request != nil })
 	assert.Equal(t, selfName, asked.Request.Instance)
 	told := fullView(6, "a1")
-	told.Address = peerAddress
+	told.Address = &peerAddress
 	told.Items = []store.Item{{Key: configurationKey, Value: []byte("3"), Revision: 50}}
 	require.NoError(t, seed.Send(wireMessage{View: told}))
 	require.Eventually(t, s.control.Ready, waitLimit, lookPace)
 	_, _, err := s.acquire("a1", waitLimit)
 	assert.NoError(t, err)
-	s.link(t)
+	planner := s.link(t)
+	followed, err := planner.Receive(waitLimit, time.Now)
+	require.NoError(t, err)
+	assert.NotNil(t, followed.Report, "it follows the planner that the seed named")
+}
+
+func TestAPeerThatAsksLearnsWhoPlans(t *testing.T) {
+	t.Run("the instance itself", func(t *testing.T) {
+		s := newSite()
+		s.start(t)
+		s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning && s.control.Ready() })
+		assert.Equal(t, selfAddress, *s.ask(t).Address)
+	})
+	t.Run("another one", func(t *testing.T) {
+		s := newSite()
+		s.planElsewhere(t)
+		s.start(t)
+		s.link(t)
+		require.Eventually(t, s.control.Ready, waitLimit, lookPace)
+		answer := s.ask(t)
+		assert.Equal(t, peerAddress, *answer.Address)
+		assert.EqualValues(t, 4, answer.Term)
+	})
+}
+
+// ask gives the answer to a request for the configuration and for who plans; it names an address.
+func (s *site) ask(t *testing.T) *wireView {
+	t.Helper()
+	peer := s.join(t)
+	require.NoError(t, peer.Send(wireMessage{Request: &wireRequest{Instance: "peer"}}))
+	answer := receive(t, peer, func(m wireMessage) bool { return m.View != nil })
+	require.NotNil(t, answer.View.Address)
+	return answer.View
 }
 
 func TestACallerThatLeavesTakesNoPlace(t *testing.T) {
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -28,24 +28,49 @@
 // followEndpoints reads the endpoints' keys once, and later as its mode demands.
 func (c *Coordinator) followEndpoints() {
 	watched := int64(0)
+	former := follow.ReadByPolling
 	for c.context.Err() == nil {
-		switch c.endpointReader() {
+		reader := c.endpointReader()
+		if reader == follow.ReadByPolling && former != reader {
+			c.notePolling()
+		}
+		former = reader
+		switch reader {
 		case follow.ReadByPlanner:
 			watched = 0
 			c.sleep(idlePause)
 		case follow.ReadByPolling:
 			watched = 0
-			if _, err := c.readEndpoints(); err != nil {
-				c.sleep(c.jitter(storeRetry))
-				continue
-			}
-			c.sleep(c.alonePause(endpointPollPause))
+			c.pollEndpoints()
 		case follow.ReadByWatching:
 			watched = c.watchEndpoints(watched)
 		}
 	}
 }
 
+// pollEndpoints reads the endpoints and waits for the next reading. The pause counts from when this one was sent, as does the age of
+// what it gives.
+func (c *Coordinator) pollEndpoints() {
+	sent := c.options.Now()
+	if _, err := c.readEndpoints(); err != nil {
+		c.sleep(c.jitter(storeRetry))
+		return
+	}
+	c.sleep(c.alonePause(endpointPollPause) - c.options.Now().Sub(sent))
+}
+
+// notePolling tells that this instance begins to read the endpoints' keys itself, and how old what it knows of them is.
+func (c *Coordinator) notePolling() {
+	var silence, age time.Duration
+	c.loop.Call(func(now time.Time) {
+		silence = now.Sub(c.following.ReceivedAt)
+		age = c.endpointsAge(now)
+	})
+	c.options.Log.WithFields(map[string]any{
+		"planner_silent_ms": silence.Milliseconds(), "endpoints_age_ms": age.Milliseconds(),
+	}).Info("endpoints are read here, since the planner's views are too old")
+}
+
 // alonePause is the pause between two calls of an instance that reads the store by itself; in
 // a large fleet it is up to twice as long, since all instances call at once then.
 func (c *Coordinator) alonePause(pause time.Duration) time.Duration {
--- a/services/entry/coordinator/follow/keys.go
+++ b/services/entry/coordinator/follow/keys.go
@@ -44,3 +44,12 @@
 	}
 	return items
 }
+
+// SizeOf sums the values of keys, in bytes.
+func SizeOf(items []store.Item) int {
+	size := 0
+	for _, item := range items {
+		size += len(item.Value)
+	}
+	return size
+}
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -35,6 +35,24 @@
 	return len(t.members) + 1
 }
 
+// Source is a member that can be asked for the operators' keys.
+type Source struct {
+	Instance string
+	// Revision is the newest revision of the keys that it knows.
+	Revision int64
+}
+
+// Sources gives the members that can be asked for the operators' keys, with what they know of them.
+func (t *Table) Sources() []Source {
+	var sources []Source
+	for instance, m := range t.members {
+		if m.Link != nil && !m.isLost() {
+			sources = append(sources, Source{Instance: instance, Revision: m.ConfigurationRevision})
+		}
+	}
+	return sources
+}
+
 // Join notes over which link an instance reports; a new link makes the next view a whole one.
 func (t *Table) Join(instance string, link *Link) {
 	m, ok := t.members[instance]
@@ -45,6 +63,7 @@
 	if m.Link != link {
 		m.Link = link
 		m.NeedsFull = true
+		m.Probe = 0
 	}
 }
 
@@ -157,10 +176,10 @@
 	return false
 }
 
-// NeedFull tells whether any member waits for a whole view.
-func (t *Table) NeedFull() bool {
+// NeedOwn tells whether any member waits for a whole view, or for the answer to a probe.
+func (t *Table) NeedOwn() bool {
 	for _, m := range t.members {
-		if m.NeedsFull && m.Link != nil {
+		if m.Link != nil && (m.NeedsFull || m.Probe > 0) {
 			return true
 		}
 	}
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -38,6 +38,8 @@
 	// Reluctance is how much longer than others this instance leaves the planner's work to them;
 	// an instance with a weak link or processor takes it only if nobody else does.
 	Reluctance time.Duration
+	// LinkRate is how many bytes a second the own link carries; 0 if it is not known.
+	LinkRate int
 	// VersionLimit is how long a request may still begin on an older version than named.
 	VersionLimit time.Duration
 	// StoreTimeout bounds one call to the store, apart from waiting watches.
@@ -46,9 +48,13 @@
 	Now    func() time.Time
 	Random func() float64
 	Log    *logrus.Entry
-	// ObserveOrder and ObserveStoreFailure count for the metrics; nil ignores.
+	// ObserveOrder, ObserveStoreFailure, ObserveRelay and ObserveLinkClosed count for the metrics; nil ignores.
 	ObserveOrder        func(kind, reply string)
 	ObserveStoreFailure func(call string)
+	// ObserveRelay is given the bytes of the operators' keys that were sent to one peer.
+	ObserveRelay func(bytes int)
+	// ObserveLinkClosed is called for each peer's link that is closed since too much waits for the peer.
+	ObserveLinkClosed func()
 }
 
 // Environment is the outside calls of a Coordinator, as function fields.
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -4,6 +4,7 @@
 package coordinator
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -42,10 +43,8 @@
 func (c *Coordinator) servePeer(conn net.Conn) {
 	stream := peerstream.New[wire.Message](conn)
 	defer stream.Close()
-	go func() {
-		<-c.context.Done()
-		stream.Close()
-	}()
+	stop := context.AfterFunc(c.context, stream.Close)
+	defer stop()
 	for {
 		silence := member.LeastSilence
 		c.loop.Call(func(time.Time) { silence = c.memberSilence() })
@@ -68,10 +67,10 @@
 		c.loop.Call(func(now time.Time) { planning = c.takePeerReport(now, stream, received.Report) })
 	}
 	if received.Successor != nil {
-		c.loop.Call(func(time.Time) { c.learnSuccessor(*received.Successor) })
+		c.loop.Call(func(now time.Time) { c.learnSuccessor(now, *received.Successor) })
 	}
 	if received.Request != nil {
-		c.loop.Call(func(now time.Time) { c.answerRequest(now, stream) })
+		c.loop.Call(func(now time.Time) { c.answerRequest(now, stream, received.Request) })
 	}
 	return planning
 }
@@ -82,6 +81,7 @@
 		return false
 	}
 	c.planning.members.Join(r.Instance, stream)
+	c.planning.relays.Reported(stream, r.ConfigurationRevision)
 	c.planning.takeReport(now, r)
 	c.plan(now)
 	return true
@@ -89,28 +89,73 @@
 
 // answerRequest tells a peer that cannot read the store what is known here; an instance that
 // is not ready itself tells nothing.
-func (c *Coordinator) answerRequest(now time.Time, stream *peerstream.Stream[wire.Message]) {
+func (c *Coordinator) answerRequest(now time.Time, stream *peerstream.Stream[wire.Message], request *wire.Request) {
 	if !c.ready.Load() {
 		stream.Close()
 		return
 	}
+	if request.PlannerOnly {
+		// As below.
+		_ = stream.Send(wire.Message{View: c.plannerView(now)})
+		return
+	}
+	if frame := c.seedFrame(now); frame != nil {
+		// A peer that does not read loses the stream and asks another.
+		_ = stream.SendFrame(frame)
+	}
+}
+
+// seedAnswerLife is for how long an answer to a peer that starts is given again, so that many that start at once share one copy of the
+// configuration in memory. Longer gives older answers; what is read from the store later replaces them. Not measured.
+const seedAnswerLife = 250 * time.Millisecond
+
+// seedFrame gives the frame of what is known here, or nil where it cannot be encoded.
+func (c *Coordinator) seedFrame(now time.Time) peerstream.Frame {
+	if c.seedAnswer.frame != nil && now.Sub(c.seedAnswer.at) < seedAnswerLife {
+		return c.seedAnswer.frame
+	}
+	frame, err := peerstream.Encode(wire.Message{View: c.seedView(now)})
+	if err != nil {
+		c.options.Log.WithError(err).Error("a view cannot be encoded")
+		return nil
+	}
+	c.seedAnswer = seedAnswer{frame: frame, at: now}
+	return frame
+}
+
+// plannerView tells who plans, as far as it is known here.
+func (c *Coordinator) plannerView(now time.Time) *wire.View {
 	answer := &wire.View{
-		Planner: c.following.Planner, Term: c.knownRecord.Term, Items: c.keys.After(0), ConfigurationRevision: c.keys.Revision(),
-		ReadAge: now.Sub(c.endpointsReadAt), Address: c.knownRecord.Address,
+		Planner: c.following.Planner, Term: c.knownRecord.Term, ReadAge: now.Sub(c.endpointsReadAt),
+		Address: wire.Address{AddrPort: c.knownRecord.Address},
 	}
 	if c.planning != nil {
-		answer.Planner, answer.Term, answer.Address = c.options.Instance, c.planning.lease.Record().Term, c.options.PeerAddress
+		answer.Planner, answer.Term = c.options.Instance, c.planning.lease.Record().Term
+		answer.Address = wire.Address{AddrPort: c.options.PeerAddress}
 	}
+	return answer
+}
+
+// seedView tells all that is known here.
+func (c *Coordinator) seedView(now time.Time) *wire.View {
+	answer := c.plannerView(now)
+	answer.Items, answer.ConfigurationRevision = c.keys.After(0), c.keys.Revision()
 	for _, status := range c.directory.Endpoints() {
 		answer.Endpoints = append(answer.Endpoints, wire.FromStatus(status))
 	}
-	// A peer that does not read loses the stream and asks another.
-	_ = stream.Send(wire.Message{View: answer})
+	return answer
+}
+
+// seedAnswer is the last answer to a peer that starts; the zero value is none.
+type seedAnswer struct {
+	frame peerstream.Frame
+	at    time.Time
 }
 
 func (c *Coordinator) peerLost(now time.Time, stream *peerstream.Stream[wire.Message]) {
 	if c.planning == nil {
 		return
 	}
+	c.planning.relays.Ended(stream)
 	c.planning.members.Unlink(now, stream, c.memberSilence())
 }
--- a/services/entry/coordinator/plan/changes.go
+++ b/services/entry/coordinator/plan/changes.go
@@ -17,6 +17,8 @@
 	Removed   []wire.Gone
 	// Begun are the loads that began.
 	Begun []wire.Forecast
+	// ModelBegun tells that a base model's load began.
+	ModelBegun bool
 }
 
 // Changes gives what changed since the last view; the caller must not change it.
@@ -26,20 +28,13 @@
 
 // Empty tells whether nothing changed.
 func (c *Changes) Empty() bool {
-	return len(c.Endpoints) == 0 && len(c.Removed) == 0 && len(c.Begun) == 0
+	return len(c.Endpoints) == 0 && len(c.Removed) == 0 && len(c.Begun) == 0 && !c.ModelBegun
 }
 
-// TakeBegun gives the loads that began and forgets them.
-func (p *Plans) TakeBegun() []wire.Forecast {
-	begun := p.changes.Begun
-	p.changes.Begun = nil
-	return begun
-}
-
-// Sent forgets the changes of endpoints, since a view with them went out.
+// Sent forgets all changes, since a view with them went out.
 func (p *Plans) Sent() {
 	clear(p.changes.Endpoints)
-	p.changes.Removed = nil
+	p.changes.Removed, p.changes.Begun, p.changes.ModelBegun = nil, nil, false
 }
 
 // Forecasts gives the loads under way and, by service, when an adapter would be resident that nobody has asked for
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -23,6 +23,8 @@
 	LoadSlack     float64
 	// Random gives a number from 0 up to 1.
 	Random func() float64
+	// Term is the planner's.
+	Term int64
 }
 
 // Plans holds a plan for each service with engines; it is not safe for concurrent use.
@@ -32,22 +34,32 @@
 	members       *member.Table
 	configuration *deployment.Configuration
 	planners      map[string]*loading.Planner
-	// assumedLoads is how many base models' loads the former holder said it began in the last window.
-	assumedLoads int
-	changes      Changes
+	// assumed are the loads that former planners may have begun.
+	assumed AssumedLoads
+	changes Changes
+	// rated are the instances whose arrival rates were taken in; members that are forgotten are left out.
+	rated map[string]bool
+	// withdrawals is the number of the last announcement of a withdrawal, of all services.
+	withdrawals uint64
 }
 
-// New makes plans over a directory and members, whose changes it sees; assumedLoads is the number of base models' loads
-// that a former holder began in the last window.
-func New(options Options, known *directory.Directory, members *member.Table, assumedLoads int) *Plans {
+// termShift is by how many bits the term stands above the count in the numbers of withdrawals, so that those of a later
+// term are above all of the earlier ones: a term withdraws fewer than 2^32 copies.
+const termShift = 32
+
+// New makes plans over a directory and members, whose changes it sees; assumed are the loads that former planners may have
+// begun.
+func New(options Options, known *directory.Directory, members *member.Table, assumed AssumedLoads) *Plans {
 	return &Plans{
-		options: options, directory: known, members: members, assumedLoads: assumedLoads,
-		planners: make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
+		options: options, directory: known, members: members, assumed: assumed,
+		rated:       make(map[string]bool),
+		withdrawals: uint64(options.Term) << termShift,
+		planners:    make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
 	}
 }
 
 // SetConfiguration makes a plan for each service with engines, which begins with the endpoints that are known, and
-// ends those of services that are gone.
+// ends those of services that are gone or have no engines any more.
 func (p *Plans) SetConfiguration(now time.Time, configuration *deployment.Configuration, versions iter.Seq2[deployment.Adapter, int64]) {
 	p.configuration = configuration
 	for name, service := range configuration.Services {
@@ -58,11 +70,11 @@
 			planner.SetEngine(*service.Engine)
 			continue
 		}
-		p.planners[name] = p.newPlanner(now, *service.Engine)
+		p.planners[name] = p.newPlanner(*service.Engine)
 		p.introduceEndpoints(now, name)
 	}
 	for name := range p.planners {
-		if _, ok := configuration.Services[name]; !ok {
+		if service := configuration.Services[name]; service == nil || service.Engine == nil {
 			delete(p.planners, name)
 		}
 	}
@@ -79,15 +91,16 @@
 	}
 }
 
-func (p *Plans) newPlanner(now time.Time, engine deployment.Engine) *loading.Planner {
+func (p *Plans) newPlanner(engine deployment.Engine) *loading.Planner {
 	planner := loading.NewPlanner(engine, loading.Options{
 		Rate: loading.RateOptions{
 			PerSecond: engine.LoadsPerSecond, Window: p.options.LoadWindow, Tolerance: p.options.LoadTolerance, Slack: p.options.LoadSlack,
 		},
-		Random: p.options.Random,
-		Uses:   p.uses,
+		Random:         p.options.Random,
+		Uses:           p.uses,
+		NextWithdrawal: p.nextWithdrawal,
 	})
-	planner.AssumeLoads(now, p.assumedLoads)
+	planner.AssumeLoads(p.assumed.At, p.assumed.Count)
 	return planner
 }
 
@@ -198,7 +211,7 @@
 			if !ok {
 				break
 			}
-			if order.Kind == loading.Load && !order.Poll && !order.Adapter.IsZero() {
+			if order.Kind == loading.Load && !order.Poll {
 				p.noteBegun(order, planner.LoadTime(), begun)
 			}
 			start(order)
@@ -209,8 +222,12 @@
 	}
 }
 
-// noteBegun lets the next view tell that a load has begun.
+// noteBegun lets the next view tell that a load has begun; base models' loads are told by their number only.
 func (p *Plans) noteBegun(order loading.Order, remaining time.Duration, begun func(deployment.ServiceAdapter, time.Duration)) {
+	if order.Adapter.IsZero() {
+		p.changes.ModelBegun = true
+		return
+	}
 	key := deployment.ServiceAdapter{Service: order.Endpoint.Service, Adapter: order.Adapter}
 	begun(key, remaining)
 	p.changes.Begun = append(p.changes.Begun, wire.Forecast{Service: key.Service, Model: key.Adapter.Model, Name: key.Adapter.Name, Remaining: remaining})
@@ -228,31 +245,28 @@
 	return p.planners[service] != nil
 }
 
-// NextPoll is when a load under way is expected to have ended, at most a limit after now; false if none is. With
-// several services it is any one of theirs.
+// NextPoll is when the first of all loads under way is expected to have ended, at most a limit after now; false if none
+// is.
 func (p *Plans) NextPoll(now time.Time, limit time.Duration) (time.Time, bool) {
+	var earliest time.Time
 	for _, planner := range p.planners {
-		if next := planner.NextPoll(); !next.IsZero() && next.Sub(now) <= limit {
-			return next, true
+		next := planner.NextPoll()
+		if !next.IsZero() && (earliest.IsZero() || next.Before(earliest)) {
+			earliest = next
 		}
 	}
-	return time.Time{}, false
-}
-
-// RecentLoads gives the base models' loads begun in the last window, by the service that began most.
-func (p *Plans) RecentLoads(now time.Time) int {
-	count := 0
-	for _, planner := range p.planners {
-		count = max(count, planner.RecentLoads(now))
+	if earliest.IsZero() || earliest.Sub(now) > limit {
+		return time.Time{}, false
 	}
-	return count
+	return earliest, true
 }
 
-// Withdrawals is the number of the last announcement of a withdrawal.
+// Withdrawals is the number of the last announcement of a withdrawal, of all services: who has seen it has seen all before.
 func (p *Plans) Withdrawals() uint64 {
-	last := uint64(0)
-	for _, planner := range p.planners {
-		last = max(last, planner.Withdrawals())
-	}
-	return last
+	return p.withdrawals
+}
+
+func (p *Plans) nextWithdrawal() uint64 {
+	p.withdrawals++
+	return p.withdrawals
 }
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -12,6 +12,7 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/plan"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
@@ -27,10 +28,17 @@
 	plans             *plan.Plans
 	members           *member.Table
 	views             view.Schedule
+	// since is when this instance began to plan.
+	since time.Time
+	// relays bounds the operators' keys under way to members, request is whom this instance asks for keys that it lacks.
+	relays  *relay.Window[*member.Link]
+	request relay.Request
 	// givingUp is set before the lease is given up: no order is started any more.
 	givingUp bool
 	// resigned tells the members that no order follows in this term.
 	resigned bool
+	// former is what is known of the former planner's loads.
+	former formerLoads
 	// orders is the number of orders under way.
 	orders int
 	// wakeAt is when a plan is due for a load that ends.
@@ -42,13 +50,17 @@
 	return member.SilenceLimit(c.following.Members)
 }
 
-func newPlanning(c *Coordinator, now time.Time, held *lease.Lease, assumedLoads int) *planning {
+func newPlanning(c *Coordinator, now time.Time, held *lease.Lease, former formerLoads) *planning {
 	members := member.NewTable()
 	options := plan.Options{
 		LoadWindow: c.options.LoadWindow, LoadTolerance: c.options.LoadTolerance, LoadSlack: c.options.LoadSlack,
-		Random: c.options.Random,
+		Random: c.options.Random, Term: held.Record().Term,
+	}
+	p := &planning{
+		coordinator: c, lease: held, members: members, since: now, former: former,
+		relays: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
+		plans:  plan.New(options, c.directory, members, former.loads),
 	}
-	p := &planning{coordinator: c, lease: held, members: members, plans: plan.New(options, c.directory, members, assumedLoads)}
 	if configuration := c.current.Load(); configuration != nil {
 		p.plans.SetConfiguration(now, configuration, c.versions.All())
 	}
@@ -69,10 +81,13 @@
 	p.plans.Order(now, mayOrder, c.startOrder, begun)
 	p.broadcast(now, p.views.TotalsDue(now, c.following.Members))
 	c.reviewWaiters(now)
-	c.wakeForPoll(now)
+	if mayOrder() {
+		c.wakeForPoll(now)
+	}
 }
 
-// wakeForPoll plans again when the next load is expected to have ended.
+// wakeForPoll plans again when the next load is expected to have ended. Where no order may be given, nothing can be asked: the
+// time of the next poll is past then, and each plan would bring the next one at once.
 func (c *Coordinator) wakeForPoll(now time.Time) {
 	p := c.planning
 	if now.Before(p.wakeAt) {
@@ -171,4 +186,5 @@
 		p.coordinator.applyItems(now, r.Items)
 	}
 	p.plans.TakeDemand(now, r)
+	p.takeFormerLoads(now, r.FormerLoads)
 }
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -202,6 +202,8 @@
 	adapters map[deployment.Adapter]int64
 	loads    int
 	silent   bool
+	// endless keeps loads under way for good.
+	endless bool
 	// held, if not nil, keeps loads under way until it is closed.
 	held chan struct{}
 }
@@ -226,6 +228,8 @@
 			report.Adapters[name] = version
 		}
 		result.Report = report
+	case order.Kind == loading.Load && held && e.endless:
+		result.Reply = loading.Accepted
 	case order.Kind == loading.Load && held:
 		result.Reply = loading.Holds
 	case order.Kind == loading.Load:
@@ -241,6 +245,12 @@
 	return result
 }
 
+func (e *engines) loadForever() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.endless = true
+}
+
 func (e *engines) hold() (release func()) {
 	held := make(chan struct{})
 	e.mutex.Lock()
@@ -300,14 +310,29 @@
 	engines *engines
 	pipes   *pipes
 	control *coordinator.Coordinator
+	// now is the instance's clock.
+	now func() time.Time
+	// loadWindow is the span in which loads from the weight store are counted.
+	loadWindow time.Duration
+	// aroundCommit wraps the store's writes, as the instance makes them.
+	aroundCommit func(commit commitFunc) commitFunc
 }
 
+// commitFunc is a call that writes to the store.
+type commitFunc = func(ctx context.Context, transaction store.Transaction) (int64, error)
+
+// emptyEndpoint is the value of the key of an endpoint that has never held the base model.
+const emptyEndpoint = "empty"
+
 func parseEndpoint(item store.Item) (deployment.Endpoint, error) {
-	return deployment.Endpoint{
+	endpoint := deployment.Endpoint{
 		ID: deployment.EndpointID(strings.TrimPrefix(item.Key, endpointPrefix)), Service: service, Hall: "hall",
-		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Models: []string{"base"}, CachedModels: []string{"base"},
-		Adapters: make(map[deployment.Adapter]int64),
-	}, nil
+		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Adapters: make(map[deployment.Adapter]int64),
+	}
+	if string(item.Value) != emptyEndpoint {
+		endpoint.Models, endpoint.CachedModels = []string{"base"}, []string{"base"}
+	}
+	return endpoint, nil
 }
 
 func configuration() *deployment.Configuration {
@@ -323,6 +348,7 @@
 	s := &site{
 		store: newMemoryStore(), engines: &engines{adapters: make(map[deployment.Adapter]int64)},
 		pipes: &pipes{dialed: make(chan net.Conn), incoming: make(chan net.Conn), closed: make(chan struct{})},
+		now:   time.Now, loadWindow: time.Second, aroundCommit: func(commit commitFunc) commitFunc { return commit },
 	}
 	s.store.put(configurationKey, "3")
 	s.store.put(endpointPrefix+"e1", "")
@@ -336,11 +362,13 @@
 	options := coordinator.Options{
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
-		LoadWindow: time.Second, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
-		Now: time.Now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
+		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
+		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
 	}
+	client := s.store.client()
+	client.Commit = s.aroundCommit(client.Commit)
 	environment := coordinator.Environment{
-		Store: s.store.client(), ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
+		Store: client, ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
 		ParseConfiguration: func([]byte) (*deployment.Configuration, error) { return configuration(), nil },
 		ParseVersion:       func(store.Item) (deployment.Adapter, int64, bool) { return deployment.Adapter{}, 0, false },
 		ParseEndpoint:      parseEndpoint,
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -4,12 +4,15 @@
 package coordinator
 
 import (
+	"errors"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/peerstream"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
@@ -28,14 +31,13 @@
 		p.applyOwnTotals(totals)
 	}
 	changes := p.baseView(now, totals)
-	begun := p.plans.TakeBegun()
+	changed := p.plans.Changes()
 	if withTotals {
 		changes.Heartbeat = true
 		p.addForecasts(now, changes)
 	} else {
-		changes.Forecasts = begun
+		changes.Forecasts = changed.Begun
 	}
-	changed := p.plans.Changes()
 	for id := range changed.Endpoints {
 		if status := p.coordinator.directory.Endpoint(id); status != nil {
 			changes.Endpoints = append(changes.Endpoints, wire.FromStatus(status))
@@ -44,74 +46,173 @@
 	changes.Removed = changed.Removed
 	frame, err := peerstream.Encode(wire.Message{View: changes})
 	if err != nil {
-		// No value of a view makes its encoding fail; if one did, changed endpoints would stay for the next one.
+		// No value of a view is known that makes its encoding fail; what changed stays for the next one.
+		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
 		return
 	}
-	for _, m := range p.members.All() {
+	round := &viewRound{changes: changes, frame: frame}
+	round.asked, _ = p.request.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
+	for instance, m := range p.members.All() {
 		if m.Link != nil {
-			p.sendView(now, m, changes, frame)
+			p.sendView(now, instance, m, round)
 		}
 	}
 	p.plans.Sent()
 }
 
+// viewRound is what all members are sent at one time, encoded once.
+type viewRound struct {
+	changes *wire.View
+	frame   peerstream.Frame
+	// whole is the frame of a whole view; nil until a member needs it.
+	whole peerstream.Frame
+	// asked is the member that is asked for the operators' keys; empty if none is.
+	asked string
+}
+
 // viewDue tells whether a view without totals goes out now.
 func (p *planning) viewDue(now time.Time) bool {
 	switch p.views.Due(now, p.coordinator.following.Members) {
 	case view.Now:
 		return true
 	case view.OnlyChanges:
-		return !p.noChanges()
+		return !p.noChanges() || p.keysDue(now)
 	default:
 		return false
 	}
 }
 
-// sendView sends a member the changes, whose frame serves all, or a view of its own where it needs more.
-func (p *planning) sendView(now time.Time, m *member.Member, changes *wire.View, frame peerstream.Frame) {
+// sendView sends a member the changes or a whole view, whose frames serve all, or a view of its own that passes keys on to it, asks
+// it for keys or answers its probe.
+func (p *planning) sendView(now time.Time, instance string, m *member.Member, round *viewRound) {
 	items := p.itemsFor(now, m)
-	if !m.NeedsFull && len(items) == 0 {
-		if err := m.Link.SendFrame(frame); err != nil {
-			// The member dials again and gets a full view.
-			m.Link = nil
-		}
+	if len(items) > 0 || round.asked == instance || m.Probe > 0 {
+		p.sendOwnView(now, instance, m, round, items)
 		return
 	}
-	own := *changes
+	frame := round.frame
+	if m.NeedsFull {
+		frame = p.wholeFrame(now, round)
+	}
+	if frame == nil {
+		return
+	}
+	m.NeedsFull = false
+	p.sent(m, m.Link.SendFrame(frame))
+}
+
+// wholeFrame gives the frame of a whole view, or nil where it cannot be encoded.
+func (p *planning) wholeFrame(now time.Time, round *viewRound) peerstream.Frame {
+	if round.whole != nil {
+		return round.whole
+	}
+	frame, err := peerstream.Encode(wire.Message{View: p.fullView(now)})
+	if err != nil {
+		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
+		return nil
+	}
+	round.whole = frame
+	return frame
+}
+
+func (p *planning) sendOwnView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
+	own := *round.changes
 	if m.NeedsFull {
 		own = *p.fullView(now)
 		m.NeedsFull = false
 	}
-	own.Items = items
-	if err := m.Link.Send(wire.Message{View: &own}); err != nil {
-		// As above: the member dials again.
-		m.Link = nil
+	own.Items, own.Probe = items, m.Probe
+	m.Probe = 0
+	if round.asked == instance {
+		own.KeysFrom = instance
 	}
+	p.coordinator.observeRelay(items)
+	p.sent(m, m.Link.Send(wire.Message{View: &own}))
+}
+
+// sent takes in how the sending of a view ended. After a failure the member dials again and gets a whole view.
+func (p *planning) sent(m *member.Member, err error) {
+	if err == nil {
+		return
+	}
+	if errors.Is(err, peerstream.ErrCongested) {
+		p.coordinator.noteLinkClosed(m.Link.Queued(), err)
+	}
+	p.relays.Ended(m.Link)
+	m.Link = nil
+}
+
+// noteLinkClosed logs and counts a peer's link that was given up since a message could not be queued.
+func (c *Coordinator) noteLinkClosed(queued int64, err error) {
+	if c.options.ObserveLinkClosed != nil {
+		c.options.ObserveLinkClosed()
+	}
+	c.options.Log.WithError(err).WithField("queued_bytes", queued).Warn("a peer's link was closed, since too much waits for it")
+}
+
+// observeRelay counts the operators' keys that are sent to a peer.
+func (c *Coordinator) observeRelay(items []store.Item) {
+	if len(items) == 0 || c.options.ObserveRelay == nil {
+		return
+	}
+	c.options.ObserveRelay(follow.SizeOf(items))
 }
 
 // noChanges tells whether all members have the plan's last state.
 func (p *planning) noChanges() bool {
-	return p.plans.Changes().Empty() && !p.members.NeedFull()
+	return p.plans.Changes().Empty() && !p.members.NeedOwn()
 }
 
-// itemsFor gives the operators' keys that a member has lacked for long enough.
+// itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
 func (p *planning) itemsFor(now time.Time, m *member.Member) []store.Item {
-	lag, behind := m.Lag.Observe(now, m.ConfigurationRevision, p.coordinator.keys.Revision())
+	items := p.lackedBy(now, m)
+	if len(items) == 0 || !p.relays.Send(now, m.Link, p.coordinator.keys.Revision(), follow.SizeOf(items)) {
+		return nil
+	}
+	return items
+}
+
+// lackedBy gives the operators' keys that a member has lacked for longer than it would need to read them itself.
+func (p *planning) lackedBy(now time.Time, m *member.Member) []store.Item {
+	keys := p.coordinator.keys
+	lag, behind := m.Lag.Observe(now, m.ConfigurationRevision, keys.Revision())
 	if !behind || lag < member.RelayAfter {
 		return nil
 	}
-	return p.coordinator.keys.After(m.ConfigurationRevision)
+	items := keys.After(m.ConfigurationRevision)
+	if lag < relay.PatienceFor(follow.SizeOf(items)) {
+		return nil
+	}
+	return items
+}
+
+// keysDue tells whether a view goes out now to pass the operators' keys on, or to ask for them.
+func (p *planning) keysDue(now time.Time) bool {
+	for _, m := range p.members.All() {
+		if m.Link == nil {
+			continue
+		}
+		items := p.lackedBy(now, m)
+		if len(items) > 0 && p.relays.Room(now, m.Link, follow.SizeOf(items)) {
+			return true
+		}
+	}
+	return p.request.Due(now, p.coordinator.keys.Revision(), p.members.Sources())
 }
 
 func (p *planning) baseView(now time.Time, totals []wire.EndpointCount) *wire.View {
 	v := &wire.View{
 		Planner: p.coordinator.options.Instance, Term: p.lease.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
 		Totals: totals, Members: p.members.Fleet(), ConfigurationRevision: p.coordinator.keys.Revision(), Resigned: p.resigned,
-		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(),
+		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(), RecentLoads: p.recentLoads(now),
+		Made: max(leastMade, now.Sub(p.since)), AsksForKeys: true,
 	}
 	return v
 }
 
+// leastMade is what a view made at the very begin of a term tells of its time: zero says that it is not known.
+const leastMade = time.Nanosecond
+
 // addForecasts tells which adapters are on their way; heartbeats carry them.
 func (p *planning) addForecasts(now time.Time, v *wire.View) {
 	v.Forecasts, v.Backlogs = p.plans.Forecasts(now)
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -28,9 +28,22 @@
 	Address netip.AddrPort `msgpack:"z"`
 }
 
+// Address is an address that may be left out. The codec takes a structure without exported fields for empty, which
+// netip.AddrPort is, unless the type says itself what its zero value is.
+type Address struct {
+	netip.AddrPort
+}
+
+// IsZero tells whether there is no address.
+func (a Address) IsZero() bool {
+	return !a.IsValid()
+}
+
 // Request asks a peer for the configuration and for who plans.
 type Request struct {
 	Instance string `msgpack:"i"`
+	// PlannerOnly asks for who plans alone. Earlier versions answer with the configuration and the endpoints all the same.
+	PlannerOnly bool `msgpack:"p,omitempty"`
 }
 
 // Report is what an instance tells the planner.
@@ -49,16 +62,29 @@
 	Missing []Copy `msgpack:"m,omitempty"`
 	// Suspects are the endpoints that the instance has ejected.
 	Suspects []deployment.EndpointID `msgpack:"s,omitempty"`
-	// Items are keys of the configuration that the planner has lacked for too long, by its last view.
+	// Items are keys of the configuration that the planner lacks, by its last view: when it asked for them, or, where it asks
+	// for none, has lacked them for too long.
 	Items []store.Item `msgpack:"o,omitempty"`
 	// Leaving tells that the process stops.
 	Leaving bool `msgpack:"l,omitempty"`
 	// Rates are the instance's arrival rates, sent once to each new planner.
 	Rates []Rate `msgpack:"a,omitempty"`
+	// FormerLoads is what the last view with RecentLoads told, sent once to each new planner.
+	FormerLoads *FormerLoads `msgpack:"b,omitempty"`
+	// Probe asks for a view that names this number, from which the instance learns how long views wait on their way; 0 asks for
+	// none.
+	Probe uint64 `msgpack:"p,omitempty"`
 	// StoreReadAge is how long ago the instance last read from the store.
 	StoreReadAge time.Duration `msgpack:"k"`
 }
 
+// FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
+type FormerLoads struct {
+	Term  int64         `msgpack:"t"`
+	Count int           `msgpack:"n"`
+	Age   time.Duration `msgpack:"g"`
+}
+
 // EndpointCount counts requests in flight on an endpoint.
 type EndpointCount struct {
 	ID    deployment.EndpointID `msgpack:"e"`
@@ -112,7 +138,7 @@
 	// ReadAge is how long ago the endpoints' keys were last known to be complete.
 	ReadAge time.Duration `msgpack:"g"`
 	// Address is where the planner is reached; only answers to requests name it.
-	Address netip.AddrPort `msgpack:"z,omitempty"`
+	Address Address `msgpack:"z,omitempty"`
 	// ConfirmedAge is how long ago the planner's lease was confirmed.
 	ConfirmedAge time.Duration `msgpack:"k"`
 	// Full says that endpoints which are not listed are gone, as of EndpointsRevision.
@@ -139,6 +165,18 @@
 	Items []store.Item `msgpack:"o,omitempty"`
 	// Resigned says that the planner gives no more orders in its term.
 	Resigned bool `msgpack:"b,omitempty"`
+	// Made is for how long the planner had planned, by its own clock, when it made the view; 0 from versions that do not
+	// tell it.
+	Made time.Duration `msgpack:"m,omitempty"`
+	// AsksForKeys says that the planner asks for keys that it lacks: no instance sends them otherwise. Earlier versions do not ask.
+	AsksForKeys bool `msgpack:"q,omitempty"`
+	// Probe is the number of the report that this view answers; 0 for others. Earlier versions answer none.
+	Probe uint64 `msgpack:"i,omitempty"`
+	// KeysFrom is the instance that the planner asks for keys of the configuration now; empty if it asks none.
+	KeysFrom string `msgpack:"u,omitempty"`
+	// RecentLoads counts the base models' loads that began in the load window before this view, also under former planners;
+	// nil if the planner does not tell them, as one of the version before does not.
+	RecentLoads *int `msgpack:"a,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
