--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -36,12 +36,14 @@
 // Assignment is an endpoint that takes a request; Finish must be called with it.
 type Assignment struct {
 	Endpoint deployment.Endpoint
-	// Version is the version that the endpoint must hold; 0 demands none.
+	// Version is the version that the endpoint must hold: the one that it offers, the named one or newer; 0 demands none.
 	Version int64
 	// MaxConnections bounds this instance's connections to the endpoint.
 	MaxConnections int
 	// Waited is how long the request waited for the endpoint.
 	Waited time.Duration
+	// Assigned is when the endpoint was chosen; from then on the request waits there until it runs.
+	Assigned time.Time
 }
 
 // waiter is a request that waits for an endpoint.
@@ -90,7 +92,7 @@
 		select {
 		case result := <-w.Result:
 			if result.err == nil {
-				c.directory.End(now, result.assignment.Endpoint.ID, w.Adapter, directory.Neutral)
+				c.end(now, result.assignment, w.Adapter, directory.Neutral)
 			}
 		default:
 			c.waiters.Drop(w)
@@ -118,16 +120,24 @@
 
 // serve assigns an endpoint if one can take the request now.
 func (c *Coordinator) serve(now time.Time, w *waiter) bool {
-	required := balance.Requirement{Request: w.Request, Version: c.versions.Demanded(now, w.Adapter, c.options.VersionLimit), Tried: w.Tried}
+	named := c.versions.Named(w.Adapter)
+	former, formerWait := c.versions.Former(now, w.Adapter, c.options.VersionLimit)
+	required := balance.Requirement{
+		Request: w.Request, Tried: w.Tried, Version: named, Former: former, FormerWait: formerWait,
+		OthersKnown: c.planning != nil || c.following.Fresh(now),
+	}
 	status, verdict := balance.Choose(now, c.directory.Service(w.Service), required, balance.NewOptions(c.options.Hall, c.options.Random))
 	w.Verdict = verdict
 	if verdict != balance.Chosen {
 		return false
 	}
 	c.directory.Begin(now, status.ID, w.Adapter)
-	assignment := Assignment{Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since)}
-	if named := c.versions.Named(w.Adapter); status.Offered[w.Adapter] >= named {
-		assignment.Version = named
+	assignment := Assignment{
+		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
+	}
+	if held := status.Offered[w.Adapter]; named > 0 && held >= named {
+		// Endpoints refuse any other version, newer ones too, and this one may be newer than the name that is known here.
+		assignment.Version = held
 	}
 	w.Result <- acquired{assignment: assignment}
 	return true
@@ -192,10 +202,23 @@
 	c.waiters.Review(func(w *waiter) bool { return !c.serve(now, w) && c.decideWaiter(now, w) })
 }
 
+// Running notes that an endpoint runs a request: its answer has begun.
+func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
+	c.loop.Post(func(now time.Time) {
+		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request.Route.Priority)
+	})
+}
+
+// end takes a request out of flight and out of its endpoint's queue.
+func (c *Coordinator) end(now time.Time, assignment Assignment, adapter deployment.Adapter, outcome directory.Outcome) {
+	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned)
+	c.directory.End(now, assignment.Endpoint.ID, adapter, outcome)
+}
+
 // Finish takes a request out of flight; missing tells that the endpoint did not hold the adapter.
 func (c *Coordinator) Finish(request *deployment.Request, assignment Assignment, outcome directory.Outcome, missing bool) {
 	c.loop.Post(func(now time.Time) {
-		c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
+		c.end(now, assignment, request.Adapter, outcome)
 		if missing {
 			c.directory.NoteMissing(now, assignment.Endpoint.ID, request.Adapter)
 			c.missing = append(c.missing, wire.Copy{ID: assignment.Endpoint.ID, Model: request.Adapter.Model, Name: request.Adapter.Name})
--- a/services/entry/coordinator/follow/keys.go
+++ b/services/entry/coordinator/follow/keys.go
@@ -4,10 +4,6 @@
 package follow
 
 import (
-	"iter"
-	"time"
-
-	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
 )
 
@@ -57,55 +53,3 @@
 	}
 	return size
 }
-
-// Versions holds the versions of adapters that operators named; it is not safe for concurrent use.
-type Versions struct {
-	named map[deployment.Adapter]namedVersion
-}
-
-// namedVersion is a version that operators named, and when this instance learned it.
-type namedVersion struct {
-	version int64
-	learned time.Time
-}
-
-// NewVersions makes a set in which no version is named.
-func NewVersions() *Versions {
-	return &Versions{named: make(map[deployment.Adapter]namedVersion)}
-}
-
-// Name takes in a version that was named. It tells whether the version is newer: versions only grow.
-func (v *Versions) Name(now time.Time, adapter deployment.Adapter, version int64) bool {
-	if version <= v.named[adapter].version {
-		return false
-	}
-	v.named[adapter] = namedVersion{version: version, learned: now}
-	return true
-}
-
-// Named gives the version that was named last; 0 if none was.
-func (v *Versions) Named(adapter deployment.Adapter) int64 {
-	return v.named[adapter].version
-}
-
-// Demanded gives the lowest version that a new request may begin on, where it may begin on an older one for a limit
-// after the new one was named; 0 allows any. Half of the limit is kept for what happens after the choice. The
-// half was not measured.
-func (v *Versions) Demanded(now time.Time, adapter deployment.Adapter, limit time.Duration) int64 {
-	named, ok := v.named[adapter]
-	if !ok || now.Sub(named.learned) < limit/2 {
-		return 0
-	}
-	return named.version
-}
-
-// All gives each adapter with its named version.
-func (v *Versions) All() iter.Seq2[deployment.Adapter, int64] {
-	return func(yield func(deployment.Adapter, int64) bool) {
-		for adapter, named := range v.named {
-			if !yield(adapter, named.version) {
-				return
-			}
-		}
-	}
-}
--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -75,7 +75,8 @@
 	busyPause = 250 * time.Millisecond
 )
 
-// Refusals of requests for which no endpoint is asked. They are answered and not logged.
+// Refusals of requests for which no endpoint is asked. They are answered and logged, and not counted. BodyTooLarge also ends
+// requests whose bodies tell their size late.
 var (
 	// NoConfiguration: this instance knows no configuration yet.
 	NoConfiguration = Ending{Status: http.StatusServiceUnavailable, Reason: "no configuration yet", RetryAfter: unknownPause}
@@ -99,6 +100,8 @@
 		return Ending{Closing: Abort, Reason: CallerLeft}
 	case s.HeadPassed:
 		return Ending{Closing: Abort, Reason: StreamBrokeOff}
+	case s.BodyTooLarge:
+		return BodyTooLarge
 	case !s.MayHaveRun:
 		return Ending{Status: http.StatusServiceUnavailable, Reason: RefusedByEndpoint, RetryAfter: busyPause}
 	case s.timedOut(now):
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -27,6 +26,8 @@
 	// Acquire waits for an endpoint; Finish must follow the exchange with it.
 	Acquire func(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error)
 	Finish  func(request *deployment.Request, assignment coordinator.Assignment, outcome directory.Outcome, missing bool)
+	// Running tells, at most once before Finish, that the endpoint runs a request that uses a model.
+	Running func(request *deployment.Request, assignment coordinator.Assignment)
 	// CountRequest counts a request for the budget of retries; TakeRetry asks it for one.
 	CountRequest func(service string)
 	TakeRetry    func(service string) bool
@@ -94,10 +95,6 @@
 	return &Service{options: options, control: control, upstream: client, dialect: dialect}
 }
 
-// bufferedBody is the size in bytes up to which a body is held, so that it can be sent again. Larger lets more requests be
-// retried, smaller takes less memory for each of them. Not measured.
-const bufferedBody = 256 << 10
-
 // ServeHTTP serves one request.
 func (s *Service) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	arrived := s.options.Now()
@@ -107,25 +104,39 @@
 	answer := &answerWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now}
 	configuration := s.control.Configuration()
 	if configuration == nil {
-		answer.refuse(attempt.NoConfiguration)
+		s.refuse(answer, incoming, nil, arrived, attempt.NoConfiguration)
 		return
 	}
 	route := configuration.Match(incoming.Host, rawPath(incoming))
 	if route == nil {
-		answer.refuse(attempt.NoRoute)
+		s.refuse(answer, incoming, nil, arrived, attempt.NoRoute)
 		return
 	}
 	if limit := configuration.Limits.MaxHeaderBytes; limit > 0 && headerBytes(incoming) > limit {
-		answer.refuse(attempt.HeaderTooLarge)
+		s.refuse(answer, incoming, route, arrived, attempt.HeaderTooLarge)
 		return
 	}
 	if s.options.Refusing(route.Kind) {
-		answer.refuse(attempt.Stopping)
+		s.refuse(answer, incoming, route, arrived, attempt.Stopping)
 		return
 	}
 	s.serveRoute(answer, incoming, configuration, route, arrived)
 }
 
+// refuse answers and logs a request for which no endpoint is asked; it is not counted. The route is nil where none is known.
+func (s *Service) refuse(answer *answerWriter, incoming *http.Request, route *deployment.Route, arrived time.Time, ending attempt.Ending) {
+	answer.refuse(ending)
+	caller := s.dialect.ReadRequest(incoming.Header)
+	observation := Observation{
+		ID: caller.ID, Adapter: caller.Adapter.String(), Status: answer.status, Reason: string(ending.Reason),
+		First: answer.headAt.Sub(arrived), Whole: s.options.Now().Sub(arrived),
+	}
+	if route != nil {
+		observation.Route = route.Name
+	}
+	s.log(observation)
+}
+
 func (s *Service) serveRoute(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, route *deployment.Route, arrived time.Time) {
 	caller := s.dialect.ReadRequest(incoming.Header)
 	request := &deployment.Request{
@@ -137,7 +148,7 @@
 	}
 	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
 	if errors.Is(err, errBodyTooLarge) {
-		answer.refuse(attempt.BodyTooLarge)
+		s.refuse(answer, incoming, route, arrived, attempt.BodyTooLarge)
 		answer.letReadAnswer(incoming.Body)
 		return
 	}
@@ -166,6 +177,15 @@
 	s.options.Observe(observation)
 }
 
+// loggedBytes bounds each text of a caller's in its log line, in bytes: identifiers are far shorter, and the queue of lines
+// holds as many as any caller sends. Longer finds longer identifiers whole, shorter bounds the memory more. Not measured.
+const loggedBytes = 256
+
+// shortened cuts a caller's text for the log.
+func shortened(text string) string {
+	return text[:min(len(text), loggedBytes)]
+}
+
 func (s *Service) log(o Observation) {
 	level := logrus.InfoLevel
 	if o.Reason != "" {
@@ -175,7 +195,7 @@
 		return
 	}
 	s.options.Log.WithFields(logrus.Fields{
-		"request": o.ID, "route": o.Route, "service": o.Service, "adapter": o.Adapter, "status": o.Status, "reason": o.Reason,
+		"request": shortened(o.ID), "route": o.Route, "service": o.Service, "adapter": shortened(o.Adapter), "status": o.Status, "reason": o.Reason,
 		"attempts": o.Attempts, "first_ms": o.First.Milliseconds(), "whole_ms": o.Whole.Milliseconds(),
 	}).Log(level, "request")
 }
@@ -201,36 +221,3 @@
 	}
 	return incoming.URL.EscapedPath()
 }
-
-var errBodyTooLarge = errors.New("proxy: body too large")
-
-// requestBody is a body held in memory, or its beginning and the rest still to be read.
-type requestBody struct {
-	held   []byte
-	rest   io.Reader
-	length int64
-}
-
-// readBody holds a small body, or the beginning of a large one.
-func readBody(incoming *http.Request, limit int64) (requestBody, error) {
-	if incoming.Body == nil || incoming.Body == http.NoBody {
-		return requestBody{}, nil
-	}
-	if limit > 0 && incoming.ContentLength > limit {
-		return requestBody{}, errBodyTooLarge
-	}
-	held, err := io.ReadAll(io.LimitReader(incoming.Body, bufferedBody))
-	if err != nil {
-		return requestBody{}, err
-	}
-	body := requestBody{held: held, length: incoming.ContentLength}
-	if len(held) < bufferedBody {
-		body.length = int64(len(held))
-		return body, nil
-	}
-	body.rest = incoming.Body
-	if limit > 0 && incoming.ContentLength < 0 {
-		body.rest = io.LimitReader(incoming.Body, limit-int64(len(held)))
-	}
-	return body, nil
-}
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -32,6 +32,7 @@
 		n, err := e.answer.Read(buffer)
 		if n > 0 {
 			silence.Reset(pauseTimeout)
+			e.noteRunning()
 			if !s.passOn(buffer[:n]) {
 				return attempt.NotTaken()
 			}
@@ -39,7 +40,7 @@
 		if errors.Is(err, io.EOF) {
 			return s.end()
 		}
-		if err != nil {
+		if err != nil || s.events.tooLong() {
 			return attempt.JudgeBroken(e.run.situation())
 		}
 	}
