Bind the right to order to the lease under which a pool's key was written

Cause: when the daemon's lease had lapsed at the key-value service, the new one that it got to own another pool moved the right to order on in every pool that it had owned, though their keys had gone with the lapsed lease and may be another's. Change: the owner numbers the leases of its life, and each answer to the node names the one that it is about. A lapse, or an answer under a later lease, ends the pools and the right of the one before at once; each pool is asked for again and ordered in only under its new key. What comes late about an earlier lease is passed over. The owner tells the node of a lapse that it meets while it asks for a pool. A placer weighs its loads anew when its right changes.

--- a/services/daemon/control/lease_test.go
+++ b/services/daemon/control/lease_test.go
@@ -33,9 +33,8 @@
 	}
 }
 
-// TestNewLeaseGivesNoRightToOrderInPoolsOfTheLapsedOne fails as listed in KNOWN-RED.txt: the
-// lease under which the service owned pool x has lapsed; the one that it gets to own pool y
-// is taken for a renewal, and pool x is ordered in without its key.
+// The lease under which the service owned pool x has lapsed; the one that it gets to own pool y gives no right in pool x,
+// which is ordered in again only under a key of its own.
 func TestNewLeaseGivesNoRightToOrderInPoolsOfTheLapsedOne(t *testing.T) {
 	store := standin.NewKV()
 	var renewals atomic.Int64
--- a/services/daemon/control/owner.go
+++ b/services/daemon/control/owner.go
@@ -9,6 +9,8 @@
 	service *Service
 	jobs    chan ownerJob
 	lease   int64
+	// number counts the leases of this life; it names the last of them to the node.
+	number  uint64
 	started bool
 }
 
--- a/services/daemon/control/owner_lease.go
+++ b/services/daemon/control/owner_lease.go
@@ -23,6 +23,7 @@
 		if standing := o.keepAlive(); standing != claim.Lapsed {
 			return sent, standing == claim.Alive
 		}
+		o.lapse()
 	}
 	sent = o.service.options.Now()
 	id, err := o.service.options.KV.Grant(o.service.ctx, o.service.options.Node.Timing.LeaseTTL)
@@ -31,18 +32,27 @@
 		return sent, false
 	}
 	o.lease = id
+	o.number++
 	return sent, true
 }
 
+// lapse tells the node that the lease is gone, with the keys of all pools, before it gets another one.
+func (o *owner) lapse() {
+	o.lease = 0
+	o.service.put(renewedInput{result: node.LeaseResult{Gone: true, Lease: o.number}})
+}
+
 // tryRenew prolongs the lease; where it has lapsed, the next claim of a pool gets a new one.
 func (o *owner) tryRenew() node.LeaseResult {
 	sent := o.service.options.Now()
-	if o.lease == 0 {
-		return claim.Renewal(sent, claim.Lapsed)
+	standing := claim.Lapsed
+	if o.lease != 0 {
+		standing = o.keepAlive()
 	}
-	standing := o.keepAlive()
 	if standing == claim.Lapsed {
 		o.lease = 0
 	}
-	return claim.Renewal(sent, standing)
+	result := claim.Renewal(sent, standing)
+	result.Lease = o.number
+	return result
 }
--- a/services/daemon/control/owner_pool.go
+++ b/services/daemon/control/owner_pool.go
@@ -30,7 +30,7 @@
 	if err != nil || !claim.Holds(answer, o.lease) {
 		return result
 	}
-	result.OK, result.SentAt, result.Formers = true, sent, next.Formers
+	result.OK, result.Lease, result.SentAt, result.Formers = true, o.number, sent, next.Formers
 	return result
 }
 
--- a/services/daemon/node/lease.go
+++ b/services/daemon/node/lease.go
@@ -37,6 +37,8 @@
 type OwnerResult struct {
 	Pool string
 	OK   bool
+	// Lease numbers the lease under which the pool's key was written: the first of this life is 1, each later one more.
+	Lease uint64
 	// SentAt is when the request for the lease behind it was sent, by this node's clock.
 	SentAt time.Time
 	// Formers are the owners before this one that no owner has seen end.
@@ -46,9 +48,12 @@
 // Owned takes the answer to a request for ownership.
 func (n *Node) Owned(now time.Time, r OwnerResult) []Effect {
 	ps := n.pools[r.Pool]
-	if ps == nil || !r.OK {
+	if ps == nil || !r.OK || r.Lease < n.lease.Number() {
 		return nil
 	}
+	if n.lease.Begin(r.Lease) {
+		n.endOrders(now)
+	}
 	if !ps.mine {
 		n.emit(ReleaseOwner{Pool: r.Pool})
 		return n.take()
@@ -86,23 +91,39 @@
 type LeaseResult struct {
 	OK bool
 	// Gone is true where the service no longer knows the lease.
-	Gone   bool
+	Gone bool
+	// Lease numbers the lease, as in OwnerResult.
+	Lease  uint64
 	SentAt time.Time
 }
 
 // Renewed takes the answer to a renewal.
 func (n *Node) Renewed(now time.Time, r LeaseResult) []Effect {
-	if r.Gone {
-		n.lease.Lapse()
-		n.note(now, fleet.Event{Kind: fleet.EventFreeze, Cause: "the lease lapsed; no orders to endpoints without fences"})
-		return n.take()
-	}
-	if r.OK {
+	switch {
+	case r.Gone:
+		if n.lease.Lapse(r.Lease) {
+			n.endOrders(now)
+		}
+	case r.OK && r.Lease == n.lease.Number():
 		n.extend(r.SentAt)
 	}
 	return n.take()
 }
 
+// endOrders takes the right to order from all pools, after the lease under which their keys were written has lapsed: the
+// keys may be others' by now. What is resident is granted on.
+func (n *Node) endOrders(now time.Time) {
+	n.note(now, fleet.Event{Kind: fleet.EventFreeze, Cause: "the lease lapsed; no orders to endpoints without fences"})
+	for _, ps := range n.order {
+		if !ps.mine {
+			continue
+		}
+		for _, e := range ps.unfenced() {
+			ps.placer.AllowOrders(e.Name, time.Time{})
+		}
+	}
+}
+
 // extend moves the placers' right to order on after a renewal that was sent at the given time.
 func (n *Node) extend(sent time.Time) {
 	until := n.lease.Extend(sent)
--- a/services/daemon/node/lease/lease.go
+++ b/services/daemon/node/lease/lease.go
@@ -24,9 +24,12 @@
 	NeverLapses bool
 }
 
-// Lease is the node's one lease at the key-value service, and the pools owned under it.
+// Lease is the node's one lease at the key-value service, and the pools owned under it. After a lapse the node gets
+// another one, of a higher number, which says nothing about the pools of the one before.
 type Lease struct {
-	options    Options
+	options Options
+	// number is that of the lease which the rest is about, or of the next one after a lapse.
+	number     uint64
 	validUntil time.Time
 	renewAt    time.Time
 	owned      map[string]bool
@@ -38,6 +41,22 @@
 	return &Lease{options: o, owned: make(map[string]bool), askAt: make(map[string]time.Time)}
 }
 
+// Number gives the number of the lease; what was answered about one of a lower number came too late.
+func (l *Lease) Number() uint64 {
+	return l.number
+}
+
+// Begin makes the lease of the given number the node's. Pools and right of the one before are gone; it reports true
+// where there were any.
+func (l *Lease) Begin(number uint64) bool {
+	if number <= l.number {
+		return false
+	}
+	had := l.drop()
+	l.number = number
+	return had
+}
+
 // Owns tells whether the pool is owned under the lease.
 func (l *Lease) Owns(pool string) bool {
 	return l.owned[pool]
@@ -58,11 +77,24 @@
 	delete(l.askAt, pool)
 }
 
-// Lapse drops all pools, after the key-value service has forgotten the lease. The
-// right to order is left as it is: it ends by itself, a margin before the lease could.
-func (l *Lease) Lapse() {
-	clear(l.owned)
-	clear(l.askAt)
+// Lapse drops the pools and the right of the lease of the given number, after the key-value service has forgotten it.
+// It reports true where there were any.
+func (l *Lease) Lapse(number uint64) bool {
+	if number < l.number {
+		return false
+	}
+	l.number = number + 1
+	return l.drop()
+}
+
+// drop forgets the pools and the right to order, and reports true where there were any.
+func (l *Lease) drop() bool {
+	had := len(l.owned) > 0 || !l.validUntil.IsZero()
+	for pool := range l.owned {
+		l.Forget(pool)
+	}
+	l.validUntil = time.Time{}
+	return had
 }
 
 // AskDue tells whether to ask for a pool now, and counts it as asked for.
--- a/services/daemon/placement/restriction.go
+++ b/services/daemon/placement/restriction.go
@@ -72,6 +72,8 @@
 	e.leased = true
 	e.owned = e.owned || !until.IsZero()
 	e.ordersUntil = until
+	// A right that begins makes room for loads that found none, one that ends takes it.
+	p.bid.fresh = false
 }
 
 // LoseFence stops all use of an endpoint that obeys another instance, until it is adopted again.
