Name the term in answers about a pool's ownership

Cause: the answer to a request for a pool's ownership named no term: one to a request before a release and a second takeover counted as ownership under the second, whose own request was then never repeated where it had failed. Change: the request names the node's term and its answer repeats it; an answer of another term than the present one owns nothing. An answer that comes while the node does not place the pool still gives the key back. TestHandOverCountsOnlyForTheLifeThatMadeIt and the fuzz test's key-value service name the term.

--- a/services/daemon/control/executor.go
+++ b/services/daemon/control/executor.go
@@ -31,7 +31,7 @@
 		case node.Order:
 			s.spawn(func() { s.order(e) })
 		case node.AcquireOwner:
-			s.owner.acquire(e.Pool)
+			s.owner.acquire(e.Pool, e.Term)
 		case node.ReleaseOwner:
 			s.owner.release(e.Pool)
 		case node.SettleOwner:
--- a/services/daemon/control/owner.go
+++ b/services/daemon/control/owner.go
@@ -17,6 +17,8 @@
 type ownerJob struct {
 	kind ownerJobKind
 	pool string
+	// term is the node's term of the pool, for jobAcquire.
+	term uint64
 }
 
 type ownerJobKind int
@@ -36,7 +38,10 @@
 	return &owner{service: s, jobs: make(chan ownerJob, ownerQueue)}
 }
 
-func (o *owner) acquire(pool string) { o.add(ownerJob{kind: jobAcquire, pool: pool}) }
+func (o *owner) acquire(pool string, term uint64) {
+	o.add(ownerJob{kind: jobAcquire, pool: pool, term: term})
+}
+
 func (o *owner) release(pool string) { o.add(ownerJob{kind: jobRelease, pool: pool}) }
 func (o *owner) settle(pool string)  { o.add(ownerJob{kind: jobSettle, pool: pool}) }
 func (o *owner) renew()              { o.add(ownerJob{kind: jobRenew}) }
@@ -67,7 +72,7 @@
 func (o *owner) do(j ownerJob) {
 	switch j.kind {
 	case jobAcquire:
-		o.service.put(ownedInput{result: o.tryAcquire(j.pool)})
+		o.service.put(ownedInput{result: o.tryAcquire(j.pool, j.term)})
 	case jobRelease:
 		o.tryRelease(j.pool)
 	case jobSettle:
--- a/services/daemon/control/owner_pool.go
+++ b/services/daemon/control/owner_pool.go
@@ -13,8 +13,8 @@
 }
 
 // tryAcquire claims a pool under the lease. Where anything fails the result is not OK, and the node asks again.
-func (o *owner) tryAcquire(pool string) node.OwnerResult {
-	result := node.OwnerResult{Pool: pool}
+func (o *owner) tryAcquire(pool string, term uint64) node.OwnerResult {
+	result := node.OwnerResult{Pool: pool, Term: term}
 	sent, ok := o.ensureLease()
 	if !ok {
 		return result
--- a/services/daemon/node/effect.go
+++ b/services/daemon/node/effect.go
@@ -53,9 +53,10 @@
 	Load     placement.Load
 }
 
-// AcquireOwner asks the key-value service for the ownership of a pool under this node's lease.
+// AcquireOwner asks the key-value service for the ownership of a pool under this node's lease; the answer names the term.
 type AcquireOwner struct {
 	Pool string
+	Term uint64
 }
 
 // ReleaseOwner gives the ownership of a pool back to the key-value service.
--- a/services/daemon/node/lease.go
+++ b/services/daemon/node/lease.go
@@ -25,7 +25,7 @@
 func (n *Node) tickLease(now time.Time) {
 	for _, ps := range n.order {
 		if ps.mine && len(ps.unfenced()) > 0 && n.lease.AskDue(now, ps.pool.Name) {
-			n.emit(AcquireOwner{Pool: ps.pool.Name})
+			n.emit(AcquireOwner{Pool: ps.pool.Name, Term: ps.term})
 		}
 	}
 	if n.lease.RenewDue(now) {
@@ -36,6 +36,8 @@
 // OwnerResult is the key-value service's answer to a request for a pool's ownership.
 type OwnerResult struct {
 	Pool string
+	// Term is that of the request. One of an earlier term may name a key that was given back since.
+	Term uint64
 	OK   bool
 	// Lease numbers the lease under which the pool's key was written: the first of this life is 1, each later one more.
 	Lease uint64
@@ -58,6 +60,9 @@
 		n.emit(ReleaseOwner{Pool: r.Pool})
 		return n.take()
 	}
+	if r.Term != ps.term {
+		return n.take()
+	}
 	if n.lease.Own(r.Pool) {
 		n.succeed(now, ps, r)
 	}
--- a/services/daemon/node/node_test.go
+++ b/services/daemon/node/node_test.go
@@ -140,8 +140,10 @@
 	n.Handle(now, heartbeat(fleet.HeldPool{Pool: "h1/base", Term: 9}))
 	n.Handle(now, fleet.Envelope{From: "i2", Boot: 1, Release: &fleet.Release{Pool: "h1/base", Term: 9}})
 	require.Len(t, n.Pools(now), 1)
+	asked := only[node.AcquireOwner](n.Tick(now))
+	require.Len(t, asked, 1)
 	owned := func(at time.Time, lease uint64, formers ...node.FormerOwner) bool {
-		effects := n.Owned(at, node.OwnerResult{Pool: "h1/base", OK: true, Lease: lease, SentAt: at, Formers: formers})
+		effects := n.Owned(at, node.OwnerResult{Pool: "h1/base", Term: asked[0].Term, OK: true, Lease: lease, SentAt: at, Formers: formers})
 		for _, note := range only[node.Note](effects) {
 			if note.Event.Kind == fleet.EventFreeze && note.Event.Endpoint == "e2" {
 				return false
--- a/tests/fuzz/kv_test.go
+++ b/tests/fuzz/kv_test.go
@@ -74,9 +74,9 @@
 	}
 }
 
-func (k *fakeKV) acquire(n *fakeNode, pool string) {
-	sent := n.clock()
-	result := node.OwnerResult{Pool: pool}
+func (k *fakeKV) acquire(n *fakeNode, a node.AcquireOwner) {
+	sent, pool := n.clock(), a.Pool
+	result := node.OwnerResult{Pool: pool, Term: a.Term}
 	k.call(n, func() {
 		k.lapse()
 		if owner, ok := k.owners[pool]; ok && owner != n.life() {
--- a/tests/fuzz/node_test.go
+++ b/tests/fuzz/node_test.go
@@ -135,7 +135,7 @@
 		case node.Order:
 			w.order(n, e)
 		case node.AcquireOwner:
-			w.kv.acquire(n, e.Pool)
+			w.kv.acquire(n, e)
 		case node.ReleaseOwner:
 			w.kv.release(n, e.Pool)
 		case node.SettleOwner:
