Number a speaker's digests, so that a late one is told from a young one

Cause: a digest did not tell when its speaker made it. One that arrived after a younger one put the hall's revision, speaker and wants back, and one from before a hall's silence brought the hall back in reach. Change: a digest carries its speaker's boot and its number in that life, two additions on the wire that the version before passes over. What is not above the last number taken of that life, or comes of a life that a younger one of the same instance followed, is neither taken nor relayed. The last 8 lives of a hall's speakers are remembered. Digests without a number count as before. Same cause elsewhere: heartbeats carry a stamp, summaries epoch and number, records a revision. A late bid or list of tickets in use is not told from a young one; the next, after 250 ms and 2 s, makes it good (by reading). The entry program's views and reports come over one ordered connection for each pair.

--- a/models/daemon/fleet/fleet_test.go
+++ b/models/daemon/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 )
@@ -110,3 +111,44 @@
 func TestAPlainServicesBaseIsNoModels(t *testing.T) {
 	require.Equal(t, "plain:/search", fleet.PlainBase("/search"))
 }
+
+// earlierDigest is the form of fleet.Digest in the version before digests were numbered.
+type earlierDigest struct {
+	Hall      string              `msgpack:"h"`
+	Instances []fleet.Instance    `msgpack:"i"`
+	Placers   []fleet.PlacerOf    `msgpack:"pl"`
+	Pools     []fleet.PoolSummary `msgpack:"p"`
+	Revision  int64               `msgpack:"r"`
+	Highest   int64               `msgpack:"hi"`
+	Relayed   bool                `msgpack:"re,omitempty"`
+	Speaker   fleet.Instance      `msgpack:"sp"`
+	Age       time.Duration       `msgpack:"a,omitempty"`
+	Wants     []string            `msgpack:"w,omitempty"`
+}
+
+func TestDigestsAreReadByTheVersionBeforeAndItsByThisOne(t *testing.T) {
+	earlier := earlierDigest{
+		Hall: "h2", Placers: []fleet.PlacerOf{{Pool: "h2/base", Term: 3}}, Revision: 4, Highest: 5, Relayed: true,
+		Speaker: fleet.Instance{ID: "j1", Hall: "h2"}, Age: time.Second, Wants: []string{"h1/base"},
+	}
+	data, err := msgpack.Marshal(&earlier)
+	require.NoError(t, err)
+	var d fleet.Digest
+	require.NoError(t, msgpack.Unmarshal(data, &d))
+	require.Equal(t, fleet.Digest{
+		Hall: "h2", Placers: earlier.Placers, Revision: 4, Highest: 5, Relayed: true, Speaker: earlier.Speaker, Age: time.Second, Wants: earlier.Wants,
+	}, d, "it tells neither boot nor number")
+	again, err := msgpack.Marshal(&d)
+	require.NoError(t, err)
+	require.Equal(t, data, again, "and is passed on as it came")
+
+	d.Boot, d.Number = 6, 7
+	data, err = msgpack.Marshal(&d)
+	require.NoError(t, err)
+	var read earlierDigest
+	require.NoError(t, msgpack.Unmarshal(data, &read))
+	require.Equal(t, earlier, read)
+	var own fleet.Digest
+	require.NoError(t, msgpack.Unmarshal(data, &own))
+	require.Equal(t, d, own)
+}
--- a/models/daemon/fleet/message.go
+++ b/models/daemon/fleet/message.go
@@ -82,6 +82,10 @@
 	Age time.Duration `msgpack:"a,omitempty"`
 	// Wants names the receiver's pools of which the sender needs a full summary.
 	Wants []string `msgpack:"w,omitempty"`
+	// Boot is the life of the speaker and Number counts the digests of that life from 1. A speaker of an earlier version
+	// sends neither; its digests count in the order in which they arrive.
+	Boot   uint64 `msgpack:"b,omitempty"`
+	Number uint64 `msgpack:"n,omitempty"`
 }
 
 // PlacerOf names the instance that places a pool.
--- a/services/daemon/node/delayed_digest_test.go
+++ b/services/daemon/node/delayed_digest_test.go
@@ -53,8 +53,6 @@
 	return older, digest(begin.Add(3 * time.Second))
 }
 
-// TestDelayedDigestDoesNotReplaceAYoungerOne fails as listed in KNOWN-RED.txt: nothing
-// tells the order in which a speaker made its digests, and the last to arrive counts.
 func TestDelayedDigestDoesNotReplaceAYoungerOne(t *testing.T) {
 	older, younger := twoDigests(t)
 	n := newNode()
@@ -65,8 +63,7 @@
 	require.EqualValues(t, 1, n.Halls(now)[1].Revision, "the hall has not gone back")
 }
 
-// TestDelayedDigestIsNoSignOfLife fails as listed in KNOWN-RED.txt: a digest that was made
-// before the last one that was heard brings a hall back in reach.
+// A digest that was made before the last one that was heard brings no hall back in reach.
 func TestDelayedDigestIsNoSignOfLife(t *testing.T) {
 	older, younger := twoDigests(t)
 	n := newNode()
--- a/services/daemon/node/digest/hall.go
+++ b/services/daemon/node/digest/hall.go
@@ -18,6 +18,17 @@
 	return ring.Best("speaker/"+hall, candidates)
 }
 
+// rememberedLives is how many lives of a hall's speakers are remembered, so that their late digests are told from new
+// ones; what a life before those said is taken as long gone. Not measured.
+const rememberedLives = 8
+
+// speakerLife is one life of an instance that spoke for a hall, with the number of the last digest of it that was taken.
+type speakerLife struct {
+	id     string
+	boot   uint64
+	number uint64
+}
+
 // Hall is what is known of another hall.
 type Hall struct {
 	name      string
@@ -31,6 +42,8 @@
 	gaps  map[string]bool
 	wants []string
 	turn  int
+	// lives are those that spoke for the hall, in the order in which they began to be heard.
+	lives []speakerLife
 }
 
 // NewHall makes the state of a hall that was never heard; it counts as cut off.
@@ -43,9 +56,42 @@
 	return h.name
 }
 
+// Late tells whether a digest was made before one that was taken already, or by a former life of its speaker. Nothing
+// is known of the order of digests of different speakers, nor of those that are not numbered.
+func (h *Hall) Late(d *fleet.Digest) bool {
+	i := h.lifeOf(d)
+	if d.Number == 0 || i < 0 {
+		return false
+	}
+	// A life that began later has the higher boot, unless the instance's clock was set back.
+	restarted := slices.ContainsFunc(h.lives[i:], func(l speakerLife) bool { return l.id == d.Speaker.ID && l.boot > d.Boot })
+	return restarted || d.Number <= h.lives[i].number
+}
+
+// lifeOf finds the life that made a digest, or -1.
+func (h *Hall) lifeOf(d *fleet.Digest) int {
+	return slices.IndexFunc(h.lives, func(l speakerLife) bool { return l.id == d.Speaker.ID && l.boot == d.Boot })
+}
+
+// remember notes the number of a digest that is taken.
+func (h *Hall) remember(d *fleet.Digest) {
+	if d.Number == 0 {
+		return
+	}
+	if i := h.lifeOf(d); i >= 0 {
+		h.lives[i].number = d.Number
+		return
+	}
+	h.lives = append(h.lives, speakerLife{id: d.Speaker.ID, boot: d.Boot, number: d.Number})
+	if len(h.lives) > rememberedLives {
+		h.lives = slices.Delete(h.lives, 0, 1)
+	}
+}
+
 // Take enters a digest's account of the hall, save its placers and pools. What the hall
 // misses is heard only from its speaker itself: a relayed digest tells it to others.
 func (h *Hall) Take(now time.Time, d *fleet.Digest) {
+	h.remember(d)
 	h.heard = now.Add(-d.Age)
 	if !d.Relayed {
 		h.wants = d.Wants
--- a/services/daemon/node/digest/hall_test.go
+++ b/services/daemon/node/digest/hall_test.go
@@ -153,3 +153,53 @@
 	all := digest.Speaker("h1", []string{"i1", "i2", "i3"})
 	require.Equal(t, all, digest.Speaker("h1", []string{"i3", "i2", "i1"}), "members that know the same choose the same")
 }
+
+// numbered gives a digest of a life of an instance.
+func numbered(id string, boot, number uint64) *fleet.Digest {
+	return &fleet.Digest{Speaker: instance(id), Boot: boot, Number: number}
+}
+
+func TestWhichDigestsAreLate(t *testing.T) {
+	h := digest.NewHall("h2")
+	for _, d := range []*fleet.Digest{numbered("i1", 5, 7), numbered("i1", 6, 1), numbered("i2", 3, 4)} {
+		require.False(t, h.Late(d))
+		h.Take(begin, d)
+	}
+	for _, row := range []struct {
+		name   string
+		digest *fleet.Digest
+		late   bool
+	}{
+		{"the last one once more", numbered("i2", 3, 4), true},
+		{"one before it", numbered("i2", 3, 3), true},
+		{"the next", numbered("i2", 3, 5), false},
+		{"the next of the speaker before", numbered("i1", 6, 2), false},
+		{"one before that", numbered("i1", 6, 1), true},
+		{"the next of a former life", numbered("i1", 5, 8), true},
+		{"the first of a new life", numbered("i1", 7, 1), false},
+		{"the first of a life whose clock was set back", numbered("i1", 2, 1), false},
+		{"of a speaker that does not number them", numbered("i2", 0, 0), false},
+	} {
+		require.Equal(t, row.late, h.Late(row.digest), row.name)
+	}
+}
+
+func TestALifeWhoseClockWasSetBackGoesOnBeingHeard(t *testing.T) {
+	h := digest.NewHall("h2")
+	for _, d := range []*fleet.Digest{numbered("i1", 6, 9), numbered("i1", 2, 1), numbered("i1", 2, 2)} {
+		require.False(t, h.Late(d))
+		h.Take(begin, d)
+	}
+	h.Take(begin, numbered("i1", 4, 1))
+	require.False(t, h.Late(numbered("i1", 6, 10)), "a life that was heard first ends none that goes on")
+}
+
+func TestOnlyTheLastEightLivesOfSpeakersAreRemembered(t *testing.T) {
+	const lives = 10
+	h := digest.NewHall("h2")
+	for boot := uint64(1); boot <= lives; boot++ {
+		h.Take(begin, numbered("i1", boot, 1))
+	}
+	require.True(t, h.Late(numbered("i1", lives-7, 1)))
+	require.False(t, h.Late(numbered("i1", lives-8, 1)), "it is remembered no more")
+}
--- a/services/daemon/node/digest/schedule.go
+++ b/services/daemon/node/digest/schedule.go
@@ -28,6 +28,7 @@
 	sentAt   time.Time
 	fullAt   time.Time
 	told     News
+	number   uint64
 }
 
 // NewSchedule makes a schedule that sends each interval while there is news, and whole
@@ -52,6 +53,7 @@
 func (s *Schedule) Sent(now time.Time, news News) bool {
 	s.sentAt = now
 	s.told = news
+	s.number++
 	whole := now.Sub(s.fullAt) >= s.full
 	if whole {
 		s.fullAt = now
@@ -59,6 +61,11 @@
 	return whole
 }
 
+// Number counts the times that digests were sent.
+func (s *Schedule) Number() uint64 {
+	return s.number
+}
+
 // Hurry makes the next digests due at once.
 func (s *Schedule) Hurry() {
 	s.sentAt = time.Time{}
--- a/services/daemon/node/digests.go
+++ b/services/daemon/node/digests.go
@@ -88,7 +88,7 @@
 			d.Pools = append(d.Pools, s)
 		}
 	}
-	d.Speaker = n.options.Self
+	d.Speaker, d.Boot, d.Number = n.options.Self, n.options.Boot, n.digests.Number()
 	if full || r.WantsInstances() {
 		d.Instances = append(d.Instances, n.members.Known()...)
 	}
@@ -121,11 +121,12 @@
 	return fleet.PlacerOf{Pool: ps.pool.Name, Term: heldTerm(m, ps.pool.Name), Instance: m.Instance}, true
 }
 
-// digest takes another hall's account, and passes it on inside the hall if it came from outside.
+// digest takes another hall's account, and passes it on inside the hall if it came from outside. A late one says
+// nothing of the hall as it is now, nor that it is in reach.
 func (n *Node) digest(now time.Time, e fleet.Envelope) {
 	d := e.Digest
 	r := n.remotes[d.Hall]
-	if r == nil {
+	if r == nil || r.Late(d) {
 		return
 	}
 	r.Take(now, d)
