--- a/services/daemon/placement/endpoint_state.go
+++ b/services/daemon/placement/endpoint_state.go
@@ -118,6 +118,17 @@
 	return len(e.former) > 0
 }
 
+// unloads tells whether an order under way unloads the adapter: until it has ended, neither a list nor the end of
+// another load shows that the adapter stays.
+func (e *endpointState) unloads(ref fleet.AdapterRef) bool {
+	for _, s := range e.slots {
+		if s.state == slotLoading && s.evicting == ref {
+			return true
+		}
+	}
+	return false
+}
+
 // enter counts a ticket.
 func (e *endpointState) enter(t fleet.Ticket, caller string) {
 	e.running++
--- a/services/daemon/placement/inspection.go
+++ b/services/daemon/placement/inspection.go
@@ -126,14 +126,9 @@
 
 // adoptSlot enters an adapter that the endpoint holds and that was not known.
 func (p *Placer) adoptSlot(now time.Time, e *endpointState, ref fleet.AdapterRef) {
-	if e.slots[ref] != nil {
+	if e.slots[ref] != nil || e.unloads(ref) {
 		return
 	}
-	for _, s := range e.slots {
-		if s.state == slotLoading && s.evicting == ref {
-			return
-		}
-	}
 	p.addCopy(e, &slot{adapter: ref, state: slotResident, since: now, lastUsed: now})
 }
 
--- a/services/daemon/placement/load_test.go
+++ b/services/daemon/placement/load_test.go
@@ -72,6 +72,19 @@
 	require.Empty(t, p.Slots(at(16)), "a younger list does")
 }
 
+func TestAnAdapterIsNotLoadedWhereItsUnloadIsUnderWay(t *testing.T) {
+	p := newPlacer(endpoint(2))
+	p.Inspected(at(2), list(1, ref("a"), ref("b")))
+	p.Submit(at(3), request("q1", "c"))
+	order := load(t, p, at(4))
+	require.Equal(t, ref("a"), order.Evict)
+	p.Submit(at(5), request("q2", "a"))
+	_, used := p.UsePermit(at(6))
+	require.False(t, used, "the unload may end after the load, which then finds the adapter there")
+	p.Loaded(at(7), "e1", "e1-1", ref("c"), placement.LoadDone, "")
+	require.Equal(t, ref("a"), load(t, p, at(8)).Adapter)
+}
+
 func TestLostOrderIsGivenUpAfterTheLoadTimeout(t *testing.T) {
 	const ordered, timeout = 2, 30_000
 	for _, row := range []struct {
