Log each failed call to the platform for the ownership of pools

Cause: an error of the key-value service for the lease or a pool, and a stored owner that could not be read, became a plain refusal, a return or a lost renewal without a line. The same held for a call that found no place in the queue and for the platform's list. A call that only the daemon's own stop cut off is not logged.

--- a/services/daemon/control/owner.go
+++ b/services/daemon/control/owner.go
@@ -3,6 +3,8 @@
 
 package control
 
+import "fmt"
+
 // owner keeps this instance's one lease and the pools owned under it, for endpoints
 // that check no fences. One goroutine makes its calls, one after the other.
 type owner struct {
@@ -12,6 +14,9 @@
 	// number counts the leases of this life; it names the last of them to the node.
 	number  uint64
 	started bool
+	// failures is of the goroutine that makes the calls, dropped of the one that asks for them.
+	failures *failureLog
+	dropped  *failureLog
 }
 
 type ownerJob struct {
@@ -30,12 +35,24 @@
 	jobSettle
 )
 
+// ErrQueueFull reports a call for which no place was left among those that wait.
+type ErrQueueFull struct {
+	Waiting int
+}
+
+// Error tells how many calls wait.
+func (e ErrQueueFull) Error() string {
+	return fmt.Sprintf("%d calls wait for the key-value service", e.Waiting)
+}
+
 // ownerQueue bounds the calls that wait for the key-value service; one that finds no place
 // is dropped, and the node asks again. Longer queues answers that come too late. Not measured.
 const ownerQueue = 64
 
 func newOwner(s *Service) *owner {
-	return &owner{service: s, jobs: make(chan ownerJob, ownerQueue)}
+	return &owner{
+		service: s, jobs: make(chan ownerJob, ownerQueue), failures: newFailureLog(s.options), dropped: newFailureLog(s.options),
+	}
 }
 
 func (o *owner) acquire(pool string, term uint64) {
@@ -54,7 +71,14 @@
 	select {
 	case o.jobs <- j:
 	default:
-		// The service is slow; the node asks again.
+		o.dropped.tell(callQueue, j.pool, ErrQueueFull{Waiting: ownerQueue})
+	}
+}
+
+// failed logs a call that failed, unless it was only cut off by the service's own stop.
+func (o *owner) failed(call platformCall, pool string, err error) {
+	if o.service.ctx.Err() == nil {
+		o.failures.tell(call, pool, err)
 	}
 }
 
--- a/services/daemon/control/owner_lease.go
+++ b/services/daemon/control/owner_lease.go
@@ -12,7 +12,12 @@
 
 // keepAlive asks the key-value service to prolong the lease and gives what is known of it after that.
 func (o *owner) keepAlive() claim.Standing {
-	return claim.StandingAfter(o.service.options.KV.KeepAlive(o.service.ctx, o.lease))
+	err := o.service.options.KV.KeepAlive(o.service.ctx, o.lease)
+	standing := claim.StandingAfter(err)
+	if standing == claim.Unclear {
+		o.failed(callKeepAlive, "", err)
+	}
+	return standing
 }
 
 // ensureLease prolongs the lease, or gets a new one where there is none. It gives the time at which the call was sent,
@@ -28,7 +33,7 @@
 	sent = o.service.options.Now()
 	id, err := o.service.options.KV.Grant(o.service.ctx, o.service.options.Node.Timing.LeaseTTL)
 	if err != nil {
-		// The node asks for the pool again.
+		o.failed(callGrant, "", err)
 		return sent, false
 	}
 	o.lease = id
--- a/services/daemon/control/owner_pool.go
+++ b/services/daemon/control/owner_pool.go
@@ -12,7 +12,8 @@
 	return claim.KeysOf(o.service.options.Prefix, pool)
 }
 
-// tryAcquire claims a pool under the lease. Where anything fails the result is not OK, and the node asks again.
+// tryAcquire claims a pool under the lease. Where anything fails, or another instance owns it, the result is not OK, and
+// the node asks again.
 func (o *owner) tryAcquire(pool string, term uint64) node.OwnerResult {
 	result := node.OwnerResult{Pool: pool, Term: term}
 	sent, ok := o.ensureLease()
@@ -27,7 +28,11 @@
 	next := last.Owner.Successor(self.Self.ID, self.Boot)
 	attempt := claim.Attempt{Keys: o.keys(pool), Lease: o.lease, Revision: last.Revision, Owner: next}
 	answer, err := o.service.options.KV.Txn(o.service.ctx, claim.Acquire(attempt))
-	if err != nil || !claim.Holds(answer, o.lease) {
+	if err != nil {
+		o.failed(callAcquire, pool, err)
+		return result
+	}
+	if !claim.Holds(answer, o.lease) {
 		return result
 	}
 	result.OK, result.Lease, result.SentAt, result.Formers = true, o.number, sent, next.Formers
@@ -38,21 +43,31 @@
 func (o *owner) readLast(pool string) (claim.Last, bool) {
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, o.keys(pool).Owner)
 	if err != nil {
+		o.failed(callLast, pool, err)
 		return claim.Last{}, false
 	}
 	last, err := claim.Decode(pair, found)
-	return last, err == nil
+	if err != nil {
+		o.failed(callLast, pool, err)
+		return claim.Last{}, false
+	}
+	return last, true
 }
 
 // tryRelease gives a pool up.
 func (o *owner) tryRelease(pool string) {
 	keys := o.keys(pool)
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, keys.Lease)
-	if err != nil || !found || pair.Lease != o.lease {
+	if err != nil {
+		o.failed(callHeld, pool, err)
+		return
+	}
+	if !found || pair.Lease != o.lease {
 		return
 	}
-	// A failure leaves the key to lapse with the lease.
-	_, _ = o.service.options.KV.Txn(o.service.ctx, claim.Release(keys, pair.ModRevision))
+	if _, err := o.service.options.KV.Txn(o.service.ctx, claim.Release(keys, pair.ModRevision)); err != nil {
+		o.failed(callRelease, pool, err)
+	}
 }
 
 // trySettle writes that the former owners have ended; a failure only makes successors wait for them again.
@@ -62,5 +77,7 @@
 	if !ok || !last.Owner.Is(self.Self.ID, self.Boot) || len(last.Owner.Formers) == 0 {
 		return
 	}
-	_, _ = o.service.options.KV.Txn(o.service.ctx, claim.Settle(o.keys(pool), last.Revision, last.Owner))
+	if _, err := o.service.options.KV.Txn(o.service.ctx, claim.Settle(o.keys(pool), last.Revision, last.Owner)); err != nil {
+		o.failed(callSettle, pool, err)
+	}
 }
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -60,7 +60,7 @@
 	inputQueue = 8192
 	// tickInterval is the time between two ticks of the node, the least time in which it acts
 	// without an input. Longer acts later, shorter spends processor time: at this value a node
-	// of a hall of 40 uses 3.74 ms a second (docs/CAPACITY.md, slopes).
+	// of a hall of 40 uses 3.74 ms a second (docs/CAPACITY.md, slopes). Other values were not measured.
 	tickInterval = 20 * time.Millisecond
 )
 
@@ -223,9 +223,14 @@
 	}
 	ticker := time.NewTicker(s.options.ListEach)
 	defer ticker.Stop()
+	failures := newFailureLog(s.options)
 	for {
-		if list, err := s.options.List(s.ctx); err == nil {
+		list, err := s.options.List(s.ctx)
+		switch {
+		case err == nil:
 			s.put(listedInput{instances: list.Instances(), leaving: list.Leaving()})
+		case s.ctx.Err() == nil:
+			failures.tell(callList, "", err)
 		}
 		select {
 		case <-ticker.C:
--- a/services/daemon/control/service_test.go
+++ b/services/daemon/control/service_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
@@ -53,6 +54,7 @@
 	clock   atomic.Int64
 	calls   chan call
 	journal *journal.Journal
+	lines   *logtest.Hook
 
 	mutex  sync.Mutex
 	status engine.Status
@@ -122,6 +124,11 @@
 }
 
 func newWorldOf(t *testing.T, endpoints []fleet.Endpoint, client *kv.Client, resident ...fleet.AdapterRef) *world {
+	return newWorldWith(t, func(o *control.Options) { o.Node.Endpoints, o.KV = endpoints, client }, resident...)
+}
+
+// newWorldWith makes a world without endpoints or key-value service, save what adjust gives it.
+func newWorldWith(t *testing.T, adjust func(*control.Options), resident ...fleet.AdapterRef) *world {
 	w := &world{
 		t: t, calls: make(chan call, 64), journal: journal.New(1000), fail: make(map[string]error),
 		status: engine.Status{Incarnation: "e1-1", Fence: 7 << 16, Resident: resident},
@@ -129,16 +136,18 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	address := netip.MustParseAddrPort("127.0.0.1:1")
-	w.Service = control.New(control.Options{
+	w.lines = logtest.NewLocal(log)
+	options := control.Options{
 		Node: node.Options{
 			Self: fleet.Instance{ID: "i1", Hall: "h1", Address: address}, Boot: 5, Halls: []string{"h1"},
-			Endpoints: endpoints,
 			Placement: placement.DefaultOptions(), Routing: routing.DefaultOptions(), Membership: membership.DefaultOptions(),
 			Budget: budget.Limits{LoadsPerSecond: 100, AtFullSpeed: 4}, Timing: node.DefaultTiming(),
 		},
-		Dialect: w.dialect(), KV: client,
-		Prefix: "/test", Send: func(fleet.Envelope) {}, Log: logrus.NewEntry(log), Metrics: metric.New(metric.Options{}), Journal: w.journal, Now: w.now,
-	})
+		Dialect: w.dialect(),
+		Prefix:  "/test", Send: func(fleet.Envelope) {}, Log: logrus.NewEntry(log), Metrics: metric.New(metric.Options{}), Journal: w.journal, Now: w.now,
+	}
+	adjust(&options)
+	w.Service = control.New(options)
 	ran := make(chan struct{})
 	go func() {
 		defer close(ran)
