Forget instances that have been silent for long

Cause: a node kept every instance that ever submitted a request or sent a heartbeat, with its address and stamp, and what every member of its hall had ever said of itself. Change: an instance not heard for 10 min (entryMemory) is forgotten, looked for once a minute; what a peer said goes with its membership, which ends after the silence that the members' own timing names.

--- a/services/daemon/node/members.go
+++ b/services/daemon/node/members.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,10 +12,21 @@
 	"github.com/shelfledge/shelfledge/services/daemon/membership"
 )
 
+const (
+	// entryMemory is the silence after which an instance that submitted requests or sent heartbeats is forgotten. An entry
+	// with a waiting request is heard each Timing.Resubmit. Longer answers permits of instances that nobody else names,
+	// shorter takes less memory. Not measured.
+	entryMemory = 10 * time.Minute
+	// entrySweep is the time between two looks for such instances. Longer looks at them less often, shorter forgets them
+	// nearer to their time. Not measured.
+	entrySweep = time.Minute
+)
+
 // entryPeer is what a placer knows of an instance that submits requests.
 type entryPeer struct {
 	instance fleet.Instance
 	stamp    time.Duration
+	heard    time.Time
 }
 
 // peerState is what a peer of the hall last said of itself.
@@ -58,7 +70,7 @@
 // heartbeat takes a peer's heartbeat.
 func (n *Node) heartbeat(now time.Time, e fleet.Envelope) {
 	hb := e.Heartbeat
-	n.learnEntry(hb.Instance, hb.Stamp)
+	n.learnEntry(now, hb.Instance, hb.Stamp)
 	for _, c := range n.members.Heard(now, e.Boot, hb) {
 		n.memberChanged(now, c)
 	}
@@ -79,7 +91,7 @@
 
 // learnEntry remembers where an instance is and the latest of its stamps. An instance that
 // has moved is in a new life, whose clock began anew.
-func (n *Node) learnEntry(i fleet.Instance, stamp time.Duration) {
+func (n *Node) learnEntry(now time.Time, i fleet.Instance, stamp time.Duration) {
 	p, ok := n.entries[i.ID]
 	if !ok {
 		p = &entryPeer{}
@@ -90,6 +102,17 @@
 	}
 	p.instance = i
 	p.stamp = max(p.stamp, stamp)
+	p.heard = now
+}
+
+// tickForget forgets instances that have been silent for long, and what peers said that are members no more.
+func (n *Node) tickForget(now time.Time) {
+	if now.Sub(n.forgot) < entrySweep {
+		return
+	}
+	n.forgot = now
+	maps.DeleteFunc(n.entries, func(_ string, p *entryPeer) bool { return now.Sub(p.heard) > entryMemory })
+	maps.DeleteFunc(n.peers, func(id string, _ *peerState) bool { return n.members.Member(id) == nil })
 }
 
 // sendHeartbeats sends to each peer whose turn has come, with the pools' changes.
--- a/services/daemon/node/node.go
+++ b/services/daemon/node/node.go
@@ -38,6 +38,7 @@
 	watching bool
 	list     *listing.List
 	redo     time.Time
+	forgot   time.Time
 	digests  digest.Schedule
 	effects  []Effect
 }
@@ -133,6 +134,7 @@
 	n.sendDigests(now)
 	n.tickBudget(now)
 	n.tickReconfirm(now)
+	n.tickForget(now)
 	n.chooseWatcher()
 	return n.take()
 }
--- a/services/daemon/node/placing.go
+++ b/services/daemon/node/placing.go
@@ -19,11 +19,11 @@
 func (n *Node) submitted(now time.Time, e fleet.Envelope) {
 	ps := n.pools[e.Submit.Pool]
 	if ps == nil || !ps.mine {
-		n.learnReply(e)
+		n.learnReply(now, e)
 		n.elsewhere(e, e.Submit.Pool)
 		return
 	}
-	n.learnReply(e)
+	n.learnReply(now, e)
 	if ps.takeover.Holds(now) && len(ps.waiting) < maxWaitingTaken {
 		ps.waiting = append(ps.waiting, e)
 		return
@@ -32,9 +32,9 @@
 }
 
 // learnReply remembers where a request's entry is and the latest of its stamps.
-func (n *Node) learnReply(e fleet.Envelope) {
+func (n *Node) learnReply(now time.Time, e fleet.Envelope) {
 	hall := e.Submit.Request.Hall
-	n.learnEntry(fleet.Instance{ID: e.From, Hall: hall, Address: e.Submit.Reply}, e.Submit.Stamp)
+	n.learnEntry(now, fleet.Instance{ID: e.From, Hall: hall, Address: e.Submit.Reply}, e.Submit.Stamp)
 }
 
 // place puts a request before the placer; its deadline is counted from now by this node's clock.
