Do not let instances name one that is gone to each other for ever

Cause: an instance that was forgotten after its silence was known again as soon as a peer named it, which had heard it a moment later; that peer forgot it in turn, and learned it back. Two instances kept every one that had ever been in their hall: memory, probes, and the time after which a loss is noticed, which grows with the members known, grew with each replacement under a new name. Change: a forgotten instance is not taken from what others name for as long again (ForgetAfter); its own heartbeat or the platform's list makes it known at once. Same cause elsewhere: other halls' instances are replaced by each whole digest; in the entry program not looked for.

--- a/services/daemon/membership/members.go
+++ b/services/daemon/membership/members.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,11 +19,13 @@
 	options   Options
 	members   map[string]*Member
 	lastSweep time.Time
+	// forgotten holds when instances were forgotten, for as long as others may still name them.
+	forgotten map[string]time.Time
 }
 
 // New makes a picture that holds only the instance itself.
 func New(self fleet.Instance, o Options) *State {
-	return &State{self: self, options: o, members: make(map[string]*Member)}
+	return &State{self: self, options: o, members: make(map[string]*Member), forgotten: make(map[string]time.Time)}
 }
 
 // SetListed takes the platform's list of the hall's instances, which lags.
@@ -43,6 +46,7 @@
 		return
 	}
 	s.members[i.ID] = &Member{Instance: i, Heard: now}
+	delete(s.forgotten, i.ID)
 }
 
 // Heard takes a heartbeat and gives what it changed. One of a former life of its sender, one older than the last that was
@@ -52,7 +56,9 @@
 		return nil
 	}
 	for _, i := range hb.Known {
-		s.Know(now, i)
+		if _, ok := s.forgotten[i.ID]; !ok {
+			s.Know(now, i)
+		}
 	}
 	s.Know(now, hb.Instance)
 	m := s.members[hb.Instance.ID]
@@ -95,8 +101,8 @@
 	return len(s.members) + 1
 }
 
-// Sweep finds members that have gone silent. A pause of this instance itself is
-// not held against the others.
+// Sweep finds members that have gone silent, and forgets those that have been for long. Others may forget them a little
+// later; until then, what they name is not taken for news. A pause of this instance itself is not held against the others.
 func (s *State) Sweep(now time.Time) []Change {
 	if pause := s.options.ownPause(now, s.lastSweep); pause > 0 {
 		for _, m := range s.members {
@@ -114,8 +120,10 @@
 		}
 		if !m.Alive && !m.Listed && silent > s.options.ForgetAfter {
 			delete(s.members, m.Instance.ID)
+			s.forgotten[m.Instance.ID] = now
 		}
 	}
+	maps.DeleteFunc(s.forgotten, func(_ string, at time.Time) bool { return now.Sub(at) > s.options.ForgetAfter })
 	return changes
 }
 
