Release a pool's key again where the first try failed

Cause: a release that failed left the pool's key "to lapse with the lease". The one lease of a daemon is renewed as long as it owns any pool, so that the key stayed for as long as the daemon lived, and the successor could neither order nor grant on the pool's endpoints without fences. Change: the pools whose release failed are remembered and given up at the next renewal; asking for such a pool again ends that. Same cause elsewhere: a lost settlement only makes successors wait once more; the entry program settles a lost write by reading the record.

--- a/services/daemon/control/owner.go
+++ b/services/daemon/control/owner.go
@@ -3,7 +3,11 @@
 
 package control
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 // owner keeps this instance's one lease and the pools owned under it, for endpoints
 // that check no fences. One goroutine makes its calls, one after the other.
@@ -14,6 +18,8 @@
 	// number counts the leases of this life; it names the last of them to the node.
 	number  uint64
 	started bool
+	// unreleased holds the pools whose release failed.
+	unreleased map[string]bool
 	// failures is of the goroutine that makes the calls, dropped of the one that asks for them.
 	failures *failureLog
 	dropped  *failureLog
@@ -51,7 +57,7 @@
 
 func newOwner(s *Service) *owner {
 	return &owner{
-		service: s, jobs: make(chan ownerJob, ownerQueue), failures: newFailureLog(s.options), dropped: newFailureLog(s.options),
+		service: s, jobs: make(chan ownerJob, ownerQueue), unreleased: make(map[string]bool), failures: newFailureLog(s.options), dropped: newFailureLog(s.options),
 	}
 }
 
@@ -96,12 +102,30 @@
 func (o *owner) do(j ownerJob) {
 	switch j.kind {
 	case jobAcquire:
+		delete(o.unreleased, j.pool)
 		o.service.put(ownedInput{result: o.tryAcquire(j.pool, j.term)})
 	case jobRelease:
-		o.tryRelease(j.pool)
+		o.giveUp(j.pool)
 	case jobSettle:
 		o.trySettle(j.pool)
 	case jobRenew:
 		o.service.put(renewedInput{result: o.tryRenew()})
+		o.releaseAgain()
+	}
+}
+
+// giveUp gives a pool up, or remembers it where that fails: a renewal for other pools keeps its key, too.
+func (o *owner) giveUp(pool string) {
+	if o.tryRelease(pool) {
+		delete(o.unreleased, pool)
+		return
+	}
+	o.unreleased[pool] = true
+}
+
+// releaseAgain gives up the pools whose release failed before.
+func (o *owner) releaseAgain() {
+	for _, pool := range slices.Sorted(maps.Keys(o.unreleased)) {
+		o.giveUp(pool)
 	}
 }
--- a/services/daemon/control/owner_pool.go
+++ b/services/daemon/control/owner_pool.go
@@ -54,20 +54,22 @@
 	return last, true
 }
 
-// tryRelease gives a pool up.
-func (o *owner) tryRelease(pool string) {
+// tryRelease deletes a pool's key under the lease; it gives false where the key may still stand.
+func (o *owner) tryRelease(pool string) bool {
 	keys := o.keys(pool)
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, keys.Lease)
 	if err != nil {
 		o.failed(callHeld, pool, err)
-		return
+		return false
 	}
 	if !found || pair.Lease != o.lease {
-		return
+		return true
 	}
 	if _, err := o.service.options.KV.Txn(o.service.ctx, claim.Release(keys, pair.ModRevision)); err != nil {
 		o.failed(callRelease, pool, err)
+		return false
 	}
+	return true
 }
 
 // trySettle writes that the former owners have ended; a failure only makes successors wait for them again.
