--- a/services/daemon/control/owner_lease.go
+++ b/services/daemon/control/owner_lease.go
@@ -12,7 +12,12 @@
 
 // keepAlive asks the key-value service to prolong the lease and gives what is known of it after that.
 func (o *owner) keepAlive() claim.Standing {
-	return claim.StandingAfter(o.service.options.KV.KeepAlive(o.service.ctx, o.lease))
+	err := o.service.options.KV.KeepAlive(o.service.ctx, o.lease)
+	standing := claim.StandingAfter(err)
+	if standing == claim.Unclear {
+		o.failed(callKeepAlive, "", err)
+	}
+	return standing
 }
 
 // ensureLease prolongs the lease, or gets a new one where there is none. It gives the time at which the call was sent,
@@ -23,26 +28,36 @@
 		if standing := o.keepAlive(); standing != claim.Lapsed {
 			return sent, standing == claim.Alive
 		}
+		o.lapse()
 	}
 	sent = o.service.options.Now()
 	id, err := o.service.options.KV.Grant(o.service.ctx, o.service.options.Node.Timing.LeaseTTL)
 	if err != nil {
-		// The node asks for the pool again.
+		o.failed(callGrant, "", err)
 		return sent, false
 	}
 	o.lease = id
+	o.number++
 	return sent, true
 }
 
+// lapse tells the node that the lease is gone, with the keys of all pools, before it gets another one.
+func (o *owner) lapse() {
+	o.lease = 0
+	o.service.put(renewedInput{result: node.LeaseResult{Gone: true, Lease: o.number}})
+}
+
 // tryRenew prolongs the lease; where it has lapsed, the next claim of a pool gets a new one.
 func (o *owner) tryRenew() node.LeaseResult {
 	sent := o.service.options.Now()
-	if o.lease == 0 {
-		return claim.Renewal(sent, claim.Lapsed)
+	standing := claim.Lapsed
+	if o.lease != 0 {
+		standing = o.keepAlive()
 	}
-	standing := o.keepAlive()
 	if standing == claim.Lapsed {
 		o.lease = 0
 	}
-	return claim.Renewal(sent, standing)
+	result := claim.Renewal(sent, standing)
+	result.Lease = o.number
+	return result
 }
--- a/services/daemon/control/owner_pool.go
+++ b/services/daemon/control/owner_pool.go
@@ -12,9 +12,10 @@
 	return claim.KeysOf(o.service.options.Prefix, pool)
 }
 
-// tryAcquire claims a pool under the lease. Where anything fails the result is not OK, and the node asks again.
-func (o *owner) tryAcquire(pool string) node.OwnerResult {
-	result := node.OwnerResult{Pool: pool}
+// tryAcquire claims a pool under the lease. Where anything fails, or another instance owns it, the result is not OK, and
+// the node asks again.
+func (o *owner) tryAcquire(pool string, term uint64) node.OwnerResult {
+	result := node.OwnerResult{Pool: pool, Term: term}
 	sent, ok := o.ensureLease()
 	if !ok {
 		return result
@@ -27,10 +28,14 @@
 	next := last.Owner.Successor(self.Self.ID, self.Boot)
 	attempt := claim.Attempt{Keys: o.keys(pool), Lease: o.lease, Revision: last.Revision, Owner: next}
 	answer, err := o.service.options.KV.Txn(o.service.ctx, claim.Acquire(attempt))
-	if err != nil || !claim.Holds(answer, o.lease) {
+	if err != nil {
+		o.failed(callAcquire, pool, err)
+		return result
+	}
+	if !claim.Holds(answer, o.lease) {
 		return result
 	}
-	result.OK, result.SentAt, result.Formers = true, sent, next.Formers
+	result.OK, result.Lease, result.SentAt, result.Formers = true, o.number, sent, next.Formers
 	return result
 }
 
@@ -38,21 +43,33 @@
 func (o *owner) readLast(pool string) (claim.Last, bool) {
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, o.keys(pool).Owner)
 	if err != nil {
+		o.failed(callLast, pool, err)
 		return claim.Last{}, false
 	}
 	last, err := claim.Decode(pair, found)
-	return last, err == nil
+	if err != nil {
+		o.failed(callLast, pool, err)
+		return claim.Last{}, false
+	}
+	return last, true
 }
 
-// tryRelease gives a pool up.
-func (o *owner) tryRelease(pool string) {
+// tryRelease deletes a pool's key under the lease; it gives false where the key may still stand.
+func (o *owner) tryRelease(pool string) bool {
 	keys := o.keys(pool)
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, keys.Lease)
-	if err != nil || !found || pair.Lease != o.lease {
-		return
+	if err != nil {
+		o.failed(callHeld, pool, err)
+		return false
+	}
+	if !found || pair.Lease != o.lease {
+		return true
 	}
-	// A failure leaves the key to lapse with the lease.
-	_, _ = o.service.options.KV.Txn(o.service.ctx, claim.Release(keys, pair.ModRevision))
+	if _, err := o.service.options.KV.Txn(o.service.ctx, claim.Release(keys, pair.ModRevision)); err != nil {
+		o.failed(callRelease, pool, err)
+		return false
+	}
+	return true
 }
 
 // trySettle writes that the former owners have ended; a failure only makes successors wait for them again.
@@ -62,5 +79,7 @@
 	if !ok || !last.Owner.Is(self.Self.ID, self.Boot) || len(last.Owner.Formers) == 0 {
 		return
 	}
-	_, _ = o.service.options.KV.Txn(o.service.ctx, claim.Settle(o.keys(pool), last.Revision, last.Owner))
+	if _, err := o.service.options.KV.Txn(o.service.ctx, claim.Settle(o.keys(pool), last.Revision, last.Owner)); err != nil {
+		o.failed(callSettle, pool, err)
+	}
 }
--- a/services/daemon/placement/endpoint_state.go
+++ b/services/daemon/placement/endpoint_state.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
@@ -44,8 +45,10 @@
 	slots       map[fleet.AdapterRef]*slot
 	// using counts the tickets of each adapter, whether or not its slot is known yet: a
 	// ticket may be declared before the slot is found.
-	using       map[fleet.AdapterRef]int
-	loading     int
+	using   map[fleet.AdapterRef]int
+	loading int
+	// former holds until when the orders may arrive in this life that a former life of an endpoint without fences was to get.
+	former      map[formerOrder]time.Time
 	frozenUntil time.Time
 	// ordersUntil is when the right to order ends; the zero time means fences decide.
 	ordersUntil time.Time
@@ -55,16 +58,26 @@
 	owned bool
 	// fenceLost is true from a refusal for the fence until the endpoint is taken again.
 	fenceLost bool
+	// late holds until when unloads of unknown end may still arrive where no fence refuses them.
+	late map[fleet.AdapterRef]time.Time
 	// seen is when the last list that was taken in began to be read.
 	seen time.Time
 }
 
+// formerOrder names an order that was sent to a life of an endpoint which has ended since.
+type formerOrder struct {
+	incarnation string
+	adapter     fleet.AdapterRef
+}
+
 func newEndpointState(spec fleet.Endpoint) *endpointState {
 	return &endpointState{
 		spec:      spec,
 		customers: make(map[string]int),
 		slots:     make(map[fleet.AdapterRef]*slot),
 		using:     make(map[fleet.AdapterRef]int),
+		former:    make(map[formerOrder]time.Time),
+		late:      make(map[fleet.AdapterRef]time.Time),
 	}
 }
 
@@ -73,6 +86,53 @@
 	return e.using[s.adapter] > 0 || s.foreign
 }
 
+// admits tells whether a ticket's request may still start: without fences nothing refuses that of a former life.
+func (e *endpointState) admits(t fleet.Ticket) bool {
+	return !e.spec.ChecksFence || t.Incarnation == e.incarnation
+}
+
+// begin starts a new life. Where fences are checked, nothing of the former one counts any more; elsewhere its tickets
+// and orders do until they have ended, or the given time has passed since they were ordered.
+func (e *endpointState) begin(incarnation string, limit time.Duration) {
+	former := e.incarnation
+	e.incarnation = incarnation
+	e.loading = 0
+	e.uncertain = false
+	if !e.spec.ChecksFence {
+		for ref, s := range e.slots {
+			if s.state == slotLoading {
+				e.former[formerOrder{incarnation: former, adapter: ref}] = s.since.Add(limit)
+			}
+		}
+		return
+	}
+	e.running = 0
+	clear(e.customers)
+	clear(e.using)
+}
+
+// awaitsOrders tells whether an order of a former life may still arrive.
+func (e *endpointState) awaitsOrders(now time.Time) bool {
+	maps.DeleteFunc(e.former, func(_ formerOrder, until time.Time) bool { return !until.After(now) })
+	return len(e.former) > 0
+}
+
+// unloads tells whether an order that may still arrive unloads the adapter: until it has ended, neither a list nor the
+// end of another load shows that the adapter stays.
+func (e *endpointState) unloads(now time.Time, ref fleet.AdapterRef) bool {
+	return e.late[ref].After(now) || e.evicts(ref)
+}
+
+// evicts tells whether an order that has not ended unloads the adapter.
+func (e *endpointState) evicts(ref fleet.AdapterRef) bool {
+	for _, s := range e.slots {
+		if s.state == slotLoading && s.evicting == ref {
+			return true
+		}
+	}
+	return false
+}
+
 // enter counts a ticket.
 func (e *endpointState) enter(t fleet.Ticket, caller string) {
 	e.running++
@@ -116,20 +176,6 @@
 	return !e.uncertain && !now.Before(e.frozenUntil)
 }
 
-// evicting tells whether an order that unloads the adapter is under way: until it is known to have ended it may come at any
-// time, also after an order to load the adapter again.
-func (e *endpointState) evicting(ref fleet.AdapterRef) bool {
-	if ref.IsZero() {
-		return false
-	}
-	for _, s := range e.slots {
-		if s.state == slotLoading && s.evicting == ref {
-			return true
-		}
-	}
-	return false
-}
-
 func (e *endpointState) free() int {
 	return e.spec.MaxBatch - e.running
 }
