Order no base model beside one on its way

A base model's load that the plan did not order, or whose order got no answer, is in no list of the endpoint's report: a planner that had read the count after it ordered another model, at a count that the endpoint still had when the first one came. Where engines serve several base models, both together went beyond the endpoint's memory (LIMIT); with one model, its second order was counted though the endpoint did not. A late description without the model did the same.

A description that lacks a known model has the report read, which decides.

--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -69,6 +69,8 @@
 	copies map[deployment.Adapter]*copyPlan
 	// modelSince is when a base model was brought by an order.
 	modelSince time.Time
+	// modelsDoubted is set while the store's description lacks a base model that the plan knows of.
+	modelsDoubted bool
 	// held are adapters it held before: they load fast.
 	held map[deployment.Adapter]time.Time
 	// dropped are adapters that were unloaded by own orders, and when: a description that
--- a/services/entry/loading/history_endpoint_test.go
+++ b/services/entry/loading/history_endpoint_test.go
@@ -61,14 +61,13 @@
 
 // note keeps the state as of now for later reports.
 func (e *historyEndpoint) note(now time.Time) {
-	report := &loading.Report{Sequence: e.sequence, Models: slices.Clone(e.models), Adapters: make(map[deployment.Adapter]int64)}
+	report := &loading.Report{Sequence: e.sequence, Models: slices.Clone(e.models), Busy: e.coming != "", Adapters: make(map[deployment.Adapter]int64)}
 	for one := range e.resident {
 		report.Adapters[one] = 1
 	}
 	for one := range e.pending {
 		report.Pending = append(report.Pending, one)
 	}
-	setBusy(report, e.coming != "")
 	e.states = append(e.states, endpointState{at: now, report: report})
 }
 
--- a/services/entry/loading/history_search_test.go
+++ b/services/entry/loading/history_search_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/services/entry/loading"
 )
 
 const (
@@ -189,6 +188,3 @@
 	slices.Sort(faults)
 	return slices.Compact(faults)
 }
-
-// setBusy says in a report that an order for a base model is under way.
-func setBusy(*loading.Report, bool) {}
--- a/services/entry/loading/model.go
+++ b/services/entry/loading/model.go
@@ -41,6 +41,47 @@
 	return Order{}, false
 }
 
+// keepModels gives the base models of a description with those that the plan knows of and that it lacks. A description may be
+// from before they came, so that only the endpoint's report makes them forgotten: another one beside them would not fit.
+func (e *endpointPlan) keepModels(now time.Time, described []string) []string {
+	models := slices.Clone(described)
+	for _, model := range e.endpoint.Models {
+		if slices.Contains(described, model) {
+			continue
+		}
+		models = append(models, model)
+		if now.Sub(e.modelSince) >= descriptionLag {
+			e.modelsDoubted, e.inspect = true, true
+		}
+	}
+	return models
+}
+
+// adoptModels takes in the base models that a report lists. While an order for one is under way, the list may be about to change.
+func (p *Planner) adoptModels(now time.Time, plan *endpointPlan, report *Report) {
+	if plan.modelsDoubted && !report.Busy {
+		plan.endpoint.Models = slices.Clone(report.Models)
+		plan.modelsDoubted = false
+	}
+	for _, model := range report.Models {
+		p.modelArrived(now, plan, model)
+	}
+}
+
+// awaitsModel reports whether an endpoint that holds no base model is bringing one that the plan did not order, or whose order
+// was not answered. A second one must not be ordered beside it.
+func (e *endpointPlan) awaitsModel(report *Report) bool {
+	if !report.Busy || len(e.endpoint.Models) > 0 {
+		return false
+	}
+	for adapter := range e.copies {
+		if adapter.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // coldModelLoads counts the base models on their way from the weight store.
 func (p *Planner) coldModelLoads() int {
 	count := 0
--- a/services/entry/loading/order.go
+++ b/services/entry/loading/order.go
@@ -72,6 +72,8 @@
 	Models   []string
 	Adapters map[deployment.Adapter]int64
 	Pending  []deployment.Adapter
+	// Busy says that an order for a base model is under way; adapters do not make an endpoint busy.
+	Busy bool
 }
 
 // Result is the end of an order.
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -78,9 +78,7 @@
 		p.endpoints[endpoint.ID] = plan
 	}
 	plan.suspect = suspect
-	if len(endpoint.Models) == 0 && now.Sub(plan.modelSince) < descriptionLag {
-		endpoint.Models = plan.endpoint.Models
-	}
+	endpoint.Models = plan.keepModels(now, endpoint.Models)
 	plan.endpoint = endpoint
 	for _, model := range endpoint.Models {
 		if _, loading := plan.copies[deployment.Adapter{Model: model}]; loading {
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -57,21 +57,28 @@
 		plan.restUntil = now.Add(answerRest)
 		return
 	}
-	plan.inspect = plan.doubts()
-	if plan.inspect {
-		plan.restUntil = now.Add(answerRest)
+	p.adoptModels(now, plan, result.Report)
+	plan.inspect = false
+	switch {
+	case plan.awaitsModel(result.Report):
+		plan.inspectAfter(now, modelPoll)
+	case plan.modelsDoubted || plan.doubts():
+		plan.inspectAfter(now, answerRest)
 	}
 	for _, c := range plan.copies {
 		if c.state == copyLoading {
 			c.pollAt = laterOf(c.pollAt, now.Add(reportPoll))
 		}
 	}
-	for _, model := range result.Report.Models {
-		p.modelArrived(now, plan, model)
-	}
 	p.changed[plan.endpoint.ID] = true
 }
 
+// inspectAfter has the endpoint's report read after a pause, and no order given before.
+func (e *endpointPlan) inspectAfter(now time.Time, pause time.Duration) {
+	e.inspect = true
+	e.restUntil = now.Add(pause)
+}
+
 // modelArrived takes in that an endpoint holds a base model.
 func (p *Planner) modelArrived(now time.Time, plan *endpointPlan, model string) {
 	delete(plan.copies, deployment.Adapter{Model: model})
--- a/services/entry/loading/stale_test.go
+++ b/services/entry/loading/stale_test.go
@@ -115,3 +115,46 @@
 		})
 	}
 }
+
+// TestNoBaseModelBesideOneOnItsWay is about a planner that takes over while an endpoint brings a base model: the report does not list
+// it yet and its count is right, so that another base model would be ordered beside it.
+func TestNoBaseModelBesideOneOnItsWay(t *testing.T) {
+	p := newPlanner(1)
+	empty := deployment.Endpoint{ID: "e", Service: "s"}
+	p.SetEndpoint(start, empty, nextRevision(), false)
+	p.Done(start, answer(order(t, p, start, loading.Load), loading.Conflict))
+	now := start
+	for range 10 {
+		report := &loading.Report{Sequence: 1, Busy: true}
+		p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+		_, ok := p.Next(now.Add(400*time.Millisecond - 1))
+		assert.False(t, ok, "the report is read again after 400 ms")
+		now = now.Add(400 * time.Millisecond)
+	}
+	report := &loading.Report{Sequence: 1, Models: []string{"base"}}
+	p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+	p.Report(now, "i", waiting(adapter(1)))
+	assert.Equal(t, adapter(1), order(t, p, now.Add(time.Second), loading.Load).Adapter)
+}
+
+// TestADescriptionForgetsNoBaseModel: one that lacks a base model which has been there for long has the report read, which decides.
+func TestADescriptionForgetsNoBaseModel(t *testing.T) {
+	for name, test := range map[string]struct {
+		models []string
+		next   deployment.Adapter
+	}{
+		"it is there": {[]string{"base"}, adapter(1)},
+		"it is gone":  {nil, deployment.Adapter{Model: "base"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlanner(1)
+			p.SetEndpoint(start, described("e"), nextRevision(), false)
+			now := start.Add(time.Minute)
+			p.SetEndpoint(now, deployment.Endpoint{ID: "e", Service: "s"}, nextRevision(), false)
+			p.Report(now, "i", waiting(adapter(1)))
+			report := &loading.Report{Models: test.models}
+			p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+			assert.Equal(t, test.next, order(t, p, now, loading.Load).Adapter)
+		})
+	}
+}
