Remember what is planned for an endpoint whose entry is gone

An endpoint's entry may lapse and be back a little later. The planner forgot the endpoint with its entry and began anew with what the next description lists, while an order to it was under way or still to be carried out: a copy whose unload had got no answer was offered again, and the unload came beside its requests.

What is planned is kept for 13 s (deliveryLimit), for as long as an order may be carried out late; an entry that is back goes on there, after its report was read.

--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// deliveryLimit is how much later than its sending an unanswered order may be carried out; so long a place is kept for it.
+	// deliveryLimit is how much later than its sending an unanswered order may be carried out; so long a place is kept for it, and
+	// an endpoint is remembered whose entry is gone.
 	// Longer wastes places, shorter lets a late order overfill the endpoint. Measured: docs/design/0006-measured.md,
 	// "places kept for unanswered loads"; the length itself was not varied.
 	deliveryLimit = 13 * time.Second
@@ -93,6 +94,8 @@
 	nearlySaturated, saturated bool
 	// suspect endpoints get no new copies.
 	suspect bool
+	// lapsedAt is when the entry was first seen to be gone by Sweep; zero until then.
+	lapsedAt time.Time
 }
 
 // unansweredLoad is a load without an answer. The endpoint takes it, up to deliveryLimit later, if it still has the
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -24,7 +24,9 @@
 	options   Options
 	engine    deployment.Engine
 	endpoints map[deployment.EndpointID]*endpointPlan
-	demand    map[deployment.Adapter]*adapterDemand
+	// lapsed are endpoints without an entry in the store; an entry can be back a little later.
+	lapsed map[deployment.EndpointID]*endpointPlan
+	demand map[deployment.Adapter]*adapterDemand
 	// modelLimiter bounds loads of base models.
 	modelLimiter *windowLimiter
 	// pace bounds loads of adapters.
@@ -45,6 +47,7 @@
 		options:      options,
 		engine:       engine,
 		endpoints:    make(map[deployment.EndpointID]*endpointPlan),
+		lapsed:       make(map[deployment.EndpointID]*endpointPlan),
 		demand:       make(map[deployment.Adapter]*adapterDemand),
 		modelLimiter: newWindowLimiter(options.Rate),
 		pace:         newPace(),
@@ -72,11 +75,7 @@
 // copies. One that is no newer than the last says nothing new of what the endpoint holds: while the
 // store is down, endpoints cannot describe what has been loaded since.
 func (p *Planner) SetEndpoint(now time.Time, endpoint deployment.Endpoint, revision int64, suspect bool) {
-	plan, ok := p.endpoints[endpoint.ID]
-	if !ok {
-		plan = newEndpointPlan(endpoint)
-		p.endpoints[endpoint.ID] = plan
-	}
+	plan := p.introduce(endpoint)
 	plan.suspect = suspect
 	endpoint.Models = plan.keepModels(now, endpoint.Models)
 	plan.endpoint = endpoint
@@ -114,9 +113,45 @@
 	}
 }
 
-// RemoveEndpoint forgets an endpoint.
+// RemoveEndpoint ends the plan of an endpoint whose entry is gone.
 func (p *Planner) RemoveEndpoint(id deployment.EndpointID) {
+	plan, ok := p.endpoints[id]
+	if !ok {
+		return
+	}
 	delete(p.endpoints, id)
+	plan.lapsedAt = time.Time{}
+	p.lapsed[id] = plan
+}
+
+// introduce gives the plan of a described endpoint. One whose entry had lapsed goes on where it was, since an order may be
+// under way to it or may still be carried out; its report is read first.
+func (p *Planner) introduce(endpoint deployment.Endpoint) *endpointPlan {
+	plan, ok := p.endpoints[endpoint.ID]
+	if ok {
+		return plan
+	}
+	plan, ok = p.lapsed[endpoint.ID]
+	if ok {
+		delete(p.lapsed, endpoint.ID)
+		plan.inspect = true
+	} else {
+		plan = newEndpointPlan(endpoint)
+	}
+	p.endpoints[endpoint.ID] = plan
+	return plan
+}
+
+// forgetLapsed forgets the endpoints whose entries were gone for so long that no order to them is carried out any more.
+func (p *Planner) forgetLapsed(now time.Time) {
+	for id, plan := range p.lapsed {
+		switch {
+		case plan.lapsedAt.IsZero():
+			plan.lapsedAt = now
+		case now.Sub(plan.lapsedAt) > deliveryLimit:
+			delete(p.lapsed, id)
+		}
+	}
 }
 
 // RememberHeld notes that an endpoint held adapters before, so that it loads them fast.
@@ -130,8 +165,9 @@
 	}
 }
 
-// Sweep forgets adapters that nobody asks for.
+// Sweep forgets adapters that nobody asks for and endpoints that are gone.
 func (p *Planner) Sweep(now time.Time) {
+	p.forgetLapsed(now)
 	for adapter, known := range p.demand {
 		known.decay(now)
 		if known.perSecond < forgetBelow && len(known.waiting) == 0 && known.version == 0 {
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -32,6 +32,11 @@
 // Done takes in the end of an order.
 func (p *Planner) Done(now time.Time, result Result) {
 	plan, ok := p.endpoints[result.Order.Endpoint.ID]
+	if !ok {
+		plan, ok = p.lapsed[result.Order.Endpoint.ID]
+		// Nobody is told of the copies of an endpoint without an entry.
+		defer delete(p.changed, result.Order.Endpoint.ID)
+	}
 	if !ok {
 		return
 	}
--- a/services/entry/loading/stale_test.go
+++ b/services/entry/loading/stale_test.go
@@ -158,3 +158,32 @@
 		})
 	}
 }
+
+// TestAnUnloadIsRememberedWhileTheEntryIsGone is about an unload without an answer whose endpoint's entry lapses and is back: the planner
+// offered the copy again, and the unload was carried out beside its requests.
+func TestAnUnloadIsRememberedWhileTheEntryIsGone(t *testing.T) {
+	for name, test := range map[string]struct {
+		sweeps  []time.Duration
+		offered int
+	}{
+		"no sweep":         {nil, 3},
+		"at the 13 s":      {[]time.Duration{0, 13 * time.Second}, 3},
+		"just after these": {[]time.Duration{0, 13*time.Second + 1}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := fullPlanner(copyUse{adapter(1): 1, adapter(2): 1, adapter(3): 1})
+			p.Next(start.Add(time.Second))
+			p.ConfirmUnused(start.Add(time.Second), confirmAll)
+			now := start.Add(1100 * time.Millisecond)
+			p.Done(now, answer(order(t, p, now, loading.Unload), loading.Unanswered))
+			p.RemoveEndpoint("e")
+			for _, after := range test.sweeps {
+				p.Sweep(now.Add(after))
+			}
+			p.SetEndpoint(now.Add(time.Minute), described("e", adapter(1), adapter(2), adapter(3), adapter(4)), nextRevision(), false)
+			_, offered := p.Offered("e")
+			assert.Len(t, offered, test.offered)
+			order(t, p, now.Add(time.Minute), loading.Inspect)
+		})
+	}
+}
