--- /dev/null
+++ b/services/entry/loading/adopt_test.go
@@ -0,0 +1,93 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package loading_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/loading"
+)
+
+// inspected answers the inspection that is due with a report.
+func inspected(t *testing.T, p *loading.Planner, now time.Time, report *loading.Report) {
+	t.Helper()
+	p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+}
+
+// TestAFormerPlannersLoadMayBeOneAhead has an unload that did nothing, as a former planner may have had one: the number of its load
+// is then one above the report's, and the place for it is kept after the plan's own number was taken back.
+func TestAFormerPlannersLoadMayBeOneAhead(t *testing.T) {
+	p := fullPlanner(copyUse{adapter(1): 1, adapter(2): 1, adapter(3): 1})
+	p.Next(start.Add(time.Second))
+	p.ConfirmUnused(start.Add(time.Second), confirmAll)
+	now := start.Add(1100 * time.Millisecond)
+	p.Done(now, answer(order(t, p, now, loading.Unload), loading.Holds))
+	p.NoteMissing("e")
+	inspected(t, p, now, &loading.Report{Sequence: 4, Adapters: described("e", adapter(1), adapter(2), adapter(3)).Adapters})
+	p.Report(now, "i", waiting(adapter(9)))
+	_, ok := p.Next(now.Add(100 * time.Millisecond))
+	assert.False(t, ok, "three places are taken and the fourth is kept")
+	after := start.Add(13 * time.Second)
+	p.Report(after, "i", waiting(adapter(9)))
+	assert.Equal(t, adapter(9), order(t, p, after, loading.Load).Adapter, "no order is carried out any more")
+}
+
+// TestALaterReportMovesTheFormerPlannersLoad: more orders than the plan knew of are a former planner's, whose last one may still
+// be on its way.
+func TestALaterReportMovesTheFormerPlannersLoad(t *testing.T) {
+	p := fullPlanner(copyUse{adapter(1): 1, adapter(2): 1, adapter(3): 1})
+	p.NoteMissing("e")
+	inspected(t, p, start, &loading.Report{Sequence: 6, Adapters: described("e", adapter(1), adapter(2), adapter(3)).Adapters})
+	p.Report(start, "i", waiting(adapter(9)))
+	_, ok := p.Next(start.Add(100 * time.Millisecond))
+	assert.False(t, ok, "three places are taken and the fourth is kept")
+}
+
+// TestWhatAReportListsAsOnItsWayIsNotOffered is about an adapter that an old description lists while a load of it runs.
+func TestWhatAReportListsAsOnItsWayIsNotOffered(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e", adapter(1), adapter(2)), nextRevision(), false)
+	report := &loading.Report{Sequence: 6, Adapters: described("e", adapter(1)).Adapters, Pending: []deployment.Adapter{adapter(2)}}
+	inspected(t, p, start, report)
+	_, offered := p.Offered("e")
+	assert.Equal(t, report.Adapters, offered)
+	list, _ := p.Forecasts(start)
+	assert.Len(t, list, 1)
+}
+
+// TestAReportAfterUnknownOrdersDropsWhatItDoesNotList: its lists do not lag behind orders that the plan did not give.
+func TestAReportAfterUnknownOrdersDropsWhatItDoesNotList(t *testing.T) {
+	for sequence, kept := range map[int64]bool{1: true, 2: false} {
+		p := newPlanner(1)
+		p.SetEndpoint(start, described("e"), nextRevision(), false)
+		p.Report(start, "i", waiting(adapter(1)))
+		p.Done(start, answer(order(t, p, start, loading.Load), loading.Accepted))
+		p.Report(start, "i", nil)
+		p.NoteMissing("e")
+		inspected(t, p, start, &loading.Report{Sequence: sequence})
+		list, _ := p.Forecasts(start)
+		assert.Equal(t, kept, len(list) == 1, "at %d", sequence)
+	}
+}
+
+// TestAnOverfullEndpointIsNotPolled: a poll is an order to load, if the endpoint knows nothing of the load.
+func TestAnOverfullEndpointIsNotPolled(t *testing.T) {
+	for resident, kind := range map[int]loading.OrderKind{3: loading.Load, 4: loading.Inspect} {
+		p := newPlanner(1)
+		held := make(map[deployment.Adapter]int64)
+		for number := range resident {
+			held[adapter(number)] = 1
+		}
+		p.SetEndpoint(start, described("e", adapter(0)), nextRevision(), false)
+		inspected(t, p, start, &loading.Report{Sequence: 6, Adapters: held, Pending: []deployment.Adapter{adapter(9)}})
+		next, ok := p.Next(start.Add(time.Second))
+		require.True(t, ok)
+		assert.Equal(t, kind, next.Kind, "%d resident", resident)
+	}
+}
