Order no unload while another one waits for its runs

An endpoint refuses orders while an unload waits for the requests that use its adapter.

Another unload waits now for the first, and a refused one for 100 ms (unloadPoll) after the report was read. The search's endpoint refuses as the platform's does.

--- a/services/entry/loading/adopt_test.go
+++ b/services/entry/loading/adopt_test.go
@@ -91,3 +91,45 @@
 		assert.Equal(t, kind, next.Kind, "%d resident", resident)
 	}
 }
+
+// TestACopyThatOnlyADescriptionListsIsNotUnloaded is about a planner that takes over when the store is back: the descriptions are from
+// before, and the endpoint's own report lists other adapters. An unload of what is not there is done at once and not counted.
+func TestACopyThatOnlyADescriptionListsIsNotUnloaded(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("e", adapter(1), adapter(2), adapter(3), adapter(4)), nextRevision(), false)
+	inspected(t, p, start, &loading.Report{Sequence: 9, Adapters: described("e", adapter(1), adapter(2), adapter(5)).Adapters})
+	_, offered := p.Offered("e")
+	assert.Equal(t, described("e", adapter(1), adapter(2), adapter(5)).Adapters, offered)
+}
+
+// TestOneUnloadAtATime: while one waits for its runs, the endpoint refuses others, which were then ordered again and again.
+func TestOneUnloadAtATime(t *testing.T) {
+	p := fullPlanner(copyUse{})
+	now := start.Add(time.Second)
+	p.Next(now)
+	p.ConfirmUnused(now, confirmAll)
+	unload := order(t, p, now, loading.Unload)
+	p.Next(now.Add(10 * time.Millisecond))
+	p.ConfirmUnused(now.Add(10*time.Millisecond), confirmAll)
+	p.Done(now, answer(unload, loading.Accepted))
+	_, ok := p.Next(now.Add(100*time.Millisecond - 1))
+	assert.False(t, ok, "another one is confirmed as unused")
+	poll := order(t, p, now.Add(100*time.Millisecond), loading.Unload)
+	assert.True(t, poll.Poll)
+	p.Done(now.Add(100*time.Millisecond), answer(poll, loading.Holds))
+	assert.False(t, order(t, p, now.Add(100*time.Millisecond), loading.Unload).Poll)
+}
+
+// TestARefusedUnloadIsOrderedAgainAfterAPause: 100 ms, since another order may be under way.
+func TestARefusedUnloadIsOrderedAgainAfterAPause(t *testing.T) {
+	full := described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters
+	p := fullPlanner(copyUse{})
+	now := start.Add(time.Second)
+	p.Next(now)
+	p.ConfirmUnused(now, confirmAll)
+	p.Done(now, answer(order(t, p, now, loading.Unload), loading.Conflict))
+	inspected(t, p, now, &loading.Report{Sequence: 4, Adapters: full})
+	_, ok := p.Next(now.Add(100*time.Millisecond - 1))
+	assert.False(t, ok, "just before")
+	order(t, p, now.Add(100*time.Millisecond), loading.Unload)
+}
--- a/services/entry/loading/history_endpoint_test.go
+++ b/services/entry/loading/history_endpoint_test.go
@@ -132,7 +132,7 @@
 		return e.idleReply(order)
 	case order.Adapter.IsZero():
 		return e.takeModel(now, order.Adapter.Model)
-	case e.coming != "":
+	case e.coming != "" || (len(e.leaving) > 0 && !e.leaving[order.Adapter]):
 		return loading.Conflict
 	case order.Kind == loading.Load:
 		return e.takeLoad(now, order.Adapter)
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -72,14 +72,14 @@
 	return Order{}, false
 }
 
-// nextUnload unloads what is withdrawn and confirmed as unused.
+// nextUnload unloads what is withdrawn and confirmed as unused. While an unload waits for its runs, the endpoint refuses others.
 func (p *Planner) nextUnload(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
 		if !plan.available(now) || plan.inspect {
 			continue
 		}
 		for adapter, c := range plan.copies {
-			if c.state != copyUnloading || now.Before(c.pollAt) {
+			if c.state != copyUnloading || now.Before(c.pollAt) || (plan.unloading() && !c.accepted) {
 				continue
 			}
 			order := p.order(Unload, plan, adapter)
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -192,6 +192,8 @@
 		c.pollAt = now.Add(unloadPoll)
 	case Conflict:
 		if !result.Order.Poll {
+			// The count may be right: the endpoint also refuses an order while another one is under way.
+			c.pollAt = now.Add(unloadPoll)
 			plan.inspect = true
 			return
 		}
