Pause after an order that was refused at the right count

A planner that takes over does not know of a former one's unload that waits for its runs, during which the endpoint refuses all orders.

Where a report after a refused order has the count that the order named, the next order waits 300 ms (restAfterFailure).

--- a/services/entry/loading/adopt_test.go
+++ b/services/entry/loading/adopt_test.go
@@ -120,16 +120,21 @@
 	assert.False(t, order(t, p, now.Add(100*time.Millisecond), loading.Unload).Poll)
 }
 
-// TestARefusedUnloadIsOrderedAgainAfterAPause: 100 ms, since another order may be under way.
-func TestARefusedUnloadIsOrderedAgainAfterAPause(t *testing.T) {
-	full := described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters
-	p := fullPlanner(copyUse{})
-	now := start.Add(time.Second)
-	p.Next(now)
-	p.ConfirmUnused(now, confirmAll)
-	p.Done(now, answer(order(t, p, now, loading.Unload), loading.Conflict))
-	inspected(t, p, now, &loading.Report{Sequence: 4, Adapters: full})
-	_, ok := p.Next(now.Add(100*time.Millisecond - 1))
-	assert.False(t, ok, "just before")
-	order(t, p, now.Add(100*time.Millisecond), loading.Unload)
+// TestARefusedOrderAtTheRightCountIsFollowedByAPause: 300 ms after the report was read, since another order is under way, such as a
+// former planner's unload that waits for its runs; none where the report has a newer count.
+func TestARefusedOrderAtTheRightCountIsFollowedByAPause(t *testing.T) {
+	for sequence, pause := range map[int64]time.Duration{4: 300 * time.Millisecond, 5: 0} {
+		full := described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters
+		p := fullPlanner(copyUse{})
+		now := start.Add(time.Second)
+		p.Next(now)
+		p.ConfirmUnused(now, confirmAll)
+		p.Done(now, answer(order(t, p, now, loading.Unload), loading.Conflict))
+		inspected(t, p, now, &loading.Report{Sequence: sequence, Adapters: full})
+		if pause > 0 {
+			_, ok := p.Next(now.Add(pause - 1))
+			assert.False(t, ok, "just before")
+		}
+		assert.Equal(t, sequence, order(t, p, now.Add(pause), loading.Unload).ExpectedSequence)
+	}
 }
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -85,6 +85,8 @@
 	busy bool
 	// inspect asks for its report before the next order.
 	inspect bool
+	// refused is set when an order was refused, for its count or for another order under way, until the report is read.
+	refused bool
 	// unanswered are loads without an answer, which may still be carried out.
 	unanswered []unansweredLoad
 	// former is the last load of a former planner, which may still be carried out.
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -58,10 +58,16 @@
 		plan.restUntil = now.Add(restAfterFailure)
 		return
 	}
+	before := plan.count.sequence
 	if !plan.adoptReport(now, result.Report) {
 		plan.restUntil = now.Add(answerRest)
 		return
 	}
+	if plan.refused && plan.count.sequence == before {
+		// The count was right, so that the endpoint has another order under way; or the report is from before that order.
+		plan.restUntil = now.Add(restAfterFailure)
+	}
+	plan.refused = false
 	p.adoptModels(now, plan, result.Report)
 	plan.inspect = false
 	switch {
@@ -113,7 +119,7 @@
 			return
 		}
 		delete(plan.copies, adapter)
-		plan.inspect = true
+		plan.inspect, plan.refused = true, true
 	case NotDelivered, Rejected:
 		if !result.Order.Poll {
 			delete(plan.copies, adapter)
@@ -192,9 +198,7 @@
 		c.pollAt = now.Add(unloadPoll)
 	case Conflict:
 		if !result.Order.Poll {
-			// The count may be right: the endpoint also refuses an order while another one is under way.
-			c.pollAt = now.Add(unloadPoll)
-			plan.inspect = true
+			plan.inspect, plan.refused = true, true
 			return
 		}
 		p.stillUnloading(now, plan, c)
