--- a/services/entry/loading/adopt_test.go
+++ b/services/entry/loading/adopt_test.go
@@ -138,3 +138,39 @@
 		assert.Equal(t, sequence, order(t, p, now.Add(pause), loading.Unload).ExpectedSequence)
 	}
 }
+
+// TestAnUncountedUnloadHidesNoLateLoad is what is suspected of a day with a store that was down: a planner takes over with a description of
+// before, unloads what only that lists, and counts this though the endpoint does not. A load of the former planner, carried out late, then
+// brings the endpoint to the same count, and the next load went beyond the places.
+func TestAnUncountedUnloadHidesNoLateLoad(t *testing.T) {
+	e := newHistoryEndpoint(start, "e", endpointRules{}, engine, "base")
+	e.sequence = 4
+	for number := 1; number <= 3; number++ {
+		e.resident[adapter(number)] = true
+	}
+	e.note(start)
+	use := copyUse{adapter(1): 1, adapter(2): 1, adapter(3): 1}
+	p := loading.NewPlanner(engine, loading.Options{Rate: rate, Random: func() float64 { return 0 }, Uses: use.of})
+	p.SetEndpoint(start, described("e", adapter(1), adapter(2), adapter(9)), nextRevision(), false)
+	late := loading.Order{Kind: loading.Load, Endpoint: described("e"), Adapter: adapter(7), ExpectedSequence: 4}
+	for step := range 100 {
+		now := start.Add(time.Duration(step) * 20 * time.Millisecond)
+		if step == 25 {
+			require.Equal(t, loading.Accepted, e.take(now, late, true))
+			p.Report(now, "i", waiting(adapter(8)))
+		}
+		p.ConfirmUnused(now, confirmAll)
+		for {
+			next, ok := p.Next(now)
+			if !ok {
+				break
+			}
+			if next.Kind == loading.Inspect {
+				p.Done(now, loading.Result{Order: next, Reply: loading.Inspected, Report: e.reportAsOf(now)})
+				continue
+			}
+			p.Done(now, answer(next, e.take(now, next, false)))
+		}
+	}
+	assert.Empty(t, e.faults)
+}
