--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -10,13 +10,18 @@
 )
 
 const (
-	// deliveryLimit is how much later than its sending an unanswered order may be carried out; so long a place is kept for it.
+	// deliveryLimit is how much later than its sending an unanswered order may be carried out; so long a place is kept for it, and
+	// an endpoint is remembered whose entry is gone.
 	// Longer wastes places, shorter lets a late order overfill the endpoint. Measured: docs/design/0006-measured.md,
 	// "places kept for unanswered loads"; the length itself was not varied.
 	deliveryLimit = 13 * time.Second
 	// descriptionLag is how long the description of an endpoint in the store may lag behind what it holds. Longer trusts
 	// the plan's own orders for longer, shorter takes in sooner what the endpoint dropped by itself. Not measured.
 	descriptionLag = 3 * time.Second
+	// formerAhead is how far the sequence that a former planner's last load names may be ahead of the endpoint's report: by an
+	// unload that it counted and the endpoint did not. More keeps a place for longer after a takeover. Not measured: it is the
+	// most that one order can make.
+	formerAhead = 1
 	// reportLag is how long an endpoint's own report may lag behind what it holds; some 100 ms were seen (docs/incidents,
 	// hunt-14a9-7). Longer trusts own orders for longer. Not measured itself.
 	reportLag = 500 * time.Millisecond
@@ -34,6 +39,8 @@
 	copyWithdrawn
 	// copyUnloading: it is confirmed as unused; its unload is to be ordered, or was ordered and has not ended.
 	copyUnloading
+	// copyDoubted: a description and the plan differ on it. It takes a place and gets no requests, until a report tells.
+	copyDoubted
 )
 
 // copyPlan is one adapter on one endpoint.
@@ -62,11 +69,13 @@
 	endpoint deployment.Endpoint
 	// revision is the store's revision of the description last taken in.
 	revision int64
-	// sequence counts the orders that it has taken.
-	sequence int64
-	copies   map[deployment.Adapter]*copyPlan
+	// count is what is known of the orders that it has taken.
+	count  orderCount
+	copies map[deployment.Adapter]*copyPlan
 	// modelSince is when a base model was brought by an order.
 	modelSince time.Time
+	// modelsDoubted is set while the store's description lacks a base model that the plan knows of.
+	modelsDoubted bool
 	// held are adapters it held before: they load fast.
 	held map[deployment.Adapter]time.Time
 	// dropped are adapters that were unloaded by own orders, and when: a description that
@@ -76,8 +85,12 @@
 	busy bool
 	// inspect asks for its report before the next order.
 	inspect bool
+	// refused is set when an order was refused, for its count or for another order under way, until the report is read.
+	refused bool
 	// unanswered are loads without an answer, which may still be carried out.
 	unanswered []unansweredLoad
+	// former is the last load of a former planner, which may still be carried out.
+	former unansweredLoad
 	// reportRead is set once the endpoint's own report was read.
 	reportRead bool
 	// silentUntil is until when orders are expected to stay unanswered.
@@ -89,6 +102,8 @@
 	nearlySaturated, saturated bool
 	// suspect endpoints get no new copies.
 	suspect bool
+	// lapsedAt is when the entry was first seen to be gone by Sweep; zero until then.
+	lapsedAt time.Time
 }
 
 // unansweredLoad is a load without an answer. The endpoint takes it, up to deliveryLimit later, if it still has the
@@ -107,16 +122,24 @@
 func (e *endpointPlan) pruneUnanswered(now time.Time) {
 	kept := e.unanswered[:0]
 	for _, one := range e.unanswered {
-		if one.sequence >= e.sequence && now.Before(one.until) {
+		if one.sequence >= e.count.before && now.Before(one.until) {
 			kept = append(kept, one)
 		}
 	}
 	e.unanswered = kept
+	if !now.Before(e.former.until) {
+		e.former = unansweredLoad{}
+	}
 }
 
-// taken is the number of places that are taken or must be kept, as of the last pruneUnanswered.
+// taken is the number of places that are taken or must be kept, as of the last pruneUnanswered. A former planner's load at
+// the plan's own count needs no place: the endpoint takes only one order at it.
 func (e *endpointPlan) taken() int {
-	return len(e.copies) + len(e.unanswered)
+	taken := len(e.copies) + len(e.unanswered)
+	if e.former.sequence > e.count.sequence {
+		taken++
+	}
+	return taken
 }
 
 func newEndpointPlan(endpoint deployment.Endpoint) *endpointPlan {
@@ -150,58 +173,3 @@
 	}
 	return false
 }
-
-// adopt takes in what the endpoint itself says it holds; recent results of own orders
-// go before it.
-func (e *endpointPlan) adopt(now time.Time, adapters map[deployment.Adapter]int64, lag time.Duration) {
-	for adapter, version := range adapters {
-		known, ok := e.copies[adapter]
-		if !ok {
-			if at, dropped := e.dropped[adapter]; dropped && now.Sub(at) < lag {
-				continue
-			}
-			e.copies[adapter] = &copyPlan{state: copyResident, version: version, since: now}
-			continue
-		}
-		if known.state == copyLoading {
-			known.state, known.since = copyResident, now
-		}
-		if version > known.version {
-			known.version = version
-		}
-	}
-	for adapter, known := range e.copies {
-		if _, listed := adapters[adapter]; listed || adapter.IsZero() || known.state == copyLoading || now.Sub(known.since) < lag {
-			continue
-		}
-		delete(e.copies, adapter)
-	}
-}
-
-// adoptReport takes in a report, which also says what is still to come; false if it is older than
-// what the results of own orders have shown, since a sequence never falls.
-func (e *endpointPlan) adoptReport(now time.Time, report *Report) bool {
-	if report.Sequence < e.sequence {
-		return false
-	}
-	e.sequence = report.Sequence
-	if !e.reportRead {
-		// A former planner's last order may still be carried out.
-		e.reportRead = true
-		e.addUnanswered(now, report.Sequence)
-	}
-	e.adopt(now, report.Adapters, reportLag)
-	pending := make(map[deployment.Adapter]bool, len(report.Pending))
-	for _, adapter := range report.Pending {
-		pending[adapter] = true
-		if _, ok := e.copies[adapter]; !ok {
-			e.copies[adapter] = &copyPlan{state: copyLoading, since: now, cold: true, pollAt: now.Add(loadPoll)}
-		}
-	}
-	for adapter, known := range e.copies {
-		if known.state == copyLoading && !adapter.IsZero() && !pending[adapter] && now.Sub(known.since) > reportLag {
-			delete(e.copies, adapter)
-		}
-	}
-	return true
-}
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -34,7 +34,7 @@
 }
 
 func (p *Planner) order(kind OrderKind, plan *endpointPlan, adapter deployment.Adapter) Order {
-	return Order{Kind: kind, Endpoint: plan.endpoint, Adapter: adapter, ExpectedSequence: plan.sequence}
+	return Order{Kind: kind, Endpoint: plan.endpoint, Adapter: adapter, ExpectedSequence: plan.count.sequence}
 }
 
 // available reports whether an order may be sent to an endpoint now.
@@ -60,7 +60,8 @@
 			if c.state != copyLoading || now.Before(c.pollAt) {
 				continue
 			}
-			if now.Before(plan.silentUntil) {
+			if now.Before(plan.silentUntil) || len(plan.copies) > p.capacity(&plan.endpoint) {
+				// A poll is an order to load, if the endpoint knows nothing of it.
 				return p.order(Inspect, plan, deployment.Adapter{}), true
 			}
 			order := p.order(Load, plan, adapter)
@@ -71,14 +72,14 @@
 	return Order{}, false
 }
 
-// nextUnload unloads what is withdrawn and confirmed as unused.
+// nextUnload unloads what is withdrawn and confirmed as unused. While an unload waits for its runs, the endpoint refuses others.
 func (p *Planner) nextUnload(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
 		if !plan.available(now) || plan.inspect {
 			continue
 		}
 		for adapter, c := range plan.copies {
-			if c.state != copyUnloading || now.Before(c.pollAt) {
+			if c.state != copyUnloading || now.Before(c.pollAt) || (plan.unloading() && !c.accepted) {
 				continue
 			}
 			order := p.order(Unload, plan, adapter)
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -32,6 +32,11 @@
 // Done takes in the end of an order.
 func (p *Planner) Done(now time.Time, result Result) {
 	plan, ok := p.endpoints[result.Order.Endpoint.ID]
+	if !ok {
+		plan, ok = p.lapsed[result.Order.Endpoint.ID]
+		// Nobody is told of the copies of an endpoint without an entry.
+		defer delete(p.changed, result.Order.Endpoint.ID)
+	}
 	if !ok {
 		return
 	}
@@ -53,22 +58,38 @@
 		plan.restUntil = now.Add(restAfterFailure)
 		return
 	}
+	before := plan.count.sequence
 	if !plan.adoptReport(now, result.Report) {
 		plan.restUntil = now.Add(answerRest)
 		return
 	}
+	if plan.refused && plan.count.sequence == before {
+		// The count was right, so that the endpoint has another order under way; or the report is from before that order.
+		plan.restUntil = now.Add(restAfterFailure)
+	}
+	plan.refused = false
+	p.adoptModels(now, plan, result.Report)
 	plan.inspect = false
+	switch {
+	case plan.awaitsModel(result.Report):
+		plan.inspectAfter(now, modelPoll)
+	case plan.modelsDoubted || plan.doubts():
+		plan.inspectAfter(now, answerRest)
+	}
 	for _, c := range plan.copies {
 		if c.state == copyLoading {
 			c.pollAt = laterOf(c.pollAt, now.Add(reportPoll))
 		}
 	}
-	for _, model := range result.Report.Models {
-		p.modelArrived(now, plan, model)
-	}
 	p.changed[plan.endpoint.ID] = true
 }
 
+// inspectAfter has the endpoint's report read after a pause, and no order given before.
+func (e *endpointPlan) inspectAfter(now time.Time, pause time.Duration) {
+	e.inspect = true
+	e.restUntil = now.Add(pause)
+}
+
 // modelArrived takes in that an endpoint holds a base model.
 func (p *Planner) modelArrived(now time.Time, plan *endpointPlan, model string) {
 	delete(plan.copies, deployment.Adapter{Model: model})
@@ -90,7 +111,7 @@
 	case Holds:
 		p.becomeResident(now, plan, adapter, c)
 	case Accepted:
-		plan.noteTaken(result.Order)
+		plan.noteTaken(now, result.Order)
 		p.stillLoading(now, plan, adapter, c)
 	case Conflict:
 		if result.Order.Poll {
@@ -98,7 +119,7 @@
 			return
 		}
 		delete(plan.copies, adapter)
-		plan.inspect = true
+		plan.inspect, plan.refused = true, true
 	case NotDelivered, Rejected:
 		if !result.Order.Poll {
 			delete(plan.copies, adapter)
@@ -119,9 +140,9 @@
 }
 
 // noteTaken counts an order that the endpoint has taken; a poll asks about one that it took before.
-func (e *endpointPlan) noteTaken(order Order) {
+func (e *endpointPlan) noteTaken(now time.Time, order Order) {
 	if !order.Poll {
-		e.sequence = order.ExpectedSequence + 1
+		e.count.noteTaken(now, order)
 	}
 }
 
@@ -164,18 +185,20 @@
 	}
 	switch result.Reply {
 	case Holds:
-		plan.noteTaken(result.Order)
+		if !result.Order.Poll {
+			plan.count.noteUnloaded(now, result.Order)
+		}
 		plan.held[result.Order.Adapter] = now
 		plan.dropped[result.Order.Adapter] = now
 		delete(plan.copies, result.Order.Adapter)
 		p.changed[plan.endpoint.ID] = true
 	case Accepted:
-		plan.noteTaken(result.Order)
+		plan.noteTaken(now, result.Order)
 		c.accepted = true
 		c.pollAt = now.Add(unloadPoll)
 	case Conflict:
 		if !result.Order.Poll {
-			plan.inspect = true
+			plan.inspect, plan.refused = true, true
 			return
 		}
 		p.stillUnloading(now, plan, c)
