Bound what waits for a peer of the daemon in bytes and in age

Cause: the queue to each peer was bounded by count alone, 4,096 envelopes of up to 32 MiB; a send had no limit of time, so that a peer that took nothing held its queue for as long as its connection lived; and what had waited was sent however old it was, while receivers count the age of what they hear from its arrival. Change: 2 MiB may wait for a peer (fleet.Envelope.Size estimates an envelope; the last one taken may go over it, so that no message is too large), none longer than 2 s, and a send that takes longer than 3 s and what its bytes take at 1 Mbit/s ends the connection, which is made anew. What is dropped counts in shelfledge_peer_messages_dropped as before. Nothing changes on the wire. Not changed: gRPC keeps one message more for each stream, and small messages to a peer whose machine is gone wait in gRPC and in the kernel until 64 KiB of them are under way.

--- a/modules/daemon/peerlink/doc.go
+++ b/modules/daemon/peerlink/doc.go
@@ -2,7 +2,8 @@
 // SPDX-License-Identifier: MIT
 
 // Package peerlink carries envelopes between instances over gRPC, one stream in each direction, with msgpack as the
-// codec. A message may be lost: when a peer is not connected, or does not keep up, it is dropped and counted.
+// codec. A message may be lost: when a peer is not connected, or does not keep up, it is dropped and counted. What waits for
+// a peer is bounded in number, bytes and age, and so is the time of one send.
 //
 // The entry program has modules/entry/peerstream in its place: its instances speak another protocol, two kinds of
 // messages over one TCP connection, and gRPC linked in would cost memory on each of them
--- a/modules/daemon/peerlink/link.go
+++ b/modules/daemon/peerlink/link.go
@@ -32,6 +32,8 @@
 	ClientCredentials credentials.TransportCredentials
 	// Blocked, if set, keeps messages to an address from leaving, for tests of cuts.
 	Blocked func(to netip.AddrPort) bool
+	// Now is the clock by which what waits grows old; nil stands for time.Now.
+	Now func() time.Time
 }
 
 // Links hold the streams to all peers; they are safe for concurrent use.
@@ -44,28 +46,44 @@
 	dropped atomic.Int64
 }
 
-// None of these was measured.
 const (
 	// queueLength is how many envelopes wait for one peer: more bridge a longer stall, for memory and for older messages.
+	// Not measured.
 	queueLength = 4096
-	// maxMessage bounds one message, in bytes; the largest is a snapshot of the configuration.
-	maxMessage = 32 << 20
-	// idleLife is how long the stream to a peer is kept to which nothing is sent.
+	// queueBytes is how many bytes may wait for one peer before further envelopes are dropped, 2 MiB by fleet.Envelope.Size: the
+	// snapshots of some catalogs of 5,000 adapters, 0.3 MB each, and 1.7 s of a link of 10 Mbit/s, after which a message is old.
+	// The last one taken may go over it, so that no message is too large to be sent. Not measured.
+	queueBytes = 2097152
+	// oldest is how long an envelope may have waited and still be sent: receivers count its age from its arrival, so that more
+	// lets old news pass for new, and less drops what a large message ahead of it holds up on a slow link, for queueBytes 1.7 s.
+	// Not measured.
+	oldest = 2 * time.Second
+	// sendBase and slowestLink bound how long one send may take, which waits until the one before it has left: sendBase and what the
+	// bytes of both take at slowestLink, in bytes a second, a tenth of a link of 10 Mbit/s. More bears longer stalls of a peer,
+	// less notices sooner that it takes nothing; its connection is then made anew. Not measured.
+	sendBase    = 3 * time.Second
+	slowestLink = 125_000
+	// maxMessage bounds one message, in bytes, 32 MiB; the largest is a snapshot of the configuration. Not measured.
+	maxMessage = 33554432
+	// idleLife is how long the stream to a peer is kept to which nothing is sent. Not measured.
 	idleLife = 2 * time.Minute
 	// reconnectWait is the wait before the first new try of a connection; each further one is backoffGrowth times longer, up to
-	// maxBackoff, and varies by the part backoffJitter of itself so that peers do not come back all at once.
+	// maxBackoff, and varies by the part backoffJitter of itself so that peers do not come back all at once. Not measured.
 	reconnectWait = 100 * time.Millisecond
 	backoffGrowth = 1.6
 	backoffJitter = 0.3
 	maxBackoff    = time.Second
 	// serverPing is the time without messages after which a peer is asked whether it lives, serverPingTimeout how long the
-	// answer may take.
+	// answer may take. Not measured.
 	serverPing        = 20 * time.Second
 	serverPingTimeout = 10 * time.Second
 )
 
 // New makes links that receive on the listener.
 func New(listener net.Listener, o Options) *Links {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	l := &Links{options: o, peers: make(map[netip.AddrPort]*peer)}
 	creds := o.ServerCredentials
 	if creds == nil {
@@ -105,9 +123,7 @@
 	if p == nil {
 		return
 	}
-	select {
-	case p.queue <- e:
-	default:
+	if !p.enqueue(e, l.options.Now()) {
 		l.dropped.Add(1)
 	}
 }
@@ -122,7 +138,7 @@
 		return p
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &peer{links: l, address: to, queue: make(chan fleet.Envelope, queueLength), cancel: cancel}
+	p := &peer{links: l, address: to, queue: make(chan queued, queueLength), cancel: cancel}
 	l.peers[to] = p
 	go p.run(ctx)
 	return p
