Send a large configuration to an asker once, and to few at a time

Cause: an instance that is behind asked each 100 ms, whoever was ahead, also while an answer was under way to it; each request had the whole answer encoded anew by the control goroutine, and nothing noted what was sent, so that one instance that is ahead sent its configuration to all askers at the same time, and several sent it to one. Change: answers of up to 4 KiB go out as before. For a larger one the asker is first told how many bytes are coming (a new field of Records, read over by the version before) and asks again when a link of 10 Mbit/s would have brought them; where it is told nothing, its requests grow rare, from 100 to 800 ms. The instance that is asked notes what is under way to each asker until that names the revision or the time is over, sends while less than 1 MiB is under way to all, and the others in the order of their asking.

--- a/models/daemon/catalog/history.go
+++ b/models/daemon/catalog/history.go
@@ -29,6 +29,9 @@
 type History struct {
 	records []storedRecord
 	bytes   int
+	// snapshot is the stored form of a catalog that was passed on, kept while that one is in force.
+	snapshot   []byte
+	snapshotOf *Catalog
 }
 
 type storedRecord struct {
@@ -57,7 +60,7 @@
 		return nil, nil, nil
 	}
 	if len(h.records) == 0 || h.records[0].record.Revision > revision+1 {
-		snapshot, err := EncodeSnapshot(current)
+		snapshot, err := h.snapshotFor(current)
 		return snapshot, nil, err
 	}
 	var out [][]byte
@@ -69,10 +72,28 @@
 	return nil, out, nil
 }
 
+// snapshotFor gives the stored form of a catalog, which is made once.
+func (h *History) snapshotFor(current *Catalog) ([]byte, error) {
+	if h.snapshotOf == current {
+		return h.snapshot, nil
+	}
+	snapshot, err := EncodeSnapshot(current)
+	if err != nil {
+		return nil, err
+	}
+	h.snapshot, h.snapshotOf = snapshot, current
+	return snapshot, nil
+}
+
 // Advance applies a snapshot, if newer than the current catalog, and the records
 // that follow; what is old already is passed over. It gives nil where nothing changed.
 func (h *History) Advance(current *Catalog, snapshot []byte, records [][]byte, allowLower bool) (*Catalog, error) {
 	next := current
+	defer func() {
+		if next != current {
+			h.snapshot, h.snapshotOf = nil, nil
+		}
+	}()
 	if len(snapshot) > 0 {
 		c, err := DecodeSnapshot(snapshot)
 		if err != nil {
--- a/models/daemon/fleet/message.go
+++ b/models/daemon/fleet/message.go
@@ -181,4 +181,6 @@
 	Head     int64    `msgpack:"h"`
 	Snapshot []byte   `msgpack:"s,omitempty"`
 	Records  [][]byte `msgpack:"r,omitempty"`
+	// Coming tells that nothing is in this message, but some bytes are under way: ask again after the time that they take.
+	Coming int `msgpack:"c,omitempty"`
 }
--- a/services/daemon/node/configuration.go
+++ b/services/daemon/node/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/shelfledge/shelfledge/models/daemon/catalog"
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/services/daemon/node/followed"
 	"github.com/shelfledge/shelfledge/services/daemon/placement"
 )
 
@@ -18,18 +19,55 @@
 	}
 }
 
-// wanted passes configuration on to a peer that is behind.
+// wanted passes configuration on to a peer that is behind: what is small at once, what is large in its turn.
 func (n *Node) wanted(now time.Time, e fleet.Envelope) {
 	to, ok := n.instanceOf(e.From)
 	if !ok {
 		return
 	}
-	records, err := n.config.After(e.WantRecords.After)
-	if err != nil {
-		n.note(now, fleet.Event{Kind: fleet.EventRevisionBehind, Other: e.From, Cause: err.Error()})
+	asker := followed.Asker{ID: e.From, Boot: e.Boot, After: e.WantRecords.After}
+	records, ok := n.recordsFor(now, asker)
+	if !ok {
 		return
 	}
-	n.send(to, fleet.Envelope{Records: records})
+	size := records.Size()
+	if size <= followed.SmallAnswer {
+		n.send(to, fleet.Envelope{Records: records})
+		return
+	}
+	n.answers.Ask(now, asker, size)
+	n.sendAnswers(now)
+	if coming := n.answers.Coming(now, asker.ID); coming > 0 {
+		n.send(to, fleet.Envelope{Records: &fleet.Records{Head: n.config.Revision(), Coming: coming}})
+	}
+}
+
+// recordsFor gives what leads an asker to the configuration in force.
+func (n *Node) recordsFor(now time.Time, asker followed.Asker) (*fleet.Records, bool) {
+	records, err := n.config.After(asker.After)
+	if err != nil {
+		n.note(now, fleet.Event{Kind: fleet.EventRevisionBehind, Other: asker.ID, Cause: err.Error()})
+		return nil, false
+	}
+	return records, true
+}
+
+// sendAnswers sends the large answers whose turn has come, each after word of how much is coming.
+func (n *Node) sendAnswers(now time.Time) {
+	for {
+		asker, ok := n.answers.Next(now)
+		if !ok {
+			return
+		}
+		to, known := n.instanceOf(asker.ID)
+		records, ok := n.recordsFor(now, asker)
+		if !known || !ok {
+			continue
+		}
+		n.answers.Sent(now, asker, records.Head, records.Size())
+		n.send(to, fleet.Envelope{Records: &fleet.Records{Head: records.Head, Coming: n.answers.Coming(now, asker.ID)}})
+		n.send(to, fleet.Envelope{Records: records})
+	}
 }
 
 // TakeRecords puts newer configuration in force, from a peer or the key-value service; older is never applied.
@@ -39,6 +77,10 @@
 }
 
 func (n *Node) takeRecords(now time.Time, r fleet.Records) {
+	if r.Coming > 0 {
+		n.config.Expect(now, r.Head, r.Coming)
+		return
+	}
 	outcome := n.config.Advance(r, n.options.Defects.AcceptLowerRevision)
 	if outcome.Older {
 		n.note(now, fleet.Event{Kind: fleet.EventRevisionBehind, Revision: r.Head, Cause: "an older configuration was offered and not applied"})
--- a/services/daemon/node/digests.go
+++ b/services/daemon/node/digests.go
@@ -139,6 +139,7 @@
 	}
 	n.setCut(now, r, false)
 	n.config.Hear(d.Highest)
+	n.answers.Reached(d.Speaker.ID, d.Highest)
 	if speaker, ok := r.Speaker(); ok && d.Highest > n.config.Revision() {
 		n.want(now, speaker)
 	}
--- a/services/daemon/node/followed/configuration.go
+++ b/services/daemon/node/followed/configuration.go
@@ -10,18 +10,29 @@
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 )
 
-// askEvery is the least time between two requests for missing records, whoever is asked.
-// Longer sends less while several peers are ahead, and takes longer after a lost answer;
-// it is well below the 0.26 s median in which a change is in force everywhere
-// (docs/CAPACITY.md, the worst minute). Not measured by itself.
-const askEvery = 100 * time.Millisecond
+const (
+	// askEvery is the least time between two requests for missing records, whoever is asked, and the time of an answer on its way
+	// besides its bytes. Longer sends less while several peers are ahead, and takes longer after a lost answer;
+	// it is well below the 0.26 s median in which a change is in force everywhere
+	// (docs/CAPACITY.md, the worst minute). Not measured by itself.
+	askEvery = 100 * time.Millisecond
+	// askRise is the factor of one wait to the next while nothing comes, and askMost the longest wait: larger ones send less
+	// where nobody tells how much is under way, as peers of the version before, and take longer after several losses. Not measured.
+	askRise = 2
+	askMost = 800 * time.Millisecond
+	// mostComing bounds what a peer may tell is under way, 32 MiB, the largest message between peers: 27 s of the slowest link.
+	// Not measured.
+	mostComing = 33554432
+)
 
 // Configuration is the followed configuration with what is needed to pass it on.
 type Configuration struct {
 	catalog *catalog.Catalog
 	history *catalog.History
 	head    int64
-	askedAt time.Time
+	// askAt is when to ask again, and wait the time between the last two requests.
+	askAt time.Time
+	wait  time.Duration
 }
 
 // New gives the configuration of a node that has heard of none: revision zero.
@@ -56,13 +67,22 @@
 
 // AskDue tells whether to ask a peer that is ahead for what is missing, and counts it as asked.
 func (c *Configuration) AskDue(now time.Time) bool {
-	if now.Sub(c.askedAt) < askEvery {
+	if now.Before(c.askAt) {
 		return false
 	}
-	c.askedAt = now
+	c.wait = min(max(askEvery, askRise*c.wait), askMost)
+	c.askAt = now.Add(c.wait)
 	return true
 }
 
+// Expect notes that what is missing here is under way, and how many bytes of it; it is asked for again after the time these take.
+func (c *Configuration) Expect(now time.Time, head int64, coming int) {
+	c.Hear(head)
+	if head > c.Revision() {
+		c.askAt = now.Add(transfer(min(coming, mostComing)))
+	}
+}
+
 // After gives what leads from a peer's revision to the one in force here: records, or a
 // snapshot where the kept records do not reach back that far.
 func (c *Configuration) After(revision int64) (*fleet.Records, error) {
@@ -100,7 +120,7 @@
 		return out
 	}
 	c.catalog = next
-	c.askedAt = time.Time{}
+	c.askAt, c.wait = time.Time{}, 0
 	out.Changed = true
 	return out
 }
--- a/services/daemon/node/followed/configuration_test.go
+++ b/services/daemon/node/followed/configuration_test.go
@@ -49,6 +49,14 @@
 	return c
 }
 
+// snapshotAt gives the stored form of the configuration at a revision.
+func snapshotAt(t *testing.T, revision int64) []byte {
+	t.Helper()
+	data, err := catalog.EncodeSnapshot(at(t, revision).Catalog())
+	require.NoError(t, err)
+	return data
+}
+
 func TestRecordsUnderLossDelayAndRepetition(t *testing.T) {
 	for _, row := range []struct {
 		name      string
--- a/services/daemon/node/members.go
+++ b/services/daemon/node/members.go
@@ -69,6 +69,7 @@
 	n.learnHeld(now, m)
 	n.learnPools(now, hb)
 	n.config.Hear(hb.Revision)
+	n.answers.Reached(hb.Instance.ID, hb.Revision)
 	if hb.Revision > n.config.Revision() {
 		n.want(now, hb.Instance)
 	}
--- a/services/daemon/node/node.go
+++ b/services/daemon/node/node.go
@@ -33,6 +33,7 @@
 	peers    map[string]*peerState
 	ledger   *budget.Ledger
 	config   *followed.Configuration
+	answers  followed.Answers
 	lease    *lease.Lease
 	leaving  bool
 	watching bool
@@ -133,6 +134,7 @@
 	n.sendDigests(now)
 	n.tickBudget(now)
 	n.tickReconfirm(now)
+	n.sendAnswers(now)
 	n.chooseWatcher()
 	return n.take()
 }
