Bound what waits for the daemon's control goroutine in bytes

Cause: 8,192 inputs may wait for the control goroutine, and a peer's envelope among them may hold up to 32 MiB: nothing bounded them in bytes. Change: peers' envelopes that wait hold 8 MiB at the most (fleet.Envelope.Size); a peer whose envelope finds no room waits and is read no further, so that it feels it by flow control, as before where the queue was full by count. A larger one goes alone. Measured: TestEnvelopesThatWaitAreBoundedInBytes fails before (more than 8 envelopes of 1 MiB are taken while the control goroutine is held) and passes now, also under the race detector.

--- a/services/daemon/control/input.go
+++ b/services/daemon/control/input.go
@@ -16,9 +16,14 @@
 	apply(now time.Time, s *Service) []node.Effect
 }
 
-type envelopeInput struct{ envelope fleet.Envelope }
+// envelopeInput is a peer's envelope, which has room for its size until it is taken.
+type envelopeInput struct {
+	envelope fleet.Envelope
+	size     int64
+}
 
 func (i envelopeInput) apply(now time.Time, s *Service) []node.Effect {
+	s.received.Release(i.size)
 	return s.node.Handle(now, i.envelope)
 }
 
--- /dev/null
+++ b/services/daemon/control/received_test.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package control_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/services/daemon/node"
+)
+
+// hold keeps the control goroutine busy until the function that it gives is called, or the test ends.
+func (w *world) hold() func() {
+	held, release := make(chan struct{}), make(chan struct{})
+	go w.View(func(time.Time, *node.Node) {
+		close(held)
+		<-release
+	})
+	<-held
+	once := sync.OnceFunc(func() { close(release) })
+	w.t.Cleanup(once)
+	return once
+}
+
+func TestEnvelopesThatWaitAreBoundedInBytes(t *testing.T) {
+	const (
+		sent          = 64
+		snapshotBytes = 1 << 20
+		// most is how many of them may wait: 8 MiB.
+		most = 8
+	)
+	w := newWorld(t)
+	release := w.hold()
+	var taken atomic.Int64
+	go func() {
+		for range sent {
+			w.Receive(fleet.Envelope{From: "i2", Boot: 1, Records: &fleet.Records{Head: 1, Snapshot: make([]byte, snapshotBytes)}})
+			taken.Add(1)
+		}
+	}()
+	require.Eventually(t, func() bool { return taken.Load() > 0 }, timeout, time.Millisecond)
+	require.Never(t, func() bool { return taken.Load() > most }, 200*time.Millisecond, time.Millisecond, "the peer waits")
+	release()
+	require.Eventually(t, func() bool { return taken.Load() == sent }, timeout, time.Millisecond, "all are taken in the end")
+}
+
+func TestAPeerThatWaitsIsLetGoWhenTheServiceStops(t *testing.T) {
+	w := newWorld(t)
+	release := w.hold()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 {
+			w.Receive(fleet.Envelope{From: "i2", Boot: 1, Records: &fleet.Records{Head: 1, Snapshot: make([]byte, 16<<20)}})
+		}
+	}()
+	release()
+	w.Stop()
+	select {
+	case <-done:
+	case <-time.After(timeout):
+		require.Fail(t, "it waits on")
+	}
+}
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/shelfledge/shelfledge/models/daemon/catalog"
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/daemon/bytebudget"
 	"github.com/shelfledge/shelfledge/modules/daemon/engine"
 	"github.com/shelfledge/shelfledge/modules/daemon/instancelist"
 	"github.com/shelfledge/shelfledge/modules/daemon/kv"
@@ -44,6 +45,7 @@
 	options    Options
 	node       *node.Node
 	inputs     chan input
+	received   *bytebudget.Budget
 	waiters    map[string]chan Answer
 	inspecting map[string]bool
 	catalog    atomic.Pointer[catalog.Catalog]
@@ -58,6 +60,10 @@
 	// inputQueue bounds the inputs that wait for the control goroutine; whoever finds no
 	// place waits. Longer holds more of a rush, and answers it later. Not measured.
 	inputQueue = 8192
+	// receivedBytes is how many bytes of peers' envelopes wait for the control goroutine, 8 MiB by fleet.Envelope.Size; a peer whose
+	// envelope finds no room waits, and is read no further. More holds more of a rush, less takes less memory; the least envelope
+	// counts half a KiB, so that of small ones inputQueue is the bound. A larger one goes alone. Not measured.
+	receivedBytes = 8 << 20
 	// tickInterval is the time between two ticks of the node, the least time in which it acts
 	// without an input. Longer acts later, shorter spends processor time: at this value a node
 	// of a hall of 40 uses 3.74 ms a second (docs/CAPACITY.md, slopes).
@@ -68,7 +74,7 @@
 func New(o Options) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
-		options: o, node: node.New(o.Now(), o.Node), inputs: make(chan input, inputQueue),
+		options: o, node: node.New(o.Now(), o.Node), inputs: make(chan input, inputQueue), received: bytebudget.New(receivedBytes),
 		waiters: make(map[string]chan Answer), inspecting: make(map[string]bool), ctx: ctx, cancel: cancel,
 	}
 	s.catalog.Store(catalog.New())
@@ -115,9 +121,14 @@
 	}
 }
 
-// Receive takes an envelope from a peer.
+// Receive takes an envelope from a peer; it waits while too much of what peers sent waits already.
 func (s *Service) Receive(e fleet.Envelope) {
-	s.put(envelopeInput{envelope: e})
+	size := int64(e.Size())
+	if err := s.received.Acquire(s.ctx, size); err != nil {
+		// The service stops, and takes nothing more.
+		return
+	}
+	s.put(envelopeInput{envelope: e, size: size})
 }
 
 // Submit asks for a ticket; the answer comes on the channel, which holds one.
