--- a/services/daemon/node/node.go
+++ b/services/daemon/node/node.go
@@ -33,6 +33,7 @@
 	peers    map[string]*peerState
 	ledger   *budget.Ledger
 	config   *followed.Configuration
+	answers  followed.Answers
 	lease    *lease.Lease
 	leaving  bool
 	watching bool
@@ -135,6 +136,7 @@
 	n.tickBudget(now)
 	n.tickReconfirm(now)
 	n.tickForget(now)
+	n.sendAnswers(now)
 	n.chooseWatcher()
 	return n.take()
 }
