Name what carries keys, and say what the entry packages do now

Cause: two methods keysDue with different meanings, one of which counts the keys as sent; a method delayOf and one next that change state; fields request, relays and a method sent that say little; a function over 40 lines; package comments that lack the relay, the queue's wait, the former versions, the weak instances' part, the bound in bytes and the timers of the platform. Change: names (reportCarriesKeys, viewCarriesKeys, learnDelay, observe, keysUnderWay, keysRequest, noteSent, releaseRewrite, knownFormerLoads, keepOnly), changesView and request split off, comments. No logic, no encoded name, no log line, no constant.

--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -28,8 +28,8 @@
 	// the most that the platform's store holds in one value. A single larger message is still sent when nothing else waits. More
 	// bears a slower link, less bounds the memory. Not measured.
 	outgoingBytes = 2 << 20
-	// writeTimeout is how long the writing of one message may take, beside the time that its bytes take on a slow link. Longer bears a slow link, shorter notices a cut one sooner.
-	// Not measured.
+	// writeTimeout is how long the writing of one message may take, beside the time that its bytes take on a slow link. Longer
+	// bears a slow link, shorter notices a cut one sooner. Not measured.
 	writeTimeout = 2 * time.Second
 	// leastRate is how many bytes a second a link carries at the least, so that a large message gets more time than a small one:
 	// three quarters of the users' slowest links of 10 Mbit/s. Not measured.
@@ -38,7 +38,7 @@
 	lengthBytes = 4
 )
 
-// ErrCongested reports a peer that does not read fast enough.
+// ErrCongested reports a peer that does not read fast enough: too many messages or bytes wait for it.
 var ErrCongested = errors.New("peerstream: too many messages wait")
 
 // ErrClosed reports a message for a stream that was closed.
@@ -127,8 +127,8 @@
 }
 
 // Receive waits for the next message, at most for the silence that is allowed; one that has begun gets the time that its bytes take on
-// a slow link besides. Its errors are ErrTooLarge, those of the
-// connection and those of decoding; the stream is of no use after any of them.
+// a slow link besides. Its errors are ErrTooLarge, those of the connection and those of decoding; the stream is of no use after
+// any of them.
 func (s *Stream[M]) Receive(silence time.Duration, now func() time.Time) (M, error) {
 	var message M
 	if err := s.conn.SetReadDeadline(now().Add(silence)); err != nil {
@@ -179,6 +179,7 @@
 	}
 }
 
+// writeFrame sends one frame within its time, which no longer counts as queued then.
 func (s *Stream[M]) writeFrame(frame Frame) error {
 	defer s.queued.Add(-int64(len(frame)))
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout + transferTime(len(frame)))); err != nil {
--- a/services/entry/balance/doc.go
+++ b/services/entry/balance/doc.go
@@ -5,6 +5,7 @@
 // route with several.
 //
 // It owns the order of preference (fewest requests in flight, where crossing halls counts as one more, 2.5 for plain
-// services; endpoints that are avoided last) and the verdict when there is none. It relies on package directory for what this instance knows of the endpoints. It keeps no
-// state, does no I/O and starts no goroutine.
+// services; endpoints that are avoided last), the verdict when there is none, and where a version older than the named one may
+// serve. It relies on package directory for what this instance knows of the endpoints. It keeps no state, does no I/O and
+// starts no goroutine.
 package balance
--- a/services/entry/coordinator/doc.go
+++ b/services/entry/coordinator/doc.go
@@ -3,11 +3,12 @@
 
 // Package coordinator is the control part of one entry process. One goroutine, the control loop, owns all control
 // state: the endpoints, the configuration, requests that wait for an endpoint, the link to the planner, and, while
-// this process holds the planner's lease, the plan itself. Requests come in by Acquire and Finish.
+// this process holds the planner's lease, the plan itself. Requests come in by Acquire, Running and Finish.
 //
 // The loop calls rules and carries out effects. The rules are in packages without I/O that are given the present time:
 // waiting (the queue of requests), forecast (when an adapter is expected), report (what is asked for, and when that is
-// reported), view (which views are kept and when they are sent), follow (which keys are newer and who reads the store),
+// reported), view (which views are kept, how old they are and when they are sent), follow (which keys are newer, for how long former
+// versions serve and who reads the store), relay (how the operators' keys are passed on between instances),
 // member (what the planner knows of other instances), plan (loads of all services), and services/entry/lease (who may
 // take and use the lease). The packages leasestore and seed do I/O for a caller that waits, wire has the messages, loop the
 // control loop itself.
--- a/services/entry/coordinator/follow/versions.go
+++ b/services/entry/coordinator/follow/versions.go
@@ -72,7 +72,7 @@
 	for len(names) > 1 && left(names[1]) <= 0 {
 		names = names[1:]
 	}
-	v.keep(adapter, names)
+	v.keepOnly(adapter, names)
 	switch {
 	case len(names) == 0:
 		return 0, 0
@@ -85,8 +85,8 @@
 	}
 }
 
-// keep forgets the names before those that are left.
-func (v *Versions) keep(adapter deployment.Adapter, left []name) {
+// keepOnly forgets the names before those that are left.
+func (v *Versions) keepOnly(adapter deployment.Adapter, left []name) {
 	if len(left) < len(v.named[adapter]) {
 		v.named[adapter] = slices.Clone(left)
 	}
--- a/services/entry/coordinator/formerloads.go
+++ b/services/entry/coordinator/formerloads.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// tellLoads gives what this instance heard of the last planner's loads, for a new one; nil if it heard nothing.
-func (c *Coordinator) tellLoads(now time.Time) *wire.FormerLoads {
+// knownFormerLoads gives what this instance heard of the last planner's loads, for a new one; nil if it heard nothing.
+func (c *Coordinator) knownFormerLoads(now time.Time) *wire.FormerLoads {
 	if !c.heardLoads.heard {
 		return nil
 	}
@@ -70,7 +70,7 @@
 	p.plans.Assume(p.former.loads)
 }
 
-// recentLoads gives the base models' loads begun in the last window, for a view.
+// recentLoads gives the base models' loads begun in the last window, as a view tells them: never nil, which says that they are not told.
 func (p *planning) recentLoads(now time.Time) *int {
 	count := p.plans.RecentLoads(now)
 	return &count
--- a/services/entry/coordinator/handover.go
+++ b/services/entry/coordinator/handover.go
@@ -58,7 +58,7 @@
 		c.sleep(releasePause)
 	}
 	var release *rewrite
-	c.loop.Call(func(now time.Time) { release = p.release(now) })
+	c.loop.Call(func(now time.Time) { release = p.releaseRewrite(now) })
 	if release != nil {
 		c.rewriteRecord(release)
 	}
@@ -69,8 +69,8 @@
 	})
 }
 
-// release gives the change of the record by which no order follows; nil if none may have been given yet, or one is under way.
-func (p *planning) release(now time.Time) *rewrite {
+// releaseRewrite gives the change of the record by which no order follows; nil if none may have been given yet, or one is under way.
+func (p *planning) releaseRewrite(now time.Time) *rewrite {
 	if p.orders > 0 || !p.lease.Record().Ordering {
 		return nil
 	}
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	c.planning.members.Join(r.Instance, stream)
-	c.planning.relays.Reported(stream, r.ConfigurationRevision)
+	c.planning.keysUnderWay.Reported(stream, r.ConfigurationRevision)
 	c.planning.takeReport(now, r)
 	c.plan(now)
 	return true
@@ -156,6 +156,6 @@
 	if c.planning == nil {
 		return
 	}
-	c.planning.relays.Ended(stream)
+	c.planning.keysUnderWay.Ended(stream)
 	c.planning.members.Unlink(now, stream, c.memberSilence())
 }
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -266,6 +266,7 @@
 	return p.withdrawals
 }
 
+// nextWithdrawal numbers an announcement of a withdrawal; the planners of all services share the count.
 func (p *Plans) nextWithdrawal() uint64 {
 	p.withdrawals++
 	return p.withdrawals
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -30,9 +30,9 @@
 	views             view.Schedule
 	// since is when this instance began to plan.
 	since time.Time
-	// relays bounds the operators' keys under way to members, request is whom this instance asks for keys that it lacks.
-	relays  *relay.Window[*member.Link]
-	request relay.Request
+	// keysUnderWay bounds the operators' keys under way to members, keysRequest is whom this instance asks for keys that it lacks.
+	keysUnderWay *relay.Window[*member.Link]
+	keysRequest  relay.Request
 	// givingUp is set before the lease is given up: no order is started any more.
 	givingUp bool
 	// resigned tells the members that no order follows in this term.
@@ -58,8 +58,8 @@
 	}
 	p := &planning{
 		coordinator: c, lease: held, members: members, since: now, former: former,
-		relays: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
-		plans:  plan.New(options, c.directory, members, former.loads),
+		keysUnderWay: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
+		plans:        plan.New(options, c.directory, members, former.loads),
 	}
 	if configuration := c.current.Load(); configuration != nil {
 		p.plans.SetConfiguration(now, configuration, c.versions.All())
--- a/services/entry/coordinator/relay/request.go
+++ b/services/entry/coordinator/relay/request.go
@@ -21,7 +21,7 @@
 // Next gives the instance that is asked now, if any: the planner has read up to a revision itself. The one asked last is passed over
 // if another one can be asked.
 func (r *Request) Next(now time.Time, revision int64, sources []member.Source) (string, bool) {
-	best, due := r.next(now, revision, sources)
+	best, due := r.observe(now, revision, sources)
 	if !due {
 		return "", false
 	}
@@ -29,13 +29,14 @@
 	return best.Instance, true
 }
 
-// Due tells whether an instance is asked now.
+// Due tells whether an instance is asked now. Like Next it notes since when keys are lacking; it asks none.
 func (r *Request) Due(now time.Time, revision int64, sources []member.Source) bool {
-	_, due := r.next(now, revision, sources)
+	_, due := r.observe(now, revision, sources)
 	return due
 }
 
-func (r *Request) next(now time.Time, revision int64, sources []member.Source) (member.Source, bool) {
+// observe notes since when keys are lacking, and gives the best source and whether it is asked now.
+func (r *Request) observe(now time.Time, revision int64, sources []member.Source) (member.Source, bool) {
 	best, found := r.choose(revision, sources)
 	if !found {
 		*r = Request{}
@@ -63,6 +64,7 @@
 	return best, found
 }
 
+// better tells whether one source is asked rather than the other.
 func (r *Request) better(one, other member.Source) bool {
 	switch {
 	case (one.Instance == r.asked) != (other.Instance == r.asked):
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -54,22 +54,22 @@
 		}
 	}
 	if c.following.ratesDue {
-		built.Rates, built.FormerLoads = c.demand.Rates(now), c.tellLoads(now)
+		built.Rates, built.FormerLoads = c.demand.Rates(now), c.knownFormerLoads(now)
 		c.following.ratesDue = false
 	}
 	if probe, ok := c.following.NextProbe(now); ok && c.following.stream != nil {
 		built.Probe = probe
 	}
-	if c.keysDue(now) {
+	if c.reportCarriesKeys(now) {
 		built.Items = c.keys.After(c.following.PlannerRevision)
 		c.observeRelay(built.Items)
 	}
 	return built
 }
 
-// keysDue tells whether the next report carries the operators' keys that the planner lacks: when it asked for them, and, where it
-// is of a version that does not ask, when it has lacked them for long enough.
-func (c *Coordinator) keysDue(now time.Time) bool {
+// reportCarriesKeys tells whether the next report carries the operators' keys that the planner lacks, and counts them as sent if it
+// does: when the planner asked for them, and, where it is of a version that does not ask, when it has lacked them for long enough.
+func (c *Coordinator) reportCarriesKeys(now time.Time) bool {
 	if c.following.stream == nil || !c.following.heard {
 		c.following.plannerLag = member.Lag{}
 		return false
--- a/services/entry/coordinator/seed/seed.go
+++ b/services/entry/coordinator/seed/seed.go
@@ -33,6 +33,7 @@
 	a.askAll(ctx, wire.Request{Instance: a.Instance}, enough, take)
 }
 
+// askAll sends each seed a request until enough says so or the context ends.
 func (a *Asker) askAll(ctx context.Context, request wire.Request, enough func() bool, take func(*wire.View)) {
 	for _, seed := range a.Seeds {
 		if enough() || ctx.Err() != nil {
--- a/services/entry/coordinator/view/followed.go
+++ b/services/entry/coordinator/view/followed.go
@@ -122,11 +122,11 @@
 	return f.probe, true
 }
 
-// delayOf gives the longest that a view which came now can have waited on its way. The first view over a link was made after the link
-// was opened, and one that answers a probe after the probe was sent; from this and the time that the planner tells in each
-// view follows a bound for all later ones, without a comparison of two clocks. It is 0 where the planner is of a
-// version that does not tell it.
-func (f *Followed) delayOf(now time.Time, v *wire.View) time.Duration {
+// learnDelay takes in what a view tells of its origin and gives the longest that a view which came now can have waited on
+// its way. The first view over a link was made after the link was opened, and one that answers a probe after the probe was
+// sent; from this and the time that the planner tells in each view follows a bound for all later ones, without a comparison of
+// two clocks. It is 0 where the planner is of a version that does not tell it.
+func (f *Followed) learnDelay(now time.Time, v *wire.View) time.Duration {
 	if v.Made == 0 {
 		return 0
 	}
@@ -162,7 +162,7 @@
 // Take keeps a view that came now.
 func (f *Followed) Take(now time.Time, v *wire.View) Effects {
 	effects := Effects{Acknowledge: v.Withdrawals > f.Withdrawals || v.Full, Resigned: v.Resigned && f.ResignedTerm < v.Term}
-	f.Delay = f.delayOf(now, v)
+	f.Delay = f.learnDelay(now, v)
 	f.Planner, f.Term = v.Planner, v.Term
 	f.ReceivedAt, f.ReadAge, f.ConfirmedAge = now, v.ReadAge, v.ConfirmedAge
 	f.Members, f.PlannerRevision, f.Withdrawals = v.Members, v.ConfigurationRevision, v.Withdrawals
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -25,6 +25,25 @@
 		return
 	}
 	p.views.Sent(now, withTotals)
+	changes := p.changesView(now, withTotals)
+	frame, err := peerstream.Encode(wire.Message{View: changes})
+	if err != nil {
+		// No value of a view is known that makes its encoding fail; what changed stays for the next one.
+		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
+		return
+	}
+	round := &viewRound{changes: changes, frame: frame}
+	round.asked, _ = p.keysRequest.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
+	for instance, m := range p.members.All() {
+		if m.Link != nil {
+			p.sendView(now, instance, m, round)
+		}
+	}
+	p.plans.Sent()
+}
+
+// changesView makes the view of what changed since the last one, with totals a heartbeat.
+func (p *planning) changesView(now time.Time, withTotals bool) *wire.View {
 	var totals []wire.EndpointCount
 	if withTotals {
 		totals = p.totals()
@@ -44,20 +63,7 @@
 		}
 	}
 	changes.Removed = changed.Removed
-	frame, err := peerstream.Encode(wire.Message{View: changes})
-	if err != nil {
-		// No value of a view is known that makes its encoding fail; what changed stays for the next one.
-		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
-		return
-	}
-	round := &viewRound{changes: changes, frame: frame}
-	round.asked, _ = p.request.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
-	for instance, m := range p.members.All() {
-		if m.Link != nil {
-			p.sendView(now, instance, m, round)
-		}
-	}
-	p.plans.Sent()
+	return changes
 }
 
 // viewRound is what all members are sent at one time, encoded once.
@@ -76,7 +82,7 @@
 	case view.Now:
 		return true
 	case view.OnlyChanges:
-		return !p.noChanges() || p.keysDue(now)
+		return !p.noChanges() || p.viewCarriesKeys(now)
 	default:
 		return false
 	}
@@ -98,7 +104,7 @@
 		return
 	}
 	m.NeedsFull = false
-	p.sent(m, m.Link.SendFrame(frame))
+	p.noteSent(m, m.Link.SendFrame(frame))
 }
 
 // wholeFrame gives the frame of a whole view, or nil where it cannot be encoded.
@@ -115,6 +121,8 @@
 	return frame
 }
 
+// sendOwnView sends a member a view that is encoded for it alone: the changes, or a whole view, with keys, a request for keys or the
+// answer to a probe.
 func (p *planning) sendOwnView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
 	own := *round.changes
 	if m.NeedsFull {
@@ -127,18 +135,18 @@
 		own.KeysFrom = instance
 	}
 	p.coordinator.observeRelay(items)
-	p.sent(m, m.Link.Send(wire.Message{View: &own}))
+	p.noteSent(m, m.Link.Send(wire.Message{View: &own}))
 }
 
-// sent takes in how the sending of a view ended. After a failure the member dials again and gets a whole view.
-func (p *planning) sent(m *member.Member, err error) {
+// noteSent takes in how the sending of a view ended. After a failure the member dials again and gets a whole view.
+func (p *planning) noteSent(m *member.Member, err error) {
 	if err == nil {
 		return
 	}
 	if errors.Is(err, peerstream.ErrCongested) {
 		p.coordinator.noteLinkClosed(m.Link.Queued(), err)
 	}
-	p.relays.Ended(m.Link)
+	p.keysUnderWay.Ended(m.Link)
 	m.Link = nil
 }
 
@@ -166,7 +174,7 @@
 // itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
 func (p *planning) itemsFor(now time.Time, m *member.Member) []store.Item {
 	items := p.lackedBy(now, m)
-	if len(items) == 0 || !p.relays.Send(now, m.Link, p.coordinator.keys.Revision(), follow.SizeOf(items)) {
+	if len(items) == 0 || !p.keysUnderWay.Send(now, m.Link, p.coordinator.keys.Revision(), follow.SizeOf(items)) {
 		return nil
 	}
 	return items
@@ -186,18 +194,18 @@
 	return items
 }
 
-// keysDue tells whether a view goes out now to pass the operators' keys on, or to ask for them.
-func (p *planning) keysDue(now time.Time) bool {
+// viewCarriesKeys tells whether a view goes out now to pass the operators' keys on, or to ask for them.
+func (p *planning) viewCarriesKeys(now time.Time) bool {
 	for _, m := range p.members.All() {
 		if m.Link == nil {
 			continue
 		}
 		items := p.lackedBy(now, m)
-		if len(items) > 0 && p.relays.Room(now, m.Link, follow.SizeOf(items)) {
+		if len(items) > 0 && p.keysUnderWay.Room(now, m.Link, follow.SizeOf(items)) {
 			return true
 		}
 	}
-	return p.request.Due(now, p.coordinator.keys.Revision(), p.members.Sources())
+	return p.keysRequest.Due(now, p.coordinator.keys.Revision(), p.members.Sources())
 }
 
 func (p *planning) baseView(now time.Time, totals []wire.EndpointCount) *wire.View {
--- a/services/entry/directory/wait.go
+++ b/services/entry/directory/wait.go
@@ -50,7 +50,8 @@
 	q.queued = append(q.queued, now)
 }
 
-// leave takes a request out that was assigned at a time; false if it was known to run.
+// leave takes a request out that was assigned at a time; false if it was known to run. Of several assigned at the same time any one
+// is taken, since they tell the same.
 func (q *queueWait) leave(assigned time.Time) bool {
 	place := slices.IndexFunc(q.queued, assigned.Equal)
 	if place < 0 {
--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -138,6 +138,7 @@
 	return c.vacantSince
 }
 
+// silentOpenSince is the same for a record with a holder that orders; now while that holder is heard.
 func (c *Candidate) silentOpenSince(now time.Time) time.Time {
 	switch {
 	case c.silentSince.IsZero():
--- a/services/entry/lease/doc.go
+++ b/services/entry/lease/doc.go
@@ -9,4 +9,7 @@
 // the former holder's time is surely over, unless that holder released the record or was an
 // earlier process of the same instance. No two clocks are compared: each instance measures
 // spans on its own monotonic clock.
+//
+// A Lease is the holder's part, a Candidate that of the others: when one of them takes the record, and for how long a weak
+// instance leaves it to others. Both are plain state without I/O that starts no goroutine; the present time is an argument.
 package lease
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -103,6 +103,7 @@
 	p.changed[id] = true
 }
 
+// nextWithdrawal numbers an announcement, above all before.
 func (p *Planner) nextWithdrawal() uint64 {
 	if p.options.NextWithdrawal == nil {
 		return p.withdrawals + 1
--- a/services/entry/loading/limiter.go
+++ b/services/entry/loading/limiter.go
@@ -16,7 +16,7 @@
 	window time.Duration
 	// begun are the own loads that began within the last window, the oldest first.
 	begun []time.Time
-	// assumed is when the window is free of loads that a former planner may have begun, by its record.
+	// assumed is when the window is free of loads that former planners may have begun.
 	assumed      time.Time
 	assumedCount int
 }
@@ -48,7 +48,7 @@
 	return &windowLimiter{limit: options.limit(), window: options.Window}
 }
 
-// assume counts loads that a former planner may have begun in the window before now.
+// assume counts loads that former planners may have begun in the window before now.
 func (l *windowLimiter) assume(now time.Time, count int) {
 	l.assumed = now.Add(l.window)
 	l.assumedCount = count
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -64,12 +64,13 @@
 	p.engine = engine
 }
 
-// AssumeLoads counts loads of base models that a former planner may have begun in the last window.
+// AssumeLoads counts loads of base models that former planners may have begun in the window before a time, in place of what was
+// assumed before.
 func (p *Planner) AssumeLoads(now time.Time, count int) {
 	p.modelLimiter.assume(now, count)
 }
 
-// RecentLoads gives the loads of base models begun in the last window, for a successor.
+// RecentLoads gives this planner's own loads of base models begun in the last window, without those that are assumed.
 func (p *Planner) RecentLoads(now time.Time) int {
 	return p.modelLimiter.recent(now)
 }
--- a/services/entry/proxy/doc.go
+++ b/services/entry/proxy/doc.go
@@ -5,7 +5,8 @@
 // the request, passes the answer on, and retries or resumes only what may run again. Whether
 // the request may have run decides every answer of its own.
 //
-// It owns the requests under way (run) with their attempts (exchange) and the one log line of each. It relies on package attempt
+// It owns the requests under way (run) with their attempts (exchange), their bounded bodies (requestBody) and the one log line of
+// each, also of those that are refused before an endpoint is asked. It relies on package attempt
 // for every decision, on the coordinator for endpoints and the budget of retries, on package upstream for connections and
 // on a Dialect for the headers. Requests are served on the goroutines of their connections; it starts none but timers, which
 // give up an endpoint that is silent for too long.
--- a/services/entry/retry/budget.go
+++ b/services/entry/retry/budget.go
@@ -38,6 +38,7 @@
 	swept time.Time
 }
 
+// window is what a service asked for lately, the oldest first.
 type window struct {
 	requests []batch
 	retries  []batch
@@ -94,6 +95,7 @@
 	return append(batches, batch{first: now, last: now, count: 1})
 }
 
+// total sums the requests or retries of batches.
 func total(batches []batch) int {
 	sum := 0
 	for _, one := range batches {
