--- a/cmd/shelfledge-entry/main.go
+++ b/cmd/shelfledge-entry/main.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shelfledge Authors. All rights reserved.
 // SPDX-License-Identifier: MIT
 
-// Command shelfledge-entry serves callers on one machine of the users' platform and plans
+// Command shelfledge-entry serves callers on one instance of the users' platform and plans
 // with its peers which adapters sit on which endpoints.
 package main
 
