Name what may still unload an adapter, and say what the daemon's packages do now

Cause: in services/daemon/placement `late`, `former`, `evicts`, `unloads` and `outlast` did not tell whether an order had been answered, and the look at a late unload stood three times beside the function that had it. In services/daemon/control the calls `read owner` and `read lease` were callLast and callHeld. A method named append hid the builtin. AllowOrders told that the zero time forbids all use, which holds only until the lease was held once; ordersUntil told that it leaves the decision to fences.

Change: lateUnloads, formerOrders, unloadOrdered, unloadMayBeLate, unloadPending, guardLateOrder, endFormerOrder, beginLife; callReadOwner, callReadLease, leaseNumber; readUpTo. Comments and doc.go of the touched packages follow. No logic, encoded name, log line, constant or test is changed.

--- a/models/daemon/catalog/history.go
+++ b/models/daemon/catalog/history.go
@@ -90,6 +90,7 @@
 func (h *History) Advance(current *Catalog, snapshot []byte, records [][]byte, allowLower bool) (*Catalog, error) {
 	next := current
 	defer func() {
+		// The snapshot of a catalog that is no longer in force is needed no more.
 		if next != current {
 			h.snapshot, h.snapshotOf = nil, nil
 		}
--- a/modules/daemon/bytebudget/budget.go
+++ b/modules/daemon/bytebudget/budget.go
@@ -51,6 +51,7 @@
 	b.waiting = append(b.waiting, w)
 	b.admit()
 	b.mutex.Unlock()
+	// Room that is there at once is taken even where ctx has ended: of two ready cases, select takes either.
 	select {
 	case <-w.ready:
 		return nil
@@ -65,6 +66,7 @@
 	defer b.mutex.Unlock()
 	at := slices.Index(b.waiting, w)
 	if at < 0 {
+		// Room came between the end of ctx and the lock.
 		return nil
 	}
 	b.waiting = slices.Delete(b.waiting, at, at+1)
--- a/services/daemon/control/doc.go
+++ b/services/daemon/control/doc.go
@@ -5,8 +5,9 @@
 // typed inputs (input.go); others carry out its effects towards peers, endpoints, the
 // key-value service and the platform (executor.go, owner*.go), and answer by further inputs.
 //
-// It owns the node, the channels on which requests wait for their tickets, and the
-// catalog that the traffic reads. It relies on services/daemon/node for every decision,
+// It owns the node, the channels on which requests wait for their tickets, the room for
+// peers' envelopes that wait for the control goroutine, and the catalog that the traffic
+// reads. Calls to the platform that fail are logged (failure_log.go). It relies on services/daemon/node for every decision,
 // and on claim for what the calls that own pools write and what their answers mean.
 //
 // Goroutines: Run is the control goroutine, on the caller's own. It starts one that polls
--- a/services/daemon/control/failure_log.go
+++ b/services/daemon/control/failure_log.go
@@ -15,9 +15,9 @@
 const (
 	callGrant     platformCall = "grant"
 	callKeepAlive platformCall = "keepalive"
-	callLast      platformCall = "read owner"
+	callReadOwner platformCall = "read owner"
 	callAcquire   platformCall = "acquire"
-	callHeld      platformCall = "read lease"
+	callReadLease platformCall = "read lease"
 	callRelease   platformCall = "release"
 	callSettle    platformCall = "settle"
 	// callQueue is none that was made: no place was left among those that wait for the key-value service.
@@ -29,9 +29,9 @@
 var consequences = map[platformCall]string{
 	callGrant:     "no lease, so that no pool is owned; asked for again",
 	callKeepAlive: "no renewal, so that the right to order ends by itself; tried again",
-	callLast:      "the last owner is not known, so that the pool is neither claimed nor settled",
+	callReadOwner: "the last owner is not known, so that the pool is neither claimed nor settled",
 	callAcquire:   "the pool is not owned; asked for again",
-	callHeld:      "the pool's key stays until its lease lapses; tried again at the next renewal",
+	callReadLease: "the pool's key stays until its lease lapses; tried again at the next renewal",
 	callRelease:   "the pool's key may stay until its lease lapses; tried again at the next renewal",
 	callSettle:    "successors wait once more for owners that have ended",
 	callQueue:     "too many calls wait; this one was not made",
--- a/services/daemon/control/owner.go
+++ b/services/daemon/control/owner.go
@@ -15,9 +15,9 @@
 	service *Service
 	jobs    chan ownerJob
 	lease   int64
-	// number counts the leases of this life; it names the last of them to the node.
-	number  uint64
-	started bool
+	// leaseNumber counts the leases of this life; it names the last of them to the node.
+	leaseNumber uint64
+	started     bool
 	// unreleased holds the pools whose release failed.
 	unreleased map[string]bool
 	// failures is of the goroutine that makes the calls, dropped of the one that asks for them.
--- a/services/daemon/control/owner_lease.go
+++ b/services/daemon/control/owner_lease.go
@@ -37,14 +37,14 @@
 		return sent, false
 	}
 	o.lease = id
-	o.number++
+	o.leaseNumber++
 	return sent, true
 }
 
 // lapse tells the node that the lease is gone, with the keys of all pools, before it gets another one.
 func (o *owner) lapse() {
 	o.lease = 0
-	o.service.put(renewedInput{result: node.LeaseResult{Gone: true, Lease: o.number}})
+	o.service.put(renewedInput{result: node.LeaseResult{Gone: true, Lease: o.leaseNumber}})
 }
 
 // tryRenew prolongs the lease; where it has lapsed, the next claim of a pool gets a new one.
@@ -58,6 +58,6 @@
 		o.lease = 0
 	}
 	result := claim.Renewal(sent, standing)
-	result.Lease = o.number
+	result.Lease = o.leaseNumber
 	return result
 }
--- a/services/daemon/control/owner_pool.go
+++ b/services/daemon/control/owner_pool.go
@@ -35,7 +35,7 @@
 	if !claim.Holds(answer, o.lease) {
 		return result
 	}
-	result.OK, result.Lease, result.SentAt, result.Formers = true, o.number, sent, next.Formers
+	result.OK, result.Lease, result.SentAt, result.Formers = true, o.leaseNumber, sent, next.Formers
 	return result
 }
 
@@ -43,12 +43,12 @@
 func (o *owner) readLast(pool string) (claim.Last, bool) {
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, o.keys(pool).Owner)
 	if err != nil {
-		o.failed(callLast, pool, err)
+		o.failed(callReadOwner, pool, err)
 		return claim.Last{}, false
 	}
 	last, err := claim.Decode(pair, found)
 	if err != nil {
-		o.failed(callLast, pool, err)
+		o.failed(callReadOwner, pool, err)
 		return claim.Last{}, false
 	}
 	return last, true
@@ -59,7 +59,7 @@
 	keys := o.keys(pool)
 	pair, found, err := o.service.options.KV.Get(o.service.ctx, keys.Lease)
 	if err != nil {
-		o.failed(callHeld, pool, err)
+		o.failed(callReadLease, pool, err)
 		return false
 	}
 	if !found || pair.Lease != o.lease {
--- a/services/daemon/node/doc.go
+++ b/services/daemon/node/doc.go
@@ -20,10 +20,10 @@
 //   - waiting: requests that wait, grants, tickets in use (requests.go)
 //   - digest: other halls (digests.go)
 //   - loads: bids for load permits (loads.go)
-//   - followed: the configuration (configuration.go)
+//   - followed: the configuration, and whose turn it is to get it from here (configuration.go)
 //   - listing: the platform's list (listed.go)
 //
-// pool.go has the state of one pool, members.go the heartbeats, placing.go what a pool's
+// pool.go has the state of one pool, members.go the heartbeats and which instances are forgotten, placing.go what a pool's
 // placer does for other instances, view.go what operators see.
 //
 // It owns this state and relies on services/daemon/placement (the decisions for one pool),
--- a/services/daemon/node/lease/doc.go
+++ b/services/daemon/node/lease/doc.go
@@ -5,7 +5,10 @@
 // until when this node may order there (Lease), and what it must wait for before
 // it unloads anything there after former owners (Succession).
 //
-// It owns the times and the list of former owners, and relies on nothing: the
+// Leases are numbered: a lapse ends the right in all pools, and what is answered
+// about an earlier lease counts for nothing.
+//
+// It owns the times, the lease's number and the list of former owners, and relies on nothing: the
 // node asks the key-value service and tells what it answered. It starts no
 // goroutines and reads no clock.
 package lease
--- a/services/daemon/placement/doc.go
+++ b/services/daemon/placement/doc.go
@@ -13,13 +13,13 @@
 //   - submit.go: admission
 //   - dispatch.go, prefix.go: which endpoint a request gets
 //   - ticket.go: what was granted, and to whom
-//   - demand.go, preload.go, bid.go: which load is worth how much
+//   - demand.go, customer_loads.go, preload.go, bid.go: which load is worth how much
 //   - place.go, load.go: where a load goes, what it evicts, and how it ends
 //   - inspection.go, endpoint_state.go: an endpoint's own list against what is known of it
 //   - restriction.go: what may not be done on an endpoint, and until when
 //   - view.go: what other instances and operators see
 //
 // It owns this state for one pool and relies on its packages queue (what waits, and in which
-// order), popularity (arrival rates) and backoff (failed loads). It starts no goroutines, reads no clock and is not safe for
-// concurrent use.
+// order), popularity (arrival rates) and backoff (failed loads). What nobody has asked for in a long time is forgotten
+// (placer.go). It starts no goroutines, reads no clock and is not safe for concurrent use.
 package placement
--- a/services/daemon/placement/endpoint_state.go
+++ b/services/daemon/placement/endpoint_state.go
@@ -28,6 +28,7 @@
 	closing  bool
 	since    time.Time
 	lastUsed time.Time
+	// evicting is, while the slot is loading, the adapter that the same order unloads, if any.
 	evicting fleet.AdapterRef
 }
 
@@ -47,19 +48,22 @@
 	// ticket may be declared before the slot is found.
 	using   map[fleet.AdapterRef]int
 	loading int
-	// former holds until when the orders may arrive in this life that a former life of an endpoint without fences was to get.
-	former      map[formerOrder]time.Time
-	frozenUntil time.Time
-	// ordersUntil is when the right to order ends; the zero time means fences decide.
+	// formerOrders holds orders that were sent to a former life of an endpoint without fences, with the time until which each may
+	// still arrive in this life.
+	formerOrders map[formerOrder]time.Time
+	frozenUntil  time.Time
+	// ordersUntil is when the right to order ends, on a leased endpoint; the zero time means that there is none.
 	ordersUntil time.Time
-	leased      bool
+	// leased is true where a lease gives the right to order, in place of fences.
+	leased bool
 	// owned is true once the lease was held: only then does every successor wait for
 	// this placer's grants to end, and only then may it grant.
 	owned bool
 	// fenceLost is true from a refusal for the fence until the endpoint is taken again.
 	fenceLost bool
-	// late holds until when unloads of unknown end may still arrive where no fence refuses them.
-	late map[fleet.AdapterRef]time.Time
+	// lateUnloads holds, for each adapter whose unload was ordered and whose answer was lost, until when that order may still
+	// arrive; only for endpoints without fences, which refuse no old order.
+	lateUnloads map[fleet.AdapterRef]time.Time
 	// seen is when the last list that was taken in began to be read.
 	seen time.Time
 }
@@ -72,12 +76,12 @@
 
 func newEndpointState(spec fleet.Endpoint) *endpointState {
 	return &endpointState{
-		spec:      spec,
-		customers: make(map[string]int),
-		slots:     make(map[fleet.AdapterRef]*slot),
-		using:     make(map[fleet.AdapterRef]int),
-		former:    make(map[formerOrder]time.Time),
-		late:      make(map[fleet.AdapterRef]time.Time),
+		spec:         spec,
+		customers:    make(map[string]int),
+		slots:        make(map[fleet.AdapterRef]*slot),
+		using:        make(map[fleet.AdapterRef]int),
+		formerOrders: make(map[formerOrder]time.Time),
+		lateUnloads:  make(map[fleet.AdapterRef]time.Time),
 	}
 }
 
@@ -91,9 +95,9 @@
 	return !e.spec.ChecksFence || t.Incarnation == e.incarnation
 }
 
-// begin starts a new life. Where fences are checked, nothing of the former one counts any more; elsewhere its tickets
-// and orders do until they have ended, or the given time has passed since they were ordered.
-func (e *endpointState) begin(incarnation string, limit time.Duration) {
+// beginLife starts a new life. Where fences are checked, nothing of the former one counts any more; elsewhere its tickets
+// go on counting until they come back, and its orders until they have ended or the limit has passed since they were sent.
+func (e *endpointState) beginLife(incarnation string, limit time.Duration) {
 	former := e.incarnation
 	e.incarnation = incarnation
 	e.loading = 0
@@ -101,7 +105,7 @@
 	if !e.spec.ChecksFence {
 		for ref, s := range e.slots {
 			if s.state == slotLoading {
-				e.former[formerOrder{incarnation: former, adapter: ref}] = s.since.Add(limit)
+				e.formerOrders[formerOrder{incarnation: former, adapter: ref}] = s.since.Add(limit)
 			}
 		}
 		return
@@ -111,20 +115,25 @@
 	clear(e.using)
 }
 
-// awaitsOrders tells whether an order of a former life may still arrive.
+// awaitsOrders tells whether an order of a former life may still arrive; it drops those that no longer can.
 func (e *endpointState) awaitsOrders(now time.Time) bool {
-	maps.DeleteFunc(e.former, func(_ formerOrder, until time.Time) bool { return !until.After(now) })
-	return len(e.former) > 0
+	maps.DeleteFunc(e.formerOrders, func(_ formerOrder, until time.Time) bool { return !until.After(now) })
+	return len(e.formerOrders) > 0
 }
 
-// unloads tells whether an order that may still arrive unloads the adapter: until it has ended, neither a list nor the
-// end of another load shows that the adapter stays.
-func (e *endpointState) unloads(now time.Time, ref fleet.AdapterRef) bool {
-	return e.late[ref].After(now) || e.evicts(ref)
+// unloadPending tells whether an unload of the adapter may still take effect. Until it cannot, neither a list nor the end
+// of another load shows that the adapter stays, and so none is ordered.
+func (e *endpointState) unloadPending(now time.Time, ref fleet.AdapterRef) bool {
+	return e.unloadMayBeLate(now, ref) || e.unloadOrdered(ref)
 }
 
-// evicts tells whether an order that has not ended unloads the adapter.
-func (e *endpointState) evicts(ref fleet.AdapterRef) bool {
+// unloadMayBeLate tells whether an unload of the adapter whose answer was lost may still arrive.
+func (e *endpointState) unloadMayBeLate(now time.Time, ref fleet.AdapterRef) bool {
+	return e.lateUnloads[ref].After(now)
+}
+
+// unloadOrdered tells whether an order that has not been answered unloads the adapter.
+func (e *endpointState) unloadOrdered(ref fleet.AdapterRef) bool {
 	for _, s := range e.slots {
 		if s.state == slotLoading && s.evicting == ref {
 			return true
--- a/services/daemon/placement/inspection.go
+++ b/services/daemon/placement/inspection.go
@@ -87,7 +87,7 @@
 	if e.incarnation != "" {
 		p.note(now, fleet.Event{Kind: fleet.EventRestarted, Endpoint: e.spec.Name, Cause: "new incarnation " + incarnation})
 	}
-	e.begin(incarnation, p.options.LoadTimeout)
+	e.beginLife(incarnation, p.options.LoadTimeout)
 	for ref := range e.slots {
 		p.dropCopy(e, ref)
 	}
@@ -108,7 +108,8 @@
 			}
 			p.dropCopy(e, ref)
 			p.note(now, fleet.Event{Kind: fleet.EventUnloaded, Adapter: ref.String(), Endpoint: e.spec.Name, Cause: "the endpoint no longer lists it"})
-		case s.state == slotUnknown && e.late[ref].After(now):
+		case s.state == slotUnknown && e.unloadMayBeLate(now, ref):
+			// The list may be from before the unload: the slot stays unknown, neither granted nor evicted.
 		case s.state == slotUnknown || s.state == slotLoading:
 			if s.state == slotLoading {
 				e.loading--
@@ -121,7 +122,7 @@
 		p.adoptSlot(now, e, ref)
 	}
 	p.markForeign(now, e, in, adopting)
-	maps.DeleteFunc(e.late, func(_ fleet.AdapterRef, until time.Time) bool { return !until.After(now) })
+	maps.DeleteFunc(e.lateUnloads, func(_ fleet.AdapterRef, until time.Time) bool { return !until.After(now) })
 	if !loading {
 		e.uncertain = false
 	}
@@ -129,11 +130,11 @@
 
 // adoptSlot enters an adapter that the endpoint holds and that was not known.
 func (p *Placer) adoptSlot(now time.Time, e *endpointState, ref fleet.AdapterRef) {
-	if e.slots[ref] != nil || e.evicts(ref) {
+	if e.slots[ref] != nil || e.unloadOrdered(ref) {
 		return
 	}
 	s := &slot{adapter: ref, state: slotResident, since: now, lastUsed: now}
-	if e.late[ref].After(now) {
+	if e.unloadMayBeLate(now, ref) {
 		// It takes a slot, but is neither granted nor evicted.
 		s.state = slotUnknown
 	}
--- a/services/daemon/placement/load.go
+++ b/services/daemon/placement/load.go
@@ -53,7 +53,7 @@
 		return p.take()
 	}
 	if e.incarnation != incarnation {
-		p.endFormer(now, e, formerOrder{incarnation: incarnation, adapter: ref}, result)
+		p.endFormerOrder(now, e, formerOrder{incarnation: incarnation, adapter: ref}, result)
 		return p.take()
 	}
 	s := e.slots[ref]
@@ -77,34 +77,34 @@
 		s.state = slotUnknown
 		p.note(now, fleet.Event{Kind: fleet.EventSlotUnknown, Adapter: ref.String(), Endpoint: endpoint, Cause: cause})
 		p.inspect(e)
-		p.outlast(now, e, s.evicting)
+		p.guardLateOrder(now, e, s.evicting)
 	}
 	return p.take()
 }
 
-// outlast guards against an order whose end is not known, and which may only be late: under a new fence the endpoint
+// guardLateOrder guards against an order whose end is not known, and which may only be late: under a new fence the endpoint
 // refuses it; where no fence is checked, what it unloads is not used until it must have arrived.
-func (p *Placer) outlast(now time.Time, e *endpointState, evicted fleet.AdapterRef) {
+func (p *Placer) guardLateOrder(now time.Time, e *endpointState, evicted fleet.AdapterRef) {
 	if e.spec.ChecksFence {
 		e.fenceLost = true
 		p.effects = append(p.effects, Retake{Endpoint: e.spec.Name})
 		return
 	}
 	if !evicted.IsZero() {
-		e.late[evicted] = now.Add(p.options.OrderMargin)
+		e.lateUnloads[evicted] = now.Add(p.options.OrderMargin)
 	}
 }
 
-// endFormer takes the end of an order of a former life: the endpoint is used again by a list that began after it.
-func (p *Placer) endFormer(now time.Time, e *endpointState, order formerOrder, result LoadResult) {
-	if _, ok := e.former[order]; !ok {
+// endFormerOrder takes the end of an order of a former life: the endpoint is used again by a list that began after it.
+func (p *Placer) endFormerOrder(now time.Time, e *endpointState, order formerOrder, result LoadResult) {
+	if _, ok := e.formerOrders[order]; !ok {
 		return
 	}
 	if result == LoadUnknown {
-		e.former[order] = now.Add(p.options.OrderMargin)
+		e.formerOrders[order] = now.Add(p.options.OrderMargin)
 		return
 	}
-	delete(e.former, order)
+	delete(e.formerOrders, order)
 	e.seen = now
 	p.inspect(e)
 }
--- a/services/daemon/placement/place.go
+++ b/services/daemon/placement/place.go
@@ -16,7 +16,7 @@
 	var best placeFor
 	found := false
 	for _, e := range p.endpoints {
-		if !e.takesLoads(now) || !e.spec.Serves(p.bases[ref]) || e.slots[ref] != nil || e.unloads(now, ref) {
+		if !e.takesLoads(now) || !e.spec.Serves(p.bases[ref]) || e.slots[ref] != nil || e.unloadPending(now, ref) {
 			continue
 		}
 		place, ok := p.placeOn(now, e)
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -34,6 +34,7 @@
 	loadsOf   customerLoads
 	prefixes  prefixHints
 	sequence  uint64
+	// sweeps counts the sweeps, for those that forget.
 	sweeps    uint64
 	loads     int
 	lastSweep time.Time
--- a/services/daemon/placement/queue/adapter.go
+++ b/services/daemon/placement/queue/adapter.go
@@ -38,8 +38,8 @@
 	return a.weight
 }
 
-// Since gives the time at which the oldest of those who wait was queued. The age of the row does not count: a load is worth
-// more, and a further copy is justified, by how long a request waits.
+// Since gives the time at which the oldest of those who wait was queued: how long one request waits, and not since when
+// somebody does, makes a load worth more and justifies a further copy.
 func (a *Adapter) Since() time.Time {
 	var oldest time.Time
 	for _, l := range a.lanes {
--- a/services/daemon/placement/queue/doc.go
+++ b/services/daemon/placement/queue/doc.go
@@ -6,7 +6,8 @@
 //
 // The order is start-time fair queuing by tokens: a customer's next request starts where
 // its last one ended in virtual time, so that a flood queues behind itself. Priorities rise
-// with the wait (docs/design/0003, queues).
+// with the wait (docs/design/0003, queues). A customer's place in that order is forgotten when none of its requests has
+// waited for long (Queue.Forget).
 //
 // It owns the waiting requests and relies on nothing; whom to admit, and what may start
 // where, is services/daemon/placement's. It starts no goroutines, reads no clock and is not
--- a/services/daemon/placement/restriction.go
+++ b/services/daemon/placement/restriction.go
@@ -63,7 +63,8 @@
 }
 
 // AllowOrders bounds the right to order loads and unloads on an endpoint that checks no
-// fences; the zero time says that the lease was never held yet, and forbids all use.
+// fences; the zero time gives none. It forbids all use, too, until the lease was held once;
+// after that, what is resident is granted on without the right.
 func (p *Placer) AllowOrders(endpoint string, until time.Time) {
 	e := p.byName[endpoint]
 	if e == nil {
--- a/services/daemon/relay/answer_reader.go
+++ b/services/daemon/relay/answer_reader.go
@@ -60,7 +60,7 @@
 			return nil, err
 		}
 	}
-	body, err := a.append(make([]byte, 0, max(stated, 0)+bytes.MinRead), from, smallAnswer)
+	body, err := a.readUpTo(make([]byte, 0, max(stated, 0)+bytes.MinRead), from, smallAnswer)
 	if err != nil || len(body) <= smallAnswer {
 		return body, err
 	}
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 	}
-	body, err = a.append(body, from, maxAnswer)
+	body, err = a.readUpTo(body, from, maxAnswer)
 	if err == nil && len(body) > maxAnswer {
 		return nil, errAnswerTooLong()
 	}
@@ -99,8 +99,8 @@
 	return nil
 }
 
-// append reads on after what is there, until the end or until more than a number of bytes are there.
-func (a *answerReader) append(body []byte, from io.Reader, limit int) ([]byte, error) {
+// readUpTo reads on after what is there, until the end or until more than a number of bytes are there.
+func (a *answerReader) readUpTo(body []byte, from io.Reader, limit int) ([]byte, error) {
 	out := bytes.NewBuffer(body)
 	_, err := out.ReadFrom(io.LimitReader(watched{from: from, reader: a}, int64(limit+1-len(body))))
 	if err != nil {
