Believe a list only if it was read after a late unload can have arrived

Cause: found in the reading of the daemon's change. Where endpoints check no fence, the time until which an unload of unknown end may still arrive was compared with the present time and not with when the endpoint's list began to be read: a list that was read before and taken in after it made the adapter resident, though the unload may have come in between. Change: the start of the reading is compared, for a lost answer as for an order of before a restart. Looked for the same cause: `endFormerOrder` compares the reading already (`seen`); the entry program's planner takes reports by their number.

--- a/services/daemon/placement/inspection.go
+++ b/services/daemon/placement/inspection.go
@@ -68,8 +68,8 @@
 			return p.take()
 		}
 	}
-	if e.awaitsOrders(now) {
-		// What such an order unloads may be on the list; a list of after its end shows what is there.
+	if e.awaitsOrders(in.Began) {
+		// What such an order unloads may be on the list; a list that was read after its end shows what is there.
 		e.uncertain = true
 		return p.take()
 	}
@@ -108,7 +108,7 @@
 			}
 			p.dropCopy(e, ref)
 			p.note(now, fleet.Event{Kind: fleet.EventUnloaded, Adapter: ref.String(), Endpoint: e.spec.Name, Cause: "the endpoint no longer lists it"})
-		case s.state == slotUnknown && e.unloadMayBeLate(now, ref):
+		case s.state == slotUnknown && e.unloadMayBeLate(in.Began, ref):
 			// The list may be from before the unload: the slot stays unknown, neither granted nor evicted.
 		case s.state == slotUnknown || s.state == slotLoading:
 			if s.state == slotLoading {
@@ -119,22 +119,22 @@
 		}
 	}
 	for _, ref := range in.Resident {
-		p.adoptSlot(now, e, ref)
+		p.adoptSlot(now, in.Began, e, ref)
 	}
 	p.markForeign(now, e, in, adopting)
-	maps.DeleteFunc(e.lateUnloads, func(_ fleet.AdapterRef, until time.Time) bool { return !until.After(now) })
+	maps.DeleteFunc(e.lateUnloads, func(_ fleet.AdapterRef, until time.Time) bool { return !until.After(in.Began) })
 	if !loading {
 		e.uncertain = false
 	}
 }
 
-// adoptSlot enters an adapter that the endpoint holds and that was not known.
-func (p *Placer) adoptSlot(now time.Time, e *endpointState, ref fleet.AdapterRef) {
+// adoptSlot enters an adapter that the endpoint holds, by a list that began to be read at a time, and that was not known.
+func (p *Placer) adoptSlot(now, began time.Time, e *endpointState, ref fleet.AdapterRef) {
 	if e.slots[ref] != nil || e.unloadOrdered(ref) {
 		return
 	}
 	s := &slot{adapter: ref, state: slotResident, since: now, lastUsed: now}
-	if e.unloadMayBeLate(now, ref) {
+	if e.unloadMayBeLate(began, ref) {
 		// It takes a slot, but is neither granted nor evicted.
 		s.state = slotUnknown
 	}
--- a/services/daemon/placement/load_test.go
+++ b/services/daemon/placement/load_test.go
@@ -93,7 +93,8 @@
 	_, used := p.UsePermit(at(9))
 	require.False(t, used, "its slot is taken, and it is not evicted twice")
 	require.Zero(t, grants(p.Inspected(at(4+margin), list(3+margin, ref("a")))))
-	require.Equal(t, 1, grants(p.Inspected(at(6+margin), list(5+margin, ref("a")))))
+	require.Zero(t, grants(p.Inspected(at(6+margin), list(4+margin, ref("a")))), "the unload may have arrived after this list was read")
+	require.Equal(t, 1, grants(p.Inspected(at(7+margin), list(6+margin, ref("a")))))
 }
 
 func TestAnAdapterIsNotLoadedWhereItsUnloadIsUnderWay(t *testing.T) {
--- a/services/daemon/placement/restart_test.go
+++ b/services/daemon/placement/restart_test.go
@@ -52,7 +52,8 @@
 	p.Submit(at(7), request("q2", "a"))
 	limit := int(placement.DefaultOptions().LoadTimeout / time.Millisecond)
 	require.Empty(t, only[placement.Grant](p.Inspected(at(3+limit), ofLife("e1-2", 2+limit))))
-	require.Len(t, only[placement.Grant](p.Inspected(at(6+limit), ofLife("e1-2", 5+limit))), 1)
+	require.Empty(t, only[placement.Grant](p.Inspected(at(6+limit), ofLife("e1-2", 3+limit))), "the order may have come after this list was read")
+	require.Len(t, only[placement.Grant](p.Inspected(at(7+limit), ofLife("e1-2", 6+limit))), 1)
 }
 
 func TestATicketOfBeforeARestartWasSeenKeepsItsAdapterWhereNoFenceIsChecked(t *testing.T) {
