--- a/models/entry/deployment/configuration_test.go
+++ b/models/entry/deployment/configuration_test.go
@@ -30,3 +30,26 @@
 	assert.False(t, (&deployment.Route{Kind: deployment.Streaming}).Retryable())
 	assert.True(t, (&deployment.Route{Kind: deployment.Streaming, Resumable: true}).Retryable())
 }
+
+func TestThePrioritiesOfAServicesRoutesAreRanked(t *testing.T) {
+	route := func(priority int, services ...string) *deployment.Route {
+		one := &deployment.Route{Host: "a.example", PathPrefix: "/", Priority: priority}
+		for _, service := range services {
+			one.Backends = append(one.Backends, deployment.Backend{Service: service, Weight: 1})
+		}
+		return one
+	}
+	configuration := deployment.NewConfiguration(1, []*deployment.Route{
+		route(7, "models"), route(0, "models", "desk"), route(7, "models"), route(3, "models"),
+	}, nil, deployment.Limits{})
+	rank := func(service string, priority int) [2]int {
+		place, of := configuration.PriorityRank(service, priority)
+		return [2]int{place, of}
+	}
+	assert.Equal(t, [2]int{0, 3}, rank("models", 0))
+	assert.Equal(t, [2]int{1, 3}, rank("models", 3))
+	assert.Equal(t, [2]int{2, 3}, rank("models", 7))
+	assert.Equal(t, [2]int{0, 1}, rank("desk", 0))
+	assert.Equal(t, [2]int{2, 4}, rank("models", 5), "a route of an older configuration")
+	assert.Equal(t, [2]int{0, 1}, rank("other", 5))
+}
--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -15,6 +15,8 @@
 	Service string
 	// Adapter is what the caller's header names; its Model is empty for plain services.
 	Adapter Adapter
+	// Prompt is the length of its prompt in tokens, as the caller declares it; 0 if it does not say.
+	Prompt int
 	// Arrived is when this instance began to serve the request; own clock.
 	Arrived time.Time
 	// Deadline is the earlier of the caller's own deadline and the route's timeout.
--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -27,6 +27,8 @@
 	// First is the time from the arrival to the head of the answer, 0 for none; Whole that to its end.
 	First time.Duration
 	Whole time.Duration
+	// StartRatios are, for each attempt with a declared prompt that ran, the time until it ran over the expected one.
+	StartRatios []float64
 }
 
 // Gauges are figures read when the metrics are asked for.
@@ -59,12 +61,17 @@
 	waited   *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
+	starts   *prometheus.HistogramVec
 }
 
 // buckets are the upper bounds of the histograms, in seconds. More tell durations apart more finely, fewer take less memory for
 // each class. Not measured.
 var buckets = []float64{.01, .05, .1, .25, .5, .8, 1, 2, 4, 8, 15}
 
+// ratioBuckets are the upper bounds of the ratios of actual to expected times. More tell errors apart more finely, fewer take less
+// memory for each class. Not measured.
+var ratioBuckets = []float64{.25, .5, .8, 1.25, 2, 4, 8}
+
 // New makes metrics; gauges is asked at each reading.
 func New(gauges func() Gauges) *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
@@ -89,8 +96,12 @@
 		waited:  histogram("wait_seconds", "Wait for an endpoint."),
 		first:   histogram("first_byte_seconds", "Time to the head of the answer."),
 		whole:   histogram("request_seconds", "Time to the end of the answer."),
+		starts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "shelfledge", Name: "start_ratio", Buckets: ratioBuckets,
+			Help: "Time until a request with a declared prompt ran at its endpoint, over the time that was expected.",
+		}, []string{"class"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, &gaugeCollector{read: gauges})
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, m.starts, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -113,6 +124,9 @@
 		m.first.WithLabelValues(r.Route).Observe(r.First.Seconds())
 	}
 	m.whole.WithLabelValues(r.Route).Observe(r.Whole.Seconds())
+	for _, ratio := range r.StartRatios {
+		m.starts.WithLabelValues(r.Route).Observe(ratio)
+	}
 }
 
 // ObserveOrder counts one order to an endpoint.
--- a/services/entry/admission/decide.go
+++ b/services/entry/admission/decide.go
@@ -40,6 +40,8 @@
 	// Expected is when the adapter is expected to be resident; zero if that is not known. It comes from the planner's last
 	// view (forecasts come with its heartbeats), or, while no planner orders, from the usual time of a hand-over.
 	Expected time.Time
+	// NobodyOrders says that no planner orders loads now, so that no forecast is on the way that could change Expected.
+	NobodyOrders bool
 }
 
 // Decision is what becomes of the request.
@@ -78,12 +80,11 @@
 	// retryPause is the least time after which a refused caller should come back. Longer spares the instances, shorter
 	// serves sooner. Not measured.
 	retryPause = 400 * time.Millisecond
-	// hopelessFrom and hopelessUntil are the parts of its target between which a request may be refused as hopeless: before,
-	// the planner's forecast of its adapter may still be on the way; after, the refusal would come too late for the caller
-	// to be served in time by another attempt. Wider refuses more. Measured as a rule: docs/design/0006-measured.md, "only
-	// those refused at once that would be refused anyway"; the bounds themselves were not varied.
-	hopelessFrom  = 0.13
-	hopelessUntil = 0.25
+	// forecastTime is how long after its arrival a request is not refused as hopeless, since the planner may not have
+	// heard of it and its forecast may be on the way. Longer holds requests that cannot be served, shorter refuses some that
+	// would have been. Measured: docs/design/0006-measured.md,
+	// "hopeless at any time"; 40 ms measured alike.
+	forecastTime = 80 * time.Millisecond
 	// firstTokenTime is the usual time from the choice of an endpoint to the first event. Longer refuses more requests as
 	// hopeless. Not measured.
 	firstTokenTime = 150 * time.Millisecond
@@ -107,16 +108,13 @@
 	return Decision{Reason: AdapterNotLoaded, RetryAfter: retryAfter(now, situation)}
 }
 
-// hopeless reports whether the adapter is expected after the request would be refused anyway, while a
-// refusal is still prompt: a caller that comes back when the adapter is there is served in time by that
-// attempt. The bound is not the target: forecasts are often too late, and a request that is
-// refused though its adapter would have come in time loses more than one that is served late.
+// hopeless reports whether the adapter is expected after the request would be refused anyway. The bound is not the target:
+// a request that is refused though its adapter would have come loses more than one that is served late.
 func hopeless(waited time.Duration, situation Situation) bool {
 	if situation.Route.Kind != deployment.Streaming || situation.Expected.IsZero() || situation.NoEndpoint || situation.Saturated {
 		return false
 	}
-	target := float64(situation.Route.Target)
-	if float64(waited) < hopelessFrom*target || float64(waited) > hopelessUntil*target {
+	if waited < forecastTime && !situation.NobodyOrders {
 		return false
 	}
 	return situation.Expected.Add(firstTokenTime).After(situation.Arrived.Add(waitLimit(situation)))
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -9,6 +9,7 @@
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
+	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
 const (
@@ -126,6 +127,9 @@
 // cost is what a request adds to at an endpoint, in requests in flight; the lowest is chosen.
 func cost(endpoint *directory.EndpointStatus, request *deployment.Request, options Options) float64 {
 	cost := float64(endpoint.Load()) + tieSpread*options.Random()
+	if request.UsesModel() {
+		cost += work.InRequests(endpoint.Backlog())
+	}
 	if endpoint.Hall == options.Hall {
 		return cost
 	}
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -16,6 +16,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/waiting"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
+	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
 // ErrStopped reports that the process is ending.
@@ -40,6 +41,11 @@
 	Version int64
 	// MaxConnections bounds this instance's connections to the endpoint.
 	MaxConnections int
+	// Urgency is the level at which the endpoint is to take the request up, the lowest first.
+	Urgency int
+	// Expected is how long the endpoint is expected to take until the first event, by the prompts that wait there and the own
+	// one; 0 where the caller declared no prompt.
+	Expected time.Duration
 	// Waited is how long the request waited for the endpoint.
 	Waited time.Duration
 	// Assigned is when the endpoint was chosen; from then on the request waits there until it runs.
@@ -92,7 +98,7 @@
 		select {
 		case result := <-w.Result:
 			if result.err == nil {
-				c.end(now, result.assignment, w.Adapter, directory.Neutral)
+				c.end(now, result.assignment, w.Request, directory.Neutral)
 			}
 		default:
 			c.waiters.Drop(w)
@@ -103,7 +109,7 @@
 func (c *Coordinator) admit(now time.Time, w *waiter) {
 	w.Since = now
 	if w.UsesModel() && len(w.Tried) == 0 {
-		c.demand.Arrived(w.Key())
+		c.demand.Arrived(w.Key(), w.Prompt)
 	}
 	if c.serve(now, w) {
 		return
@@ -131,9 +137,13 @@
 	if verdict != balance.Chosen {
 		return false
 	}
-	c.directory.Begin(now, status.ID, w.Adapter)
+	c.directory.Begin(now, status.ID, w.Request)
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
+		Urgency: c.urgency(now, w.Request, status),
+	}
+	if w.Prompt > 0 {
+		assignment.Expected = status.Backlog()
 	}
 	if held := status.Offered[w.Adapter]; named > 0 && held >= named {
 		// Endpoints refuse any other version, newer ones too, and this one may be newer than the name that is known here.
@@ -143,6 +153,17 @@
 	return true
 }
 
+// urgency is the level at which an endpoint is to take a request up: by its route's priority, then by how long it can wait there
+// and still be answered in time.
+func (c *Coordinator) urgency(now time.Time, request *deployment.Request, status *directory.EndpointStatus) int {
+	rank := work.Rank{}
+	if configuration := c.current.Load(); configuration != nil {
+		rank.Place, rank.Of = configuration.PriorityRank(request.Service, request.Route.Priority)
+	}
+	slack := request.Arrived.Add(request.Route.Target).Sub(now) - status.Speed.ReadTime(request.Prompt)
+	return rank.Urgency(slack)
+}
+
 // connectionShare is this instance's part of the connections that an endpoint accepts.
 func (c *Coordinator) connectionShare(service string) int {
 	configuration := c.current.Load()
@@ -163,7 +184,8 @@
 		NoEndpoint: w.Verdict == balance.NoEndpoint, Saturated: w.Verdict == balance.Saturated,
 	}
 	if w.Verdict == balance.NotResident {
-		situation.Expected = c.expectedAt(now, w)
+		expected := c.expected(now, w)
+		situation.Expected, situation.NobodyOrders = expected.At, expected.Reason.NobodyOrders()
 	}
 	decision := admission.Decide(now, situation)
 	if decision.Wait {
@@ -176,10 +198,9 @@
 	return false
 }
 
-// expectedAt gives when the adapter that a request waits for will be resident, by the planner's last view.
-func (c *Coordinator) expectedAt(now time.Time, w *waiter) time.Time {
-	load := c.forecasts.Load(w.Key())
-	return forecast.Expect(now, c.knownPlanner(now), load).At
+// expected gives when the adapter that a request waits for will be resident, by the planner's last view.
+func (c *Coordinator) expected(now time.Time, w *waiter) forecast.Expected {
+	return forecast.Expect(now, c.knownPlanner(now), c.forecasts.Load(w.Key()))
 }
 
 // knownPlanner is what this instance knows of whoever orders loads.
@@ -187,16 +208,25 @@
 	known := forecast.Planner{
 		ViewAge: now.Sub(c.following.ReceivedAt), ConfirmedAge: c.following.ConfirmedAge, OrderWindow: c.options.Lease.Window,
 		ViewTerm: c.following.Term, ResignedTerm: c.following.ResignedTerm,
-		RecordTerm: c.knownRecord.Term, RecordReleased: c.knownRecord.Released,
+		StoreSilent: c.storeSilent(now), RecordTerm: c.knownRecord.Term, RecordReleased: c.knownRecord.Released,
 	}
 	if c.planning != nil {
 		known.Holds, known.GivingUp = !c.planning.givingUp, c.planning.givingUp
+		known.StoreSilent = c.planning.lease.ConfirmedAge(now)
 		known.MayOrder = c.planning.lease.MayOrder(now)
 		known.FormerHolderTime = c.planning.lease.Remaining(now)
 	}
 	return known
 }
 
+// storeSilent is for how long the store has failed this instance in its looks for a planner; 0 if it answered the last one.
+func (c *Coordinator) storeSilent(now time.Time) time.Duration {
+	if c.storeSilentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.storeSilentSince)
+}
+
 // reviewWaiters serves or refuses the requests that wait, the most urgent first.
 func (c *Coordinator) reviewWaiters(now time.Time) {
 	c.waiters.Review(func(w *waiter) bool { return !c.serve(now, w) && c.decideWaiter(now, w) })
@@ -205,20 +235,20 @@
 // Running notes that an endpoint runs a request: its answer has begun.
 func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
 	c.loop.Post(func(now time.Time) {
-		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request.Route.Priority)
+		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	})
 }
 
 // end takes a request out of flight and out of its endpoint's queue.
-func (c *Coordinator) end(now time.Time, assignment Assignment, adapter deployment.Adapter, outcome directory.Outcome) {
-	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned)
-	c.directory.End(now, assignment.Endpoint.ID, adapter, outcome)
+func (c *Coordinator) end(now time.Time, assignment Assignment, request *deployment.Request, outcome directory.Outcome) {
+	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
+	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
 }
 
 // Finish takes a request out of flight; missing tells that the endpoint did not hold the adapter.
 func (c *Coordinator) Finish(request *deployment.Request, assignment Assignment, outcome directory.Outcome, missing bool) {
 	c.loop.Post(func(now time.Time) {
-		c.end(now, assignment, request.Adapter, outcome)
+		c.end(now, assignment, request, outcome)
 		if missing {
 			c.directory.NoteMissing(now, assignment.Endpoint.ID, request.Adapter)
 			c.missing = append(c.missing, wire.Copy{ID: assignment.Endpoint.ID, Model: request.Adapter.Model, Name: request.Adapter.Name})
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -72,6 +72,8 @@
 	knownRecord lease.Record
 	// storeReadAt is when the store last answered a read of the record.
 	storeReadAt time.Time
+	// storeSilentSince is since when the store has failed the looks at the record; zero once it answers one.
+	storeSilentSince time.Time
 	// endLongWatch ends the waiting watch of the configuration; nil if it is a short one.
 	endLongWatch context.CancelFunc
 	// lookDue asks for a look at the record without delay.
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -25,7 +25,7 @@
 	// ratesDue asks for the arrival rates in the next report.
 	ratesDue bool
 	// own is what the last report said was in flight.
-	own map[deployment.EndpointID]int
+	own map[deployment.EndpointID]member.InFlight
 	// heard tells that a view came over the link.
 	heard bool
 	// keysAsked asks for the keys that the planner lacks in the next report.
@@ -138,22 +138,24 @@
 	if v.Heartbeat {
 		c.resetOthers()
 	}
-	c.applyTotals(v.Totals, func(status *directory.EndpointStatus) int { return c.following.own[status.ID] })
+	c.applyTotals(v.Totals, func(status *directory.EndpointStatus) member.InFlight { return c.following.own[status.ID] })
 }
 
 // resetOthers forgets what the other instances have in flight.
 func (c *Coordinator) resetOthers() {
 	for _, status := range c.directory.Endpoints() {
-		status.Others = 0
+		status.Others, status.OthersUnread = 0, 0
 	}
 }
 
 // applyTotals takes in what the other instances have in flight: the totals of all instances less what own says is this
 // one's part in them.
-func (c *Coordinator) applyTotals(totals []wire.EndpointCount, own func(*directory.EndpointStatus) int) {
+func (c *Coordinator) applyTotals(totals []wire.EndpointCount, own func(*directory.EndpointStatus) member.InFlight) {
 	for _, total := range totals {
 		if status := c.directory.Endpoint(total.ID); status != nil {
-			status.Others = max(0, total.Count-own(status))
+			part := own(status)
+			status.Others = max(0, total.Count-part.Requests)
+			status.OthersUnread = max(0, total.Unread-part.Unread)
 		}
 	}
 }
--- a/services/entry/coordinator/forecast/expect.go
+++ b/services/entry/coordinator/forecast/expect.go
@@ -18,6 +18,10 @@
 	// over. Without it tests/platform refused requests at once after a start (commit 344fc39); the figure itself
 	// was not measured.
 	HandOverTime = 400 * time.Millisecond
+	// StoreSilence is for how long the store must have failed an instance that looks for a planner until nobody is expected to
+	// order soon: without the store no instance can become the planner. Longer bears single failed reads, of which there is one
+	// each 0.3 s; shorter refuses sooner what cannot be served. Not measured.
+	StoreSilence = 600 * time.Millisecond
 	// Overdue is added to the present for an adapter that should be resident already. Not measured.
 	Overdue = 50 * time.Millisecond
 )
@@ -39,8 +43,15 @@
 	NewPlanner
 	// LostPlanner: the planner is silent, or can no longer prove that it holds the lease.
 	LostPlanner
+	// LostStore: nobody can order, and the store answers nobody's reading here, so that nobody can begin to.
+	LostStore
 )
 
+// NobodyOrders tells whether there was no planner that could order loads.
+func (r Reason) NobodyOrders() bool {
+	return r == LostPlanner || r == LostStore
+}
+
 // Planner is what an instance knows of whoever orders loads. Spans are measured on the own clock.
 type Planner struct {
 	// Holds tells that this instance holds the planner's lease and is not giving it up.
@@ -64,6 +75,9 @@
 	// RecordTerm and RecordReleased are from the record as last read from the store or learned from a peer.
 	RecordTerm     int64
 	RecordReleased bool
+	// StoreSilent is for how long the store has failed this instance: a holder since its last confirmation, any other since the
+	// first failed look for a planner; 0 if the last one was answered.
+	StoreSilent time.Duration
 }
 
 // Load is what the planner said of one adapter.
@@ -108,6 +122,9 @@
 
 // absence is how long it usually takes until a planner orders again.
 func (p Planner) absence() (time.Duration, Reason) {
+	if p.StoreSilent >= StoreSilence {
+		return TakeoverTime, LostStore
+	}
 	if p.Holds {
 		return p.FormerHolderTime + HandOverTime, FormerHolder
 	}
--- a/services/entry/coordinator/forecast/forecast_test.go
+++ b/services/entry/coordinator/forecast/forecast_test.go
@@ -100,6 +100,18 @@
 		"the holder whose wait is over but whose record is not written yet": {
 			forecast.Planner{Holds: true}, forecast.Load{}, 400 * time.Millisecond, forecast.FormerHolder,
 		},
+		"the store has failed for a moment": {
+			silent(func(p *forecast.Planner) { p.StoreSilent, p.ResignedTerm = 600*time.Millisecond-1, 4 }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner,
+		},
+		"the store fails, so that nobody can become the planner": {
+			silent(func(p *forecast.Planner) { p.StoreSilent, p.ResignedTerm = 600*time.Millisecond, 4 }), forecast.Load{}, 2500 * time.Millisecond, forecast.LostStore,
+		},
+		"the store fails a holder": {
+			forecast.Planner{Holds: true, StoreSilent: time.Second}, forecast.Load{}, 2500 * time.Millisecond, forecast.LostStore,
+		},
+		"the store fails, but a planner that is heard may order": {
+			follower(func(p *forecast.Planner) { p.StoreSilent = time.Hour }), forecast.Load{Named: true, At: now.Add(time.Second)}, time.Second, forecast.UnderWay,
+		},
 		"a holder that gives the lease up": {
 			follower(func(p *forecast.Planner) { p.GivingUp, p.MayOrder = true, true }), forecast.Load{}, 2500 * time.Millisecond, forecast.LostPlanner,
 		},
@@ -124,3 +136,12 @@
 	book.Renew(nil)
 	assert.Equal(t, forecast.Load{}, book.Load(key))
 }
+
+func TestWhenNobodyOrders(t *testing.T) {
+	for reason, nobody := range map[forecast.Reason]bool{
+		forecast.UnderWay: false, forecast.Queued: false, forecast.Late: false, forecast.FormerHolder: false, forecast.NewPlanner: false,
+		forecast.LostPlanner: true, forecast.LostStore: true,
+	} {
+		assert.Equal(t, nobody, reason.NobodyOrders(), "reason %d", reason)
+	}
+}
--- a/services/entry/coordinator/handover.go
+++ b/services/entry/coordinator/handover.go
@@ -75,6 +75,7 @@
 		return nil
 	}
 	due := newRewrite(p.lease)
+	due.record = due.record.Forget(now.Sub(p.since), p.coordinator.options.Lease)
 	due.record.Released, due.record.RecentLoads = true, p.plans.RecentLoads(now)
 	return due
 }
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -149,10 +149,11 @@
 	}
 }
 
-// lookForPlanner reads the record while no planner sends views, and takes the lease where its holder is gone.
+// lookForPlanner reads the record while no planner sends views, and takes the lease where its holder is gone. An instance that
+// leaves takes no lease, but a new planner must hear of the copies that its last requests use.
 func (l *leaseLoop) lookForPlanner() {
 	c := l.coordinator
-	if c.leaving.Load() || !c.ready.Load() {
+	if !c.ready.Load() {
 		return
 	}
 	now := c.options.Now()
@@ -166,12 +167,16 @@
 	l.nextLook = now.Add(c.jitter(lookPause))
 	stored, err := c.leases.Read(c.context)
 	if err != nil {
+		c.noteStoreSilent()
 		if silence >= lease.TakeoverSilence {
 			c.askSeedsForPlanner()
 		}
 		return
 	}
 	resigned := c.learnRecord(stored, asked)
+	if c.leaving.Load() {
+		return
+	}
 	sighting := lease.Sighting{
 		Self: c.options.Instance, Record: stored.Record, Revision: stored.Revision, Found: stored.Found,
 		Resigned: resigned, Silence: silence, Reluctance: c.options.Reluctance,
@@ -185,6 +190,15 @@
 	}
 }
 
+// noteStoreSilent remembers since when the store has failed the looks at the record.
+func (c *Coordinator) noteStoreSilent() {
+	c.loop.Call(func(now time.Time) {
+		if c.storeSilentSince.IsZero() {
+			c.storeSilentSince = now
+		}
+	})
+}
+
 // lookForHeartbeat decides about the record of a silent holder by its heartbeat in the store.
 func (l *leaseLoop) lookForHeartbeat(now time.Time, sighting lease.Sighting) lease.Verdict {
 	if l.coordinator.leases.HolderAlive(l.coordinator.context) {
@@ -199,7 +213,7 @@
 func (c *Coordinator) learnRecord(stored leasestore.Stored, asked bool) bool {
 	resigned := false
 	c.loop.Call(func(now time.Time) {
-		c.storeReadAt = now
+		c.storeReadAt, c.storeSilentSince = now, time.Time{}
 		c.noteRecord(stored.Record)
 		resigned = stored.Found && stored.Record.Term == c.following.ResignedTerm
 		if asked {
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -57,10 +57,23 @@
 	// storeReadAge is how long before its last report it read the store.
 	storeReadAge time.Duration
 	inUse        map[wire.Copy]int
-	inFlight     map[deployment.EndpointID]int
+	inFlight     map[deployment.EndpointID]InFlight
 	suspects     map[deployment.EndpointID]bool
 }
 
+// InFlight is what an endpoint has to do.
+type InFlight struct {
+	// Requests counts the requests in flight there.
+	Requests int
+	// Unread is how many tokens of their prompts it has not read yet.
+	Unread int
+}
+
+// Plus adds what else the endpoint has to do.
+func (f InFlight) Plus(other InFlight) InFlight {
+	return InFlight{Requests: f.Requests + other.Requests, Unread: f.Unread + other.Unread}
+}
+
 // Lag measures for how long a peer has lacked newer keys of the configuration.
 type Lag struct {
 	since time.Time
@@ -96,9 +109,9 @@
 	for _, used := range r.InUse {
 		m.inUse[used.Copy()] = used.Count
 	}
-	m.inFlight = make(map[deployment.EndpointID]int, len(r.InFlight))
+	m.inFlight = make(map[deployment.EndpointID]InFlight, len(r.InFlight))
 	for _, one := range r.InFlight {
-		m.inFlight[one.ID] = one.Count
+		m.inFlight[one.ID] = InFlight{Requests: one.Count, Unread: one.Unread}
 	}
 }
 
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -141,13 +141,13 @@
 }
 
 // AddInFlight adds the requests in flight of all members that are not lost.
-func (t *Table) AddInFlight(sums map[deployment.EndpointID]int) {
+func (t *Table) AddInFlight(sums map[deployment.EndpointID]InFlight) {
 	for _, m := range t.members {
 		if m.isLost() {
 			continue
 		}
-		for id, count := range m.inFlight {
-			sums[id] += count
+		for id, one := range m.inFlight {
+			sums[id] = sums[id].Plus(one)
 		}
 	}
 }
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -25,8 +25,16 @@
 	Random func() float64
 	// Term is the planner's.
 	Term int64
+	// Begun is when the term began.
+	Begun time.Time
+	// ExpectedFleet is the number of instances that took part in the term before, 0 if that is not known.
+	ExpectedFleet int
 }
 
+// joinTime is how long a new planner waits for the instances to tell which copies their requests use, before it has any
+// copy unloaded: an endpoint takes no other order while an unload waits for requests.
+const joinTime = 800 * time.Millisecond
+
 // Plans holds a plan for each service with engines; it is not safe for concurrent use.
 type Plans struct {
 	options       Options
@@ -39,6 +47,8 @@
 	changes Changes
 	// rated are the instances whose arrival rates were taken in; members that are forgotten are left out.
 	rated map[string]bool
+	// usesKnown is set once the instances have told which copies they use.
+	usesKnown bool
 	// withdrawals is the number of the last announcement of a withdrawal, of all services.
 	withdrawals uint64
 }
@@ -105,6 +115,16 @@
 	return planner
 }
 
+// knowsUses tells whether the instances have had time to tell which copies their requests use.
+func (p *Plans) knowsUses(now time.Time) bool {
+	if p.usesKnown {
+		return true
+	}
+	allJoined := p.options.ExpectedFleet > 0 && p.members.Fleet() >= p.options.ExpectedFleet
+	p.usesKnown = allJoined || now.Sub(p.options.Begun) >= joinTime
+	return p.usesKnown
+}
+
 // uses gives the requests in flight that use a copy, by all instances' last reports.
 func (p *Plans) uses(id deployment.EndpointID, adapter deployment.Adapter) int {
 	uses := p.members.Uses(wire.Copy{ID: id, Model: adapter.Model, Name: adapter.Name})
@@ -180,10 +200,13 @@
 func (p *Plans) Review(now time.Time, silence time.Duration) {
 	p.members.DropLost(now, silence, p.forgetInstance)
 	for _, planner := range p.planners {
-		planner.ConfirmUnused(now, p.unused)
+		if p.knowsUses(now) {
+			planner.ConfirmUnused(now, p.unused)
+		}
 	}
 	for id, status := range p.directory.Endpoints() {
 		if planner, ok := p.planners[status.Service]; ok {
+			planner.SetBacklog(id, status.Backlog(), status.Speed)
 			planner.SetSaturation(id, balance.CopyLimit().Reached(status), balance.RequestLimit().Reached(status))
 		}
 	}
--- a/services/entry/coordinator/plan/reports.go
+++ b/services/entry/coordinator/plan/reports.go
@@ -66,7 +66,7 @@
 	for _, one := range list {
 		byService[one.Service] = append(byService[one.Service], loading.Demand{
 			Adapter: deployment.Adapter{Model: one.Model, Name: one.Name},
-			Waiting: one.Waiting, InTime: one.InTime, Arrivals: one.Arrivals,
+			Waiting: one.Waiting, InTime: one.InTime, Arrivals: one.Arrivals, Prompts: one.Prompts,
 		})
 	}
 	return byService
--- a/services/entry/coordinator/plan/withdrawal_test.go
+++ b/services/entry/coordinator/plan/withdrawal_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/plan"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/loading"
 )
@@ -109,3 +110,35 @@
 	present.acknowledge(now, present.plans.Withdrawals())
 	assert.Equal(t, 1, present.unloads())
 }
+
+// TestANewPlannerUnloadsNothingBeforeTheInstancesHadTimeToTellWhatTheyUse: copies in use were unloaded, since the instances that use
+// them had not found the new planner yet.
+func TestANewPlannerUnloadsNothingBeforeTheInstancesHadTimeToTellWhatTheyUse(t *testing.T) {
+	for name, test := range map[string]struct {
+		expected int
+		joined   []string
+		after    time.Duration
+		unloads  int
+	}{
+		"nobody has joined, just before their time":    {3, nil, 800*time.Millisecond - 1, 0},
+		"nobody has joined in their time":              {3, nil, 800 * time.Millisecond, 1},
+		"one of two has joined":                        {3, []string{"a"}, 700 * time.Millisecond, 0},
+		"both have joined":                             {3, []string{"a", "b"}, 700 * time.Millisecond, 1},
+		"it is not known how many there are":           {0, []string{"a", "b"}, 700 * time.Millisecond, 0},
+		"it is not known, but their time has come":     {0, nil, time.Second, 1},
+		"the planner was alone before and is it still": {1, nil, 300 * time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixtureWith(plan.Options{Term: 2, Begun: start, ExpectedFleet: test.expected})
+			f.withdraw(f.load(start, service, "a1"), "a1")
+			for _, one := range test.joined {
+				f.members.Join(one, nil)
+				f.plans.TakeMember(start.Add(test.after), &wire.Report{Instance: one, WithdrawalsSeen: f.plans.Withdrawals()})
+			}
+			now := start.Add(test.after)
+			f.plans.Review(now, silence)
+			f.order(now)
+			assert.Equal(t, test.unloads, f.unloads())
+		})
+	}
+}
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -54,7 +54,7 @@
 	members := member.NewTable()
 	options := plan.Options{
 		LoadWindow: c.options.LoadWindow, LoadTolerance: c.options.LoadTolerance, LoadSlack: c.options.LoadSlack,
-		Random: c.options.Random, Term: held.Record().Term,
+		Random: c.options.Random, Term: held.Record().Term, Begun: now, ExpectedFleet: c.following.Members,
 	}
 	p := &planning{
 		coordinator: c, lease: held, members: members, since: now, former: former,
--- a/services/entry/coordinator/report/demand.go
+++ b/services/entry/coordinator/report/demand.go
@@ -27,12 +27,19 @@
 // Counter counts what is asked for at this instance; it is not safe for concurrent use.
 type Counter struct {
 	// arrivals are the requests since the last report.
-	arrivals map[deployment.ServiceAdapter]int
+	arrivals map[deployment.ServiceAdapter]arrivals
 	rates    map[deployment.ServiceAdapter]*loading.Rate
 	// returns are refused callers that are expected to come back.
 	returns []expectedReturn
 }
 
+// arrivals counts requests that came in.
+type arrivals struct {
+	requests int
+	// prompts sums their prompts, in tokens.
+	prompts int
+}
+
 // expectedReturn is a refused caller whose answer said when to come back; its adapter is asked for until then.
 type expectedReturn struct {
 	key    deployment.ServiceAdapter
@@ -42,12 +49,13 @@
 
 // NewCounter makes a counter of nothing.
 func NewCounter() *Counter {
-	return &Counter{arrivals: make(map[deployment.ServiceAdapter]int), rates: make(map[deployment.ServiceAdapter]*loading.Rate)}
+	return &Counter{arrivals: make(map[deployment.ServiceAdapter]arrivals), rates: make(map[deployment.ServiceAdapter]*loading.Rate)}
 }
 
-// Arrived counts a request that came in.
-func (ct *Counter) Arrived(key deployment.ServiceAdapter) {
-	ct.arrivals[key]++
+// Arrived counts a request that came in, with the length of its prompt in tokens.
+func (ct *Counter) Arrived(key deployment.ServiceAdapter, prompt int) {
+	known := ct.arrivals[key]
+	ct.arrivals[key] = arrivals{requests: known.requests + 1, prompts: known.prompts + prompt}
 }
 
 // ExpectBack notes that a refused caller was asked to come back at a time; its answer is in time for as long as its
@@ -67,10 +75,11 @@
 // requests that will be added.
 func (ct *Counter) Collect(now time.Time, waiting int) *Collection {
 	c := &Collection{counter: ct, now: now, demands: make(map[deployment.ServiceAdapter]*wire.Demand, len(ct.arrivals)+waiting)}
-	for key, count := range ct.arrivals {
+	for key, arrived := range ct.arrivals {
 		if !key.Adapter.IsZero() {
-			c.demandOf(key).Arrivals = count
-			ct.rate(key).Add(now, count)
+			one := c.demandOf(key)
+			one.Arrivals, one.Prompts = arrived.requests, arrived.prompts
+			ct.rate(key).Add(now, arrived.requests)
 		}
 	}
 	clear(ct.arrivals)
@@ -140,9 +149,9 @@
 // Untold takes in, at a time when there is nobody to report to, that the arrivals so far are not told: they stay in the rates,
 // which a new planner gets. Callers that should have come back are forgotten.
 func (ct *Counter) Untold(now time.Time) {
-	for key, count := range ct.arrivals {
+	for key, arrived := range ct.arrivals {
 		if !key.Adapter.IsZero() {
-			ct.rate(key).Add(now, count)
+			ct.rate(key).Add(now, arrived.requests)
 		}
 	}
 	clear(ct.arrivals)
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -10,6 +10,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
 // sendReport tells the planner, or this instance's own plan, what is asked here.
@@ -40,11 +41,12 @@
 		StoreReadAge: now.Sub(c.storeReadAt),
 	}
 	c.missing = nil
-	c.following.own = make(map[deployment.EndpointID]int, c.directory.Size())
+	c.following.own = make(map[deployment.EndpointID]member.InFlight, c.directory.Size())
 	for id, status := range c.directory.Endpoints() {
 		if status.Own > 0 {
-			built.InFlight = append(built.InFlight, wire.EndpointCount{ID: id, Count: status.Own})
-			c.following.own[id] = status.Own
+			own := ownInFlight(status)
+			built.InFlight = append(built.InFlight, wire.EndpointCount{ID: id, Count: own.Requests, Unread: own.Unread})
+			c.following.own[id] = own
 		}
 		if status.Health.Ejected(now) {
 			built.Suspects = append(built.Suspects, id)
@@ -67,6 +69,11 @@
 	return built
 }
 
+// ownInFlight is what this instance has in flight at an endpoint.
+func ownInFlight(status *directory.EndpointStatus) member.InFlight {
+	return member.InFlight{Requests: status.Own, Unread: status.OwnUnread()}
+}
+
 // reportCarriesKeys tells whether the next report carries the operators' keys that the planner lacks, and counts them as sent if it
 // does: when the planner asked for them, and, where it is of a version that does not ask, when it has lacked them for long enough.
 func (c *Coordinator) reportCarriesKeys(now time.Time) bool {
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -15,7 +15,6 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
-	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
 // broadcast tells all members what changed, if a view is due; with totals it goes out in any case and names all requests in
@@ -243,15 +242,15 @@
 
 // totals sums the requests in flight over all instances.
 func (p *planning) totals() []wire.EndpointCount {
-	sums := make(map[deployment.EndpointID]int, p.coordinator.directory.Size())
+	sums := make(map[deployment.EndpointID]member.InFlight, p.coordinator.directory.Size())
 	for id, status := range p.coordinator.directory.Endpoints() {
-		sums[id] += status.Own
+		sums[id] = ownInFlight(status)
 	}
 	p.members.AddInFlight(sums)
 	list := make([]wire.EndpointCount, 0, len(sums))
-	for id, count := range sums {
-		if count > 0 {
-			list = append(list, wire.EndpointCount{ID: id, Count: count})
+	for id, sum := range sums {
+		if sum.Requests > 0 {
+			list = append(list, wire.EndpointCount{ID: id, Count: sum.Requests, Unread: sum.Unread})
 		}
 	}
 	return list
@@ -261,7 +260,7 @@
 func (p *planning) applyOwnTotals(totals []wire.EndpointCount) {
 	c := p.coordinator
 	c.resetOthers()
-	c.applyTotals(totals, func(status *directory.EndpointStatus) int { return status.Own })
+	c.applyTotals(totals, ownInFlight)
 	c.following.Members = p.members.Fleet()
 	c.budget.SetMembers(p.members.Fleet())
 }
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -89,6 +89,8 @@
 type EndpointCount struct {
 	ID    deployment.EndpointID `msgpack:"e"`
 	Count int                   `msgpack:"n"`
+	// Unread is how many tokens of their prompts it has not read yet. Earlier versions neither tell nor read it.
+	Unread int `msgpack:"u,omitempty"`
 }
 
 // Demand is what an instance asks of one adapter of a service.
@@ -104,6 +106,8 @@
 	InTime time.Duration `msgpack:"t,omitempty"`
 	// Arrivals counts the requests since the last report.
 	Arrivals int `msgpack:"n,omitempty"`
+	// Prompts sums the prompts of the arrivals, in tokens. Earlier versions neither tell nor read it.
+	Prompts int `msgpack:"p,omitempty"`
 }
 
 // Copy names an adapter on an endpoint.
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -142,17 +142,17 @@
 }
 
 // Begin counts a request in flight, which waits in the endpoint's own queue until Running or Leave tells otherwise.
-func (d *Directory) Begin(now time.Time, id deployment.EndpointID, adapter deployment.Adapter) {
+func (d *Directory) Begin(now time.Time, id deployment.EndpointID, request *deployment.Request) {
 	status, ok := d.endpoints[id]
 	if !ok {
 		return
 	}
 	status.Own++
-	if adapter.Model != "" {
-		status.wait.enter(now)
+	if request.UsesModel() {
+		status.wait.enter(now, request.Prompt, status.OthersUnread)
 	}
-	if !adapter.IsZero() {
-		status.OwnByAdapter[adapter]++
+	if !request.Adapter.IsZero() {
+		status.OwnByAdapter[request.Adapter]++
 	}
 	if status.Health.TrialDue(now) {
 		status.Health.beginTrial()
--- a/services/entry/directory/status.go
+++ b/services/entry/directory/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
 // EndpointStatus is the state of one endpoint as this instance sees it.
@@ -23,12 +24,16 @@
 	Own int
 	// Others is the number of the other instances' requests, as of the planner's last view.
 	Others int
+	// OthersUnread is how many tokens of the other instances' prompts it has not read yet, as of the planner's last view.
+	OthersUnread int
 	// OwnByAdapter counts this instance's requests by adapter.
 	OwnByAdapter map[deployment.Adapter]int
 	// Health is how the endpoint has behaved.
 	Health Health
 	// Held are the adapters that it held at any time, and when each was last seen there.
 	Held map[deployment.Adapter]time.Time
+	// Speed is how fast it reads prompts, learned from this instance's own requests.
+	Speed work.Speed
 	// hall is how this instance reaches the endpoint's hall.
 	hall *reach
 	// wait is what own requests tell of the endpoint's own queue.
@@ -74,6 +79,21 @@
 	return s.Health.Ejected(now) || s.hall.cut(now)
 }
 
+// OwnUnread is how many tokens of this instance's prompts it has not read yet: those of requests that are not known to run.
+func (s *EndpointStatus) OwnUnread() int {
+	return s.wait.unread
+}
+
+// Unread is how many tokens of all instances' prompts are known to wait for being read.
+func (s *EndpointStatus) Unread() int {
+	return s.OwnUnread() + s.OthersUnread
+}
+
+// Backlog is how long the endpoint will take to read the prompts that wait there.
+func (s *EndpointStatus) Backlog() time.Duration {
+	return s.Speed.ReadTime(s.Unread())
+}
+
 // Load is the number of requests known to be in flight.
 func (s *EndpointStatus) Load() int {
 	return s.Own + s.Others
--- a/services/entry/directory/wait.go
+++ b/services/entry/directory/wait.go
@@ -20,12 +20,21 @@
 
 // queueWait is what this instance's own requests tell of an endpoint's own queue, in which a request waits until it runs.
 type queueWait struct {
-	// queued are when the requests were assigned that are not known to run, the oldest first; at most those in flight.
-	queued []time.Time
+	// queued are the requests that are not known to run, the oldest first; at most those in flight.
+	queued []queuedRequest
+	// unread is the sum of their prompts, in tokens.
+	unread int
 	// seen are the waits of the last waitMemory, the oldest first, without those that a later one outweighs; mostSeen at most.
 	seen []seenWait
 }
 
+// queuedRequest is a request that was assigned to an endpoint and is not known to run.
+type queuedRequest struct {
+	assigned time.Time
+	// prompt is its length in tokens; ahead is that of all prompts known to be read before its first event, its own included.
+	prompt, ahead int
+}
+
 // seenWait is how long one request waited until it ran, or at least waited without running.
 type seenWait struct {
 	at   time.Time
@@ -45,20 +54,26 @@
 	return !older.ran || (w.ran && older.priority <= w.priority)
 }
 
-// enter notes a request that was assigned.
-func (q *queueWait) enter(now time.Time) {
-	q.queued = append(q.queued, now)
+// enter notes a request that was assigned, with the length of its prompt in tokens.
+// others is what other instances' requests have to have read before it.
+func (q *queueWait) enter(now time.Time, prompt, others int) {
+	q.unread += prompt
+	q.queued = append(q.queued, queuedRequest{assigned: now, prompt: prompt, ahead: q.unread + others})
 }
 
-// leave takes a request out that was assigned at a time; false if it was known to run. Of several assigned at the same time any one
-// is taken, since they tell the same.
-func (q *queueWait) leave(assigned time.Time) bool {
-	place := slices.IndexFunc(q.queued, assigned.Equal)
+// leave takes a request out that was assigned at a time, with the length of its prompt; false if it was known to run. Of several
+// that are alike in both the first is taken.
+func (q *queueWait) leave(assigned time.Time, prompt int) (queuedRequest, bool) {
+	place := slices.IndexFunc(q.queued, func(one queuedRequest) bool {
+		return one.prompt == prompt && one.assigned.Equal(assigned)
+	})
 	if place < 0 {
-		return false
+		return queuedRequest{}, false
 	}
+	left := q.queued[place]
 	q.queued = slices.Delete(q.queued, place, place+1)
-	return true
+	q.unread -= prompt
+	return left, true
 }
 
 // note takes in one wait.
@@ -78,7 +93,7 @@
 // that is no more urgent has run lately. It is the longest wait of late and of those that still wait.
 func (q *queueWait) expected(now time.Time, priority int) (wait time.Duration, known bool) {
 	if len(q.queued) > 0 {
-		wait = now.Sub(q.queued[0])
+		wait = now.Sub(q.queued[0].assigned)
 	}
 	for _, one := range q.seen {
 		if now.Sub(one.at) > waitMemory {
@@ -100,16 +115,27 @@
 	return s.wait.expected(now, priority)
 }
 
-// Running notes that a request of a priority runs that was assigned to an endpoint at a time.
-func (d *Directory) Running(now time.Time, id deployment.EndpointID, assigned time.Time, priority int) {
-	if status, ok := d.endpoints[id]; ok && status.wait.leave(assigned) {
-		status.wait.note(seenWait{at: now, wait: now.Sub(assigned), ran: true, priority: priority})
+// Running notes that a request runs that was assigned to an endpoint at a time.
+func (d *Directory) Running(now time.Time, id deployment.EndpointID, assigned time.Time, request *deployment.Request) {
+	status, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	left, ok := status.wait.leave(assigned, request.Prompt)
+	if !ok {
+		return
 	}
+	status.wait.note(seenWait{at: now, wait: now.Sub(assigned), ran: true, priority: request.Route.Priority})
+	status.Speed.Note(left.ahead, now.Sub(assigned))
 }
 
 // Leave notes the end of a request that was assigned to an endpoint at a time; one that never ran has waited at least so long.
-func (d *Directory) Leave(now time.Time, id deployment.EndpointID, assigned time.Time) {
-	if status, ok := d.endpoints[id]; ok && status.wait.leave(assigned) {
+func (d *Directory) Leave(now time.Time, id deployment.EndpointID, assigned time.Time, request *deployment.Request) {
+	status, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	if _, ok := status.wait.leave(assigned, request.Prompt); ok {
 		status.wait.note(seenWait{at: now, wait: now.Sub(assigned)})
 	}
 }
--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -53,6 +53,18 @@
 	Reluctance time.Duration
 }
 
+// heldReluctance is how much longer than others an instance leaves a vacant record to them that held the lease lately: others need
+// not wait until a turn is over. Longer lets slower instances take it, shorter takes it sooner where there is no other. Not measured.
+const heldReluctance = 300 * time.Millisecond
+
+// reluctance is how much longer than others this instance leaves the record to them.
+func (s Sighting) reluctance() time.Duration {
+	if s.vacant() && s.Record.held(s.Self) {
+		return s.Reluctance + heldReluctance
+	}
+	return s.Reluctance
+}
+
 // vacant tells whether nobody gives orders under the record any more.
 func (s Sighting) vacant() bool {
 	return !s.Found || s.Record.Released || s.Resigned
@@ -83,7 +95,7 @@
 	}
 	c.noteSilence(now, sighting)
 	own := sighting.Record.Holder == sighting.Self
-	if !own && now.Sub(c.openSince(now, sighting)) < sighting.Reluctance {
+	if !own && now.Sub(c.openSince(now, sighting)) < sighting.reluctance() {
 		return LeaveToOthers
 	}
 	switch {
@@ -183,9 +195,14 @@
 
 // Successor is the record that this instance writes in place of one that it replaces.
 func Successor(self Record, replaced Record) Record {
-	self.Term, self.Former = replaced.Term+1, replaced.Former
-	if replaced.Ordering {
-		self.Former = replaced.Holder
+	self.Term, self.Former, self.Earlier = replaced.Term+1, replaced.Former, replaced.Earlier
+	if !replaced.Ordering {
+		return self
+	}
+	self.Former = replaced.Holder
+	if replaced.Former != "" {
+		self.Earlier = append([]string{replaced.Former}, replaced.Earlier...)
+		self.Earlier = self.Earlier[:min(len(self.Earlier), mostEarlier)]
 	}
 	return self
 }
--- a/services/entry/lease/lease_test.go
+++ b/services/entry/lease/lease_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/shelfledge/shelfledge/services/entry/lease"
 )
@@ -30,9 +31,16 @@
 		"a holder behind an earlier one":    {replaced: lease.Record{Holder: "b", Former: "a"}, found: true, wait: full},
 		"a holder that released":            {replaced: lease.Record{Holder: "b", Ordering: true, Released: true}, found: true, wait: 0},
 		"released, but this one was before": {replaced: lease.Record{Holder: "b", Former: "self", Ordering: true, Released: true}, found: true, wait: options.Turn},
-		"an earlier process of this one":    {replaced: lease.Record{Holder: "self", Ordering: true}, found: true, wait: options.OrderTimeout / 2},
-		"this one still in its own wait":    {replaced: lease.Record{Holder: "self", Former: "b"}, found: true, wait: full},
-		"another that never ordered":        {replaced: lease.Record{Holder: "b", Former: "self"}, found: true, wait: options.OrderTimeout / 2},
+		"released, but this one was earlier": {
+			replaced: lease.Record{Holder: "b", Former: "c", Earlier: []string{"d", "self"}, Ordering: true, Released: true}, found: true, wait: options.Turn,
+		},
+		"released, and others were earlier": {
+			replaced: lease.Record{Holder: "b", Former: "c", Earlier: []string{"d"}, Ordering: true, Released: true}, found: true, wait: 0,
+		},
+		"this one was before one that may still order": {replaced: lease.Record{Holder: "b", Former: "self", Ordering: true}, found: true, wait: full},
+		"an earlier process of this one":               {replaced: lease.Record{Holder: "self", Ordering: true}, found: true, wait: options.OrderTimeout / 2},
+		"this one still in its own wait":               {replaced: lease.Record{Holder: "self", Former: "b"}, found: true, wait: full},
+		"another that never ordered":                   {replaced: lease.Record{Holder: "b", Former: "self"}, found: true, wait: options.OrderTimeout / 2},
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -89,3 +97,24 @@
 	require.NoError(t, err)
 	assert.Equal(t, record, decoded)
 }
+
+// TestARecordOfTheVersionBeforeIsRead: it names no earlier holders, and reads past those that it does not know.
+func TestARecordOfTheVersionBeforeIsRead(t *testing.T) {
+	type recordBefore struct {
+		Holder             string
+		Term               int64
+		Ordering, Released bool
+		Former             string
+	}
+	before, err := msgpack.Marshal(recordBefore{Holder: "a", Term: 3, Ordering: true, Former: "b"})
+	require.NoError(t, err)
+	read, err := lease.DecodeRecord(before)
+	require.NoError(t, err)
+	assert.Equal(t, lease.Record{Holder: "a", Term: 3, Ordering: true, Former: "b"}, read)
+
+	present, err := lease.Record{Holder: "a", Term: 3, Former: "b", Earlier: []string{"c"}}.Encode()
+	require.NoError(t, err)
+	var known recordBefore
+	require.NoError(t, msgpack.Unmarshal(present, &known))
+	assert.Equal(t, recordBefore{Holder: "a", Term: 3, Former: "b"}, known)
+}
--- a/services/entry/lease/record.go
+++ b/services/entry/lease/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,6 +25,27 @@
 	// RecentLoads is what a releasing holder says of base models' loads it began in the last window; those of adapters
 	// are not counted.
 	RecentLoads int
+	// Earlier are the holders before Former that may have given orders lately, the latest first, mostEarlier at most. Versions
+	// before do not write it, and drop it.
+	Earlier []string `msgpack:",omitempty"`
+}
+
+// mostEarlier is how many holders before the former one a record names. More bear more hand-overs within Turn, each of which takes
+// tens of milliseconds at least; fewer let an instance whose work came back wait in vain. Not measured.
+const mostEarlier = 4
+
+// held tells whether an instance held the lease before the record's holder, as far as the record says.
+func (r Record) held(instance string) bool {
+	return r.Former == instance || slices.Contains(r.Earlier, instance)
+}
+
+// Forget gives the record of a holder that has held it for so long that what holders before it ordered, the last of it late, is too
+// old to matter.
+func (r Record) Forget(held time.Duration, options Options) Record {
+	if held >= options.Turn+lateOrders*options.OrderTimeout {
+		r.Former, r.Earlier = "", nil
+	}
+	return r
 }
 
 // Encode gives the stored form.
@@ -65,7 +87,7 @@
 	switch {
 	case !found:
 		return 0
-	case replaced.Released && replaced.Former == self:
+	case replaced.Released && replaced.held(self):
 		return max(o.Turn, o.OrderTimeout)
 	case replaced.Released:
 		return 0
@@ -75,6 +97,8 @@
 	case !replaced.Ordering && replaced.Former == self:
 		// Nobody gave orders since this instance did.
 		return o.OrderTimeout / deadDivisor
+	case replaced.held(self):
+		return max(o.Turn, full)
 	default:
 		return full
 	}
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
 const (
@@ -58,6 +59,8 @@
 	timed bool
 	// pollAt is when to ask next whether a load has ended.
 	pollAt time.Time
+	// polled is set once the endpoint said, when asked, that the load goes on.
+	polled bool
 	// inspected is when a load that takes too long was last looked into.
 	inspected time.Time
 	// withdrawal numbers the announcement of a withdrawal.
@@ -100,6 +103,9 @@
 	// saturated endpoints have so many requests in flight that they get no more; nearly saturated ones get no copies that they
 	// did not hold before. Both are verdicts of package balance.
 	nearlySaturated, saturated bool
+	// backlog is how long it will take to read the prompts that wait there, and speed how fast it reads.
+	backlog time.Duration
+	speed   work.Speed
 	// suspect endpoints get no new copies.
 	suspect bool
 	// lapsedAt is when the entry was first seen to be gone by Sweep; zero until then.
--- a/services/entry/loading/demand.go
+++ b/services/entry/loading/demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
 // Demand is what one instance says of one adapter.
@@ -19,6 +20,8 @@
 	InTime time.Duration
 	// Arrivals are the requests since the instance's last report.
 	Arrivals int
+	// Prompts sums the prompts of those arrivals, in tokens.
+	Prompts int
 }
 
 const (
@@ -63,6 +66,8 @@
 type adapterDemand struct {
 	// Rate is the arrival rate at all instances; perSecond is as of the last Add or decay.
 	Rate
+	// prompts is how many tokens of prompts a second those requests bring.
+	prompts Rate
 	waiting map[string]waitingPart
 	version int64
 }
@@ -72,6 +77,20 @@
 	until time.Time
 }
 
+// work is how much of an endpoint's time the requests take, in seconds a second, at a speed of reading in tokens a second.
+func (d *adapterDemand) work(now time.Time, speed float64) float64 {
+	return d.PerSecond(now)*work.RequestTime.Seconds() + d.prompts.PerSecond(now)/speed
+}
+
+// readTime is how long the prompt of one request takes in the mean, at a speed of reading in tokens a second.
+func (d *adapterDemand) readTime(now time.Time, speed float64) time.Duration {
+	rate := d.PerSecond(now)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(d.prompts.PerSecond(now) / speed / rate * float64(time.Second))
+}
+
 // waitingNow gives the waiting requests and how many instances' newest can still be in time.
 func (d *adapterDemand) waitingNow(now time.Time, loadTime time.Duration) (waiting, inTime int) {
 	for _, part := range d.waiting {
@@ -100,6 +119,7 @@
 	for _, one := range demands {
 		known := p.demandOf(now, one.Adapter)
 		known.Add(now, one.Arrivals)
+		known.prompts.Add(now, one.Prompts)
 		if one.Waiting > 0 {
 			known.waiting[instance] = waitingPart{count: one.Waiting, until: now.Add(one.InTime)}
 		}
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -19,8 +19,9 @@
 	// places also from hot copies, which then have to be brought again. Not measured on its own (494b5ae).
 	mostEvicted = 12.0
 	// settleTime is how long a copy that was just brought is safe from eviction. Longer protects what its requests are about
-	// to use, shorter frees a place that was filled in vain. Not measured.
-	settleTime = 2 * time.Second
+	// to use, shorter frees a place that was filled in vain. Its use is known to the planner a report (0.25 s) later. Measured:
+	// docs/design/0006-measured.md, "a copy settled after 0.3 s".
+	settleTime = 300 * time.Millisecond
 	// withdrawalTimeout is after how long a withdrawn copy that is still in use is offered again. Longer waits for long
 	// streams, shorter looks for another copy sooner. Measured as part of "idle copies leave first",
 	// docs/design/0006-measured.md; the length itself was not varied.
--- a/services/entry/loading/forecast.go
+++ b/services/entry/loading/forecast.go
@@ -15,6 +15,10 @@
 // makes refusals more exact and heartbeats longer. Not measured.
 const mostQueued = 100
 
+// throughputSpan is the time in which the begins of loads are counted. Longer is steadier, shorter follows the endpoints' places
+// sooner. Not measured.
+const throughputSpan = time.Second
+
 // Forecast is when an adapter that is not resident will be.
 type Forecast struct {
 	Adapter deployment.Adapter
@@ -32,19 +36,31 @@
 func (p *Planner) Forecasts(now time.Time) (list []Forecast, backlog time.Duration) {
 	list = p.loadingForecasts(now)
 	queued := p.queuedAdapters(now)
-	parallel := p.parallelLoads()
+	turn := p.turnTime(now, len(queued))
 	for i, adapter := range queued {
 		if i < mostQueued {
-			list = append(list, Forecast{Adapter: adapter, Remaining: p.queueTime(i, parallel)})
+			list = append(list, Forecast{Adapter: adapter, Remaining: p.pace.typical + time.Duration(i)*turn})
 		}
 	}
-	return list, p.queueTime(len(queued), parallel)
+	return list, p.pace.typical + time.Duration(len(queued))*turn
 }
 
-// queueTime is when an adapter will be there that has so many others before it.
-func (p *Planner) queueTime(before, parallel int) time.Duration {
-	turns := float64(before+p.coldLoads()) / float64(parallel)
-	return time.Duration((1 + turns) * float64(p.pace.typical))
+// turnTime is the time between the begins of two loads while so many adapters wait for theirs: what the weight store allows, and,
+// where adapters have waited for throughputSpan, what was begun in that time, since places may be what they wait for.
+func (p *Planner) turnTime(now time.Time, queued int) time.Duration {
+	turn := p.pace.typical / time.Duration(p.parallelLoads())
+	if queued == 0 {
+		p.queuedSince = time.Time{}
+		return turn
+	}
+	if p.queuedSince.IsZero() {
+		p.queuedSince = now
+	}
+	if now.Sub(p.queuedSince) < throughputSpan {
+		return turn
+	}
+	p.begun = slices.DeleteFunc(p.begun, func(at time.Time) bool { return now.Sub(at) > throughputSpan })
+	return max(turn, throughputSpan/time.Duration(max(1, len(p.begun))))
 }
 
 // parallelLoads is how many loads can run at once.
@@ -70,7 +86,7 @@
 			continue
 		}
 		known.decay(now)
-		values[adapter] = p.need(now, adapter, known, 0).Value()
+		values[adapter] = p.need(now, adapter, known, &workSpread{speed: p.meanSpeed()}).Value()
 		queued = append(queued, adapter)
 	}
 	slices.SortFunc(queued, func(a, b deployment.Adapter) int { return cmp.Compare(values[b], values[a]) })
--- a/services/entry/loading/pace.go
+++ b/services/entry/loading/pace.go
@@ -39,6 +39,11 @@
 	// probeStep is by how much concurrency grows with each load until the first slow one, in loads, so that it doubles in the
 	// time of one load. Measured as part of f20ffc7.
 	probeStep = 1.0
+	// quickRun is how many loads in a row must have ended by the first look at them before they count: one that the endpoint had
+	// kept, though nobody knew, takes a tenth and tells nothing of the weight store. More bears more kept loads in a row, fewer
+	// follows a store that became faster sooner. Measured: docs/design/0006-measured.md,
+	// "loads that an endpoint had kept"; the count was not varied.
+	quickRun = 8
 )
 
 // pace finds how many adapters the weight store can bring at once: more while loads take
@@ -51,6 +56,8 @@
 	backedOff time.Time
 	shortest  time.Duration
 	typical   time.Duration
+	// quick counts the loads in a row that had ended by the first look at them.
+	quick int
 }
 
 func newPace() pace {
@@ -68,8 +75,13 @@
 	return p.shortest * firstLookFifths / fifths
 }
 
-// note takes in the time of one load.
-func (p *pace) note(now time.Time, took time.Duration) {
+// note takes in the time of one load; quick says that it had ended by the first look at it, so that it may have been shorter.
+func (p *pace) note(now time.Time, took time.Duration, quick bool) {
+	if quick && p.quick < quickRun {
+		p.quick++
+		return
+	}
+	p.quick = 0
 	p.typical += time.Duration(smoothing * float64(took-p.typical))
 	p.shortest = min(took, time.Duration(float64(p.shortest)*forgetting))
 	if float64(took) > slowFactor*float64(p.shortest) {
--- a/services/entry/loading/placement.go
+++ b/services/entry/loading/placement.go
@@ -13,15 +13,19 @@
 	// maxPending is how many loads may be under way to one endpoint at once. More fills a restarted endpoint sooner and
 	// keeps more places for loads. Measured: docs/design/0006-measured.md, "orders counted when taken".
 	maxPending = 2
-	// warmBonus is what an endpoint that held the adapter before is worth in the choice of an endpoint, in requests a second
-	// of load that it may draw more. Higher loads faster and spares the weight store, lower spreads the load more evenly.
-	// Measured as a whole with other changes: docs/design/0006-measured.md, "orders counted when taken, ... warm copies first".
-	warmBonus = 3.0
-	// copyWeight is what each copy on an endpoint weighs in that choice, in requests a second: among endpoints with the
-	// same load the emptier one is taken. Not measured.
-	copyWeight = 0.02
-	// tieSpread is the width of the random number that breaks ties in that choice, in requests a second. Not measured.
-	tieSpread = 0.01
+	// heldBonus is what an endpoint that held the adapter before is worth in the choice of an endpoint, in its time. Longer loads
+	// faster and spares the weight store, shorter spreads the work more evenly. Measured: docs/design/0006-measured.md, "endpoints
+	// that held the adapter"; 2 s measured alike.
+	heldBonus = 500 * time.Millisecond
+	// placementSpan is how far ahead the work of an endpoint's copies counts beside what waits there now. Longer evens
+	// out the rates, shorter the prompts that wait. Not measured alone: docs/design/0006-measured.md, "choice and placement by
+	// declared prompts".
+	placementSpan = time.Second
+	// copyWeight is what each copy on an endpoint weighs in that choice, in seconds: among endpoints with the
+	// same work the emptier one is taken. Not measured.
+	copyWeight = 0.005
+	// tieSpread is the width of the random number that breaks ties in that choice, in seconds. Not measured.
+	tieSpread = 0.002
 	// searchPause is, for each endpoint, the pause after a search that found nothing to load, and longestSearchPause bounds
 	// it. Longer saves processor time in a large fleet and begins loads later. Measured: docs/design/0006-measured.md,
 	// "places kept for unanswered loads, searches bounded"; the lengths themselves were not varied.
@@ -63,6 +67,7 @@
 		p.searchAt = now.Add(min(longestSearchPause, time.Duration(len(p.endpoints))*searchPause))
 		return Order{}, false
 	}
+	p.begun = append(p.begun, now)
 	order := p.order(Load, best.plan, best.adapter)
 	duration := warmLoadTime
 	if best.cold {
@@ -76,21 +81,16 @@
 
 // bestPlacement gives the most valuable load that can begin now; coldAllowed says whether it may come from the weight store.
 func (p *Planner) bestPlacement(now time.Time, coldAllowed bool) (placement, bool) {
-	loads := p.expectedLoads(now)
-	total := 0.0
-	for _, load := range loads {
-		total += load
-	}
-	evenRate := total / float64(max(1, p.readyEndpoints()))
+	spread := p.spreadWork(now)
 	var best placement
 	found := false
 	for adapter, known := range p.demand {
 		known.decay(now)
-		value := p.need(now, adapter, known, evenRate).Value()
+		value := p.need(now, adapter, known, spread).Value()
 		if value <= 0 || (found && value <= best.value) {
 			continue
 		}
-		chosen, ok := p.chooseEndpoint(now, adapter, loads, coldAllowed)
+		chosen, ok := p.chooseEndpoint(now, adapter, spread, coldAllowed)
 		if !ok {
 			continue
 		}
@@ -103,7 +103,7 @@
 // chooseEndpoint gives the endpoint with room that draws the fewest requests, preferably one
 // that held the adapter before: there it comes ten times as fast and not from the weight store, so that a
 // short wait for that endpoint is worth it.
-func (p *Planner) chooseEndpoint(now time.Time, adapter deployment.Adapter, loads map[deployment.EndpointID]float64, coldAllowed bool) (destination, bool) {
+func (p *Planner) chooseEndpoint(now time.Time, adapter deployment.Adapter, spread *workSpread, coldAllowed bool) (destination, bool) {
 	var best destination
 	bestCost, warmSoon := 0.0, false
 	for id, plan := range p.endpoints {
@@ -118,7 +118,10 @@
 		if !warm && !coldAllowed {
 			continue
 		}
-		cost := DestinationFactors{Rate: loads[id], Copies: len(plan.copies), Held: warm, Chance: p.options.Random()}.Cost()
+		promised := p.promisedWork(now, plan)
+		cost := DestinationFactors{
+			Backlog: plan.backlog + promised, Work: spread.byEndpoint[id], Copies: len(plan.copies), Held: warm, Chance: p.options.Random(),
+		}.Cost()
 		if best.plan == nil || cost < bestCost {
 			best, bestCost = destination{plan: plan, cold: !warm}, cost
 		}
@@ -131,8 +134,10 @@
 
 // DestinationFactors are what the choice of an endpoint for a load depends on, of one that can take it.
 type DestinationFactors struct {
-	// Rate is what its copies draw, in requests a second, by the instances' reports.
-	Rate float64
+	// Backlog is how long it will take to read the prompts that wait there, with those that wait for loads under way to it.
+	Backlog time.Duration
+	// Work is how much of its time the requests of its copies take, in seconds a second, by the instances' reports.
+	Work float64
 	// Copies is how many adapters it holds or is to hold, by the plan.
 	Copies int
 	// Held says that it held the adapter before, by the plan or the directory's memory.
@@ -141,15 +146,27 @@
 	Chance float64
 }
 
-// Cost is what a load to the endpoint costs, in requests a second that it draws; the lowest is chosen.
+// Cost is what a load to the endpoint costs, in seconds of its time; the lowest is chosen.
 func (f DestinationFactors) Cost() float64 {
-	cost := f.Rate + copyWeight*float64(f.Copies) + tieSpread*f.Chance
+	cost := f.Backlog.Seconds() + placementSpan.Seconds()*f.Work + copyWeight*float64(f.Copies) + tieSpread*f.Chance
 	if f.Held {
-		cost -= warmBonus
+		cost -= heldBonus.Seconds()
 	}
 	return cost
 }
 
+// promisedWork is how long an endpoint will take for the requests that wait for loads under way to it.
+func (p *Planner) promisedWork(now time.Time, plan *endpointPlan) time.Duration {
+	seconds := 0.0
+	for adapter, c := range plan.copies {
+		if known, ok := p.demand[adapter]; ok && c.state == copyLoading {
+			waiting, _ := known.waitingNow(now, 0)
+			seconds += float64(waiting) * known.readTime(now, plan.speed.PerSecond()).Seconds()
+		}
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // takesLoad reports whether a load may be ordered from an endpoint now: it takes orders, has a place, and neither too many
 // loads nor an unload under way.
 func (p *Planner) takesLoad(now time.Time, plan *endpointPlan) bool {
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -5,9 +5,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
 // Options are the settings of a Planner.
@@ -40,6 +42,10 @@
 	changed map[deployment.EndpointID]bool
 	// searchAt is when the next load is looked for after a search that found none.
 	searchAt time.Time
+	// begun are the begins of adapters' loads, the oldest first; those of throughputSpan count.
+	begun []time.Time
+	// queuedSince is since when adapters wait for the begin of their loads; zero while none does.
+	queuedSince time.Time
 	// counts is the number of copies by adapter, as of the last decision.
 	counts map[deployment.Adapter]copyCount
 }
@@ -110,6 +116,13 @@
 	}
 }
 
+// SetBacklog takes in how long an endpoint will take to read the prompts that wait there, and how fast it reads.
+func (p *Planner) SetBacklog(id deployment.EndpointID, backlog time.Duration, speed work.Speed) {
+	if plan, ok := p.endpoints[id]; ok {
+		plan.backlog, plan.speed = backlog, speed
+	}
+}
+
 // NoteMissing asks for an endpoint's report, since it said that it lacks a copy.
 func (p *Planner) NoteMissing(id deployment.EndpointID) {
 	if plan, ok := p.endpoints[id]; ok {
@@ -172,6 +185,7 @@
 // Sweep forgets adapters that nobody asks for and endpoints that are gone.
 func (p *Planner) Sweep(now time.Time) {
 	p.forgetLapsed(now)
+	p.begun = slices.DeleteFunc(p.begun, func(at time.Time) bool { return now.Sub(at) > throughputSpan })
 	for adapter, known := range p.demand {
 		known.decay(now)
 		if known.perSecond < forgetBelow && len(known.waiting) == 0 && known.version == 0 {
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -112,10 +112,10 @@
 		p.becomeResident(now, plan, adapter, c)
 	case Accepted:
 		plan.noteTaken(now, result.Order)
-		p.stillLoading(now, plan, adapter, c)
+		p.stillLoading(now, plan, adapter, c, result.Order.Poll)
 	case Conflict:
 		if result.Order.Poll {
-			p.stillLoading(now, plan, adapter, c)
+			p.stillLoading(now, plan, adapter, c, result.Order.Poll)
 			return
 		}
 		delete(plan.copies, adapter)
@@ -146,12 +146,13 @@
 	}
 }
 
-// stillLoading asks again soon; a load that takes too long is looked into.
-func (p *Planner) stillLoading(now time.Time, plan *endpointPlan, adapter deployment.Adapter, c *copyPlan) {
+// stillLoading asks again soon; a load that takes too long is looked into. poll says that the endpoint was asked about it.
+func (p *Planner) stillLoading(now time.Time, plan *endpointPlan, adapter deployment.Adapter, c *copyPlan, poll bool) {
 	limit := loadLimit
 	if adapter.IsZero() {
 		limit = modelLoadLimit
 	}
+	c.polled = c.polled || poll
 	c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
 	if now.Sub(c.since) > limit && now.Sub(c.inspected) > loadLimit {
 		c.inspected = now
@@ -169,7 +170,7 @@
 		return
 	}
 	if c.cold && c.timed {
-		p.pace.note(now, now.Sub(c.since))
+		p.pace.note(now, now.Sub(c.since), !c.polled)
 	}
 	c.state, c.since, c.settledSince = copyResident, now, now
 	delete(plan.dropped, adapter)
--- a/services/entry/loading/value.go
+++ b/services/entry/loading/value.go
@@ -19,19 +19,17 @@
 	// lateValue is what a waiting request that can no longer be answered in time is worth, in requests served. Higher loads
 	// more for callers who are late already, at the cost of those who could be served in time. Not measured.
 	lateValue = 0.15
-	// worthwhileUse is the expected use within the horizon, in requests, below which no copy is brought or kept up to date
-	// for an adapter that nobody waits for. Lower spends loads on adapters that may not be asked for again. Not measured.
+	// worthwhileUse is the expected use within the horizon, in requests, below which no copy is kept up to date for an adapter
+	// that nobody waits for. Lower spends loads on adapters that may not be asked for again. Not measured itself; that no other
+	// copy is brought that nobody waits for: docs/design/0006-measured.md, "no copy that nobody waits for".
 	worthwhileUse = 1.0
-	// evenRateShare is the share of the rate that each endpoint would draw if all requests were spread evenly (EvenRate) that one
-	// copy may draw before there is a second one.
-	// Lower spreads hot adapters sooner and costs loads and places. Not measured.
-	evenRateShare = 0.7
-	// extraCopyValue weighs the relief of a hot copy against a first copy. Higher spends more loads on second copies.
-	// Not measured.
+	// extraCopyValue weighs the relief of busy copies against a first copy. Higher spends more loads on second copies.
+	// Measured: docs/design/0006-measured.md, "relief of busy endpoints"; 0.1 measured alike.
 	extraCopyValue = 0.4
-	// leastExtraRate is the arrival rate, in requests a second, below which one copy is always enough. Lower spreads
-	// sooner. Not measured.
-	leastExtraRate = 0.8
+	// leastRelief is the work, in seconds of an endpoint's time a second, that one more copy has to take off the endpoints that
+	// hold the adapter. Lower spreads hot adapters sooner and costs loads and places. Measured: docs/design/0006-measured.md,
+	// "relief of busy endpoints".
+	leastRelief = 0.2
 )
 
 // copyCount is how many copies of an adapter there are.
@@ -39,6 +37,8 @@
 	// usable copies are resident at the version to be served; coming ones are on their way;
 	// free ones are usable and not on a saturated endpoint.
 	usable, coming, free int
+	// outdated copies are resident at an older version.
+	outdated int
 }
 
 // indexCopies counts all adapters' copies on endpoints that take requests.
@@ -58,6 +58,8 @@
 				if !plan.saturated {
 					count.free++
 				}
+			case c.state == copyResident:
+				count.outdated++
 			}
 			p.counts[adapter] = count
 		}
@@ -83,9 +85,10 @@
 	InTime int
 	// Rate is the arrival rate at all instances, in requests a second, as of now; from their reports.
 	Rate float64
-	// EvenRate is what each endpoint would draw, in requests a second, if all requests were spread evenly; 0 if that is
-	// not known, and then no second copy is worth anything.
-	EvenRate float64
+	// Relief is how many requests a second one more copy would take off the endpoints that hold the adapter.
+	Relief float64
+	// Outdated counts copies at an older version than the one to be served.
+	Outdated int
 }
 
 // Value is the worth of one more copy, in requests served: of the first one that can be used at once by all that wait and
@@ -93,19 +96,15 @@
 func (n CopyNeed) Value() float64 {
 	expected := n.Rate * horizon.Seconds()
 	if n.Coming == 0 && (n.Usable == 0 || (n.Waiting > 0 && n.Free == 0)) {
-		if n.Waiting == 0 && expected < worthwhileUse {
+		if n.Waiting == 0 && (n.Outdated == 0 || expected < worthwhileUse) {
 			return 0
 		}
 		return float64(n.InTime)*inTimeValue + float64(n.Waiting-min(n.Waiting, n.InTime))*lateValue + expected
 	}
-	if n.Coming > 0 || n.Rate < leastExtraRate || n.EvenRate <= 0 {
+	if n.Coming > 0 {
 		return 0
 	}
-	excess := n.Rate/float64(n.Usable) - n.EvenRate*evenRateShare
-	if excess <= 0 {
-		return 0
-	}
-	return excess * horizon.Seconds() * extraCopyValue
+	return n.Relief * horizon.Seconds() * extraCopyValue
 }
 
 // ResidentValue is what a resident copy is expected to serve within the horizon, in requests: its part of the adapter's
@@ -115,11 +114,12 @@
 }
 
 // need gives what one more copy of an adapter depends on; its rate must be as of now.
-func (p *Planner) need(now time.Time, adapter deployment.Adapter, known *adapterDemand, evenRate float64) CopyNeed {
+func (p *Planner) need(now time.Time, adapter deployment.Adapter, known *adapterDemand, spread *workSpread) CopyNeed {
 	count := p.counts[adapter]
 	waiting, inTime := known.waitingNow(now, p.pace.typical)
 	return CopyNeed{
-		Usable: count.usable, Coming: count.coming, Free: count.free, Waiting: waiting, InTime: inTime, Rate: known.perSecond, EvenRate: evenRate,
+		Usable: count.usable, Coming: count.coming, Free: count.free, Outdated: count.outdated, Waiting: waiting, InTime: inTime,
+		Rate: known.perSecond, Relief: spread.relief(now, adapter, known, count),
 	}
 }
 
@@ -132,31 +132,3 @@
 	known.decay(now)
 	return ResidentValue(known.perSecond, p.counts[adapter].usable)
 }
-
-// readyEndpoints counts the endpoints that take copies and requests.
-func (p *Planner) readyEndpoints() int {
-	count := 0
-	for _, plan := range p.endpoints {
-		if plan.endpoint.State == deployment.Ready && !plan.suspect {
-			count++
-		}
-	}
-	return count
-}
-
-// expectedLoads gives the request rate that each endpoint's copies draw.
-func (p *Planner) expectedLoads(now time.Time) map[deployment.EndpointID]float64 {
-	loads := make(map[deployment.EndpointID]float64, len(p.endpoints))
-	for id, plan := range p.endpoints {
-		for adapter, c := range plan.copies {
-			known, ok := p.demand[adapter]
-			if !ok || (c.state != copyResident && c.state != copyLoading) {
-				continue
-			}
-			known.decay(now)
-			count := p.counts[adapter]
-			loads[id] += known.perSecond / float64(max(1, count.usable+count.coming))
-		}
-	}
-	return loads
-}
--- a/services/entry/proxy/dialect.go
+++ b/services/entry/proxy/dialect.go
@@ -16,6 +16,8 @@
 	ID string
 	// Adapter is what the request asks for; its Model is empty for plain services.
 	Adapter deployment.Adapter
+	// Prompt is the declared length of its prompt in tokens; 0 if it did not say.
+	Prompt int
 	// Timeout is how long the caller waits, from the arrival on; 0 if it did not say.
 	Timeout time.Duration
 }
@@ -26,9 +28,10 @@
 	// HasDeadline says that the caller named a time-out, and Remaining what is left of it.
 	HasDeadline bool
 	Remaining   time.Duration
-	// UsesModel says that the request runs on a base model; Priority is its route's rank then, the lowest first.
+	// UsesModel says that the request runs on a base model; Urgency is the level then at which the endpoint is to take it up,
+	// the lowest first.
 	UsesModel bool
-	Priority  int
+	Urgency   int
 	// Version is the version that the adapter must have; 0 demands none.
 	Version int64
 	// ResumeAfter asks to go on after an event; empty leaves what the caller sent.
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -27,6 +27,8 @@
 	status int
 	// running is set once the answer shows that the endpoint runs the request.
 	running bool
+	// ranAfter is how long it took from the choice of the endpoint until then.
+	ranAfter time.Duration
 }
 
 // do sends the request, passes the answer on and reports to the coordinator how it ended.
@@ -36,6 +38,7 @@
 	e.run.records = append(e.run.records, AttemptRecord{
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result,
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
+		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
 	})
 	e.run.service.control.Finish(e.run.request, e.assignment, verdict.Outcome, verdict.Missing)
 	return verdict.Result
@@ -113,6 +116,7 @@
 		return
 	}
 	e.running = true
+	e.ranAfter = e.run.service.options.Now().Sub(e.assignment.Assigned)
 	e.run.service.control.Running(e.run.request, e.assignment)
 }
 
--- a/services/entry/proxy/run.go
+++ b/services/entry/proxy/run.go
@@ -137,7 +137,7 @@
 	}
 	r.service.dialect.WriteForward(header, ForwardHeader{
 		Endpoint: assignment.Endpoint.ID, HasDeadline: r.caller.Timeout > 0, Remaining: r.remaining(now),
-		UsesModel: r.request.UsesModel(), Priority: r.request.Route.Priority, Version: assignment.Version, ResumeAfter: r.lastEvent,
+		UsesModel: r.request.UsesModel(), Urgency: assignment.Urgency, Version: assignment.Version, ResumeAfter: r.lastEvent,
 	})
 	outgoing := &http.Request{
 		Method: r.incoming.Method, URL: requestURL(r.incoming), Host: r.incoming.Host, Header: header, ContentLength: r.body.length,
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -71,6 +71,17 @@
 	return time.Duration(waited) * time.Millisecond
 }
 
+// StartRatios gives, for each attempt that ran and had an expected time, by what factor it took longer until then.
+func (o Observation) StartRatios() []float64 {
+	var ratios []float64
+	for _, record := range o.Attempts {
+		if record.ExpectedMS > 0 && record.RanAfterMS > 0 {
+			ratios = append(ratios, float64(record.RanAfterMS)/float64(record.ExpectedMS))
+		}
+	}
+	return ratios
+}
+
 // AttemptRecord is one exchange with an endpoint.
 type AttemptRecord struct {
 	Endpoint deployment.EndpointID `json:"endpoint"`
@@ -80,6 +91,10 @@
 	// Result is how the exchange ended; Status the endpoint's own, 0 for none.
 	Result attempt.Result `json:"result"`
 	Status int            `json:"status,omitempty"`
+	// ExpectedMS is how long the endpoint was expected to take until the request runs, by the declared prompts; RanAfterMS how
+	// long it took; 0 where there is nothing to tell.
+	ExpectedMS int64 `json:"expected_ms"`
+	RanAfterMS int64 `json:"ran_after_ms"`
 }
 
 // Service serves callers' requests.
@@ -141,10 +156,11 @@
 	caller := s.dialect.ReadRequest(incoming.Header)
 	request := &deployment.Request{
 		ID: caller.ID, Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: caller.Adapter,
-		Arrived: arrived, Deadline: attempt.Deadline(arrived, route, caller.Timeout),
+		Prompt: caller.Prompt, Arrived: arrived, Deadline: attempt.Deadline(arrived, route, caller.Timeout),
 	}
 	if service := configuration.Services[request.Service]; service == nil || service.Engine == nil {
 		request.Adapter = deployment.Adapter{}
+		request.Prompt = 0
 	}
 	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
 	if errors.Is(err, errBodyTooLarge) {
--- /dev/null
+++ b/services/entry/work/work_test.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package work_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/services/entry/work"
+)
+
+func TestASpeedIsAssumedUntilItIsSeen(t *testing.T) {
+	var speed work.Speed
+	assert.InDelta(t, 20000, speed.PerSecond(), 1e-9)
+	assert.Equal(t, 500*time.Millisecond, speed.ReadTime(10000))
+	assert.Zero(t, speed.ReadTime(0))
+}
+
+func TestASpeedFollowsWhatIsSeen(t *testing.T) {
+	var speed work.Speed
+	for range 100 {
+		speed.Note(4000, 100*time.Millisecond)
+	}
+	assert.InDelta(t, 40000, speed.PerSecond(), 2000)
+	for range 1000 {
+		speed.Note(1000, 100*time.Millisecond)
+	}
+	assert.InDelta(t, 10000, speed.PerSecond(), 1000, "an endpoint that became slow is noticed")
+}
+
+func TestWhatTellsNothingChangesNoSpeed(t *testing.T) {
+	var speed work.Speed
+	speed.Note(0, time.Second)
+	speed.Note(100, 0)
+	speed.Note(-100, time.Second)
+	speed.Note(100, -time.Second)
+	assert.Equal(t, work.Speed{}, speed)
+}
+
+func TestABacklogCountsInRequests(t *testing.T) {
+	assert.InDelta(t, 4, work.InRequests(100*time.Millisecond), 1e-9)
+	assert.Zero(t, work.InRequests(0))
+}
+
+// TestEdgesOfUrgency has two ranks of five levels each: four of 0.2 s of slack, and the last for those that are late.
+func TestEdgesOfUrgency(t *testing.T) {
+	first, second := work.Rank{Place: 0, Of: 2}, work.Rank{Place: 1, Of: 2}
+	for slack, level := range map[time.Duration]int{
+		-time.Hour: 4, -1: 4, 0: 0, 200*time.Millisecond - 1: 0, 200 * time.Millisecond: 1, 600*time.Millisecond - 1: 2,
+		600 * time.Millisecond: 3, time.Hour: 3,
+	} {
+		assert.Equal(t, level, first.Urgency(slack), "slack %s", slack)
+		assert.Equal(t, level+5, second.Urgency(slack), "slack %s", slack)
+	}
+}
+
+func TestNoRankGoesBeforeAMoreUrgentOne(t *testing.T) {
+	for of := 1; of <= 12; of++ {
+		for place := 1; place < of; place++ {
+			late := work.Rank{Place: place - 1, Of: of}.Urgency(-1)
+			pressing := work.Rank{Place: place, Of: of}.Urgency(0)
+			assert.LessOrEqual(t, late, pressing, "rank %d of %d", place, of)
+			assert.Less(t, work.Rank{Place: place, Of: of}.Urgency(-1), work.Levels)
+		}
+	}
+	assert.Equal(t, 9, work.Rank{}.Urgency(-1), "a service whose routes are not known has one rank")
+}
