Keep the successor alive in the test of a release that failed

On one processor under the race detector it failed in 21 of some 36 runs of the test's binary. Its log shows why: the instance that had taken the pool over sent one heartbeat only, was taken for lost 1.2 s later on the test's clock, and the pool rightly taken back before the release was tried again. A slower clock in the test changed nothing (12 failures): that was not the cause. Change: the successor goes on to send heartbeats. The assertion is the same; without releaseAgain the test fails as before.

--- a/services/daemon/control/release_test.go
+++ b/services/daemon/control/release_test.go
@@ -51,6 +51,8 @@
 	down.Store(false)
 	require.True(t, held(leaseOfX))
 	require.Eventually(t, func() bool {
+		// Without heartbeats the successor would be lost, and the pool rightly taken back.
+		w.Receive(heartbeatOfI2())
 		w.advance(100 * time.Millisecond)
 		return !held(leaseOfX)
 	}, timeout, 10*time.Millisecond, "the successor cannot own the pool")
