--- a/services/entry/directory/wait.go
+++ b/services/entry/directory/wait.go
@@ -54,8 +54,7 @@
 	return !older.ran || (w.ran && older.priority <= w.priority)
 }
 
-// enter notes a request that was assigned, with the length of its prompt in tokens.
-// others is what other instances' requests have to have read before it.
+// enter notes a request that was assigned, with the length of its prompt and of the other instances' prompts that wait there, in tokens.
 func (q *queueWait) enter(now time.Time, prompt, others int) {
 	q.unread += prompt
 	q.queued = append(q.queued, queuedRequest{assigned: now, prompt: prompt, ahead: q.unread + others})
--- a/services/entry/loading/spread.go
+++ b/services/entry/loading/spread.go
@@ -14,7 +14,7 @@
 // sharers is how many endpoints even their work out by one more copy: the relieved one and the one that gets it. Not measured: a count.
 const sharers = 2
 
-// workSpread is how the work that adapters draw is spread over the endpoints at one time.
+// workSpread is how the work that adapters draw is spread over the endpoints at one time. It is made anew for each search for a load.
 type workSpread struct {
 	// byEndpoint is how much of each endpoint's time the requests of its copies take, in seconds a second.
 	byEndpoint map[deployment.EndpointID]float64
