Tell in the line of a named version how it came and how old it may be

Cause: of a request that began on an older version too late, the log could not tell whether the name came late to the instance (a silent watch, a reading after a gap, a peer) or the request waited at its endpoint. Change: applyItems carries where keys came from (follow.Origin), and follow.Completeness keeps when this instance last surely had all operators' keys, by the store's answers alone. The line "version named" tells both as source and silence_ms. No decision reads them.

--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -8,6 +8,9 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 )
@@ -19,6 +22,7 @@
 func (c *Coordinator) followConfiguration() {
 	for c.context.Err() == nil {
 		ctx, cancel := c.storeCall()
+		sent := c.options.Now()
 		items, revision, err := c.environment.Store.ReadAll(ctx, c.environment.ConfigurationPrefix)
 		cancel()
 		if err != nil {
@@ -27,16 +31,24 @@
 			c.sleep(c.jitter(storeRetry))
 			continue
 		}
-		c.loop.Post(func(now time.Time) { c.applyItems(now, items) })
+		c.loop.Post(func(now time.Time) {
+			c.applyItems(now, c.origin(follow.FromReading), items)
+			c.complete.Read(sent)
+		})
 		c.watchConfiguration(revision)
 	}
 }
 
+// origin is how keys came that are taken in now.
+func (c *Coordinator) origin(source follow.Source) follow.Origin {
+	return follow.Origin{Source: source, CompleteAt: c.complete.At()}
+}
+
 // watchConfiguration returns when the keys have to be read anew.
 func (c *Coordinator) watchConfiguration(after int64) {
 	var watch follow.Watch
 	for c.context.Err() == nil {
-		events, next, err := c.watchConfigurationOnce(after)
+		answer, err := c.watchConfigurationOnce(after)
 		step := watch.Answered(err)
 		if err != nil && !errors.Is(err, store.ErrCompacted) {
 			c.noteStore("watch configuration", err)
@@ -47,15 +59,33 @@
 		case follow.WatchAgain:
 			c.sleep(c.jitter(storeRetry))
 		case follow.Apply:
-			after = next
-			c.loop.Post(func(now time.Time) { c.applyItems(now, eventItems(events)) })
+			after = answer.next
+			c.loop.Post(func(now time.Time) { c.applyWatched(now, answer) })
 		}
 	}
 }
 
+// watched is how one watch of the operators' keys ended without an error.
+type watched struct {
+	follow.WatchAnswer
+	events []store.Event
+	// next is the revision from which the next watch goes on.
+	next int64
+	// endedHere says that this instance ended the watch: the store did not answer it.
+	endedHere bool
+}
+
+// applyWatched takes in how a watch of the operators' keys ended.
+func (c *Coordinator) applyWatched(now time.Time, answer watched) {
+	c.applyItems(now, c.origin(follow.FromWatch), eventItems(answer.events))
+	if !answer.endedHere {
+		c.complete.Watched(answer.WatchAnswer)
+	}
+}
+
 // watchConfigurationOnce makes one waiting call; a long one ends early when the planner falls
 // silent or this instance becomes the planner.
-func (c *Coordinator) watchConfigurationOnce(after int64) ([]store.Event, int64, error) {
+func (c *Coordinator) watchConfigurationOnce(after int64) (watched, error) {
 	ctx, cancel := context.WithCancel(c.context)
 	defer cancel()
 	wait := follow.ShortWatch
@@ -66,11 +96,13 @@
 			c.endLongWatch = cancel
 		}
 	})
+	sent := c.options.Now()
 	events, next, err := c.watch(ctx, c.environment.ConfigurationPrefix, after, wait)
 	if err != nil && ctx.Err() != nil {
-		return nil, after, nil
+		return watched{next: after, endedHere: true}, nil
 	}
-	return events, next, err
+	answer := follow.WatchAnswer{Sent: sent, Received: c.options.Now(), Wait: wait, Empty: len(events) == 0}
+	return watched{WatchAnswer: answer, events: events, next: next}, err
 }
 
 // situation is what decides who reads the store for this instance.
@@ -110,7 +142,7 @@
 
 // applyItems takes in the operators' keys from the store or from a peer; older ones are
 // passed over, so that nothing ever reverts.
-func (c *Coordinator) applyItems(now time.Time, items []store.Item) {
+func (c *Coordinator) applyItems(now time.Time, origin follow.Origin, items []store.Item) {
 	before := c.keys.Revision()
 	for _, item := range items {
 		if !c.keys.Take(item) {
@@ -120,7 +152,7 @@
 			c.applyConfiguration(now, item)
 			continue
 		}
-		c.applyVersion(now, item)
+		c.applyVersion(now, origin, item)
 	}
 	if c.keys.Revision() > before && c.following.stream != nil {
 		// The planner passes keys on to those who have not said that they have them.
@@ -151,13 +183,22 @@
 
 // applyVersion takes in a key that names an adapter's version. One that cannot be read, or names an older version, is
 // passed over without a log line.
-func (c *Coordinator) applyVersion(now time.Time, item store.Item) {
+func (c *Coordinator) applyVersion(now time.Time, origin follow.Origin, item store.Item) {
 	adapter, version, ok := c.environment.ParseVersion(item)
 	if !ok || !c.versions.Name(now, adapter, version) {
 		return
 	}
-	c.options.Log.WithFields(map[string]any{"adapter": adapter.String(), "version": version}).Info("version named")
+	c.logVersion(now, origin, adapter, version)
 	if c.planning != nil {
 		c.planning.plans.SetVersion(now, adapter, version)
 	}
 }
+
+// logVersion tells which version was named, how that came, and for how long it may have been acknowledged already.
+func (c *Coordinator) logVersion(now time.Time, origin follow.Origin, adapter deployment.Adapter, version int64) {
+	fields := logrus.Fields{"adapter": adapter.String(), "version": version, "source": origin.Source}
+	if silence, known := origin.Silence(now); known {
+		fields["silence_ms"] = silence.Milliseconds()
+	}
+	c.options.Log.WithFields(fields).Info("version named")
+}
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -55,6 +55,7 @@
 	endpointsKnown  bool
 	endpointsReadAt time.Time
 	keys            *follow.Keys
+	complete        follow.Completeness
 	versions        *follow.Versions
 	budget          *retry.Budget
 	waiters         waiting.Queue[acquired]
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -10,6 +10,7 @@
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/peerstream"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
@@ -113,7 +114,7 @@
 	effects := c.following.Take(now, v)
 	c.noteLoads(now, v)
 	c.budget.SetMembers(v.Members)
-	c.applyItems(now, v.Items)
+	c.applyItems(now, c.origin(follow.FromPlanner), v.Items)
 	c.applyViewEndpoints(v)
 	c.applyViewTotals(v)
 	c.applyForecasts(now, v)
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/plan"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
@@ -183,7 +184,7 @@
 // takeReport takes in one instance's report, or this instance's own.
 func (p *planning) takeReport(now time.Time, r *wire.Report) {
 	if p.plans.TakeMember(now, r) {
-		p.coordinator.applyItems(now, r.Items)
+		p.coordinator.applyItems(now, p.coordinator.origin(follow.FromMember), r.Items)
 	}
 	p.plans.TakeDemand(now, r)
 	p.takeFormerLoads(now, r.FormerLoads)
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
@@ -39,5 +40,5 @@
 		c.directory.Put(v.Endpoints[i].Endpoint(), v.Endpoints[i].Revision)
 	}
 	c.endpointsKnown = true
-	c.applyItems(now, v.Items)
+	c.applyItems(now, c.origin(follow.FromSeed), v.Items)
 }
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -9,12 +9,14 @@
 	"io"
 	"net"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -310,6 +312,8 @@
 	engines *engines
 	pipes   *pipes
 	control *coordinator.Coordinator
+	// log has the lines of the instance's log.
+	log *logtest.Hook
 	// now is the instance's clock.
 	now func() time.Time
 	// loadWindow is the span in which loads from the weight store are counted.
@@ -335,6 +339,16 @@
 	return endpoint, nil
 }
 
+// versionPrefix is before the adapter's name in the keys that name versions.
+const versionPrefix = "operators/version/"
+
+// parseVersion reads the key of a named version.
+func parseVersion(item store.Item) (deployment.Adapter, int64, bool) {
+	name, ok := strings.CutPrefix(item.Key, versionPrefix)
+	version, err := strconv.ParseInt(string(item.Value), 10, 64)
+	return adapter(name), version, ok && err == nil
+}
+
 func configuration() *deployment.Configuration {
 	engine := &deployment.Engine{
 		Slots: 16, AdapterCapacity: 8, LoadsPerSecond: 50, Models: []deployment.Model{{Name: "base"}},
@@ -359,6 +373,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	s.log = logtest.NewLocal(log)
 	options := coordinator.Options{
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
@@ -370,7 +385,7 @@
 	environment := coordinator.Environment{
 		Store: client, ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
 		ParseConfiguration: func([]byte) (*deployment.Configuration, error) { return configuration(), nil },
-		ParseVersion:       func(store.Item) (deployment.Adapter, int64, bool) { return deployment.Adapter{}, 0, false },
+		ParseVersion:       parseVersion,
 		ParseEndpoint:      parseEndpoint,
 		EndpointOf: func(key string) deployment.EndpointID {
 			return deployment.EndpointID(strings.TrimPrefix(key, endpointPrefix))
