Show that a former version's time counts from when its successor's name is learned

Cause: follow.Versions counts the time in which a former version may serve from when this instance learned the newer name, however late that was. Kept connections to the store that fell silent, a reading after dropped history, the planner's view and a restart of the process all bring names that the store acknowledged earlier.

--- a/tests/platformstandin/store.go
+++ b/tests/platformstandin/store.go
@@ -31,6 +31,7 @@
 // Store is a key-value store in memory that speaks the platform's protocol.
 type Store struct {
 	server    *httptest.Server
+	links     *silentListener
 	mux       *http.ServeMux
 	mutex     sync.Mutex
 	revision  int64
@@ -71,7 +72,10 @@
 		closed: make(chan struct{}),
 	}
 	s.mux = s.routes()
-	s.server = httptest.NewServer(s)
+	s.server = httptest.NewUnstartedServer(s)
+	s.links = newSilentListener(s.server.Listener)
+	s.server.Listener = s.links
+	s.server.Start()
 	go s.expireLeases()
 	return s
 }
@@ -96,6 +100,11 @@
 	s.wake()
 }
 
+// SilenceOpen lets all open connections fall silent for good, without an end of any; new ones work.
+func (s *Store) SilenceOpen() {
+	s.links.silence()
+}
+
 // DropHistory forgets all changes so far, as watches see it.
 func (s *Store) DropHistory() {
 	s.mutex.Lock()
