Show that nothing takes back a request that waits at an endpoint

What was sent to an endpoint is out of hand: neither a request that waits there when the newer version is named, nor one that was sent on the former version while that was allowed, is taken back where the endpoint's queue holds it too long. The stand-in's endpoints tell how many requests wait, and its site can have a route whose callers wait for longer than the limit, which it needs to show the fault: on the other routes a stream that is silent for 3.2 s is given up anyway.

--- a/tests/platformstandin/site.go
+++ b/tests/platformstandin/site.go
@@ -24,6 +24,7 @@
 	Model         = "base"
 	StreamPrefix  = "/chat/"
 	ResumePrefix  = "/digest/"
+	PatientPrefix = "/report/"
 	UnsafePrefix  = "/hold/"
 	SafePrefix    = "/status/"
 	engineSlots   = 8
@@ -66,6 +67,14 @@
 	}
 }
 
+// WithPatientRoute adds a route to a configuration whose callers wait for longer than requests may begin on a former version.
+func WithPatientRoute(configuration map[string]any) map[string]any {
+	patient := route("r-patient", PatientPrefix, "streaming", ModelService, 1, false)
+	patient["timeout_ms"], patient["target_latency_ms"] = 15000, 3000
+	configuration["routes"] = append(configuration["routes"].([]map[string]any), patient)
+	return configuration
+}
+
 // Settings gives the settings of one entry process.
 func Settings(name, zone, ip string, ports Ports, seeds []string, store string) map[string]any {
 	return map[string]any{
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -82,8 +82,9 @@
 	orders   []OrderSeen
 	overfull int
 	state    string
-	// queueWait is how long each request waits before it begins.
+	// queueWait is how long each request waits before it begins; queued is how many wait.
 	queueWait time.Duration
+	queued    int
 	// described is the sequence at the last description; stop ends the heartbeats.
 	described int64
 	stop      chan struct{}
@@ -183,6 +184,13 @@
 	w.queueWait = wait
 }
 
+// Queued is how many requests wait to begin.
+func (w *Worker) Queued() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.queued
+}
+
 // SetLoadTime sets how long each coming load takes.
 func (w *Worker) SetLoadTime(loadTime time.Duration) {
 	w.mutex.Lock()
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -91,9 +91,8 @@
 
 // queue waits until a request begins; false if its caller left before.
 func (w *Worker) queue(request *http.Request) bool {
-	w.mutex.Lock()
-	wait := w.queueWait
-	w.mutex.Unlock()
+	wait := w.enterQueue()
+	defer w.leaveQueue()
 	if wait == 0 {
 		return true
 	}
@@ -105,6 +104,20 @@
 	}
 }
 
+// enterQueue counts a request that waits, and gives how long it will.
+func (w *Worker) enterQueue() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.queued++
+	return w.queueWait
+}
+
+func (w *Worker) leaveQueue() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.queued--
+}
+
 func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, trouble fault, run *Run, body []byte) {
 	switch trouble {
 	case faultHang:
