Tell of each attempt which version it was allowed, held and ran, and compare

Cause: whether a request begins on a former version in time is decided at the choice of its endpoint by an expected wait, and nothing on the instance told which version ran in the end, on what ground it was allowed, or how long a newer one had been known by then. Change: the attempts in a request's line tell the version demanded, held and ran (the head of the answer), and of a former version how long it was still allowed and the expected wait. When a run begins, the control goroutine compares its version with the names that this instance learned (follow.Versions.Newer, bounded, read by no decision): a histogram of how long a newer one had been known, a counter and a warning of those beyond the limit.

--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -7,7 +7,7 @@
 
 // Request holds the facts of one caller's attempt that decisions need.
 type Request struct {
-	// ID is the caller's own name of the attempt, from its header; it need not be unique.
+	// ID is the caller's own name of the attempt, from its header, cut to what a log line holds; it need not be unique.
 	ID string
 	// Route is the route that host and path match; from the settings in force.
 	Route *Route
--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -62,6 +62,8 @@
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
 	starts   *prometheus.HistogramVec
+	former   prometheus.Histogram
+	overdue  prometheus.Counter
 }
 
 // buckets are the upper bounds of the histograms, in seconds. More tell durations apart more finely, fewer take less memory for
@@ -72,6 +74,10 @@
 // memory for each class. Not measured.
 var ratioBuckets = []float64{.25, .5, .8, 1.25, 2, 4, 8}
 
+// ageBuckets are the upper bounds of the ages of newer versions, in seconds, dense about the 5 s for which the platform lets a former
+// version begin. More tell closer how near runs come to that, fewer take less memory. Not measured.
+var ageBuckets = []float64{.25, .5, 1, 1.5, 2, 2.5, 3, 3.5, 4, 4.5, 5, 5.5, 6, 8, 15, 60}
+
 // New makes metrics; gauges is asked at each reading.
 func New(gauges func() Gauges) *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
@@ -100,8 +106,14 @@
 			Namespace: "shelfledge", Name: "start_ratio", Buckets: ratioBuckets,
 			Help: "Time until a request with a declared prompt ran at its endpoint, over the time that was expected.",
 		}, []string{"class"}),
+		former: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "shelfledge", Name: "former_version_age_seconds", Buckets: ageBuckets,
+			Help: "How long a newer version had been known when a request began on a former one.",
+		}),
+		overdue: plain("former_version_overdue_total", "Requests that began on a former version after its time."),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, m.starts, &gaugeCollector{read: gauges})
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, m.starts,
+		m.former, m.overdue, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -149,6 +161,15 @@
 	m.closed.Inc()
 }
 
+// ObserveFormerVersion counts one request that began on a former version: how long before a newer one was learned, and whether that
+// is longer than former versions may be used.
+func (m *Metrics) ObserveFormerVersion(age time.Duration, overdue bool) {
+	m.former.Observe(age.Seconds())
+	if overdue {
+		m.overdue.Inc()
+	}
+}
+
 // gaugeCollector reads all gauges at once.
 type gaugeCollector struct {
 	read func() Gauges
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -50,6 +50,19 @@
 	Waited time.Duration
 	// Assigned is when the endpoint was chosen; from then on the request waits there until it runs.
 	Assigned time.Time
+	// Held is the version of the request's adapter that the endpoint was taken to hold; 0 for a request without one.
+	Held int64
+	// Former tells of the choice of an endpoint that holds only a former version.
+	Former FormerUse
+}
+
+// FormerUse is on what ground an endpoint was chosen that holds only a former version; the zero value says that it holds the named
+// one, or a newer one.
+type FormerUse struct {
+	// Left is how long the former version was still allowed when the endpoint was chosen; Expected how long the request was
+	// expected to wait in the endpoint's own queue.
+	Left     time.Duration
+	Expected time.Duration
 }
 
 // waiter is a request that waits for an endpoint.
@@ -137,22 +150,33 @@
 	if verdict != balance.Chosen {
 		return false
 	}
+	formerUse := formerUseOf(now, status, required)
 	c.directory.Begin(now, status.ID, w.Request)
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
-		Urgency: c.urgency(now, w.Request, status),
+		Urgency: c.urgency(now, w.Request, status), Held: status.Offered[w.Adapter], Former: formerUse,
 	}
 	if w.Prompt > 0 {
 		assignment.Expected = status.Backlog()
 	}
-	if held := status.Offered[w.Adapter]; named > 0 && held >= named {
+	if named > 0 && assignment.Held >= named {
 		// Endpoints refuse any other version, newer ones too, and this one may be newer than the name that is known here.
-		assignment.Version = held
+		assignment.Version = assignment.Held
 	}
 	w.Result <- acquired{assignment: assignment}
 	return true
 }
 
+// formerUseOf tells on what ground an endpoint was chosen, before the request counts there.
+func formerUseOf(now time.Time, status *directory.EndpointStatus, required balance.Requirement) FormerUse {
+	adapter := required.Request.Adapter
+	if adapter.IsZero() || status.Offered[adapter] >= required.Version {
+		return FormerUse{}
+	}
+	wait, _ := status.ExpectedWait(now, required.Request.Route.Priority, required.OthersKnown)
+	return FormerUse{Left: required.FormerWait, Expected: wait}
+}
+
 // urgency is the level at which an endpoint is to take a request up: by its route's priority, then by how long it can wait there
 // and still be answered in time.
 func (c *Coordinator) urgency(now time.Time, request *deployment.Request, status *directory.EndpointStatus) int {
@@ -232,13 +256,6 @@
 	c.waiters.Review(func(w *waiter) bool { return !c.serve(now, w) && c.decideWaiter(now, w) })
 }
 
-// Running notes that an endpoint runs a request: its answer has begun.
-func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
-	c.loop.Post(func(now time.Time) {
-		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request)
-	})
-}
-
 // end takes a request out of flight and out of its endpoint's queue.
 func (c *Coordinator) end(now time.Time, assignment Assignment, request *deployment.Request, outcome directory.Outcome) {
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -131,6 +131,43 @@
 	assert.LessOrEqual(t, wait, time.Duration(0))
 }
 
+// TestHowLongAVersionHasBeenAFormerOne: whether the time of a version is over or not, it is told since when a newer one is known.
+func TestHowLongAVersionHasBeenAFormerOne(t *testing.T) {
+	const limit = 2 * time.Second
+	versions := follow.NewVersions()
+	newer, _ := versions.Newer(start, adapter, 1)
+	assert.Zero(t, newer, "none is named")
+	versions.Name(start, adapter, 2)
+	versions.Name(start.Add(time.Second), adapter, 5)
+	versions.Name(start.Add(1500*time.Millisecond), adapter, 5)
+	now := start.Add(time.Minute)
+	versions.Former(now, adapter, limit)
+	for version, want := range map[int64]struct {
+		newer int64
+		age   time.Duration
+	}{
+		1: {2, time.Minute}, 2: {5, 59 * time.Second}, 4: {5, 59 * time.Second}, 5: {0, 0}, 6: {0, 0},
+	} {
+		newer, age := versions.Newer(now, adapter, version)
+		assert.Equal(t, want.newer, newer, "after %d", version)
+		assert.Equal(t, want.age, age, "after %d", version)
+	}
+}
+
+// TestTheNamesThatAreComparedAreBounded: of the versions that are forgotten, a later one is told, so that no age is too long.
+func TestTheNamesThatAreComparedAreBounded(t *testing.T) {
+	versions := follow.NewVersions()
+	for version := int64(1); version <= 100; version++ {
+		versions.Name(start.Add(time.Duration(version)*time.Second), adapter, version)
+	}
+	newer, age := versions.Newer(start.Add(100*time.Second), adapter, 1)
+	assert.EqualValues(t, 85, newer)
+	assert.Equal(t, 15*time.Second, age)
+	newer, age = versions.Newer(start.Add(100*time.Second), adapter, 99)
+	assert.EqualValues(t, 100, newer)
+	assert.Zero(t, age)
+}
+
 func TestWhoReadsTheStore(t *testing.T) {
 	const long, short = 20 * time.Second, 550 * time.Millisecond
 	cases := map[string]struct {
--- a/services/entry/coordinator/follow/versions.go
+++ b/services/entry/coordinator/follow/versions.go
@@ -16,6 +16,9 @@
 	// named holds the last names of each adapter, the oldest first: the time of versions older than the second is not over, as
 	// of the last look, and at most mostNames are kept.
 	named map[deployment.Adapter][]name
+	// learned holds the last names of each adapter, the oldest first and mostLearned at most, whether their time is over or not:
+	// what runs is compared with them, and nothing is decided by them.
+	learned map[deployment.Adapter][]name
 }
 
 // name is a version that operators named, and when this instance learned it.
@@ -32,11 +35,14 @@
 	// mostNames is how many names of an adapter are kept. More give each version its own time where names follow each other
 	// fast, fewer take less memory. Not measured.
 	mostNames = 8
+	// mostLearned is how many names of an adapter are kept to tell for how long a version has been a former one. More tell it of
+	// older versions, fewer take less memory. Not measured.
+	mostLearned = 16
 )
 
 // NewVersions makes a set in which no version is named.
 func NewVersions() *Versions {
-	return &Versions{named: make(map[deployment.Adapter][]name)}
+	return &Versions{named: make(map[deployment.Adapter][]name), learned: make(map[deployment.Adapter][]name)}
 }
 
 // Name takes in a version that was named. It tells whether the version is newer: versions only grow.
@@ -44,6 +50,7 @@
 	if version <= v.Named(adapter) {
 		return false
 	}
+	v.remember(now, adapter, version)
 	names := v.named[adapter]
 	if len(names) < mostNames {
 		v.named[adapter] = append(names, name{version: version, learned: now})
@@ -54,6 +61,26 @@
 	return true
 }
 
+// remember keeps when a version was learned.
+func (v *Versions) remember(now time.Time, adapter deployment.Adapter, version int64) {
+	names := append(v.learned[adapter], name{version: version, learned: now})
+	if len(names) > mostLearned {
+		names = slices.Delete(names, 0, 1)
+	}
+	v.learned[adapter] = names
+}
+
+// Newer gives the first version named that is newer than one, and how long ago this instance learned it; 0 if there is none.
+// After more than mostLearned newer names, it is a later one: the age is never too long.
+func (v *Versions) Newer(now time.Time, adapter deployment.Adapter, version int64) (newer int64, age time.Duration) {
+	for _, one := range v.learned[adapter] {
+		if one.version > version {
+			return one.version, now.Sub(one.learned)
+		}
+	}
+	return 0, 0
+}
+
 // Named gives the version that was named last; 0 if none was.
 func (v *Versions) Named(adapter deployment.Adapter) int64 {
 	names := v.named[adapter]
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -48,13 +48,17 @@
 	Now    func() time.Time
 	Random func() float64
 	Log    *logrus.Entry
-	// ObserveOrder, ObserveStoreFailure, ObserveRelay and ObserveLinkClosed count for the metrics; nil ignores.
+	// ObserveOrder, ObserveStoreFailure, ObserveRelay, ObserveLinkClosed and ObserveFormerVersion count for the metrics; nil
+	// ignores.
 	ObserveOrder        func(kind, reply string)
 	ObserveStoreFailure func(call string)
 	// ObserveRelay is given the bytes of the operators' keys that were sent to one peer.
 	ObserveRelay func(bytes int)
 	// ObserveLinkClosed is called for each peer's link that is closed since too much waits for the peer.
 	ObserveLinkClosed func()
+	// ObserveFormerVersion is given, for each request that begins on a former version, how long before this instance learned
+	// of the first newer one, and whether that is longer than VersionLimit.
+	ObserveFormerVersion func(age time.Duration, overdue bool)
 }
 
 // Environment is the outside calls of a Coordinator, as function fields.
--- a/tests/platform/explain_test.go
+++ b/tests/platform/explain_test.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"regexp"
@@ -21,14 +22,22 @@
 	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
 )
 
-// counted reads one counter of all classes by status from the metrics page.
-func (s *site) counted(entry int) map[string]int {
+// metrics reads an entry's metrics page.
+func (s *site) metrics(entry int) string {
 	s.t.Helper()
 	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", s.ips[entry], s.ports.Metrics))
 	require.NoError(s.t, err)
 	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	require.NoError(s.t, err)
+	return string(page)
+}
+
+// counted reads one counter of all classes by status from the metrics page.
+func (s *site) counted(entry int) map[string]int {
+	s.t.Helper()
 	parser := expfmt.NewTextParser(model.LegacyValidation)
-	families, err := parser.TextToMetricFamilies(response.Body)
+	families, err := parser.TextToMetricFamilies(strings.NewReader(s.metrics(entry)))
 	require.NoError(s.t, err)
 	counts := make(map[string]int)
 	for _, metric := range families["shelfledge_requests_total"].GetMetric() {
@@ -71,6 +80,11 @@
 		Result   string `json:"result"`
 		WaitedMS int64  `json:"waited_ms"`
 		TookMS   int64  `json:"took_ms"`
+
+		VersionDemanded int64 `json:"version_demanded"`
+		VersionHeld     int64 `json:"version_held"`
+		VersionRan      int64 `json:"version_ran"`
+		FormerLeftMS    int64 `json:"former_left_ms"`
 	} `json:"attempts"`
 }
 
@@ -141,7 +155,7 @@
 		"../../services/entry/coordinator/configuration.go", "../../services/entry/coordinator/endpoints.go", "../../services/entry/process/process.go",
 		"../../services/entry/coordinator/coordinator.go", "../../services/entry/coordinator/handover.go", "../../services/entry/loading/order.go",
 		"../../services/entry/coordinator/seeds.go", "../../services/entry/coordinator/reporting.go",
-		"../../services/entry/coordinator/viewing.go", "../../routers/entry/gateway/server.go",
+		"../../services/entry/coordinator/viewing.go", "../../services/entry/coordinator/running.go", "../../routers/entry/gateway/server.go",
 	} {
 		content, err := os.ReadFile(path)
 		require.NoError(t, err)
