--- a/services/entry/proxy/dialect.go
+++ b/services/entry/proxy/dialect.go
@@ -49,6 +49,4 @@
 	NotRun func(status int, header http.Header) bool
 	// FromEndpoint reports whether a success bears the endpoint's own mark; without it, something on the way answered.
 	FromEndpoint func(header http.Header) bool
-	// RanVersion gives the version of the adapter that an answer to a request for one says it ran on; 0 if it does not tell.
-	RanVersion func(header http.Header) int64
 }
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -29,8 +29,6 @@
 	running bool
 	// ranAfter is how long it took from the choice of the endpoint until then.
 	ranAfter time.Duration
-	// ranVersion is the version of the adapter that the head of the answer tells; 0 for none.
-	ranVersion int64
 }
 
 // do sends the request, passes the answer on and reports to the coordinator how it ended.
@@ -41,8 +39,6 @@
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result,
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
-		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held, VersionRan: e.ranVersion,
-		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
 	})
 	e.run.service.control.Finish(e.run.request, e.assignment, verdict.Outcome, verdict.Missing)
 	return verdict.Result
@@ -121,10 +117,7 @@
 	}
 	e.running = true
 	e.ranAfter = e.run.service.options.Now().Sub(e.assignment.Assigned)
-	if !e.run.request.Adapter.IsZero() {
-		e.ranVersion = e.run.service.dialect.RanVersion(e.answer.Response.Header)
-	}
-	e.run.service.control.Running(e.run.request, e.assignment, e.ranVersion)
+	e.run.service.control.Running(e.run.request, e.assignment)
 }
 
 // startHeadTimer starts the timer that gives the endpoint up when the head of the answer takes too long; nil for none.
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -26,9 +26,8 @@
 	// Acquire waits for an endpoint; Finish must follow the exchange with it.
 	Acquire func(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error)
 	Finish  func(request *deployment.Request, assignment coordinator.Assignment, outcome directory.Outcome, missing bool)
-	// Running tells, at most once before Finish, that the endpoint runs a request that uses a model, and the version of its
-	// adapter that the answer names; 0 for none.
-	Running func(request *deployment.Request, assignment coordinator.Assignment, version int64)
+	// Running tells, at most once before Finish, that the endpoint runs a request that uses a model.
+	Running func(request *deployment.Request, assignment coordinator.Assignment)
 	// CountRequest counts a request for the budget of retries; TakeRetry asks it for one.
 	CountRequest func(service string)
 	TakeRetry    func(service string) bool
@@ -96,15 +95,6 @@
 	// long it took; 0 where there is nothing to tell.
 	ExpectedMS int64 `json:"expected_ms"`
 	RanAfterMS int64 `json:"ran_after_ms"`
-	// VersionDemanded, VersionHeld and VersionRan are the versions of the adapter that the endpoint had to hold, was taken to hold,
-	// and said that it ran; 0 for none.
-	VersionDemanded int64 `json:"version_demanded,omitempty"`
-	VersionHeld     int64 `json:"version_held,omitempty"`
-	VersionRan      int64 `json:"version_ran,omitempty"`
-	// FormerLeftMS is how long a former version was still allowed when an endpoint was chosen that holds none newer,
-	// FormerExpectedMS how long the request was expected to wait in its queue; 0 where the named version was there.
-	FormerLeftMS     int64 `json:"former_left_ms,omitempty"`
-	FormerExpectedMS int64 `json:"former_expected_ms,omitempty"`
 }
 
 // Service serves callers' requests.
@@ -165,7 +155,7 @@
 func (s *Service) serveRoute(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, route *deployment.Route, arrived time.Time) {
 	caller := s.dialect.ReadRequest(incoming.Header)
 	request := &deployment.Request{
-		ID: shortened(caller.ID), Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: caller.Adapter,
+		ID: caller.ID, Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: caller.Adapter,
 		Prompt: caller.Prompt, Arrived: arrived, Deadline: attempt.Deadline(arrived, route, caller.Timeout),
 	}
 	if service := configuration.Services[request.Service]; service == nil || service.Engine == nil {
