Compare runs with the version that the endpoint held, not with the answer's head

Cause: the head of an answer names the base model's version, also on a request for an adapter. Change: the head is not read any more. What runs is the version that the endpoint had to hold, else the one it was taken to hold at the choice or a newer one that it was known to hold when the answer began.

--- a/services/entry/coordinator/running.go
+++ b/services/entry/coordinator/running.go
@@ -11,24 +11,21 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 )
 
-// Running notes that an endpoint runs a request: its answer has begun. The version of the adapter that runs is as the answer
-// tells; 0 if it does not.
-func (c *Coordinator) Running(request *deployment.Request, assignment Assignment, version int64) {
+// Running notes that an endpoint runs a request: its answer has begun.
+func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
 	c.loop.Post(func(now time.Time) {
 		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request)
-		c.compareVersion(now, request, assignment, version)
+		c.compareVersion(now, request, assignment)
 	})
 }
 
 // compareVersion compares the version that runs with those that this instance knew by then: what was allowed when the endpoint
 // was chosen went by an expectation.
-func (c *Coordinator) compareVersion(now time.Time, request *deployment.Request, assignment Assignment, version int64) {
-	if version == 0 {
-		version = assignment.Held
-	}
-	if request.Adapter.IsZero() || version == 0 {
+func (c *Coordinator) compareVersion(now time.Time, request *deployment.Request, assignment Assignment) {
+	if assignment.Held == 0 {
 		return
 	}
+	version := c.versionAtBegin(request, assignment)
 	newer, age := c.versions.Newer(now, request.Adapter, version)
 	if newer == 0 {
 		return
@@ -45,3 +42,13 @@
 		"newer": newer, "age_ms": age.Milliseconds(), "limit_ms": limit.Milliseconds(),
 	}).Warn("a request began on an older version after its time")
 }
+
+// versionAtBegin is the version on which a request is taken to run whose answer has begun, since answers tell only the base model's:
+// the one that its endpoint had to hold or was taken to hold, or a newer one that came there while the request waited.
+func (c *Coordinator) versionAtBegin(request *deployment.Request, assignment Assignment) int64 {
+	status := c.directory.Endpoint(assignment.Endpoint.ID)
+	if assignment.Version > 0 || status == nil {
+		return assignment.Held
+	}
+	return max(assignment.Held, status.Offered[request.Adapter])
+}
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -39,6 +39,8 @@
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result,
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
+		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held,
+		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
 	})
 	e.run.service.control.Finish(e.run.request, e.assignment, verdict.Outcome, verdict.Missing)
 	return verdict.Result
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -95,6 +95,14 @@
 	// long it took; 0 where there is nothing to tell.
 	ExpectedMS int64 `json:"expected_ms"`
 	RanAfterMS int64 `json:"ran_after_ms"`
+	// VersionDemanded and VersionHeld are the versions of the adapter that the endpoint had to hold, and was taken to hold when it
+	// was chosen; 0 for none. Its answer tells only the base model's.
+	VersionDemanded int64 `json:"version_demanded,omitempty"`
+	VersionHeld     int64 `json:"version_held,omitempty"`
+	// FormerLeftMS is how long a former version was still allowed when an endpoint was chosen that holds none newer,
+	// FormerExpectedMS how long the request was expected to wait in its queue; 0 where the named version was there.
+	FormerLeftMS     int64 `json:"former_left_ms,omitempty"`
+	FormerExpectedMS int64 `json:"former_expected_ms,omitempty"`
 }
 
 // Service serves callers' requests.
@@ -155,7 +163,7 @@
 func (s *Service) serveRoute(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, route *deployment.Route, arrived time.Time) {
 	caller := s.dialect.ReadRequest(incoming.Header)
 	request := &deployment.Request{
-		ID: caller.ID, Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: caller.Adapter,
+		ID: shortened(caller.ID), Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: caller.Adapter,
 		Prompt: caller.Prompt, Arrived: arrived, Deadline: attempt.Deadline(arrived, route, caller.Timeout),
 	}
 	if service := configuration.Services[request.Service]; service == nil || service.Engine == nil {
