Take back requests that have not begun in time on a former version

Neither a request that waits in an endpoint's own queue when a newer version is named, nor one that was sent on the former version while that was allowed, ended where the queue held it for longer than the limit, so that it began on the older version too late. Change: the control goroutine keeps each stream that was assigned and is not known to run, with the version that its endpoint was taken to hold, and by when it must have begun: the first newer name plus the limit less a fifth (`unbegun`, `takeBackParts`). What is late is taken back on the tick: its exchange is cancelled, so that the connection closes and the endpoint drops it. A request that was taken back may have run all the same: it ends with 502 `not begun in time`, or goes to another endpoint under the fleet's budget where its route allows that; the endpoint's health does not suffer. New result `taken back`, metric `shelfledge_requests_taken_back_total` (the only change of the pinned figures, an addition). Answers that come whole are not taken back, since their begin does not show before their end. `JudgeFailure` takes the situation in place of one of its facts: its test asks the same cases and more.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -58,6 +58,7 @@
 	store    *prometheus.CounterVec
 	relayed  prometheus.Counter
 	closed   prometheus.Counter
+	taken    prometheus.Counter
 	waited   *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
@@ -92,6 +93,7 @@
 		orders:  counter("orders_total", "Orders to endpoints, by kind and reply.", "kind", "reply"),
 		store:   counter("store_failures_total", "Calls to the store that failed, by call.", "call"),
 		relayed: plain("configuration_relayed_bytes_total", "Bytes of the operators' keys sent to peers that lacked them."),
+		taken:   plain("requests_taken_back_total", "Requests taken back from endpoints where they had not begun in time."),
 		closed:  plain("peer_links_closed_total", "Links of peers closed because too much waited for the peer."),
 		waited:  histogram("wait_seconds", "Wait for an endpoint."),
 		first:   histogram("first_byte_seconds", "Time to the head of the answer."),
@@ -101,7 +103,7 @@
 			Help: "Time until a request with a declared prompt ran at its endpoint, over the time that was expected.",
 		}, []string{"class"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, m.starts, &gaugeCollector{read: gauges})
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.taken, m.waited, m.first, m.whole, m.starts, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -149,6 +151,11 @@
 	m.closed.Inc()
 }
 
+// ObserveTakenBack counts one request that was taken back from its endpoint.
+func (m *Metrics) ObserveTakenBack() {
+	m.taken.Inc()
+}
+
 // gaugeCollector reads all gauges at once.
 type gaugeCollector struct {
 	read func() Gauges
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -13,6 +13,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/balance"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/forecast"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/waiting"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
@@ -50,6 +51,8 @@
 	Waited time.Duration
 	// Assigned is when the endpoint was chosen; from then on the request waits there until it runs.
 	Assigned time.Time
+	// Recall ends the exchange where the request has not begun in time; nil where it is never taken back.
+	Recall *unbegun.Recall
 }
 
 // waiter is a request that waits for an endpoint.
@@ -140,7 +143,7 @@
 	c.directory.Begin(now, status.ID, w.Request)
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
-		Urgency: c.urgency(now, w.Request, status),
+		Urgency: c.urgency(now, w.Request, status), Recall: c.trackBegin(w.Request, status.Offered[w.Adapter]),
 	}
 	if w.Prompt > 0 {
 		assignment.Expected = status.Backlog()
@@ -235,12 +238,14 @@
 // Running notes that an endpoint runs a request: its answer has begun.
 func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
 	c.loop.Post(func(now time.Time) {
+		c.unbegun.Remove(assignment.Recall)
 		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	})
 }
 
 // end takes a request out of flight and out of its endpoint's queue.
 func (c *Coordinator) end(now time.Time, assignment Assignment, request *deployment.Request, outcome directory.Outcome) {
+	c.unbegun.Remove(assignment.Recall)
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
 }
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -157,6 +157,7 @@
 		return
 	}
 	c.options.Log.WithFields(map[string]any{"adapter": adapter.String(), "version": version}).Info("version named")
+	c.unbegun.Named(adapter, version, c.beginBy(adapter, version-1))
 	if c.planning != nil {
 		c.planning.plans.SetVersion(now, adapter, version)
 	}
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -16,6 +16,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/loop"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/report"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/seed"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/waiting"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
@@ -56,6 +57,7 @@
 	endpointsReadAt time.Time
 	keys            *follow.Keys
 	versions        *follow.Versions
+	unbegun         *unbegun.Requests
 	budget          *retry.Budget
 	waiters         waiting.Queue[acquired]
 	demand          *report.Counter
@@ -92,6 +94,7 @@
 		directory:   directory.New(),
 		keys:        follow.NewKeys(),
 		versions:    follow.NewVersions(),
+		unbegun:     unbegun.NewRequests(),
 		budget:      retry.NewBudget(options.Retry, options.Now()),
 		demand:      report.NewCounter(),
 		forecasts:   forecast.NewBook(),
@@ -146,6 +149,7 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
+	c.takeBackLate(now)
 	c.reviewWaiters(now)
 	c.checkWatch(now)
 	if c.planning != nil {
--- a/services/entry/coordinator/doc.go
+++ b/services/entry/coordinator/doc.go
@@ -8,7 +8,7 @@
 // The loop calls rules and carries out effects. The rules are in packages without I/O that are given the present time:
 // waiting (the queue of requests), forecast (when an adapter is expected), report (what is asked for, and when that is
 // reported), view (which views are kept, how old they are and when they are sent), follow (which keys are newer, for how long former
-// versions serve and who reads the store), relay (how the operators' keys are passed on between instances),
+// versions serve and who reads the store), unbegun (which requests must be taken back from their endpoints), relay (how the operators' keys are passed on between instances),
 // member (what the planner knows of other instances), plan (loads of all services), and services/entry/lease (who may
 // take and use the lease). The packages leasestore and seed do I/O for a caller that waits, wire has the messages, loop the
 // control loop itself.
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -114,6 +114,43 @@
 	}
 }
 
+// TestTheFirstNewerNameCounts names versions 2 to 4, a second apart.
+func TestTheFirstNewerNameCounts(t *testing.T) {
+	versions := follow.NewVersions()
+	_, named := versions.NamedSince(adapter, 0)
+	assert.False(t, named, "none is named")
+	for i := range 3 {
+		versions.Name(start.Add(time.Duration(i)*time.Second), adapter, int64(i+2))
+	}
+	for held, after := range map[int64]time.Duration{0: 0, 1: 0, 2: time.Second, 3: 2 * time.Second} {
+		since, named := versions.NamedSince(adapter, held)
+		assert.True(t, named)
+		assert.Equal(t, start.Add(after), since, "held %d", held)
+	}
+	for _, held := range []int64{4, 5} {
+		_, named = versions.NamedSince(adapter, held)
+		assert.False(t, named, "held %d", held)
+	}
+	_, named = versions.NamedSince(deployment.Adapter{Model: "base", Name: "a2"}, 0)
+	assert.False(t, named, "another adapter")
+}
+
+// TestWhatAFormerVersionServesIsNotForgotten: as long as a version may serve, it is known since when a newer one is named.
+func TestWhatAFormerVersionServesIsNotForgotten(t *testing.T) {
+	const limit = 2 * time.Second
+	versions := follow.NewVersions()
+	for version := int64(2); version <= 20; version++ {
+		named := start.Add(time.Duration(version) * 300 * time.Millisecond)
+		versions.Name(named, adapter, version)
+		oldest, wait := versions.Former(named, adapter, limit)
+		for held := max(oldest, 1); held < version; held++ {
+			since, ok := versions.NamedSince(adapter, held)
+			assert.True(t, ok)
+			assert.Less(t, named.Sub(since), limit/2, "%d while %d is named, for %v", held, version, wait)
+		}
+	}
+}
+
 // TestNamesThatNobodyAsksForAreBounded names a version each 10 ms: where names are merged, no version's time gets longer.
 func TestNamesThatNobodyAsksForAreBounded(t *testing.T) {
 	const limit = 2 * time.Second
--- a/services/entry/coordinator/follow/versions.go
+++ b/services/entry/coordinator/follow/versions.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// NamedSince gives from when on a version newer than held counts as named: the first such name counts, however many followed. It is
+// false if there is none.
+func (v *Versions) NamedSince(adapter deployment.Adapter, held int64) (since time.Time, named bool) {
+	for _, one := range v.named[adapter] {
+		if one.version > held {
+			return one.learned, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // keepOnly forgets the names before those that are left.
 func (v *Versions) keepOnly(adapter deployment.Adapter, left []name) {
 	if len(left) < len(v.named[adapter]) {
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -40,7 +40,8 @@
 	Reluctance time.Duration
 	// LinkRate is how many bytes a second the own link carries; 0 if it is not known.
 	LinkRate int
-	// VersionLimit is how long a request may still begin on an older version than named.
+	// VersionLimit is how long a request may still begin on an older version than named. With 0, none may be sent to one, and what
+	// was sent before is not taken back.
 	VersionLimit time.Duration
 	// StoreTimeout bounds one call to the store, apart from waiting watches.
 	StoreTimeout time.Duration
@@ -48,13 +49,15 @@
 	Now    func() time.Time
 	Random func() float64
 	Log    *logrus.Entry
-	// ObserveOrder, ObserveStoreFailure, ObserveRelay and ObserveLinkClosed count for the metrics; nil ignores.
+	// ObserveOrder, ObserveStoreFailure, ObserveRelay, ObserveLinkClosed and ObserveTakenBack count for the metrics; nil ignores.
 	ObserveOrder        func(kind, reply string)
 	ObserveStoreFailure func(call string)
 	// ObserveRelay is given the bytes of the operators' keys that were sent to one peer.
 	ObserveRelay func(bytes int)
 	// ObserveLinkClosed is called for each peer's link that is closed since too much waits for the peer.
 	ObserveLinkClosed func()
+	// ObserveTakenBack is called for each request that is taken back from its endpoint since it has not begun in time.
+	ObserveTakenBack func()
 }
 
 // Environment is the outside calls of a Coordinator, as function fields.
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,11 +28,14 @@
 
 const (
 	configurationKey = "operators/configuration"
-	endpointPrefix   = "endpoints/"
-	recordKey        = "shelfledge/planner"
-	heartbeatKey     = "shelfledge/planner-alive"
-	service          = "chat"
-	selfName         = "self"
+	// versionPrefix begins the keys that name versions: an adapter's name follows, the value is the version.
+	versionPrefix  = "operators/version/"
+	endpointPrefix = "endpoints/"
+	recordKey      = "shelfledge/planner"
+	heartbeatKey   = "shelfledge/planner-alive"
+	service        = "chat"
+	selfName       = "self"
+	versionLimit   = time.Second
 )
 
 var (
@@ -316,6 +321,8 @@
 	loadWindow time.Duration
 	// aroundCommit wraps the store's writes, as the instance makes them.
 	aroundCommit func(commit commitFunc) commitFunc
+	// takenBack counts requests that were taken back.
+	takenBack atomic.Int64
 }
 
 // commitFunc is a call that writes to the store.
@@ -335,6 +342,12 @@
 	return endpoint, nil
 }
 
+func parseVersion(item store.Item) (deployment.Adapter, int64, bool) {
+	name, found := strings.CutPrefix(item.Key, versionPrefix)
+	version, err := strconv.ParseInt(string(item.Value), 10, 64)
+	return adapter(name), version, found && err == nil
+}
+
 func configuration() *deployment.Configuration {
 	engine := &deployment.Engine{
 		Slots: 16, AdapterCapacity: 8, LoadsPerSecond: 50, Models: []deployment.Model{{Name: "base"}},
@@ -355,22 +368,23 @@
 	return s
 }
 
-func (s *site) start(t *testing.T, seeds ...netip.AddrPort) {
+func (s *site) start(t testing.TB, seeds ...netip.AddrPort) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	options := coordinator.Options{
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
-		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
+		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: versionLimit, StoreTimeout: 300 * time.Millisecond,
 		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
+		ObserveTakenBack: func() { s.takenBack.Add(1) },
 	}
 	client := s.store.client()
 	client.Commit = s.aroundCommit(client.Commit)
 	environment := coordinator.Environment{
 		Store: client, ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
 		ParseConfiguration: func([]byte) (*deployment.Configuration, error) { return configuration(), nil },
-		ParseVersion:       func(store.Item) (deployment.Adapter, int64, bool) { return deployment.Adapter{}, 0, false },
+		ParseVersion:       parseVersion,
 		ParseEndpoint:      parseEndpoint,
 		EndpointOf: func(key string) deployment.EndpointID {
 			return deployment.EndpointID(strings.TrimPrefix(key, endpointPrefix))
--- /dev/null
+++ b/services/entry/coordinator/unbegun/requests_test.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package unbegun_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
+)
+
+var (
+	start   = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	adapter = deployment.Adapter{Model: "base", Name: "a1"}
+	other   = deployment.Adapter{Model: "base", Name: "a2"}
+	never   time.Time
+)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestAPartOfTheLimitIsKept(t *testing.T) {
+	assert.Equal(t, at(4), unbegun.BeginBy(start, 5*time.Second))
+	assert.Equal(t, at(0.8), unbegun.BeginBy(start, time.Second))
+}
+
+// TestWhenARequestIsLate plays one request of an endpoint that holds version 2.
+func TestWhenARequestIsLate(t *testing.T) {
+	for name, test := range map[string]struct {
+		play func(r *unbegun.Requests, recall *unbegun.Recall)
+		late time.Time
+	}{
+		"no newer version": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+		}, never},
+		"a newer version is named while it waits": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(adapter, 3, at(4))
+		}, at(4)},
+		"two are named while it waits": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(adapter, 3, at(4))
+			r.Named(adapter, 4, at(6))
+		}, at(4)},
+		"one was named before it was sent": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, at(4))
+		}, at(4)},
+		"one before, one after": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, at(4))
+			r.Named(adapter, 4, at(6))
+		}, at(4)},
+		"its own version is named": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(adapter, 2, at(4))
+		}, never},
+		"its own version is named, then a newer one": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(adapter, 2, at(4))
+			r.Named(adapter, 3, at(6))
+		}, at(6)},
+		"another adapter's version is named": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(other, 3, at(4))
+		}, never},
+		"a name that bounds nothing": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(adapter, 3, never)
+		}, never},
+		"it begins before the name": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Remove(recall)
+			r.Named(adapter, 3, at(4))
+		}, never},
+		"it begins after the name": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, never)
+			r.Named(adapter, 3, at(4))
+			r.Remove(recall)
+		}, never},
+		"it ends twice": {func(r *unbegun.Requests, recall *unbegun.Recall) {
+			r.Add(recall, adapter, 2, at(4))
+			r.Remove(recall)
+			r.Remove(recall)
+		}, never},
+	} {
+		t.Run(name, func(t *testing.T) {
+			requests, recall := unbegun.NewRequests(), &unbegun.Recall{}
+			test.play(requests, recall)
+			if test.late.IsZero() {
+				assert.Empty(t, requests.TakeLate(at(3600)))
+				return
+			}
+			assert.Empty(t, requests.TakeLate(test.late.Add(-1)))
+			assert.Equal(t, []*unbegun.Recall{recall}, requests.TakeLate(test.late))
+			assert.Empty(t, requests.TakeLate(test.late), "it is told once")
+			assert.Zero(t, requests.Kept())
+		})
+	}
+}
+
+func TestRequestsOfOneAdapterAreLateEachAtItsTime(t *testing.T) {
+	requests := unbegun.NewRequests()
+	former, newer, newest := &unbegun.Recall{}, &unbegun.Recall{}, &unbegun.Recall{}
+	requests.Add(former, adapter, 1, never)
+	requests.Add(newer, adapter, 2, never)
+	requests.Add(newest, adapter, 3, never)
+	requests.Named(adapter, 2, at(4))
+	requests.Named(adapter, 3, at(6))
+	assert.Equal(t, []*unbegun.Recall{former}, requests.TakeLate(at(5)))
+	assert.Equal(t, []*unbegun.Recall{newer}, requests.TakeLate(at(7)))
+	assert.Equal(t, 1, requests.Kept())
+}
+
+func TestARequestThatIsNotTrackedChangesNothing(t *testing.T) {
+	requests := unbegun.NewRequests()
+	requests.Remove(nil)
+	assert.Empty(t, requests.TakeLate(start))
+}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -94,6 +94,7 @@
 	options.Coordinator.ObserveStoreFailure = func(call string) { metrics.ObserveStoreFailure(call) }
 	options.Coordinator.ObserveRelay = func(bytes int) { metrics.ObserveRelay(bytes) }
 	options.Coordinator.ObserveLinkClosed = func() { metrics.ObserveLinkClosed() }
+	options.Coordinator.ObserveTakenBack = func() { metrics.ObserveTakenBack() }
 	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) { client.Retire(string(id)) }))
 	metrics = newMetrics(control, client, writer)
 	return &Process{
--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -28,6 +28,9 @@
 	RefusedByEndpoint Reason = "refused by the endpoint"
 	// TimedOut: the request may have run, and its deadline has passed.
 	TimedOut Reason = "timed out"
+	// NotBegunInTime: the request was taken back from an endpoint that held a former version, where it had not begun in time; it may
+	// have run, and no retry was allowed.
+	NotBegunInTime Reason = "not begun in time"
 	// NoAnswer: the request may have run, the endpoint gave no answer, and no retry was allowed.
 	NoAnswer Reason = "no answer from the endpoint"
 	// StreamNotResumed: a stream broke off, and no other endpoint could go on with it, or its caller left while it waited
@@ -106,6 +109,8 @@
 		return Ending{Status: http.StatusServiceUnavailable, Reason: RefusedByEndpoint, RetryAfter: busyPause}
 	case s.timedOut(now):
 		return Ending{Status: http.StatusGatewayTimeout, Reason: TimedOut}
+	case last == TakenBack:
+		return Ending{Status: http.StatusBadGateway, Reason: NotBegunInTime}
 	default:
 		return Ending{Status: http.StatusBadGateway, Reason: NoAnswer}
 	}
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -38,6 +38,8 @@
 func headPassed(s *attempt.Situation)   { s.HeadPassed = true }
 func eventPassed(s *attempt.Situation)  { s.EventPassed = true }
 func contextEnded(s *attempt.Situation) { s.ContextEnded = true }
+func takenBack(s *attempt.Situation)    { s.TakenBack = true }
+func bodyTooLarge(s *attempt.Situation) { s.BodyTooLarge = true }
 func bodyNotHeld(s *attempt.Situation)  { s.BodyHeld = false }
 
 // callerLeft ends the request's context, too.
@@ -93,6 +95,10 @@
 		"uncertain, unsafe":                   {attempt.Uncertain, after(unsafe, mayHaveRun), attempt.GiveUp},
 		"uncertain, a stream":                 {attempt.Uncertain, after(stream, mayHaveRun), attempt.GiveUp},
 		"uncertain, a resumable stream":       {attempt.Uncertain, after(resumable, mayHaveRun), attempt.RetryWithinBudget},
+		"taken back, a stream":                {attempt.TakenBack, after(stream, mayHaveRun, takenBack), attempt.GiveUp},
+		"taken back, a resumable stream":      {attempt.TakenBack, after(resumable, mayHaveRun, takenBack), attempt.RetryWithinBudget},
+		"taken back, the last attempt":        {attempt.TakenBack, after(resumable, mayHaveRun, takenBack, sent(2)), attempt.GiveUp},
+		"taken back, the deadline has passed": {attempt.TakenBack, after(resumable, mayHaveRun, takenBack, until(now)), attempt.GiveUp},
 		"server error, safe":                  {attempt.ServerError, after(safe, mayHaveRun), attempt.RetryWithinBudget},
 		"server error, unsafe":                {attempt.ServerError, after(unsafe, mayHaveRun), attempt.GiveUp},
 		"broken off, safe":                    {attempt.BrokenOff, after(safe, mayHaveRun, headPassed), attempt.GiveUp},
@@ -112,7 +118,7 @@
 
 func TestWhichResultsProveThatARequestDidNotRun(t *testing.T) {
 	for result, proves := range map[attempt.Result]bool{
-		attempt.NotSent: true, attempt.NotRun: true, attempt.Uncertain: false, attempt.ServerError: false, attempt.BrokenOff: false,
+		attempt.NotSent: true, attempt.NotRun: true, attempt.Uncertain: false, attempt.TakenBack: false, attempt.ServerError: false, attempt.BrokenOff: false,
 		attempt.Finished: false, "": false,
 	} {
 		assert.Equal(t, proves, attempt.ProvesNotRun(result), "%q", result)
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -24,6 +24,9 @@
 	Uncertain Result = "uncertain"
 	// ServerError: the endpoint answered with an error that may be worth a retry.
 	ServerError Result = "server error"
+	// TakenBack: the request was taken back from the endpoint, where it had not begun in time; nothing was answered yet. It may have
+	// run all the same, since its begin may not have been seen yet, or the endpoint may not drop it.
+	TakenBack Result = "taken back"
 	// BrokenOff: the answer broke off after its head was passed on.
 	BrokenOff Result = "broken off"
 )
@@ -48,6 +51,8 @@
 	EventPassed bool
 	// BodyTooLarge says that the body turned out to be larger than the settings allow after some of it was sent; own record.
 	BodyTooLarge bool
+	// TakenBack says that this instance took the request back from the present endpoint; own record.
+	TakenBack bool
 	// CallerLeft says that the caller closed its connection; from the request's own context.
 	CallerLeft bool
 	// ContextEnded says that the request's own context is over: the caller left or the deadline has passed.
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -32,19 +32,35 @@
 	NoHead
 )
 
-// JudgeFailure judges an exchange that ended without the head of an answer. The endpoint is not blamed where the caller is to
-// blame: it left, or sent too large a body.
-func JudgeFailure(failure Failure, callersFault bool) Verdict {
-	verdict := Verdict{Result: NotSent, Outcome: directory.Broken}
+// JudgeFailure judges an exchange that ended without the head of an answer.
+func JudgeFailure(failure Failure, s Situation) Verdict {
+	verdict := Verdict{Result: NotSent, Outcome: blame(s)}
 	if failure == NoHead {
-		verdict.Result = Uncertain
+		verdict.Result = unanswered(s)
 	}
-	if failure == NoConnectionFree || callersFault {
+	if failure == NoConnectionFree {
 		verdict.Outcome = directory.Neutral
 	}
 	return verdict
 }
 
+// blame is how an exchange that failed counts for its endpoint, which is not blamed where it was ended here or by the caller: the
+// request was taken back, the caller left, or sent too large a body.
+func blame(s Situation) directory.Outcome {
+	if s.TakenBack || s.CallerLeft || s.BodyTooLarge {
+		return directory.Neutral
+	}
+	return directory.Broken
+}
+
+// unanswered is the result of an exchange of which nothing was passed on, and which may have run.
+func unanswered(s Situation) Result {
+	if s.TakenBack {
+		return TakenBack
+	}
+	return Uncertain
+}
+
 // Head is the head of an endpoint's answer.
 type Head struct {
 	// Status is the endpoint's own.
@@ -113,14 +129,10 @@
 	return Verdict{Result: BrokenOff, Outcome: directory.Neutral}
 }
 
-// JudgeBroken judges an answer whose body broke off. The endpoint is not blamed where the caller left or sent too large a body.
+// JudgeBroken judges an answer whose body broke off.
 func JudgeBroken(s Situation) Verdict {
-	verdict := Verdict{Result: Uncertain, Outcome: directory.Broken}
 	if s.HeadPassed {
-		verdict.Result = BrokenOff
-	}
-	if s.CallerLeft || s.BodyTooLarge {
-		verdict.Outcome = directory.Neutral
+		return Verdict{Result: BrokenOff, Outcome: blame(s)}
 	}
-	return verdict
+	return Verdict{Result: unanswered(s), Outcome: blame(s)}
 }
--- a/services/entry/proxy/attempt/verdict_test.go
+++ b/services/entry/proxy/attempt/verdict_test.go
@@ -16,19 +16,23 @@
 
 func TestJudgeFailure(t *testing.T) {
 	for name, test := range map[string]struct {
-		failure    attempt.Failure
-		callerLeft bool
-		verdict    attempt.Verdict
+		failure   attempt.Failure
+		situation attempt.Situation
+		verdict   attempt.Verdict
 	}{
-		"no connection free":                  {attempt.NoConnectionFree, false, attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
-		"no connection free, the caller gone": {attempt.NoConnectionFree, true, attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
-		"nothing written":                     {attempt.NothingWritten, false, attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Broken}},
-		"nothing written, the caller gone":    {attempt.NothingWritten, true, attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
-		"no head":                             {attempt.NoHead, false, attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
-		"no head, the caller gone":            {attempt.NoHead, true, attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
+		"no connection free":                  {attempt.NoConnectionFree, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
+		"no connection free, the caller gone": {attempt.NoConnectionFree, after(safe, callerLeft), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
+		"nothing written":                     {attempt.NothingWritten, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Broken}},
+		"nothing written, the caller gone":    {attempt.NothingWritten, after(safe, callerLeft), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
+		"nothing written, taken back":         {attempt.NothingWritten, after(stream, takenBack), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
+		"no head":                             {attempt.NoHead, after(safe), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
+		"no head, the caller gone":            {attempt.NoHead, after(safe, callerLeft), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
+		"no head, the body too large":         {attempt.NoHead, after(safe, bodyTooLarge), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
+		"no head, taken back":                 {attempt.NoHead, after(stream, takenBack), attempt.Verdict{Result: attempt.TakenBack, Outcome: directory.Neutral}},
+		"no head to go on with, taken back":   {attempt.NoHead, after(resumable, headPassed, takenBack), attempt.Verdict{Result: attempt.TakenBack, Outcome: directory.Neutral}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, test.verdict, attempt.JudgeFailure(test.failure, test.callerLeft))
+			assert.Equal(t, test.verdict, attempt.JudgeFailure(test.failure, test.situation))
 		})
 	}
 }
@@ -87,6 +91,8 @@
 		"nothing passed on, the caller gone":  {after(safe, callerLeft), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
 		"the head passed on":                  {after(stream, headPassed), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Broken}},
 		"the head passed on, the caller gone": {after(stream, headPassed, callerLeft), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Neutral}},
+		"taken back, nothing passed on":       {after(stream, takenBack), attempt.Verdict{Result: attempt.TakenBack, Outcome: directory.Neutral}},
+		"taken back, the head passed on":      {after(stream, headPassed, takenBack), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Neutral}},
 		"the deadline has passed":             {after(safe, contextEnded), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -35,6 +35,7 @@
 func (e *exchange) do() attempt.Result {
 	started := e.run.service.options.Now()
 	verdict := e.send()
+	e.assignment.Recall.Disarm()
 	e.run.records = append(e.run.records, AttemptRecord{
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result,
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
@@ -49,6 +50,7 @@
 	r := e.run
 	ctx, cancel := context.WithCancel(r.context)
 	e.cancel = cancel
+	e.assignment.Recall.Arm(cancel)
 	headTimer := e.startHeadTimer(cancel)
 	answer, err := r.service.upstream.Do(ctx, upstream.Call{
 		Target: upstream.Target{
@@ -64,7 +66,7 @@
 	}
 	if err != nil {
 		cancel()
-		return attempt.JudgeFailure(failure(err), r.callerLeft() || r.body.tooLarge())
+		return attempt.JudgeFailure(failure(err), r.situation())
 	}
 	e.answer = answer
 	return e.pass()
@@ -116,6 +118,7 @@
 		return
 	}
 	e.running = true
+	e.assignment.Recall.Disarm()
 	e.ranAfter = e.run.service.options.Now().Sub(e.assignment.Assigned)
 	e.run.service.control.Running(e.run.request, e.assignment)
 }
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -28,6 +28,7 @@
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/proxy"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
@@ -36,6 +37,10 @@
 // deadPort is the script of an endpoint that nobody can connect to.
 const deadPort = "dead port"
 
+// queues is the script of an endpoint that holds a request in its queue until the connection closes. The request is taken back
+// while it waits there; a text that follows is written first.
+const queues = "queues"
+
 // refusedAfter is when the site of a test asks refused callers to come back.
 const refusedAfter = 1500 * time.Millisecond
 
@@ -47,7 +52,10 @@
 	budget   int
 	stopping bool
 
-	mutex    sync.Mutex
+	mutex sync.Mutex
+	// recall is that of each assignment to an endpoint that queues; dropped tells that such an endpoint saw the connection close.
+	recalls  map[deployment.EndpointID]*unbegun.Recall
+	dropped  chan struct{}
 	outcomes []directory.Outcome
 	missing  []bool
 	resumes  []string
@@ -58,7 +66,10 @@
 // each kind.
 func newSite(t *testing.T, scripts ...string) (*site, *httptest.Server) {
 	t.Helper()
-	s := &site{observed: make(chan proxy.Observation, 1)}
+	s := &site{
+		observed: make(chan proxy.Observation, 1), recalls: make(map[deployment.EndpointID]*unbegun.Recall),
+		dropped: make(chan struct{}, len(scripts)),
+	}
 	route := func(name string, kind deployment.RouteKind, resumable bool) *deployment.Route {
 		return &deployment.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name, Kind: kind, Resumable: resumable, MaxAttempts: 2, Timeout: 10 * time.Second,
@@ -70,7 +81,11 @@
 		route("stream", deployment.Streaming, false), route("resumable", deployment.Streaming, true),
 	}, nil, deployment.Limits{MaxHeaderBytes: 1000, MaxBodyBytes: 100})
 	for i, script := range scripts {
-		s.endpoints = append(s.endpoints, deployment.Endpoint{ID: deployment.EndpointID(fmt.Sprint(i)), Address: s.listen(t, script)})
+		id := deployment.EndpointID(fmt.Sprint(i))
+		if strings.HasPrefix(script, queues) {
+			s.track(id)
+		}
+		s.endpoints = append(s.endpoints, deployment.Endpoint{ID: id, Address: s.listen(t, script, s.recalls[id])})
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -103,7 +118,7 @@
 func (s *site) acquire(_ context.Context, _ *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error) {
 	for _, endpoint := range s.endpoints {
 		if !slices.Contains(tried, endpoint.ID) {
-			return coordinator.Assignment{Endpoint: endpoint}, nil
+			return coordinator.Assignment{Endpoint: endpoint, Recall: s.recalls[endpoint.ID]}, nil
 		}
 	}
 	return coordinator.Assignment{}, &coordinator.Refusal{Reason: admission.NoEndpoint, RetryAfter: refusedAfter}
@@ -123,7 +138,13 @@
 	s.missing = append(s.missing, missing)
 }
 
-func (s *site) listen(t *testing.T, script string) netip.AddrPort {
+// track gives the assignments to an endpoint a recall.
+func (s *site) track(id deployment.EndpointID) *unbegun.Recall {
+	s.recalls[id] = &unbegun.Recall{}
+	return s.recalls[id]
+}
+
+func (s *site) listen(t *testing.T, script string, recall *unbegun.Recall) netip.AddrPort {
 	t.Helper()
 	if script == deadPort {
 		// No system hands out port 1, so that no other test listens there.
@@ -138,14 +159,14 @@
 			if err != nil {
 				return
 			}
-			s.answer(conn, script)
+			s.answer(conn, script, recall)
 		}
 	}()
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // answer reads one request and writes the script.
-func (s *site) answer(conn net.Conn, script string) {
+func (s *site) answer(conn net.Conn, script string, recall *unbegun.Recall) {
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -155,9 +176,21 @@
 	s.mutex.Lock()
 	s.resumes = append(s.resumes, request.Header.Get("Resume"))
 	s.mutex.Unlock()
+	if begun, ok := strings.CutPrefix(script, queues); ok {
+		s.hold(conn, begun, recall)
+		return
+	}
 	_, _ = io.WriteString(conn, script)
 }
 
+// hold keeps a request waiting that is taken back meanwhile, until its connection closes.
+func (s *site) hold(conn net.Conn, begun string, recall *unbegun.Recall) {
+	_, _ = io.WriteString(conn, begun)
+	recall.Fire()
+	_, _ = io.Copy(io.Discard, conn)
+	s.dropped <- struct{}{}
+}
+
 // answered is an answer as its caller sees it.
 type answered struct {
 	status     int
--- a/services/entry/proxy/run.go
+++ b/services/entry/proxy/run.go
@@ -14,6 +14,7 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
@@ -27,6 +28,8 @@
 	body     requestBody
 	context  context.Context
 	tried    []deployment.EndpointID
+	// recall is that of the present attempt.
+	recall *unbegun.Recall
 	// sent is how many endpoints the request was sent to; unreached how many nothing could be sent to.
 	sent      int
 	unreached int
@@ -47,6 +50,7 @@
 			return
 		}
 		r.sent++
+		r.recall = assignment.Recall
 		exchange := &exchange{run: r, assignment: assignment}
 		result := exchange.do()
 		r.count(result)
@@ -84,7 +88,7 @@
 	return attempt.Situation{
 		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sent, Unreached: r.unreached, MayHaveRun: r.mayHaveRun,
 		BodyHeld: r.body.rest == nil, HeadPassed: r.answer.status != 0, EventPassed: r.lastEvent != "",
-		BodyTooLarge: r.body.tooLarge(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
+		BodyTooLarge: r.body.tooLarge(), TakenBack: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
 	}
 }
 
--- a/services/entry/proxy/running_test.go
+++ b/services/entry/proxy/running_test.go
@@ -17,6 +17,7 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/proxy"
 )
@@ -50,7 +51,7 @@
 			own.ReadRequest = func(http.Header) proxy.CallerHeader {
 				return proxy.CallerHeader{Adapter: deployment.Adapter{Model: test.model}}
 			}
-			assignment := coordinator.Assignment{Endpoint: s.endpoints[0], Assigned: assigned}
+			assignment := coordinator.Assignment{Endpoint: s.endpoints[0], Assigned: assigned, Recall: &unbegun.Recall{}}
 			service := proxy.New(proxy.Options{
 				Now: time.Now, Random: func() float64 { return 0 }, Log: logrus.NewEntry(logger),
 				Refusing: func(deployment.RouteKind) bool { return false }, Leaving: func() bool { return false },
@@ -62,6 +63,7 @@
 				},
 				Running: func(_ *deployment.Request, of coordinator.Assignment) {
 					assert.Equal(t, assignment, of)
+					assert.False(t, of.Recall.Fire(), "what runs is not taken back")
 					told = append(told, "running")
 				},
 				Finish: func(_ *deployment.Request, of coordinator.Assignment, _ directory.Outcome, _ bool) {
--- a/tests/platform/queue_test.go
+++ b/tests/platform/queue_test.go
@@ -60,11 +60,16 @@
 	s.holdVersions(versionLimit + time.Second)
 	var caller sync.WaitGroup
 	defer caller.Wait()
-	caller.Go(func() { s.do(patientCall) })
+	var answer standin.Answer
+	caller.Go(func() { answer = s.do(patientCall) })
 	s.waitFor("the request waits at an endpoint", func() bool { return s.queued() == 1 })
 	acknowledged := s.nameSecondVersion()
 	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
 	s.checkBegins(acknowledged)
+	caller.Wait()
+	assert.Equal(t, http.StatusBadGateway, answer.Status, "nothing proves that it did not run")
+	assert.Equal(t, "not begun in time\n", answer.Body)
+	assert.Zero(t, s.queued(), "the endpoint has dropped it")
 }
 
 // TestARequestOnAFormerVersionBeginsInTimeOrNotAtAllWhereItsQueueGrows.
