--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -58,6 +58,7 @@
 	store    *prometheus.CounterVec
 	relayed  prometheus.Counter
 	closed   prometheus.Counter
+	taken    prometheus.Counter
 	waited   *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	whole    *prometheus.HistogramVec
@@ -98,6 +99,7 @@
 		orders:  counter("orders_total", "Orders to endpoints, by kind and reply.", "kind", "reply"),
 		store:   counter("store_failures_total", "Calls to the store that failed, by call.", "call"),
 		relayed: plain("configuration_relayed_bytes_total", "Bytes of the operators' keys sent to peers that lacked them."),
+		taken:   plain("requests_taken_back_total", "Requests taken back from endpoints where they had not begun in time."),
 		closed:  plain("peer_links_closed_total", "Links of peers closed because too much waited for the peer."),
 		waited:  histogram("wait_seconds", "Wait for an endpoint."),
 		first:   histogram("first_byte_seconds", "Time to the head of the answer."),
@@ -112,7 +114,7 @@
 		}),
 		overdue: plain("former_version_overdue_total", "Requests that began on a former version after its time."),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.waited, m.first, m.whole, m.starts,
+	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.taken, m.waited, m.first, m.whole, m.starts,
 		m.former, m.overdue, &gaugeCollector{read: gauges})
 	return m
 }
@@ -170,6 +172,11 @@
 	}
 }
 
+// ObserveTakenBack counts one request that was taken back from its endpoint.
+func (m *Metrics) ObserveTakenBack() {
+	m.taken.Inc()
+}
+
 // gaugeCollector reads all gauges at once.
 type gaugeCollector struct {
 	read func() Gauges
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -13,6 +13,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/balance"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/forecast"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/waiting"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
@@ -54,6 +55,8 @@
 	Held int64
 	// Former tells of the choice of an endpoint that holds only a former version.
 	Former FormerUse
+	// Recall ends the exchange where the request has not begun in time; nil where it is never taken back.
+	Recall *unbegun.Recall
 }
 
 // FormerUse is on what ground an endpoint was chosen that holds only a former version; the zero value says that it holds the named
@@ -151,17 +154,18 @@
 		return false
 	}
 	formerUse := formerUseOf(now, status, required)
+	held := status.Offered[w.Adapter]
 	c.directory.Begin(now, status.ID, w.Request)
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
-		Urgency: c.urgency(now, w.Request, status), Held: status.Offered[w.Adapter], Former: formerUse,
+		Urgency: c.urgency(now, w.Request, status), Held: held, Former: formerUse, Recall: c.trackBegin(w.Request, held),
 	}
 	if w.Prompt > 0 {
 		assignment.Expected = status.Backlog()
 	}
-	if named > 0 && assignment.Held >= named {
+	if named > 0 && held >= named {
 		// Endpoints refuse any other version, newer ones too, and this one may be newer than the name that is known here.
-		assignment.Version = assignment.Held
+		assignment.Version = held
 	}
 	w.Result <- acquired{assignment: assignment}
 	return true
@@ -258,6 +262,7 @@
 
 // end takes a request out of flight and out of its endpoint's queue.
 func (c *Coordinator) end(now time.Time, assignment Assignment, request *deployment.Request, outcome directory.Outcome) {
+	c.unbegun.Remove(assignment.Recall)
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
 }
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -189,6 +189,7 @@
 		return
 	}
 	c.logVersion(now, origin, adapter, version)
+	c.unbegun.Named(adapter, version, c.beginBy(adapter, version-1))
 	if c.planning != nil {
 		c.planning.plans.SetVersion(now, adapter, version)
 	}
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -40,7 +40,8 @@
 	Reluctance time.Duration
 	// LinkRate is how many bytes a second the own link carries; 0 if it is not known.
 	LinkRate int
-	// VersionLimit is how long a request may still begin on an older version than named.
+	// VersionLimit is how long a request may still begin on an older version than named. With 0, none may be sent to one, and what
+	// was sent before is not taken back.
 	VersionLimit time.Duration
 	// StoreTimeout bounds one call to the store, apart from waiting watches.
 	StoreTimeout time.Duration
@@ -48,8 +49,8 @@
 	Now    func() time.Time
 	Random func() float64
 	Log    *logrus.Entry
-	// ObserveOrder, ObserveStoreFailure, ObserveRelay, ObserveLinkClosed and ObserveFormerVersion count for the metrics; nil
-	// ignores.
+	// ObserveOrder, ObserveStoreFailure, ObserveRelay, ObserveLinkClosed, ObserveFormerVersion and ObserveTakenBack count for the
+	// metrics; nil ignores.
 	ObserveOrder        func(kind, reply string)
 	ObserveStoreFailure func(call string)
 	// ObserveRelay is given the bytes of the operators' keys that were sent to one peer.
@@ -59,6 +60,8 @@
 	// ObserveFormerVersion is given, for each request that begins on a former version, how long before this instance learned
 	// of the first newer one, and whether that is longer than VersionLimit.
 	ObserveFormerVersion func(age time.Duration, overdue bool)
+	// ObserveTakenBack is called for each request that is taken back from its endpoint since it has not begun in time.
+	ObserveTakenBack func()
 }
 
 // Environment is the outside calls of a Coordinator, as function fields.
--- a/services/entry/coordinator/running.go
+++ b/services/entry/coordinator/running.go
@@ -14,6 +14,7 @@
 // Running notes that an endpoint runs a request: its answer has begun.
 func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
 	c.loop.Post(func(now time.Time) {
+		c.unbegun.Remove(assignment.Recall)
 		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request)
 		c.compareVersion(now, request, assignment)
 	})
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,11 +29,14 @@
 
 const (
 	configurationKey = "operators/configuration"
-	endpointPrefix   = "endpoints/"
-	recordKey        = "shelfledge/planner"
-	heartbeatKey     = "shelfledge/planner-alive"
-	service          = "chat"
-	selfName         = "self"
+	// versionPrefix begins the keys that name versions: an adapter's name follows, the value is the version.
+	versionPrefix  = "operators/version/"
+	endpointPrefix = "endpoints/"
+	recordKey      = "shelfledge/planner"
+	heartbeatKey   = "shelfledge/planner-alive"
+	service        = "chat"
+	selfName       = "self"
+	versionLimit   = time.Second
 )
 
 var (
@@ -322,6 +326,8 @@
 	loadWindow time.Duration
 	// aroundCommit wraps the store's writes, as the instance makes them.
 	aroundCommit func(commit commitFunc) commitFunc
+	// takenBack counts requests that were taken back.
+	takenBack atomic.Int64
 }
 
 // formerAge is how long a newer version had been known when a request began on a former one.
@@ -347,9 +353,6 @@
 	return endpoint, nil
 }
 
-// versionPrefix is before the adapter's name in the keys that name versions.
-const versionPrefix = "operators/version/"
-
 // parseVersion reads the key of a named version.
 func parseVersion(item store.Item) (deployment.Adapter, int64, bool) {
 	name, ok := strings.CutPrefix(item.Key, versionPrefix)
@@ -377,7 +380,7 @@
 	return s
 }
 
-func (s *site) start(t *testing.T, seeds ...netip.AddrPort) {
+func (s *site) start(t testing.TB, seeds ...netip.AddrPort) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -385,9 +388,10 @@
 	options := coordinator.Options{
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
-		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: time.Second, StoreTimeout: 300 * time.Millisecond,
+		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: versionLimit, StoreTimeout: 300 * time.Millisecond,
 		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log),
 		ObserveFormerVersion: func(age time.Duration, overdue bool) { s.formerAges <- formerAge{age, overdue} },
+		ObserveTakenBack:     func() { s.takenBack.Add(1) },
 	}
 	client := s.store.client()
 	client.Commit = s.aroundCommit(client.Commit)
--- a/services/entry/proxy/running_test.go
+++ b/services/entry/proxy/running_test.go
@@ -18,6 +18,7 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/proxy"
 )
@@ -53,7 +54,7 @@
 			}
 			assignment := coordinator.Assignment{
 				Endpoint: s.endpoints[0], Assigned: assigned, Version: 5, Held: 6,
-				Former: coordinator.FormerUse{Left: time.Second, Expected: 20 * time.Millisecond},
+				Former: coordinator.FormerUse{Left: time.Second, Expected: 20 * time.Millisecond}, Recall: &unbegun.Recall{},
 			}
 			var observed proxy.Observation
 			service := proxy.New(proxy.Options{
@@ -67,6 +68,7 @@
 				},
 				Running: func(_ *deployment.Request, of coordinator.Assignment) {
 					assert.Equal(t, assignment, of)
+					assert.False(t, of.Recall.Fire(), "what runs is not taken back")
 					told = append(told, "running")
 				},
 				Finish: func(_ *deployment.Request, of coordinator.Assignment, _ directory.Outcome, _ bool) {
