Count a former version's time from when the newer one can have been acknowledged

Cause: Versions.Name counted a version's time from when this instance learned its name, whatever the way: a watch that was sent again after one on a silent connection, a reading after dropped history, the planner's view, the first reading of a process.

Change: each origin of operators' keys tells the latest moment at which what is new was surely not yet acknowledged (follow.Origin, Since), and Versions counts from there. A change for which the store held a watch's answer back is as old as the answer took on its way; what an answer at once names, as old as the answer before; and where a call failed since, as old as the last proof that nothing was missing. A planner tells with the keys that it passes on how old the changes may be that the member lacks (KeysAge on the wire, an addition), also those that a later change of the same key replaced; without it a member counts from its own last proof. A watch that names no change is no proof any more, nor are two in a row: on a store that loses its history, whose watches were deaf for a second, the line of a version that was acknowledged a second before told a silence of 381 ms. Versions.NewerSince gives the time from which a newer version counts. relay.PatienceFor and the age of large answers share follow.ReadTime.

--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -32,24 +32,22 @@
 			continue
 		}
 		c.loop.Post(func(now time.Time) {
-			c.applyItems(now, c.origin(follow.FromReading), items)
+			c.applyItems(now, c.complete.Origin(follow.FromReading), items)
 			c.complete.Read(sent)
 		})
 		c.watchConfiguration(revision)
 	}
 }
 
-// origin is how keys came that are taken in now.
-func (c *Coordinator) origin(source follow.Source) follow.Origin {
-	return follow.Origin{Source: source, CompleteAt: c.complete.At()}
-}
-
 // watchConfiguration returns when the keys have to be read anew.
 func (c *Coordinator) watchConfiguration(after int64) {
 	var watch follow.Watch
 	for c.context.Err() == nil {
 		answer, err := c.watchConfigurationOnce(after)
 		step := watch.Answered(err)
+		if err != nil {
+			c.loop.Post(func(time.Time) { c.complete.Failed() })
+		}
 		if err != nil && !errors.Is(err, store.ErrCompacted) {
 			c.noteStore("watch configuration", err)
 		}
@@ -77,10 +75,12 @@
 
 // applyWatched takes in how a watch of the operators' keys ended.
 func (c *Coordinator) applyWatched(now time.Time, answer watched) {
-	c.applyItems(now, c.origin(follow.FromWatch), eventItems(answer.events))
-	if !answer.endedHere {
-		c.complete.Watched(answer.WatchAnswer)
+	c.applyItems(now, c.complete.OriginOf(answer.WatchAnswer), eventItems(answer.events))
+	if answer.endedHere {
+		c.complete.Failed()
+		return
 	}
+	c.complete.Watched(answer.WatchAnswer)
 }
 
 // watchConfigurationOnce makes one waiting call; a long one ends early when the planner falls
@@ -101,7 +101,9 @@
 	if err != nil && ctx.Err() != nil {
 		return watched{next: after, endedHere: true}, nil
 	}
-	answer := follow.WatchAnswer{Sent: sent, Received: c.options.Now(), Wait: wait, Empty: len(events) == 0}
+	answer := follow.WatchAnswer{
+		Sent: sent, Received: c.options.Now(), Wait: wait, Empty: len(events) == 0, Bytes: eventBytes(events),
+	}
 	return watched{WatchAnswer: answer, events: events, next: next}, err
 }
 
@@ -120,6 +122,15 @@
 	}
 }
 
+// eventBytes sums the values of events, in bytes.
+func eventBytes(events []store.Event) int {
+	size := 0
+	for _, event := range events {
+		size += len(event.Value)
+	}
+	return size
+}
+
 // eventItems gives the newest item of each key that was written, so that of changes in quick succession one is read and put in force.
 func eventItems(events []store.Event) []store.Item {
 	newest := make(map[string]int, len(events))
@@ -144,16 +155,21 @@
 // passed over, so that nothing ever reverts.
 func (c *Coordinator) applyItems(now time.Time, origin follow.Origin, items []store.Item) {
 	before := c.keys.Revision()
+	taken := false
 	for _, item := range items {
 		if !c.keys.Take(item) {
 			continue
 		}
+		taken = true
 		if item.Key == c.environment.ConfigurationKey {
 			c.applyConfiguration(now, item)
 			continue
 		}
 		c.applyVersion(now, origin, item)
 	}
+	if taken {
+		c.keys.Changed(origin.Since)
+	}
 	if c.keys.Revision() > before && c.following.stream != nil {
 		// The planner passes keys on to those who have not said that they have them.
 		c.acknowledge(now)
@@ -185,7 +201,7 @@
 // passed over without a log line.
 func (c *Coordinator) applyVersion(now time.Time, origin follow.Origin, item store.Item) {
 	adapter, version, ok := c.environment.ParseVersion(item)
-	if !ok || !c.versions.Name(now, adapter, version) {
+	if !ok || !c.versions.Name(origin.Since, adapter, version) {
 		return
 	}
 	c.logVersion(now, origin, adapter, version)
@@ -194,11 +210,14 @@
 	}
 }
 
-// logVersion tells which version was named, how that came, and for how long it may have been acknowledged already.
+// logVersion tells which version was named, how that came, for how long it may have been acknowledged already, and how old it counts.
 func (c *Coordinator) logVersion(now time.Time, origin follow.Origin, adapter deployment.Adapter, version int64) {
 	fields := logrus.Fields{"adapter": adapter.String(), "version": version, "source": origin.Source}
 	if silence, known := origin.Silence(now); known {
 		fields["silence_ms"] = silence.Milliseconds()
 	}
+	if !origin.Since.IsZero() {
+		fields["age_ms"] = now.Sub(origin.Since).Milliseconds()
+	}
 	c.options.Log.WithFields(fields).Info("version named")
 }
--- a/services/entry/coordinator/coordinator_test.go
+++ b/services/entry/coordinator/coordinator_test.go
@@ -92,6 +92,7 @@
 	Made            time.Duration            `msgpack:"m,omitempty"`
 	AsksForKeys     bool                     `msgpack:"q,omitempty"`
 	KeysFrom        string                   `msgpack:"u,omitempty"`
+	KeysAge         time.Duration            `msgpack:"r,omitempty"`
 }
 
 type wireEndpoint struct {
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -131,6 +131,79 @@
 	assert.LessOrEqual(t, wait, time.Duration(0))
 }
 
+// TestAVersionOfUnknownAgeLeavesTheFormerOneNoTime is about names that a process finds when it starts: they may be hours old.
+func TestAVersionOfUnknownAgeLeavesTheFormerOneNoTime(t *testing.T) {
+	const limit = 2 * time.Second
+	versions := follow.NewVersions()
+	versions.Name(time.Time{}, adapter, 2)
+	oldest, wait := versions.Former(start, adapter, limit)
+	assert.EqualValues(t, 2, oldest)
+	assert.LessOrEqual(t, wait, time.Duration(0))
+	versions.Name(start, adapter, 3)
+	oldest, wait = versions.Former(start.Add(400*time.Millisecond), adapter, limit)
+	assert.EqualValues(t, 2, oldest)
+	assert.Equal(t, 600*time.Millisecond, wait, "a later name gives its own former version time")
+}
+
+// TestAVersionCountsNoSoonerThanTheOneBeforeIt: a name may come on a way that proves less than that of the name before.
+func TestAVersionCountsNoSoonerThanTheOneBeforeIt(t *testing.T) {
+	versions := follow.NewVersions()
+	_, newer := versions.NewerSince(adapter, 1)
+	assert.False(t, newer)
+	versions.Name(start, adapter, 2)
+	versions.Name(start.Add(-time.Second), adapter, 3)
+	versions.Name(start.Add(time.Second), adapter, 4)
+	for version, since := range map[int64]time.Time{1: start, 2: start, 3: start.Add(time.Second)} {
+		got, newer := versions.NewerSince(adapter, version)
+		assert.True(t, newer)
+		assert.Equal(t, since, got, "version %d", version)
+	}
+	_, newer = versions.NewerSince(adapter, 4)
+	assert.False(t, newer)
+	versions.Former(start.Add(time.Hour), adapter, time.Second)
+	since, newer := versions.NewerSince(adapter, 1)
+	assert.True(t, newer, "its time is over")
+	assert.Equal(t, start.Add(time.Second), since)
+}
+
+// TestTheAgeOfWhatAMemberLacks: a planner tells it for all changes after what the member knows, also for those that a later
+// change of the same key replaced.
+func TestTheAgeOfWhatAMemberLacks(t *testing.T) {
+	keys := follow.NewKeys()
+	take := func(revision int64, since time.Time) {
+		keys.Take(item("k", revision))
+		keys.Changed(since)
+	}
+	_, known := keys.ChangedSince(0)
+	assert.False(t, known, "nothing is lacking")
+	take(5, time.Time{})
+	take(6, start)
+	take(7, start.Add(time.Second))
+	take(8, start.Add(-time.Second))
+	for revision, want := range map[int64]time.Time{5: start.Add(-time.Second), 7: start.Add(-time.Second)} {
+		since, known := keys.ChangedSince(revision)
+		assert.True(t, known)
+		assert.Equal(t, want, since)
+	}
+	take(9, start.Add(2*time.Second))
+	since, known := keys.ChangedSince(8)
+	assert.True(t, known)
+	assert.Equal(t, start.Add(2*time.Second), since)
+	for revision := range int64(5) {
+		_, known = keys.ChangedSince(revision)
+		assert.False(t, known, "the age of the first keys is not known")
+	}
+	_, known = keys.ChangedSince(9)
+	assert.False(t, known)
+	for revision := int64(10); revision < 100; revision++ {
+		take(revision, start)
+	}
+	_, known = keys.ChangedSince(30)
+	assert.False(t, known, "too many changes ago")
+	_, known = keys.ChangedSince(90)
+	assert.True(t, known)
+}
+
 func TestWhoReadsTheStore(t *testing.T) {
 	const long, short = 20 * time.Second, 550 * time.Millisecond
 	cases := map[string]struct {
--- a/services/entry/coordinator/follow/keys.go
+++ b/services/entry/coordinator/follow/keys.go
@@ -4,6 +4,9 @@
 package follow
 
 import (
+	"slices"
+	"time"
+
 	"github.com/shelfledge/shelfledge/modules/entry/store"
 )
 
@@ -11,8 +14,22 @@
 type Keys struct {
 	items    map[string]store.Item
 	revision int64
+	// changes holds the last changes that were taken in, and forgotten is the newest revision of those before them.
+	changes   []change
+	forgotten int64
+}
+
+// change is what was taken in at one time: keys up to a revision, and the latest moment at which none of them was acknowledged; zero
+// where none is known.
+type change struct {
+	upTo  int64
+	since time.Time
 }
 
+// mostChanges is how many changes are kept. More let a planner tell the age of what a member has lacked for longer, fewer take less
+// memory. Not measured.
+const mostChanges = 64
+
 // NewKeys makes a set that knows no key.
 func NewKeys() *Keys {
 	return &Keys{items: make(map[string]store.Item)}
@@ -34,6 +51,31 @@
 	return k.revision
 }
 
+// Changed notes that keys were taken in which count from a moment, as Origin.Since has it.
+func (k *Keys) Changed(since time.Time) {
+	k.changes = append(k.changes, change{upTo: k.revision, since: since})
+	if len(k.changes) > mostChanges {
+		k.forgotten = k.changes[0].upTo
+		k.changes = slices.Clone(k.changes[1:])
+	}
+}
+
+// ChangedSince gives the latest moment at which none of the changes after a revision was acknowledged, also of those that a
+// later change of the same key replaced: whoever knows the keys up to the revision lacks them as well. It is false where no such
+// moment is known.
+func (k *Keys) ChangedSince(revision int64) (time.Time, bool) {
+	var first time.Time
+	for _, one := range k.changes {
+		if one.upTo > revision && (first.IsZero() || one.since.Before(first)) {
+			first = one.since
+		}
+		if one.upTo > revision && one.since.IsZero() {
+			return time.Time{}, false
+		}
+	}
+	return first, revision >= k.forgotten && !first.IsZero()
+}
+
 // After gives the keys that changed after a revision.
 func (k *Keys) After(revision int64) []store.Item {
 	var items []store.Item
--- a/services/entry/coordinator/follow/origin.go
+++ b/services/entry/coordinator/follow/origin.go
@@ -28,6 +28,16 @@
 	// CompleteAt is the last moment at which this instance surely had all operators' keys; zero where none is known. What is
 	// new to it was acknowledged after that.
 	CompleteAt time.Time
+	// Since is what is new counts from: CompleteAt, or a later moment at which it was not yet acknowledged; zero where none is known.
+	Since time.Time
+}
+
+// NotBefore gives the origin of keys that were acknowledged after a moment, by other proof than this instance's own.
+func (o Origin) NotBefore(moment time.Time) Origin {
+	if moment.After(o.Since) {
+		o.Since = moment
+	}
+	return o
 }
 
 // Silence gives for how long this instance has had no proof that it had all operators' keys: what is new to it now was
@@ -43,16 +53,51 @@
 // keys as well. The zero value knows of no proof. It is not safe for concurrent use.
 type Completeness struct {
 	at time.Time
+	// inVain is when the last watch was sent, if its answer named no change.
+	inVain time.Time
+	// told is when the store answered last, as far as nothing failed since: what the next watch names happened after it. Unlike at
+	// it trusts a watch that named no change.
+	told time.Time
+}
+
+const (
+	// atOnce is within which time a watch counts as answered at once, so that what it names may have happened before it was
+	// sent. Longer bears slower links; shorter lets less age be assumed of names that come soon after a watch was sent. Not measured.
+	atOnce = 250 * time.Millisecond
+	// readRate is what an instance reads from the store at the least, in bytes of a value a second: a link of 10 Mbit/s, the
+	// slowest of the users' instances, carries so much of it in base64. Not measured.
+	readRate = 900_000
+)
+
+// ReadTime is how long an answer of the store with values of so many bytes may take on its way.
+func ReadTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / readRate
 }
 
-// At gives the last moment at which this instance surely had all operators' keys; zero where none is known.
-func (c *Completeness) At() time.Time {
-	return c.at
+// Origin gives the origin of keys that come now, where nothing tells more than the own proof.
+func (c *Completeness) Origin(source Source) Origin {
+	return Origin{Source: source, CompleteAt: c.at, Since: c.at}
+}
+
+// OriginOf gives the origin of what an answer to a watch names: a change for which the store held the answer back is as old as the
+// answer took on its way. What an answer at once names may be as old as the answer before, or, where a call failed since, as the proof.
+func (c *Completeness) OriginOf(answer WatchAnswer) Origin {
+	origin := c.Origin(FromWatch)
+	if answer.heldBack() {
+		return origin.NotBefore(answer.begun())
+	}
+	return origin.NotBefore(c.told)
 }
 
 // Read notes that the store answered a reading of all keys: what was acknowledged before it was sent is in the answer.
 func (c *Completeness) Read(sent time.Time) {
 	c.note(sent)
+	c.told = sent
+}
+
+// Failed notes that a call was not answered: how long what the next one names has been there is not known.
+func (c *Completeness) Failed() {
+	c.told = time.Time{}
 }
 
 // WatchAnswer is the store's answer to a watch that might wait there for Wait; all times are of the own clock.
@@ -62,17 +107,40 @@
 	Wait     time.Duration
 	// Empty says that it names no change.
 	Empty bool
+	// Bytes is the size of the values in it.
+	Bytes int
 }
 
-// Watched notes an answer to a watch. It counts from its sending, since the answer may have been long on its way; only one that
-// names no change after its whole wait was surely made no sooner than at the end of it. A store that loses its history may
-// leave changes out of a watch's answer: that no answer tells.
+// begun is when the store began to answer, on the slowest link that is fit for an instance; one that names no change it begins at
+// the end of the wait, however late it comes.
+func (a WatchAnswer) begun() time.Time {
+	begun := a.Received.Add(-ReadTime(a.Bytes))
+	if end := a.Sent.Add(a.Wait); a.Empty && end.Before(begun) {
+		return end
+	}
+	return begun
+}
+
+// heldBack tells that the store held the answer back until something changed. One that comes after its wait was held up on its way.
+func (a WatchAnswer) heldBack() bool {
+	waited := a.begun().Sub(a.Sent)
+	return !a.Empty && waited > atOnce && waited <= a.Wait+atOnce
+}
+
+// Watched notes an answer to a watch. One that names no change proves nothing by itself, nor does the next: a store that loses its
+// history may leave changes out of two watches in a row, and tells the one after them.
 func (c *Completeness) Watched(answer WatchAnswer) {
-	if answer.Empty && answer.Received.Sub(answer.Sent) >= answer.Wait {
-		c.note(answer.Sent.Add(answer.Wait))
+	if answer.Empty {
+		c.note(c.inVain)
+		c.inVain, c.told = answer.Sent, answer.begun()
 		return
 	}
-	c.note(answer.Sent)
+	c.told = answer.Sent
+	if answer.heldBack() {
+		c.told = answer.begun()
+	}
+	c.inVain = time.Time{}
+	c.note(c.told)
 }
 
 func (c *Completeness) note(at time.Time) {
--- a/services/entry/coordinator/follow/versions.go
+++ b/services/entry/coordinator/follow/versions.go
@@ -18,16 +18,15 @@
 	named map[deployment.Adapter][]name
 }
 
-// name is a version that operators named, and when this instance learned it.
+// name is a version that operators named, and the latest moment at which it surely was not yet acknowledged; zero where none is known.
 type name struct {
 	version int64
-	learned time.Time
+	since   time.Time
 }
 
 const (
 	// reservedParts is in how many parts a limit is cut of which one is kept for what is not known at the choice of an endpoint:
-	// how long before it was learned the version was acknowledged, the connection, and a wait that is longer than expected.
-	// Fewer keep more, and refuse the former version sooner. Not measured.
+	// the connection, and a wait that is longer than expected. Fewer keep more, and refuse the former version sooner. Not measured.
 	reservedParts = 2
 	// mostNames is how many names of an adapter are kept. More give each version its own time where names follow each other
 	// fast, fewer take less memory. Not measured.
@@ -39,14 +38,20 @@
 	return &Versions{named: make(map[deployment.Adapter][]name)}
 }
 
-// Name takes in a version that was named. It tells whether the version is newer: versions only grow.
-func (v *Versions) Name(now time.Time, adapter deployment.Adapter, version int64) bool {
+// Name takes in a version that was named, with the latest moment at which it surely was not yet acknowledged: from there it
+// counts, however late this instance learns of it. Where none is known, that is zero, its time is over. It tells whether the
+// version is newer: versions only grow.
+func (v *Versions) Name(since time.Time, adapter deployment.Adapter, version int64) bool {
 	if version <= v.Named(adapter) {
 		return false
 	}
 	names := v.named[adapter]
+	if len(names) > 0 && names[len(names)-1].since.After(since) {
+		// It was acknowledged after the one that it follows.
+		since = names[len(names)-1].since
+	}
 	if len(names) < mostNames {
-		v.named[adapter] = append(names, name{version: version, learned: now})
+		v.named[adapter] = append(names, name{version: version, since: since})
 		return true
 	}
 	// It takes the place of the last name, since when the time of older versions counts: that ends sooner, never later.
@@ -63,12 +68,23 @@
 	return names[len(names)-1].version
 }
 
+// NewerSince gives the moment from which it counts that a version is no longer the newest: the limit for requests on it begins there;
+// zero where it is over. It is false while no newer version is named.
+func (v *Versions) NewerSince(adapter deployment.Adapter, version int64) (time.Time, bool) {
+	for _, one := range v.named[adapter] {
+		if one.version > version {
+			return one.since, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Former gives what a request that is assigned now may run on beside the version named last, where requests may begin on an
 // older version for a limit after a newer one was acknowledged: versions from oldest on, if it runs within so long a wait; with
 // zero and less, none. An oldest of 0 allows any.
 func (v *Versions) Former(now time.Time, adapter deployment.Adapter, limit time.Duration) (oldest int64, wait time.Duration) {
 	names := v.named[adapter]
-	left := func(one name) time.Duration { return limit - limit/reservedParts - now.Sub(one.learned) }
+	left := func(one name) time.Duration { return limit - limit/reservedParts - now.Sub(one.since) }
 	for len(names) > 1 && left(names[1]) <= 0 {
 		names = names[1:]
 	}
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -114,7 +114,7 @@
 	effects := c.following.Take(now, v)
 	c.noteLoads(now, v)
 	c.budget.SetMembers(v.Members)
-	c.applyItems(now, c.origin(follow.FromPlanner), v.Items)
+	c.applyItems(now, c.passedOn(v), v.Items)
 	c.applyViewEndpoints(v)
 	c.applyViewTotals(v)
 	c.applyForecasts(now, v)
@@ -134,6 +134,16 @@
 	c.reviewWaiters(now)
 }
 
+// passedOn is how the keys came that a view passes on: they are as old as the planner says, and as the view was long on its way.
+func (c *Coordinator) passedOn(v *wire.View) follow.Origin {
+	origin := c.complete.Origin(follow.FromPlanner)
+	made, known := c.following.MadeAfter()
+	if v.KeysAge <= 0 || !known {
+		return origin
+	}
+	return origin.NotBefore(made.Add(-v.KeysAge))
+}
+
 // applyViewTotals takes in what the other instances have in flight; a heartbeat names all of it.
 func (c *Coordinator) applyViewTotals(v *wire.View) {
 	if v.Heartbeat {
--- a/services/entry/coordinator/relay/window.go
+++ b/services/entry/coordinator/relay/window.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 )
 
@@ -24,15 +25,12 @@
 	// Again is after how long keys that a member has not reported are sent to it anew, and another member is asked: longer than
 	// 1 MiB takes on the slowest link with a report after it. Not measured.
 	Again = 2 * time.Second
-	// readRate is what an instance reads from the store at the least, in bytes of a value a second: a link of 10 Mbit/s, the
-	// slowest of the users' instances, carries so much of it in base64. Not measured.
-	readRate = 900_000
 )
 
 // PatienceFor is how long an instance may lack newer keys of a size, in bytes, before they are passed on to it: by then it has
 // read them itself, if the store answers it.
 func PatienceFor(bytes int) time.Duration {
-	return member.RelayAfter + time.Duration(bytes)*time.Second/readRate
+	return member.RelayAfter + follow.ReadTime(bytes)
 }
 
 // WindowFor gives the window of an instance whose link carries so many bytes a second; 0 if it is not known.
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -68,6 +68,13 @@
 	m.down = down
 }
 
+// at gives the store's revision.
+func (m *memoryStore) at() int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.revision
+}
+
 func (m *memoryStore) put(key, value string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/services/entry/coordinator/view/followed.go
+++ b/services/entry/coordinator/view/followed.go
@@ -127,12 +127,12 @@
 // sent; from this and the time that the planner tells in each view follows a bound for all later ones, without a comparison of
 // two clocks. It is 0 where the planner is of a version that does not tell it.
 func (f *Followed) learnDelay(now time.Time, v *wire.View) time.Duration {
-	if v.Made == 0 {
-		return 0
-	}
 	if v.Planner != f.Planner || v.Term != f.Term {
 		f.begun = time.Time{}
 	}
+	if v.Made == 0 {
+		return 0
+	}
 	if !f.openedAt.IsZero() {
 		f.madeAfter(f.openedAt, v)
 		f.openedAt = time.Time{}
@@ -154,6 +154,11 @@
 	}
 }
 
+// MadeAfter gives a moment at which the last view was not yet made; false where none is known.
+func (f *Followed) MadeAfter() (time.Time, bool) {
+	return f.ReceivedAt.Add(-f.Delay), !f.begun.IsZero()
+}
+
 // Age is for how long what the planner's views tell may have changed unnoticed: since it read the endpoints.
 func (f *Followed) Age(now time.Time) time.Duration {
 	return now.Sub(f.ReceivedAt) + f.Delay + f.ReadAge
--- a/services/entry/coordinator/view/view_test.go
+++ b/services/entry/coordinator/view/view_test.go
@@ -158,6 +158,29 @@
 	assert.Equal(t, 10*time.Millisecond, f.Delay, "another term has another begin")
 }
 
+// TestAMomentBeforeAViewWasMade: what a view passes on is as old as it says at that moment, however long the view waited on its way.
+func TestAMomentBeforeAViewWasMade(t *testing.T) {
+	var f view.Followed
+	_, known := f.MadeAfter()
+	assert.False(t, known)
+	f.Opened(start)
+	f.Take(start.Add(30*time.Millisecond), made(4, time.Minute))
+	f.Take(start.Add(3*time.Second), made(4, time.Minute+800*time.Millisecond))
+	moment, known := f.MadeAfter()
+	assert.True(t, known)
+	assert.Equal(t, start.Add(800*time.Millisecond), moment)
+	f.Take(start.Add(4*time.Second), made(5, time.Millisecond))
+	_, known = f.MadeAfter()
+	assert.False(t, known, "nothing bounds the way of a later planner's view over the same link")
+	f.Opened(start.Add(4 * time.Second))
+	f.Take(start.Add(5*time.Second), made(5, time.Second))
+	_, known = f.MadeAfter()
+	assert.True(t, known)
+	f.Take(start.Add(6*time.Second), &wire.View{Planner: "q", Term: 6})
+	_, known = f.MadeAfter()
+	assert.False(t, known, "it tells no time")
+}
+
 func TestAPlannerThatTellsNoTimeIsTakenAsBefore(t *testing.T) {
 	var f view.Followed
 	f.Opened(start)
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -129,6 +129,9 @@
 		m.NeedsFull = false
 	}
 	own.Items, own.Probe = items, m.Probe
+	if len(items) > 0 {
+		own.KeysAge = p.keysAge(now, m)
+	}
 	m.Probe = 0
 	if round.asked == instance {
 		own.KeysFrom = instance
@@ -193,6 +196,15 @@
 	return items
 }
 
+// keysAge is how old the changes may be that a member lacks; 0 where that is not known.
+func (p *planning) keysAge(now time.Time, m *member.Member) time.Duration {
+	since, known := p.coordinator.keys.ChangedSince(m.ConfigurationRevision)
+	if !known {
+		return 0
+	}
+	return max(leastTold, now.Sub(since))
+}
+
 // viewCarriesKeys tells whether a view goes out now to pass the operators' keys on, or to ask for them.
 func (p *planning) viewCarriesKeys(now time.Time) bool {
 	for _, m := range p.members.All() {
@@ -212,13 +224,13 @@
 		Planner: p.coordinator.options.Instance, Term: p.lease.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
 		Totals: totals, Members: p.members.Fleet(), ConfigurationRevision: p.coordinator.keys.Revision(), Resigned: p.resigned,
 		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(), RecentLoads: p.recentLoads(now),
-		Made: max(leastMade, now.Sub(p.since)), AsksForKeys: true,
+		Made: max(leastTold, now.Sub(p.since)), AsksForKeys: true,
 	}
 	return v
 }
 
-// leastMade is what a view made at the very begin of a term tells of its time: zero says that it is not known.
-const leastMade = time.Nanosecond
+// leastTold is what a view tells of a span that is zero: that would say that it is not known.
+const leastTold = time.Nanosecond
 
 // addForecasts tells which adapters are on their way; heartbeats carry them.
 func (p *planning) addForecasts(now time.Time, v *wire.View) {
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -181,6 +181,9 @@
 	// RecentLoads counts the base models' loads that began in the load window before this view, also under former planners;
 	// nil if the planner does not tell them, as one of the version before does not.
 	RecentLoads *int `msgpack:"a,omitempty"`
+	// KeysAge is how long before this view was made the changes in Items, and those that they replaced for this instance, were not yet
+	// acknowledged; 0 where that is not known, and from versions that do not tell it.
+	KeysAge time.Duration `msgpack:"r,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
--- a/tests/platform/age_test.go
+++ b/tests/platform/age_test.go
@@ -17,6 +17,9 @@
 // formerTime is how long after the acknowledgement of a newer version a request may be sent to an endpoint that has the former one.
 const formerTime = versionLimit / 2
 
+// quietTime is for how long nothing changes: several watches of the instance that plans.
+const quietTime = 3 * time.Second
+
 // TestTheFormerVersionsTimeCountsFromTheAcknowledgement is about requests that began on a former version more than 5 s after a newer
 // one was acknowledged by the store.
 //
@@ -39,6 +42,18 @@
 		time.Sleep(time.Until(acknowledged.Add(formerTime + 100*time.Millisecond)))
 		s.assertFormerIsOver(acknowledged)
 	})
+	t.Run("on watches of a store that loses its history", func(t *testing.T) {
+		s := newSite(t, 2)
+		s.holdFormer()
+		s.store.SetFaults(standin.StoreFaults{Deaf: true})
+		acknowledged := s.nameNewer()
+		time.Sleep(time.Second)
+		s.store.DropHistory()
+		s.store.SetFaults(standin.StoreFaults{})
+		s.waitFor("both learn the version", func() bool { return s.logged(0, "version named") && s.logged(1, "version named") })
+		time.Sleep(time.Until(acknowledged.Add(formerTime + 100*time.Millisecond)))
+		s.assertFormerIsOver(acknowledged)
+	})
 	t.Run("at an instance that starts after the name", func(t *testing.T) {
 		s := newSite(t, 2)
 		s.holdFormer()
@@ -52,6 +67,22 @@
 	})
 }
 
+// TestTheFormerVersionServesWhileNothingIsWrong is the worth of the former version: it serves at all instances until its time is over, also
+// where nothing had changed for long before the name.
+func TestTheFormerVersionServesWhileNothingIsWrong(t *testing.T) {
+	s := newSite(t, 2)
+	s.holdFormer()
+	time.Sleep(quietTime)
+	acknowledged := s.nameNewer()
+	s.waitFor("both learn the version", func() bool { return s.logged(0, "version named") && s.logged(1, "version named") })
+	for time.Since(acknowledged) < formerTime-500*time.Millisecond {
+		for entry := range s.entries {
+			got := s.do(call{entry: entry, path: "/chat/x", adapter: "a1"})
+			require.Equal(t, http.StatusOK, got.Status, "entry %d, %s after the acknowledgement", entry, time.Since(acknowledged))
+		}
+	}
+}
+
 // holdFormer has an adapter loaded whose next version takes too long for any request.
 func (s *site) holdFormer() {
 	s.t.Helper()
