Report the operators' keys only up to where no change is lacking

Cause: Keys.Revision was the newest revision of any key. The own watch goes on from the first page's revision and brings it, at once where it works; where it does not, up to 21 s later (LongWatch and its slack, the planner being sound), and again for each further watch on a silent connection.

Change: Keys.Complete is told up to which revision no change is lacking: the revision of a reading's first page, that from which the next watch goes on, and for what a peer passes on the revision that the peer tells. Revision follows that, and stays the revision of a key, so that changes of other keys make no planner ask for what nobody has.

TestOnlyNewerKeysAreNews asks for the same revisions, with the words of Complete between.

--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		c.loop.Post(func(now time.Time) {
-			c.applyItems(now, c.complete.Origin(follow.FromReading), items)
+			c.applyItems(now, c.complete.Origin(follow.FromReading, revision), items)
 			c.complete.Read(sent)
 		})
 		c.watchConfiguration(revision)
@@ -75,7 +75,7 @@
 
 // applyWatched takes in how a watch of the operators' keys ended.
 func (c *Coordinator) applyWatched(now time.Time, answer watched) {
-	c.applyItems(now, c.complete.OriginOf(answer.WatchAnswer), eventItems(answer.events))
+	c.applyItems(now, c.complete.OriginOf(answer.WatchAnswer, answer.next), eventItems(answer.events))
 	if answer.endedHere {
 		c.complete.Failed()
 		return
@@ -170,6 +170,9 @@
 	if taken {
 		c.keys.Changed(origin.Since)
 	}
+	if len(items) > 0 {
+		c.keys.Complete(origin.UpTo)
+	}
 	if c.keys.Revision() > before && c.following.stream != nil {
 		// The planner passes keys on to those who have not said that they have them.
 		c.acknowledge(now)
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -34,8 +34,10 @@
 	assert.False(t, keys.Take(item("k", 5)), "told again")
 	assert.False(t, keys.Take(item("k", 4)), "an older one that was delayed")
 	assert.True(t, keys.Take(item("other", 3)), "another key may be older")
+	keys.Complete(5)
 	assert.EqualValues(t, 5, keys.Revision())
 	assert.True(t, keys.Take(item("k", 6)))
+	keys.Complete(6)
 	assert.EqualValues(t, 6, keys.Revision())
 
 	assert.ElementsMatch(t, []store.Item{item("k", 6), item("other", 3)}, keys.After(2))
@@ -44,6 +46,25 @@
 	assert.Empty(t, keys.After(6))
 }
 
+// TestAKeyOfALaterPageDoesNotHideWhatAnEarlierPageLacks: a peer is told up to where no change is lacking, not which key is the newest, so
+// that it passes on what is.
+func TestAKeyOfALaterPageDoesNotHideWhatAnEarlierPageLacks(t *testing.T) {
+	keys := follow.NewKeys()
+	keys.Take(item("a", 5))
+	keys.Take(item("z", 12))
+	keys.Complete(10)
+	assert.EqualValues(t, 5, keys.Revision(), "a may have changed at 11, after its page was read")
+	keys.Take(item("a", 11))
+	keys.Complete(11)
+	assert.EqualValues(t, 11, keys.Revision())
+	keys.Complete(12)
+	assert.EqualValues(t, 12, keys.Revision())
+	keys.Complete(9)
+	assert.EqualValues(t, 12, keys.Revision(), "an older word takes nothing back")
+	keys.Complete(100)
+	assert.EqualValues(t, 12, keys.Revision(), "changes of other keys are no news for a peer")
+}
+
 func TestVersionsOnlyGrow(t *testing.T) {
 	versions := follow.NewVersions()
 	assert.Zero(t, versions.Named(adapter))
@@ -173,6 +194,7 @@
 	take := func(revision int64, since time.Time) {
 		keys.Take(item("k", revision))
 		keys.Changed(since)
+		keys.Complete(revision)
 	}
 	_, known := keys.ChangedSince(0)
 	assert.False(t, known, "nothing is lacking")
--- a/services/entry/coordinator/follow/keys.go
+++ b/services/entry/coordinator/follow/keys.go
@@ -14,12 +14,14 @@
 type Keys struct {
 	items    map[string]store.Item
 	revision int64
+	// newest is the newest revision of any key, also of one beyond those that are surely all known.
+	newest int64
 	// changes holds the last changes that were taken in, and forgotten is the newest revision of those before them.
 	changes   []change
 	forgotten int64
 }
 
-// change is what was taken in at one time: keys up to a revision, and the latest moment at which none of them was acknowledged; zero
+// change is what was taken in at one time: keys up to a revision at the most, and the latest moment at which none of them was acknowledged; zero
 // where none is known.
 type change struct {
 	upTo  int64
@@ -42,18 +44,28 @@
 		return false
 	}
 	k.items[item.Key] = item
-	k.revision = max(k.revision, item.Revision)
+	k.newest = max(k.newest, item.Revision)
 	return true
 }
 
-// Revision is the newest revision of the store that is known; 0 if there is none.
+// Complete notes that no change up to a revision is lacking. Keys alone do not tell that: the pages of a reading are of different times,
+// so that a later page may have a newer change than one that an earlier page lacks.
+func (k *Keys) Complete(upTo int64) {
+	for _, item := range k.items {
+		if item.Revision <= upTo {
+			k.revision = max(k.revision, item.Revision)
+		}
+	}
+}
+
+// Revision is the newest revision of a key up to which no change is lacking; 0 if there is none.
 func (k *Keys) Revision() int64 {
 	return k.revision
 }
 
 // Changed notes that keys were taken in which count from a moment, as Origin.Since has it.
 func (k *Keys) Changed(since time.Time) {
-	k.changes = append(k.changes, change{upTo: k.revision, since: since})
+	k.changes = append(k.changes, change{upTo: k.newest, since: since})
 	if len(k.changes) > mostChanges {
 		k.forgotten = k.changes[0].upTo
 		k.changes = slices.Clone(k.changes[1:])
--- a/services/entry/coordinator/follow/origin.go
+++ b/services/entry/coordinator/follow/origin.go
@@ -30,6 +30,8 @@
 	CompleteAt time.Time
 	// Since is what is new counts from: CompleteAt, or a later moment at which it was not yet acknowledged; zero where none is known.
 	Since time.Time
+	// UpTo is the revision of the store up to which no change is lacking, once these keys are taken in.
+	UpTo int64
 }
 
 // NotBefore gives the origin of keys that were acknowledged after a moment, by other proof than this instance's own.
@@ -74,15 +76,15 @@
 	return time.Duration(bytes) * time.Second / readRate
 }
 
-// Origin gives the origin of keys that come now, where nothing tells more than the own proof.
-func (c *Completeness) Origin(source Source) Origin {
-	return Origin{Source: source, CompleteAt: c.at, Since: c.at}
+// Origin gives the origin of keys that come now, up to a revision, where nothing tells more than the own proof.
+func (c *Completeness) Origin(source Source, upTo int64) Origin {
+	return Origin{Source: source, CompleteAt: c.at, Since: c.at, UpTo: upTo}
 }
 
-// OriginOf gives the origin of what an answer to a watch names: a change for which the store held the answer back is as old as the
+// OriginOf gives the origin of what an answer to a watch names, up to a revision: a change for which the store held the answer back is as old as the
 // answer took on its way. What an answer at once names may be as old as the answer before, or, where a call failed since, as the proof.
-func (c *Completeness) OriginOf(answer WatchAnswer) Origin {
-	origin := c.Origin(FromWatch)
+func (c *Completeness) OriginOf(answer WatchAnswer, upTo int64) Origin {
+	origin := c.Origin(FromWatch, upTo)
 	if answer.heldBack() {
 		return origin.NotBefore(answer.begun())
 	}
--- a/services/entry/coordinator/follow/origin_test.go
+++ b/services/entry/coordinator/follow/origin_test.go
@@ -48,7 +48,7 @@
 			for _, answer := range test.answers {
 				answer(&complete)
 			}
-			assert.Equal(t, test.want, complete.Origin(follow.FromReading).CompleteAt)
+			assert.Equal(t, test.want, complete.Origin(follow.FromReading, 0).CompleteAt)
 		})
 	}
 }
@@ -96,23 +96,23 @@
 			if test.failed {
 				complete.Failed()
 			}
-			origin := complete.OriginOf(follow.WatchAnswer{Sent: at(test.sent), Received: at(test.received), Wait: wait, Bytes: test.bytes})
+			origin := complete.OriginOf(follow.WatchAnswer{Sent: at(test.sent), Received: at(test.received), Wait: wait, Bytes: test.bytes}, 0)
 			assert.Equal(t, test.want, origin.Since)
 			assert.Equal(t, at(10), origin.CompleteAt)
 		})
 	}
 	t.Run("a reading", func(t *testing.T) {
 		var complete follow.Completeness
-		assert.True(t, complete.Origin(follow.FromReading).Since.IsZero(), "the first one")
+		assert.True(t, complete.Origin(follow.FromReading, 0).Since.IsZero(), "the first one")
 		complete.Read(at(10))
 		complete.Watched(follow.WatchAnswer{Sent: at(10), Received: at(30), Wait: wait, Empty: true})
-		assert.Equal(t, at(10), complete.Origin(follow.FromReading).Since, "what a watch left out may be as old as its sending")
+		assert.Equal(t, at(10), complete.Origin(follow.FromReading, 0).Since, "what a watch left out may be as old as its sending")
 	})
 	t.Run("a name while a large answer was on its way", func(t *testing.T) {
 		var complete follow.Completeness
 		complete.Read(at(10))
 		complete.Watched(follow.WatchAnswer{Sent: at(10), Received: at(15), Wait: wait, Bytes: 900_000})
-		origin := complete.OriginOf(follow.WatchAnswer{Sent: at(15), Received: at(15.01), Wait: wait})
+		origin := complete.OriginOf(follow.WatchAnswer{Sent: at(15), Received: at(15.01), Wait: wait}, 0)
 		assert.Equal(t, at(14), origin.Since)
 	})
 	t.Run("names that follow each other", func(t *testing.T) {
@@ -122,7 +122,7 @@
 		for number := range 40 {
 			sent := 15 + float64(number)/100
 			answer := follow.WatchAnswer{Sent: at(sent), Received: at(sent + 0.01), Wait: wait}
-			assert.False(t, complete.OriginOf(answer).Since.Before(at(sent-0.01)), "they are as young as the answer before")
+			assert.False(t, complete.OriginOf(answer, 0).Since.Before(at(sent-0.01)), "they are as young as the answer before")
 			complete.Watched(answer)
 		}
 	})
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -136,7 +136,7 @@
 
 // passedOn is how the keys came that a view passes on: they are as old as the planner says, and as the view was long on its way.
 func (c *Coordinator) passedOn(v *wire.View) follow.Origin {
-	origin := c.complete.Origin(follow.FromPlanner)
+	origin := c.complete.Origin(follow.FromPlanner, v.ConfigurationRevision)
 	made, known := c.following.MadeAfter()
 	if v.KeysAge <= 0 || !known {
 		return origin
--- a/services/entry/coordinator/named_test.go
+++ b/services/entry/coordinator/named_test.go
@@ -179,3 +179,26 @@
 	assert.Greater(t, len(started.Items), 1)
 	assert.Zero(t, started.KeysAge, "what the planner found at its start may be of any age")
 }
+
+// TestAMemberReportsNoKeyThatHidesAnOlderOne is about keys that come in several pages, while the configuration changes after its page
+// was read, and a version is named before its own is. The member said that it knew all keys up to that name: had its watch failed
+// then, the planner, who tells it what it lacks, would not have told it the configuration.
+func TestAMemberReportsNoKeyThatHidesAnOlderOne(t *testing.T) {
+	s := newSite()
+	s.planElsewhere(t)
+	var changed int64
+	s.store.betweenPages = func() {
+		s.store.put(configurationKey, "newer")
+		changed = s.store.at()
+		s.putVersion("paged")
+		s.store.setDeaf()
+	}
+	s.start(t)
+	planner := s.link(t)
+	s.namedLine(t, "paged")
+	require.NoError(t, planner.Send(wireMessage{View: fullView(4)}))
+	for range 3 {
+		told := receive(t, planner, func(m wireMessage) bool { return m.Report != nil })
+		assert.Less(t, told.Report.ConfigurationAt, changed)
+	}
+}
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -184,7 +184,7 @@
 // takeReport takes in one instance's report, or this instance's own.
 func (p *planning) takeReport(now time.Time, r *wire.Report) {
 	if p.plans.TakeMember(now, r) {
-		p.coordinator.applyItems(now, p.coordinator.complete.Origin(follow.FromMember), r.Items)
+		p.coordinator.applyItems(now, p.coordinator.complete.Origin(follow.FromMember, r.ConfigurationRevision), r.Items)
 	}
 	p.plans.TakeDemand(now, r)
 	p.takeFormerLoads(now, r.FormerLoads)
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -40,5 +40,5 @@
 		c.directory.Put(v.Endpoints[i].Endpoint(), v.Endpoints[i].Revision)
 	}
 	c.endpointsKnown = true
-	c.applyItems(now, c.complete.Origin(follow.FromSeed), v.Items)
+	c.applyItems(now, c.complete.Origin(follow.FromSeed, v.ConfigurationRevision), v.Items)
 }
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,7 +28,8 @@
 )
 
 const (
-	configurationKey = "operators/configuration"
+	operatorsPrefix  = "operators/"
+	configurationKey = operatorsPrefix + "configuration"
 	endpointPrefix   = "endpoints/"
 	recordKey        = "shelfledge/planner"
 	heartbeatKey     = "shelfledge/planner-alive"
@@ -54,6 +56,10 @@
 	revision int64
 	lease    int64
 	down     bool
+	// deaf keeps watches from hearing anything.
+	deaf bool
+	// betweenPages is called once, after a page that has the first of the operators' keys alone; nil lets one page have all.
+	betweenPages func()
 }
 
 var errDown = errors.New("down")
@@ -68,6 +74,12 @@
 	m.down = down
 }
 
+func (m *memoryStore) setDeaf() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.deaf = true
+}
+
 // at gives the store's revision.
 func (m *memoryStore) at() int64 {
 	m.mutex.Lock()
@@ -104,7 +116,18 @@
 	return item, nil
 }
 
-func (m *memoryStore) rangeOf(_ context.Context, prefix, _ string) (store.Page, error) {
+func (m *memoryStore) rangeOf(_ context.Context, prefix, after string) (store.Page, error) {
+	page, err := m.page(prefix, after)
+	if page.More {
+		m.betweenPages()
+		m.mutex.Lock()
+		m.betweenPages = nil
+		m.mutex.Unlock()
+	}
+	return page, err
+}
+
+func (m *memoryStore) page(prefix, after string) (store.Page, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down {
@@ -112,10 +135,14 @@
 	}
 	page := store.Page{At: m.revision}
 	for key, item := range m.items {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			page.Items = append(page.Items, item)
 		}
 	}
+	if m.betweenPages != nil && prefix == operatorsPrefix {
+		slices.SortFunc(page.Items, func(one, other store.Item) int { return strings.Compare(one.Key, other.Key) })
+		page.Items, page.More = page.Items[:1], true
+	}
 	return page, nil
 }
 
@@ -126,7 +153,7 @@
 		changed, next, down := m.changed, m.revision, m.down
 		var found []store.Event
 		for _, event := range m.events {
-			if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
+			if event.Revision > after && !m.deaf && strings.HasPrefix(event.Key, prefix) {
 				found = append(found, event)
 			}
 		}
@@ -347,7 +374,7 @@
 }
 
 // versionPrefix is before the adapter's name in the keys that name versions.
-const versionPrefix = "operators/version/"
+const versionPrefix = operatorsPrefix + "version/"
 
 // parseVersion reads the key of a named version.
 func parseVersion(item store.Item) (deployment.Adapter, int64, bool) {
@@ -390,7 +417,7 @@
 	client := s.store.client()
 	client.Commit = s.aroundCommit(client.Commit)
 	environment := coordinator.Environment{
-		Store: client, ConfigurationPrefix: "operators/", EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
+		Store: client, ConfigurationPrefix: operatorsPrefix, EndpointPrefix: endpointPrefix, ConfigurationKey: configurationKey,
 		ParseConfiguration: func([]byte) (*deployment.Configuration, error) { return configuration(), nil },
 		ParseVersion:       parseVersion,
 		ParseEndpoint:      parseEndpoint,
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -51,7 +51,7 @@
 	Instance string `msgpack:"i"`
 	// WithdrawalsSeen is the last announcement of a withdrawal that the instance acts on.
 	WithdrawalsSeen uint64 `msgpack:"w"`
-	// ConfigurationRevision is the newest revision of the configuration's keys that it knows.
+	// ConfigurationRevision is the newest revision of the configuration's keys up to which it lacks no change.
 	ConfigurationRevision int64 `msgpack:"c"`
 	// InFlight counts its requests in flight, Demands is what it asks for; each report names all of them.
 	InFlight []EndpointCount `msgpack:"f,omitempty"`
