Give each page of a reading the time of a call

Cause: storeTimeout, 1.5 s, bounded all pages of a reading together, though a page whose answer has begun may take transferTimeout longer. A configuration of 1 MB fills a page of its own and takes 1.1 s in base64 on an idle link of 10 Mbit/s; where it took more than the 1.5 s, the page after it, with the named versions, had no time left: the reading failed and began anew with the large page, and names came through the planner or a seed alone, as long as the link stayed so.

Change: ReadAll takes the time of a call and gives it to each page. The age of what is read counts from the sending of the whole reading, as before. A store that does not answer fails the first page after the same 1.5 s.

--- a/modules/entry/store/store.go
+++ b/modules/entry/store/store.go
@@ -72,14 +72,14 @@
 	KeepLease func(ctx context.Context, lease int64) error
 }
 
-// ReadAll reads all pages of a prefix and gives the revision of the first page, from
-// which a watch misses nothing.
-func (c *Client) ReadAll(ctx context.Context, prefix string) ([]Item, int64, error) {
+// ReadAll reads all pages of a prefix, each within a time, and gives the revision of the first page, from
+// which a watch misses nothing. The time is each page's own: a large page may take longer on its way, and leaves the next one its time.
+func (c *Client) ReadAll(ctx context.Context, prefix string, timeout time.Duration) ([]Item, int64, error) {
 	var items []Item
 	var at int64
 	after := ""
 	for {
-		page, err := c.Range(ctx, prefix, after)
+		page, err := c.readPage(ctx, prefix, after, timeout)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -93,3 +93,9 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
+
+func (c *Client) readPage(ctx context.Context, prefix, after string, timeout time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Range(ctx, prefix, after)
+}
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -21,10 +21,8 @@
 // followConfiguration reads the operators' keys, then watches them.
 func (c *Coordinator) followConfiguration() {
 	for c.context.Err() == nil {
-		ctx, cancel := c.storeCall()
 		sent := c.options.Now()
-		items, revision, err := c.environment.Store.ReadAll(ctx, c.environment.ConfigurationPrefix)
-		cancel()
+		items, revision, err := c.environment.Store.ReadAll(c.context, c.environment.ConfigurationPrefix, c.options.StoreTimeout)
 		if err != nil {
 			c.noteStore("read configuration", err)
 			c.askSeeds()
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -209,11 +209,6 @@
 	}
 }
 
-// storeCall bounds one call to the store.
-func (c *Coordinator) storeCall() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.context, c.options.StoreTimeout)
-}
-
 // noteStore logs and counts a failed call to the store.
 func (c *Coordinator) noteStore(call string, err error) {
 	if c.context.Err() != nil {
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -87,10 +87,8 @@
 
 // readEndpoints reads all endpoints' keys and gives the revision to watch from.
 func (c *Coordinator) readEndpoints() (int64, error) {
-	ctx, cancel := c.storeCall()
-	defer cancel()
 	sent := c.options.Now()
-	items, revision, err := c.environment.Store.ReadAll(ctx, c.environment.EndpointPrefix)
+	items, revision, err := c.environment.Store.ReadAll(c.context, c.environment.EndpointPrefix, c.options.StoreTimeout)
 	if err != nil {
 		c.noteStore("read endpoints", err)
 		return 0, err
