--- a/services/entry/coordinator/takeback.go
+++ b/services/entry/coordinator/takeback.go
@@ -23,10 +23,10 @@
 	return recall
 }
 
-// beginBy is when a request must have begun on a version of its adapter; the zero time where no newer one is named, or older ones
-// have no limit.
+// beginBy is when a request must have begun on a version of its adapter, long ago where the age of the newer one is not known; the zero
+// time where no newer one is named, or older ones have no limit.
 func (c *Coordinator) beginBy(adapter deployment.Adapter, held int64) time.Time {
-	since, named := c.versions.NamedSince(adapter, held)
+	since, named := c.versions.NewerSince(adapter, held)
 	if !named || c.options.VersionLimit == 0 {
 		return time.Time{}
 	}
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -51,7 +51,7 @@
 	Instance string `msgpack:"i"`
 	// WithdrawalsSeen is the last announcement of a withdrawal that the instance acts on.
 	WithdrawalsSeen uint64 `msgpack:"w"`
-	// ConfigurationRevision is the newest revision of the configuration's keys that it knows.
+	// ConfigurationRevision is the newest revision of the configuration's keys up to which it lacks no change.
 	ConfigurationRevision int64 `msgpack:"c"`
 	// InFlight counts its requests in flight, Demands is what it asks for; each report names all of them.
 	InFlight []EndpointCount `msgpack:"f,omitempty"`
@@ -181,6 +181,9 @@
 	// RecentLoads counts the base models' loads that began in the load window before this view, also under former planners;
 	// nil if the planner does not tell them, as one of the version before does not.
 	RecentLoads *int `msgpack:"a,omitempty"`
+	// KeysAge is how long before this view was made the changes in Items, and those that they replaced for this instance, were not yet
+	// acknowledged; 0 where that is not known, and from versions that do not tell it.
+	KeysAge time.Duration `msgpack:"r,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
