--- a/services/entry/loading/adopt_test.go
+++ b/services/entry/loading/adopt_test.go
@@ -14,12 +14,6 @@
 	"github.com/shelfledge/shelfledge/services/entry/loading"
 )
 
-// inspected answers the inspection that is due with a report.
-func inspected(t *testing.T, p *loading.Planner, now time.Time, report *loading.Report) {
-	t.Helper()
-	p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
-}
-
 // TestAFormerPlannersLoadMayBeOneAhead has an unload that did nothing, as a former planner may have had one: the number of its load
 // is then one above the report's, and the place for it is kept after the plan's own number was taken back.
 func TestAFormerPlannersLoadMayBeOneAhead(t *testing.T) {
@@ -64,10 +58,8 @@
 // TestAReportAfterUnknownOrdersDropsWhatItDoesNotList: its lists do not lag behind orders that the plan did not give.
 func TestAReportAfterUnknownOrdersDropsWhatItDoesNotList(t *testing.T) {
 	for sequence, kept := range map[int64]bool{1: true, 2: false} {
-		p := newPlanner(1)
-		p.SetEndpoint(start, described("e"), nextRevision(), false)
-		p.Report(start, "i", waiting(adapter(1)))
-		p.Done(start, answer(order(t, p, start, loading.Load), loading.Accepted))
+		p, load := firstLoad(t)
+		p.Done(start, answer(load, loading.Accepted))
 		p.Report(start, "i", nil)
 		p.NoteMissing("e")
 		inspected(t, p, start, &loading.Report{Sequence: sequence})
--- a/services/entry/loading/edges_test.go
+++ b/services/entry/loading/edges_test.go
@@ -258,12 +258,8 @@
 		"the description must be so": {3 * time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlanner(1)
-			p.SetEndpoint(start, described("e"), nextRevision(), false)
-			p.Report(start, "i", waiting(adapter(1)))
-			order, ok := p.Next(start)
-			require.True(t, ok)
-			p.Done(start, answer(order, loading.Holds))
+			p, load := firstLoad(t)
+			p.Done(start, answer(load, loading.Holds))
 			p.SetEndpoint(start.Add(test.after), described("e"), nextRevision(), false)
 			_, offered := p.Offered("e")
 			assert.Equal(t, test.kept, len(offered) == 1)
@@ -282,11 +278,7 @@
 		"long before it": {300 * time.Millisecond, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlanner(1)
-			p.SetEndpoint(start, described("e"), nextRevision(), false)
-			p.Report(start, "i", waiting(adapter(1)))
-			load, ok := p.Next(start)
-			require.True(t, ok)
+			p, load := firstLoad(t)
 			p.Done(start, answer(load, loading.Accepted))
 			now := start.Add(test.after)
 			poll, ok := p.Next(now)
@@ -315,12 +307,8 @@
 		"rejected, the rest is over":            {loading.Rejected, 300 * time.Millisecond, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlanner(1)
-			p.SetEndpoint(start, described("e"), nextRevision(), false)
-			p.Report(start, "i", waiting(adapter(1)))
-			order, ok := p.Next(start)
-			require.True(t, ok)
-			p.Done(start, answer(order, test.reply))
+			p, load := firstLoad(t)
+			p.Done(start, answer(load, test.reply))
 			next, ok := p.Next(start.Add(test.after))
 			assert.Equal(t, test.asked, ok)
 			if ok {
@@ -344,9 +332,7 @@
 			p := newPlanner(1)
 			held := described("e", adapter(1), adapter(2), adapter(3))
 			p.SetEndpoint(start, held, nextRevision(), false)
-			inspect, ok := p.Next(start)
-			require.True(t, ok)
-			p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 3, Adapters: held.Adapters}})
+			inspected(t, p, start, &loading.Report{Sequence: 3, Adapters: held.Adapters})
 			now := start.Add(test.after)
 			p.Report(now, "i", waiting(adapter(5)))
 			order, ok := p.Next(now)
--- a/services/entry/loading/eviction_test.go
+++ b/services/entry/loading/eviction_test.go
@@ -95,42 +95,30 @@
 	p.Done(now, answer(unload, loading.Holds))
 
 	p.NoteMissing("e")
-	inspect, ok := p.Next(now)
-	require.True(t, ok)
-	require.Equal(t, loading.Inspect, inspect.Kind)
 	stale := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
-	p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 4, Adapters: stale.Adapters}})
+	inspected(t, p, now, &loading.Report{Sequence: 4, Adapters: stale.Adapters})
 	_, ok = p.Next(now)
 	assert.False(t, ok, "the report is read again a little later")
 
 	now = now.Add(200 * time.Millisecond)
-	inspect, ok = p.Next(now)
-	require.True(t, ok)
-	require.Equal(t, loading.Inspect, inspect.Kind)
 	delete(stale.Adapters, unload.Adapter)
-	p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 5, Adapters: stale.Adapters}})
+	inspected(t, p, now, &loading.Report{Sequence: 5, Adapters: stale.Adapters})
 	p.Report(now, "i", waiting(adapter(9)))
-	order, ok := p.Next(now)
-	require.True(t, ok)
-	assert.Equal(t, loading.Load, order.Kind)
-	assert.Equal(t, int64(5), order.ExpectedSequence)
+	assert.Equal(t, int64(5), order(t, p, now, loading.Load).ExpectedSequence)
 }
 
 // TestABaseModelThatIsThereEndsItsLoad is about a restarted endpoint whose base model took longer
 // than the first look: the count that the load was asked about was wrong from then on, and the endpoint
 // got no adapter any more.
 func TestABaseModelThatIsThereEndsItsLoad(t *testing.T) {
-	for name, notice := range map[string]func(p *loading.Planner, now time.Time){
-		"by its description": func(p *loading.Planner, now time.Time) {
+	for name, notice := range map[string]func(t *testing.T, p *loading.Planner, now time.Time){
+		"by its description": func(t *testing.T, p *loading.Planner, now time.Time) {
 			p.SetEndpoint(now, described("e"), nextRevision(), false)
-			inspect, _ := p.Next(now)
-			p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 1}})
+			inspected(t, p, now, &loading.Report{Sequence: 1})
 		},
-		"by its report": func(p *loading.Planner, now time.Time) {
+		"by its report": func(t *testing.T, p *loading.Planner, now time.Time) {
 			p.NoteMissing("e")
-			inspect, _ := p.Next(now)
-			report := &loading.Report{Sequence: 1, Models: []string{"base"}}
-			p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: report})
+			inspected(t, p, now, &loading.Report{Sequence: 1, Models: []string{"base"}})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -142,7 +130,7 @@
 			p.Done(start, answer(order, loading.Accepted))
 
 			now := start.Add(6 * time.Second)
-			notice(p, now)
+			notice(t, p, now)
 			p.Report(now, "i", waiting(adapter(1)))
 			order, ok = p.Next(now)
 			require.True(t, ok)
@@ -185,9 +173,7 @@
 	}
 	now := start
 	for range 12 {
-		inspect, ok := p.Next(now)
-		require.True(t, ok)
-		require.Equal(t, loading.Inspect, inspect.Kind)
+		inspect := order(t, p, now, loading.Inspect)
 		report := &loading.Report{Sequence: 2, Adapters: inspect.Endpoint.Adapters, Pending: []deployment.Adapter{adapter(50)}}
 		p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: report})
 	}
--- a/services/entry/loading/planner_test.go
+++ b/services/entry/loading/planner_test.go
@@ -58,17 +58,11 @@
 }
 
 func TestAWaitingAdapterIsLoadedAndPolledUntilItIsThere(t *testing.T) {
-	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), nextRevision(), false)
-	p.Report(start, "i", waiting(adapter(1)))
-
-	order, ok := p.Next(start)
-	require.True(t, ok)
-	assert.Equal(t, loading.Load, order.Kind)
-	assert.Zero(t, order.ExpectedSequence)
-	_, ok = p.Next(start)
+	p, load := firstLoad(t)
+	assert.Zero(t, load.ExpectedSequence)
+	_, ok := p.Next(start)
 	assert.False(t, ok, "one order at a time for an endpoint")
-	p.Done(start, answer(order, loading.Accepted))
+	p.Done(start, answer(load, loading.Accepted))
 
 	later := p.NextPoll()
 	poll, ok := p.Next(later)
@@ -88,21 +82,11 @@
 }
 
 func TestAnOrderAtAWrongCountAsksForTheReportFirst(t *testing.T) {
-	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), nextRevision(), false)
-	p.Report(start, "i", waiting(adapter(1)))
-	order, _ := p.Next(start)
-	p.Done(start, answer(order, loading.Conflict))
-
-	inspect, ok := p.Next(start)
-	require.True(t, ok)
-	require.Equal(t, loading.Inspect, inspect.Kind)
-	report := &loading.Report{Sequence: 7, Adapters: map[deployment.Adapter]int64{adapter(9): 1}}
-	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: report})
+	p, load := firstLoad(t)
+	p.Done(start, answer(load, loading.Conflict))
+	inspected(t, p, start, &loading.Report{Sequence: 7, Adapters: map[deployment.Adapter]int64{adapter(9): 1}})
 
-	order, ok = p.Next(start)
-	require.True(t, ok)
-	assert.Equal(t, int64(7), order.ExpectedSequence)
+	assert.Equal(t, int64(7), order(t, p, start, loading.Load).ExpectedSequence)
 	_, adapters := p.Offered("e")
 	assert.Contains(t, adapters, adapter(9))
 }
@@ -110,25 +94,16 @@
 // TestALostAnswerIsSettledByTheReport is about a load that was taken though its answer was lost:
 // it must be counted before another one is ordered.
 func TestALostAnswerIsSettledByTheReport(t *testing.T) {
-	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), nextRevision(), false)
-	p.Report(start, "i", waiting(adapter(1)))
-	order, _ := p.Next(start)
-	p.Done(start, answer(order, loading.Unanswered))
+	p, load := firstLoad(t)
+	p.Done(start, answer(load, loading.Unanswered))
 	_, ok := p.Next(start)
 	assert.False(t, ok, "the endpoint is left alone at first")
 
 	later := start.Add(200 * time.Millisecond)
-	inspect, ok := p.Next(later)
-	require.True(t, ok)
-	require.Equal(t, loading.Inspect, inspect.Kind)
-	p.Done(later, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Pending: []deployment.Adapter{adapter(1)}}})
+	inspected(t, p, later, &loading.Report{Pending: []deployment.Adapter{adapter(1)}})
 	// An endpoint that leaves orders unanswered is followed by its reports.
 	later = later.Add(200 * time.Millisecond)
-	inspect, ok = p.Next(later)
-	require.True(t, ok)
-	require.Equal(t, loading.Inspect, inspect.Kind)
-	p.Done(later, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Sequence: 1, Adapters: map[deployment.Adapter]int64{adapter(1): 1}}})
+	inspected(t, p, later, &loading.Report{Sequence: 1, Adapters: map[deployment.Adapter]int64{adapter(1): 1}})
 	_, offered := p.Offered("e")
 	assert.Contains(t, offered, adapter(1))
 	_, ok = p.Next(later)
@@ -138,10 +113,9 @@
 func TestAWithdrawnCopyIsUnloadedOnlyAfterAllInstancesAreDone(t *testing.T) {
 	p := newPlanner(1)
 	p.SetEndpoint(start, described("e", adapter(1), adapter(2), adapter(3), adapter(4)), nextRevision(), false)
-	inspect, _ := p.Next(start)
-	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{
+	inspected(t, p, start, &loading.Report{
 		Sequence: 4, Adapters: described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters,
-	}})
+	})
 	later := start.Add(3 * time.Second)
 	_, ok := p.Next(later)
 	assert.False(t, ok, "nothing is unloaded before it is confirmed as unused")
@@ -186,8 +160,7 @@
 	all := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
 	p.SetEndpoint(start, all, nextRevision(), false)
 	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 5, adapter(2): 4, adapter(3): 3})
-	inspect, _ := p.Next(start)
-	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: all.Adapters}})
+	inspected(t, p, start, &loading.Report{Adapters: all.Adapters})
 	p.Next(start.Add(3 * time.Second))
 	_, offered := p.Offered("e")
 	assert.NotContains(t, offered, adapter(4), "the copy that nobody asks for goes")
@@ -198,8 +171,7 @@
 	p := newPlanner(1)
 	p.SetEndpoint(start, described("old", adapter(1)), nextRevision(), false)
 	p.SetEndpoint(start, described("free"), nextRevision(), false)
-	inspect, _ := p.Next(start)
-	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: described("", adapter(1)).Adapters}})
+	inspected(t, p, start, &loading.Report{Adapters: described("", adapter(1)).Adapters})
 	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 1})
 	p.SetVersion(start, adapter(1), 2)
 
@@ -277,8 +249,7 @@
 	p := newPlanner(1)
 	p.SetEndpoint(start, described("saturated", adapter(1)), nextRevision(), false)
 	p.SetEndpoint(start, described("free"), nextRevision(), false)
-	inspect, _ := p.Next(start)
-	p.Done(start, loading.Result{Order: inspect, Reply: loading.Inspected, Report: &loading.Report{Adapters: described("", adapter(1)).Adapters}})
+	inspected(t, p, start, &loading.Report{Adapters: described("", adapter(1)).Adapters})
 	p.Report(start, "i", waiting(adapter(1)))
 	_, ok := p.Next(start)
 	assert.False(t, ok, "the copy has room")
--- a/services/entry/loading/polls_test.go
+++ b/services/entry/loading/polls_test.go
@@ -16,15 +16,6 @@
 	"github.com/shelfledge/shelfledge/services/entry/loading"
 )
 
-// order asks for the next order, which must be of a kind.
-func order(t *testing.T, p *loading.Planner, now time.Time, kind loading.OrderKind) loading.Order {
-	t.Helper()
-	next, ok := p.Next(now)
-	require.True(t, ok)
-	require.Equal(t, kind, next.Kind)
-	return next
-}
-
 // TestWhenALoadIsAskedAbout: first at 0.8 of the shortest time, or at 30 ms where the adapter was held, then each 12 ms.
 func TestWhenALoadIsAskedAbout(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -88,12 +79,10 @@
 		"after the 4 s":           {start.Add(4 * time.Second), loading.Load},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlanner(1)
-			p.SetEndpoint(start, described("e"), nextRevision(), false)
-			p.Report(start, "i", waiting(adapter(1)))
-			p.Done(start, answer(order(t, p, start, loading.Load), loading.Unanswered))
+			p, load := firstLoad(t)
+			p.Done(start, answer(load, loading.Unanswered))
 			report := &loading.Report{Sequence: 1, Pending: []deployment.Adapter{adapter(1)}}
-			p.Done(read, loading.Result{Order: order(t, p, read, loading.Inspect), Reply: loading.Inspected, Report: report})
+			inspected(t, p, read, report)
 			_, ok := p.Next(read.Add(80*time.Millisecond - 1))
 			assert.False(t, ok, "just before the pause ends")
 			order(t, p, test.now, test.kind)
@@ -104,14 +93,12 @@
 // TestAReportMayLagBehindALoad: a load that the report does not list has ended without success once it is older than 0.5 s.
 func TestAReportMayLagBehindALoad(t *testing.T) {
 	for after, kept := range map[time.Duration]bool{500 * time.Millisecond: true, 500*time.Millisecond + 1: false} {
-		p := newPlanner(1)
-		p.SetEndpoint(start, described("e"), nextRevision(), false)
-		p.Report(start, "i", waiting(adapter(1)))
-		p.Done(start, answer(order(t, p, start, loading.Load), loading.Accepted))
+		p, load := firstLoad(t)
+		p.Done(start, answer(load, loading.Accepted))
 		p.Report(start, "i", nil)
 		p.NoteMissing("e")
 		now := start.Add(after)
-		p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: &loading.Report{Sequence: 1}})
+		inspected(t, p, now, &loading.Report{Sequence: 1})
 		list, _ := p.Forecasts(now)
 		assert.Equal(t, kept, len(list) == 1, "after %s", after)
 	}
@@ -166,10 +153,8 @@
 }
 
 func TestTheFirstVersionOfAnAdapter(t *testing.T) {
-	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), nextRevision(), false)
-	p.Report(start, "i", waiting(adapter(1)))
-	p.Done(start, answer(order(t, p, start, loading.Load), loading.Holds))
+	p, load := firstLoad(t)
+	p.Done(start, answer(load, loading.Holds))
 	_, offered := p.Offered("e")
 	assert.Equal(t, map[deployment.Adapter]int64{adapter(1): 1}, offered)
 }
--- a/services/entry/loading/stale_test.go
+++ b/services/entry/loading/stale_test.go
@@ -17,12 +17,8 @@
 // TestADescriptionOfBeforeIsNoEndOfALoad is about an adapter that was unloaded and ordered again while a description of before,
 // which still listed it, was on its way; the planner took the load for ended.
 func TestADescriptionOfBeforeIsNoEndOfALoad(t *testing.T) {
-	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), nextRevision(), false)
-	p.Report(start, "i", waiting(adapter(1)))
-	order, ok := p.Next(start)
-	require.True(t, ok)
-	p.Done(start, answer(order, loading.Accepted))
+	p, load := firstLoad(t)
+	p.Done(start, answer(load, loading.Accepted))
 	p.SetEndpoint(start.Add(10*time.Millisecond), described("e", adapter(1)), nextRevision(), false)
 	_, adapters := p.Offered("e")
 	assert.Empty(t, adapters, "a load of 10 ms has not ended")
@@ -31,11 +27,8 @@
 // TestACountAheadOfTheEndpointIsGivenUp is about an order that the planner counted and the endpoint did not: the planner refused the
 // endpoint's reports as older than its count, and gave it no order any more.
 func TestACountAheadOfTheEndpointIsGivenUp(t *testing.T) {
-	p := newPlanner(1)
-	p.SetEndpoint(start, described("e"), nextRevision(), false)
-	p.Report(start, "i", waiting(adapter(1)))
-	order, _ := p.Next(start)
-	p.Done(start, answer(order, loading.Accepted))
+	p, load := firstLoad(t)
+	p.Done(start, answer(load, loading.Accepted))
 	p.NoteMissing("e")
 	now := start
 	for now.Sub(start) < time.Minute {
@@ -64,9 +57,8 @@
 	_, offered := p.Offered("e")
 	assert.NotContains(t, offered, adapter(4), "not offered while it is in doubt")
 
-	inspect := order(t, p, now, loading.Inspect)
 	report := &loading.Report{Sequence: 4, Adapters: described("e", adapter(1), adapter(2), adapter(3), adapter(4)).Adapters}
-	p.Done(now, loading.Result{Order: inspect, Reply: loading.Inspected, Report: report})
+	inspected(t, p, now, report)
 	_, ok := p.Next(now)
 	assert.False(t, ok, "the endpoint is full")
 	_, offered = p.Offered("e")
@@ -102,7 +94,7 @@
 			p.NoteMissing("e")
 			now := unloaded.Add(test.after)
 			report := &loading.Report{Sequence: 4, Adapters: test.listed}
-			p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+			inspected(t, p, now, report)
 			next, ok := p.Next(now.Add(time.Second))
 			if !test.taken {
 				assert.Equal(t, loading.Inspect, next.Kind, "the report is read again")
@@ -126,13 +118,13 @@
 	now := start
 	for range 10 {
 		report := &loading.Report{Sequence: 1, Busy: true}
-		p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+		inspected(t, p, now, report)
 		_, ok := p.Next(now.Add(400*time.Millisecond - 1))
 		assert.False(t, ok, "the report is read again after 400 ms")
 		now = now.Add(400 * time.Millisecond)
 	}
 	report := &loading.Report{Sequence: 1, Models: []string{"base"}}
-	p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+	inspected(t, p, now, report)
 	p.Report(now, "i", waiting(adapter(1)))
 	assert.Equal(t, adapter(1), order(t, p, now.Add(time.Second), loading.Load).Adapter)
 }
@@ -153,7 +145,7 @@
 			p.SetEndpoint(now, deployment.Endpoint{ID: "e", Service: "s"}, nextRevision(), false)
 			p.Report(now, "i", waiting(adapter(1)))
 			report := &loading.Report{Models: test.models}
-			p.Done(now, loading.Result{Order: order(t, p, now, loading.Inspect), Reply: loading.Inspected, Report: report})
+			inspected(t, p, now, report)
 			assert.Equal(t, test.next, order(t, p, now, loading.Load).Adapter)
 		})
 	}
