--- a/modules/entry/upstream/upstream_test.go
+++ b/modules/entry/upstream/upstream_test.go
@@ -123,8 +123,7 @@
 }
 
 // TestAnAnswerThatOvertakesTheWritersEndCostsNoConnection is about the goroutine that writes a
-// body: its answer may have been read whole before it says that it has written. The run of CI on
-// 2 December beside a busy machine found it in TestConnectionsAreUsedAgain. The clock is the bubble's, so
+// body: its answer may have been read whole before it says that it has written. The clock is the bubble's, so
 // that a busy machine makes no writer late.
 func TestAnAnswerThatOvertakesTheWritersEndCostsNoConnection(t *testing.T) {
 	const exchanges = 5
--- a/services/entry/loading/adopt_test.go
+++ b/services/entry/loading/adopt_test.go
@@ -131,9 +131,9 @@
 	}
 }
 
-// TestAnUncountedUnloadHidesNoLateLoad is what is suspected of a day with a store that was down: a planner takes over with a description of
-// before, unloads what only that lists, and counts this though the endpoint does not. A load of the former planner, carried out late, then
-// brings the endpoint to the same count, and the next load went beyond the places.
+// TestAnUncountedUnloadHidesNoLateLoad is about a planner that takes over with a description of before, while the store is down: it
+// unloads what only that lists, and counts this though the endpoint does not. A load of the former planner, carried out late, then
+// brings the endpoint to the same count, and the next load would go beyond the places.
 func TestAnUncountedUnloadHidesNoLateLoad(t *testing.T) {
 	e := newHistoryEndpoint(start, "e", endpointRules{}, engine, "base")
 	e.sequence = 4
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -23,8 +23,8 @@
 	// unload that it counted and the endpoint did not. More keeps a place for longer after a takeover. Not measured: it is the
 	// most that one order can make.
 	formerAhead = 1
-	// reportLag is how long an endpoint's own report may lag behind what it holds; some 100 ms were seen (docs/incidents,
-	// hunt-14a9-7). Longer trusts own orders for longer. Not measured itself.
+	// reportLag is how long an endpoint's own report may lag behind what it holds; some 100 ms were seen
+	// (docs/constants.md). Longer trusts own orders for longer. Not measured itself.
 	reportLag = 500 * time.Millisecond
 )
 
--- a/services/entry/loading/eviction_test.go
+++ b/services/entry/loading/eviction_test.go
@@ -82,9 +82,8 @@
 	assert.Len(t, offered, 4)
 }
 
-// TestAReportOlderThanAConfirmedOrderIsNotTaken is the day hunt-14a9-7: a report that lagged behind
-// an unload set the count back; the load ordered next was asked about with a wrong count for ever, and
-// the unloaded copy counted again.
+// TestAReportOlderThanAConfirmedOrderIsNotTaken is about a report that lags behind an unload: taken, it would set the count back,
+// so that the load ordered next is asked about with a wrong count for ever, and the unloaded copy would count again.
 func TestAReportOlderThanAConfirmedOrderIsNotTaken(t *testing.T) {
 	p := fullPlanner(copyUse{})
 	p.Next(start.Add(time.Second))
@@ -163,9 +162,8 @@
 	assert.NotEqual(t, ordered["empty-1"], ordered["empty-2"], "one at a time from the weight store")
 }
 
-// TestAFormerPlannersLoadsSayNothingOfTheStore is about a takeover on scale-2 of teranga: loads that were
-// nearly done when the new planner first saw them were taken for very short ones, all others then
-// for too many at once, and one load at a time was allowed for the rest of the day.
+// TestAFormerPlannersLoadsSayNothingOfTheStore is about a takeover: loads that are nearly done when the new planner first sees them,
+// taken for very short ones, would make all others look as if too many ran at once, until one load at a time is allowed for good.
 func TestAFormerPlannersLoadsSayNothingOfTheStore(t *testing.T) {
 	p := newPlanner(1)
 	for i := range 12 {
--- a/services/entry/loading/planner_test.go
+++ b/services/entry/loading/planner_test.go
@@ -132,8 +132,8 @@
 	assert.NotContains(t, offered, unload.Adapter)
 }
 
-// TestCopiesSeenBeforeCountAfterATakeover is the fault of 2 December: a planner that took over
-// remembered the copies as held before, took them for dropped ones and overfilled the endpoint.
+// TestCopiesSeenBeforeCountAfterATakeover is about a planner that takes over and remembers the copies as held before: taken for
+// dropped ones, they would let it overfill the endpoint.
 func TestCopiesSeenBeforeCountAfterATakeover(t *testing.T) {
 	p := newPlanner(1)
 	full := described("e", adapter(1), adapter(2), adapter(3), adapter(4))
--- a/tests/platform/failure_test.go
+++ b/tests/platform/failure_test.go
@@ -118,8 +118,8 @@
 	s.checkOrders()
 }
 
-// TestARefusedConnectionIsNoProofThatThePlannerEnded is hunt-02e0-19 of mezhda (ONE): at the end of a cut an entry's
-// connection to the living planner was refused; it took the process for ended and gave orders at once.
+// TestARefusedConnectionIsNoProofThatThePlannerEnded is about the end of a cut, when an entry's connection to the living planner is
+// refused: an entry that takes the process for ended would give orders beside it at once.
 func TestARefusedConnectionIsNoProofThatThePlannerEnded(t *testing.T) {
 	s := newSite(t, 3)
 	planner := s.planner()
@@ -353,9 +353,9 @@
 	s.checkOrders()
 }
 
-// TestAnEndpointThatLeftDuringACutIsNotUsedAfterIt is the mix day 771079186914 of mezhda (DRAIN): an entry that was
-// frozen while a worker left linked to the planner again, whose whole view named the revision of its first
-// reading; the entry knew a newer description of the worker and kept it.
+// TestAnEndpointThatLeftDuringACutIsNotUsedAfterIt is about an entry that is cut off while a worker leaves, and then links to the
+// planner again: the whole view names the revision of the planner's first reading, and an entry that knows a newer description of
+// the worker must not keep it for that.
 func TestAnEndpointThatLeftDuringACutIsNotUsedAfterIt(t *testing.T) {
 	s := newSite(t, 2)
 	follower := s.other(s.planner())
