Name loop variables of the entry program by what they are

Change: each has the name of its thing from docs/glossary.md. Names alone; the packages that others change at the moment are left. Measured: go vet and golangci-lint find nothing; go test of platform, services/entry/loading, services/entry/retry and coordinator/plan, report and member passes.

--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -110,8 +110,8 @@
 		m.inUse[used.Copy()] = used.Count
 	}
 	m.inFlight = make(map[deployment.EndpointID]InFlight, len(r.InFlight))
-	for _, one := range r.InFlight {
-		m.inFlight[one.ID] = InFlight{Requests: one.Count, Unread: one.Unread}
+	for _, reported := range r.InFlight {
+		m.inFlight[reported.ID] = InFlight{Requests: reported.Count, Unread: reported.Unread}
 	}
 }
 
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -146,8 +146,8 @@
 		if m.isLost() {
 			continue
 		}
-		for id, one := range m.inFlight {
-			sums[id] = sums[id].Plus(one)
+		for id, requests := range m.inFlight {
+			sums[id] = sums[id].Plus(requests)
 		}
 	}
 }
--- a/services/entry/coordinator/plan/changes.go
+++ b/services/entry/coordinator/plan/changes.go
@@ -44,8 +44,8 @@
 	for name, planner := range p.planners {
 		forecasts, backlog := planner.Forecasts(now)
 		backlogs[name] = backlog
-		for _, one := range forecasts {
-			loads = append(loads, wire.Forecast{Service: name, Model: one.Adapter.Model, Name: one.Adapter.Name, Remaining: one.Remaining})
+		for _, forecast := range forecasts {
+			loads = append(loads, wire.Forecast{Service: name, Model: forecast.Adapter.Model, Name: forecast.Adapter.Name, Remaining: forecast.Remaining})
 		}
 	}
 	return loads, backlogs
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -148,8 +148,8 @@
 	if p.configuration == nil || p.configuration.Services[service] == nil || p.configuration.Services[service].Engine == nil {
 		return false
 	}
-	for _, one := range p.configuration.Services[service].Engine.Models {
-		if one.Name == model {
+	for _, configured := range p.configuration.Services[service].Engine.Models {
+		if configured.Name == model {
 			return true
 		}
 	}
--- a/services/entry/coordinator/plan/reports.go
+++ b/services/entry/coordinator/plan/reports.go
@@ -63,10 +63,10 @@
 
 func demandsByService(list []wire.Demand) map[string][]loading.Demand {
 	byService := make(map[string][]loading.Demand)
-	for _, one := range list {
-		byService[one.Service] = append(byService[one.Service], loading.Demand{
-			Adapter: deployment.Adapter{Model: one.Model, Name: one.Name},
-			Waiting: one.Waiting, InTime: one.InTime, Arrivals: one.Arrivals, Prompts: one.Prompts,
+	for _, demand := range list {
+		byService[demand.Service] = append(byService[demand.Service], loading.Demand{
+			Adapter: deployment.Adapter{Model: demand.Model, Name: demand.Name},
+			Waiting: demand.Waiting, InTime: demand.InTime, Arrivals: demand.Arrivals, Prompts: demand.Prompts,
 		})
 	}
 	return byService
@@ -74,13 +74,13 @@
 
 func ratesByService(list []wire.Rate) map[string]map[deployment.Adapter]float64 {
 	byService := make(map[string]map[deployment.Adapter]float64)
-	for _, one := range list {
-		rates, ok := byService[one.Service]
+	for _, rate := range list {
+		rates, ok := byService[rate.Service]
 		if !ok {
 			rates = make(map[deployment.Adapter]float64)
-			byService[one.Service] = rates
+			byService[rate.Service] = rates
 		}
-		rates[deployment.Adapter{Model: one.Model, Name: one.Name}] = one.PerSecond
+		rates[deployment.Adapter{Model: rate.Model, Name: rate.Name}] = rate.PerSecond
 	}
 	return byService
 }
--- a/services/entry/coordinator/report/demand.go
+++ b/services/entry/coordinator/report/demand.go
@@ -77,8 +77,8 @@
 	c := &Collection{counter: ct, now: now, demands: make(map[deployment.ServiceAdapter]*wire.Demand, len(ct.arrivals)+waiting)}
 	for key, arrived := range ct.arrivals {
 		if !key.Adapter.IsZero() {
-			one := c.demandOf(key)
-			one.Arrivals, one.Prompts = arrived.requests, arrived.prompts
+			demand := c.demandOf(key)
+			demand.Arrivals, demand.Prompts = arrived.requests, arrived.prompts
 			ct.rate(key).Add(now, arrived.requests)
 		}
 	}
@@ -97,34 +97,34 @@
 func (c *Collection) List() []wire.Demand {
 	ct := c.counter
 	ct.forgetReturns(c.now)
-	for _, one := range ct.returns {
-		if one.at.Sub(c.now) <= ReturnNotice {
-			c.wait(one.key, one.at.Add(one.target).Sub(c.now))
+	for _, caller := range ct.returns {
+		if caller.at.Sub(c.now) <= ReturnNotice {
+			c.wait(caller.key, caller.at.Add(caller.target).Sub(c.now))
 		}
 	}
 	list := make([]wire.Demand, 0, len(c.demands))
-	for _, one := range c.demands {
-		list = append(list, *one)
+	for _, demand := range c.demands {
+		list = append(list, *demand)
 	}
 	return list
 }
 
 // wait counts a request that waits and can be answered in time for a span from now; the longest span is reported.
 func (c *Collection) wait(key deployment.ServiceAdapter, inTime time.Duration) {
-	one := c.demandOf(key)
-	one.Waiting++
-	if one.Waiting == 1 || inTime > one.InTime {
-		one.InTime = inTime
+	demand := c.demandOf(key)
+	demand.Waiting++
+	if demand.Waiting == 1 || inTime > demand.InTime {
+		demand.InTime = inTime
 	}
 }
 
 func (c *Collection) demandOf(key deployment.ServiceAdapter) *wire.Demand {
-	one, ok := c.demands[key]
+	demand, ok := c.demands[key]
 	if !ok {
-		one = &wire.Demand{Service: key.Service, Model: key.Adapter.Model, Name: key.Adapter.Name}
-		c.demands[key] = one
+		demand = &wire.Demand{Service: key.Service, Model: key.Adapter.Model, Name: key.Adapter.Name}
+		c.demands[key] = demand
 	}
-	return one
+	return demand
 }
 
 func (ct *Counter) rate(key deployment.ServiceAdapter) *loading.Rate {
@@ -160,7 +160,7 @@
 
 // forgetReturns forgets callers that should have come back.
 func (ct *Counter) forgetReturns(now time.Time) {
-	ct.returns = slices.DeleteFunc(ct.returns, func(one expectedReturn) bool { return now.Sub(one.at) > ReturnWait })
+	ct.returns = slices.DeleteFunc(ct.returns, func(caller expectedReturn) bool { return now.Sub(caller.at) > ReturnWait })
 }
 
 // Sweep forgets rates that have become too small.
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -127,9 +127,9 @@
 // pruneUnanswered forgets the orders without an answer that cannot be carried out any more.
 func (e *endpointPlan) pruneUnanswered(now time.Time) {
 	kept := e.unanswered[:0]
-	for _, one := range e.unanswered {
-		if one.sequence >= e.count.before && now.Before(one.until) {
-			kept = append(kept, one)
+	for _, load := range e.unanswered {
+		if load.sequence >= e.count.before && now.Before(load.until) {
+			kept = append(kept, load)
 		}
 	}
 	e.unanswered = kept
--- a/services/entry/loading/demand.go
+++ b/services/entry/loading/demand.go
@@ -116,12 +116,12 @@
 	for _, known := range p.demand {
 		delete(known.waiting, instance)
 	}
-	for _, one := range demands {
-		known := p.demandOf(now, one.Adapter)
-		known.Add(now, one.Arrivals)
-		known.prompts.Add(now, one.Prompts)
-		if one.Waiting > 0 {
-			known.waiting[instance] = waitingPart{count: one.Waiting, until: now.Add(one.InTime)}
+	for _, demand := range demands {
+		known := p.demandOf(now, demand.Adapter)
+		known.Add(now, demand.Arrivals)
+		known.prompts.Add(now, demand.Prompts)
+		if demand.Waiting > 0 {
+			known.waiting[instance] = waitingPart{count: demand.Waiting, until: now.Add(demand.InTime)}
 		}
 	}
 }
--- a/services/entry/retry/budget.go
+++ b/services/entry/retry/budget.go
@@ -98,8 +98,8 @@
 // total sums the requests or retries of batches.
 func total(batches []batch) int {
 	sum := 0
-	for _, one := range batches {
-		sum += one.count
+	for _, counted := range batches {
+		sum += counted.count
 	}
 	return sum
 }
@@ -133,6 +133,6 @@
 
 // forget drops what was before the oldest time that counts.
 func (w *window) forget(oldest time.Time) {
-	w.requests = slices.DeleteFunc(w.requests, func(one batch) bool { return one.first.Before(oldest) })
-	w.retries = slices.DeleteFunc(w.retries, func(one batch) bool { return one.last.Before(oldest) })
+	w.requests = slices.DeleteFunc(w.requests, func(counted batch) bool { return counted.first.Before(oldest) })
+	w.retries = slices.DeleteFunc(w.retries, func(counted batch) bool { return counted.last.Before(oldest) })
 }
