Ask in one place whether an endpoint takes orders

Cause: four deciding functions of services/entry/loading (polls, unloads, base models, places for loads) each wrote out that an endpoint is available and that its report need not be read first; one that left the second half out would order at a count that is in doubt. Change: takesOrders says both; conditions and their order of evaluation are the same, since neither half changes anything. Measured: go test ./services/entry/loading passes, with its histories and their searches; golangci-lint finds nothing.

--- a/services/entry/loading/model.go
+++ b/services/entry/loading/model.go
@@ -19,7 +19,7 @@
 func (p *Planner) nextModel(now time.Time) (Order, bool) {
 	storeAllowed := p.coldModelLoads() == 0 && p.modelLimiter.allows(now)
 	for _, plan := range p.endpoints {
-		if len(plan.endpoint.Models) > 0 || len(plan.copies) > 0 || !plan.available(now) || plan.inspect {
+		if len(plan.endpoint.Models) > 0 || len(plan.copies) > 0 || !plan.takesOrders(now) {
 			continue
 		}
 		for _, model := range p.engine.Models {
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -42,6 +42,11 @@
 	return !e.busy && !now.Before(e.restUntil) && e.endpoint.State == deployment.Ready
 }
 
+// takesOrders reports whether an order may be sent to an endpoint now without reading its report first.
+func (e *endpointPlan) takesOrders(now time.Time) bool {
+	return e.available(now) && !e.inspect
+}
+
 func (p *Planner) nextInspection(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
 		if plan.inspect && plan.available(now) {
@@ -53,7 +58,7 @@
 
 func (p *Planner) nextPoll(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
-		if !plan.available(now) || plan.inspect {
+		if !plan.takesOrders(now) {
 			continue
 		}
 		for adapter, c := range plan.copies {
@@ -75,7 +80,7 @@
 // nextUnload unloads what is withdrawn and confirmed as unused. While an unload waits for its runs, the endpoint refuses others.
 func (p *Planner) nextUnload(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
-		if !plan.available(now) || plan.inspect {
+		if !plan.takesOrders(now) {
 			continue
 		}
 		for adapter, c := range plan.copies {
--- a/services/entry/loading/placement.go
+++ b/services/entry/loading/placement.go
@@ -170,7 +170,7 @@
 // takesLoad reports whether a load may be ordered from an endpoint now: it takes orders, has a place, and neither too many
 // loads nor an unload under way.
 func (p *Planner) takesLoad(now time.Time, plan *endpointPlan) bool {
-	if !plan.available(now) || plan.inspect {
+	if !plan.takesOrders(now) {
 		return false
 	}
 	plan.pruneUnanswered(now)
