Count starts of less than a millisecond in shelfledge_start_ratio

Cause: the ratio was worked out from the whole milliseconds of the log line, and a request that ran in less than one, or was expected to, was left out: operators did not see the quickest requests, and the histogram had no child at all until one took a millisecond. So tests/pinned/entry TestARun was decided by the clock: metrics.txt was pinned in a run whose only request with a declared prompt took less than 1 ms, and each run in which it took longer failed for the lines of the metric. Change: an attempt keeps its ratio, worked out from the durations; the log line stays as it is. Measured: TestAStartIsRatedAgainstWhatWasExpected fails on the former code in its three cases with parts of a millisecond, and passes.

--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -36,7 +36,7 @@
 	started := e.run.service.options.Now()
 	verdict := e.send()
 	e.run.records = append(e.run.records, AttemptRecord{
-		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result,
+		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result, StartRatio: e.startRatio(),
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
 	})
@@ -120,6 +120,14 @@
 	e.run.service.control.Running(e.run.request, e.assignment)
 }
 
+// startRatio is how long it took until the request ran, over what was expected; 0 if it did not run or nothing was expected.
+func (e *exchange) startRatio() float64 {
+	if e.assignment.Expected <= 0 {
+		return 0
+	}
+	return float64(e.ranAfter) / float64(e.assignment.Expected)
+}
+
 // startHeadTimer starts the timer that gives the endpoint up when the head of the answer takes too long; nil for none.
 func (e *exchange) startHeadTimer(giveUp func()) *time.Timer {
 	timeout, bounded := attempt.HeadTimeout(e.run.service.options.Now(), e.run.situation())
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -75,8 +75,8 @@
 func (o Observation) StartRatios() []float64 {
 	var ratios []float64
 	for _, record := range o.Attempts {
-		if record.ExpectedMS > 0 && record.RanAfterMS > 0 {
-			ratios = append(ratios, float64(record.RanAfterMS)/float64(record.ExpectedMS))
+		if record.StartRatio > 0 {
+			ratios = append(ratios, record.StartRatio)
 		}
 	}
 	return ratios
@@ -91,6 +91,9 @@
 	// Result is how the exchange ended; Status the endpoint's own, 0 for none.
 	Result attempt.Result `json:"result"`
 	Status int            `json:"status,omitempty"`
+	// StartRatio is how long the endpoint took until the request ran, over what was expected; 0 where there is nothing to tell.
+	// Worked out from whole milliseconds, it would leave out each request that runs in less than one.
+	StartRatio float64 `json:"-"`
 	// ExpectedMS is how long the endpoint was expected to take until the request runs, by the declared prompts; RanAfterMS how
 	// long it took; 0 where there is nothing to tell.
 	ExpectedMS int64 `json:"expected_ms"`
