--- a/services/entry/coordinator/formerloads_test.go
+++ b/services/entry/coordinator/formerloads_test.go
@@ -147,8 +147,7 @@
 	s.loadWindow = longWindow
 	s.start(t)
 	s.begins(t, 1)
-	member := s.join(t)
-	require.NoError(t, member.Send(wireMessage{Report: &wireReport{Instance: "peer"}}))
+	member := s.joinAs(t, "peer")
 	first := receive(t, member, func(m wireMessage) bool { return m.View != nil && m.View.RecentLoads != nil })
 	assert.Zero(t, *first.View.RecentLoads)
 	s.store.put(endpointPrefix+"e2", emptyEndpoint)
@@ -158,14 +157,9 @@
 	go drain(member)
 
 	follower, count := newSite(), 7
-	follower.planElsewhere(t)
-	follower.start(t)
-	planner := follower.link(t)
 	told := fullView(4)
 	told.RecentLoads = &count
-	require.NoError(t, planner.Send(wireMessage{View: told}))
-	follower.waitForStatus(t, "follows", func(status coordinator.Status) bool { return status.Term == 4 })
-	planner.Close()
+	follower.follow(t, told).Close()
 	next := follower.link(t)
 	report := receive(t, next, func(m wireMessage) bool { return m.Report != nil }).Report
 	require.NotNil(t, report.FormerLoads)
--- a/services/entry/coordinator/leaving_test.go
+++ b/services/entry/coordinator/leaving_test.go
@@ -33,7 +33,7 @@
 	s := newSite()
 	s.start(t)
 	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning })
-	require.Eventually(t, func() bool { record, found := s.store.record(t); return found && record.Ordering }, waitLimit, lookPace)
+	s.begins(t, 1)
 	s.control.Release(context.Background())
 	s.waitForStatus(t, "plans no more", func(status coordinator.Status) bool { return !status.Planning })
 	time.Sleep(time.Second)
--- a/services/entry/coordinator/relay_test.go
+++ b/services/entry/coordinator/relay_test.go
@@ -32,7 +32,7 @@
 	s.start(t)
 	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning && status.Endpoints == 1 })
 	for i := range slowMembers {
-		require.NoError(t, s.join(t).Send(wireMessage{Report: &wireReport{Instance: fmt.Sprintf("slow-%d", i)}}))
+		s.joinAs(t, fmt.Sprintf("slow-%d", i))
 	}
 	s.waitForStatus(t, "members", func(status coordinator.Status) bool { return status.Members == slowMembers+1 })
 	s.store.put(configurationKey, strings.Repeat("x", largeValue))
