Read what a process of a test writes through one piece, and name the pinned site's endpoints

Cause: tests/platform and tests/pinned/entry each had a buffer that is written by a process and read by the test; and the endpoints of the pinned site were pairs that the reader of one[0] and one[1] had to look up. Change: platformstandin.Output serves both, and an endpoint has an id and a service. No test demands anything else than before.

--- a/tests/pinned/entry/run_test.go
+++ b/tests/pinned/entry/run_test.go
@@ -102,8 +102,8 @@
 
 const readyQuestion = "GET /-/readyz HTTP/1.1\r\nHost: balancer\r\n\r\n"
 
-// endpoints of the site: their identifiers with their services.
-var siteEndpoints = [][2]string{
+// siteEndpoints are the endpoints that take requests; any of a service may be chosen.
+var siteEndpoints = []struct{ id, service string }{
 	{"e-ok", "s-ok"}, {"e-split", "s-split"}, {"e-shed", "s-shed"}, {"e-reset", "s-reset"}, {"e-hang", "s-hang"}, {"e-unsealed", "s-unsealed"},
 	{"e-error", "s-error"}, {"e-repeat-1", "s-repeat"}, {"e-repeat-2", "s-repeat"}, {"e-model", "s-model"}, {"e-resume-1", "s-resume"},
 	{"e-resume-2", "s-resume"}, {"e-dear", "s-dear"},
@@ -114,8 +114,8 @@
 	r.store.SetFaults(standin.StoreFaults{Down: true})
 	r.store.Put("op/config", json.RawMessage(input(r.t, "configuration.json")))
 	r.store.Put("op/version/base.a1", json.RawMessage(input(r.t, "named_version.json")))
-	for _, one := range siteEndpoints {
-		r.describe(one[0], one[1], "ready")
+	for _, endpoint := range siteEndpoints {
+		r.describe(endpoint.id, endpoint.service, "ready")
 	}
 	r.describe("e-drain", "s-drain", "draining")
 	r.store.Put("servers/e-broken", map[string]any{"service": "s-ok", "address": "nowhere"})
--- a/tests/pinned/entry/site_test.go
+++ b/tests/pinned/entry/site_test.go
@@ -27,24 +27,6 @@
 	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
 )
 
-// lockedBuffer may be read while the program writes to it.
-type lockedBuffer struct {
-	mutex sync.Mutex
-	text  strings.Builder
-}
-
-func (b *lockedBuffer) Write(content []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.Write(content)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.String()
-}
-
 // running is one run of the program beside a store and endpoints that note what arrives.
 type running struct {
 	t       *testing.T
@@ -53,7 +35,7 @@
 	proxy   *httptest.Server
 	command *exec.Cmd
 	ended   chan error
-	errors  lockedBuffer
+	errors  standin.Output
 	mutex   sync.Mutex
 	// describing keeps an older description from being written after a newer one.
 	describing sync.Mutex
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -4,7 +4,6 @@
 package platform_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -44,7 +43,7 @@
 	name    string
 	ip      string
 	process *process.Process
-	log     *lockedBuffer
+	log     *standin.Output
 	ended   bool
 	// cut makes the store unreachable for this entry alone, peersCut its peers.
 	cut      atomic.Bool
@@ -123,24 +122,6 @@
 	return gated
 }
 
-// lockedBuffer is a log that tests may read while it is written.
-type lockedBuffer struct {
-	mutex  sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(content []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.buffer.Write(content)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.buffer.String()
-}
-
 const (
 	patience = 15 * time.Second
 	pace     = 10 * time.Millisecond
@@ -182,7 +163,7 @@
 
 func (s *site) startEntry(i int) *entryProcess {
 	s.t.Helper()
-	e := &entryProcess{name: fmt.Sprintf("entry-%d", i), ip: s.ips[i], log: &lockedBuffer{}}
+	e := &entryProcess{name: fmt.Sprintf("entry-%d", i), ip: s.ips[i], log: &standin.Output{}}
 	encoded, err := json.Marshal(standin.Settings(e.name, "h1", e.ip, s.ports, s.seeds(), s.store.Address()))
 	require.NoError(s.t, err)
 	settings, err := platform.ParseSettings(encoded)
