--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -23,8 +23,8 @@
 	// unload that it counted and the endpoint did not. More keeps a place for longer after a takeover. Not measured: it is the
 	// most that one order can make.
 	formerAhead = 1
-	// reportLag is how long an endpoint's own report may lag behind what it holds; some 100 ms were seen (docs/incidents,
-	// hunt-14a9-7). Longer trusts own orders for longer. Not measured itself.
+	// reportLag is how long an endpoint's own report may lag behind what it holds; some 100 ms were seen
+	// (docs/constants.md). Longer trusts own orders for longer. Not measured itself.
 	reportLag = 500 * time.Millisecond
 )
 
@@ -127,9 +127,9 @@
 // pruneUnanswered forgets the orders without an answer that cannot be carried out any more.
 func (e *endpointPlan) pruneUnanswered(now time.Time) {
 	kept := e.unanswered[:0]
-	for _, one := range e.unanswered {
-		if one.sequence >= e.count.before && now.Before(one.until) {
-			kept = append(kept, one)
+	for _, load := range e.unanswered {
+		if load.sequence >= e.count.before && now.Before(load.until) {
+			kept = append(kept, load)
 		}
 	}
 	e.unanswered = kept
