Let a former planner tell its members who plans

Cause: a planner that the store turns away gives its work up to a member that the store answers, learns who that is, and closed its members' links without a word. Members that the store turned away too could read nowhere who plans: they were told neither configurations nor named versions, nor what is loaded, until the store answered them again.

Change: before its links end the former planner sends its members the message that names the successor, and a member takes it from its planner as a planner takes it from a member.

--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -96,6 +96,9 @@
 		if received.View != nil {
 			c.loop.Post(func(now time.Time) { c.applyView(now, stream, received.View) })
 		}
+		if received.Successor != nil {
+			c.loop.Call(func(now time.Time) { c.learnSuccessor(now, *received.Successor) })
+		}
 	}
 	c.loop.Call(func(time.Time) {
 		if c.following.stream == stream {
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -100,13 +100,25 @@
 		return
 	}
 	c.options.Log.WithField("term", c.planning.lease.Record().Term).Warn("planning ends: the ownership is lost")
-	c.planning.members.CloseLinks()
+	c.leaveMembers()
 	c.noteOwnLoads(now, c.planning)
 	c.planning = nil
 	c.following = following{Followed: c.following.Restarted()}
 	c.reports.Restart()
 }
 
+// leaveMembers ends the links of the members of a term that is over, after a message that names the successor where it is known: a
+// member that the store turns away can read it nowhere.
+func (c *Coordinator) leaveMembers() {
+	members, former := c.planning.members, c.planning.lease.Record()
+	if c.knownRecord.Term <= former.Term || !c.knownRecord.Address.IsValid() {
+		members.CloseLinks()
+		return
+	}
+	members.Tell(wire.Message{Successor: &wire.Successor{Term: c.knownRecord.Term, Address: c.knownRecord.Address}})
+	time.AfterFunc(successorNoticeTimeout, func() { c.loop.Post(func(time.Time) { members.CloseLinks() }) })
+}
+
 // beginOrdering writes into the record that orders may follow, once the former holder's time is surely over.
 func (c *Coordinator) beginOrdering() {
 	var due *rewrite
--- a/services/entry/coordinator/member/member_test.go
+++ b/services/entry/coordinator/member/member_test.go
@@ -123,6 +123,7 @@
 	assert.True(t, members.NeedOwn())
 	members.All()["a"].Link = nil
 	assert.False(t, members.NeedOwn(), "nobody is there to be told")
+	members.Tell(wire.Message{})
 	members.CloseLinks()
 }
 
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// Tell sends all members a message.
+func (t *Table) Tell(message wire.Message) {
+	for _, m := range t.members {
+		if m.Link != nil {
+			// A member that cannot take it loses its link, and looks for the planner as without the message.
+			_ = m.Link.Send(message)
+		}
+	}
+}
+
 // CloseLinks ends all links.
 func (t *Table) CloseLinks() {
 	for _, m := range t.members {
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -309,9 +310,20 @@
 	refuse   bool
 	closed   chan struct{}
 	once     sync.Once
+	// last is the address that was dialed last.
+	last atomic.Pointer[netip.AddrPort]
 }
 
-func (p *pipes) dial(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+// lastDialed gives the address that the instance dialed last.
+func (p *pipes) lastDialed() netip.AddrPort {
+	if last := p.last.Load(); last != nil {
+		return *last
+	}
+	return netip.AddrPort{}
+}
+
+func (p *pipes) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	p.last.Store(&address)
 	if p.refuse {
 		return nil, errDown
 	}
