Ask no former version for whole answers, and pass no event on after a take-back

An answer that comes whole does not show when its request begins, so that it is never taken back, but it was still sent to a former version. An event that was there when its request was taken back was passed on with its head, and the caller got a stream that breaks off in place of an answer.

--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -27,3 +27,9 @@
 func (r *Request) UsesModel() bool {
 	return r.Adapter.Model != ""
 }
+
+// BeginShows reports whether the answer tells when an endpoint begins to run the request: a stream does by its first event, an answer
+// that comes whole only at its end.
+func (r *Request) BeginShows() bool {
+	return r.Route.Kind == Streaming
+}
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -111,10 +111,10 @@
 	return best, Chosen
 }
 
-// versionAt is the lowest version that may run the request at an endpoint. Where the wait there is not known, the request might
-// run after the time of older versions is over: they are not allowed.
+// versionAt is the lowest version that may run the request at an endpoint. Where the wait there is not known, or nothing would show in
+// time that it is longer, the request might run after the time of older versions is over: they are not allowed.
 func (r *Requirement) versionAt(now time.Time, endpoint *directory.EndpointStatus) int64 {
-	if r.Version == 0 || r.FormerWait <= 0 {
+	if r.Version == 0 || r.FormerWait <= 0 || !r.Request.BeginShows() {
 		return r.Version
 	}
 	wait, known := endpoint.ExpectedWait(now, r.Request.Route.Priority, r.OthersKnown)
--- a/services/entry/coordinator/unbegun/recall.go
+++ b/services/entry/coordinator/unbegun/recall.go
@@ -53,9 +53,10 @@
 	return settled
 }
 
-// Disarm says that the request runs or has ended: from now on it is not taken back.
-func (r *Recall) Disarm() {
+// Disarm says that the request runs or has ended: from now on it is not taken back. It is false where it was before.
+func (r *Recall) Disarm() bool {
 	r.settle(disarmed)
+	return !r.Fired()
 }
 
 // settle ends the time in which the request could be taken back, and gives what ends the exchange; false if it had ended before.
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -114,15 +114,19 @@
 	return verdict
 }
 
-// noteRunning tells the coordinator once that the request has left the endpoint's own queue.
-func (e *exchange) noteRunning() {
+// noteRunning tells the coordinator once that the request has left the endpoint's own queue. It is false for a request that was taken
+// back before: its exchange has ended, and what came of the answer must not be passed on as its beginning.
+func (e *exchange) noteRunning() bool {
+	if !e.assignment.Recall.Disarm() {
+		return false
+	}
 	if e.running || !e.run.request.UsesModel() {
-		return
+		return true
 	}
 	e.running = true
-	e.assignment.Recall.Disarm()
 	e.ranAfter = e.run.service.options.Now().Sub(e.assignment.Assigned)
 	e.run.service.control.Running(e.run.request, e.assignment)
+	return true
 }
 
 // startRatio is how long it took until the request ran, over what was expected; 0 if it did not run or nothing was expected.
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -32,7 +32,9 @@
 		n, err := e.answer.Read(buffer)
 		if n > 0 {
 			silence.Reset(pauseTimeout)
-			e.noteRunning()
+			if !e.noteRunning() {
+				return attempt.JudgeBroken(e.run.situation())
+			}
 			if !s.passOn(buffer[:n]) {
 				return attempt.NotTaken()
 			}
