Compare begins with the moment from which a newer version counts

Cause: the warning of a request that began too late on an older version counted from when this instance learned the newer name, as the former version's time did before: where the name came late, nothing told it. Change: Versions.Name is given both moments, and the names that runs are compared with count from when they can have been acknowledged, from when they were learned only where that is not known. The separate list of learned names and its call are gone.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -163,7 +163,7 @@
 	m.closed.Inc()
 }
 
-// ObserveFormerVersion counts one request that began on a former version: how long before a newer one was learned, and whether that
+// ObserveFormerVersion counts one request that began on a former version: for how long a newer one has counted, and whether that
 // is longer than former versions may be used.
 func (m *Metrics) ObserveFormerVersion(age time.Duration, overdue bool) {
 	m.former.Observe(age.Seconds())
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -202,10 +202,9 @@
 // passed over without a log line.
 func (c *Coordinator) applyVersion(now time.Time, origin follow.Origin, item store.Item) {
 	adapter, version, ok := c.environment.ParseVersion(item)
-	if !ok || !c.versions.Name(origin.Since, adapter, version) {
+	if !ok || !c.versions.Name(now, origin.Since, adapter, version) {
 		return
 	}
-	c.versions.Learned(now, adapter, version)
 	c.logVersion(now, origin, adapter, version)
 	c.unbegun.Named(adapter, version, c.beginBy(adapter, version-1))
 	if c.planning != nil {
--- a/services/entry/coordinator/follow/follow_test.go
+++ b/services/entry/coordinator/follow/follow_test.go
@@ -68,10 +68,10 @@
 func TestVersionsOnlyGrow(t *testing.T) {
 	versions := follow.NewVersions()
 	assert.Zero(t, versions.Named(adapter))
-	assert.False(t, versions.Name(start, adapter, 0))
-	assert.True(t, versions.Name(start, adapter, 2))
-	assert.False(t, versions.Name(start.Add(time.Hour), adapter, 2), "told again")
-	assert.False(t, versions.Name(start.Add(time.Hour), adapter, 1))
+	assert.False(t, versions.Name(start, start, adapter, 0))
+	assert.True(t, versions.Name(start, start, adapter, 2))
+	assert.False(t, versions.Name(start.Add(time.Hour), start.Add(time.Hour), adapter, 2), "told again")
+	assert.False(t, versions.Name(start.Add(time.Hour), start.Add(time.Hour), adapter, 1))
 	assert.EqualValues(t, 2, versions.Named(adapter))
 	assert.Equal(t, map[deployment.Adapter]int64{adapter: 2}, maps.Collect(versions.All()))
 	for range versions.All() {
@@ -89,7 +89,7 @@
 	oldest, wait := former(time.Hour)
 	assert.Zero(t, oldest)
 	assert.Zero(t, wait, "no version is named")
-	versions.Name(start, adapter, 3)
+	versions.Name(start, start, adapter, 3)
 	for after, left := range map[time.Duration]time.Duration{
 		0: time.Second, 600 * time.Millisecond: 400 * time.Millisecond, time.Second - 1: 1,
 	} {
@@ -97,7 +97,7 @@
 		assert.Zero(t, oldest, "any")
 		assert.Equal(t, left, wait)
 	}
-	versions.Name(start.Add(500*time.Millisecond), adapter, 3)
+	versions.Name(start.Add(500*time.Millisecond), start.Add(500*time.Millisecond), adapter, 3)
 	for _, after := range []time.Duration{time.Second, time.Hour} {
 		oldest, wait = former(after)
 		assert.EqualValues(t, 3, oldest, "from here on, none may begin on an older one, and a repeated word puts it off no further")
@@ -123,7 +123,7 @@
 		t.Run(name, func(t *testing.T) {
 			versions := follow.NewVersions()
 			for i, at := range test.named {
-				versions.Name(start.Add(at), adapter, int64(i+2))
+				versions.Name(start.Add(at), start.Add(at), adapter, int64(i+2))
 			}
 			for range 2 {
 				oldest, wait := versions.Former(start, adapter, limit)
@@ -141,7 +141,7 @@
 	_, named := versions.NewerSince(adapter, 0)
 	assert.False(t, named, "none is named")
 	for i := range 3 {
-		versions.Name(start.Add(time.Duration(i)*time.Second), adapter, int64(i+2))
+		versions.Name(start.Add(time.Duration(i)*time.Second), start.Add(time.Duration(i)*time.Second), adapter, int64(i+2))
 	}
 	for held, after := range map[int64]time.Duration{0: 0, 1: 0, 2: time.Second, 3: 2 * time.Second} {
 		since, named := versions.NewerSince(adapter, held)
@@ -162,7 +162,7 @@
 	versions := follow.NewVersions()
 	for version := int64(2); version <= 20; version++ {
 		named := start.Add(time.Duration(version) * 300 * time.Millisecond)
-		versions.Name(named, adapter, version)
+		versions.Name(named, named, adapter, version)
 		oldest, wait := versions.Former(named, adapter, limit)
 		for held := max(oldest, 1); held < version; held++ {
 			since, ok := versions.NewerSince(adapter, held)
@@ -177,7 +177,7 @@
 	const limit = 2 * time.Second
 	versions := follow.NewVersions()
 	for version := int64(2); version <= 1000; version++ {
-		versions.Name(start.Add(time.Duration(version)*10*time.Millisecond), adapter, version)
+		versions.Name(start.Add(time.Duration(version)*10*time.Millisecond), start.Add(time.Duration(version)*10*time.Millisecond), adapter, version)
 	}
 	assert.LessOrEqual(t, versions.Kept(adapter), 8)
 	assert.EqualValues(t, 1000, versions.Named(adapter))
@@ -189,22 +189,15 @@
 	assert.LessOrEqual(t, wait, time.Duration(0))
 }
 
-// learn names a version that is learned at once.
-func learn(versions *follow.Versions, now time.Time, version int64) {
-	if versions.Name(now, adapter, version) {
-		versions.Learned(now, adapter, version)
-	}
-}
-
 // TestHowLongAVersionHasBeenAFormerOne: whether the time of a version is over or not, it is told since when a newer one is known.
 func TestHowLongAVersionHasBeenAFormerOne(t *testing.T) {
 	const limit = 2 * time.Second
 	versions := follow.NewVersions()
 	newer, _ := versions.Newer(start, adapter, 1)
 	assert.Zero(t, newer, "none is named")
-	learn(versions, start, 2)
-	learn(versions, start.Add(time.Second), 5)
-	learn(versions, start.Add(1500*time.Millisecond), 5)
+	versions.Name(start, start, adapter, 2)
+	versions.Name(start.Add(time.Second), start.Add(time.Second), adapter, 5)
+	versions.Name(start.Add(1500*time.Millisecond), start.Add(1500*time.Millisecond), adapter, 5)
 	now := start.Add(time.Minute)
 	versions.Former(now, adapter, limit)
 	for version, want := range map[int64]struct {
@@ -223,7 +216,7 @@
 func TestTheNamesThatAreComparedAreBounded(t *testing.T) {
 	versions := follow.NewVersions()
 	for version := int64(1); version <= 100; version++ {
-		learn(versions, start.Add(time.Duration(version)*time.Second), version)
+		versions.Name(start.Add(time.Duration(version)*time.Second), start.Add(time.Duration(version)*time.Second), adapter, version)
 	}
 	newer, age := versions.Newer(start.Add(100*time.Second), adapter, 1)
 	assert.EqualValues(t, 85, newer)
@@ -237,11 +230,14 @@
 func TestAVersionOfUnknownAgeLeavesTheFormerOneNoTime(t *testing.T) {
 	const limit = 2 * time.Second
 	versions := follow.NewVersions()
-	versions.Name(time.Time{}, adapter, 2)
+	versions.Name(start, time.Time{}, adapter, 2)
 	oldest, wait := versions.Former(start, adapter, limit)
 	assert.EqualValues(t, 2, oldest)
 	assert.LessOrEqual(t, wait, time.Duration(0))
-	versions.Name(start, adapter, 3)
+	newer, age := versions.Newer(start.Add(time.Minute), adapter, 1)
+	assert.EqualValues(t, 2, newer)
+	assert.Equal(t, time.Minute, age, "it counts for at least as long as it was known")
+	versions.Name(start, start, adapter, 3)
 	oldest, wait = versions.Former(start.Add(400*time.Millisecond), adapter, limit)
 	assert.EqualValues(t, 2, oldest)
 	assert.Equal(t, 600*time.Millisecond, wait, "a later name gives its own former version time")
@@ -252,9 +248,9 @@
 	versions := follow.NewVersions()
 	_, newer := versions.NewerSince(adapter, 1)
 	assert.False(t, newer)
-	versions.Name(start, adapter, 2)
-	versions.Name(start.Add(-time.Second), adapter, 3)
-	versions.Name(start.Add(time.Second), adapter, 4)
+	versions.Name(start, start, adapter, 2)
+	versions.Name(start.Add(-time.Second), start.Add(-time.Second), adapter, 3)
+	versions.Name(start.Add(time.Second), start.Add(time.Second), adapter, 4)
 	for version, since := range map[int64]time.Time{1: start, 2: start, 3: start.Add(time.Second)} {
 		got, newer := versions.NewerSince(adapter, version)
 		assert.True(t, newer)
--- a/services/entry/coordinator/follow/versions.go
+++ b/services/entry/coordinator/follow/versions.go
@@ -16,9 +16,9 @@
 	// named holds the last names of each adapter, the oldest first: the time of versions older than the second is not over, as
 	// of the last look, and at most mostNames are kept.
 	named map[deployment.Adapter][]name
-	// learned holds the last names of each adapter, the oldest first and mostLearned at most, whether their time is over or not:
+	// compared holds the last names of each adapter, the oldest first and mostCompared at most, whether their time is over or not:
 	// what runs is compared with them, and nothing is decided by them.
-	learned map[deployment.Adapter][]learnedName
+	compared map[deployment.Adapter][]name
 }
 
 // name is a version that operators named, and the latest moment at which it surely was not yet acknowledged; zero where none is known.
@@ -27,12 +27,6 @@
 	since   time.Time
 }
 
-// learnedName is a version that operators named, and when this instance learned it.
-type learnedName struct {
-	version int64
-	at      time.Time
-}
-
 const (
 	// reservedParts is in how many parts a limit is cut of which one is kept for what is not known at the choice of an endpoint:
 	// the connection, and a wait that is longer than expected. Fewer keep more, and refuse the former version sooner. Not measured.
@@ -40,23 +34,24 @@
 	// mostNames is how many names of an adapter are kept. More give each version its own time where names follow each other
 	// fast, fewer take less memory. Not measured.
 	mostNames = 8
-	// mostLearned is how many names of an adapter are kept to tell for how long a version has been a former one. More tell it of
+	// mostCompared is how many names of an adapter are kept to tell for how long a version has been a former one. More tell it of
 	// older versions, fewer take less memory. Not measured.
-	mostLearned = 16
+	mostCompared = 16
 )
 
 // NewVersions makes a set in which no version is named.
 func NewVersions() *Versions {
-	return &Versions{named: make(map[deployment.Adapter][]name), learned: make(map[deployment.Adapter][]learnedName)}
+	return &Versions{named: make(map[deployment.Adapter][]name), compared: make(map[deployment.Adapter][]name)}
 }
 
-// Name takes in a version that was named, with the latest moment at which it surely was not yet acknowledged: from there it
+// Name takes in a version that is learned now, with the latest moment at which it surely was not yet acknowledged: from there it
 // counts, however late this instance learns of it. Where none is known, that is zero, its time is over. It tells whether the
 // version is newer: versions only grow.
-func (v *Versions) Name(since time.Time, adapter deployment.Adapter, version int64) bool {
+func (v *Versions) Name(now, since time.Time, adapter deployment.Adapter, version int64) bool {
 	if version <= v.Named(adapter) {
 		return false
 	}
+	v.remember(now, since, adapter, version)
 	names := v.named[adapter]
 	if len(names) > 0 && names[len(names)-1].since.After(since) {
 		// It was acknowledged after the one that it follows.
@@ -71,21 +66,24 @@
 	return true
 }
 
-// Learned notes when this instance learned a version.
-func (v *Versions) Learned(now time.Time, adapter deployment.Adapter, version int64) {
-	names := append(v.learned[adapter], learnedName{version: version, at: now})
-	if len(names) > mostLearned {
+// remember keeps since when a version counts; where that is not known, when it was learned.
+func (v *Versions) remember(now, since time.Time, adapter deployment.Adapter, version int64) {
+	if since.IsZero() {
+		since = now
+	}
+	names := append(v.compared[adapter], name{version: version, since: since})
+	if len(names) > mostCompared {
 		names = slices.Delete(names, 0, 1)
 	}
-	v.learned[adapter] = names
+	v.compared[adapter] = names
 }
 
-// Newer gives the first version named that is newer than one, and how long ago this instance learned it; 0 if there is none.
-// After more than mostLearned newer names, it is a later one: the age is never too long.
+// Newer gives the first version named that is newer than one, and for how long it has counted, or has been known where that is not
+// known; 0 if there is none. After more than mostCompared newer names, it is a later one: the age is never too long.
 func (v *Versions) Newer(now time.Time, adapter deployment.Adapter, version int64) (newer int64, age time.Duration) {
-	for _, one := range v.learned[adapter] {
+	for _, one := range v.compared[adapter] {
 		if one.version > version {
-			return one.version, now.Sub(one.at)
+			return one.version, now.Sub(one.since)
 		}
 	}
 	return 0, 0
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -57,8 +57,8 @@
 	ObserveRelay func(bytes int)
 	// ObserveLinkClosed is called for each peer's link that is closed since too much waits for the peer.
 	ObserveLinkClosed func()
-	// ObserveFormerVersion is given, for each request that begins on a former version, how long before this instance learned
-	// of the first newer one, and whether that is longer than VersionLimit.
+	// ObserveFormerVersion is given, for each request that begins on a former version, for how long the first newer one has
+	// counted, and whether that is longer than VersionLimit.
 	ObserveFormerVersion func(age time.Duration, overdue bool)
 	// ObserveTakenBack is called for each request that is taken back from its endpoint since it has not begun in time.
 	ObserveTakenBack func()
