--- a/tests/platform/age_test.go
+++ b/tests/platform/age_test.go
@@ -36,7 +36,7 @@
 		s := newSite(t, 2)
 		s.holdFormer()
 		s.store.SilenceOpen()
-		acknowledged := s.nameNewer()
+		acknowledged := s.nameSecondVersion()
 		s.waitFor("both learn the version", func() bool { return s.logged(0, "version named") && s.logged(1, "version named") })
 		t.Logf("both had learned it %s after the acknowledgement", time.Since(acknowledged))
 		time.Sleep(time.Until(acknowledged.Add(formerTime + 100*time.Millisecond)))
@@ -46,7 +46,7 @@
 		s := newSite(t, 2)
 		s.holdFormer()
 		s.store.SetFaults(standin.StoreFaults{Deaf: true})
-		acknowledged := s.nameNewer()
+		acknowledged := s.nameSecondVersion()
 		time.Sleep(time.Second)
 		s.store.DropHistory()
 		s.store.SetFaults(standin.StoreFaults{})
@@ -57,7 +57,7 @@
 	t.Run("at an instance that starts after the name", func(t *testing.T) {
 		s := newSite(t, 2)
 		s.holdFormer()
-		acknowledged := s.nameNewer()
+		acknowledged := s.nameSecondVersion()
 		s.waitFor("both learn the version", func() bool { return s.logged(0, "version named") && s.logged(1, "version named") })
 		time.Sleep(time.Until(acknowledged.Add(versionLimit)))
 		s.kill(0)
@@ -76,7 +76,7 @@
 	s := newSite(t, 2)
 	s.holdFormer()
 	time.Sleep(quietTime)
-	acknowledged := s.nameNewer()
+	acknowledged := s.nameSecondVersion()
 	s.waitFor("both learn the version", func() bool { return s.logged(0, "version named") && s.logged(1, "version named") })
 	for time.Since(acknowledged) < formerTime-countedAge {
 		for entry := range s.entries {
@@ -96,12 +96,6 @@
 	}
 }
 
-// nameNewer names the next version and gives when the store acknowledged it.
-func (s *site) nameNewer() time.Time {
-	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
-	return time.Now()
-}
-
 // assertFormerIsOver asks each entry for the adapter: no request may run on the former version any more.
 func (s *site) assertFormerIsOver(acknowledged time.Time) {
 	s.t.Helper()
--- a/tests/platform/former_test.go
+++ b/tests/platform/former_test.go
@@ -66,7 +66,7 @@
 	for _, worker := range s.models {
 		worker.SetLoadTime(time.Minute)
 	}
-	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
+	s.nameSecondVersion()
 	s.waitFor("the version is named", func() bool { return s.logged(0, "version named") })
 	learned := time.Now()
 	got := s.do(call{path: "/chat/x", adapter: "a1"})
@@ -116,7 +116,7 @@
 	for _, worker := range s.models {
 		worker.Name("a1", 2)
 	}
-	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
+	s.nameSecondVersion()
 	s.waitFor("the version is named", func() bool { return s.logged(0, "version named") })
 	s.waitFor("the adapter is served", func() bool { return s.serves(0, "a1") })
 	got := s.do(call{path: "/chat/x", adapter: "a1"})
--- a/tests/platform/queue_test.go
+++ b/tests/platform/queue_test.go
@@ -19,7 +19,7 @@
 // versionLimit is how long a request may begin on the former version, as the stand-in's settings say.
 const versionLimit = 5 * time.Second
 
-// TestAQueuedRequestBeginsOnNoFormerVersionAfterItsTime plays one request of lpis-ledge, day trouble-3: it was sent to an
+// TestAQueuedRequestBeginsOnNoFormerVersionAfterItsTime plays a request that was sent to an
 // endpoint while the former version was allowed, and began there after its time, since it waited in the endpoint's own queue.
 func TestAQueuedRequestBeginsOnNoFormerVersionAfterItsTime(t *testing.T) {
 	s := newSite(t, 1)
@@ -33,7 +33,7 @@
 	ask := func() { callers.Go(func() { s.do(call{path: "/chat/x", adapter: "a1"}) }) }
 	ask()
 	// The new version comes too late for both requests; the store's answer is its acknowledgement.
-	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
+	s.nameSecondVersion()
 	acknowledged := time.Now()
 	s.waitFor("the version is named", func() bool { return s.logged(0, "version named") })
 	time.Sleep(time.Until(acknowledged.Add(2200 * time.Millisecond)))
@@ -139,7 +139,7 @@
 	for _, worker := range s.models {
 		worker.SetLoadTime(time.Minute)
 	}
-	s.store.Put("op/version/base.a1", map[string]any{"model": standin.Model, "adapter": "a1", "version": 2})
+	s.nameSecondVersion()
 	s.waitFor("the version is named", func() bool { return s.logged(0, "version named") })
 	for range 10 {
 		assert.Equal(t, http.StatusOK, s.do(call{path: "/chat/x", adapter: "a1"}).Status)
