Run the real programs under a drawn plan of faults, in a first form

Change: tools/soak starts shelfledge-entry, a store and endpoints as processes of their own, plays callers that keep their connections and disturbs all of them by a plan drawn from a seed; checks judge the record of callers and endpoints.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Packages that start goroutines, for the race detector.
 RACES    := ./services/entry/coordinator/... ./modules/entry/... ./routers/entry/... ./services/daemon/control/... ./modules/daemon/...
 
-.PHONY: all build demo test unit race lint fmt programs deadcode replay traces fuzz bench capacity clean
+.PHONY: all build demo test unit race lint fmt programs deadcode replay traces fuzz soak bench capacity clean
 
 all: build
 
@@ -58,6 +58,12 @@
 fuzz: ## Stateful fuzzing of the joint action of nodes: SECONDS, SEED, STEPS.
 	SHELFLEDGE_FUZZ_SECONDS=$(SECONDS) SHELFLEDGE_FUZZ_SEED=$(SEED) SHELFLEDGE_FUZZ_STEPS=$(STEPS) $(GO) test -count=1 -v -timeout 0 -run 'TestFleetKeepsItsPromises' ./tests/fuzz
 
+INSTANCES ?= 6
+CALLERS   ?= 300
+
+soak: build ## Real processes under a drawn plan of faults, every answer checked: SECONDS, SEED, INSTANCES, CALLERS.
+	$(BIN)/soak --bin $(BIN) --seconds $(SECONDS) --seed $(SEED) --instances $(INSTANCES) --callers $(CALLERS)
+
 bench: ## What the daemon adds, and the figures of docs/.
 	$(GO) test -run XXX -bench 'FirstToken|InForce' -benchtime 100x ./tests/integration
 	$(GO) test -run XXX -bench 'Streams|Catalog|Takeover|Leaving|Killed|KVCalls' -benchtime 1x -timeout 20m ./tests/integration
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -23,9 +23,44 @@
 	Model    string
 	Capacity int
 	LoadTime time.Duration
-	// Events and Pause are the length and pace of a stream.
+	// Events and Pause are the length and pace of a stream, unless its query names others.
 	Events int
 	Pause  time.Duration
+	// Journal gets each begin and end of a run, if set; it must not call the worker.
+	Journal func(RunEvent)
+}
+
+// Registry takes a worker's own entry.
+type Registry struct {
+	Put    func(key string, value any)
+	Remove func(key string)
+}
+
+// RunPhase is what a RunEvent tells of a run.
+type RunPhase string
+
+// The phases of a run.
+const (
+	// RunBegan: the worker began to work on the request.
+	RunBegan RunPhase = "began"
+	// RunWhole: the worker has written its whole answer.
+	RunWhole RunPhase = "whole"
+	// RunCanceled: whoever sent the request closed the connection before.
+	RunCanceled RunPhase = "canceled"
+	// RunBroke: the worker itself broke the answer off, hung or answered with an error.
+	RunBroke RunPhase = "broke"
+)
+
+// RunEvent is the begin or the end of a run.
+type RunEvent struct {
+	At    time.Time `json:"at"`
+	Phase RunPhase  `json:"phase"`
+	// Endpoint is the worker; ID, Adapter, Version and Resumed are the run's.
+	Endpoint string `json:"endpoint"`
+	ID       string `json:"id"`
+	Adapter  string `json:"adapter,omitempty"`
+	Version  int    `json:"version,omitempty"`
+	Resumed  string `json:"resumed,omitempty"`
 }
 
 // WorkerFaults are the troubles of a worker; the zero value is a sound one.
@@ -71,7 +106,7 @@
 // Worker is one endpoint that keeps its own entry in the store.
 type Worker struct {
 	options  WorkerOptions
-	store    *Store
+	registry Registry
 	server   *httptest.Server
 	mutex    sync.Mutex
 	faults   WorkerFaults
@@ -92,10 +127,15 @@
 	stop      chan struct{}
 }
 
-// NewWorker starts a worker and writes its entry.
+// NewWorker starts a worker and writes its entry into a store of the same process.
 func NewWorker(store *Store, options WorkerOptions) *Worker {
+	return NewRegisteredWorker(Registry{Put: func(key string, value any) { store.Put(key, value) }, Remove: store.Remove}, options)
+}
+
+// NewRegisteredWorker starts a worker and writes its entry.
+func NewRegisteredWorker(registry Registry, options WorkerOptions) *Worker {
 	w := &Worker{
-		options: options, store: store, adapters: make(map[string]int), pending: make(map[string]time.Time),
+		options: options, registry: registry, adapters: make(map[string]int), pending: make(map[string]time.Time),
 		versions: make(map[string]int), inUse: make(map[string]int), state: "ready", stop: make(chan struct{}),
 	}
 	w.server = httptest.NewServer(w)
@@ -153,7 +193,7 @@
 		"slots": w.options.Slots, "state": w.state, "sequence": 0, "models": w.models(),
 	}
 	w.mutex.Unlock()
-	w.store.Put("servers/"+w.options.ID, entry)
+	w.registry.Put("servers/"+w.options.ID, entry)
 }
 
 // Drain says that the worker leaves.
@@ -169,7 +209,7 @@
 	w.mutex.Lock()
 	w.state = "gone"
 	w.mutex.Unlock()
-	w.store.Remove("servers/" + w.options.ID)
+	w.registry.Remove("servers/" + w.options.ID)
 }
 
 // SetFaults replaces the troubles.
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -80,13 +80,29 @@
 	w.runs = append(w.runs, run)
 	w.inUse[adapter]++
 	w.mutex.Unlock()
+	w.note(run, RunBegan)
+	phase := RunBroke
 	defer func() {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		w.inUse[adapter]--
 		run.Canceled = request.Context().Err() != nil
+		if run.Canceled && phase == RunWhole {
+			phase = RunCanceled
+		}
+		w.note(run, phase)
 	}()
-	w.answer(writer, request, trouble, run, body)
+	phase = w.answer(writer, request, trouble, run, body)
+}
+
+// note writes a phase of a run to the journal, if there is one.
+func (w *Worker) note(run *Run, phase RunPhase) {
+	if w.options.Journal == nil {
+		return
+	}
+	w.options.Journal(RunEvent{
+		At: time.Now(), Phase: phase, Endpoint: w.options.ID, ID: run.ID, Adapter: run.Adapter, Version: run.Version, Resumed: run.Resumed,
+	})
 }
 
 // queue waits until a request begins; false if its caller left before.
@@ -122,11 +138,12 @@
 	w.queued--
 }
 
-func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, trouble fault, run *Run, body []byte) {
+// answer answers a request that runs, and tells how the run ended; a panic breaks it off.
+func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, trouble fault, run *Run, body []byte) RunPhase {
 	switch trouble {
 	case faultHang:
 		<-request.Context().Done()
-		return
+		return RunBroke
 	case faultReset:
 		panic(http.ErrAbortHandler)
 	}
@@ -139,17 +156,35 @@
 	}
 	if trouble == faultError {
 		writer.WriteHeader(http.StatusInternalServerError)
-		return
+		return RunBroke
 	}
 	if extra {
 		w.answerTwice(writer, run)
-		return
+		return RunWhole
 	}
 	if w.options.Model != "" {
 		w.stream(writer, request, run)
-		return
+		return RunWhole
+	}
+	if work := queryMilliseconds(request, "work_ms", 0); work > 0 {
+		time.Sleep(work)
 	}
 	_, _ = fmt.Fprintf(writer, "%s answers %s %s %s %q", w.options.ID, run.ID, request.Method, request.RequestURI, body)
+	return RunWhole
+}
+
+// queryNumber gives a number that the request's query names, or the usual one.
+func queryNumber(request *http.Request, name string, usual int) int {
+	number, err := strconv.Atoi(request.URL.Query().Get(name))
+	if err != nil {
+		return usual
+	}
+	return number
+}
+
+// queryMilliseconds gives a time that the request's query names, or the usual one.
+func queryMilliseconds(request *http.Request, name string, usual time.Duration) time.Duration {
+	return time.Duration(queryNumber(request, name, int(usual.Milliseconds()))) * time.Millisecond
 }
 
 // answerTwice sends a whole answer and the same once more on the same connection.
@@ -179,7 +214,8 @@
 	}
 	w.mutex.Unlock()
 	writer.Header().Set("Content-Type", "text/event-stream")
-	for id := first; id <= w.options.Events; id++ {
+	events, pause := queryNumber(request, "events", w.options.Events), queryMilliseconds(request, "pause_ms", w.options.Pause)
+	for id := first; id <= events; id++ {
 		if breakAfter > 0 && id > breakAfter {
 			_, _ = fmt.Fprintf(writer, "id: %d\ndata: half", id)
 			_ = http.NewResponseController(writer).Flush()
@@ -190,7 +226,7 @@
 		select {
 		case <-request.Context().Done():
 			return
-		case <-time.After(w.options.Pause):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/tools/demo/entries.go
+++ b/tools/demo/entries.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/tests/platformstandin"
+	"github.com/shelfledge/shelfledge/tools/processes"
 )
 
 const (
@@ -167,7 +168,7 @@
 			last = e.send(p, "/new/", "")
 			return last.outcome == answered
 		}
-		if !poll(inForceLimit, inForce) {
+		if !processes.Poll(inForceLimit, inForce) {
 			return fmt.Errorf("the new route is not in force at %s: %s", p.name, last.detail)
 		}
 	}
--- a/tools/demo/process.go
+++ b/tools/demo/fleet.go
@@ -6,70 +6,44 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/shelfledge/shelfledge/tools/processes"
 )
 
+// readyLimit and stopLimit bound the start and the planned stop of a process; both are far beyond what was seen.
 const (
-	// readyLimit and stopLimit bound the start and the planned stop of a process; both are far beyond what was seen.
 	readyLimit = 30 * time.Second
 	stopLimit  = 40 * time.Second
-	pollPause  = 50 * time.Millisecond
 )
 
 // process is one daemon or entry.
 type process struct {
+	*processes.Process
+
 	name string
 	// callers is the HOST:PORT of its callers, ready the URL that tells whether it is ready.
 	callers string
 	ready   string
-	command *exec.Cmd
-	exited  chan struct{}
 	leaving atomic.Bool
 }
 
 // start runs a program with a settings file, and with its output in a log file beside it.
 func (p *process) start(program, folder string, settings []byte, arguments ...string) error {
-	file := filepath.Join(folder, p.name+".json")
-	if err := os.WriteFile(file, settings, 0o600); err != nil {
-		return err
-	}
-	log, err := os.Create(filepath.Join(folder, p.name+".log"))
+	started, err := processes.Start(processes.Command{Name: p.name, Program: program, Folder: folder, Settings: settings, Arguments: arguments})
 	if err != nil {
 		return err
 	}
-	p.command = exec.Command(program, append([]string{"--settings", file}, arguments...)...)
-	p.command.Stdout, p.command.Stderr = log, log
-	if err := p.command.Start(); err != nil {
-		return fmt.Errorf("%s: %w", p.name, err)
-	}
-	p.exited = make(chan struct{})
-	go func() {
-		_ = p.command.Wait()
-		_ = log.Close()
-		close(p.exited)
-	}()
+	p.Process = started
 	return nil
 }
 
 // stop asks the process to stop by plan; new requests are kept away from it, as the balancer does.
 func (p *process) stop() error {
 	p.leaving.Store(true)
-	return p.command.Process.Signal(syscall.SIGTERM)
-}
-
-// poll asks again until a condition holds, at most for a time.
-func poll(limit time.Duration, condition func() bool) bool {
-	for end := time.Now().Add(limit); !condition(); time.Sleep(pollPause) {
-		if time.Now().After(end) {
-			return false
-		}
-	}
-	return true
+	return p.Signal(syscall.SIGTERM)
 }
 
 // fleet is the processes of one part.
@@ -90,15 +64,7 @@
 
 func (f *fleet) waitReady() error {
 	for _, p := range f.processes {
-		ready := func() bool {
-			response, err := http.Get(p.ready)
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		}
-		if !poll(readyLimit, ready) {
+		if !processes.Poll(readyLimit, func() bool { return processes.Answers(http.DefaultClient, p.ready) }) {
 			return fmt.Errorf("%s does not become ready", p.name)
 		}
 	}
@@ -108,14 +74,10 @@
 // close stops the processes by plan, and kills those that do not end in time.
 func (f *fleet) close() {
 	for _, p := range f.processes {
+		// A process that has ended needs no signal.
 		_ = p.stop()
 	}
-	late := time.After(stopLimit)
 	for _, p := range f.processes {
-		select {
-		case <-p.exited:
-		case <-late:
-			_ = p.command.Process.Kill()
-		}
+		p.End(stopLimit)
 	}
 }
--- /dev/null
+++ b/tools/soak/main.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"github.com/shelfledge/shelfledge/tools/soak/outside"
+)
+
+// Exit codes of the program, beside 0.
+const (
+	exitFailed = 1
+	exitBroken = 3
+)
+
+// arguments are those of a soak.
+type arguments struct {
+	Bin       string  `help:"Folder with the built programs." default:"bin" type:"path"`
+	Seconds   int     `help:"How long callers send." default:"60"`
+	Seed      uint64  `help:"Seed of the plan and of all callers." default:"1"`
+	Instances int     `help:"How many instances." default:"6"`
+	Endpoints int     `help:"How many endpoints." default:"9"`
+	Callers   int     `help:"How many callers, each with a connection that it keeps." default:"300"`
+	Blind     float64 `help:"Share of callers that do not look whether their connection was closed." default:"0.1"`
+	Long      float64 `help:"Share of callers that rest for seconds." default:"0.4"`
+	Edge      float64 `help:"Share of callers that come back at the idle limit." default:"0.2"`
+	Odd       float64 `help:"Share of requests in pieces, malformed, or left by their callers." default:"0.1"`
+	Only      string  `help:"Kinds of step that may be drawn, separated by commas; empty for all, none for no step."`
+	Folder    string  `help:"Where folders of runs go." default:"" type:"path"`
+	Keep      bool    `help:"Keep the folder of a run that broke nothing."`
+	Debug     bool    `help:"Log each step."`
+}
+
+// command is the whole command line: the soak itself, and the roles in which it starts itself.
+type command struct {
+	Run      arguments               `cmd:"" default:"withargs" help:"Run a soak."`
+	Store    outside.StoreOptions    `cmd:"" hidden:"" help:"Be the platform's store."`
+	Endpoint outside.EndpointOptions `cmd:"" hidden:"" help:"Be an endpoint."`
+	Spin     spinOptions             `cmd:"" hidden:"" help:"Keep a processor busy."`
+}
+
+// spinOptions are the settings of a process that keeps a processor busy.
+type spinOptions struct {
+	For time.Duration `help:"How long." default:"5s"`
+}
+
+func main() {
+	var c command
+	context := kong.Parse(&c, kong.Name("soak"), kong.Description("Disturbs real processes by a plan and checks that no promise is broken."))
+	// A library of the stand-ins would print the soak's own use of the machine.
+	logx.DisableStat()
+	os.Exit(exitCode(dispatch(context.Command(), c)))
+}
+
+func dispatch(name string, c command) error {
+	switch name {
+	case "store":
+		return outside.RunStore(c.Store)
+	case "endpoint":
+		return outside.RunEndpoint(c.Endpoint)
+	case "spin":
+		spin(c.Spin.For)
+		return nil
+	default:
+		return runSoak(c.Run)
+	}
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "soak:", err)
+	if _, broken := err.(*brokenError); broken {
+		return exitBroken
+	}
+	return exitFailed
+}
+
+// spin keeps one processor busy.
+func spin(span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		continue
+	}
+}
