Tell why callers' connections end, and on how many unanswered requests

Cause: the log calls a request whose connection this instance closed "caller left", so that the hypotheses of the incident cannot be told apart. Change: modules/entry/callerconn keeps each connection's account (requests read, requests with a whole answer, who ended it why); metrics connections_ended_total and requests_unanswered_total by reason, a line where this instance closed a connection on a request, and the caller's address in lines without an answer. No logic is changed.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -65,6 +65,10 @@
 	starts   *prometheus.HistogramVec
 	former   prometheus.Histogram
 	overdue  prometheus.Counter
+	// ended counts callers' connections, and unanswered the requests on them that ended without a whole answer, by the reason for
+	// which the connection ended.
+	ended      *prometheus.CounterVec
+	unanswered *prometheus.CounterVec
 }
 
 // buckets are the upper bounds of the histograms, in seconds. More tell durations apart more finely, fewer take less memory for
@@ -113,9 +117,12 @@
 			Help: "How long a newer version had been known when a request began on a former one.",
 		}),
 		overdue: plain("former_version_overdue_total", "Requests that began on a former version after its time."),
+		ended:   counter("connections_ended_total", "Callers' connections that ended, by reason.", "reason"),
+		unanswered: counter("requests_unanswered_total",
+			"Requests that were read and ended without a whole answer, by the reason for which their connection ended.", "reason"),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.taken, m.waited, m.first, m.whole, m.starts,
-		m.former, m.overdue, &gaugeCollector{read: gauges})
+		m.former, m.overdue, m.ended, m.unanswered, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -172,6 +179,12 @@
 	}
 }
 
+// ObserveConnection counts a caller's connection that ended, and the requests on it that ended without a whole answer.
+func (m *Metrics) ObserveConnection(reason string, unanswered int) {
+	m.ended.WithLabelValues(reason).Inc()
+	m.unanswered.WithLabelValues(reason).Add(float64(unanswered))
+}
+
 // ObserveTakenBack counts one request that was taken back from its endpoint.
 func (m *Metrics) ObserveTakenBack() {
 	m.taken.Inc()
--- a/routers/entry/gateway/server.go
+++ b/routers/entry/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/callerconn"
 )
 
 // Options are the settings of a Server.
@@ -30,8 +31,11 @@
 	IsReady func() bool
 	// Limits gives the limits in force; nil before a configuration is known.
 	Limits func() *deployment.Limits
-	Now    func() time.Time
-	Log    *logrus.Entry
+	// ObserveConnection gets the reason for which a caller's connection ended, and how many requests that were read from it ended
+	// without a whole answer.
+	ObserveConnection func(reason string, unanswered int)
+	Now               func() time.Time
+	Log               *logrus.Entry
 }
 
 const (
@@ -62,25 +66,53 @@
 	s := &Server{options: options, idle: newIdleCloser(options.Limits)}
 	s.callers = &http.Server{
 		Handler: s.counted(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
-		IdleTimeout: -1, ConnState: s.idle.stateChanged, DisableGeneralOptionsHandler: true,
+		IdleTimeout: -1, ConnState: s.stateChanged, ConnContext: callerconn.Context, DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
 
-// counted counts requests in flight, so that a stop can wait for them.
+// counted counts requests in flight, so that a stop can wait for them, and on each connection those that were read and those that got
+// their whole answer.
 func (s *Server) counted(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
+		conn := callerconn.From(request.Context())
+		conn.BeginRequest()
 		handler.ServeHTTP(writer, request)
+		if request.Context().Err() == nil {
+			conn.EndRequest()
+		}
 	})
 }
 
+// stateChanged is a hook of net/http. Connections of the callers' listener are all of one type.
+func (s *Server) stateChanged(conn net.Conn, state http.ConnState) {
+	s.idle.stateChanged(conn, state)
+	if one, ok := conn.(*callerconn.Conn); ok && state == http.StateClosed {
+		one.Ended()
+	}
+}
+
+// connectionEnded counts why a caller's connection ended. One that this instance ended on a request that it had read has a line.
+func (s *Server) connectionEnded(report callerconn.Report) {
+	s.options.ObserveConnection(string(report.Reason), report.Unanswered)
+	if report.Unanswered == 0 || (report.Reason != callerconn.IdleLimit && report.Reason != callerconn.Stopping) {
+		return
+	}
+	s.options.Log.WithFields(logrus.Fields{
+		"reason": report.Reason, "caller": report.Caller.String(), "requests": report.Requests, "unanswered": report.Unanswered,
+	}).Error("a connection was closed on a request")
+}
+
 // Start listens on all addresses.
 func (s *Server) Start() error {
-	if err := s.listen(s.callers, s.options.Callers); err != nil {
+	callers, err := net.Listen("tcp4", s.options.Callers.String())
+	if err != nil {
 		return err
 	}
+	// A listener of the network tcp4 is one.
+	go s.serve(s.callers, callerconn.NewListener(callers.(*net.TCPListener), s.connectionEnded))
 	ready := &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	if err := s.listen(ready, s.options.Ready); err != nil {
 		return err
@@ -99,14 +131,16 @@
 	if err != nil {
 		return err
 	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			s.options.Log.WithError(err).WithField("address", address.String()).Error("listener ended")
-		}
-	}()
+	go s.serve(server, listener)
 	return nil
 }
 
+func (s *Server) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.options.Log.WithError(err).WithField("address", listener.Addr().String()).Error("listener ended")
+	}
+}
+
 func (s *Server) answerReady(writer http.ResponseWriter, _ *http.Request) {
 	if s.Leaving() || !s.options.IsReady() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
@@ -200,6 +234,9 @@
 	delete(c.timers, conn)
 	c.mutex.Unlock()
 	if idle {
+		if one, ok := conn.(*callerconn.Conn); ok {
+			one.EndAs(callerconn.IdleLimit)
+		}
 		// The connection is given up: an error of closing changes nothing.
 		_ = conn.Close()
 	}
--- a/routers/entry/gateway/server_test.go
+++ b/routers/entry/gateway/server_test.go
@@ -41,7 +41,7 @@
 	return gateway.Options{
 		Callers: freeAddress(), Ready: freeAddress(), Handler: http.NotFoundHandler(),
 		IsReady: func() bool { return true }, Limits: func() *deployment.Limits { return nil },
-		Now: time.Now, Log: logrus.NewEntry(logger),
+		Now: time.Now, Log: logrus.NewEntry(logger), ObserveConnection: func(string, int) {},
 	}
 }
 
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -230,7 +230,7 @@
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
 		MetricsHandler: metrics.Handler(),
-		IsReady:        control.Ready, Now: time.Now, Log: log,
+		IsReady:        control.Ready, Now: time.Now, Log: log, ObserveConnection: metrics.ObserveConnection,
 		Limits: func() *deployment.Limits {
 			if configuration := control.Configuration(); configuration != nil {
 				return &configuration.Limits
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -52,8 +52,9 @@
 	Route   string
 	Service string
 	Adapter string
-	// Status is 0 where the connection was closed without an answer.
+	// Status is 0 where the connection was closed without an answer; Caller is the other end's address then, empty otherwise.
 	Status int
+	Caller string
 	// Reason says why there was no success; empty for a success.
 	Reason   string
 	Attempts []AttemptRecord
@@ -197,6 +198,9 @@
 		ID: r.request.ID, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
 		Status: r.answer.status, Reason: string(r.reason), Attempts: r.records, Whole: s.options.Now().Sub(r.request.Arrived),
 	}
+	if r.answer.status == 0 {
+		observation.Caller = r.incoming.RemoteAddr
+	}
 	if !r.answer.headAt.IsZero() {
 		observation.First = r.answer.headAt.Sub(r.request.Arrived)
 	}
@@ -221,10 +225,14 @@
 	if !s.options.Log.Logger.IsLevelEnabled(level) {
 		return
 	}
-	s.options.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request": shortened(o.ID), "route": o.Route, "service": o.Service, "adapter": shortened(o.Adapter), "status": o.Status, "reason": o.Reason,
 		"attempts": o.Attempts, "first_ms": o.First.Milliseconds(), "whole_ms": o.Whole.Milliseconds(),
-	}).Log(level, "request")
+	}
+	if o.Caller != "" {
+		fields["caller"] = o.Caller
+	}
+	s.options.Log.WithFields(fields).Log(level, "request")
 }
 
 // headerBytes is the size of a request's head as it was sent, but for spaces that were dropped.
--- a/tests/capacity/entry_connection_test.go
+++ b/tests/capacity/entry_connection_test.go
@@ -102,6 +102,7 @@
 	server := gateway.New(gateway.Options{
 		Callers: front.callers, Ready: netip.MustParseAddrPort("127.0.0.1:0"), Handler: newEntryProxy(endpoint.Addr().String()),
 		IsReady: func() bool { return true }, Limits: func() *deployment.Limits { return nil }, Now: time.Now, Log: quietLog(),
+		ObserveConnection: func(string, int) {},
 	})
 	must(server.Start())
 	b.Cleanup(func() {
