--- /dev/null
+++ b/tests/process/instance_test.go
@@ -0,0 +1,186 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package process_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
+	"github.com/shelfledge/shelfledge/tools/processes"
+)
+
+const (
+	// patience bounds waits that end soon unless something is wrong.
+	patience = 30 * time.Second
+	// grace is that of the stand-in's settings.
+	grace = 8 * time.Second
+)
+
+var (
+	buildOnce  sync.Once
+	built      string
+	buildError error
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if built != "" {
+		_ = os.RemoveAll(filepath.Dir(built))
+	}
+	os.Exit(code)
+}
+
+// program builds the program once.
+func program(t *testing.T) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		var folder string
+		if folder, buildError = os.MkdirTemp("", "shelfledge-entry"); buildError != nil {
+			return
+		}
+		built = filepath.Join(folder, "shelfledge-entry")
+		if output, err := exec.Command("go", "build", "-o", built, "../../cmd/shelfledge-entry").CombinedOutput(); err != nil {
+			buildError = fmt.Errorf("%w: %s", err, output)
+		}
+	})
+	require.NoError(t, buildError)
+	return built
+}
+
+// instance is one process of the program with a store and a plain and a model endpoint of its own.
+type instance struct {
+	t       *testing.T
+	store   *standin.Store
+	plain   *standin.Worker
+	model   *standin.Worker
+	process *processes.Process
+	address string
+	ready   string
+	folder  string
+	ports   standin.Ports
+	ip      string
+}
+
+// places numbers the instances of this process: each has an IP of its own.
+var places atomic.Int64
+
+func newInstance(t *testing.T, idle time.Duration) *instance {
+	t.Helper()
+	i := &instance{t: t, store: standin.NewStore(), folder: t.TempDir(), ip: fmt.Sprintf("127.66.%d.%d", os.Getpid()&0xff, places.Add(1))}
+	t.Cleanup(i.store.Close)
+	configuration := standin.WithPatientRoute(standin.Configuration(1, nil))
+	configuration["limits"].(map[string]any)["idle_timeout_ms"] = idle.Milliseconds()
+	i.store.Put(standin.ConfigurationKey, configuration)
+	i.plain = standin.NewWorker(i.store, standin.WorkerOptions{ID: "i-plain", Service: standin.PlainService, Zone: "h1", Slots: 200})
+	i.model = standin.NewWorker(i.store, standin.WorkerOptions{
+		ID: "i-model", Service: standin.ModelService, Zone: "h1", Slots: 64, Model: standin.Model, Capacity: 8,
+		LoadTime: 20 * time.Millisecond, Events: 4, Pause: time.Millisecond,
+	})
+	t.Cleanup(i.plain.Close)
+	t.Cleanup(i.model.Close)
+	var err error
+	i.ports, err = standin.FreePorts([]string{i.ip})
+	require.NoError(t, err)
+	i.address, i.ready = fmt.Sprintf("%s:%d", i.ip, i.ports.Callers), fmt.Sprintf("http://%s:%d/-/readyz", i.ip, i.ports.Ready)
+	return i
+}
+
+func (i *instance) settings() []byte {
+	settings, err := json.Marshal(standin.Settings("instance", "h1", i.ip, i.ports, nil, i.store.Address()))
+	require.NoError(i.t, err)
+	return settings
+}
+
+// startInstance starts an instance and waits until it is ready.
+func startInstance(t *testing.T, idle time.Duration) *instance {
+	t.Helper()
+	i := newInstance(t, idle)
+	i.start(processes.Command{Name: "instance", Program: program(t), Folder: i.folder, Settings: i.settings()})
+	i.waitReady()
+	return i
+}
+
+func (i *instance) start(command processes.Command) {
+	i.t.Helper()
+	var err error
+	i.process, err = processes.Start(command)
+	require.NoError(i.t, err)
+	i.t.Cleanup(func() {
+		i.process.End(grace)
+		if i.t.Failed() {
+			log, _ := os.ReadFile(filepath.Join(i.folder, "instance.log"))
+			i.t.Logf("%s", log[max(0, len(log)-4000):])
+		}
+	})
+}
+
+func (i *instance) waitReady() {
+	i.t.Helper()
+	require.True(i.t, processes.Poll(patience, func() bool { return processes.Answers(http.DefaultClient, i.ready) }), "it becomes ready")
+}
+
+// caller is a raw connection to an instance.
+type caller struct {
+	net.Conn
+
+	reader *bufio.Reader
+}
+
+func (i *instance) dial() *caller {
+	i.t.Helper()
+	conn, err := net.DialTimeout("tcp4", i.address, patience)
+	require.NoError(i.t, err)
+	i.t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(i.t, conn.SetDeadline(time.Now().Add(patience)))
+	return &caller{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// head gives the head of a request without a body.
+func head(path, id string, extra ...string) string {
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", path, standin.Host, standin.HeaderRequestID, id)
+	for _, line := range extra {
+		text += line + "\r\n"
+	}
+	return text + "\r\n"
+}
+
+const (
+	noBody = "Content-Length: 0"
+	unsafe = standin.UnsafePrefix + "x"
+)
+
+// answer reads an answer; its status is 0 if the connection ended without a whole one.
+func (c *caller) answer() int {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// ask sends a request and reads the answer.
+func (c *caller) ask(text string) int {
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0
+	}
+	return c.answer()
+}
