End callers' connections only where they are read, and serve what was read

Cause: whether a connection is idle was decided beside it, by a timer and by http.Server.Shutdown, from heads that had been parsed and not from bytes that had come. So the idle limit and a stop closed connections on requests: what was read and passed on ran and got no answer, and a process that had stood still closed nearly all that had come meanwhile. Change: modules/callerconn bounds rests by the deadline of the read itself, looks once more before a rest ends, follows a raised limit, and ends rests in a stop the same way; a request whose first byte was read is served. The end of the grace answers what it cuts off. Bodies are read until the request's deadline (408) and unreadable ones answered (400). Signals are taken first of all, each kind in a place of its own. The daemon's servers dropped requests in a shutdown by the same cause and use the same package; their test failed before. Ruled out: the idle time-out of net/http alone, which a changed configuration cannot move and whose deadline passes over what came while the process stood still; Shutdown, which drops heads that were read.

--- a/cmd/shelfledge-entry/main.go
+++ b/cmd/shelfledge-entry/main.go
@@ -32,12 +32,14 @@
 }
 
 func main() {
+	// First of all: a signal that comes before it is taken ends the process, SIGHUP too.
+	signals := process.TakeSignals()
 	var args arguments
 	kong.Parse(&args, kong.Name("shelfledge-entry"), kong.Description("Serves callers and plans adapters on one machine of the users' platform."))
-	os.Exit(run(args))
+	os.Exit(run(args, signals))
 }
 
-func run(args arguments) int {
+func run(args arguments, signals process.Signals) int {
 	if args.Version {
 		fmt.Println(version.String())
 		return 0
@@ -60,7 +62,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
 	}
-	if err := process.Run(settings.Process(level, args.MetricsPort)); err != nil {
+	if err := process.Run(settings.Process(level, args.MetricsPort), signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/modules/daemon/httpserver/server.go
+++ b/modules/daemon/httpserver/server.go
@@ -6,14 +6,18 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/shelfledge/shelfledge/modules/callerconn"
 )
 
 // Options are what a server works with.
@@ -49,8 +53,11 @@
 
 // Server serves one listener.
 type Server struct {
-	http     *http.Server
+	http *http.Server
+	// callers is the listener under a TLS layer, listener the outermost one.
+	callers  *callerconn.Listener
 	listener net.Listener
+	leaving  atomic.Bool
 }
 
 // New builds a server; Serve makes it work.
@@ -72,24 +79,50 @@
 	if err != nil {
 		return nil, ErrNotBuilt{Name: o.Name, Reason: err.Error()}
 	}
-	listener := o.Listener
+	tcp, ok := o.Listener.(*net.TCPListener)
+	if !ok {
+		return nil, ErrNotBuilt{Name: o.Name, Reason: "its listener is not one for TCP"}
+	}
+	s := &Server{callers: callerconn.NewListener(tcp, callerconn.Options{
+		IdleLimit: func() time.Duration { return idleTimeout },
+		// The daemon keeps no figures of connections.
+		Ended: func(callerconn.Report) {}, Now: time.Now,
+	})}
+	s.listener = s.callers
 	if o.TLS != nil {
-		listener = tls.NewListener(listener, o.TLS)
+		s.listener = tls.NewListener(s.listener, o.TLS)
 	}
-	server := &http.Server{
-		Handler: http.HandlerFunc(serverless.Serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	s.http = &http.Server{
+		Handler: s.lastAnswers(serverless.Serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		// Package callerconn bounds rests.
+		IdleTimeout: -1, ConnState: s.callers.StateChanged, ConnContext: callerconn.Context,
 	}
-	return &Server{http: server, listener: listener}, nil
+	return s, nil
+}
+
+// lastAnswers has answers say, while the server is shut down, that they are the last ones of their connections.
+func (s *Server) lastAnswers(serve http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if s.leaving.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		serve(writer, request)
+	})
 }
 
 // Serve works until Shutdown or Close; it always gives an error, http.ErrServerClosed after those.
 func (s *Server) Serve() error {
-	return s.http.Serve(s.listener)
+	err := s.http.Serve(s.listener)
+	if s.leaving.Load() {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
-// Shutdown takes no new connections and waits for the open requests until ctx ends.
+// Shutdown takes no new connections and waits for the open requests until ctx ends. A request whose first byte was read is served.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
+	s.leaving.Store(true)
+	return errors.Join(s.callers.Leave(), s.callers.Wait(ctx))
 }
 
 // Close breaks off all connections.
--- a/modules/daemon/httpserver/server_test.go
+++ b/modules/daemon/httpserver/server_test.go
@@ -147,6 +147,46 @@
 	require.NoError(t, <-down)
 }
 
+// TestAShutdownServesARequestWhoseHeadIsOnItsWay is about requests that were read while a shutdown closed what rests, and were dropped
+// without an answer.
+func TestAShutdownServesARequestWhoseHeadIsOnItsWay(t *testing.T) {
+	const head = "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"
+	r := serve(t, httpserver.Options{Routes: route(text("here"))})
+	ask := func(conn net.Conn, reader *bufio.Reader, text string) *http.Response {
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp
+	}
+	for _, kept := range []bool{true, false} {
+		conn, err := net.Dial("tcp", r.address)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		require.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+		reader := bufio.NewReader(conn)
+		if kept {
+			require.False(t, ask(conn, reader, head).Close)
+		}
+		_, err = io.WriteString(conn, head[:10])
+		require.NoError(t, err)
+		defer func() {
+			resp := ask(conn, reader, head[10:])
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.True(t, resp.Close, "the answer says that it is the last one")
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	down := make(chan error, 1)
+	go func() { down <- r.Shutdown(context.Background()) }()
+	require.ErrorIs(t, <-r.ended, http.ErrServerClosed)
+	time.Sleep(100 * time.Millisecond)
+	require.Empty(t, down)
+}
+
 func TestAShutdownEndsItsWaitWithItsContextAndCloseBreaksOff(t *testing.T) {
 	r, release, answered := open(t)
 	defer close(release)
--- a/routers/entry/gateway/server.go
+++ b/routers/entry/gateway/server.go
@@ -6,17 +6,18 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/entry/callerconn"
+	"github.com/shelfledge/shelfledge/modules/callerconn"
 )
 
 // Options are the settings of a Server.
@@ -31,6 +32,8 @@
 	IsReady func() bool
 	// Limits gives the limits in force; nil before a configuration is known.
 	Limits func() *deployment.Limits
+	// Ending is the cause with which the contexts of requests end that the end of a stop cuts off.
+	Ending error
 	// ObserveConnection gets the reason for which a caller's connection ended, and how many requests that were read from it ended
 	// without a whole answer.
 	ObserveConnection func(reason string, unanswered int)
@@ -49,24 +52,37 @@
 	// streamRefusalAfter is how long after the begin of a stop streams are still taken. Longer serves callers that the
 	// balancer still sends, shorter cuts off fewer streams at the end of the grace. Not measured.
 	streamRefusalAfter = 2700 * time.Millisecond
+	// idleDefault is how long a caller's connection may rest until a configuration is known, or where it sets no limit. Longer lets
+	// callers use connections again, shorter holds fewer open. Not measured.
+	idleDefault = 60 * time.Second
+	// cutTime is how long the end of a stop waits for requests that it has cut off to be answered. Longer answers more of them,
+	// shorter keeps more of the grace for requests under way. Not measured.
+	cutTime = 150 * time.Millisecond
 )
 
 // Server listens for callers, for the balancer and for metrics.
 type Server struct {
 	options  Options
 	callers  *http.Server
+	listener *callerconn.Listener
 	others   []*http.Server
-	idle     *idleCloser
 	stopping atomic.Int64
 	inFlight atomic.Int64
+	// base is the context of all requests; cutOff ends it.
+	base   context.Context
+	cutOff context.CancelCauseFunc
 }
 
 // New makes a server; Start begins to listen.
 func New(options Options) *Server {
-	s := &Server{options: options, idle: newIdleCloser(options.Limits)}
+	s := &Server{options: options}
+	s.base, s.cutOff = context.WithCancelCause(context.Background())
 	s.callers = &http.Server{
 		Handler: s.counted(options.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		// Package callerconn bounds rests.
 		IdleTimeout: -1, ConnState: s.stateChanged, ConnContext: callerconn.Context, DisableGeneralOptionsHandler: true,
+		BaseContext: func(net.Listener) context.Context { return s.base },
+		ErrorLog:    log.New(errorLog{options.Log}, "", 0),
 	}
 	return s
 }
@@ -86,12 +102,26 @@
 	})
 }
 
-// stateChanged is a hook of net/http. Connections of the callers' listener are all of one type.
+// stateChanged is a hook of net/http.
 func (s *Server) stateChanged(conn net.Conn, state http.ConnState) {
-	s.idle.stateChanged(conn, state)
-	if one, ok := conn.(*callerconn.Conn); ok && state == http.StateClosed {
-		one.Ended()
+	s.listener.StateChanged(conn, state)
+}
+
+// idleLimit is how long a caller's connection may rest, by the configuration in force.
+func (s *Server) idleLimit() time.Duration {
+	if limits := s.options.Limits(); limits != nil && limits.IdleTimeout > 0 {
+		return limits.IdleTimeout
 	}
+	return idleDefault
+}
+
+// errorLog writes what net/http logs by itself into the program's log.
+type errorLog struct{ log *logrus.Entry }
+
+// Write implements io.Writer.
+func (l errorLog) Write(line []byte) (int, error) {
+	l.log.WithField("error", strings.TrimSpace(string(line))).Warn("a caller's connection failed")
+	return len(line), nil
 }
 
 // connectionEnded counts why a caller's connection ended. One that this instance ended on a request that it had read has a line.
@@ -112,7 +142,10 @@
 		return err
 	}
 	// A listener of the network tcp4 is one.
-	go s.serve(s.callers, callerconn.NewListener(callers.(*net.TCPListener), s.connectionEnded))
+	s.listener = callerconn.NewListener(callers.(*net.TCPListener), callerconn.Options{
+		IdleLimit: s.idleLimit, Ended: s.connectionEnded, Now: s.options.Now,
+	})
+	go s.serve(s.callers, s.listener)
 	ready := &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	if err := s.listen(ready, s.options.Ready); err != nil {
 		return err
@@ -136,7 +169,7 @@
 }
 
 func (s *Server) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !s.Leaving() {
 		s.options.Log.WithError(err).WithField("address", listener.Addr().String()).Error("listener ended")
 	}
 }
@@ -163,19 +196,38 @@
 	return s.options.Now().Sub(time.Unix(0, began)) > streamRefusalAfter
 }
 
-// Stop says not ready, goes on serving until the balancer has noticed, then waits for what is
-// under way until the context ends.
+// Stop says not ready, goes on serving until the balancer has noticed, then waits for what is under way until the context ends. What
+// is still under way then gets an answer that says so, where no part of one was passed on.
 func (s *Server) Stop(ctx context.Context) {
 	s.stopping.Store(s.options.Now().UnixNano())
 	select {
 	case <-time.After(noticeTime):
 	case <-ctx.Done():
 	}
-	// Its error says that the context ended first: the process logs how many requests are cut off.
-	_ = s.callers.Shutdown(ctx)
+	if s.listener != nil {
+		s.leave(ctx)
+	}
 	s.closeOthers()
 }
 
+// leave ends the listener for callers and their connections.
+func (s *Server) leave(ctx context.Context) {
+	if err := s.listener.Leave(); err != nil {
+		// The process ends, and its listener with it.
+		s.options.Log.WithError(err).Debug("the listener cannot be closed")
+	}
+	if s.listener.Wait(ctx) == nil {
+		return
+	}
+	s.options.Log.WithField("in_flight", s.InFlight()).Warn("the grace ends: requests are cut off")
+	s.cutOff(s.options.Ending)
+	cut, cancel := context.WithTimeout(context.Background(), cutTime)
+	defer cancel()
+	if err := s.listener.Wait(cut); err != nil {
+		s.options.Log.WithField("in_flight", s.InFlight()).Warn("the process ends on requests")
+	}
+}
+
 // Close ends all listeners and connections at once.
 func (s *Server) Close() {
 	// An error of closing a listener changes nothing: the process ends.
@@ -194,50 +246,3 @@
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
 }
-
-// idleCloser closes callers' connections that are idle for longer than the configuration allows.
-type idleCloser struct {
-	limits func() *deployment.Limits
-	mutex  sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func newIdleCloser(limits func() *deployment.Limits) *idleCloser {
-	return &idleCloser{limits: limits, timers: make(map[net.Conn]*time.Timer)}
-}
-
-// idleDefault is how long a caller's connection may be idle until a configuration is known, or where it sets no limit. Longer
-// lets callers use connections again, shorter holds fewer open. Not measured.
-const idleDefault = 60 * time.Second
-
-func (c *idleCloser) stateChanged(conn net.Conn, state http.ConnState) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if timer, ok := c.timers[conn]; ok {
-		timer.Stop()
-		delete(c.timers, conn)
-	}
-	if state != http.StateIdle {
-		return
-	}
-	limit := idleDefault
-	if limits := c.limits(); limits != nil && limits.IdleTimeout > 0 {
-		limit = limits.IdleTimeout
-	}
-	c.timers[conn] = time.AfterFunc(limit, func() { c.close(conn) })
-}
-
-// close ends a connection that is still idle.
-func (c *idleCloser) close(conn net.Conn) {
-	c.mutex.Lock()
-	_, idle := c.timers[conn]
-	delete(c.timers, conn)
-	c.mutex.Unlock()
-	if idle {
-		if one, ok := conn.(*callerconn.Conn); ok {
-			one.EndAs(callerconn.IdleLimit)
-		}
-		// The connection is given up: an error of closing changes nothing.
-		_ = conn.Close()
-	}
-}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -67,8 +67,6 @@
 	// collectorPercent is by how much the heap may grow until it is collected, in percent. Higher costs less processor time,
 	// lower less memory, which is dearer. Not measured.
 	collectorPercent = 50
-	// pendingSignals is how many signals may wait while one is handled: a hang-up must not displace a stop.
-	pendingSignals = 2
 )
 
 // Process is one entry process.
@@ -157,25 +155,37 @@
 	}
 }
 
+// Signals are those that Run handles. Each kind has a place of its own, so that hang-ups never displace a stop.
+type Signals struct {
+	stop, hangup chan os.Signal
+}
+
+// TakeSignals takes signals from now on. Until then each of them ends the process.
+func TakeSignals() Signals {
+	s := Signals{stop: make(chan os.Signal, 1), hangup: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.hangup, syscall.SIGHUP)
+	return s
+}
+
 // Run serves until a signal ends the process. A hang-up changes nothing: what may change
 // while a process runs comes from the store.
-func Run(options Options) error {
+func Run(options Options, signals Signals) error {
 	debug.SetGCPercent(collectorPercent)
-	signals := make(chan os.Signal, pendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	process := New(options)
 	if err := process.Start(); err != nil {
 		return err
 	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
+	for {
+		select {
+		case received := <-signals.stop:
 			process.log.WithField("signal", received.String()).Info("stopping")
-			break
+			process.Stop()
+			return nil
+		case <-signals.hangup:
+			process.log.Info("hang-up: settings of a running process stay as they are")
 		}
-		process.log.Info("hang-up: settings of a running process stay as they are")
 	}
-	process.Stop()
-	return nil
 }
 
 // newLog gives a logger whose lines never block, and their writer.
@@ -231,6 +241,7 @@
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
 		MetricsHandler: metrics.Handler(),
 		IsReady:        control.Ready, Now: time.Now, Log: log, ObserveConnection: metrics.ObserveConnection,
+		Ending: proxy.ErrProcessEnds,
 		Limits: func() *deployment.Limits {
 			if configuration := control.Configuration(); configuration != nil {
 				return &configuration.Limits
--- a/services/entry/proxy/answer.go
+++ b/services/entry/proxy/answer.go
@@ -46,11 +46,17 @@
 	lingerBytes = 16 << 20
 )
 
+// boundReading bounds the reading of the caller's body; the zero time bounds nothing. A connection that takes no deadline has ended,
+// which its next read tells.
+func (a *answerWriter) boundReading(deadline time.Time) {
+	_ = a.controller.SetReadDeadline(deadline)
+}
+
 // letReadAnswer reads on while a caller may still be sending, so that it gets its answer.
 func (a *answerWriter) letReadAnswer(body io.Reader) {
 	// The connection closes afterwards in any case: where one of these fails, it does so without having been read.
 	_ = a.flush()
-	_ = a.controller.SetReadDeadline(a.now().Add(lingerTime))
+	a.boundReading(a.now().Add(lingerTime))
 	_, _ = io.CopyN(io.Discard, body, lingerBytes)
 }
 
--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -39,6 +39,8 @@
 	// NoEndpointForRetry: the request may have run, and no other endpoint could take it before its wait or its deadline
 	// ended. The text keeps its former word.
 	NoEndpointForRetry Reason = "no endpoint for a repeat"
+	// ProcessEnded: the end of the process cut the request off; it may have run.
+	ProcessEnded Reason = "process ended"
 	// NotSentInTime: the deadline came, or the process stopped, while the request waited for an endpoint.
 	NotSentInTime Reason = "not sent in time"
 )
@@ -89,10 +91,34 @@
 	HeaderTooLarge = Ending{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "header too large"}
 	// BodyTooLarge: the body is larger than the settings allow.
 	BodyTooLarge = Ending{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
+	// BodyTooSlow: the body was not whole at the request's deadline.
+	BodyTooSlow = Ending{Status: http.StatusRequestTimeout, Reason: "body too slow"}
+	// BodyUnreadable: what was sent is no body.
+	BodyUnreadable = Ending{Status: http.StatusBadRequest, Reason: "body cannot be read"}
 	// Stopping: the process ends before it could answer whole.
 	Stopping = Ending{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingPause}
 )
 
+// Unread is why a request's body could not be read, by its error.
+type Unread struct {
+	// TooLarge: it is larger than the settings allow; TimedOut: the deadline came; CallerLeft: the connection ended.
+	TooLarge, TimedOut, CallerLeft bool
+}
+
+// EndUnread decides how a request ends whose body could not be read; no endpoint was asked.
+func EndUnread(u Unread) Ending {
+	switch {
+	case u.TooLarge:
+		return BodyTooLarge
+	case u.TimedOut:
+		return BodyTooSlow
+	case u.CallerLeft:
+		return Ending{Closing: Abort, Reason: CallerLeft}
+	default:
+		return BodyUnreadable
+	}
+}
+
 // End decides how a request ends after its last attempt. A caller that left goes before a head that was passed on, other
 // than in EndWithoutEndpoint.
 func End(now time.Time, last Result, s Situation) Ending {
@@ -101,12 +127,16 @@
 		return Ending{Closing: PassError, Reason: EndpointError}
 	case s.CallerLeft:
 		return Ending{Closing: Abort, Reason: CallerLeft}
+	case s.HeadPassed && s.ProcessEnds:
+		return Ending{Closing: Abort, Reason: ProcessEnded}
 	case s.HeadPassed:
 		return Ending{Closing: Abort, Reason: StreamBrokeOff}
 	case s.BodyTooLarge:
 		return BodyTooLarge
 	case !s.MayHaveRun:
 		return Ending{Status: http.StatusServiceUnavailable, Reason: RefusedByEndpoint, RetryAfter: busyPause}
+	case s.ProcessEnds:
+		return Ending{Status: http.StatusBadGateway, Reason: ProcessEnded}
 	case s.timedOut(now):
 		return Ending{Status: http.StatusGatewayTimeout, Reason: TimedOut}
 	case last == TakenBack:
@@ -120,6 +150,8 @@
 // where the wait ended otherwise. A head that was passed on goes before a caller that left, other than in End.
 func EndWithoutEndpoint(s Situation, refusal *admission.Decision) Ending {
 	switch {
+	case s.HeadPassed && s.ProcessEnds:
+		return Ending{Closing: Abort, Reason: ProcessEnded}
 	case s.HeadPassed:
 		return Ending{Closing: Abort, Reason: StreamNotResumed}
 	case s.CallerLeft:
--- a/services/entry/proxy/attempt/ending_test.go
+++ b/services/entry/proxy/attempt/ending_test.go
@@ -53,6 +53,9 @@
 		"no answer just before the deadline":         {attempt.Uncertain, after(unsafe, mayHaveRun, until(now.Add(1))), refuse(http.StatusBadGateway, attempt.NoAnswer, 0)},
 		"no answer at the deadline":                  {attempt.Uncertain, after(unsafe, mayHaveRun, until(now)), refuse(http.StatusGatewayTimeout, attempt.TimedOut, 0)},
 		"no answer after the deadline":               {attempt.Uncertain, after(unsafe, mayHaveRun, until(now.Add(-1))), refuse(http.StatusGatewayTimeout, attempt.TimedOut, 0)},
+		"no answer, the process ends":                {attempt.Uncertain, after(unsafe, mayHaveRun, contextEnded, processEnds), refuse(http.StatusBadGateway, attempt.ProcessEnded, 0)},
+		"not run, the process ends":                  {attempt.NotRun, after(unsafe, contextEnded, processEnds), refuse(http.StatusServiceUnavailable, attempt.RefusedByEndpoint, pause)},
+		"a stream is cut off by the process's end":   {attempt.BrokenOff, after(stream, mayHaveRun, headPassed, contextEnded, processEnds), abort(attempt.ProcessEnded)},
 		"no answer, the context over":                {attempt.Uncertain, after(unsafe, mayHaveRun, contextEnded), refuse(http.StatusGatewayTimeout, attempt.TimedOut, 0)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -68,16 +71,18 @@
 		refusal   *admission.Decision
 		ending    attempt.Ending
 	}{
-		"a stream that none could go on with":  {after(resumable, mayHaveRun, headPassed, eventPassed), saturated, abort(attempt.StreamNotResumed)},
-		"the same, the caller gone":            {after(resumable, mayHaveRun, headPassed, callerLeft), nil, abort(attempt.StreamNotResumed)},
-		"the caller left":                      {after(unsafe, callerLeft), nil, abort(attempt.CallerLeft)},
-		"the caller left after a refusal":      {after(unsafe, callerLeft), saturated, abort(attempt.CallerLeft)},
-		"a retry that none took":               {after(safe, mayHaveRun), saturated, refuse(http.StatusBadGateway, attempt.NoEndpointForRetry, 0)},
-		"a retry that none took in time":       {after(safe, mayHaveRun, contextEnded), nil, refuse(http.StatusBadGateway, attempt.NoEndpointForRetry, 0)},
-		"refused":                              {after(unsafe, sent(0)), saturated, refuse(http.StatusServiceUnavailable, "endpoints crowded", 1500*time.Millisecond)},
-		"refused after an attempt did not run": {after(unsafe), saturated, refuse(http.StatusServiceUnavailable, "endpoints crowded", 1500*time.Millisecond)},
-		"the deadline came":                    {after(unsafe, sent(0), contextEnded), nil, refuse(http.StatusServiceUnavailable, attempt.NotSentInTime, pause)},
-		"the process stopped":                  {after(unsafe, sent(0)), nil, refuse(http.StatusServiceUnavailable, attempt.NotSentInTime, pause)},
+		"a stream that none could go on with":     {after(resumable, mayHaveRun, headPassed, eventPassed), saturated, abort(attempt.StreamNotResumed)},
+		"the same, the caller gone":               {after(resumable, mayHaveRun, headPassed, callerLeft), nil, abort(attempt.StreamNotResumed)},
+		"the caller left":                         {after(unsafe, callerLeft), nil, abort(attempt.CallerLeft)},
+		"the caller left after a refusal":         {after(unsafe, callerLeft), saturated, abort(attempt.CallerLeft)},
+		"a retry that none took":                  {after(safe, mayHaveRun), saturated, refuse(http.StatusBadGateway, attempt.NoEndpointForRetry, 0)},
+		"a retry that none took in time":          {after(safe, mayHaveRun, contextEnded), nil, refuse(http.StatusBadGateway, attempt.NoEndpointForRetry, 0)},
+		"refused":                                 {after(unsafe, sent(0)), saturated, refuse(http.StatusServiceUnavailable, "endpoints crowded", 1500*time.Millisecond)},
+		"refused after an attempt did not run":    {after(unsafe), saturated, refuse(http.StatusServiceUnavailable, "endpoints crowded", 1500*time.Millisecond)},
+		"the deadline came":                       {after(unsafe, sent(0), contextEnded), nil, refuse(http.StatusServiceUnavailable, attempt.NotSentInTime, pause)},
+		"a stream that waits as the process ends": {after(resumable, mayHaveRun, headPassed, contextEnded, processEnds), nil, abort(attempt.ProcessEnded)},
+		"a wait that the process's end ends":      {after(unsafe, sent(0), contextEnded, processEnds), nil, refuse(http.StatusServiceUnavailable, attempt.NotSentInTime, pause)},
+		"the process stopped":                     {after(unsafe, sent(0)), nil, refuse(http.StatusServiceUnavailable, attempt.NotSentInTime, pause)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, test.ending, attempt.EndWithoutEndpoint(test.situation, test.refusal))
@@ -91,6 +96,10 @@
 		{attempt.Stopping, refuse(http.StatusServiceUnavailable, "stopping", 100*time.Millisecond)},
 		{attempt.NoRoute, refuse(http.StatusNotFound, "no such route", 0)},
 		{attempt.HeaderTooLarge, refuse(http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)},
+		{attempt.EndUnread(attempt.Unread{TooLarge: true}), attempt.BodyTooLarge},
+		{attempt.EndUnread(attempt.Unread{TimedOut: true, CallerLeft: true}), refuse(http.StatusRequestTimeout, "body too slow", 0)},
+		{attempt.EndUnread(attempt.Unread{CallerLeft: true}), abort(attempt.CallerLeft)},
+		{attempt.EndUnread(attempt.Unread{}), refuse(http.StatusBadRequest, "body cannot be read", 0)},
 		{attempt.BodyTooLarge, refuse(http.StatusRequestEntityTooLarge, "body too large", 0)},
 	} {
 		assert.Equal(t, test.expected, test.actual)
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -42,6 +42,8 @@
 func bodyTooLarge(s *attempt.Situation) { s.BodyTooLarge = true }
 func bodyNotHeld(s *attempt.Situation)  { s.BodyHeld = false }
 
+func processEnds(s *attempt.Situation) { s.ProcessEnds = true }
+
 // callerLeft ends the request's context, too.
 func callerLeft(s *attempt.Situation) {
 	s.CallerLeft = true
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -55,6 +55,8 @@
 	TakenBack bool
 	// CallerLeft says that the caller closed its connection; from the request's own context.
 	CallerLeft bool
+	// ProcessEnds says that the end of the process cuts the request off; from the cause of its context's end.
+	ProcessEnds bool
 	// ContextEnded says that the request's own context is over: the caller left or the deadline has passed.
 	ContextEnded bool
 }
--- a/services/entry/proxy/run.go
+++ b/services/entry/proxy/run.go
@@ -89,12 +89,18 @@
 		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sent, Unreached: r.unreached, MayHaveRun: r.mayHaveRun,
 		BodyHeld: r.body.rest == nil, HeadPassed: r.answer.status != 0, EventPassed: r.lastEvent != "",
 		BodyTooLarge: r.body.tooLarge(), TakenBack: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
+		ProcessEnds: r.processEnds(),
 	}
 }
 
 // callerLeft reports whether the caller closed its connection.
 func (r *run) callerLeft() bool {
-	return r.incoming.Context().Err() != nil
+	return r.incoming.Context().Err() != nil && !r.processEnds()
+}
+
+// processEnds reports whether the end of the process cuts the request off.
+func (r *run) processEnds() bool {
+	return errors.Is(context.Cause(r.incoming.Context()), ErrProcessEnds)
 }
 
 // refusal gives the decision of package admission that an error of the coordinator holds, nil for others.
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -20,6 +23,9 @@
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
+// ErrProcessEnds is the cause with which the context of a request ends that the end of the process cuts off.
+var ErrProcessEnds = errors.New("proxy: the process ends")
+
 // Control is the part of the coordinator that requests need, as function fields.
 type Control struct {
 	Configuration func() *deployment.Configuration
@@ -174,15 +180,10 @@
 		request.Adapter = deployment.Adapter{}
 		request.Prompt = 0
 	}
-	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
-	if errors.Is(err, errBodyTooLarge) {
-		s.refuse(answer, incoming, route, arrived, attempt.BodyTooLarge)
-		answer.letReadAnswer(incoming.Body)
-		return
-	}
+	body, err := s.readBody(answer, incoming, configuration, request.Deadline)
 	if err != nil {
-		// The caller left, or its body cannot be read: there is nothing to answer.
-		panic(http.ErrAbortHandler)
+		s.endUnread(answer, incoming, route, arrived, err)
+		return
 	}
 	s.control.CountRequest(request.Service)
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.Deadline)
@@ -193,6 +194,63 @@
 	run.serve()
 }
 
+// readBody reads a request's body, at most until its deadline: a caller that stops sending would hold the request for ever.
+func (s *Service) readBody(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, deadline time.Time) (requestBody, error) {
+	if incoming.Body == nil || incoming.Body == http.NoBody {
+		return requestBody{}, nil
+	}
+	answer.boundReading(deadline)
+	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
+	if err != nil {
+		return requestBody{}, err
+	}
+	if body.rest != nil {
+		answer.boundReading(deadline.Add(restMargin))
+		return body, nil
+	}
+	answer.boundReading(time.Time{})
+	return body, nil
+}
+
+// restMargin is how long after a request's deadline the rest of its large body may still be read: net/http closes the body after the
+// answer, and would wait there for a caller that stopped sending. It must be so long that the answer goes first. Not measured.
+const restMargin = 500 * time.Millisecond
+
+// endUnread ends a request whose body could not be read; it has not run.
+func (s *Service) endUnread(answer *answerWriter, incoming *http.Request, route *deployment.Route, arrived time.Time, failed error) {
+	ending := attempt.EndUnread(attempt.Unread{
+		TooLarge: errors.Is(failed, errBodyTooLarge), TimedOut: errors.Is(failed, os.ErrDeadlineExceeded), CallerLeft: callerEnded(failed),
+	})
+	if ending.Closing == attempt.Abort {
+		s.logUnanswered(incoming, route, arrived, ending)
+		// net/http takes this panic for closing the connection.
+		panic(http.ErrAbortHandler)
+	}
+	if ending == attempt.BodyTooLarge {
+		s.refuse(answer, incoming, route, arrived, ending)
+		answer.letReadAnswer(incoming.Body)
+		return
+	}
+	// What follows on the connection belongs to the body that was not read.
+	answer.writer.Header().Set("Connection", "close")
+	s.refuse(answer, incoming, route, arrived, ending)
+}
+
+// callerEnded reports whether a body could not be read since its caller closed or broke the connection, and not for what it sent.
+func callerEnded(failed error) bool {
+	var network *net.OpError
+	return errors.Is(failed, io.ErrUnexpectedEOF) || errors.As(failed, &network)
+}
+
+// logUnanswered logs a request that is closed before an endpoint is asked.
+func (s *Service) logUnanswered(incoming *http.Request, route *deployment.Route, arrived time.Time, ending attempt.Ending) {
+	caller := s.dialect.ReadRequest(incoming.Header)
+	s.log(Observation{
+		ID: caller.ID, Route: route.Name, Adapter: caller.Adapter.String(), Reason: string(ending.Reason), Caller: incoming.RemoteAddr,
+		Whole: s.options.Now().Sub(arrived),
+	})
+}
+
 func (s *Service) observe(r *run) {
 	observation := Observation{
 		ID: r.request.ID, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
--- a/tests/pinned/entry/run_test.go
+++ b/tests/pinned/entry/run_test.go
@@ -300,6 +300,9 @@
 // label is a label of a sample; its value is left out.
 var label = regexp.MustCompile(`([a-z_]+)="([^"]*)"`)
 
+// endsOfConnections are the metrics whose reasons depend on which connections have ended by the time of the reading.
+var endsOfConnections = regexp.MustCompile(`^shelfledge_(connections_ended|requests_unanswered)_total`)
+
 // metrics gives name, help, type and labels of each metric; the reasons of failures and bounds of buckets with
 // their values.
 func (r *running) metrics() string {
@@ -317,11 +320,12 @@
 		sample := line[:strings.LastIndexByte(line, ' ')]
 		lines = append(lines, label.ReplaceAllStringFunc(sample, func(one string) string {
 			name, _, _ := strings.Cut(one, "=")
-			if name == "le" || name == "reason" {
+			if name == "le" || (name == "reason" && !endsOfConnections.MatchString(sample)) {
 				return one
 			}
 			return name
 		}))
 	}
+	lines = slices.Compact(slices.Sorted(slices.Values(lines)))
 	return response.Header.Get("Content-Type") + "\n" + sortedLines(lines)
 }
