--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -41,6 +41,14 @@
 // while it waits there; a text that follows is written first.
 const queues = "queues"
 
+// pausing is where an endpoint's script pauses for scriptPause; again parts the scripts of an endpoint's connections, of which the last
+// one holds for all further ones.
+const (
+	pausing     = "\x00"
+	again       = "\x01"
+	scriptPause = 100 * time.Millisecond
+)
+
 // refusedAfter is when the site of a test asks refused callers to come back.
 const refusedAfter = 1500 * time.Millisecond
 
@@ -51,6 +59,8 @@
 	// budget is how many retries are granted.
 	budget   int
 	stopping bool
+	// acquires takes the place of the choice of an endpoint; nil for none.
+	acquires func(ctx context.Context, tried []deployment.EndpointID) (coordinator.Assignment, error)
 	// onHead is called with each head of an answer; nil for none.
 	onHead func()
 
@@ -129,7 +139,10 @@
 	}
 }
 
-func (s *site) acquire(_ context.Context, _ *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error) {
+func (s *site) acquire(ctx context.Context, _ *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error) {
+	if s.acquires != nil {
+		return s.acquires(ctx, tried)
+	}
 	for _, endpoint := range s.endpoints {
 		if !slices.Contains(tried, endpoint.ID) {
 			return coordinator.Assignment{Endpoint: endpoint, Recall: s.recalls[endpoint.ID]}, nil
@@ -167,13 +180,14 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	scripts := strings.Split(script, again)
 	go func() {
-		for {
+		for count := 0; ; count++ {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			s.answer(conn, script, recall)
+			s.answer(conn, scripts[min(count, len(scripts)-1)], recall)
 		}
 	}()
 	return listener.Addr().(*net.TCPAddr).AddrPort()
@@ -194,7 +208,12 @@
 		s.hold(conn, begun, recall)
 		return
 	}
-	_, _ = io.WriteString(conn, script)
+	for number, part := range strings.Split(script, pausing) {
+		if number > 0 {
+			time.Sleep(scriptPause)
+		}
+		_, _ = io.WriteString(conn, part)
+	}
 }
 
 // hold keeps a request waiting that is taken back meanwhile, until its connection closes.
