Give a silent stream up only for an endpoint that takes it, and ask its own again

Cause: a stream that can be resumed was given up before the fleet's budget had granted its retry and another endpoint had a place for it, and an endpoint that broke it off was never asked again: streams ended though their endpoint went on. Change: after four pause targets of silence another endpoint is looked for while the stream is still read; its own is given up once there is a place and the retry is granted, and the place goes back where the stream goes on. A stream that broke off waits for the budget for half of its caller's silence time-out, is resumed elsewhere where that is had within 0.1 s, else at its own endpoint, twice at most, which is no further endpoint and takes the place that it had. The wait for an endpoint counts from the silence and not from the request's arrival. Ruled out: sending to the next endpoint before the present one is given up, which would run the stream twice at once.

--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -21,6 +21,8 @@
 	Arrived time.Time
 	// Deadline is the earlier of the caller's own deadline and the route's timeout.
 	Deadline time.Time
+	// Only is the one endpoint that may take the request, as it knows what was made of it so far; empty where any may.
+	Only EndpointID
 }
 
 // UsesModel reports whether the request runs on a base model.
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -80,14 +80,16 @@
 	var best, fallback *directory.EndpointStatus
 	bestCost, fallbackCost := 0.0, 0.0
 	for _, endpoint := range endpoints {
-		if endpoint.State != deployment.Ready || slices.Contains(required.Tried, endpoint.ID) {
+		if endpoint.State != deployment.Ready || !required.admits(endpoint.ID) {
 			continue
 		}
 		verdict = max(verdict, NotResident)
 		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.versionAt(now, endpoint)) {
 			continue
 		}
-		if required.Request.UsesModel() && options.Limit.Reached(endpoint) {
+		// A stream that goes on where it was takes the place that it had: with the bound, requests that waited took it first, and 10 and
+		// 14 streams that broke off ended in two soaks of 40 s whose endpoints break streams off, without it 0 and 0.
+		if required.Request.UsesModel() && required.Request.Only == "" && options.Limit.Reached(endpoint) {
 			verdict = Saturated
 			continue
 		}
@@ -111,6 +113,14 @@
 	return best, Chosen
 }
 
+// admits reports whether the request may be sent to an endpoint, by where it was sent before.
+func (r *Requirement) admits(id deployment.EndpointID) bool {
+	if r.Request.Only != "" {
+		return id == r.Request.Only
+	}
+	return !slices.Contains(r.Tried, id)
+}
+
 // versionAt is the lowest version that may run the request at an endpoint. Where the wait there is not known, or nothing would show in
 // time that it is longer, the request might run after the time of older versions is over: they are not allowed.
 func (r *Requirement) versionAt(now time.Time, endpoint *directory.EndpointStatus) int64 {
--- a/services/entry/balance/choose_test.go
+++ b/services/entry/balance/choose_test.go
@@ -82,6 +82,22 @@
 	assert.Nil(t, endpoint)
 }
 
+// TestAStreamThatGoesOnInPlaceTakesThePlaceThatItHad: neither that its endpoint was tried nor that it is full by now keeps it out, and
+// nothing else takes it.
+func TestAStreamThatGoesOnInPlaceTakesThePlaceThatItHad(t *testing.T) {
+	full := holder("full", "near")
+	full.Slots = 20
+	d := build(full, holder("free", "near"))
+	d.Endpoint("full").Others = 20
+	required := balance.Requirement{Request: &deployment.Request{Adapter: adapter, Only: "full"}, Tried: []deployment.EndpointID{"full"}}
+	endpoint, verdict := choose(d, required)
+	require.Equal(t, balance.Chosen, verdict)
+	assert.Equal(t, deployment.EndpointID("full"), endpoint.ID)
+	required.Request = &deployment.Request{Adapter: adapter, Only: "gone"}
+	_, verdict = choose(d, required)
+	assert.Equal(t, balance.NoEndpoint, verdict)
+}
+
 func TestEjectedEndpointsServeOnlyWhereNothingElseCan(t *testing.T) {
 	d := build(holder("bad", "near"), holder("good", "other"))
 	for range 3 {
--- a/services/entry/proxy/attempt/retry.go
+++ b/services/entry/proxy/attempt/retry.go
@@ -24,6 +24,20 @@
 // endpoints have gone at once, fewer answer sooner. Not measured.
 const maxUnreached = 3
 
+// maxResumesInPlace is how often a stream may go on at the endpoint whose events the caller has. More bear an endpoint that breaks off
+// often, fewer end sooner a stream that breaks off again and again. Not measured.
+const maxResumesInPlace = 2
+
+// ResumesInPlace reports whether a stream may go on at the endpoint whose events the caller has: that is no further endpoint.
+func ResumesInPlace(s Situation) bool {
+	return s.EventPassed && s.Route.Resumable && s.InPlace < maxResumesInPlace
+}
+
+// ResumesElsewhere reports whether a stream may go on at an endpoint that was not sent it.
+func ResumesElsewhere(s Situation) bool {
+	return s.Sent < s.Route.MaxAttempts
+}
+
 // Next decides what follows from the end of an attempt.
 func Next(now time.Time, result Result, s Situation) Step {
 	switch result {
@@ -43,7 +57,10 @@
 
 // mayRetry reports whether another endpoint may be sent the request, the fleet's budget apart.
 func mayRetry(now time.Time, result Result, s Situation) bool {
-	if s.timedOut(now) || s.Sent >= s.Route.MaxAttempts || !s.BodyHeld {
+	if s.timedOut(now) || !s.BodyHeld {
+		return false
+	}
+	if !ResumesElsewhere(s) && !ResumesInPlace(s) {
 		return false
 	}
 	if s.MayHaveRun && !s.Route.Retryable() {
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -42,6 +42,10 @@
 func bodyTooLarge(s *attempt.Situation) { s.BodyTooLarge = true }
 func bodyNotHeld(s *attempt.Situation)  { s.BodyHeld = false }
 
+func inPlace(count int) func(*attempt.Situation) {
+	return func(s *attempt.Situation) { s.InPlace = count }
+}
+
 func processEnds(s *attempt.Situation) { s.ProcessEnds = true }
 
 // callerLeft ends the request's context, too.
@@ -107,7 +111,8 @@
 		"broken off, a stream":                {attempt.BrokenOff, after(stream, mayHaveRun, headPassed, eventPassed), attempt.GiveUp},
 		"broken off, a resumable stream":      {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed), attempt.RetryWithinBudget},
 		"broken off before the first event":   {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed), attempt.GiveUp},
-		"broken off, no attempt left":         {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed, sent(2)), attempt.GiveUp},
+		"broken off, no further endpoint":     {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed, sent(2)), attempt.RetryWithinBudget},
+		"broken off, no attempt left":         {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed, sent(2), inPlace(2)), attempt.GiveUp},
 		"broken off since the caller left":    {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed, callerLeft), attempt.GiveUp},
 		"broken off with the body not held":   {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed, bodyNotHeld), attempt.GiveUp},
 		"broken off, the deadline has passed": {attempt.BrokenOff, after(resumable, mayHaveRun, headPassed, eventPassed, until(now)), attempt.GiveUp},
--- a/services/entry/proxy/attempt/timeout.go
+++ b/services/entry/proxy/attempt/timeout.go
@@ -18,9 +18,15 @@
 	// head of the answer gets one. More parts leave more time for the retry, fewer give up less work that would have been
 	// answered. Not measured.
 	retryTimeParts = 2
-	// resumePauses is after how many of the route's pause targets without an event a stream goes on elsewhere, where it
-	// can. More wait for a slow endpoint, fewer resume streams that would have gone on. Not measured.
+	// resumePauses is after how many of the route's pause targets without an event another endpoint is looked for, where the stream can
+	// go on there. More wait for a slow endpoint, fewer resume streams that would have gone on. Not measured.
 	resumePauses = 4
+	// resumeWaitParts is of how many parts of the caller's silence time-out one is spent on waiting until the fleet's budget grants the
+	// retry of a stream that broke off. More parts give the stream up sooner, fewer leave less time for its next event. Not measured.
+	resumeWaitParts = 2
+	// elsewhereTime is how long other endpoints are asked for a stream that broke off, before its own may take it as well. Longer
+	// spares an endpoint that fails, shorter resumes sooner where it is alone with the adapter. Not measured.
+	elsewhereTime = 100 * time.Millisecond
 )
 
 // Deadline is when a request ends whatever happens: after the shorter of the route's time-out (settings) and the caller's own
@@ -56,10 +62,26 @@
 	return admission.SilenceTimeout(route)
 }
 
-// PauseTimeout is how long a stream may pause between two readings before its endpoint is given up.
-func PauseTimeout(s Situation) time.Duration {
-	if s.Route.Resumable && s.Sent < s.Route.MaxAttempts && s.Route.PauseTarget > 0 {
-		return resumePauses * s.Route.PauseTarget
+// PauseTimeout is how long a stream may pause between two readings before its endpoint is given up: as long as callers listen.
+func PauseTimeout(route *deployment.Route) time.Duration {
+	return admission.SilenceTimeout(route)
+}
+
+// SearchAfter is after how long a pause another endpoint is looked for that goes on with a stream; false where none can. The present
+// endpoint is given up only for one that was found.
+func SearchAfter(s Situation) (after time.Duration, resumes bool) {
+	if !s.Route.Resumable || s.Sent >= s.Route.MaxAttempts || s.Route.PauseTarget <= 0 || !s.BodyHeld {
+		return 0, false
 	}
-	return admission.SilenceTimeout(s.Route)
+	return resumePauses * s.Route.PauseTarget, true
+}
+
+// RetryWait is how long a stream that broke off waits for the fleet's budget.
+func RetryWait(route *deployment.Route) time.Duration {
+	return admission.SilenceTimeout(route) / resumeWaitParts
+}
+
+// ElsewhereTime is how long only other endpoints are asked to go on with a stream that broke off.
+func ElsewhereTime() time.Duration {
+	return elsewhereTime
 }
--- a/services/entry/proxy/attempt/timeout_test.go
+++ b/services/entry/proxy/attempt/timeout_test.go
@@ -60,20 +60,40 @@
 	}
 }
 
-func TestPauseTimeout(t *testing.T) {
+func TestAStreamIsGivenUpOnlyWhenItsCallerDoes(t *testing.T) {
+	for _, route := range []*deployment.Route{stream, resumable} {
+		assert.Equal(t, 3200*time.Millisecond, attempt.PauseTimeout(route))
+		assert.Equal(t, 3200*time.Millisecond, attempt.FirstEventTimeout(route))
+		assert.Equal(t, 1600*time.Millisecond, attempt.RetryWait(route))
+	}
+}
+
+func TestWhenAnotherEndpointIsLookedFor(t *testing.T) {
 	unknownPause := &deployment.Route{Kind: deployment.Streaming, MaxAttempts: 2, Target: 800 * time.Millisecond, Resumable: true}
 	for name, test := range map[string]struct {
 		situation attempt.Situation
-		timeout   time.Duration
+		after     time.Duration
+		resumes   bool
 	}{
-		"a stream":                                {after(stream), 3200 * time.Millisecond},
-		"a resumable stream":                      {after(resumable), time.Second},
-		"a resumable stream, the last attempt":    {after(resumable, sent(2)), 3200 * time.Millisecond},
-		"a resumable stream without pause target": {after(unknownPause), 3200 * time.Millisecond},
+		"a stream":                                  {after(stream), 0, false},
+		"a resumable stream":                        {after(resumable), time.Second, true},
+		"a resumable stream, the last attempt":      {after(resumable, sent(2)), 0, false},
+		"a resumable stream without a pause target": {after(unknownPause), 0, false},
+		"a resumable stream whose body is not held": {after(resumable, bodyNotHeld), 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, test.timeout, attempt.PauseTimeout(test.situation))
+			after, resumes := attempt.SearchAfter(test.situation)
+			assert.Equal(t, test.after, after)
+			assert.Equal(t, test.resumes, resumes)
 		})
 	}
-	assert.Equal(t, 3200*time.Millisecond, attempt.FirstEventTimeout(resumable))
+}
+
+func TestWhichStreamsGoOnInPlace(t *testing.T) {
+	assert.True(t, attempt.ResumesInPlace(after(resumable, eventPassed)))
+	assert.True(t, attempt.ResumesInPlace(after(resumable, eventPassed, inPlace(1))))
+	assert.False(t, attempt.ResumesInPlace(after(resumable, eventPassed, inPlace(2))))
+	assert.False(t, attempt.ResumesInPlace(after(resumable)), "nothing was made that it could go on from")
+	assert.False(t, attempt.ResumesInPlace(after(stream, eventPassed)))
+	assert.Equal(t, 100*time.Millisecond, attempt.ElsewhereTime())
 }
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -11,16 +11,16 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
-	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
 // exchange is one attempt at one endpoint.
 type exchange struct {
-	run        *run
-	assignment coordinator.Assignment
-	answer     *upstream.Answer
-	cancel     context.CancelFunc
+	placement
+
+	run    *run
+	answer *upstream.Answer
+	cancel context.CancelFunc
 	// held is a whole body that was read before anything was passed on.
 	held []byte
 	// status is the endpoint's own; 0 for none.
@@ -43,7 +43,7 @@
 		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held,
 		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
 	})
-	e.run.service.control.Finish(e.run.request, e.assignment, verdict.Outcome, verdict.Missing)
+	e.run.service.control.Finish(e.request, e.assignment, verdict.Outcome, verdict.Missing)
 	return verdict.Result
 }
 
@@ -125,7 +125,7 @@
 	}
 	e.running = true
 	e.ranAfter = e.run.service.options.Now().Sub(e.assignment.Assigned)
-	e.run.service.control.Running(e.run.request, e.assignment)
+	e.run.service.control.Running(e.request, e.assignment)
 	return true
 }
 
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -60,7 +60,7 @@
 	budget   int
 	stopping bool
 	// acquires takes the place of the choice of an endpoint; nil for none.
-	acquires func(ctx context.Context, tried []deployment.EndpointID) (coordinator.Assignment, error)
+	acquires func(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error)
 	// onHead is called with each head of an answer; nil for none.
 	onHead func()
 
@@ -139,12 +139,12 @@
 	}
 }
 
-func (s *site) acquire(ctx context.Context, _ *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error) {
+func (s *site) acquire(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error) {
 	if s.acquires != nil {
-		return s.acquires(ctx, tried)
+		return s.acquires(ctx, request, tried)
 	}
 	for _, endpoint := range s.endpoints {
-		if !slices.Contains(tried, endpoint.ID) {
+		if endpoint.ID == request.Only || (request.Only == "" && !slices.Contains(tried, endpoint.ID)) {
 			return coordinator.Assignment{Endpoint: endpoint, Recall: s.recalls[endpoint.ID]}, nil
 		}
 	}
@@ -366,13 +366,19 @@
 			answered{200, first + second + third, "", true}, "",
 			[]attempt.Result{attempt.BrokenOff, attempt.Finished}, []directory.Outcome{directory.Broken, directory.Succeeded},
 		},
-		"a resumable stream that no other endpoint takes": {
-			"/resumable", []string{events(first)}, 1, answered{200, first, "", false}, "stream not resumed",
-			[]attempt.Result{attempt.BrokenOff}, []directory.Outcome{directory.Broken},
+		"a resumable stream that no endpoint takes, its own included": {
+			"/resumable", []string{events(first) + again + refused}, 3, answered{200, first, "", false}, "stream not resumed",
+			[]attempt.Result{attempt.BrokenOff, attempt.NotRun, attempt.NotRun}, []directory.Outcome{directory.Broken, directory.Refused, directory.Refused},
+		},
+		"a resumable stream that no endpoint has, its own included": {
+			"/resumable", []string{events(first) + again + whole(404, "", "gone"), whole(404, "", "gone")}, 3, answered{200, first, "", false}, "stream broke off",
+			[]attempt.Result{attempt.BrokenOff, attempt.BrokenOff, attempt.BrokenOff, attempt.BrokenOff},
+			[]directory.Outcome{directory.Broken, directory.Errored, directory.Errored, directory.Errored},
 		},
-		"a resumable stream that another endpoint has not": {
-			"/resumable", []string{events(first), whole(404, "", "gone")}, 1, answered{200, first, "", false}, "stream broke off",
-			[]attempt.Result{attempt.BrokenOff, attempt.BrokenOff}, []directory.Outcome{directory.Broken, directory.Errored},
+		"a resumable stream that another endpoint has not, and its own has": {
+			"/resumable", []string{events(first) + again + events(second) + last, whole(404, "", "gone")}, 2, answered{200, first + second, "", true}, "",
+			[]attempt.Result{attempt.BrokenOff, attempt.BrokenOff, attempt.Finished},
+			[]directory.Outcome{directory.Broken, directory.Errored, directory.Succeeded},
 		},
 		"a resumable stream that breaks off before its first event": {
 			"/resumable", []string{events("id: 1\nda"), events(first) + last}, 1, answered{200, first, "", true}, "",
--- a/services/entry/proxy/run.go
+++ b/services/entry/proxy/run.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,9 +31,15 @@
 	tried    []deployment.EndpointID
 	// recall is that of the present attempt.
 	recall *unbegun.Recall
-	// sent is how many endpoints the request was sent to; unreached how many nothing could be sent to.
+	// sent is how many endpoints the request was sent to; unreached how many nothing could be sent to; inPlace how often it was sent
+	// again to the one that served it.
 	sent      int
 	unreached int
+	inPlace   int
+	// served is the endpoint whose events were passed on last; empty for none.
+	served deployment.EndpointID
+	// successor is the place that was found for a stream while it was silent, with its retry granted; nil for none.
+	successor *placement
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// lastEvent is the last whole event passed on.
@@ -43,17 +50,24 @@
 
 // serve tries endpoints until the request has an answer or package attempt gives it up.
 func (r *run) serve() {
+	defer r.dropSuccessor()
 	for {
-		assignment, err := r.service.control.Acquire(r.context, r.request, r.tried)
+		placed, err := r.nextPlace()
 		if err != nil {
 			r.end(attempt.EndWithoutEndpoint(r.situation(), refusal(err)), nil)
 			return
 		}
-		r.sent++
-		r.recall = assignment.Recall
-		exchange := &exchange{run: r, assignment: assignment}
+		id := placed.assignment.Endpoint.ID
+		first := !slices.Contains(r.tried, id)
+		if first {
+			r.sent++
+		} else {
+			r.inPlace++
+		}
+		r.recall = placed.assignment.Recall
+		exchange := &exchange{run: r, placement: placed}
 		result := exchange.do()
-		r.count(result)
+		r.count(result, first)
 		switch attempt.Next(r.service.options.Now(), result, r.situation()) {
 		case attempt.Done:
 			return
@@ -61,23 +75,25 @@
 			r.giveUp(result, exchange)
 			return
 		case attempt.RetryWithinBudget:
-			if !r.service.control.TakeRetry(r.request.Service) {
+			if !r.takeRetry() {
 				r.giveUp(result, exchange)
 				return
 			}
 		case attempt.TryNext:
 		}
 		exchange.discard()
-		r.tried = append(r.tried, assignment.Endpoint.ID)
+		r.tried = append(r.tried, id)
 	}
 }
 
-// count notes what an attempt's result says of the request.
-func (r *run) count(result attempt.Result) {
+// count notes what an attempt's result says of the request; first says that the endpoint was not sent it before.
+func (r *run) count(result attempt.Result, first bool) {
 	if result == attempt.NotSent {
-		r.sent--
 		r.unreached++
 	}
+	if result == attempt.NotSent && first {
+		r.sent--
+	}
 	if !attempt.ProvesNotRun(result) {
 		r.mayHaveRun = true
 	}
@@ -86,7 +102,7 @@
 // situation gives what decisions need to know of the request.
 func (r *run) situation() attempt.Situation {
 	return attempt.Situation{
-		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sent, Unreached: r.unreached, MayHaveRun: r.mayHaveRun,
+		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sent, Unreached: r.unreached, InPlace: r.inPlace, MayHaveRun: r.mayHaveRun,
 		BodyHeld: r.body.rest == nil, HeadPassed: r.answer.status != 0, EventPassed: r.lastEvent != "",
 		BodyTooLarge: r.body.tooLarge(), TakenBack: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
 		ProcessEnds: r.processEnds(),
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -24,9 +24,11 @@
 	defer e.discard()
 	route := e.run.request.Route
 	s := &stream{exchange: e, events: newEventBuffer(route.Resumable), headDue: headDue}
-	pauseTimeout := attempt.PauseTimeout(e.run.situation())
+	pauseTimeout := attempt.PauseTimeout(route)
 	silence := time.AfterFunc(attempt.FirstEventTimeout(route), e.cancel)
 	defer silence.Stop()
+	search := newSuccessorSearch(e)
+	defer func() { e.run.successor = search.end() }()
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := e.answer.Read(buffer)
@@ -38,6 +40,7 @@
 			if !s.passOn(buffer[:n]) {
 				return attempt.NotTaken()
 			}
+			search.heard(e.run.lastEvent != "")
 		}
 		if errors.Is(err, io.EOF) {
 			return s.end()
@@ -74,6 +77,7 @@
 		return false
 	}
 	r.lastEvent = s.events.lastID(r.lastEvent)
+	r.served = s.exchange.assignment.Endpoint.ID
 	return true
 }
 
--- a/services/entry/proxy/takeback_test.go
+++ b/services/entry/proxy/takeback_test.go
@@ -46,8 +46,14 @@
 			[]attempt.Result{attempt.TakenBack}, []directory.Outcome{directory.Neutral},
 		},
 		"a resumable stream that was to go on there": {
-			"/resumable", []string{events(first), queues}, 2, answered{200, first, "", false}, "stream broke off",
-			[]attempt.Result{attempt.BrokenOff, attempt.TakenBack}, []directory.Outcome{directory.Broken, directory.Neutral},
+			"/resumable", []string{events(first) + again + events(second) + last, queues}, 2, answered{200, first + second, "", true}, "",
+			[]attempt.Result{attempt.BrokenOff, attempt.TakenBack, attempt.Finished},
+			[]directory.Outcome{directory.Broken, directory.Neutral, directory.Succeeded},
+		},
+		"a resumable stream that was to go on there, and that its own endpoint refuses": {
+			"/resumable", []string{events(first) + again + whole(503, notRun, "busy"), queues}, 4, answered{200, first, "", false}, "stream broke off",
+			[]attempt.Result{attempt.BrokenOff, attempt.TakenBack, attempt.NotRun, attempt.NotRun},
+			[]directory.Outcome{directory.Broken, directory.Neutral, directory.Refused, directory.Refused},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -366,6 +366,19 @@
 	return findings
 }
 
+// CutStreams counts streams that may be resumed and that ended in their middle though their callers still listened: more is lost than
+// must be where their endpoint lives.
+func CutStreams(r *Record) int {
+	count := 0
+	byRequest := r.runsByRequest()
+	for _, a := range r.Attempts {
+		if a.Kind == Resumable && a.Outcome == Closed && byRequest[a.ID] != nil && !r.struck(a.Instance, a.Began, a.Ended, Kill, Stop) {
+			count++
+		}
+	}
+	return count
+}
+
 // Unrun counts requests that did not run and whose connection closed without an answer.
 type Unrun struct {
 	All, Idle, Stop int
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -104,7 +104,8 @@
 		outcomes[string(a.Outcome)]++
 	}
 	unrun := ledger.Unanswered(r)
-	fmt.Fprintf(&b, " (%s); closed and not run %d, of them at the idle limit %d, beside a stop %d", counts(outcomes), unrun.All, unrun.Idle, unrun.Stop)
+	fmt.Fprintf(&b, " (%s); closed and not run %d, of them at the idle limit %d, beside a stop %d; streams cut that may be resumed %d", counts(outcomes), unrun.All, unrun.Idle, unrun.Stop,
+		ledger.CutStreams(r))
 	kinds := make(map[string]int)
 	for _, step := range steps {
 		kinds[string(step.Kind)]++
