Answer and log a request that a fault of the program stops

Cause: a panic of a handler closed the caller's connection without an answer, and net/http wrote its stack to standard error, where no line of the program's log is looked for: one more way in which a request that was read has no answer. Change: the proxy recovers it, logs error and stack, and answers 500 where no part of an answer was passed on. Result: TestAFaultOfTheProgramIsAnswered; before, the caller saw the end of its connection.

--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -95,6 +95,8 @@
 	BodyTooSlow = Ending{Status: http.StatusRequestTimeout, Reason: "body too slow"}
 	// BodyUnreadable: what was sent is no body.
 	BodyUnreadable = Ending{Status: http.StatusBadRequest, Reason: "body cannot be read"}
+	// ProgramFault: a fault of the program stopped the request; it may have run.
+	ProgramFault = Ending{Status: http.StatusInternalServerError, Reason: "fault of the program"}
 	// Stopping: the process ends before it could answer whole.
 	Stopping = Ending{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingPause}
 )
--- a/services/entry/proxy/attempt/ending_test.go
+++ b/services/entry/proxy/attempt/ending_test.go
@@ -96,6 +96,7 @@
 		{attempt.Stopping, refuse(http.StatusServiceUnavailable, "stopping", 100*time.Millisecond)},
 		{attempt.NoRoute, refuse(http.StatusNotFound, "no such route", 0)},
 		{attempt.HeaderTooLarge, refuse(http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)},
+		{attempt.ProgramFault, refuse(http.StatusInternalServerError, "fault of the program", 0)},
 		{attempt.EndUnread(attempt.Unread{TooLarge: true}), attempt.BodyTooLarge},
 		{attempt.EndUnread(attempt.Unread{TimedOut: true, CallerLeft: true}), refuse(http.StatusRequestTimeout, "body too slow", 0)},
 		{attempt.EndUnread(attempt.Unread{CallerLeft: true}), abort(attempt.CallerLeft)},
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -126,6 +126,18 @@
 	return d
 }
 
+// TestAFaultOfTheProgramIsAnswered: the connection was closed without a word, and without a line in the program's log.
+func TestAFaultOfTheProgramIsAnswered(t *testing.T) {
+	s, server := newSite(t, whole(200, mark, "yes"))
+	s.acquires = func(context.Context, *deployment.Request, []deployment.EndpointID) (coordinator.Assignment, error) {
+		panic("a fault")
+	}
+	assert.Equal(t, answered{500, "fault of the program\n", "", true}, ask(t, server, "/safe", "question"))
+	assert.Zero(t, (<-s.observed).Status)
+	s.acquires = nil
+	assert.Equal(t, answered{200, "yes", "", true}, ask(t, server, "/safe", "question"))
+}
+
 // dialect has a header for each thing that endpoints say.
 func dialect() proxy.Dialect {
 	return proxy.Dialect{
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -135,6 +137,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	answer := &answerWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now}
+	defer s.endFault(answer)
 	configuration := s.control.Configuration()
 	if configuration == nil {
 		s.refuse(answer, incoming, nil, arrived, attempt.NoConfiguration)
@@ -156,6 +159,22 @@
 	s.serveRoute(answer, incoming, configuration, route, arrived)
 }
 
+// endFault ends a request that a fault of the program stopped: its caller gets an answer where it has no part of one, and the log tells.
+func (s *Service) endFault(answer *answerWriter) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(fault)
+	}
+	s.options.Log.WithFields(logrus.Fields{"error": fmt.Sprint(fault), "stack": string(debug.Stack())}).Error("a request failed by a fault of the program")
+	if answer.status != 0 {
+		panic(http.ErrAbortHandler)
+	}
+	answer.refuse(attempt.ProgramFault)
+}
+
 // refuse answers and logs a request for which no endpoint is asked; it is not counted. The route is nil where none is known.
 func (s *Service) refuse(answer *answerWriter, incoming *http.Request, route *deployment.Route, arrived time.Time, ending attempt.Ending) {
 	answer.refuse(ending)
