Look in the soak for callers' connections left open, and tell memory and descriptors

Cause: nothing of the soak showed that what an instance holds comes back to where it began. Change: once the last caller has left, each instance must have closed its callers' connections; the line of a run has the most memory and descriptors of an instance.

--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -26,13 +26,14 @@
 	CheckExit        = "an instance ended by itself"
 	CheckGrace       = "an instance did not end within its grace"
 	CheckBudget      = "more retries than the budget"
+	CheckLeak        = "a caller's connection was left open"
 )
 
 // All are the checks of a record, by name.
 var All = map[string]func(*Record) []Finding{
 	CheckLost: checkLost, CheckUnexplained: checkUnexplained, CheckNotRun: checkNotRun, CheckOnce: checkOnce, CheckWhole: checkWhole,
 	CheckHeld: checkHeld, CheckDenied: checkDenied, CheckDeparted: checkDeparted, CheckVersion: checkVersion, CheckPlaces: checkPlaces,
-	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget,
+	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget, CheckLeak: checkLeak,
 }
 
 // Judge runs all checks; their order does not matter, that of the findings is by check.
@@ -388,6 +389,17 @@
 	return count
 }
 
+// checkLeak finds instances that hold connections whose callers have closed them.
+func checkLeak(r *Record) []Finding {
+	var findings []Finding
+	for _, u := range r.Usages {
+		if u.CallerSockets > 0 {
+			findings = append(findings, Finding{Check: CheckLeak, Text: fmt.Sprintf("%s holds %d", u.Instance, u.CallerSockets)})
+		}
+	}
+	return findings
+}
+
 // Unrun counts requests that did not run and whose connection closed without an answer.
 type Unrun struct {
 	All, Idle, Stop int
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -143,6 +143,8 @@
 		{"an end after the grace, frozen meanwhile", []change{
 			exit(ledger.Exit{Instance: "a", At: at(9 * second), Asked: true, Took: 9 * second}), disrupted(ledger.Freeze, "a", 6*second, 8*second),
 		}, ""},
+		{"a connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", CallerSockets: 1}} }}, ledger.CheckLeak},
+		{"no connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", Descriptors: 100}} }}, ""},
 		{"retries beyond the budget", []change{func(r *ledger.Record) {
 			r.Attempts[0].Kind = ledger.Safe
 			r.Runs = slices.Repeat(r.Runs, 5)
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -139,12 +139,15 @@
 	Lived time.Duration `json:"lived"`
 }
 
-// Usage is what an instance's process held at one moment.
+// Usage is what an instance's process holds once its callers have left.
 type Usage struct {
-	Instance    string    `json:"instance"`
-	At          time.Time `json:"at"`
-	ResidentKB  int       `json:"resident_kb"`
-	Descriptors int       `json:"descriptors"`
+	Instance string    `json:"instance"`
+	At       time.Time `json:"at"`
+	// PeakKB is the most memory that it has held.
+	PeakKB      int `json:"peak_kb"`
+	Descriptors int `json:"descriptors"`
+	// CallerSockets is how many of its callers' connections it has not closed.
+	CallerSockets int `json:"caller_sockets"`
 }
 
 // Bounds are the times that checks allow, from the settings of the instances.
@@ -165,6 +168,7 @@
 	Namings     []Naming
 	Additions   []Addition
 	Exits       []Exit
+	Usages      []Usage
 	Bounds      Bounds
 	// Overfull is how many orders went beyond an endpoint's places.
 	Overfull int
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -106,6 +106,8 @@
 	unrun := ledger.Unanswered(r)
 	fmt.Fprintf(&b, " (%s); closed and not run %d, of them at the idle limit %d, beside a stop %d; streams cut that may be resumed %d", counts(outcomes), unrun.All, unrun.Idle, unrun.Stop,
 		ledger.CutStreams(r))
+	fmt.Fprintf(&b, "; most memory %d MB, most descriptors after the last caller %d", most(r, func(u ledger.Usage) int { return u.PeakKB })/kbPerMB,
+		most(r, func(u ledger.Usage) int { return u.Descriptors }))
 	kinds := make(map[string]int)
 	for _, step := range steps {
 		kinds[string(step.Kind)]++
@@ -122,6 +124,18 @@
 	return b.String()
 }
 
+// kbPerMB is how many KB are a MB.
+const kbPerMB = 1024
+
+// most gives the largest figure of all instances.
+func most(r *ledger.Record, of func(ledger.Usage) int) int {
+	most := 0
+	for _, u := range r.Usages {
+		most = max(most, of(u))
+	}
+	return most
+}
+
 // counts writes counts in the order of their names.
 func counts(all map[string]int) string {
 	names := make([]string, 0, len(all))
@@ -162,6 +176,7 @@
 func (s *site) keep(r *ledger.Record, steps []plan.Step, findings []ledger.Finding) error {
 	content := map[string]any{
 		"arguments.json": s.args, "plan.json": steps, "findings.json": findings, "disruptions.json": r.Disruptions, "exits.json": r.Exits,
+		"usages.json": r.Usages,
 	}
 	for name, value := range content {
 		encoded, err := json.MarshalIndent(value, "", "  ")
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -109,11 +109,13 @@
 		steps = nil
 	}
 	attempts, lag := site.play(steps)
+	usages := site.usages()
 	site.close()
 	record, err := site.record(attempts, lag)
 	if err != nil {
 		return err
 	}
+	record.Usages = usages
 	if args.Plant != "" {
 		plants[args.Plant](record)
 	}
