Part the proxy's service into its way, its observations and unread bodies

Change: observations and log lines in observation.go, bodies that cannot be read in unread.go; only moved.

--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -7,10 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -54,69 +51,6 @@
 	Observe func(Observation)
 }
 
-// Observation is the end of one request, with what decided it.
-type Observation struct {
-	ID      string
-	Route   string
-	Service string
-	Adapter string
-	// Status is 0 where the connection was closed without an answer; Caller is the other end's address then, empty otherwise.
-	Status int
-	Caller string
-	// Reason says why there was no success; empty for a success.
-	Reason   string
-	Attempts []AttemptRecord
-	// First is the time from the arrival to the head of the answer, 0 for none; Whole that to its end.
-	First time.Duration
-	Whole time.Duration
-}
-
-// Waited is the wait for endpoints, over all attempts.
-func (o Observation) Waited() time.Duration {
-	waited := int64(0)
-	for _, record := range o.Attempts {
-		waited += record.WaitedMS
-	}
-	return time.Duration(waited) * time.Millisecond
-}
-
-// StartRatios gives, for each attempt that ran and had an expected time, by what factor it took longer until then.
-func (o Observation) StartRatios() []float64 {
-	var ratios []float64
-	for _, record := range o.Attempts {
-		if record.StartRatio > 0 {
-			ratios = append(ratios, record.StartRatio)
-		}
-	}
-	return ratios
-}
-
-// AttemptRecord is one exchange with an endpoint.
-type AttemptRecord struct {
-	Endpoint deployment.EndpointID `json:"endpoint"`
-	// WaitedMS and TookMS are the waits for an endpoint and for the end of the exchange.
-	WaitedMS int64 `json:"waited_ms"`
-	TookMS   int64 `json:"took_ms"`
-	// Result is how the exchange ended; Status the endpoint's own, 0 for none.
-	Result attempt.Result `json:"result"`
-	Status int            `json:"status,omitempty"`
-	// StartRatio is how long the endpoint took until the request ran, over what was expected; 0 where there is nothing to tell.
-	// Worked out from whole milliseconds, it would leave out each request that runs in less than one.
-	StartRatio float64 `json:"-"`
-	// ExpectedMS is how long the endpoint was expected to take until the request runs, by the declared prompts; RanAfterMS how
-	// long it took; 0 where there is nothing to tell.
-	ExpectedMS int64 `json:"expected_ms"`
-	RanAfterMS int64 `json:"ran_after_ms"`
-	// VersionDemanded and VersionHeld are the versions of the adapter that the endpoint had to hold, and was taken to hold when it
-	// was chosen; 0 for none. Its answer tells only the base model's.
-	VersionDemanded int64 `json:"version_demanded,omitempty"`
-	VersionHeld     int64 `json:"version_held,omitempty"`
-	// FormerLeftMS is how long a former version was still allowed when an endpoint was chosen that holds none newer,
-	// FormerExpectedMS how long the request was expected to wait in its queue; 0 where the named version was there.
-	FormerLeftMS     int64 `json:"former_left_ms,omitempty"`
-	FormerExpectedMS int64 `json:"former_expected_ms,omitempty"`
-}
-
 // Service serves callers' requests.
 type Service struct {
 	options  Options
@@ -213,105 +147,6 @@
 	run.serve()
 }
 
-// readBody reads a request's body, at most until its deadline: a caller that stops sending would hold the request for ever.
-func (s *Service) readBody(answer *answerWriter, incoming *http.Request, configuration *deployment.Configuration, deadline time.Time) (requestBody, error) {
-	if incoming.Body == nil || incoming.Body == http.NoBody {
-		return requestBody{}, nil
-	}
-	answer.boundReading(deadline)
-	body, err := readBody(incoming, configuration.Limits.MaxBodyBytes)
-	if err != nil {
-		return requestBody{}, err
-	}
-	if body.rest != nil {
-		answer.boundReading(deadline.Add(restMargin))
-		return body, nil
-	}
-	answer.boundReading(time.Time{})
-	return body, nil
-}
-
-// restMargin is how long after a request's deadline the rest of its large body may still be read: net/http closes the body after the
-// answer, and would wait there for a caller that stopped sending. It must be so long that the answer goes first. Not measured.
-const restMargin = 500 * time.Millisecond
-
-// endUnread ends a request whose body could not be read; it has not run.
-func (s *Service) endUnread(answer *answerWriter, incoming *http.Request, route *deployment.Route, arrived time.Time, failed error) {
-	ending := attempt.EndUnread(attempt.Unread{
-		TooLarge: errors.Is(failed, errBodyTooLarge), TimedOut: errors.Is(failed, os.ErrDeadlineExceeded), CallerLeft: callerEnded(failed),
-	})
-	if ending.Closing == attempt.Abort {
-		s.logUnanswered(incoming, route, arrived, ending)
-		// net/http takes this panic for closing the connection.
-		panic(http.ErrAbortHandler)
-	}
-	if ending == attempt.BodyTooLarge {
-		s.refuse(answer, incoming, route, arrived, ending)
-		answer.letReadAnswer(incoming.Body)
-		return
-	}
-	// What follows on the connection belongs to the body that was not read.
-	answer.writer.Header().Set("Connection", "close")
-	s.refuse(answer, incoming, route, arrived, ending)
-}
-
-// callerEnded reports whether a body could not be read since its caller closed or broke the connection, and not for what it sent.
-func callerEnded(failed error) bool {
-	var network *net.OpError
-	return errors.Is(failed, io.ErrUnexpectedEOF) || errors.As(failed, &network)
-}
-
-// logUnanswered logs a request that is closed before an endpoint is asked.
-func (s *Service) logUnanswered(incoming *http.Request, route *deployment.Route, arrived time.Time, ending attempt.Ending) {
-	caller := s.dialect.ReadRequest(incoming.Header)
-	s.log(Observation{
-		ID: caller.ID, Route: route.Name, Adapter: caller.Adapter.String(), Reason: string(ending.Reason), Caller: incoming.RemoteAddr,
-		Whole: s.options.Now().Sub(arrived),
-	})
-}
-
-func (s *Service) observe(r *run) {
-	observation := Observation{
-		ID: r.request.ID, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
-		Status: r.answer.status, Reason: string(r.reason), Attempts: r.records, Whole: s.options.Now().Sub(r.request.Arrived),
-	}
-	if r.answer.status == 0 {
-		observation.Caller = r.incoming.RemoteAddr
-	}
-	if !r.answer.headAt.IsZero() {
-		observation.First = r.answer.headAt.Sub(r.request.Arrived)
-	}
-	s.log(observation)
-	s.options.Observe(observation)
-}
-
-// loggedBytes bounds each text of a caller's in its log line, in bytes: identifiers are far shorter, and the queue of lines
-// holds as many as any caller sends. Longer finds longer identifiers whole, shorter bounds the memory more. Not measured.
-const loggedBytes = 256
-
-// shortened cuts a caller's text for the log.
-func shortened(text string) string {
-	return text[:min(len(text), loggedBytes)]
-}
-
-func (s *Service) log(o Observation) {
-	level := logrus.InfoLevel
-	if o.Reason != "" {
-		level = logrus.WarnLevel
-	}
-	if !s.options.Log.Logger.IsLevelEnabled(level) {
-		return
-	}
-	fields := logrus.Fields{
-		"request": shortened(o.ID), "route": o.Route, "service": o.Service, "adapter": shortened(o.Adapter), "status": o.Status, "reason": o.Reason,
-		"attempts": o.Attempts, "first_ms": o.First.Milliseconds(), "whole_ms": o.Whole.Milliseconds(),
-	}
-	if o.Caller != "" {
-		fields["caller"] = o.Caller
-	}
-	s.options.Log.WithFields(fields).Log(level, "request")
-}
-
 // headerBytes is the size of a request's head as it was sent, but for spaces that were dropped.
 func headerBytes(incoming *http.Request) int {
 	const separators = len(": \r\n")
