Name the same service each time an adapter in use is refused retirement

Cause: services were looked at in the order of a map, so that the same refusal named another service each time. Result: the new test fails on the former code with one service in four, 20 times over.

--- a/models/daemon/catalog/catalog_test.go
+++ b/models/daemon/catalog/catalog_test.go
@@ -157,3 +157,17 @@
 		}
 	})
 }
+
+// TestARefusedRetirementNamesTheSameServiceEachTime: the services were looked at in the order of a map.
+func TestARefusedRetirementNamesTheSameServiceEachTime(t *testing.T) {
+	changes := []catalog.Change{{Kind: catalog.CreateAdapter, Name: "fare", Base: "base", Version: 1}}
+	for _, name := range []string{"d", "b", "a", "c"} {
+		changes = append(changes, catalog.Change{Kind: catalog.SetService, Name: name, Shares: []catalog.Share{{Adapter: "fare", Version: 1, Percent: 100}}})
+	}
+	used, _, err := catalog.New().Apply(1, changes)
+	require.NoError(t, err)
+	for range 20 {
+		_, _, err := used.Apply(2, []catalog.Change{{Kind: catalog.RetireAdapter, Name: "fare"}})
+		require.ErrorContains(t, err, `service "a" uses it`)
+	}
+}
--- a/models/daemon/catalog/change_adapter.go
+++ b/models/daemon/catalog/change_adapter.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 )
 
 // applyAdapter carries out the changes of an adapter and its versions.
@@ -119,9 +121,11 @@
 	return Change{Kind: RestoreVersion, Name: ch.Name, Version: ch.Version}, ""
 }
 
-// serviceUsing finds a service that names the adapter, at the version if it is not zero.
+// serviceUsing finds the first service by name that names the adapter, at the version if it is not zero, so that the same refusal names
+// the same service each time.
 func (c *Catalog) serviceUsing(adapter string, version int) string {
-	for name, s := range c.Services {
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		s := c.Services[name]
 		for _, share := range s.Shares {
 			if share.Adapter == adapter && (version == 0 || share.Version == version) {
 				return name
