--- a/tests/process/unanswered_test.go
+++ b/tests/process/unanswered_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -42,6 +43,7 @@
 		"a hang-up comes before the settings are read":                hangupDuringTheStart,
 		"a body stops coming":                                         bodyThatStops,
 		"a body cannot be read":                                       bodyThatCannotBeRead,
+		"a large body stops coming":                                   largeBodyThatStops,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -203,6 +205,19 @@
 	assert.Empty(t, i.plain.Runs())
 }
 
+// largeBodyThatStops sends more than is held in memory, so that the rest goes to the endpoint as it comes, and then nothing more.
+func largeBodyThatStops(t *testing.T) {
+	const sent = 300 << 10
+	i := startInstance(t, time.Second)
+	c := i.dial()
+	began := time.Now()
+	status := c.ask(head(unsafe, "large", "X-Deadline-Ms: 700", fmt.Sprintf("Content-Length: %d", 2*sent)) + strings.Repeat("x", sent))
+	assert.Contains(t, []int{http.StatusGatewayTimeout, http.StatusBadGateway, http.StatusServiceUnavailable}, status)
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "nothing holds the connection for the rest of the body")
+	assert.Less(t, time.Since(began), grace)
+}
+
 func bodyThatCannotBeRead(t *testing.T) {
 	i := startInstance(t, time.Second)
 	c := i.dial()
