--- a/tests/platformstandin/caller.go
+++ b/tests/platformstandin/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // Call is one request of a caller to an entry. POST is sent if no method is named; Header is laid over the usual one.
@@ -46,10 +47,10 @@
 	}
 	request.Host = Host
 	request.Header.Set(HeaderRequestID, answer.ID)
-	request.Header.Set("X-Deadline-Ms", "5000")
+	request.Header.Set(headerDeadline, usualDeadline)
 	if c.Adapter != "" {
-		request.Header.Set("X-Model", Model+"/"+c.Adapter)
-		request.Header.Set("X-Token-Usage", "100,20")
+		request.Header.Set(headerModel, Model+"/"+c.Adapter)
+		request.Header.Set(headerTokens, usualTokens)
 	}
 	for name, value := range c.Header {
 		request.Header.Set(name, value)
@@ -65,6 +66,43 @@
 	return answer
 }
 
+// Head is the head of a request that a caller writes byte by byte.
+type Head struct {
+	Path, ID, Adapter string
+	// Patience is how long the caller says that it will wait; 0 says nothing.
+	Patience time.Duration
+	// Framing is the header line that tells the body's length or form.
+	Framing string
+}
+
+// String gives the bytes of the head.
+func (h Head) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", h.Path, Host, HeaderRequestID, h.ID)
+	if h.Patience > 0 {
+		fmt.Fprintf(&b, "%s: %d\r\n", headerDeadline, h.Patience.Milliseconds())
+	}
+	if h.Adapter != "" {
+		fmt.Fprintf(&b, "%s: %s/%s\r\n%s: %s\r\n", headerModel, Model, h.Adapter, headerTokens, usualTokens)
+	}
+	b.WriteString(h.Framing + "\r\n\r\n")
+	return b.String()
+}
+
+// Names and usual values of the headers with which callers ask.
+const (
+	headerDeadline = "X-Deadline-Ms"
+	headerModel    = "X-Model"
+	headerTokens   = "X-Token-Usage"
+	usualTokens    = "100,20"
+	usualDeadline  = "5000"
+)
+
+// NamedVersion gives the key and the value by which an operator names a version of an adapter.
+func NamedVersion(adapter string, version int) (key string, value map[string]any) {
+	return "op/version/" + Model + "." + adapter, map[string]any{"model": Model, "adapter": adapter, "version": version}
+}
+
 // Event gives the text of one event of a worker's stream.
 func Event(number int, id, adapter string) string {
 	return fmt.Sprintf("id: %d\ndata: %s.%s.%d\n\n", number, id, adapter, number)
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -128,6 +128,11 @@
 	stop      chan struct{}
 }
 
+// EntryKey is the key of a worker's own entry.
+func EntryKey(id string) string {
+	return "servers/" + id
+}
+
 // NewWorker starts a worker and writes its entry into a store of the same process.
 func NewWorker(store *Store, options WorkerOptions) *Worker {
 	return NewRegisteredWorker(Registry{Put: func(key string, value any) { store.Put(key, value) }, Remove: store.Remove}, options)
@@ -207,7 +212,7 @@
 		"slots": w.options.Slots, "state": w.state, "sequence": 0, "models": w.models(),
 	}
 	w.mutex.Unlock()
-	w.registry.Put("servers/"+w.options.ID, entry)
+	w.registry.Put(EntryKey(w.options.ID), entry)
 }
 
 // Drain says that the worker leaves.
@@ -223,7 +228,7 @@
 	w.mutex.Lock()
 	w.state = "gone"
 	w.mutex.Unlock()
-	w.registry.Remove("servers/" + w.options.ID)
+	w.registry.Remove(EntryKey(w.options.ID))
 }
 
 // SetFaults replaces the troubles.
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -109,7 +109,9 @@
 	if err := e.end(killed); err != nil {
 		return err
 	}
-	time.AfterFunc(silentBeats, func() { e.site.logFailure("removal of an entry", e.site.storeAt.Remove("servers/"+killed.id)) })
+	time.AfterFunc(silentBeats, func() {
+		e.site.logFailure("removal of an entry", e.site.storeAt.Remove(platformstandin.EntryKey(killed.id)))
+	})
 	time.Sleep(replacePause)
 	return e.begin()
 }
--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -133,8 +133,7 @@
 			return err
 		}
 	}
-	key := "op/version/" + platformstandin.Model + "." + adapter
-	if err := o.site.storeAt.Put(key, map[string]any{"model": platformstandin.Model, "adapter": adapter, "version": version}); err != nil {
+	if err := o.site.storeAt.Put(platformstandin.NamedVersion(adapter, version)); err != nil {
 		return err
 	}
 	o.site.notes.name(ledger.Naming{Adapter: adapter, Version: version, Acknowledged: time.Now()})
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -84,18 +84,11 @@
 
 // head gives the bytes of the request's head.
 func (q *request) head() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n", q.path, platformstandin.Host)
-	fmt.Fprintf(&b, "%s: %s\r\nX-Deadline-Ms: %d\r\n", platformstandin.HeaderRequestID, q.id, q.patience.Milliseconds())
-	if q.adapter != "" {
-		fmt.Fprintf(&b, "X-Model: %s/%s\r\nX-Token-Usage: 100,20\r\n", platformstandin.Model, q.adapter)
-	}
+	framing := fmt.Sprintf("Content-Length: %d", len(q.body))
 	if q.chunked {
-		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	} else {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(q.body))
+		framing = "Transfer-Encoding: chunked"
 	}
-	return b.String()
+	return platformstandin.Head{Path: q.path, ID: q.id, Adapter: q.adapter, Patience: q.patience, Framing: framing}.String()
 }
 
 // payload gives the bytes of the body as they are sent.
