Take out of the soak what nothing reaches

Cause: the read-through found two functions that no program calls and two comments with another name. Change: they go; the store's control address stands beside its other methods.

--- a/tools/soak/outside/child.go
+++ b/tools/soak/outside/child.go
@@ -97,7 +97,6 @@
 	mux.HandleFunc("POST /silence-open", take(func(struct{}) { worker.SilenceOpen() }))
 	mux.HandleFunc("POST /reset-open", take(func(struct{}) { worker.ResetOpen() }))
 	mux.HandleFunc("POST /queue-wait", take(worker.SetQueueWait))
-	mux.HandleFunc("POST /load-time", take(worker.SetLoadTime))
 	mux.HandleFunc("POST /name", take(func(v namedVersion) { worker.Name(v.Adapter, v.Version) }))
 	return serve(o.Control, mux)
 }
--- a/tools/soak/outside/handle.go
+++ b/tools/soak/outside/handle.go
@@ -70,6 +70,11 @@
 	return r.Address, err
 }
 
+// Control gives the IP:PORT at which the store's process is steered.
+func (s *StoreHandle) Control() string {
+	return s.control
+}
+
 // Put writes a key as the platform does; it is acknowledged when Put returns.
 func (s *StoreHandle) Put(key string, value any) error {
 	encoded, err := json.Marshal(value)
@@ -149,17 +154,7 @@
 	return e.post("queue-wait", wait)
 }
 
-// SetLoadTime sets how long each coming load takes.
-func (e *EndpointHandle) SetLoadTime(loadTime time.Duration) error {
-	return e.post("load-time", loadTime)
-}
-
 // Name names the version that later loads of an adapter bring.
 func (e *EndpointHandle) Name(adapter string, version int) error {
 	return e.post("name", namedVersion{Adapter: adapter, Version: version})
 }
-
-// Control gives the IP:PORT at which the store's process is steered.
-func (s *StoreHandle) Control() string {
-	return s.control
-}
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -195,7 +195,7 @@
 	s.notes.overfull += count
 }
 
-// runFolder names a file in the run's folder.
+// runFile names a file in the run's folder.
 func (s *site) runFile(name string) string {
 	return filepath.Join(s.folder, name)
 }
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -29,7 +29,7 @@
 	endLimit = 12 * time.Second
 	// halls is in how many halls the site stands.
 	halls = 3
-	// modelShare is of how many endpoints one is a plain service.
+	// plainEvery is of how many endpoints one is a plain service.
 	plainEvery = 3
 )
 
--- a/tools/soak/traffic/caller.go
+++ b/tools/soak/traffic/caller.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -290,8 +289,3 @@
 func (c *Crowd) Wait() {
 	c.running.Wait()
 }
-
-// String tells the habits of a caller.
-func (c *Caller) String() string {
-	return fmt.Sprintf("rest %d, blind %t", c.rest, c.blind)
-}
