--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -37,6 +37,7 @@
 	Only      string  `help:"Kinds of step that may be drawn, separated by commas; empty for all, none for no step."`
 	Cases     string  `help:"Play kept cases in place of a run: all, short, or a case's name."`
 	Plant     string  `help:"Put a fault into the record of the run, which a check must find: ${plants}."`
+	NoCut     bool    `help:"Take a stream that may be resumed and ended in its middle for broken: for plans whose endpoints all live."`
 	Folder    string  `help:"Where folders of runs go." default:"" type:"path"`
 	Keep      bool    `help:"Keep the folder of a run that broke nothing."`
 	Debug     bool    `help:"Log each step."`
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -79,6 +79,9 @@
 // report prints a line, and keeps the folder of a run that broke something.
 func (s *site) report(r *ledger.Record, steps []plan.Step) error {
 	findings := ledger.Judge(r)
+	if cut := ledger.CutStreams(r); s.args.NoCut && cut > 0 {
+		findings = append(findings, ledger.Finding{Check: "a stream that may be resumed was cut", Text: fmt.Sprintf("%d streams", cut)})
+	}
 	fmt.Println(s.line(r, steps, findings))
 	for _, line := range latencies(r) {
 		fmt.Println(line)
