Take an endpoint that starts again for a new one, and no entry that no endpoint wrote

Cause: an endpoint may start again under its name. Its entry tells the start (born), which nothing read: copies, counts of orders, requests in flight and ejections of the former process were taken for the new one's. An entry with missing fields or an unknown state counted as a ready endpoint, and one that could not be read left the former entry of its key in use until the next whole reading.

Change: deployment.Endpoint tells its start; a description of another start begins a new status (services/entry/directory) and a new plan (services/entry/loading), which an endpoint's own report does as well; late answers to orders of the former start change no count; requests of the former start are counted out nowhere else; connections are closed. Views tell the starts in a list of their own, since the codec refuses an array of another length, so that versions side by side read each other. An entry needs all fields that each endpoint writes; one that cannot be read removes its key's endpoint.

--- a/models/entry/deployment/endpoint.go
+++ b/models/entry/deployment/endpoint.go
@@ -6,6 +6,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // EndpointID names one incarnation of an endpoint; a restart gives a new one.
@@ -41,7 +42,10 @@
 
 // Endpoint is one incarnation of a back end as its own entry in the store describes it.
 type Endpoint struct {
-	ID      EndpointID
+	ID EndpointID
+	// Born is when its process started, by its own clock: another start under the same ID is another incarnation, which knows
+	// nothing of the one before. It is zero where it is not known.
+	Born    time.Time
 	Service string
 	Address netip.AddrPort
 	// Hall is the part of the site that it stands in.
@@ -58,6 +62,11 @@
 	Adapters map[Adapter]int64
 }
 
+// IsAnotherStart tells whether a start is surely another one than the endpoint's.
+func (e *Endpoint) IsAnotherStart(born time.Time) bool {
+	return !born.IsZero() && !e.Born.IsZero() && !born.Equal(e.Born)
+}
+
 // HasModel reports whether the endpoint holds a base model.
 func (e *Endpoint) HasModel(model string) bool {
 	return slices.Contains(e.Models, model)
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -57,6 +57,8 @@
 	Former FormerUse
 	// Recall ends the exchange where the request has not begun in time; nil where it is never taken back.
 	Recall *unbegun.Recall
+	// status is what was known of the endpoint when it was chosen; used by the control goroutine only.
+	status *directory.EndpointStatus
 }
 
 // FormerUse is on what ground an endpoint was chosen that holds only a former version; the zero value says that it holds the named
@@ -159,6 +161,7 @@
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
 		Urgency: c.urgency(now, w.Request, status), Held: held, Former: formerUse, Recall: c.trackBegin(w.Request, held),
+		status: status,
 	}
 	if w.Prompt > 0 {
 		assignment.Expected = status.Backlog()
@@ -263,15 +266,24 @@
 // end takes a request out of flight and out of its endpoint's queue.
 func (c *Coordinator) end(now time.Time, assignment Assignment, request *deployment.Request, outcome directory.Outcome) {
 	c.unbegun.Remove(assignment.Recall)
+	if !c.stillKnown(assignment) {
+		return
+	}
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
 }
 
+// stillKnown tells whether the endpoint is the incarnation that was chosen, and has been known since: what another one has in flight
+// and how it behaves are counted by themselves.
+func (c *Coordinator) stillKnown(assignment Assignment) bool {
+	return c.directory.Endpoint(assignment.Endpoint.ID) == assignment.status
+}
+
 // Finish takes a request out of flight; missing tells that the endpoint did not hold the adapter.
 func (c *Coordinator) Finish(request *deployment.Request, assignment Assignment, outcome directory.Outcome, missing bool) {
 	c.loop.Post(func(now time.Time) {
 		c.end(now, assignment, request, outcome)
-		if missing {
+		if missing && c.stillKnown(assignment) {
 			c.directory.NoteMissing(now, assignment.Endpoint.ID, request.Adapter)
 			c.missing = append(c.missing, wire.Copy{ID: assignment.Endpoint.ID, Model: request.Adapter.Model, Name: request.Adapter.Name})
 		}
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -6,11 +6,15 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
 const (
@@ -141,9 +145,9 @@
 		endpoints = append(endpoints, endpoint)
 		revisions = append(revisions, item.Revision)
 	}
-	before := c.endpointIDs()
+	before := maps.Clone(c.directory.Endpoints())
 	c.directory.Replace(endpoints, revisions, revision)
-	c.retireGone(before)
+	c.retireFormer(before)
 	c.endpointsRead(now, sent)
 	if c.planning != nil {
 		c.planning.endpointsRevision = max(c.planning.endpointsRevision, revision)
@@ -170,9 +174,11 @@
 		}
 		endpoint, ok := c.parseEndpoint(event.Item)
 		if !ok {
+			// A whole reading would not name it either.
+			c.removeEndpoint(c.environment.EndpointOf(event.Key), event.Revision)
 			continue
 		}
-		if c.directory.Put(endpoint, event.Revision) {
+		if c.putEndpoint(endpoint, event.Revision) {
 			c.endpointChanged(now, endpoint.ID)
 		}
 	}
@@ -219,21 +225,34 @@
 	}
 }
 
-func (c *Coordinator) endpointIDs() map[deployment.EndpointID]bool {
-	ids := make(map[deployment.EndpointID]bool, c.directory.Size())
-	for id := range c.directory.Endpoints() {
-		ids[id] = true
+// putEndpoint takes in one description and tells whether anything changed.
+func (c *Coordinator) putEndpoint(endpoint deployment.Endpoint, revision int64) bool {
+	former := c.directory.Endpoint(endpoint.ID)
+	changed := c.directory.Put(endpoint, revision)
+	if former != nil {
+		c.retireIfFormer(former)
 	}
-	return ids
+	return changed
 }
 
-// retireGone logs and retires the endpoints that a whole reading no longer names. It is for a directory that was replaced;
-// removeEndpoint does the same for one endpoint.
-func (c *Coordinator) retireGone(before map[deployment.EndpointID]bool) {
-	for id := range before {
-		if c.directory.Endpoint(id) == nil {
-			c.options.Log.WithField("endpoint", id).Info("endpoint gone")
-			c.environment.Retire(id)
-		}
+// retireFormer logs and retires the endpoints of before that are gone or started anew. It is for a directory that was replaced;
+// removeEndpoint and putEndpoint do the same for one endpoint.
+func (c *Coordinator) retireFormer(before map[deployment.EndpointID]*directory.EndpointStatus) {
+	for _, former := range before {
+		c.retireIfFormer(former)
+	}
+}
+
+// retireIfFormer logs and retires an endpoint of which nothing, or another start, is known by now.
+func (c *Coordinator) retireIfFormer(former *directory.EndpointStatus) {
+	present := c.directory.Endpoint(former.ID)
+	switch present {
+	case former:
+		return
+	case nil:
+		c.options.Log.WithField("endpoint", former.ID).Info("endpoint gone")
+	default:
+		c.options.Log.WithFields(logrus.Fields{"endpoint": former.ID, "born": present.Born}).Info("endpoint started anew")
 	}
+	c.environment.Retire(former.ID)
 }
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -193,10 +194,9 @@
 
 func (c *Coordinator) applyViewEndpoints(v *wire.View) {
 	listed := make(map[deployment.EndpointID]bool, len(v.Endpoints))
-	for i := range v.Endpoints {
-		one := &v.Endpoints[i]
-		listed[one.ID] = true
-		c.directory.Put(one.Endpoint(), one.Revision)
+	for i, endpoint := range v.Described() {
+		listed[endpoint.ID] = true
+		c.putEndpoint(endpoint, v.Endpoints[i].Revision)
 	}
 	for _, gone := range v.Removed {
 		c.removeEndpoint(gone.ID, gone.Revision)
@@ -204,7 +204,7 @@
 	if !v.Full {
 		return
 	}
-	for id := range c.endpointIDs() {
+	for id := range maps.Clone(c.directory.Endpoints()) {
 		if !listed[id] {
 			c.removeEndpoint(id, v.EndpointsRevision)
 		}
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"time"
 
@@ -140,9 +141,7 @@
 func (c *Coordinator) seedView(now time.Time) *wire.View {
 	answer := c.plannerView(now)
 	answer.Items, answer.ConfigurationRevision = c.keys.After(0), c.keys.Revision()
-	for _, status := range c.directory.Endpoints() {
-		answer.Endpoints = append(answer.Endpoints, wire.FromStatus(status))
-	}
+	answer.AddEndpoints(maps.Values(c.directory.Endpoints()))
 	return answer
 }
 
--- a/services/entry/coordinator/running.go
+++ b/services/entry/coordinator/running.go
@@ -15,6 +15,9 @@
 func (c *Coordinator) Running(request *deployment.Request, assignment Assignment) {
 	c.loop.Post(func(now time.Time) {
 		c.unbegun.Remove(assignment.Recall)
+		if !c.stillKnown(assignment) {
+			return
+		}
 		c.directory.Running(now, assignment.Endpoint.ID, assignment.Assigned, request)
 		c.compareVersion(now, request, assignment)
 	})
--- a/services/entry/coordinator/running_test.go
+++ b/services/entry/coordinator/running_test.go
@@ -31,6 +31,7 @@
 	const limit = versionLimit
 	s := newSite()
 	s.start(t)
+	chosen := s.sendSoon(t).assignment
 	s.putVersion("a1")
 	s.namedLine(t, "a1")
 	named := time.Now()
@@ -38,7 +39,9 @@
 	other := &deployment.Request{ID: "id-2", Route: route, Service: service, Adapter: adapter("a2")}
 	plain := &deployment.Request{ID: "id-3", Route: route, Service: service, Adapter: deployment.Adapter{Model: "base"}}
 	begin := func(request *deployment.Request, version, held int64) {
-		s.control.Running(request, coordinator.Assignment{Endpoint: deployment.Endpoint{ID: "e1"}, Version: version, Held: held})
+		assignment := chosen
+		assignment.Version, assignment.Held = version, held
+		s.control.Running(request, assignment)
 		s.control.Status()
 	}
 	begin(request, 2, 2)
@@ -85,11 +88,14 @@
 	told.Endpoints[0].Models[0].Adapters[0].Version = 2
 	require.NoError(t, planner.Send(wireMessage{View: told}))
 	s.waitForStatus(t, "knows the copy", func(status coordinator.Status) bool { return status.ResidentCopies == 1 })
+	chosen := s.sendSoon(t).assignment
 	request := &deployment.Request{Route: route, Service: service, Adapter: adapter("a1")}
-	s.control.Running(request, coordinator.Assignment{Endpoint: deployment.Endpoint{ID: "e1"}, Held: 1})
+	chosen.Version, chosen.Held = 0, 1
+	s.control.Running(request, chosen)
 	s.control.Status()
 	assert.Empty(t, s.formerAges)
-	s.control.Running(request, coordinator.Assignment{Endpoint: deployment.Endpoint{ID: "e1"}, Version: 1, Held: 1})
+	chosen.Version = 1
+	s.control.Running(request, chosen)
 	s.control.Status()
 	assert.Len(t, s.formerAges, 1, "it would have refused a request that demands the former one")
 }
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -36,8 +36,8 @@
 	if v.Address.IsValid() && v.Term > c.knownRecord.Term {
 		c.knownRecord.Address, c.knownRecord.Term = v.Address.AddrPort, v.Term
 	}
-	for i := range v.Endpoints {
-		c.directory.Put(v.Endpoints[i].Endpoint(), v.Endpoints[i].Revision)
+	for i, endpoint := range v.Described() {
+		c.putEndpoint(endpoint, v.Endpoints[i].Revision)
 	}
 	c.endpointsKnown = true
 	c.applyItems(now, c.complete.Origin(follow.FromSeed, v.ConfigurationRevision), v.Items)
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -389,6 +389,9 @@
 const emptyEndpoint = "empty"
 
 func parseEndpoint(item store.Item) (deployment.Endpoint, error) {
+	if string(item.Value) == foreignEntry {
+		return deployment.Endpoint{}, errForeignEntry
+	}
 	endpoint := deployment.Endpoint{
 		ID: deployment.EndpointID(strings.TrimPrefix(item.Key, endpointPrefix)), Service: service, Hall: "hall",
 		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Adapters: make(map[deployment.Adapter]int64),
@@ -399,6 +402,11 @@
 	return endpoint, nil
 }
 
+// foreignEntry is an entry that no endpoint wrote.
+const foreignEntry = "foreign"
+
+var errForeignEntry = errors.New("no endpoint's entry")
+
 // parseVersion reads the key of a named version.
 func parseVersion(item store.Item) (deployment.Adapter, int64, bool) {
 	name, ok := strings.CutPrefix(item.Key, versionPrefix)
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -5,6 +5,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -15,6 +17,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
 // broadcast tells all members what changed, if a view is due; with totals it goes out in any case and names all requests in
@@ -56,11 +59,13 @@
 	} else {
 		changes.Forecasts = changed.Begun
 	}
+	known := make([]*directory.EndpointStatus, 0, len(changed.Endpoints))
 	for id := range changed.Endpoints {
 		if status := p.coordinator.directory.Endpoint(id); status != nil {
-			changes.Endpoints = append(changes.Endpoints, wire.FromStatus(status))
+			known = append(known, status)
 		}
 	}
+	changes.AddEndpoints(slices.Values(known))
 	changes.Removed = changed.Removed
 	return changes
 }
@@ -246,9 +251,7 @@
 	v.Heartbeat = true
 	v.Full = p.coordinator.endpointsKnown
 	v.EndpointsRevision = p.endpointsRevision
-	for _, status := range p.coordinator.directory.Endpoints() {
-		v.Endpoints = append(v.Endpoints, wire.FromStatus(status))
-	}
+	v.AddEndpoints(maps.Values(p.coordinator.directory.Endpoints()))
 	return v
 }
 
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"iter"
 	"net/netip"
 	"time"
 
@@ -184,6 +185,8 @@
 	// KeysAge is how long before this view was made the changes in Items, and those that they replaced for this instance, were not yet
 	// acknowledged; 0 where that is not known, and from versions that do not tell it.
 	KeysAge time.Duration `msgpack:"r,omitempty"`
+	// Starts are the starts of the endpoints in Endpoints, as far as they are known. Earlier versions neither tell nor read them.
+	Starts []Start `msgpack:"s,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
@@ -216,6 +219,14 @@
 	Version int64
 }
 
+// Start is when the process of an endpoint started, in milliseconds of Unix time.
+type Start struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+
+	ID   deployment.EndpointID
+	Born int64
+}
+
 // Gone names an endpoint that was removed at a revision of the store.
 type Gone struct {
 	ID       deployment.EndpointID `msgpack:"i"`
@@ -243,6 +254,31 @@
 	return deployment.ServiceAdapter{Service: f.Service, Adapter: deployment.Adapter{Model: f.Model, Name: f.Name}}
 }
 
+// AddEndpoints adds descriptions of endpoints, with their starts.
+func (v *View) AddEndpoints(endpoints iter.Seq[*directory.EndpointStatus]) {
+	for status := range endpoints {
+		v.Endpoints = append(v.Endpoints, FromStatus(status))
+		if !status.Born.IsZero() {
+			v.Starts = append(v.Starts, Start{ID: status.ID, Born: status.Born.UnixMilli()})
+		}
+	}
+}
+
+// Described gives the descriptions of the endpoints that a view names.
+func (v *View) Described() []deployment.Endpoint {
+	born := make(map[deployment.EndpointID]time.Time, len(v.Starts))
+	for _, start := range v.Starts {
+		born[start.ID] = time.UnixMilli(start.Born)
+	}
+	endpoints := make([]deployment.Endpoint, 0, len(v.Endpoints))
+	for i := range v.Endpoints {
+		endpoint := v.Endpoints[i].Endpoint()
+		endpoint.Born = born[endpoint.ID]
+		endpoints = append(endpoints, endpoint)
+	}
+	return endpoints
+}
+
 // FromStatus gives an endpoint as the planner tells it: with the models and adapters that are on offer.
 func FromStatus(status *directory.EndpointStatus) Endpoint {
 	models := make([]Model, 0, len(status.OfferedModels))
--- a/services/entry/coordinator/wire/message_test.go
+++ b/services/entry/coordinator/wire/message_test.go
@@ -67,7 +67,7 @@
 			ID: "e", Revision: 2, Service: "s", Address: address, Hall: "h", Slots: 8, State: deployment.Draining,
 			Models: []wire.Model{{Name: "m", Adapters: []wire.AdapterVersion{{Name: "a", Version: 5}}}},
 		}},
-		Removed: []wire.Gone{{ID: "e", Revision: 1}}, Heartbeat: true, Totals: []wire.EndpointCount{{ID: "e"}},
+		Starts: []wire.Start{{ID: "e", Born: 1796256000123}}, Removed: []wire.Gone{{ID: "e", Revision: 1}}, Heartbeat: true, Totals: []wire.EndpointCount{{ID: "e"}},
 		Forecasts: []wire.Forecast{{Service: "s", Model: "m", Name: "a", Remaining: time.Second}},
 		Backlogs:  map[string]time.Duration{"s": 1}, Members: 1, ConfigurationRevision: 1, Items: []store.Item{{Key: "k"}}, Resigned: true,
 		RecentLoads: new(int), KeysAge: 1,
@@ -75,12 +75,13 @@
 	message := names(t, wire.Message{View: &full})
 	require.Equal(t, []string{"v"}, keys(message))
 	view := message["v"].(map[string]any)
-	assert.ElementsMatch(t, []string{"p", "t", "w", "g", "z", "k", "x", "y", "e", "d", "h", "f", "l", "j", "n", "c", "o", "b", "a", "r"}, keys(view))
+	assert.ElementsMatch(t, []string{"p", "t", "w", "g", "z", "k", "x", "y", "e", "d", "h", "f", "l", "j", "n", "c", "o", "b", "a", "r", "s"}, keys(view))
 	endpoint := view["e"].([]any)[0].([]any)
 	require.Len(t, endpoint, 8)
 	assert.Equal(t, []any{"e", int64(2), "s"}, endpoint[:3])
 	assert.Equal(t, []any{"h", int8(8), int8(1)}, endpoint[4:7])
 	assert.Equal(t, []any{[]any{"m", []any{[]any{"a", int64(5)}}}}, endpoint[7])
+	assert.Equal(t, []any{"e", int64(1796256000123)}, view["s"].([]any)[0])
 	assert.ElementsMatch(t, []string{"i", "r"}, keys(view["d"].([]any)[0].(map[string]any)))
 	assert.ElementsMatch(t, []string{"s", "m", "a", "u"}, keys(view["l"].([]any)[0].(map[string]any)))
 	assert.ElementsMatch(t, []string{"p", "t", "w", "g", "k", "n", "c"}, keys(names(t, wire.View{})), "what is empty is left out")
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -16,9 +16,9 @@
 	byService map[string][]*EndpointStatus
 	// gone remembers removed endpoints for goneRetention, so that an older description does not bring them back.
 	gone map[deployment.EndpointID]removal
-	// draining remembers who was seen draining, as long as it is known or remembered as gone: an incarnation never takes work
-	// again.
-	draining map[deployment.EndpointID]bool
+	// draining remembers who was seen draining, and the start of that incarnation, as long as the endpoint is known or remembered
+	// as gone: an incarnation never takes work again.
+	draining map[deployment.EndpointID]time.Time
 	// halls is how this instance reaches each other hall.
 	halls map[string]*reach
 }
@@ -37,24 +37,29 @@
 		endpoints: make(map[deployment.EndpointID]*EndpointStatus),
 		byService: make(map[string][]*EndpointStatus),
 		gone:      make(map[deployment.EndpointID]removal),
-		draining:  make(map[deployment.EndpointID]bool),
+		draining:  make(map[deployment.EndpointID]time.Time),
 		halls:     make(map[string]*reach),
 	}
 }
 
-// Put takes in a description, unless a newer one or a later removal is known. It reports
-// whether anything changed.
+// Put takes in a description, unless a newer one or a later removal is known. One of another incarnation than the known one
+// begins a new status: what was in flight, held and observed went with the process. It reports whether anything changed.
 func (d *Directory) Put(endpoint deployment.Endpoint, revision int64) bool {
 	if d.gone[endpoint.ID].revision >= revision && revision > 0 {
 		return false
 	}
-	if endpoint.State == deployment.Draining {
-		d.draining[endpoint.ID] = true
+	status, ok := d.endpoints[endpoint.ID]
+	if ok && status.IsAnotherStart(endpoint.Born) {
+		if revision <= status.Revision {
+			return false
+		}
+		d.drop(status)
+		ok = false
 	}
-	if d.draining[endpoint.ID] {
-		endpoint.State = deployment.Draining
+	if ok && endpoint.Born.IsZero() {
+		endpoint.Born = status.Born
 	}
-	status, ok := d.endpoints[endpoint.ID]
+	endpoint.State = d.finalState(&endpoint)
 	if !ok {
 		status = newEndpointStatus(endpoint, revision, d.reachOf(endpoint.Hall))
 		d.endpoints[endpoint.ID] = status
@@ -74,6 +79,18 @@
 	return true
 }
 
+// finalState is the state of a described endpoint: draining is final for an incarnation, whatever is described later.
+func (d *Directory) finalState(endpoint *deployment.Endpoint) deployment.EndpointState {
+	if endpoint.State == deployment.Draining {
+		d.draining[endpoint.ID] = endpoint.Born
+		return deployment.Draining
+	}
+	if drained, ok := d.draining[endpoint.ID]; ok && !endpoint.IsAnotherStart(drained) {
+		return deployment.Draining
+	}
+	return endpoint.State
+}
+
 // Remove forgets an endpoint that was gone at a revision.
 func (d *Directory) Remove(id deployment.EndpointID, revision int64) bool {
 	status, ok := d.endpoints[id]
@@ -84,7 +101,13 @@
 	if !ok {
 		return false
 	}
-	delete(d.endpoints, id)
+	d.drop(status)
+	return true
+}
+
+// drop takes a status out, so that a later description of its endpoint begins another one.
+func (d *Directory) drop(status *EndpointStatus) {
+	delete(d.endpoints, status.ID)
 	list := d.byService[status.Service]
 	for i, other := range list {
 		if other == status {
@@ -95,7 +118,6 @@
 	if len(d.byService[status.Service]) == 0 {
 		delete(d.byService, status.Service)
 	}
-	return true
 }
 
 // Replace takes a whole list as read at a revision: what it lacks is gone.
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -70,6 +70,8 @@
 // endpointPlan is one endpoint.
 type endpointPlan struct {
 	endpoint deployment.Endpoint
+	// formerBorn is the start of the incarnation before this one; zero if none was known.
+	formerBorn time.Time
 	// revision is the store's revision of the description last taken in.
 	revision int64
 	// count is what is known of the orders that it has taken.
--- a/services/entry/loading/order.go
+++ b/services/entry/loading/order.go
@@ -67,6 +67,8 @@
 
 // Report is what an endpoint itself says that it holds.
 type Report struct {
+	// Born is when its process started; zero if it did not say.
+	Born     time.Time
 	Sequence int64
 	// Models are the base models that it holds.
 	Models   []string
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -85,7 +85,10 @@
 // copies. One that is no newer than the last says nothing new of what the endpoint holds: while the
 // store is down, endpoints cannot describe what has been loaded since.
 func (p *Planner) SetEndpoint(now time.Time, endpoint deployment.Endpoint, revision int64, suspect bool) {
-	plan := p.introduce(endpoint)
+	plan := p.introduce(now, endpoint, revision)
+	if plan.isFormer(&endpoint) {
+		return
+	}
 	plan.suspect = suspect
 	endpoint.Models = plan.keepModels(now, endpoint.Models)
 	plan.endpoint = endpoint
@@ -143,15 +146,21 @@
 
 // introduce gives the plan of a described endpoint. One whose entry had lapsed goes on where it was, since an order may be
 // under way to it or may still be carried out; its report is read first.
-func (p *Planner) introduce(endpoint deployment.Endpoint) *endpointPlan {
+func (p *Planner) introduce(now time.Time, endpoint deployment.Endpoint, revision int64) *endpointPlan {
 	plan, ok := p.endpoints[endpoint.ID]
 	if ok {
+		if plan.startedAnew(&endpoint, revision) {
+			plan = p.restart(now, plan, endpoint.Born)
+		}
 		return plan
 	}
 	plan, ok = p.lapsed[endpoint.ID]
 	if ok {
 		delete(p.lapsed, endpoint.ID)
 		plan.inspect = true
+		if plan.startedAnew(&endpoint, revision) {
+			plan = plan.successor(now, endpoint.Born)
+		}
 	} else {
 		plan = newEndpointPlan(endpoint)
 	}
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -41,6 +41,10 @@
 		return
 	}
 	plan.busy = false
+	if plan.endpoint.IsAnotherStart(result.Order.Endpoint.Born) {
+		plan.doneWithFormer(now, result)
+		return
+	}
 	switch result.Order.Kind {
 	case Inspect:
 		p.inspected(now, plan, result)
@@ -58,6 +62,9 @@
 		plan.restUntil = now.Add(restAfterFailure)
 		return
 	}
+	if plan.endpoint.IsAnotherStart(result.Report.Born) {
+		plan = p.restart(now, plan, result.Report.Born)
+	}
 	before := plan.count.sequence
 	if !plan.adoptReport(now, result.Report) {
 		plan.restUntil = now.Add(answerRest)
--- a/tests/pinned/entry/run_test.go
+++ b/tests/pinned/entry/run_test.go
@@ -118,7 +118,9 @@
 		r.describe(endpoint.id, endpoint.service, "ready")
 	}
 	r.describe("e-drain", "s-drain", "draining")
-	r.store.Put("servers/e-broken", map[string]any{"service": "s-ok", "address": "nowhere"})
+	r.store.Put("servers/e-broken", map[string]any{
+		"service": "s-ok", "address": "nowhere", "zone": "hall-1", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 0,
+	})
 	r.start()
 	r.waitFor("the program listens", func() bool { return r.ready() == http.StatusServiceUnavailable })
 	answers := r.raw("not ready yet", r.ports.ready, readyQuestion)
--- a/tests/pinned/entry/site_test.go
+++ b/tests/pinned/entry/site_test.go
@@ -218,7 +218,7 @@
 	}
 	r.store.Put("servers/"+id, map[string]any{
 		"service": service, "address": r.endpoints.Listener.Addr().String(), "zone": "hall-1", "slots": 8, "state": state, "models": models,
-		"remaining_ms": 0, "available": map[string]any{"resident": []string{"base"}, "disk_cached": []string{}},
+		"version": "v1", "cold_remaining_ms": 0, "sequence": 0, "remaining_ms": 0, "available": map[string]any{"resident": []string{"base"}, "disk_cached": []string{}},
 	})
 }
 
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -209,7 +209,7 @@
 	w.described = w.sequence
 	entry := map[string]any{
 		"service": w.options.Service, "address": w.server.Listener.Addr().String(), "zone": w.options.Zone, "version": "v1",
-		"slots": w.options.Slots, "state": w.state, "sequence": 0, "models": w.models(),
+		"slots": w.options.Slots, "state": w.state, "cold_remaining_ms": 0, "sequence": 0, "models": w.models(),
 	}
 	w.mutex.Unlock()
 	w.registry.Put(EntryKey(w.options.ID), entry)
