Spread requests by how old the others' counts are

Cause: each instance chose the endpoint with the fewest requests by totals that are 3 s old at 195 instances, and all of them by the same ones: what came within one age of the totals went to one endpoint.

Change: a request is drawn as one of those that all instances send before the counts are renewed, so that these level the endpoints (balance, pick; Dahlin's interpretation of stale load). Views tell how old their totals are; how long requests stay is learnt by service.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -17,10 +17,6 @@
 	// requests in flight: higher trades a longer queue for a shorter way. Not measured.
 	hallPenalty      = 1.0
 	plainHallPenalty = 2.5
-	// tieSpread is the width of the random number that breaks ties between endpoints, in requests in flight. It stays below
-	// one, so that a request more always counts, and above zero, so that instances with the same view do not choose alike.
-	// Not measured.
-	tieSpread = 0.5
 )
 
 // Options are the settings of a choice.
@@ -33,7 +29,7 @@
 	PlainHallPenalty float64
 	// Limit is the bound from which on an endpoint with models is saturated.
 	Limit SlotLimit
-	// Random gives a number from 0 up to 1, to break ties.
+	// Random gives a number from 0 up to 1, by which the endpoint is drawn.
 	Random func() float64
 }
 
@@ -54,6 +50,10 @@
 	FormerWait time.Duration
 	// OthersKnown says that the others' requests in flight are those of a fresh view, so that none means none.
 	OthersKnown bool
+	// OthersAge is how old the others' counts are, Stay how long a request of the service is in flight: together they tell how much
+	// the counts may have changed since.
+	OthersAge time.Duration
+	Stay      time.Duration
 	// Tried are endpoints that were sent the request already, by this instance.
 	Tried []deployment.EndpointID
 }
@@ -77,8 +77,7 @@
 // else can run it, or for a trial.
 func Choose(now time.Time, endpoints []*directory.EndpointStatus, required Requirement, options Options) (*directory.EndpointStatus, Verdict) {
 	verdict := NoEndpoint
-	var best, fallback *directory.EndpointStatus
-	bestCost, fallbackCost := 0.0, 0.0
+	var good, avoided []candidate
 	for _, endpoint := range endpoints {
 		if endpoint.State != deployment.Ready || !required.admits(endpoint.ID) {
 			continue
@@ -93,24 +92,20 @@
 			verdict = Saturated
 			continue
 		}
-		cost := cost(endpoint, required.Request, options)
+		one := candidate{endpoint: endpoint, cost: cost(endpoint, required.Request, options)}
 		if endpoint.Avoided(now) {
-			if fallback == nil || cost < fallbackCost {
-				fallback, fallbackCost = endpoint, cost
-			}
+			avoided = append(avoided, one)
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = endpoint, cost
-		}
+		good = append(good, one)
 	}
-	if best == nil {
-		best = fallback
+	if len(good) == 0 {
+		good = avoided
 	}
-	if best == nil {
+	if len(good) == 0 {
 		return nil, verdict
 	}
-	return best, Chosen
+	return pick(good, unknownRequests(good, required.OthersAge, required.Stay), options.Random()), Chosen
 }
 
 // admits reports whether the request may be sent to an endpoint, by where it was sent before.
@@ -134,9 +129,9 @@
 	return r.Version
 }
 
-// cost is what a request adds to at an endpoint, in requests in flight; the lowest is chosen.
+// cost is what a request adds to at an endpoint, in requests in flight.
 func cost(endpoint *directory.EndpointStatus, request *deployment.Request, options Options) float64 {
-	cost := float64(endpoint.Load()) + tieSpread*options.Random()
+	cost := float64(endpoint.Load())
 	if request.UsesModel() {
 		cost += work.InRequests(endpoint.Backlog())
 	}
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -148,7 +148,7 @@
 	former, formerWait := c.versions.Former(now, w.Adapter, c.options.VersionLimit)
 	required := balance.Requirement{
 		Request: w.Request, Tried: w.Tried, Version: named, Former: former, FormerWait: formerWait,
-		OthersKnown: c.planning != nil || c.following.Fresh(now),
+		OthersKnown: c.planning != nil || c.following.Fresh(now), OthersAge: now.Sub(c.othersAsOf), Stay: c.directory.Stay(w.Service),
 	}
 	status, verdict := balance.Choose(now, c.directory.Service(w.Service), required, balance.NewOptions(c.options.Hall, c.options.Random))
 	w.Verdict = verdict
@@ -269,6 +269,7 @@
 	if !c.stillKnown(assignment) {
 		return
 	}
+	c.directory.NoteStay(request.Service, now.Sub(assignment.Assigned))
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
 }
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -69,6 +69,8 @@
 	following       following
 	planning        *planning
 	seedAnswer      seedAnswer
+	// othersAsOf is when the other instances' requests in flight were as this instance knows them, on the mean; zero if it knows none.
+	othersAsOf time.Time
 	// heardLoads is what was last heard of a planner's loads.
 	heardLoads formerLoads
 	// knownRecord is the planner's record as last read.
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -120,7 +120,7 @@
 	c.budget.SetMembers(v.Members)
 	c.applyItems(now, c.passedOn(v), v.Items)
 	c.applyViewEndpoints(v)
-	c.applyViewTotals(v)
+	c.applyViewTotals(now, v)
 	c.applyForecasts(now, v)
 	if v.KeysFrom == c.options.Instance {
 		c.following.keysAsked = true
@@ -149,9 +149,10 @@
 }
 
 // applyViewTotals takes in what the other instances have in flight; a heartbeat names all of it.
-func (c *Coordinator) applyViewTotals(v *wire.View) {
+func (c *Coordinator) applyViewTotals(now time.Time, v *wire.View) {
 	if v.Heartbeat {
 		c.resetOthers()
+		c.othersAsOf = now.Add(-c.following.Delay - v.TotalsAge)
 	}
 	c.applyTotals(v.Totals, func(status *directory.EndpointStatus) member.InFlight { return c.following.own[status.ID] })
 }
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -162,6 +162,22 @@
 	}
 }
 
+// MeanAge is how old the reports are of the members that are not lost, on the mean.
+func (t *Table) MeanAge(now time.Time) time.Duration {
+	var sum time.Duration
+	count := 0
+	for _, m := range t.members {
+		if !m.isLost() {
+			sum += now.Sub(m.reportedAt)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / time.Duration(count)
+}
+
 // Bad tells whether an endpoint is bad for two instances, or for the only one; own tells that it is for the planner.
 func (t *Table) Bad(id deployment.EndpointID, own bool) bool {
 	votes := 0
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -49,7 +49,7 @@
 	var totals []wire.EndpointCount
 	if withTotals {
 		totals = p.totals()
-		p.applyOwnTotals(totals)
+		p.applyOwnTotals(now, totals)
 	}
 	changes := p.baseView(now, totals)
 	changed := p.plans.Changes()
@@ -229,7 +229,7 @@
 		Planner: p.coordinator.options.Instance, Term: p.lease.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
 		Totals: totals, Members: p.members.Fleet(), ConfigurationRevision: p.coordinator.keys.Revision(), Resigned: p.resigned,
 		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(), RecentLoads: p.recentLoads(now),
-		Made: max(leastTold, now.Sub(p.since)), AsksForKeys: true,
+		Made: max(leastTold, now.Sub(p.since)), AsksForKeys: true, TotalsAge: p.members.MeanAge(now),
 	}
 	return v
 }
@@ -272,9 +272,10 @@
 }
 
 // applyOwnTotals makes the totals of this planner and the number of members known to its own requests.
-func (p *planning) applyOwnTotals(totals []wire.EndpointCount) {
+func (p *planning) applyOwnTotals(now time.Time, totals []wire.EndpointCount) {
 	c := p.coordinator
 	c.resetOthers()
+	c.othersAsOf = now.Add(-p.members.MeanAge(now))
 	c.applyTotals(totals, ownInFlight)
 	c.following.Members = p.members.Fleet()
 	c.budget.SetMembers(p.members.Fleet())
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -187,6 +187,9 @@
 	KeysAge time.Duration `msgpack:"r,omitempty"`
 	// Starts are the starts of the endpoints in Endpoints, as far as they are known. Earlier versions neither tell nor read them.
 	Starts []Start `msgpack:"s,omitempty"`
+	// TotalsAge is how old the members' requests in flight were on the mean when the view was made. Earlier versions neither tell
+	// nor read it.
+	TotalsAge time.Duration `msgpack:"to,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -21,6 +21,8 @@
 	draining map[deployment.EndpointID]time.Time
 	// halls is how this instance reaches each other hall.
 	halls map[string]*reach
+	// stays is how long requests of each service are in flight; services that are gone stay, a few bytes each.
+	stays map[string]time.Duration
 }
 
 // removal is how an endpoint went.
@@ -39,6 +41,7 @@
 		gone:      make(map[deployment.EndpointID]removal),
 		draining:  make(map[deployment.EndpointID]time.Time),
 		halls:     make(map[string]*reach),
+		stays:     make(map[string]time.Duration),
 	}
 }
 
