Gather the loads of a large fleet by hall

Cause: what the planner and the instances know of others' requests and of demand comes with reports whose pause grows with the fleet.

Change: the planner names gatherers in each hall (coordinator/tree), each instance tells one of them its requests in flight and arrivals each 0.2 s, these tell the planner sums, and the planner tells them totals that they pass on (coordinator/gather). No promise rests on these counts; reports stay as they were.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -68,6 +68,7 @@
 	missing         []wire.Copy
 	following       following
 	planning        *planning
+	gathering       gathering
 	seedAnswer      seedAnswer
 	// othersAsOf is when the other instances' requests in flight were as this instance knows them, on the mean; zero if it knows none.
 	othersAsOf time.Time
@@ -123,6 +124,7 @@
 	c.run(c.followConfiguration)
 	c.run(c.followEndpoints)
 	c.run(c.followPlanner)
+	c.run(c.followGatherer)
 	c.run(c.holdLease)
 	return nil
 }
@@ -159,6 +161,7 @@
 		c.resignIfOthersCan(now)
 		c.plan(now)
 	}
+	c.tellLoads(now)
 	if c.reports.Due(now, c.following.Members) {
 		c.sendReport(now)
 	}
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -15,7 +15,6 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
-	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
 )
 
@@ -97,6 +96,9 @@
 		if received.View != nil {
 			c.loop.Post(func(now time.Time) { c.applyView(now, stream, received.View) })
 		}
+		if received.Totals != nil {
+			c.loop.Post(func(now time.Time) { c.applyTotalsMessage(now, received.Totals) })
+		}
 		if received.Successor != nil {
 			c.loop.Call(func(now time.Time) { c.learnSuccessor(now, *received.Successor) })
 		}
@@ -121,6 +123,7 @@
 	c.applyItems(now, c.passedOn(v), v.Items)
 	c.applyViewEndpoints(v)
 	c.applyViewTotals(now, v)
+	c.applyGatherers(v)
 	c.applyForecasts(now, v)
 	if v.KeysFrom == c.options.Instance {
 		c.following.keysAsked = true
@@ -154,7 +157,9 @@
 		c.resetOthers()
 		c.othersAsOf = now.Add(-c.following.Delay - v.TotalsAge)
 	}
-	c.applyTotals(v.Totals, func(status *directory.EndpointStatus) member.InFlight { return c.following.own[status.ID] })
+	for _, total := range v.Totals {
+		c.setOthers(total.ID, member.InFlight{Requests: total.Count, Unread: total.Unread}, c.following.own[total.ID])
+	}
 }
 
 // resetOthers forgets what the other instances have in flight.
@@ -164,15 +169,11 @@
 	}
 }
 
-// applyTotals takes in what the other instances have in flight: the totals of all instances less what own says is this
-// one's part in them.
-func (c *Coordinator) applyTotals(totals []wire.EndpointCount, own func(*directory.EndpointStatus) member.InFlight) {
-	for _, total := range totals {
-		if status := c.directory.Endpoint(total.ID); status != nil {
-			part := own(status)
-			status.Others = max(0, total.Count-part.Requests)
-			status.OthersUnread = max(0, total.Unread-part.Unread)
-		}
+// setOthers takes in what the other instances have in flight at an endpoint: the total of all instances less this one's part in it.
+func (c *Coordinator) setOthers(id deployment.EndpointID, total, own member.InFlight) {
+	if status := c.directory.Endpoint(id); status != nil {
+		status.Others = max(0, total.Requests-own.Requests)
+		status.OthersUnread = max(0, total.Unread-own.Unread)
 	}
 }
 
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -48,6 +48,8 @@
 	Lag Lag
 	// Probe is the number of the report to which the next view to it answers; 0 if it asked for none.
 	Probe uint64
+	// Contact is how its peers reach it; nil for one of an earlier version.
+	Contact *wire.Contact
 
 	reportedAt time.Time
 	// lost is since when it counts as lost; zero if it does not.
@@ -105,6 +107,9 @@
 	m.leaving = r.Leaving
 	m.Probe = max(m.Probe, r.Probe)
 	m.storeReadAge = r.StoreReadAge
+	if r.Contact != nil {
+		m.Contact = r.Contact
+	}
 	m.inUse = make(map[wire.Copy]int, len(r.InUse))
 	for _, used := range r.InUse {
 		m.inUse[used.Copy()] = used.Count
--- a/services/entry/coordinator/member/member_test.go
+++ b/services/entry/coordinator/member/member_test.go
@@ -137,7 +137,7 @@
 	members.Take(start, other)
 	assert.Equal(t, 5, members.Uses(copy1))
 	sums := map[deployment.EndpointID]member.InFlight{"e1": {Requests: 1, Unread: 10}}
-	members.AddInFlight(sums)
+	members.AddInFlight(start, sums, nil)
 	assert.Equal(t, map[deployment.EndpointID]member.InFlight{"e1": {Requests: 6, Unread: 510}}, sums)
 	members.Take(start, &wire.Report{Instance: "a"})
 	assert.Equal(t, 3, members.Uses(copy1))
@@ -147,7 +147,7 @@
 	dropLost(members, start.Add(silence+step))
 	assert.Equal(t, 3, members.Uses(copy1), "a lost member's requests may still run")
 	sums = map[deployment.EndpointID]member.InFlight{}
-	members.AddInFlight(sums)
+	members.AddInFlight(start, sums, nil)
 	assert.Empty(t, sums, "but weigh in no choice")
 	dropLost(members, start.Add(time.Minute))
 	assert.Zero(t, members.Uses(copy1))
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/tree"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
@@ -150,32 +151,31 @@
 	return true
 }
 
-// AddInFlight adds the requests in flight of all members that are not lost.
-func (t *Table) AddInFlight(sums map[deployment.EndpointID]InFlight) {
-	for _, m := range t.members {
-		if m.isLost() {
+// AddInFlight adds the requests in flight of all members that are not lost, by their own reports, and gives how many they are and how
+// old the reports are, added up. Those whose part is known from elsewhere are left out.
+func (t *Table) AddInFlight(now time.Time, sums map[deployment.EndpointID]InFlight, elsewhere map[string]bool) (count int, age time.Duration) {
+	for instance, m := range t.members {
+		if m.isLost() || elsewhere[instance] {
 			continue
 		}
+		count++
+		age += now.Sub(m.reportedAt)
 		for id, requests := range m.inFlight {
 			sums[id] = sums[id].Plus(requests)
 		}
 	}
+	return count, age
 }
 
-// MeanAge is how old the reports are of the members that are not lost, on the mean.
-func (t *Table) MeanAge(now time.Time) time.Duration {
-	var sum time.Duration
-	count := 0
-	for _, m := range t.members {
-		if !m.isLost() {
-			sum += now.Sub(m.reportedAt)
-			count++
+// Reachable gives the members that gather for others if they are chosen.
+func (t *Table) Reachable() []tree.Instance {
+	var instances []tree.Instance
+	for name, m := range t.members {
+		if m.Link != nil && !m.isLost() && !m.leaving && m.Contact != nil {
+			instances = append(instances, tree.Instance{Name: name, Hall: m.Contact.Hall, Address: m.Contact.Address.AddrPort, LinkRate: m.Contact.LinkRate})
 		}
 	}
-	if count == 0 {
-		return 0
-	}
-	return sum / time.Duration(count)
+	return instances
 }
 
 // Bad tells whether an endpoint is bad for two instances, or for the only one; own tells that it is for the planner.
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -58,7 +58,10 @@
 			break
 		}
 	}
-	c.loop.Post(func(now time.Time) { c.peerLost(now, stream) })
+	c.loop.Post(func(now time.Time) {
+		c.dropLoads(stream)
+		c.peerLost(now, stream)
+	})
 }
 
 // handle takes in what a peer sent; false ends the link, since this instance does not plan.
@@ -67,6 +70,16 @@
 	if received.Report != nil {
 		c.loop.Call(func(now time.Time) { planning = c.takePeerReport(now, stream, received.Report) })
 	}
+	if received.Load != nil {
+		c.loop.Call(func(now time.Time) { c.takeLoad(now, stream, received.Load) })
+	}
+	if received.Sum != nil {
+		c.loop.Call(func(now time.Time) {
+			if c.planning != nil {
+				c.planning.takeSum(now, received.Sum)
+			}
+		})
+	}
 	if received.Successor != nil {
 		c.loop.Call(func(now time.Time) { c.learnSuccessor(now, *received.Successor) })
 	}
--- a/services/entry/coordinator/plan/reports.go
+++ b/services/entry/coordinator/plan/reports.go
@@ -61,6 +61,15 @@
 	}
 }
 
+// TakeArrivals takes in what was asked for at some instances, beside their reports.
+func (p *Plans) TakeArrivals(now time.Time, arrivals []wire.Demand) {
+	for service, demands := range demandsByService(arrivals) {
+		if planner, ok := p.planners[service]; ok {
+			planner.AddArrivals(now, demands)
+		}
+	}
+}
+
 func demandsByService(list []wire.Demand) map[string][]loading.Demand {
 	byService := make(map[string][]loading.Demand)
 	for _, demand := range list {
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -11,6 +11,7 @@
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/gather"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/plan"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/relay"
@@ -29,6 +30,7 @@
 	plans             *plan.Plans
 	members           *member.Table
 	views             view.Schedule
+	gatherers         gatherers
 	// since is when this instance began to plan.
 	since time.Time
 	// keysUnderWay bounds the operators' keys under way to members, keysRequest is whom this instance asks for keys that it lacks.
@@ -60,6 +62,7 @@
 	p := &planning{
 		coordinator: c, lease: held, members: members, since: now, former: former,
 		keysUnderWay: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
+		gatherers:    gatherers{sums: gather.NewSums()},
 		plans:        plan.New(options, c.directory, members, former.loads),
 	}
 	if configuration := c.current.Load(); configuration != nil {
@@ -80,7 +83,9 @@
 		c.forecasts.Note(key, now.Add(remaining))
 	}
 	p.plans.Order(now, mayOrder, c.startOrder, begun)
+	p.nameGatherers(now)
 	p.broadcast(now, p.views.TotalsDue(now, c.following.Members))
+	p.tellTotals(now)
 	c.reviewWaiters(now)
 	if mayOrder() {
 		c.wakeForPoll(now)
--- a/services/entry/coordinator/report/demand.go
+++ b/services/entry/coordinator/report/demand.go
@@ -64,6 +64,15 @@
 	ct.returns = append(ct.returns, expectedReturn{key: key, at: at, target: target})
 }
 
+// TakeArrivals gives the arrivals since they were told last, without what waits; they begin anew.
+func (ct *Counter) TakeArrivals(now time.Time) []wire.Demand {
+	list := make([]wire.Demand, 0, len(ct.arrivals))
+	for _, demand := range ct.Collect(now, 0).demands {
+		list = append(list, *demand)
+	}
+	return list
+}
+
 // Collection is the demand that one report tells.
 type Collection struct {
 	counter *Counter
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -46,12 +46,14 @@
 
 // changesView makes the view of what changed since the last one, with totals a heartbeat.
 func (p *planning) changesView(now time.Time, withTotals bool) *wire.View {
-	var totals []wire.EndpointCount
+	changes := p.baseView(now)
+	if withTotals || p.gatherers.changed {
+		changes.Gatherers = p.namedGatherers()
+		p.gatherers.changed = false
+	}
 	if withTotals {
-		totals = p.totals()
-		p.applyOwnTotals(now, totals)
+		p.addTotals(now, changes)
 	}
-	changes := p.baseView(now, totals)
 	changed := p.plans.Changes()
 	if withTotals {
 		changes.Heartbeat = true
@@ -175,7 +177,7 @@
 
 // noChanges tells whether all members have the plan's last state.
 func (p *planning) noChanges() bool {
-	return p.plans.Changes().Empty() && !p.members.NeedOwn()
+	return p.plans.Changes().Empty() && !p.members.NeedOwn() && !p.gatherers.changed
 }
 
 // itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
@@ -224,12 +226,19 @@
 	return p.keysRequest.Due(now, p.coordinator.keys.Revision(), p.members.Sources())
 }
 
-func (p *planning) baseView(now time.Time, totals []wire.EndpointCount) *wire.View {
+// addTotals tells in a view what all instances have in flight.
+func (p *planning) addTotals(now time.Time, v *wire.View) {
+	sums, age := p.allInFlight(now)
+	p.applyOwnTotals(now, sums, age)
+	v.Totals, v.TotalsAge = totalsOf(sums), age
+}
+
+func (p *planning) baseView(now time.Time) *wire.View {
 	v := &wire.View{
 		Planner: p.coordinator.options.Instance, Term: p.lease.Record().Term, ReadAge: now.Sub(p.coordinator.endpointsReadAt),
-		Totals: totals, Members: p.members.Fleet(), ConfigurationRevision: p.coordinator.keys.Revision(), Resigned: p.resigned,
+		Members: p.members.Fleet(), ConfigurationRevision: p.coordinator.keys.Revision(), Resigned: p.resigned,
 		ConfirmedAge: p.lease.ConfirmedAge(now), Withdrawals: p.plans.Withdrawals(), RecentLoads: p.recentLoads(now),
-		Made: max(leastTold, now.Sub(p.since)), AsksForKeys: true, TotalsAge: p.members.MeanAge(now),
+		Made: max(leastTold, now.Sub(p.since)), AsksForKeys: true,
 	}
 	return v
 }
@@ -247,7 +256,9 @@
 }
 
 func (p *planning) fullView(now time.Time) *wire.View {
-	v := p.baseView(now, p.totals())
+	v := p.baseView(now)
+	p.addTotals(now, v)
+	v.Gatherers = p.namedGatherers()
 	v.Heartbeat = true
 	v.Full = p.coordinator.endpointsKnown
 	v.EndpointsRevision = p.endpointsRevision
@@ -255,13 +266,21 @@
 	return v
 }
 
-// totals sums the requests in flight over all instances.
-func (p *planning) totals() []wire.EndpointCount {
-	sums := make(map[deployment.EndpointID]member.InFlight, p.coordinator.directory.Size())
+// allInFlight sums the requests in flight over all instances, by the gatherers' sums and, for instances that are in none, their own
+// reports, and tells how old the others' are on the mean.
+func (p *planning) allInFlight(now time.Time) (map[deployment.EndpointID]member.InFlight, time.Duration) {
+	gathered := p.gatherers.sums.Gather(now)
+	sums := gathered.InFlight
 	for id, status := range p.coordinator.directory.Endpoints() {
-		sums[id] = ownInFlight(status)
+		sums[id] = sums[id].Plus(ownInFlight(status))
 	}
-	p.members.AddInFlight(sums)
+	count, age := p.members.AddInFlight(now, sums, gathered.Members)
+	count, age = count+len(gathered.Members), age+gathered.Age
+	return sums, age / time.Duration(max(1, count))
+}
+
+// totalsOf gives sums as views tell them.
+func totalsOf(sums map[deployment.EndpointID]member.InFlight) []wire.EndpointCount {
 	list := make([]wire.EndpointCount, 0, len(sums))
 	for id, sum := range sums {
 		if sum.Requests > 0 {
@@ -271,12 +290,27 @@
 	return list
 }
 
-// applyOwnTotals makes the totals of this planner and the number of members known to its own requests.
-func (p *planning) applyOwnTotals(now time.Time, totals []wire.EndpointCount) {
+// countsOf gives sums as totals tell them.
+func countsOf(sums map[deployment.EndpointID]member.InFlight) []wire.Count {
+	list := make([]wire.Count, 0, len(sums))
+	for id, sum := range sums {
+		if sum.Requests > 0 {
+			list = append(list, wire.Count{ID: id, Requests: sum.Requests, Unread: sum.Unread})
+		}
+	}
+	return list
+}
+
+// applyOwnTotals makes the totals of this planner, of an age, and the number of members known to its own requests.
+func (p *planning) applyOwnTotals(now time.Time, sums map[deployment.EndpointID]member.InFlight, age time.Duration) {
 	c := p.coordinator
 	c.resetOthers()
-	c.othersAsOf = now.Add(-p.members.MeanAge(now))
-	c.applyTotals(totals, ownInFlight)
+	c.othersAsOf = now.Add(-age)
+	for id, sum := range sums {
+		if status := c.directory.Endpoint(id); status != nil {
+			c.setOthers(id, sum, ownInFlight(status))
+		}
+	}
 	c.following.Members = p.members.Fleet()
 	c.budget.SetMembers(p.members.Fleet())
 }
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -20,6 +20,11 @@
 	Request *Request `msgpack:"q,omitempty"`
 	// Successor tells a former planner who plans now.
 	Successor *Successor `msgpack:"s,omitempty"`
+	// Load goes to the instance that gathers, Sum from there to the planner, and Totals back both ways. Earlier versions neither
+	// send nor read them.
+	Load   *Load   `msgpack:"l,omitempty"`
+	Sum    *Sum    `msgpack:"u,omitempty"`
+	Totals *Totals `msgpack:"t,omitempty"`
 }
 
 // Successor names the planner of a later term; an instance that the store does not answer learns it from
@@ -77,6 +82,8 @@
 	Probe uint64 `msgpack:"p,omitempty"`
 	// StoreReadAge is how long ago the instance last read from the store.
 	StoreReadAge time.Duration `msgpack:"k"`
+	// Contact tells a new planner how the instance is reached; nil otherwise. Earlier versions neither tell nor read it.
+	Contact *Contact `msgpack:"h,omitempty"`
 }
 
 // FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
@@ -189,7 +196,10 @@
 	Starts []Start `msgpack:"s,omitempty"`
 	// TotalsAge is how old the members' requests in flight were on the mean when the view was made. Earlier versions neither tell
 	// nor read it.
-	TotalsAge time.Duration `msgpack:"to,omitempty"`
+	TotalsAge time.Duration `msgpack:"ta,omitempty"`
+	// Gatherers are all instances that gather for others, in each view with totals and where they have changed. Earlier versions
+	// neither tell nor read them.
+	Gatherers []Gatherer `msgpack:"ga,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
--- a/services/entry/loading/demand.go
+++ b/services/entry/loading/demand.go
@@ -116,13 +116,20 @@
 	for _, known := range p.demand {
 		delete(known.waiting, instance)
 	}
+	p.AddArrivals(now, demands)
+	for _, demand := range demands {
+		if demand.Waiting > 0 {
+			p.demandOf(now, demand.Adapter).waiting[instance] = waitingPart{count: demand.Waiting, until: now.Add(demand.InTime)}
+		}
+	}
+}
+
+// AddArrivals takes in arrivals alone, at whatever instances.
+func (p *Planner) AddArrivals(now time.Time, demands []Demand) {
 	for _, demand := range demands {
 		known := p.demandOf(now, demand.Adapter)
 		known.Add(now, demand.Arrivals)
 		known.prompts.Add(now, demand.Prompts)
-		if demand.Waiting > 0 {
-			known.waiting[instance] = waitingPart{count: demand.Waiting, until: now.Add(demand.InTime)}
-		}
 	}
 }
 
