Gather the loads of a large fleet by hall

Cause: what the planner and the instances know of others' requests and of demand comes with reports whose pause grows with the fleet.

Change: the planner names gatherers in each hall (coordinator/tree), each instance tells one of them its requests in flight and arrivals each 0.2 s, these tell the planner sums, and the planner tells them totals that they pass on (coordinator/gather). No promise rests on these counts; reports stay as they were.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -102,6 +102,7 @@
 		budget:      retry.NewBudget(options.Retry, options.Now()),
 		demand:      report.NewCounter(),
 		forecasts:   forecast.NewBook(),
+		gathering:   newGathering(),
 	}
 	c.leases = &leasestore.Store{
 		Client: environment.Store, Instance: options.Instance, Address: options.PeerAddress,
