--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -15,8 +15,27 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 )
 
-// storeRetry is the pause after a failed call to the store. Not measured.
-const storeRetry = 250 * time.Millisecond
+const (
+	// storeRetry is the pause after a failed call to the store, in a small fleet and at the planner. Not measured.
+	storeRetry = 250 * time.Millisecond
+	// mostFailurePause is the longest mean pause after a failed call in a large fleet: longer spares calls to a store that is down,
+	// shorter notices sooner that it answers again, which must be well within the time in which a change has to be in force. Not
+	// measured.
+	mostFailurePause = 3 * time.Second
+)
+
+// failurePause is the pause after a call to the store that failed, drawn about the usual one. Where the store fails it mostly fails
+// all, and one instance that it answers is enough: so that a fleet together asks no more often than a small one, each pauses for longer,
+// but for the planner, on which all others rely.
+func (c *Coordinator) failurePause(usual time.Duration) time.Duration {
+	pause := usual
+	c.loop.Call(func(time.Time) {
+		if c.planning == nil {
+			pause = max(usual, min(c.pace(usual), mostFailurePause))
+		}
+	})
+	return c.jitter(pause)
+}
 
 // followConfiguration reads the operators' keys, then watches them.
 func (c *Coordinator) followConfiguration() {
@@ -26,7 +45,7 @@
 		if err != nil {
 			c.noteStore("read configuration", err)
 			c.askSeeds()
-			c.sleep(c.jitter(storeRetry))
+			c.sleep(c.failurePause(storeRetry))
 			continue
 		}
 		c.loop.Post(func(now time.Time) {
@@ -53,7 +72,7 @@
 		case follow.ReadAnew:
 			return
 		case follow.WatchAgain:
-			c.sleep(c.jitter(storeRetry))
+			c.sleep(c.failurePause(storeRetry))
 		case follow.Apply:
 			after = answer.next
 			c.loop.Post(func(now time.Time) { c.applyWatched(now, answer) })
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -57,7 +57,7 @@
 func (c *Coordinator) pollEndpoints() {
 	sent := c.options.Now()
 	if _, err := c.readEndpoints(); err != nil {
-		c.sleep(c.jitter(storeRetry))
+		c.sleep(c.failurePause(storeRetry))
 		return
 	}
 	c.sleep(c.alonePause(endpointPollPause) - c.options.Now().Sub(sent))
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -53,6 +53,8 @@
 	started     time.Time
 	nextLook    time.Time
 	nextConfirm time.Time
+	// storeRests is until when the store is not asked after it failed.
+	storeRests time.Time
 }
 
 // keep confirms the record, renews the heartbeat and begins to order when the time has come.
@@ -177,8 +179,15 @@
 		return
 	}
 	l.nextLook = now.Add(c.jitter(lookPause))
+	if now.Before(l.storeRests) {
+		if silence >= lease.TakeoverSilence {
+			c.askSeedsForPlanner()
+		}
+		return
+	}
 	stored, err := c.leases.Read(c.context)
 	if err != nil {
+		l.storeRests = c.options.Now().Add(c.failurePause(lookPause))
 		c.noteStoreSilent()
 		if silence >= lease.TakeoverSilence {
 			c.askSeedsForPlanner()
