Leave the operators' keys to the planner where another instance of the hall watches, and report at the cost of what is told

A report of one instance went through all adapters that are asked for.

Change: instances that do not gather hear keys from the planner while it is heard, and read them where they lack some for 0.6 s (follow.Situation.Rests); one frame with keys serves all that lack the same. The plan keeps for which adapters each instance waits.

--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -60,6 +60,9 @@
 func (c *Coordinator) watchConfiguration(after int64) {
 	var watch follow.Watch
 	for c.context.Err() == nil {
+		if c.rest() {
+			return
+		}
 		answer, err := c.watchConfigurationOnce(after)
 		step := watch.Answered(err)
 		if err != nil {
@@ -80,6 +83,25 @@
 	}
 }
 
+// restPause is the pause between two looks whether this instance still leaves the operators' keys to the planner. Not measured.
+const restPause = 100 * time.Millisecond
+
+// rest waits for as long as this instance leaves the operators' keys to the planner, and tells whether it did.
+func (c *Coordinator) rest() bool {
+	rested := false
+	for c.rests() {
+		rested = true
+		c.sleep(restPause)
+	}
+	return rested
+}
+
+func (c *Coordinator) rests() bool {
+	rests := false
+	c.loop.Call(func(now time.Time) { rests = c.situation(now).Rests() })
+	return rests && c.context.Err() == nil
+}
+
 // watched is how one watch of the operators' keys ended without an error.
 type watched struct {
 	follow.WatchAnswer
@@ -126,8 +148,10 @@
 
 // situation is what decides who reads the store for this instance.
 func (c *Coordinator) situation(now time.Time) follow.Situation {
+	lag, _ := c.keysLag.Observe(now, c.keys.Revision(), c.following.PlannerRevision)
 	return follow.Situation{
 		Planning: c.planning != nil, PlannerFresh: c.following.Fresh(now), EndpointsKnown: c.endpointsKnown,
+		WatchedNearby: c.gatheredByAnother(), KeysLag: lag,
 	}
 }
 
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/forecast"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/leasestore"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/loop"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/report"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/seed"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/unbegun"
@@ -74,6 +75,8 @@
 	othersAsOf time.Time
 	// heardLoads is what was last heard of a planner's loads.
 	heardLoads formerLoads
+	// keysLag is for how long this instance has lacked keys that the planner has.
+	keysLag member.Lag
 	// knownRecord is the planner's record as last read.
 	knownRecord lease.Record
 	// storeReadAt is when the store last answered a read of the record.
--- a/services/entry/coordinator/follow/source.go
+++ b/services/entry/coordinator/follow/source.go
@@ -46,6 +46,20 @@
 	PlannerFresh bool
 	// EndpointsKnown tells that all endpoints were received or read once.
 	EndpointsKnown bool
+	// WatchedNearby tells that another instance of the hall watches the operators' keys, and this one need not.
+	WatchedNearby bool
+	// KeysLag is for how long this instance has lacked keys that the planner has.
+	KeysLag time.Duration
+}
+
+// restLimit is for how long an instance that does not watch the operators' keys may lack some before it reads them itself: longer
+// leaves more to the planner, shorter has a change in force sooner where the planner's link is too slow for it. Not measured.
+const restLimit = 600 * time.Millisecond
+
+// Rests tells whether this instance leaves the operators' keys to the planner, which passes them on, and to those that watch beside
+// it: a change then costs the store calls of a few instances in place of one of each.
+func (s Situation) Rests() bool {
+	return s.ReliesOnPlanner() && s.WatchedNearby && s.KeysLag < restLimit
 }
 
 // ReliesOnPlanner tells whether another instance watches the store for this one.
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -125,6 +125,10 @@
 	c.applyViewTotals(now, v)
 	c.applyGatherers(v)
 	c.applyForecasts(now, v)
+	if len(v.Items) > 0 {
+		// The planner sends them again to who does not say that they came.
+		effects.Acknowledge = true
+	}
 	if v.KeysFrom == c.options.Instance {
 		c.following.keysAsked = true
 		effects.Acknowledge = true
--- a/services/entry/coordinator/gathering.go
+++ b/services/entry/coordinator/gathering.go
@@ -48,6 +48,18 @@
 	return tree.Of(c.options.Instance, c.options.Hall, g.gatherers, func(name string) bool { return now.Before(g.avoided[name]) })
 }
 
+// gatheredByAnother tells whether the planner named instances of this one's hall that gather, and this is none of them.
+func (c *Coordinator) gatheredByAnother() bool {
+	found := false
+	for _, one := range c.gathering.gatherers {
+		if one.Name == c.options.Instance {
+			return false
+		}
+		found = found || one.Hall == c.options.Hall
+	}
+	return found
+}
+
 // followGatherer keeps the link to the instance that gathers for this one.
 func (c *Coordinator) followGatherer() {
 	for c.context.Err() == nil {
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -34,7 +34,7 @@
 		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
 		return
 	}
-	round := &viewRound{changes: changes, frame: frame}
+	round := &viewRound{changes: changes, frame: frame, keys: make(map[int64]peerstream.Frame)}
 	round.asked, _ = p.keysRequest.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
 	for instance, m := range p.members.All() {
 		if m.Link != nil {
@@ -78,6 +78,8 @@
 	frame   peerstream.Frame
 	// whole is the frame of a whole view; nil until a member needs it.
 	whole peerstream.Frame
+	// keys are the frames of views that pass keys on, by the revision up to which a member has all.
+	keys map[int64]peerstream.Frame
 	// asked is the member that is asked for the operators' keys; empty if none is.
 	asked string
 }
@@ -98,6 +100,12 @@
 // it for keys or answers its probe.
 func (p *planning) sendView(now time.Time, instance string, m *member.Member, round *viewRound) {
 	items := p.itemsFor(now, m)
+	onlyKeys := len(items) > 0 && round.asked != instance && m.Probe == 0 && !m.NeedsFull
+	if frame := p.keysFrame(now, m, round, items); onlyKeys && frame != nil {
+		p.coordinator.observeRelay(items)
+		p.noteSent(m, m.Link.SendFrame(frame))
+		return
+	}
 	if len(items) > 0 || round.asked == instance || m.Probe > 0 {
 		p.sendOwnView(now, instance, m, round, items)
 		return
@@ -113,6 +121,22 @@
 	p.noteSent(m, m.Link.SendFrame(frame))
 }
 
+// keysFrame gives the frame of the changes with keys that all members get who lack the same ones; nil where it cannot be encoded.
+func (p *planning) keysFrame(now time.Time, m *member.Member, round *viewRound, items []store.Item) peerstream.Frame {
+	if frame, ok := round.keys[m.ConfigurationRevision]; ok || len(items) == 0 {
+		return frame
+	}
+	own := *round.changes
+	own.Items, own.KeysAge = items, p.keysAge(now, m)
+	frame, err := peerstream.Encode(wire.Message{View: &own})
+	if err != nil {
+		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
+		return nil
+	}
+	round.keys[m.ConfigurationRevision] = frame
+	return frame
+}
+
 // wholeFrame gives the frame of a whole view, or nil where it cannot be encoded.
 func (p *planning) wholeFrame(now time.Time, round *viewRound) peerstream.Frame {
 	if round.whole != nil {
--- a/services/entry/loading/demand.go
+++ b/services/entry/loading/demand.go
@@ -113,13 +113,12 @@
 
 // Report takes in one instance's whole demand.
 func (p *Planner) Report(now time.Time, instance string, demands []Demand) {
-	for _, known := range p.demand {
-		delete(known.waiting, instance)
-	}
+	p.ForgetInstance(instance)
 	p.AddArrivals(now, demands)
 	for _, demand := range demands {
 		if demand.Waiting > 0 {
 			p.demandOf(now, demand.Adapter).waiting[instance] = waitingPart{count: demand.Waiting, until: now.Add(demand.InTime)}
+			p.waitedFor[instance] = append(p.waitedFor[instance], demand.Adapter)
 		}
 	}
 }
@@ -135,9 +134,11 @@
 
 // ForgetInstance drops the waiting requests of an instance that is gone.
 func (p *Planner) ForgetInstance(instance string) {
-	for _, known := range p.demand {
-		delete(known.waiting, instance)
+	for _, adapter := range p.waitedFor[instance] {
+		// An adapter is forgotten only while nobody waits for it.
+		delete(p.demand[adapter].waiting, instance)
 	}
+	delete(p.waitedFor, instance)
 }
 
 // SetVersion names the version of an adapter that is to be served.
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -32,6 +32,9 @@
 	// lapsed are endpoints without an entry in the store; an entry can be back a little later.
 	lapsed map[deployment.EndpointID]*endpointPlan
 	demand map[deployment.Adapter]*adapterDemand
+	// waitedFor are the adapters for which each instance's requests wait, so that a report costs what it tells, however many adapters
+	// are asked for.
+	waitedFor map[string][]deployment.Adapter
 	// modelLimiter bounds loads of base models.
 	modelLimiter *windowLimiter
 	// pace bounds loads of adapters.
@@ -58,6 +61,7 @@
 		endpoints:    make(map[deployment.EndpointID]*endpointPlan),
 		lapsed:       make(map[deployment.EndpointID]*endpointPlan),
 		demand:       make(map[deployment.Adapter]*adapterDemand),
+		waitedFor:    make(map[string][]deployment.Adapter),
 		modelLimiter: newWindowLimiter(options.Rate),
 		pace:         newPace(),
 		changed:      make(map[deployment.EndpointID]bool),
