Spread views by gatherers and tell of copies what changed

Change: views of changes are numbered; the planner sends them to gatherers, which pass them on. A copy that comes or goes is told by itself (told). Members of the version before get the former form. The same description read again drops no copy.

--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -29,6 +29,9 @@
 	own map[deployment.EndpointID]member.InFlight
 	// heard tells that a view came over the link.
 	heard bool
+	// needsWhole tells that views are missing, until a whole one comes; wholeAskedAt is when one was last asked for.
+	needsWhole   bool
+	wholeAskedAt time.Time
 	// keysAsked asks for the keys that the planner lacks in the next report.
 	keysAsked bool
 	// plannerLag is how long a planner that asks for no keys has lacked newer ones, keysSentAt when it was sent them last.
@@ -80,7 +83,8 @@
 	c.loop.Call(func(now time.Time) {
 		c.following.stream = stream
 		c.following.Opened(now)
-		c.following.heard, c.following.keysAsked = false, false
+		c.following.heard, c.following.keysAsked, c.following.needsWhole = false, false, false
+		c.gathering.fedBy = ""
 		c.following.own = nil
 		c.following.ratesDue = true
 		c.sendReport(now)
@@ -112,28 +116,34 @@
 
 // applyView takes in a view of the planner.
 func (c *Coordinator) applyView(now time.Time, stream *peerstream.Stream[wire.Message], v *wire.View) {
-	arrival := view.Arrival{PresentLink: c.following.stream == stream, Planning: c.planning != nil}
+	arrival := view.Arrival{PresentLink: stream == c.following.stream || stream == c.gathering.stream, Planning: c.planning != nil}
 	if c.following.Judge(v, arrival) != view.Keep {
 		return
 	}
 	c.following.heard = true
+	if v.Bare {
+		c.applyBareView(now, v)
+		return
+	}
+	switch c.following.Order(v) {
+	case view.Repeated:
+		return
+	case view.Gap:
+		c.askForWholeView(now)
+		return
+	}
 	effects := c.following.Take(now, v)
+	c.passViewOn(v)
 	c.noteLoads(now, v)
 	c.budget.SetMembers(v.Members)
-	c.applyItems(now, c.passedOn(v), v.Items)
+	c.following.needsWhole = c.following.needsWhole && !v.Whole
+	c.applyItems(now, c.passedOn(now, v), v.Items)
 	c.applyViewEndpoints(v)
 	c.applyViewTotals(now, v)
 	c.applyGatherers(v)
 	c.applyForecasts(now, v)
-	if len(v.Items) > 0 {
-		// The planner sends them again to who does not say that they came.
-		effects.Acknowledge = true
-	}
-	if v.KeysFrom == c.options.Instance {
-		c.following.keysAsked = true
-		effects.Acknowledge = true
-	}
-	if effects.Acknowledge {
+	// The planner sends keys again to who does not say that they came.
+	if c.noteKeysAsked(v) || len(v.Items) > 0 || effects.Acknowledge {
 		c.acknowledge(now)
 	}
 	if effects.Resigned {
@@ -145,10 +155,51 @@
 	c.reviewWaiters(now)
 }
 
+// applyBareView takes in keys that the planner sends this instance itself, beside the views that a gatherer passes on.
+func (c *Coordinator) applyBareView(now time.Time, v *wire.View) {
+	c.following.TakeBare(now, v)
+	c.applyItems(now, c.passedOn(now, v), v.Items)
+	if c.noteKeysAsked(v) || len(v.Items) > 0 {
+		c.acknowledge(now)
+	}
+}
+
+// noteKeysAsked takes in whether the planner asks this instance for keys that it lacks.
+func (c *Coordinator) noteKeysAsked(v *wire.View) bool {
+	asked := v.KeysFrom == c.options.Instance
+	c.following.keysAsked = c.following.keysAsked || asked
+	return asked
+}
+
+// wholePause is how long a whole view is waited for before it is asked for again. Not measured.
+const wholePause = time.Second
+
+// asksForWhole tells whether the next report asks for a whole view, and counts it as asked for if it does.
+func (c *Coordinator) asksForWhole(now time.Time) bool {
+	if !c.following.needsWhole || now.Sub(c.following.wholeAskedAt) < wholePause {
+		return false
+	}
+	c.following.wholeAskedAt = now
+	return true
+}
+
+// askForWholeView tells the planner that views are missing here, once until a whole one comes.
+func (c *Coordinator) askForWholeView(now time.Time) {
+	if c.following.needsWhole || c.following.stream == nil {
+		return
+	}
+	c.following.needsWhole = true
+	c.gathering.fedBy = ""
+	c.reportSoon(now)
+}
+
 // passedOn is how the keys came that a view passes on: they are as old as the planner says, and as the view was long on its way.
-func (c *Coordinator) passedOn(v *wire.View) follow.Origin {
+func (c *Coordinator) passedOn(now time.Time, v *wire.View) follow.Origin {
 	origin := c.complete.Origin(follow.FromPlanner, v.ConfigurationRevision)
 	made, known := c.following.MadeAfter()
+	if v.Bare {
+		made, known = c.following.BareMadeAfter(now, v)
+	}
 	if v.KeysAge <= 0 || !known {
 		return origin
 	}
@@ -203,6 +254,12 @@
 	for i, endpoint := range v.Described() {
 		listed[endpoint.ID] = true
 		c.putEndpoint(endpoint, v.Endpoints[i].Revision)
+		if status := c.directory.Endpoint(endpoint.ID); status != nil && status.Revision <= v.Endpoints[i].Revision {
+			c.directory.SetOffered(endpoint.ID, endpoint.Models, endpoint.Adapters)
+		}
+	}
+	for _, one := range v.Copies {
+		c.directory.SetCopy(one.ID, deployment.Adapter{Model: one.Model, Name: one.Name}, one.Version)
 	}
 	for _, gone := range v.Removed {
 		c.removeEndpoint(gone.ID, gone.Revision)
--- a/services/entry/coordinator/gathering.go
+++ b/services/entry/coordinator/gathering.go
@@ -12,6 +12,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/gather"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/tree"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
@@ -27,6 +28,9 @@
 	// stream is the link to the own gatherer; nil if there is none. itself tells that this instance is its own.
 	stream *peerstream.Stream[wire.Message]
 	itself bool
+	// name is whom the link leads to; fedBy is the same once the planner's views come over it.
+	name  string
+	fedBy string
 	// group is what this instance gathers, members those that tell it over a link.
 	group   *gather.Group
 	members map[*member.Link]string
@@ -92,7 +96,7 @@
 	defer stream.Close()
 	stop := context.AfterFunc(c.context, stream.Close)
 	defer stop()
-	c.loop.Call(func(time.Time) { c.gathering.stream = stream })
+	c.loop.Call(func(time.Time) { c.gathering.stream, c.gathering.name = stream, gatherer.Name })
 	for {
 		received, err := stream.Receive(gather.Life, c.options.Now)
 		same := false
@@ -104,6 +108,9 @@
 			if received.Totals != nil {
 				c.applyTotalsMessage(now, received.Totals)
 			}
+			if received.View != nil {
+				c.applyForwarded(now, stream, received.View)
+			}
 			present, ok := c.gathererOf(now)
 			same = ok && present == gatherer
 		})
@@ -111,7 +118,46 @@
 			break
 		}
 	}
-	c.loop.Call(func(time.Time) { c.gathering.stream = nil })
+	c.loop.Call(func(now time.Time) { c.leaveGatherer(now) })
+}
+
+// leaveGatherer forgets a link that has ended. The planner is told at once that this instance needs the views from it again, and a
+// whole one first.
+func (c *Coordinator) leaveGatherer(now time.Time) {
+	fed := c.gathering.fedBy != ""
+	c.gathering.stream, c.gathering.name, c.gathering.fedBy = nil, "", ""
+	if fed && c.planning == nil {
+		c.askForWholeView(now)
+	}
+}
+
+// applyForwarded takes in a view of the planner that the gatherer passes on. From the first one on that follows those of the planner
+// itself, the planner need not send them.
+func (c *Coordinator) applyForwarded(now time.Time, stream *peerstream.Stream[wire.Message], v *wire.View) {
+	if c.planning != nil || c.following.stream == nil || v.Term != c.following.Term {
+		return
+	}
+	if c.following.Order(v) == view.Gap {
+		if c.gathering.fedBy != "" {
+			c.askForWholeView(now)
+		}
+		return
+	}
+	c.applyView(now, stream, v)
+	if c.gathering.fedBy == "" && !c.following.needsWhole {
+		c.gathering.fedBy = c.gathering.name
+		c.reportSoon(now)
+	}
+}
+
+// passViewOn sends a view of changes to the members of the group.
+func (c *Coordinator) passViewOn(v *wire.View) {
+	if len(c.gathering.members) == 0 || v.Sequence == 0 || v.Whole {
+		return
+	}
+	passed := *v
+	passed.Items, passed.KeysAge, passed.KeysFrom, passed.Probe = nil, 0, "", 0
+	c.sendToGroup(wire.Message{View: &passed})
 }
 
 // tellLoads sends this instance's load and, where it gathers, the sum of its group, when they are due.
@@ -215,16 +261,16 @@
 	for _, one := range totals.InFlight {
 		c.setOthers(one.ID, member.InFlight{Requests: one.Requests, Unread: one.Unread}, c.following.own[one.ID])
 	}
-	c.passTotalsOn(totals)
+	c.sendToGroup(wire.Message{Totals: totals})
 	c.reviewWaiters(now)
 }
 
-// passTotalsOn sends totals to the members of the group.
-func (c *Coordinator) passTotalsOn(totals *wire.Totals) {
+// sendToGroup sends a message to the members of the group.
+func (c *Coordinator) sendToGroup(message wire.Message) {
 	if len(c.gathering.members) == 0 {
 		return
 	}
-	frame, err := peerstream.Encode(wire.Message{Totals: totals})
+	frame, err := peerstream.Encode(message)
 	if err != nil {
 		c.options.Log.WithError(err).Error("a view cannot be encoded")
 		return
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -50,6 +50,10 @@
 	Probe uint64
 	// Contact is how its peers reach it; nil for one of an earlier version.
 	Contact *wire.Contact
+	// FedBy is the gatherer that passes views on to it; empty if none does.
+	FedBy string
+	// BareSentAt is when the last bare view was sent to it.
+	BareSentAt time.Time
 
 	reportedAt time.Time
 	// heardAt is when a gatherer last told that it hears the member; zero if none has since its link began.
@@ -124,6 +128,8 @@
 	if r.Contact != nil {
 		m.Contact = r.Contact
 	}
+	m.FedBy = r.FedBy
+	m.NeedsFull = m.NeedsFull || r.NeedsWhole
 	m.inUse = make(map[wire.Copy]int, len(r.InUse))
 	for _, used := range r.InUse {
 		m.inUse[used.Copy()] = used.Count
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -64,6 +64,8 @@
 	if m.Link != link {
 		m.Link = link
 		m.heardAt = time.Time{}
+		// It may have been replaced by one of another version, which tells anew.
+		m.Contact, m.FedBy = nil, ""
 		m.NeedsFull = true
 		m.Probe = 0
 	}
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -31,6 +31,9 @@
 	members           *member.Table
 	views             view.Schedule
 	gatherers         gatherers
+	// told is what views told of endpoints; sequence is the number of the last one.
+	told     told
+	sequence uint64
 	// since is when this instance began to plan.
 	since time.Time
 	// keysUnderWay bounds the operators' keys under way to members, keysRequest is whom this instance asks for keys that it lacks.
@@ -63,6 +66,7 @@
 		coordinator: c, lease: held, members: members, since: now, former: former,
 		keysUnderWay: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
 		gatherers:    gatherers{sums: gather.NewSums()},
+		told:         make(told),
 		plans:        plan.New(options, c.directory, members, former.loads),
 	}
 	if configuration := c.current.Load(); configuration != nil {
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -38,7 +38,7 @@
 	built := &wire.Report{
 		Instance: c.options.Instance, WithdrawalsSeen: c.following.Withdrawals, ConfigurationRevision: c.keys.Revision(),
 		Demands: c.buildDemands(now), Missing: c.missing, Leaving: c.leaving.Load(),
-		StoreReadAge: now.Sub(c.storeReadAt),
+		StoreReadAge: now.Sub(c.storeReadAt), FedBy: c.gathering.fedBy, NeedsWhole: c.asksForWhole(now),
 	}
 	c.missing = nil
 	c.following.own = make(map[deployment.EndpointID]member.InFlight, c.directory.Size())
--- a/services/entry/coordinator/view/followed.go
+++ b/services/entry/coordinator/view/followed.go
@@ -62,6 +62,8 @@
 	// asks for those that it lacks.
 	PlannerRevision int64
 	PlannerAsks     bool
+	// Sequence is the number of the last view of changes that was taken in; 0 if none is numbered.
+	Sequence uint64
 	// Withdrawals is the last announcement of a withdrawal that was taken in.
 	Withdrawals uint64
 	// ResignedTerm is the last term whose holder said that it gives no more orders.
@@ -90,6 +92,43 @@
 	}
 }
 
+// Order says how a view's changes follow those that were taken in before.
+type Order int
+
+// The orders of a view.
+const (
+	// InOrder: its changes come next, or it needs none before it.
+	InOrder Order = iota
+	// Repeated: its changes were taken in, as they came another way.
+	Repeated
+	// Gap: changes before it are missing. Taken in, it would acknowledge withdrawals that this instance does not know.
+	Gap
+)
+
+// Order decides how a view follows those that were taken in; views come from the planner itself and from a gatherer.
+func (f *Followed) Order(v *wire.View) Order {
+	switch {
+	case v.Sequence == 0 || v.Whole:
+		return InOrder
+	case v.Term != f.Term || v.Planner != f.Planner || f.Sequence == 0:
+		return Gap
+	case v.Sequence <= f.Sequence:
+		return Repeated
+	case v.Sequence > f.Sequence+1:
+		return Gap
+	default:
+		return InOrder
+	}
+}
+
+// TakeBare takes in a view without changes: only what it tells of the planner's time counts. It proves nothing of endpoints, since
+// changes may be on their way through a gatherer that stands still.
+func (f *Followed) TakeBare(now time.Time, v *wire.View) {
+	if v.Term == f.Term && v.Planner == f.Planner {
+		f.learnDelay(now, v)
+	}
+}
+
 // Effects is what a view asks of the instance that keeps it.
 type Effects struct {
 	// Acknowledge wants a report, since withdrawals were announced or the view is a whole one.
@@ -159,6 +198,18 @@
 	return f.ReceivedAt.Add(-f.Delay), !f.begun.IsZero()
 }
 
+// BareMadeAfter is the same for a bare view that came now.
+func (f *Followed) BareMadeAfter(now time.Time, v *wire.View) (time.Time, bool) {
+	if f.begun.IsZero() || v.Made == 0 || v.Term != f.Term {
+		return time.Time{}, false
+	}
+	made := f.begun.Add(v.Made)
+	if made.After(now) {
+		made = now
+	}
+	return made, true
+}
+
 // Age is for how long what the planner's views tell may have changed unnoticed: since it read the endpoints.
 func (f *Followed) Age(now time.Time) time.Duration {
 	return now.Sub(f.ReceivedAt) + f.Delay + f.ReadAge
@@ -172,6 +223,7 @@
 	f.ReceivedAt, f.ReadAge, f.ConfirmedAge = now, v.ReadAge, v.ConfirmedAge
 	f.Members, f.PlannerRevision, f.Withdrawals = v.Members, v.ConfigurationRevision, v.Withdrawals
 	f.PlannerAsks = v.AsksForKeys
+	f.Sequence = v.Sequence
 	if effects.Resigned {
 		f.ResignedTerm = v.Term
 	}
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -27,14 +27,16 @@
 		return
 	}
 	p.views.Sent(now, withTotals)
-	changes := p.changesView(now, withTotals)
-	frame, err := peerstream.Encode(wire.Message{View: changes})
-	if err != nil {
+	round := &viewRound{changes: p.changesView(now, withTotals), keys: make(map[int64]peerstream.Frame)}
+	round.changed = p.changedEndpoints()
+	p.told.tell(round.changes, round.changed)
+	p.sequence++
+	round.changes.Sequence = p.sequence
+	round.frame = p.encode(round.changes)
+	if round.frame == nil {
 		// No value of a view is known that makes its encoding fail; what changed stays for the next one.
-		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
 		return
 	}
-	round := &viewRound{changes: changes, frame: frame, keys: make(map[int64]peerstream.Frame)}
 	round.asked, _ = p.keysRequest.Next(now, p.coordinator.keys.Revision(), p.members.Sources())
 	for instance, m := range p.members.All() {
 		if m.Link != nil {
@@ -61,21 +63,40 @@
 	} else {
 		changes.Forecasts = changed.Begun
 	}
-	known := make([]*directory.EndpointStatus, 0, len(changed.Endpoints))
-	for id := range changed.Endpoints {
+	changes.Removed = changed.Removed
+	return changes
+}
+
+// changedEndpoints gives the endpoints that changed since the last view.
+func (p *planning) changedEndpoints() []*directory.EndpointStatus {
+	changed := p.plans.Changes().Endpoints
+	list := make([]*directory.EndpointStatus, 0, len(changed))
+	for id := range changed {
 		if status := p.coordinator.directory.Endpoint(id); status != nil {
-			known = append(known, status)
+			list = append(list, status)
 		}
 	}
-	changes.AddEndpoints(slices.Values(known))
-	changes.Removed = changed.Removed
-	return changes
+	return list
+}
+
+// encode gives the frame of a view; nil, which is logged, where it cannot be encoded.
+func (p *planning) encode(v *wire.View) peerstream.Frame {
+	frame, err := peerstream.Encode(wire.Message{View: v})
+	if err != nil {
+		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
+		return nil
+	}
+	return frame
 }
 
 // viewRound is what all members are sent at one time, encoded once.
 type viewRound struct {
 	changes *wire.View
+	// changed are the endpoints that the changes tell of.
+	changed []*directory.EndpointStatus
 	frame   peerstream.Frame
+	// former is the frame for members of the version before, which read no copies by themselves; nil until one needs it.
+	former peerstream.Frame
 	// whole is the frame of a whole view; nil until a member needs it.
 	whole peerstream.Frame
 	// keys are the frames of views that pass keys on, by the revision up to which a member has all.
@@ -96,24 +117,25 @@
 	}
 }
 
-// sendView sends a member the changes or a whole view, whose frames serve all, or a view of its own that passes keys on to it, asks
-// it for keys or answers its probe.
+// sendView sends a member what it needs of a round: the changes or a whole view, whose frames serve all, or a view of its own that passes
+// keys on to it, asks it for keys or answers its probe.
 func (p *planning) sendView(now time.Time, instance string, m *member.Member, round *viewRound) {
 	items := p.itemsFor(now, m)
-	onlyKeys := len(items) > 0 && round.asked != instance && m.Probe == 0 && !m.NeedsFull
-	if frame := p.keysFrame(now, m, round, items); onlyKeys && frame != nil {
-		p.coordinator.observeRelay(items)
-		p.noteSent(m, m.Link.SendFrame(frame))
-		return
-	}
-	if len(items) > 0 || round.asked == instance || m.Probe > 0 {
+	switch {
+	case p.isFed(now, m) && !m.NeedsFull:
+		p.sendBareView(now, instance, m, round, items)
+	case round.asked == instance || m.Probe > 0, len(items) > 0 && (m.NeedsFull || m.Contact == nil):
 		p.sendOwnView(now, instance, m, round, items)
-		return
-	}
-	frame := round.frame
-	if m.NeedsFull {
-		frame = p.wholeFrame(now, round)
+	case len(items) > 0:
+		p.sendFrame(m, p.keysFrame(now, m, round, items))
+		p.coordinator.observeRelay(items)
+	default:
+		p.sendFrame(m, p.commonFrame(now, m, round))
 	}
+}
+
+// sendFrame sends a member a frame that serves others as well; nil, which could not be encoded, is left out.
+func (p *planning) sendFrame(m *member.Member, frame peerstream.Frame) {
 	if frame == nil {
 		return
 	}
@@ -123,41 +145,87 @@
 
 // keysFrame gives the frame of the changes with keys that all members get who lack the same ones; nil where it cannot be encoded.
 func (p *planning) keysFrame(now time.Time, m *member.Member, round *viewRound, items []store.Item) peerstream.Frame {
-	if frame, ok := round.keys[m.ConfigurationRevision]; ok || len(items) == 0 {
+	if frame, ok := round.keys[m.ConfigurationRevision]; ok {
 		return frame
 	}
 	own := *round.changes
 	own.Items, own.KeysAge = items, p.keysAge(now, m)
-	frame, err := peerstream.Encode(wire.Message{View: &own})
-	if err != nil {
-		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
-		return nil
-	}
+	frame := p.encode(&own)
 	round.keys[m.ConfigurationRevision] = frame
 	return frame
 }
 
+// isFed tells whether a gatherer passes the views on to a member: both say so, and the gatherer is heard.
+func (p *planning) isFed(now time.Time, m *member.Member) bool {
+	if m.FedBy == "" || !p.gatherers.sums.Gathers(now, m.FedBy) {
+		return false
+	}
+	gatherer, ok := p.members.All()[m.FedBy]
+	return ok && gatherer.Link != nil && gatherer.FedBy == ""
+}
+
+// commonFrame gives the frame that a member gets like all others of its version: the changes, or a whole view.
+func (p *planning) commonFrame(now time.Time, m *member.Member, round *viewRound) peerstream.Frame {
+	switch {
+	case m.NeedsFull:
+		return p.wholeFrame(now, round)
+	case m.Contact != nil:
+		return round.frame
+	}
+	if round.former == nil {
+		round.former = p.encode(formerView(round))
+	}
+	return round.former
+}
+
+// formerView gives the changes as a member of the version before reads them: endpoints with all of their copies.
+func formerView(round *viewRound) *wire.View {
+	former := *round.changes
+	former.Copies, former.Endpoints, former.Starts = nil, nil, nil
+	former.AddEndpoints(slices.Values(round.changed))
+	return &former
+}
+
+// sendBareView sends a member that a gatherer feeds what only the planner can: keys, a request for keys, the answer to a probe, and at
+// least a sign of life at the pace of heartbeats.
+func (p *planning) sendBareView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
+	if len(items) == 0 && m.Probe == 0 && round.asked != instance && now.Sub(m.BareSentAt) < view.HeartbeatPace {
+		return
+	}
+	bare := &wire.View{
+		Planner: round.changes.Planner, Term: round.changes.Term, Made: round.changes.Made, Members: round.changes.Members,
+		ConfigurationRevision: round.changes.ConfigurationRevision, AsksForKeys: true, Bare: true, Items: items, Probe: m.Probe,
+	}
+	if len(items) > 0 {
+		bare.KeysAge = p.keysAge(now, m)
+	}
+	if round.asked == instance {
+		bare.KeysFrom = instance
+	}
+	m.Probe, m.BareSentAt = 0, now
+	p.coordinator.observeRelay(items)
+	p.noteSent(m, m.Link.Send(wire.Message{View: bare}))
+}
+
 // wholeFrame gives the frame of a whole view, or nil where it cannot be encoded.
 func (p *planning) wholeFrame(now time.Time, round *viewRound) peerstream.Frame {
 	if round.whole != nil {
 		return round.whole
 	}
-	frame, err := peerstream.Encode(wire.Message{View: p.fullView(now)})
-	if err != nil {
-		p.coordinator.options.Log.WithError(err).Error("a view cannot be encoded")
-		return nil
-	}
-	round.whole = frame
-	return frame
+	round.whole = p.encode(p.fullView(now))
+	return round.whole
 }
 
 // sendOwnView sends a member a view that is encoded for it alone: the changes, or a whole view, with keys, a request for keys or the
 // answer to a probe.
 func (p *planning) sendOwnView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
 	own := *round.changes
-	if m.NeedsFull {
+	switch {
+	case m.NeedsFull:
 		own = *p.fullView(now)
 		m.NeedsFull = false
+	case m.Contact == nil:
+		own = *formerView(round)
 	}
 	own.Items, own.Probe = items, m.Probe
 	if len(items) > 0 {
@@ -284,6 +352,7 @@
 	p.addTotals(now, v)
 	v.Gatherers = p.namedGatherers()
 	v.Heartbeat = true
+	v.Whole, v.Sequence = true, p.sequence
 	v.Full = p.coordinator.endpointsKnown
 	v.EndpointsRevision = p.endpointsRevision
 	v.AddEndpoints(maps.Values(p.coordinator.directory.Endpoints()))
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -84,6 +84,11 @@
 	StoreReadAge time.Duration `msgpack:"k"`
 	// Contact tells a new planner how the instance is reached; nil otherwise. Earlier versions neither tell nor read it.
 	Contact *Contact `msgpack:"h,omitempty"`
+	// FedBy is the gatherer that passes the planner's views on to the instance; empty if it needs them from the planner itself. Earlier
+	// versions neither tell nor read it.
+	FedBy string `msgpack:"fb,omitempty"`
+	// NeedsWhole says that views are missing here, and a whole one is needed.
+	NeedsWhole bool `msgpack:"nw,omitempty"`
 }
 
 // FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
@@ -197,6 +202,15 @@
 	// TotalsAge is how old the members' requests in flight were on the mean when the view was made. Earlier versions neither tell
 	// nor read it.
 	TotalsAge time.Duration `msgpack:"ta,omitempty"`
+	// Sequence numbers the views of changes of a term, each one above the last; a whole view has that of the last one it contains. 0 in
+	// views of versions that do not number them, and in bare ones.
+	Sequence uint64 `msgpack:"sq,omitempty"`
+	// Whole says that the view contains all that those before it told.
+	Whole bool `msgpack:"wh,omitempty"`
+	// Bare says that the view carries keys and the answer to a probe only, beside those that a gatherer passes on.
+	Bare bool `msgpack:"ba,omitempty"`
+	// Copies are the copies that came or went at endpoints that did not change otherwise.
+	Copies []CopyChange `msgpack:"cp,omitempty"`
 	// Gatherers are all instances that gather for others, in each view with totals and where they have changed. Earlier versions
 	// neither tell nor read them.
 	Gatherers []Gatherer `msgpack:"ga,omitempty"`
@@ -232,6 +246,16 @@
 	Version int64
 }
 
+// CopyChange is a copy that is on offer from now on at a version, or with version 0 no more.
+type CopyChange struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+
+	ID      deployment.EndpointID
+	Model   string
+	Name    string
+	Version int64
+}
+
 // Start is when the process of an endpoint started, in milliseconds of Unix time.
 type Start struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -76,9 +76,12 @@
 		}
 		return false
 	}
+	if revision > status.Revision || revision == 0 {
+		// The same description again tells nothing newer of copies than the planner's changes since.
+		status.OfferedModels, status.Offered = endpoint.Models, endpoint.Adapters
+	}
 	status.Endpoint = endpoint
 	status.Revision = revision
-	status.OfferedModels, status.Offered = endpoint.Models, endpoint.Adapters
 	return true
 }
 
@@ -231,6 +234,24 @@
 	}
 }
 
+// SetCopy takes in that a copy is on offer at a version, or with version 0 no more.
+func (d *Directory) SetCopy(id deployment.EndpointID, adapter deployment.Adapter, version int64) {
+	status, ok := d.endpoints[id]
+	if !ok {
+		return
+	}
+	offered := maps.Clone(status.Offered)
+	if offered == nil {
+		offered = make(map[deployment.Adapter]int64)
+	}
+	if version == 0 {
+		delete(offered, adapter)
+	} else {
+		offered[adapter] = version
+	}
+	status.Offered = offered
+}
+
 // heldRetention is how long an adapter that was dropped is expected to load fast. Longer prefers endpoints that may have
 // lost it since, shorter loads from the weight store what an endpoint still has. Not measured.
 const heldRetention = 10 * time.Minute
