Test gathering, passed on views and bare views with whole instances

Change: tests with whole instances for loads and totals, order of passed on views, loss of a gatherer, bare views.

--- /dev/null
+++ b/services/entry/coordinator/gathering_test.go
@@ -0,0 +1,273 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/modules/entry/peerstream"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
+)
+
+// wirePeer is a peer that speaks the messages of this version.
+type wirePeer = peerstream.Stream[wire.Message]
+
+var gathererAddress = netip.MustParseAddrPort("127.0.0.9:7000")
+
+// dialed takes the next connection that the instance dials.
+func (s *site) dialed(t *testing.T) *wirePeer {
+	t.Helper()
+	select {
+	case conn := <-s.pipes.dialed:
+		return wireStream(t, conn)
+	case <-time.After(waitLimit):
+		require.FailNow(t, "the instance dials nobody")
+		return nil
+	}
+}
+
+func wireStream(t *testing.T, conn net.Conn) *wirePeer {
+	t.Helper()
+	stream := peerstream.New[wire.Message](conn)
+	t.Cleanup(stream.Close)
+	return stream
+}
+
+// await reads a stream until a message is as wanted.
+func await(t *testing.T, stream *wirePeer, wanted func(wire.Message) bool) wire.Message {
+	t.Helper()
+	for {
+		received, err := stream.Receive(waitLimit, time.Now)
+		require.NoError(t, err)
+		if wanted(received) {
+			return received
+		}
+	}
+}
+
+// wholeOf gives a whole view of a planner in term 4, with a number, that names a gatherer.
+func wholeOf(sequence uint64) *wire.View {
+	return &wire.View{
+		Planner: "peer", Term: 4, Full: true, Whole: true, Sequence: sequence, EndpointsRevision: 50, Heartbeat: true, Members: 40, ConfigurationRevision: 50,
+		Made: time.Minute, Withdrawals: 7,
+		Endpoints: []wire.Endpoint{{
+			ID: "e1", Revision: 50, Service: service, Address: netip.MustParseAddrPort("127.0.0.1:2001"), Hall: "hall", Slots: 16,
+			Models: []wire.Model{{Name: "base", Adapters: []wire.AdapterVersion{{Name: "a1", Version: 1}}}},
+		}},
+		Gatherers: []wire.Gatherer{{Name: "gatherer", Hall: "hall", Address: wire.Address{AddrPort: gathererAddress}}},
+	}
+}
+
+// changeOf gives a view of one copy that came.
+func changeOf(sequence uint64, name string) *wire.View {
+	return &wire.View{
+		Planner: "peer", Term: 4, Sequence: sequence, Members: 40, ConfigurationRevision: 50, Made: time.Minute + time.Second, Withdrawals: 7 + sequence,
+		Copies: []wire.CopyChange{{ID: "e1", Model: "base", Name: name, Version: 1}},
+	}
+}
+
+// gathered starts the instance beside a planner and a gatherer that the test plays.
+func (s *site) gathered(t *testing.T) (planner, gatherer *wirePeer) {
+	t.Helper()
+	s.planElsewhere(t)
+	s.start(t)
+	planner = s.dialed(t)
+	await(t, planner, func(m wire.Message) bool { return m.Report != nil && m.Report.Contact != nil })
+	require.NoError(t, planner.Send(wire.Message{View: wholeOf(10)}))
+	gatherer = s.dialed(t)
+	assert.Equal(t, gathererAddress, s.pipes.lastDialed())
+	return planner, gatherer
+}
+
+func fedBy(name string) func(wire.Message) bool {
+	return func(m wire.Message) bool { return m.Report != nil && m.Report.FedBy == name }
+}
+
+func asksForWhole(m wire.Message) bool { return m.Report != nil && m.Report.NeedsWhole }
+
+// TestAnInstanceTellsItsLoadToItsGathererAndTakesTotals: what the others have in flight came with the planner's rare totals, so that all
+// instances of a large fleet chose by the same old counts.
+func TestAnInstanceTellsItsLoadToItsGathererAndTakesTotals(t *testing.T) {
+	s := newSite()
+	planner, gatherer := s.gathered(t)
+	go drainWire(planner)
+	_, _, err := s.acquire("a1", waitLimit)
+	require.NoError(t, err)
+	load := await(t, gatherer, func(m wire.Message) bool { return m.Load != nil && len(m.Load.InFlight) > 0 }).Load
+	assert.Equal(t, selfName, load.Instance)
+	assert.Equal(t, []wire.Count{{ID: "e1", Requests: 1}}, load.InFlight)
+	go drainWire(gatherer)
+	totals := &wire.Totals{Planner: "peer", Term: 4, Age: 300 * time.Millisecond, InFlight: []wire.Count{{ID: "e1", Requests: 9}}}
+	require.NoError(t, gatherer.Send(wire.Message{Totals: totals}))
+	s.waitForStatus(t, "knows the others' requests", func(status coordinator.Status) bool { return status.OthersInFlight == 8 })
+	assert.GreaterOrEqual(t, s.control.Status().CountsAge, 300*time.Millisecond)
+	former := *totals
+	former.Term, former.InFlight = 3, nil
+	require.NoError(t, gatherer.Send(wire.Message{Totals: &former}))
+	time.Sleep(30 * time.Millisecond)
+	assert.Equal(t, 8, s.control.Status().OthersInFlight, "of a former planner")
+}
+
+// TestViewsThatAGathererPassesOnAreTakenInOrder: the planner's link no longer carries each view to each instance. One that is missing must
+// be noticed, since its withdrawals would be acknowledged with the next one.
+func TestViewsThatAGathererPassesOnAreTakenInOrder(t *testing.T) {
+	s := newSite()
+	planner, gatherer := s.gathered(t)
+	go drainWire(gatherer)
+	require.NoError(t, gatherer.Send(wire.Message{View: changeOf(11, "a2")}))
+	report := await(t, planner, fedBy("gatherer")).Report
+	assert.EqualValues(t, 18, report.WithdrawalsSeen)
+	_, _, err := s.acquire("a2", waitLimit)
+	require.NoError(t, err)
+
+	require.NoError(t, planner.Send(wire.Message{View: changeOf(11, "a3")}), "the same number over the planner's own link")
+	require.NoError(t, gatherer.Send(wire.Message{View: changeOf(13, "a4")}), "12 is missing")
+	report = await(t, planner, asksForWhole).Report
+	assert.EqualValues(t, 18, report.WithdrawalsSeen, "what came after the gap is not acknowledged")
+	assert.Empty(t, report.FedBy)
+	assert.Equal(t, 2, s.control.Status().ResidentCopies)
+
+	whole := wholeOf(13)
+	whole.Withdrawals = 20
+	require.NoError(t, planner.Send(wire.Message{View: whole}))
+	require.NoError(t, gatherer.Send(wire.Message{View: changeOf(14, "a5")}))
+	report = await(t, planner, fedBy("gatherer")).Report
+	assert.EqualValues(t, 21, report.WithdrawalsSeen)
+	assert.Equal(t, 2, s.control.Status().ResidentCopies, "a1 of the whole view and a5")
+}
+
+// TestAnInstanceWhoseGathererIsLostTurnsToThePlanner, at once where its link ends, and after 0.8 s of silence where it stands still: its
+// views of endpoints stay within the time for which they can be relied on.
+func TestAnInstanceWhoseGathererIsLostTurnsToThePlanner(t *testing.T) {
+	for name, lose := range map[string]func(gatherer *wirePeer){
+		"its link ends":   func(gatherer *wirePeer) { gatherer.Close() },
+		"it stands still": func(*wirePeer) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite()
+			planner, gatherer := s.gathered(t)
+			go drainWire(gatherer)
+			require.NoError(t, gatherer.Send(wire.Message{View: changeOf(11, "a2")}))
+			await(t, planner, fedBy("gatherer"))
+			began := time.Now()
+			lose(gatherer)
+			await(t, planner, func(m wire.Message) bool { return m.Report != nil && m.Report.NeedsWhole && m.Report.FedBy == "" })
+			assert.Less(t, time.Since(began), 1200*time.Millisecond)
+		})
+	}
+}
+
+// TestABareViewProvesNothingOfEndpoints: it comes from the planner while a gatherer that stands still holds back what changed.
+func TestABareViewProvesNothingOfEndpoints(t *testing.T) {
+	s := newSite()
+	planner, gatherer := s.gathered(t)
+	go drainWire(gatherer)
+	require.NoError(t, gatherer.Send(wire.Message{View: changeOf(11, "a2")}))
+	await(t, planner, fedBy("gatherer"))
+	before := s.control.Status().EndpointsAge
+	time.Sleep(200 * time.Millisecond)
+	bare := &wire.View{Planner: "peer", Term: 4, Bare: true, Made: time.Minute + 2*time.Second, Members: 40, Withdrawals: 99, ConfigurationRevision: 50}
+	require.NoError(t, planner.Send(wire.Message{View: bare}))
+	time.Sleep(50 * time.Millisecond)
+	assert.GreaterOrEqual(t, s.control.Status().EndpointsAge, before+200*time.Millisecond)
+	assert.EqualValues(t, 18, await(t, planner, fedBy("")).Report.WithdrawalsSeen, "nor is anything acknowledged")
+}
+
+func drainWire(stream *wirePeer) {
+	for {
+		if _, err := stream.Receive(waitLimit, time.Now); err != nil {
+			return
+		}
+	}
+}
+
+// member joins the instance as one of a name, which can gather.
+func (s *site) member(t *testing.T, name string) *wirePeer {
+	t.Helper()
+	near, far := net.Pipe()
+	s.pipes.incoming <- near
+	stream := wireStream(t, far)
+	report := &wire.Report{Instance: name, Contact: &wire.Contact{Hall: "hall", Address: wire.Address{AddrPort: gathererAddress}, LinkRate: 1}}
+	require.NoError(t, stream.Send(wire.Message{Report: report}))
+	return stream
+}
+
+// TestAPlannerLeavesMembersToTheirGatherers: in a fleet that needs them it names gatherers, tells those that gather the totals, and sends the
+// views of changes no more to who gets them from one, for as long as that one is heard.
+func TestAPlannerLeavesMembersToTheirGatherers(t *testing.T) {
+	s := newSite()
+	s.start(t)
+	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning })
+	members := make(map[string]*wirePeer)
+	for i := range 17 {
+		name := fmt.Sprintf("m%d", i)
+		members[name] = s.member(t, name)
+	}
+	named := make(chan []wire.Gatherer, len(members))
+	views := make(map[string]chan *wire.View)
+	totals := make(chan *wire.Totals, 100)
+	for name, stream := range members {
+		seen := make(chan *wire.View, 1000)
+		views[name] = seen
+		go func() {
+			for {
+				received, err := stream.Receive(waitLimit, time.Now)
+				if err != nil {
+					return
+				}
+				if v := received.View; v != nil {
+					if len(v.Gatherers) > 0 {
+						named <- v.Gatherers
+					}
+					seen <- v
+				}
+				if received.Totals != nil {
+					totals <- received.Totals
+				}
+			}
+		}()
+	}
+	var gatherers []wire.Gatherer
+	select {
+	case gatherers = <-named:
+	case <-time.After(waitLimit):
+		require.FailNow(t, "no gatherers are named")
+	}
+	require.Len(t, gatherers, 2, "17 members of one hall")
+	gatherer := gatherers[0].Name
+	fed := "m0"
+	if gatherer == fed {
+		fed = "m1"
+	}
+	require.NoError(t, members[fed].Send(wire.Message{Report: &wire.Report{Instance: fed, FedBy: gatherer}}))
+	until := time.Now().Add(time.Second)
+	sum := &wire.Sum{Gatherer: gatherer, Members: []string{fed}, InFlight: []wire.Count{{ID: "e1", Requests: 3}}}
+	for time.Now().Before(until) {
+		require.NoError(t, members[gatherer].Send(wire.Message{Sum: sum}))
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Equal(t, []wire.Count{{ID: "e1", Requests: 3}}, (<-totals).InFlight)
+	assert.Equal(t, 3, s.control.Status().OthersInFlight)
+	for len(views[fed]) > 0 {
+		<-views[fed]
+	}
+	for range 4 {
+		require.NoError(t, members[gatherer].Send(wire.Message{Sum: sum}))
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.NotEmpty(t, views[fed], "a sign of life")
+	for len(views[fed]) > 0 {
+		assert.True(t, (<-views[fed]).Bare)
+	}
+	require.Eventually(t, func() bool { v := <-views[fed]; return !v.Bare }, waitLimit, time.Millisecond, "the gatherer is silent")
+	s.waitForStatus(t, "forgets the sum", func(status coordinator.Status) bool { return status.OthersInFlight == 0 })
+}
--- a/services/entry/coordinator/status.go
+++ b/services/entry/coordinator/status.go
@@ -21,6 +21,9 @@
 	PeerQueueBytes int64
 	// EndpointsAge is for how long the endpoints in use may have changed unnoticed; 0 before they were known.
 	EndpointsAge time.Duration
+	// OthersInFlight counts the other instances' requests as known here, CountsAge is how old that is on the mean.
+	OthersInFlight int
+	CountsAge      time.Duration
 }
 
 // Status gives the present state; it is zero once the coordinator has stopped.
@@ -38,8 +41,12 @@
 		if c.planning != nil {
 			status.Planner, status.Term = c.options.Instance, c.planning.lease.Record().Term
 		}
+		if !c.othersAsOf.IsZero() {
+			status.CountsAge = now.Sub(c.othersAsOf)
+		}
 		for _, endpoint := range c.directory.Endpoints() {
 			status.InFlight += endpoint.Own
+			status.OthersInFlight += endpoint.Others
 			status.ResidentCopies += len(endpoint.Offered)
 			if endpoint.Health.Ejected(now) {
 				status.Ejected++
