Let the tests of gathering end, and send a sign of life with each heartbeat

Cause: a test's channel was full and held its reader up; a sign of life came with every second heartbeat at times.

--- a/services/entry/coordinator/gathering_test.go
+++ b/services/entry/coordinator/gathering_test.go
@@ -139,6 +139,7 @@
 	whole := wholeOf(13)
 	whole.Withdrawals = 20
 	require.NoError(t, planner.Send(wire.Message{View: whole}))
+	s.waitForStatus(t, "took the whole view", func(status coordinator.Status) bool { return status.ResidentCopies == 1 })
 	require.NoError(t, gatherer.Send(wire.Message{View: changeOf(14, "a5")}))
 	report = await(t, planner, fedBy("gatherer")).Report
 	assert.EqualValues(t, 21, report.WithdrawalsSeen)
@@ -190,6 +191,14 @@
 	}
 }
 
+// offer puts a value into a channel that has room.
+func offer[T any](into chan T, value T) {
+	select {
+	case into <- value:
+	default:
+	}
+}
+
 // member joins the instance as one of a name, which can gather.
 func (s *site) member(t *testing.T, name string) *wirePeer {
 	t.Helper()
@@ -226,12 +235,12 @@
 				}
 				if v := received.View; v != nil {
 					if len(v.Gatherers) > 0 {
-						named <- v.Gatherers
+						offer(named, v.Gatherers)
 					}
-					seen <- v
+					offer(seen, v)
 				}
 				if received.Totals != nil {
-					totals <- received.Totals
+					offer(totals, received.Totals)
 				}
 			}
 		}()
@@ -248,19 +257,38 @@
 	if gatherer == fed {
 		fed = "m1"
 	}
-	require.NoError(t, members[fed].Send(wire.Message{Report: &wire.Report{Instance: fed, FedBy: gatherer}}))
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		// All go on reporting, one of them that it is fed.
+		for {
+			for name, stream := range members {
+				report := &wire.Report{Instance: name}
+				if name == fed {
+					report.FedBy = gatherer
+				}
+				_ = stream.Send(wire.Message{Report: report})
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
 	until := time.Now().Add(time.Second)
 	sum := &wire.Sum{Gatherer: gatherer, Members: []string{fed}, InFlight: []wire.Count{{ID: "e1", Requests: 3}}}
 	for time.Now().Before(until) {
 		require.NoError(t, members[gatherer].Send(wire.Message{Sum: sum}))
 		time.Sleep(100 * time.Millisecond)
 	}
+	require.NotEmpty(t, totals)
 	assert.Equal(t, []wire.Count{{ID: "e1", Requests: 3}}, (<-totals).InFlight)
 	assert.Equal(t, 3, s.control.Status().OthersInFlight)
 	for len(views[fed]) > 0 {
 		<-views[fed]
 	}
-	for range 4 {
+	for range 8 {
 		require.NoError(t, members[gatherer].Send(wire.Message{Sum: sum}))
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -268,6 +296,13 @@
 	for len(views[fed]) > 0 {
 		assert.True(t, (<-views[fed]).Bare)
 	}
-	require.Eventually(t, func() bool { v := <-views[fed]; return !v.Bare }, waitLimit, time.Millisecond, "the gatherer is silent")
+	require.Eventually(t, func() bool {
+		select {
+		case v := <-views[fed]:
+			return !v.Bare
+		default:
+			return false
+		}
+	}, waitLimit, time.Millisecond, "the gatherer is silent")
 	s.waitForStatus(t, "forgets the sum", func(status coordinator.Status) bool { return status.OthersInFlight == 0 })
 }
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -186,10 +186,14 @@
 	return &former
 }
 
+// signPause is the least pause between two signs of life to a member that a gatherer feeds: below the pace of heartbeats, so that each of
+// these carries one in a calm fleet. Not measured.
+const signPause = 3 * view.HeartbeatPace / 4
+
 // sendBareView sends a member that a gatherer feeds what only the planner can: keys, a request for keys, the answer to a probe, and at
 // least a sign of life at the pace of heartbeats.
 func (p *planning) sendBareView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
-	if len(items) == 0 && m.Probe == 0 && round.asked != instance && now.Sub(m.BareSentAt) < view.HeartbeatPace {
+	if len(items) == 0 && m.Probe == 0 && round.asked != instance && now.Sub(m.BareSentAt) < signPause {
 		return
 	}
 	bare := &wire.View{
