--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -45,7 +45,9 @@
 	Connections          float64
 	LogSuppressed        float64
 	PeerQueueBytes       float64
-	EndpointsAgeSeconds  float64
+	// CountsAgeSeconds is how old the others' requests in flight are on the mean.
+	CountsAgeSeconds    float64
+	EndpointsAgeSeconds float64
 }
 
 // Metrics are the counters and histograms of a process.
@@ -217,6 +219,7 @@
 	describe("members", "Instances that share the fleet's bounds.", func(g Gauges) float64 { return g.Members }),
 	describe("connections_opened", "Connections opened to endpoints.", func(g Gauges) float64 { return g.Connections }),
 	describe("peer_queue_bytes", "Bytes that wait to be written to peers.", func(g Gauges) float64 { return g.PeerQueueBytes }),
+	describe("counts_age_seconds", "How old the other instances' requests in flight are on the mean, as this one knows them.", func(g Gauges) float64 { return g.CountsAgeSeconds }),
 	describe("endpoints_age_seconds", "For how long the endpoints in use may have changed unnoticed.", func(g Gauges) float64 { return g.EndpointsAgeSeconds }),
 	describe("log_lines_suppressed", "Log lines that were not written.", func(g Gauges) float64 { return g.LogSuppressed }),
 }
--- a/services/entry/directory/restart_test.go
+++ b/services/entry/directory/restart_test.go
@@ -84,3 +84,32 @@
 	d.Put(born(1, deployment.Ready), 3)
 	assert.Equal(t, 1, d.Endpoint("e").Own)
 }
+
+// TestADescriptionThatIsReadAgainDropsNoCopy: the store's description lists copies late, and the planner told of those that came since.
+func TestADescriptionThatIsReadAgainDropsNoCopy(t *testing.T) {
+	two := deployment.Adapter{Model: "base", Name: "a2"}
+	d := directory.New()
+	described := endpoint("e", deployment.Ready)
+	d.Put(described, 5)
+	d.SetCopy("e", two, 7)
+	d.SetCopy("e", one, 0)
+	d.SetCopy("gone", one, 1)
+	assert.Equal(t, map[deployment.Adapter]int64{two: 7}, d.Endpoint("e").Offered)
+	d.Put(described, 5)
+	assert.Equal(t, map[deployment.Adapter]int64{two: 7}, d.Endpoint("e").Offered)
+	d.Put(described, 6)
+	assert.Equal(t, described.Adapters, d.Endpoint("e").Offered, "a newer one counts")
+	assert.Equal(t, map[deployment.Adapter]int64{one: 2}, described.Adapters, "nor was it changed itself")
+}
+
+func TestHowLongRequestsStayIsLearntByService(t *testing.T) {
+	d := directory.New()
+	assert.Equal(t, time.Second, d.Stay("s"))
+	d.NoteStay("s", 4*time.Second)
+	assert.Equal(t, 4*time.Second, d.Stay("s"))
+	for range 200 {
+		d.NoteStay("s", 2*time.Second)
+	}
+	assert.InDelta(t, 2, d.Stay("s").Seconds(), 0.01)
+	assert.Equal(t, time.Second, d.Stay("other"))
+}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -218,6 +218,7 @@
 			Term: float64(status.Term), Members: float64(status.Members),
 			Connections: float64(client.Dialed()), LogSuppressed: float64(writer.Suppressed()),
 			PeerQueueBytes: float64(status.PeerQueueBytes), EndpointsAgeSeconds: status.EndpointsAge.Seconds(),
+			CountsAgeSeconds: status.CountsAge.Seconds(),
 		}
 		if status.Planning {
 			gauges.Planning = 1
--- a/tests/pinned/entry/encoded_test.go
+++ b/tests/pinned/entry/encoded_test.go
@@ -105,7 +105,7 @@
 // TestPeerMessages pins one example of each message between instances.
 func TestPeerMessages(t *testing.T) {
 	t.Parallel()
-	run := driver(t, "message", findType(t, "r", "v", "q", "s"))
+	run := driver(t, "message", findType(t, "r", "v", "q", "s", "l", "u", "t"))
 	pin(t, "peer_messages.txt", run("PINNED_EACH=1"))
 	checkDecoding(t, "peer_messages.txt", run)
 }
