Send an instance that has read the endpoints a short whole view

Cause: at the start of everything each instance got all endpoints by the planner's link, 0.5 MB at 3,000 endpoints, and read them from the store again and again meanwhile; a reading that failed under that load was made again after up to 4.5 s.

Change: an instance tells the revision as of which it has read the endpoints, as long as nobody else told it of copies; a whole view then names those that are as described. A failed reading of endpoints is made again within 1 s.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -56,21 +56,25 @@
 	directory       *directory.Directory
 	endpointsKnown  bool
 	endpointsReadAt time.Time
-	keys            *follow.Keys
-	complete        follow.Completeness
-	versions        *follow.Versions
-	unbegun         *unbegun.Requests
-	budget          *retry.Budget
-	waiters         waiting.Queue[acquired]
-	demand          *report.Counter
-	reports         report.Schedule
-	forecasts       *forecast.Book
-	sweptAt         time.Time
-	missing         []wire.Copy
-	following       following
-	planning        *planning
-	gathering       gathering
-	seedAnswer      seedAnswer
+	// readUpTo is the store's revision as of which this instance has read all endpoints, for as long as it knows copies from the store
+	// alone; 0 otherwise. toldOfCopies ends that: a planner, a seed or an own plan told of copies.
+	readUpTo     int64
+	toldOfCopies bool
+	keys         *follow.Keys
+	complete     follow.Completeness
+	versions     *follow.Versions
+	unbegun      *unbegun.Requests
+	budget       *retry.Budget
+	waiters      waiting.Queue[acquired]
+	demand       *report.Counter
+	reports      report.Schedule
+	forecasts    *forecast.Book
+	sweptAt      time.Time
+	missing      []wire.Copy
+	following    following
+	planning     *planning
+	gathering    gathering
+	seedAnswer   seedAnswer
 	// othersAsOf is when the other instances' requests in flight were as this instance knows them, on the mean; zero if it knows none.
 	othersAsOf time.Time
 	// heardLoads is what was last heard of a planner's loads.
@@ -212,6 +216,11 @@
 	}
 }
 
+// noteCopiesTold notes that this instance knows copies from others than the store.
+func (c *Coordinator) noteCopiesTold() {
+	c.toldOfCopies, c.readUpTo = true, 0
+}
+
 // sleep waits for a span, or until the coordinator stops.
 func (c *Coordinator) sleep(span time.Duration) {
 	timer := time.NewTimer(span)
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -57,7 +57,7 @@
 func (c *Coordinator) pollEndpoints() {
 	sent := c.options.Now()
 	if _, err := c.readEndpoints(); err != nil {
-		c.sleep(c.failurePause(storeRetry))
+		c.sleep(min(c.failurePause(storeRetry), endpointPollPause))
 		return
 	}
 	c.sleep(c.alonePause(endpointPollPause) - c.options.Now().Sub(sent))
@@ -147,6 +147,9 @@
 	}
 	before := maps.Clone(c.directory.Endpoints())
 	c.directory.Replace(endpoints, revisions, revision)
+	if !c.toldOfCopies {
+		c.readUpTo = revision
+	}
 	c.retireFormer(before)
 	c.endpointsRead(now, sent)
 	if c.planning != nil {
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -261,6 +261,10 @@
 	for _, one := range v.Copies {
 		c.directory.SetCopy(one.ID, deployment.Adapter{Model: one.Model, Name: one.Name}, one.Version)
 	}
+	c.noteCopiesTold()
+	for _, id := range v.Unchanged {
+		listed[id] = true
+	}
 	for _, gone := range v.Removed {
 		c.removeEndpoint(gone.ID, gone.Revision)
 	}
--- a/services/entry/coordinator/gathering_test.go
+++ b/services/entry/coordinator/gathering_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/peerstream"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
@@ -306,3 +307,55 @@
 	}, waitLimit, time.Millisecond, "the gatherer is silent")
 	s.waitForStatus(t, "forgets the sum", func(status coordinator.Status) bool { return status.OthersInFlight == 0 })
 }
+
+// TestAMemberThatHasReadTheEndpointsGetsAShortWholeView: when all instances start at once each got all endpoints over the planner's link,
+// which held up views of endpoints that leave.
+func TestAMemberThatHasReadTheEndpointsGetsAShortWholeView(t *testing.T) {
+	s := newSite()
+	s.start(t)
+	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning && status.Endpoints == 1 })
+	for name, test := range map[string]struct {
+		read  int64
+		short bool
+	}{
+		"read it all":   {1 << 40, true},
+		"read it early": {1, false},
+		"read nothing":  {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			s.pipes.incoming <- near
+			stream := wireStream(t, far)
+			report := &wire.Report{Instance: name, Contact: &wire.Contact{Hall: "hall"}, EndpointsRead: test.read}
+			require.NoError(t, stream.Send(wire.Message{Report: report}))
+			v := await(t, stream, func(m wire.Message) bool { return m.View != nil }).View
+			assert.True(t, v.Whole)
+			assert.True(t, v.Full)
+			if test.short {
+				assert.Empty(t, v.Endpoints)
+				assert.Equal(t, []deployment.EndpointID{"e1"}, v.Unchanged)
+			} else {
+				assert.Len(t, v.Endpoints, 1)
+				assert.Empty(t, v.Unchanged)
+			}
+		})
+	}
+}
+
+// TestAnInstanceSaysThatItReadTheEndpointsUntilItIsToldOfCopies: what a planner told may be other than what the store describes.
+func TestAnInstanceSaysThatItReadTheEndpointsUntilItIsToldOfCopies(t *testing.T) {
+	s := newSite()
+	s.planElsewhere(t)
+	s.start(t)
+	planner := s.dialed(t)
+	first := await(t, planner, func(m wire.Message) bool { return m.Report != nil }).Report
+	assert.Positive(t, first.EndpointsRead)
+	short := wholeOf(1)
+	short.Endpoints, short.Gatherers, short.Unchanged = nil, nil, []deployment.EndpointID{"e1"}
+	require.NoError(t, planner.Send(wire.Message{View: short}))
+	s.waitForStatus(t, "follows", func(status coordinator.Status) bool { return status.Term == 4 })
+	assert.Equal(t, 1, s.control.Status().Endpoints, "it stays as it was read")
+	planner.Close()
+	again := await(t, s.dialed(t), func(m wire.Message) bool { return m.Report != nil }).Report
+	assert.Zero(t, again.EndpointsRead)
+}
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -50,6 +50,8 @@
 	Probe uint64
 	// Contact is how its peers reach it; nil for one of an earlier version.
 	Contact *wire.Contact
+	// EndpointsRead is the store's revision as of which it has read all endpoints and heard no planner since; 0 otherwise.
+	EndpointsRead int64
 	// FedBy is the gatherer that passes views on to it; empty if none does.
 	FedBy string
 	// BareSentAt is when the last bare view was sent to it.
@@ -129,6 +131,7 @@
 		m.Contact = r.Contact
 	}
 	m.FedBy = r.FedBy
+	m.EndpointsRead = r.EndpointsRead
 	m.NeedsFull = m.NeedsFull || r.NeedsWhole
 	m.inUse = make(map[wire.Copy]int, len(r.InUse))
 	for _, used := range r.InUse {
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -57,6 +57,7 @@
 	}
 	if c.following.ratesDue {
 		built.Rates, built.FormerLoads = c.demand.Rates(now), c.knownFormerLoads(now)
+		built.EndpointsRead = c.readUpTo
 		built.Contact = &wire.Contact{Hall: c.options.Hall, Address: wire.Address{AddrPort: c.options.PeerAddress}, LinkRate: c.options.LinkRate}
 		c.following.ratesDue = false
 	}
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -39,6 +39,7 @@
 	for i, endpoint := range v.Described() {
 		c.putEndpoint(endpoint, v.Endpoints[i].Revision)
 	}
+	c.noteCopiesTold()
 	c.endpointsKnown = true
 	c.applyItems(now, c.complete.Origin(follow.FromSeed, v.ConfigurationRevision), v.Items)
 }
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -97,8 +97,11 @@
 	frame   peerstream.Frame
 	// former is the frame for members of the version before, which read no copies by themselves; nil until one needs it.
 	former peerstream.Frame
-	// whole is the frame of a whole view; nil until a member needs it.
+	// whole is the frame of a whole view, short that of one for members that have read the endpoints; nil until one needs it.
 	whole peerstream.Frame
+	short peerstream.Frame
+	// newestEndpoint is what newest found; 0 before.
+	newestEndpoint int64
 	// keys are the frames of views that pass keys on, by the revision up to which a member has all.
 	keys map[int64]peerstream.Frame
 	// asked is the member that is asked for the operators' keys; empty if none is.
@@ -167,6 +170,8 @@
 // commonFrame gives the frame that a member gets like all others of its version: the changes, or a whole view.
 func (p *planning) commonFrame(now time.Time, m *member.Member, round *viewRound) peerstream.Frame {
 	switch {
+	case m.NeedsFull && m.EndpointsRead >= round.newest(p.coordinator.directory):
+		return p.shortFrame(now, round)
 	case m.NeedsFull:
 		return p.wholeFrame(now, round)
 	case m.Contact != nil:
@@ -220,6 +225,36 @@
 	return round.whole
 }
 
+// newest is the store's revision of the latest description of an endpoint, at least 1.
+func (r *viewRound) newest(known *directory.Directory) int64 {
+	if r.newestEndpoint == 0 {
+		r.newestEndpoint = 1
+		for _, status := range known.Endpoints() {
+			r.newestEndpoint = max(r.newestEndpoint, status.Revision)
+		}
+	}
+	return r.newestEndpoint
+}
+
+// shortFrame gives the frame of a whole view for members that have read the endpoints from the store: it describes those only of which
+// the planner knows better. When all instances start at once, each gets 13 bytes of most endpoints in place of 150 and more.
+func (p *planning) shortFrame(now time.Time, round *viewRound) peerstream.Frame {
+	if round.short != nil {
+		return round.short
+	}
+	v := p.viewWithoutEndpoints(now)
+	for id, status := range p.coordinator.directory.Endpoints() {
+		described := maps.Equal(status.Offered, status.Adapters) && slices.Equal(status.OfferedModels, status.Models)
+		if described && status.State == deployment.Ready {
+			v.Unchanged = append(v.Unchanged, id)
+			continue
+		}
+		v.AddEndpoints(slices.Values([]*directory.EndpointStatus{status}))
+	}
+	round.short = p.encode(v)
+	return round.short
+}
+
 // sendOwnView sends a member a view that is encoded for it alone: the changes, or a whole view, with keys, a request for keys or the
 // answer to a probe.
 func (p *planning) sendOwnView(now time.Time, instance string, m *member.Member, round *viewRound, items []store.Item) {
@@ -351,7 +386,15 @@
 	}
 }
 
+// fullView is a whole view that describes each endpoint.
 func (p *planning) fullView(now time.Time) *wire.View {
+	v := p.viewWithoutEndpoints(now)
+	v.AddEndpoints(maps.Values(p.coordinator.directory.Endpoints()))
+	return v
+}
+
+// viewWithoutEndpoints is a whole view that lacks the endpoints yet.
+func (p *planning) viewWithoutEndpoints(now time.Time) *wire.View {
 	v := p.baseView(now)
 	p.addTotals(now, v)
 	v.Gatherers = p.namedGatherers()
@@ -359,7 +402,6 @@
 	v.Whole, v.Sequence = true, p.sequence
 	v.Full = p.coordinator.endpointsKnown
 	v.EndpointsRevision = p.endpointsRevision
-	v.AddEndpoints(maps.Values(p.coordinator.directory.Endpoints()))
 	return v
 }
 
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -87,6 +87,9 @@
 	// FedBy is the gatherer that passes the planner's views on to the instance; empty if it needs them from the planner itself. Earlier
 	// versions neither tell nor read it.
 	FedBy string `msgpack:"fb,omitempty"`
+	// EndpointsRead is the store's revision as of which the instance has read all endpoints itself, and knows nothing of them from a
+	// planner; 0 otherwise.
+	EndpointsRead int64 `msgpack:"er,omitempty"`
 	// NeedsWhole says that views are missing here, and a whole one is needed.
 	NeedsWhole bool `msgpack:"nw,omitempty"`
 }
@@ -207,6 +210,8 @@
 	Sequence uint64 `msgpack:"sq,omitempty"`
 	// Whole says that the view contains all that those before it told.
 	Whole bool `msgpack:"wh,omitempty"`
+	// Unchanged are the endpoints that are as the store describes them, in a whole view for an instance that has read them.
+	Unchanged []deployment.EndpointID `msgpack:"uc,omitempty"`
 	// Bare says that the view carries keys and the answer to a probe only, beside those that a gatherer passes on.
 	Bare bool `msgpack:"ba,omitempty"`
 	// Copies are the copies that came or went at endpoints that did not change otherwise.
