--- a/services/entry/coordinator/gathering_test.go
+++ b/services/entry/coordinator/gathering_test.go
@@ -211,59 +211,56 @@
 	return stream
 }
 
-// TestAPlannerLeavesMembersToTheirGatherers: in a fleet that needs them it names gatherers, tells those that gather the totals, and sends the
-// views of changes no more to who gets them from one, for as long as that one is heard.
-func TestAPlannerLeavesMembersToTheirGatherers(t *testing.T) {
-	s := newSite()
-	s.start(t)
-	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning })
-	members := make(map[string]*wirePeer)
-	for i := range 17 {
+// group is the members of a planner that the test plays, and what they were sent.
+type group struct {
+	members map[string]*wirePeer
+	views   map[string]chan *wire.View
+	named   chan []wire.Gatherer
+	totals  chan *wire.Totals
+}
+
+// joinMembers joins members of one hall and reads what they are sent.
+func (s *site) joinMembers(t *testing.T, count int) *group {
+	t.Helper()
+	g := &group{
+		members: make(map[string]*wirePeer), views: make(map[string]chan *wire.View),
+		named: make(chan []wire.Gatherer, count), totals: make(chan *wire.Totals, 100),
+	}
+	for i := range count {
 		name := fmt.Sprintf("m%d", i)
-		members[name] = s.member(t, name)
+		g.members[name], g.views[name] = s.member(t, name), make(chan *wire.View, 1000)
+		go g.read(g.members[name], g.views[name])
 	}
-	named := make(chan []wire.Gatherer, len(members))
-	views := make(map[string]chan *wire.View)
-	totals := make(chan *wire.Totals, 100)
-	for name, stream := range members {
-		seen := make(chan *wire.View, 1000)
-		views[name] = seen
-		go func() {
-			for {
-				received, err := stream.Receive(waitLimit, time.Now)
-				if err != nil {
-					return
-				}
-				if v := received.View; v != nil {
-					if len(v.Gatherers) > 0 {
-						offer(named, v.Gatherers)
-					}
-					offer(seen, v)
-				}
-				if received.Totals != nil {
-					offer(totals, received.Totals)
-				}
+	return g
+}
+
+// read takes in what a member is sent until its link ends.
+func (g *group) read(stream *wirePeer, seen chan *wire.View) {
+	for {
+		received, err := stream.Receive(waitLimit, time.Now)
+		if err != nil {
+			return
+		}
+		if received.Totals != nil {
+			offer(g.totals, received.Totals)
+		}
+		if received.View != nil {
+			offer(seen, received.View)
+			if len(received.View.Gatherers) > 0 {
+				offer(g.named, received.View.Gatherers)
 			}
-		}()
-	}
-	var gatherers []wire.Gatherer
-	select {
-	case gatherers = <-named:
-	case <-time.After(waitLimit):
-		require.FailNow(t, "no gatherers are named")
-	}
-	require.Len(t, gatherers, 2, "17 members of one hall")
-	gatherer := gatherers[0].Name
-	fed := "m0"
-	if gatherer == fed {
-		fed = "m1"
+		}
 	}
+}
+
+// report lets all members go on reporting until the test ends, one of them that a gatherer feeds it.
+func (g *group) report(t *testing.T, fed, gatherer string) {
+	t.Helper()
 	done := make(chan struct{})
-	defer close(done)
+	t.Cleanup(func() { close(done) })
 	go func() {
-		// All go on reporting, one of them that it is fed.
 		for {
-			for name, stream := range members {
+			for name, stream := range g.members {
 				report := &wire.Report{Instance: name}
 				if name == fed {
 					report.FedBy = gatherer
@@ -277,37 +274,63 @@
 			}
 		}
 	}()
-	until := time.Now().Add(time.Second)
-	sum := &wire.Sum{Gatherer: gatherer, Members: []string{fed}, InFlight: []wire.Count{{ID: "e1", Requests: 3}}}
-	for time.Now().Before(until) {
-		require.NoError(t, members[gatherer].Send(wire.Message{Sum: sum}))
-		time.Sleep(100 * time.Millisecond)
+}
+
+// sumFor sends a gatherer's sum again and again for a span.
+func (g *group) sumFor(t *testing.T, span time.Duration, sum *wire.Sum) {
+	t.Helper()
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		require.NoError(t, g.members[sum.Gatherer].Send(wire.Message{Sum: sum}))
+	}
+}
+
+// TestAPlannerLeavesMembersToTheirGatherers: in a fleet that needs them it names gatherers, tells those that gather the totals, and sends the
+// views of changes no more to who gets them from one, for as long as that one is heard.
+func TestAPlannerLeavesMembersToTheirGatherers(t *testing.T) {
+	s := newSite()
+	s.start(t)
+	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning })
+	g := s.joinMembers(t, 17)
+	gatherers := next(t, g.named)
+	require.Len(t, gatherers, 2, "17 members of one hall")
+	gatherer, fed := gatherers[0].Name, "m0"
+	if gatherer == fed {
+		fed = "m1"
 	}
-	require.NotEmpty(t, totals)
-	assert.Equal(t, []wire.Count{{ID: "e1", Requests: 3}}, (<-totals).InFlight)
+	g.report(t, fed, gatherer)
+	sum := &wire.Sum{Gatherer: gatherer, Members: []string{fed}, InFlight: []wire.Count{{ID: "e1", Requests: 3}}}
+	g.sumFor(t, time.Second, sum)
+	assert.Equal(t, sum.InFlight, next(t, g.totals).InFlight)
 	assert.Equal(t, 3, s.control.Status().OthersInFlight)
-	for len(views[fed]) > 0 {
-		<-views[fed]
+
+	views := g.views[fed]
+	for len(views) > 0 {
+		<-views
 	}
-	for range 8 {
-		require.NoError(t, members[gatherer].Send(wire.Message{Sum: sum}))
-		time.Sleep(100 * time.Millisecond)
+	g.sumFor(t, 800*time.Millisecond, sum)
+	require.NotEmpty(t, views, "a sign of life")
+	for len(views) > 0 {
+		assert.True(t, (<-views).Bare)
 	}
-	require.NotEmpty(t, views[fed], "a sign of life")
-	for len(views[fed]) > 0 {
-		assert.True(t, (<-views[fed]).Bare)
+	for next(t, views).Bare {
+		// Until the planner notices that the gatherer is silent.
+		continue
 	}
-	require.Eventually(t, func() bool {
-		select {
-		case v := <-views[fed]:
-			return !v.Bare
-		default:
-			return false
-		}
-	}, waitLimit, time.Millisecond, "the gatherer is silent")
 	s.waitForStatus(t, "forgets the sum", func(status coordinator.Status) bool { return status.OthersInFlight == 0 })
 }
 
+// next takes one value out of a channel.
+func next[T any](t *testing.T, from chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(waitLimit):
+		require.FailNow(t, "nothing comes")
+		panic("not reached")
+	}
+}
+
 // TestAMemberThatHasReadTheEndpointsGetsAShortWholeView: when all instances start at once each got all endpoints over the planner's link,
 // which held up views of endpoints that leave.
 func TestAMemberThatHasReadTheEndpointsGetsAShortWholeView(t *testing.T) {
