Send short whole views only of endpoints that the planner has read itself

An instance that followed before it plans knows endpoints by views, whose descriptions list what was on offer and not what the store describes. A short whole view before its first own reading would take the one for the other.

Change: none is sent before the planner has read the endpoints in its term.

Measured: the tests of short whole views pass.

--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -170,7 +170,7 @@
 // commonFrame gives the frame that a member gets like all others of its version: the changes, or a whole view.
 func (p *planning) commonFrame(now time.Time, m *member.Member, round *viewRound) peerstream.Frame {
 	switch {
-	case m.NeedsFull && m.EndpointsRead >= round.newest(p.coordinator.directory):
+	case m.NeedsFull && p.describesAsRead(m, round):
 		return p.shortFrame(now, round)
 	case m.NeedsFull:
 		return p.wholeFrame(now, round)
@@ -225,6 +225,12 @@
 	return round.whole
 }
 
+// describesAsRead tells whether a member has read each endpoint as this planner has: the descriptions here are the store's own once the
+// endpoints were read in this term, while those of a view before it list what was on offer then.
+func (p *planning) describesAsRead(m *member.Member, round *viewRound) bool {
+	return p.endpointsRevision > 0 && m.EndpointsRead >= round.newest(p.coordinator.directory)
+}
+
 // newest is the store's revision of the latest description of an endpoint, at least 1.
 func (r *viewRound) newest(known *directory.Directory) int64 {
 	if r.newestEndpoint == 0 {
