--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -325,8 +325,9 @@
 		c.following.stream.Close()
 		c.following.stream = nil
 	}
-	c.noteCopiesTold()
 	c.planning = newPlanning(c, now, held, c.loadsBefore(now, replaced))
+	c.planning.readBefore = c.readUpTo > 0
+	c.noteCopiesTold()
 	c.following.ratesDue = true
 	c.sendReport(now)
 }
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -25,6 +25,8 @@
 type planning struct {
 	coordinator *Coordinator
 	lease       *lease.Lease
+	// readBefore tells that all that was known of endpoints before the term was read from the store.
+	readBefore bool
 	// endpointsRevision is the revision up to which the endpoints' keys were read.
 	endpointsRevision int64
 	plans             *plan.Plans
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -226,9 +226,9 @@
 }
 
 // describesAsRead tells whether a member has read each endpoint as this planner has: the descriptions here are the store's own once the
-// endpoints were read in this term, while those of a view before it list what was on offer then.
+// endpoints were read in this term, or where nobody had told of copies before it; those of a view list what was on offer then.
 func (p *planning) describesAsRead(m *member.Member, round *viewRound) bool {
-	return p.endpointsRevision > 0 && m.EndpointsRead >= round.newest(p.coordinator.directory)
+	return (p.readBefore || p.endpointsRevision > 0) && m.EndpointsRead >= round.newest(p.coordinator.directory)
 }
 
 // newest is the store's revision of the latest description of an endpoint, at least 1.
