Look for the lines of gathering where they are written

Cause: the test that asks that the operators' page quotes only lines that exist lists its sources one by one.

Change: the two new files are listed.

--- a/tests/platform/explain_test.go
+++ b/tests/platform/explain_test.go
@@ -154,7 +154,8 @@
 		"../../services/entry/coordinator/configuration.go", "../../services/entry/coordinator/endpoints.go", "../../services/entry/process/process.go",
 		"../../services/entry/coordinator/coordinator.go", "../../services/entry/coordinator/handover.go", "../../services/entry/loading/order.go",
 		"../../services/entry/coordinator/seeds.go", "../../services/entry/coordinator/reporting.go",
-		"../../services/entry/coordinator/viewing.go", "../../services/entry/coordinator/running.go", "../../routers/entry/gateway/server.go",
+		"../../services/entry/coordinator/viewing.go", "../../services/entry/coordinator/sendingviews.go", "../../services/entry/coordinator/gathering.go",
+		"../../services/entry/coordinator/running.go", "../../routers/entry/gateway/server.go",
 	} {
 		content, err := os.ReadFile(path)
 		require.NoError(t, err)
