--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -187,7 +187,8 @@
 	}
 	stored, err := c.leases.Read(c.context)
 	if err != nil {
-		l.storeRests = c.options.Now().Add(c.failurePause(lookPause))
+		// It counts from when the look was sent, like the pause between looks: a small fleet waits no longer after one that timed out.
+		l.storeRests = now.Add(c.failurePause(lookPause))
 		c.noteStoreSilent()
 		if silence >= lease.TakeoverSilence {
 			c.askSeedsForPlanner()
