Note in the soak that silent connections to the store are a reset of all

Traced: all open connections to the store had fallen silent 0.5 s before that, the planner resigned, and the instance's look at the record ended with its time-out of 1.5 s. The platform counts silent connections as a reset of those of all instances, which bind no bound for 3 s; the soak's check allows that for each trouble of the store that is noted, and this one was not.

Change: it is noted, for the same 3 s as others.

--- a/tools/soak/execute.go
+++ b/tools/soak/execute.go
@@ -196,7 +196,7 @@
 	case plan.StoreRevokes:
 		return s.storeAt.RevokeLeases()
 	case plan.StoreLinksSilent:
-		return s.storeAt.SilenceOpen()
+		return s.silenceStoreLinks()
 	case plan.StoreFreezes:
 		return s.freezeStore(step.For)
 	}
@@ -215,6 +215,14 @@
 	return err
 }
 
+// silenceStoreLinks lets all open connections to the store fall silent. For the platform's bounds that is a reset of the connections of
+// all instances, which only time-outs show.
+func (s *site) silenceStoreLinks() error {
+	now := time.Now()
+	s.notes.disrupt(ledger.StoreTroubled, "", now, now)
+	return s.storeAt.SilenceOpen()
+}
+
 // freezeStore stands the store's process still for a time.
 func (s *site) freezeStore(span time.Duration) error {
 	from := time.Now()
