Let no worker of the daemon begin after its stop

Cause: Service.Stop waited for the workers while its control goroutine could still begin one. Change: the workers are a type of their own that starts none once it is stopped.

--- a/services/daemon/control/executor.go
+++ b/services/daemon/control/executor.go
@@ -25,11 +25,11 @@
 		case node.Reject:
 			s.answer(e.RequestID, Answer{Refusal: e.Refusal})
 		case node.Take:
-			s.spawn(func() { s.take(e) })
+			s.workers.start(func() { s.take(e) })
 		case node.Inspect:
 			s.inspectLater(e)
 		case node.Order:
-			s.spawn(func() { s.order(e) })
+			s.workers.start(func() { s.order(e) })
 		case node.AcquireOwner:
 			s.owner.acquire(e.Pool, e.Term)
 		case node.ReleaseOwner:
@@ -49,14 +49,6 @@
 	}
 }
 
-func (s *Service) spawn(work func()) {
-	s.workers.Add(1)
-	go func() {
-		defer s.workers.Done()
-		work()
-	}()
-}
-
 // deliver hands a ticket to its request; one that has gone meanwhile gives it back.
 func (s *Service) deliver(d node.Deliver) {
 	if s.answer(d.RequestID, Answer{Ticket: d.Ticket, NotAfter: d.NotAfter, Granted: true}) {
@@ -129,7 +121,7 @@
 		return
 	}
 	s.inspecting[i.Endpoint.Name] = true
-	s.spawn(func() { s.inspect(i) })
+	s.workers.start(func() { s.inspect(i) })
 }
 
 func (s *Service) inspect(i node.Inspect) {
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +50,7 @@
 	catalog    atomic.Pointer[catalog.Catalog]
 	follower   *configuration.Follower
 	owner      *owner
-	workers    sync.WaitGroup
+	workers    workers
 	ctx        context.Context
 	cancel     context.CancelFunc
 }
@@ -85,8 +84,7 @@
 
 // Run owns the node until ctx ends or Stop is called.
 func (s *Service) Run() {
-	s.workers.Add(1)
-	go s.pollList()
+	s.workers.start(s.pollList)
 	s.carryOut(s.node.SetListed(s.options.Now(), s.options.Seeds, nil))
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -102,11 +100,11 @@
 	}
 }
 
-// Stop ends all goroutines and waits for the workers.
+// Stop ends all goroutines and waits for the workers; none begins after it.
 func (s *Service) Stop() {
 	s.cancel()
 	s.follower.Stop()
-	s.workers.Wait()
+	s.workers.stop()
 }
 
 // Done is closed when the service stops.
@@ -228,7 +226,6 @@
 }
 
 func (s *Service) pollList() {
-	defer s.workers.Done()
 	if s.options.List == nil {
 		return
 	}
