Pace loads of adapters by a shortest time that grows by the clock, and by loads that are all slow

Cause: the shortest load time grew by a hundredth with each load, so that a rush doubled it within a second, and it came back only by loads that were asked about after their end. The limit also fell by each single slow load, and rose while nothing reached it. Change: it grows by a hundredth a second; loads are too many when the last eight were all slow; a limit grows only where half of it runs; it stays at eight at least.

--- a/services/entry/loading/pace.go
+++ b/services/entry/loading/pace.go
@@ -3,7 +3,10 @@
 
 package loading
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// firstLoadTime is the time of a load of an adapter from the weight store until one was measured. Longer asks later
@@ -14,21 +17,32 @@
 	// fleet sooner, and makes each load longer if the store cannot bring so many. Measured: docs/design/0006-measured.md,
 	// "eight loads at once from the start".
 	firstConcurrency = 8.0
-	// leastConcurrency and mostConcurrency bound how many may run at once, in loads. The least keeps loads going whatever
-	// they take; the most bounds the work of one plan. Measured: docs/design/0006-measured.md, "loads at once bounded at
-	// 11"; the value of 200 itself was not varied.
-	leastConcurrency = 1.0
+	// leastConcurrency and mostConcurrency bound how many may run at once, in loads. The least is what may run before anything
+	// was measured, so that a fleet whose loads became slower for another reason goes on loading; the most bounds the work of one
+	// plan. Measured: docs/design/0006-measured.md, "loads at once bounded at 11"; the value of 200 itself was not varied.
+	leastConcurrency = firstConcurrency
 	mostConcurrency  = 200.0
-	// slowFactor is how many times the shortest load time a load may take before there are too many at once; from then on
-	// more loads at once only make each other longer. Higher lets more run beside each other, each taking longer.
-	// Measured: docs/design/0006-measured.md, "what the weight store brings" (1.5 came with f20ffc7, 2 before).
-	slowFactor = 1.5
-	// backOff is the factor by which concurrency falls after a slow load. Lower recovers sooner from too many and leaves the
+	// slowFactor is how many times the shortest load time the shortest of the last loads (slowRun) may take before there are too
+	// many at once; from then on more at once only make each other longer, also the one that most requests wait for. Higher lets
+	// more run beside each other, lower takes the planner's own delays for the weight store's. Measured:
+	// docs/design/0006-measured.md, "slow by one load".
+	slowFactor = 1.25
+	// slowRun is how many loads, a count, must all be slow. A store that is asked for too much makes all of them slow; an
+	// endpoint that answers late, or a planner that asks late, makes single ones so. By the mean of all, 12 to 29 loads ran at
+	// once on a day with late endpoints, of 32 that the store brings at full speed. More is surer and slower to see it.
+	// Measured: docs/design/0006-measured.md, "slow by one load"; the count was not varied.
+	slowRun = 8
+	// backOff is the factor by which concurrency falls after slow loads. Lower recovers sooner from too many and leaves the
 	// store idle. Not measured.
 	backOff = 0.85
-	// forgetting is the factor by which the shortest load time grows with each load, so that it follows a store that became
-	// slower for good. Higher follows sooner and mistakes too many loads at once for a slower store. Not measured.
-	forgetting = 1.01
+	// forgetting is the part of itself by which the shortest load time grows in a second, so that it follows a store that became
+	// slower for good. Higher follows sooner and mistakes too many loads at once for a slower store: where it grew with each
+	// load instead, it had doubled after 70, all loads were looked at later than they ended, and the limit went up to the most.
+	// Measured: docs/design/0006-measured.md, "loads that make each other slower".
+	forgetting = 0.01
+	// usedShare is the part of the limit that must run for the limit to grow: one that nothing has reached tells nothing of
+	// the weight store. Not measured.
+	usedShare = 0.5
 	// smoothing is the weight of the newest load in the typical load time. Higher follows changes sooner, with more noise.
 	// Not measured.
 	smoothing = 0.2
@@ -50,16 +64,29 @@
 // their shortest time, fewer when they make each other slower.
 type pace struct {
 	limit float64
-	// probing is set until the first slow load: the limit then doubles in the time of one load.
+	// probing is set until loads were slow first: the limit then doubles in the time of one load.
 	probing bool
 	// backedOff is when the limit last fell: loads that ran beside each other tell the same once.
 	backedOff time.Time
-	shortest  time.Duration
-	typical   time.Duration
+	// shortest is the shortest load time as of shortestAt.
+	shortest   time.Duration
+	shortestAt time.Time
+	typical    time.Duration
+	// last are the times of the last loads, at most slowRun.
+	last []time.Duration
 	// quick counts the loads in a row that had ended by the first look at them.
 	quick int
 }
 
+// loadEnd is what the end of a load tells of the weight store.
+type loadEnd struct {
+	took time.Duration
+	// quick says that it had ended by the first look at it, so that it may have been shorter.
+	quick bool
+	// running is how many loads ran at its end, itself included.
+	running int
+}
+
 func newPace() pace {
 	return pace{limit: firstConcurrency, probing: true, shortest: firstLoadTime, typical: firstLoadTime}
 }
@@ -75,24 +102,54 @@
 	return p.shortest * firstLookFifths / fifths
 }
 
-// note takes in the time of one load; quick says that it had ended by the first look at it, so that it may have been shorter.
-func (p *pace) note(now time.Time, took time.Duration, quick bool) {
-	if quick && p.quick < quickRun {
+// note takes in the end of one load.
+func (p *pace) note(now time.Time, end loadEnd) {
+	if end.quick && p.quick < quickRun {
 		p.quick++
 		return
 	}
 	p.quick = 0
-	p.typical += time.Duration(smoothing * float64(took-p.typical))
-	p.shortest = min(took, time.Duration(float64(p.shortest)*forgetting))
-	if float64(took) > slowFactor*float64(p.shortest) {
-		p.probing = false
-		if now.Sub(p.backedOff) < p.typical {
-			return
-		}
-		p.backedOff = now
-		p.limit = max(leastConcurrency, p.limit*backOff)
+	p.typical += time.Duration(smoothing * float64(end.took-p.typical))
+	p.noteShortest(now, end.took)
+	p.noteLast(end.took)
+	if len(p.last) == slowRun && float64(slices.Min(p.last)) > slowFactor*float64(p.shortest) {
+		p.slowDown(now)
+		return
+	}
+	if float64(end.running) >= usedShare*p.limit {
+		p.speedUp()
+	}
+}
+
+// noteShortest takes a load time into the shortest one, which grows with time.
+func (p *pace) noteShortest(now time.Time, took time.Duration) {
+	grown := p.shortest
+	if now.After(p.shortestAt) && !p.shortestAt.IsZero() {
+		grown += time.Duration(forgetting * now.Sub(p.shortestAt).Seconds() * float64(p.shortest))
+	}
+	p.shortest, p.shortestAt = min(took, grown), now
+}
+
+// noteLast keeps the times of the last loads.
+func (p *pace) noteLast(took time.Duration) {
+	p.last = append(p.last, took)
+	if len(p.last) > slowRun {
+		p.last = p.last[1:]
+	}
+}
+
+// slowDown lowers the limit, once for loads that ran beside each other.
+func (p *pace) slowDown(now time.Time) {
+	p.probing = false
+	if now.Sub(p.backedOff) < p.typical {
 		return
 	}
+	p.backedOff = now
+	p.limit = max(leastConcurrency, p.limit*backOff)
+}
+
+// speedUp raises the limit by one load in the time of all that may run, and by one for each while it is looked for first.
+func (p *pace) speedUp() {
 	step := 1 / p.limit
 	if p.probing {
 		step = probeStep
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if c.cold && c.timed {
-		p.pace.note(now, now.Sub(c.since), !c.polled)
+		p.pace.note(now, loadEnd{took: now.Sub(c.since), quick: !c.polled, running: p.coldLoads()})
 	}
 	c.state, c.since, c.settledSince = copyResident, now, now
 	delete(plan.dropped, adapter)
