Bring the copies of an adapter that becomes hot beside each other

Cause: the planner knew an adapter by its rate over 12 s, a twelfth of a demand that began a second ago, and brought one copy after the other. Change: requests of the last second count as well, as far as chance does not explain them, and a copy on its way does not keep another from being ordered.

--- a/services/entry/loading/demand.go
+++ b/services/entry/loading/demand.go
@@ -68,6 +68,8 @@
 	Rate
 	// prompts is how many tokens of prompts a second those requests bring.
 	prompts Rate
+	// surge is what was asked in the last moment.
+	surge   surge
 	waiting map[string]waitingPart
 	version int64
 }
@@ -77,9 +79,17 @@
 	until time.Time
 }
 
+// rates gives the requests, and the tokens of their prompts, that come in a second: over rateMemory or, where it is more, in the last
+// moment.
+func (d *adapterDemand) rates(now time.Time) (requests, tokens float64) {
+	requests, tokens = d.surge.sure(now)
+	return max(requests, d.PerSecond(now)), max(tokens, d.prompts.PerSecond(now))
+}
+
 // work is how much of an endpoint's time the requests take, in seconds a second, at a speed of reading in tokens a second.
 func (d *adapterDemand) work(now time.Time, speed float64) float64 {
-	return d.PerSecond(now)*work.RequestTime.Seconds() + d.prompts.PerSecond(now)/speed
+	requests, tokens := d.rates(now)
+	return requests*work.RequestTime.Seconds() + tokens/speed
 }
 
 // readTime is how long the prompt of one request takes in the mean, at a speed of reading in tokens a second.
@@ -129,6 +139,7 @@
 		known := p.demandOf(now, demand.Adapter)
 		known.Add(now, demand.Arrivals)
 		known.prompts.Add(now, demand.Prompts)
+		known.surge.add(now, demand.Arrivals, demand.Prompts)
 	}
 }
 
--- a/services/entry/loading/doc.go
+++ b/services/entry/loading/doc.go
@@ -7,7 +7,7 @@
 // A Planner is a plain state machine. Its methods take in endpoints, demand and the results of
 // orders with the present time as an argument, and Next gives the next order. It owns the plan of copies (copy.go), what
 // endpoints say of themselves (adopt.go), how many orders they have taken (count.go), the demand of all instances
-// (demand.go) and the pace of loads (pace.go, limiter.go); it relies on the coordinator to send its orders, one at a time for
+// (demand.go, surge.go) and the pace of loads (pace.go, limiter.go); it relies on the coordinator to send its orders, one at a time for
 // an endpoint, and on the settings for the weight store's bound. It does no I/O and starts no goroutine.
 //
 // The invariant: what an endpoint holds and loads, and what it was ordered to load and has not refused, is never more than its
--- a/services/entry/loading/spread.go
+++ b/services/entry/loading/spread.go
@@ -79,11 +79,12 @@
 		return 0
 	}
 	drawn := known.work(now, s.speed)
-	moved := min(drawn/float64(count.usable+1), (holder-s.least)/sharers)
+	moved := min(drawn/float64(count.usable+count.coming+1), (holder-s.least)/sharers)
 	if moved < leastRelief {
 		return 0
 	}
-	return known.perSecond * moved / drawn
+	requests, _ := known.rates(now)
+	return requests * moved / drawn
 }
 
 // meanSpeed is how many tokens a second the endpoints read in the mean.
--- a/services/entry/loading/value.go
+++ b/services/entry/loading/value.go
@@ -92,7 +92,7 @@
 }
 
 // Value is the worth of one more copy, in requests served: of the first one that can be used at once by all that wait and
-// are expected, of a second one by the relief that it brings. Zero is not worth a load.
+// are expected, of each further one by the relief that it brings. Zero is not worth a load.
 func (n CopyNeed) Value() float64 {
 	expected := n.Rate * horizon.Seconds()
 	if n.Coming == 0 && (n.Usable == 0 || (n.Waiting > 0 && n.Free == 0)) {
@@ -101,9 +101,7 @@
 		}
 		return float64(n.InTime)*inTimeValue + float64(n.Waiting-min(n.Waiting, n.InTime))*lateValue + expected
 	}
-	if n.Coming > 0 {
-		return 0
-	}
+	// Others may come beside one that is on its way: the demand of a hot adapter does not wait for one load after the other.
 	return n.Relief * horizon.Seconds() * extraCopyValue
 }
 
