--- a/services/entry/proxy/attempt/timeout.go
+++ b/services/entry/proxy/attempt/timeout.go
@@ -18,6 +18,11 @@
 	// head of the answer gets one. More parts leave more time for the retry, fewer give up less work that would have been
 	// answered. Not measured.
 	retryTimeParts = 2
+	// callerMargin is how much later than its caller a stream is given up here. The caller counts its silence from when an event reached
+	// it, this instance from when it read the event before that, so that without a margin a silent endpoint's stream was closed a few
+	// milliseconds before its caller would have left: an answer cut by this side. Longer holds requests that nobody waits for, shorter
+	// cuts those of slow links. Not measured.
+	callerMargin = 250 * time.Millisecond
 	// resumePauses is after how many of the route's pause targets without an event another endpoint is looked for, where the stream can
 	// go on there. More wait for a slow endpoint, fewer resume streams that would have gone on. Not measured.
 	resumePauses = 4
@@ -57,14 +62,14 @@
 	return timeout, timeout < left
 }
 
-// FirstEventTimeout is how long the first bytes of a stream may take after its head: as long as callers wait without data.
+// FirstEventTimeout is how long the first bytes of a stream may take after its head: a little longer than callers wait without data.
 func FirstEventTimeout(route *deployment.Route) time.Duration {
-	return admission.SilenceTimeout(route)
+	return admission.SilenceTimeout(route) + callerMargin
 }
 
-// PauseTimeout is how long a stream may pause between two readings before its endpoint is given up: as long as callers listen.
+// PauseTimeout is how long a stream may pause between two readings before its endpoint is given up: a little longer than callers listen.
 func PauseTimeout(route *deployment.Route) time.Duration {
-	return admission.SilenceTimeout(route)
+	return admission.SilenceTimeout(route) + callerMargin
 }
 
 // SearchAfter is after how long a pause another endpoint is looked for that goes on with a stream; false where none can. The present
