Let the test's endpoint say that it ends its connection

Its endpoint ends a kept connection without a word after a refusal, at times as the next request is written on it, which then counts as uncertain, as it must. Change: that endpoint says Connection: close, as the users' do when they leave.

--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -44,8 +44,11 @@
 // pausing is where an endpoint's script pauses for scriptPause; again parts the scripts of an endpoint's connections, of which the last
 // one holds for all further ones.
 const (
-	pausing     = "\x00"
-	again       = "\x01"
+	pausing = "\x00"
+	again   = "\x01"
+	// closes says that the endpoint ends the connection after its answer. One that ends it without a word may do so as the next request is
+	// written, which then may have run.
+	closes      = "Connection: close\r\n"
 	scriptPause = 100 * time.Millisecond
 )
 
--- a/services/entry/proxy/takeback_test.go
+++ b/services/entry/proxy/takeback_test.go
@@ -51,7 +51,7 @@
 			[]directory.Outcome{directory.Broken, directory.Neutral, directory.Succeeded},
 		},
 		"a resumable stream that was to go on there, and that its own endpoint refuses": {
-			"/resumable", []string{events(first) + again + whole(503, notRun, "busy"), queues}, 4, answered{200, first, "", false}, "stream broke off",
+			"/resumable", []string{events(first) + again + whole(503, notRun+closes, "busy"), queues}, 4, answered{200, first, "", false}, "stream broke off",
 			[]attempt.Result{attempt.BrokenOff, attempt.TakenBack, attempt.NotRun, attempt.NotRun},
 			[]directory.Outcome{directory.Broken, directory.Neutral, directory.Refused, directory.Refused},
 		},
