Wait for an instance's acknowledgement of a withdrawal for 0.25 s, not until it is lost

Cause: a copy was unloaded only once each instance of the fleet had acknowledged that it is off offer. Change: who has not acknowledged in time is passed over as one that is lost is, as long as its last report names no use. The endpoint itself keeps what it runs, and answers a request that comes after the unload as not run.

--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -20,6 +20,10 @@
 	// silentReports is how many pauses between reports, a count, an instance of a large fleet may stay silent. Not
 	// measured.
 	silentReports = 3
+	// acknowledgeTime is how long members of a small fleet have to acknowledge a withdrawal: longer keeps a place from the next load,
+	// shorter lets requests that are on their way find their adapter unloaded. A report and a view on their way take some 150 ms at 195
+	// instances. Not measured itself: docs/design/0006-measured.md, "withdrawals that one instance does not acknowledge".
+	acknowledgeTime = 250 * time.Millisecond
 	// ForgetAfter is how long a lost instance still counts in the fleet's shares. Not measured.
 	ForgetAfter = 20 * time.Second
 	// RelayAfter is how long a peer may lack newer keys of the configuration before they are sent to it: shorter
@@ -33,6 +37,11 @@
 	return max(LeastSilence, silentReports*report.Stretch(report.Pace, members))
 }
 
+// AcknowledgeLimit is how long members of a fleet have to acknowledge a withdrawal.
+func AcknowledgeLimit(members int) time.Duration {
+	return acknowledgeTime + report.Stretch(report.AcknowledgePace, members)
+}
+
 // Link is the connection over which a member reports and gets views.
 type Link = peerstream.Stream[wire.Message]
 
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -152,11 +152,17 @@
 	return t.uses[name]
 }
 
-// Unused tells whether all members act on a withdrawal and none uses the copy. Members that are lost are not asked:
-// the endpoint itself keeps an adapter that a lost instance's request uses.
-func (t *Table) Unused(name wire.Copy, withdrawal uint64) bool {
+// Unused tells whether the members act on a withdrawal that was announced an age ago, and none uses the copy. One that has not
+// acknowledged it in time is passed over, like one that is lost, as long as it told of no use: the endpoint itself keeps an adapter that
+// a request uses, and refuses one that comes after the unload as not run. With each acknowledgement waited for, one instance that stood
+// still or was stopped held up all unloads of the fleet for 1.5 s, and as many followed each other as were restarted in turn.
+func (t *Table) Unused(name wire.Copy, withdrawal uint64, age time.Duration) bool {
+	late := age > AcknowledgeLimit(t.Fleet())
 	for _, m := range t.members {
-		if !m.isLost() && (m.withdrawalsSeen < withdrawal || m.inUse[name] > 0) {
+		if m.isLost() {
+			continue
+		}
+		if m.inUse[name] > 0 || (m.withdrawalsSeen < withdrawal && !late) {
 			return false
 		}
 	}
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -220,11 +220,12 @@
 }
 
 // unused tells whether no instance uses a copy whose withdrawal was announced.
-func (p *Plans) unused(id deployment.EndpointID, adapter deployment.Adapter, withdrawal uint64) bool {
-	if status := p.directory.Endpoint(id); status != nil && status.OwnByAdapter[adapter] > 0 {
+func (p *Plans) unused(withdrawn loading.Withdrawal) bool {
+	adapter := withdrawn.Adapter
+	if status := p.directory.Endpoint(withdrawn.Endpoint); status != nil && status.OwnByAdapter[adapter] > 0 {
 		return false
 	}
-	return p.members.Unused(wire.Copy{ID: id, Model: adapter.Model, Name: adapter.Name}, withdrawal)
+	return p.members.Unused(wire.Copy{ID: withdrawn.Endpoint, Model: adapter.Model, Name: adapter.Name}, withdrawn.Number, withdrawn.Age)
 }
 
 // Order gives what is to be ordered now to start, as long as mayOrder says so, and publishes what changed. begun
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -128,17 +128,26 @@
 	}
 }
 
-// ConfirmUnused lets withdrawn copies be unloaded; unused reports whether every instance has
-// seen the announcement and uses the copy no more. A copy that stays in use is offered again, unless
+// Withdrawal is a copy that was taken off offer.
+type Withdrawal struct {
+	Endpoint deployment.EndpointID
+	Adapter  deployment.Adapter
+	// Number is that of the announcement, Age how long ago it was made.
+	Number uint64
+	Age    time.Duration
+}
+
+// ConfirmUnused lets withdrawn copies be unloaded; unused reports whether the instances have
+// seen the announcement and use the copy no more. A copy that stays in use is offered again, unless
 // it is outdated, so that another one can make room.
-func (p *Planner) ConfirmUnused(now time.Time, unused func(id deployment.EndpointID, adapter deployment.Adapter, withdrawal uint64) bool) {
+func (p *Planner) ConfirmUnused(now time.Time, unused func(Withdrawal) bool) {
 	for id, plan := range p.endpoints {
 		for adapter, c := range plan.copies {
 			if c.state != copyWithdrawn {
 				continue
 			}
 			switch {
-			case unused(id, adapter, c.withdrawal):
+			case unused(Withdrawal{Endpoint: id, Adapter: adapter, Number: c.withdrawal, Age: now.Sub(c.since)}):
 				c.state, c.since = copyUnloading, now
 			case now.Sub(c.since) > withdrawalTimeout && p.uses(id, adapter) > 0 && c.version >= p.versionOf(adapter):
 				c.state, c.since = copyResident, now
