Tell all instances of endpoints that refuse connections

Cause: the store names a crashed endpoint until it has missed its heartbeats, some 3 s. Each of 195 instances found out for itself, by two requests for each endpoint; a request for an adapter whose copies had crashed was refused after three tries. Change: an endpoint that refuses the connections of two instances is told to all at once, and requests for models wait for a copy elsewhere. The two go on trying it by their own rule, so that its return is noticed.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -83,6 +83,9 @@
 			continue
 		}
 		verdict = max(verdict, NotResident)
+		if endpoint.Lost() && required.Request.UsesModel() {
+			continue
+		}
 		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.versionAt(now, endpoint)) {
 			continue
 		}
--- a/services/entry/balance/choose_test.go
+++ b/services/entry/balance/choose_test.go
@@ -144,3 +144,28 @@
 	_, verdict = balance.Choose(start, d.Service("service"), plain, bounded)
 	assert.Equal(t, balance.Chosen, verdict, "a plain service has a queue of its own")
 }
+
+// TestAnEndpointThatRefusesOthersGetsNoRequests: after a crash of a quarter of the endpoints each of 195 instances sent requests to each of
+// them until it had found out for itself, for the 3 s in which the store still named them: 246 requests were refused.
+func TestAnEndpointThatRefusesOthersGetsNoRequests(t *testing.T) {
+	d := build(holder("dead", "h1"), holder("alive", "h1"))
+	request := &deployment.Request{Adapter: adapter, Service: "s"}
+	d.Endpoint("dead").Unreached = true
+	for range 20 {
+		chosen, _ := choose(d, balance.Requirement{Request: request})
+		require.NotNil(t, chosen)
+		assert.EqualValues(t, "alive", chosen.ID)
+	}
+	d.Endpoint("alive").Unreached = true
+	chosen, verdict := choose(d, balance.Requirement{Request: request})
+	assert.Nil(t, chosen)
+	assert.Equal(t, balance.NotResident, verdict, "another copy is worth waiting for")
+
+	for range 2 {
+		d.Begin(start, "dead", request)
+		d.End(start, "dead", adapter, directory.Unreached)
+	}
+	chosen, _ = choose(d, balance.Requirement{Request: request})
+	require.NotNil(t, chosen)
+	assert.EqualValues(t, "dead", chosen.ID, "one that found out itself tries it by its own rule")
+}
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -272,6 +272,10 @@
 	c.directory.NoteStay(request.Service, now.Sub(assignment.Assigned))
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
+	if outcome == directory.Unreached && assignment.status.Health.Unreached(now) {
+		// The others find it out by this report in place of requests of their own.
+		c.reportSoon(now)
+	}
 }
 
 // stillKnown tells whether the endpoint is the incarnation that was chosen, and has been known since: what another one has in flight
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -140,6 +140,7 @@
 	c.applyItems(now, c.passedOn(now, v), v.Items)
 	c.applyViewEndpoints(v)
 	c.noteDescribed(now, v)
+	c.applyUnreached(v)
 	c.applyViewTotals(now, v)
 	c.applyGatherers(v)
 	c.applyForecasts(now, v)
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -80,6 +80,7 @@
 	inUse        map[wire.Copy]int
 	inFlight     map[deployment.EndpointID]InFlight
 	suspects     map[deployment.EndpointID]bool
+	unreached    []deployment.EndpointID
 }
 
 // InFlight is what an endpoint has to do.
@@ -148,6 +149,7 @@
 		m.DescribedUpTo = r.DescribedUpTo
 	}
 	m.NeedsFull = m.NeedsFull || r.NeedsWhole
+	m.unreached = r.Unreached
 	m.inUse = make(map[wire.Copy]int, len(r.InUse))
 	for _, used := range r.InUse {
 		m.inUse[used.Copy()] = used.Count
--- a/services/entry/coordinator/member/member_test.go
+++ b/services/entry/coordinator/member/member_test.go
@@ -266,3 +266,20 @@
 	assert.True(t, behind)
 	assert.Zero(t, span)
 }
+
+func TestAnEndpointThatRefusesTwoInstancesIsUnreached(t *testing.T) {
+	const life = 1500 * time.Millisecond
+	ids := func(list ...deployment.EndpointID) []deployment.EndpointID { return list }
+	told := func(members *member.Table, instance string, list []deployment.EndpointID) {
+		members.Take(start, &wire.Report{Instance: instance, Unreached: list})
+	}
+	members := table("a", "b")
+	told(members, "a", ids("e1", "e2"))
+	assert.Empty(t, members.Unreached(start, nil), "one alone may be cut off")
+	assert.Equal(t, map[deployment.EndpointID]bool{"e2": true}, members.Unreached(start, ids("e2")), "with the planner")
+	told(members, "b", ids("e1"))
+	assert.Equal(t, map[deployment.EndpointID]bool{"e1": true}, members.Unreached(start.Add(life), nil))
+	assert.Empty(t, members.Unreached(start.Add(life+step), nil), "reports of before")
+	told(members, "b", nil)
+	assert.Empty(t, members.Unreached(start, nil), "one reaches it again")
+}
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -11,6 +11,10 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
+// unreachedLife is how long a report tells that an endpoint refuses connections: longer keeps requests from one that is back, shorter lets
+// more instances find out for themselves. The store names a crashed endpoint for some 3 s. Not measured.
+const unreachedLife = 1500 * time.Millisecond
+
 // suspectVotes is the number of instances that must find an endpoint bad, if there are as many. Not measured.
 const suspectVotes = 2
 
@@ -210,6 +214,30 @@
 	return votes >= min(suspectVotes, t.Fleet())
 }
 
+// Unreached gives the endpoints that refuse the connections of two instances, by reports of the last unreachedLife; own are those that
+// refuse the planner's.
+func (t *Table) Unreached(now time.Time, own []deployment.EndpointID) map[deployment.EndpointID]bool {
+	votes := make(map[deployment.EndpointID]int)
+	for _, id := range own {
+		votes[id]++
+	}
+	for _, m := range t.members {
+		if now.Sub(m.reportedAt) > unreachedLife {
+			continue
+		}
+		for _, id := range m.unreached {
+			votes[id]++
+		}
+	}
+	unreached := make(map[deployment.EndpointID]bool)
+	for id, count := range votes {
+		if count >= suspectVotes {
+			unreached[id] = true
+		}
+	}
+	return unreached
+}
+
 // ReachStore tells whether the store lately answered any member, so that it can take the planner's work.
 func (t *Table) ReachStore(now time.Time) bool {
 	for _, m := range t.members {
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -52,6 +52,9 @@
 	orders int
 	// wakeAt is when a plan is due for a load that ends.
 	wakeAt time.Time
+	// unreached are the endpoints that refuse several instances' connections; unreachedChanged says that they were not told yet.
+	unreached        map[deployment.EndpointID]bool
+	unreachedChanged bool
 	// plannedAt is when the last plan was made, putOff that one waits for its pause.
 	plannedAt time.Time
 	putOff    bool
@@ -117,6 +120,7 @@
 	p := c.planning
 	p.plannedAt = now
 	p.plans.Review(now, c.memberSilence())
+	p.reviewUnreached(now)
 	mayOrder := func() bool { return !p.givingUp && p.lease.MayOrder(now) }
 	begun := func(key deployment.ServiceAdapter, remaining time.Duration) {
 		c.forecasts.Note(key, now.Add(remaining))
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -54,6 +54,9 @@
 		if status.Health.Ejected(now) {
 			built.Suspects = append(built.Suspects, id)
 		}
+		if status.Health.Unreached(now) {
+			built.Unreached = append(built.Unreached, id)
+		}
 		for adapter, count := range status.OwnByAdapter {
 			built.InUse = append(built.InUse, wire.CopyCount{ID: id, Model: adapter.Model, Name: adapter.Name, Count: count})
 		}
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -63,6 +64,7 @@
 		changes.Forecasts = changed.Begun
 	}
 	changes.Removed = changed.Removed
+	p.tellUnreached(changes, withTotals)
 	return changes
 }
 
@@ -118,7 +120,7 @@
 
 // noChanges tells whether all members have the plan's last state.
 func (p *planning) noChanges() bool {
-	return p.plans.Changes().Empty() && !p.members.NeedOwn() && !p.gatherers.changed
+	return p.plans.Changes().Empty() && !p.members.NeedOwn() && !p.gatherers.changed && !p.unreachedChanged
 }
 
 // itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
@@ -211,6 +213,7 @@
 	v.Heartbeat = true
 	v.Whole, v.Sequence = true, p.sequence
 	v.Full = p.coordinator.endpointsKnown
+	v.Unreached = &wire.EndpointList{IDs: slices.Collect(maps.Keys(p.unreached))}
 	v.EndpointsRevision = p.endpointsRevision
 	return v
 }
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -68,6 +68,8 @@
 	Missing []Copy `msgpack:"m,omitempty"`
 	// Suspects are the endpoints that the instance has ejected.
 	Suspects []deployment.EndpointID `msgpack:"s,omitempty"`
+	// Unreached are those of the suspects that refuse the instance's connections. Earlier versions neither tell nor read them.
+	Unreached []deployment.EndpointID `msgpack:"un,omitempty"`
 	// Items are keys of the configuration that the planner lacks, by its last view: when it asked for them, or, where it asks
 	// for none, has lacked them for too long.
 	Items []store.Item `msgpack:"o,omitempty"`
@@ -225,6 +227,9 @@
 	Bare bool `msgpack:"ba,omitempty"`
 	// Copies are the copies that came or went at endpoints that did not change otherwise, or all of the Known ones.
 	Copies []CopyChange `msgpack:"cp,omitempty"`
+	// Unreached are all endpoints that refuse several instances' connections, in each view with totals and where they have changed; nil if the
+	// view does not tell. Earlier versions neither tell nor read them.
+	Unreached *EndpointList `msgpack:"un,omitempty"`
 	// Gatherers are all instances that gather for others, in each view with totals and where they have changed. Earlier versions
 	// neither tell nor read them.
 	Gatherers []Gatherer `msgpack:"ga,omitempty"`
@@ -278,6 +283,11 @@
 	Born int64
 }
 
+// EndpointList names endpoints.
+type EndpointList struct {
+	IDs []deployment.EndpointID `msgpack:"e,omitempty"`
+}
+
 // KnownEndpoints are endpoints that hold the same base models.
 type KnownEndpoints struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
--- a/services/entry/directory/directory_test.go
+++ b/services/entry/directory/directory_test.go
@@ -101,6 +101,30 @@
 	assert.False(t, d.Endpoint("e").Health.Ejected(later))
 }
 
+func TestAnEndpointThatRefusesConnectionsIsToldApart(t *testing.T) {
+	for name, test := range map[string]struct {
+		outcomes  []directory.Outcome
+		unreached bool
+	}{
+		"refused once":                       {[]directory.Outcome{directory.Unreached}, false},
+		"refused twice":                      {[]directory.Outcome{directory.Unreached, directory.Unreached}, true},
+		"a caller left between":              {[]directory.Outcome{directory.Unreached, directory.Neutral, directory.Unreached}, true},
+		"an answer that broke off, refused":  {[]directory.Outcome{directory.Broken, directory.Unreached}, false},
+		"refused, an answer that broke off":  {[]directory.Outcome{directory.Unreached, directory.Unreached, directory.Broken}, false},
+		"refused before it answered in full": {[]directory.Outcome{directory.Unreached, directory.Succeeded, directory.Unreached}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := directory.New()
+			d.Put(endpoint("e", deployment.Ready), 5)
+			for _, outcome := range test.outcomes {
+				finish(d, start, "e", outcome)
+			}
+			assert.Equal(t, test.unreached, d.Endpoint("e").Health.Unreached(start))
+			assert.False(t, d.Endpoint("e").Health.Unreached(start.Add(time.Second)), "the next request tries it")
+		})
+	}
+}
+
 func TestAFailedTrialEjectsForLonger(t *testing.T) {
 	d := directory.New()
 	d.Put(endpoint("e", deployment.Ready), 5)
--- a/services/entry/directory/health.go
+++ b/services/entry/directory/health.go
@@ -18,6 +18,8 @@
 	Refused
 	// Broken: no connection, no answer, or an answer that broke off.
 	Broken
+	// Unreached: a refused connection, since nothing listens at the endpoint's address.
+	Unreached
 	// Neutral: the exchange says nothing of the endpoint, as when the caller left.
 	Neutral
 )
@@ -56,8 +58,9 @@
 	// rate is the smoothed share of failed exchanges, exchanges how many it was made of; own counts.
 	rate      float64
 	exchanges int
-	// broken is how many exchanges in a row broke.
-	broken int
+	// broken is how many exchanges in a row broke, unreached how many of the last of them were refused a connection.
+	broken    int
+	unreached int
 	// until is the end of the ejection; zero for an endpoint that was not ejected since it was restored.
 	until time.Time
 	// backoff is the length of the last ejection.
@@ -71,6 +74,16 @@
 	return now.Before(h.until) || h.trial
 }
 
+// Unreached reports whether the endpoint gets no requests for now since it refused the last connections.
+func (h *Health) Unreached(now time.Time) bool {
+	return h.Ejected(now) && h.unreached >= consecutiveBroken
+}
+
+// tries reports whether this instance finds out by trials of its own whether the endpoint is back.
+func (h *Health) tries() bool {
+	return !h.until.IsZero()
+}
+
 // TrialDue reports whether one request may try an ejected endpoint again.
 func (h *Health) TrialDue(now time.Time) bool {
 	return !h.until.IsZero() && !now.Before(h.until) && !h.trial
@@ -85,6 +98,9 @@
 func (h *Health) note(now time.Time, outcome Outcome, serviceRate float64) {
 	trial := h.trial
 	h.trial = false
+	if outcome != Unreached && outcome != Neutral {
+		h.unreached = 0
+	}
 	switch outcome {
 	case Neutral, Refused:
 		return
@@ -97,10 +113,13 @@
 	case Errored:
 		h.add(1)
 		h.broken = 0
-	case Broken:
+	case Broken, Unreached:
 		h.add(1)
 		h.broken++
 	}
+	if outcome == Unreached {
+		h.unreached++
+	}
 	if h.bad(serviceRate) || (trial && outcome != Succeeded) {
 		h.eject(now)
 	}
--- a/services/entry/directory/reach.go
+++ b/services/entry/directory/reach.go
@@ -42,7 +42,7 @@
 	case Succeeded, Errored, Refused:
 		*r = reach{}
 		return
-	case Broken:
+	case Broken, Unreached:
 		r.broken++
 	}
 	if r.broken < cutAfter || r.cut(now) {
--- a/services/entry/directory/status.go
+++ b/services/entry/directory/status.go
@@ -28,6 +28,8 @@
 	OthersUnread int
 	// OwnByAdapter counts this instance's requests by adapter.
 	OwnByAdapter map[deployment.Adapter]int
+	// Unreached says that it refuses the connections of several instances, by the planner's last view.
+	Unreached bool
 	// Health is how the endpoint has behaved.
 	Health Health
 	// Held are the adapters that it held at any time, and when each was last seen there.
@@ -79,6 +81,12 @@
 	return s.Health.Ejected(now) || s.hall.cut(now)
 }
 
+// Lost reports whether requests go elsewhere, or wait until they can, since nothing listens here by what other instances found. An
+// instance that has found out itself tries the endpoint by its own rule, so that those few notice its return.
+func (s *EndpointStatus) Lost() bool {
+	return s.Unreached && !s.Health.tries()
+}
+
 // OwnUnread is how many tokens of this instance's prompts it has not read yet: those of requests that are not known to run.
 func (s *EndpointStatus) OwnUnread() int {
 	return s.wait.unread
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -28,6 +28,8 @@
 	NoConnectionFree Failure = iota
 	// NothingWritten: no connection came about, or no byte of the request was written.
 	NothingWritten
+	// ConnectionRefused: nothing listens at the endpoint's address.
+	ConnectionRefused
 	// NoHead: some or all of the request was written, and no head of an answer came.
 	NoHead
 )
@@ -35,11 +37,13 @@
 // JudgeFailure judges an exchange that ended without the head of an answer.
 func JudgeFailure(failure Failure, s Situation) Verdict {
 	verdict := Verdict{Result: NotSent, Outcome: blame(s)}
-	if failure == NoHead {
+	switch {
+	case failure == NoHead:
 		verdict.Result = unanswered(s)
-	}
-	if failure == NoConnectionFree {
+	case failure == NoConnectionFree:
 		verdict.Outcome = directory.Neutral
+	case failure == ConnectionRefused && verdict.Outcome == directory.Broken:
+		verdict.Outcome = directory.Unreached
 	}
 	return verdict
 }
--- a/services/entry/proxy/attempt/verdict_test.go
+++ b/services/entry/proxy/attempt/verdict_test.go
@@ -23,6 +23,8 @@
 		"no connection free":                  {attempt.NoConnectionFree, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"no connection free, the caller gone": {attempt.NoConnectionFree, after(safe, callerLeft), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"nothing written":                     {attempt.NothingWritten, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Broken}},
+		"connection refused":                  {attempt.ConnectionRefused, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Unreached}},
+		"connection refused, the caller gone": {attempt.ConnectionRefused, after(safe, callerLeft), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"nothing written, the caller gone":    {attempt.NothingWritten, after(safe, callerLeft), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"nothing written, taken back":         {attempt.NothingWritten, after(stream, takenBack), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"no head":                             {attempt.NoHead, after(safe), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
@@ -79,6 +80,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrNoConnection):
 		return attempt.NoConnectionFree
+	case upstream.NotSent(err) && errors.Is(err, syscall.ECONNREFUSED):
+		return attempt.ConnectionRefused
 	case upstream.NotSent(err):
 		return attempt.NothingWritten
 	default:
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -341,16 +341,16 @@
 		},
 		"an endpoint that cannot be reached costs no retry": {
 			"/unsafe", []string{deadPort, ok}, 0, answered{200, "yes", "", true}, "",
-			[]attempt.Result{attempt.NotSent, attempt.Finished}, []directory.Outcome{directory.Broken, directory.Succeeded},
+			[]attempt.Result{attempt.NotSent, attempt.Finished}, []directory.Outcome{directory.Unreached, directory.Succeeded},
 		},
 		"an endpoint that cannot be reached is no attempt": {
 			"/unsafe", []string{deadPort, refused, ok}, 1, answered{200, "yes", "", true}, "",
 			[]attempt.Result{attempt.NotSent, attempt.NotRun, attempt.Finished},
-			[]directory.Outcome{directory.Broken, directory.Refused, directory.Succeeded},
+			[]directory.Outcome{directory.Unreached, directory.Refused, directory.Succeeded},
 		},
 		"three endpoints that cannot be reached": {
 			"/unsafe", []string{deadPort, deadPort, deadPort, ok}, 5, answered{503, "refused by the endpoint\n", "0.25", true}, "refused by the endpoint",
-			[]attempt.Result{attempt.NotSent, attempt.NotSent, attempt.NotSent}, []directory.Outcome{directory.Broken, directory.Broken, directory.Broken},
+			[]attempt.Result{attempt.NotSent, attempt.NotSent, attempt.NotSent}, []directory.Outcome{directory.Unreached, directory.Unreached, directory.Unreached},
 		},
 		"an error of the endpoint": {
 			"/unsafe", []string{whole(500, "", "no"), ok}, 1, answered{500, "no", "", true}, "error of the endpoint",
