Ask the store less often while a planner is replaced, and find the next one sooner at a start

Cause: each of 195 instances read the planner's record each 0.3 s while the planner was silent, once more when it was in trouble and when it gave up, and read and watched the operators' keys because a new planner had named no gatherers yet: two to four calls of each instance at each change of planners. Where all start at once the first looks find no record, and the next ones came after 0.9 s only. Change: instances that leave the record to others look each second; of those that a planner in trouble needs, as many look at once as a small fleet has, the others later and only where no successor was told; a new planner goes on with the gatherers of the one before for a second; who has heard no planner yet looks each 0.3 s.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -93,6 +93,8 @@
 	endLongWatch context.CancelFunc
 	// lookDue asks for a look at the record without delay.
 	lookDue bool
+	// lookAt is when a look that was put off is due; zero if none was.
+	lookAt time.Time
 }
 
 // New makes a coordinator; Start begins its work.
@@ -167,6 +169,7 @@
 	c.takeBackLate(now)
 	c.reviewWaiters(now)
 	c.checkWatch(now)
+	c.lookIfStillDue(now)
 	if c.planning != nil {
 		c.resignIfOthersCan(now)
 		c.plan(now)
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -149,10 +149,10 @@
 		c.acknowledge(now)
 	}
 	if effects.Resigned {
-		c.lookDue = true
+		c.askForLook(now)
 	}
 	if v.ConfirmedAge > lease.ConfirmTrouble && now.Sub(c.storeReadAt) > lease.ConfirmTrouble {
-		c.lookDue = true
+		c.askForLook(now)
 	}
 	c.reviewWaiters(now)
 }
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/leasestore"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/report"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
 )
@@ -163,6 +164,15 @@
 	}
 }
 
+// pauseOfLooks is the mean pause between two looks at the record here.
+func (c *Coordinator) pauseOfLooks() time.Duration {
+	pause := lookPause
+	c.loop.Call(func(time.Time) {
+		pause = lease.LookPause(lookPause, c.pace(lookPause), c.options.Reluctance, c.following.Term > 0)
+	})
+	return pause
+}
+
 // lookForPlanner reads the record while no planner sends views, and takes the lease where its holder is gone. An instance that
 // leaves takes no lease, but a new planner must hear of the copies that its last requests use.
 func (l *leaseLoop) lookForPlanner() {
@@ -174,11 +184,11 @@
 	if l.started.IsZero() {
 		l.started = now
 	}
-	silence, asked := c.takeLookReasons(now, l.started)
-	if !lease.LookDue(now, asked, silence, l.nextLook) {
+	silence, asked, heard := c.takeLookReasons(now, l.started)
+	if !lease.LookDue(now, asked, heard, silence, l.nextLook) {
 		return
 	}
-	l.nextLook = now.Add(c.jitter(lookPause))
+	l.nextLook = now.Add(c.jitter(c.pauseOfLooks()))
 	if now.Before(l.storeRests) {
 		if silence >= lease.TakeoverSilence {
 			c.askSeedsForPlanner()
@@ -247,13 +257,36 @@
 
 // takeLookReasons gives for how long no view came of a planner that could prove its lease, and takes the request for a
 // look at the record, if there is one.
-func (c *Coordinator) takeLookReasons(now, started time.Time) (silence time.Duration, asked bool) {
+func (c *Coordinator) takeLookReasons(now, started time.Time) (silence time.Duration, asked, heard bool) {
 	last := lease.LastView{Started: started}
 	c.loop.Call(func(time.Time) {
 		last.ReceivedAt, last.ConfirmedAge = c.following.ReceivedAt, c.following.ConfirmedAge
 		asked = c.takeLookRequest()
 	})
-	return c.options.Lease.Silence(now, last), asked
+	return c.options.Lease.Silence(now, last), asked, !last.ReceivedAt.IsZero()
+}
+
+// askForLook has this instance look at the record, since the planner is in trouble or has given up. It takes some that look at once to tell
+// the planner that the store answers, and to tell it its successor, which tells all members: those that leave the record to others look
+// later, but for as many by chance as a small fleet has, and only where no successor was learned.
+func (c *Coordinator) askForLook(now time.Time) {
+	few := c.options.Random() < float64(report.MembersAtPace)/float64(max(1, c.following.Members))
+	if c.options.Reluctance == 0 || few {
+		c.lookDue = true
+		return
+	}
+	if c.lookAt.IsZero() {
+		c.lookAt = now.Add(c.options.Reluctance)
+	}
+}
+
+// lookIfStillDue asks for the look that was put off, unless a later planner was learned since.
+func (c *Coordinator) lookIfStillDue(now time.Time) {
+	if c.lookAt.IsZero() || now.Before(c.lookAt) {
+		return
+	}
+	c.lookAt = time.Time{}
+	c.lookDue = c.lookDue || c.knownRecord.Term <= c.following.Term
 }
 
 // takeLookRequest tells whether a look at the record was asked for, and forgets that it was.
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -78,6 +78,7 @@
 		told:         make(told),
 		plans:        plan.New(options, c.directory, members, former.loads),
 	}
+	p.inheritGatherers(now, c.gathering.gatherers)
 	if configuration := c.current.Load(); configuration != nil {
 		p.plans.SetConfiguration(now, configuration, c.versions.All())
 	}
--- a/services/entry/coordinator/site_test.go
+++ b/services/entry/coordinator/site_test.go
@@ -63,8 +63,9 @@
 	down     bool
 	// deaf keeps watches from hearing anything.
 	deaf bool
-	// readings counts the readings of all endpoints.
-	readings int
+	// readings counts the readings of all endpoints, recordReads those of the planner's record.
+	readings    int
+	recordReads int
 	// betweenPages is called once, after a page that has the first of the operators' keys alone; nil lets one page have all.
 	betweenPages func()
 }
@@ -121,6 +122,13 @@
 	m.changed = make(chan struct{})
 }
 
+// recordReadings is how often the planner's record was read.
+func (m *memoryStore) recordReadings() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.recordReads
+}
+
 // endpointReadings is how often all endpoints were read.
 func (m *memoryStore) endpointReadings() int {
 	m.mutex.Lock()
@@ -131,6 +139,9 @@
 func (m *memoryStore) get(_ context.Context, key string) (store.Item, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if key == recordKey {
+		m.recordReads++
+	}
 	if m.down {
 		return store.Item{}, errDown
 	}
@@ -393,6 +404,8 @@
 	now func() time.Time
 	// loadWindow is the span in which loads from the weight store are counted.
 	loadWindow time.Duration
+	// reluctance is how much longer than others the instance leaves the record to them.
+	reluctance time.Duration
 	// linkRate is how many bytes a second the instance's link carries; 0 if it is not known.
 	linkRate int
 	// aroundCommit wraps the store's writes, as the instance makes them.
@@ -468,7 +481,7 @@
 		Instance: selfName, Hall: "hall", PeerAddress: selfAddress, Seeds: seeds,
 		Lease:      lease.Options{Window: 1300 * time.Millisecond, OrderTimeout: 200 * time.Millisecond, Turn: 300 * time.Millisecond},
 		LoadWindow: s.loadWindow, LoadTolerance: 1, LoadSlack: 10, VersionLimit: versionLimit, StoreTimeout: 300 * time.Millisecond,
-		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log), LinkRate: s.linkRate,
+		Now: s.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log), LinkRate: s.linkRate, Reluctance: s.reluctance,
 		ObserveFormerVersion: func(age time.Duration, overdue bool) { s.formerAges <- formerAge{age, overdue} },
 		ObserveTakenBack:     func() { s.takenBack.Add(1) },
 	}
--- a/services/entry/coordinator/tellingtotals.go
+++ b/services/entry/coordinator/tellingtotals.go
@@ -32,6 +32,20 @@
 	totalsDue time.Time
 }
 
+// formerTime is for how long a new planner goes on with the gatherers of the one before it: until most members have joined. Without them
+// each member read the operators' keys and watched them, two calls of each at each change of planners. Not measured itself:
+// docs/design/0006-measured.md, "looks of weak instances".
+const formerTime = time.Second
+
+// inheritGatherers goes on with those that gathered for the planner before, this instance left out.
+func (p *planning) inheritGatherers(now time.Time, former []tree.Instance) {
+	g := &p.gatherers
+	g.named = slices.DeleteFunc(slices.Clone(former), func(one tree.Instance) bool { return one.Name == p.coordinator.options.Instance })
+	if len(g.named) > 0 {
+		g.namedAt, g.changed = now.Add(formerTime-namingPause), true
+	}
+}
+
 // nameGatherers chooses who gathers, when that is due. The planner itself does not, since it hears all others.
 func (p *planning) nameGatherers(now time.Time) {
 	g := &p.gatherers
--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -162,13 +162,29 @@
 	}
 }
 
+// longestLook bounds the pause between two looks of an instance that leaves the record to others: longer spares calls to the store while a
+// planner is replaced, shorter finds the next one sooner. Below the time that it has to wait before it orders. Measured:
+// docs/design/0006-measured.md, "looks of weak instances".
+const longestLook = time.Second
+
+// LookPause is the pause between two looks at the record; stretched is the usual one as long as the fleet is large. Instances that leave the
+// record to others look to learn who took it, which these others find out: 180 of 195 instances, each 0.3 s, made 600 calls a
+// second. One that has heard no planner yet looks as often as all, since requests that it holds wait for one.
+func LookPause(usual, stretched, reluctance time.Duration, heard bool) time.Duration {
+	if reluctance == 0 || !heard {
+		return usual
+	}
+	return min(stretched, max(usual, longestLook))
+}
+
 // LookDue tells whether an instance without the record looks at it now: at once when it was asked to, first when
-// it starts, and later while the planner is silent and the time next has come.
-func LookDue(now time.Time, asked bool, silence time.Duration, next time.Time) bool {
+// it starts, and later while the planner is silent and the time next has come. One that has heard no planner yet waits for no silence:
+// where all start at once, the first looks find no record, and 0.9 s would pass until they find who took it.
+func LookDue(now time.Time, asked, heard bool, silence time.Duration, next time.Time) bool {
 	if asked || next.IsZero() {
 		return true
 	}
-	return silence >= TakeoverSilence && !now.Before(next)
+	return (!heard || silence >= TakeoverSilence) && !now.Before(next)
 }
 
 // LastView is the last view that an instance received.
--- a/services/entry/lease/candidate_test.go
+++ b/services/entry/lease/candidate_test.go
@@ -154,21 +154,44 @@
 func TestLooksAtTheRecord(t *testing.T) {
 	next := start
 	cases := map[string]struct {
-		now     time.Time
-		asked   bool
-		silence time.Duration
-		next    time.Time
-		due     bool
+		now          time.Time
+		asked, heard bool
+		silence      time.Duration
+		next         time.Time
+		due          bool
 	}{
-		"the first look, before anybody could be silent": {start, false, 0, time.Time{}, true},
-		"a planner that is heard":                        {start, false, silence - step, next, false},
-		"a silent planner, at the time":                  {start, false, silence, next, true},
-		"a silent planner, just before the time":         {start.Add(-step), false, silence, next, false},
-		"asked for, before the time":                     {start.Add(-step), true, 0, next, true},
+		"the first look, before anybody could be silent": {start, false, false, 0, time.Time{}, true},
+		"no planner heard yet, at the time":              {start, false, false, 0, next, true},
+		"no planner heard yet, just before the time":     {start.Add(-step), false, false, silence, next, false},
+		"a planner that is heard":                        {start, false, true, silence - step, next, false},
+		"a silent planner, at the time":                  {start, false, true, silence, next, true},
+		"a silent planner, just before the time":         {start.Add(-step), false, true, silence, next, false},
+		"asked for, before the time":                     {start.Add(-step), true, true, 0, next, true},
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, one.due, lease.LookDue(one.now, one.asked, one.silence, one.next))
+			assert.Equal(t, one.due, lease.LookDue(one.now, one.asked, one.heard, one.silence, one.next))
+		})
+	}
+}
+
+func TestThePauseBetweenTwoLooks(t *testing.T) {
+	const usual = 300 * time.Millisecond
+	cases := map[string]struct {
+		stretched, reluctance time.Duration
+		heard                 bool
+		pause                 time.Duration
+	}{
+		"a strong instance of a large fleet":         {4 * time.Second, 0, true, usual},
+		"a weak one":                                 {4 * time.Second, step, true, time.Second},
+		"a weak one of a fleet of medium size":       {700 * time.Millisecond, step, true, 700 * time.Millisecond},
+		"a weak one of a small fleet":                {usual, step, true, usual},
+		"a weak one that has not heard any planner":  {4 * time.Second, step, false, usual},
+		"a strong one that has not heard any either": {4 * time.Second, 0, false, usual},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, one.pause, lease.LookPause(usual, one.stretched, one.reluctance, one.heard))
 		})
 	}
 }
