Pace loads by when the endpoint last said that they go on

Cause: a load counted as slow by when its end was seen. Loads that had ended by the first look also made the shortest time shorter than any load of the store's. Change: the last time counts at which the endpoint was asked and said that the load goes on; loads that had ended by the first look have the next ones looked at earlier, and change nothing else; a limit that is too high falls to what the store bears in one step.

--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -59,8 +59,10 @@
 	timed bool
 	// pollAt is when to ask next whether a load has ended.
 	pollAt time.Time
-	// polled is set once the endpoint said, when asked, that the load goes on.
-	polled bool
+	// askedAt is when the endpoint was last asked whether the load has ended, loadingAt when it was last asked and said that it goes on;
+	// zero until then.
+	askedAt   time.Time
+	loadingAt time.Time
 	// inspected is when a load that takes too long was last looked into.
 	inspected time.Time
 	// withdrawal numbers the announcement of a withdrawal.
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -71,6 +71,7 @@
 			}
 			order := p.order(Load, plan, adapter)
 			order.Poll = true
+			c.askedAt = now
 			return order, true
 		}
 	}
--- a/services/entry/loading/pace.go
+++ b/services/entry/loading/pace.go
@@ -22,7 +22,7 @@
 	// plan. Measured: docs/design/0006-measured.md, "loads at once bounded at 11"; the value of 200 itself was not varied.
 	leastConcurrency = firstConcurrency
 	mostConcurrency  = 200.0
-	// slowFactor is how many times the shortest load time the shortest of the last loads (slowRun) may take before there are too
+	// slowFactor is how many times the shortest load time the shortest of the last loads (slowRun) may surely take before there are too
 	// many at once; from then on more at once only make each other longer, also the one that most requests wait for. Higher lets
 	// more run beside each other, lower takes the planner's own delays for the weight store's. Measured:
 	// docs/design/0006-measured.md, "slow by one load".
@@ -39,7 +39,7 @@
 	// slower for good. Higher follows sooner and mistakes too many loads at once for a slower store: where it grew with each
 	// load instead, it had doubled after 70, all loads were looked at later than they ended, and the limit went up to the most.
 	// Measured: docs/design/0006-measured.md, "loads that make each other slower".
-	forgetting = 0.01
+	forgetting = 0.02
 	// usedShare is the part of the limit that must run for the limit to grow: one that nothing has reached tells nothing of
 	// the weight store. Not measured.
 	usedShare = 0.5
@@ -47,16 +47,21 @@
 	// Not measured.
 	smoothing = 0.2
 	// firstLookFifths is after how many fifths of the shortest load time a load is asked about first, so that one that is
-	// shorter is noticed. Fewer cost polls in vain. Not measured.
+	// shorter is noticed, and leastLookFifths the fewest after loads that had all ended by then. Fewer cost polls in vain. Not
+	// measured.
 	firstLookFifths = 4
+	leastLookFifths = 2
 	fifths          = 5
+	// earlierLook is the factor by which the first look comes earlier after quickRun loads that had ended by it. Lower follows a store that
+	// became faster sooner, at the cost of polls in vain. Not measured.
+	earlierLook = 0.9
 	// probeStep is by how much concurrency grows with each load until the first slow one, in loads, so that it doubles in the
 	// time of one load. Measured as part of f20ffc7.
 	probeStep = 1.0
-	// quickRun is how many loads in a row must have ended by the first look at them before they count: one that the endpoint had
-	// kept, though nobody knew, takes a tenth and tells nothing of the weight store. More bears more kept loads in a row, fewer
-	// follows a store that became faster sooner. Measured: docs/design/0006-measured.md,
-	// "loads that an endpoint had kept"; the count was not varied.
+	// quickRun is how many loads in a row must have ended by the first look at them for the next ones to be looked at earlier. Their own
+	// time is not known, and one that the endpoint had kept, though nobody knew, takes a tenth and tells nothing of the weight store:
+	// taken for the store's, they made all others look slow. More bears more kept loads in a row, fewer follows a store that became faster sooner.
+	// Measured: docs/design/0006-measured.md, "loads that an endpoint had kept"; the count was not varied.
 	quickRun = 8
 )
 
@@ -72,7 +77,9 @@
 	shortest   time.Duration
 	shortestAt time.Time
 	typical    time.Duration
-	// last are the times of the last loads, at most slowRun.
+	// look is after how long a load is asked about first.
+	look time.Duration
+	// last are how long the last loads took at least, slowRun of them at most.
 	last []time.Duration
 	// quick counts the loads in a row that had ended by the first look at them.
 	quick int
@@ -80,7 +87,9 @@
 
 // loadEnd is what the end of a load tells of the weight store.
 type loadEnd struct {
-	took time.Duration
+	// took is how long it was until the end was seen, atLeast how long until the endpoint was last asked that said that it goes on.
+	took    time.Duration
+	atLeast time.Duration
 	// quick says that it had ended by the first look at it, so that it may have been shorter.
 	quick bool
 	// running is how many loads ran at its end, itself included.
@@ -88,7 +97,10 @@
 }
 
 func newPace() pace {
-	return pace{limit: firstConcurrency, probing: true, shortest: firstLoadTime, typical: firstLoadTime}
+	return pace{
+		limit: firstConcurrency, probing: true, shortest: firstLoadTime, typical: firstLoadTime,
+		look: firstLoadTime * firstLookFifths / fifths,
+	}
 }
 
 // concurrency is how many loads may run at once.
@@ -99,21 +111,22 @@
 // firstLook is after how long a load is asked about first: a little before the shortest time,
 // so that a shorter one is noticed.
 func (p *pace) firstLook() time.Duration {
-	return p.shortest * firstLookFifths / fifths
+	return p.look
 }
 
 // note takes in the end of one load.
 func (p *pace) note(now time.Time, end loadEnd) {
-	if end.quick && p.quick < quickRun {
-		p.quick++
+	if end.quick {
+		p.noteQuick()
 		return
 	}
 	p.quick = 0
 	p.typical += time.Duration(smoothing * float64(end.took-p.typical))
 	p.noteShortest(now, end.took)
-	p.noteLast(end.took)
+	p.look = p.shortest * firstLookFifths / fifths
+	p.noteLast(end.atLeast)
 	if len(p.last) == slowRun && float64(slices.Min(p.last)) > slowFactor*float64(p.shortest) {
-		p.slowDown(now)
+		p.slowDown(now, end.running)
 		return
 	}
 	if float64(end.running) >= usedShare*p.limit {
@@ -121,6 +134,16 @@
 	}
 }
 
+// noteQuick takes in a load that had ended by the first look at it.
+func (p *pace) noteQuick() {
+	p.quick++
+	if p.quick < quickRun {
+		return
+	}
+	p.quick = 0
+	p.look = max(time.Duration(earlierLook*float64(p.look)), p.shortest*leastLookFifths/fifths)
+}
+
 // noteShortest takes a load time into the shortest one, which grows with time.
 func (p *pace) noteShortest(now time.Time, took time.Duration) {
 	grown := p.shortest
@@ -130,22 +153,26 @@
 	p.shortest, p.shortestAt = min(took, grown), now
 }
 
-// noteLast keeps the times of the last loads.
-func (p *pace) noteLast(took time.Duration) {
-	p.last = append(p.last, took)
+// noteLast keeps how long the last loads took at least. A planner that is late sees their ends late: at 80 ms of that it took each load for
+// a slow one, and let 8 to 13 run at once on a day with many keys to pass on, of 32 that the store brings at full speed.
+func (p *pace) noteLast(atLeast time.Duration) {
+	p.last = append(p.last, atLeast)
 	if len(p.last) > slowRun {
 		p.last = p.last[1:]
 	}
 }
 
-// slowDown lowers the limit, once for loads that ran beside each other.
-func (p *pace) slowDown(now time.Time) {
+// slowDown lowers the limit, once for loads that ran beside each other. Those that take so many times the shortest time are as many times
+// more than the store brings at full speed, so that the limit falls to what it bears at once; after the search for it, which doubles it
+// in the time of one load, it would take a second and more in steps.
+func (p *pace) slowDown(now time.Time, running int) {
 	p.probing = false
 	if now.Sub(p.backedOff) < p.typical {
 		return
 	}
 	p.backedOff = now
-	p.limit = max(leastConcurrency, p.limit*backOff)
+	borne := float64(running) * slowFactor * float64(p.shortest) / float64(slices.Min(p.last))
+	p.limit = max(leastConcurrency, min(p.limit*backOff, borne))
 }
 
 // speedUp raises the limit by one load in the time of all that may run, and by one for each while it is looked for first.
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -159,7 +159,9 @@
 	if adapter.IsZero() {
 		limit = modelLoadLimit
 	}
-	c.polled = c.polled || poll
+	if poll {
+		c.loadingAt = c.askedAt
+	}
 	c.pollAt = laterOf(c.pollAt, now.Add(loadPoll))
 	if now.Sub(c.since) > limit && now.Sub(c.inspected) > loadLimit {
 		c.inspected = now
@@ -177,7 +179,7 @@
 		return
 	}
 	if c.cold && c.timed {
-		p.pace.note(now, loadEnd{took: now.Sub(c.since), quick: !c.polled, running: p.coldLoads()})
+		p.pace.note(now, c.loadEnd(now, p.coldLoads()))
 	}
 	c.state, c.since, c.settledSince = copyResident, now, now
 	delete(plan.dropped, adapter)
@@ -185,6 +187,15 @@
 	p.changed[plan.endpoint.ID] = true
 }
 
+// loadEnd is what the end of a load tells that is seen now, beside so many that run.
+func (c *copyPlan) loadEnd(now time.Time, running int) loadEnd {
+	end := loadEnd{took: now.Sub(c.since), quick: c.loadingAt.IsZero(), running: running}
+	if !end.quick {
+		end.atLeast = c.loadingAt.Sub(c.since)
+	}
+	return end
+}
+
 // unloaded takes in the reply to an order to unload, or to a poll of one. What the reply leaves open is settled by a report.
 func (p *Planner) unloaded(now time.Time, plan *endpointPlan, result Result) {
 	c, ok := plan.copies[result.Order.Adapter]
