Leave endpoints alone that a whole view knows less of than its reader

Cause: by reading. A whole view without descriptions replaces what is on offer at each endpoint that it names; one that has started again since its planner's last reading would have been sent requests for copies of its former start, until it refused them. Change: what is known by a later description than the view's stays.

--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -272,7 +272,9 @@
 	}
 	c.applyKnown(v)
 	for _, one := range v.Copies {
-		c.directory.SetCopy(one.ID, deployment.Adapter{Model: one.Model, Name: one.Name}, one.Version)
+		if !c.knownAnew(v, one.ID) {
+			c.directory.SetCopy(one.ID, deployment.Adapter{Model: one.Model, Name: one.Name}, one.Version)
+		}
 	}
 	c.noteCopiesTold()
 	for _, id := range v.Unchanged {
@@ -309,7 +311,16 @@
 				c.describedUpTo = 0
 				continue
 			}
-			c.directory.SetOffered(id, known.Models, nil)
+			if !c.knownAnew(v, id) {
+				c.directory.SetOffered(id, known.Models, nil)
+			}
 		}
 	}
 }
+
+// knownAnew tells whether this instance knows a later description of an endpoint than a whole view without descriptions: it may have
+// started again since, and hold nothing of what the view tells.
+func (c *Coordinator) knownAnew(v *wire.View, id deployment.EndpointID) bool {
+	status := c.directory.Endpoint(id)
+	return len(v.Known) > 0 && v.DescribedUpTo > 0 && status != nil && status.Revision > v.DescribedUpTo
+}
--- a/services/entry/coordinator/known_test.go
+++ b/services/entry/coordinator/known_test.go
@@ -81,6 +81,24 @@
 	assert.Error(t, err, "no copy of before is left")
 }
 
+// TestAWholeViewWithoutDescriptionsTellsNothingOfLaterOnes: the endpoint may have started again since.
+func TestAWholeViewWithoutDescriptionsTellsNothingOfLaterOnes(t *testing.T) {
+	s := newSite()
+	planner, gatherer := s.gathered(t)
+	go drainWire(gatherer)
+	go drainWire(planner)
+	early := knownView(11, "e1", "a2")
+	early.DescribedUpTo = 49
+	require.NoError(t, planner.Send(wire.Message{View: early}))
+	require.NoError(t, planner.Send(wire.Message{View: changeOf(12, "a3")}))
+	_, _, err := s.acquire("a3", waitLimit)
+	require.NoError(t, err)
+	_, _, err = s.acquire("a1", waitLimit)
+	require.NoError(t, err, "as the later description has it")
+	_, _, err = s.acquire("a2", 50*time.Millisecond)
+	assert.Error(t, err)
+}
+
 // TestAnEndpointThatIsNotKnownIsAskedFor: a planner may take an instance to know more than it does.
 func TestAnEndpointThatIsNotKnownIsAskedFor(t *testing.T) {
 	s := newSite()
