Part the stand-in of the store from the tests' instance, and call a daemon's goroutines its tasks

Change: moves and a name. Measured: the tests of both packages pass, the daemon's under the race detector.

--- a/services/daemon/control/executor.go
+++ b/services/daemon/control/executor.go
@@ -25,11 +25,11 @@
 		case node.Reject:
 			s.answer(e.RequestID, Answer{Refusal: e.Refusal})
 		case node.Take:
-			s.workers.start(func() { s.take(e) })
+			s.tasks.start(func() { s.take(e) })
 		case node.Inspect:
 			s.inspectLater(e)
 		case node.Order:
-			s.workers.start(func() { s.order(e) })
+			s.tasks.start(func() { s.order(e) })
 		case node.AcquireOwner:
 			s.owner.acquire(e.Pool, e.Term)
 		case node.ReleaseOwner:
@@ -121,7 +121,7 @@
 		return
 	}
 	s.inspecting[i.Endpoint.Name] = true
-	s.workers.start(func() { s.inspect(i) })
+	s.tasks.start(func() { s.inspect(i) })
 }
 
 func (s *Service) inspect(i node.Inspect) {
--- a/services/daemon/control/owner.go
+++ b/services/daemon/control/owner.go
@@ -72,7 +72,7 @@
 func (o *owner) add(j ownerJob) {
 	if !o.started {
 		o.started = true
-		o.service.workers.start(o.run)
+		o.service.tasks.start(o.run)
 	}
 	select {
 	case o.jobs <- j:
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -50,7 +50,7 @@
 	catalog    atomic.Pointer[catalog.Catalog]
 	follower   *configuration.Follower
 	owner      *owner
-	workers    workers
+	tasks      tasks
 	ctx        context.Context
 	cancel     context.CancelFunc
 }
@@ -84,7 +84,7 @@
 
 // Run owns the node until ctx ends or Stop is called.
 func (s *Service) Run() {
-	s.workers.start(s.pollList)
+	s.tasks.start(s.pollList)
 	s.carryOut(s.node.SetListed(s.options.Now(), s.options.Seeds, nil))
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -100,11 +100,11 @@
 	}
 }
 
-// Stop ends all goroutines and waits for the workers; none begins after it.
+// Stop ends all goroutines and waits for the tasks; none begins after it.
 func (s *Service) Stop() {
 	s.cancel()
 	s.follower.Stop()
-	s.workers.stop()
+	s.tasks.stop()
 }
 
 // Done is closed when the service stops.
--- a/services/daemon/control/stop_test.go
+++ b/services/daemon/control/stop_test.go
@@ -5,7 +5,7 @@
 
 import "testing"
 
-// A stop waited for the workers there were while the control goroutine could still begin
+// A stop waited for the tasks there were while the control goroutine could still begin
 // one, which then outlived the service with a call to its endpoint under way. The race
 // detector found it in a test of orders, and is what fails this one.
 func TestNoWorkBeginsAfterAStop(t *testing.T) {
--- /dev/null
+++ b/services/entry/coordinator/memorystore_test.go
@@ -0,0 +1,237 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/modules/entry/store"
+	"github.com/shelfledge/shelfledge/services/entry/lease"
+)
+
+// memoryStore is a store in memory that can be made silent.
+type memoryStore struct {
+	mutex    sync.Mutex
+	changed  chan struct{}
+	items    map[string]store.Item
+	events   []store.Event
+	revision int64
+	lease    int64
+	down     bool
+	// deaf keeps watches from hearing anything.
+	deaf bool
+	// readings counts the readings of all endpoints, recordReads those of the planner's record.
+	readings    int
+	recordReads int
+	// betweenPages is called once, after a page that has the first of the operators' keys alone; nil lets one page have all.
+	betweenPages func()
+}
+
+var errDown = errors.New("down")
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{items: make(map[string]store.Item), changed: make(chan struct{}), revision: 10}
+}
+
+func (m *memoryStore) setDown(down bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.down = down
+}
+
+func (m *memoryStore) setDeaf() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.deaf = true
+}
+
+// at gives the store's revision.
+func (m *memoryStore) at() int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.revision
+}
+
+func (m *memoryStore) put(key, value string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.revision++
+	m.write(store.Write{Key: key, Value: []byte(value)})
+}
+
+// write sets a key; the mutex is held.
+func (m *memoryStore) write(one store.Write) {
+	item := store.Item{Key: one.Key, Value: one.Value, Revision: m.revision, Lease: one.Lease}
+	m.items[one.Key] = item
+	m.events = append(m.events, store.Event{Item: item})
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// remove takes a key out, which watches tell.
+func (m *memoryStore) remove(key string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.revision++
+	delete(m.items, key)
+	m.events = append(m.events, store.Event{Item: store.Item{Key: key, Revision: m.revision}, Gone: true})
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// recordReadings is how often the planner's record was read.
+func (m *memoryStore) recordReadings() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.recordReads
+}
+
+// endpointReadings is how often all endpoints were read.
+func (m *memoryStore) endpointReadings() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.readings
+}
+
+func (m *memoryStore) get(_ context.Context, key string) (store.Item, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if key == recordKey {
+		m.recordReads++
+	}
+	if m.down {
+		return store.Item{}, errDown
+	}
+	item, ok := m.items[key]
+	if !ok {
+		return store.Item{}, store.ErrNotFound
+	}
+	return item, nil
+}
+
+func (m *memoryStore) rangeOf(_ context.Context, prefix, after string) (store.Page, error) {
+	page, err := m.page(prefix, after)
+	if page.More {
+		m.betweenPages()
+		m.mutex.Lock()
+		m.betweenPages = nil
+		m.mutex.Unlock()
+	}
+	return page, err
+}
+
+func (m *memoryStore) page(prefix, after string) (store.Page, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return store.Page{}, errDown
+	}
+	if prefix == endpointPrefix {
+		m.readings++
+	}
+	page := store.Page{At: m.revision}
+	for key, item := range m.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
+		}
+	}
+	if m.betweenPages != nil && prefix == operatorsPrefix {
+		slices.SortFunc(page.Items, func(one, other store.Item) int { return strings.Compare(one.Key, other.Key) })
+		page.Items, page.More = page.Items[:1], true
+	}
+	return page, nil
+}
+
+func (m *memoryStore) watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	deadline := time.After(wait)
+	for {
+		m.mutex.Lock()
+		changed, next, down := m.changed, m.revision, m.down
+		var found []store.Event
+		for _, event := range m.events {
+			if event.Revision > after && !m.deaf && strings.HasPrefix(event.Key, prefix) {
+				found = append(found, event)
+			}
+		}
+		m.mutex.Unlock()
+		if down {
+			return nil, after, errDown
+		}
+		if len(found) > 0 {
+			return found, next, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, next, nil
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+func (m *memoryStore) commit(_ context.Context, transaction store.Transaction) (int64, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return 0, errDown
+	}
+	for _, condition := range transaction.Conditions {
+		if m.items[condition.Key].Revision != condition.Revision {
+			return 0, &store.ConflictError{Current: []store.Item{m.items[condition.Key]}}
+		}
+	}
+	m.revision++
+	for _, one := range transaction.Writes {
+		m.write(one)
+	}
+	return m.revision, nil
+}
+
+func (m *memoryStore) grant(context.Context, time.Duration) (int64, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return 0, errDown
+	}
+	m.lease++
+	return m.lease, nil
+}
+
+func (m *memoryStore) keep(context.Context, int64) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return errDown
+	}
+	return nil
+}
+
+func (m *memoryStore) client() store.Client {
+	return store.Client{
+		Get: m.get, Range: m.rangeOf, Watch: m.watch, Commit: m.commit, GrantLease: m.grant, KeepLease: m.keep,
+	}
+}
+
+// record gives the record as stored, and whether there is one.
+func (m *memoryStore) record(t *testing.T) (lease.Record, bool) {
+	t.Helper()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	item, ok := m.items[recordKey]
+	if !ok {
+		return lease.Record{}, false
+	}
+	record, err := lease.DecodeRecord(item.Value)
+	require.NoError(t, err)
+	return record, true
+}
