--- a/tests/words/words_test.go
+++ b/tests/words/words_test.go
@@ -77,11 +77,10 @@
 	{"routers/entry/gateway", "server"}:  "the instance's own HTTP servers",
 	{"services/entry/process", "server"}: "the gateway's Server, which a process owns",
 
-	{"models/daemon/catalog", "zone"}:      "a rule's time zone",
-	{"modules/daemon/language", "zone"}:    "a rule's time zone",
-	{"services/daemon/command", "zone"}:    "a rule's time zone",
-	{"services/daemon/query", "zone"}:      "a rule's time zone",
-	{"services/daemon/control", "workers"}: "the service's goroutines",
+	{"models/daemon/catalog", "zone"}:   "a rule's time zone",
+	{"modules/daemon/language", "zone"}: "a rule's time zone",
+	{"services/daemon/command", "zone"}: "a rule's time zone",
+	{"services/daemon/query", "zone"}:   "a rule's time zone",
 }
 
 func (f *finding) place() place {
