Say in a request's line who ended each attempt, and for how long its endpoint had sent nothing

Cause: of the streams that were closed in their middle, the log said "broken off" or "uncertain" and not whether the endpoint, the caller, the deadline or this instance had ended them: the hypotheses of the incident can't be told apart. Change: the exchange ends with a cause; attempts without a whole answer have "ended" with by and silent_ms, and shelfledge_attempts_ended_total counts them.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -29,6 +29,8 @@
 	Whole time.Duration
 	// StartRatios are, for each attempt with a declared prompt that ran, the time until it ran over the expected one.
 	StartRatios []float64
+	// Enders are who ended each attempt that brought no whole answer.
+	Enders []string
 }
 
 // Gauges are figures read when the metrics are asked for.
@@ -71,6 +73,8 @@
 	// which the connection ended.
 	ended      *prometheus.CounterVec
 	unanswered *prometheus.CounterVec
+	// attempts counts attempts without a whole answer by who ended them.
+	attempts *prometheus.CounterVec
 }
 
 // buckets are the upper bounds of the histograms, in seconds. More tell durations apart more finely, fewer take less memory for
@@ -122,9 +126,10 @@
 		ended:   counter("connections_ended_total", "Callers' connections that ended, by reason.", "reason"),
 		unanswered: counter("requests_unanswered_total",
 			"Requests that were read and ended without a whole answer, by the reason for which their connection ended.", "reason"),
+		attempts: counter("attempts_ended_total", "Attempts that brought no whole answer, by who ended them.", "by"),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.retries, m.orders, m.store, m.relayed, m.closed, m.taken, m.waited, m.first, m.whole, m.starts,
-		m.former, m.overdue, m.ended, m.unanswered, &gaugeCollector{read: gauges})
+		m.former, m.overdue, m.ended, m.unanswered, m.attempts, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -150,6 +155,9 @@
 	for _, ratio := range r.StartRatios {
 		m.starts.WithLabelValues(r.Route).Observe(ratio)
 	}
+	for _, by := range r.Enders {
+		m.attempts.WithLabelValues(by).Inc()
+	}
 }
 
 // ObserveOrder counts one order to an endpoint.
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -256,6 +256,6 @@
 func toMetric(o proxy.Observation) metric.Request {
 	return metric.Request{
 		Route: o.Route, Status: o.Status, Reason: o.Reason, Retries: max(0, len(o.Attempts)-1),
-		Waited: o.Waited(), First: o.First, Whole: o.Whole, StartRatios: o.StartRatios(),
+		Waited: o.Waited(), First: o.First, Whole: o.Whole, StartRatios: o.StartRatios(), Enders: o.Enders(),
 	}
 }
--- a/services/entry/proxy/attempt/retry.go
+++ b/services/entry/proxy/attempt/retry.go
@@ -73,3 +73,8 @@
 func ProvesNotRun(result Result) bool {
 	return result == NotSent || result == NotRun
 }
+
+// BringsAnswer reports whether an attempt that ended so brought a whole answer, be it a refusal.
+func BringsAnswer(result Result) bool {
+	return result == Finished || result == NotRun || result == ServerError
+}
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -21,7 +21,14 @@
 
 	run    *run
 	answer *upstream.Answer
-	cancel context.CancelFunc
+	// context ends with the exchange; cancel ends it, with who did.
+	context context.Context
+	cancel  context.CancelCauseFunc
+	// heard is when the endpoint last sent something, at first when the exchange began.
+	heard time.Time
+	// ended and silent are who ended an exchange without a whole answer, and how long the endpoint had sent nothing then; empty before.
+	ended  attempt.Ender
+	silent time.Duration
 	// held is a whole body that was read before anything was passed on.
 	held []byte
 	// status is the endpoint's own; 0 for none.
@@ -35,13 +42,16 @@
 // do sends the request, passes the answer on and reports to the coordinator how it ended.
 func (e *exchange) do() attempt.Result {
 	started := e.run.service.options.Now()
+	e.heard = started
 	verdict := e.send()
+	e.noteEnd()
 	e.assignment.Recall.Disarm()
 	e.run.records = append(e.run.records, AttemptRecord{
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result, StartRatio: e.startRatio(),
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
 		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held,
+		Ended: e.endOf(verdict.Result),
 		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
 	})
 	e.run.service.control.Finish(e.request, e.assignment, verdict.Outcome, verdict.Missing)
@@ -51,15 +61,14 @@
 // send sends the request and passes the answer on.
 func (e *exchange) send() attempt.Verdict {
 	r := e.run
-	ctx, cancel := context.WithCancel(r.context)
-	e.cancel = cancel
-	e.assignment.Recall.Arm(cancel)
-	headTimer := e.startHeadTimer(cancel)
-	answer, err := r.service.upstream.Do(ctx, upstream.Call{
+	e.context, e.cancel = context.WithCancelCause(r.context)
+	e.assignment.Recall.Arm(e.ender(attempt.ByTakeBack))
+	headTimer := e.startHeadTimer(e.ender(attempt.BySilence))
+	answer, err := r.service.upstream.Do(e.context, upstream.Call{
 		Target: upstream.Target{
 			Key: string(e.assignment.Endpoint.ID), Address: e.assignment.Endpoint.Address, MaxConnections: e.assignment.MaxConnections,
 		},
-		Request: r.forward(e.assignment, r.service.options.Now(), cancel),
+		Request: r.forward(e.assignment, r.service.options.Now(), e.ender(attempt.ByBody)),
 		AnswersRequest: func(header http.Header) bool {
 			return r.service.dialect.AnswersRequest(r.caller.ID, header)
 		},
@@ -68,13 +77,64 @@
 		headTimer.Stop()
 	}
 	if err != nil {
-		cancel()
+		defer e.discard()
 		return attempt.JudgeFailure(failure(err), r.situation())
 	}
 	e.answer = answer
 	return e.pass()
 }
 
+// endedError is the cause with which the context of an exchange ends that this instance ends.
+type endedError struct {
+	by attempt.Ender
+}
+
+// Error implements error.
+func (e *endedError) Error() string {
+	return "proxy: the exchange was ended by: " + string(e.by)
+}
+
+// ender gives what ends the exchange, and who does it then.
+func (e *exchange) ender(by attempt.Ender) func() {
+	cancel := e.cancel
+	return func() { cancel(&endedError{by: by}) }
+}
+
+// noteEnd keeps who ended the exchange, and for how long the endpoint had sent nothing; only the first call counts.
+func (e *exchange) noteEnd() {
+	if e.ended != "" {
+		return
+	}
+	now := e.run.service.options.Now()
+	e.ended, e.silent = e.endedBy(now), now.Sub(e.heard)
+}
+
+// endOf gives how the exchange ended, nil where it brought a whole answer.
+func (e *exchange) endOf(result attempt.Result) *AttemptEnd {
+	if attempt.BringsAnswer(result) {
+		return nil
+	}
+	return &AttemptEnd{By: e.ended, SilentMS: e.silent.Milliseconds()}
+}
+
+// endedBy tells who ended the exchange. The connection's own deadline is the request's, and may end it before the context does.
+func (e *exchange) endedBy(now time.Time) attempt.Ender {
+	cause := context.Cause(e.context)
+	var ended *endedError
+	switch {
+	case errors.As(cause, &ended):
+		return ended.by
+	case errors.Is(cause, ErrProcessEnds):
+		return attempt.ByProcess
+	case !now.Before(e.run.request.Deadline):
+		return attempt.ByDeadline
+	case cause != nil:
+		return attempt.ByCaller
+	default:
+		return attempt.ByEndpoint
+	}
+}
+
 // failure translates an error of package upstream.
 func failure(err error) attempt.Failure {
 	switch {
@@ -158,11 +218,13 @@
 // discard ends the exchange.
 func (e *exchange) discard() {
 	if e.answer != nil {
+		e.noteEnd()
 		e.answer.Close()
 		e.answer = nil
 	}
 	if e.cancel != nil {
-		e.cancel()
+		e.noteEnd()
+		e.cancel(nil)
 		e.cancel = nil
 	}
 }
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -50,6 +50,17 @@
 	return ratios
 }
 
+// Enders gives who ended each attempt that brought no whole answer.
+func (o Observation) Enders() []string {
+	var enders []string
+	for _, record := range o.Attempts {
+		if record.Ended != nil {
+			enders = append(enders, string(record.Ended.By))
+		}
+	}
+	return enders
+}
+
 // AttemptRecord is one exchange with an endpoint.
 type AttemptRecord struct {
 	Endpoint deployment.EndpointID `json:"endpoint"`
@@ -70,12 +81,20 @@
 	// was chosen; 0 for none. Its answer tells only the base model's.
 	VersionDemanded int64 `json:"version_demanded,omitempty"`
 	VersionHeld     int64 `json:"version_held,omitempty"`
+	// Ended is how an attempt ended that brought no whole answer; nil for others.
+	Ended *AttemptEnd `json:"ended,omitempty"`
 	// FormerLeftMS is how long a former version was still allowed when an endpoint was chosen that holds none newer,
 	// FormerExpectedMS how long the request was expected to wait in its queue; 0 where the named version was there.
 	FormerLeftMS     int64 `json:"former_left_ms,omitempty"`
 	FormerExpectedMS int64 `json:"former_expected_ms,omitempty"`
 }
 
+// AttemptEnd is how an attempt ended that brought no whole answer: who ended it, and how long the endpoint had sent nothing then.
+type AttemptEnd struct {
+	By       attempt.Ender `json:"by"`
+	SilentMS int64         `json:"silent_ms"`
+}
+
 // observe logs and counts the end of a request that was counted.
 func (s *Service) observe(r *run) {
 	observation := Observation{
--- a/services/entry/proxy/passing.go
+++ b/services/entry/proxy/passing.go
@@ -39,6 +39,16 @@
 	return verdict
 }
 
+// notTaken ends an exchange whose caller takes no more of its answer.
+func (e *exchange) notTaken() attempt.Verdict {
+	e.noteEnd()
+	if e.ended == attempt.ByEndpoint {
+		// The write failed before the context told why.
+		e.ended = attempt.ByCaller
+	}
+	return attempt.NotTaken()
+}
+
 // passHeld answers with a whole answer that was read before.
 func (e *exchange) passHeld() {
 	e.run.answer.pass(e.answer.Response, int64(len(e.held)))
@@ -52,13 +62,14 @@
 	defer e.discard()
 	e.run.answer.pass(e.answer.Response, e.answer.Response.ContentLength)
 	if err := e.run.answer.write(content); err != nil {
-		return attempt.NotTaken()
+		return e.notTaken()
 	}
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := e.answer.Read(buffer)
+		e.heard = e.run.service.options.Now()
 		if n > 0 && e.run.answer.write(buffer[:n]) != nil {
-			return attempt.NotTaken()
+			return e.notTaken()
 		}
 		if errors.Is(err, io.EOF) {
 			return attempt.Passed()
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -25,7 +25,7 @@
 	route := e.run.request.Route
 	s := &stream{exchange: e, events: newEventBuffer(route.Resumable), headDue: headDue}
 	pauseTimeout := attempt.PauseTimeout(route)
-	silence := time.AfterFunc(attempt.FirstEventTimeout(route), e.cancel)
+	silence := time.AfterFunc(attempt.FirstEventTimeout(route), e.ender(attempt.BySilence))
 	defer silence.Stop()
 	search := newSuccessorSearch(e)
 	defer func() { e.run.successor = search.end() }()
@@ -34,11 +34,12 @@
 		n, err := e.answer.Read(buffer)
 		if n > 0 {
 			silence.Reset(pauseTimeout)
+			e.heard = e.run.service.options.Now()
 			if !e.noteRunning() {
 				return attempt.JudgeBroken(e.run.situation())
 			}
 			if !s.passOn(buffer[:n]) {
-				return attempt.NotTaken()
+				return e.notTaken()
 			}
 			search.heard(e.run.lastEvent != "")
 		}
@@ -86,7 +87,7 @@
 	s.passHead()
 	rest := s.events.rest()
 	if len(rest) > 0 && s.exchange.run.answer.write(rest) != nil {
-		return attempt.NotTaken()
+		return s.exchange.notTaken()
 	}
 	return attempt.Passed()
 }
--- a/services/entry/proxy/successor.go
+++ b/services/entry/proxy/successor.go
@@ -41,7 +41,7 @@
 	if !resumes {
 		return nil
 	}
-	s := &successorSearch{run: e.run, giveUp: e.cancel, after: after}
+	s := &successorSearch{run: e.run, giveUp: e.ender(attempt.BySuccessor), after: after}
 	s.tried = append(slices.Clone(e.run.tried), e.assignment.Endpoint.ID)
 	// It begins after the first event: nothing can go on before.
 	s.timer = time.AfterFunc(after, s.search)
--- a/tests/pinned/entry/run_test.go
+++ b/tests/pinned/entry/run_test.go
@@ -292,6 +292,9 @@
 			for _, one := range list {
 				attempt := one.(map[string]any)
 				attempt["took_ms"], attempt["waited_ms"] = "VARIES", "VARIES"
+				if ended, ok := attempt["ended"].(map[string]any); ok {
+					ended["silent_ms"] = "VARIES"
+				}
 			}
 		}
 		lines = append(lines, encode(fields))
