End no stream for the silence of its endpoint

Cause: an instance ended a stream whose endpoint had been silent for as long as callers of the route are expected to listen, and 0.25 s more: a guess of what the caller does, though the caller itself tells by closing its connection, and the deadline bounds the request. On a host that starves either of them, or with callers that stay, answers were cut that would have come; so were those of callers that read slowly, since nothing is read from an endpoint while a write blocks. Change: a stream ends by its endpoint, its caller, its deadline, the end of the process, or for another endpoint. What the timers found out, an endpoint that stands still, its callers tell: one that leaves after such a silence counts as before.

--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -20,8 +20,7 @@
 	EndpointError Reason = "error of the endpoint"
 	// CallerLeft: the caller closed its connection.
 	CallerLeft Reason = "caller left"
-	// StreamBrokeOff: the endpoint ended an answer of which a part was passed on, or was silent for too long, and it could not
-	// be resumed. It also stands for a deadline that passes in a stream, a plain answer that breaks off after its beginning
+	// StreamBrokeOff: the endpoint ended an answer of which a part was passed on, and it could not be resumed. It also stands for a deadline that passes in a stream, a plain answer that breaks off after its beginning
 	// was passed on, and the retry of a resumable stream that the fleet's budget refused.
 	StreamBrokeOff Reason = "stream broke off"
 	// RefusedByEndpoint: the request surely did not run: the endpoint said so, or nothing could be sent.
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -46,6 +46,10 @@
 	return func(s *attempt.Situation) { s.InPlace = count }
 }
 
+func silentFor(span time.Duration) func(*attempt.Situation) {
+	return func(s *attempt.Situation) { s.Silent = span }
+}
+
 func processEnds(s *attempt.Situation) { s.ProcessEnds = true }
 
 // callerLeft ends the request's context, too.
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -55,6 +55,8 @@
 	BodyTooLarge bool
 	// TakenBack says that this instance took the request back from the present endpoint; own record.
 	TakenBack bool
+	// Silent is for how long the present endpoint has sent nothing; own clock.
+	Silent time.Duration
 	// CallerLeft says that the caller closed its connection; from the request's own context.
 	CallerLeft bool
 	// ProcessEnds says that the end of the process cuts the request off; from the cause of its context's end.
--- a/services/entry/proxy/attempt/timeout.go
+++ b/services/entry/proxy/attempt/timeout.go
@@ -18,11 +18,10 @@
 	// head of the answer gets one. More parts leave more time for the retry, fewer give up less work that would have been
 	// answered. Not measured.
 	retryTimeParts = 2
-	// callerMargin is how much later than its caller a stream is given up here. The caller counts its silence from when an event reached
-	// it, this instance from when it read the event before that, so that without a margin a silent endpoint's stream was closed a few
-	// milliseconds before its caller would have left: an answer cut by this side. Longer holds requests that nobody waits for, shorter
-	// cuts those of slow links. Not measured.
-	callerMargin = 250 * time.Millisecond
+	// silentParts is of how many parts, and one more, of the span that callers listen so many must have passed in silence until the
+	// endpoint is blamed for a caller that left: callers count from when they sent, and by their own clocks. More parts blame fewer
+	// endpoints that stand still, fewer blame some whose caller left by chance. Not measured.
+	silentParts = 9
 	// resumePauses is after how many of the route's pause targets without an event another endpoint is looked for, where the stream can
 	// go on there. More wait for a slow endpoint, fewer resume streams that would have gone on. Not measured.
 	resumePauses = 4
@@ -47,29 +46,22 @@
 	return arrived.Add(limit)
 }
 
-// HeadTimeout is how long the head of the answer may take. Without a bound of its own, it may take all the time that is
-// left: the deadline ends it then, and is the reason.
+// HeadTimeout is how long the head of an answer may take that comes whole. Without a bound of its own, it may take all the time that is
+// left: the deadline ends it then, and is the reason. A stream has none: its caller tells by closing its connection that it listens no
+// more, and a guess of that span cut answers that would have come.
 func HeadTimeout(now time.Time, s Situation) (timeout time.Duration, bounded bool) {
-	left := s.Deadline.Sub(now)
-	switch {
-	case s.Route.Kind == deployment.Streaming:
-		timeout = FirstEventTimeout(s.Route)
-	case s.Route.Retryable() && s.Sent < s.Route.MaxAttempts:
-		timeout = left / retryTimeParts
-	default:
+	if s.Route.Kind == deployment.Streaming || !s.Route.Retryable() || s.Sent >= s.Route.MaxAttempts {
 		return 0, false
 	}
+	left := s.Deadline.Sub(now)
+	timeout = left / retryTimeParts
 	return timeout, timeout < left
 }
 
-// FirstEventTimeout is how long the first bytes of a stream may take after its head: a little longer than callers wait without data.
-func FirstEventTimeout(route *deployment.Route) time.Duration {
-	return admission.SilenceTimeout(route) + callerMargin
-}
-
-// PauseTimeout is how long a stream may pause between two readings before its endpoint is given up: a little longer than callers listen.
-func PauseTimeout(route *deployment.Route) time.Duration {
-	return admission.SilenceTimeout(route) + callerMargin
+// WasSilent reports whether a stream's endpoint has sent nothing for about as long as callers of its route listen: a caller that leaves
+// then left for that.
+func WasSilent(s Situation) bool {
+	return s.Route.Kind == deployment.Streaming && s.Silent >= admission.SilenceTimeout(s.Route)*silentParts/(silentParts+1)
 }
 
 // SearchAfter is after how long a pause another endpoint is looked for that goes on with a stream; false where none can. The present
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -49,9 +49,10 @@
 }
 
 // blame is how an exchange that failed counts for its endpoint, which is not blamed where it was ended here or by the caller: the
-// request was taken back, the caller left, or sent too large a body.
+// request was taken back, the caller left, or sent too large a body. A caller that left after its endpoint's silence is the only one who
+// tells of an endpoint that stands still, since no exchange is ended here for silence.
 func blame(s Situation) directory.Outcome {
-	if s.TakenBack || s.CallerLeft || s.BodyTooLarge {
+	if s.TakenBack || s.BodyTooLarge || (s.CallerLeft && !WasSilent(s)) {
 		return directory.Neutral
 	}
 	return directory.Broken
--- a/services/entry/proxy/attempt/verdict_test.go
+++ b/services/entry/proxy/attempt/verdict_test.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -29,6 +30,7 @@
 		"nothing written, taken back":         {attempt.NothingWritten, after(stream, takenBack), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"no head":                             {attempt.NoHead, after(safe), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
 		"no head, the caller gone":            {attempt.NoHead, after(safe, callerLeft), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
+		"no head for long, the caller gone":   {attempt.NoHead, after(stream, callerLeft, silentFor(3*time.Second)), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
 		"no head, the body too large":         {attempt.NoHead, after(safe, bodyTooLarge), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
 		"no head, taken back":                 {attempt.NoHead, after(stream, takenBack), attempt.Verdict{Result: attempt.TakenBack, Outcome: directory.Neutral}},
 		"no head to go on with, taken back":   {attempt.NoHead, after(resumable, headPassed, takenBack), attempt.Verdict{Result: attempt.TakenBack, Outcome: directory.Neutral}},
@@ -93,6 +95,8 @@
 		"nothing passed on, the caller gone":  {after(safe, callerLeft), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}},
 		"the head passed on":                  {after(stream, headPassed), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Broken}},
 		"the head passed on, the caller gone": {after(stream, headPassed, callerLeft), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Neutral}},
+		"silent for long, the caller gone":    {after(stream, headPassed, callerLeft, silentFor(3*time.Second)), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Broken}},
+		"silent for long, taken back":         {after(stream, headPassed, takenBack, silentFor(3*time.Second)), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Neutral}},
 		"taken back, nothing passed on":       {after(stream, takenBack), attempt.Verdict{Result: attempt.TakenBack, Outcome: directory.Neutral}},
 		"taken back, the head passed on":      {after(stream, headPassed, takenBack), attempt.Verdict{Result: attempt.BrokenOff, Outcome: directory.Neutral}},
 		"the deadline has passed":             {after(safe, contextEnded), attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Broken}},
--- a/services/entry/proxy/doc.go
+++ b/services/entry/proxy/doc.go
@@ -9,5 +9,5 @@
 // each, also of those that are refused before an endpoint is asked. It relies on package attempt
 // for every decision, on the coordinator for endpoints and the budget of retries, on package upstream for connections and
 // on a Dialect for the headers. Requests are served on the goroutines of their connections; it starts none but timers, which
-// give up an endpoint that is silent for too long.
+// look for another endpoint while one is silent.
 package proxy
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -51,7 +51,7 @@
 		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
 		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held,
-		Ended: e.endOf(verdict.Result),
+		Ended:        e.endOf(verdict.Result),
 		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
 	})
 	e.run.service.control.Finish(e.request, e.assignment, verdict.Outcome, verdict.Missing)
@@ -78,12 +78,19 @@
 	}
 	if err != nil {
 		defer e.discard()
-		return attempt.JudgeFailure(failure(err), r.situation())
+		return attempt.JudgeFailure(failure(err), e.situation())
 	}
 	e.answer = answer
 	return e.pass()
 }
 
+// situation gives what decisions need to know of the request and of this exchange.
+func (e *exchange) situation() attempt.Situation {
+	s := e.run.situation()
+	s.Silent = e.run.service.options.Now().Sub(e.heard)
+	return s
+}
+
 // endedError is the cause with which the context of an exchange ends that this instance ends.
 type endedError struct {
 	by attempt.Ender
--- a/services/entry/proxy/passing.go
+++ b/services/entry/proxy/passing.go
@@ -25,7 +25,7 @@
 	content, err := io.ReadAll(io.LimitReader(e.answer, smallBody))
 	if err != nil {
 		e.discard()
-		return attempt.JudgeBroken(e.run.situation())
+		return attempt.JudgeBroken(e.situation())
 	}
 	if len(content) == smallBody {
 		return e.passLarge(content)
@@ -75,7 +75,7 @@
 			return attempt.Passed()
 		}
 		if err != nil {
-			return attempt.JudgeBroken(e.run.situation())
+			return attempt.JudgeBroken(e.situation())
 		}
 	}
 }
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"io"
-	"time"
 
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
@@ -24,19 +23,15 @@
 	defer e.discard()
 	route := e.run.request.Route
 	s := &stream{exchange: e, events: newEventBuffer(route.Resumable), headDue: headDue}
-	pauseTimeout := attempt.PauseTimeout(route)
-	silence := time.AfterFunc(attempt.FirstEventTimeout(route), e.ender(attempt.BySilence))
-	defer silence.Stop()
 	search := newSuccessorSearch(e)
 	defer func() { e.run.successor = search.end() }()
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := e.answer.Read(buffer)
 		if n > 0 {
-			silence.Reset(pauseTimeout)
 			e.heard = e.run.service.options.Now()
 			if !e.noteRunning() {
-				return attempt.JudgeBroken(e.run.situation())
+				return attempt.JudgeBroken(e.situation())
 			}
 			if !s.passOn(buffer[:n]) {
 				return e.notTaken()
@@ -47,7 +42,7 @@
 			return s.end()
 		}
 		if err != nil || s.events.tooLong() {
-			return attempt.JudgeBroken(e.run.situation())
+			return attempt.JudgeBroken(e.situation())
 		}
 	}
 }
