Give an exchange up only once another endpoint's answer has begun

Cause: a silent stream was given up for an endpoint that had a place, with the retry granted, and that then refused it, failed or was silent too; an answer that comes whole was given up after half of its time, before another endpoint was even asked for. Its own endpoint would have answered. While a write to a slow caller blocked, the search for another endpoint went on as in a silence. Change: where a request may run more than once, the other endpoint is sent it beside the present one. The first answer that begins is passed on, and the other exchange ends. What refuses, fails or is withdrawn counts as an attempt and costs the caller nothing; where the present endpoint breaks off, one that was sent the request gets some time to begin. The search rests while a write blocks. Tests replaced: the rows of the head's time-out by those of the search, which say for each kind when another endpoint is asked, and that none is given up by it.

--- a/services/entry/proxy/attempt/ender.go
+++ b/services/entry/proxy/attempt/ender.go
@@ -16,10 +16,10 @@
 	ByDeadline Ender = "deadline"
 	// ByProcess: the end of the process cut it off.
 	ByProcess Ender = "process"
-	// BySilence: this instance gave it up since the endpoint had sent nothing for too long.
-	BySilence Ender = "silence"
-	// BySuccessor: this instance gave it up for another endpoint.
+	// BySuccessor: this instance gave it up for another endpoint, whose answer has begun.
 	BySuccessor Ender = "successor"
+	// ByFormer: this instance gave it up, since the endpoint that was sent the request before went on.
+	ByFormer Ender = "former endpoint"
 	// ByTakeBack: this instance took the request back, since it had not begun in time.
 	ByTakeBack Ender = "take back"
 	// ByBody: the request's body turned out to be too large.
--- a/services/entry/proxy/attempt/timeout.go
+++ b/services/entry/proxy/attempt/timeout.go
@@ -14,10 +14,12 @@
 	// longestRequest bounds requests whose route and caller set no limit. Longer lets slow answers end, shorter frees what
 	// forgotten requests hold. Not measured.
 	longestRequest = 10 * time.Minute
-	// retryTimeParts is in how many parts the time to the deadline is cut where another endpoint could still be tried: the
-	// head of the answer gets one. More parts leave more time for the retry, fewer give up less work that would have been
-	// answered. Not measured.
+	// retryTimeParts is in how many parts the time to the deadline is cut of an answer that comes whole: after one of them without its
+	// head, another endpoint is sent the request as well. More parts leave more time for that, fewer send less twice. Not measured.
 	retryTimeParts = 2
+	// leastSearch is the shortest silence after which another endpoint is looked for. Longer leaves the last moments before a deadline to
+	// the present endpoint alone, shorter asks for places that can't answer any more. Not measured.
+	leastSearch = 50 * time.Millisecond
 	// silentParts is of how many parts, and one more, of the span that callers listen so many must have passed in silence until the
 	// endpoint is blamed for a caller that left: callers count from when they sent, and by their own clocks. More parts blame fewer
 	// endpoints that stand still, fewer blame some whose caller left by chance. Not measured.
@@ -46,31 +48,28 @@
 	return arrived.Add(limit)
 }
 
-// HeadTimeout is how long the head of an answer may take that comes whole. Without a bound of its own, it may take all the time that is
-// left: the deadline ends it then, and is the reason. A stream has none: its caller tells by closing its connection that it listens no
-// more, and a guess of that span cut answers that would have come.
-func HeadTimeout(now time.Time, s Situation) (timeout time.Duration, bounded bool) {
-	if s.Route.Kind == deployment.Streaming || !s.Route.Retryable() || s.Sent >= s.Route.MaxAttempts {
-		return 0, false
-	}
-	left := s.Deadline.Sub(now)
-	timeout = left / retryTimeParts
-	return timeout, timeout < left
-}
-
 // WasSilent reports whether a stream's endpoint has sent nothing for about as long as callers of its route listen: a caller that leaves
 // then left for that.
 func WasSilent(s Situation) bool {
 	return s.Route.Kind == deployment.Streaming && s.Silent >= admission.SilenceTimeout(s.Route)*silentParts/(silentParts+1)
 }
 
-// SearchAfter is after how long a pause another endpoint is looked for that goes on with a stream; false where none can. The present
-// endpoint is given up only for one that was found.
-func SearchAfter(s Situation) (after time.Duration, resumes bool) {
-	if !s.Route.Resumable || s.Sent >= s.Route.MaxAttempts || s.Route.PauseTarget <= 0 || !s.BodyHeld {
+// SearchAfter is after how long a silence of its endpoint a request is sent to another one as well; false where it may not be, or where
+// there is no time left for it. The present exchange goes on until the other endpoint's answer has begun.
+func SearchAfter(now time.Time, s Situation) (after time.Duration, searches bool) {
+	if !s.Route.Retryable() || s.Sent >= s.Route.MaxAttempts || !s.BodyHeld {
 		return 0, false
 	}
-	return resumePauses * s.Route.PauseTarget, true
+	left := s.Deadline.Sub(now)
+	switch {
+	case s.Route.Kind != deployment.Streaming:
+		after = left / retryTimeParts
+	case !s.HeadPassed:
+		after = admission.SilenceTimeout(s.Route)
+	case s.EventPassed:
+		after = resumePauses * s.Route.PauseTarget
+	}
+	return after, after >= leastSearch && after < left
 }
 
 // RetryWait is how long a stream that broke off waits for the fleet's budget.
--- a/services/entry/proxy/attempt/timeout_test.go
+++ b/services/entry/proxy/attempt/timeout_test.go
@@ -33,31 +33,6 @@
 	}
 }
 
-func TestHeadTimeout(t *testing.T) {
-	for name, test := range map[string]struct {
-		situation attempt.Situation
-		timeout   time.Duration
-		bounded   bool
-	}{
-		"a stream":                          {after(stream), 0, false},
-		"a stream, at the deadline":         {after(stream, until(now)), 0, false},
-		"a resumable stream":                {after(resumable), 0, false},
-		"a resumable stream, last attempt":  {after(resumable, sent(2)), 0, false},
-		"a safe request, an attempt left":   {after(safe), 5 * time.Second, true},
-		"a safe request, the last attempt":  {after(safe, sent(2)), 0, false},
-		"a safe request, too many attempts": {after(safe, sent(3)), 0, false},
-		"an unsafe request":                 {after(unsafe), 0, false},
-		"a moment before the deadline":      {after(safe, until(now.Add(1))), 0, true},
-		"at the deadline":                   {after(safe, until(now)), 0, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			timeout, bounded := attempt.HeadTimeout(now, test.situation)
-			assert.Equal(t, test.bounded, bounded)
-			assert.Equal(t, test.timeout, timeout)
-		})
-	}
-}
-
 // TestACallerThatLeavesASilentEndpointTellsOfIt: callers of the routes listen for four targets of 0.8 s. One that leaves a little before,
 // by its own clock, still left for the silence; one that leaves sooner did not, and neither did one whose answer comes whole.
 func TestACallerThatLeavesASilentEndpointTellsOfIt(t *testing.T) {
@@ -83,21 +58,37 @@
 
 func TestWhenAnotherEndpointIsLookedFor(t *testing.T) {
 	unknownPause := &deployment.Route{Kind: deployment.Streaming, MaxAttempts: 2, Target: 800 * time.Millisecond, Resumable: true}
+	const least = 50 * time.Millisecond
 	for name, test := range map[string]struct {
 		situation attempt.Situation
 		after     time.Duration
-		resumes   bool
+		searches  bool
 	}{
-		"a stream":                                  {after(stream), 0, false},
-		"a resumable stream":                        {after(resumable), time.Second, true},
-		"a resumable stream, the last attempt":      {after(resumable, sent(2)), 0, false},
-		"a resumable stream without a pause target": {after(unknownPause), 0, false},
-		"a resumable stream whose body is not held": {after(resumable, bodyNotHeld), 0, false},
+		"a stream":                        {after(stream, headPassed, eventPassed), 0, false},
+		"a stream without a head":         {after(stream), 0, false},
+		"an unsafe request":               {after(unsafe), 0, false},
+		"a resumable stream":              {after(resumable, headPassed, eventPassed), time.Second, true},
+		"without a head":                  {after(resumable), 3200 * time.Millisecond, true},
+		"the last attempt":                {after(resumable, headPassed, eventPassed, sent(2)), 0, false},
+		"too many attempts":               {after(resumable, headPassed, eventPassed, sent(3)), 0, false},
+		"without a pause target":          {after(unknownPause, headPassed, eventPassed), 0, false},
+		"a body that is not held":         {after(resumable, headPassed, eventPassed, bodyNotHeld), 0, false},
+		"events without ids":              {after(resumable, headPassed), 0, false},
+		"the deadline just later":         {after(resumable, headPassed, eventPassed, until(now.Add(time.Second+1))), time.Second, true},
+		"the deadline just reached":       {after(resumable, headPassed, eventPassed, until(now.Add(time.Second))), 0, false},
+		"a safe request, an attempt left": {after(safe), 5 * time.Second, true},
+		"a safe request, the last one":    {after(safe, sent(2)), 0, false},
+		"a safe request, too many":        {after(safe, sent(3)), 0, false},
+		"a safe request, just in time":    {after(safe, until(now.Add(2*least))), least, true},
+		"a safe request, just too late":   {after(safe, until(now.Add(2*least-1))), 0, false},
+		"a safe request, at the deadline": {after(safe, until(now)), 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			after, resumes := attempt.SearchAfter(test.situation)
-			assert.Equal(t, test.after, after)
-			assert.Equal(t, test.resumes, resumes)
+			after, searches := attempt.SearchAfter(now, test.situation)
+			assert.Equal(t, test.searches, searches)
+			if searches {
+				assert.Equal(t, test.after, after)
+			}
 		})
 	}
 }
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -118,12 +118,17 @@
 
 // JudgeWhole judges an answer that was read whole before anything was passed on.
 func JudgeWhole(status int) Verdict {
-	if status >= http.StatusInternalServerError {
+	if IsServerError(status) {
 		return Verdict{Result: ServerError, Outcome: directory.Errored}
 	}
 	return Passed()
 }
 
+// IsServerError reports whether an answer's status says that its endpoint failed.
+func IsServerError(status int) bool {
+	return status >= http.StatusInternalServerError
+}
+
 // Passed is the verdict on an answer that the caller has whole.
 func Passed() Verdict {
 	return Verdict{Result: Finished, Outcome: directory.Succeeded}
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -19,8 +19,13 @@
 type exchange struct {
 	placement
 
-	run    *run
-	answer *upstream.Answer
+	run *run
+	// from is what the caller had of its answer when the exchange began, and started when that was.
+	from    position
+	started time.Time
+	answer  *upstream.Answer
+	// handling is what to do with the answer after its head.
+	handling attempt.Handling
 	// context ends with the exchange; cancel ends it, with who did.
 	context context.Context
 	cancel  context.CancelCauseFunc
@@ -39,107 +44,81 @@
 	ranAfter time.Duration
 }
 
-// do sends the request, passes the answer on and reports to the coordinator how it ended.
+// newExchange makes an exchange that has not begun.
+func (r *run) newExchange(at placement, from position) *exchange {
+	now := r.service.options.Now()
+	e := &exchange{run: r, placement: at, from: from, started: now, heard: now}
+	e.context, e.cancel = context.WithCancelCause(r.context)
+	return e
+}
+
+// do sends the request, unless its answer has begun, and passes the answer on. While the endpoint is silent, another one is looked for.
 func (e *exchange) do() attempt.Result {
-	started := e.run.service.options.Now()
-	e.heard = started
-	verdict := e.send()
-	e.noteEnd()
-	e.assignment.Recall.Disarm()
-	e.run.records = append(e.run.records, AttemptRecord{
-		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result, StartRatio: e.startRatio(),
-		TookMS: e.run.service.options.Now().Sub(started).Milliseconds(), Status: e.status,
-		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
-		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held,
-		Ended:        e.endOf(verdict.Result),
-		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
-	})
-	e.run.service.control.Finish(e.request, e.assignment, verdict.Outcome, verdict.Missing)
+	search := newSuccessorSearch(e)
+	verdict := e.send(search)
+	search.end(verdict.Result != attempt.Finished && verdict != attempt.NotTaken())
+	e.run.records = append(e.run.records, e.close(verdict))
+	e.run.adopt(search)
 	return verdict.Result
 }
 
-// send sends the request and passes the answer on.
-func (e *exchange) send() attempt.Verdict {
+// send sends the request, unless its answer has begun, and passes the answer on.
+func (e *exchange) send(search *successorSearch) attempt.Verdict {
+	if e.answer == nil {
+		if verdict, begun := e.open(); !begun {
+			return verdict
+		}
+	}
+	if !search.pause() {
+		defer e.discard()
+		return attempt.JudgeBroken(e.situation())
+	}
+	switch e.handling {
+	case attempt.ResumeStream:
+		return e.passStream(false, search)
+	case attempt.PassStream:
+		return e.passStream(true, search)
+	default:
+		if e.status < http.StatusMultipleChoices {
+			// An error may have been made before the request's turn came.
+			e.noteRunning()
+		}
+		return e.passWhole()
+	}
+}
+
+// open sends the request and waits for the head of an answer that can be passed on; false with the verdict where none comes.
+func (e *exchange) open() (verdict attempt.Verdict, begun bool) {
 	r := e.run
-	e.context, e.cancel = context.WithCancelCause(r.context)
 	e.assignment.Recall.Arm(e.ender(attempt.ByTakeBack))
-	headTimer := e.startHeadTimer(e.ender(attempt.BySilence))
 	answer, err := r.service.upstream.Do(e.context, upstream.Call{
 		Target: upstream.Target{
 			Key: string(e.assignment.Endpoint.ID), Address: e.assignment.Endpoint.Address, MaxConnections: e.assignment.MaxConnections,
 		},
-		Request: r.forward(e.assignment, r.service.options.Now(), e.ender(attempt.ByBody)),
+		Request: r.forward(e.assignment, r.service.options.Now(), e.from.lastEvent, e.ender(attempt.ByBody)),
 		AnswersRequest: func(header http.Header) bool {
 			return r.service.dialect.AnswersRequest(r.caller.ID, header)
 		},
 	})
-	if headTimer != nil {
-		headTimer.Stop()
-	}
 	if err != nil {
 		defer e.discard()
-		return attempt.JudgeFailure(failure(err), e.situation())
+		return attempt.JudgeFailure(failure(err), e.situationAt(e.from)), false
 	}
 	e.answer = answer
-	return e.pass()
+	return e.judgeHead()
 }
 
 // situation gives what decisions need to know of the request and of this exchange.
 func (e *exchange) situation() attempt.Situation {
-	s := e.run.situation()
-	s.Silent = e.run.service.options.Now().Sub(e.heard)
-	return s
-}
-
-// endedError is the cause with which the context of an exchange ends that this instance ends.
-type endedError struct {
-	by attempt.Ender
-}
-
-// Error implements error.
-func (e *endedError) Error() string {
-	return "proxy: the exchange was ended by: " + string(e.by)
+	return e.situationAt(e.run.position())
 }
 
-// ender gives what ends the exchange, and who does it then.
-func (e *exchange) ender(by attempt.Ender) func() {
-	cancel := e.cancel
-	return func() { cancel(&endedError{by: by}) }
-}
-
-// noteEnd keeps who ended the exchange, and for how long the endpoint had sent nothing; only the first call counts.
-func (e *exchange) noteEnd() {
-	if e.ended != "" {
-		return
-	}
-	now := e.run.service.options.Now()
-	e.ended, e.silent = e.endedBy(now), now.Sub(e.heard)
-}
-
-// endOf gives how the exchange ended, nil where it brought a whole answer.
-func (e *exchange) endOf(result attempt.Result) *AttemptEnd {
-	if attempt.BringsAnswer(result) {
-		return nil
-	}
-	return &AttemptEnd{By: e.ended, SilentMS: e.silent.Milliseconds()}
-}
-
-// endedBy tells who ended the exchange. The connection's own deadline is the request's, and may end it before the context does.
-func (e *exchange) endedBy(now time.Time) attempt.Ender {
-	cause := context.Cause(e.context)
-	var ended *endedError
-	switch {
-	case errors.As(cause, &ended):
-		return ended.by
-	case errors.Is(cause, ErrProcessEnds):
-		return attempt.ByProcess
-	case !now.Before(e.run.request.Deadline):
-		return attempt.ByDeadline
-	case cause != nil:
-		return attempt.ByCaller
-	default:
-		return attempt.ByEndpoint
-	}
+// situationAt gives the same where the caller has its answer up to a position.
+func (e *exchange) situationAt(at position) attempt.Situation {
+	s := e.run.situationAt(at)
+	s.TakenBack = e.assignment.Recall.Fired()
+	s.Silent = e.run.service.options.Now().Sub(e.heard)
+	return s
 }
 
 // failure translates an error of package upstream.
@@ -156,32 +135,24 @@
 	}
 }
 
-// pass judges the head of an answer and passes it on.
-func (e *exchange) pass() attempt.Verdict {
+// judgeHead judges the head of an answer; false with the verdict where nothing of it can be passed on.
+func (e *exchange) judgeHead() (verdict attempt.Verdict, begun bool) {
 	response := e.answer.Response
 	dialect := e.run.service.dialect
 	e.status = response.StatusCode
-	handling, verdict := attempt.JudgeHead(attempt.Head{
+	e.heard = e.run.service.options.Now()
+	e.handling, verdict = attempt.JudgeHead(attempt.Head{
 		Status: e.status, NotRun: dialect.NotRun(e.status, response.Header), FromEndpoint: dialect.FromEndpoint(response.Header),
-		Resumes: e.run.answer.status != 0, Kind: e.run.request.Route.Kind,
+		Resumes: e.from.headPassed, Kind: e.run.request.Route.Kind,
 	})
-	switch handling {
-	case attempt.ResumeStream:
-		return e.passStream(false)
-	case attempt.PassStream:
-		return e.passStream(true)
-	case attempt.PassWhole:
-		if e.status < http.StatusMultipleChoices {
-			// An error may have been made before the request's turn came.
-			e.noteRunning()
-		}
-		return e.passWhole()
+	if e.handling != attempt.Reject {
+		return attempt.Verdict{}, true
 	}
 	if verdict.Result == attempt.NotRun {
 		e.readRest()
 	}
 	e.discard()
-	return verdict
+	return verdict, false
 }
 
 // noteRunning tells the coordinator once that the request has left the endpoint's own queue. It is false for a request that was taken
@@ -207,31 +178,8 @@
 	return float64(e.ranAfter) / float64(e.assignment.Expected)
 }
 
-// startHeadTimer starts the timer that gives the endpoint up when the head of the answer takes too long; nil for none.
-func (e *exchange) startHeadTimer(giveUp func()) *time.Timer {
-	timeout, bounded := attempt.HeadTimeout(e.run.service.options.Now(), e.run.situation())
-	if !bounded {
-		return nil
-	}
-	return time.AfterFunc(timeout, giveUp)
-}
-
 // readRest reads a small refusal to its end, so that its connection can be used again.
 func (e *exchange) readRest() {
 	// Where that fails, the connection is closed with the exchange, and nothing else is lost.
 	_, _ = io.CopyN(io.Discard, e.answer, smallBody)
 }
-
-// discard ends the exchange.
-func (e *exchange) discard() {
-	if e.answer != nil {
-		e.noteEnd()
-		e.answer.Close()
-		e.answer = nil
-	}
-	if e.cancel != nil {
-		e.noteEnd()
-		e.cancel(nil)
-		e.cancel = nil
-	}
-}
--- a/services/entry/proxy/placement.go
+++ b/services/entry/proxy/placement.go
@@ -38,13 +38,23 @@
 	return placement{assignment: assignment, request: &resumed}, err
 }
 
-// nextPlace gives the place for the next attempt: the one that was found while a stream was silent, or one that is asked for now.
-func (r *run) nextPlace() (placement, error) {
+// nextExchange gives the next attempt: the one that has begun while the former endpoint was silent, or one at an endpoint that is asked
+// for now.
+func (r *run) nextExchange() (*exchange, error) {
 	if r.successor != nil {
-		found := *r.successor
+		next := r.successor
 		r.successor = nil
-		return found, nil
+		return next, nil
+	}
+	placed, err := r.nextPlace()
+	if err != nil {
+		return nil, err
 	}
+	return r.newExchange(placed, r.position()), nil
+}
+
+// nextPlace asks for the place for the next attempt.
+func (r *run) nextPlace() (placement, error) {
 	if r.answer.status == 0 {
 		return r.place(r.context)
 	}
@@ -79,9 +89,6 @@
 // takeRetry asks the fleet's budget for a retry. A stream that broke off waits for it while its caller may still listen: nothing else
 // could go on with it.
 func (r *run) takeRetry() bool {
-	if r.successor != nil {
-		return true
-	}
 	until := r.service.options.Now().Add(attempt.RetryWait(r.request.Route))
 	for !r.service.control.TakeRetry(r.request.Service) {
 		if r.answer.status == 0 || !r.service.options.Now().Before(until) {
@@ -96,10 +103,35 @@
 	return true
 }
 
-// dropSuccessor gives a place back that is not used.
+// adopt takes over what a search came to: an exchange that goes on in place of the former one, and those that did not take the request.
+func (r *run) adopt(search *successorSearch) {
+	if search == nil {
+		return
+	}
+	for _, failed := range search.failed {
+		if failed.Result == attempt.NotSent {
+			r.unreached++
+		} else {
+			r.sent++
+		}
+		if !attempt.ProvesNotRun(failed.Result) {
+			r.mayHaveRun = true
+		}
+		r.tried = append(r.tried, failed.Endpoint)
+		r.records = append(r.records, failed)
+	}
+	r.successor = search.found
+	if r.successor != nil {
+		r.sent++
+	}
+}
+
+// dropSuccessor ends an exchange that began for a request which was answered all the same.
 func (r *run) dropSuccessor() {
 	if r.successor != nil {
-		r.service.control.Finish(r.successor.request, r.successor.assignment, directory.Neutral, false)
+		r.successor.ender(attempt.ByFormer)()
+		r.successor.discard()
+		r.records = append(r.records, r.successor.close(attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}))
 		r.successor = nil
 	}
 }
--- a/services/entry/proxy/run.go
+++ b/services/entry/proxy/run.go
@@ -38,8 +38,8 @@
 	inPlace   int
 	// served is the endpoint whose events were passed on last; empty for none.
 	served deployment.EndpointID
-	// successor is the place that was found for a stream while it was silent, with its retry granted; nil for none.
-	successor *placement
+	// successor is an exchange whose answer has begun while the former endpoint was silent; nil for none.
+	successor *exchange
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// lastEvent is the last whole event passed on.
@@ -52,38 +52,54 @@
 func (r *run) serve() {
 	defer r.dropSuccessor()
 	for {
-		placed, err := r.nextPlace()
+		next, err := r.nextExchange()
 		if err != nil {
 			r.end(attempt.EndWithoutEndpoint(r.situation(), refusal(err)), nil)
 			return
 		}
-		id := placed.assignment.Endpoint.ID
-		first := !slices.Contains(r.tried, id)
-		if first {
-			r.sent++
-		} else {
-			r.inPlace++
-		}
-		r.recall = placed.assignment.Recall
-		exchange := &exchange{run: r, placement: placed}
-		result := exchange.do()
+		first := r.countSent(next)
+		r.recall = next.assignment.Recall
+		result := next.do()
 		r.count(result, first)
-		switch attempt.Next(r.service.options.Now(), result, r.situation()) {
+		switch r.step(result) {
 		case attempt.Done:
 			return
 		case attempt.GiveUp:
-			r.giveUp(result, exchange)
+			r.giveUp(result, next)
 			return
 		case attempt.RetryWithinBudget:
 			if !r.takeRetry() {
-				r.giveUp(result, exchange)
+				r.giveUp(result, next)
 				return
 			}
 		case attempt.TryNext:
 		}
-		exchange.discard()
-		r.tried = append(r.tried, id)
+		next.discard()
+		r.tried = append(r.tried, next.assignment.Endpoint.ID)
+	}
+}
+
+// step decides what follows from the end of an attempt. One whose successor has begun to answer needs no other.
+func (r *run) step(result attempt.Result) attempt.Step {
+	if r.successor != nil && result != attempt.Finished {
+		return attempt.TryNext
+	}
+	return attempt.Next(r.service.options.Now(), result, r.situation())
+}
+
+// countSent counts an attempt that begins, unless its answer has begun and it was counted then; true where its endpoint was not sent the
+// request before.
+func (r *run) countSent(next *exchange) (first bool) {
+	first = !slices.Contains(r.tried, next.assignment.Endpoint.ID)
+	if next.answer != nil {
+		return first
+	}
+	if first {
+		r.sent++
+	} else {
+		r.inPlace++
 	}
+	return first
 }
 
 // count notes what an attempt's result says of the request; first says that the endpoint was not sent it before.
@@ -99,11 +115,28 @@
 	}
 }
 
+// position is how much of its answer a caller has.
+type position struct {
+	headPassed bool
+	// lastEvent is the last whole event that was passed on; empty for none.
+	lastEvent string
+}
+
+// position gives how much the caller has; only the goroutine that serves the request may ask.
+func (r *run) position() position {
+	return position{headPassed: r.answer.status != 0, lastEvent: r.lastEvent}
+}
+
 // situation gives what decisions need to know of the request.
 func (r *run) situation() attempt.Situation {
+	return r.situationAt(r.position())
+}
+
+// situationAt gives the same where the caller has its answer up to a position.
+func (r *run) situationAt(at position) attempt.Situation {
 	return attempt.Situation{
 		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sent, Unreached: r.unreached, InPlace: r.inPlace, MayHaveRun: r.mayHaveRun,
-		BodyHeld: r.body.rest == nil, HeadPassed: r.answer.status != 0, EventPassed: r.lastEvent != "",
+		BodyHeld: r.body.rest == nil, HeadPassed: at.headPassed, EventPassed: at.lastEvent != "",
 		BodyTooLarge: r.body.tooLarge(), TakenBack: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
 		ProcessEnds: r.processEnds(),
 	}
@@ -153,8 +186,8 @@
 // addedHeaders is room for the headers that the dialect adds, so that the map need not grow.
 const addedHeaders = 4
 
-// forward builds the request that goes to an endpoint; giveUp ends the exchange where its body turns out to be too large.
-func (r *run) forward(assignment coordinator.Assignment, now time.Time, giveUp func()) *http.Request {
+// forward builds the request that goes to an endpoint, to go on after an event or empty to begin; giveUp ends the exchange where its body turns out to be too large.
+func (r *run) forward(assignment coordinator.Assignment, now time.Time, resumeAfter string, giveUp func()) *http.Request {
 	header := make(http.Header, len(r.incoming.Header)+addedHeaders)
 	copyHeader(header, r.incoming.Header)
 	if _, ok := header["User-Agent"]; !ok {
@@ -163,7 +196,7 @@
 	}
 	r.service.dialect.WriteForward(header, ForwardHeader{
 		Endpoint: assignment.Endpoint.ID, HasDeadline: r.caller.Timeout > 0, Remaining: r.remaining(now),
-		UsesModel: r.request.UsesModel(), Urgency: assignment.Urgency, Version: assignment.Version, ResumeAfter: r.lastEvent,
+		UsesModel: r.request.UsesModel(), Urgency: assignment.Urgency, Version: assignment.Version, ResumeAfter: resumeAfter,
 	})
 	outgoing := &http.Request{
 		Method: r.incoming.Method, URL: requestURL(r.incoming), Host: r.incoming.Host, Header: header, ContentLength: r.body.length,
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -18,25 +18,24 @@
 	headDue bool
 }
 
-// passStream passes the events of a stream on as they come, and the head right before the first of them if it is due.
-func (e *exchange) passStream(headDue bool) attempt.Verdict {
+// passStream passes the events of a stream on as they come, and the head right before the first of them if it is due. A caller that
+// reads slowly is no silence of the endpoint: the search for another one rests while a write blocks.
+func (e *exchange) passStream(headDue bool, search *successorSearch) attempt.Verdict {
 	defer e.discard()
-	route := e.run.request.Route
-	s := &stream{exchange: e, events: newEventBuffer(route.Resumable), headDue: headDue}
-	search := newSuccessorSearch(e)
-	defer func() { e.run.successor = search.end() }()
+	s := &stream{exchange: e, events: newEventBuffer(e.run.request.Route.Resumable), headDue: headDue}
 	buffer := make([]byte, readBuffer)
+	search.resume()
 	for {
 		n, err := e.answer.Read(buffer)
 		if n > 0 {
-			e.heard = e.run.service.options.Now()
-			if !e.noteRunning() {
+			if !search.pause() || !e.noteRunning() {
 				return attempt.JudgeBroken(e.situation())
 			}
 			if !s.passOn(buffer[:n]) {
 				return e.notTaken()
 			}
-			search.heard(e.run.lastEvent != "")
+			e.heard = e.run.service.options.Now()
+			search.resume()
 		}
 		if errors.Is(err, io.EOF) {
 			return s.end()
