Count a daemon's endpoint as silent only while it is read

Change: the time stops while what came is passed on. The setting itself stays: it is the operators' own bound of a daemon's answers, which have no deadline.

--- a/services/daemon/relay/exchange.go
+++ b/services/daemon/relay/exchange.go
@@ -116,9 +116,11 @@
 }
 
 // stream passes an answer on event by event, whole events only, so that a resumed
-// stream goes on exactly where it broke off.
+// stream goes on exactly where it broke off. The endpoint counts as silent only while it is read: a caller that reads slowly holds the
+// reading up, and its stream was cut in its middle for that.
 func (r *run) stream(ctx context.Context, cancel context.CancelFunc, resp *http.Response) error {
-	watch := time.AfterFunc(r.service.options.EndpointSilent, cancel)
+	silent := r.service.options.EndpointSilent
+	watch := time.AfterFunc(silent, cancel)
 	defer watch.Stop()
 	in := buffers.Get().(*eventReader)
 	in.reset(resp.Body)
@@ -131,19 +133,19 @@
 		if err != nil {
 			return r.brokenStream(ctx, err)
 		}
-		watch.Reset(r.service.options.EndpointSilent)
+		watch.Stop()
 		if err := r.pass(resp, event); err != nil {
 			return err
 		}
 		if isDone(event) {
 			return r.out.flush()
 		}
-		if in.buffered() {
-			continue
-		}
-		if err := r.out.flush(); err != nil {
-			return err
+		if !in.buffered() {
+			if err := r.out.flush(); err != nil {
+				return err
+			}
 		}
+		watch.Reset(silent)
 	}
 }
 
