Take no read beside an own write for another's record

Cause: the race test that failed once beside load, traced. A planner that stops writes into its record that it gives no more orders; a confirming read that finds the newer revision before the write's answer was taken for another instance's record: the term ended, and with it the members' links, before the view that tells them of it. Change: a lease knows which of its own writes are under way; a read beside one that finds another revision neither confirms nor ends. The window for orders runs on, so that nothing is ordered on it.

--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -144,24 +144,26 @@
 	record   lease.Record
 }
 
-// newRewrite gives a change of a lease's record that changes nothing yet.
+// newRewrite gives a change of a lease's record that changes nothing yet; rewriteRecord must follow.
 func newRewrite(held *lease.Lease) *rewrite {
+	held.BeginRewrite()
 	return &rewrite{held: held, revision: held.Revision(), record: held.Record()}
 }
 
 // rewriteRecord changes this holder's own record.
 func (c *Coordinator) rewriteRecord(due *rewrite) {
 	taken, end := c.leases.Rewrite(c.context, due.revision, due.record)
-	switch end {
-	case leasestore.Done, leasestore.Settled:
-		c.loop.Call(func(time.Time) { due.held.NoteRewritten(taken.Sent, taken.Record, taken.Revision) })
-	case leasestore.Lost:
-		c.loop.Call(func(now time.Time) {
+	c.loop.Call(func(now time.Time) {
+		due.held.EndRewrite(now)
+		switch end {
+		case leasestore.Done, leasestore.Settled:
+			due.held.NoteRewritten(taken.Sent, taken.Record, taken.Revision)
+		case leasestore.Lost:
 			due.held.End()
 			c.endIfOver(now)
-		})
-	case leasestore.Unknown:
-	}
+		case leasestore.Unknown:
+		}
+	})
 }
 
 // pauseOfLooks is the mean pause between two looks at the record here.
--- a/services/entry/lease/holder_test.go
+++ b/services/entry/lease/holder_test.go
@@ -55,3 +55,37 @@
 	assert.False(t, held.Waited(start.Add(step)))
 	assert.False(t, held.MayOrder(start.Add(step)))
 }
+
+// TestAReadBesideAnOwnWriteSaysNothingWhereItDiffers: such a read may find the record as it was before the write or after it.
+func TestAReadBesideAnOwnWriteSaysNothingWhereItDiffers(t *testing.T) {
+	answered := start.Add(time.Second)
+	type read struct {
+		Sent     time.Time
+		Revision int64
+	}
+	for name, test := range map[string]struct {
+		// before and after are reads that are taken in before and after the write's answer; none where the revision is 0.
+		before, after read
+		over          bool
+	}{
+		"the newer revision, before the answer": {before: read{Sent: start.Add(step), Revision: 11}},
+		"the former one, answered later":        {after: read{Sent: start.Add(step), Revision: 10}},
+		"the former one, sent at the answer":    {after: read{Sent: answered, Revision: 10}},
+		"another one, sent after the answer":    {after: read{Sent: answered.Add(step), Revision: 12}, over: true},
+		"the newer one, sent after the answer":  {after: read{Sent: answered.Add(step), Revision: 11}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			held := lease.Begin(options, ordering, 10, start, start, 0)
+			held.BeginRewrite()
+			if test.before.Revision > 0 {
+				held.Confirm(test.before.Sent, test.before.Revision)
+			}
+			held.EndRewrite(answered)
+			held.NoteRewritten(start, ordering, 11)
+			if test.after.Revision > 0 {
+				held.Confirm(test.after.Sent, test.after.Revision)
+			}
+			assert.Equal(t, test.over, held.Over())
+		})
+	}
+}
--- a/services/entry/lease/lease.go
+++ b/services/entry/lease/lease.go
@@ -13,6 +13,9 @@
 	ordersAt  time.Time
 	confirmed time.Time
 	over      bool
+	// rewriting is how many of this holder's own writes are under way, and rewritten when the last of them was answered.
+	rewriting int
+	rewritten time.Time
 }
 
 // Begin starts to hold a lease: the record was committed at a revision by a call sent at a time and
@@ -41,11 +44,12 @@
 	return max(0, l.ordersAt.Sub(now))
 }
 
-// Confirm takes in a linearizable read sent at a time: the record is still this holder's if
-// its revision is unchanged.
+// Confirm takes in a linearizable read sent at a time: the record is still this holder's if its revision is unchanged. A read beside a
+// write of this holder's own may find the revision before it or after it, and says nothing where it differs: it ended the term of a
+// planner that stopped before its members were told.
 func (l *Lease) Confirm(sent time.Time, revision int64) {
 	if revision != l.revision {
-		l.over = true
+		l.over = l.over || (l.rewriting == 0 && sent.After(l.rewritten))
 		return
 	}
 	if sent.After(l.confirmed) {
@@ -53,6 +57,17 @@
 	}
 }
 
+// BeginRewrite notes that a write of this holder's own begins; EndRewrite must follow.
+func (l *Lease) BeginRewrite() {
+	l.rewriting++
+}
+
+// EndRewrite notes that the write was answered, or is given up.
+func (l *Lease) EndRewrite(now time.Time) {
+	l.rewriting--
+	l.rewritten = now
+}
+
 // NoteRewritten takes in that this holder changed its own record by a call sent at a time.
 func (l *Lease) NoteRewritten(sent time.Time, record Record, revision int64) {
 	l.record = record
