Close a peer's link only once its last message is sent

Cause: the class of the cut streams, looked for between instances: a planner whose term is over closed its members' links at once, with the view that tells of it still in their queues, or 50 ms after the message that names its successor, sent or not. Change: a link can be finished: it takes no more messages, and closes once what waits is sent, each message in its time. A reader takes in what came before the end.

--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -56,6 +56,9 @@
 	queued atomic.Int64
 	closed chan struct{}
 	once   sync.Once
+	// finishing is closed by Finish.
+	finishing chan struct{}
+	finish    sync.Once
 }
 
 // New starts the sender of a stream; Close ends it.
@@ -65,6 +68,8 @@
 		reader:   bufio.NewReader(conn),
 		outgoing: make(chan Frame, outgoingMessages),
 		closed:   make(chan struct{}),
+
+		finishing: make(chan struct{}),
 	}
 	go s.write()
 	return s
@@ -99,6 +104,8 @@
 	select {
 	case <-s.closed:
 		return ErrClosed
+	case <-s.finishing:
+		return ErrClosed
 	default:
 	}
 	size := int64(len(frame))
@@ -131,7 +138,7 @@
 // any of them.
 func (s *Stream[M]) Receive(silence time.Duration, now func() time.Time) (M, error) {
 	var message M
-	if err := s.conn.SetReadDeadline(now().Add(silence)); err != nil {
+	if err := s.boundReading(now().Add(silence)); err != nil {
 		return message, err
 	}
 	var length [lengthBytes]byte
@@ -142,7 +149,7 @@
 	if size > maxMessageBytes {
 		return message, ErrTooLarge
 	}
-	if err := s.conn.SetReadDeadline(now().Add(silence + transferTime(int(size)))); err != nil {
+	if err := s.boundReading(now().Add(silence + transferTime(int(size)))); err != nil {
 		return message, err
 	}
 	body := make([]byte, size)
@@ -153,6 +160,15 @@
 	return message, err
 }
 
+// boundReading bounds the reading of what has not come yet. A connection that has ended may take no deadline; what came before its end is
+// read all the same.
+func (s *Stream[M]) boundReading(until time.Time) error {
+	if err := s.conn.SetReadDeadline(until); err != nil && s.reader.Buffered() == 0 {
+		return err
+	}
+	return nil
+}
+
 // Close ends the stream; messages that wait are dropped.
 func (s *Stream[M]) Close() {
 	s.once.Do(func() {
@@ -162,6 +178,12 @@
 	})
 }
 
+// Finish takes no more messages and closes the stream once those that wait are sent, each in its time: closed at once, a stream loses
+// its last message.
+func (s *Stream[M]) Finish() {
+	s.finish.Do(func() { close(s.finishing) })
+}
+
 // write sends what is queued until the stream is closed or a message cannot be sent in time, which closes it. The reader
 // gets the error.
 func (s *Stream[M]) write() {
@@ -175,6 +197,25 @@
 			if err := s.writeFrame(frame); err != nil {
 				return
 			}
+		case <-s.finishing:
+			s.writeRest()
+			return
+		}
+	}
+}
+
+// writeRest sends what is queued, as far as each message can be sent in its time.
+func (s *Stream[M]) writeRest() {
+	for {
+		select {
+		case <-s.closed:
+			return
+		case frame := <-s.outgoing:
+			if err := s.writeFrame(frame); err != nil {
+				return
+			}
+		default:
+			return
 		}
 	}
 }
--- a/modules/entry/peerstream/stream_test.go
+++ b/modules/entry/peerstream/stream_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -48,6 +49,27 @@
 	}
 }
 
+// TestAFinishedStreamSendsWhatWaits: a stream that was closed at once lost its last message, the one for which it ended.
+func TestAFinishedStreamSendsWhatWaits(t *testing.T) {
+	const letters = 50
+	left, right := pair(t)
+	sender, receiver := peerstream.New[letter](left), peerstream.New[letter](right)
+	defer receiver.Close()
+	for i := range letters {
+		require.NoError(t, sender.Send(letter{Number: i}))
+	}
+	sender.Finish()
+	sender.Finish()
+	require.ErrorIs(t, sender.Send(letter{}), peerstream.ErrClosed)
+	for i := range letters {
+		got, err := receiver.Receive(time.Second, time.Now)
+		require.NoError(t, err)
+		assert.Equal(t, i, got.Number)
+	}
+	_, err := receiver.Receive(time.Second, time.Now)
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 func TestSilenceIsAnError(t *testing.T) {
 	left, _ := pair(t)
 	stream := peerstream.New[letter](left)
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -110,16 +110,14 @@
 	c.reports.Restart()
 }
 
-// leaveMembers ends the links of the members of a term that is over, after a message that names the successor where it is known: a
-// member that the store turns away can read it nowhere.
+// leaveMembers ends the links of the members of a term that is over, after what waits for them, such as the view that tells of the end,
+// and a message that names the successor where it is known: a member that the store turns away can read it nowhere.
 func (c *Coordinator) leaveMembers() {
 	members, former := c.planning.members, c.planning.lease.Record()
-	if c.knownRecord.Term <= former.Term || !c.knownRecord.Address.IsValid() {
-		members.CloseLinks()
-		return
+	if c.knownRecord.Term > former.Term && c.knownRecord.Address.IsValid() {
+		members.Tell(wire.Message{Successor: &wire.Successor{Term: c.knownRecord.Term, Address: c.knownRecord.Address}})
 	}
-	members.Tell(wire.Message{Successor: &wire.Successor{Term: c.knownRecord.Term, Address: c.knownRecord.Address}})
-	time.AfterFunc(successorNoticeTimeout, func() { c.loop.Post(func(time.Time) { members.CloseLinks() }) })
+	members.FinishLinks()
 }
 
 // beginOrdering writes into the record that orders may follow, once the former holder's time is surely over.
@@ -318,16 +316,13 @@
 	}
 }
 
-// successorNoticeTimeout is how long the last message to a former planner may take. Not measured.
-const successorNoticeTimeout = 50 * time.Millisecond
-
 // noteRecord remembers who plans; a link to a former planner ends with a message that names its successor.
 func (c *Coordinator) noteRecord(record lease.Record) {
 	c.knownRecord = record
 	if stream := c.following.stream; stream != nil && record.Term > c.following.Term {
 		// A former planner that cannot take the message is left all the same; it learns its successor from another.
 		_ = stream.Send(wire.Message{Successor: &wire.Successor{Term: record.Term, Address: record.Address}})
-		time.AfterFunc(successorNoticeTimeout, stream.Close)
+		stream.Finish()
 		c.following.stream = nil
 	}
 }
--- a/services/entry/coordinator/member/member_test.go
+++ b/services/entry/coordinator/member/member_test.go
@@ -151,7 +151,7 @@
 	members.All()["a"].Link = nil
 	assert.False(t, members.NeedOwn(), "nobody is there to be told")
 	members.Tell(wire.Message{})
-	members.CloseLinks()
+	members.FinishLinks()
 }
 
 func TestRequestsInFlightFollowTheLastReport(t *testing.T) {
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -117,11 +117,11 @@
 	}
 }
 
-// CloseLinks ends all links.
-func (t *Table) CloseLinks() {
+// FinishLinks ends all links once what waits for them is sent.
+func (t *Table) FinishLinks() {
 	for _, m := range t.members {
 		if m.Link != nil {
-			m.Link.Close()
+			m.Link.Finish()
 		}
 	}
 }
