Let the soak have streams that pause, callers that stay and callers that read slowly

Cause: the soak could not see the cut streams: its streams paused for 0.05 to 0.5 s, its time-outs were all above what callers wait for, and none stayed beyond a silence. Change: a share of the requests are of callers that stay to their deadline of 15 s: of streams with pauses of 2.2 to 4.2 s, and of streams of 16 MiB that are not read for up to 6 s, on routes of their own whose time-outs change between 8, 13 and 18 s. A request that lasted for a time-out that may have been in force counts as ended by it. Kept cases have none of them, so that their requests are as before; a short case is added.

--- a/tests/platformstandin/caller.go
+++ b/tests/platformstandin/caller.go
@@ -108,6 +108,14 @@
 	return fmt.Sprintf("id: %d\ndata: %s.%s.%d\n\n", number, id, adapter, number)
 }
 
+// PaddedEvent gives an event as Event does, with so many bytes of a comment in it.
+func PaddedEvent(number int, id, adapter string, padding int) string {
+	if padding <= 0 {
+		return Event(number, id, adapter)
+	}
+	return ": " + strings.Repeat("x", padding) + "\n" + Event(number, id, adapter)
+}
+
 // RunCounts counts the runs of each request, over several workers.
 func RunCounts(workers ...*Worker) map[string]int {
 	counts := make(map[string]int)
--- a/tests/platformstandin/site.go
+++ b/tests/platformstandin/site.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"time"
 )
 
 // Names on the wire that callers and operators of the example site use.
@@ -25,6 +26,10 @@
 	StreamPrefix  = "/chat/"
 	ResumePrefix  = "/digest/"
 	PatientPrefix = "/report/"
+	// PausePrefix and PauseResumePrefix are of WithPausingRoutes.
+	PausePrefix       = "/survey/"
+	PauseResumePrefix = "/survey-digest/"
+
 	UnsafePrefix  = "/hold/"
 	SafePrefix    = "/status/"
 	engineSlots   = 8
@@ -75,6 +80,16 @@
 	return configuration
 }
 
+// WithPausingRoutes adds two routes to a configuration whose streams may pause for longer than callers of their target usually listen: one
+// that may be resumed and one that may not.
+func WithPausingRoutes(configuration map[string]any, timeout time.Duration) map[string]any {
+	once := route("r-survey", PausePrefix, "streaming", ModelService, 1, false)
+	resumable := route("r-survey-digest", PauseResumePrefix, "streaming", ModelService, 2, true)
+	once["timeout_ms"], resumable["timeout_ms"] = timeout.Milliseconds(), timeout.Milliseconds()
+	configuration["routes"] = append(configuration["routes"].([]map[string]any), once, resumable)
+	return configuration
+}
+
 // Settings gives the settings of one entry process.
 func Settings(name, zone, ip string, ports Ports, seeds []string, store string) map[string]any {
 	return map[string]any{
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -215,13 +215,14 @@
 	w.mutex.Unlock()
 	writer.Header().Set("Content-Type", "text/event-stream")
 	events, pause := queryNumber(request, "events", w.options.Events), queryMilliseconds(request, "pause_ms", w.options.Pause)
+	padding := queryNumber(request, "padding", 0)
 	for id := first; id <= events; id++ {
 		if breakAfter > 0 && id > breakAfter {
 			_, _ = fmt.Fprintf(writer, "id: %d\ndata: half", id)
 			_ = http.NewResponseController(writer).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(writer, Event(id, run.ID, run.Adapter))
+		_, _ = io.WriteString(writer, PaddedEvent(id, run.ID, run.Adapter, padding))
 		_ = http.NewResponseController(writer).Flush()
 		select {
 		case <-request.Context().Done():
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/shelfledge/shelfledge/tests/platformstandin"
@@ -123,12 +124,26 @@
 		return true
 	case a.Ended.Sub(a.Began) >= a.Patience-deadlineSlack:
 		return true
-	case r.cutByGrace(a):
+	case r.cutByGrace(a), r.routeTimedOut(a):
 		return true
 	}
 	return r.endpointBroke(a, run)
 }
 
+// routeTimedOut reports whether the request lasted for a time-out of its route that may have been in force when it was sent.
+func (r *Record) routeTimedOut(a Attempt) bool {
+	for i, limit := range r.Limits {
+		if !slices.ContainsFunc(limit.Prefixes, func(prefix string) bool { return strings.HasPrefix(a.Path, prefix) }) {
+			continue
+		}
+		over := i+1 < len(r.Limits) && a.Began.After(r.Limits[i+1].Acknowledged.Add(r.Bounds.Apply+r.lag(r.Limits[i+1].Acknowledged, a.Began)))
+		if !over && !a.Sent.Before(limit.Sent) && a.Ended.Sub(a.Began) >= limit.Timeout-deadlineSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // cutByGrace reports whether an instance that stopped cut the request off at the end of its grace.
 func (r *Record) cutByGrace(a Attempt) bool {
 	return slices.ContainsFunc(r.Disruptions, func(d Disruption) bool {
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// lasted has the request end after a time.
+func lasted(span time.Duration) func(*ledger.Record) {
+	return func(r *ledger.Record) { r.Attempts[0].Ended = r.Attempts[0].Began.Add(span) }
+}
+
+// limited has the time-out of the request's route change at a moment.
+func limited(timeout, when time.Duration) func(*ledger.Record) {
+	return func(r *ledger.Record) {
+		r.Limits = append(r.Limits, ledger.Limit{Prefixes: []string{"/hold/"}, Timeout: timeout, Sent: at(when), Acknowledged: at(when)})
+	}
+}
+
 func rested(span time.Duration) func(*ledger.Record) {
 	return func(r *ledger.Record) { r.Attempts[0].Rested = span }
 }
@@ -78,6 +90,12 @@
 			r.Attempts[0].Patience, r.Attempts[0].Ended = 14*second, at(14*second)
 		}}, ledger.CheckLost},
 		{"at its deadline", []change{closed, func(r *ledger.Record) { r.Attempts[0].Ended = at(14 * second) }}, ""},
+		{"at its route's time-out", []change{closed, lasted(3 * second), limited(3*second, 5*second)}, ""},
+		{"before its route's time-out", []change{closed, lasted(2 * second), limited(3*second, 5*second)}, ledger.CheckLost},
+		{"at another route's time-out", []change{closed, lasted(3 * second), limited(3*second, 5*second), func(r *ledger.Record) { r.Attempts[0].Path = "/status/x" }}, ledger.CheckLost},
+		{"at a former time-out that may be in force", []change{closed, lasted(3 * second), limited(3*second, 5*second), limited(9*second, 9*second)}, ""},
+		{"at a former time-out", []change{closed, lasted(3 * second), limited(3*second, 5*second), limited(9*second, 7*second)}, ledger.CheckLost},
+		{"at a later time-out", []change{closed, lasted(3 * second), limited(3*second, 11*second)}, ledger.CheckLost},
 		{"by its endpoint", []change{closed, func(r *ledger.Record) { r.Runs[1].Phase = platformstandin.RunBroke }}, ""},
 		{"by its endpoint's end", []change{closed, disrupted(ledger.EndpointEnds, "e", 10*second, 11*second)}, ""},
 
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -127,6 +127,14 @@
 	Removed      time.Time `json:"removed"`
 }
 
+// Limit is a time-out of routes, from when it was sent and acknowledged on, until the next one of the record.
+type Limit struct {
+	Prefixes     []string      `json:"prefixes"`
+	Timeout      time.Duration `json:"timeout"`
+	Sent         time.Time     `json:"sent"`
+	Acknowledged time.Time     `json:"acknowledged"`
+}
+
 // Exit is the end of an instance's process.
 type Exit struct {
 	Instance string    `json:"instance"`
@@ -167,6 +175,7 @@
 	Departures  []Departure
 	Namings     []Naming
 	Additions   []Addition
+	Limits      []Limit
 	Exits       []Exit
 	Usages      []Usage
 	Bounds      Bounds
--- a/tools/soak/operator.go
+++ b/tools/soak/operator.go
@@ -23,6 +23,9 @@
 	timeouts = []time.Duration{4500 * time.Millisecond, 5 * time.Second, 6 * time.Second}
 )
 
+// pauseTimeouts are the time-outs of the routes whose streams pause: one is below what their callers wait for.
+var pauseTimeouts = []time.Duration{8 * time.Second, 13 * time.Second, 18 * time.Second}
+
 const (
 	// namedAdapters is how many adapters get newer versions.
 	namedAdapters = 6
@@ -38,15 +41,18 @@
 	idle     time.Duration
 	shortest time.Duration
 	timeout  time.Duration
-	routes   map[string]string
-	added    []ledger.Addition
-	versions map[string]int
-	count    int
+	// pauseTimeout is that of the routes whose streams pause, and pauseLimits are all that it was.
+	pauseTimeout time.Duration
+	pauseLimits  []ledger.Limit
+	routes       map[string]string
+	added        []ledger.Addition
+	versions     map[string]int
+	count        int
 }
 
 func newOperator(s *site) *operator {
 	return &operator{
-		site: s, idle: firstIdle, shortest: firstIdle, timeout: timeouts[1], routes: make(map[string]string), versions: make(map[string]int),
+		site: s, idle: firstIdle, shortest: firstIdle, timeout: timeouts[1], pauseTimeout: pauseTimeouts[1], routes: make(map[string]string), versions: make(map[string]int),
 	}
 }
 
@@ -60,7 +66,15 @@
 			route["timeout_ms"] = o.timeout.Milliseconds()
 		}
 	}
-	return o.site.storeAt.Put(platformstandin.ConfigurationKey, configuration)
+	configuration = platformstandin.WithPausingRoutes(configuration, o.pauseTimeout)
+	sent := time.Now()
+	if err := o.site.storeAt.Put(platformstandin.ConfigurationKey, configuration); err != nil {
+		return err
+	}
+	o.pauseLimits = append(o.pauseLimits, ledger.Limit{
+		Prefixes: []string{platformstandin.PausePrefix, platformstandin.PauseResumePrefix}, Timeout: o.pauseTimeout, Sent: sent, Acknowledged: time.Now(),
+	})
+	return nil
 }
 
 // change changes the configuration and notes when.
@@ -84,7 +98,10 @@
 }
 
 func (o *operator) setTimeouts(random int) error {
-	return o.change(func(n int) { o.timeout = timeouts[n%len(timeouts)] }, random)
+	return o.change(func(n int) {
+		o.timeout = timeouts[n%len(timeouts)]
+		o.pauseTimeout = pauseTimeouts[n%len(pauseTimeouts)]
+	}, random)
 }
 
 // addRoute adds a route; callers ask for it from its acknowledgement on.
@@ -178,6 +195,12 @@
 	return slices.Clone(o.added)
 }
 
+func (o *operator) limits() []ledger.Limit {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.Clone(o.pauseLimits)
+}
+
 func (o *operator) shortestIdle() time.Duration {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -40,7 +40,7 @@
 func (s *site) record(attempts []ledger.Attempt, lag *lagMeter) (*ledger.Record, error) {
 	r := &ledger.Record{
 		Attempts: attempts, Disruptions: s.notes.disruptions, Departures: s.notes.departures, Namings: s.notes.namings,
-		Additions: s.operator.additions(), Exits: s.notes.exits, Overfull: s.notes.overfull, Lag: lag.most,
+		Additions: s.operator.additions(), Limits: s.operator.limits(), Exits: s.notes.exits, Overfull: s.notes.overfull, Lag: lag.most,
 		Bounds: ledger.Bounds{
 			Grace: grace, GraceMargin: graceMargin, Drain: drainTime, Apply: applyTime, Version: versionTime,
 			BudgetWindow: budgetWindow, RetryRatio: retryRatio, RetryExtra: retryExtra, IdleLimit: s.operator.shortestIdle(),
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -47,7 +47,7 @@
 	report(a.Instances < 1 || a.Instances > mostInstances, "--instances: %d is not within 1 and %d", a.Instances, mostInstances)
 	report(a.Endpoints < plainEvery || a.Endpoints > mostEndpoints, "--endpoints: %d is not within %d and %d", a.Endpoints, plainEvery, mostEndpoints)
 	report(a.Callers < 1 || a.Callers > mostCallers, "--callers: %d is not within 1 and %d", a.Callers, mostCallers)
-	for name, share := range map[string]float64{"--blind": a.Blind, "--long": a.Long, "--edge": a.Edge, "--odd": a.Odd} {
+	for name, share := range map[string]float64{"--blind": a.Blind, "--long": a.Long, "--edge": a.Edge, "--odd": a.Odd, "--patient": a.Patient} {
 		report(share < 0 || share > 1, "%s: %g is no share", name, share)
 	}
 	report(a.Plant != "" && plants[a.Plant] == nil, "--plant: no fault %q, only %s", a.Plant, strings.Join(plantNames(), ", "))
@@ -129,7 +129,7 @@
 	var attempts []ledger.Attempt
 	options := traffic.Options{
 		Balancer: balancer, IdleLimit: s.operator.idleLimit, Added: s.operator.addedPrefixes,
-		LongPauses: s.args.Long, EdgePauses: s.args.Edge, Blind: s.args.Blind, Odd: s.args.Odd,
+		LongPauses: s.args.Long, EdgePauses: s.args.Edge, Blind: s.args.Blind, Odd: s.args.Odd, Patient: s.args.Patient,
 		Record: func(a ledger.Attempt) {
 			mutex.Lock()
 			defer mutex.Unlock()
--- a/tools/soak/traffic/caller.go
+++ b/tools/soak/traffic/caller.go
@@ -33,6 +33,9 @@
 	Blind float64
 	// Odd is the share of requests that are sent in pieces or malformed, or whose callers leave.
 	Odd float64
+	// Patient is the share of requests whose callers stay to their deadline: streams with long pauses, and large ones that are read
+	// slowly. With 0, a seed gives the requests of before they came.
+	Patient float64
 }
 
 // rest is how a caller pauses between two requests.
@@ -129,7 +132,7 @@
 
 // try sends one request, and tells after what time a refused caller comes back.
 func (c *Caller) try() (ledger.Attempt, time.Duration) {
-	q := draw(c.random, c.options.Added())
+	q := c.draw()
 	odd := c.random.Float64() < c.options.Odd
 	a := ledger.Attempt{ID: q.id, Kind: q.kind, Path: q.path, Adapter: q.adapter, Patience: q.patience, Began: time.Now()}
 	if err := c.connect(&a); err != nil {
@@ -150,6 +153,14 @@
 	return a, wait
 }
 
+// draw draws the next request.
+func (c *Caller) draw() *request {
+	if c.options.Patient > 0 && c.random.Float64() < c.options.Patient {
+		return drawPatient(c.random)
+	}
+	return draw(c.random, c.options.Added())
+}
+
 // connect takes the kept connection, or opens one where there is none or the caller sees that it has ended.
 func (c *Caller) connect(a *ledger.Attempt) error {
 	if c.conn != nil && c.conn.reader.Buffered() > 0 {
@@ -213,6 +224,7 @@
 		c.broken(a, err)
 		return 0
 	}
+	time.Sleep(q.slow)
 	body, err := io.ReadAll(response.Body)
 	// The body is read to its end or to an error: closing it changes nothing.
 	_ = response.Body.Close()
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -24,6 +24,9 @@
 	body     string
 	events   int
 	patience time.Duration
+	// padding is how many bytes each event has beside its own, and slow for how long the caller reads nothing after the head.
+	padding int
+	slow    time.Duration
 	// chunked sends the body in chunks.
 	chunked bool
 	// malformed ends the chunks by something else.
@@ -127,7 +130,7 @@
 	if q.events > 0 {
 		var all strings.Builder
 		for number := 1; number <= q.events; number++ {
-			all.WriteString(platformstandin.Event(number, q.id, q.adapter))
+			all.WriteString(platformstandin.PaddedEvent(number, q.id, q.adapter, q.padding))
 		}
 		expected = all.String()
 	}
