Keep another endpoint's answer coming where the present one fails, and write a peer's messages in one place

Cause: by reading the change: a safe request that was sent to another endpoint as well lost that answer once its own endpoint's head had come, also where that was a server error; its attempts were used up then, and the caller got the error. Change: only a head that can be passed on withdraws the other. The writer of a peer's link takes its next message in one function, in a stop as before, and the two tests of a planned stop share what they do. Measured: the row "an answer, its endpoint fails beside the other" gets the answer, 500 before; two rows beside it for endpoints that break off pass on both.

--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -190,33 +190,27 @@
 	defer s.drop()
 	defer s.Close()
 	for {
-		select {
-		case <-s.closed:
-			return
-		case frame := <-s.outgoing:
-			if err := s.writeFrame(frame); err != nil {
-				return
-			}
-		case <-s.finishing:
-			s.writeRest()
+		frame, ok := s.next()
+		if !ok || s.writeFrame(frame) != nil {
 			return
 		}
 	}
 }
 
-// writeRest sends what is queued, as far as each message can be sent in its time.
-func (s *Stream[M]) writeRest() {
-	for {
-		select {
-		case <-s.closed:
-			return
-		case frame := <-s.outgoing:
-			if err := s.writeFrame(frame); err != nil {
-				return
-			}
-		default:
-			return
-		}
+// next waits for the next message that is to be sent; false once the stream is closed, or finished and nothing waits.
+func (s *Stream[M]) next() (Frame, bool) {
+	select {
+	case <-s.closed:
+		return nil, false
+	case frame := <-s.outgoing:
+		return frame, true
+	case <-s.finishing:
+	}
+	select {
+	case frame := <-s.outgoing:
+		return frame, true
+	default:
+		return nil, false
 	}
 }
 
--- a/services/entry/coordinator/coordinator_test.go
+++ b/services/entry/coordinator/coordinator_test.go
@@ -219,6 +219,15 @@
 func TestAPlannedStopReleasesTheRecordAndTellsTheMembers(t *testing.T) {
 	s := newSite()
 	s.start(t)
+	s.isToldOfTheRelease(t)
+	record, _ := s.store.record(t)
+	assert.True(t, record.Released)
+	assert.False(t, s.control.Ready())
+}
+
+// isToldOfTheRelease has the instance plan and stop, and a member be told that the term ends.
+func (s *site) isToldOfTheRelease(t *testing.T) {
+	t.Helper()
 	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning })
 	s.begins(t, 1)
 	member := s.joinAs(t, "peer")
@@ -229,9 +238,6 @@
 	assert.EqualValues(t, 1, told.View.Term)
 	go drain(member)
 	<-released
-	record, _ := s.store.record(t)
-	assert.True(t, record.Released)
-	assert.False(t, s.control.Ready())
 }
 
 func TestAPlannedStopWaitsForOrdersUnderWay(t *testing.T) {
--- a/services/entry/coordinator/release_test.go
+++ b/services/entry/coordinator/release_test.go
@@ -8,10 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
-
 	"github.com/shelfledge/shelfledge/modules/entry/store"
-	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
 )
 
@@ -35,16 +32,7 @@
 		}
 	}
 	s.start(t)
-	s.waitForStatus(t, "plans", func(status coordinator.Status) bool { return status.Planning })
-	s.begins(t, 1)
-	member := s.joinAs(t, "peer")
-	receive(t, member, func(m wireMessage) bool { return m.View != nil })
-	released := make(chan struct{})
-	go func() { s.control.Release(context.Background()); close(released) }()
-	told := receive(t, member, func(m wireMessage) bool { return m.View != nil && m.View.Resigned })
-	assert.EqualValues(t, 1, told.View.Term)
-	go drain(member)
-	<-released
+	s.isToldOfTheRelease(t)
 }
 
 // releases tells whether a transaction writes that the holder gives no more orders.
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -69,7 +69,8 @@
 			return verdict
 		}
 	}
-	if !search.pause() {
+	// Beside an endpoint that failed, another one that was sent the request may still answer.
+	if !attempt.IsServerError(e.status) && !search.pause() {
 		defer e.discard()
 		return attempt.JudgeBroken(e.situation())
 	}
--- a/services/entry/proxy/passing.go
+++ b/services/entry/proxy/passing.go
@@ -67,9 +67,11 @@
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := e.answer.Read(buffer)
-		e.heard = e.run.service.options.Now()
-		if n > 0 && e.run.answer.write(buffer[:n]) != nil {
-			return e.notTaken()
+		if n > 0 {
+			if e.run.answer.write(buffer[:n]) != nil {
+				return e.notTaken()
+			}
+			e.heard = e.run.service.options.Now()
 		}
 		if errors.Is(err, io.EOF) {
 			return attempt.Passed()
--- a/services/entry/proxy/silence_test.go
+++ b/services/entry/proxy/silence_test.go
@@ -103,18 +103,28 @@
 		body    string
 		resumes []string
 	}{
-		"a stream, the other endpoint refuses":       {"/resumable", []string{goesOn, refuses}, 0, 1, first + second, []string{"", "1"}},
-		"a stream, the other endpoint fails":         {"/resumable", []string{goesOn, whole(500, mark, "no")}, 0, 1, first + second, []string{"", "1"}},
-		"a stream, the other endpoint breaks off":    {"/resumable", []string{goesOn, ""}, 0, 1, first + second, []string{"", "1"}},
-		"a stream, the other endpoint is silent":     {"/resumable", []string{goesOn, longQuiet}, 0, 1, first + second, []string{"", "1"}},
-		"a stream, the other endpoint goes on":       {"/resumable", []string{events(first) + longQuiet, events(second) + last}, 0, 1, first + second, []string{"", "1"}},
-		"a stream, the other endpoint begins late":   {"/resumable", []string{events(first) + longQuiet, quiet + events(second) + last}, 0, 1, first + second, []string{"", "1"}},
-		"an answer, the budget grants nothing":       {"/safe", []string{slowly, slowly}, 8 * scriptPause, 0, "yes", []string{""}},
-		"an answer, no other endpoint":               {"/safe", []string{slowly}, 8 * scriptPause, 1, "yes", []string{""}},
-		"an answer, the other endpoint refuses":      {"/safe", []string{slowly, refuses}, 8 * scriptPause, 1, "yes", []string{"", ""}},
-		"an answer, the other endpoint fails":        {"/safe", []string{slowly, whole(500, mark, "no")}, 8 * scriptPause, 1, "yes", []string{"", ""}},
-		"an answer, the other endpoint is silent":    {"/safe", []string{slowly, longQuiet}, 8 * scriptPause, 1, "yes", []string{"", ""}},
-		"an answer, the other endpoint is faster":    {"/safe", []string{longQuiet, whole(200, mark, "yes")}, 8 * scriptPause, 1, "yes", []string{"", ""}},
+		"a stream, the other endpoint refuses":     {"/resumable", []string{goesOn, refuses}, 0, 1, first + second, []string{"", "1"}},
+		"a stream, the other endpoint fails":       {"/resumable", []string{goesOn, whole(500, mark, "no")}, 0, 1, first + second, []string{"", "1"}},
+		"a stream, the other endpoint breaks off":  {"/resumable", []string{goesOn, ""}, 0, 1, first + second, []string{"", "1"}},
+		"a stream, the other endpoint is silent":   {"/resumable", []string{goesOn, longQuiet}, 0, 1, first + second, []string{"", "1"}},
+		"a stream, the other endpoint goes on":     {"/resumable", []string{events(first) + longQuiet, events(second) + last}, 0, 1, first + second, []string{"", "1"}},
+		"a stream, the other endpoint begins late": {"/resumable", []string{events(first) + longQuiet, quiet + events(second) + last}, 0, 1, first + second, []string{"", "1"}},
+		"an answer, the budget grants nothing":     {"/safe", []string{slowly, slowly}, 8 * scriptPause, 0, "yes", []string{""}},
+		"an answer, no other endpoint":             {"/safe", []string{slowly}, 8 * scriptPause, 1, "yes", []string{""}},
+		"an answer, the other endpoint refuses":    {"/safe", []string{slowly, refuses}, 8 * scriptPause, 1, "yes", []string{"", ""}},
+		"an answer, the other endpoint fails":      {"/safe", []string{slowly, whole(500, mark, "no")}, 8 * scriptPause, 1, "yes", []string{"", ""}},
+		"an answer, the other endpoint is silent":  {"/safe", []string{slowly, longQuiet}, 8 * scriptPause, 1, "yes", []string{"", ""}},
+		"an answer, the other endpoint is faster":  {"/safe", []string{longQuiet, whole(200, mark, "yes")}, 8 * scriptPause, 1, "yes", []string{"", ""}},
+		"an answer, its endpoint breaks off beside the other": {
+			"/safe", []string{strings.Repeat(pausing, 12), quiet + whole(200, mark, "yes")}, 20 * scriptPause, 1, "yes", []string{"", ""},
+		},
+		"an answer, its endpoint fails beside the other": {
+			"/safe", []string{strings.Repeat(pausing, 12) + whole(500, mark, "no"), quiet + whole(200, mark, "yes")}, 20 * scriptPause, 1, "yes",
+			[]string{"", ""},
+		},
+		"a stream, its endpoint breaks off beside the other": {
+			"/resumable", []string{events(first) + strings.Repeat(pausing, 4), quiet + events(second) + last}, 0, 1, first + second, []string{"", "1"},
+		},
 		"an answer, its endpoint ends in the search": {"/safe", []string{quiet, quiet + whole(200, mark, "yes")}, 20 * scriptPause, 1, "yes", []string{"", ""}},
 	} {
 		t.Run(name, func(t *testing.T) {
