Part the capacity of the daemon from that of the entry program

Change: the page keeps what runs on the users' platform; the daemon has one of its own, which its constants name. No figure changed; comments and links alone in the code. Measured: the tests that look up what pages name pass.

--- a/modules/daemon/setting/kv.go
+++ b/modules/daemon/setting/kv.go
@@ -20,7 +20,7 @@
 }
 
 // defaultKV is the table of defaults; none was measured. The rates are this instance's own part of the service's, which the
-// capacity page counts (docs/CAPACITY.md).
+// capacity page counts (docs/capacity-shelfledged.md).
 //
 //nolint:mnd // The fields name the numbers.
 func defaultKV() KV {
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -65,7 +65,7 @@
 	receivedBytes = 8388608
 	// tickInterval is the time between two ticks of the node, the least time in which it acts
 	// without an input. Longer acts later, shorter spends processor time: at this value a node
-	// of a hall of 40 uses 3.74 ms a second (docs/CAPACITY.md, slopes). Other values were not measured.
+	// of a hall of 40 uses 3.74 ms a second (docs/capacity-shelfledged.md, slopes). Other values were not measured.
 	tickInterval = 20 * time.Millisecond
 )
 
--- a/services/daemon/membership/options.go
+++ b/services/daemon/membership/options.go
@@ -21,7 +21,7 @@
 
 const (
 	// defaultInterval trades traffic for how soon a change is known: 10.1 KB/s are sent by an instance in a large hall
-	// (docs/CAPACITY.md); other values were not measured.
+	// (docs/capacity-shelfledged.md); other values were not measured.
 	defaultInterval = 250 * time.Millisecond
 	// defaultLostAfter trades sooner takeovers for takeovers from instances that were only slow. Takeover measured 1.2 s
 	// (median of 5) after a loss (docs/design/0004-data-path.md); other values were not measured.
--- a/services/daemon/membership/pace.go
+++ b/services/daemon/membership/pace.go
@@ -6,7 +6,7 @@
 import "time"
 
 // unscaledHall is the number of instances of a hall, this one among them, up to which the timings hold as set; above it they grow
-// with the hall, so that an instance's traffic does not: bytes sent are flat above 10 (docs/CAPACITY.md), at the price of a
+// with the hall, so that an instance's traffic does not: bytes sent are flat above 10 (docs/capacity-shelfledged.md), at the price of a
 // loss that is noticed after 4.8 s in a hall of 40. Other values were not measured.
 const unscaledHall = 10
 
--- a/services/daemon/node/followed/answers.go
+++ b/services/daemon/node/followed/answers.go
@@ -10,7 +10,7 @@
 
 const (
 	// SmallAnswer is up to which size, in bytes, an answer is sent whenever it is asked for: some ten records of 300 B
-	// (docs/CAPACITY.md), which take 3 ms of a link of 10 Mbit/s, so that a repeat costs little. More sends more repeats, less
+	// (docs/capacity-shelfledged.md), which take 3 ms of a link of 10 Mbit/s, so that a repeat costs little. More sends more repeats, less
 	// keeps more from being sent at once. Not measured.
 	SmallAnswer = 4096
 	// WindowBytes is how many bytes of larger answers may be under way to all askers before the next one waits, 1 MiB, as the
--- a/services/daemon/node/followed/configuration.go
+++ b/services/daemon/node/followed/configuration.go
@@ -14,7 +14,7 @@
 	// askEvery is the least time between two requests for missing records, whoever is asked, and the time of an answer on its way
 	// besides its bytes. Longer sends less while several peers are ahead, and takes longer after a lost answer;
 	// it is well below the 0.26 s median in which a change is in force everywhere
-	// (docs/CAPACITY.md, the worst minute). Not measured by itself.
+	// (docs/capacity-shelfledged.md, the worst minute). Not measured by itself.
 	askEvery = 100 * time.Millisecond
 	// askRise is the factor of one wait to the next while nothing comes, and askMost the longest wait: larger ones send less
 	// where nobody tells how much is under way, as peers of the version before, and take longer after several losses. Not measured.
--- a/services/daemon/node/loads/bidder.go
+++ b/services/daemon/node/loads/bidder.go
@@ -14,7 +14,7 @@
 	// resendAfter is the time after which a bid that has not risen is sent again to another
 	// instance. Longer sends less and lets a lost bid rest longer; it must be well below the
 	// five seconds after which the receiver forgets a bid. It sets the 11 KB/s that the
-	// instance with the ledger receives at the size to come (docs/CAPACITY.md, by role); the
+	// instance with the ledger receives at the size to come (docs/capacity-shelfledged.md, by role); the
 	// effect on loads was not measured.
 	resendAfter = 250 * time.Millisecond
 	// resendRise is the factor by which a bid must have risen to be sent again earlier.
--- a/services/daemon/node/options.go
+++ b/services/daemon/node/options.go
@@ -69,7 +69,7 @@
 	// questions that are only late. Not measured.
 	defaultResubmit = time.Second
 	// defaultNoPlacer: longer lets a request outlive the takeover of a pool (1.2 s median
-	// after a loss in a hall of 3, docs/CAPACITY.md), shorter refuses it sooner. Not measured.
+	// after a loss in a hall of 3, docs/capacity-shelfledged.md), shorter refuses it sooner. Not measured.
 	defaultNoPlacer = 5 * time.Second
 	// defaultGrantAge: longer uses grants that come late, shorter lets a successor unload
 	// sooner (docs/design/0002, endpoints that check no fences, 3). Not measured.
@@ -82,7 +82,7 @@
 	// shorter asks more of one that is slow. Not measured.
 	defaultTakeRetry = time.Second
 	// defaultDigest: longer sends less, shorter shows other halls the slots sooner; bytes at
-	// this value stand in docs/CAPACITY.md, slopes (speaker, member). Other values were not measured.
+	// this value stand in docs/capacity-shelfledged.md, slopes (speaker, member). Other values were not measured.
 	defaultDigest = 250 * time.Millisecond
 	// defaultFullSummary: longer sends less, shorter makes good sooner what nobody missed. Not measured.
 	defaultFullSummary = 30 * time.Second
@@ -97,7 +97,7 @@
 	// arrives sooner after it was sent (assumption A1 of docs/design/0002). Not measured.
 	defaultLeaseMargin = 3 * time.Second
 	// defaultLeaseRenew: longer writes less (1.2 writes a second with 6 daemons and 3 such
-	// pools, docs/CAPACITY.md), shorter survives more lost renewals. Not measured.
+	// pools, docs/capacity-shelfledged.md), shorter survives more lost renewals. Not measured.
 	defaultLeaseRenew = 3 * time.Second
 	// defaultBid: longer weighs demands less often, shorter starts a load sooner. Not measured.
 	defaultBid = 20 * time.Millisecond
--- a/services/daemon/once/claimer.go
+++ b/services/daemon/once/claimer.go
@@ -57,7 +57,7 @@
 	// defaultGather trades a claim's delay for fewer writes: 27 claims a write with 300 requests at once
 	// (docs/design/0004-data-path.md); other values were not measured.
 	defaultGather = 5 * time.Millisecond
-	// defaultMaxBatch bounds one transaction, in claims; 1 to 32 at once share one write each (docs/CAPACITY.md).
+	// defaultMaxBatch bounds one transaction, in claims; 1 to 32 at once share one write each (docs/capacity-shelfledged.md).
 	defaultMaxBatch = 32
 	// defaultMaxWaiting trades memory for claims that are refused while the service is slow; not measured.
 	defaultMaxWaiting = 1024
--- a/services/daemon/process/daemon.go
+++ b/services/daemon/process/daemon.go
@@ -77,7 +77,7 @@
 
 // Of these only the journal's memory was measured.
 const (
-	// journalSize is in events: 3.4 MB for the places of 20,000, their texts come on top (docs/CAPACITY.md).
+	// journalSize is in events: 3.4 MB for the places of 20,000, their texts come on top (docs/capacity-shelfledged.md).
 	journalSize = 20000
 	// loadMargin is how much sooner an order to load gives up than its placer, so that the answer comes before that.
 	loadMargin = 2 * time.Second
--- a/tests/capacity/capacity_test.go
+++ b/tests/capacity/capacity_test.go
@@ -26,7 +26,7 @@
 // figure is one row of the table of slopes.
 type figure struct {
 	name string
-	// size is what grows, unit what is measured; target is the size to come that docs/CAPACITY.md asks about.
+	// size is what grows, unit what is measured; target is the size to come that docs/capacity-shelfledged.md asks about.
 	size, unit string
 	sizes      []int
 	target     int
--- a/tests/capacity/doc_test.go
+++ b/tests/capacity/doc_test.go
@@ -3,6 +3,6 @@
 
 // Package capacity_test measures how the cost of each role grows with the size of the fleet, each
 // at four sizes, with the slope and its error. `make capacity` runs it; the table of slopes in
-// docs/CAPACITY.md is copied from what it prints. Of the entry program it measures what each state that grows takes of the
-// memory (the files entry_*_test.go), for the table "What grows in shelfledge-entry" there.
+// docs/capacity-shelfledged.md is copied from what it prints. Of the entry program it measures what each state that grows takes of
+// the memory (the files entry_*_test.go), for "What grows in a process" in docs/CAPACITY.md.
 package capacity_test
