Count the soak's stop of an instance that stands still from when it goes on

Traced: the signal was sent while the instance stood still for 2.0 s more; the stream was sent 3.005 s after the signal and 1.0 s after the instance had gone on and learnt of it; the check allowed 3 s after the signal. The platform counts no machine that stood still within 3 s before. Change: the 3 s count from when the instance goes on, for one that stood still at the signal; one that is frozen later has no such allowance. Measured: two rows of the check's test, one for each; the check finds what it found before in all other rows.

--- a/services/entry/proxy/placement.go
+++ b/services/entry/proxy/placement.go
@@ -29,7 +29,7 @@
 	return placement{assignment: assignment, request: r.request}, err
 }
 
-// placeToResume asks for an endpoint that goes on with a stream: one that was not tried, or the only one that may. The stream counts as
+// placeToResume asks for an endpoint that goes on with a request: one that was not tried, or the only one that may. The request counts as
 // one that has just arrived, since its wait begins now.
 func (r *run) placeToResume(ctx context.Context, tried []deployment.EndpointID, only deployment.EndpointID) (placement, error) {
 	resumed := *r.request
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -147,11 +147,25 @@
 // cutByGrace reports whether an instance that stopped cut the request off at the end of its grace.
 func (r *Record) cutByGrace(a Attempt) bool {
 	return slices.ContainsFunc(r.Disruptions, func(d Disruption) bool {
-		return d.Trouble == Stop && d.Target == a.Instance && a.Sent.Before(d.From.Add(lateStop)) &&
+		return d.Trouble == Stop && d.Target == a.Instance && a.Sent.Before(r.signalTaken(d).Add(lateStop)) &&
 			!a.Ended.Before(d.From.Add(r.Bounds.Grace-r.Bounds.GraceMargin-noticeSlack)) && !a.Ended.After(d.To.Add(time.Second))
 	})
 }
 
+// signalTaken is when an instance learnt that it was to stop: one that stood still when the signal was sent learns it once it goes on.
+func (r *Record) signalTaken(stop Disruption) time.Time {
+	taken := stop.From
+	for again := true; again; {
+		again = false
+		for _, d := range r.Disruptions {
+			if d.Trouble == Freeze && d.Target == stop.Target && !d.From.After(taken) && d.To.After(taken) {
+				taken, again = d.To, true
+			}
+		}
+	}
+	return taken
+}
+
 // endpointBroke reports whether an endpoint of the request ended its run by itself, or was ended.
 func (r *Record) endpointBroke(a Attempt, run *runs) bool {
 	for _, ended := range run.ended {
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -89,6 +89,17 @@
 		{"at the end of the grace, but sent late", []change{closed, disrupted(ledger.Stop, "a", 6*second, 14*second), func(r *ledger.Record) {
 			r.Attempts[0].Patience, r.Attempts[0].Ended = 14*second, at(14*second)
 		}}, ledger.CheckLost},
+		{"at the end of the grace, sent late to an instance that stood still at the signal", []change{
+			closed, disrupted(ledger.Stop, "a", 6*second, 14*second), disrupted(ledger.Freeze, "a", 5*second, 7*second),
+			disrupted(ledger.Freeze, "a", 7*second, 8*second), func(r *ledger.Record) {
+				r.Attempts[0].Patience, r.Attempts[0].Ended = 14*second, at(14*second)
+			},
+		}, ""},
+		{"at the end of the grace, sent late to an instance that stood still after the signal", []change{
+			closed, disrupted(ledger.Stop, "a", 6*second, 14*second), disrupted(ledger.Freeze, "a", 6*second+1, 8*second), func(r *ledger.Record) {
+				r.Attempts[0].Patience, r.Attempts[0].Ended = 14*second, at(14*second)
+			},
+		}, ledger.CheckLost},
 		{"at its deadline", []change{closed, func(r *ledger.Record) { r.Attempts[0].Ended = at(14 * second) }}, ""},
 		{"at its route's time-out", []change{closed, lasted(3 * second), limited(3*second, 5*second)}, ""},
 		{"before its route's time-out", []change{closed, lasted(2 * second), limited(3*second, 5*second)}, ledger.CheckLost},
