--- a/services/entry/proxy/attempt/timeout.go
+++ b/services/entry/proxy/attempt/timeout.go
@@ -20,9 +20,9 @@
 	// leastSearch is the shortest silence after which another endpoint is looked for. Longer leaves the last moments before a deadline to
 	// the present endpoint alone, shorter asks for places that can't answer any more. Not measured.
 	leastSearch = 50 * time.Millisecond
-	// silentParts is of how many parts, and one more, of the span that callers listen so many must have passed in silence until the
-	// endpoint is blamed for a caller that left: callers count from when they sent, and by their own clocks. More parts blame fewer
-	// endpoints that stand still, fewer blame some whose caller left by chance. Not measured.
+	// silentParts of silentParts + 1 parts, nine tenths, of the span that callers listen must have passed in silence for the endpoint to be
+	// blamed for a caller that left: callers count from when they sent, and by their own clocks. More parts blame fewer endpoints that
+	// stand still, fewer blame some whose caller left by chance. Not measured.
 	silentParts = 9
 	// resumePauses is after how many of the route's pause targets without an event another endpoint is looked for, where the stream can
 	// go on there. More wait for a slow endpoint, fewer resume streams that would have gone on. Not measured.
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -18,8 +18,8 @@
 	headDue bool
 }
 
-// passStream passes the events of a stream on as they come, and the head right before the first of them if it is due. A caller that
-// reads slowly is no silence of the endpoint: the search for another one rests while a write blocks.
+// passStream passes the events of a stream on as they come, and the head right before the first of them if it is due. While a write to a
+// caller that reads slowly blocks, no other endpoint is searched for: the present one is not silent then.
 func (e *exchange) passStream(headDue bool, search *successorSearch) attempt.Verdict {
 	defer e.discard()
 	s := &stream{exchange: e, events: newEventBuffer(e.run.request.Route.Resumable), headDue: headDue}
