Let the soak see a host that is starved for milliseconds, and a second answer in a stream that goes on

On a quiet host none of 150 processes ends so at 16 ms, beside 24 busy processes 41 of 150 do (147 at 8 ms): the bound of 15 ms is of a host that is not starved, and the soak's own measure of that left out all below 10 ms. Change: the soak's lag counts from 1 ms on; the check's bounds stay. The second text is known after whole events of a stream that may be resumed, and nowhere else.

--- a/tools/soak/lag.go
+++ b/tools/soak/lag.go
@@ -9,8 +9,14 @@
 	"time"
 )
 
-// lagPace is how often the soak looks at its own clock.
-const lagPace = 10 * time.Millisecond
+const (
+	// lagPace is how often the soak looks at its own clock.
+	lagPace = 10 * time.Millisecond
+	// leastLag is the shortest lateness that counts: a host that is starved for a few milliseconds delays the first ones of a process, in
+	// which SIGHUP still ends it. Beside 24 busy processes on 8 cores it ended 41 of 150 that had run for 16 ms, on the same host without
+	// them none.
+	leastLag = time.Millisecond
+)
 
 // lagMeter measures by how much the soak itself is late, as a measure of how starved its host is.
 type lagMeter struct {
@@ -33,7 +39,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(lagPace)
 		now := time.Now()
-		if by := now.Sub(last) - lagPace; by > lagPace {
+		if by := now.Sub(last) - lagPace; by > leastLag {
 			m.mutex.Lock()
 			m.late = append(m.late, lateness{at: now, by: by})
 			m.mutex.Unlock()
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -117,6 +117,16 @@
 // twice is the answer of an endpoint that answers twice.
 const twice = "twice"
 
+// isTwice reports whether a body is the answer of an endpoint that answers twice, for a stream that may be resumed also after some whole
+// events of another endpoint.
+func (q *request) isTwice(body, expected string) bool {
+	before, ok := strings.CutSuffix(body, twice)
+	if !ok || before == "" {
+		return ok
+	}
+	return q.kind == ledger.Resumable && strings.HasPrefix(expected, before) && strings.HasSuffix(before, "\n\n")
+}
+
 // wrong says what is wrong with a whole successful answer; empty for nothing.
 func (q *request) wrong(seal, id, body string) string {
 	if id != q.id {
@@ -134,7 +144,7 @@
 		}
 		expected = all.String()
 	}
-	if body != expected && body != twice {
+	if body != expected && !q.isTwice(body, expected) {
 		return fmt.Sprintf("%d bytes in place of %d", len(body), len(expected))
 	}
 	return ""
