Say in a request's line whether its endpoint has ended, and which request it is

Cause: where a connection ends, a line named its endpoint and nothing told whether that lives on, nor that two lines are of one request which was sent again; the hypotheses on requests that crash their endpoints could not be told apart.

The line says endpoint_gone then, and the request's fingerprint: caller, method, host, path, query, adapter and body.

Measured: the package tests; pinned lines have one field more.

--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -3,7 +3,11 @@
 
 package deployment
 
-import "time"
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+)
 
 // Request holds the facts of one caller's attempt that decisions need.
 type Request struct {
@@ -21,6 +25,8 @@
 	Arrived time.Time
 	// Deadline is the earlier of the caller's own deadline and the route's timeout.
 	Deadline time.Time
+	// Fingerprint tells whether the same request was sent before; from what the caller sent.
+	Fingerprint fingerprint.Fingerprint
 	// Only is the one endpoint that may take the request, as it knows what was made of it so far; empty where any may.
 	Only EndpointID
 }
--- a/modules/entry/upstream/client.go
+++ b/modules/entry/upstream/client.go
@@ -31,6 +31,8 @@
 	mutex   sync.Mutex
 	hosts   map[string]*host
 	dialed  uint64
+	// inquiries are those of the last inquiryLife, by key.
+	inquiries map[string]*inquiry
 }
 
 // host is the connections to one incarnation of an endpoint.
@@ -64,7 +66,7 @@
 			return dialer.DialContext(ctx, "tcp4", address.String())
 		}
 	}
-	return &Client{options: options, hosts: make(map[string]*host)}
+	return &Client{options: options, hosts: make(map[string]*host), inquiries: make(map[string]*inquiry)}
 }
 
 // Dialed gives the number of connections opened so far.
@@ -114,6 +116,7 @@
 			delete(c.hosts, key)
 		}
 	}
+	c.forgetInquiries(now)
 	c.mutex.Unlock()
 	for _, conn := range closing {
 		conn.giveUp()
@@ -124,11 +127,7 @@
 func (c *Client) acquire(ctx context.Context, target Target) (*connection, *host, error) {
 	now := c.options.Now()
 	c.mutex.Lock()
-	h, ok := c.hosts[target.Key]
-	if !ok {
-		h = &host{}
-		c.hosts[target.Key] = h
-	}
+	h := c.host(target.Key)
 	for len(h.idle) > 0 {
 		last := len(h.idle) - 1
 		conn := h.idle[last]
@@ -141,9 +140,27 @@
 		h.open--
 		conn.giveUp()
 	}
+	c.mutex.Unlock()
+	conn, err := c.open(ctx, target, h)
+	return conn, h, err
+}
+
+// host gives the connections of a key; the caller holds the mutex.
+func (c *Client) host(key string) *host {
+	h, ok := c.hosts[key]
+	if !ok {
+		h = &host{}
+		c.hosts[key] = h
+	}
+	return h
+}
+
+// open opens a connection to a host, unless it has as many as it may.
+func (c *Client) open(ctx context.Context, target Target, h *host) (*connection, error) {
+	c.mutex.Lock()
 	if target.MaxConnections > 0 && h.open >= target.MaxConnections {
 		c.mutex.Unlock()
-		return nil, nil, ErrNoConnection
+		return nil, ErrNoConnection
 	}
 	h.open++
 	c.dialed++
@@ -151,14 +168,14 @@
 	conn, err := c.dial(ctx, target.Address)
 	if err != nil {
 		c.discard(h, nil)
-		return nil, nil, err
+		return nil, err
 	}
 	if c.isRetired(h) {
 		// The endpoint was gone before anything was sent: it may have ended, and its address may be another's.
 		c.discard(h, conn)
-		return nil, nil, ErrRetired
+		return nil, ErrRetired
 	}
-	return conn, h, nil
+	return conn, nil
 }
 
 func (c *Client) isRetired(h *host) bool {
--- a/services/entry/proxy/attempt/retry.go
+++ b/services/entry/proxy/attempt/retry.go
@@ -95,6 +95,11 @@
 	return result == NotSent || result == NotRun
 }
 
+// MayHaveRun reports whether the request may have had an effect by an attempt that ended so, and that brought no whole answer.
+func MayHaveRun(result Result) bool {
+	return !ProvesNotRun(result) && !BringsAnswer(result)
+}
+
 // BringsAnswer reports whether an attempt that ended so brought a whole answer, be it a refusal.
 func BringsAnswer(result Result) bool {
 	return result == Finished || result == NotRun || result == ServerError
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -34,6 +34,8 @@
 	// ended and silent are who ended an exchange without a whole answer, and how long the endpoint had sent nothing then; empty before.
 	ended  attempt.Ender
 	silent time.Duration
+	// endpointGone is set where the endpoint ended the exchange and refuses connections since: its process has ended.
+	endpointGone bool
 	// held is a whole body that was read before anything was passed on.
 	held []byte
 	// status is the endpoint's own; 0 for none.
@@ -93,9 +95,7 @@
 	r := e.run
 	e.assignment.Recall.Arm(e.ender(attempt.ByTakeBack))
 	answer, err := r.service.upstream.Do(e.context, upstream.Call{
-		Target: upstream.Target{
-			Key: string(e.assignment.Endpoint.ID), Address: e.assignment.Endpoint.Address, MaxConnections: e.assignment.MaxConnections,
-		},
+		Target:  e.target(),
 		Request: r.forward(e.assignment, r.service.options.Now(), e.from.lastEvent, e.ender(attempt.ByBody)),
 		AnswersRequest: func(header http.Header) bool {
 			return r.service.dialect.AnswersRequest(r.caller.ID, header)
@@ -109,6 +109,12 @@
 	return e.judgeHead()
 }
 
+// target gives where the exchange goes.
+func (e *exchange) target() upstream.Target {
+	endpoint := e.assignment.Endpoint
+	return upstream.Target{Key: string(endpoint.ID), Address: endpoint.Address, MaxConnections: e.assignment.MaxConnections}
+}
+
 // situation gives what decisions need to know of the request and of this exchange.
 func (e *exchange) situation() attempt.Situation {
 	return e.situationAt(e.run.position())
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -41,7 +41,7 @@
 	if attempt.BringsAnswer(result) {
 		return nil
 	}
-	return &AttemptEnd{By: e.ended, SilentMS: e.silent.Milliseconds()}
+	return &AttemptEnd{By: e.ended, SilentMS: e.silent.Milliseconds(), EndpointGone: e.endpointGone}
 }
 
 // endedBy tells who ended the exchange. The connection's own deadline is the request's, and may end it before the context does.
@@ -66,6 +66,9 @@
 func (e *exchange) close(verdict attempt.Verdict) AttemptRecord {
 	e.noteEnd()
 	e.assignment.Recall.Disarm()
+	if e.ended == attempt.ByEndpoint && attempt.MayHaveRun(verdict.Result) {
+		e.endpointGone = e.run.service.upstream.Refuses(e.run.context, e.target())
+	}
 	e.run.service.control.Finish(e.request, e.assignment, verdict.Outcome, verdict.Missing)
 	return AttemptRecord{
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result, StartRatio: e.startRatio(),
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -5,11 +5,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
@@ -19,6 +21,8 @@
 	Route   string
 	Service string
 	Adapter string
+	// Fingerprint names the request whenever it is sent again.
+	Fingerprint fingerprint.Fingerprint
 	// Status is 0 where the connection was closed without an answer; Caller is the other end's address then, empty otherwise.
 	Status int
 	Caller string
@@ -61,6 +65,11 @@
 	return enders
 }
 
+// EndedItsEndpoint reports whether an endpoint ended while it had the request.
+func (o Observation) EndedItsEndpoint() bool {
+	return slices.ContainsFunc(o.Attempts, func(record AttemptRecord) bool { return record.Ended != nil && record.Ended.EndpointGone })
+}
+
 // AttemptRecord is one exchange with an endpoint.
 type AttemptRecord struct {
 	Endpoint deployment.EndpointID `json:"endpoint"`
@@ -93,12 +102,14 @@
 type AttemptEnd struct {
 	By       attempt.Ender `json:"by"`
 	SilentMS int64         `json:"silent_ms"`
+	// EndpointGone says that the endpoint ended it and refuses connections since.
+	EndpointGone bool `json:"endpoint_gone,omitempty"`
 }
 
 // observe logs and counts the end of a request that was counted.
 func (s *Service) observe(r *run) {
 	observation := Observation{
-		ID: r.request.ID, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
+		ID: r.request.ID, Fingerprint: r.request.Fingerprint, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
 		Status: r.answer.status, Reason: string(r.reason), Attempts: r.records, Whole: s.options.Now().Sub(r.request.Arrived),
 	}
 	if r.answer.status == 0 {
@@ -135,6 +146,9 @@
 	if o.Caller != "" {
 		fields["caller"] = o.Caller
 	}
+	if o.EndedItsEndpoint() {
+		fields["fingerprint"] = o.Fingerprint.String()
+	}
 	s.options.Log.WithFields(fields).Log(level, "request")
 }
 
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/balance"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
@@ -138,6 +140,7 @@
 		s.endUnread(answer, incoming, route, arrived, err)
 		return
 	}
+	request.Fingerprint = fingerprintOf(incoming, request.Adapter, &body)
 	s.control.CountRequest(request.Service)
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.Deadline)
 	defer cancel()
@@ -148,6 +151,19 @@
 	run.serve()
 }
 
+// fingerprintOf tells a request from others, by what the caller sent. A body that is not held whole counts by its beginning and its length,
+// since it must be known before anything is sent.
+func fingerprintOf(incoming *http.Request, adapter deployment.Adapter, body *requestBody) fingerprint.Fingerprint {
+	content := fingerprint.Content{
+		Method: incoming.Method, Host: incoming.Host, Target: incoming.RequestURI, Adapter: adapter.String(), Body: body.held, Length: body.length,
+	}
+	if caller, err := netip.ParseAddrPort(incoming.RemoteAddr); err == nil {
+		// net/http writes the address that the system tells; one that cannot be read counts as the same for all callers.
+		content.Caller = caller.Addr()
+	}
+	return content.Fingerprint()
+}
+
 // headerBytes is the size of a request's head as it was sent, but for spaces that were dropped.
 func headerBytes(incoming *http.Request) int {
 	const separators = len(": \r\n")
