Show a request that is handed to one endpoint after the other, and ends each of them

Symptom: a request that ends each endpoint which begins to run it was sent 6 to 10 times later than 3 s after it had ended the third one (17 to 23 ends in 8 s, three instances, ten endpoints, each back after 0.7 s; safe, unsafe, streams, resumable streams). Requests of others fail with the endpoints meanwhile.

--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -26,6 +27,10 @@
 	// Events and Pause are the length and pace of a stream, unless its query names others.
 	Events int
 	Pause  time.Duration
+	// Address is where it listens; empty for a free port of 127.0.0.1.
+	Address string
+	// Crash takes the place of Worker.Crash where a request crashes the worker; nil for none.
+	Crash func()
 	// Journal gets each begin and end of a run, if set; it must not call the worker.
 	Journal func(RunEvent)
 }
@@ -47,6 +52,8 @@
 	RunWhole RunPhase = "whole"
 	// RunCanceled: whoever sent the request closed the connection before.
 	RunCanceled RunPhase = "canceled"
+	// RunCrashed: the worker ended by it.
+	RunCrashed RunPhase = "crashed"
 	// RunBroke: the worker itself broke the answer off, hung or answered with an error.
 	RunBroke RunPhase = "broke"
 )
@@ -145,6 +152,15 @@
 		versions: make(map[string]int), inUse: make(map[string]int), state: "ready", stop: make(chan struct{}),
 	}
 	w.server = httptest.NewUnstartedServer(w)
+	if options.Address != "" {
+		// As httptest does where it finds no port of its own.
+		_ = w.server.Listener.Close()
+		listener, err := net.Listen("tcp4", options.Address)
+		if err != nil {
+			panic(err)
+		}
+		w.server.Listener = listener
+	}
 	w.links = newSilentListener(w.server.Listener)
 	w.server.Listener = w.links
 	w.server.Start()
@@ -193,6 +209,30 @@
 	w.server.Close()
 }
 
+// Crash ends the worker at once with all that it does: connections to its address are refused. Its entry stays.
+func (w *Worker) Crash() {
+	w.endBeats()
+	// The server ends anyway.
+	_ = w.server.Config.Close()
+}
+
+// HasEnded tells whether the worker has crashed or was closed.
+func (w *Worker) HasEnded() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.state == "closed"
+}
+
+// ID is the worker's name.
+func (w *Worker) ID() string {
+	return w.options.ID
+}
+
+// Address is where the worker listens.
+func (w *Worker) Address() string {
+	return w.server.Listener.Addr().String()
+}
+
 func (w *Worker) endBeats() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -140,6 +140,9 @@
 
 // answer answers a request that runs, and tells how the run ended; a panic breaks it off.
 func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, trouble fault, run *Run, body []byte) RunPhase {
+	if request.URL.Query().Has(CrashParameter) {
+		return w.crashBy(request)
+	}
 	switch trouble {
 	case faultHang:
 		<-request.Context().Done()
@@ -173,6 +176,20 @@
 	return RunWhole
 }
 
+// CrashParameter is in the query of a request that ends the worker which runs it, and says how many milliseconds after its begin.
+const CrashParameter = "crash_ms"
+
+// crashBy ends the worker.
+func (w *Worker) crashBy(request *http.Request) RunPhase {
+	time.Sleep(queryMilliseconds(request, CrashParameter, 0))
+	if w.options.Crash != nil {
+		w.options.Crash()
+		return RunCrashed
+	}
+	w.Crash()
+	return RunCrashed
+}
+
 // queryNumber gives a number that the request's query names, or the usual one.
 func queryNumber(request *http.Request, name string, usual int) int {
 	number, err := strconv.Atoi(request.URL.Query().Get(name))
