Hold a request back that endpoints end under, at all instances

What callers saw: two requests came again and again, each time at another instance, and ended 11 and 18 endpoints; up to a tenth of the other requests of some seconds failed with them.

Cause: what an instance remembers of a failure hangs on the endpoint that failed (health, reach, refused connections) and is told as such. Nothing was remembered against the request, so the next endpoint that it was sent to was always a sound one.

Change: where an endpoint ends an exchange and refuses connections since, the end is recorded against the request (services/entry/quarantine), told to the planner at once and by it to all instances, whole views tell it to those that start, and a new planner is told by its members. A request that three endpoints ended under, without a whole answer since, gets 503 at once with the time of its next trial: after 1 min, 10 min, 1 h, 24 h. So that sound requests, also ones that are repeated word for word, lose nothing: a whole answer takes back what came before; an end counts only against those of the endpoint's requests with the most ends; ends of three endpoints within 100 ms count for none; requests with the same ends are tried one by one. The end of an endpoint that leaves or is gone counts for none. An operator lists and lifts at the metrics' port. Besides, the exchanges with an endpoint that ends, which all end at once, no longer make its hall count as cut off.

Why it holds: a record names the request and the endpoint's incarnation, and only grows, so that it may be told late, twice and in any order (TestAllInstancesComeToTheSame, 200 seeds).

--- a/services/entry/admission/decide.go
+++ b/services/entry/admission/decide.go
@@ -21,6 +21,8 @@
 	// Saturated: the endpoints that hold the adapter have too many requests in flight. The text keeps the form that operators
 	// know.
 	Saturated Reason = "endpoints crowded"
+	// Quarantined: endpoints ended while they had the same request, one after the other.
+	Quarantined Reason = "crashes endpoints"
 )
 
 // Situation is what is known of a request that waits.
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -126,6 +126,10 @@
 
 func (c *Coordinator) admit(now time.Time, w *waiter) {
 	w.Since = now
+	if hold, held := c.crashes.Admit(now, w.Fingerprint); held {
+		w.Result <- refusedByQuarantine(hold)
+		return
+	}
 	if w.UsesModel() && len(w.Tried) == 0 {
 		c.demand.Arrived(w.Key(), w.Prompt)
 	}
@@ -260,7 +264,7 @@
 
 // reviewWaiters serves or refuses the requests that wait, the most urgent first.
 func (c *Coordinator) reviewWaiters(now time.Time) {
-	c.waiters.Review(func(w *waiter) bool { return !c.serve(now, w) && c.decideWaiter(now, w) })
+	c.waiters.Review(func(w *waiter) bool { return !c.holdBack(now, w) && !c.serve(now, w) && c.decideWaiter(now, w) })
 }
 
 // end takes a request out of flight and out of its endpoint's queue.
@@ -272,7 +276,7 @@
 	c.directory.NoteStay(request.Service, now.Sub(assignment.Assigned))
 	c.directory.Leave(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
-	if outcome == directory.Unreached && assignment.status.Health.Unreached(now) {
+	if (outcome == directory.Unreached || outcome == directory.Ended) && assignment.status.Health.Unreached(now) {
 		// The others find it out by this report in place of requests of their own.
 		c.reportSoon(now)
 	}
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/forecast"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/leasestore"
@@ -22,6 +23,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
+	"github.com/shelfledge/shelfledge/services/entry/quarantine"
 	"github.com/shelfledge/shelfledge/services/entry/retry"
 )
 
@@ -49,6 +51,8 @@
 	current atomic.Pointer[deployment.Configuration]
 	ready   atomic.Bool
 	leaving atomic.Bool
+	// suspects is the number of records of crashes, for other goroutines.
+	suspects atomic.Int64
 
 	// The fields below are used by the control goroutine only.
 	directory       *directory.Directory
@@ -65,16 +69,19 @@
 	versions      *follow.Versions
 	unbegun       *unbegun.Requests
 	budget        *retry.Budget
-	waiters       waiting.Queue[acquired]
-	demand        *report.Counter
-	reports       report.Schedule
-	forecasts     *forecast.Book
-	sweptAt       time.Time
-	missing       []wire.Copy
-	following     following
-	planning      *planning
-	gathering     gathering
-	seedAnswer    seedAnswer
+	crashes       *quarantine.Table
+	// holding are the requests that were held back at the last look.
+	holding    map[fingerprint.Fingerprint]quarantine.Hold
+	waiters    waiting.Queue[acquired]
+	demand     *report.Counter
+	reports    report.Schedule
+	forecasts  *forecast.Book
+	sweptAt    time.Time
+	missing    []wire.Copy
+	following  following
+	planning   *planning
+	gathering  gathering
+	seedAnswer seedAnswer
 	// othersAsOf is when the other instances' requests in flight were as this instance knows them, on the mean; zero if it knows none.
 	othersAsOf time.Time
 	// heardLoads is what was last heard of a planner's loads.
@@ -109,6 +116,7 @@
 		versions:    follow.NewVersions(),
 		unbegun:     unbegun.NewRequests(),
 		budget:      retry.NewBudget(options.Retry, options.Now()),
+		crashes:     quarantine.NewTable(),
 		demand:      report.NewCounter(),
 		forecasts:   forecast.NewBook(),
 		gathering:   newGathering(),
@@ -198,6 +206,7 @@
 	c.sweptAt = now
 	c.directory.RememberHeld(now)
 	c.demand.Sweep(now)
+	c.reviewCrashes(now)
 	if now.Sub(c.seedAnswer.at) >= seedAnswerLife {
 		c.seedAnswer = seedAnswer{}
 	}
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -140,6 +140,7 @@
 	c.applyViewEndpoints(v)
 	c.noteDescribed(now, v)
 	c.applyUnreached(v)
+	c.takeCrashes(now, v.Crashes, false)
 	c.applyViewTotals(now, v)
 	c.applyGatherers(v)
 	c.applyForecasts(now, v)
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -237,5 +237,6 @@
 		p.coordinator.applyItems(now, p.coordinator.complete.Origin(follow.FromMember, r.ConfigurationRevision), r.Items)
 	}
 	p.plans.TakeDemand(now, r)
+	p.coordinator.takeCrashes(now, r.Crashes, true)
 	p.takeFormerLoads(now, r.FormerLoads)
 }
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -61,6 +61,7 @@
 			built.InUse = append(built.InUse, wire.CopyCount{ID: id, Model: adapter.Model, Name: adapter.Name, Count: count})
 		}
 	}
+	built.Crashes = c.crashesToReport(now)
 	if c.following.ratesDue {
 		built.Rates, built.FormerLoads = c.demand.Rates(now), c.knownFormerLoads(now)
 		built.EndpointsRead = c.readUpTo
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -65,6 +65,7 @@
 	}
 	changes.Removed = changed.Removed
 	p.tellUnreached(changes, withTotals)
+	changes.Crashes = toldCrashes(p.coordinator.crashes.TakeUntold())
 	return changes
 }
 
@@ -120,7 +121,7 @@
 
 // noChanges tells whether all members have the plan's last state.
 func (p *planning) noChanges() bool {
-	return p.plans.Changes().Empty() && !p.members.NeedOwn() && !p.gatherers.changed && !p.unreachedChanged
+	return p.plans.Changes().Empty() && !p.coordinator.crashes.Untold() && !p.members.NeedOwn() && !p.gatherers.changed && !p.unreachedChanged
 }
 
 // itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
@@ -215,6 +216,7 @@
 	v.Full = p.coordinator.endpointsKnown
 	v.Unreached = &wire.EndpointList{IDs: slices.Collect(maps.Keys(p.unreached))}
 	v.EndpointsRevision = p.endpointsRevision
+	v.Crashes = toldCrashes(p.coordinator.crashes.Snapshot(now))
 	return v
 }
 
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
@@ -97,6 +98,9 @@
 	// DescribedUpTo is the store's revision up to which the instance knows the description of each endpoint, sent to a new planner and
 	// where a whole view is needed; 0 if it knows none. Earlier versions neither tell nor read it.
 	DescribedUpTo int64 `msgpack:"du,omitempty"`
+	// Crashes are endings of endpoints under requests that the planner may not know; to a new planner all that the instance saw itself.
+	// Earlier versions neither tell nor read them.
+	Crashes []Crash `msgpack:"cr,omitempty"`
 }
 
 // FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
@@ -233,6 +237,9 @@
 	// Gatherers are all instances that gather for others, in each view with totals and where they have changed. Earlier versions
 	// neither tell nor read them.
 	Gatherers []Gatherer `msgpack:"ga,omitempty"`
+	// Crashes are endings of endpoints under requests that were not told yet, in whole views those of the most suspected requests. Earlier
+	// versions neither tell nor read them.
+	Crashes []Crash `msgpack:"cr,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
@@ -283,6 +290,17 @@
 	Born int64
 }
 
+// Crash tells that an endpoint ended while it had a request, so it is encoded without field names.
+type Crash struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+
+	Request  fingerprint.Fingerprint
+	Endpoint deployment.EndpointID
+	// Age is for how long that has been known, and Answered says that the request got a whole answer since.
+	Age      time.Duration
+	Answered bool
+}
+
 // EndpointList names endpoints.
 type EndpointList struct {
 	IDs []deployment.EndpointID `msgpack:"e,omitempty"`
--- a/services/entry/directory/health.go
+++ b/services/entry/directory/health.go
@@ -20,6 +20,8 @@
 	Broken
 	// Unreached: a refused connection, since nothing listens at the endpoint's address.
 	Unreached
+	// Ended: the endpoint ended the exchange and refuses connections since, so that its process has ended.
+	Ended
 	// Neutral: the exchange says nothing of the endpoint, as when the caller left.
 	Neutral
 )
@@ -95,7 +97,7 @@
 func (h *Health) note(now time.Time, outcome Outcome, serviceRate float64) {
 	trial := h.trial
 	h.trial = false
-	if outcome != Unreached && outcome != Neutral {
+	if outcome != Unreached && outcome != Ended && outcome != Neutral {
 		h.unreached = 0
 	}
 	switch outcome {
@@ -113,6 +115,10 @@
 	case Broken, Unreached:
 		h.add(1)
 		h.broken++
+	case Ended:
+		// Nothing is left to find out by further exchanges.
+		h.add(1)
+		h.broken, h.unreached = max(h.broken+1, consecutiveBroken), max(h.unreached, consecutiveBroken)
 	}
 	if outcome == Unreached {
 		h.unreached++
--- a/services/entry/directory/reach.go
+++ b/services/entry/directory/reach.go
@@ -35,7 +35,8 @@
 // note takes in the end of an exchange with any endpoint of the hall.
 func (r *reach) note(now time.Time, outcome Outcome) {
 	switch outcome {
-	case Neutral:
+	case Neutral, Ended:
+		// The exchanges with an endpoint that ends all end at once, and tell nothing of the way to its hall.
 		return
 	case Succeeded, Errored, Refused:
 		*r = reach{}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -209,6 +209,7 @@
 		status := control.Status()
 		gauges := metric.Gauges{
 			ConfigurationVersion: float64(status.Configuration), Endpoints: float64(status.Endpoints), Ejected: float64(status.Ejected),
+			Quarantined:    float64(status.Quarantined),
 			ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
 			Term: float64(status.Term), Members: float64(status.Members),
 			Connections: float64(client.Dialed()), LogSuppressed: float64(writer.Suppressed()),
@@ -231,11 +232,12 @@
 		Observe:  func(o proxy.Observation) { metrics.ObserveRequest(toMetric(o)) },
 	}, proxy.Control{
 		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish, Running: control.Running,
+		Crashed: control.Crashed, Answered: control.Answered,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
-		MetricsHandler: metrics.Handler(),
+		MetricsHandler: withQuarantine(metrics.Handler(), control),
 		IsReady:        control.Ready, Now: time.Now, Log: log, ObserveConnection: metrics.ObserveConnection,
 		Ending: proxy.ErrProcessEnds,
 		Limits: func() *deployment.Limits {
--- /dev/null
+++ b/services/entry/process/quarantine.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+)
+
+// heldRequest is one that is held back, as operators are told of it.
+type heldRequest struct {
+	Fingerprint string   `json:"fingerprint"`
+	Endpoints   []string `json:"endpoints"`
+	HeldMS      int64    `json:"held_ms"`
+}
+
+// withQuarantine adds to a handler what operators ask about requests that are held back: which they are, and to let one go.
+func withQuarantine(handler http.Handler, control *coordinator.Coordinator) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", handler)
+	mux.HandleFunc("GET /quarantine", func(writer http.ResponseWriter, _ *http.Request) {
+		held := []heldRequest{}
+		for request, hold := range control.HeldRequests() {
+			held = append(held, heldRequest{Fingerprint: request.String(), Endpoints: hold.Endpoints, HeldMS: hold.Left.Milliseconds()})
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		// An operator whose connection has ended asks again.
+		_ = json.NewEncoder(writer).Encode(held)
+	})
+	mux.HandleFunc("DELETE /quarantine/{fingerprint}", func(writer http.ResponseWriter, request *http.Request) {
+		named, ok := fingerprint.Parse(request.PathValue("fingerprint"))
+		if !ok {
+			http.Error(writer, "a fingerprint has 32 hexadecimal digits", http.StatusBadRequest)
+			return
+		}
+		if !control.ReleaseRequest(named) {
+			http.Error(writer, "no such request is known here", http.StatusNotFound)
+			return
+		}
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
+	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
@@ -66,9 +68,7 @@
 func (e *exchange) close(verdict attempt.Verdict) AttemptRecord {
 	e.noteEnd()
 	e.assignment.Recall.Disarm()
-	if e.ended == attempt.ByEndpoint && attempt.MayHaveRun(verdict.Result) {
-		e.endpointGone = e.run.service.upstream.Refuses(e.run.context, e.target())
-	}
+	verdict = e.noteCrash(verdict)
 	e.run.service.control.Finish(e.request, e.assignment, verdict.Outcome, verdict.Missing)
 	return AttemptRecord{
 		Endpoint: e.assignment.Endpoint.ID, WaitedMS: e.assignment.Waited.Milliseconds(), Result: verdict.Result, StartRatio: e.startRatio(),
@@ -79,6 +79,26 @@
 	}
 }
 
+// noteCrash looks whether the endpoint has ended under the request, which then counts against the request as well: the next endpoint that
+// gets it may end, too. A whole answer speaks for the request.
+func (e *exchange) noteCrash(verdict attempt.Verdict) attempt.Verdict {
+	control := e.run.service.control
+	switch {
+	case e.ended == attempt.ByEndpoint && attempt.MayHaveRun(verdict.Result):
+		e.endpointGone = e.run.service.upstream.Refuses(e.run.context, e.target())
+	case verdict.Result == attempt.Finished && e.status < http.StatusMultipleChoices:
+		control.Answered(e.request)
+	}
+	if !e.endpointGone {
+		return verdict
+	}
+	control.Crashed(e.request, e.assignment)
+	if verdict.Outcome == directory.Broken {
+		verdict.Outcome = directory.Ended
+	}
+	return verdict
+}
+
 // discard ends the exchange.
 func (e *exchange) discard() {
 	if e.answer != nil {
--- a/services/entry/proxy/running_test.go
+++ b/services/entry/proxy/running_test.go
@@ -85,6 +85,7 @@
 		Acquire: func(context.Context, *deployment.Request, []deployment.EndpointID) (coordinator.Assignment, error) {
 			return assignment, nil
 		},
+		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Answered: func(*deployment.Request) {},
 		Running: func(_ *deployment.Request, of coordinator.Assignment) { tell("running", of) },
 		Finish: func(_ *deployment.Request, of coordinator.Assignment, _ directory.Outcome, _ bool) {
 			tell("finished", of)
--- /dev/null
+++ b/services/entry/quarantine/quarantine_test.go
@@ -0,0 +1,297 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/services/entry/quarantine"
+)
+
+var start = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+// pause is between two crashes of these tests, and longer than the time in which instances tell each other.
+const pause = time.Second
+
+// request gives one of several requests.
+func request(number byte) fingerprint.Fingerprint {
+	return fingerprint.Fingerprint{number}
+}
+
+// story is a table with a clock.
+type story struct {
+	*quarantine.Table
+
+	now time.Time
+}
+
+func newStory() *story {
+	return &story{Table: quarantine.NewTable(), now: start}
+}
+
+// crash ends an endpoint that has some requests.
+func (s *story) crash(endpoint string, requests ...byte) {
+	for _, number := range requests {
+		s.Crashed(s.now, request(number), endpoint)
+	}
+	s.now = s.now.Add(pause)
+}
+
+func (s *story) held(number byte) bool {
+	_, held := s.Held(s.now, request(number))
+	return held
+}
+
+func TestThreeCrashesHoldARequestBack(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1)
+	s.crash("b", 1)
+	assert.False(t, s.held(1))
+	s.crash("c", 1)
+	hold, held := s.Held(s.now, request(1))
+	assert.True(t, held)
+	assert.Equal(t, time.Minute-pause, hold.Left)
+	assert.Equal(t, []string{"a", "b", "c"}, hold.Endpoints)
+	assert.False(t, s.held(2), "another request")
+}
+
+func TestOneEndOfAnEndpointCountsOnce(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1)
+	s.crash("b", 1, 1, 1)
+	s.Merge(s.now, []quarantine.Crash{{Request: request(1), Endpoint: "a"}, {Request: request(1), Endpoint: "b"}}, false)
+	assert.False(t, s.held(1))
+	assert.Equal(t, 2, s.Size())
+}
+
+func TestAWholeAnswerTakesBackWhatCameBefore(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1)
+	s.crash("b", 1)
+	s.Answered(s.now, request(1))
+	s.crash("c", 1)
+	s.crash("d", 1)
+	assert.False(t, s.held(1))
+	s.crash("e", 1)
+	assert.True(t, s.held(1))
+	s.Answered(s.now, request(1))
+	assert.False(t, s.held(1))
+}
+
+// TestAnEndCountsAgainstTheLikeliestRequest: a sound request that comes often is under way at ends that others cause.
+func TestAnEndCountsAgainstTheLikeliestRequest(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1, 9)
+	s.crash("b", 1)
+	s.crash("c", 2, 9)
+	s.crash("d", 2)
+	s.crash("e", 1, 9)
+	s.crash("f", 2, 9)
+	assert.True(t, s.held(1) || s.held(2) || s.held(9), "four ends of the popular one and three of each other")
+	s.crash("g", 1)
+	s.crash("h", 2)
+	s.crash("i", 1)
+	s.crash("j", 2)
+	assert.True(t, s.held(1))
+	assert.True(t, s.held(2))
+	assert.False(t, s.held(9), "each of its ends has a likelier cause")
+}
+
+func TestEndsWithACommonCauseCountForNoRequest(t *testing.T) {
+	s := newStory()
+	for round := range 3 {
+		for endpoint := range 3 {
+			s.Crashed(s.now.Add(time.Duration(endpoint)*10*time.Millisecond), request(1), fmt.Sprint(round, endpoint))
+		}
+		s.now = s.now.Add(pause)
+	}
+	assert.False(t, s.held(1))
+	for endpoint := range 3 {
+		s.crash(fmt.Sprint("alone", endpoint), 1)
+	}
+	assert.True(t, s.held(1))
+}
+
+func TestAnEndCountsOnceAllHaveHadTimeToTell(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1)
+	s.crash("b", 1)
+	s.Crashed(s.now, request(1), "c")
+	assert.False(t, s.held(1))
+	s.now = s.now.Add(100 * time.Millisecond)
+	assert.True(t, s.held(1))
+}
+
+// TestRequestsWithTheSameCrashesAreTriedOneByOne: nothing but a sending of one alone tells which of them is the cause.
+func TestRequestsWithTheSameCrashesAreTriedOneByOne(t *testing.T) {
+	for name, cause := range map[string]byte{"the first is the cause": 1, "the second is the cause": 2} {
+		t.Run(name, func(t *testing.T) {
+			s := newStory()
+			for _, endpoint := range []string{"a", "b", "c"} {
+				s.crash(endpoint, 1, 2)
+			}
+			assert.True(t, s.held(1))
+			assert.True(t, s.held(2))
+			ends := 0
+			for end := s.now.Add(5 * time.Second); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+				for number := byte(1); number <= 2; number++ {
+					if _, held := s.Admit(s.now, request(number)); held {
+						continue
+					}
+					if number == cause {
+						ends++
+						s.crash("d", number)
+					} else {
+						s.Answered(s.now, request(number))
+					}
+				}
+			}
+			assert.True(t, s.held(cause))
+			assert.False(t, s.held(3-cause))
+			assert.LessOrEqual(t, ends, 1, "one endpoint is the highest price")
+		})
+	}
+}
+
+// TestTrialsAfterAHold: each hold ends with one sending at a time, and each crash in it brings a longer one.
+func TestTrialsAfterAHold(t *testing.T) {
+	s := newStory()
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.crash(endpoint, 1)
+	}
+	for trial, hold := range []time.Duration{time.Minute, 10 * time.Minute, time.Hour, 24 * time.Hour, 24 * time.Hour} {
+		s.now = s.now.Add(hold - pause - 1)
+		assert.True(t, s.held(1), "just before the end of hold %d", trial)
+		s.now = s.now.Add(1)
+		_, held := s.Admit(s.now, request(1))
+		assert.False(t, held, "trial %d", trial)
+		other, held := s.Admit(s.now, request(1))
+		assert.True(t, held, "a second one beside trial %d", trial)
+		assert.Equal(t, time.Second, other.Left)
+		s.Sweep(s.now)
+		s.crash(fmt.Sprint("trial", trial), 1)
+	}
+	s.now = s.now.Add(24 * time.Hour)
+	_, held := s.Admit(s.now, request(1))
+	assert.False(t, held)
+	s.Answered(s.now, request(1))
+	assert.False(t, s.held(1), "it is borne again")
+}
+
+func TestATrialWithoutAnEndIsMadeAgain(t *testing.T) {
+	s := newStory()
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.crash(endpoint, 1)
+	}
+	s.now = s.now.Add(time.Minute)
+	_, held := s.Admit(s.now, request(1))
+	assert.False(t, held)
+	_, held = s.Admit(s.now.Add(10*time.Second-1), request(1))
+	assert.True(t, held)
+	_, held = s.Admit(s.now.Add(10*time.Second), request(1))
+	assert.False(t, held)
+}
+
+func TestOldCrashesAreForgotten(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1)
+	s.crash("b", 1)
+	s.now = s.now.Add(time.Hour)
+	s.Sweep(s.now)
+	assert.Zero(t, s.Size())
+	s.crash("c", 1)
+	assert.False(t, s.held(1))
+}
+
+// TestTheTableIsBounded: where too much is suspected, the least suspected requests are forgotten.
+func TestTheTableIsBounded(t *testing.T) {
+	s := newStory()
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.crash(endpoint, 1)
+	}
+	for number := range 10_000 {
+		s.Crashed(s.now, fingerprint.Fingerprint{2, byte(number >> 8), byte(number)}, fmt.Sprint("d", number/64))
+	}
+	s.Sweep(s.now)
+	assert.LessOrEqual(t, s.Size(), 4096)
+	assert.True(t, s.held(1))
+	assert.LessOrEqual(t, len(s.Snapshot(s.now)), 512)
+	assert.Equal(t, request(1), s.Snapshot(s.now)[0].Request, "the most suspected first")
+}
+
+// TestAllInstancesComeToTheSame has records told several times, late and in any order, and some not at all but by a snapshot.
+func TestAllInstancesComeToTheSame(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		tables := []*quarantine.Table{quarantine.NewTable(), quarantine.NewTable(), quarantine.NewTable()}
+		now := start
+		var told []quarantine.Crash
+		for range 30 {
+			at := tables[random.IntN(len(tables))]
+			if number := request(byte(random.IntN(4))); random.IntN(5) == 0 {
+				at.Answered(now, number)
+			} else {
+				at.Crashed(now, number, fmt.Sprint(random.IntN(20)))
+			}
+			told = append(told, at.TakeUntold()...)
+		}
+		now = now.Add(pause)
+		for _, table := range tables {
+			random.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
+			table.Merge(now, told[:random.IntN(len(told)+1)], true)
+		}
+		for _, from := range tables {
+			for _, to := range tables {
+				to.Merge(now, from.Snapshot(now), false)
+			}
+		}
+		for _, from := range tables {
+			for _, to := range tables {
+				to.Merge(now, from.Snapshot(now), false)
+			}
+		}
+		for number := range byte(4) {
+			first, held := tables[0].Held(now, request(number))
+			for _, table := range tables[1:] {
+				other, otherHeld := table.Held(now, request(number))
+				assert.Equal(t, held, otherHeld, "seed %d", seed)
+				assert.ElementsMatch(t, first.Endpoints, other.Endpoints, "seed %d", seed)
+			}
+		}
+	}
+}
+
+// TestWhatANewPlannerIsTold: what this instance saw itself, and all of what is held back.
+func TestWhatANewPlannerIsTold(t *testing.T) {
+	s := newStory()
+	s.crash("a", 1)
+	s.Merge(s.now, []quarantine.Crash{
+		{Request: request(2), Endpoint: "b"}, {Request: request(3), Endpoint: "c", Age: 3 * pause}, {Request: request(3), Endpoint: "d", Age: 2 * pause},
+		{Request: request(3), Endpoint: "e", Age: pause},
+	}, false)
+	var endpoints []string
+	for _, crash := range s.Own(s.now) {
+		endpoints = append(endpoints, crash.Endpoint)
+	}
+	assert.ElementsMatch(t, []string{"a", "c", "d", "e"}, endpoints)
+	assert.False(t, s.Untold())
+}
+
+func TestReleaseLetsARequestGo(t *testing.T) {
+	s := newStory()
+	assert.False(t, s.Release(s.now, request(1)))
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.crash(endpoint, 1)
+	}
+	assert.Len(t, s.Holding(s.now), 1)
+	assert.True(t, s.Release(s.now, request(1)))
+	assert.Empty(t, s.Holding(s.now))
+	assert.True(t, s.Untold())
+}
--- a/tests/capacity/entry_connection_test.go
+++ b/tests/capacity/entry_connection_test.go
@@ -147,6 +147,8 @@
 			return assignment, nil
 		},
 		Finish:       func(*deployment.Request, coordinator.Assignment, directory.Outcome, bool) {},
+		Crashed:      func(*deployment.Request, coordinator.Assignment) {},
+		Answered:     func(*deployment.Request) {},
 		CountRequest: func(string) {},
 		TakeRetry:    func(string) bool { return false },
 	}
