Tell a request by what is run, from wherever it comes, and one trial of it at a time

Cause: the fingerprint had the address that a connection came from, and the query. A caller comes by way of any hall; suspected, since a trial in which all requests for models counted as one held them back at all six instances within 0.1 s of the third crash, so that neither the look nor the telling is it. Read beside it: each instance made its own trial after a hold, and ends that waited to be told all had the age 0, so that they looked like one.

Change: method, host, path, adapter and body make a request, and the query where there is no body; a trial is told like a crash, so that the others make none; what waits to be told keeps its age. The first hold is 5 min. Besides, an endpoint that any instance saw end is avoided by all at once, and a refusal by the next process at its address brings it no more requests: sound requests were refused twice in a row by two of 4 plays of the test.

Measured: tests/platform, four plays of the three tests, each request of them from another address: passed.

--- a/modules/entry/fingerprint/doc.go
+++ b/modules/entry/fingerprint/doc.go
@@ -3,6 +3,7 @@
 
 // Package fingerprint tells whether two requests are the same one, sent again.
 //
-// It owns what makes them so: the caller's address, method, host, target, adapter and body. The headers that differ from one sending to the
-// next, as the request's id and what is left of its time, do not count. It keeps no state and starts no goroutine.
+// It owns what makes them so: method, host, path, adapter and body, and the query where there is no body. What differs from one sending to the
+// next does not count, as the request's id and what is left of its time, nor the address from which it comes: a caller comes by way of any
+// hall, and from another address each time. It keeps no state and starts no goroutine.
 package fingerprint
--- a/modules/entry/fingerprint/fingerprint.go
+++ b/modules/entry/fingerprint/fingerprint.go
@@ -7,22 +7,19 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"net/netip"
 )
 
 // Size is the length of a Fingerprint in bytes.
 const Size = 16
 
 // Fingerprint is equal for two sendings of one request. It is a part of a cryptographic hash, so that no caller can make a request that
-// has the fingerprint of another caller's; the zero value stands for none.
+// has the fingerprint of another one; the zero value stands for none.
 type Fingerprint [Size]byte
 
 // Content is what makes two requests the same one.
 type Content struct {
-	// Caller is the address from which the request came.
-	Caller netip.Addr
-	// Method, Host and Target are those of the request line and the Host header; Target has the path and the query.
-	Method, Host, Target string
+	// Method, Host, Path and Query are those of the request line and the Host header, as the caller wrote them.
+	Method, Host, Path, Query string
 	// Adapter is what the request asks for; empty for plain services.
 	Adapter string
 	// Body is the body, or its beginning where it is not held whole.
@@ -34,10 +31,12 @@
 // Fingerprint gives the content's fingerprint.
 func (c Content) Fingerprint() Fingerprint {
 	hash := sha256.New()
-	head := make([]byte, 0, len(c.Method)+len(c.Host)+len(c.Target)+len(c.Adapter)+fixedBytes)
-	caller := c.Caller.As16()
-	head = append(head, caller[:]...)
-	for _, text := range []string{c.Method, c.Host, c.Target, c.Adapter} {
+	query := c.Query
+	if len(c.Body) > 0 {
+		query = ""
+	}
+	head := make([]byte, 0, len(c.Method)+len(c.Host)+len(c.Path)+len(query)+len(c.Adapter)+fixedBytes)
+	for _, text := range []string{c.Method, c.Host, c.Path, query, c.Adapter} {
 		// Each text follows its length, so that no two contents give the same bytes.
 		head = binary.BigEndian.AppendUint32(head, uint32(len(text)))
 		head = append(head, text...)
@@ -49,8 +48,8 @@
 	return Fingerprint(hash.Sum(sum[:0])[:Size])
 }
 
-// fixedBytes is room for what comes before the body beside the texts: the address, four lengths and that of the body.
-const fixedBytes = 16 + 4*4 + 8
+// fixedBytes is room for what comes before the body beside the texts: their lengths and that of the body.
+const fixedBytes = 5*4 + 8
 
 // IsZero reports whether there is none.
 func (f Fingerprint) IsZero() bool {
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -130,6 +130,8 @@
 		w.Result <- refusedByQuarantine(hold)
 		return
 	}
+	// It may be a trial.
+	c.tellCrashesSoon(now)
 	if w.UsesModel() && len(w.Tried) == 0 {
 		c.demand.Arrived(w.Key(), w.Prompt)
 	}
--- a/services/entry/coordinator/crashes.go
+++ b/services/entry/coordinator/crashes.go
@@ -15,6 +15,10 @@
 	"github.com/shelfledge/shelfledge/services/entry/quarantine"
 )
 
+// recentCrash is up to which age a crash that another instance tells of keeps requests from the endpoint: the store has taken its entry out
+// after that.
+const recentCrash = 5 * time.Second
+
 // Crashed notes that the endpoint of an exchange has ended while it had the request. The end of an endpoint that was leaving, or is known
 // to be gone, was planned and tells nothing of the request.
 func (c *Coordinator) Crashed(request *deployment.Request, assignment Assignment) {
@@ -47,6 +51,9 @@
 	}
 	crashes := make([]quarantine.Crash, 0, len(told))
 	for _, one := range told {
+		if one.Age < recentCrash && !c.crashes.HasEnded(string(one.Endpoint)) {
+			c.directory.NoteEnded(now, one.Endpoint)
+		}
 		crashes = append(crashes, quarantine.Crash{Request: one.Request, Endpoint: string(one.Endpoint), Age: one.Age, Answered: one.Answered})
 	}
 	c.crashes.Merge(now, crashes, tell)
@@ -93,7 +100,7 @@
 	case c.following.ratesDue:
 		return toldCrashes(c.crashes.Own(now))
 	default:
-		return toldCrashes(c.crashes.TakeUntold())
+		return toldCrashes(c.crashes.TakeUntold(now))
 	}
 }
 
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -65,7 +65,7 @@
 	}
 	changes.Removed = changed.Removed
 	p.tellUnreached(changes, withTotals)
-	changes.Crashes = toldCrashes(p.coordinator.crashes.TakeUntold())
+	changes.Crashes = toldCrashes(p.coordinator.crashes.TakeUntold(now))
 	return changes
 }
 
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -290,7 +290,7 @@
 	Born int64
 }
 
-// Crash tells that an endpoint ended while it had a request, so it is encoded without field names.
+// Crash tells that an endpoint ended while it had a request, or without an endpoint that an instance tries one that was held back, so it is encoded without field names.
 type Crash struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
 
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -204,6 +204,15 @@
 	status.hall.note(now, outcome)
 }
 
+// NoteEnded takes in that an endpoint's process has ended, as another instance has seen. The store names it until it has missed its
+// heartbeats, and until then each instance would find out by requests of its own.
+func (d *Directory) NoteEnded(now time.Time, id deployment.EndpointID) {
+	if status, ok := d.endpoints[id]; ok && !status.Health.ended {
+		status.Health.noteEnded()
+		status.Health.eject(now)
+	}
+}
+
 // failureRate is the mean failure rate of the other endpoints of a service.
 func (d *Directory) failureRate(except *EndpointStatus) float64 {
 	sum, count := 0.0, 0
--- a/services/entry/directory/health.go
+++ b/services/entry/directory/health.go
@@ -66,6 +66,8 @@
 	backoff time.Duration
 	// trial is set while one request tries an ejected endpoint.
 	trial bool
+	// ended is set once its process has ended, until an answer tells otherwise.
+	ended bool
 }
 
 // Ejected reports whether the endpoint gets no requests for now.
@@ -101,24 +103,31 @@
 		h.unreached = 0
 	}
 	switch outcome {
-	case Neutral, Refused:
+	case Neutral:
+		return
+	case Refused:
+		if h.ended {
+			// The next process at its address refuses what was meant for it.
+			h.eject(now)
+		}
 		return
 	case Succeeded:
+		h.ended = false
 		h.add(0)
 		h.broken = 0
 		if trial {
 			h.restore()
 		}
 	case Errored:
+		h.ended = false
 		h.add(1)
 		h.broken = 0
 	case Broken, Unreached:
 		h.add(1)
 		h.broken++
 	case Ended:
-		// Nothing is left to find out by further exchanges.
 		h.add(1)
-		h.broken, h.unreached = max(h.broken+1, consecutiveBroken), max(h.unreached, consecutiveBroken)
+		h.noteEnded()
 	}
 	if outcome == Unreached {
 		h.unreached++
@@ -128,6 +137,12 @@
 	}
 }
 
+// noteEnded takes in that the endpoint's process has ended: nothing is left to find out by further exchanges.
+func (h *Health) noteEnded() {
+	h.ended = true
+	h.broken, h.unreached = max(h.broken+1, consecutiveBroken), max(h.unreached, consecutiveBroken)
+}
+
 // add takes one exchange into the failure rate; failure is 0 or 1.
 func (h *Health) add(failure float64) {
 	h.exchanges++
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -157,14 +156,10 @@
 // fingerprintOf tells a request from others, by what the caller sent. A body that is not held whole counts by its beginning and its length,
 // since it must be known before anything is sent.
 func fingerprintOf(incoming *http.Request, adapter deployment.Adapter, body *requestBody) fingerprint.Fingerprint {
-	content := fingerprint.Content{
-		Method: incoming.Method, Host: incoming.Host, Target: incoming.RequestURI, Adapter: adapter.String(), Body: body.held, Length: body.length,
-	}
-	if caller, err := netip.ParseAddrPort(incoming.RemoteAddr); err == nil {
-		// net/http writes the address that the system tells; one that cannot be read counts as the same for all callers.
-		content.Caller = caller.Addr()
-	}
-	return content.Fingerprint()
+	return fingerprint.Content{
+		Method: incoming.Method, Host: incoming.Host, Path: rawPath(incoming), Query: incoming.URL.RawQuery, Adapter: adapter.String(),
+		Body: body.held, Length: body.length,
+	}.Fingerprint()
 }
 
 // headerBytes is the size of a request's head as it was sent, but for spaces that were dropped.
--- a/services/entry/quarantine/hold.go
+++ b/services/entry/quarantine/hold.go
@@ -11,7 +11,7 @@
 
 // holds are for how long a request is held back after its last crash, by how many crashes beyond crashCount speak against it. After each,
 // one sending finds out whether a newer endpoint bears it: soon where the evidence is least, seldom where several such trials have failed.
-var holds = []time.Duration{time.Minute, 10 * time.Minute, time.Hour, 24 * time.Hour}
+var holds = []time.Duration{5 * time.Minute, time.Hour, 24 * time.Hour}
 
 const (
 	// rivalHold is for how long a request is held back that one sending can tell from others with the same crashes, and how much longer each
@@ -19,7 +19,7 @@
 	rivalHold = 2 * time.Second
 	// rivalCrashes is how many crashes beyond crashCount such trials may cost.
 	rivalCrashes = 2
-	// trialTime is how long an instance waits for the end of a trial before it makes another one.
+	// trialTime is how long the end of a trial is waited for before another one is made.
 	trialTime = 10 * time.Second
 	// trialPause is when others come back that came during a trial, which seldom takes longer.
 	trialPause = time.Second
@@ -65,6 +65,8 @@
 		return Hold{Left: min(left, trialPause), Endpoints: hold.Endpoints}, true
 	}
 	known.triedAt = now
+	// The other instances make none meanwhile.
+	t.tell(Crash{Request: request}, now)
 	return Hold{}, false
 }
 
--- a/services/entry/quarantine/table.go
+++ b/services/entry/quarantine/table.go
@@ -21,7 +21,7 @@
 // Crash is the record of an endpoint that ended while it had a request.
 type Crash struct {
 	Request fingerprint.Fingerprint
-	// Endpoint is the name of the incarnation that ended.
+	// Endpoint is the name of the incarnation that ended; empty for the begin of a trial, see Admit.
 	Endpoint string
 	// Age is for how long the record has been known.
 	Age time.Duration
@@ -56,10 +56,16 @@
 	suspects  map[fingerprint.Fingerprint]*suspect
 	endpoints map[string]*ended
 	// untold are the records that have changed here since they were last taken.
-	untold []Crash
+	untold []untold
 	size   int
 }
 
+// untold is a record that is to be told, with when what it tells was.
+type untold struct {
+	crash Crash
+	at    time.Time
+}
+
 // NewTable makes a table without records.
 func NewTable() *Table {
 	return &Table{suspects: make(map[fingerprint.Fingerprint]*suspect), endpoints: make(map[string]*ended)}
@@ -67,8 +73,9 @@
 
 // Crashed takes in that an endpoint has ended while it had a request, which this instance has seen.
 func (t *Table) Crashed(now time.Time, request fingerprint.Fingerprint, endpoint string) {
-	if t.add(Crash{Request: request, Endpoint: endpoint}, now, true) {
-		t.untold = append(t.untold, Crash{Request: request, Endpoint: endpoint})
+	crash := Crash{Request: request, Endpoint: endpoint}
+	if t.add(crash, now, true) {
+		t.tell(crash, now)
 	}
 }
 
@@ -83,19 +90,35 @@
 			continue
 		}
 		known.records[i].answered = true
-		t.untold = append(t.untold, known.records[i].tell(now, request))
+		t.tell(known.records[i].tell(now, request), known.records[i].at)
 	}
 }
 
 // Merge takes in records that another instance told, and tells them on if tell says so.
 func (t *Table) Merge(now time.Time, crashes []Crash, tell bool) {
 	for _, crash := range crashes {
+		if crash.Endpoint == "" {
+			t.noteTrial(now.Add(-crash.Age), crash, tell)
+			continue
+		}
 		if t.add(crash, now.Add(-crash.Age), false) && tell {
-			t.untold = append(t.untold, crash)
+			t.tell(crash, now.Add(-crash.Age))
 		}
 	}
 }
 
+// noteTrial takes in that another instance tries a request.
+func (t *Table) noteTrial(at time.Time, trial Crash, tell bool) {
+	known := t.suspects[trial.Request]
+	if known == nil || !at.After(known.triedAt) {
+		return
+	}
+	known.triedAt = at
+	if tell {
+		t.tell(trial, at)
+	}
+}
+
 // add takes in one record and reports whether it tells anything new. Records only grow: one that has been answered stays so.
 func (t *Table) add(crash Crash, at time.Time, own bool) bool {
 	known := t.suspects[crash.Request]
@@ -134,18 +157,33 @@
 	return Crash{Request: request, Endpoint: r.endpoint, Age: now.Sub(r.at), Answered: r.answered}
 }
 
+// HasEnded reports whether the end of an endpoint is known.
+func (t *Table) HasEnded(endpoint string) bool {
+	return t.endpoints[endpoint] != nil
+}
+
 // Untold reports whether there are records to be told.
 func (t *Table) Untold() bool {
 	return len(t.untold) > 0
 }
 
 // TakeUntold gives the records that have changed here since the last call.
-func (t *Table) TakeUntold() []Crash {
-	taken := t.untold
+func (t *Table) TakeUntold(now time.Time) []Crash {
+	taken := make([]Crash, 0, len(t.untold))
+	for _, one := range t.untold {
+		// What waited to be told is older than as it was noted: ends at different times must not look like one.
+		one.crash.Age = now.Sub(one.at)
+		taken = append(taken, one.crash)
+	}
 	t.untold = nil
 	return taken
 }
 
+// tell keeps a record until it is told.
+func (t *Table) tell(crash Crash, at time.Time) {
+	t.untold = append(t.untold, untold{crash: crash, at: at})
+}
+
 // Own gives the records that this instance saw itself, and those of requests that are held back, for a planner that may have heard of
 // neither.
 func (t *Table) Own(now time.Time) []Crash {
--- a/tests/platform/crashing_test.go
+++ b/tests/platform/crashing_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -214,10 +215,13 @@
 	sent  map[string]bool
 }
 
-// send sends it to an instance once more.
+// send sends it to an instance once more, from another address: callers come by way of any hall.
 func (k *killer) send(c *crashes, entry int) standin.Answer {
 	one := k.call
 	one.entry, one.body = entry, "the same each time"
+	k.mutex.Lock()
+	one.from = netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + len(k.sent)%200)})
+	k.mutex.Unlock()
 	answer := c.do(one)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
