Count the time for which a host is suspended

What callers would see: an instance whose host was suspended for some seconds takes its lease, its view, the endpoints' list, a former version's time and its requests' deadlines for as young as before, and acts on them until the next message tells otherwise.

Cause: all of these went by the runtime's steady clock, which stands still meanwhile, as do its timers.

Change: modules/clock adds what CLOCK_BOOTTIME counts beyond CLOCK_MONOTONIC; the system is asked where the time of day has moved against the steady clock by 2 ms, and each second in any case, so that a step of the time of day changes nothing. Both programs' decisions go by it; what bounds a timer is converted, and requests whose deadline has passed end at the first look at the clock after the wake. The rests of callers' connections and the log's bounds go by the runtime's clock as before: a rest that ends late costs nobody anything.

No host can be suspended here: the tests' clock jumps against the timers' one.

--- /dev/null
+++ b/modules/clock/clock_test.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package clock_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/modules/clock"
+)
+
+// host is one that a test suspends: its time of day, but not its steady clock, counts that.
+type host struct {
+	suspended time.Duration
+	// step is how far the time of day has been set.
+	step    time.Duration
+	failing error
+	noticed []time.Duration
+}
+
+func (h *host) start(t *testing.T) *clock.Clock {
+	t.Helper()
+	c, err := clock.New(clock.Sources{
+		Now: time.Now, TimeOfDay: func(now time.Time) time.Time { return now.Round(0).Add(h.suspended + h.step) },
+		Suspended: func() (time.Duration, error) { return time.Minute + h.suspended, h.failing },
+		Noticed:   func(span time.Duration) { h.noticed = append(h.noticed, span) },
+	})
+	require.NoError(t, err)
+	return c
+}
+
+func TestASuspensionCounts(t *testing.T) {
+	h := &host{}
+	c := h.start(t)
+	before := c.Now()
+	h.suspended = 5 * time.Second
+	assert.InDelta(t, 5, c.Now().Sub(before).Seconds(), 0.5, "at the first look")
+	assert.Equal(t, []time.Duration{5 * time.Second}, h.noticed)
+	h.suspended, h.step = 7*time.Second, -2*time.Second
+	time.Sleep(1100 * time.Millisecond)
+	assert.InDelta(t, 8.1, c.Now().Sub(before).Seconds(), 0.5, "a step has hidden it from the time of day")
+}
+
+func TestNothingChangesWithoutASuspension(t *testing.T) {
+	h := &host{}
+	c := h.start(t)
+	before := c.Now()
+	h.step = time.Hour
+	assert.Less(t, c.Now().Sub(before), time.Second)
+	h.step = -time.Hour
+	assert.InDelta(t, 0, c.Now().Sub(before).Seconds(), 1)
+	at := c.Now()
+	assert.Equal(t, at, c.Timer(at))
+	assert.Empty(t, h.noticed)
+	h.failing = errors.New("no such clock")
+	time.Sleep(1100 * time.Millisecond)
+	assert.Less(t, c.Now().Sub(before), 3*time.Second)
+}
+
+func TestDeadlinesThatPassedEndAtTheWake(t *testing.T) {
+	h := &host{}
+	c := h.start(t)
+	now := c.Now()
+	passed, cancel := c.WithDeadline(context.Background(), now.Add(3*time.Second))
+	defer cancel()
+	later, cancelLater := c.WithDeadline(context.Background(), now.Add(5500*time.Millisecond))
+	defer cancelLater()
+	done, cancelDone := c.WithDeadline(context.Background(), now.Add(time.Minute))
+	cancelDone()
+	assert.ErrorIs(t, done.Err(), context.Canceled)
+	h.suspended = 5 * time.Second
+	require.NoError(t, passed.Err(), "nobody has looked at the clock yet")
+	c.Now()
+	require.Error(t, passed.Err())
+	require.NoError(t, later.Err())
+	assert.Eventually(t, func() bool { return later.Err() != nil }, 2*time.Second, 10*time.Millisecond, "its timer stood still for five seconds")
+	bound, ok := passed.Deadline()
+	assert.True(t, ok)
+	assert.Equal(t, now.Add(3*time.Second), bound)
+	assert.Equal(t, now.Add(time.Minute-5*time.Second), c.Timer(now.Add(time.Minute)))
+}
+
+func TestTheSystemTellsItsSuspensions(t *testing.T) {
+	c, err := clock.New(clock.System())
+	require.NoError(t, err)
+	assert.WithinDuration(t, time.Now(), c.Now(), time.Second)
+	_, err = clock.New(clock.Sources{Suspended: func() (time.Duration, error) { return 0, errors.New("no such clock") }})
+	assert.Error(t, err)
+}
+
+func BenchmarkNow(b *testing.B) {
+	c, err := clock.New(clock.System())
+	require.NoError(b, err)
+	for b.Loop() {
+		c.Now()
+	}
+}
--- a/services/daemon/process/build.go
+++ b/services/daemon/process/build.go
@@ -12,9 +12,11 @@
 	"net/netip"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/clock"
 	"github.com/shelfledge/shelfledge/modules/daemon/certificate"
 	"github.com/shelfledge/shelfledge/modules/daemon/engine"
 	"github.com/shelfledge/shelfledge/modules/daemon/httpserver"
@@ -71,7 +73,24 @@
 	return l, nil
 }
 
+// newClock gives the clock of all that decides; certificates go by the time of day.
+func newClock(log *logrus.Entry) (*clock.Clock, error) {
+	sources := clock.System()
+	sources.Noticed = func(span time.Duration) {
+		log.WithField("suspended_ms", span.Milliseconds()).Warn("the host was suspended")
+	}
+	c, err := clock.New(sources)
+	if err != nil {
+		return nil, ErrNotStarted{Part: "clock", Reason: err.Error()}
+	}
+	return c, nil
+}
+
 func (d *Daemon) build(ctx context.Context, o Options, l listeners) error {
+	var err error
+	if d.clock, err = newClock(d.log); err != nil {
+		return err
+	}
 	dialect := engine.NewVLLM(engine.VLLMOptions{
 		Transport: engine.NewTransport(engine.TransportOptions{
 			DialTimeout: dialTimeout, HeaderTimeout: d.settings.Limits.EndpointSilent.Duration(), IdleTimeout: idleTimeout, MaxIdlePerHost: idlePerHost,
@@ -110,14 +129,14 @@
 	d.control = control.New(control.Options{
 		Node: nodeOptions(d.settings, d.self, uint64(time.Now().UnixMilli())), Seeds: d.settings.SeedInstances(), Dialect: dialect, KV: d.kv,
 		Prefix: d.settings.KV.Prefix, List: readList, ListEach: d.settings.Platform.Every.Duration(), Send: func(e fleet.Envelope) { d.links.Send(e) },
-		Log: d.log, Metrics: d.metrics, Journal: d.journal, Now: time.Now,
+		Log: d.log, Metrics: d.metrics, Journal: d.journal, Now: d.clock.Now,
 	})
 	d.query = query.New(query.Options{
 		Self: d.self, Classes: d.settings.FleetClasses(), Catalog: d.control.Catalog, View: d.control.View,
 		Ask: func(ctx context.Context, to netip.AddrPort, q peerlink.Question) (peerlink.Answer, error) {
 			return d.links.Ask(ctx, to, q)
 		},
-		Journal: d.journal, Timeout: queryTimeout, Now: time.Now,
+		Journal: d.journal, Timeout: queryTimeout, Now: d.clock.Now,
 	})
 	d.links = peerlink.New(l.peers, links)
 	return nil
@@ -147,13 +166,14 @@
 	owner := fmt.Sprintf("%s.%d", d.self.ID, time.Now().UnixNano())
 	options := once.DefaultOptions(s.KV.Prefix, owner)
 	options.TTL = s.KV.ClaimTTL.Duration()
-	d.claimer = once.New(once.Store{Txn: d.kv.Txn, Get: d.kv.Get, Grant: d.kv.Grant}, options, time.Now)
+	d.claimer = once.New(once.Store{Txn: d.kv.Txn, Get: d.kv.Get, Grant: d.kv.Grant}, options, d.clock.Now)
 	go d.claimer.Run(ctx)
 	d.relay = relay.New(relay.Options{
 		Control: relay.Control{Submit: d.control.Submit, Abandon: d.control.Abandon, Finish: d.control.Finish, Note: d.control.Note},
 		Claims:  relay.Claims{Claim: d.claimer.Claim, Release: d.claimer.Release},
 		Dialect: dialect, Endpoints: s.FleetEndpoints(), Metrics: d.metrics, MaxAttempts: s.Limits.MaxAttempts, RetryShare: s.Limits.RetryShare,
-		SlowReader: s.Limits.SlowReader.Duration(), EndpointSilent: s.Limits.EndpointSilent.Duration(), CancelLife: cancelLife, Now: time.Now,
+		SlowReader: s.Limits.SlowReader.Duration(), EndpointSilent: s.Limits.EndpointSilent.Duration(), CancelLife: cancelLife, Now: d.clock.Now,
+		Timer: d.clock.Timer,
 	})
 }
 
@@ -161,7 +181,7 @@
 	s := d.settings
 	router := caller.New(caller.Options{
 		Relay: d.relay, Catalog: d.control.Catalog, Ready: d.Ready, Alive: func() bool { return true }, Classes: s.FleetClasses(),
-		Endpoints: s.FleetEndpoints(), Now: time.Now, MaxBodyBytes: s.Limits.MaxBodyBytes, MaxRequests: int64(s.Limits.MaxRequests),
+		Endpoints: s.FleetEndpoints(), Now: d.clock.Now, MaxBodyBytes: s.Limits.MaxBodyBytes, MaxRequests: int64(s.Limits.MaxRequests),
 		BytesPerToken: s.Limits.BytesPerToken, OutputTokens: s.Limits.OutputTokens, DefaultWait: s.Limits.DefaultWait.Duration(),
 	})
 	config, err := serverTLS(s.Listen.Callers.TLS)
@@ -186,8 +206,8 @@
 	}
 	store := configuration.NewStore(d.kv, s.KV.Prefix, time.Now)
 	router := operator.New(operator.Options{
-		Access: checker, Metrics: d.metrics, Refresh: d.refresh, Ready: d.Ready, Now: time.Now, Query: d.query,
-		Command: command.New(command.Options{Store: store, Current: d.control.Catalog, Offer: d.control.Offer, Halls: d.hallStates, Now: time.Now}),
+		Access: checker, Metrics: d.metrics, Refresh: d.refresh, Ready: d.Ready, Now: d.clock.Now, Query: d.query,
+		Command: command.New(command.Options{Store: store, Current: d.control.Catalog, Offer: d.control.Offer, Halls: d.hallStates, Now: d.clock.Now}),
 	})
 	config, err := serverTLS(s.Listen.Operators.TLS)
 	if err != nil {
--- a/services/daemon/process/daemon.go
+++ b/services/daemon/process/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/clock"
 	"github.com/shelfledge/shelfledge/modules/daemon/httpserver"
 	"github.com/shelfledge/shelfledge/modules/daemon/kv"
 	"github.com/shelfledge/shelfledge/modules/daemon/metric"
@@ -40,6 +41,7 @@
 type Daemon struct {
 	settings  *setting.Settings
 	log       *logrus.Entry
+	clock     *clock.Clock
 	self      fleet.Instance
 	metrics   *metric.Metrics
 	journal   *journal.Journal
--- a/services/daemon/relay/service.go
+++ b/services/daemon/relay/service.go
@@ -46,6 +46,8 @@
 	// CancelLife is how long a request that may still run is cancelled again and again.
 	CancelLife time.Duration
 	Now        func() time.Time
+	// Timer gives the moment at which a timer must fire for a time of Now; nil where timers go by it.
+	Timer func(at time.Time) time.Time
 }
 
 // Service relays requests; it is safe for concurrent use.
@@ -60,6 +62,9 @@
 
 // New makes a relay.
 func New(o Options) *Service {
+	if o.Timer == nil {
+		o.Timer = func(at time.Time) time.Time { return at }
+	}
 	s := &Service{options: o, endpoints: make(map[string]fleet.Endpoint), budget: newRetryBudget(o.RetryShare), answers: bytebudget.New(answerBytes)}
 	for _, e := range o.Endpoints {
 		s.endpoints[e.Name] = e
@@ -99,7 +104,7 @@
 		s.options.Metrics.Streams.Dec()
 		s.running.Done()
 	}()
-	run := &run{service: s, job: j, out: newWriter(w, s.options.SlowReader, s.options.Now), arrived: s.options.Now()}
+	run := &run{service: s, job: j, out: newWriter(w, s.options), arrived: s.options.Now()}
 	err := run.serve(ctx)
 	run.observe(err)
 	return err
--- a/services/daemon/relay/writer.go
+++ b/services/daemon/relay/writer.go
@@ -17,6 +17,7 @@
 	// timeout bounds how long the caller may take to read what is written.
 	timeout  time.Duration
 	now      func() time.Time
+	timer    func(at time.Time) time.Time
 	deadline time.Time
 	started  bool
 	events   int
@@ -24,10 +25,10 @@
 	last     time.Time
 }
 
-func newWriter(w http.ResponseWriter, timeout time.Duration, now func() time.Time) *writer {
+func newWriter(w http.ResponseWriter, options Options) *writer {
 	// A writer without Flush, as of a test, leaves flusher nil, and nothing is flushed.
 	flusher, _ := w.(http.Flusher)
-	return &writer{w: w, controller: http.NewResponseController(w), flusher: flusher, timeout: timeout, now: now}
+	return &writer{w: w, controller: http.NewResponseController(w), flusher: flusher, timeout: options.SlowReader, now: options.Now, timer: options.Timer}
 }
 
 func (o *writer) header() http.Header {
@@ -45,7 +46,7 @@
 	}
 	o.deadline = now.Add(o.timeout)
 	// Not every writer knows deadlines; without one a slow reader is bounded by the connection itself.
-	_ = o.controller.SetWriteDeadline(o.deadline)
+	_ = o.controller.SetWriteDeadline(o.timer(o.deadline))
 }
 
 func (o *writer) event(event []byte) error {
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -104,6 +104,9 @@
 
 // New makes a coordinator; Start begins its work.
 func New(options Options, environment Environment) *Coordinator {
+	if options.TimerNow == nil {
+		options.TimerNow = options.Now
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Coordinator{
 		options:     options,
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -91,7 +91,7 @@
 	for {
 		// One view is taken in before the next is read, so that views do not pile up before the control goroutine.
 		c.loop.Call(func(time.Time) {})
-		received, err := stream.Receive(view.SilenceLimit, c.options.Now)
+		received, err := stream.Receive(view.SilenceLimit, c.options.TimerNow)
 		if err != nil {
 			// Not logged, as with the dial.
 			break
--- a/services/entry/coordinator/gathering.go
+++ b/services/entry/coordinator/gathering.go
@@ -98,7 +98,7 @@
 	defer stop()
 	c.loop.Call(func(time.Time) { c.gathering.stream, c.gathering.name = stream, gatherer.Name })
 	for {
-		received, err := stream.Receive(gather.Life, c.options.Now)
+		received, err := stream.Receive(gather.Life, c.options.TimerNow)
 		same := false
 		c.loop.Call(func(now time.Time) {
 			if err != nil {
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -45,8 +45,9 @@
 	VersionLimit time.Duration
 	// StoreTimeout bounds one call to the store, apart from waiting watches.
 	StoreTimeout time.Duration
-	// Now gives the present time; Random a number from 0 up to 1.
-	Now    func() time.Time
+	// Now gives the present time, also across suspensions of the host; TimerNow that of the runtime's timers, nil the same.
+	Now, TimerNow func() time.Time
+	// Random gives a number from 0 up to 1.
 	Random func() float64
 	Log    *logrus.Entry
 	// ObserveOrder, ObserveStoreFailure, ObserveRelay, ObserveLinkClosed, ObserveFormerVersion and ObserveTakenBack count for the
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -49,7 +49,7 @@
 	for {
 		silence := member.LeastSilence
 		c.loop.Call(func(time.Time) { silence = c.memberSilence() })
-		received, err := stream.Receive(silence, c.options.Now)
+		received, err := stream.Receive(silence, c.options.TimerNow)
 		if err != nil {
 			// Not logged: a peer that leaves ends its link too. One that is lost is dropped by the age of its reports.
 			break
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/clock"
 	"github.com/shelfledge/shelfledge/modules/entry/asynclog"
 	"github.com/shelfledge/shelfledge/modules/entry/metric"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
@@ -71,6 +72,7 @@
 	writer   *asynclog.Writer
 	client   *upstream.Client
 	control  *coordinator.Coordinator
+	clock    *clock.Clock
 	server   *gateway.Server
 	stopping chan struct{}
 }
@@ -78,8 +80,9 @@
 // New joins the parts of a process; Start starts them.
 func New(options Options) *Process {
 	log, writer := newLog(options)
-	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamIdle, DialTimeout: upstreamDial, Now: time.Now})
-	options.Coordinator.Now = time.Now
+	clock := newClock(log)
+	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamIdle, DialTimeout: upstreamDial, Now: clock.Now})
+	options.Coordinator.Now, options.Coordinator.TimerNow = clock.Now, time.Now
 	options.Coordinator.Random = rand.Float64
 	options.Coordinator.Log = log
 	var metrics *metric.Metrics
@@ -92,8 +95,8 @@
 	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) { client.Retire(string(id)) }))
 	metrics = newMetrics(control, client, writer)
 	return &Process{
-		options: options, log: log, writer: writer, client: client, control: control,
-		server: newServer(options, log, control, client, metrics), stopping: make(chan struct{}),
+		options: options, log: log, writer: writer, client: client, control: control, clock: clock,
+		server: newServer(options, log, clock, control, client, metrics), stopping: make(chan struct{}),
 	}
 }
 
@@ -143,7 +146,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			p.client.CloseIdle(time.Now())
+			p.client.CloseIdle(p.clock.Now())
 		case <-p.stopping:
 			return
 		}
@@ -203,6 +206,26 @@
 	return logger.WithField("instance", options.Coordinator.Instance), writer
 }
 
+// newClock gives the clock of all that decides. Only what bounds callers' connections and the log's lines goes by the runtime's own: a rest
+// that ends late, by the time of a suspension, costs nobody anything.
+func newClock(log *logrus.Entry) *clock.Clock {
+	sources := clock.System()
+	sources.Noticed = func(span time.Duration) {
+		log.WithField("suspended_ms", span.Milliseconds()).Warn("the host was suspended")
+	}
+	c, err := clock.New(sources)
+	if err == nil {
+		return c
+	}
+	log.WithError(err).Warn("the system does not tell whether the host was suspended")
+	sources.Suspended = func() (time.Duration, error) { return 0, nil }
+	if c, err = clock.New(sources); err != nil {
+		// Such sources never fail.
+		panic(err)
+	}
+	return c
+}
+
 // newMetrics gives the metrics of a process.
 func newMetrics(control *coordinator.Coordinator, client *upstream.Client, writer *asynclog.Writer) *metric.Metrics {
 	return metric.New(func() metric.Gauges {
@@ -223,10 +246,10 @@
 	})
 }
 
-func newServer(options Options, log *logrus.Entry, control *coordinator.Coordinator, client *upstream.Client, metrics *metric.Metrics) *gateway.Server {
+func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, client *upstream.Client, metrics *metric.Metrics) *gateway.Server {
 	var server *gateway.Server
 	service := proxy.New(proxy.Options{
-		Now: time.Now, Random: rand.Float64, Log: log,
+		Now: clock.Now, Timer: clock.Timer, WithDeadline: clock.WithDeadline, Random: rand.Float64, Log: log,
 		Refusing: func(kind deployment.RouteKind) bool { return server.Refusing(kind) },
 		Leaving:  func() bool { return server.Leaving() },
 		Observe:  func(o proxy.Observation) { metrics.ObserveRequest(toMetric(o)) },
--- a/services/entry/proxy/answer.go
+++ b/services/entry/proxy/answer.go
@@ -19,6 +19,8 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	now        func() time.Time
+	// timer gives the moment at which a timer must fire for a time of now.
+	timer func(at time.Time) time.Time
 	// status is what was answered; 0 before the head.
 	status int
 	headAt time.Time
@@ -50,7 +52,7 @@
 // boundReading bounds the reading of the caller's body; the zero time bounds nothing. A connection that takes no deadline has ended,
 // which its next read tells.
 func (a *answerWriter) boundReading(deadline time.Time) {
-	_ = a.controller.SetReadDeadline(deadline)
+	_ = a.controller.SetReadDeadline(a.timerAt(deadline))
 }
 
 const (
@@ -76,7 +78,15 @@
 // setWriteDeadline bounds writing; the zero time bounds nothing. A connection that takes no deadline has ended, which the next write
 // tells.
 func (a *answerWriter) setWriteDeadline(until time.Time) {
-	_ = a.controller.SetWriteDeadline(until)
+	_ = a.controller.SetWriteDeadline(a.timerAt(until))
+}
+
+// timerAt is timer for a time, and the zero time, which bounds nothing, for that.
+func (a *answerWriter) timerAt(at time.Time) time.Time {
+	if at.IsZero() {
+		return at
+	}
+	return a.timer(at)
 }
 
 // letReadAnswer reads on while a caller may still be sending, so that it gets its answer.
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -44,9 +44,13 @@
 
 // Options are the settings of a Service.
 type Options struct {
-	Now    func() time.Time
-	Random func() float64
-	Log    *logrus.Entry
+	Now func() time.Time
+	// Timer gives the moment at which a timer must fire for a time of Now, and WithDeadline a context that ends at one; nil where timers go
+	// by Now.
+	Timer        func(at time.Time) time.Time
+	WithDeadline func(parent context.Context, at time.Time) (context.Context, context.CancelFunc)
+	Random       func() float64
+	Log          *logrus.Entry
 	// Refusing reports whether new requests are refused because the process ends.
 	Refusing func(kind deployment.RouteKind) bool
 	// Leaving reports whether connections are closed after their answer.
@@ -65,6 +69,9 @@
 
 // New makes a service.
 func New(options Options, control Control, client *upstream.Client, dialect Dialect) *Service {
+	if options.Timer == nil {
+		options.Timer, options.WithDeadline = func(at time.Time) time.Time { return at }, context.WithDeadline
+	}
 	return &Service{options: options, control: control, upstream: client, dialect: dialect}
 }
 
@@ -74,7 +81,7 @@
 	if s.options.Leaving() {
 		writer.Header().Set("Connection", "close")
 	}
-	answer := &answerWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now}
+	answer := &answerWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now, timer: s.options.Timer}
 	defer s.endFault(answer)
 	configuration := s.control.Configuration()
 	if configuration == nil {
@@ -144,7 +151,7 @@
 	}
 	request.Fingerprint = fingerprintOf(incoming, request.Adapter, &body)
 	s.control.CountRequest(request.Service)
-	ctx, cancel := context.WithDeadline(incoming.Context(), request.Deadline)
+	ctx, cancel := s.options.WithDeadline(incoming.Context(), request.Deadline)
 	defer cancel()
 	defer answer.boundWriting(incoming.Context(), request.Deadline)()
 	run := &run{service: s, answer: answer, incoming: incoming, request: request, caller: caller, body: body, context: ctx}
