--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -29,7 +29,7 @@
 	Pause  time.Duration
 	// Address is where it listens; empty for a free port of 127.0.0.1.
 	Address string
-	// Crash takes the place of Worker.Crash where a request crashes the worker; nil for none.
+	// Crash is called before Worker.Crash where a request crashes the worker, and may end the process; nil for none.
 	Crash func()
 	// Journal gets each begin and end of a run, if set; it must not call the worker.
 	Journal func(RunEvent)
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -90,7 +90,9 @@
 		if run.Canceled && phase == RunWhole {
 			phase = RunCanceled
 		}
-		w.note(run, phase)
+		if phase != RunCrashed {
+			w.note(run, phase)
+		}
 	}()
 	phase = w.answer(writer, request, trouble, run, body)
 }
@@ -141,7 +143,7 @@
 // answer answers a request that runs, and tells how the run ended; a panic breaks it off.
 func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, trouble fault, run *Run, body []byte) RunPhase {
 	if request.URL.Query().Has(CrashParameter) {
-		return w.crashBy(request)
+		return w.crashBy(request, run)
 	}
 	switch trouble {
 	case faultHang:
@@ -180,11 +182,12 @@
 const CrashParameter = "crash_ms"
 
 // crashBy ends the worker.
-func (w *Worker) crashBy(request *http.Request) RunPhase {
+func (w *Worker) crashBy(request *http.Request, run *Run) RunPhase {
 	time.Sleep(queryMilliseconds(request, CrashParameter, 0))
+	// Where the process ends, nothing is written any more.
+	w.note(run, RunCrashed)
 	if w.options.Crash != nil {
 		w.options.Crash()
-		return RunCrashed
 	}
 	w.Crash()
 	return RunCrashed
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,8 @@
 
 	id      string
 	process *processes.Process
+	// asked says that the soak ends it.
+	asked atomic.Bool
 }
 
 // begin starts the next incarnation; the one before goes on until it is ended.
@@ -118,6 +121,7 @@
 
 // end kills an endpoint's process and takes its entry out if it is still there.
 func (e *endpoint) end(one *incarnation) error {
+	one.asked.Store(true)
 	if one.process.HasExited() {
 		return nil
 	}
@@ -144,6 +148,7 @@
 	if one == nil {
 		return
 	}
+	one.asked.Store(true)
 	e.site.noteOverfull(one)
 	one.process.End(endLimit)
 }
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -28,6 +28,8 @@
 	CheckGrace       = "an instance did not end within its grace"
 	CheckBudget      = "more retries than the budget"
 	CheckLeak        = "a caller's connection was left open"
+	CheckCrashing    = "a request that crashes endpoints was sent on"
+	CheckHeldBack    = "a sound request was held back"
 )
 
 // All are the checks of a record, by name.
@@ -35,6 +37,7 @@
 	CheckLost: checkLost, CheckUnexplained: checkUnexplained, CheckNotRun: checkNotRun, CheckOnce: checkOnce, CheckWhole: checkWhole,
 	CheckHeld: checkHeld, CheckDenied: checkDenied, CheckDeparted: checkDeparted, CheckVersion: checkVersion, CheckPlaces: checkPlaces,
 	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget, CheckLeak: checkLeak,
+	CheckCrashing: checkCrashing, CheckHeldBack: checkHeldBack,
 }
 
 // Judge runs all checks; their order does not matter, that of the findings is by check.
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -180,6 +180,10 @@
 		{"an end after the grace, frozen meanwhile", []change{
 			exit(ledger.Exit{Instance: "a", At: at(9 * second), Asked: true, Took: 9 * second}), disrupted(ledger.Freeze, "a", 6*second, 8*second),
 		}, ""},
+		{"a request that crashes endpoints is sent on", []change{func(r *ledger.Record) { *r = *crashing(6*second+1, 4) }}, ledger.CheckCrashing},
+		{"a sound request is held back", []change{func(r *ledger.Record) {
+			r.Runs, r.Attempts[0].Outcome, r.Attempts[0].Cause = nil, ledger.Refused, "crashes endpoints"
+		}}, ledger.CheckHeldBack},
 		{"a connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", CallerSockets: 1}} }}, ledger.CheckLeak},
 		{"no connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", Descriptors: 100}} }}, ""},
 		{"retries beyond the budget", []change{func(r *ledger.Record) {
--- /dev/null
+++ b/tools/soak/ledger/crashing_test.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/tests/platformstandin"
+	"github.com/shelfledge/shelfledge/tools/soak/ledger"
+)
+
+// crashing is a record of a request that ended three endpoints by 3 s and began as often again, each second from a moment on.
+func crashing(from time.Duration, again int) *ledger.Record {
+	r := sound()
+	r.Bounds.Contact, r.Bounds.CrashRetries = 3*second, 3
+	crasher := ledger.Crasher{Name: "crasher"}
+	begin := func(when time.Duration) {
+		id := fmt.Sprint("c", len(crasher.Sends))
+		crasher.Sends = append(crasher.Sends, ledger.Sending{ID: id, Instance: "a", At: at(when)})
+		r.Runs = append(r.Runs,
+			platformstandin.RunEvent{ID: id, Endpoint: id, Phase: platformstandin.RunBegan, At: at(when)},
+			platformstandin.RunEvent{ID: id, Endpoint: id, Phase: platformstandin.RunCrashed, At: at(when)})
+	}
+	for number := range 3 {
+		begin(time.Duration(number+1) * second)
+	}
+	for number := range again {
+		begin(from + time.Duration(number)*second)
+	}
+	r.Crashers = []ledger.Crasher{crasher}
+	return r
+}
+
+func TestARequestThatCrashesEndpointsAndIsSentOnIsFound(t *testing.T) {
+	assert.NotEmpty(t, ledger.All[ledger.CheckCrashing](crashing(6*second+1, 4)))
+	assert.Empty(t, ledger.All[ledger.CheckCrashing](crashing(6*second+1, 3)), "as often as allowed")
+	assert.Empty(t, ledger.All[ledger.CheckCrashing](crashing(3*second, 7)), "four of them within the time to know of it")
+}
+
+func TestWhatKeepsAnInstanceFromKnowingExcuses(t *testing.T) {
+	for _, trouble := range []ledger.Disruption{
+		{Trouble: ledger.Freeze, Target: "a", From: at(6 * second), To: at(9 * second)},
+		{Trouble: ledger.StoreTroubled, Target: "store", From: at(6 * second), To: at(9 * second)},
+	} {
+		r := crashing(6*second+1, 4)
+		r.Disruptions = []ledger.Disruption{trouble}
+		assert.Empty(t, ledger.All[ledger.CheckCrashing](r))
+		r.Disruptions[0].Target, r.Disruptions[0].Trouble = "b", ledger.Freeze
+		assert.NotEmpty(t, ledger.All[ledger.CheckCrashing](r), "another instance's trouble")
+	}
+}
+
+func TestASoundRequestThatIsHeldBackIsFound(t *testing.T) {
+	r := sound()
+	r.Attempts[0].Outcome, r.Attempts[0].Cause = ledger.Refused, "crashes endpoints"
+	assert.NotEmpty(t, ledger.All[ledger.CheckHeldBack](r))
+	r.Attempts[0].Cause = "no endpoint"
+	assert.Empty(t, ledger.All[ledger.CheckHeldBack](r))
+}
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -158,11 +158,28 @@
 	CallerSockets int `json:"caller_sockets"`
 }
 
+// Crasher is a request that crashes each endpoint which begins to run it, and comes again and again.
+type Crasher struct {
+	Name  string    `json:"name"`
+	Sends []Sending `json:"sends"`
+}
+
+// Sending is one time that it came.
+type Sending struct {
+	ID       string    `json:"id"`
+	Instance string    `json:"instance"`
+	At       time.Time `json:"at"`
+	Status   int       `json:"status"`
+}
+
 // Bounds are the times that checks allow, from the settings of the instances.
 type Bounds struct {
 	Grace, GraceMargin, Drain, Apply, Version, BudgetWindow time.Duration
-	RetryRatio                                              float64
-	RetryExtra                                              int
+	// Contact is how long instances may take to know of a third crash, and CrashRetries how often a request may be sent later than that.
+	Contact      time.Duration
+	CrashRetries int
+	RetryRatio   float64
+	RetryExtra   int
 	// IdleLimit is the shortest idle limit that was in force.
 	IdleLimit time.Duration
 }
@@ -177,6 +194,7 @@
 	Additions   []Addition
 	Limits      []Limit
 	Exits       []Exit
+	Crashers    []Crasher
 	Usages      []Usage
 	Bounds      Bounds
 	// Overfull is how many orders went beyond an endpoint's places.
--- a/tools/soak/outside/child.go
+++ b/tools/soak/outside/child.go
@@ -88,6 +88,7 @@
 	}, platformstandin.WorkerOptions{
 		ID: o.ID, Service: service, Zone: o.Hall, Slots: o.Slots, Model: o.Model, Capacity: o.Capacity, LoadTime: o.LoadTime,
 		Events: o.Events, Pause: o.Pause, Journal: journal.write,
+		Crash: func() { os.Exit(crashed) },
 	})
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /account", answer(func() any { return account{Overfull: worker.Overfull()} }))
@@ -101,6 +102,9 @@
 	return serve(o.Control, mux)
 }
 
+// crashed is the status with which an endpoint ends that a request crashes.
+const crashed = 2
+
 // namedVersion is a version that later loads of an adapter bring.
 type namedVersion struct {
 	Adapter string `json:"adapter"`
--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -30,6 +31,17 @@
 	"late-work": func(r *ledger.Record) {
 		r.Departures = append(r.Departures, ledger.Departure{Endpoint: r.Runs[len(r.Runs)-1].Endpoint, Acknowledged: r.Runs[0].At})
 	},
+	"crashing": func(r *ledger.Record) {
+		crasher := ledger.Crasher{Name: "planted"}
+		for number := range 8 {
+			id, at := fmt.Sprint("planted-", number), r.Runs[0].At.Add(time.Duration(number)*r.Bounds.Contact)
+			crasher.Sends = append(crasher.Sends, ledger.Sending{ID: id, Instance: "planted", At: at})
+			r.Runs = append(r.Runs,
+				platformstandin.RunEvent{ID: id, Endpoint: id, Phase: platformstandin.RunBegan, At: at},
+				platformstandin.RunEvent{ID: id, Endpoint: id, Phase: platformstandin.RunCrashed, At: at})
+		}
+		r.Crashers = append(r.Crashers, crasher)
+	},
 	"own-end": func(r *ledger.Record) {
 		r.Exits = append(r.Exits, ledger.Exit{Instance: "planted", At: time.Now(), Lived: time.Minute})
 	},
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -28,6 +28,8 @@
 	graceMargin  = 600 * time.Millisecond
 	retryRatio   = 0.2
 	retryExtra   = 54
+	contactTime  = 3 * time.Second
+	crashRetries = 3
 	budgetWindow = 10 * time.Second
 	// mostTimelines bounds the requests whose timelines are written.
 	mostTimelines = 20
@@ -40,9 +42,10 @@
 func (s *site) record(attempts []ledger.Attempt, lag *lagMeter) (*ledger.Record, error) {
 	r := &ledger.Record{
 		Attempts: attempts, Disruptions: s.notes.disruptions, Departures: s.notes.departures, Namings: s.notes.namings,
-		Additions: s.operator.additions(), Limits: s.operator.limits(), Exits: s.notes.exits, Overfull: s.notes.overfull, Lag: lag.most,
+		Crashers: s.crashers(), Additions: s.operator.additions(), Limits: s.operator.limits(), Exits: s.notes.exits, Overfull: s.notes.overfull, Lag: lag.most,
 		Bounds: ledger.Bounds{
 			Grace: grace, GraceMargin: graceMargin, Drain: drainTime, Apply: applyTime, Version: versionTime,
+			Contact: contactTime, CrashRetries: crashRetries,
 			BudgetWindow: budgetWindow, RetryRatio: retryRatio, RetryExtra: retryExtra, IdleLimit: s.operator.shortestIdle(),
 		},
 	}
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -145,8 +145,10 @@
 	defer stopSending()
 	var crowd traffic.Crowd
 	crowd.Start(sending, options, s.args.Seed, s.args.Callers)
+	waitCrashers := s.startCrashers(sending, balancer)
 	s.execute(sending, steps)
 	crowd.Wait()
+	waitCrashers()
 	return attempts, lag
 }
 
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -45,6 +45,7 @@
 	endpoints []*endpoint
 	instances []*instance
 	operator  *operator
+	crashing  []*crasher
 }
 
 func hall(i int) string {
