Hold a load back that endpoints end under

What callers would see: an adapter, or a version of one, whose load ends its endpoint is brought to the next one for as long as it is asked for, and each end takes what runs there with it.

Change: an endpoint that is gone without a notice counts against the versions that it was loading, or had been ordered to load without an answer.

--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -111,6 +111,8 @@
 	suspect bool
 	// lapsedAt is when the entry was first seen to be gone by Sweep; zero until then.
 	lapsedAt time.Time
+	// abandoned are the versions of adapters whose orders to load were left unanswered since the endpoint last answered one.
+	abandoned map[deployment.Adapter]int64
 }
 
 // unansweredLoad is a load without an answer. The endpoint takes it, up to deliveryLimit later, if it still has the
--- a/services/entry/loading/placement.go
+++ b/services/entry/loading/placement.go
@@ -82,6 +82,9 @@
 	found := false
 	for adapter, known := range p.demand {
 		known.decay(now)
+		if p.heldBack(now, adapter, known.version) {
+			continue
+		}
 		value := p.need(now, adapter, known, spread).Value()
 		if value <= 0 || (found && value <= best.value) {
 			continue
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -51,6 +51,8 @@
 	queuedSince time.Time
 	// counts is the number of copies by adapter, as of the last decision.
 	counts map[deployment.Adapter]copyCount
+	// failing are the adapters under whose loads endpoints ended lately.
+	failing map[deployment.Adapter]failingLoad
 }
 
 // NewPlanner makes a planner for a service's engines.
@@ -66,6 +68,7 @@
 		pace:         newPace(),
 		changed:      make(map[deployment.EndpointID]bool),
 		counts:       make(map[deployment.Adapter]copyCount),
+		failing:      make(map[deployment.Adapter]failingLoad),
 	}
 }
 
@@ -174,14 +177,17 @@
 
 // forgetLapsed forgets the endpoints whose entries were gone for so long that no order to them is carried out any more.
 func (p *Planner) forgetLapsed(now time.Time) {
+	var gone []*endpointPlan
 	for id, plan := range p.lapsed {
 		switch {
 		case plan.lapsedAt.IsZero():
 			plan.lapsedAt = now
+			gone = append(gone, plan)
 		case now.Sub(plan.lapsedAt) > deliveryLimit:
 			delete(p.lapsed, id)
 		}
 	}
+	p.noteEnds(now, gone)
 }
 
 // RememberHeld notes that an endpoint held adapters before, so that it loads them fast.
@@ -198,6 +204,7 @@
 // Sweep forgets adapters that nobody asks for and endpoints that are gone.
 func (p *Planner) Sweep(now time.Time) {
 	p.forgetLapsed(now)
+	p.forgetFailing(now)
 	p.begun = slices.DeleteFunc(p.begun, func(at time.Time) bool { return now.Sub(at) > throughputSpan })
 	for adapter, known := range p.demand {
 		known.decay(now)
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -112,6 +112,9 @@
 	if !ok {
 		return
 	}
+	if result.Reply == Holds || result.Reply == Accepted {
+		plan.abandoned = nil
+	}
 	switch result.Reply {
 	case Holds:
 		p.becomeResident(now, plan, adapter, c)
@@ -140,10 +143,19 @@
 		if !result.Order.Poll {
 			// Its place is kept; if it was taken, the report lists it. Until then it may be brought elsewhere.
 			delete(plan.copies, adapter)
+			plan.abandon(adapter, c.version)
 		}
 	}
 }
 
+// abandon keeps that the endpoint may be loading a version though it left the order unanswered.
+func (e *endpointPlan) abandon(adapter deployment.Adapter, version int64) {
+	if e.abandoned == nil {
+		e.abandoned = make(map[deployment.Adapter]int64)
+	}
+	e.abandoned[adapter] = version
+}
+
 // noteTaken counts an order that the endpoint has taken; a poll asks about one that it took before.
 func (e *endpointPlan) noteTaken(now time.Time, order Order) {
 	if !order.Poll {
@@ -180,6 +192,7 @@
 		p.pace.note(now, c.loadEnd(now, p.coldLoads()))
 	}
 	c.state, c.since, c.settledSince = copyResident, now, now
+	delete(p.failing, adapter)
 	delete(plan.dropped, adapter)
 	plan.held[adapter] = now
 	p.changed[plan.endpoint.ID] = true
