Keep the daemon's requests from endpoints that they crash

What callers would see: the daemon sends a request that ends its endpoint to the next one, by each retry and each time that its caller comes. The same cause as at the entry program.

Change: a break of an exchange has the relay look whether the endpoint refuses connections; the records and rules are those of services/quarantine and modules/fingerprint, which both programs reach now and which moved out of the entry's part. The refusal is crashes_endpoints, 503 with the time of the next trial.

--- a/models/daemon/fleet/request.go
+++ b/models/daemon/fleet/request.go
@@ -88,6 +88,7 @@
 	ReasonNoEndpoint    Reason = "no_endpoint"
 	ReasonLoadFailing   Reason = "load_failing"
 	ReasonStopping      Reason = "stopping"
+	ReasonCrashes       Reason = "crashes_endpoints"
 	ReasonNoPlacer      Reason = "no_placer"
 	ReasonCancelled     Reason = "cancelled"
 	ReasonClaimed       Reason = "already_claimed"
--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 )
 
 // Request holds the facts of one caller's attempt that decisions need.
--- a/modules/entry/fingerprint/fingerprint_test.go
+++ b/modules/fingerprint/fingerprint_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 )
 
 // content is an example of a request.
--- a/services/daemon/process/build.go
+++ b/services/daemon/process/build.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -161,6 +163,20 @@
 	return r.Server(), nil
 }
 
+// refusalTime bounds the look whether an endpoint still takes connections: what waits for it is a retry.
+const refusalTime = 100 * time.Millisecond
+
+// refuses looks whether nothing listens any more at an address.
+func refuses(ctx context.Context, address netip.AddrPort) bool {
+	dialer := net.Dialer{Timeout: refusalTime}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err == nil {
+		// It was opened only to see that it can be.
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (d *Daemon) buildRelay(ctx context.Context, dialect engine.Dialect) {
 	s := d.settings
 	owner := fmt.Sprintf("%s.%d", d.self.ID, time.Now().UnixNano())
@@ -173,7 +189,7 @@
 		Claims:  relay.Claims{Claim: d.claimer.Claim, Release: d.claimer.Release},
 		Dialect: dialect, Endpoints: s.FleetEndpoints(), Metrics: d.metrics, MaxAttempts: s.Limits.MaxAttempts, RetryShare: s.Limits.RetryShare,
 		SlowReader: s.Limits.SlowReader.Duration(), EndpointSilent: s.Limits.EndpointSilent.Duration(), CancelLife: cancelLife, Now: d.clock.Now,
-		Timer: d.clock.Timer,
+		Timer: d.clock.Timer, Refuses: refuses,
 	})
 }
 
--- a/services/daemon/relay/run.go
+++ b/services/daemon/relay/run.go
@@ -12,6 +12,7 @@
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 	"github.com/shelfledge/shelfledge/modules/daemon/engine"
 	"github.com/shelfledge/shelfledge/modules/daemon/metric"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/daemon/control"
 	"github.com/shelfledge/shelfledge/services/daemon/once"
 )
@@ -30,6 +31,8 @@
 	// mayHaveRun is true once an attempt had an unknown end; from then on the request
 	// as a whole can never be called "not run", whatever becomes of later attempts.
 	mayHaveRun bool
+	// fingerprint is the request's, whenever it is sent again.
+	fingerprint fingerprint.Fingerprint
 }
 
 const (
@@ -147,6 +150,9 @@
 
 // attempt gets a ticket and uses it once.
 func (r *run) attempt(ctx context.Context) error {
+	if err := r.service.crashes.admit(r.service.options.Now(), r.fingerprint); err != nil {
+		return err
+	}
 	answer, err := r.wait(ctx)
 	if err != nil {
 		return err
@@ -201,6 +207,7 @@
 		r.note(fleet.EventResume, broken.reason)
 		err = r.exchange(ctx, call)
 	}
+	r.noteEnd(ctx, err)
 	r.settle(err)
 	return err
 }
--- a/services/daemon/relay/service.go
+++ b/services/daemon/relay/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	// CancelLife is how long a request that may still run is cancelled again and again.
 	CancelLife time.Duration
 	Now        func() time.Time
+	// Refuses looks whether nothing listens any more at an endpoint's address; nil never does.
+	Refuses func(ctx context.Context, address netip.AddrPort) bool
 	// Timer gives the moment at which a timer must fire for a time of Now; nil where timers go by it.
 	Timer func(at time.Time) time.Time
 }
@@ -57,15 +60,19 @@
 	budget    *retryBudget
 	// answers is the room for whole answers.
 	answers *bytebudget.Budget
+	crashes *crashes
 	running sync.WaitGroup
 }
 
 // New makes a relay.
 func New(o Options) *Service {
+	if o.Refuses == nil {
+		o.Refuses = func(context.Context, netip.AddrPort) bool { return false }
+	}
 	if o.Timer == nil {
 		o.Timer = func(at time.Time) time.Time { return at }
 	}
-	s := &Service{options: o, endpoints: make(map[string]fleet.Endpoint), budget: newRetryBudget(o.RetryShare), answers: bytebudget.New(answerBytes)}
+	s := &Service{options: o, endpoints: make(map[string]fleet.Endpoint), budget: newRetryBudget(o.RetryShare), answers: bytebudget.New(answerBytes), crashes: newCrashes()}
 	for _, e := range o.Endpoints {
 		s.endpoints[e.Name] = e
 	}
@@ -104,7 +111,7 @@
 		s.options.Metrics.Streams.Dec()
 		s.running.Done()
 	}()
-	run := &run{service: s, job: j, out: newWriter(w, s.options), arrived: s.options.Now()}
+	run := &run{service: s, job: j, out: newWriter(w, s.options), arrived: s.options.Now(), fingerprint: j.fingerprint()}
 	err := run.serve(ctx)
 	run.observe(err)
 	return err
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/forecast"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/leasestore"
@@ -23,8 +23,8 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
-	"github.com/shelfledge/shelfledge/services/entry/quarantine"
 	"github.com/shelfledge/shelfledge/services/entry/retry"
+	"github.com/shelfledge/shelfledge/services/quarantine"
 )
 
 const (
--- a/services/entry/coordinator/crashes.go
+++ b/services/entry/coordinator/crashes.go
@@ -9,10 +9,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
-	"github.com/shelfledge/shelfledge/services/entry/quarantine"
+	"github.com/shelfledge/shelfledge/services/quarantine"
 )
 
 // recentCrash is up to which age a crash that another instance tells of keeps requests from the endpoint: the store has taken its entry out
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
--- a/services/entry/process/quarantine.go
+++ b/services/entry/process/quarantine.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 )
 
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -15,8 +15,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/balance"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
--- a/services/entry/quarantine/evidence.go
+++ b/services/quarantine/evidence.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 )
 
 const (
--- a/services/entry/quarantine/hold.go
+++ b/services/quarantine/hold.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 )
 
 // holds are for how long a request is held back after its last crash, by how many crashes beyond crashCount speak against it. After each,
--- a/services/entry/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
-	"github.com/shelfledge/shelfledge/services/entry/quarantine"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
+	"github.com/shelfledge/shelfledge/services/quarantine"
 )
 
 var start = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
--- a/services/entry/quarantine/table.go
+++ b/services/quarantine/table.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/shelfledge/shelfledge/modules/entry/fingerprint"
+	"github.com/shelfledge/shelfledge/modules/fingerprint"
 )
 
 const (
