--- a/services/quarantine/evidence.go
+++ b/services/quarantine/evidence.go
@@ -72,18 +72,18 @@
 
 // rivals gives how many other requests have as many crashes as one, and at the same endpoints, so that any of them may be the cause; before
 // is how many of these are tried before it.
-func (t *Table) rivals(request fingerprint.Fingerprint, evidence []string) (before int, any bool) {
+func (t *Table) rivals(request fingerprint.Fingerprint, evidence []string) (before int, found bool) {
 	open := t.suspects[request].open()
 	for _, other := range t.endpoints[evidence[0]].requests {
 		if other == request || t.suspects[other].open() != open || !t.hadBy(other, evidence) {
 			continue
 		}
-		any = true
+		found = true
 		if slices.Compare(other[:], request[:]) < 0 {
 			before++
 		}
 	}
-	return before, any
+	return before, found
 }
 
 // hadBy reports whether all of some endpoints had a request as they ended.
--- a/services/quarantine/hold.go
+++ b/services/quarantine/hold.go
@@ -36,8 +36,8 @@
 // span is for how long a request is held back after its last crash.
 func (t *Table) span(request fingerprint.Fingerprint, evidence []string) time.Duration {
 	beyond := len(evidence) - crashCount
-	before, any := t.rivals(request, evidence)
-	if any && beyond < rivalCrashes {
+	before, found := t.rivals(request, evidence)
+	if found && beyond < rivalCrashes {
 		return time.Duration(1+before) * rivalHold
 	}
 	return holds[min(beyond, len(holds)-1)]
--- a/services/quarantine/table.go
+++ b/services/quarantine/table.go
@@ -252,7 +252,9 @@
 // memory is for how long the records of a request are kept.
 func (t *Table) memory(now time.Time, request fingerprint.Fingerprint) time.Duration {
 	if evidence := t.evidence(now, request); evidence != nil {
-		return max(crashMemory, 2*t.span(request, evidence))
+		// A trial may come some time after the hold.
+		span := t.span(request, evidence)
+		return max(crashMemory, span+span)
 	}
 	return crashMemory
 }
