Take a request that was written whole before a timer that has fired beside it

Cause, by reading: the end of an exchange waits 10 ms at most for the goroutine that writes the request; on a starved host the timer may have fired while that had long been done, and chance decided whether the connection is used again.

Change: what was written is looked at first.

--- a/modules/entry/upstream/exchange.go
+++ b/modules/entry/upstream/exchange.go
@@ -156,6 +156,12 @@
 
 // wroteWhole reports whether the whole request was written.
 func (a *Answer) wroteWhole() bool {
+	select {
+	case err := <-a.written:
+		// Beside a timer that has fired as well, as on a starved host, this one would be taken by chance only.
+		return err == nil
+	default:
+	}
 	timer := time.NewTimer(writerTimeout)
 	defer timer.Stop()
 	select {
