Trace the test of what waited too long for a peer, and count what waits when it grows old

Cause: the test took a refused envelope for four that wait, and demanded three drops some moments later. What had begun is not to be dropped.

Change: the test fills until three wait behind the first, counts what waits once the clock has moved, and demands that all of that is dropped.

--- a/modules/daemon/peerlink/stuck_test.go
+++ b/modules/daemon/peerlink/stuck_test.go
@@ -53,12 +53,18 @@
 	var late atomic.Int64
 	begun := time.Unix(1000, 0)
 	from := start(t, anywhere, peerlink.Options{Now: func() time.Time { return begun.Add(time.Duration(late.Load())) }})
-	fill(t, from, to.address, 512<<10)
+	// Four of 512 KiB wait at 2 MiB, the first of which may have begun to leave. A drop does not tell that: on a starved host the first one
+	// may be dropped since there is no connection yet. Until the clock moves, the next one may begin to leave, too; what waits then is old.
+	require.Eventually(t, func() bool {
+		from.Send(fleet.Envelope{From: "i1", Boot: 7, To: to.address, Records: &fleet.Records{Snapshot: make([]byte, 512<<10)}})
+		return from.Queued(to.address) >= 3
+	}, patience, pause)
 	before := from.Dropped()
 	late.Store(int64(2*time.Second + 1))
+	waiting := from.Queued(to.address)
+	require.NotZero(t, waiting)
 	close(to.released)
-	// Four of 512 KiB wait at 2 MiB, the first of which may have begun to leave.
-	require.Eventually(t, func() bool { return from.Dropped() >= before+3 }, patience, pause)
+	require.Eventually(t, func() bool { return from.Dropped() >= before+int64(waiting) }, patience, pause, "all that waited are dropped")
 	from.Send(numbered(to.address, 1))
 	select {
 	case e := <-to.numbered:
