--- a/services/quarantine/table.go
+++ b/services/quarantine/table.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		known.records[i].answered = true
-		t.tell(known.records[i].tell(now, request), known.records[i].at)
+		t.tell(known.records[i].crash(now, request), known.records[i].at)
 	}
 }
 
@@ -152,8 +152,8 @@
 	one.requests = append(one.requests, crash.Request)
 }
 
-// tell gives a record as it is told to other instances.
-func (r record) tell(now time.Time, request fingerprint.Fingerprint) Crash {
+// crash gives a record as it is told to other instances.
+func (r record) crash(now time.Time, request fingerprint.Fingerprint) Crash {
 	return Crash{Request: request, Endpoint: r.endpoint, Age: now.Sub(r.at), Answered: r.answered}
 }
 
@@ -193,7 +193,7 @@
 		_, held := t.Held(now, request)
 		for _, r := range known.records {
 			if r.own || held {
-				told = append(told, r.tell(now, request))
+				told = append(told, r.crash(now, request))
 			}
 		}
 	}
@@ -212,7 +212,7 @@
 			break
 		}
 		for _, r := range known.records {
-			told = append(told, r.tell(now, request))
+			told = append(told, r.crash(now, request))
 		}
 	}
 	return told
