Look again at an endpoint that went on after a reset

What callers saw: nothing measured on its own; a crash within a second of a reset that the same endpoint had survived counted for no request, so that the request which caused it was sent on once more.

Cause: the result of a look was given again for a second, whatever it was. That an endpoint goes on may be wrong by the next request; that it has ended stays true, since its name goes with it.

Change: only a refusal is given again.

--- a/modules/entry/upstream/inquiry.go
+++ b/modules/entry/upstream/inquiry.go
@@ -11,7 +11,7 @@
 	"github.com/shelfledge/shelfledge/modules/refusal"
 )
 
-// inquiryLife is for how long its result is given again: the exchanges with an endpoint that ends all end at once.
+// inquiryLife is for how long a refusal is given again: the exchanges with an endpoint that ends all end at once.
 const inquiryLife = time.Second
 
 // inquiry is a look whether an endpoint still takes connections.
@@ -29,6 +29,10 @@
 	one, first := c.inquiry(target.Key)
 	if first {
 		one.refuses = c.isRefused(ctx, target)
+		if !one.refuses {
+			// The endpoint may end by the next request.
+			c.forgetInquiry(target.Key)
+		}
 		close(one.done)
 	}
 	select {
@@ -66,6 +70,12 @@
 	return refused
 }
 
+func (c *Client) forgetInquiry(key string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.inquiries, key)
+}
+
 // forgetInquiries drops those that are not given again; the caller holds the mutex.
 func (c *Client) forgetInquiries(now time.Time) {
 	maps.DeleteFunc(c.inquiries, func(_ string, one *inquiry) bool { return now.Sub(one.began) >= inquiryLife })
--- a/modules/entry/upstream/inquiry_test.go
+++ b/modules/entry/upstream/inquiry_test.go
@@ -39,7 +39,9 @@
 	assert.False(t, client.Refuses(t.Context(), upstream.Target{Key: "lives", Address: address}))
 	require.NoError(t, listener.Close())
 	assert.True(t, client.Refuses(t.Context(), upstream.Target{Key: "ended", Address: address}))
-	assert.False(t, client.Refuses(t.Context(), upstream.Target{Key: "lives", Address: address}), "the last look is given again")
+	looked := dials.Load()
+	assert.True(t, client.Refuses(t.Context(), upstream.Target{Key: "ended", Address: address}))
+	assert.Equal(t, looked, dials.Load(), "a refusal is given again")
 }
 
 // TestAnEndpointThatIsJustEndingRefuses: callers' requests that crash endpoints were sent to four endpoints and more later than 3 s after they
