Show a request that ends endpoints after its callers have left

Symptom: where callers of a request that crashes endpoints leave before the crash, it is sent on for as long as they come.

The instance closes the exchange when the caller leaves, and looks at endpoints only after exchanges that the endpoint ended. The requests beside it see the end and have it counted against them.

--- a/tests/platform/crashing_test.go
+++ b/tests/platform/crashing_test.go
@@ -4,6 +4,7 @@
 package platform_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -190,6 +191,29 @@
 	for _, one := range killers {
 		c.during(150*time.Millisecond, func(entry, _ int) { one.send(c, entry) })
 	}
+	c.assertSentToFew(t, killers)
+}
+
+// TestARequestWhoseCallersLeaveIsSentToFew has callers of such a request leave before their endpoint ends.
+//
+// What users saw: nothing yet; each sending ended an endpoint for as long as the callers came, and what ran there besides failed. The order of
+// events: the caller leaves, its instance closes the connection to the endpoint, which runs the request all the same and ends. The cause: only
+// an exchange that its endpoint ended told of the end, so that none spoke against the request, and all against those beside it.
+func TestARequestWhoseCallersLeaveIsSentToFew(t *testing.T) {
+	c := newCrashes(t, 3, 5)
+	leaving := &killer{call: call{path: standin.UnsafePrefix + "x?" + standin.CrashParameter + "=60"}, patience: 30 * time.Millisecond}
+	c.during(150*time.Millisecond, func(entry, _ int) { leaving.send(c, entry) })
+	for caller := range 12 {
+		c.during(5*time.Millisecond, func(entry, turn int) {
+			c.do(call{entry: entry, path: standin.UnsafePrefix + "x?work_ms=100", body: fmt.Sprint("of caller ", caller, ", request ", turn)})
+		})
+	}
+	c.assertSentToFew(t, map[string]*killer{"callers leave": leaving})
+}
+
+// assertSentToFew waits until each of some requests has ended three endpoints, and for what is sent after all instances can know of it.
+func (c *crashes) assertSentToFew(t *testing.T, killers map[string]*killer) {
+	t.Helper()
 	c.waitFor("each has ended three endpoints", func() bool {
 		for _, one := range killers {
 			if len(one.begins(c)) < 3 {
@@ -210,6 +234,8 @@
 // killer is a request that ends each endpoint which runs it.
 type killer struct {
 	call
+	// patience is after how long its callers leave; zero for never.
+	patience time.Duration
 
 	mutex sync.Mutex
 	sent  map[string]bool
@@ -222,7 +248,12 @@
 	k.mutex.Lock()
 	one.from = netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + len(k.sent)%200)})
 	k.mutex.Unlock()
-	answer := c.do(one)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	if k.patience > 0 {
+		time.AfterFunc(k.patience, leave)
+	}
+	answer := c.send(ctx, one)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.sent == nil {
