Count an endpoint's end against requests that it may still have had, though nobody waits for them

What callers saw: a request that crashes endpoints, whose callers leave before, was sent on without end (12 of 28 sendings later than 3 s after the third end), and the requests beside it were suspected in its place.

Cause: the end of an endpoint is seen by the exchanges that are open then. One that its instance has closed sees nothing, while the endpoint may run its request all the same.

Change: the table keeps for 3 s which requests were given up at which endpoint, 64 for each, and counts the endpoint's end against them too, in whichever order the two are learnt; a member tells the planner of those that it finds so by a view. The daemon does the same.

Why it holds: an end is still established by an exchange that the endpoint ended, or by an instance that tells of one, never by a caller's leaving; and a whole answer still clears a request.

Left: where no other exchange is open at any instance, the end is not seen at all.

--- a/services/daemon/relay/crash.go
+++ b/services/daemon/relay/crash.go
@@ -52,6 +52,13 @@
 	c.table.Crashed(now, request, endpoint)
 }
 
+// unanswered notes that an endpoint that went on, as far as was seen, may still have a request.
+func (c *crashes) unanswered(now time.Time, request fingerprint.Fingerprint, endpoint string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.table.Unanswered(now, request, endpoint)
+}
+
 // answered notes a whole answer to a request.
 func (c *crashes) answered(now time.Time, request fingerprint.Fingerprint) {
 	c.mutex.Lock()
@@ -70,11 +77,14 @@
 // end, too. A whole answer speaks for it.
 func (r *run) noteEnd(ctx context.Context, err error) {
 	now := r.service.options.Now()
+	endpoint := r.ticket.Endpoint + "/" + r.ticket.Incarnation
 	switch {
 	case err == nil:
 		r.service.crashes.answered(now, r.fingerprint)
-	case engine.IsErrNotRun(err) || ctx.Err() != nil:
-	case r.service.options.Refuses(ctx, r.service.endpoints[r.ticket.Endpoint].Address):
-		r.service.crashes.crashed(now, r.fingerprint, r.ticket.Endpoint+"/"+r.ticket.Incarnation)
+	case engine.IsErrNotRun(err):
+	case ctx.Err() == nil && r.service.options.Refuses(ctx, r.service.endpoints[r.ticket.Endpoint].Address):
+		r.service.crashes.crashed(now, r.fingerprint, endpoint)
+	default:
+		r.service.crashes.unanswered(now, r.fingerprint, endpoint)
 	}
 }
--- a/services/entry/coordinator/crashes.go
+++ b/services/entry/coordinator/crashes.go
@@ -34,6 +34,16 @@
 	})
 }
 
+// Unanswered notes that an exchange ended without a whole answer while its endpoint went on, as far as was seen. The endpoint may run the
+// request all the same, and end under it.
+func (c *Coordinator) Unanswered(request *deployment.Request, assignment Assignment) {
+	c.loop.Post(func(now time.Time) {
+		c.crashes.Unanswered(now, request.Fingerprint, string(assignment.Endpoint.ID))
+		c.suspects.Store(int64(c.crashes.Size()))
+		c.tellCrashesSoon(now)
+	})
+}
+
 // Answered notes that a request got a whole answer, so that it crashes no endpoint.
 func (c *Coordinator) Answered(request *deployment.Request) {
 	if c.suspects.Load() == 0 {
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -141,6 +141,8 @@
 	c.noteDescribed(now, v)
 	c.applyUnreached(v)
 	c.takeCrashes(now, v.Crashes, false)
+	// This instance may have given up requests at an endpoint that has ended.
+	c.tellCrashesSoon(now)
 	c.applyViewTotals(now, v)
 	c.applyGatherers(v)
 	c.applyForecasts(now, v)
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -255,7 +255,7 @@
 		Observe:  func(o proxy.Observation) { metrics.ObserveRequest(toMetric(o)) },
 	}, proxy.Control{
 		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish, Running: control.Running,
-		Crashed: control.Crashed, Answered: control.Answered,
+		Crashed: control.Crashed, Unanswered: control.Unanswered, Answered: control.Answered,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -84,12 +84,22 @@
 func (e *exchange) noteCrash(verdict attempt.Verdict) attempt.Verdict {
 	control := e.run.service.control
 	switch {
-	case e.ended == attempt.ByEndpoint && attempt.MayHaveRun(verdict.Result):
-		e.endpointGone = e.run.service.upstream.Refuses(e.run.context, e.target())
+	case attempt.MayHaveRun(verdict.Result):
+		return e.noteUnanswered(verdict)
 	case verdict.Result == attempt.Finished && e.status < http.StatusMultipleChoices:
 		control.Answered(e.request)
 	}
+	return verdict
+}
+
+// noteUnanswered tells an endpoint that has ended from one that goes on, and may go on with the request.
+func (e *exchange) noteUnanswered(verdict attempt.Verdict) attempt.Verdict {
+	control := e.run.service.control
+	if e.ended == attempt.ByEndpoint {
+		e.endpointGone = e.run.service.upstream.Refuses(e.run.context, e.target())
+	}
 	if !e.endpointGone {
+		control.Unanswered(e.request, e.assignment)
 		return verdict
 	}
 	control.Crashed(e.request, e.assignment)
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -110,7 +110,8 @@
 		Observe: func(o proxy.Observation) { s.observed <- o },
 	}, proxy.Control{
 		Configuration: func() *deployment.Configuration { return s.configuration }, Acquire: s.acquire, Finish: s.finish,
-		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Answered: func(*deployment.Request) {},
+		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Unanswered: func(*deployment.Request, coordinator.Assignment) {},
+		Answered:     func(*deployment.Request) {},
 		CountRequest: func(string) {}, TakeRetry: s.takeRetry,
 	}, upstream.NewClient(upstream.Options{MaxIdle: time.Minute, DialTimeout: dialLimit, Now: time.Now}), s.dialect())
 	server := httptest.NewServer(service)
--- a/services/entry/proxy/running_test.go
+++ b/services/entry/proxy/running_test.go
@@ -85,8 +85,9 @@
 		Acquire: func(context.Context, *deployment.Request, []deployment.EndpointID) (coordinator.Assignment, error) {
 			return assignment, nil
 		},
-		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Answered: func(*deployment.Request) {},
-		Running: func(_ *deployment.Request, of coordinator.Assignment) { tell("running", of) },
+		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Unanswered: func(*deployment.Request, coordinator.Assignment) {},
+		Answered: func(*deployment.Request) {},
+		Running:  func(_ *deployment.Request, of coordinator.Assignment) { tell("running", of) },
 		Finish: func(_ *deployment.Request, of coordinator.Assignment, _ directory.Outcome, _ bool) {
 			tell("finished", of)
 		},
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -34,9 +34,11 @@
 	Finish  func(request *deployment.Request, assignment coordinator.Assignment, outcome directory.Outcome, missing bool)
 	// Running tells, at most once before Finish, that the endpoint runs a request that uses a model.
 	Running func(request *deployment.Request, assignment coordinator.Assignment)
-	// Crashed tells, before Finish, that the endpoint ended while it had the request; Answered that the request got a whole answer.
-	Crashed  func(request *deployment.Request, assignment coordinator.Assignment)
-	Answered func(request *deployment.Request)
+	// Crashed tells, before Finish, that the endpoint ended while it had the request; Unanswered that it may still have it; Answered that the
+	// request got a whole answer.
+	Crashed    func(request *deployment.Request, assignment coordinator.Assignment)
+	Unanswered func(request *deployment.Request, assignment coordinator.Assignment)
+	Answered   func(request *deployment.Request)
 	// CountRequest counts a request for the budget of retries; TakeRetry asks it for one.
 	CountRequest func(service string)
 	TakeRetry    func(service string) bool
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -311,3 +311,63 @@
 	assert.Empty(t, s.Holding(s.now))
 	assert.True(t, s.Untold())
 }
+
+// TestAnEndCountsAgainstRequestsThatNobodyWaitsFor: an endpoint may run them all the same.
+func TestAnEndCountsAgainstRequestsThatNobodyWaitsFor(t *testing.T) {
+	for name, order := range map[string]func(s *story, endpoint string){
+		"given up before the end is seen": func(s *story, endpoint string) {
+			s.Unanswered(s.now, request(1), endpoint)
+			s.now = s.now.Add(3 * time.Second)
+			s.crash(endpoint, 9)
+		},
+		"given up after the end was seen": func(s *story, endpoint string) {
+			s.crash(endpoint, 9)
+			s.Unanswered(s.now, request(1), endpoint)
+		},
+		"another instance has seen the end": func(s *story, endpoint string) {
+			s.Unanswered(s.now, request(1), endpoint)
+			s.now = s.now.Add(pause)
+			s.Merge(s.now, []quarantine.Crash{{Request: request(9), Endpoint: endpoint}}, false)
+			s.now = s.now.Add(pause)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStory()
+			for _, endpoint := range []string{"a", "b", "c"} {
+				order(s, endpoint)
+				s.Answered(s.now, request(9))
+			}
+			assert.True(t, s.held(1))
+			assert.False(t, s.held(9))
+			assert.True(t, s.Untold())
+		})
+	}
+}
+
+func TestARequestThatWasGivenUpLongBeforeTheEndIsNotItsCause(t *testing.T) {
+	s := newStory()
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.Unanswered(s.now, request(1), endpoint)
+		s.now = s.now.Add(3*time.Second + 1)
+		s.crash(endpoint, 9)
+	}
+	assert.False(t, s.held(1))
+	assert.Equal(t, 3, s.Size())
+}
+
+// TestRequestsThatWereGivenUpAreBounded: many callers may leave one endpoint.
+func TestRequestsThatWereGivenUpAreBounded(t *testing.T) {
+	s := newStory()
+	for number := range 100 {
+		s.Unanswered(s.now, request(byte(number)), "a")
+	}
+	s.crash("a", 200)
+	assert.Equal(t, 65, s.Size())
+	for number := range 100 {
+		s.Unanswered(s.now, request(byte(number)), "b")
+	}
+	s.now = s.now.Add(4 * time.Second)
+	s.Sweep(s.now)
+	s.crash("b", 200)
+	assert.Equal(t, 66, s.Size())
+}
--- a/services/quarantine/table.go
+++ b/services/quarantine/table.go
@@ -55,6 +55,8 @@
 type Table struct {
 	suspects  map[fingerprint.Fingerprint]*suspect
 	endpoints map[string]*ended
+	// unanswered are the requests that endpoints may still have, by endpoint.
+	unanswered map[string][]unanswered
 	// untold are the records that have changed here since they were last taken.
 	untold []untold
 	size   int
@@ -68,7 +70,9 @@
 
 // NewTable makes a table without records.
 func NewTable() *Table {
-	return &Table{suspects: make(map[fingerprint.Fingerprint]*suspect), endpoints: make(map[string]*ended)}
+	return &Table{
+		suspects: make(map[fingerprint.Fingerprint]*suspect), endpoints: make(map[string]*ended), unanswered: make(map[string][]unanswered),
+	}
 }
 
 // Crashed takes in that an endpoint has ended while it had a request, which this instance has seen.
@@ -150,6 +154,7 @@
 		one.at = at
 	}
 	one.requests = append(one.requests, crash.Request)
+	t.addUnanswered(crash.Endpoint, at)
 }
 
 // crash gives a record as it is told to other instances.
@@ -233,6 +238,7 @@
 
 // Sweep forgets what no longer counts, and the least suspected requests where there are too many records.
 func (t *Table) Sweep(now time.Time) {
+	t.sweepUnanswered(now)
 	for request, known := range t.suspects {
 		if now.Sub(known.last()) > t.memory(now, request) {
 			t.forget(request)
--- a/tests/capacity/entry_connection_test.go
+++ b/tests/capacity/entry_connection_test.go
@@ -148,6 +148,7 @@
 		},
 		Finish:       func(*deployment.Request, coordinator.Assignment, directory.Outcome, bool) {},
 		Crashed:      func(*deployment.Request, coordinator.Assignment) {},
+		Unanswered:   func(*deployment.Request, coordinator.Assignment) {},
 		Answered:     func(*deployment.Request) {},
 		CountRequest: func(string) {},
 		TakeRetry:    func(string) bool { return false },
