--- a/tools/soak/crasher.go
+++ b/tools/soak/crasher.go
@@ -21,22 +21,28 @@
 	crashAfter = 60
 	// crashPause bounds the pause after which a caller sends such a request again.
 	crashPause = 1500 * time.Millisecond
-	// crashPatience bounds one sending.
-	crashPatience = 5 * time.Second
+	// crashPatience bounds one sending, leavingPatience one whose caller leaves before its endpoint ends.
+	crashPatience   = 5 * time.Second
+	leavingPatience = crashAfter / 2 * time.Millisecond
 )
 
 // crasher is a request that crashes each endpoint which runs it, with what became of it.
 type crasher struct {
-	call  platformstandin.Call
+	call     platformstandin.Call
+	patience time.Duration
+
 	mutex sync.Mutex
 	seen  ledger.Crasher
 }
 
-// newCrasher gives one of each kind of route in turn, with a body of its own.
+// newCrasher gives one of each kind of route in turn, with a body of its own; of each eight, the callers of the last four leave.
 func newCrasher(number int) *crasher {
 	prefixes := []string{platformstandin.SafePrefix, platformstandin.UnsafePrefix, platformstandin.StreamPrefix, platformstandin.ResumePrefix}
 	prefix := prefixes[number%len(prefixes)]
-	c := &crasher{seen: ledger.Crasher{Name: fmt.Sprintf("crasher %d of %s", number, prefix)}}
+	c := &crasher{patience: crashPatience, seen: ledger.Crasher{Name: fmt.Sprintf("crasher %d of %s", number, prefix)}}
+	if number/len(prefixes)%2 == 1 {
+		c.patience = leavingPatience
+	}
 	c.call = platformstandin.Call{Path: fmt.Sprintf("%sx?%s=%d", prefix, platformstandin.CrashParameter, crashAfter), Body: c.seen.Name}
 	if prefix == platformstandin.StreamPrefix || prefix == platformstandin.ResumePrefix {
 		// Sound requests use the same adapter.
@@ -57,7 +63,7 @@
 		one := c.call
 		one.From = netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + random.IntN(200))})
 		began := time.Now()
-		sending, cancel := context.WithTimeout(ctx, crashPatience)
+		sending, cancel := context.WithTimeout(ctx, c.patience)
 		answer := one.Send(sending, target.Callers)
 		cancel()
 		c.mutex.Lock()
