Test that instances learn of crashes on both sides of a cut once it has healed

No test had instances that see too few ends themselves while they cannot tell each other: a member that is cut off from the store and from its peers, and a planner that loses the store while the others follow another one.

--- a/tests/platform/crashing_test.go
+++ b/tests/platform/crashing_test.go
@@ -356,3 +356,40 @@
 	}
 	assert.Len(t, one.begins(c), begun)
 }
+
+// TestInstancesThatWereCutOffLearnOfCrashes: none of the instances has seen enough ends by itself, and those on the two sides of a cut are told
+// of each other's once it has healed, in the time in which all must know.
+func TestInstancesThatWereCutOffLearnOfCrashes(t *testing.T) {
+	for name, pick := range map[string]func(c *crashes) int{
+		"a member is cut off":         func(c *crashes) int { return c.other(c.planner()) },
+		"the planner loses the store": func(c *crashes) int { return c.planner() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashes(t, 3, 5)
+			one := &killer{call: call{path: standin.UnsafePrefix + "x?" + standin.CrashParameter + "=60"}}
+			away := pick(c)
+			cutOff := c.entries[away]
+			cutOff.cut.Store(true)
+			cutOff.cutPeers(true)
+			sendUntil := func(entry, ends int) {
+				c.waitFor(fmt.Sprintf("%d endpoints have ended", ends), func() bool {
+					one.send(c, entry)
+					return len(one.begins(c)) >= ends
+				})
+			}
+			sendUntil(away, 1)
+			sendUntil(c.other(away), 3)
+			cutOff.cut.Store(false)
+			cutOff.cutPeers(false)
+			healed := time.Now()
+			for entry := range c.entries {
+				c.waitFor("all know of the ends", func() bool { return c.logged(entry, "a request is held back, since") })
+			}
+			assert.Less(t, time.Since(healed), contactTime)
+			for entry := range c.entries {
+				assert.Contains(t, one.send(c, entry).Body, heldBack)
+			}
+			assert.Len(t, one.begins(c), 3)
+		})
+	}
+}
