Release the record also where a planner stops beside the begin of its orders

What callers saw: where a planner was stopped in the milliseconds in which the store takes that orders may begin, its members' links ended without a word, and the record stayed with the former holder, so that requests for adapters that had to be loaded waited for the whole lease of a planner that was gone.

Cause: the stop looked at the record as it was before the write under way, by which no order may have been given.

Change: a stop waits for an own write of the record as it waits for orders, and a planner that gives its work up begins no such write.

Why it holds: what is decided after the wait is decided on the record as the store has it; a write that stays without an answer is bounded by the stop's own time, as before.

--- a/services/entry/coordinator/handover.go
+++ b/services/entry/coordinator/handover.go
@@ -54,7 +54,8 @@
 	if p == nil {
 		return
 	}
-	for c.ordersUnderWay(p) && ctx.Err() == nil {
+	// A write of the record that is not answered yet may be the one by which orders may follow.
+	for (c.ordersUnderWay(p) || c.rewriteUnderWay(p)) && ctx.Err() == nil {
 		c.sleep(releasePause)
 	}
 	var release *rewrite
@@ -85,3 +86,9 @@
 	c.loop.Call(func(time.Time) { underWay = p.orders > 0 })
 	return underWay
 }
+
+func (c *Coordinator) rewriteUnderWay(p *planning) bool {
+	underWay := false
+	c.loop.Call(func(time.Time) { underWay = p.lease.Rewriting() })
+	return underWay
+}
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -118,11 +118,12 @@
 	members.FinishLinks()
 }
 
-// beginOrdering writes into the record that orders may follow, once the former holder's time is surely over.
+// beginOrdering writes into the record that orders may follow, once the former holder's time is surely over. A planner that gives its work up
+// begins none.
 func (c *Coordinator) beginOrdering() {
 	var due *rewrite
 	c.loop.Call(func(now time.Time) {
-		if c.planning != nil && c.planning.lease.Waited(now) && !c.planning.lease.Record().Ordering {
+		if c.planning != nil && !c.planning.givingUp && c.planning.lease.Waited(now) && !c.planning.lease.Record().Ordering {
 			due = newRewrite(c.planning.lease)
 			due.record.Ordering = true
 		}
--- a/services/entry/lease/lease.go
+++ b/services/entry/lease/lease.go
@@ -68,6 +68,11 @@
 	l.rewritten = now
 }
 
+// Rewriting tells whether a write of this holder's own is under way, so that the record may be another one than is known here.
+func (l *Lease) Rewriting() bool {
+	return l.rewriting > 0
+}
+
 // NoteRewritten takes in that this holder changed its own record by a call sent at a time.
 func (l *Lease) NoteRewritten(sent time.Time, record Record, revision int64) {
 	l.record = record
