Log where an operator's question about held requests cannot be answered

The answer's error was dropped with a comment alone; it now has a line of level debug, since whoever asked has left.

Measured: go vet and the package's build; no other behaviour changes.

--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -260,7 +260,7 @@
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
-		MetricsHandler: withQuarantine(metrics.Handler(), control),
+		MetricsHandler: withQuarantine(metrics.Handler(), control, log),
 		IsReady:        control.Ready, Now: time.Now, Log: log, ObserveConnection: metrics.ObserveConnection,
 		Ending: proxy.ErrProcessEnds,
 		Limits: func() *deployment.Limits {
--- a/services/entry/process/quarantine.go
+++ b/services/entry/process/quarantine.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/shelfledge/shelfledge/modules/fingerprint"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 )
@@ -19,7 +21,7 @@
 }
 
 // withQuarantine adds to a handler what operators ask about requests that are held back: which they are, and to let one go.
-func withQuarantine(handler http.Handler, control *coordinator.Coordinator) http.Handler {
+func withQuarantine(handler http.Handler, control *coordinator.Coordinator, log *logrus.Entry) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", handler)
 	mux.HandleFunc("GET /quarantine", func(writer http.ResponseWriter, _ *http.Request) {
@@ -28,8 +30,9 @@
 			held = append(held, heldRequest{Fingerprint: request.String(), Endpoints: hold.Endpoints, HeldMS: hold.Left.Milliseconds()})
 		}
 		writer.Header().Set("Content-Type", "application/json")
-		// An operator whose connection has ended asks again.
-		_ = json.NewEncoder(writer).Encode(held)
+		if err := json.NewEncoder(writer).Encode(held); err != nil {
+			log.WithError(err).Debug("an operator's question about held requests could not be answered")
+		}
 	})
 	mux.HandleFunc("DELETE /quarantine/{fingerprint}", func(writer http.ResponseWriter, request *http.Request) {
 		named, ok := fingerprint.Parse(request.PathValue("fingerprint"))
