Tell the requests that a daemon's drain limit ends what became of them

Cause: the limit ended the wait for callers, and the process with it; nothing ended the requests themselves.

Change: half a second before the limit the relay ends all requests. What waits is answered with not_run, stopping and a time to come back; what runs with unknown. A stop takes no longer than before. New log line where callers could not be told in time.

Why it holds: a request ends as if its caller had left, a path that exists, but its caller is still there to be told; a claim of a request that did not run is given back.

--- a/modules/daemon/httpserver/server.go
+++ b/modules/daemon/httpserver/server.go
@@ -122,7 +122,12 @@
 // Shutdown takes no new connections and waits for the open requests until ctx ends. A request whose first byte was read is served.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.leaving.Store(true)
-	return errors.Join(s.callers.Leave(), s.callers.Wait(ctx))
+	return errors.Join(s.callers.Leave(), s.Wait(ctx))
+}
+
+// Wait waits, after Shutdown, until no connection is open or ctx ends, whose error it gives.
+func (s *Server) Wait(ctx context.Context) error {
+	return s.callers.Wait(ctx)
 }
 
 // Close breaks off all connections.
--- a/services/daemon/process/daemon.go
+++ b/services/daemon/process/daemon.go
@@ -172,11 +172,10 @@
 	d.log.Info("a planned stop begins")
 	time.Sleep(d.settings.Limits.LeaveNotice.Duration())
 	d.control.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainLimit.Duration())
+	limit := d.settings.Limits.DrainLimit.Duration()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
-		d.log.WithError(err).Warn("requests are still in flight at the drain limit")
-	}
+	d.drain(ctx, limit-min(tellingTime, limit/2))
 	d.waitFor(ctx)
 	// Its one error is the drain limit, and an operator's open request is no reason to go on.
 	_ = d.operators.Shutdown(ctx)
@@ -184,6 +183,25 @@
 	d.log.Info("the daemon has stopped")
 }
 
+// tellingTime is how long before the drain limit requests are ended that are still open, so that their callers are told before their
+// connections end with the process.
+const tellingTime = 500 * time.Millisecond
+
+// drain waits for the callers' open requests, for so long, and then has the rest be told what became of them.
+func (d *Daemon) drain(ctx context.Context, patience time.Duration) {
+	waiting, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	err := d.callers.Shutdown(waiting)
+	if err == nil {
+		return
+	}
+	d.log.WithError(err).Warn("requests are still in flight at the drain limit")
+	d.relay.End()
+	if err := d.callers.Wait(ctx); err != nil {
+		d.log.WithError(err).Warn("callers were not told in time that their requests end")
+	}
+}
+
 func (d *Daemon) waitFor(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
--- a/services/daemon/relay/run.go
+++ b/services/daemon/relay/run.go
@@ -41,6 +41,8 @@
 	claimRetryAfter = 2 * time.Second
 	// endpointRetryAfter is what a caller is told to wait where the endpoint that refused named no time.
 	endpointRetryAfter = time.Second
+	// stoppingRetryAfter is what a caller is told to wait whose request did not run until this instance ended; the others are ready.
+	stoppingRetryAfter = time.Second
 	// minEvents is how many events a stream needs for a mean time between its tokens: two tokens and the closing event.
 	minEvents = 3
 )
@@ -194,6 +196,9 @@
 		}
 	default:
 	}
+	if r.service.ending.Err() != nil {
+		return ErrNotRun{Reason: fleet.ReasonStopping, RetryAfter: stoppingRetryAfter}
+	}
 	return ErrNotRun{Reason: fleet.ReasonCancelled}
 }
 
--- a/services/daemon/relay/service.go
+++ b/services/daemon/relay/service.go
@@ -62,6 +62,9 @@
 	answers *bytebudget.Budget
 	crashes *crashes
 	running sync.WaitGroup
+	// ending ends with End, and with it each request.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New makes a relay.
@@ -73,12 +76,19 @@
 		o.Timer = func(at time.Time) time.Time { return at }
 	}
 	s := &Service{options: o, endpoints: make(map[string]fleet.Endpoint), budget: newRetryBudget(o.RetryShare), answers: bytebudget.New(answerBytes), crashes: newCrashes()}
+	s.ending, s.end = context.WithCancel(context.Background())
 	for _, e := range o.Endpoints {
 		s.endpoints[e.Name] = e
 	}
 	return s
 }
 
+// End ends all requests, now and from now on, so that their callers are told before the process is gone: those that wait for an endpoint have
+// not run, and the others may have.
+func (s *Service) End() {
+	s.end()
+}
+
 // Wait returns when every request and every late cancel has ended.
 func (s *Service) Wait() {
 	s.running.Wait()
@@ -111,6 +121,10 @@
 		s.options.Metrics.Streams.Dec()
 		s.running.Done()
 	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.ending, cancel)
+	defer stop()
 	run := &run{service: s, job: j, out: newWriter(w, s.options), arrived: s.options.Now(), fingerprint: j.fingerprint()}
 	err := run.serve(ctx)
 	run.observe(err)
