--- a/Makefile
+++ b/Makefile
@@ -67,9 +67,10 @@
 soakdaemons: build ## The same for shelfledged: SECONDS, SEED, INSTANCES.
 	$(BIN)/soak daemons --bin $(BIN) --seconds $(SECONDS) --seed $(SEED) --instances $(INSTANCES) --callers 80
 
-shortsoak: build ## The soak that CI plays: the short cases, then one seed.
+shortsoak: build ## The soaks that CI plays: the short cases, then one seed of each program.
 	$(BIN)/soak --bin $(BIN) --cases short
 	$(BIN)/soak --bin $(BIN) --seconds 40 --seed 7
+	$(BIN)/soak daemons --bin $(BIN) --seconds 25 --seed 7 --callers 60
 
 bench: ## What the daemon adds, and the figures of docs/.
 	$(GO) test -run XXX -bench 'FirstToken|InForce' -benchtime 100x ./tests/integration
--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -26,7 +26,7 @@
 		r.Runs = append(r.Runs, platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunBegan, At: time.Now()})
 	},
 	"another-answer": func(r *ledger.Record) {
-		whole(r, ledger.Safe).Wrong = "planted"
+		whole(r, ledger.Unsafe).Wrong = "planted"
 	},
 	"late-work": func(r *ledger.Record) {
 		r.Departures = append(r.Departures, ledger.Departure{Endpoint: r.Runs[len(r.Runs)-1].Endpoint, Acknowledged: r.Runs[0].At})
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -137,8 +137,10 @@
 
 // awaitReady waits until all instances are ready.
 func (s *site) awaitReady() error {
+	// A connection that is kept would be taken for a caller's.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, one := range s.instances {
-		if !processes.Poll(upLimit, func() bool { return processes.Answers(http.DefaultClient, one.ready) }) {
+		if !processes.Poll(upLimit, func() bool { return processes.Answers(client, one.ready) }) {
 			return fmt.Errorf("%s does not become ready", one.name)
 		}
 	}
