--- a/tools/soak/daemons.go
+++ b/tools/soak/daemons.go
@@ -169,10 +169,10 @@
 
 // noteBegin notes that an engine begins to run a request; what the daemon adds to its caller's identifier tells the attempts apart.
 func (d *daemonSite) noteBegin(engine, id string) {
-	callers, _, _ := strings.Cut(id, "~")
+	callerID, _, _ := strings.Cut(id, "~")
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.runs = append(d.runs, platformstandin.RunEvent{At: time.Now(), Phase: platformstandin.RunBegan, Endpoint: engine, ID: callers})
+	d.runs = append(d.runs, platformstandin.RunEvent{At: time.Now(), Phase: platformstandin.RunBegan, Endpoint: engine, ID: callerID})
 }
 
 // play has callers send while the plan is carried out, and gives their attempts and the soak's own lag.
