--- a/tools/soak/daemons.go
+++ b/tools/soak/daemons.go
@@ -7,14 +7,11 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/shelfledge/shelfledge/modules/daemon/instancelist"
 	"github.com/shelfledge/shelfledge/tests/platformstandin"
 	"github.com/shelfledge/shelfledge/tests/standin"
@@ -54,36 +51,20 @@
 
 // runDaemons runs one soak of shelfledged and reports it.
 func runDaemons(args arguments) error {
-	if err := args.problems(); err != nil {
-		return err
-	}
-	folder, err := os.MkdirTemp(args.Folder, fmt.Sprintf("shelfledge-daemons-%d-", args.Seed))
-	if err != nil {
-		return err
-	}
-	self, err := os.Executable()
+	site, err := newSite(args, "daemons")
 	if err != nil {
 		return err
 	}
-	logger := logrus.New()
-	if args.Debug {
-		logger.SetLevel(logrus.DebugLevel)
-	}
-	d := &daemonSite{site: &site{args: args, folder: folder, self: self, log: logrus.NewEntry(logger), notes: &notes{}}}
+	d := &daemonSite{site: site}
 	if err := d.start(); err != nil {
 		d.close()
-		return fmt.Errorf("%w; logs are in %s", err, folder)
+		return fmt.Errorf("%w; logs are in %s", err, d.folder)
 	}
 	steps := plan.Draw(args.Seed, d.planOptions())
 	attempts, lag := d.play(steps)
 	usages := d.usages()
 	d.close()
-	record := d.record(attempts, lag)
-	record.Usages = usages
-	if args.Plant != "" {
-		plants[args.Plant](record)
-	}
-	return d.report(record, steps)
+	return d.judge(d.record(attempts, lag), usages, steps)
 }
 
 // planOptions are those of the plan: without a choice, all kinds that daemons have.
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -80,27 +80,35 @@
 	return kinds
 }
 
-// runSoak runs one soak and reports it.
-func runSoak(args arguments) error {
+// newSite checks the arguments and gives a site without processes, in a new folder whose name begins with the soak's.
+func newSite(args arguments, soak string) (*site, error) {
 	if err := args.problems(); err != nil {
-		return err
+		return nil, err
 	}
-	folder, err := os.MkdirTemp(args.Folder, fmt.Sprintf("shelfledge-soak-%d-", args.Seed))
+	folder, err := os.MkdirTemp(args.Folder, fmt.Sprintf("shelfledge-%s-%d-", soak, args.Seed))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	self, err := os.Executable()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	logger := logrus.New()
 	if args.Debug {
 		logger.SetLevel(logrus.DebugLevel)
 	}
-	site, err := startSite(args, folder, self, logrus.NewEntry(logger))
+	return &site{args: args, folder: folder, self: self, log: logrus.NewEntry(logger), notes: &notes{}}, nil
+}
+
+// runSoak runs one soak of shelfledge-entry and reports it.
+func runSoak(args arguments) error {
+	site, err := newSite(args, "soak")
 	if err != nil {
+		return err
+	}
+	if err := site.start(); err != nil {
 		site.close()
-		return fmt.Errorf("%w; logs are in %s", err, folder)
+		return fmt.Errorf("%w; logs are in %s", err, site.folder)
 	}
 	steps := plan.Draw(args.Seed, plan.Options{
 		Span: time.Duration(args.Seconds) * time.Second, Instances: args.Instances, Endpoints: args.Endpoints, Only: args.kinds(),
@@ -115,11 +123,16 @@
 	if err != nil {
 		return err
 	}
+	return site.judge(record, usages, steps)
+}
+
+// judge adds what processes held at the end to a record, and the fault that is to be planted, and reports it.
+func (s *site) judge(record *ledger.Record, usages []ledger.Usage, steps []plan.Step) error {
 	record.Usages = usages
-	if args.Plant != "" {
-		plants[args.Plant](record)
+	if s.args.Plant != "" {
+		plants[s.args.Plant](record)
 	}
-	return site.report(record, steps)
+	return s.report(record, steps)
 }
 
 // play has callers send while the plan is carried out, and gives their attempts and the soak's own lag.
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -52,20 +52,19 @@
 	return fmt.Sprintf("h%d", 1+i%halls)
 }
 
-// startSite starts all processes and waits until all instances are ready.
-func startSite(args arguments, folder, self string, log *logrus.Entry) (*site, error) {
-	s := &site{args: args, folder: folder, self: self, log: log, notes: &notes{}}
+// start starts all processes and waits until all instances are ready.
+func (s *site) start() error {
 	if err := s.startStore(); err != nil {
-		return s, err
+		return err
 	}
 	s.operator = newOperator(s)
 	if err := s.operator.put(); err != nil {
-		return s, err
+		return err
 	}
 	if err := s.startEndpoints(); err != nil {
-		return s, err
+		return err
 	}
-	return s, s.startInstances()
+	return s.startInstances()
 }
 
 func (s *site) startStore() error {
