--- a/services/daemon/process/daemon.go
+++ b/services/daemon/process/daemon.go
@@ -175,7 +175,7 @@
 	limit := d.settings.Limits.DrainLimit.Duration()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	d.drain(ctx, limit-min(tellingTime, limit/2))
+	d.drain(ctx, max(limit-tellingTime, limit/drainShare))
 	d.waitFor(ctx)
 	// Its one error is the drain limit, and an operator's open request is no reason to go on.
 	_ = d.operators.Shutdown(ctx)
@@ -183,9 +183,13 @@
 	d.log.Info("the daemon has stopped")
 }
 
-// tellingTime is how long before the drain limit requests are ended that are still open, so that their callers are told before their
-// connections end with the process.
-const tellingTime = 500 * time.Millisecond
+const (
+	// tellingTime is how long before the drain limit requests are ended that are still open, so that their callers are told before their
+	// connections end with the process.
+	tellingTime = 500 * time.Millisecond
+	// drainShare is the part of a short drain limit in which requests go on all the same, as a divisor.
+	drainShare = 2
+)
 
 // drain waits for the callers' open requests, for so long, and then has the rest be told what became of them.
 func (d *Daemon) drain(ctx context.Context, patience time.Duration) {
--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -16,17 +16,17 @@
 // have one for each check.
 var plants = map[string]func(*ledger.Record){
 	"lost": func(r *ledger.Record) {
-		whole(r, ledger.Unsafe).Outcome = ledger.Closed
+		whole(r).Outcome = ledger.Closed
 	},
 	"ran-though-refused": func(r *ledger.Record) {
-		whole(r, ledger.Unsafe).Outcome = ledger.Refused
+		whole(r).Outcome = ledger.Refused
 	},
 	"ran-twice": func(r *ledger.Record) {
-		id := whole(r, ledger.Unsafe).ID
+		id := whole(r).ID
 		r.Runs = append(r.Runs, platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunBegan, At: time.Now()})
 	},
 	"another-answer": func(r *ledger.Record) {
-		whole(r, ledger.Unsafe).Wrong = "planted"
+		whole(r).Wrong = "planted"
 	},
 	"late-work": func(r *ledger.Record) {
 		r.Departures = append(r.Departures, ledger.Departure{Endpoint: r.Runs[len(r.Runs)-1].Endpoint, Acknowledged: r.Runs[0].At})
@@ -56,10 +56,10 @@
 	return names
 }
 
-// whole gives an attempt of a kind that got its whole answer; a run without any has nothing to plant a fault in.
-func whole(r *ledger.Record, kind ledger.RouteKind) *ledger.Attempt {
+// whole gives an attempt that got its whole answer and must not run twice; a run without any has nothing to plant a fault in.
+func whole(r *ledger.Record) *ledger.Attempt {
 	for i := range r.Attempts {
-		if r.Attempts[i].Kind == kind && r.Attempts[i].Outcome == ledger.Whole {
+		if r.Attempts[i].Kind == ledger.Unsafe && r.Attempts[i].Outcome == ledger.Whole {
 			return &r.Attempts[i]
 		}
 	}
