Count an end for 3 s against what is given up at its endpoint, not for as long as it is remembered

What callers would have seen: where endpoints start again under their names, a request whose callers leave at three of them, within an hour of their crashes, would have been held back, though nothing ended under it.

Cause: that an endpoint had ended was asked of records that are kept for an hour, and the name is the next process's as well.

Change: after the end counts what was given up within 3 s, as before the end.

Measured: TestAnEndpointThatIsBackUnderItsNameHasNotEndedAgain failed before, passes; the package's tests pass.

--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -355,6 +355,21 @@
 	assert.Equal(t, 3, s.Size())
 }
 
+// TestAnEndpointThatIsBackUnderItsNameHasNotEndedAgain: what is given up at it later is no cause of its former process's end.
+func TestAnEndpointThatIsBackUnderItsNameHasNotEndedAgain(t *testing.T) {
+	s := newStory()
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.crash(endpoint, 9)
+	}
+	s.now = s.now.Add(time.Minute)
+	for _, endpoint := range []string{"a", "b", "c"} {
+		s.Unanswered(s.now, request(1), endpoint)
+	}
+	s.now = s.now.Add(pause)
+	assert.False(t, s.held(1))
+	assert.Equal(t, 3, s.Size())
+}
+
 // TestRequestsThatWereGivenUpAreBounded: many callers may leave one endpoint.
 func TestRequestsThatWereGivenUpAreBounded(t *testing.T) {
 	s := newStory()
--- a/services/quarantine/unanswered.go
+++ b/services/quarantine/unanswered.go
@@ -27,8 +27,11 @@
 // Unanswered takes in that the exchange of a request ended without a whole answer. If its endpoint ends soon, or has ended, the end counts
 // against the request as well: without that it would count against the requests alone whose callers stayed.
 func (t *Table) Unanswered(now time.Time, request fingerprint.Fingerprint, endpoint string) {
-	if t.HasEnded(endpoint) {
-		t.Crashed(now, request, endpoint)
+	if known := t.endpoints[endpoint]; known != nil {
+		// Later than that, another process is back under the endpoint's name.
+		if now.Sub(known.at) <= unansweredTime {
+			t.Crashed(now, request, endpoint)
+		}
 		return
 	}
 	kept := append(t.unanswered[endpoint], unanswered{request: request, at: now})
