Let the tests of an endpoint that is just ending close its socket at a known moment

They showed a fault besides: a connection that was watched for less than 30 ms, since the whole look ended, was taken for one that stays open. It is discarded now.

--- a/modules/entry/upstream/inquiry_test.go
+++ b/modules/entry/upstream/inquiry_test.go
@@ -52,9 +52,16 @@
 func TestAnEndpointThatIsJustEndingRefuses(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	var dials atomic.Int64
-	client := counting(&dials)
-	time.AfterFunc(5*time.Millisecond, func() { _ = listener.Close() })
+	dialer := net.Dialer{}
+	client := upstream.NewClient(upstream.Options{
+		MaxIdle: time.Minute, DialTimeout: time.Second, Now: time.Now,
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+			// The system has taken the first connection; now the process closes its socket.
+			_ = listener.Close()
+			return conn, err
+		},
+	})
 	assert.True(t, client.Refuses(t.Context(), upstream.Target{Key: "k", Address: listener.Addr().(*net.TCPAddr).AddrPort()}))
 }
 
--- a/modules/refusal/refusal.go
+++ b/modules/refusal/refusal.go
@@ -44,11 +44,14 @@
 	return none, false
 }
 
-// staysOpen reports whether a new connection is neither closed nor reset within openTime.
+// staysOpen reports whether a new connection is neither closed nor reset within openTime; false where less than that is left.
 func staysOpen(ctx context.Context, conn net.Conn) bool {
-	ctx, cancel := context.WithTimeout(ctx, openTime)
+	watching, cancel := context.WithTimeout(ctx, openTime)
 	defer cancel()
-	deadline, _ := ctx.Deadline()
+	deadline, _ := watching.Deadline()
+	if end, bounded := ctx.Deadline(); bounded && deadline.Equal(end) {
+		return false
+	}
 	if conn.SetReadDeadline(deadline) != nil {
 		return false
 	}
