--- a/tools/soak/cases.go
+++ b/tools/soak/cases.go
@@ -22,6 +22,8 @@
 	// Cause is what was wrong, and Short says that CI plays it.
 	Cause string `json:"cause"`
 	Short bool   `json:"short"`
+	// Daemons says that it is a run of shelfledged.
+	Daemons bool `json:"daemons"`
 	// Arguments are the run's, laid over those of the command line.
 	Arguments json.RawMessage `json:"arguments"`
 }
@@ -50,7 +52,11 @@
 			return err
 		}
 		fmt.Printf("case %s: %s\n", one.Name, one.Cause)
-		if err := runSoak(of); err != nil {
+		run := runSoak
+		if one.Daemons {
+			run = runDaemons
+		}
+		if err := run(of); err != nil {
 			failed = append(failed, fmt.Errorf("case %s: %w", one.Name, err))
 		}
 	}
