Tell in each attempt's record which limit its endpoint named

Cause: the logs could not tell an instance that reads no limit from one that holds it by itself, or only for first attempts: no line had what an endpoint names in its answers. Change: the head of each answer is read at one place (exchange.readNotice) for what the endpoint says of itself; attempts have limit_per_second, and a value that cannot be read is logged. No decision goes by it yet.

--- a/services/entry/proxy/dialect.go
+++ b/services/entry/proxy/dialect.go
@@ -49,4 +49,6 @@
 	NotRun func(status int, header http.Header) bool
 	// FromEndpoint reports whether a success bears the endpoint's own mark; without it, something on the way answered.
 	FromEndpoint func(header http.Header) bool
+	// ReadNotice gives what an endpoint says of itself in the head of an answer; its error tells what of it cannot be read.
+	ReadNotice func(status int, header http.Header) (deployment.Notice, error)
 }
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
@@ -40,6 +41,8 @@
 	held []byte
 	// status is the endpoint's own; 0 for none.
 	status int
+	// notice is what the endpoint said of itself in the head of its answer.
+	notice deployment.Notice
 	// running is set once the answer shows that the endpoint runs the request.
 	running bool
 	// ranAfter is how long it took from the choice of the endpoint until then.
@@ -148,6 +151,7 @@
 	dialect := e.run.service.dialect
 	e.status = response.StatusCode
 	e.heard = e.run.service.options.Now()
+	e.readNotice(response)
 	e.handling, verdict = attempt.JudgeHead(attempt.Head{
 		Status: e.status, NotRun: dialect.NotRun(e.status, response.Header), FromEndpoint: dialect.FromEndpoint(response.Header),
 		Resumes: e.from.headPassed, Kind: e.run.request.Route.Kind,
@@ -162,6 +166,16 @@
 	return verdict, false
 }
 
+// readNotice reads what the endpoint says of itself. Every answer passes here: whole ones, streams, errors, refusals, resumptions and those
+// of a successor.
+func (e *exchange) readNotice(response *http.Response) {
+	notice, err := e.run.service.dialect.ReadNotice(e.status, response.Header)
+	if err != nil {
+		e.run.service.options.Log.WithError(err).WithField("endpoint", e.assignment.Endpoint.ID).Warn("what an endpoint says of itself cannot be read")
+	}
+	e.notice = notice
+}
+
 // noteRunning tells the coordinator once that the request has left the endpoint's own queue. It is false for a request that was taken
 // back before: its exchange has ended, and what came of the answer must not be passed on as its beginning.
 func (e *exchange) noteRunning() bool {
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -96,6 +96,8 @@
 	// FormerExpectedMS how long the request was expected to wait in its queue; 0 where the named version was there.
 	FormerLeftMS     int64 `json:"former_left_ms,omitempty"`
 	FormerExpectedMS int64 `json:"former_expected_ms,omitempty"`
+	// LimitPerSecond is how many requests a second the endpoint said that it takes from all instances together; nil where it named no limit.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 }
 
 // AttemptEnd is how an attempt ended that brought no whole answer: who ended it, and how long the endpoint had sent nothing then.
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -153,6 +153,7 @@
 		AnswersRequest: func(string, http.Header) bool { return true },
 		NotRun:         func(_ int, header http.Header) bool { return header.Get("Not-Run") != "" },
 		FromEndpoint:   func(header http.Header) bool { return header.Get("Mark") != "" },
+		ReadNotice:     func(int, http.Header) (deployment.Notice, error) { return deployment.Notice{}, nil },
 	}
 }
 
