--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -87,6 +87,8 @@
 	LoseOrders int
 	// KeepsQueued has what waits in the worker's queue begin though its caller has closed the connection.
 	KeepsQueued bool
+	// Limit is what each answer names as the requests a second that the worker takes; empty for none.
+	Limit string
 }
 
 // Run is one request that a worker began to work on.
@@ -124,6 +126,7 @@
 	versions map[string]int
 	inUse    map[string]int
 	runs     []*Run
+	arrivals []time.Time
 	orders   []OrderSeen
 	overfull int
 	state    string
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -46,7 +47,25 @@
 	return faultNone
 }
 
+// noteArrival counts a request that arrived, and has its answer say what the worker says of itself.
+func (w *Worker) noteArrival(writer http.ResponseWriter) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.arrivals = append(w.arrivals, time.Now())
+	if w.faults.Limit != "" {
+		writer.Header().Set("Server-Limit", w.faults.Limit)
+	}
+}
+
+// Arrivals gives when requests arrived, in order, whether or not they ran.
+func (w *Worker) Arrivals() []time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.arrivals)
+}
+
 func (w *Worker) serveRequest(writer http.ResponseWriter, request *http.Request) {
+	w.noteArrival(writer)
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
