Take a trial's figures out of the comment on streams that go on in place

Cause: comments hold no figures; these stood at the exception from the bound of slots in balance.Choose. Change: the comment says what the exception guards against. Result: no code changed.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -89,8 +89,7 @@
 		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.versionAt(now, endpoint)) {
 			continue
 		}
-		// A stream that goes on where it was takes the place that it had: with the bound, requests that waited took it first, and 10 and
-		// 14 streams that broke off ended in two soaks of 40 s whose endpoints break streams off, without it 0 and 0.
+		// A stream that goes on where it was takes the place that it had, which requests that waited would take first otherwise.
 		if required.Request.UsesModel() && required.Request.Only == "" && options.Limit.Reached(endpoint) {
 			verdict = Saturated
 			continue
