Keep all instances together within the limit that an endpoint names

Cause: what an endpoint says of itself in the head of an answer was not heard. Change: the head of each answer tells the coordinator (Heard). The planner deals the requests of each limit, one by one, to the instances that want to send some (package limit); all are told of a limit before their own first answer; one that hears no planner sends its own part. balance.Choose passes over an endpoint for which nothing may be sent, also the last one. What can't have its turn in time is refused at once (endpoints limited), with a spread time to come back. A looser word counts only where its request was sent after the stricter one came. Limited endpoints get no new copies while others take them. Why it holds: a bucket at the planner fills at the limit from empty, a grant ends after 1 s, and shares without a planner sum up to the limit.

--- a/services/entry/admission/decide.go
+++ b/services/entry/admission/decide.go
@@ -21,6 +21,8 @@
 	// Saturated: the endpoints that hold the adapter have too many requests in flight. The text keeps the form that operators
 	// know.
 	Saturated Reason = "endpoints crowded"
+	// Limited: the endpoints that could run it take no more requests for now, by the limits that they name.
+	Limited Reason = "endpoints limited"
 	// Quarantined: endpoints ended while they had the same request, one after the other.
 	Quarantined Reason = "crashes endpoints"
 )
@@ -39,6 +41,13 @@
 	// Saturated says that the adapter is there, but its endpoints have too many requests in flight; verdict of package balance,
 	// from own counts and the other instances' as of the planner's last view.
 	Saturated bool
+	// Limited says that endpoints could run it, but take no more requests for now by the limits that they name; verdict of package balance.
+	Limited bool
+	// Turn is when the limits are expected to let it be sent; zero where endpoints without a limit may come to run it. From the limits, and
+	// from what waits for them by the planner's last view.
+	Turn time.Time
+	// Spread is a number from 0 up to 1 by which refused callers come back at different times.
+	Spread float64
 	// Expected is when the adapter is expected to be resident; zero if that is not known. It comes from the planner's last
 	// view (forecasts come with its heartbeats), or, while no planner orders, from the usual time of a hand-over.
 	Expected time.Time
@@ -100,15 +109,28 @@
 	if situation.NoEndpoint {
 		return Decision{Reason: NoEndpoint, RetryAfter: retryPause}
 	}
+	if situation.Limited {
+		return Decision{Reason: Limited, RetryAfter: limitedPause(now, situation)}
+	}
 	if situation.Saturated {
 		return Decision{Reason: Saturated, RetryAfter: saturatedPause}
 	}
 	return Decision{Reason: AdapterNotLoaded, RetryAfter: retryAfter(now, situation)}
 }
 
-// hopeless reports whether the adapter is expected after the request would be refused anyway. The bound is not the target:
+// limitedPause is when a caller that was refused for limits should come back: between its turn and twice as late, so that those who were
+// refused together do not come back together.
+func limitedPause(now time.Time, situation Situation) time.Duration {
+	turn := max(retryPause, situation.Turn.Sub(now))
+	return turn + time.Duration(situation.Spread*float64(turn))
+}
+
+// hopeless reports whether the adapter, or the request's turn, is expected after the request would be refused anyway. The bound is not the target:
 // a request that is refused though its adapter would have come loses more than one that is served late.
 func hopeless(waited time.Duration, situation Situation) bool {
+	if situation.Limited {
+		return situation.Turn.After(situation.Arrived.Add(waitLimit(situation)))
+	}
 	if situation.Route.Kind != deployment.Streaming || situation.Expected.IsZero() || situation.NoEndpoint || situation.Saturated {
 		return false
 	}
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -69,12 +69,14 @@
 	NoEndpoint
 	// NotResident: endpoints take work, but none holds the adapter.
 	NotResident
+	// Limited: an endpoint could run it, but takes no more requests for now, by the limit that it names.
+	Limited
 	// Saturated: an endpoint holds the adapter, but has too many requests in flight.
 	Saturated
 )
 
 // Choose gives the endpoint for a request. Ejected endpoints are taken only where nothing
-// else can run it, or for a trial.
+// else can run it, or for a trial; those that take no more requests by their limit never.
 func Choose(now time.Time, endpoints []*directory.EndpointStatus, required Requirement, options Options) (*directory.EndpointStatus, Verdict) {
 	verdict := NoEndpoint
 	var good, avoided []candidate
@@ -94,6 +96,10 @@
 			verdict = Saturated
 			continue
 		}
+		if !endpoint.Allowance.Admits(now) {
+			verdict = max(verdict, Limited)
+			continue
+		}
 		one := candidate{endpoint: endpoint, cost: cost(endpoint, required.Request, options)}
 		if endpoint.Avoided(now) {
 			avoided = append(avoided, one)
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -135,6 +135,7 @@
 	if w.UsesModel() && len(w.Tried) == 0 {
 		c.demand.Arrived(w.Key(), w.Prompt)
 	}
+	c.noteUsed(w.Service)
 	if c.serve(now, w) {
 		return
 	}
@@ -143,7 +144,7 @@
 		c.waiters.Drop(w)
 		return
 	}
-	if w.Verdict == balance.NotResident || w.Verdict == balance.Saturated {
+	if w.Verdict == balance.NotResident || w.Verdict == balance.Limited || w.Verdict == balance.Saturated {
 		c.reportSoon(now)
 	}
 }
@@ -220,9 +221,15 @@
 		Route: w.Route, Arrived: w.Arrived, Deadline: w.Deadline,
 		NoEndpoint: w.Verdict == balance.NoEndpoint, Saturated: w.Verdict == balance.Saturated,
 	}
-	if w.Verdict == balance.NotResident {
+	switch w.Verdict {
+	case balance.NotResident:
 		expected := c.expected(now, w)
 		situation.Expected, situation.NobodyOrders = expected.At, expected.Reason.NobodyOrders()
+	case balance.Limited:
+		situation.Limited, situation.Spread = true, c.options.Random()
+		if !w.UsesModel() || c.allLimited(w.Service) {
+			situation.Turn = c.turnOf(now, w)
+		}
 	}
 	decision := admission.Decide(now, situation)
 	if decision.Wait {
@@ -231,6 +238,9 @@
 	if decision.Reason == admission.AdapterNotLoaded {
 		c.demand.ExpectBack(w.Key(), now.Add(decision.RetryAfter), w.Route.Target)
 	}
+	if decision.Reason == admission.Limited {
+		c.noteMissed(now, w)
+	}
 	w.Result <- acquired{err: &Refusal{Reason: decision.Reason, RetryAfter: decision.RetryAfter}}
 	return false
 }
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -51,8 +51,9 @@
 	current atomic.Pointer[deployment.Configuration]
 	ready   atomic.Bool
 	leaving atomic.Bool
-	// suspects is the number of records of crashes, for other goroutines.
+	// suspects is the number of records of crashes, limited that of endpoints with a limit, for other goroutines.
 	suspects atomic.Int64
+	limited  atomic.Int64
 
 	// The fields below are used by the control goroutine only.
 	directory       *directory.Directory
@@ -81,6 +82,7 @@
 	following  following
 	planning   *planning
 	gathering  gathering
+	limits     limits
 	seedAnswer seedAnswer
 	// othersAsOf is when the other instances' requests in flight were as this instance knows them, on the mean; zero if it knows none.
 	othersAsOf time.Time
@@ -123,6 +125,7 @@
 		demand:      report.NewCounter(),
 		forecasts:   forecast.NewBook(),
 		gathering:   newGathering(),
+		limits:      newLimits(),
 	}
 	c.leases = &leasestore.Store{
 		Client: environment.Store, Instance: options.Instance, Address: options.PeerAddress,
@@ -176,6 +179,7 @@
 
 func (c *Coordinator) tick(now time.Time) {
 	c.takeBackLate(now)
+	c.reviewLimits(now)
 	c.reviewWaiters(now)
 	c.checkWatch(now)
 	c.lookIfStillDue(now)
--- a/services/entry/coordinator/following.go
+++ b/services/entry/coordinator/following.go
@@ -140,6 +140,7 @@
 	c.applyViewEndpoints(v)
 	c.noteDescribed(now, v)
 	c.applyUnreached(v)
+	c.applyLimits(now, v)
 	c.takeCrashes(now, v.Crashes, false)
 	// This instance may have given up requests at an endpoint that has ended.
 	c.tellCrashesSoon(now)
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -58,6 +58,17 @@
 	return sources
 }
 
+// PresentPart is the part of the instances that is not lost, the planner included.
+func (t *Table) PresentPart() float64 {
+	present := 1
+	for _, m := range t.members {
+		if !m.isLost() {
+			present++
+		}
+	}
+	return float64(present) / float64(t.Fleet())
+}
+
 // Join notes over which link an instance reports; a new link makes the next view a whole one.
 func (t *Table) Join(instance string, link *Link) {
 	m, ok := t.members[instance]
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -5,6 +5,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -206,12 +207,20 @@
 	}
 	for id, status := range p.directory.Endpoints() {
 		if planner, ok := p.planners[status.Service]; ok {
+			limited := status.Allowance.Binds() && !p.allLimited(status.Service)
 			planner.SetBacklog(id, status.Backlog(), status.Speed)
-			planner.SetSaturation(id, balance.CopyLimit().Reached(status), balance.RequestLimit().Reached(status))
+			planner.SetSaturation(id, limited || balance.CopyLimit().Reached(status), limited || balance.RequestLimit().Reached(status))
 		}
 	}
 }
 
+// allLimited tells whether no endpoint of a service takes requests without a limit: copies go to those with one only then.
+func (p *Plans) allLimited(service string) bool {
+	return !slices.ContainsFunc(p.directory.Service(service), func(status *directory.EndpointStatus) bool {
+		return status.State == deployment.Ready && !status.Allowance.Binds()
+	})
+}
+
 func (p *Plans) forgetInstance(instance string) {
 	for _, planner := range p.planners {
 		planner.ForgetInstance(instance)
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -19,6 +19,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/view"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
+	"github.com/shelfledge/shelfledge/services/entry/limit"
 	"github.com/shelfledge/shelfledge/services/entry/loading"
 )
 
@@ -55,6 +56,7 @@
 	// unreached are the endpoints that refuse several instances' connections; unreachedChanged says that they were not told yet.
 	unreached        map[deployment.EndpointID]bool
 	unreachedChanged bool
+	dealing          dealing
 	// plannedAt is when the last plan was made, putOff that one waits for its pause.
 	plannedAt time.Time
 	putOff    bool
@@ -76,6 +78,7 @@
 		keysUnderWay: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
 		gatherers:    gatherers{sums: gather.NewSums()},
 		told:         make(told),
+		dealing:      dealing{dealer: limit.NewDealer()},
 		plans:        plan.New(options, c.directory, members, former.loads),
 	}
 	p.inheritGatherers(now, c.gathering.gatherers)
@@ -129,6 +132,7 @@
 	}
 	p.plans.Order(now, mayOrder, c.startOrder, begun)
 	p.nameGatherers(now)
+	p.dealLimits(now)
 	p.broadcast(now, p.views.TotalsDue(now, c.following.Members))
 	p.tellTotals(now)
 	c.reviewWaiters(now)
@@ -238,5 +242,6 @@
 	}
 	p.plans.TakeDemand(now, r)
 	p.coordinator.takeCrashes(now, r.Crashes, true)
+	p.takeLimits(now, r)
 	p.takeFormerLoads(now, r.FormerLoads)
 }
--- a/services/entry/coordinator/status.go
+++ b/services/entry/coordinator/status.go
@@ -19,6 +19,8 @@
 	Members        int
 	// Quarantined is the number of requests that are held back.
 	Quarantined int
+	// Limited is the number of endpoints that take a limited number of requests.
+	Limited int
 	// PeerQueueBytes is what waits to be written to peers, in bytes; a message for several peers counts for each.
 	PeerQueueBytes int64
 	// EndpointsAge is for how long the endpoints in use may have changed unnoticed; 0 before they were known.
@@ -43,6 +45,7 @@
 		if c.planning != nil {
 			status.Planner, status.Term = c.options.Instance, c.planning.lease.Record().Term
 		}
+		status.Limited = len(c.limits.known)
 		status.Quarantined = len(c.crashes.Holding(now))
 		if !c.othersAsOf.IsZero() {
 			status.CountsAge = now.Sub(c.othersAsOf)
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -65,6 +65,7 @@
 	}
 	changes.Removed = changed.Removed
 	p.tellUnreached(changes, withTotals)
+	p.tellLimits(now, changes, withTotals)
 	changes.Crashes = toldCrashes(p.coordinator.crashes.TakeUntold(now))
 	return changes
 }
@@ -97,7 +98,7 @@
 	case view.Now:
 		return true
 	case view.OnlyChanges:
-		return !p.noChanges() || p.viewCarriesKeys(now)
+		return !p.noChanges(now) || p.viewCarriesKeys(now)
 	default:
 		return false
 	}
@@ -120,8 +121,9 @@
 }
 
 // noChanges tells whether all members have the plan's last state.
-func (p *planning) noChanges() bool {
-	return p.plans.Changes().Empty() && !p.coordinator.crashes.Untold() && !p.members.NeedOwn() && !p.gatherers.changed && !p.unreachedChanged
+func (p *planning) noChanges(now time.Time) bool {
+	return p.plans.Changes().Empty() && !p.coordinator.crashes.Untold() && !p.members.NeedOwn() && !p.gatherers.changed && !p.unreachedChanged &&
+		len(p.dealing.grants) == 0 && !p.limitsChanged(now)
 }
 
 // itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
@@ -215,6 +217,7 @@
 	v.Whole, v.Sequence = true, p.sequence
 	v.Full = p.coordinator.endpointsKnown
 	v.Unreached = &wire.EndpointList{IDs: slices.Collect(maps.Keys(p.unreached))}
+	v.Limits = &wire.LimitList{Limits: p.limitList(now)}
 	v.EndpointsRevision = p.endpointsRevision
 	v.Crashes = toldCrashes(p.coordinator.crashes.Snapshot(now))
 	return v
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -101,6 +101,11 @@
 	// Crashes are endings of endpoints under requests that the planner may not know; to a new planner all that the instance saw itself.
 	// Earlier versions neither tell nor read them.
 	Crashes []Crash `msgpack:"cr,omitempty"`
+	// Limits are the limits that endpoints named, as far as this instance knows, Lifted those that it heard to be over since the last
+	// report, and Wants the endpoints with a limit to which it wants to send requests. Earlier versions neither tell nor read them.
+	Limits []Limit  `msgpack:"li,omitempty"`
+	Lifted []Lifted `msgpack:"lf,omitempty"`
+	Wants  []Want   `msgpack:"wt,omitempty"`
 }
 
 // FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
@@ -240,6 +245,11 @@
 	// Crashes are endings of endpoints under requests that were not told yet, in whole views those of the most suspected requests. Earlier
 	// versions neither tell nor read them.
 	Crashes []Crash `msgpack:"cr,omitempty"`
+	// Limits are all limits that endpoints name, in each view with totals and where they have changed; nil if the view does not tell. The
+	// planner deals them. Earlier versions neither tell nor read them.
+	Limits *LimitList `msgpack:"li,omitempty"`
+	// Grants are the requests that the planner dealt since the last view. Earlier versions neither tell nor read them.
+	Grants []Grant `msgpack:"gr,omitempty"`
 }
 
 // Endpoint is sent for each change of an endpoint, so it is encoded without field names.
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -176,6 +176,7 @@
 		return
 	}
 	status.Own++
+	status.Allowance.Take(now)
 	if request.UsesModel() {
 		status.wait.enter(now, request.Prompt, status.OthersUnread)
 	}
--- a/services/entry/directory/status.go
+++ b/services/entry/directory/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/limit"
 	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
@@ -32,6 +33,8 @@
 	Unreached bool
 	// Health is how the endpoint has behaved.
 	Health Health
+	// Allowance is what this instance may send there within the requests a second that the endpoint takes.
+	Allowance limit.Allowance
 	// Held are the adapters that it held at any time, and when each was last seen there.
 	Held map[deployment.Adapter]time.Time
 	// Speed is how fast it reads prompts, learned from this instance's own requests.
--- /dev/null
+++ b/services/entry/limit/dealer.go
@@ -0,0 +1,196 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package limit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+)
+
+// Want is that an instance wants to send requests to an endpoint with a limit.
+type Want struct {
+	Endpoint deployment.EndpointID
+	// Waiting is how many of its requests wait for just that; 0 where others could run them as well.
+	Waiting int
+}
+
+// Grant is that an instance may send a number of requests to an endpoint.
+type Grant struct {
+	Endpoint deployment.EndpointID
+	Instance string
+	Count    int
+}
+
+// idlePause is for how long nobody must have waited for a request that a limit allows until it goes to an instance that only might use it.
+// Longer leaves more to those that wait, shorter hears sooner that a limit is over.
+const idlePause = 500 * time.Millisecond
+
+// wantLife is for how long requests count as waiting that an instance told of: those that were refused come back. Longer loses less of a
+// small limit, shorter grants less to instances whose callers have gone.
+const wantLife = time.Second
+
+// Dealer deals the requests that limits allow among instances.
+type Dealer struct {
+	endpoints map[deployment.EndpointID]*dealing
+}
+
+// dealing is one endpoint's limit.
+type dealing struct {
+	bucket bucket
+	// spareAt is since when the bucket has held a request for which nobody waits; zero if it holds none.
+	spareAt time.Time
+	// wants are the instances that want to send, by name.
+	wants map[string]*want
+}
+
+// want is what one instance wants by its last report, less what it was granted since.
+type want struct {
+	waiting int
+	// waitedAt is when the instance last told of waiting requests.
+	waitedAt time.Time
+	// grantedAt is when it was last granted a request; zero for never.
+	grantedAt time.Time
+	// asked is set by each report, and cleared by a grant to one with nothing waiting.
+	asked bool
+}
+
+// NewDealer makes a dealer without limits.
+func NewDealer() *Dealer {
+	return &Dealer{endpoints: make(map[deployment.EndpointID]*dealing)}
+}
+
+// Ask takes in what an instance wants; it replaces what it wanted before, but for what waited a short while ago.
+func (d *Dealer) Ask(now time.Time, instance string, wants []Want) {
+	for _, one := range d.endpoints {
+		if known := one.wants[instance]; known != nil {
+			known.expire(now)
+			known.asked = known.waiting > 0
+		}
+	}
+	for _, one := range wants {
+		d.dealing(one.Endpoint).want(instance).ask(now, one.Waiting)
+	}
+}
+
+// Keep drops the endpoints that have no limit any more, and what instances want that are lost.
+func (d *Dealer) Keep(limited func(deployment.EndpointID) bool, present func(instance string) bool) {
+	maps.DeleteFunc(d.endpoints, func(id deployment.EndpointID, _ *dealing) bool { return !limited(id) })
+	for _, one := range d.endpoints {
+		maps.DeleteFunc(one.wants, func(instance string, _ *want) bool { return !present(instance) })
+	}
+}
+
+// Waiting is how many requests wait for an endpoint's limit at all instances.
+func (d *Dealer) Waiting(id deployment.EndpointID) int {
+	waiting := 0
+	if one := d.endpoints[id]; one != nil {
+		for _, w := range one.wants {
+			waiting += w.waiting
+		}
+	}
+	return waiting
+}
+
+// Deal grants what a rate allows by now at an endpoint to instances with waiting requests, and what is left over for a while to others;
+// among equals to who got nothing for longest.
+func (d *Dealer) Deal(now time.Time, id deployment.EndpointID, rate float64) []Grant {
+	one := d.dealing(id)
+	one.bucket.fill(now, rate)
+	for _, w := range one.wants {
+		w.expire(now)
+	}
+	counts := make(map[string]int)
+	for one.bucket.holds() {
+		instance, found := one.next(one.isSpare(now))
+		if !found {
+			break
+		}
+		one.bucket.take()
+		one.spareAt = time.Time{}
+		one.wants[instance].grant(now)
+		counts[instance]++
+	}
+	grants := make([]Grant, 0, len(counts))
+	for instance, count := range counts {
+		grants = append(grants, Grant{Endpoint: id, Instance: instance, Count: count})
+	}
+	slices.SortFunc(grants, func(a, b Grant) int { return cmp.Compare(a.Instance, b.Instance) })
+	return grants
+}
+
+func (d *Dealer) dealing(id deployment.EndpointID) *dealing {
+	one, ok := d.endpoints[id]
+	if !ok {
+		one = &dealing{wants: make(map[string]*want)}
+		d.endpoints[id] = one
+	}
+	return one
+}
+
+func (d *dealing) want(instance string) *want {
+	w, ok := d.wants[instance]
+	if !ok {
+		w = &want{}
+		d.wants[instance] = w
+	}
+	return w
+}
+
+// isSpare reports whether nobody has waited for a while for the request that the bucket holds.
+func (d *dealing) isSpare(now time.Time) bool {
+	if d.spareAt.IsZero() {
+		d.spareAt = now
+	}
+	return now.Sub(d.spareAt) >= idlePause
+}
+
+// next gives the instance whose turn it is, idle says that it need not have waiting requests; false if none wants to send.
+func (d *dealing) next(idle bool) (string, bool) {
+	chosen := ""
+	for _, instance := range slices.Sorted(maps.Keys(d.wants)) {
+		w := d.wants[instance]
+		if w.asked && (idle || w.waiting > 0) && (chosen == "" || w.before(d.wants[chosen])) {
+			chosen = instance
+		}
+	}
+	return chosen, chosen != ""
+}
+
+// ask takes in that requests may be sent, and how many wait.
+func (w *want) ask(now time.Time, waiting int) {
+	w.asked = true
+	if waiting > 0 {
+		w.waiting, w.waitedAt = max(w.waiting, waiting), now
+	}
+}
+
+// expire forgets what waited some time ago.
+func (w *want) expire(now time.Time) {
+	if now.Sub(w.waitedAt) >= wantLife {
+		w.waiting = 0
+	}
+}
+
+// before reports whether one want comes before another.
+func (w *want) before(other *want) bool {
+	if (w.waiting > 0) != (other.waiting > 0) {
+		return w.waiting > 0
+	}
+	return w.grantedAt.Before(other.grantedAt)
+}
+
+// grant notes a request that was granted. Where nothing waited, one is granted for each report; where some did, more are expected to
+// come for a while.
+func (w *want) grant(now time.Time) {
+	w.grantedAt = now
+	if w.waiting == 0 {
+		w.asked = false
+		return
+	}
+	w.waiting = max(1, w.waiting-1)
+}
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -233,6 +233,7 @@
 		gauges := metric.Gauges{
 			ConfigurationVersion: float64(status.Configuration), Endpoints: float64(status.Endpoints), Ejected: float64(status.Ejected),
 			Quarantined:    float64(status.Quarantined),
+			Limited:        float64(status.Limited),
 			ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
 			Term: float64(status.Term), Members: float64(status.Members),
 			Connections: float64(client.Dialed()), LogSuppressed: float64(writer.Suppressed()),
@@ -256,6 +257,7 @@
 	}, proxy.Control{
 		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish, Running: control.Running,
 		Crashed: control.Crashed, Unanswered: control.Unanswered, Answered: control.Answered,
+		Heard:        control.Heard,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -174,6 +174,7 @@
 		e.run.service.options.Log.WithError(err).WithField("endpoint", e.assignment.Endpoint.ID).Warn("what an endpoint says of itself cannot be read")
 	}
 	e.notice = notice
+	e.run.service.control.Heard(e.assignment, e.started, notice)
 }
 
 // noteRunning tells the coordinator once that the request has left the endpoint's own queue. It is false for a request that was taken
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -112,6 +112,7 @@
 		Configuration: func() *deployment.Configuration { return s.configuration }, Acquire: s.acquire, Finish: s.finish,
 		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Unanswered: func(*deployment.Request, coordinator.Assignment) {},
 		Answered:     func(*deployment.Request) {},
+		Heard:        func(coordinator.Assignment, time.Time, deployment.Notice) {},
 		CountRequest: func(string) {}, TakeRetry: s.takeRetry,
 	}, upstream.NewClient(upstream.Options{MaxIdle: time.Minute, DialTimeout: dialLimit, Now: time.Now}), s.dialect())
 	server := httptest.NewServer(service)
--- a/services/entry/proxy/running_test.go
+++ b/services/entry/proxy/running_test.go
@@ -87,6 +87,7 @@
 		},
 		Crashed: func(*deployment.Request, coordinator.Assignment) {}, Unanswered: func(*deployment.Request, coordinator.Assignment) {},
 		Answered: func(*deployment.Request) {},
+		Heard:    func(coordinator.Assignment, time.Time, deployment.Notice) {},
 		Running:  func(_ *deployment.Request, of coordinator.Assignment) { tell("running", of) },
 		Finish: func(_ *deployment.Request, of coordinator.Assignment, _ directory.Outcome, _ bool) {
 			tell("finished", of)
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -39,6 +39,8 @@
 	Crashed    func(request *deployment.Request, assignment coordinator.Assignment)
 	Unanswered func(request *deployment.Request, assignment coordinator.Assignment)
 	Answered   func(request *deployment.Request)
+	// Heard tells what the endpoint said of itself in the answer to a request that was sent at a time.
+	Heard func(assignment coordinator.Assignment, sent time.Time, notice deployment.Notice)
 	// CountRequest counts a request for the budget of retries; TakeRetry asks it for one.
 	CountRequest func(service string)
 	TakeRetry    func(service string) bool
--- a/tests/capacity/entry_connection_test.go
+++ b/tests/capacity/entry_connection_test.go
@@ -150,6 +150,7 @@
 		Crashed:      func(*deployment.Request, coordinator.Assignment) {},
 		Unanswered:   func(*deployment.Request, coordinator.Assignment) {},
 		Answered:     func(*deployment.Request) {},
+		Heard:        func(coordinator.Assignment, time.Time, deployment.Notice) {},
 		CountRequest: func(string) {},
 		TakeRetry:    func(string) bool { return false },
 	}
--- a/tests/platform/limit_test.go
+++ b/tests/platform/limit_test.go
@@ -154,3 +154,80 @@
 		})
 	}
 }
+
+func TestRequestsGoElsewhereBesideAnEndpointWithALimit(t *testing.T) {
+	s := newSite(t, 3)
+	s.plain[0].SetFaults(standin.WorkerFaults{Limit: "0.5"})
+	c := s.newCallers(5*time.Millisecond, append(s.atEach(2, call{path: standin.SafePrefix + "x"}), s.atEach(2, call{path: standin.UnsafePrefix + "x"})...)...)
+	time.Sleep(contactTime)
+	c.end()
+	assert.Zero(t, c.count(http.StatusServiceUnavailable))
+}
+
+func TestALimitEndsWhenTheEndpointNamesNoneAnyMore(t *testing.T) {
+	s := newSite(t, 3)
+	for _, worker := range s.plain {
+		worker.SetFaults(standin.WorkerFaults{Limit: "0"})
+	}
+	c := s.newCallers(5*time.Millisecond, s.atEach(2, call{path: standin.SafePrefix + "x"})...)
+	s.waitFor("it holds", func() bool { return c.count(http.StatusServiceUnavailable) > 0 })
+	s.eachPlain(standin.WorkerFaults{})
+	s.waitFor("it is over everywhere", func() bool {
+		for i := range s.entries {
+			if !s.logged(i, "an endpoint takes requests without a limit again") {
+				return false
+			}
+		}
+		return true
+	})
+	refused := c.count(http.StatusServiceUnavailable)
+	served := c.count(http.StatusOK)
+	s.waitFor("requests go on", func() bool { return c.count(http.StatusOK) > served+100 })
+	assert.LessOrEqual(t, c.count(http.StatusServiceUnavailable)-refused, 100)
+}
+
+func TestALimitHoldsBesideAPlannerThatEnds(t *testing.T) {
+	const perSecond = 1.3
+	s := newSite(t, 4)
+	for _, worker := range s.plain {
+		worker.SetFaults(standin.WorkerFaults{Limit: fmt.Sprint(perSecond)})
+	}
+	planner := s.planner()
+	var calls []call
+	for _, one := range s.atEach(3, call{path: standin.SafePrefix + "x"}) {
+		if one.entry != planner {
+			calls = append(calls, one)
+		}
+	}
+	named := time.Now()
+	c := s.newCallers(5*time.Millisecond, calls...)
+	time.Sleep(contactTime)
+	s.kill(planner)
+	time.Sleep(limitWatched)
+	c.end()
+	for _, worker := range s.plain {
+		assertLimitKept(t, worker, named.Add(contactTime), perSecond)
+	}
+}
+
+func TestALimitHoldsBesideACut(t *testing.T) {
+	const perSecond = 1.3
+	s := newSite(t, 4)
+	for _, worker := range s.plain {
+		worker.SetFaults(standin.WorkerFaults{Limit: fmt.Sprint(perSecond)})
+	}
+	named := time.Now()
+	c := s.newCallers(5*time.Millisecond, s.atEach(2, call{path: standin.SafePrefix + "x"})...)
+	time.Sleep(contactTime)
+	away := s.entries[s.other(s.planner())]
+	away.cut.Store(true)
+	away.cutPeers(true)
+	time.Sleep(limitWatched / 2)
+	away.cut.Store(false)
+	away.cutPeers(false)
+	time.Sleep(limitWatched / 2)
+	c.end()
+	for _, worker := range s.plain {
+		assertLimitKept(t, worker, named.Add(contactTime), perSecond)
+	}
+}
