--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -89,6 +89,8 @@
 	KeepsQueued bool
 	// Limit is what each answer names as the requests a second that the worker takes; empty for none.
 	Limit string
+	// Leaving has each answer say that the worker leaves, whatever its entry says.
+	Leaving bool
 }
 
 // Run is one request that a worker began to work on.
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -55,6 +55,9 @@
 	if w.faults.Limit != "" {
 		writer.Header().Set("Server-Limit", w.faults.Limit)
 	}
+	if w.faults.Leaving {
+		writer.Header().Set("Server-Leaving", "1")
+	}
 }
 
 // Arrivals gives when requests arrived, in order, whether or not they ran.
