Send nothing more to an endpoint that said in an answer that it leaves

Cause: a leaving was known from the store alone. Change: the word of an answer is as final for that incarnation as the store's own (Directory.NoteLeaving): a later "ready" of the store or a view does not win, nor does an answer without it. Reports tell the planner, with the start that said it; its plan and all members follow. Attempts have "leaving"; a log line. Why it holds: balance.Choose takes no draining endpoint, also where it is the last one or a stream would go on there; the word needs neither store nor peers.

--- a/models/entry/deployment/notice.go
+++ b/models/entry/deployment/notice.go
@@ -7,4 +7,6 @@
 type Notice struct {
 	// Limit is how many requests a second it takes from all instances together; nil where it names none.
 	Limit *float64
+	// Leaving says that it takes no new work in this incarnation any more.
+	Leaving bool
 }
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -72,18 +72,20 @@
 	budget        *retry.Budget
 	crashes       *quarantine.Table
 	// holding are the requests that were held back at the last look.
-	holding    map[fingerprint.Fingerprint]quarantine.Hold
-	waiters    waiting.Queue[acquired]
-	demand     *report.Counter
-	reports    report.Schedule
-	forecasts  *forecast.Book
-	sweptAt    time.Time
-	missing    []wire.Copy
-	following  following
-	planning   *planning
-	gathering  gathering
-	limits     limits
-	seedAnswer seedAnswer
+	holding   map[fingerprint.Fingerprint]quarantine.Hold
+	waiters   waiting.Queue[acquired]
+	demand    *report.Counter
+	reports   report.Schedule
+	forecasts *forecast.Book
+	sweptAt   time.Time
+	missing   []wire.Copy
+	following following
+	planning  *planning
+	gathering gathering
+	limits    limits
+	// saidLeaving are the endpoints that said in answers that they leave, to this instance or to another.
+	saidLeaving map[deployment.EndpointID]bool
+	seedAnswer  seedAnswer
 	// othersAsOf is when the other instances' requests in flight were as this instance knows them, on the mean; zero if it knows none.
 	othersAsOf time.Time
 	// heardLoads is what was last heard of a planner's loads.
@@ -126,6 +128,7 @@
 		forecasts:   forecast.NewBook(),
 		gathering:   newGathering(),
 		limits:      newLimits(),
+		saidLeaving: make(map[deployment.EndpointID]bool),
 	}
 	c.leases = &leasestore.Store{
 		Client: environment.Store, Instance: options.Instance, Address: options.PeerAddress,
--- a/services/entry/coordinator/limits.go
+++ b/services/entry/coordinator/limits.go
@@ -36,18 +36,6 @@
 	}
 }
 
-// Heard takes in what an endpoint says of itself in the answer to a request that was sent at a time.
-func (c *Coordinator) Heard(assignment Assignment, sent time.Time, notice deployment.Notice) {
-	if notice.Limit == nil && c.limited.Load() == 0 {
-		return
-	}
-	c.loop.Post(func(now time.Time) {
-		if c.stillKnown(assignment) {
-			c.noteLimit(now, assignment.status, assignment.status.Allowance.Hear(now, sent, notice.Limit), sent)
-		}
-	})
-}
-
 // noteLimit carries out a change that this instance heard itself, by the answer to a request that was sent at a time.
 func (c *Coordinator) noteLimit(now time.Time, status *directory.EndpointStatus, change limit.Change, sent time.Time) {
 	if change == limit.Unchanged {
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -243,5 +243,6 @@
 	p.plans.TakeDemand(now, r)
 	p.coordinator.takeCrashes(now, r.Crashes, true)
 	p.takeLimits(now, r)
+	p.coordinator.takeLeaving(now, r.SaidLeaving)
 	p.takeFormerLoads(now, r.FormerLoads)
 }
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -63,6 +63,7 @@
 	}
 	built.Crashes = c.crashesToReport(now)
 	c.addLimits(now, built)
+	built.SaidLeaving = c.leavingToReport()
 	if c.following.ratesDue {
 		built.Rates, built.FormerLoads = c.demand.Rates(now), c.knownFormerLoads(now)
 		built.EndpointsRead = c.readUpTo
--- a/services/entry/coordinator/told.go
+++ b/services/entry/coordinator/told.go
@@ -21,6 +21,7 @@
 	// status is the incarnation, revision the description.
 	status   *directory.EndpointStatus
 	revision int64
+	state    deployment.EndpointState
 	models   []string
 	offered  map[deployment.Adapter]int64
 }
@@ -32,13 +33,13 @@
 	}
 	for _, status := range changed {
 		former, ok := t[status.ID]
-		if ok && former.status == status && former.revision == status.Revision && slices.Equal(former.models, status.OfferedModels) {
+		if ok && former.status == status && former.revision == status.Revision && former.state == status.State && slices.Equal(former.models, status.OfferedModels) {
 			v.Copies = append(v.Copies, former.copies(status)...)
 		} else {
 			v.AddEndpoints(slices.Values([]*directory.EndpointStatus{status}))
 		}
 		t[status.ID] = toldEndpoint{
-			status: status, revision: status.Revision, models: slices.Clone(status.OfferedModels), offered: maps.Clone(status.Offered),
+			status: status, revision: status.Revision, state: status.State, models: slices.Clone(status.OfferedModels), offered: maps.Clone(status.Offered),
 		}
 	}
 }
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -106,6 +106,8 @@
 	Limits []Limit  `msgpack:"li,omitempty"`
 	Lifted []Lifted `msgpack:"lf,omitempty"`
 	Wants  []Want   `msgpack:"wt,omitempty"`
+	// SaidLeaving are the endpoints that said in answers that they leave. Earlier versions neither tell nor read them.
+	SaidLeaving []Start `msgpack:"sl,omitempty"`
 }
 
 // FormerLoads is what the planner of a term told of base models' loads: Count had begun in the load window before Age ago.
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -97,6 +97,17 @@
 	return endpoint.State
 }
 
+// NoteLeaving takes in that an endpoint said itself that it leaves, which is final for its incarnation. It reports whether that is new.
+func (d *Directory) NoteLeaving(id deployment.EndpointID) bool {
+	status, ok := d.endpoints[id]
+	if !ok || status.State == deployment.Draining {
+		return false
+	}
+	status.State = deployment.Draining
+	d.draining[id] = status.Born
+	return true
+}
+
 // Remove forgets an endpoint that was gone at a revision.
 func (d *Directory) Remove(id deployment.EndpointID, revision int64) bool {
 	status, ok := d.endpoints[id]
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -98,6 +98,8 @@
 	FormerExpectedMS int64 `json:"former_expected_ms,omitempty"`
 	// LimitPerSecond is how many requests a second the endpoint said that it takes from all instances together; nil where it named no limit.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
+	// Leaving says that the endpoint said that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // AttemptEnd is how an attempt ended that brought no whole answer: who ended it, and how long the endpoint had sent nothing then.
