--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -91,6 +91,8 @@
 	Limit string
 	// Leaving has each answer say that the worker leaves, whatever its entry says.
 	Leaving bool
+	// Rest is the Retry-After with which each request is turned away; empty turns none away.
+	Rest string
 }
 
 // Run is one request that a worker began to work on.
@@ -129,6 +131,8 @@
 	inUse    map[string]int
 	runs     []*Run
 	arrivals []time.Time
+	// rests is when requests were turned away with a time to rest.
+	rests    []time.Time
 	orders   []OrderSeen
 	overfull int
 	state    string
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// turnAway answers that a request does not run, and that the worker wants to rest, if it does.
+func (w *Worker) turnAway(writer http.ResponseWriter) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.faults.Rest == "" {
+		return false
+	}
+	w.rests = append(w.rests, time.Now())
+	writer.Header().Set("X-Not-Executed", "1")
+	writer.Header().Set("Retry-After", w.faults.Rest)
+	writer.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// Rests gives when requests were turned away with a time to rest, in order.
+func (w *Worker) Rests() []time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.rests)
+}
+
 // Arrivals gives when requests arrived, in order, whether or not they ran.
 func (w *Worker) Arrivals() []time.Time {
 	w.mutex.Lock()
@@ -69,6 +90,9 @@
 
 func (w *Worker) serveRequest(writer http.ResponseWriter, request *http.Request) {
 	w.noteArrival(writer)
+	if w.turnAway(writer) {
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
