Leave an endpoint that asked for rest alone until it is over

Cause: a refusal told of its own request alone; Retry-After of an endpoint was not read, and an endpoint that is merely avoided is taken where it is the last one. Where all that could run a request rest, it is refused at once with a spread time after the end of the first rest. Endpoints that rest count as suspects for the planner, so that what they hold comes elsewhere. Why it holds: each way to an endpoint leads through Choose, and the word is taken in before the exchange that heard it ends.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -39,6 +39,7 @@
 	Endpoints            float64
 	Ejected              float64
 	Limited              float64
+	Resting              float64
 	Quarantined          float64
 	ResidentCopies       float64
 	Waiting              float64
@@ -221,6 +222,7 @@
 	describe("endpoints", "Endpoints known.", func(g Gauges) float64 { return g.Endpoints }),
 	describe("endpoints_ejected", "Endpoints that get no requests for now.", func(g Gauges) float64 { return g.Ejected }),
 	describe("endpoints_limited", "Endpoints that take a limited number of requests a second.", func(g Gauges) float64 { return g.Limited }),
+	describe("endpoints_resting", "Endpoints that asked this instance for rest.", func(g Gauges) float64 { return g.Resting }),
 	describe("quarantined_requests", "Requests that are held back since they crash endpoints.", func(g Gauges) float64 { return g.Quarantined }),
 	describe("resident_copies", "Copies of adapters that take requests.", func(g Gauges) float64 { return g.ResidentCopies }),
 	describe("waiting_requests", "Requests that wait for an endpoint.", func(g Gauges) float64 { return g.Waiting }),
--- a/services/entry/admission/decide.go
+++ b/services/entry/admission/decide.go
@@ -23,6 +23,8 @@
 	Saturated Reason = "endpoints crowded"
 	// Limited: the endpoints that could run it take no more requests for now, by the limits that they name.
 	Limited Reason = "endpoints limited"
+	// Resting: the endpoints that could run it asked this instance for rest.
+	Resting Reason = "endpoints rest"
 	// Quarantined: endpoints ended while they had the same request, one after the other.
 	Quarantined Reason = "crashes endpoints"
 )
@@ -43,8 +45,10 @@
 	Saturated bool
 	// Limited says that endpoints could run it, but take no more requests for now by the limits that they name; verdict of package balance.
 	Limited bool
-	// Turn is when the limits are expected to let it be sent; zero where endpoints without a limit may come to run it. From the limits, and
-	// from what waits for them by the planner's last view.
+	// Resting says the same of endpoints that asked this instance for rest.
+	Resting bool
+	// Turn is when the limits are expected to let it be sent, or the first endpoint has rested; zero where another one may come to run it.
+	// From the limits, from what waits for them by the planner's last view, and from what endpoints asked for.
 	Turn time.Time
 	// Spread is a number from 0 up to 1 by which refused callers come back at different times.
 	Spread float64
@@ -110,7 +114,10 @@
 		return Decision{Reason: NoEndpoint, RetryAfter: retryPause}
 	}
 	if situation.Limited {
-		return Decision{Reason: Limited, RetryAfter: limitedPause(now, situation)}
+		return Decision{Reason: Limited, RetryAfter: turnPause(now, situation)}
+	}
+	if situation.Resting {
+		return Decision{Reason: Resting, RetryAfter: turnPause(now, situation)}
 	}
 	if situation.Saturated {
 		return Decision{Reason: Saturated, RetryAfter: saturatedPause}
@@ -118,9 +125,9 @@
 	return Decision{Reason: AdapterNotLoaded, RetryAfter: retryAfter(now, situation)}
 }
 
-// limitedPause is when a caller that was refused for limits should come back: between its turn and twice as late, so that those who were
-// refused together do not come back together.
-func limitedPause(now time.Time, situation Situation) time.Duration {
+// turnPause is when a caller should come back that was refused since endpoints hold it back: between its turn and twice as late, so that
+// those who were refused together do not come back together.
+func turnPause(now time.Time, situation Situation) time.Duration {
 	turn := max(retryPause, situation.Turn.Sub(now))
 	return turn + time.Duration(situation.Spread*float64(turn))
 }
@@ -128,7 +135,7 @@
 // hopeless reports whether the adapter, or the request's turn, is expected after the request would be refused anyway. The bound is not the target:
 // a request that is refused though its adapter would have come loses more than one that is served late.
 func hopeless(waited time.Duration, situation Situation) bool {
-	if situation.Limited {
+	if situation.Limited || situation.Resting {
 		return situation.Turn.After(situation.Arrived.Add(waitLimit(situation)))
 	}
 	if situation.Route.Kind != deployment.Streaming || situation.Expected.IsZero() || situation.NoEndpoint || situation.Saturated {
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -69,6 +69,8 @@
 	NoEndpoint
 	// NotResident: endpoints take work, but none holds the adapter.
 	NotResident
+	// Resting: an endpoint could run it, but asked this instance for rest.
+	Resting
 	// Limited: an endpoint could run it, but takes no more requests for now, by the limit that it names.
 	Limited
 	// Saturated: an endpoint holds the adapter, but has too many requests in flight.
@@ -76,7 +78,7 @@
 )
 
 // Choose gives the endpoint for a request. Ejected endpoints are taken only where nothing
-// else can run it, or for a trial; those that take no more requests by their limit never.
+// else can run it, or for a trial; those that rest, or take no more requests by their limit, never.
 func Choose(now time.Time, endpoints []*directory.EndpointStatus, required Requirement, options Options) (*directory.EndpointStatus, Verdict) {
 	verdict := NoEndpoint
 	var good, avoided []candidate
@@ -96,6 +98,10 @@
 			verdict = Saturated
 			continue
 		}
+		if endpoint.Rests(now) {
+			verdict = max(verdict, Resting)
+			continue
+		}
 		if !endpoint.Allowance.Admits(now) {
 			verdict = max(verdict, Limited)
 			continue
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -144,7 +144,7 @@
 		c.waiters.Drop(w)
 		return
 	}
-	if w.Verdict == balance.NotResident || w.Verdict == balance.Limited || w.Verdict == balance.Saturated {
+	if w.Verdict >= balance.NotResident {
 		c.reportSoon(now)
 	}
 }
@@ -225,11 +225,9 @@
 	case balance.NotResident:
 		expected := c.expected(now, w)
 		situation.Expected, situation.NobodyOrders = expected.At, expected.Reason.NobodyOrders()
-	case balance.Limited:
-		situation.Limited, situation.Spread = true, c.options.Random()
-		if !w.UsesModel() || c.allLimited(w.Service) {
-			situation.Turn = c.turnOf(now, w)
-		}
+	case balance.Limited, balance.Resting:
+		situation.Limited, situation.Resting = w.Verdict == balance.Limited, w.Verdict == balance.Resting
+		situation.Turn, situation.Spread = c.turnOf(now, w), c.options.Random()
 	}
 	decision := admission.Decide(now, situation)
 	if decision.Wait {
--- a/services/entry/coordinator/hearing.go
+++ b/services/entry/coordinator/hearing.go
@@ -24,5 +24,8 @@
 		if notice.Leaving {
 			c.noteLeaving(now, status, "answer")
 		}
+		if notice.Rest > 0 {
+			c.noteRest(now, status, notice.Rest)
+		}
 	})
 }
--- a/services/entry/coordinator/limits.go
+++ b/services/entry/coordinator/limits.go
@@ -153,27 +153,45 @@
 	return wanted, wanted != ""
 }
 
-// limitedFor gives the endpoints with a limit that could run a request.
-func (c *Coordinator) limitedFor(now time.Time, w *waiter) []*directory.EndpointStatus {
+// able gives the endpoints that could run a request, whether or not they take one now.
+func (c *Coordinator) able(now time.Time, w *waiter) []*directory.EndpointStatus {
 	var list []*directory.EndpointStatus
 	for _, status := range c.directory.Service(w.Service) {
 		holds := !w.UsesModel() || status.Holds(now, w.Adapter, c.versions.Named(w.Adapter))
-		if status.State == deployment.Ready && status.Allowance.Binds() && holds && !slices.Contains(w.Tried, status.ID) {
+		if status.State == deployment.Ready && holds && !slices.Contains(w.Tried, status.ID) {
 			list = append(list, status)
 		}
 	}
 	return list
 }
 
-// allLimited tells whether no endpoint of a service takes requests without a limit.
-func (c *Coordinator) allLimited(service string) bool {
+// limitedFor gives the endpoints with a limit that could run a request.
+func (c *Coordinator) limitedFor(now time.Time, w *waiter) []*directory.EndpointStatus {
+	return slices.DeleteFunc(c.able(now, w), func(status *directory.EndpointStatus) bool { return !status.Allowance.Binds() })
+}
+
+// allHeldBack tells whether each endpoint of a service has a limit or rests.
+func (c *Coordinator) allHeldBack(now time.Time, service string) bool {
 	return !slices.ContainsFunc(c.directory.Service(service), func(status *directory.EndpointStatus) bool {
-		return status.State == deployment.Ready && !status.Allowance.Binds()
+		return status.State == deployment.Ready && !status.Allowance.Binds() && !status.Rests(now)
 	})
 }
 
-// turnOf gives when a request that waits for limits may be sent, by the rates that they allow and by what waits before it.
+// turnOf gives when a request may be sent that endpoints hold back: by the rates that their limits allow and what waits before it, or when
+// one has rested. It is zero where another endpoint may come to run it before.
 func (c *Coordinator) turnOf(now time.Time, w *waiter) time.Time {
+	if w.UsesModel() && !c.allHeldBack(now, w.Service) {
+		return time.Time{}
+	}
+	limited, rested := c.limitTurn(now, w), c.restEnds(now, w)
+	if limited.IsZero() || (!rested.IsZero() && rested.Before(limited)) {
+		return rested
+	}
+	return limited
+}
+
+// limitTurn gives when limits may let a request be sent; zero where none binds.
+func (c *Coordinator) limitTurn(now time.Time, w *waiter) time.Time {
 	rate, ahead := 0.0, 0
 	for _, status := range c.limitedFor(now, w) {
 		one, others := status.Allowance.Expected(c.fleetSize())
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -51,7 +51,7 @@
 			built.InFlight = append(built.InFlight, wire.EndpointCount{ID: id, Count: own.Requests, Unread: own.Unread})
 			c.following.own[id] = own
 		}
-		if status.Health.Ejected(now) {
+		if status.Health.Ejected(now) || status.Rests(now) {
 			built.Suspects = append(built.Suspects, id)
 		}
 		if status.Health.Unreached(now) {
--- a/services/entry/coordinator/status.go
+++ b/services/entry/coordinator/status.go
@@ -21,6 +21,8 @@
 	Quarantined int
 	// Limited is the number of endpoints that take a limited number of requests.
 	Limited int
+	// Resting is the number of endpoints that asked this instance for rest.
+	Resting int
 	// PeerQueueBytes is what waits to be written to peers, in bytes; a message for several peers counts for each.
 	PeerQueueBytes int64
 	// EndpointsAge is for how long the endpoints in use may have changed unnoticed; 0 before they were known.
@@ -54,6 +56,9 @@
 			status.InFlight += endpoint.Own
 			status.OthersInFlight += endpoint.Others
 			status.ResidentCopies += len(endpoint.Offered)
+			if endpoint.Rests(now) {
+				status.Resting++
+			}
 			if endpoint.Health.Ejected(now) {
 				status.Ejected++
 			}
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -67,7 +67,7 @@
 	InUse []CopyCount `msgpack:"u,omitempty"`
 	// Missing are the copies that an endpoint answered it does not hold, though they were on offer.
 	Missing []Copy `msgpack:"m,omitempty"`
-	// Suspects are the endpoints that the instance has ejected.
+	// Suspects are the endpoints that the instance has ejected, or that asked it for rest.
 	Suspects []deployment.EndpointID `msgpack:"s,omitempty"`
 	// Unreached are those of the suspects that refuse the instance's connections. Earlier versions neither tell nor read them.
 	Unreached []deployment.EndpointID `msgpack:"un,omitempty"`
--- a/services/entry/directory/status.go
+++ b/services/entry/directory/status.go
@@ -39,6 +39,8 @@
 	Held map[deployment.Adapter]time.Time
 	// Speed is how fast it reads prompts, learned from this instance's own requests.
 	Speed work.Speed
+	// RestUntil is until when it wants nothing from this instance; zero or past where it does not rest.
+	RestUntil time.Time
 	// hall is how this instance reaches the endpoint's hall.
 	hall *reach
 	// wait is what own requests tell of the endpoint's own queue.
@@ -84,6 +86,19 @@
 	return s.Health.Ejected(now) || s.hall.cut(now)
 }
 
+// NoteRest takes in until when the endpoint wants nothing from this instance. The longest of several rests holds, whatever it answers
+// meanwhile to requests that it had before.
+func (s *EndpointStatus) NoteRest(until time.Time) {
+	if until.After(s.RestUntil) {
+		s.RestUntil = until
+	}
+}
+
+// Rests reports whether the endpoint wants nothing from this instance now.
+func (s *EndpointStatus) Rests(now time.Time) bool {
+	return now.Before(s.RestUntil)
+}
+
 // Lost reports whether requests go elsewhere, or wait until they can, since nothing listens here by what other instances found. An
 // instance that has found out itself tries the endpoint by its own rule, so that those few notice its return.
 func (s *EndpointStatus) Lost() bool {
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -233,6 +233,7 @@
 		gauges := metric.Gauges{
 			ConfigurationVersion: float64(status.Configuration), Endpoints: float64(status.Endpoints), Ejected: float64(status.Ejected),
 			Quarantined:    float64(status.Quarantined),
+			Resting:        float64(status.Resting),
 			Limited:        float64(status.Limited),
 			ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
 			Term: float64(status.Term), Members: float64(status.Members),
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -76,7 +76,7 @@
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.ranAfter.Milliseconds(),
 		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.Held, Ended: e.endOf(verdict.Result),
 		FormerLeftMS: e.assignment.Former.Left.Milliseconds(), FormerExpectedMS: e.assignment.Former.Expected.Milliseconds(),
-		LimitPerSecond: e.notice.Limit, Leaving: e.notice.Leaving,
+		LimitPerSecond: e.notice.Limit, Leaving: e.notice.Leaving, RestMS: e.notice.Rest.Milliseconds(),
 	}
 }
 
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -100,6 +100,8 @@
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 	// Leaving says that the endpoint said that it leaves.
 	Leaving bool `json:"leaving,omitempty"`
+	// RestMS is for how long the endpoint said that it wants nothing from this instance; 0 where it did not.
+	RestMS int64 `json:"rest_ms,omitempty"`
 }
 
 // AttemptEnd is how an attempt ended that brought no whole answer: who ended it, and how long the endpoint had sent nothing then.
--- a/tests/platform/explain_test.go
+++ b/tests/platform/explain_test.go
@@ -156,7 +156,7 @@
 		"../../services/entry/coordinator/seeds.go", "../../services/entry/coordinator/reporting.go",
 		"../../services/entry/coordinator/viewing.go", "../../services/entry/coordinator/sendingviews.go", "../../services/entry/coordinator/gathering.go",
 		"../../services/entry/coordinator/running.go", "../../services/entry/coordinator/crashes.go", "../../services/entry/coordinator/limits.go",
-		"../../services/entry/coordinator/leaving.go",
+		"../../services/entry/coordinator/leaving.go", "../../services/entry/coordinator/resting.go",
 		"../../services/entry/proxy/exchange.go", "../../routers/entry/gateway/server.go",
 	} {
 		content, err := os.ReadFile(path)
