--- a/services/entry/coordinator/hearing.go
+++ b/services/entry/coordinator/hearing.go
@@ -9,6 +9,12 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 )
 
+// Fields of the lines that tell what an endpoint says of itself.
+const (
+	fieldEndpoint = "endpoint"
+	fieldService  = "service"
+)
+
 // Heard takes in what an endpoint says of itself in the answer to a request that was sent at a time. It holds for the incarnation that was
 // asked alone.
 func (c *Coordinator) Heard(assignment Assignment, sent time.Time, notice deployment.Notice) {
--- a/services/entry/coordinator/leaving.go
+++ b/services/entry/coordinator/leaving.go
@@ -19,7 +19,7 @@
 		return
 	}
 	c.saidLeaving[status.ID] = true
-	c.options.Log.WithFields(logrus.Fields{"endpoint": status.ID, "service": status.Service, "source": source}).
+	c.options.Log.WithFields(logrus.Fields{fieldEndpoint: status.ID, fieldService: status.Service, "source": source}).
 		Info("an endpoint says that it leaves")
 	if c.planning != nil {
 		c.planning.plans.SetEndpoint(now, status.Endpoint, status.Revision)
--- a/services/entry/coordinator/limits.go
+++ b/services/entry/coordinator/limits.go
@@ -53,7 +53,7 @@
 
 // changeLimit logs a change, wherever it was heard, and has what waits profit from it.
 func (c *Coordinator) changeLimit(now time.Time, status *directory.EndpointStatus, change limit.Change, source string) {
-	entry := c.options.Log.WithFields(logrus.Fields{"endpoint": status.ID, "service": status.Service, "source": source})
+	entry := c.options.Log.WithFields(logrus.Fields{fieldEndpoint: status.ID, fieldService: status.Service, "source": source})
 	switch change {
 	case limit.Set:
 		c.limits.known[status.ID] = true
--- a/services/entry/coordinator/resting.go
+++ b/services/entry/coordinator/resting.go
@@ -18,7 +18,7 @@
 	if rested {
 		return
 	}
-	c.options.Log.WithFields(logrus.Fields{"endpoint": status.ID, "service": status.Service, "rest_ms": rest.Milliseconds()}).
+	c.options.Log.WithFields(logrus.Fields{fieldEndpoint: status.ID, fieldService: status.Service, "rest_ms": rest.Milliseconds()}).
 		Info("an endpoint wants to rest")
 	// The planner brings what it holds elsewhere where several instances are asked for rest.
 	c.reportSoon(now)
