--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -54,13 +54,23 @@
 	asked atomic.Bool
 }
 
-// begin starts the next incarnation; the one before goes on until it is ended.
+// begin starts the next incarnation; the one before goes on until it is ended. The operator tells its versions without the endpoint's mutex,
+// since it asks for endpoints while it holds its own.
 func (e *endpoint) begin() error {
+	started, err := e.start()
+	if err != nil {
+		return err
+	}
+	return e.site.operator.tellVersions(started)
+}
+
+// start starts the next incarnation.
+func (e *endpoint) start() (*incarnation, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	ports, err := platformstandin.FreePorts([]string{e.ip})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	e.count++
 	id := fmt.Sprintf("i-%d-%d", e.place, e.count)
@@ -76,7 +86,7 @@
 	}
 	process, err := processes.Start(processes.Command{Name: id, Program: e.site.self, Folder: e.site.folder, Arguments: arguments})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	e.present = &incarnation{EndpointHandle: outside.NewEndpointHandle(control), id: id, process: process}
 	up := func() bool {
@@ -84,9 +94,9 @@
 		return err == nil
 	}
 	if !processes.Poll(upLimit, up) {
-		return fmt.Errorf("endpoint %s does not come up", id)
+		return nil, fmt.Errorf("endpoint %s does not come up", id)
 	}
-	return e.site.operator.tellVersions(e.present)
+	return e.present, nil
 }
 
 func (e *endpoint) current() *incarnation {
