--- a/services/entry/coordinator/dealing.go
+++ b/services/entry/coordinator/dealing.go
@@ -51,7 +51,7 @@
 		if status == nil || !status.Allowance.Binds() {
 			continue
 		}
-		status.Allowance.SetDealt(true, dealer.Waiting(id))
+		status.Allowance.SetDealt(true, dealer.Waiting(now, id))
 		for _, grant := range dealer.Deal(now, id, status.Allowance.Rate()*part) {
 			if grant.Instance == c.options.Instance {
 				status.Allowance.Grant(now, grant.Count)
@@ -71,7 +71,7 @@
 		if status := c.directory.Endpoint(id); status != nil && status.Allowance.Binds() {
 			named := &status.Allowance
 			list = append(list, wire.Limit{
-				ID: id, PerSecond: named.PerSecond(), Age: now.Sub(named.NamedAt()), Waiting: p.dealing.dealer.Waiting(id),
+				ID: id, PerSecond: named.PerSecond(), Age: now.Sub(named.NamedAt()), Waiting: p.dealing.dealer.Waiting(now, id),
 			})
 		}
 	}
--- a/services/entry/limit/dealer.go
+++ b/services/entry/limit/dealer.go
@@ -68,8 +68,7 @@
 func (d *Dealer) Ask(now time.Time, instance string, wants []Want) {
 	for _, one := range d.endpoints {
 		if known := one.wants[instance]; known != nil {
-			known.expire(now)
-			known.asked = known.waiting > 0
+			known.asked = known.waits(now)
 		}
 	}
 	for _, one := range wants {
@@ -86,11 +85,13 @@
 }
 
 // Waiting is how many requests wait for an endpoint's limit at all instances.
-func (d *Dealer) Waiting(id deployment.EndpointID) int {
+func (d *Dealer) Waiting(now time.Time, id deployment.EndpointID) int {
 	waiting := 0
 	if one := d.endpoints[id]; one != nil {
 		for _, w := range one.wants {
-			waiting += w.waiting
+			if w.waits(now) {
+				waiting += max(1, w.waiting)
+			}
 		}
 	}
 	return waiting
@@ -101,12 +102,9 @@
 func (d *Dealer) Deal(now time.Time, id deployment.EndpointID, rate float64) []Grant {
 	one := d.dealing(id)
 	one.bucket.fill(now, rate)
-	for _, w := range one.wants {
-		w.expire(now)
-	}
 	counts := make(map[string]int)
 	for one.bucket.holds() {
-		instance, found := one.next(one.isSpare(now))
+		instance, found := one.next(now, one.isSpare(now))
 		if !found {
 			break
 		}
@@ -150,11 +148,11 @@
 }
 
 // next gives the instance whose turn it is, idle says that it need not have waiting requests; false if none wants to send.
-func (d *dealing) next(idle bool) (string, bool) {
+func (d *dealing) next(now time.Time, idle bool) (string, bool) {
 	chosen := ""
 	for _, instance := range slices.Sorted(maps.Keys(d.wants)) {
 		w := d.wants[instance]
-		if w.asked && (idle || w.waiting > 0) && (chosen == "" || w.before(d.wants[chosen])) {
+		if w.asked && (idle || w.waits(now)) && (chosen == "" || w.before(now, d.wants[chosen])) {
 			chosen = instance
 		}
 	}
@@ -165,32 +163,30 @@
 func (w *want) ask(now time.Time, waiting int) {
 	w.asked = true
 	if waiting > 0 {
-		w.waiting, w.waitedAt = max(w.waiting, waiting), now
+		w.waiting, w.waitedAt = waiting, now
 	}
 }
 
-// expire forgets what waited some time ago.
-func (w *want) expire(now time.Time) {
+// waits reports whether requests wait: those that were told, and, for a while after they were granted, one more at a time, since callers
+// that were refused come back.
+func (w *want) waits(now time.Time) bool {
 	if now.Sub(w.waitedAt) >= wantLife {
-		w.waiting = 0
+		return false
 	}
+	return w.waiting > 0 || w.grantedAt.Before(now)
 }
 
 // before reports whether one want comes before another.
-func (w *want) before(other *want) bool {
-	if (w.waiting > 0) != (other.waiting > 0) {
-		return w.waiting > 0
+func (w *want) before(now time.Time, other *want) bool {
+	if w.waits(now) != other.waits(now) {
+		return w.waits(now)
 	}
 	return w.grantedAt.Before(other.grantedAt)
 }
 
-// grant notes a request that was granted. Where nothing waited, one is granted for each report; where some did, more are expected to
-// come for a while.
+// grant notes a request that was granted. Where nothing waits, one is granted for each report.
 func (w *want) grant(now time.Time) {
+	w.asked = w.waits(now)
 	w.grantedAt = now
-	if w.waiting == 0 {
-		w.asked = false
-		return
-	}
-	w.waiting = max(1, w.waiting-1)
+	w.waiting = max(0, w.waiting-1)
 }
--- a/services/entry/limit/fleet_test.go
+++ b/services/entry/limit/fleet_test.go
@@ -166,7 +166,7 @@
 	dealer.Ask(at(900), "idle", idle)
 	dealer.Ask(at(900), "busy", busy)
 	assert.Equal(t, toBusy, dealer.Deal(at(1000), endpoint, 1))
-	assert.Equal(t, 1, dealer.Waiting(endpoint))
+	assert.Equal(t, 1, dealer.Waiting(at(1000), endpoint))
 	assert.Empty(t, dealer.Deal(at(2000), endpoint, 1), "somebody may come who waits")
 	assert.Empty(t, dealer.Deal(at(2499), endpoint, 1))
 	assert.Equal(t, toIdle, dealer.Deal(at(2500), endpoint, 1))
@@ -181,5 +181,18 @@
 	dealer.Ask(at(1000), "lost", []limit.Want{{Endpoint: endpoint, Waiting: 1}})
 	dealer.Keep(func(deployment.EndpointID) bool { return true }, func(instance string) bool { return instance != "lost" })
 	assert.Empty(t, dealer.Deal(at(1000), endpoint, 1))
-	assert.Zero(t, dealer.Waiting(endpoint))
+	assert.Zero(t, dealer.Waiting(at(1000), endpoint))
+}
+
+func TestAVeryLargeLimitIsDealtByWhatIsAskedFor(t *testing.T) {
+	dealer := limit.NewDealer()
+	const rate = 1e9
+	dealer.Deal(start, endpoint, rate)
+	dealer.Ask(at(10), "busy", []limit.Want{{Endpoint: endpoint, Waiting: 3}})
+	granted := 0
+	for _, grant := range dealer.Deal(at(10), endpoint, rate) {
+		granted += grant.Count
+	}
+	assert.GreaterOrEqual(t, granted, 3)
+	assert.LessOrEqual(t, granted, 4)
 }
