--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -54,6 +54,10 @@
 	RunCanceled RunPhase = "canceled"
 	// RunCrashed: the worker ended by it.
 	RunCrashed RunPhase = "crashed"
+	// RunArrived: a request arrived, whether or not it runs; told once the worker has said something of itself in an answer.
+	RunArrived RunPhase = "arrived"
+	// RunTold: whoever sent the request has an answer in which the worker says something of itself.
+	RunTold RunPhase = "told"
 	// RunBroke: the worker itself broke the answer off, hung or answered with an error.
 	RunBroke RunPhase = "broke"
 )
@@ -68,6 +72,16 @@
 	Adapter  string `json:"adapter,omitempty"`
 	Version  int    `json:"version,omitempty"`
 	Resumed  string `json:"resumed,omitempty"`
+	// Said is what the worker says of itself in the answer.
+	Said Saying `json:"said,omitzero"`
+}
+
+// Saying is what a worker says of itself in an answer.
+type Saying struct {
+	// Limit is the requests a second that it takes, and Rest the seconds for which it wants nothing; empty for none.
+	Limit   string `json:"limit,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Rest    string `json:"rest,omitempty"`
 }
 
 // WorkerFaults are the troubles of a worker; the zero value is a sound one.
@@ -87,12 +101,8 @@
 	LoseOrders int
 	// KeepsQueued has what waits in the worker's queue begin though its caller has closed the connection.
 	KeepsQueued bool
-	// Limit is what each answer names as the requests a second that the worker takes; empty for none.
-	Limit string
-	// Leaving has each answer say that the worker leaves, whatever its entry says.
-	Leaving bool
-	// Rest is the Retry-After with which each request is turned away; empty turns none away.
-	Rest string
+	// Says is what each answer says of the worker, whatever its entry says; with a Rest, each request is turned away.
+	Says Saying
 }
 
 // Run is one request that a worker began to work on.
@@ -131,6 +141,8 @@
 	inUse    map[string]int
 	runs     []*Run
 	arrivals []time.Time
+	// hasSaid is set once an answer says something of the worker.
+	hasSaid bool
 	// rests is when requests were turned away with a time to rest.
 	rests    []time.Time
 	orders   []OrderSeen
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -47,31 +47,41 @@
 	return faultNone
 }
 
-// noteArrival counts a request that arrived, and has its answer say what the worker says of itself.
-func (w *Worker) noteArrival(writer http.ResponseWriter) {
+// noteArrival counts a request that arrived, has its answer say what the worker says of itself, and gives that.
+func (w *Worker) noteArrival(writer http.ResponseWriter, request *http.Request) Saying {
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	w.arrivals = append(w.arrivals, time.Now())
-	if w.faults.Limit != "" {
-		writer.Header().Set("Server-Limit", w.faults.Limit)
+	said := w.faults.Says
+	w.hasSaid = w.hasSaid || said != (Saying{})
+	told := w.hasSaid
+	w.mutex.Unlock()
+	if said.Limit != "" {
+		writer.Header().Set("Server-Limit", said.Limit)
 	}
-	if w.faults.Leaving {
+	if said.Leaving {
 		writer.Header().Set("Server-Leaving", "1")
 	}
+	if told {
+		w.noteSaying(RunArrived, request, said)
+	}
+	return said
 }
 
-// turnAway answers that a request does not run, and that the worker wants to rest, if it does.
-func (w *Worker) turnAway(writer http.ResponseWriter) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if w.faults.Rest == "" {
-		return false
+// noteSaying writes to the journal what a request was or is told.
+func (w *Worker) noteSaying(phase RunPhase, request *http.Request, said Saying) {
+	if w.options.Journal != nil {
+		w.options.Journal(RunEvent{At: time.Now(), Phase: phase, Endpoint: w.options.ID, ID: request.Header.Get(HeaderRequestID), Said: said})
 	}
+}
+
+// turnAway answers that a request does not run, and that the worker wants to rest.
+func (w *Worker) turnAway(writer http.ResponseWriter, rest string) {
+	w.mutex.Lock()
 	w.rests = append(w.rests, time.Now())
+	w.mutex.Unlock()
 	writer.Header().Set("X-Not-Executed", "1")
-	writer.Header().Set("Retry-After", w.faults.Rest)
+	writer.Header().Set("Retry-After", rest)
 	writer.WriteHeader(http.StatusServiceUnavailable)
-	return true
 }
 
 // Rests gives when requests were turned away with a time to rest, in order.
@@ -88,11 +98,21 @@
 	return slices.Clone(w.arrivals)
 }
 
+// serveRequest serves a request, and notes that whoever sent it has been told what the answer says of the worker.
 func (w *Worker) serveRequest(writer http.ResponseWriter, request *http.Request) {
-	w.noteArrival(writer)
-	if w.turnAway(writer) {
-		return
+	said := w.noteArrival(writer, request)
+	if said.Rest != "" {
+		w.turnAway(writer, said.Rest)
+	} else {
+		w.run(writer, request)
 	}
+	if said != (Saying{}) && request.Context().Err() == nil {
+		w.noteSaying(RunTold, request, said)
+	}
+}
+
+// run runs a request, unless it can't; a panic breaks its answer off.
+func (w *Worker) run(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -22,6 +22,8 @@
 	// is how much longer it does.
 	drainTime  = 2 * time.Second
 	drainExtra = 3 * time.Second
+	// silentLeaving is for how long an endpoint says in its answers alone that it leaves.
+	silentLeaving = 6 * time.Second
 	// silentBeats is after what silence the platform drops an endpoint's entry.
 	silentBeats = 3 * platformstandin.BeatPace
 	// replacePause is the pause until another endpoint comes for one that was killed.
@@ -116,6 +118,19 @@
 	return e.begin()
 }
 
+// leaveByAnswers has the present endpoint say in its answers that it leaves, a good while before it tells the store.
+func (e *endpoint) leaveByAnswers() error {
+	leaving := e.current()
+	if err := leaving.SetFaults(platformstandin.WorkerFaults{Says: platformstandin.Saying{Leaving: true}}); err != nil {
+		return err
+	}
+	time.Sleep(silentLeaving)
+	if e.current() != leaving || leaving.process.HasExited() {
+		return nil
+	}
+	return e.drain(func(one *incarnation) error { return one.Drain() })
+}
+
 // kill kills the present endpoint; its entry goes after a silence, and another one comes.
 func (e *endpoint) kill() error {
 	killed := e.current()
--- a/tools/soak/execute.go
+++ b/tools/soak/execute.go
@@ -29,6 +29,9 @@
 	throttled = 40
 	// queueFor is for how long an endpoint has requests wait.
 	queueFor = 3 * time.Second
+	// limitStep is a step between limits, in requests a second, and restStep one between rests, in seconds.
+	limitStep = 0.5
+	restStep  = 0.5
 )
 
 // execute carries out a plan by a function for one step, which gets the step's number as well; it returns when each step has ended.
@@ -135,6 +138,12 @@
 		return true, s.breakLinks(e.current(), (*incarnation).SilenceOpen)
 	case plan.EndpointLinksReset:
 		return true, s.breakLinks(e.current(), (*incarnation).ResetOpen)
+	case plan.EndpointLimits:
+		return true, s.say(e.current(), platformstandin.Saying{Limit: fmt.Sprint(float64(step.Count) * limitStep)}, step.For)
+	case plan.EndpointRests:
+		return true, s.say(e.current(), platformstandin.Saying{Rest: fmt.Sprint(float64(step.Count) * restStep)}, step.For)
+	case plan.EndpointSaysLeaving:
+		return true, e.leaveByAnswers()
 	case plan.EndpointQueues:
 		return true, s.queueAt(e.current(), step.For)
 	}
@@ -169,6 +178,15 @@
 	return true
 }
 
+// say has an endpoint say something of itself for a time, unless another step ends that.
+func (s *site) say(one *incarnation, saying platformstandin.Saying, span time.Duration) error {
+	if err := one.SetFaults(platformstandin.WorkerFaults{Says: saying}); err != nil {
+		return err
+	}
+	time.Sleep(span)
+	return one.SetFaults(platformstandin.WorkerFaults{})
+}
+
 // queueAt has the requests of an endpoint wait for a time before they begin.
 func (s *site) queueAt(one *incarnation, wait time.Duration) error {
 	if err := one.SetQueueWait(wait); err != nil {
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -30,6 +30,9 @@
 	CheckLeak        = "a caller's connection was left open"
 	CheckCrashing    = "a request that crashes endpoints was sent on"
 	CheckHeldBack    = "a sound request was held back"
+	CheckLimit       = "an endpoint got more than the limit that it named"
+	CheckLeaving     = "an endpoint that said that it leaves got work"
+	CheckRest        = "an endpoint that asked for rest got none"
 	CheckEndpoint    = "an endpoint saw a promise broken"
 )
 
@@ -38,7 +41,8 @@
 	CheckLost: checkLost, CheckUnexplained: checkUnexplained, CheckNotRun: checkNotRun, CheckOnce: checkOnce, CheckWhole: checkWhole,
 	CheckHeld: checkHeld, CheckDenied: checkDenied, CheckDeparted: checkDeparted, CheckVersion: checkVersion, CheckPlaces: checkPlaces,
 	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget, CheckLeak: checkLeak,
-	CheckCrashing: checkCrashing, CheckHeldBack: checkHeldBack, CheckEndpoint: checkEndpoint,
+	CheckCrashing: checkCrashing, CheckHeldBack: checkHeldBack, CheckLimit: checkLimit, CheckLeaving: checkLeaving, CheckRest: checkRest,
+	CheckEndpoint: checkEndpoint,
 }
 
 // Judge runs all checks; their order does not matter, that of the findings is by check.
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -178,6 +178,14 @@
 	// Contact is how long instances may take to know of a third crash, and CrashRetries how often a request may be sent later than that.
 	Contact      time.Duration
 	CrashRetries int
+	// LimitSpan is the span in which requests to an endpoint with a limit are counted, LimitSlack and LimitExtra what is allowed beyond it.
+	LimitSpan  time.Duration
+	LimitSlack float64
+	LimitExtra int
+	// Heard is after what time an instance must go by what an endpoint told it, and RestRequests how many requests it may send after that
+	// within a rest.
+	Heard        time.Duration
+	RestRequests int
 	RetryRatio   float64
 	RetryExtra   int
 	// IdleLimit is the shortest idle limit that was in force.
@@ -186,8 +194,10 @@
 
 // Record is all that a run saw.
 type Record struct {
-	Attempts    []Attempt
-	Runs        []platformstandin.RunEvent
+	Attempts []Attempt
+	Runs     []platformstandin.RunEvent
+	// Sayings are arrivals of requests at endpoints that say something of themselves, and which of them were told.
+	Sayings     []platformstandin.RunEvent
 	Disruptions []Disruption
 	Departures  []Departure
 	Namings     []Naming
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -44,6 +44,11 @@
 	EndpointKilled   Kind = "endpoint-killed"
 	EndpointFreezes  Kind = "endpoint-freezes"
 	EndpointQueues   Kind = "endpoint-queues"
+	// The following have an endpoint say of itself, in each answer: that it takes Count halves of a request a second; that it leaves, while
+	// its entry says otherwise; that it wants to rest, as it turns requests away.
+	EndpointLimits      Kind = "endpoint-limits"
+	EndpointSaysLeaving Kind = "endpoint-says-leaving"
+	EndpointRests       Kind = "endpoint-rests"
 	// The following have open connections to an endpoint fall silent for good, or close them.
 	EndpointLinksSilent Kind = "endpoint-links-silent"
 	EndpointLinksReset  Kind = "endpoint-links-reset"
@@ -110,7 +115,18 @@
 	{kind: StoreThrottles, weight: 1, longest: 3 * time.Second}, {kind: Busy, weight: 1, longest: 6 * time.Second, most: 6},
 }
 
+// sayings are the kinds in which endpoints say something of themselves. They are drawn apart, so that a seed draws the same other steps
+// with them and without.
+var sayings = []share{
+	{kind: EndpointLimits, weight: 4, longest: 12 * time.Second, most: 8}, {kind: EndpointSaysLeaving, weight: 2},
+	{kind: EndpointRests, weight: 3, longest: 8 * time.Second, most: 6},
+}
+
 const (
+	// sayingGap is the mean pause between two steps of sayings.
+	sayingGap = 1500 * time.Millisecond
+	// sayingStream is the sequence of random numbers of sayings.
+	sayingStream = 1 << 40
 	// quietBegin and quietEnd are kept free of steps, so that caches fill first and the last trouble's effect shows.
 	quietBegin = 3 * time.Second
 	quietEnd   = 10 * time.Second
@@ -124,13 +140,27 @@
 
 // Draw draws a plan, in the order of its moments.
 func Draw(seed uint64, o Options) []Step {
-	random := rand.New(rand.NewPCG(seed, uint64(o.Span)))
-	allowed := allowedShares(o.Only)
+	return drawSteps(rand.New(rand.NewPCG(seed, uint64(o.Span))), allowedShares(o.Only), meanGap, o)
+}
+
+// DrawSayings draws what endpoints say of themselves, in the order of its moments.
+func DrawSayings(seed uint64, o Options) []Step {
+	return drawSteps(rand.New(rand.NewPCG(seed, sayingStream+uint64(o.Span))), sayings, sayingGap, o)
+}
+
+// Merge joins two plans in the order of their moments.
+func Merge(one, other []Step) []Step {
+	all := slices.Concat(one, other)
+	slices.SortStableFunc(all, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+func drawSteps(random *rand.Rand, allowed []share, gap time.Duration, o Options) []Step {
 	if len(allowed) == 0 {
 		return nil
 	}
 	var steps []Step
-	for at := quietBegin; at < o.Span-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanGap)) {
+	for at := quietBegin; at < o.Span-quietEnd; at += time.Duration(random.ExpFloat64() * float64(gap)) {
 		drawn := draw(random, allowed)
 		count := 1
 		if random.IntN(seriesShare) == 0 {
--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -42,11 +42,26 @@
 		}
 		r.Crashers = append(r.Crashers, crasher)
 	},
+	"limit":   func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Limit: "0.5"}) },
+	"leaving": func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Leaving: true}) },
+	"rest":    func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Rest: "9"}) },
 	"own-end": func(r *ledger.Record) {
 		r.Exits = append(r.Exits, ledger.Exit{Instance: "planted", At: time.Now(), Lived: time.Minute})
 	},
 }
 
+// plantSayings has an endpoint that says something of itself go on getting requests of one instance.
+func plantSayings(r *ledger.Record, said platformstandin.Saying) {
+	from := r.Runs[0].At
+	for number := range 40 {
+		id, at := fmt.Sprint("planted-", number), from.Add(time.Duration(number)*time.Second/4)
+		r.Attempts = append(r.Attempts, ledger.Attempt{ID: id, Instance: "planted", Began: at, Sent: at, Ended: at, Outcome: ledger.Failed})
+		r.Sayings = append(r.Sayings,
+			platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunArrived, At: at, Said: said},
+			platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunTold, At: at, Said: said})
+	}
+}
+
 func plantNames() []string {
 	var names []string
 	for name := range plants {
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -31,6 +31,11 @@
 	contactTime  = 3 * time.Second
 	crashRetries = 3
 	budgetWindow = 10 * time.Second
+	limitSpan    = 4 * time.Second
+	limitSlack   = 1.5
+	limitExtra   = 5
+	heardTime    = 500 * time.Millisecond
+	restRequests = 2
 	// mostTimelines bounds the requests whose timelines are written.
 	mostTimelines = 20
 	// histogramTop and histogramDigits are the range, in milliseconds, and the precision of latencies.
@@ -46,6 +51,7 @@
 		Bounds: ledger.Bounds{
 			Grace: grace, GraceMargin: graceMargin, Drain: drainTime, Apply: applyTime, Version: versionTime,
 			Contact: contactTime, CrashRetries: crashRetries,
+			LimitSpan: limitSpan, LimitSlack: limitSlack, LimitExtra: limitExtra, Heard: heardTime, RestRequests: restRequests,
 			BudgetWindow: budgetWindow, RetryRatio: retryRatio, RetryExtra: retryExtra, IdleLimit: s.operator.shortestIdle(),
 		},
 	}
@@ -58,7 +64,13 @@
 		if err != nil {
 			return nil, err
 		}
-		r.Runs = append(r.Runs, events...)
+		for _, event := range events {
+			if event.Phase == platformstandin.RunArrived || event.Phase == platformstandin.RunTold {
+				r.Sayings = append(r.Sayings, event)
+				continue
+			}
+			r.Runs = append(r.Runs, event)
+		}
 	}
 	return r, nil
 }
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -110,12 +110,7 @@
 		site.close()
 		return fmt.Errorf("%w; logs are in %s", err, site.folder)
 	}
-	steps := plan.Draw(args.Seed, plan.Options{
-		Span: time.Duration(args.Seconds) * time.Second, Instances: args.Instances, Endpoints: args.Endpoints, Only: args.kinds(),
-	})
-	if args.Only == noSteps {
-		steps = nil
-	}
+	steps := args.drawPlan()
 	attempts, lag := site.play(steps)
 	usages := site.usages()
 	site.close()
@@ -126,6 +121,19 @@
 	return site.judge(record, usages, steps)
 }
 
+// drawPlan draws the plan of a run.
+func (a arguments) drawPlan() []plan.Step {
+	options := plan.Options{Span: time.Duration(a.Seconds) * time.Second, Instances: a.Instances, Endpoints: a.Endpoints, Only: a.kinds()}
+	var steps []plan.Step
+	if a.Only != noSteps {
+		steps = plan.Draw(a.Seed, options)
+	}
+	if a.Sayings {
+		steps = plan.Merge(steps, plan.DrawSayings(a.Seed, options))
+	}
+	return steps
+}
+
 // judge adds what processes held at the end to a record, and the fault that is to be planted, and reports it.
 func (s *site) judge(record *ledger.Record, usages []ledger.Usage, steps []plan.Step) error {
 	record.Usages = usages
