--- a/tests/platform/crashing_test.go
+++ b/tests/platform/crashing_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,6 +195,29 @@
 	c.assertSentToFew(t, killers)
 }
 
+// TestADeadlyRequestAmongManyOfItsRouteIsSentToFew: one in 33 requests of a route crashes each endpoint that runs it, as the others come
+// beside it.
+func TestADeadlyRequestAmongManyOfItsRouteIsSentToFew(t *testing.T) {
+	c := newCrashes(t, 3, 5)
+	const deadlyOf = 33
+	model := map[string]string{"X-Model": standin.Model}
+	deadly := &killer{call: call{path: standin.StreamPrefix + "x?" + standin.CrashParameter + "=60", header: model}}
+	var served atomic.Int64
+	for caller := range 6 {
+		c.during(5*time.Millisecond, func(entry, turn int) {
+			if turn%deadlyOf == caller {
+				deadly.send(c, entry)
+				return
+			}
+			if c.do(call{entry: entry, path: standin.StreamPrefix + "x", header: model, body: fmt.Sprint(caller, turn)}).Status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	c.assertSentToFew(t, map[string]*killer{"one in 33": deadly})
+	assert.Greater(t, served.Load(), int64(10*deadlyOf), "the others are served")
+}
+
 // TestARequestWhoseCallersLeaveIsSentToFew has callers of such a request leave before their endpoint ends.
 //
 // What users saw: nothing yet; each sending ended an endpoint for as long as the callers came, and what ran there besides failed. The order of
