--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -12,6 +12,9 @@
 	"github.com/shelfledge/shelfledge/tools/soak/ledger"
 )
 
+// planted names what a planted fault is of.
+const planted = "planted"
+
 // plants are faults that are put into the record of a real run, by name: each shows that a check finds it there. The checks' own tests
 // have one for each check.
 var plants = map[string]func(*ledger.Record){
@@ -23,19 +26,19 @@
 	},
 	"ran-twice": func(r *ledger.Record) {
 		id := whole(r).ID
-		r.Runs = append(r.Runs, platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunBegan, At: time.Now()})
+		r.Runs = append(r.Runs, platformstandin.RunEvent{ID: id, Endpoint: planted, Phase: platformstandin.RunBegan, At: time.Now()})
 	},
 	"another-answer": func(r *ledger.Record) {
-		whole(r).Wrong = "planted"
+		whole(r).Wrong = planted
 	},
 	"late-work": func(r *ledger.Record) {
 		r.Departures = append(r.Departures, ledger.Departure{Endpoint: r.Runs[len(r.Runs)-1].Endpoint, Acknowledged: r.Runs[0].At})
 	},
 	"crashing": func(r *ledger.Record) {
-		crasher := ledger.Crasher{Name: "planted"}
+		crasher := ledger.Crasher{Name: planted}
 		for number := range 8 {
 			id, at := fmt.Sprint("planted-", number), r.Runs[0].At.Add(time.Duration(number)*r.Bounds.Contact)
-			crasher.Sends = append(crasher.Sends, ledger.Sending{ID: id, Instance: "planted", At: at})
+			crasher.Sends = append(crasher.Sends, ledger.Sending{ID: id, Instance: planted, At: at})
 			r.Runs = append(r.Runs,
 				platformstandin.RunEvent{ID: id, Endpoint: id, Phase: platformstandin.RunBegan, At: at},
 				platformstandin.RunEvent{ID: id, Endpoint: id, Phase: platformstandin.RunCrashed, At: at})
@@ -46,7 +49,7 @@
 	"leaving": func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Leaving: true}) },
 	"rest":    func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Rest: "9"}) },
 	"own-end": func(r *ledger.Record) {
-		r.Exits = append(r.Exits, ledger.Exit{Instance: "planted", At: time.Now(), Lived: time.Minute})
+		r.Exits = append(r.Exits, ledger.Exit{Instance: planted, At: time.Now(), Lived: time.Minute})
 	},
 }
 
@@ -55,10 +58,10 @@
 	from := r.Runs[0].At
 	for number := range 40 {
 		id, at := fmt.Sprint("planted-", number), from.Add(time.Duration(number)*time.Second/4)
-		r.Attempts = append(r.Attempts, ledger.Attempt{ID: id, Instance: "planted", Began: at, Sent: at, Ended: at, Outcome: ledger.Failed})
+		r.Attempts = append(r.Attempts, ledger.Attempt{ID: id, Instance: planted, Began: at, Sent: at, Ended: at, Outcome: ledger.Failed})
 		r.Sayings = append(r.Sayings,
-			platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunArrived, At: at, Said: said},
-			platformstandin.RunEvent{ID: id, Endpoint: "planted", Phase: platformstandin.RunTold, At: at, Said: said})
+			platformstandin.RunEvent{ID: id, Endpoint: planted, Phase: platformstandin.RunArrived, At: at, Said: said},
+			platformstandin.RunEvent{ID: id, Endpoint: planted, Phase: platformstandin.RunTold, At: at, Said: said})
 	}
 }
 
