Look for what waits for a limit among the endpoints with one alone

Cause: each request that waits for a limit was compared with all endpoints of its service at each look, 40 a second: by reading, 200 of them before 600 endpoints take 4.8 million look-ups a second. Change: the few endpoints with a limit are gone through; ties go by name.

--- a/services/entry/coordinator/limits.go
+++ b/services/entry/coordinator/limits.go
@@ -4,6 +4,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -146,30 +147,32 @@
 	}
 	var wanted deployment.EndpointID
 	for _, status := range c.limitedFor(now, w) {
-		if wanted == "" || waiting[status.ID] < waiting[wanted] {
+		if wanted == "" || cmp.Or(cmp.Compare(waiting[status.ID], waiting[wanted]), cmp.Compare(status.ID, wanted)) < 0 {
 			wanted = status.ID
 		}
 	}
 	return wanted, wanted != ""
 }
 
-// able gives the endpoints that could run a request, whether or not they take one now.
-func (c *Coordinator) able(now time.Time, w *waiter) []*directory.EndpointStatus {
+// couldRun tells whether an endpoint could run a request, whether or not it takes one now.
+func (c *Coordinator) couldRun(now time.Time, status *directory.EndpointStatus, w *waiter) bool {
+	if status.Service != w.Service || status.State != deployment.Ready || slices.Contains(w.Tried, status.ID) {
+		return false
+	}
+	return !w.UsesModel() || status.Holds(now, w.Adapter, c.versions.Named(w.Adapter))
+}
+
+// limitedFor gives the endpoints with a limit that could run a request. They are few beside all of its service.
+func (c *Coordinator) limitedFor(now time.Time, w *waiter) []*directory.EndpointStatus {
 	var list []*directory.EndpointStatus
-	for _, status := range c.directory.Service(w.Service) {
-		holds := !w.UsesModel() || status.Holds(now, w.Adapter, c.versions.Named(w.Adapter))
-		if status.State == deployment.Ready && holds && !slices.Contains(w.Tried, status.ID) {
+	for id := range c.limits.known {
+		if status := c.directory.Endpoint(id); status != nil && status.Allowance.Binds() && c.couldRun(now, status, w) {
 			list = append(list, status)
 		}
 	}
 	return list
 }
 
-// limitedFor gives the endpoints with a limit that could run a request.
-func (c *Coordinator) limitedFor(now time.Time, w *waiter) []*directory.EndpointStatus {
-	return slices.DeleteFunc(c.able(now, w), func(status *directory.EndpointStatus) bool { return !status.Allowance.Binds() })
-}
-
 // allHeldBack tells whether each endpoint of a service has a limit or rests.
 func (c *Coordinator) allHeldBack(now time.Time, service string) bool {
 	return !slices.ContainsFunc(c.directory.Service(service), func(status *directory.EndpointStatus) bool {
--- a/services/entry/coordinator/resting.go
+++ b/services/entry/coordinator/resting.go
@@ -27,8 +27,8 @@
 // restEnds gives when the first of the endpoints that could run a request has rested; zero where none rests.
 func (c *Coordinator) restEnds(now time.Time, w *waiter) time.Time {
 	var earliest time.Time
-	for _, status := range c.able(now, w) {
-		if status.Rests(now) && (earliest.IsZero() || status.RestUntil.Before(earliest)) {
+	for _, status := range c.directory.Service(w.Service) {
+		if status.Rests(now) && c.couldRun(now, status, w) && (earliest.IsZero() || status.RestUntil.Before(earliest)) {
 			earliest = status.RestUntil
 		}
 	}
