Try an endpoint that has rested by one request first

Cause: as a rest ended, all requests that came went to the endpoint at once, and one that is still full turned each of them away. Change: after a rest one request goes there, and more 250 ms later unless it was turned away with another rest. Result: TestOneRequestTriesAnEndpointThatHasRested red before, green now; the tests of rests pass.

--- a/services/entry/coordinator/resting.go
+++ b/services/entry/coordinator/resting.go
@@ -28,8 +28,8 @@
 func (c *Coordinator) restEnds(now time.Time, w *waiter) time.Time {
 	var earliest time.Time
 	for _, status := range c.directory.Service(w.Service) {
-		if status.Rests(now) && c.couldRun(now, status, w) && (earliest.IsZero() || status.RestUntil.Before(earliest)) {
-			earliest = status.RestUntil
+		if status.Rests(now) && c.couldRun(now, status, w) && (earliest.IsZero() || status.RestEnds().Before(earliest)) {
+			earliest = status.RestEnds()
 		}
 	}
 	return earliest
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -188,6 +188,7 @@
 	}
 	status.Own++
 	status.Allowance.Take(now)
+	status.tryAfterRest(now)
 	if request.UsesModel() {
 		status.wait.enter(now, request.Prompt, status.OthersUnread)
 	}
--- /dev/null
+++ b/services/entry/directory/rest_test.go
@@ -0,0 +1,43 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
+)
+
+func TestTheLongestOfSeveralRestsHolds(t *testing.T) {
+	d := directory.New()
+	d.Put(deployment.Endpoint{ID: "e", Service: "s"}, 1)
+	now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+	status := d.Endpoint("e")
+	assert.False(t, status.Rests(now))
+	status.NoteRest(now.Add(3 * time.Second))
+	status.NoteRest(now.Add(time.Second))
+	assert.True(t, status.Rests(now.Add(3*time.Second-1)))
+	assert.False(t, status.Rests(now.Add(3*time.Second)))
+}
+
+func TestOneRequestTriesAnEndpointThatHasRested(t *testing.T) {
+	d := directory.New()
+	d.Put(deployment.Endpoint{ID: "e", Service: "s"}, 1)
+	now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+	status := d.Endpoint("e")
+	status.NoteRest(now.Add(time.Second))
+	rested := now.Add(2 * time.Second)
+	d.Begin(rested, "e", &deployment.Request{Service: "s"})
+	assert.True(t, status.Rests(rested), "its answer may ask for rest again")
+	assert.False(t, status.Rests(rested.Add(250*time.Millisecond)))
+	status.NoteRest(rested.Add(3 * time.Second))
+	assert.True(t, status.Rests(rested.Add(time.Second)))
+	d.Begin(rested.Add(4*time.Second), "e", &deployment.Request{Service: "s"})
+	d.Begin(rested.Add(5*time.Second), "e", &deployment.Request{Service: "s"})
+	assert.False(t, status.Rests(rested.Add(5*time.Second)), "once a rest")
+}
--- a/services/entry/directory/status.go
+++ b/services/entry/directory/status.go
@@ -39,8 +39,9 @@
 	Held map[deployment.Adapter]time.Time
 	// Speed is how fast it reads prompts, learned from this instance's own requests.
 	Speed work.Speed
-	// RestUntil is until when it wants nothing from this instance; zero or past where it does not rest.
-	RestUntil time.Time
+	// restUntil is until when it wants nothing from this instance; zero where it has been tried since. tryUntil is until when only one
+	// request tries it after that.
+	restUntil, tryUntil time.Time
 	// hall is how this instance reaches the endpoint's hall.
 	hall *reach
 	// wait is what own requests tell of the endpoint's own queue.
@@ -86,17 +87,36 @@
 	return s.Health.Ejected(now) || s.hall.cut(now)
 }
 
+// restTrial is for how long one request alone tries an endpoint that has rested: an endpoint that is still full turns it away at once.
+// Longer lets fewer requests come to one that is full, shorter sooner to one that is not.
+const restTrial = 250 * time.Millisecond
+
 // NoteRest takes in until when the endpoint wants nothing from this instance. The longest of several rests holds, whatever it answers
 // meanwhile to requests that it had before.
 func (s *EndpointStatus) NoteRest(until time.Time) {
-	if until.After(s.RestUntil) {
-		s.RestUntil = until
+	if until.After(s.restUntil) {
+		s.restUntil = until
+	}
+}
+
+// RestEnds is when the endpoint takes requests of this instance again; past or zero where it does now.
+func (s *EndpointStatus) RestEnds() time.Time {
+	if s.tryUntil.After(s.restUntil) {
+		return s.tryUntil
 	}
+	return s.restUntil
 }
 
-// Rests reports whether the endpoint wants nothing from this instance now.
+// Rests reports whether the endpoint gets nothing from this instance now.
 func (s *EndpointStatus) Rests(now time.Time) bool {
-	return now.Before(s.RestUntil)
+	return now.Before(s.RestEnds())
+}
+
+// tryAfterRest notes that a request goes to the endpoint, which tries it if it has rested.
+func (s *EndpointStatus) tryAfterRest(now time.Time) {
+	if !s.restUntil.IsZero() && !s.Rests(now) {
+		s.restUntil, s.tryUntil = time.Time{}, now.Add(restTrial)
+	}
 }
 
 // Lost reports whether requests go elsewhere, or wait until they can, since nothing listens here by what other instances found. An
