--- a/modules/daemon/engine/transport.go
+++ b/modules/daemon/engine/transport.go
@@ -23,8 +23,8 @@
 const (
 	// keepAlive is the time between probes of an idle connection, so that one to a lost host is noticed.
 	keepAlive = 15 * time.Second
-	// writeBuffer and readBuffer are each connection's buffers, in bytes: smaller saves memory, larger saves system calls. With
-	// smaller ones a stream took 58.6 KB in place of 66, at the same time a token (docs/design/0004-data-path.md).
+	// writeBuffer and readBuffer are each connection's buffers, in bytes: smaller saves memory, larger saves system calls
+	// (docs/design/0004-data-path.md).
 	writeBuffer = 1 << 10
 	readBuffer  = 2 << 10
 )
--- a/services/entry/coordinator/endpoints.go
+++ b/services/entry/coordinator/endpoints.go
@@ -64,8 +64,8 @@
 }
 
 // readNewEndpoints reads the changes since what this instance knows of the endpoints, or all of them where it knows nothing or the store
-// has forgotten the changes. While a planner is lost, 302 instances read 3,000 endpoints of 0.3 KB once a second: more than the
-// store's link carries, so that no planner could confirm its lease.
+// has forgotten the changes. While a planner is lost all instances read them each second: in a large fleet all of them each time would be
+// more than the store's link carries, so that no planner could confirm its lease.
 func (c *Coordinator) readNewEndpoints() error {
 	after := int64(0)
 	c.loop.Call(func(time.Time) { after = c.describedUpTo })
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -26,7 +26,7 @@
 	// ForgetAfter is how long a lost instance still counts in the fleet's shares.
 	ForgetAfter = 20 * time.Second
 	// RelayAfter is how long a peer may lack newer keys of the configuration before they are sent to it: shorter trades messages that its
-	// own watch makes needless for an earlier change. 0.4 and 0.25 s before; shortened with the watches.
+	// own watch makes needless for an earlier change.
 	RelayAfter = 120 * time.Millisecond
 )
 
@@ -113,8 +113,8 @@
 }
 
 // isSilent tells whether the member is to be taken for lost: no gatherer that told of it does so any more, or its own reports have
-// stayed away for longer than their pace in the fleet allows. Without gatherers one instance that is cut off or stands still held up
-// each unload of the fleet for that long, 9.1 s at 195 instances.
+// stayed away for longer than their pace in the fleet allows. In a large fleet its own reports alone tell that late, and
+// until then an instance that is cut off or stands still holds up each unload.
 func (m *Member) isSilent(now time.Time, silence time.Duration) bool {
 	heard := m.heardAt
 	if m.reportedAt.After(heard) {
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -89,8 +89,8 @@
 }
 
 // planPace is by how much the pause between two plans grows with each report.MembersAtPace instances beyond the first ones: longer spares
-// the planner's processor, shorter orders sooner. Each report brings a plan, which looks at all endpoints: at 302 instances and 3,000
-// endpoints those of a new planner took 296 of each 300 ms, and kept it from confirming its lease.
+// the planner's processor, shorter orders sooner. Each report brings a plan, which looks at all endpoints; those of a new planner
+// of a large fleet would keep it from confirming its lease.
 const planPace = 500 * time.Microsecond
 
 // planPause is the pause between two plans in a fleet; a small one plans at once.
--- a/services/entry/coordinator/report/schedule.go
+++ b/services/entry/coordinator/report/schedule.go
@@ -11,8 +11,8 @@
 	// UrgentPace is the least pause between two reports of a small fleet about requests that wait: shorter trades the planner's processor
 	// time for an earlier load.
 	UrgentPace = 2 * time.Millisecond
-	// AcknowledgePace is the least pause between two reports of a small fleet that only acknowledge withdrawals: at 91 instances each
-	// withdrawal made 91 reports at once.
+	// AcknowledgePace is the least pause between two reports of a small fleet that only acknowledge withdrawals: each withdrawal
+	// has all members report at once.
 	AcknowledgePace = 5 * time.Millisecond
 	// MembersAtPace is the number of instances up to which no pause is stretched.
 	MembersAtPace = 16
--- a/services/entry/coordinator/sendingviews.go
+++ b/services/entry/coordinator/sendingviews.go
@@ -206,7 +206,7 @@
 }
 
 // shortView is a whole view for members that have read the endpoints from the store: it describes those only of which the planner knows
-// better. When all instances start at once, each gets 13 bytes of most endpoints in place of 150 and more.
+// better, and names the others alone: all instances need one when they start at once.
 func (p *planning) shortView(now time.Time) *wire.View {
 	v := p.viewWithoutEndpoints(now)
 	for id, status := range p.coordinator.directory.Endpoints() {
@@ -232,7 +232,7 @@
 }
 
 // knownView is a whole view for members that know the endpoints' descriptions up to a revision of the store: of an endpoint without a
-// later one it tells the base models and the copies on offer. A new planner tells 3,000 endpoints in some 50 KB in place of 500.
+// later one it tells the base models and the copies on offer, a tenth of what it would tell else.
 func (p *planning) knownView(now time.Time, describedUpTo int64) *wire.View {
 	v := p.viewWithoutEndpoints(now)
 	byModels := make(map[string]*wire.KnownEndpoints)
--- a/services/entry/coordinator/told.go
+++ b/services/entry/coordinator/told.go
@@ -13,7 +13,7 @@
 )
 
 // told is what the planner's last views of changes told of each endpoint, so that the next one tells only what is different: a copy
-// that comes or goes takes some 30 bytes in place of the 350 of an endpoint with 14 copies.
+// that comes or goes is far shorter than its endpoint with all copies.
 type told map[deployment.EndpointID]toldEndpoint
 
 // toldEndpoint is one endpoint as it was told.
--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -165,8 +165,8 @@
 const longestLook = time.Second
 
 // LookPause is the pause between two looks at the record; stretched is the usual one as long as the fleet is large. Instances that leave the
-// record to others look to learn who took it, which these others find out: 180 of 195 instances, each 0.3 s, made 600 calls a
-// second. One that has heard no planner yet looks as often as all, since requests that it holds wait for one.
+// record to others look to learn who took it, which these others find out; they are most of a large fleet. One that has heard no planner yet
+// looks as often as all, since requests that it holds wait for one.
 func LookPause(usual, stretched, reluctance time.Duration, heard bool) time.Duration {
 	if reluctance == 0 || !heard {
 		return usual
--- a/services/entry/loading/pace.go
+++ b/services/entry/loading/pace.go
@@ -144,8 +144,8 @@
 	p.shortest, p.shortestAt = min(took, grown), now
 }
 
-// noteLast keeps how long the last loads took at least. A planner that is late sees their ends late: at 80 ms of that it took each load for
-// a slow one, and let 8 to 13 run at once on a day with many keys to pass on, of 32 that the store brings at full speed.
+// noteLast keeps how long the last loads took at least. A planner that is late sees their ends late, and would
+// take each load for a slow one.
 func (p *pace) noteLast(atLeast time.Duration) {
 	p.last = append(p.last, atLeast)
 	if len(p.last) > slowRun {
