Test who is refused, and told what, beside limits and rests

Cause: the times to come back and the verdicts were shown by whole sites alone. Change: tests at the edges of admission and balance.

--- /dev/null
+++ b/services/entry/balance/held_test.go
@@ -0,0 +1,36 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/balance"
+)
+
+func TestEndpointsThatHoldRequestsBackAreNoLastResort(t *testing.T) {
+	d := build(holder("resting", "near"), holder("limited", "near"))
+	d.Endpoint("resting").NoteRest(start.Add(time.Second))
+	d.Endpoint("limited").Allowance.Hear(start, start, new(1.0))
+	request := &deployment.Request{Adapter: adapter}
+	chosen, verdict := choose(d, balance.Requirement{Request: request})
+	assert.Nil(t, chosen)
+	assert.Equal(t, balance.Limited, verdict)
+	chosen, verdict = choose(d, balance.Requirement{Request: &deployment.Request{Adapter: adapter, Only: "resting"}})
+	assert.Nil(t, chosen, "nor for a stream that would go on there")
+	assert.Equal(t, balance.Resting, verdict)
+
+	d.Endpoint("limited").Allowance.Grant(start, 1)
+	chosen, _ = choose(d, balance.Requirement{Request: request})
+	require.NotNil(t, chosen)
+	assert.EqualValues(t, "limited", chosen.ID)
+	d.Begin(start, chosen.ID, request)
+	_, verdict = choose(d, balance.Requirement{Request: request})
+	assert.Equal(t, balance.Limited, verdict, "one request for one grant")
+}
