--- a/tests/platform/limit_test.go
+++ b/tests/platform/limit_test.go
@@ -231,3 +231,20 @@
 		assertLimitKept(t, worker, named.Add(contactTime), perSecond)
 	}
 }
+
+func TestWhatAnEndpointWithALimitHoldsComesElsewhere(t *testing.T) {
+	s := newSite(t, 3)
+	one := call{path: standin.StreamPrefix + "x", adapter: "a1"}
+	s.waitFor("it is loaded", func() bool { return s.do(one).Status == http.StatusOK })
+	holder, other := s.models[0], s.models[1]
+	if len(holder.Runs()) == 0 {
+		holder, other = other, holder
+	}
+	holder.SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: "0.2"}})
+	c := s.newCallers(20*time.Millisecond, s.atEach(1, one)...)
+	s.waitAtMost(contactTime, "another endpoint serves it", func() bool { return len(other.Runs()) > 20 })
+	refused := c.count(http.StatusServiceUnavailable)
+	time.Sleep(contactTime)
+	c.end()
+	assert.Zero(t, c.count(http.StatusServiceUnavailable)-refused)
+}
