Call what allocates limits, and what endpoints say, by the field's names

Cause: "Dealer" was a picture of our own, and one thing had two names, Notice in the program and Saying in the soak.

--- a/services/entry/coordinator/dealing.go
+++ b/services/entry/coordinator/allocation.go
@@ -13,9 +13,9 @@
 	"github.com/shelfledge/shelfledge/services/entry/limit"
 )
 
-// dealing is what the planner keeps to deal the requests that endpoints' limits allow.
-type dealing struct {
-	dealer *limit.Dealer
+// allocation is what the planner keeps to allocate the requests that endpoints' limits allow.
+type allocation struct {
+	allocator *limit.Allocator
 	// grants were not told yet.
 	grants []wire.Grant
 	// told is the list of the last view that had one.
@@ -37,30 +37,30 @@
 	for _, one := range r.Wants {
 		wants = append(wants, limit.Want{Endpoint: one.ID, Waiting: one.Waiting})
 	}
-	p.dealing.dealer.Ask(now, r.Instance, wants)
+	p.allocation.allocator.Ask(now, r.Instance, wants)
 }
 
-// dealLimits deals what the limits allow by now; the next view tells the members what they were granted.
-func (p *planning) dealLimits(now time.Time) {
-	c, dealer := p.coordinator, p.dealing.dealer
+// allocateLimits grants what the limits allow by now; the next view tells the members what they were granted.
+func (p *planning) allocateLimits(now time.Time) {
+	c, allocator := p.coordinator, p.allocation.allocator
 	if len(c.limits.known) == 0 {
 		return
 	}
 	present := func(instance string) bool { return instance == c.options.Instance || p.members.All()[instance] != nil }
-	dealer.Keep(func(id deployment.EndpointID) bool { return c.limits.known[id] }, present)
+	allocator.Keep(func(id deployment.EndpointID) bool { return c.limits.known[id] }, present)
 	part := p.members.PresentPart()
 	for id := range c.limits.known {
 		status := c.directory.Endpoint(id)
 		if status == nil || !status.Allowance.Binds() {
 			continue
 		}
-		status.Allowance.SetDealt(true, dealer.Waiting(now, id))
-		for _, grant := range dealer.Deal(now, id, status.Allowance.Rate()*part) {
+		status.Allowance.SetAllocated(true, allocator.Waiting(now, id))
+		for _, grant := range allocator.Allocate(now, id, status.Allowance.Rate()*part) {
 			if grant.Instance == c.options.Instance {
 				status.Allowance.Grant(now, grant.Count)
 				continue
 			}
-			p.dealing.grants = append(p.dealing.grants, wire.Grant{ID: id, Instance: grant.Instance, Count: grant.Count})
+			p.allocation.grants = append(p.allocation.grants, wire.Grant{ID: id, Instance: grant.Instance, Count: grant.Count})
 		}
 	}
 	c.reviewLimits(now)
@@ -74,7 +74,7 @@
 		if status := c.directory.Endpoint(id); status != nil && status.Allowance.Binds() {
 			named := &status.Allowance
 			list = append(list, wire.Limit{
-				ID: id, PerSecond: named.PerSecond(), Age: now.Sub(named.NamedAt()), Waiting: p.dealing.dealer.Waiting(now, id),
+				ID: id, PerSecond: named.PerSecond(), Age: now.Sub(named.NamedAt()), Waiting: p.allocation.allocator.Waiting(now, id),
 			})
 		}
 	}
@@ -85,15 +85,15 @@
 // limitsChanged tells whether members have not been told of a limit, of its value or of its end.
 func (p *planning) limitsChanged(now time.Time) bool {
 	same := func(a, b wire.Limit) bool { return a.ID == b.ID && a.PerSecond == b.PerSecond }
-	return !slices.EqualFunc(p.limitList(now), p.dealing.told, same)
+	return !slices.EqualFunc(p.limitList(now), p.allocation.told, same)
 }
 
 // tellLimits adds to a view of changes what was granted since the last one, and the limits, where they have changed or the view tells all.
 func (p *planning) tellLimits(now time.Time, v *wire.View, all bool) {
-	v.Grants, p.dealing.grants = p.dealing.grants, nil
+	v.Grants, p.allocation.grants = p.allocation.grants, nil
 	if !all && !p.limitsChanged(now) {
 		return
 	}
-	p.dealing.told = p.limitList(now)
-	v.Limits = &wire.LimitList{Limits: p.dealing.told}
+	p.allocation.told = p.limitList(now)
+	v.Limits = &wire.LimitList{Limits: p.allocation.told}
 }
--- a/services/entry/coordinator/limits.go
+++ b/services/entry/coordinator/limits.go
@@ -219,19 +219,19 @@
 // applyLimits takes in the limits that the planner knows, and what it granted.
 func (c *Coordinator) applyLimits(now time.Time, v *wire.View) {
 	c.applyLimitList(now, v)
-	dealt := now
+	granted := now
 	if made, known := c.following.MadeAfter(); known {
-		dealt = made
+		granted = made
 	}
 	for _, grant := range v.Grants {
 		if status := c.directory.Endpoint(grant.ID); status != nil && grant.Instance == c.options.Instance {
-			status.Allowance.Grant(dealt, grant.Count)
+			status.Allowance.Grant(granted, grant.Count)
 		}
 	}
 }
 
 // applyLimitList takes in all limits that the planner knows. One that it knew and does not know any more is over, unless this instance has
-// heard of it since. A planner of the version before deals none.
+// heard of it since. A planner of the version before allocates none.
 func (c *Coordinator) applyLimitList(now time.Time, v *wire.View) {
 	if v.Limits == nil && !v.Heartbeat {
 		return
@@ -248,11 +248,11 @@
 		if status == nil {
 			continue
 		}
-		one, dealt := listed[id]
-		if !dealt && status.Allowance.Dealt() && v.Limits != nil {
+		one, allocated := listed[id]
+		if !allocated && status.Allowance.Allocated() && v.Limits != nil {
 			c.tellFree(now, status, now.Add(-c.following.Delay))
 		}
-		status.Allowance.SetDealt(dealt, one.Waiting)
+		status.Allowance.SetAllocated(allocated, one.Waiting)
 	}
 	c.reviewLimits(now)
 }
--- a/services/entry/coordinator/planning.go
+++ b/services/entry/coordinator/planning.go
@@ -56,7 +56,7 @@
 	// unreached are the endpoints that refuse several instances' connections; unreachedChanged says that they were not told yet.
 	unreached        map[deployment.EndpointID]bool
 	unreachedChanged bool
-	dealing          dealing
+	allocation       allocation
 	// plannedAt is when the last plan was made, putOff that one waits for its pause.
 	plannedAt time.Time
 	putOff    bool
@@ -78,7 +78,7 @@
 		keysUnderWay: relay.NewWindow[*member.Link](relay.WindowFor(c.options.LinkRate)),
 		gatherers:    gatherers{sums: gather.NewSums()},
 		told:         make(told),
-		dealing:      dealing{dealer: limit.NewDealer()},
+		allocation:   allocation{allocator: limit.NewAllocator()},
 		plans:        plan.New(options, c.directory, members, former.loads),
 	}
 	p.inheritGatherers(now, c.gathering.gatherers)
@@ -132,7 +132,7 @@
 	}
 	p.plans.Order(now, mayOrder, c.startOrder, begun)
 	p.nameGatherers(now)
-	p.dealLimits(now)
+	p.allocateLimits(now)
 	p.broadcast(now, p.views.TotalsDue(now, c.following.Members))
 	p.tellTotals(now)
 	c.reviewWaiters(now)
--- a/services/entry/coordinator/viewing.go
+++ b/services/entry/coordinator/viewing.go
@@ -123,7 +123,7 @@
 // noChanges tells whether all members have the plan's last state.
 func (p *planning) noChanges(now time.Time) bool {
 	return p.plans.Changes().Empty() && !p.coordinator.crashes.Untold() && !p.members.NeedOwn() && !p.gatherers.changed && !p.unreachedChanged &&
-		len(p.dealing.grants) == 0 && !p.limitsChanged(now)
+		len(p.allocation.grants) == 0 && !p.limitsChanged(now)
 }
 
 // itemsFor gives the operators' keys that are passed on to a member now, as far as what is under way to all members allows it.
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -248,9 +248,9 @@
 	// versions neither tell nor read them.
 	Crashes []Crash `msgpack:"cr,omitempty"`
 	// Limits are all limits that endpoints name, in each view with totals and where they have changed; nil if the view does not tell. The
-	// planner deals them. Earlier versions neither tell nor read them.
+	// planner allocates them. Earlier versions neither tell nor read them.
 	Limits *LimitList `msgpack:"li,omitempty"`
-	// Grants are the requests that the planner dealt since the last view. Earlier versions neither tell nor read them.
+	// Grants are the requests that the planner granted since the last view. Earlier versions neither tell nor read them.
 	Grants []Grant `msgpack:"gr,omitempty"`
 }
 
--- a/services/entry/limit/dealer.go
+++ b/services/entry/limit/allocator.go
@@ -34,13 +34,13 @@
 // small limit, shorter grants less to instances whose callers have gone.
 const wantLife = time.Second
 
-// Dealer deals the requests that limits allow among instances.
-type Dealer struct {
-	endpoints map[deployment.EndpointID]*dealing
+// Allocator allocates the requests that limits allow among instances.
+type Allocator struct {
+	endpoints map[deployment.EndpointID]*endpointLimit
 }
 
-// dealing is one endpoint's limit.
-type dealing struct {
+// endpointLimit is one endpoint's limit.
+type endpointLimit struct {
 	bucket bucket
 	// spareAt is since when the bucket has held a request for which nobody waits; zero if it holds none.
 	spareAt time.Time
@@ -59,35 +59,35 @@
 	asked bool
 }
 
-// NewDealer makes a dealer without limits.
-func NewDealer() *Dealer {
-	return &Dealer{endpoints: make(map[deployment.EndpointID]*dealing)}
+// NewAllocator makes a allocator without limits.
+func NewAllocator() *Allocator {
+	return &Allocator{endpoints: make(map[deployment.EndpointID]*endpointLimit)}
 }
 
 // Ask takes in what an instance wants; it replaces what it wanted before, but for what waited a short while ago.
-func (d *Dealer) Ask(now time.Time, instance string, wants []Want) {
-	for _, one := range d.endpoints {
+func (a *Allocator) Ask(now time.Time, instance string, wants []Want) {
+	for _, one := range a.endpoints {
 		if known := one.wants[instance]; known != nil {
 			known.asked = known.waits(now)
 		}
 	}
 	for _, one := range wants {
-		d.dealing(one.Endpoint).want(instance).ask(now, one.Waiting)
+		a.limitOf(one.Endpoint).want(instance).ask(now, one.Waiting)
 	}
 }
 
 // Keep drops the endpoints that have no limit any more, and what instances want that are lost.
-func (d *Dealer) Keep(limited func(deployment.EndpointID) bool, present func(instance string) bool) {
-	maps.DeleteFunc(d.endpoints, func(id deployment.EndpointID, _ *dealing) bool { return !limited(id) })
-	for _, one := range d.endpoints {
+func (a *Allocator) Keep(limited func(deployment.EndpointID) bool, present func(instance string) bool) {
+	maps.DeleteFunc(a.endpoints, func(id deployment.EndpointID, _ *endpointLimit) bool { return !limited(id) })
+	for _, one := range a.endpoints {
 		maps.DeleteFunc(one.wants, func(instance string, _ *want) bool { return !present(instance) })
 	}
 }
 
 // Waiting is how many requests wait for an endpoint's limit at all instances.
-func (d *Dealer) Waiting(now time.Time, id deployment.EndpointID) int {
+func (a *Allocator) Waiting(now time.Time, id deployment.EndpointID) int {
 	waiting := 0
-	if one := d.endpoints[id]; one != nil {
+	if one := a.endpoints[id]; one != nil {
 		for _, w := range one.wants {
 			if w.waits(now) {
 				waiting += max(1, w.waiting)
@@ -97,10 +97,10 @@
 	return waiting
 }
 
-// Deal grants what a rate allows by now at an endpoint to instances with waiting requests, and what is left over for a while to others;
+// Allocate grants what a rate allows by now at an endpoint to instances with waiting requests, and what is left over for a while to others;
 // among equals to who got nothing for longest.
-func (d *Dealer) Deal(now time.Time, id deployment.EndpointID, rate float64) []Grant {
-	one := d.dealing(id)
+func (a *Allocator) Allocate(now time.Time, id deployment.EndpointID, rate float64) []Grant {
+	one := a.limitOf(id)
 	one.bucket.fill(now, rate)
 	counts := make(map[string]int)
 	for one.bucket.holds() {
@@ -121,38 +121,38 @@
 	return grants
 }
 
-func (d *Dealer) dealing(id deployment.EndpointID) *dealing {
-	one, ok := d.endpoints[id]
+func (a *Allocator) limitOf(id deployment.EndpointID) *endpointLimit {
+	one, ok := a.endpoints[id]
 	if !ok {
-		one = &dealing{wants: make(map[string]*want)}
-		d.endpoints[id] = one
+		one = &endpointLimit{wants: make(map[string]*want)}
+		a.endpoints[id] = one
 	}
 	return one
 }
 
-func (d *dealing) want(instance string) *want {
-	w, ok := d.wants[instance]
+func (l *endpointLimit) want(instance string) *want {
+	w, ok := l.wants[instance]
 	if !ok {
 		w = &want{}
-		d.wants[instance] = w
+		l.wants[instance] = w
 	}
 	return w
 }
 
 // isSpare reports whether nobody has waited for a while for the request that the bucket holds.
-func (d *dealing) isSpare(now time.Time) bool {
-	if d.spareAt.IsZero() {
-		d.spareAt = now
+func (l *endpointLimit) isSpare(now time.Time) bool {
+	if l.spareAt.IsZero() {
+		l.spareAt = now
 	}
-	return now.Sub(d.spareAt) >= idlePause
+	return now.Sub(l.spareAt) >= idlePause
 }
 
 // next gives the instance whose turn it is, idle says that it need not have waiting requests; false if none wants to send.
-func (d *dealing) next(now time.Time, idle bool) (string, bool) {
+func (l *endpointLimit) next(now time.Time, idle bool) (string, bool) {
 	chosen := ""
-	for _, instance := range slices.Sorted(maps.Keys(d.wants)) {
-		w := d.wants[instance]
-		if w.asked && (idle || w.waits(now)) && (chosen == "" || w.before(now, d.wants[chosen])) {
+	for _, instance := range slices.Sorted(maps.Keys(l.wants)) {
+		w := l.wants[instance]
+		if w.asked && (idle || w.waits(now)) && (chosen == "" || w.before(now, l.wants[chosen])) {
 			chosen = instance
 		}
 	}
--- a/services/entry/limit/allowance.go
+++ b/services/entry/limit/allowance.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// GrantLife is for how long after the planner dealt a request it may be sent. Longer bears slower links, shorter lets fewer be sent at once
+// GrantLife is for how long after the planner granted a request it may be sent. Longer bears slower links, shorter lets fewer be sent at once
 // that were saved up.
 const GrantLife = time.Second
 
@@ -16,11 +16,11 @@
 type Allowance struct {
 	Named
 
-	// dealt says that the planner deals the limit, by its last word.
-	dealt bool
+	// allocated says that the planner allocates the limit, by its last word.
+	allocated bool
 	// grants are the ends of requests that the planner granted, the earliest first.
 	grants []time.Time
-	// share holds the own part of the limit while no planner deals; sharing says that it is in use.
+	// share holds the own part of the limit while no planner allocates it; sharing says that it is in use.
 	share   bucket
 	sharing bool
 	// waiting is how many requests wait for the endpoint's limit at all instances, by the planner's last word.
@@ -64,27 +64,27 @@
 	return a.Binds() && !a.granted(now)
 }
 
-// Grant takes in requests that the planner dealt to this instance at a time.
-func (a *Allowance) Grant(dealt time.Time, count int) {
+// Grant takes in requests that the planner granted to this instance at a time.
+func (a *Allowance) Grant(granted time.Time, count int) {
 	for range count {
-		a.grants = append(a.grants, dealt.Add(GrantLife))
+		a.grants = append(a.grants, granted.Add(GrantLife))
 	}
 }
 
-// SetDealt takes in whether the planner deals the limit, and how many requests wait for it.
-func (a *Allowance) SetDealt(dealt bool, waiting int) {
-	a.dealt, a.waiting = dealt, waiting
+// SetAllocated takes in whether the planner allocates the limit, and how many requests wait for it.
+func (a *Allowance) SetAllocated(allocated bool, waiting int) {
+	a.allocated, a.waiting = allocated, waiting
 }
 
-// Dealt reports whether the planner deals the limit, by its last word.
-func (a *Allowance) Dealt() bool {
-	return a.dealt
+// Allocated reports whether the planner allocates the limit, by its last word.
+func (a *Allowance) Allocated() bool {
+	return a.allocated
 }
 
 // Review brings the own share up to date. It begins at a random part of the first request, so that the instances, each of which begins
 // its own, do not send their first requests together.
 func (a *Allowance) Review(now time.Time, fleet Fleet) {
-	sharing := a.Binds() && (!a.dealt || !fleet.PlannerHeard)
+	sharing := a.Binds() && (!a.allocated || !fleet.PlannerHeard)
 	if sharing && !a.sharing {
 		a.share = bucket{level: fleet.Random}
 	}
@@ -100,7 +100,7 @@
 }
 
 // Expected gives how many requests a second may be expected for this instance's own waiting requests, and how many requests that others
-// wait with come before: all instances wait for one limit where the planner deals it.
+// wait with come before: all instances wait for one limit where the planner allocates it.
 func (a *Allowance) Expected(members int) (rate float64, ahead int) {
 	if a.sharing {
 		return a.ownRate(members), 0
--- a/services/entry/limit/fleet_test.go
+++ b/services/entry/limit/fleet_test.go
@@ -23,11 +23,11 @@
 	window = 4 * time.Second
 )
 
-// fleet is instances that send to one endpoint, and a planner that deals to them.
+// fleet is instances that send to one endpoint, and a planner that allocates its limit.
 type fleet struct {
-	random  *rand.Rand
-	dealer  *limit.Dealer
-	members []*limit.Allowance
+	random    *rand.Rand
+	allocator *limit.Allocator
+	members   []*limit.Allowance
 	// demand is how many requests each instance would send in a step.
 	demand []float64
 	// missed is how many could not be sent since the last report of each.
@@ -39,7 +39,7 @@
 }
 
 func newFleet(seed uint64, members int, rate float64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), dealer: limit.NewDealer(), rate: rate}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), allocator: limit.NewAllocator(), rate: rate}
 	for range members {
 		allowance := &limit.Allowance{}
 		allowance.Hear(start, start, new(rate))
@@ -60,15 +60,15 @@
 	for count := range steps {
 		now = now.Add(step)
 		for i, allowance := range f.members {
-			allowance.SetDealt(f.heard[i], 0)
+			allowance.SetAllocated(f.heard[i], 0)
 			allowance.Review(now, limit.Fleet{PlannerHeard: f.heard[i], Members: len(f.members), Random: f.random.Float64()})
 			f.send(now, i)
 			if f.heard[i] && count%reports == i%reports {
-				f.dealer.Ask(now, name(i), []limit.Want{{Endpoint: endpoint, Waiting: f.missed[i]}})
+				f.allocator.Ask(now, name(i), []limit.Want{{Endpoint: endpoint, Waiting: f.missed[i]}})
 				f.missed[i] = 0
 			}
 		}
-		for _, grant := range f.dealer.Deal(now, endpoint, f.rate) {
+		for _, grant := range f.allocator.Allocate(now, endpoint, f.rate) {
 			for i, allowance := range f.members {
 				if grant.Instance == name(i) && f.heard[i] {
 					allowance.Grant(now, grant.Count)
@@ -158,39 +158,39 @@
 }
 
 func TestWhoWaitsIsGrantedFirst(t *testing.T) {
-	dealer := limit.NewDealer()
+	allocator := limit.NewAllocator()
 	idle, busy := []limit.Want{{Endpoint: endpoint}}, []limit.Want{{Endpoint: endpoint, Waiting: 2}}
 	toIdle := []limit.Grant{{Endpoint: endpoint, Instance: "idle", Count: 1}}
 	toBusy := []limit.Grant{{Endpoint: endpoint, Instance: "busy", Count: 1}}
-	assert.Empty(t, dealer.Deal(start, endpoint, 1), "what was sent before the limit was heard is not known")
-	dealer.Ask(at(900), "idle", idle)
-	dealer.Ask(at(900), "busy", busy)
-	assert.Equal(t, toBusy, dealer.Deal(at(1000), endpoint, 1))
-	assert.Equal(t, 1, dealer.Waiting(at(1000), endpoint))
-	assert.Empty(t, dealer.Deal(at(2000), endpoint, 1), "somebody may come who waits")
-	assert.Empty(t, dealer.Deal(at(2499), endpoint, 1))
-	assert.Equal(t, toIdle, dealer.Deal(at(2500), endpoint, 1))
-	dealer.Ask(at(3000), "busy", busy)
-	assert.Equal(t, toBusy, dealer.Deal(at(4000-1), endpoint, 1))
-	assert.Empty(t, dealer.Deal(at(9000), endpoint, 1), "nobody wants more")
+	assert.Empty(t, allocator.Allocate(start, endpoint, 1), "what was sent before the limit was heard is not known")
+	allocator.Ask(at(900), "idle", idle)
+	allocator.Ask(at(900), "busy", busy)
+	assert.Equal(t, toBusy, allocator.Allocate(at(1000), endpoint, 1))
+	assert.Equal(t, 1, allocator.Waiting(at(1000), endpoint))
+	assert.Empty(t, allocator.Allocate(at(2000), endpoint, 1), "somebody may come who waits")
+	assert.Empty(t, allocator.Allocate(at(2499), endpoint, 1))
+	assert.Equal(t, toIdle, allocator.Allocate(at(2500), endpoint, 1))
+	allocator.Ask(at(3000), "busy", busy)
+	assert.Equal(t, toBusy, allocator.Allocate(at(4000-1), endpoint, 1))
+	assert.Empty(t, allocator.Allocate(at(9000), endpoint, 1), "nobody wants more")
 }
 
 func TestInstancesThatAreLostGetNothing(t *testing.T) {
-	dealer := limit.NewDealer()
-	dealer.Deal(start, endpoint, 1)
-	dealer.Ask(at(1000), "lost", []limit.Want{{Endpoint: endpoint, Waiting: 1}})
-	dealer.Keep(func(deployment.EndpointID) bool { return true }, func(instance string) bool { return instance != "lost" })
-	assert.Empty(t, dealer.Deal(at(1000), endpoint, 1))
-	assert.Zero(t, dealer.Waiting(at(1000), endpoint))
+	allocator := limit.NewAllocator()
+	allocator.Allocate(start, endpoint, 1)
+	allocator.Ask(at(1000), "lost", []limit.Want{{Endpoint: endpoint, Waiting: 1}})
+	allocator.Keep(func(deployment.EndpointID) bool { return true }, func(instance string) bool { return instance != "lost" })
+	assert.Empty(t, allocator.Allocate(at(1000), endpoint, 1))
+	assert.Zero(t, allocator.Waiting(at(1000), endpoint))
 }
 
-func TestAVeryLargeLimitIsDealtByWhatIsAskedFor(t *testing.T) {
-	dealer := limit.NewDealer()
+func TestAVeryLargeLimitIsAllocatedByWhatIsAskedFor(t *testing.T) {
+	allocator := limit.NewAllocator()
 	const rate = 1e9
-	dealer.Deal(start, endpoint, rate)
-	dealer.Ask(at(10), "busy", []limit.Want{{Endpoint: endpoint, Waiting: 3}})
+	allocator.Allocate(start, endpoint, rate)
+	allocator.Ask(at(10), "busy", []limit.Want{{Endpoint: endpoint, Waiting: 3}})
 	granted := 0
-	for _, grant := range dealer.Deal(at(10), endpoint, rate) {
+	for _, grant := range allocator.Allocate(at(10), endpoint, rate) {
 		granted += grant.Count
 	}
 	assert.GreaterOrEqual(t, granted, 3)
--- a/tests/capacity/entry_limit_test.go
+++ b/tests/capacity/entry_limit_test.go
@@ -23,17 +23,17 @@
 	limitPlan        = 25 * time.Millisecond
 )
 
-// BenchmarkEntryCapacityLimits prints what the planner's dealing of limits costs: its time for a second, and the bytes of the grants and lists
+// BenchmarkEntryCapacityLimits prints what the planner's allocation of limits costs: its time for a second, and the bytes of the grants and lists
 // that each member gets in that second.
 func BenchmarkEntryCapacityLimits(b *testing.B) {
 	for _, instances := range []int{320, 1000} {
 		b.Run(fmt.Sprint(instances, " instances"), func(b *testing.B) {
-			dealer := limit.NewDealer()
+			allocator := limit.NewAllocator()
 			now := time.Now()
 			granted, bytes := 0, 0
 			began := time.Now()
 			for b.Loop() {
-				grants := dealSecond(dealer, now, instances)
+				grants := allocateSecond(allocator, now, instances)
 				now = now.Add(time.Second)
 				granted += len(grants)
 				bytes += grantBytes(b, grants)
@@ -45,19 +45,19 @@
 	}
 }
 
-// dealSecond deals for a second in which each instance reports once.
-func dealSecond(dealer *limit.Dealer, now time.Time, instances int) []limit.Grant {
+// allocateSecond allocates for a second in which each instance reports once.
+func allocateSecond(allocator *limit.Allocator, now time.Time, instances int) []limit.Grant {
 	var all []limit.Grant
 	var wants []limit.Want
 	for e := range limitedEndpoints {
 		wants = append(wants, limit.Want{Endpoint: limitedName(e), Waiting: 3})
 	}
 	for i := range instances {
-		dealer.Ask(now, fmt.Sprintf("edge-plv-hall-a-%d", i), wants)
+		allocator.Ask(now, fmt.Sprintf("edge-plv-hall-a-%d", i), wants)
 	}
 	for at := time.Duration(0); at < time.Second; at += limitPlan {
 		for e := range limitedEndpoints {
-			all = append(all, dealer.Deal(now.Add(at), limitedName(e), limitPerSecond)...)
+			all = append(all, allocator.Allocate(now.Add(at), limitedName(e), limitPerSecond)...)
 		}
 	}
 	return all
--- a/tests/platform/leaving_answer_test.go
+++ b/tests/platform/leaving_answer_test.go
@@ -60,7 +60,7 @@
 			c := s.newCallers(5*time.Millisecond, s.atEach(2, test.one)...)
 			s.waitFor("requests are served", func() bool { return c.count(http.StatusOK) > 20 })
 			for _, worker := range workers {
-				worker.SetFaults(standin.WorkerFaults{Says: standin.Saying{Leaving: true}})
+				worker.SetFaults(standin.WorkerFaults{Says: standin.Notice{Leaving: true}})
 			}
 			// All instances have requests under way.
 			time.Sleep(drainTime / 4)
--- a/tests/platform/limit_test.go
+++ b/tests/platform/limit_test.go
@@ -142,7 +142,7 @@
 			s := newSite(t, 4)
 			named := time.Now()
 			for _, worker := range test.workers(s) {
-				worker.SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: fmt.Sprint(perSecond)}})
+				worker.SetFaults(standin.WorkerFaults{Says: standin.Notice{Limit: fmt.Sprint(perSecond)}})
 			}
 			c := s.newCallers(5*time.Millisecond, test.calls(s)...)
 			time.Sleep(contactTime + limitWatched)
@@ -157,7 +157,7 @@
 
 func TestRequestsGoElsewhereBesideAnEndpointWithALimit(t *testing.T) {
 	s := newSite(t, 3)
-	s.plain[0].SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: "0.5"}})
+	s.plain[0].SetFaults(standin.WorkerFaults{Says: standin.Notice{Limit: "0.5"}})
 	c := s.newCallers(5*time.Millisecond, append(s.atEach(2, call{path: standin.SafePrefix + "x"}), s.atEach(2, call{path: standin.UnsafePrefix + "x"})...)...)
 	time.Sleep(contactTime)
 	c.end()
@@ -167,7 +167,7 @@
 func TestALimitEndsWhenTheEndpointNamesNoneAnyMore(t *testing.T) {
 	s := newSite(t, 3)
 	for _, worker := range s.plain {
-		worker.SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: "0"}})
+		worker.SetFaults(standin.WorkerFaults{Says: standin.Notice{Limit: "0"}})
 	}
 	c := s.newCallers(5*time.Millisecond, s.atEach(2, call{path: standin.SafePrefix + "x"})...)
 	s.waitFor("it holds", func() bool { return c.count(http.StatusServiceUnavailable) > 0 })
@@ -190,7 +190,7 @@
 	const perSecond = 1.3
 	s := newSite(t, 4)
 	for _, worker := range s.plain {
-		worker.SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: fmt.Sprint(perSecond)}})
+		worker.SetFaults(standin.WorkerFaults{Says: standin.Notice{Limit: fmt.Sprint(perSecond)}})
 	}
 	planner := s.planner()
 	var calls []call
@@ -214,7 +214,7 @@
 	const perSecond = 1.3
 	s := newSite(t, 4)
 	for _, worker := range s.plain {
-		worker.SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: fmt.Sprint(perSecond)}})
+		worker.SetFaults(standin.WorkerFaults{Says: standin.Notice{Limit: fmt.Sprint(perSecond)}})
 	}
 	named := time.Now()
 	c := s.newCallers(5*time.Millisecond, s.atEach(2, call{path: standin.SafePrefix + "x"})...)
@@ -240,7 +240,7 @@
 	if len(holder.Runs()) == 0 {
 		holder, other = other, holder
 	}
-	holder.SetFaults(standin.WorkerFaults{Says: standin.Saying{Limit: "0.2"}})
+	holder.SetFaults(standin.WorkerFaults{Says: standin.Notice{Limit: "0.2"}})
 	c := s.newCallers(20*time.Millisecond, s.atEach(1, one)...)
 	s.waitAtMost(contactTime, "another endpoint serves it", func() bool { return len(other.Runs()) > 20 })
 	refused := c.count(http.StatusServiceUnavailable)
--- a/tests/platform/rest_test.go
+++ b/tests/platform/rest_test.go
@@ -56,7 +56,7 @@
 			c := s.newCallers(5*time.Millisecond, s.atEach(6, test.one)...)
 			s.waitFor("requests are served", func() bool { return c.count(http.StatusOK) > 20 })
 			for _, worker := range test.workers(s) {
-				worker.SetFaults(standin.WorkerFaults{Says: standin.Saying{Rest: fmt.Sprint(test.rest.Seconds())}})
+				worker.SetFaults(standin.WorkerFaults{Says: standin.Notice{Rest: fmt.Sprint(test.rest.Seconds())}})
 			}
 			time.Sleep(2*test.rest + time.Second)
 			c.end()
@@ -70,7 +70,7 @@
 
 func TestCallersOfEndpointsThatRestAreToldWhenTheyCanComeBack(t *testing.T) {
 	s := newSite(t, 1)
-	s.eachPlain(standin.WorkerFaults{Says: standin.Saying{Rest: "2"}})
+	s.eachPlain(standin.WorkerFaults{Says: standin.Notice{Rest: "2"}})
 	asked := time.Now()
 	for range 3 {
 		s.do(call{path: standin.UnsafePrefix + "x"})
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -73,11 +73,11 @@
 	Version  int    `json:"version,omitempty"`
 	Resumed  string `json:"resumed,omitempty"`
 	// Said is what the worker says of itself in the answer.
-	Said Saying `json:"said,omitzero"`
+	Said Notice `json:"said,omitzero"`
 }
 
-// Saying is what a worker says of itself in an answer.
-type Saying struct {
+// Notice is what a worker says of itself in an answer.
+type Notice struct {
 	// Limit is the requests a second that it takes, and Rest the seconds for which it wants nothing; empty for none.
 	Limit   string `json:"limit,omitempty"`
 	Leaving bool   `json:"leaving,omitempty"`
@@ -102,7 +102,7 @@
 	// KeepsQueued has what waits in the worker's queue begin though its caller has closed the connection.
 	KeepsQueued bool
 	// Says is what each answer says of the worker, whatever its entry says; with a Rest, each request is turned away.
-	Says Saying
+	Says Notice
 }
 
 // Run is one request that a worker began to work on.
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -48,11 +48,11 @@
 }
 
 // noteArrival counts a request that arrived, has its answer say what the worker says of itself, and gives that.
-func (w *Worker) noteArrival(writer http.ResponseWriter, request *http.Request) Saying {
+func (w *Worker) noteArrival(writer http.ResponseWriter, request *http.Request) Notice {
 	w.mutex.Lock()
 	w.arrivals = append(w.arrivals, time.Now())
 	said := w.faults.Says
-	w.hasSaid = w.hasSaid || said != (Saying{})
+	w.hasSaid = w.hasSaid || said != (Notice{})
 	told := w.hasSaid
 	w.mutex.Unlock()
 	if said.Limit != "" {
@@ -62,13 +62,13 @@
 		writer.Header().Set("Server-Leaving", "1")
 	}
 	if told {
-		w.noteSaying(RunArrived, request, said)
+		w.journalNotice(RunArrived, request, said)
 	}
 	return said
 }
 
-// noteSaying writes to the journal what a request was or is told.
-func (w *Worker) noteSaying(phase RunPhase, request *http.Request, said Saying) {
+// journalNotice writes to the journal what a request was or is told.
+func (w *Worker) journalNotice(phase RunPhase, request *http.Request, said Notice) {
 	if w.options.Journal != nil {
 		w.options.Journal(RunEvent{At: time.Now(), Phase: phase, Endpoint: w.options.ID, ID: request.Header.Get(HeaderRequestID), Said: said})
 	}
@@ -106,8 +106,8 @@
 	} else {
 		w.run(writer, request)
 	}
-	if said != (Saying{}) && request.Context().Err() == nil {
-		w.noteSaying(RunTold, request, said)
+	if said != (Notice{}) && request.Context().Err() == nil {
+		w.journalNotice(RunTold, request, said)
 	}
 }
 
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -121,7 +121,7 @@
 // leaveByAnswers has the present endpoint say in its answers that it leaves, a good while before it tells the store.
 func (e *endpoint) leaveByAnswers() error {
 	leaving := e.current()
-	if err := leaving.SetFaults(platformstandin.WorkerFaults{Says: platformstandin.Saying{Leaving: true}}); err != nil {
+	if err := leaving.SetFaults(platformstandin.WorkerFaults{Says: platformstandin.Notice{Leaving: true}}); err != nil {
 		return err
 	}
 	time.Sleep(silentLeaving)
--- a/tools/soak/execute.go
+++ b/tools/soak/execute.go
@@ -139,9 +139,9 @@
 	case plan.EndpointLinksReset:
 		return true, s.breakLinks(e.current(), (*incarnation).ResetOpen)
 	case plan.EndpointLimits:
-		return true, s.say(e.current(), platformstandin.Saying{Limit: fmt.Sprint(float64(step.Count) * limitStep)}, step.For)
+		return true, s.say(e.current(), platformstandin.Notice{Limit: fmt.Sprint(float64(step.Count) * limitStep)}, step.For)
 	case plan.EndpointRests:
-		return true, s.say(e.current(), platformstandin.Saying{Rest: fmt.Sprint(float64(step.Count) * restStep)}, step.For)
+		return true, s.say(e.current(), platformstandin.Notice{Rest: fmt.Sprint(float64(step.Count) * restStep)}, step.For)
 	case plan.EndpointSaysLeaving:
 		return true, e.leaveByAnswers()
 	case plan.EndpointQueues:
@@ -179,8 +179,8 @@
 }
 
 // say has an endpoint say something of itself for a time, unless another step ends that.
-func (s *site) say(one *incarnation, saying platformstandin.Saying, span time.Duration) error {
-	if err := one.SetFaults(platformstandin.WorkerFaults{Says: saying}); err != nil {
+func (s *site) say(one *incarnation, notice platformstandin.Notice, span time.Duration) error {
+	if err := one.SetFaults(platformstandin.WorkerFaults{Says: notice}); err != nil {
 		return err
 	}
 	time.Sleep(span)
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -193,13 +193,13 @@
 			r.Runs, r.Attempts[0].Outcome, r.Attempts[0].Cause = nil, ledger.Refused, "crashes endpoints"
 		}}, ledger.CheckHeldBack},
 		{"a limit that is not kept", []change{func(r *ledger.Record) {
-			*r = *told(platformstandin.Saying{Limit: "1"}, 120, second/4)
+			*r = *told(platformstandin.Notice{Limit: "1"}, 120, second/4)
 		}}, ledger.CheckLimit},
 		{"a leaving that was told in vain", []change{func(r *ledger.Record) {
-			*r = *told(platformstandin.Saying{Leaving: true}, 10, second/4)
+			*r = *told(platformstandin.Notice{Leaving: true}, 10, second/4)
 		}}, ledger.CheckLeaving},
 		{"a rest that was asked for in vain", []change{func(r *ledger.Record) {
-			*r = *told(platformstandin.Saying{Rest: "3"}, 4, 7*second/10)
+			*r = *told(platformstandin.Notice{Rest: "3"}, 4, 7*second/10)
 		}}, ledger.CheckRest},
 		{"a connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", CallerSockets: 1}} }}, ledger.CheckLeak},
 		{"no connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", Descriptors: 100}} }}, ""},
--- a/tools/soak/ledger/saying.go
+++ b/tools/soak/ledger/notice.go
@@ -22,28 +22,28 @@
 	sent time.Time
 }
 
-// saying is what one endpoint's requests saw of what it says, in the order of their moments.
-type saying struct {
+// history is what one endpoint's requests saw of what it says, in the order of their moments.
+type history struct {
 	endpoint string
 	arrived  []arrival
 	told     []arrival
 }
 
-// sayings gives what each endpoint's requests saw. Requests whose attempt is not in the record are left out.
-func (r *Record) sayings() []*saying {
+// histories gives what each endpoint's requests saw. Requests whose attempt is not in the record are left out.
+func (r *Record) histories() []*history {
 	attempts := make(map[string]Attempt, len(r.Attempts))
 	for _, a := range r.Attempts {
 		attempts[a.ID] = a
 	}
-	byEndpoint := make(map[string]*saying)
-	for _, event := range r.Sayings {
+	byEndpoint := make(map[string]*history)
+	for _, event := range r.Notices {
 		attempt, known := attempts[event.ID]
 		if !known {
 			continue
 		}
 		one := byEndpoint[event.Endpoint]
 		if one == nil {
-			one = &saying{endpoint: event.Endpoint}
+			one = &history{endpoint: event.Endpoint}
 			byEndpoint[event.Endpoint] = one
 		}
 		seen := arrival{RunEvent: event, instance: attempt.Instance, sent: attempt.Began}
@@ -53,19 +53,19 @@
 			one.arrived = append(one.arrived, seen)
 		}
 	}
-	var all []*saying
+	var all []*history
 	for _, one := range byEndpoint {
 		slices.SortFunc(one.arrived, func(a, b arrival) int { return a.At.Compare(b.At) })
 		slices.SortFunc(one.told, func(a, b arrival) int { return a.At.Compare(b.At) })
 		all = append(all, one)
 	}
-	slices.SortFunc(all, func(a, b *saying) int { return cmp.Compare(a.endpoint, b.endpoint) })
+	slices.SortFunc(all, func(a, b *history) int { return cmp.Compare(a.endpoint, b.endpoint) })
 	return all
 }
 
 // firstTold is when an instance was first told, from a moment on, what the function asks for; false for never.
-func (s *saying) firstTold(instance string, from time.Time, said func(platformstandin.Saying) bool) (time.Time, bool) {
-	for _, one := range s.told {
+func (h *history) firstTold(instance string, from time.Time, said func(platformstandin.Notice) bool) (time.Time, bool) {
+	for _, one := range h.told {
 		if one.instance == instance && !one.At.Before(from) && said(one.Said) {
 			return one.At, true
 		}
@@ -75,9 +75,9 @@
 
 // checkLeaving finds requests at endpoints that had told their instance that they leave.
 func checkLeaving(r *Record) []Finding {
-	leaves := func(said platformstandin.Saying) bool { return said.Leaving }
+	leaves := func(said platformstandin.Notice) bool { return said.Leaving }
 	var findings []Finding
-	for _, s := range r.sayings() {
+	for _, s := range r.histories() {
 		for _, one := range s.arrived {
 			told, ok := s.firstTold(one.instance, time.Time{}, leaves)
 			if !ok || r.struck(one.instance, told, one.At, Stop, Kill, Freeze) {
@@ -94,7 +94,7 @@
 // checkRest finds requests within rests that endpoints asked their instance for.
 func checkRest(r *Record) []Finding {
 	var findings []Finding
-	for _, s := range r.sayings() {
+	for _, s := range r.histories() {
 		for _, asked := range s.told {
 			seconds, err := strconv.ParseFloat(asked.Said.Rest, 64)
 			if err != nil {
@@ -120,7 +120,7 @@
 // checkLimit finds spans in which endpoints got more than the limit that they named allows.
 func checkLimit(r *Record) []Finding {
 	var findings []Finding
-	for _, s := range r.sayings() {
+	for _, s := range r.histories() {
 		for _, episode := range s.episodes() {
 			findings = append(findings, r.checkEpisode(s, episode)...)
 		}
@@ -129,12 +129,12 @@
 }
 
 // episodes gives the stretches of arrivals that were told one limit.
-func (s *saying) episodes() [][]arrival {
+func (h *history) episodes() [][]arrival {
 	var all [][]arrival
-	for i, one := range s.arrived {
+	for i, one := range h.arrived {
 		switch {
 		case one.Said.Limit == "":
-		case i > 0 && s.arrived[i-1].Said.Limit == one.Said.Limit:
+		case i > 0 && h.arrived[i-1].Said.Limit == one.Said.Limit:
 			all[len(all)-1] = append(all[len(all)-1], one)
 		default:
 			all = append(all, []arrival{one})
@@ -144,7 +144,7 @@
 }
 
 // checkEpisode counts the requests of instances that had been told a limit, in each span that ends with one of them.
-func (r *Record) checkEpisode(s *saying, episode []arrival) []Finding {
+func (r *Record) checkEpisode(h *history, episode []arrival) []Finding {
 	limit, err := strconv.ParseFloat(episode[0].Said.Limit, 64)
 	if err != nil {
 		return []Finding{{CheckLimit, episode[0].ID, "not a limit: " + episode[0].Said.Limit}}
@@ -154,21 +154,21 @@
 	allowed := int(r.Bounds.LimitSlack*limit*r.Bounds.LimitSpan.Seconds()) + r.Bounds.LimitExtra
 	var counted []arrival
 	for _, one := range episode {
-		if one.At.Before(binds) || !r.knewLimit(s, one, begin) {
+		if one.At.Before(binds) || !r.knewLimit(h, one, begin) {
 			continue
 		}
 		counted = slices.DeleteFunc(append(counted, one), func(other arrival) bool { return one.At.Sub(other.At) >= r.Bounds.LimitSpan })
 		if len(counted) > allowed {
 			return []Finding{{CheckLimit, one.ID, fmt.Sprintf("%s got %d requests in %s with a limit of %g a second, allowed %d",
-				s.endpoint, len(counted), r.Bounds.LimitSpan, limit, allowed)}}
+				h.endpoint, len(counted), r.Bounds.LimitSpan, limit, allowed)}}
 		}
 	}
 	return nil
 }
 
 // knewLimit reports whether an instance had been told a limit for long enough before an arrival, and nothing struck it since.
-func (r *Record) knewLimit(s *saying, one arrival, begin time.Time) bool {
-	told, ok := s.firstTold(one.instance, begin, func(said platformstandin.Saying) bool { return said.Limit != "" })
+func (r *Record) knewLimit(h *history, one arrival, begin time.Time) bool {
+	told, ok := h.firstTold(one.instance, begin, func(said platformstandin.Notice) bool { return said.Limit != "" })
 	if !ok || one.At.Sub(told) < r.Bounds.Heard+r.lag(told, one.At) {
 		return false
 	}
--- a/tools/soak/ledger/saying_test.go
+++ b/tools/soak/ledger/notice_test.go
@@ -15,7 +15,7 @@
 )
 
 // told is a record of requests of one instance at an endpoint, one each pause, all of which were told the same.
-func told(said platformstandin.Saying, count int, pause time.Duration) *ledger.Record {
+func told(said platformstandin.Notice, count int, pause time.Duration) *ledger.Record {
 	r := &ledger.Record{Bounds: ledger.Bounds{
 		Drain: 2 * second, Contact: 3 * second, LimitSpan: 4 * second, LimitSlack: 1.5, LimitExtra: 5, Heard: second / 2, RestRequests: 2,
 	}}
@@ -23,14 +23,14 @@
 		id, when := fmt.Sprint("r-", i), at(time.Duration(i)*pause)
 		r.Attempts = append(r.Attempts, ledger.Attempt{ID: id, Instance: "a", Began: when})
 		for _, phase := range []platformstandin.RunPhase{platformstandin.RunArrived, platformstandin.RunTold} {
-			r.Sayings = append(r.Sayings, platformstandin.RunEvent{ID: id, Endpoint: "e", Phase: phase, At: when, Said: said})
+			r.Notices = append(r.Notices, platformstandin.RunEvent{ID: id, Endpoint: "e", Phase: phase, At: when, Said: said})
 		}
 	}
 	return r
 }
 
 func TestWhatEndpointsSayOfThemselvesIsChecked(t *testing.T) {
-	limit, leaving, rest := platformstandin.Saying{Limit: "1"}, platformstandin.Saying{Leaving: true}, platformstandin.Saying{Rest: "3"}
+	limit, leaving, rest := platformstandin.Notice{Limit: "1"}, platformstandin.Notice{Leaving: true}, platformstandin.Notice{Rest: "3"}
 	for name, test := range map[string]struct {
 		record *ledger.Record
 		adjust func(*ledger.Record)
@@ -48,7 +48,7 @@
 		"three requests within a rest":     {told(rest, 4, 7*second/10), nil, ledger.CheckRest, true},
 		"before a rest binds":              {told(rest, 20, second/50), nil, ledger.CheckRest, false},
 		"a rest of another instance":       {told(rest, 20, second/4), func(r *ledger.Record) { r.Attempts = r.Attempts[:1] }, ledger.CheckRest, false},
-		"nothing was said of a late start": {told(platformstandin.Saying{}, 40, second/10), nil, ledger.CheckLeaving, false},
+		"nothing was said of a late start": {told(platformstandin.Notice{}, 40, second/10), nil, ledger.CheckLeaving, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if test.adjust != nil {
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -196,8 +196,8 @@
 type Record struct {
 	Attempts []Attempt
 	Runs     []platformstandin.RunEvent
-	// Sayings are arrivals of requests at endpoints that say something of themselves, and which of them were told.
-	Sayings     []platformstandin.RunEvent
+	// Notices are arrivals of requests at endpoints that say something of themselves, and which of them were told.
+	Notices     []platformstandin.RunEvent
 	Disruptions []Disruption
 	Departures  []Departure
 	Namings     []Naming
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -115,18 +115,18 @@
 	{kind: StoreThrottles, weight: 1, longest: 3 * time.Second}, {kind: Busy, weight: 1, longest: 6 * time.Second, most: 6},
 }
 
-// sayings are the kinds in which endpoints say something of themselves. They are drawn apart, so that a seed draws the same other steps
+// notices are the kinds in which endpoints say something of themselves. They are drawn apart, so that a seed draws the same other steps
 // with them and without.
-var sayings = []share{
+var notices = []share{
 	{kind: EndpointLimits, weight: 4, longest: 12 * time.Second, most: 8}, {kind: EndpointSaysLeaving, weight: 2},
 	{kind: EndpointRests, weight: 3, longest: 8 * time.Second, most: 6},
 }
 
 const (
-	// sayingGap is the mean pause between two steps of sayings.
-	sayingGap = 1500 * time.Millisecond
-	// sayingStream is the sequence of random numbers of sayings.
-	sayingStream = 1 << 40
+	// noticeGap is the mean pause between two steps of notices.
+	noticeGap = 1500 * time.Millisecond
+	// noticeStream is the sequence of random numbers of notices.
+	noticeStream = 1 << 40
 	// quietBegin and quietEnd are kept free of steps, so that caches fill first and the last trouble's effect shows.
 	quietBegin = 3 * time.Second
 	quietEnd   = 10 * time.Second
@@ -143,9 +143,9 @@
 	return drawSteps(rand.New(rand.NewPCG(seed, uint64(o.Span))), allowedShares(o.Only), meanGap, o)
 }
 
-// DrawSayings draws what endpoints say of themselves, in the order of its moments.
-func DrawSayings(seed uint64, o Options) []Step {
-	return drawSteps(rand.New(rand.NewPCG(seed, sayingStream+uint64(o.Span))), sayings, sayingGap, o)
+// DrawNotices draws what endpoints say of themselves, in the order of its moments.
+func DrawNotices(seed uint64, o Options) []Step {
+	return drawSteps(rand.New(rand.NewPCG(seed, noticeStream+uint64(o.Span))), notices, noticeGap, o)
 }
 
 // Merge joins two plans in the order of their moments.
--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -45,21 +45,21 @@
 		}
 		r.Crashers = append(r.Crashers, crasher)
 	},
-	"limit":   func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Limit: "0.5"}) },
-	"leaving": func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Leaving: true}) },
-	"rest":    func(r *ledger.Record) { plantSayings(r, platformstandin.Saying{Rest: "9"}) },
+	"limit":   func(r *ledger.Record) { plantNotices(r, platformstandin.Notice{Limit: "0.5"}) },
+	"leaving": func(r *ledger.Record) { plantNotices(r, platformstandin.Notice{Leaving: true}) },
+	"rest":    func(r *ledger.Record) { plantNotices(r, platformstandin.Notice{Rest: "9"}) },
 	"own-end": func(r *ledger.Record) {
 		r.Exits = append(r.Exits, ledger.Exit{Instance: planted, At: time.Now(), Lived: time.Minute})
 	},
 }
 
-// plantSayings has an endpoint that says something of itself go on getting requests of one instance.
-func plantSayings(r *ledger.Record, said platformstandin.Saying) {
+// plantNotices has an endpoint that says something of itself go on getting requests of one instance.
+func plantNotices(r *ledger.Record, said platformstandin.Notice) {
 	from := r.Runs[0].At
 	for number := range 40 {
 		id, at := fmt.Sprint("planted-", number), from.Add(time.Duration(number)*time.Second/4)
 		r.Attempts = append(r.Attempts, ledger.Attempt{ID: id, Instance: planted, Began: at, Sent: at, Ended: at, Outcome: ledger.Failed})
-		r.Sayings = append(r.Sayings,
+		r.Notices = append(r.Notices,
 			platformstandin.RunEvent{ID: id, Endpoint: planted, Phase: platformstandin.RunArrived, At: at, Said: said},
 			platformstandin.RunEvent{ID: id, Endpoint: planted, Phase: platformstandin.RunTold, At: at, Said: said})
 	}
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -66,7 +66,7 @@
 		}
 		for _, event := range events {
 			if event.Phase == platformstandin.RunArrived || event.Phase == platformstandin.RunTold {
-				r.Sayings = append(r.Sayings, event)
+				r.Notices = append(r.Notices, event)
 				continue
 			}
 			r.Runs = append(r.Runs, event)
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -128,8 +128,8 @@
 	if a.Only != noSteps {
 		steps = plan.Draw(a.Seed, options)
 	}
-	if a.Sayings {
-		steps = plan.Merge(steps, plan.DrawSayings(a.Seed, options))
+	if a.Notices {
+		steps = plan.Merge(steps, plan.DrawNotices(a.Seed, options))
 	}
 	return steps
 }
