Publish the claim of a trial outside of the review that made it

Cause: a plan reviews the waiting requests; the review claimed a trial, and publishing the claim made the next plan before the claim was sent, without end. Change: the review claims, and its callers outside of plans publish.

--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -131,7 +131,10 @@
 	if w.Since.IsZero() {
 		w.Since = now
 	}
-	if !c.admitSuspect(now, w) {
+	admitted := c.admitSuspect(now, w)
+	// The other instances must be informed of a claimed trial.
+	c.publishCrashes(now)
+	if !admitted {
 		return
 	}
 	c.countArrival(w)
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -195,6 +195,7 @@
 	c.reviewLimits(now)
 	c.reviewSuspects(now)
 	c.reviewWaiters(now)
+	c.publishCrashes(now)
 	c.cancelUnreliableWatch(now)
 	c.requestDeferredRecordRead(now)
 	if c.planner != nil {
--- a/services/entry/coordinator/crashes.go
+++ b/services/entry/coordinator/crashes.go
@@ -157,14 +157,13 @@
 }
 
 // admitSuspect decides whether a request may be sent as far as the endpoints that ended under it are concerned. If it returns false, the
-// request was refused or waits in c.suspects for the decision.
+// request was refused or waits in c.suspects for the decision. It may claim a trial of the request, which the caller must publish; a plan
+// calls this function and must not call itself.
 func (c *Coordinator) admitSuspect(now time.Time, w *waiter) bool {
 	if w.Trial {
 		return !c.refuseHeld(now, w)
 	}
 	hold, held := c.crashes.Admit(now, w.Fingerprint)
-	// Admit may have claimed a trial of the request, which the other instances must be informed of.
-	c.publishCrashes(now)
 	if !held {
 		w.Trial = hold.Trial
 		return true
