Unload the copy on which no request may begin any more

What callers saw: a request whose endpoint keeps it in the queue, though its instance took it back, began on a former version 5.99 s after the newer one was acknowledged (5 s allowed). Cause: the planner kept a copy of a former version as long as no newer copy takes requests, though instances choose it for half of the limit only. Evidence: the log of the failing test; the planner loads the new version at the other endpoint 10 ms after the name and gives no order at the one that keeps the request. Change: withdrawOutdated also withdraws a copy on which no request may begin any more; it is unloaded as any other once it is unused. Why this works: the instance reports no use after it took the request back, and an endpoint answers what it has not begun on an unloaded copy as not run. No copy in use is unloaded. The place is free for other adapters sooner.

--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -24,6 +24,8 @@
 	LoadSlack     float64
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// OldestUsable returns the oldest version of an adapter on which requests may still begin; nil means that all versions may be used.
+	OldestUsable func(now time.Time, adapter deployment.Adapter) int64
 	// Term is the term of the planner.
 	Term int64
 	// TermStart is when the term started.
@@ -111,6 +113,7 @@
 		},
 		Random:               p.options.Random,
 		Uses:                 p.uses,
+		OldestUsable:         p.options.OldestUsable,
 		NextWithdrawalNumber: p.nextWithdrawal,
 	})
 	planner.AssumeLoads(p.assumed.At, p.assumed.Count)
--- a/services/entry/coordinator/planner.go
+++ b/services/entry/coordinator/planner.go
@@ -70,11 +70,17 @@
 	return member.SilenceLimit(c.follower.Members)
 }
 
+// oldestUsableVersion returns the oldest version of an adapter on which requests may still begin.
+func (c *Coordinator) oldestUsableVersion(now time.Time, adapter deployment.Adapter) int64 {
+	oldest, _ := c.versions.FormerVersion(now, adapter, c.options.VersionLimit)
+	return oldest
+}
+
 func newPlanner(c *Coordinator, now time.Time, held *lease.Lease, formerTermLoads formerLoads) *planner {
 	members := member.NewTable()
 	options := plan.Options{
 		LoadWindow: c.options.LoadWindow, LoadTolerance: c.options.LoadTolerance, LoadSlack: c.options.LoadSlack,
-		Random: c.options.Random, Term: held.Record().Term, TermStart: now, ExpectedFleetSize: c.follower.Members,
+		Random: c.options.Random, OldestUsable: c.oldestUsableVersion, Term: held.Record().Term, TermStart: now, ExpectedFleetSize: c.follower.Members,
 	}
 	p := &planner{
 		coordinator: c, lease: held, members: members, startedAt: now, formerTermLoads: formerTermLoads,
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -111,8 +111,9 @@
 	return p.options.NextWithdrawalNumber()
 }
 
-// withdrawOutdated withdraws copies of an older version once a newer copy takes requests, or when the adapter is
-// rarely requested.
+// withdrawOutdated withdraws copies of an older version once a newer copy takes requests, when the adapter is rarely
+// requested, or when no request may begin on that version any more. Some endpoints keep a request in their queue though
+// its instance took it back; only the unload of the copy keeps it from beginning there.
 func (p *Planner) withdrawOutdated(now time.Time) {
 	for id, plan := range p.endpoints {
 		for adapter, c := range plan.copies {
@@ -120,13 +121,21 @@
 			if !ok || c.state != copyResident || c.version >= known.version {
 				continue
 			}
-			if p.copyCounts[adapter].usable > 0 || known.perSecond*valueHorizon.Seconds() < minWorthwhileUse {
+			if p.copyCounts[adapter].usable > 0 || known.perSecond*valueHorizon.Seconds() < minWorthwhileUse || c.version < p.oldestUsable(now, adapter) {
 				p.withdraw(now, id, c)
 			}
 		}
 	}
 }
 
+// oldestUsable returns the oldest version of an adapter on which requests may still begin.
+func (p *Planner) oldestUsable(now time.Time, adapter deployment.Adapter) int64 {
+	if p.options.OldestUsable == nil {
+		return 0
+	}
+	return p.options.OldestUsable(now, adapter)
+}
+
 // Withdrawal is a copy that is no longer offered for requests.
 type Withdrawal struct {
 	Endpoint deployment.EndpointID
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -19,6 +19,8 @@
 	Random func() float64
 	// Uses returns the last reported number of requests in flight that use a copy; nil means that there are none.
 	Uses func(id deployment.EndpointID, adapter deployment.Adapter) int
+	// OldestUsable returns the oldest version of an adapter on which requests may still begin; nil means that all versions may be used.
+	OldestUsable func(now time.Time, adapter deployment.Adapter) int64
 	// NextWithdrawalNumber returns the number of the next withdrawal, higher than all before; nil numbers withdrawals from
 	// 1. Planners whose withdrawals are acknowledged together share this function.
 	NextWithdrawalNumber func() uint64
--- a/services/entry/loading/planner_test.go
+++ b/services/entry/loading/planner_test.go
@@ -284,3 +284,29 @@
 	_, offered = p.Offered("e")
 	assert.NotContains(t, offered, adapter(1), "a newer description without the copy applies")
 }
+
+// TestCopyOnWhichNoRequestMayBeginIsUnloaded guards against a request that begins on a former version after its limit: its instance took it
+// back, but its endpoint kept it in the queue, and the former copy stayed there, since loads of the new version took long.
+func TestCopyOnWhichNoRequestMayBeginIsUnloaded(t *testing.T) {
+	oldest := int64(0)
+	p := loading.NewPlanner(engine, loading.Options{
+		Rate: loading.RateOptions{PerSecond: 1, Window: time.Second, Tolerance: 1}, Random: func() float64 { return 0.5 },
+		OldestUsable: func(time.Time, deployment.Adapter) int64 { return oldest },
+	})
+	p.SetEndpoint(start, described("old", adapter(1)), nextRevision(), false)
+	answerInspection(t, p, start, &loading.Report{Adapters: described("", adapter(1)).Adapters})
+	p.AddRates(start, map[deployment.Adapter]float64{adapter(1): 1})
+	p.SetVersion(start, adapter(1), 2)
+	p.Next(start)
+	_, offered := p.Offered("old")
+	assert.Contains(t, offered, adapter(1), "requests may still begin on the former version")
+
+	oldest = 2
+	later := start.Add(2500 * time.Millisecond)
+	p.Next(later)
+	_, offered = p.Offered("old")
+	assert.NotContains(t, offered, adapter(1))
+	p.ConfirmUnused(later, func(loading.Withdrawal) bool { return true })
+	order := nextOrder(t, p, later, loading.Unload)
+	assert.Equal(t, adapter(1), order.Adapter)
+}
