List a request that is kept in the queue beside a run on the former copy

Cause: the planner unloads no copy that a request uses, so that an endpoint which keeps a request that was taken back begins it later, where another request runs on the former copy there.

--- a/tests/platform/closed_request_test.go
+++ b/tests/platform/closed_request_test.go
@@ -30,3 +30,36 @@
 	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
 	s.assertStartedInTime(acknowledged)
 }
+
+// TestQueuedRequestBeginsInTimeBesideRunOnFormerVersion has another request run on the former version at the endpoint that keeps the queued one.
+// The planner unloads no copy that a request uses, so that nothing keeps the queued request from beginning on it.
+func TestQueuedRequestBeginsInTimeBesideRunOnFormerVersion(t *testing.T) {
+	s := newSite(t, 1)
+	require.True(t, s.serves(0, "a1"))
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	// 1,800 events at intervals of 5 ms take longer than the queued request waits.
+	running := longDeadlineCall
+	running.path += "?events=1800"
+	callers.Go(func() { s.do(running) })
+	s.waitFor("the first request runs", func() bool { return s.runningRequests() == 1 })
+	s.delayLoadsAndQueue(versionLimit + time.Second)
+	for _, worker := range s.models {
+		worker.SetFaults(standin.WorkerFaults{KeepsQueued: true})
+	}
+	callers.Go(func() { s.do(longDeadlineCall) })
+	s.waitFor("the second request waits at an endpoint", func() bool { return s.queuedRequests() == 1 })
+	acknowledged := s.nameSecondVersion()
+	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
+	s.assertStartedInTime(acknowledged)
+}
+
+// runningRequests returns how many requests with a long deadline have begun at the endpoints.
+func (s *site) runningRequests() int {
+	running := 0
+	for _, worker := range s.models {
+		running += len(worker.Runs())
+	}
+	// The first run made the endpoint load the adapter.
+	return running - 1
+}
