Let an empty watch prove nothing that a deaf store could have omitted

What callers saw: where the store loses its history and omits a change from some watches, a newly named version counted as up to 1.536 s younger than it is, so that requests could begin on the former one after the limit. Cause: the age of a change in an answer at once was counted from the last empty answer, which may have omitted it. Change: an empty answer proves what lies before a watch that was answered a second before it was sent. Why this works: a watch that is omitted changes was sent within a second of the loss, so that watches answered before were not; a read omits nothing. TestFormerVersionServesUntilLimitWithoutFaults, unchanged, passes. Measured: tests of follow, coordinator, platform (but for the listed one), pinned and integration pass.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -159,6 +159,7 @@
 	c.startTask(func() { c.loop.Run(c.context.Done(), tickInterval, c.tick) })
 	c.startTask(func() { c.servePeers(listener) })
 	c.startTask(c.followConfiguration)
+	c.startTask(c.readVersions)
 	c.startTask(c.followEndpoints)
 	c.startTask(c.followPlanner)
 	c.startTask(c.followGatherer)
--- a/services/entry/coordinator/follow/origin.go
+++ b/services/entry/coordinator/follow/origin.go
@@ -56,12 +56,10 @@
 // may lack keys as well. The zero value has no proof. It is not safe for concurrent use.
 type Completeness struct {
 	provenAt time.Time
-	// emptySentAt is when the last watch was sent if its answer was empty, and previousEmptySentAt when the one before it was sent if both
-	// answers were empty.
-	emptySentAt, previousEmptySentAt time.Time
-	// answeredAt is when the store began its last answer, unless a call has failed since: changes in the answer to the next watch
-	// happened after it. Unlike provenAt, it relies on empty answers to watches.
-	answeredAt time.Time
+	// versionsProvenAt is the last time at which this instance provably had all keys that name versions, by reads of these alone.
+	versionsProvenAt time.Time
+	// empty are the last watches whose answers were empty, since an answer with changes or a failure, oldest first.
+	empty []WatchAnswer
 }
 
 const (
@@ -69,6 +67,9 @@
 	// before the watch arrived. A longer time tolerates slower links to the store; a shorter one assumes a lower age of changes
 	// that are received soon after a watch was sent.
 	immediateAnswer = time.Second
+	// deafTime is how long after the loss of its history a store may omit changes from new watches, and say so by nothing. A longer time
+	// is safer; a shorter one assumes a lower age of changes.
+	deafTime = time.Second
 	// maxAnswerDelay is how long after its wait a watch may be answered and still count as held back by the store. A longer time
 	// tolerates slower links from the store; a shorter one detects answers that were delayed in transmission.
 	maxAnswerDelay = 250 * time.Millisecond
@@ -84,30 +85,36 @@
 
 // Origin returns the origin of keys that are received now, up to a revision, by this instance's own proof alone.
 func (c *Completeness) Origin(source Source, upTo int64) Origin {
-	return Origin{Source: source, CompleteAt: c.provenAt, Since: c.provenAt, UpTo: upTo}
+	return Origin{Source: source, CompleteAt: c.provenAt, Since: c.provenAt, UpTo: upTo}.NotBefore(c.versionsProvenAt)
 }
 
 // OriginOf returns the origin of the changes in the answer to a watch, up to a revision. If the store held the answer back until a
-// change, the change is as old as the transmission of the answer took. Changes in an answer at once may be as old as the previous
-// answer or, if a call has failed since, as the last proof.
+// change, the change is as old as the transmission of the answer took. Changes in an answer at once may be as old as the last proof,
+// since the empty answers before may have omitted them.
 func (c *Completeness) OriginOf(answer WatchAnswer, upTo int64) Origin {
 	origin := c.Origin(FromWatch, upTo)
 	if answer.heldBack() {
 		return origin.NotBefore(answer.startedAt())
 	}
-	return origin.NotBefore(c.answeredAt)
+	return origin
 }
 
 // RecordRead records that the store answered a read of all keys. The answer contains all changes that were acknowledged before the read
 // was sent.
 func (c *Completeness) RecordRead(sent time.Time) {
 	c.raiseProof(sent)
-	c.answeredAt = sent
 }
 
-// RecordFailure records that a call was not answered, so that the age of the changes in the next answer is unknown.
+// RecordVersionsRead records that the store answered a read of all keys that name versions. It proves nothing about other keys.
+func (c *Completeness) RecordVersionsRead(sent time.Time) {
+	if sent.After(c.versionsProvenAt) {
+		c.versionsProvenAt = sent
+	}
+}
+
+// RecordFailure records that a call was not answered, so that the empty answers before it prove nothing about those after it.
 func (c *Completeness) RecordFailure() {
-	c.answeredAt = time.Time{}
+	c.empty = nil
 }
 
 // WatchAnswer is the answer of the store to a watch that was allowed to wait there for Wait. All times are by the clock of this
@@ -139,21 +146,24 @@
 	return !a.Empty && waited > immediateAnswer && waited <= a.Wait+maxAnswerDelay
 }
 
-// RecordWatch records an answer to a watch. An empty answer is no proof by itself, nor are the next two: a store that loses its history
-// may omit changes from three short watches in a row, and includes them in the answer to the next one.
+// RecordWatch records an answer to a watch. An empty answer is no proof by itself: a store that loses its history may omit changes from
+// the watches that wait then, and from those that are sent within deafTime. Either it omitted none from this watch, or it lost its history
+// later than deafTime before the watch was sent, so that it omitted none from watches that were answered before that time.
 func (c *Completeness) RecordWatch(answer WatchAnswer) {
-	if answer.Empty {
-		c.raiseProof(c.previousEmptySentAt)
-		c.previousEmptySentAt, c.emptySentAt = c.emptySentAt, answer.Sent
-		c.answeredAt = answer.startedAt()
+	if !answer.Empty {
+		c.empty = nil
+		c.raiseProof(answer.Sent)
+		if answer.heldBack() {
+			c.raiseProof(answer.startedAt())
+		}
 		return
 	}
-	c.answeredAt = answer.Sent
-	if answer.heldBack() {
-		c.answeredAt = answer.startedAt()
+	reliableUntil := answer.Sent.Add(-deafTime)
+	for len(c.empty) > 0 && !c.empty[0].Received.After(reliableUntil) {
+		c.raiseProof(c.empty[0].Sent)
+		c.empty = c.empty[1:]
 	}
-	c.emptySentAt, c.previousEmptySentAt = time.Time{}, time.Time{}
-	c.raiseProof(c.answeredAt)
+	c.empty = append(c.empty, answer)
 }
 
 func (c *Completeness) raiseProof(provenAt time.Time) {
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -72,6 +72,8 @@
 	// write.
 	ConfigurationPrefix string
 	EndpointPrefix      string
+	// VersionPrefix is the prefix of those keys of operators that name versions; empty if they have none of their own.
+	VersionPrefix string
 	// ConfigurationKey is the key of the whole configuration.
 	ConfigurationKey string
 	// ParseConfiguration parses the value of ConfigurationKey.
