Give the endpoints of the capacity benchmark all fields

What was seen: make capacity stops in its first step, metric endpoints is not 140. Cause: the entries that BenchmarkEntryCapacityProcess writes lack version, cold_remaining_ms and sequence, and are refused.

--- a/tests/capacity/entry_process_test.go
+++ b/tests/capacity/entry_process_test.go
@@ -154,7 +154,7 @@
 		names = append(names, fmt.Sprintf("%s@%d", adapter.Name, version))
 	}
 	return map[string]any{
-		"service": serviceName, "address": "127.0.0.1:9", "zone": "hall-0", "slots": 16, "state": "ready",
+		"service": serviceName, "address": "127.0.0.1:9", "zone": "hall-0", "version": "1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 0,
 		"models": []map[string]any{{"name": modelName, "adapters": names}},
 	}
 }
