Count endpoints that end at once while they load the same version

What callers would see: a version whose loads end endpoints and that is loaded at three or more of them at once ends as many again and again, with the requests that run there; no user has reported it. Cause: three endpoints that are gone at once were taken for a common cause whatever they were loading, the same class as requests that many callers send at once. Evidence: the new test; before, the third round of loads was ordered like the first. Change: if three or more of them were loading the same version, and no other endpoint holds it, they count as all losses but one that hold a version back; the next loss decides. Why this works: a lost rack has no version in common that nobody could load; one that is held elsewhere is never held back by it. Measured: TestLoadHeldBackAfterSimultaneousLosses, and TestLossOfRackDoesNotHoldBackLoadedVersion for the sound side; the tests of services/entry/loading pass. One of three endpoints lost at once that was loading the version still counts for nothing.

--- a/services/entry/loading/failing.go
+++ b/services/entry/loading/failing.go
@@ -32,22 +32,44 @@
 	lastLossAt time.Time
 }
 
+// adapterVersion is a version of an adapter.
+type adapterVersion struct {
+	adapter deployment.Adapter
+	version int64
+}
+
 // recordLostEndpoints records the endpoints that one sweep found gone. The load in progress may have terminated the
 // endpoint and would then terminate the next one as well. Draining endpoints are left out because they shut down on
-// purpose. Many endpoints that disappear at once are left out because they have a common cause, such as a store
-// outage.
+// purpose. Many endpoints that disappear at once usually have a common cause, such as a store outage, unless they were
+// all loading the same version.
 func (p *Planner) recordLostEndpoints(now time.Time, lost []*endpointPlan) {
-	if len(lost) >= commonCauseLosses {
-		return
-	}
+	losses := make(map[adapterVersion]int)
 	for _, plan := range lost {
 		if plan.endpoint.State == deployment.Draining {
 			continue
 		}
 		for adapter, version := range plan.loads() {
-			p.recordFailingLoad(now, adapter, version)
+			losses[adapterVersion{adapter, version}]++
+		}
+	}
+	for loaded, count := range losses {
+		if len(lost) < commonCauseLosses {
+			p.recordFailingLoad(now, loaded, count)
+		} else if count >= commonCauseLosses && !p.isResident(loaded) {
+			// The next loss decides, so that the loss of a rack alone does not hold the version back.
+			p.recordFailingLoad(now, loaded, lossesBeforeHold-1)
+		}
+	}
+}
+
+// isResident reports whether an endpoint holds a version of an adapter, so that its load has succeeded.
+func (p *Planner) isResident(wanted adapterVersion) bool {
+	for _, plan := range p.endpoints {
+		if c, ok := plan.copies[wanted.adapter]; ok && c.version == wanted.version && c.state != copyLoading {
+			return true
 		}
 	}
+	return false
 }
 
 // loads returns the adapter versions that an endpoint is loading or may be loading because it left the load
@@ -65,14 +87,15 @@
 	return loads
 }
 
-func (p *Planner) recordFailingLoad(now time.Time, adapter deployment.Adapter, version int64) {
-	failing := p.failing[adapter]
-	if failing.version != version {
-		failing = failingLoad{version: version}
+// recordFailingLoad records a number of endpoint terminations during loads of an adapter's version.
+func (p *Planner) recordFailingLoad(now time.Time, loaded adapterVersion, losses int) {
+	failing := p.failing[loaded.adapter]
+	if failing.version != loaded.version {
+		failing = failingLoad{version: loaded.version}
 	}
-	failing.losses++
+	failing.losses += losses
 	failing.lastLossAt = now
-	p.failing[adapter] = failing
+	p.failing[loaded.adapter] = failing
 }
 
 // loadHeldBack reports whether loads of an adapter are suspended because endpoints terminated while loading the
--- a/services/entry/loading/failing_test.go
+++ b/services/entry/loading/failing_test.go
@@ -73,3 +73,44 @@
 	}
 	assert.True(t, loseEndpointDuringLoad(p, now, 9, loading.Accepted))
 }
+
+// loseEndpointsDuringLoads adds endpoints that all terminate at once while they load adapter 1, and returns how many of them did.
+func loseEndpointsDuringLoads(p *loading.Planner, now time.Time, round, count int) int {
+	for number := range count {
+		p.SetEndpoint(now, described(fmt.Sprint("e", round, number)), nextRevision(), false)
+	}
+	p.Report(now, "i", []loading.Demand{{Adapter: adapter(1), Waiting: 100, InTime: time.Second, Arrivals: 100}})
+	loads := 0
+	for {
+		next, ok := p.Next(now)
+		if !ok || next.Kind != loading.Load {
+			break
+		}
+		loads++
+		p.Done(now, resultOf(next, loading.Accepted))
+	}
+	for number := range count {
+		p.RemoveEndpoint(deployment.EndpointID(fmt.Sprint("e", round, number)))
+	}
+	p.Sweep(now)
+	return loads
+}
+
+// TestLoadHeldBackAfterSimultaneousLosses guards against a version whose loads terminate endpoints and that is loaded at several of them at
+// once: their losses counted as a common cause, each time.
+func TestLoadHeldBackAfterSimultaneousLosses(t *testing.T) {
+	p := newPlanner(1)
+	assert.GreaterOrEqual(t, loseEndpointsDuringLoads(p, start, 0, 3), 3)
+	assert.Positive(t, loseEndpointsDuringLoads(p, start.Add(4*time.Second), 1, 1), "a rack may have been lost")
+	assert.Zero(t, loseEndpointsDuringLoads(p, start.Add(8*time.Second), 2, 3))
+}
+
+// TestLossOfRackDoesNotHoldBackLoadedVersion: a version that another endpoint holds does not terminate endpoints.
+func TestLossOfRackDoesNotHoldBackLoadedVersion(t *testing.T) {
+	p := newPlanner(1)
+	p.SetEndpoint(start, described("sound", adapter(1)), nextRevision(), false)
+	answerInspection(t, p, start, &loading.Report{Adapters: described("", adapter(1)).Adapters})
+	for round := range 3 {
+		assert.Positive(t, loseEndpointsDuringLoads(p, start.Add(time.Duration(round)*4*time.Second), round, 3), "round %d", round)
+	}
+}
