Soak requests that many callers send at once and that crash endpoints

Cause: the soak's crashing requests had one caller at a time, so that it could not see requests that end several endpoints at once.

--- a/tools/soak/crasher.go
+++ b/tools/soak/crasher.go
@@ -21,6 +21,9 @@
 	crashAfter = 60
 	// maxCrashPause bounds the pause before a crashing request is sent again.
 	maxCrashPause = 1500 * time.Millisecond
+	// minTogetherPause and maxTogetherPause bound that pause if several callers send the request at the same moment.
+	minTogetherPause = 1500 * time.Millisecond
+	maxTogetherPause = 4500 * time.Millisecond
 	// crashTimeout is the time-out of a crashing request. abandonTimeout is the time-out of a request whose caller closes the
 	// connection before the endpoint crashes.
 	crashTimeout   = 5 * time.Second
@@ -31,6 +34,8 @@
 type crasher struct {
 	call     platformstandin.Call
 	patience time.Duration
+	// together is how many callers send the request at the same moment.
+	together int
 
 	mutex  sync.Mutex
 	record ledger.Crasher
@@ -38,10 +43,10 @@
 
 // newCrasher returns a crasher with a body of its own. The number selects one of the four kinds of route in turn; of every eight
 // crashers, the callers of the last four close the connection early.
-func newCrasher(number int) *crasher {
+func newCrasher(number, together int) *crasher {
 	prefixes := []string{platformstandin.SafePrefix, platformstandin.UnsafePrefix, platformstandin.StreamPrefix, platformstandin.ResumePrefix}
 	prefix := prefixes[number%len(prefixes)]
-	c := &crasher{patience: crashTimeout, record: ledger.Crasher{Name: fmt.Sprintf("crasher %d of %s", number, prefix)}}
+	c := &crasher{patience: crashTimeout, together: max(together, 1), record: ledger.Crasher{Name: fmt.Sprintf("crasher %d of %s", number, prefix)}}
 	if number/len(prefixes)%2 == 1 {
 		c.patience = abandonTimeout
 	}
@@ -53,25 +58,42 @@
 	return c
 }
 
-// run sends the request repeatedly, each time from a randomly drawn address, until the context ends.
+// run sends the request repeatedly, each time from randomly drawn addresses, until the context ends.
 func (c *crasher) run(ctx context.Context, balancer *traffic.Balancer, random *rand.Rand) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(random.Float64() * float64(maxCrashPause))):
+		case <-time.After(c.pause(random)):
 		}
-		target := balancer.Pick(random)
-		one := c.call
-		one.From = netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + random.IntN(200))})
-		began := time.Now()
-		sending, cancel := context.WithTimeout(ctx, c.patience)
-		answer := one.Send(sending, target.Callers)
-		cancel()
-		c.mutex.Lock()
-		c.record.Sends = append(c.record.Sends, ledger.Sending{ID: answer.ID, Instance: target.Name, At: began, Status: answer.Status})
-		c.mutex.Unlock()
+		var callers sync.WaitGroup
+		for _, target := range balancer.PickEach(random, c.together) {
+			from := netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + random.IntN(200))})
+			callers.Go(func() { c.send(ctx, target, from) })
+		}
+		callers.Wait()
+	}
+}
+
+// pause returns the time before the request is sent again.
+func (c *crasher) pause(random *rand.Rand) time.Duration {
+	if c.together == 1 {
+		return time.Duration(random.Float64() * float64(maxCrashPause))
 	}
+	return minTogetherPause + time.Duration(random.Float64()*float64(maxTogetherPause-minTogetherPause))
+}
+
+// send sends the request once.
+func (c *crasher) send(ctx context.Context, target traffic.Target, from netip.Addr) {
+	one := c.call
+	one.From = from
+	began := time.Now()
+	sending, cancel := context.WithTimeout(ctx, c.patience)
+	defer cancel()
+	answer := one.Send(sending, target.Callers)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.record.Sends = append(c.record.Sends, ledger.Sending{ID: answer.ID, Instance: target.Name, At: began, Status: answer.Status})
 }
 
 // startCrashers starts the crashers and the replacement of crashed endpoints, which go on until the context ends. The returned function
@@ -79,7 +101,7 @@
 func (s *site) startCrashers(ctx context.Context, balancer *traffic.Balancer) (wait func()) {
 	var tasks sync.WaitGroup
 	for number := range s.args.Crashers {
-		one := newCrasher(number)
+		one := newCrasher(number, s.args.Together)
 		s.activeCrashers = append(s.activeCrashers, one)
 		tasks.Go(func() { one.run(ctx, balancer, rand.New(rand.NewPCG(s.args.Seed, uint64(number)))) })
 	}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -36,6 +36,7 @@
 	Odd       float64 `help:"Share of requests in pieces, malformed, or left by their callers." default:"0.1"`
 	Patient   float64 `help:"Share of requests whose callers stay to their deadline: streams with long pauses, and large ones that are read slowly." default:"0.03"`
 	Crashers  int     `help:"How many requests come again and again that crash each endpoint which runs them." default:"0"`
+	Together  int     `help:"How many callers send such a request at the same moment, each to another instance if there are as many." default:"1"`
 	Notices   bool    `help:"Have endpoints say of themselves that they take a limited number of requests, leave or want to rest."`
 	Only      string  `help:"Kinds of step that may be drawn, separated by commas; empty for all, none for no step."`
 	Cases     string  `help:"Play kept cases in place of a run: all, short, or a case's name."`
--- a/tools/soak/traffic/balancer.go
+++ b/tools/soak/traffic/balancer.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,16 +76,34 @@
 // Pick returns a random instance for a new connection. It selects from the ready instances, or from all instances if fewer than half
 // of them are ready.
 func (b *Balancer) Pick(random *rand.Rand) Target {
+	candidates := b.candidates()
+	return candidates[random.IntN(len(candidates))]
+}
+
+// PickEach returns instances for a number of new connections, selected like those of Pick, but none a second time before each was
+// selected.
+func (b *Balancer) PickEach(random *rand.Rand, count int) []Target {
+	candidates := b.candidates()
+	random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	picked := make([]Target, 0, count)
+	for i := range count {
+		picked = append(picked, candidates[i%len(candidates)])
+	}
+	return picked
+}
+
+// candidates returns the instances for new connections.
+func (b *Balancer) candidates() []Target {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	var ready []int
+	var ready []Target
 	for i, missed := range b.missed {
 		if missed < maxMisses {
-			ready = append(ready, i)
+			ready = append(ready, b.targets[i])
 		}
 	}
 	if len(ready)*2 < len(b.targets) {
-		return b.targets[random.IntN(len(b.targets))]
+		return slices.Clone(b.targets)
 	}
-	return b.targets[ready[random.IntN(len(ready))]]
+	return ready
 }
