Take ends within 250 ms for one event, and bound the wait of suspected streams

Cause: by reading, a busy instance may take over 100 ms to find out that all endpoints of a lost rack refuse connections; the later ones were an event of their own then, which no earlier answer excuses. And a stream waited for the decision whether it may be sent for half of its time, longer than its caller listens. Change: commonCauseWindow is 250 ms; streams wait as long as for an adapter.

--- a/services/entry/admission/decide.go
+++ b/services/entry/admission/decide.go
@@ -95,9 +95,9 @@
 	// shortWaitDivisor limits waits that seldom help (of requests without streaming, and of streams without any endpoint) to the time
 	// to the deadline, and for streams also the target, divided by this number. A higher number refuses sooner.
 	shortWaitDivisor = 4
-	// suspectWaitDivisor limits the wait for the decision whether a request may be sent to the time to its deadline divided by this
-	// number. The decision may come after an earlier attempt, so the wait is not shorter for routes without streaming. A lower number
-	// leaves less time for the response.
+	// suspectWaitDivisor limits the wait for the decision whether a request without streaming may be sent to the time to its deadline
+	// divided by this number. It exceeds maxPlainWait, since the decision may come after an earlier attempt. A lower number leaves less
+	// time for the response.
 	suspectWaitDivisor = 2
 	// saturatedRetryAfter is when a caller that was refused because of saturated endpoints should retry: a stream takes seconds. A
 	// longer time reduces the load on the endpoints; a shorter one serves sooner.
@@ -167,10 +167,10 @@
 // waitLimit returns how long a request may wait for an endpoint after its arrival.
 func waitLimit(situation Situation) time.Duration {
 	remaining := situation.Deadline.Sub(situation.Arrived)
-	if situation.Suspected {
-		return remaining / suspectWaitDivisor
-	}
 	if situation.Route.Kind != deployment.Streaming {
+		if situation.Suspected {
+			return remaining / suspectWaitDivisor
+		}
 		return min(maxPlainWait, remaining/shortWaitDivisor)
 	}
 	if situation.NoEndpoint {
--- a/services/quarantine/evidence.go
+++ b/services/quarantine/evidence.go
@@ -18,8 +18,9 @@
 	// the loss of a rack or a network partition that refuses connections. It is above what two requests that crash endpoints may cause at
 	// one time, unless many callers send them at once.
 	commonCauseThreshold = 3
-	// commonCauseWindow is also the time between two crashes of a request from which on they are separate events.
-	commonCauseWindow = 100 * time.Millisecond
+	// commonCauseWindow is also the time between two crashes of a request from which on they are separate events. It covers what a busy
+	// instance takes to find out that endpoints which ended together refuse connections.
+	commonCauseWindow = 250 * time.Millisecond
 	// reportDelay is how long after an endpoint's end the end counts as evidence. Meanwhile the other instances report which of their
 	// requests the endpoint had in flight, one of which may be the likelier cause.
 	reportDelay = 100 * time.Millisecond
