--- a/services/quarantine/doc.go
+++ b/services/quarantine/doc.go
@@ -7,9 +7,10 @@
 // next endpoint that gets the request is healthy. A crash is therefore recorded against the requests that the endpoint had in flight.
 //
 // The package implements what counts as evidence (evidence.go): a request is quarantined after crashThreshold crashes without a complete
-// response since, unless another request is the likelier cause of them or several endpoints ended from a common cause. The end of an
-// endpoint also counts against requests that it may still have been running though their callers had left (unanswered.go). The package also
-// implements how long a request is quarantined (hold.go), and the records that instances exchange, which may arrive more than once and in
-// any order, and their retention (table.go). The caller decides whether the end of an endpoint was planned. The package does no I/O, starts
-// no goroutine and takes the current time as an argument.
+// response since, unless another request is the likelier cause of them, or several endpoints ended together and the request had been
+// answered before (answers.go). The end of an endpoint also counts against requests that it may still have been running though their
+// callers had left (unanswered.go). The package also implements to how many endpoints a request may be sent before anything is proved
+// against it, and which instance tries it (admit.go), how long it is quarantined (hold.go), and the records that instances exchange, which
+// may arrive more than once and in any order, and their retention (table.go). The caller decides whether the end of an endpoint was
+// planned. The package does no I/O, starts no goroutine and takes the current time as an argument.
 package quarantine
