Count the endpoints that a crashing request ended, not its records of them

Cause: two sendings at one endpoint had each recorded its crash, and the check counted two endpoints. Change: the check counts each endpoint once, from its first record on; the bound of three is as it was. Result: the new test fails with the check as it was; the tests of the ledger pass.

--- a/tools/soak/ledger/crashing.go
+++ b/tools/soak/ledger/crashing.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -37,19 +38,23 @@
 	return findings
 }
 
-// thirdCrash returns when a request had crashed three endpoints. It returns false if the request has crashed fewer.
+// thirdCrash returns when a request had crashed three endpoints. It returns false if the request has crashed fewer. An endpoint that runs
+// several sendings of the request crashes once, though each of them may record it.
 func (r *Record) thirdCrash(crasher Crasher) (time.Time, bool) {
-	var crashes []time.Time
+	crashes := make(map[string]time.Time)
 	for _, event := range r.Runs {
-		if event.Phase == platformstandin.RunCrashed && crasher.has(event.ID) {
-			crashes = append(crashes, event.At)
+		if event.Phase != platformstandin.RunCrashed || !crasher.has(event.ID) {
+			continue
+		}
+		if first, known := crashes[event.Endpoint]; !known || event.At.Before(first) {
+			crashes[event.Endpoint] = event.At
 		}
 	}
 	if len(crashes) < crashThreshold {
 		return time.Time{}, false
 	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	return crashes[crashThreshold-1], true
+	times := slices.SortedFunc(maps.Values(crashes), time.Time.Compare)
+	return times[crashThreshold-1], true
 }
 
 // has reports whether one of the sendings has the identifier.
--- a/tools/soak/ledger/crashing_test.go
+++ b/tools/soak/ledger/crashing_test.go
@@ -63,3 +63,16 @@
 	r.Attempts[0].Cause = "no endpoint"
 	assert.Empty(t, ledger.Checks[ledger.CheckHeldBack](r))
 }
+
+// TestCheckCrashingCountsEndpoints: two sendings at one endpoint that crashes each record its crash. Without the third endpoint, no begin is
+// late; with it, all that follow are.
+func TestCheckCrashingCountsEndpoints(t *testing.T) {
+	r := crashingRecord(7*second, 6)
+	for i := range r.Runs {
+		if r.Runs[i].ID == "c2" {
+			r.Runs[i].Endpoint, r.Runs[i].At = "c1", at(2*second)
+		}
+	}
+	assert.Empty(t, ledger.Checks[ledger.CheckCrashing](r), "the first of the later begins crashes the third endpoint, and two are later than 3 s after it")
+	assert.NotEmpty(t, ledger.Checks[ledger.CheckCrashing](crashingRecord(7*second, 6)))
+}
