Let a test's server read each request before it answers

Its server wrote the head of the next answer as soon as the test announced it, whether or not the client had sent the request. If those bytes arrived while the connection was idle, the client closed it, as it must with a connection on which surplus bytes arrive, and dialed another one, which the server never accepted.

The client behaves as intended, the test's server did not behave as an endpoint: it reads each request now.

--- a/modules/entry/upstream/probe_test.go
+++ b/modules/entry/upstream/probe_test.go
@@ -4,11 +4,12 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
@@ -24,8 +25,8 @@
 // as during the body, and not between exchanges. An exchange is never ended for silence alone, so only the probes detect a dead connection.
 // The test does not show that they close it, since packets cannot be dropped on loopback.
 func TestSilentExchangeIsProbed(t *testing.T) {
-	release := make(chan string)
-	address := serveOneConnection(t, release)
+	pauses := make(chan time.Duration, 1)
+	address := serveOneConnection(t, pauses)
 	var opened *net.TCPConn
 	client := upstream.NewClient(upstream.Options{
 		MaxIdle: time.Minute, DialTimeout: time.Second, Now: time.Now,
@@ -38,12 +39,8 @@
 		},
 	})
 	for pause, expected := range map[time.Duration]keepAliveState{0: {false, unacknowledgedTimeout}, silence: {true, 4500 * time.Millisecond}} {
-		go func() {
-			release <- "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
-			time.Sleep(pause)
-			release <- "ok"
-		}()
-		answer, err := client.Do(context.Background(), upstream.Call{Target: upstream.Target{Key: "e", Address: address}, Request: request("")})
+		pauses <- pause
+		answer, err := client.Do(t.Context(), upstream.Call{Target: upstream.Target{Key: "e", Address: address}, Request: request("")})
 		require.NoError(t, err)
 		assert.Equal(t, keepAliveState{false, unacknowledgedTimeout}, readKeepAliveState(t, opened), "before the silence")
 		_, err = io.ReadAll(answer)
@@ -82,8 +79,9 @@
 	return keepAliveState{keepAlive != 0, time.Duration(userTimeout) * time.Millisecond}
 }
 
-// serveOneConnection accepts one connection and writes each text that is received from release to it, whatever the client sends.
-func serveOneConnection(t *testing.T, release <-chan string) netip.AddrPort {
+// serveOneConnection accepts one connection. It answers each request with a head and, after the next pause received from pauses, the body
+// "ok". It reads the request first: a connection on which bytes arrive between two exchanges is not used again.
+func serveOneConnection(t *testing.T, pauses <-chan time.Duration) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -93,12 +91,20 @@
 		if err != nil {
 			return
 		}
-		for text := range release {
-			if _, err := io.Copy(conn, strings.NewReader(text)); err != nil {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"); err != nil {
+				return
+			}
+			time.Sleep(<-pauses)
+			if _, err := io.WriteString(conn, "ok"); err != nil {
 				return
 			}
 		}
 	}()
-	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
