Name tests that do not end in the verdict on a test run

Such a test counts as failed now, listed or not, and its output is printed. TestTestThatDoesNotEndIsNamed failed before: the problem named the package, the output held no stack.

--- a/tools/knownred/verdict/judge.go
+++ b/tools/knownred/verdict/judge.go
@@ -45,6 +45,10 @@
 	}
 	slices.Sort(verdict.unexpected)
 	for _, name := range verdict.unexpected {
+		if r.results[name] == actionRun {
+			verdict.reject("%s did not end", name)
+			continue
+		}
 		verdict.reject("%s failed and is not listed", name)
 	}
 	verdict.checkPackages(failing, status)
--- a/tools/knownred/verdict/run.go
+++ b/tools/knownred/verdict/run.go
@@ -12,8 +12,9 @@
 	"strings"
 )
 
-// Values of Event.Action that end a test or a package or carry output.
+// Values of Event.Action that start or end a test, end a package or carry output.
 const (
+	actionRun    = "run"
 	actionPass   = "pass"
 	actionFail   = "fail"
 	actionSkip   = "skip"
@@ -32,7 +33,7 @@
 
 // Run holds the results and the output of a test run.
 type Run struct {
-	// results holds the last action of each test, by package and name, without subtests.
+	// results holds the last action of each test, by package and name, without subtests. It is actionRun for a test that did not end.
 	results map[string]string
 	// output holds the output of each test, package and build.
 	output map[string][]string
@@ -70,6 +71,8 @@
 		name = event.ImportPath
 	}
 	switch event.Action {
+	case actionRun:
+		r.recordResult(event, name)
 	case actionPass, actionFail, actionSkip:
 		r.endTestOrPackage(event, name)
 	case actionOutput, "build-output":
@@ -81,10 +84,7 @@
 
 func (r *Run) endTestOrPackage(event Event, name string) {
 	if event.Test != "" {
-		// The result of a subtest is part of the result of its test.
-		if !strings.Contains(event.Test, "/") {
-			r.results[name] = event.Action
-		}
+		r.recordResult(event, name)
 		return
 	}
 	if event.Action == actionFail {
@@ -93,6 +93,13 @@
 	r.summary = append(r.summary, lastLine(r.output[name]))
 }
 
+// recordResult records the action of a test. The result of a subtest is part of the result of its test.
+func (r *Run) recordResult(event Event, name string) {
+	if !strings.Contains(event.Test, "/") {
+		r.results[name] = event.Action
+	}
+}
+
 // lastLine returns the last non-empty line, with which go test ends a package.
 func lastLine(lines []string) string {
 	for _, line := range slices.Backward(lines) {
--- a/tools/knownred/verdict/verdict_test.go
+++ b/tools/knownred/verdict/verdict_test.go
@@ -98,6 +98,23 @@
 	assert.Empty(t, judge(t, passed, "", 0).Problems)
 }
 
+// TestTestThatDoesNotEndIsNamed guards against a time-out of a package whose cause is not printed: go test reports the stacks as output of
+// the test that was running, and no result of that test.
+func TestTestThatDoesNotEndIsNamed(t *testing.T) {
+	hanging := `{"Action":"run","Package":"example/p","Test":"TestHangs"}
+{"Action":"output","Package":"example/p","Test":"TestHangs","Output":"panic: test timed out\n"}
+{"Action":"output","Package":"example/p","Output":"FAIL\texample/p\n"}
+{"Action":"fail","Package":"example/p"}
+`
+	result := judge(t, hanging, "", 1)
+	assert.Equal(t, []string{"example/p.TestHangs did not end"}, result.Problems)
+	var text strings.Builder
+	require.NoError(t, result.Write(&text))
+	assert.Contains(t, text.String(), "panic: test timed out")
+	listed := judge(t, hanging, "example/p.TestHangs | a fault | issue 1", 1)
+	assert.Contains(t, listed.Problems, "example/p.TestHangs did not end")
+}
+
 func TestParseListReportsLineOfError(t *testing.T) {
 	for list, problem := range map[string]string{
 		"a | b":                    "known failures: line 1: is not \"test | cause | issue\"",
