Let stand-in endpoints replace a version of an adapter as the platform describes it

By the platform's page, an order to load another version of an adapter that the endpoint holds replaces it: the replacement waits for its runs, and until it completes, requests for the adapter that have not begun are answered with 503 and X-Not-Executed. The stand-in read no version in an order, answered 200 for any version, and let queued requests begin.

--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -370,11 +370,22 @@
 		if now.Before(at) {
 			continue
 		}
+		if w.inUse[adapter] > 0 && w.isReplacing(adapter) {
+			continue
+		}
 		delete(w.pending, adapter)
 		w.adapters[adapter] = max(1, w.versions[adapter])
 	}
 }
 
+// isReplacing reports whether the worker was ordered to replace its version of an adapter by another one. It waits for the runs on its
+// version, and begins no further ones.
+func (w *Worker) isReplacing(adapter string) bool {
+	_, resident := w.adapters[adapter]
+	_, pending := w.pending[adapter]
+	return resident && pending
+}
+
 // ServeHTTP serves orders, reports and the requests of callers.
 func (w *Worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != w.options.ID {
@@ -407,6 +418,7 @@
 	var body struct {
 		Operation string `json:"operation"`
 		Adapter   string `json:"adapter"`
+		Version   int    `json:"version"`
 		Expected  *int64 `json:"expected_count"`
 		Holder    string `json:"holder"`
 		Token     int64  `json:"fencing_token"`
@@ -421,6 +433,7 @@
 	w.orders = append(w.orders, ReceivedOrder{Operation: body.Operation, Adapter: body.Adapter, Holder: body.Holder, Token: body.Token, At: time.Now()})
 	status := http.StatusConflict
 	if body.Expected == nil || *body.Expected == w.sequence {
+		w.versions[body.Adapter] = max(w.versions[body.Adapter], body.Version)
 		status = w.take(body.Operation, body.Adapter)
 	}
 	if take(&w.faults.LoseOrders) {
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -129,7 +129,7 @@
 	if expected := request.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.Itoa(version) {
 		misdirected = true
 	}
-	if fault == faultShed || misdirected {
+	if fault == faultShed || misdirected || w.isReplacing(adapter) {
 		w.mutex.Unlock()
 		writer.Header().Set("X-Not-Executed", "1")
 		if misdirected {
