Replace a copy in use from which a request was taken back

What callers saw: a request began on the former version of its adapter 5.99 s after the newer one was acknowledged (5 s allowed), where its endpoint keeps queued requests whose connection closed and another request runs on the former copy.

Cause: closing the connection takes nothing back at such an endpoint; only an order that concerns the adapter binds it. The copy is in use and may not be unloaded, and nothing else was ordered.

An instance that takes a request back names the copy in its next report, at once (a new field, "rc"), and the planner orders the replacement where the copy is withdrawn and still in use. No adapter in use is unloaded, and other orders go on. Orders name a version only then.

--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -180,7 +180,7 @@
 	c.crashes.RecordSent(w.Fingerprint)
 	assignment := Assignment{
 		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
-		Urgency: c.urgency(now, w.Request, status), HeldVersion: held, FormerVersion: formerUse, Recall: c.trackPendingStart(w.Request, held),
+		Urgency: c.urgency(now, w.Request, status), HeldVersion: held, FormerVersion: formerUse, Recall: c.trackPendingStart(w.Request, status.ID, held),
 		status: status,
 	}
 	if w.PromptTokens > 0 {
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -85,7 +85,9 @@
 	forecasts      *forecast.Announcements
 	sweptAt        time.Time
 	// missing are copies that endpoints did not hold although they were listed, for the next report.
-	missing        []wire.Copy
+	missing []wire.Copy
+	// recalled are copies from which requests were recalled, for the next report.
+	recalled       []wire.Copy
 	follower       follower
 	planner        *planner
 	gathering      gathering
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -242,7 +242,7 @@
 }
 
 // Order calls start for each order that is due, as long as mayOrder returns true, and publishes the changes. It calls begun for
-// each adapter load that starts, with the expected duration.
+// each adapter load that starts and is no replacement, with the expected duration.
 func (p *Plans) Order(now time.Time, mayOrder func() bool, start func(loading.Order), begun func(deployment.ServiceAdapter, time.Duration)) {
 	for _, planner := range p.planners {
 		for mayOrder() {
@@ -250,7 +250,7 @@
 			if !ok {
 				break
 			}
-			if order.Kind == loading.Load && !order.Poll {
+			if order.Kind == loading.Load && !order.Poll && !order.IsReplacement() {
 				p.recordStart(order, planner.TypicalLoadTime(), begun)
 			}
 			start(order)
--- a/services/entry/coordinator/plan/reports.go
+++ b/services/entry/coordinator/plan/reports.go
@@ -42,6 +42,11 @@
 			planner.RequestInspection(copied.ID)
 		}
 	}
+	for _, copied := range r.Recalled {
+		for _, planner := range p.planners {
+			planner.RecordRecall(copied.ID, deployment.Adapter{Model: copied.Model, Name: copied.Name})
+		}
+	}
 }
 
 // applyRates applies the arrival rates that an instance measured before this plan, once per instance: a member sends its rates
--- a/services/entry/coordinator/recall.go
+++ b/services/entry/coordinator/recall.go
@@ -4,21 +4,23 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/recall"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
 // trackPendingStart tracks a request that is assigned to an endpoint with a version of its adapter until the request is known
 // to run. A request that was sent cannot be controlled otherwise: a newer version may be named while it waits in the
 // endpoint's own queue, and that queue may grow. It returns nil for routes whose answers are sent as a whole. Their begin
 // is not visible before their end, so nothing shows whether they may still be recalled.
-func (c *Coordinator) trackPendingStart(request *deployment.Request, held int64) *recall.Recall {
+func (c *Coordinator) trackPendingStart(request *deployment.Request, endpoint deployment.EndpointID, held int64) *recall.Recall {
 	if request.Adapter.IsZero() || !request.StartIsVisible() {
 		return nil
 	}
-	requestRecall := &recall.Recall{}
+	requestRecall := &recall.Recall{Endpoint: endpoint, Adapter: request.Adapter}
 	c.pendingStarts.Add(requestRecall, request.Adapter, held, c.beginDeadline(request.Adapter, held))
 	return requestRecall
 }
@@ -33,11 +35,28 @@
 	return recall.BeginBy(since, c.options.VersionLimit)
 }
 
-// recallOverdue recalls the requests that have not begun in time.
+// recallOverdue recalls the requests that have not begun in time, and informs the planner, because some endpoints begin a recalled
+// request all the same unless they get an order for its adapter.
 func (c *Coordinator) recallOverdue(now time.Time) {
+	before := len(c.recalled)
 	for _, requestRecall := range c.pendingStarts.TakeLate(now) {
-		if requestRecall.Fire() && c.options.ObserveRecall != nil {
+		if !requestRecall.Fire() {
+			continue
+		}
+		c.addRecalled(requestRecall)
+		if c.options.ObserveRecall != nil {
 			c.options.ObserveRecall()
 		}
 	}
+	if len(c.recalled) > before {
+		c.requestReport(now)
+	}
+}
+
+// addRecalled adds the copy from which a request was recalled to the next report.
+func (c *Coordinator) addRecalled(requestRecall *recall.Recall) {
+	copied := wire.Copy{ID: requestRecall.Endpoint, Model: requestRecall.Adapter.Model, Name: requestRecall.Adapter.Name}
+	if !slices.Contains(c.recalled, copied) {
+		c.recalled = append(c.recalled, copied)
+	}
 }
--- a/services/entry/coordinator/recall/recall.go
+++ b/services/entry/coordinator/recall/recall.go
@@ -3,12 +3,20 @@
 
 package recall
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+)
 
 // Recall recalls one request from its endpoint, at most once and only until the request is known to run. It ends the exchange,
 // which closes the connection, so that the endpoint drops the queued request. It is safe for concurrent use. A nil Recall never
 // fires.
 type Recall struct {
+	// Endpoint and Adapter identify the copy to which the request was assigned.
+	Endpoint deployment.EndpointID
+	Adapter  deployment.Adapter
+
 	mutex sync.Mutex
 	state recallState
 	// cancel ends the exchange; nil until Arm is called.
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -111,6 +111,9 @@
 	DrainingEndpoints []Start `msgpack:"sl,omitempty"`
 	// CrashDetails supplements Crashes. Earlier versions neither send nor read it.
 	CrashDetails *CrashDetails `msgpack:"xd,omitempty"`
+	// Recalled lists copies from which the instance recalled requests since the last report, because they had not begun in time.
+	// Earlier versions neither send nor read it.
+	Recalled []Copy `msgpack:"rc,omitempty"`
 }
 
 // FormerLoads is the number of base-model loads announced by the planner of a term: Count loads had started in the load window that
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -36,6 +36,9 @@
 	copyLoading copyState = iota
 	// copyResident means that the endpoint holds the copy and requests may use it.
 	copyResident
+	// copyReplacing means that a load of another version was ordered while requests use the copy. The endpoint waits for
+	// those that run, and answers those that have not begun as not run.
+	copyReplacing
 	// copyWithdrawn means that the withdrawal was announced and some instances may still use the copy.
 	copyWithdrawn
 	// copyUnloading means that the copy is confirmed as unused; its unload is yet to be ordered or has not ended.
@@ -49,7 +52,11 @@
 type copyPlan struct {
 	state   copyState
 	version int64
-	since   time.Time
+	// replacedVersion is the version that the endpoint still holds in state copyReplacing, when version is the ordered one.
+	replacedVersion int64
+	// recalled is set once an instance recalled a request that was to use the copy. Some endpoints keep such a request.
+	recalled bool
+	since    time.Time
 	// loadedAt is when a load ordered by this plan finished; zero for a copy that existed before.
 	loadedAt time.Time
 	// unloadAccepted is set once the endpoint has accepted the unload order, which waits for the requests that use
@@ -149,10 +156,10 @@
 }
 
 // occupiedPlaces returns the number of places that are occupied or reserved, as of the last pruneUnansweredLoads. A
-// former planner's load at the plan's own sequence needs no place, because the endpoint accepts only one order at
-// each sequence.
+// replacement counts in addition to the copy that it replaces. A former planner's load at the plan's own sequence needs
+// no place, because the endpoint accepts only one order at each sequence.
 func (e *endpointPlan) occupiedPlaces() int {
-	occupiedPlaces := len(e.copies) + len(e.unansweredLoads)
+	occupiedPlaces := len(e.copies) + e.countCopies(copyReplacing) + len(e.unansweredLoads)
 	if e.formerLoad.sequence > e.tracker.sequence {
 		occupiedPlaces++
 	}
@@ -172,9 +179,14 @@
 
 // pendingLoads returns the number of loads in progress.
 func (e *endpointPlan) pendingLoads() int {
+	return e.countCopies(copyLoading)
+}
+
+// countCopies returns the number of copies in a state.
+func (e *endpointPlan) countCopies(state copyState) int {
 	count := 0
 	for _, c := range e.copies {
-		if c.state == copyLoading {
+		if c.state == state {
 			count++
 		}
 	}
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -55,14 +55,14 @@
 }
 
 // outgoing returns the number of copies that are withdrawn or being unloaded, and whether one of them is not
-// yet confirmed as unused.
+// yet confirmed as unused. A copy to be replaced does not count, because its replacement needs a free place first.
 func (e *endpointPlan) outgoing() (count int, unconfirmed bool) {
 	for _, c := range e.copies {
-		switch c.state {
-		case copyWithdrawn:
+		switch {
+		case c.state == copyWithdrawn && !c.recalled:
 			count++
 			unconfirmed = true
-		case copyUnloading:
+		case c.state == copyUnloading:
 			count++
 		}
 	}
--- a/services/entry/loading/failing.go
+++ b/services/entry/loading/failing.go
@@ -65,7 +65,7 @@
 // isResident reports whether an endpoint holds a version of an adapter, so that its load has succeeded.
 func (p *Planner) isResident(wanted adapterVersion) bool {
 	for _, plan := range p.endpoints {
-		if c, ok := plan.copies[wanted.adapter]; ok && c.version == wanted.version && c.state != copyLoading {
+		if c, ok := plan.copies[wanted.adapter]; ok && c.version == wanted.version && !c.isPolled() {
 			return true
 		}
 	}
@@ -80,7 +80,7 @@
 		loads = make(map[deployment.Adapter]int64)
 	}
 	for adapter, c := range e.copies {
-		if !adapter.IsZero() && c.state == copyLoading {
+		if !adapter.IsZero() && c.isPolled() {
 			loads[adapter] = c.version
 		}
 	}
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -23,7 +23,7 @@
 
 // Next returns the next order to send, if there is one. No other order is sent to the endpoint until Done.
 func (p *Planner) Next(now time.Time) (Order, bool) {
-	for _, decide := range []func(time.Time) (Order, bool){p.nextInspection, p.nextPoll, p.nextUnload, p.nextModelLoad, p.nextLoad} {
+	for _, decide := range []func(time.Time) (Order, bool){p.nextInspection, p.nextPoll, p.nextUnload, p.nextReplacement, p.nextModelLoad, p.nextLoad} {
 		if order, ok := decide(now); ok {
 			p.endpoints[order.Endpoint.ID].orderInFlight = true
 			return order, true
@@ -62,7 +62,7 @@
 			continue
 		}
 		for adapter, c := range plan.copies {
-			if c.state != copyLoading || now.Before(c.pollAt) {
+			if !c.isPolled() || now.Before(c.pollAt) {
 				continue
 			}
 			if now.Before(plan.unresponsiveUntil) || len(plan.copies) > p.capacity(&plan.endpoint) {
@@ -70,6 +70,9 @@
 				return p.order(Inspect, plan, deployment.Adapter{}), true
 			}
 			order := p.order(Load, plan, adapter)
+			if c.state == copyReplacing {
+				order = p.replacementOrder(plan, adapter, c)
+			}
 			order.Poll = true
 			c.lastPollAt = now
 			return order, true
@@ -105,7 +108,7 @@
 			continue
 		}
 		for _, c := range plan.copies {
-			if c.state == copyLoading && (next.IsZero() || c.pollAt.Before(next)) {
+			if c.isPolled() && (next.IsZero() || c.pollAt.Before(next)) {
 				next = c.pollAt
 			}
 		}
--- a/services/entry/loading/order.go
+++ b/services/entry/loading/order.go
@@ -32,12 +32,20 @@
 	Kind     OrderKind
 	Endpoint deployment.Endpoint
 	Adapter  deployment.Adapter
+	// Version is the version to load in place of the one that the endpoint holds; 0 loads the newest version.
+	Version int64
 	// ExpectedSequence makes the endpoint refuse the order if it has accepted another one since.
 	ExpectedSequence int64
 	// Poll marks a repeated order that asks whether a load or unload has ended.
 	Poll bool
 }
 
+// IsReplacement reports whether the order replaces a version of an adapter that requests still use. It is not known when
+// such a load ends.
+func (o Order) IsReplacement() bool {
+	return o.Version != 0
+}
+
 // Reply is an endpoint's response to an order.
 type Reply int
 
--- a/services/entry/loading/reconcile.go
+++ b/services/entry/loading/reconcile.go
@@ -87,6 +87,10 @@
 		e.copies[adapter] = &copyPlan{state: e.listedCopyState(now, adapter), version: version, since: now}
 		return
 	}
+	if known.state == copyReplacing {
+		known.applyReplacement(now, version, replaced)
+		return
+	}
 	if (known.state == copyLoading && !replaced) || known.state == copyUnconfirmed {
 		known.state, known.since = e.listedCopyState(now, adapter), now
 	}
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -129,11 +129,11 @@
 			p.continueLoad(now, plan, adapter, c, result.Order.Poll)
 			return
 		}
-		delete(plan.copies, adapter)
+		plan.cancelLoad(now, adapter, c)
 		plan.needsInspection, plan.orderRefused = true, true
 	case NotDelivered, Rejected:
 		if !result.Order.Poll {
-			delete(plan.copies, adapter)
+			plan.cancelLoad(now, adapter, c)
 		}
 		plan.pausedUntil = now.Add(failurePause)
 		plan.needsInspection = true
@@ -146,12 +146,21 @@
 		if !result.Order.Poll {
 			// A place is reserved for the load; if the endpoint accepted it, the report lists it. Until then the
 			// adapter may be loaded elsewhere.
-			delete(plan.copies, adapter)
 			plan.recordUnansweredVersion(adapter, c.version)
+			plan.cancelLoad(now, adapter, c)
 		}
 	}
 }
 
+// cancelLoad undoes in the plan what the order of a load changed there.
+func (e *endpointPlan) cancelLoad(now time.Time, adapter deployment.Adapter, c *copyPlan) {
+	if c.state == copyReplacing {
+		c.cancelReplacement(now)
+		return
+	}
+	delete(e.copies, adapter)
+}
+
 // recordUnansweredVersion records that the endpoint may be loading a version although it left the order unanswered.
 func (e *endpointPlan) recordUnansweredVersion(adapter deployment.Adapter, version int64) {
 	if e.unansweredVersions == nil {
@@ -178,7 +187,7 @@
 	if poll {
 		c.lastSeenLoadingAt = c.lastPollAt
 	}
-	c.pollAt = laterOf(c.pollAt, now.Add(loadPollInterval))
+	c.pollAt = laterOf(c.pollAt, now.Add(c.pollInterval()))
 	if now.Sub(c.since) > limit && now.Sub(c.lastInspectedAt) > slowLoadLimit {
 		c.lastInspectedAt = now
 		plan.needsInspection = true
@@ -187,7 +196,7 @@
 }
 
 func (p *Planner) finishLoad(now time.Time, plan *endpointPlan, adapter deployment.Adapter, c *copyPlan) {
-	if c.state != copyLoading {
+	if !c.isPolled() {
 		return
 	}
 	if adapter.IsZero() {
@@ -197,7 +206,7 @@
 	if c.cold && c.startKnown {
 		p.loadLimiter.record(now, c.loadMeasurement(now, p.coldLoads()))
 	}
-	c.state, c.since, c.loadedAt = copyResident, now, now
+	c.state, c.since, c.loadedAt, c.recalled = copyResident, now, now, false
 	delete(p.failing, adapter)
 	delete(plan.unloaded, adapter)
 	plan.previouslyHeld[adapter] = now
--- a/tests/platform/closed_request_test.go
+++ b/tests/platform/closed_request_test.go
@@ -32,7 +32,7 @@
 }
 
 // TestQueuedRequestBeginsInTimeBesideRunOnFormerVersion has another request run on the former version at the endpoint that keeps the queued one.
-// The planner unloads no copy that a request uses, so that nothing keeps the queued request from beginning on it.
+// The planner unloads no copy that a request uses; only the order to replace it keeps the queued request from beginning.
 func TestQueuedRequestBeginsInTimeBesideRunOnFormerVersion(t *testing.T) {
 	s := newSite(t, 1)
 	require.True(t, s.serves(0, "a1"))
@@ -54,6 +54,31 @@
 	s.assertStartedInTime(acknowledged)
 }
 
+// TestQueuedRequestsOfSeveralInstancesBeginInTimeBesideRun has an instance that is not the planner recall a request from the copy in use.
+func TestQueuedRequestsOfSeveralInstancesBeginInTimeBesideRun(t *testing.T) {
+	s := newSite(t, 3)
+	require.True(t, s.serves(0, "a1"))
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	running := longDeadlineCall
+	running.path += "?events=1800"
+	callers.Go(func() { s.do(running) })
+	s.waitFor("the first request runs", func() bool { return s.runningRequests() == 1 })
+	s.delayLoadsAndQueue(versionLimit + time.Second)
+	for _, worker := range s.models {
+		worker.SetFaults(standin.WorkerFaults{KeepsQueued: true})
+	}
+	for entry := range 3 {
+		queued := longDeadlineCall
+		queued.entry = entry
+		callers.Go(func() { s.do(queued) })
+	}
+	s.waitFor("the others wait at an endpoint", func() bool { return s.queuedRequests() == 3 })
+	acknowledged := s.nameSecondVersion()
+	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
+	s.assertStartedInTime(acknowledged)
+}
+
 // runningRequests returns how many requests with a long deadline have begun at the endpoints.
 func (s *site) runningRequests() int {
 	running := 0
