Keep requests whose callers left among those that must begin in time

Cause: the instance forgot the request with its exchange, so that there was none to take back and no copy to name.

Change: such a request stays in recall.Requests until its deadline; when its time to begin has passed, its copy is reported as that of a request that is taken back.

Evidence: TestRequestOfCallerWhoLeftBeginsInTimeBesideRun failed on the commit before (5.99 s, 5 s allowed) and passes; TestAbandonedRequestStaysUntilItsDeadline shows the rule.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -86,7 +86,7 @@
 	sweptAt        time.Time
 	// missing are copies that endpoints did not hold although they were listed, for the next report.
 	missing []wire.Copy
-	// recalled are copies from which requests were recalled, for the next report.
+	// recalled are copies on which requests have not begun in time, for the next report.
 	recalled       []wire.Copy
 	follower       follower
 	planner        *planner
@@ -231,6 +231,7 @@
 	c.sweptAt = now
 	c.directory.UpdateHeld(now)
 	c.demand.Sweep(now)
+	c.pendingStarts.Sweep(now)
 	c.reviewCrashes(now)
 	if now.Sub(c.seedAnswer.at) >= seedAnswerTTL {
 		c.seedAnswer = seedAnswer{}
--- a/services/entry/coordinator/crashes.go
+++ b/services/entry/coordinator/crashes.go
@@ -34,9 +34,10 @@
 }
 
 // RecordUnanswered records that an exchange ended without a complete response while its endpoint kept running, as far
-// as this instance can see. The endpoint may still run the request and crash because of it.
+// as this instance can see. The endpoint may still run the request and crash because of it, or begin it on a former version.
 func (c *Coordinator) RecordUnanswered(request *deployment.Request, assignment Assignment) {
 	c.loop.Post(func(now time.Time) {
+		c.pendingStarts.Abandon(assignment.Recall, request.Deadline)
 		c.crashes.RecordUnanswered(now, request.Fingerprint, string(assignment.Endpoint.ID))
 		c.publishCrashes(now)
 	})
--- a/services/entry/coordinator/recall.go
+++ b/services/entry/coordinator/recall.go
@@ -35,16 +35,13 @@
 	return recall.BeginBy(since, c.options.VersionLimit)
 }
 
-// recallOverdue recalls the requests that have not begun in time, and informs the planner, because some endpoints begin a recalled
-// request all the same unless they get an order for its adapter.
+// recallOverdue recalls the requests that have not begun in time, and informs the planner, because some endpoints begin a request
+// whose exchange has ended all the same unless they get an order for its adapter.
 func (c *Coordinator) recallOverdue(now time.Time) {
 	before := len(c.recalled)
 	for _, requestRecall := range c.pendingStarts.TakeLate(now) {
-		if !requestRecall.Fire() {
-			continue
-		}
 		c.addRecalled(requestRecall)
-		if c.options.ObserveRecall != nil {
+		if requestRecall.Fire() && c.options.ObserveRecall != nil {
 			c.options.ObserveRecall()
 		}
 	}
@@ -53,7 +50,7 @@
 	}
 }
 
-// addRecalled adds the copy from which a request was recalled to the next report.
+// addRecalled adds the copy on which a request had to begin to the next report.
 func (c *Coordinator) addRecalled(requestRecall *recall.Recall) {
 	copied := wire.Copy{ID: requestRecall.Endpoint, Model: requestRecall.Adapter.Model, Name: requestRecall.Adapter.Name}
 	if !slices.Contains(c.recalled, copied) {
--- a/services/entry/coordinator/recall/requests.go
+++ b/services/entry/coordinator/recall/requests.go
@@ -26,6 +26,8 @@
 	unbounded map[*Recall]assigned
 	// beginBy is the time by which each of the other requests must have begun.
 	beginBy map[*Recall]time.Time
+	// abandoned are those requests whose exchange has ended, with the time until which their endpoint may still begin them.
+	abandoned map[*Recall]time.Time
 }
 
 // assigned is the adapter and version for which a request was assigned.
@@ -37,7 +39,9 @@
 
 // NewRequests returns a set without requests.
 func NewRequests() *Requests {
-	return &Requests{unbounded: make(map[*Recall]assigned), beginBy: make(map[*Recall]time.Time)}
+	return &Requests{
+		unbounded: make(map[*Recall]assigned), beginBy: make(map[*Recall]time.Time), abandoned: make(map[*Recall]time.Time),
+	}
 }
 
 // Add adds a request that was assigned to an endpoint, with the version that the endpoint is assumed to hold and the time by which
@@ -65,10 +69,37 @@
 	}
 }
 
-// Remove removes a request that has begun or ended.
+// Remove removes a request that has begun or ended, unless it was abandoned.
 func (r *Requests) Remove(recall *Recall) {
+	if _, abandoned := r.abandoned[recall]; abandoned {
+		return
+	}
+	r.remove(recall)
+}
+
+func (r *Requests) remove(recall *Recall) {
 	delete(r.unbounded, recall)
 	delete(r.beginBy, recall)
+	delete(r.abandoned, recall)
+}
+
+// Abandon keeps a request whose exchange ended without a response until a time, for example the request of a caller who left: some
+// endpoints keep it and begin it later. It has no effect if the request is known to have begun.
+func (r *Requests) Abandon(recall *Recall, until time.Time) {
+	_, unbounded := r.unbounded[recall]
+	_, bounded := r.beginBy[recall]
+	if unbounded || bounded {
+		r.abandoned[recall] = until
+	}
+}
+
+// Sweep removes the abandoned requests that their endpoints no longer begin.
+func (r *Requests) Sweep(now time.Time) {
+	for recall, until := range r.abandoned {
+		if !now.Before(until) {
+			r.remove(recall)
+		}
+	}
 }
 
 // TakeLate removes and returns the requests whose time has passed.
@@ -78,7 +109,7 @@
 		if now.Before(beginBy) {
 			continue
 		}
-		delete(r.beginBy, recall)
+		r.remove(recall)
 		late = append(late, recall)
 	}
 	return late
--- a/services/entry/coordinator/recall/requests_test.go
+++ b/services/entry/coordinator/recall/requests_test.go
@@ -120,3 +120,26 @@
 	requests.Remove(nil)
 	assert.Empty(t, requests.TakeLate(start))
 }
+
+// TestAbandonedRequestStaysUntilItsDeadline guards against a request that its endpoint begins on a former version after its caller left.
+func TestAbandonedRequestStaysUntilItsDeadline(t *testing.T) {
+	r := recall.NewRequests()
+	abandoned, begun := &recall.Recall{}, &recall.Recall{}
+	r.Add(abandoned, adapter, 2, never)
+	r.Add(begun, adapter, 2, never)
+	r.Remove(begun)
+	r.Abandon(begun, at(10))
+	r.Abandon(abandoned, at(10))
+	r.Remove(abandoned)
+	r.ApplyVersion(adapter, 3, at(4))
+	r.Sweep(at(9))
+	assert.Empty(t, r.TakeLate(at(3)))
+	assert.Equal(t, []*recall.Recall{abandoned}, r.TakeLate(at(4)))
+	assert.Empty(t, r.TakeLate(at(5)))
+
+	r.Add(abandoned, adapter, 2, at(20))
+	r.Abandon(abandoned, at(10))
+	r.Sweep(at(10))
+	assert.Empty(t, r.TakeLate(at(20)))
+	assert.Zero(t, r.Kept())
+}
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -111,7 +111,8 @@
 	DrainingEndpoints []Start `msgpack:"sl,omitempty"`
 	// CrashDetails supplements Crashes. Earlier versions neither send nor read it.
 	CrashDetails *CrashDetails `msgpack:"xd,omitempty"`
-	// Recalled lists copies from which the instance recalled requests since the last report, because they had not begun in time.
+	// Recalled lists copies on which requests of the instance have not begun in time, since the last report, so that it recalled them,
+	// or had lost or ended their exchange before.
 	// Earlier versions neither send nor read it.
 	Recalled []Copy `msgpack:"rc,omitempty"`
 }
--- a/tests/platform/closed_request_test.go
+++ b/tests/platform/closed_request_test.go
@@ -4,6 +4,7 @@
 package platform_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -79,6 +80,30 @@
 	s.assertStartedInTime(acknowledged)
 }
 
+// TestRequestOfCallerWhoLeftBeginsInTimeBesideRun has a caller leave while the request waits, so that there is no exchange to end when
+// the request must have begun.
+func TestRequestOfCallerWhoLeftBeginsInTimeBesideRun(t *testing.T) {
+	s := newSite(t, 1)
+	require.True(t, s.serves(0, "a1"))
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	running := longDeadlineCall
+	running.path += "?events=1800"
+	callers.Go(func() { s.do(running) })
+	s.waitFor("the first request runs", func() bool { return s.runningRequests() == 1 })
+	s.delayLoadsAndQueue(versionLimit + time.Second)
+	for _, worker := range s.models {
+		worker.SetFaults(standin.WorkerFaults{KeepsQueued: true})
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	callers.Go(func() { s.send(ctx, longDeadlineCall) })
+	s.waitFor("the second request waits at an endpoint", func() bool { return s.queuedRequests() == 1 })
+	acknowledged := s.nameSecondVersion()
+	leave()
+	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
+	s.assertStartedInTime(acknowledged)
+}
+
 // runningRequests returns how many requests with a long deadline have begun at the endpoints.
 func (s *site) runningRequests() int {
 	running := 0
