--- a/tests/platform/closed_request_test.go
+++ b/tests/platform/closed_request_test.go
@@ -58,17 +58,9 @@
 // TestQueuedRequestsOfSeveralInstancesBeginInTimeBesideRun has an instance that is not the planner recall a request from the copy in use.
 func TestQueuedRequestsOfSeveralInstancesBeginInTimeBesideRun(t *testing.T) {
 	s := newSite(t, 3)
-	require.True(t, s.serves(0, "a1"))
 	var callers sync.WaitGroup
 	defer callers.Wait()
-	running := longDeadlineCall
-	running.path += "?events=1800"
-	callers.Go(func() { s.do(running) })
-	s.waitFor("the first request runs", func() bool { return s.runningRequests() == 1 })
-	s.delayLoadsAndQueue(versionLimit + time.Second)
-	for _, worker := range s.models {
-		worker.SetFaults(standin.WorkerFaults{KeepsQueued: true})
-	}
+	s.runAndKeepQueued(&callers)
 	for entry := range 3 {
 		queued := longDeadlineCall
 		queued.entry = entry
@@ -84,9 +76,22 @@
 // the request must have begun.
 func TestRequestOfCallerWhoLeftBeginsInTimeBesideRun(t *testing.T) {
 	s := newSite(t, 1)
-	require.True(t, s.serves(0, "a1"))
 	var callers sync.WaitGroup
 	defer callers.Wait()
+	s.runAndKeepQueued(&callers)
+	ctx, leave := context.WithCancel(t.Context())
+	callers.Go(func() { s.send(ctx, longDeadlineCall) })
+	s.waitFor("the second request waits at an endpoint", func() bool { return s.queuedRequests() == 1 })
+	acknowledged := s.nameSecondVersion()
+	leave()
+	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
+	s.assertStartedInTime(acknowledged)
+}
+
+// runAndKeepQueued starts a request that runs on the only copy of adapter a1, and makes the endpoints keep later ones in their queues.
+func (s *site) runAndKeepQueued(callers *sync.WaitGroup) {
+	s.t.Helper()
+	require.True(s.t, s.serves(0, "a1"))
 	running := longDeadlineCall
 	running.path += "?events=1800"
 	callers.Go(func() { s.do(running) })
@@ -95,13 +100,6 @@
 	for _, worker := range s.models {
 		worker.SetFaults(standin.WorkerFaults{KeepsQueued: true})
 	}
-	ctx, leave := context.WithCancel(t.Context())
-	callers.Go(func() { s.send(ctx, longDeadlineCall) })
-	s.waitFor("the second request waits at an endpoint", func() bool { return s.queuedRequests() == 1 })
-	acknowledged := s.nameSecondVersion()
-	leave()
-	time.Sleep(time.Until(acknowledged.Add(versionLimit + 2*time.Second)))
-	s.assertStartedInTime(acknowledged)
 }
 
 // runningRequests returns how many requests with a long deadline have begun at the endpoints.
