Let a recall that is reported late concern no newer copy

A copy that waits for its replacement does not count as one that makes room. The mark of it stayed when the copy was replaced or when the recall was reported after that, so that an ordinary eviction of the newer copy counted for nothing and the planner evicted one copy after another.

The mark names the version now, and only a version older than the one to be served is marked. A poll of a replacement also counts the place of the replacement before it is sent as an order.

--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -54,9 +54,10 @@
 	version int64
 	// replacedVersion is the version that the endpoint still holds in state copyReplacing, when version is the ordered one.
 	replacedVersion int64
-	// recalled is set once an instance recalled a request that was to use the copy. Some endpoints keep such a request.
-	recalled bool
-	since    time.Time
+	// recalledVersion is the version from which an instance recalled a request; 0 if there is none. Some endpoints keep such
+	// a request.
+	recalledVersion int64
+	since           time.Time
 	// loadedAt is when a load ordered by this plan finished; zero for a copy that existed before.
 	loadedAt time.Time
 	// unloadAccepted is set once the endpoint has accepted the unload order, which waits for the requests that use
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -59,7 +59,7 @@
 func (e *endpointPlan) outgoing() (count int, unconfirmed bool) {
 	for _, c := range e.copies {
 		switch {
-		case c.state == copyWithdrawn && !c.recalled:
+		case c.state == copyWithdrawn && !c.isRecalled():
 			count++
 			unconfirmed = true
 		case c.state == copyUnloading:
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -65,7 +65,7 @@
 			if !c.isPolled() || now.Before(c.pollAt) {
 				continue
 			}
-			if now.Before(plan.unresponsiveUntil) || len(plan.copies) > p.capacity(&plan.endpoint) {
+			if now.Before(plan.unresponsiveUntil) || len(plan.copies)+plan.countCopies(copyReplacing) > p.capacity(&plan.endpoint) {
 				// If the endpoint does not know the load, it treats a poll as a new load order.
 				return p.order(Inspect, plan, deployment.Adapter{}), true
 			}
--- a/services/entry/loading/replace.go
+++ b/services/entry/loading/replace.go
@@ -29,11 +29,17 @@
 	if !ok {
 		return
 	}
-	if c, ok := plan.copies[adapter]; ok {
-		c.recalled = true
+	// The report may come late: a copy of the version to be served is not concerned, and evicted as any other.
+	if c, ok := plan.copies[adapter]; ok && c.version < p.wantedVersion(adapter) {
+		c.recalledVersion = c.version
 	}
 }
 
+// isRecalled reports whether a request was recalled from the version that the endpoint holds.
+func (c *copyPlan) isRecalled() bool {
+	return c.recalledVersion != 0 && c.recalledVersion == c.version
+}
+
 // nextReplacement orders the replacement of a copy that is in use, on which no request may begin any more, and from which
 // a request was recalled.
 func (p *Planner) nextReplacement(now time.Time) (Order, bool) {
@@ -54,7 +60,7 @@
 
 func (p *Planner) isReplaceable(now time.Time, adapter deployment.Adapter, c *copyPlan) bool {
 	wanted := p.wantedVersion(adapter)
-	return c.state == copyWithdrawn && c.recalled && c.version < p.oldestUsable(now, adapter) && c.version < wanted &&
+	return c.state == copyWithdrawn && c.isRecalled() && c.version < p.oldestUsable(now, adapter) && c.version < wanted &&
 		!p.loadHeldBack(now, adapter, wanted)
 }
 
@@ -82,7 +88,7 @@
 func (c *copyPlan) applyReplacement(now time.Time, version int64, pending bool) {
 	switch {
 	case version >= c.version:
-		c.state, c.since, c.version, c.recalled = copyResident, now, version, false
+		c.state, c.since, c.version = copyResident, now, version
 	case !pending && now.Sub(c.since) >= reportLag:
 		c.cancelReplacement(now)
 	}
--- a/services/entry/loading/replace_test.go
+++ b/services/entry/loading/replace_test.go
@@ -121,3 +121,16 @@
 	assert.EqualValues(t, "other", order.Endpoint.ID)
 	assert.False(t, order.IsReplacement())
 }
+
+// TestLateRecallDoesNotConcernNewerCopy guards against copies that are evicted without need: one that waits for its replacement makes no
+// room, and a recall that is reported late must not make a copy of the newer version count as such.
+func TestLateRecallDoesNotConcernNewerCopy(t *testing.T) {
+	p := fullPlanner(copyUse{})
+	p.RecordRecall("e", adapter(1))
+	for step := range 10 {
+		p.RecordRecall("e", adapter(step%4+1))
+		p.Next(start.Add(time.Second + time.Duration(step)*100*time.Millisecond))
+	}
+	_, offered := p.Offered("e")
+	assert.Len(t, offered, 3, "one copy is withdrawn at a time")
+}
--- a/services/entry/loading/result.go
+++ b/services/entry/loading/result.go
@@ -206,7 +206,7 @@
 	if c.cold && c.startKnown {
 		p.loadLimiter.record(now, c.loadMeasurement(now, p.coldLoads()))
 	}
-	c.state, c.since, c.loadedAt, c.recalled = copyResident, now, now, false
+	c.state, c.since, c.loadedAt = copyResident, now, now
 	delete(p.failing, adapter)
 	delete(plan.unloaded, adapter)
 	plan.previouslyHeld[adapter] = now
