Compare the time limits of tickets and orders again at the first byte

Cause: a time limit was checked at a moment other than that of what it limits.

Change: engine.Call and engine.Order carry the limit, and the connection compares it when it writes the first byte; after it nothing is written, and the outcome is certain: not run. A stream that is resumed has no limit, since its ticket is in use.

Evidence: TestNothingIsSentAfterStartLimit fails without the comparison (checked by taking it out) and passes, on new and on idle connections; TestStartLimitEndsWithFirstByte sends 16 MiB and gets its response after the limit. No run of real processes shows the fault.

--- a/modules/daemon/engine/dialect.go
+++ b/modules/daemon/engine/dialect.go
@@ -36,6 +36,8 @@
 	Holder      string
 	Adapter     fleet.AdapterRef
 	Source      string
+	// StartBefore is the time before which the first byte must be written, or the order is not sent; zero if there is no limit.
+	StartBefore time.Time
 }
 
 // Call is a caller's request as it is sent to an endpoint.
@@ -52,6 +54,18 @@
 	Priority    int
 	// ResumeFrom is the number of events that the caller already has.
 	ResumeFrom int
+	// StartBefore is the time before which the first byte must be written, or the request is not sent; zero if there is no limit.
+	StartBefore time.Time
+}
+
+// StartBefore returns a time limit of the clock now as a limit for Order and Call, which counts by the system's clock.
+func StartBefore(limit time.Time, now func() time.Time) time.Time {
+	if limit.IsZero() {
+		return time.Time{}
+	}
+	// The system's clock is read first, so that a pause of the process in between makes the result earlier.
+	system := time.Now()
+	return system.Add(limit.Sub(now()))
 }
 
 // Dialect implements the protocol of one kind of endpoint.
--- a/modules/daemon/engine/transport.go
+++ b/modules/daemon/engine/transport.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -52,22 +53,41 @@
 	}
 }
 
+// ErrStartTooLate means that a request or an order was not sent, because its first byte would have been written too late.
+var ErrStartTooLate = errors.New("engine: the time limit for the first byte has passed")
+
 // countingConn counts the bytes passed to the kernel.
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// startBefore is the time limit for the first byte of the current request; nil if there is none or the byte was written.
+	startBefore atomic.Pointer[time.Time]
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The time limit is compared here and not before the request is sent, because the connection is set up and
+// the process may be paused in between.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if limit := c.startBefore.Load(); limit != nil && !time.Now().Before(*limit) {
+		return 0, ErrStartTooLate
+	}
 	n, err := c.Conn.Write(p)
 	if n == 0 && err != nil {
 		return n, err
 	}
+	c.startBefore.Store(nil)
 	c.written.Add(int64(max(n, 1)))
 	return n, err
 }
 
+// limitStart sets the time limit for the first byte of the next request; the zero time sets none.
+func (c *countingConn) limitStart(limit time.Time) {
+	if limit.IsZero() {
+		c.startBefore.Store(nil)
+		return
+	}
+	c.startBefore.Store(&limit)
+}
+
 // writeProbe detects whether any byte of one request was written.
 type writeProbe struct {
 	conn atomic.Pointer[countingConn]
@@ -77,14 +97,16 @@
 	uncounted atomic.Bool
 }
 
-// trace returns a context for the request with the probe installed.
-func (p *writeProbe) trace(ctx context.Context) context.Context {
+// trace returns a context for the request with the probe installed. The first byte of the request is written only before startBefore,
+// unless that is zero or the connection does not count bytes.
+func (p *writeProbe) trace(ctx context.Context, startBefore time.Time) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c, ok := info.Conn.(*countingConn)
 		if !ok {
 			p.uncounted.Store(true)
 			return
 		}
+		c.limitStart(startBefore)
 		p.start.Store(c.written.Load())
 		p.conn.Store(c)
 	}})
--- a/modules/daemon/engine/vllm_call.go
+++ b/modules/daemon/engine/vllm_call.go
@@ -19,7 +19,7 @@
 // other responses are returned to the caller.
 func (v *vllm) start(ctx context.Context, c Call) (*http.Response, error) {
 	probe := &writeProbe{}
-	req, err := newRequest(probe.trace(ctx), c.Method, endpointURL(c.Endpoint, c.Path), c.Body)
+	req, err := newRequest(probe.trace(ctx, c.StartBefore), c.Method, endpointURL(c.Endpoint, c.Path), c.Body)
 	if err != nil {
 		return nil, ErrNotRun{Operation: "request", Reason: err.Error()}
 	}
--- a/modules/daemon/engine/vllm_order.go
+++ b/modules/daemon/engine/vllm_order.go
@@ -40,7 +40,7 @@
 		raw, _ = json.Marshal(body)
 	}
 	probe := &writeProbe{}
-	req, err := newPost(probe.trace(ctx), endpointURL(o.Endpoint, path), raw)
+	req, err := newPost(probe.trace(ctx, o.StartBefore), endpointURL(o.Endpoint, path), raw)
 	if err != nil {
 		return ErrNotRun{Operation: what, Reason: err.Error()}
 	}
--- a/modules/daemon/engine/vllm_test.go
+++ b/modules/daemon/engine/vllm_test.go
@@ -208,3 +208,52 @@
 		require.Equal(t, uint64(3), first&0xffff)
 	}
 }
+
+// TestNothingIsSentAfterStartLimit guards against a request or an order that reaches its endpoint after the right to send it has
+// lapsed, because the connection was set up, or the process was paused, after the time was compared.
+func TestNothingIsSentAfterStartLimit(t *testing.T) {
+	var received atomic.Int64
+	e := newEndpoint(t, fleet.KindEngine, func(http.ResponseWriter, *http.Request) { received.Add(1) })
+	dialect := newDialect()
+	call := engine.Call{Endpoint: e, Method: http.MethodPost, Path: "/", Body: []byte("{}")}
+	order := engine.Order{Endpoint: e, Adapter: testAdapter}
+	for range 2 {
+		call.StartBefore, order.StartBefore = time.Now(), time.Now()
+		_, err := dialect.Start(context.Background(), call)
+		require.True(t, engine.IsErrNotRun(err), "%v", err)
+		require.Contains(t, err.Error(), engine.ErrStartTooLate.Error())
+		require.True(t, engine.IsErrNotRun(dialect.Load(context.Background(), order)))
+		require.True(t, engine.IsErrNotRun(dialect.Unload(context.Background(), order)))
+		// The second round finds the idle connection of a request without limit.
+		order.StartBefore = time.Time{}
+		require.NoError(t, dialect.Load(context.Background(), order))
+	}
+	require.EqualValues(t, 2, received.Load())
+}
+
+// TestStartLimitEndsWithFirstByte covers a request whose body is longer than one write and whose response comes after the limit.
+func TestStartLimitEndsWithFirstByte(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	e := newEndpoint(t, fleet.KindEngine, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * limit)
+		body, err := io.ReadAll(r.Body)
+		if err != nil || len(body) != longBody {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	call := engine.Call{Endpoint: e, Method: http.MethodPost, Path: "/", Body: make([]byte, longBody), StartBefore: time.Now().Add(limit)}
+	response, err := newDialect().Start(context.Background(), call)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// longBody is the length of a body that does not fit into the buffers of a connection.
+const longBody = 16 << 20
+
+func TestStartBeforeCountsBySystemClock(t *testing.T) {
+	now := time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+	clock := func() time.Time { return now }
+	require.WithinDuration(t, time.Now().Add(time.Minute), engine.StartBefore(now.Add(time.Minute), clock), 10*time.Second)
+	require.Zero(t, engine.StartBefore(time.Time{}, clock))
+}
--- a/services/daemon/control/executor.go
+++ b/services/daemon/control/executor.go
@@ -135,7 +135,8 @@
 	s.enqueue(inspectionInput{pool: i.Pool, term: i.Term, inspection: in, leaving: status.Leaving})
 }
 
-// executeOrder evicts an adapter if necessary and loads another one. The time limit of the order is checked right before each call.
+// executeOrder evicts an adapter if necessary and loads another one. The time limit of the order is checked before each call, and
+// again when its first byte is written.
 func (s *Service) executeOrder(o node.OrderLoad) {
 	l := o.Load
 	result := node.LoadResult{
@@ -163,6 +164,7 @@
 	if limit := o.Load.NotAfter; !limit.IsZero() && !s.options.Now().Before(limit) {
 		return engine.ErrNotRun{Operation: "order", Reason: "the right to order has lapsed"}
 	}
+	order.StartBefore = engine.StartBefore(o.Load.NotAfter, s.options.Now)
 	return send(s.ctx, order)
 }
 
--- a/services/daemon/relay/relay_test.go
+++ b/services/daemon/relay/relay_test.go
@@ -149,6 +149,16 @@
 	require.Equal(t, 1, b.calls[1].ResumeFrom)
 }
 
+// TestOnlyFirstExchangeMustStartBeforeTicketLapses guards against a request that reaches its endpoint after its ticket has lapsed: the time
+// was compared only before the connection is set up. A resumed stream keeps its ticket.
+func TestOnlyFirstExchangeMustStartBeforeTicketLapses(t *testing.T) {
+	b := newTestRelay(attempt{body: one + "data: {\"model\"", breaks: true}, attempt{body: two + done})
+	_, err := b.serve(true)
+	require.NoError(t, err)
+	require.WithinDuration(t, time.Now().Add(time.Minute), b.calls[0].StartBefore, 10*time.Second)
+	require.Zero(t, b.calls[1].StartBefore)
+}
+
 func TestBrokenStreamThatCannotBeResumedIsUnknown(t *testing.T) {
 	b := newTestRelay(attempt{body: one, breaks: true}, attempt{err: notRun}, attempt{err: notRun})
 	text, err := b.serve(false)
--- a/services/daemon/relay/run.go
+++ b/services/daemon/relay/run.go
@@ -180,7 +180,7 @@
 		r.service.options.Control.ReturnTicket(r.ticket.ID)
 		return engine.ErrNotRun{Operation: "request", Reason: "the ticket came too late to be used"}
 	}
-	return r.runWithTicket(ctx)
+	return r.runWithTicket(ctx, engine.StartBefore(answer.NotAfter, r.service.options.Now))
 }
 
 // waitForTicket requests a ticket and waits for the ticket, a refusal or the end of ctx.
@@ -215,10 +215,13 @@
 	return ErrNotRun{Reason: fleet.ReasonCancelled}
 }
 
-// runWithTicket runs the request under its ticket, and resumes a broken stream if that is allowed.
-func (r *run) runWithTicket(ctx context.Context) error {
+// runWithTicket runs the request under its ticket, and resumes a broken stream if that is allowed. The first byte of the request must
+// be written before startBefore, since the ticket may be granted to another request after that.
+func (r *run) runWithTicket(ctx context.Context, startBefore time.Time) error {
 	call := r.call()
+	call.StartBefore = startBefore
 	err := r.exchange(ctx, call)
+	call.StartBefore = time.Time{}
 	var broken errBroken
 	for tries := 0; errors.As(err, &broken) && tries < maxResumes && r.resumable(ctx); tries++ {
 		call.ResumeFrom = r.out.events
