Release a pool without fences once its unloads are answered

What could happen: an instance hands over a pool whose endpoints check no fences while an unload that it ordered is on its way. Its successor owns the pool at once and may grant the adapter; the unload arrives beside the request that uses it.

Cause: the key was released whatever was still in flight under it.

Change: the control goroutine counts the unloads in flight of each pool, and a release waits until they are answered. Loads are not waited for, since the successor would be held back by them and they take nothing from a request.

An unload whose answer is lost counts as answered at its time-out and may arrive later. No run of real processes shows the fault.

--- a/services/daemon/control/executor.go
+++ b/services/daemon/control/executor.go
@@ -29,11 +29,12 @@
 		case node.InspectEndpoint:
 			s.startInspection(e)
 		case node.OrderLoad:
-			s.tasks.start(func() { s.executeOrder(e) })
+			s.startOrder(e)
 		case node.AcquireOwner:
+			s.unloads.cancelRelease(e.Pool)
 			s.ownership.acquire(e.Pool, e.Term)
 		case node.ReleaseOwner:
-			s.ownership.release(e.Pool)
+			s.release(e.Pool)
 		case node.SettleOwner:
 			s.ownership.settle(e.Pool)
 		case node.RenewLease:
@@ -135,6 +136,20 @@
 	s.enqueue(inspectionInput{pool: i.Pool, term: i.Term, inspection: in, leaving: status.Leaving})
 }
 
+func (s *Service) startOrder(o node.OrderLoad) {
+	if !o.Load.Evict.IsZero() {
+		s.unloads.begin(o.Load.Pool)
+	}
+	s.tasks.start(func() { s.executeOrder(o) })
+}
+
+// release releases a pool once its unloads in flight are answered.
+func (s *Service) release(pool string) {
+	if !s.unloads.deferRelease(pool) {
+		s.ownership.release(pool)
+	}
+}
+
 // executeOrder evicts an adapter if necessary and loads another one. The time limit of the order is checked before each call, and
 // again when its first byte is written.
 func (s *Service) executeOrder(o node.OrderLoad) {
@@ -146,7 +161,9 @@
 	if !l.Evict.IsZero() {
 		unload := base
 		unload.Adapter = l.Evict
-		if err := s.sendBeforeLimit(o, s.options.Dialect.Unload, unload); err != nil {
+		err := s.sendBeforeLimit(o, s.options.Dialect.Unload, unload)
+		s.enqueue(unloadEndedInput{pool: l.Pool})
+		if err != nil {
 			s.enqueue(loadResultInput{result: s.failedResult(result, err)})
 			return
 		}
--- a/services/daemon/control/input.go
+++ b/services/daemon/control/input.go
@@ -86,6 +86,16 @@
 	return s.node.HandleLoadResult(now, i.result)
 }
 
+// unloadEndedInput reports that an unload was answered, or that no answer is expected any more.
+type unloadEndedInput struct{ pool string }
+
+func (i unloadEndedInput) apply(_ time.Time, s *Service) []node.Effect {
+	if !s.unloads.end(i.pool) {
+		return nil
+	}
+	return []node.Effect{node.ReleaseOwner{Pool: i.pool}}
+}
+
 type ownerResultInput struct{ result node.OwnerResult }
 
 func (i ownerResultInput) apply(now time.Time, s *Service) []node.Effect {
--- a/services/daemon/control/release_test.go
+++ b/services/daemon/control/release_test.go
@@ -7,11 +7,16 @@
 	"context"
 	"encoding/base64"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/daemon/engine"
+	"github.com/shelfledge/shelfledge/services/daemon/control"
 )
 
 // TestFailedReleaseIsRepeated releases pool x while the key-value service fails, and continues to own pool y. The renewals
@@ -58,3 +63,36 @@
 	}, timeout, 10*time.Millisecond, "the successor cannot own the pool")
 	require.True(t, held(leaseOfY))
 }
+
+// TestPoolIsReleasedOnceItsUnloadIsAnswered guards against an unload that arrives at an endpoint without fences beside a request to which
+// the next owner of the pool granted the adapter.
+func TestPoolIsReleasedOnceItsUnloadIsAnswered(t *testing.T) {
+	client := failingKV(t, func(string, string) bool { return false })
+	unloading, answered := make(chan struct{}), make(chan struct{})
+	answer := sync.OnceFunc(func() { close(answered) })
+	defer answer()
+	w := newHarnessWith(t, func(o *control.Options) {
+		o.Node.Endpoints, o.KV = unfencedEndpoints(), client
+		o.Dialect.Unload = func(context.Context, engine.Order) error {
+			close(unloading)
+			<-answered
+			return nil
+		}
+	}, b)
+	held := func() bool {
+		_, found, err := client.Get(context.Background(), leaseOfX)
+		return err == nil && found
+	}
+	w.advance(takeoverDelay)
+	require.Eventually(t, held, timeout, time.Millisecond)
+	w.Submit(fleet.Request{ID: "q", Base: "x", Adapter: a})
+	select {
+	case <-unloading:
+	case <-time.After(timeout):
+		require.Fail(t, "no unload order")
+	}
+	w.Receive(heartbeatOfI2())
+	require.Never(t, func() bool { return !held() }, 200*time.Millisecond, 10*time.Millisecond, "the unload may still arrive")
+	answer()
+	require.Eventually(t, func() bool { return !held() }, timeout, time.Millisecond)
+}
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -50,6 +50,7 @@
 	catalog        atomic.Pointer[catalog.Catalog]
 	follower       *configuration.Follower
 	ownership      *ownershipManager
+	unloads        unloads
 	tasks          tasks
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -75,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		options: o, node: node.New(o.Now(), o.Node), inputs: make(chan input, inputQueueSize), receiveBudget: bytebudget.New(maxReceivedBytes),
-		answerChannels: make(map[string]chan Answer), inspecting: make(map[string]bool), ctx: ctx, cancel: cancel,
+		answerChannels: make(map[string]chan Answer), inspecting: make(map[string]bool), unloads: newUnloads(), ctx: ctx, cancel: cancel,
 	}
 	s.catalog.Store(catalog.New())
 	s.ownership = newOwnershipManager(s)
