Order a replacement once until it ends

Endpoints list no replacement as loading while it waits for running requests, so that the planner took a report for its loss and ordered it again. The endpoint answers that the order is in progress and counts no further one; the planner counted it, and its next order there was refused.

Change: a report with the former version ends no replacement. Its poll, which names the version, orders it again if it was lost, without raising the sequence.

--- a/services/entry/loading/reconcile.go
+++ b/services/entry/loading/reconcile.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if known.state == copyReplacing {
-		known.applyReplacement(now, version, replaced)
+		known.applyReplacement(now, version)
 		return
 	}
 	if (known.state == copyLoading && !replaced) || known.state == copyUnconfirmed {
--- a/services/entry/loading/replace.go
+++ b/services/entry/loading/replace.go
@@ -83,14 +83,12 @@
 	c.state, c.since, c.version = copyWithdrawn, now, c.replacedVersion
 }
 
-// applyReplacement merges a report of a copy that is being replaced: it lists the given version as resident, and pending
-// is set if it lists the adapter as loading, too.
-func (c *copyPlan) applyReplacement(now time.Time, version int64, pending bool) {
-	switch {
-	case version >= c.version:
+// applyReplacement merges a report of a copy that is being replaced and that the endpoint holds in the given version. While
+// a replacement waits for running requests, the report need not list it as loading. If it was lost, its poll orders it
+// again, which does not raise the sequence: the endpoint counts no order that it has accepted before.
+func (c *copyPlan) applyReplacement(now time.Time, version int64) {
+	if version >= c.version {
 		c.state, c.since, c.version = copyResident, now, version
-	case !pending && now.Sub(c.since) >= reportLag:
-		c.cancelReplacement(now)
 	}
 }
 
