Order no unload from an endpoint while it replaces a copy

Each refusal made the planner read a report and pause before the next order there, so that loads for waiting callers came later.

Change: an unload or a further replacement waits until the replacement has ended; loads go on. maxReplacements is gone.

Evidence: TestNothingIsUnloadedDuringReplacement failed before.

--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -194,6 +194,12 @@
 	return count
 }
 
+// refusesUnloads reports whether an unload or a replacement waits for the requests that use its copy. Until it ends, the
+// endpoint refuses others, but not loads.
+func (e *endpointPlan) refusesUnloads() bool {
+	return e.hasPendingUnload() || e.countCopies(copyReplacing) > 0
+}
+
 // hasPendingUnload reports whether the endpoint has accepted an unload that has not ended.
 func (e *endpointPlan) hasPendingUnload() bool {
 	for _, c := range e.copies {
--- a/services/entry/loading/next.go
+++ b/services/entry/loading/next.go
@@ -81,15 +81,14 @@
 	return Order{}, false
 }
 
-// nextUnload orders the unload of copies that are withdrawn and confirmed as unused. While one unload waits for the
-// requests that use its copy, the endpoint refuses other unloads.
+// nextUnload orders the unload of copies that are withdrawn and confirmed as unused, unless the endpoint refuses it.
 func (p *Planner) nextUnload(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
 		if !plan.availableWithoutInspection(now) {
 			continue
 		}
 		for adapter, c := range plan.copies {
-			if c.state != copyUnloading || now.Before(c.pollAt) || (plan.hasPendingUnload() && !c.unloadAccepted) {
+			if c.state != copyUnloading || now.Before(c.pollAt) || (plan.refusesUnloads() && !c.unloadAccepted) {
 				continue
 			}
 			order := p.order(Unload, plan, adapter)
--- a/services/entry/loading/replace.go
+++ b/services/entry/loading/replace.go
@@ -9,14 +9,9 @@
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 )
 
-const (
-	// maxReplacements is how many copies of one endpoint may be waiting for their replacement at once. Together with
-	// maxPendingLoads, it stays within the number of adapters that an endpoint may be loading.
-	maxReplacements = 2
-	// replacementPollInterval is the pause between two polls for the end of a replacement, which waits for running
-	// requests. A shorter pause offers the new copy sooner at the cost of more calls.
-	replacementPollInterval = 250 * time.Millisecond
-)
+// replacementPollInterval is the pause between two polls for the end of a replacement, which waits for running requests.
+// A shorter pause offers the new copy sooner at the cost of more calls.
+const replacementPollInterval = 250 * time.Millisecond
 
 // RecordRecall records that an instance recalled a request from an endpoint because it had not begun on the endpoint's
 // copy of an adapter in time.
@@ -41,10 +36,10 @@
 }
 
 // nextReplacement orders the replacement of a copy that is in use, on which no request may begin any more, and from which
-// a request was recalled.
+// a request was recalled. An endpoint has one replacement in progress at a time.
 func (p *Planner) nextReplacement(now time.Time) (Order, bool) {
 	for _, plan := range p.endpoints {
-		if plan.countCopies(copyReplacing) >= maxReplacements || !p.canOrderLoad(now, plan) {
+		if plan.refusesUnloads() || !p.canOrderLoad(now, plan) {
 			continue
 		}
 		for adapter, c := range plan.copies {
--- a/services/entry/loading/replace_test.go
+++ b/services/entry/loading/replace_test.go
@@ -14,8 +14,8 @@
 	"github.com/shelfledge/shelfledge/services/entry/loading"
 )
 
-// recalledAt is when the requests of the former version are recalled.
-var recalledAt = start.Add(4 * time.Second)
+// recalledAt is when the requests of the former version are recalled. By then no place is reserved for a load of a former planner.
+var recalledAt = start.Add(14 * time.Second)
 
 // plannerOfFormerVersion returns a planner for one endpoint that holds the given adapters. Version 2 of adapter 1 is named, no request
 // may begin on version 1, and one still runs on it.
@@ -116,6 +116,23 @@
 	assert.Equal(t, map[deployment.Adapter]int64{adapter(1): 2}, offered)
 }
 
+// TestNothingIsUnloadedDuringReplacement guards against orders that the endpoint refuses while a replacement waits for running requests: each
+// refusal made the planner read a report and pause before the next order there.
+func TestNothingIsUnloadedDuringReplacement(t *testing.T) {
+	p := plannerOfFormerVersion(t, adapter(1), adapter(2), adapter(3))
+	acceptReplacement(t, p)
+	p.Next(recalledAt.Add(time.Millisecond))
+	_, offered := p.Offered("e")
+	require.Len(t, offered, 1, "another copy makes room")
+	p.ConfirmUnused(recalledAt, confirmAll)
+	_, ordered := p.Next(recalledAt.Add(2 * time.Millisecond))
+	assert.False(t, ordered, "the unload waits for the replacement")
+
+	later := recalledAt.Add(300 * time.Millisecond)
+	p.Done(later, resultOf(nextOrder(t, p, later, loading.Load), loading.Holds))
+	nextOrder(t, p, later, loading.Unload)
+}
+
 // TestReplacedCopyDoesNotDelayLoads guards against requests that wait for the end of a replacement, which may take as long as the longest
 // request that runs on the former version.
 func TestReplacedCopyDoesNotDelayLoads(t *testing.T) {
