--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -195,7 +195,7 @@
 }
 
 // refusesUnloads reports whether an unload or a replacement waits for the requests that use its copy. Until it ends, the
-// endpoint refuses others, but not loads.
+// endpoint refuses others. It may also refuse loads, which the planner orders all the same.
 func (e *endpointPlan) refusesUnloads() bool {
 	return e.hasPendingUnload() || e.countCopies(copyReplacing) > 0
 }
