Show that instances which reach no endpoint refuse their callers, failing

Cause under test: cut off from all endpoints, an instance has no other way to them, and a planner there keeps its work.

A planner behind a cut leaves the others with 503 for each adapter that is not loaded yet.

process.Options gets a function field for connections to endpoints, which the tests cut; nil dials TCP as before. No decision changes.

--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -32,10 +33,12 @@
 	Coordinator coordinator.Options
 	// Environment returns the coordinator's access to external systems; retire is called for endpoints that are gone.
 	Environment func(retire func(deployment.EndpointID)) coordinator.Environment
-	Dialect     proxy.Dialect
-	Callers     netip.AddrPort
-	Ready       netip.AddrPort
-	Metrics     netip.AddrPort
+	// DialEndpoint opens a connection to an endpoint over this instance's own links; nil dials TCP.
+	DialEndpoint func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Dialect      proxy.Dialect
+	Callers      netip.AddrPort
+	Ready        netip.AddrPort
+	Metrics      netip.AddrPort
 	// Grace is the time from the termination signal to the kill.
 	Grace    time.Duration
 	LogLevel logrus.Level
@@ -84,7 +87,7 @@
 func New(options Options) *Process {
 	log, writer := newLog(options)
 	clock := newClock(log)
-	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamMaxIdle, DialTimeout: upstreamDialTimeout, Now: clock.Now})
+	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamMaxIdle, DialTimeout: upstreamDialTimeout, Now: clock.Now, Dial: options.DialEndpoint})
 	options.Coordinator.Now, options.Coordinator.TimerNow = clock.Now, time.Now
 	options.Coordinator.Random = rand.Float64
 	options.Coordinator.Log = log
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -50,8 +50,10 @@
 	// storeCut makes the store unreachable for this instance alone. peersCut makes the peers unreachable.
 	storeCut atomic.Bool
 	peersCut atomic.Bool
-	mutex    sync.Mutex
-	links    []net.Conn
+	// network is the instance's path to the workers.
+	network *workerNetwork
+	mutex   sync.Mutex
+	links   []net.Conn
 }
 
 // cutPeers closes the links to the peers. With cut, new links are refused until the next call.
@@ -166,17 +168,19 @@
 
 func (s *site) startEntry(i int) *entryProcess {
 	s.t.Helper()
-	e := &entryProcess{name: fmt.Sprintf("entry-%d", i), ip: s.ips[i], log: &standin.Output{}}
+	e := &entryProcess{name: fmt.Sprintf("entry-%d", i), ip: s.ips[i], log: &standin.Output{}, network: newWorkerNetwork(s.t)}
 	encoded, err := json.Marshal(standin.Settings(e.name, "h1", e.ip, s.ports, s.seeds(), s.store.Address()))
 	require.NoError(s.t, err)
 	settings, err := platform.ParseSettings(encoded)
 	require.NoError(s.t, err)
 	options := settings.Process(logrus.InfoLevel, s.ports.Metrics)
 	options.LogOutput = e.log
+	options.DialEndpoint = e.network.dial
 	options.Environment = func(retire func(deployment.EndpointID)) coordinator.Environment {
 		environment := settings.Environment(retire)
 		environment.Store = e.cutClient(environment.Store)
 		environment.Dial = e.withPeerCut(environment.Dial)
+		environment.SendOrder = e.network.withCut(environment.SendOrder)
 		return environment
 	}
 	e.process = process.New(options)
