Reach endpoints through another instance where the own link fails

Cause: an instance had one way to an endpoint. A connection that was refused or hung looked like a failed endpoint, so that the instance ejected 14 of 16 endpoints, refused its callers, and told the others that endpoints refuse connections. The class: a broken link is taken for a broken peer, since nothing looks from another side.

Change: a connection is tried through another instance, too, where the own link fails or takes 150 ms; the first one wins (services/entry/connect). The other instance only copies bytes after an HTTP CONNECT (modules/entry/tunnel), so that one instance alone still decides on retries, counts the request and knows whether it was sent: at most once and 'not run' hold across the hop as over a link. Tunnels lead to endpoints directly, never through a third instance, and only to endpoints that the other instance knows and that take requests. What succeeds through another instance shows that the link is at fault (services/entry/reach): then failed exchanges count for no endpoint, an endpoint counts as refusing only if both instances were refused, and from two such endpoints on all connections go through others until an own link works again, which is tried each 0.2 s. Where nothing at all arrives for 0.3 s the links are checked. The planner names in its views which instances open tunnels; a peer of an earlier version opens none and is not named. The tunnels listen on the port after that for peers, within the range that the platform reserves.

Weighed against it: not being ready moves new connections only, and none where less than half of a hall is ready; passing on whole requests would split their state between two instances; refusing at once is honest and still a failed first try.

FreePorts of the stand-in also wants the port after that for peers free.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -40,6 +40,8 @@
 	Ejected              float64
 	Limited              float64
 	Resting              float64
+	CutOff               float64
+	TunnelsOpened        float64
 	Quarantined          float64
 	ResidentCopies       float64
 	Waiting              float64
@@ -222,6 +224,8 @@
 	describe("endpoints", "Endpoints known.", func(g Gauges) float64 { return g.Endpoints }),
 	describe("endpoints_ejected", "Endpoints that get no requests for now.", func(g Gauges) float64 { return g.Ejected }),
 	describe("endpoints_limited", "Endpoints that take a limited number of requests a second.", func(g Gauges) float64 { return g.Limited }),
+	describe("cut_off", "1 while this instance reaches no endpoint over its own links.", func(g Gauges) float64 { return g.CutOff }),
+	describe("tunnels_opened", "Tunnels to endpoints opened for other instances.", func(g Gauges) float64 { return g.TunnelsOpened }),
 	describe("endpoints_resting", "Endpoints that asked this instance for rest.", func(g Gauges) float64 { return g.Resting }),
 	describe("quarantined_requests", "Requests that are held back since they crash endpoints.", func(g Gauges) float64 { return g.Quarantined }),
 	describe("resident_copies", "Copies of adapters that take requests.", func(g Gauges) float64 { return g.ResidentCopies }),
--- a/modules/entry/upstream/client.go
+++ b/modules/entry/upstream/client.go
@@ -23,6 +23,28 @@
 	Now func() time.Time
 	// Dial opens a connection; nil dials TCP.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Paths chooses among several ways to an endpoint; its zero value uses Dial only.
+	Paths Paths
+}
+
+// Paths are the functions by which a client uses several ways to an endpoint: over this instance's own links, or through another instance.
+// Each of them may be nil.
+type Paths struct {
+	// Connect opens a connection in place of Options.Dial.
+	Connect func(ctx context.Context, target Target) (Connected, error)
+	// Reusable reports whether an idle connection may be used again.
+	Reusable func(key string, peer netip.AddrPort) bool
+	// Answered is called when the first answer has begun to arrive on a connection over an own link, Failed when such a connection failed
+	// before that.
+	Answered func(key string)
+	Failed   func(key string)
+}
+
+// Connected is a new connection to an endpoint.
+type Connected struct {
+	net.Conn
+	// Peer is the address of the instance through which the connection leads; not valid for a connection over an own link.
+	Peer netip.AddrPort
 }
 
 // Client manages connections to endpoints. It is safe for concurrent use.
@@ -33,6 +55,7 @@
 	dialed  uint64
 	// refusalChecks are the checks of the last refusalLifetime, by key.
 	refusalChecks map[string]*refusalCheck
+	activity      activity
 }
 
 // host holds the connections to one incarnation of an endpoint.
@@ -64,7 +87,7 @@
 			return dialer.DialContext(ctx, "tcp4", address.String())
 		}
 	}
-	return &Client{options: options, hosts: make(map[string]*host), refusalChecks: make(map[string]*refusalCheck)}
+	return &Client{options: options, hosts: make(map[string]*host), refusalChecks: make(map[string]*refusalCheck), activity: newActivity()}
 }
 
 // DialCount returns the number of connections opened so far.
@@ -101,7 +124,7 @@
 	for key, h := range c.hosts {
 		kept := h.idle[:0]
 		for _, conn := range h.idle {
-			if conn.usable(now, c.options.MaxIdle) {
+			if c.usable(now, key, conn) {
 				kept = append(kept, conn)
 				continue
 			}
@@ -131,7 +154,7 @@
 		conn := h.idle[last]
 		h.idle[last] = nil
 		h.idle = h.idle[:last]
-		if conn.usable(now, c.options.MaxIdle) {
+		if c.usable(now, target.Key, conn) {
 			c.mutex.Unlock()
 			return conn, h, nil
 		}
@@ -143,6 +166,14 @@
 	return conn, h, err
 }
 
+// usable reports whether an idle connection of a key may carry another request.
+func (c *Client) usable(now time.Time, key string, conn *connection) bool {
+	if c.options.Paths.Reusable != nil && !c.options.Paths.Reusable(key, conn.peer) {
+		return false
+	}
+	return conn.usable(now, c.options.MaxIdle)
+}
+
 // host returns the host of a key, creating it if necessary. The caller must hold the mutex.
 func (c *Client) host(key string) *host {
 	h, ok := c.hosts[key]
@@ -163,7 +194,7 @@
 	h.open++
 	c.dialed++
 	c.mutex.Unlock()
-	conn, err := c.dial(ctx, target.Address)
+	conn, err := c.dial(ctx, target)
 	if err != nil {
 		c.discard(h, nil)
 		return nil, err
@@ -182,10 +213,19 @@
 	return h.retired
 }
 
-func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*connection, error) {
+func (c *Client) dial(ctx context.Context, target Target) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
-	conn, err := c.options.Dial(ctx, address)
+	if c.options.Paths.Connect != nil {
+		connected, err := c.options.Paths.Connect(ctx, target)
+		if err != nil {
+			return nil, err
+		}
+		conn := newConnection(connected.Conn)
+		conn.peer = connected.Peer
+		return conn, nil
+	}
+	conn, err := c.options.Dial(ctx, target.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/modules/entry/upstream/connection.go
+++ b/modules/entry/upstream/connection.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,10 @@
 // connection is a connection to an endpoint, used by one exchange at a time.
 type connection struct {
 	net.Conn
+	// peer is the address of the instance through which the connection leads; not valid for a connection over an own link.
+	peer netip.AddrPort
+	// answered is set once an answer has begun to arrive.
+	answered  bool
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
--- a/modules/entry/upstream/exchange.go
+++ b/modules/entry/upstream/exchange.go
@@ -55,10 +55,13 @@
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
 	answer.detachContext = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	c.beginExchange(conn, call.Target)
 	answer.written = conn.send(call.Request)
 	conn.startSilenceTimer()
 	response, err := readHead(conn, call) //nolint:bodyclose // Answer.Close ends the exchange with its connection.
+	c.recordHead(ctx, conn, call.Target.Key, err)
 	if err != nil {
+		c.endExchange(conn)
 		answer.discard()
 		return nil, &ExchangeError{Stage: Sent, Cause: err}
 	}
@@ -66,6 +69,26 @@
 	return answer, nil
 }
 
+// recordHead reports how the first exchange of a connection over an own link began: with an answer, or with an error of the connection.
+func (c *Client) recordHead(ctx context.Context, conn *connection, key string, err error) {
+	if err == nil {
+		c.recordReceived(conn)
+	}
+	if conn.peer.IsValid() || conn.answered {
+		return
+	}
+	paths := c.options.Paths
+	switch {
+	case err == nil:
+		conn.answered = true
+		if paths.Answered != nil {
+			paths.Answered(key)
+		}
+	case ctx.Err() == nil && paths.Failed != nil:
+		paths.Failed(key)
+	}
+}
+
 // send writes a request. A request with a body is written concurrently with the reading of the answer, since an endpoint may answer before
 // it has read the body.
 func (c *connection) send(request *http.Request) <-chan error {
@@ -113,6 +136,9 @@
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.Response.Body.Read(buffer)
 	a.conn.recordActivity()
+	if n > 0 {
+		a.client.recordReceived(a.conn)
+	}
 	if err == io.EOF {
 		a.bodyRead = true
 	}
@@ -128,6 +154,7 @@
 // request was written.
 func (a *Answer) Close() {
 	a.once.Do(func() {
+		a.client.endExchange(a.conn)
 		// If the context has ended, its callback may be about to change the connection's deadline.
 		if a.reusable() && a.detachContext() && a.conn.stopProbes() {
 			// An error means that the connection is closed, which the next exchange detects before it sends.
--- /dev/null
+++ b/services/entry/connect/race.go
@@ -0,0 +1,221 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package connect
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/tunnel"
+	"github.com/shelfledge/shelfledge/modules/entry/upstream"
+	"github.com/shelfledge/shelfledge/modules/refusal"
+	"github.com/shelfledge/shelfledge/services/entry/reach"
+)
+
+// secondWayDelay is how long the first way to an endpoint may take until the second one is tried as well. A higher value asks other
+// instances less often where connections are slow, a lower one loses less time to a link that is silent.
+const secondWayDelay = 150 * time.Millisecond
+
+// ways is the number of ways to an endpoint.
+const ways = 2
+
+// way is one way to connect to an endpoint.
+type way func(ctx context.Context, target upstream.Target) (upstream.Connected, error)
+
+// attempt is the result of one way.
+type attempt struct {
+	connected upstream.Connected
+	err       error
+	second    bool
+}
+
+// Connect opens a connection to an endpoint within the time of the context. Its error matches syscall.ECONNREFUSED only if the endpoint
+// refused this instance and, where another one was asked, that one as well.
+func (c *Connector) Connect(ctx context.Context, target upstream.Target) (upstream.Connected, error) {
+	switch c.order(target) {
+	case reach.OwnLinkOnly:
+		return c.connectOverOwnLink(ctx, target)
+	case reach.PeerFirst:
+		connected, viaPeer, own := race(ctx, target, c.connectThroughPeer, c.connectOverOwnLink)
+		return connected, c.combine(target, own, viaPeer)
+	default:
+		connected, own, viaPeer := race(ctx, target, c.connectOverOwnLink, c.connectThroughPeer)
+		if connected.Conn != nil && connected.Peer.IsValid() {
+			c.recordBypassed(target)
+		}
+		return connected, c.combine(target, own, viaPeer)
+	}
+}
+
+// order returns the order of the ways to an endpoint.
+func (c *Connector) order(target upstream.Target) reach.Order {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.peers.empty() {
+		return reach.OwnLinkOnly
+	}
+	return c.links.Order(c.options.Now(), deployment.EndpointID(target.Key))
+}
+
+// race tries the first way, and the second one as well once the first has failed or has taken secondWayDelay. It returns the first
+// connection, or the errors of both ways. A connection that comes later is closed.
+func race(ctx context.Context, target upstream.Target, first, second way) (connected upstream.Connected, firstErr, secondErr error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// There is room for both results, so that no way has to wait for the other one.
+	results := make(chan attempt, ways)
+	pending := 0
+	start := func(connect way, isSecond bool) {
+		pending++
+		go func() {
+			connected, err := connect(ctx, target)
+			results <- attempt{connected: connected, err: err, second: isSecond}
+		}()
+	}
+	start(first, false)
+	secondDue := time.After(secondWayDelay)
+	for pending > 0 {
+		select {
+		case <-secondDue:
+			secondDue = nil
+			start(second, true)
+		case result := <-results:
+			pending--
+			if result.err == nil {
+				go closeLater(results, pending)
+				return result.connected, nil, nil
+			}
+			if result.second {
+				secondErr = result.err
+				continue
+			}
+			firstErr = result.err
+			if secondDue != nil {
+				secondDue = nil
+				start(second, true)
+			}
+		}
+	}
+	return upstream.Connected{}, firstErr, secondErr
+}
+
+// closeLater closes the connections of attempts that are not needed any more.
+func closeLater(results <-chan attempt, pending int) {
+	for range pending {
+		if late := <-results; late.err == nil {
+			// The connection was not used, so that an error has no consequence.
+			_ = late.connected.Close()
+		}
+	}
+}
+
+// combine returns the error for two ways that failed; nil if none did.
+func (c *Connector) combine(target upstream.Target, own, viaPeer error) error {
+	if own == nil && viaPeer == nil {
+		return nil
+	}
+	refused := errors.Is(own, syscall.ECONNREFUSED)
+	if tunnel.IsVerdict(viaPeer) && refused == errors.Is(viaPeer, tunnel.ErrRefused) {
+		c.update(func(now time.Time) { c.links.RecordVain(now, deployment.EndpointID(target.Key)) })
+	}
+	if refused && errors.Is(viaPeer, tunnel.ErrRefused) {
+		return own
+	}
+	return fmt.Errorf("connect: over an own link: %v; through another instance: %v", own, viaPeer) //nolint:errorlint // A refusal that only one of two instances saw must not match.
+}
+
+// connectOverOwnLink connects over an own link. A connection that must be watched is returned only once it has stayed open for a while.
+func (c *Connector) connectOverOwnLink(ctx context.Context, target upstream.Target) (upstream.Connected, error) {
+	conn, err := c.options.DialEndpoint(ctx, target.Address)
+	if err != nil {
+		return upstream.Connected{}, err
+	}
+	if !c.mustWatch(target) {
+		return upstream.Connected{Conn: conn}, nil
+	}
+	if !refusal.StaysOpen(ctx, conn) {
+		// The connection has ended, so that an error has no consequence.
+		_ = conn.Close()
+		return upstream.Connected{}, errNotKept
+	}
+	c.recordConnected(deployment.EndpointID(target.Key))
+	return upstream.Connected{Conn: conn}, nil
+}
+
+// errNotKept is returned for a connection that was accepted and then closed or reset.
+var errNotKept = errors.New("connect: the connection was not kept")
+
+// mustWatch reports whether a new connection over the own link to an endpoint must prove itself.
+func (c *Connector) mustWatch(target upstream.Target) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.links.MustWatch(c.options.Now(), deployment.EndpointID(target.Key))
+}
+
+// connectThroughPeer connects through another instance: one after the other is asked, without waiting for long for any of them.
+func (c *Connector) connectThroughPeer(ctx context.Context, target upstream.Target) (upstream.Connected, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	candidates := c.candidates()
+	results := make(chan attempt, len(candidates))
+	pending := 0
+	err := errNoPeer
+	for next := 0; next < len(candidates) || pending > 0; {
+		var nextDue <-chan time.Time
+		if next < len(candidates) {
+			address := candidates[next]
+			next++
+			pending++
+			go func() {
+				connected, err := c.openTunnel(ctx, address, target)
+				results <- attempt{connected: connected, err: err}
+			}()
+			nextDue = time.After(nextPeerDelay)
+		}
+		select {
+		case <-nextDue:
+		case result := <-results:
+			pending--
+			if result.err == nil {
+				go closeLater(results, pending)
+				return result.connected, nil
+			}
+			err = worse(err, result.err)
+		}
+	}
+	return upstream.Connected{}, err
+}
+
+// worse returns the error that tells more about the endpoint.
+func worse(known, other error) error {
+	if errors.Is(known, tunnel.ErrRefused) || (tunnel.IsVerdict(known) && !errors.Is(other, tunnel.ErrRefused)) {
+		return known
+	}
+	return other
+}
+
+// openTunnel opens a tunnel to an endpoint through the instance at an address.
+func (c *Connector) openTunnel(ctx context.Context, address netip.AddrPort, target upstream.Target) (upstream.Connected, error) {
+	conn, err := c.options.DialPeer(ctx, address)
+	if err == nil {
+		err = tunnel.Open(ctx, conn, tunnel.Target{Endpoint: target.Key, Address: target.Address})
+	}
+	if err == nil {
+		c.recordPeer(address, true)
+		return upstream.Connected{Conn: conn, Peer: address}, nil
+	}
+	if conn != nil {
+		// Nothing was sent to the endpoint, so that an error has no consequence.
+		_ = conn.Close()
+	}
+	if ctx.Err() == nil && !tunnel.IsVerdict(err) {
+		c.recordPeer(address, false)
+	}
+	return upstream.Connected{}, err
+}
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -111,6 +111,10 @@
 	storeFailingSince time.Time
 	// cancelLongWatch cancels the running long watch of the configuration. It is nil if the running watch is a short one.
 	cancelLongWatch context.CancelFunc
+	// cutOffSince is the time since which this instance reaches no endpoint over its own links. It is zero if it reaches any.
+	cutOffSince time.Time
+	// tunnels are the instances through which endpoints can be reached, as last passed to ObserveTunnels.
+	tunnels []wire.Tunnel
 	// recordReadRequested reports whether the lease record is to be read without delay.
 	recordReadRequested bool
 	// deferredRecordReadAt is the time at which a deferred read of the lease record is due. It is zero if none is
--- a/services/entry/coordinator/follower.go
+++ b/services/entry/coordinator/follower.go
@@ -144,6 +144,7 @@
 	c.applyViewEndpoints(v)
 	c.applyDescribedRevision(now, v)
 	c.applyUnreachable(v)
+	c.applyTunnels(v)
 	c.applyLimits(now, v)
 	c.mergeCrashes(now, v.Crashes, v.CrashDetails, false)
 	// This instance may have abandoned requests at an endpoint that has ended.
--- a/services/entry/coordinator/member/member.go
+++ b/services/entry/coordinator/member/member.go
@@ -82,6 +82,8 @@
 	inFlight     map[deployment.EndpointID]InFlight
 	suspects     map[deployment.EndpointID]bool
 	unreachable  []deployment.EndpointID
+	// cutOff reports that the member reaches no endpoint over its own links.
+	cutOff bool
 }
 
 // InFlight is the work that an endpoint has.
@@ -150,7 +152,7 @@
 		m.DescribedUpTo = r.DescribedUpTo
 	}
 	m.SnapshotDue = m.SnapshotDue || r.NeedsSnapshot
-	m.unreachable = r.Unreachable
+	m.unreachable, m.cutOff = r.Unreachable, r.CutOff
 	m.inUse = make(map[wire.Copy]int, len(r.InUse))
 	for _, used := range r.InUse {
 		m.inUse[used.Copy()] = used.Count
@@ -182,6 +184,11 @@
 	return changed
 }
 
+// opensTunnels reports whether other instances can reach endpoints through the member.
+func (m *Member) opensTunnels() bool {
+	return m.Link != nil && !m.isLost() && !m.leaving && !m.cutOff && m.Contact != nil && m.Contact.Tunnel.IsValid()
+}
+
 // reachesStore reports whether the store has recently answered the member.
 func (m *Member) reachesStore(now time.Time) bool {
 	state := lease.Member{Lost: m.isLost(), ReportAge: now.Sub(m.reportedAt), StoreReadAge: m.storeReadAge}
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -262,6 +262,17 @@
 	return false
 }
 
+// Tunnels returns the members through which other instances can reach endpoints, in no order.
+func (t *Table) Tunnels() []wire.Tunnel {
+	var tunnels []wire.Tunnel
+	for _, m := range t.members {
+		if m.opensTunnels() {
+			tunnels = append(tunnels, wire.Tunnel{Hall: m.Contact.Hall, Address: m.Contact.Tunnel.AddrPort})
+		}
+	}
+	return tunnels
+}
+
 // AnyNeedsOwnView reports whether any connected member waits for a snapshot or for the answer to a probe.
 func (t *Table) AnyNeedsOwnView() bool {
 	for _, m := range t.members {
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -13,6 +13,7 @@
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/entry/store"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/lease"
 	"github.com/shelfledge/shelfledge/services/entry/loading"
 	"github.com/shelfledge/shelfledge/services/entry/retry"
@@ -25,6 +26,8 @@
 	Hall     string
 	// PeerAddress is the address on which this process listens for its peers.
 	PeerAddress netip.AddrPort
+	// TunnelAddress is the address at which this process opens tunnels to endpoints for its peers; not valid if it opens none.
+	TunnelAddress netip.AddrPort
 	// Seeds are the peers that are asked for the configuration when the store does not answer.
 	Seeds []netip.AddrPort
 	// Retry sets the retry budget.
@@ -63,6 +66,8 @@
 	ObserveFormerVersion func(age time.Duration, overdue bool)
 	// ObserveRecall is called for each request that is recalled from its endpoint because it has not begun in time.
 	ObserveRecall func()
+	// ObserveTunnels receives the instances through which endpoints can be reached, when they have changed.
+	ObserveTunnels func(tunnels []wire.Tunnel)
 }
 
 // Environment holds the external calls of a Coordinator as function fields.
--- a/services/entry/coordinator/planner.go
+++ b/services/entry/coordinator/planner.go
@@ -59,7 +59,11 @@
 	// view has carried them yet.
 	unreachable        map[deployment.EndpointID]bool
 	unreachableChanged bool
-	limitAllocation    limitAllocation
+	// tunnels are the instances through which others reach endpoints. tunnelsChanged reports that no view has carried them
+	// yet.
+	tunnels         []wire.Tunnel
+	tunnelsChanged  bool
+	limitAllocation limitAllocation
 	// plannedAt is when the last plan was made. planDeferred reports that a plan waits for the pause between plans to end.
 	plannedAt    time.Time
 	planDeferred bool
@@ -136,6 +140,7 @@
 	p.plannedAt = now
 	p.plans.Review(now, c.memberSilence())
 	p.updateUnreachable(now)
+	p.updateTunnels()
 	mayOrder := func() bool { return !p.steppingDown && p.lease.MayOrder(now) }
 	noteForecast := func(key deployment.ServiceAdapter, remaining time.Duration) {
 		c.forecasts.Set(key, now.Add(remaining))
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -38,6 +38,7 @@
 	r := &wire.Report{
 		Instance: c.options.Instance, WithdrawalsSeen: c.follower.Withdrawals, ConfigurationRevision: c.keys.Revision(),
 		Demands: c.buildDemands(now), Missing: c.missing, Leaving: c.leaving.Load(),
+		CutOff:       c.isCutOff(),
 		StoreReadAge: now.Sub(c.storeReadAt), Forwarder: c.gathering.forwarder, NeedsSnapshot: c.takeSnapshotRequest(now),
 	}
 	if r.NeedsSnapshot || c.follower.ratesDue {
@@ -52,10 +53,10 @@
 			r.InFlight = append(r.InFlight, wire.EndpointCount{ID: id, Count: inFlight.Requests, Unread: inFlight.Unread})
 			c.follower.inFlight[id] = inFlight
 		}
-		if status.Health.Ejected(now) || status.IsResting(now) {
+		if (status.Health.Ejected(now) && !c.isCutOff()) || status.IsResting(now) {
 			r.Suspects = append(r.Suspects, id)
 		}
-		if status.Health.Unreachable(now) {
+		if status.Health.Unreachable(now) && !c.isCutOff() {
 			r.Unreachable = append(r.Unreachable, id)
 		}
 		for adapter, count := range status.OwnByAdapter {
@@ -68,7 +69,7 @@
 	if c.follower.ratesDue {
 		r.Rates, r.FormerLoads = c.demand.Rates(now), c.formerLoadsToReport(now)
 		r.EndpointsRead = c.endpointsReadRevision
-		r.Contact = &wire.Contact{Hall: c.options.Hall, Address: wire.Address{AddrPort: c.options.PeerAddress}, LinkRate: c.options.LinkRate}
+		r.Contact = &wire.Contact{Hall: c.options.Hall, Address: wire.Address{AddrPort: c.options.PeerAddress}, LinkRate: c.options.LinkRate, Tunnel: wire.Address{AddrPort: c.options.TunnelAddress}}
 		c.follower.ratesDue = false
 	}
 	if probe, ok := c.follower.NextProbe(now); ok && c.follower.stream != nil {
--- a/services/entry/coordinator/views.go
+++ b/services/entry/coordinator/views.go
@@ -65,6 +65,7 @@
 	}
 	changes.Removed = changed.Removed
 	p.addUnreachable(changes, withTotals)
+	p.addTunnels(changes, withTotals)
 	p.addLimitChanges(now, changes, withTotals)
 	changes.Crashes, changes.CrashDetails = wireCrashes(p.coordinator.crashes.TakeUnsent(now))
 	return changes
@@ -122,7 +123,7 @@
 
 // nothingToSend reports whether all members have the last state of the plan.
 func (p *planner) nothingToSend(now time.Time) bool {
-	return p.plans.Changes().Empty() && !p.coordinator.crashes.HasUnsent() && !p.members.AnyNeedsOwnView() && !p.gatherers.changed && !p.unreachableChanged &&
+	return p.plans.Changes().Empty() && !p.coordinator.crashes.HasUnsent() && !p.members.AnyNeedsOwnView() && !p.gatherers.changed && !p.unreachableChanged && !p.tunnelsChanged &&
 		len(p.limitAllocation.grants) == 0 && !p.limitsChanged(now)
 }
 
@@ -218,6 +219,7 @@
 	v.IsSnapshot, v.Sequence = true, p.sequence
 	v.Full = p.coordinator.endpointsKnown
 	v.Unreachable = &wire.EndpointList{IDs: slices.Collect(maps.Keys(p.unreachable))}
+	v.Tunnels = &wire.TunnelList{Tunnels: p.tunnels}
 	v.Limits = &wire.LimitList{Limits: p.currentLimits(now)}
 	v.EndpointsRevision = p.endpointsRevision
 	v.Crashes, v.CrashDetails = wireCrashes(p.coordinator.crashes.Snapshot(now))
--- a/services/entry/coordinator/wire/load.go
+++ b/services/entry/coordinator/wire/load.go
@@ -15,6 +15,8 @@
 	Address Address `msgpack:"z"`
 	// LinkRate is the capacity of the network link of the instance in bytes per second; 0 if unknown.
 	LinkRate int `msgpack:"l"`
+	// Tunnel is the address at which the instance opens tunnels to endpoints. Earlier versions neither open tunnels nor send it.
+	Tunnel Address `msgpack:"t,omitempty"`
 }
 
 // Gatherer names an instance that aggregates the loads of other instances in its hall.
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -115,6 +115,8 @@
 	// or had lost or ended their exchange before.
 	// Earlier versions neither send nor read it.
 	Recalled []Copy `msgpack:"rc,omitempty"`
+	// CutOff reports that the instance reaches no endpoint over its own links. Earlier versions neither send nor read it.
+	CutOff bool `msgpack:"co,omitempty"`
 }
 
 // FormerLoads is the number of base-model loads announced by the planner of a term: Count loads had started in the load window that
@@ -266,6 +268,9 @@
 	Grants []Grant `msgpack:"gr,omitempty"`
 	// CrashDetails supplements Crashes. Earlier versions neither send nor read it.
 	CrashDetails *CrashDetails `msgpack:"xd,omitempty"`
+	// Tunnels are instances through which others reach endpoints. The list is in each view with totals and in views after it changed;
+	// nil if the view does not include it. Earlier versions neither send nor read it.
+	Tunnels *TunnelList `msgpack:"tu,omitempty"`
 }
 
 // Endpoint describes an endpoint. It is sent for each change of an endpoint, so it is encoded without field names.
@@ -355,6 +360,19 @@
 	Age time.Duration
 }
 
+// TunnelList is a list of instances that a message may omit.
+type TunnelList struct {
+	Tunnels []Tunnel `msgpack:"t,omitempty"`
+}
+
+// Tunnel is an instance that opens tunnels to endpoints. It is encoded without field names.
+type Tunnel struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+
+	Hall    string
+	Address netip.AddrPort
+}
+
 // EndpointList is a list of endpoints that a message may omit.
 type EndpointList struct {
 	IDs []deployment.EndpointID `msgpack:"e,omitempty"`
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -22,9 +22,12 @@
 	"github.com/shelfledge/shelfledge/modules/clock"
 	"github.com/shelfledge/shelfledge/modules/entry/asynclog"
 	"github.com/shelfledge/shelfledge/modules/entry/metric"
+	"github.com/shelfledge/shelfledge/modules/entry/tunnel"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/routers/entry/gateway"
+	"github.com/shelfledge/shelfledge/services/entry/connect"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/proxy"
 )
 
@@ -38,7 +41,9 @@
 	Dialect      proxy.Dialect
 	Callers      netip.AddrPort
 	Ready        netip.AddrPort
-	Metrics      netip.AddrPort
+	// Tunnels is where the process opens tunnels to endpoints for other instances; not valid if it opens none.
+	Tunnels netip.AddrPort
+	Metrics netip.AddrPort
 	// Grace is the time from the termination signal to the kill.
 	Grace    time.Duration
 	LogLevel logrus.Level
@@ -77,6 +82,8 @@
 	log      *logrus.Entry
 	writer   *asynclog.Writer
 	client   *upstream.Client
+	links    *connect.Connector
+	tunnels  *tunnel.Acceptor
 	control  *coordinator.Coordinator
 	clock    *clock.Clock
 	server   *gateway.Server
@@ -87,7 +94,8 @@
 func New(options Options) *Process {
 	log, writer := newLog(options)
 	clock := newClock(log)
-	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamMaxIdle, DialTimeout: upstreamDialTimeout, Now: clock.Now, Dial: options.DialEndpoint})
+	links := newConnector(options, clock, log)
+	client := upstream.NewClient(upstream.Options{MaxIdle: upstreamMaxIdle, DialTimeout: upstreamDialTimeout, Now: clock.Now, Paths: links.Paths()})
 	options.Coordinator.Now, options.Coordinator.TimerNow = clock.Now, time.Now
 	options.Coordinator.Random = rand.Float64
 	options.Coordinator.Log = log
@@ -98,16 +106,25 @@
 	options.Coordinator.ObserveLinkClosed = func() { metrics.ObserveLinkClosed() }
 	options.Coordinator.ObserveFormerVersion = func(age time.Duration, overdue bool) { metrics.ObserveFormerVersion(age, overdue) }
 	options.Coordinator.ObserveRecall = func() { metrics.ObserveRecall() }
-	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) { client.Retire(string(id)) }))
-	metrics = newMetrics(control, client, writer)
+	options.Coordinator.ObserveTunnels = func(tunnels []wire.Tunnel) { links.SetPeers(peersOf(tunnels)) }
+	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) {
+		client.Retire(string(id))
+		links.Forget(id)
+	}))
+	links.OnCutOff(control.SetCutOff)
+	tunnels := newTunnelAcceptor(options, control, links, log)
+	metrics = newMetrics(control, client, writer, links, tunnels)
 	return &Process{
-		options: options, log: log, writer: writer, client: client, control: control, clock: clock,
-		server: newServer(options, log, clock, control, client, metrics), stopping: make(chan struct{}),
+		options: options, log: log, writer: writer, client: client, control: control, clock: clock, links: links, tunnels: tunnels,
+		server: newServer(options, log, clock, control, client, metrics, links), stopping: make(chan struct{}),
 	}
 }
 
 // Start starts the coordinator and the gateway.
 func (p *Process) Start() error {
+	if err := p.startTunnels(); err != nil {
+		return err
+	}
 	if err := p.control.Start(); err != nil {
 		return err
 	}
@@ -115,6 +132,7 @@
 		return err
 	}
 	go p.closeIdleConnections()
+	go p.checkLinks()
 	p.log.Info("started")
 	return nil
 }
@@ -122,6 +140,8 @@
 // Kill stops the process at once without ending its requests, as the loss of its host does.
 func (p *Process) Kill() {
 	p.server.Close()
+	p.tunnels.Close()
+	p.links.Stop()
 	p.control.Stop()
 	close(p.stopping)
 	p.writer.Close(logCloseTimeout)
@@ -138,6 +158,9 @@
 	}()
 	p.server.Stop(ctx)
 	<-released
+	p.tunnels.Drain(ctx)
+	p.tunnels.Close()
+	p.links.Stop()
 	p.log.WithField("in_flight", p.server.InFlight()).Info("stopped")
 	p.control.Stop()
 	close(p.stopping)
@@ -231,7 +254,7 @@
 }
 
 // newMetrics returns the metrics of a process.
-func newMetrics(control *coordinator.Coordinator, client *upstream.Client, writer *asynclog.Writer) *metric.Metrics {
+func newMetrics(control *coordinator.Coordinator, client *upstream.Client, writer *asynclog.Writer, links *connect.Connector, tunnels *tunnel.Acceptor) *metric.Metrics {
 	return metric.New(func() metric.Gauges {
 		status := control.Status()
 		gauges := metric.Gauges{
@@ -245,19 +268,24 @@
 			PeerQueueBytes: float64(status.PeerQueueBytes), EndpointsAgeSeconds: status.EndpointsAge.Seconds(),
 			CountsAgeSeconds: status.CountsAge.Seconds(),
 		}
+		gauges.TunnelsOpened = float64(tunnels.Opened())
 		if status.Planning {
 			gauges.Planning = 1
 		}
+		if links.CutOff() {
+			gauges.CutOff = 1
+		}
 		return gauges
 	})
 }
 
-func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, client *upstream.Client, metrics *metric.Metrics) *gateway.Server {
+func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, client *upstream.Client, metrics *metric.Metrics, links *connect.Connector) *gateway.Server {
 	var server *gateway.Server
 	service := proxy.New(proxy.Options{
 		Now: clock.Now, Timer: clock.TimerTime, WithDeadline: clock.WithDeadline, Random: rand.Float64, Log: log,
 		ShouldRefuse: func(kind deployment.RouteKind) bool { return server.ShouldRefuse(kind) },
 		Leaving:      func() bool { return server.Leaving() },
+		LinkBroken:   links.LinkBroken,
 		Observe:      func(o proxy.Observation) { metrics.ObserveRequest(metricRequest(o)) },
 	}, proxy.Control{
 		Configuration: control.Configuration, Acquire: control.Acquire, Finish: control.Finish, MarkRunning: control.MarkRunning,
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -63,6 +63,9 @@
 	Silent time.Duration
 	// CallerLeft is set if the caller closed its connection, according to the request's context.
 	CallerLeft bool
+	// LinkBroken is set if this instance's own link to the current endpoint has failed, so that a failure shows nothing about the
+	// endpoint.
+	LinkBroken bool
 	// ProcessEnds is set if the shutdown of the process aborts the request, according to the cancellation cause of its context.
 	ProcessEnds bool
 	// ContextEnded is set if the request's context has ended: the caller disconnected or the deadline has passed.
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -37,6 +37,11 @@
 // JudgeFailure returns the verdict on an exchange that failed before a response head was received.
 func JudgeFailure(failure Failure, s Situation) Verdict {
 	verdict := Verdict{Result: NotSent, Outcome: failureOutcome(s)}
+	if failure == ConnectionRefused {
+		// A refusal is reported only if no other instance reached the endpoint either.
+		s.LinkBroken = false
+		verdict.Outcome = failureOutcome(s)
+	}
 	switch {
 	case failure == NoHead:
 		verdict.Result = unansweredResult(s)
@@ -48,11 +53,11 @@
 	return verdict
 }
 
-// failureOutcome returns how a failed exchange counts for its endpoint. It does not count if this instance or the caller ended it:
-// the request was recalled, the caller disconnected, or its body was too large. The exception is a caller that disconnects after a
+// failureOutcome returns how a failed exchange counts for its endpoint. It does not count if the link to the endpoint is at fault, or if
+// this instance or the caller ended it: the request was recalled, the caller disconnected, or its body was too large. The exception is a caller that disconnects after a
 // long silence of the endpoint: this is the only sign of an endpoint that is stuck, because no exchange is ended here for silence.
 func failureOutcome(s Situation) directory.Outcome {
-	if s.Recalled || s.BodyTooLarge || (s.CallerLeft && !EndpointWasSilent(s)) {
+	if s.LinkBroken || s.Recalled || s.BodyTooLarge || (s.CallerLeft && !EndpointWasSilent(s)) {
 		return directory.Neutral
 	}
 	return directory.Broken
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -129,6 +129,7 @@
 // situationAt returns the situation for a caller that has received the response up to a position.
 func (e *exchange) situationAt(received position) attempt.Situation {
 	s := e.inflight.situationAt(received)
+	s.LinkBroken = e.inflight.service.options.LinkBroken(e.assignment.Endpoint.ID)
 	s.Recalled = e.assignment.Recall.Fired()
 	s.Silent = e.inflight.service.options.Now().Sub(e.lastReceived)
 	return s
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -105,12 +105,14 @@
 	}
 	if !e.endpointGone {
 		control.RecordUnanswered(e.request, e.assignment)
+		if verdict.Outcome == directory.Broken && e.inflight.service.options.LinkBroken(e.assignment.Endpoint.ID) {
+			// The check found that only the link has failed.
+			verdict.Outcome = directory.Neutral
+		}
 		return verdict
 	}
 	control.RecordCrash(e.request, e.assignment)
-	if verdict.Outcome == directory.Broken {
-		verdict.Outcome = directory.Ended
-	}
+	verdict.Outcome = directory.Ended
 	return verdict
 }
 
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -60,6 +60,9 @@
 	ShouldRefuse func(kind deployment.RouteKind) bool
 	// Leaving reports whether each connection is closed after its response.
 	Leaving func() bool
+	// LinkBroken reports whether this instance's own link to an endpoint has failed, so that a failed exchange shows nothing about the
+	// endpoint; nil if that is not known.
+	LinkBroken func(id deployment.EndpointID) bool
 	// Observe is called when a counted request has ended.
 	Observe func(Observation)
 }
@@ -77,6 +80,9 @@
 	if options.Timer == nil {
 		options.Timer, options.WithDeadline = func(at time.Time) time.Time { return at }, context.WithDeadline
 	}
+	if options.LinkBroken == nil {
+		options.LinkBroken = func(deployment.EndpointID) bool { return false }
+	}
 	return &Service{options: options, control: control, upstream: client, dialect: dialect}
 }
 
--- a/tests/pinned/entry/peer_test.go
+++ b/tests/pinned/entry/peer_test.go
@@ -108,6 +108,8 @@
 			}
 			return fields
 		})
+	case "tu":
+		return maskTunnelAddresses(value)
 	case "o":
 		return sortedElements(value, func(element any) any {
 			fields, _ := element.(map[string]any)
@@ -119,6 +121,22 @@
 	return value
 }
 
+// maskTunnelAddresses masks the addresses in a list of tunnels, which differ from run to run.
+func maskTunnelAddresses(value any) any {
+	list, ok := value.(map[string]any)
+	if !ok {
+		return value
+	}
+	list["t"] = sortedElements(list["t"], func(element any) any {
+		fields, _ := element.([]any)
+		if len(fields) == 2 {
+			fields[1] = maskPlannerAddress(fields[1])
+		}
+		return fields
+	})
+	return list
+}
+
 func formatAddress(value any) any {
 	var parsed netip.AddrPort
 	if encoded, ok := value.([]byte); !ok || parsed.UnmarshalBinary(encoded) != nil {
--- a/tests/platformstandin/site.go
+++ b/tests/platformstandin/site.go
@@ -114,6 +114,21 @@
 // maxPortTries limits the search for four free ports to 50 tries per port.
 const maxPortTries = 200
 
+// peersPosition is the position of the port for peers among the ports that FreePorts looks for. The port after it must be free as well.
+const peersPosition = 2
+
+// isFree reports whether a port is free on all the IPs.
+func isFree(ips []string, port uint16) bool {
+	for _, ip := range ips {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 // FreePorts returns ports that are free on all the IPs.
 func FreePorts(ips []string) (Ports, error) {
 	var ports []uint16
@@ -122,11 +137,12 @@
 		if err != nil {
 			return Ports{}, err
 		}
-		if port != 0 && !slices.Contains(ports, port) {
-			ports = append(ports, port)
+		if port == 0 || slices.Contains(ports, port) || (len(ports) == peersPosition && !isFree(ips, port+1)) {
+			continue
 		}
+		ports = append(ports, port)
 		if len(ports) == 4 {
-			return Ports{Callers: ports[0], Ready: ports[1], Peers: ports[2], Metrics: ports[3]}, nil
+			return Ports{Callers: ports[0], Ready: ports[1], Peers: ports[peersPosition], Metrics: ports[3]}, nil
 		}
 	}
 	return Ports{}, fmt.Errorf("platformstandin: fewer than four free ports found on %v", ips)
