Take a link for broken only if another instance's connection is kept

Cause: for a process that is ending the system still accepts connections. An own link that was refused, beside a tunnel that was accepted in that moment, counted as a broken link, and two of these, as when a rack is lost, as a cut from all endpoints; and a refusal was not believed where the other instance no longer knew the endpoint, so that its end was not recorded as a crash.

Change: a connection through another instance is watched as long as one over an own link until the link is known to be broken; a refusal counts unless another instance contradicts it (services/entry/connect).

--- a/modules/entry/tunnel/error.go
+++ b/modules/entry/tunnel/error.go
@@ -32,6 +32,12 @@
 	return errors.Is(err, ErrRefused) || errors.Is(err, ErrNotReached)
 }
 
+// IsUnknown reports whether an error of Open tells that the other instance knows no such endpoint that takes requests.
+func IsUnknown(err error) bool {
+	var unavailable *UnavailableError
+	return errors.As(err, &unavailable) && unavailable.Status == statusUnknown
+}
+
 // The statuses of answers to a CONNECT request, which are part of the protocol between instances.
 const (
 	statusOpened      = http.StatusOK
--- a/services/entry/connect/race.go
+++ b/services/entry/connect/race.go
@@ -45,7 +45,7 @@
 		connected, viaPeer, own := race(ctx, target, c.connectThroughPeer, c.connectOverOwnLink)
 		return connected, c.combine(target, own, viaPeer)
 	default:
-		connected, own, viaPeer := race(ctx, target, c.connectOverOwnLink, c.connectThroughPeer)
+		connected, own, viaPeer := race(ctx, target, c.connectOverOwnLink, c.connectThroughPeerWatched)
 		if connected.Conn != nil && connected.Peer.IsValid() {
 			c.recordBypassed(target)
 		}
@@ -120,32 +120,62 @@
 	if own == nil && viaPeer == nil {
 		return nil
 	}
+	id := deployment.EndpointID(target.Key)
 	refused := errors.Is(own, syscall.ECONNREFUSED)
 	if tunnel.IsVerdict(viaPeer) && refused == errors.Is(viaPeer, tunnel.ErrRefused) {
-		c.update(func(now time.Time) { c.links.RecordVain(now, deployment.EndpointID(target.Key)) })
+		c.update(func(now time.Time) { c.links.RecordVain(now, id) })
 	}
-	if refused && errors.Is(viaPeer, tunnel.ErrRefused) {
+	if refused && (errors.Is(viaPeer, tunnel.ErrRefused) || !contradicts(viaPeer) && !c.LinkBroken(id)) {
 		return own
 	}
 	return fmt.Errorf("connect: over an own link: %v; through another instance: %v", own, viaPeer) //nolint:errorlint // A refusal that only one of two instances saw must not match.
 }
 
+// contradicts reports whether the answer of another instance leaves open that only the own link is at fault: the endpoint was silent there
+// instead of refusing, or the other instance is cut off itself. One that cannot be asked, or knows no such endpoint, contradicts nothing.
+func contradicts(viaPeer error) bool {
+	var unavailable *tunnel.UnavailableError
+	return tunnel.IsVerdict(viaPeer) || (errors.As(viaPeer, &unavailable) && !tunnel.IsUnknown(viaPeer))
+}
+
 // connectOverOwnLink connects over an own link. A connection that must be watched is returned only once it has stayed open for a while.
 func (c *Connector) connectOverOwnLink(ctx context.Context, target upstream.Target) (upstream.Connected, error) {
 	conn, err := c.options.DialEndpoint(ctx, target.Address)
 	if err != nil {
 		return upstream.Connected{}, err
 	}
+	connected := upstream.Connected{Conn: conn}
 	if !c.mustWatch(target) {
-		return upstream.Connected{Conn: conn}, nil
+		return connected, nil
 	}
-	if !refusal.StaysOpen(ctx, conn) {
-		// The connection has ended, so that an error has no consequence.
-		_ = conn.Close()
-		return upstream.Connected{}, errNotKept
+	if err := watch(ctx, connected); err != nil {
+		return upstream.Connected{}, err
 	}
 	c.recordConnected(deployment.EndpointID(target.Key))
-	return upstream.Connected{Conn: conn}, nil
+	return connected, nil
+}
+
+// connectThroughPeerWatched connects through another instance, and returns the connection only once it has stayed open for a while. For a
+// process that is ending the system still accepts connections, which must not count as a sign that only the own link has failed.
+func (c *Connector) connectThroughPeerWatched(ctx context.Context, target upstream.Target) (upstream.Connected, error) {
+	connected, err := c.connectThroughPeer(ctx, target)
+	if err == nil {
+		err = watch(ctx, connected)
+	}
+	if err != nil {
+		return upstream.Connected{}, err
+	}
+	return connected, nil
+}
+
+// watch returns an error, and closes a new connection, if it does not stay open for a while.
+func watch(ctx context.Context, connected upstream.Connected) error {
+	if refusal.StaysOpen(ctx, connected) {
+		return nil
+	}
+	// The connection has ended or is not needed, so that an error has no consequence.
+	_ = connected.Close()
+	return errNotKept
 }
 
 // errNotKept is returned for a connection that was accepted and then closed or reset.
@@ -186,18 +216,26 @@
 				go closeLater(results, pending)
 				return result.connected, nil
 			}
-			err = worse(err, result.err)
+			err = clearer(err, result.err)
 		}
 	}
 	return upstream.Connected{}, err
 }
 
-// worse returns the error that tells more about the endpoint.
-func worse(known, other error) error {
-	if errors.Is(known, tunnel.ErrRefused) || (tunnel.IsVerdict(known) && !errors.Is(other, tunnel.ErrRefused)) {
+// clearer returns the error that tells more about the endpoint: a refusal most, then that it was not reached, then anything else that
+// another instance answered.
+func clearer(known, other error) error {
+	var unavailable *tunnel.UnavailableError
+	switch {
+	case errors.Is(known, tunnel.ErrRefused):
 		return known
+	case errors.Is(other, tunnel.ErrRefused), tunnel.IsVerdict(other):
+		return other
+	case tunnel.IsVerdict(known), errors.As(known, &unavailable):
+		return known
+	default:
+		return other
 	}
-	return other
 }
 
 // openTunnel opens a tunnel to an endpoint through the instance at an address.
@@ -214,7 +252,7 @@
 		// Nothing was sent to the endpoint, so that an error has no consequence.
 		_ = conn.Close()
 	}
-	if ctx.Err() == nil && !tunnel.IsVerdict(err) {
+	if ctx.Err() == nil && !tunnel.IsVerdict(err) && !tunnel.IsUnknown(err) {
 		c.recordPeer(address, false)
 	}
 	return upstream.Connected{}, err
--- a/tests/platform/cut_instances_test.go
+++ b/tests/platform/cut_instances_test.go
@@ -113,7 +113,7 @@
 
 // run cuts the instances off, and checks that their callers are served.
 func (c cutTest) run(t *testing.T) {
-	s := newSite(t, c.entries)
+	s := newCuttableSite(t, c.entries)
 	for adapter := range adaptersBeforeCut {
 		require.True(t, s.serves(0, fmt.Sprintf("a%d", adapter)))
 	}
@@ -157,7 +157,7 @@
 func TestPlannerThatReachesNoWorkerHandsOver(t *testing.T) {
 	for name, how := range map[string]workerCut{"connections hang": hangingCut, "connections are refused": resettingCut} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(t, 3)
+			s := newCuttableSite(t, 3)
 			require.True(t, s.serves(0, "a0"))
 			planner := s.planner()
 			other := s.otherEntry(planner)
--- a/tests/platform/request_log_test.go
+++ b/tests/platform/request_log_test.go
@@ -158,7 +158,8 @@
 		"../../services/entry/coordinator/views.go", "../../services/entry/coordinator/viewround.go", "../../services/entry/coordinator/gathering.go",
 		"../../services/entry/coordinator/begin.go", "../../services/entry/coordinator/crashes.go", "../../services/entry/coordinator/limits.go",
 		"../../services/entry/coordinator/draining.go", "../../services/entry/coordinator/resting.go",
-		"../../services/entry/proxy/exchange.go", "../../routers/entry/gateway/server.go",
+		"../../services/entry/proxy/exchange.go", "../../routers/entry/gateway/server.go", "../../services/entry/connect/connector.go",
+		"../../modules/entry/tunnel/acceptor.go",
 	} {
 		content, err := os.ReadFile(path)
 		require.NoError(t, err)
--- a/tests/platform/site_test.go
+++ b/tests/platform/site_test.go
@@ -38,6 +38,8 @@
 	entries []*entryProcess
 	ports   standin.Ports
 	ips     []string
+	// cuttable makes the instances reach the workers through links that can be cut.
+	cuttable bool
 }
 
 // entryProcess is one entry instance of a site.
@@ -134,7 +136,19 @@
 // newSite starts a store, two workers of each service and the given number of entry instances, and waits until all instances are ready.
 func newSite(t *testing.T, entries int) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore()}
+	return startSite(t, entries, false)
+}
+
+// newCuttableSite is newSite with instances that reach the workers through links that can be cut. Such a link accepts connections also for a
+// worker that has ended.
+func newCuttableSite(t *testing.T, entries int) *site {
+	t.Helper()
+	return startSite(t, entries, true)
+}
+
+func startSite(t *testing.T, entries int, cuttable bool) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore(), cuttable: cuttable}
 	t.Cleanup(s.close)
 	s.store.Put("op/config", standin.WithLongDeadlineRoute(standin.Configuration(1, nil)))
 	for i := range 2 {
@@ -175,7 +189,9 @@
 	require.NoError(s.t, err)
 	options := settings.Process(logrus.InfoLevel, s.ports.Metrics)
 	options.LogOutput = e.log
-	options.DialEndpoint = e.network.dial
+	if s.cuttable {
+		options.DialEndpoint = e.network.dial
+	}
 	options.Environment = func(retire func(deployment.EndpointID)) coordinator.Environment {
 		environment := settings.Environment(retire)
 		environment.Store = e.cutClient(environment.Store)
