Hand over planning while this instance reaches no endpoint

Cause: the planner resigns where the store answers others and not itself, but nothing asked whether its orders arrive. The class: a right to act is held by one who cannot act.

Change: cut off for 0.3 s, a planner that knows a member which reaches endpoints releases its record as in a planned stop, after its orders in flight have ended, so that the successor need not wait. An instance that reaches no endpoint takes the record 2 s later than others, its own included, and still takes it if no other does. Orders never go through a tunnel: they must come from the holder.

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -207,6 +207,7 @@
 	c.requestDeferredRecordRead(now)
 	if c.planner != nil {
 		c.resignIfMemberReachesStore(now)
+		c.handOverIfCutOff(now)
 		c.plan(now)
 	}
 	c.sendDueLoads(now)
--- a/services/entry/coordinator/handover.go
+++ b/services/entry/coordinator/handover.go
@@ -40,6 +40,25 @@
 	})
 }
 
+// cutOffHandoverDelay is how long a planner reaches no endpoint until it hands over. A longer time hands over less often for a cut that
+// ends at once; with a shorter one, adapters are loaded again sooner.
+const cutOffHandoverDelay = 300 * time.Millisecond
+
+// handOverIfCutOff gives up the lease while this instance reaches no endpoint but a member does: no order would arrive, and no adapter would
+// be loaded for any instance.
+func (c *Coordinator) handOverIfCutOff(now time.Time) {
+	p := c.planner
+	if p.steppingDown || !c.isCutOff() || now.Sub(c.cutOffSince) < cutOffHandoverDelay || !p.members.AnyReachesEndpoints() {
+		return
+	}
+	p.steppingDown = true
+	c.options.Log.WithField("term", p.lease.Record().Term).Warn("resigned as the planner: other instances reach endpoints but this one does not")
+	c.startTask(func() {
+		c.release(c.context, p)
+		c.loop.Call(c.endTermIfOver)
+	})
+}
+
 // Release hands over the lease if this instance holds it. It sends no more orders, waits for those in flight and releases
 // the record, so that a successor need not wait.
 func (c *Coordinator) Release(ctx context.Context) {
@@ -51,9 +70,13 @@
 			p.steppingDown = true
 		}
 	})
-	if p == nil {
-		return
+	if p != nil {
+		c.release(ctx, p)
 	}
+}
+
+// release waits for the orders in flight of a planner that is stepping down, and releases its record.
+func (c *Coordinator) release(ctx context.Context, p *planner) {
 	// A write of the record that is still unanswered may be the one that permits orders.
 	for (c.hasOrdersInFlight(p) || c.rewriteInProgress(p)) && ctx.Err() == nil {
 		c.sleep(releaseCheckInterval)
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -208,13 +208,13 @@
 		}
 		return
 	}
-	resigned := c.applyRecord(stored, requested)
+	resigned, cutOff := c.applyRecord(stored, requested)
 	if c.leaving.Load() {
 		return
 	}
 	sighting := lease.Observation{
 		Self: c.options.Instance, Record: stored.Record, Revision: stored.Revision, Found: stored.Found,
-		Resigned: resigned, Silence: silence, TakeoverDelay: c.options.TakeoverDelay,
+		Resigned: resigned, Silence: silence, TakeoverDelay: c.options.TakeoverDelay, CutOff: cutOff,
 	}
 	verdict := l.candidate.Decide(now, sighting)
 	if verdict == lease.TakeIfHeartbeatEnded {
@@ -243,19 +243,20 @@
 	return l.candidate.DecideHeartbeatEnded(now, sighting)
 }
 
-// applyRecord applies the record that was read from the store and reports whether its holder resigned. If the read was
-// requested, it sends a report at once, which shows that the store answers this instance.
-func (c *Coordinator) applyRecord(stored leasestore.Stored, requested bool) bool {
-	resigned := false
+// applyRecord applies the record that was read from the store. It reports whether its holder resigned, and whether this
+// instance reaches no endpoint. If the read was requested, it sends a report at once, which shows that the store answers
+// this instance.
+func (c *Coordinator) applyRecord(stored leasestore.Stored, requested bool) (resigned, cutOff bool) {
 	c.loop.Call(func(now time.Time) {
 		c.storeReadAt, c.storeFailingSince = now, time.Time{}
 		c.setKnownRecord(stored.Record)
 		resigned = stored.Found && stored.Record.Term == c.follower.ResignedTerm
+		cutOff = c.isCutOff()
 		if requested {
 			c.sendReport(now)
 		}
 	})
-	return resigned
+	return resigned, cutOff
 }
 
 // recordReadReasons returns for how long no view has come from a planner that could prove its lease, takes the pending
--- a/services/entry/coordinator/member/table.go
+++ b/services/entry/coordinator/member/table.go
@@ -262,6 +262,16 @@
 	return false
 }
 
+// AnyReachesEndpoints reports whether any member reaches endpoints over its own links, so that it could take over the planning.
+func (t *Table) AnyReachesEndpoints() bool {
+	for _, m := range t.members {
+		if m.opensTunnels() {
+			return true
+		}
+	}
+	return false
+}
+
 // Tunnels returns the members through which other instances can reach endpoints, in no order.
 func (t *Table) Tunnels() []wire.Tunnel {
 	var tunnels []wire.Tunnel
--- a/services/entry/lease/candidate.go
+++ b/services/entry/lease/candidate.go
@@ -52,8 +52,14 @@
 	// TakeoverDelay is the additional delay after which this instance takes the record, so that others can take it
 	// first; from the settings.
 	TakeoverDelay time.Duration
+	// CutOff is set if this instance reaches no endpoint, so that its orders would not arrive.
+	CutOff bool
 }
 
+// cutOffTakeoverDelay is the additional delay after which an instance that reaches no endpoint takes the record. A longer
+// delay leaves the record to others more surely; a shorter one has a planner sooner if all instances are cut off.
+const cutOffTakeoverDelay = 2 * time.Second
+
 // formerHolderTakeoverDelay is the additional delay after which an instance that held the lease recently takes a vacant
 // record; other instances need not wait for Options.MinReturnDelay. A longer delay gives slower instances time to take
 // the record; a shorter one takes it sooner if there is no other instance.
@@ -61,10 +67,14 @@
 
 // totalTakeoverDelay returns the additional delay of this instance for this record.
 func (s Observation) totalTakeoverDelay() time.Duration {
+	delay := s.TakeoverDelay
+	if s.CutOff {
+		delay += cutOffTakeoverDelay
+	}
 	if s.vacant() && s.Record.heldBefore(s.Self) {
-		return s.TakeoverDelay + formerHolderTakeoverDelay
+		delay += formerHolderTakeoverDelay
 	}
-	return s.TakeoverDelay
+	return delay
 }
 
 // vacant reports whether no instance sends orders under the record any more.
@@ -98,7 +108,7 @@
 		c.hasRead, c.revision, c.unchangedSince = true, observed.Revision, now
 	}
 	c.updateSilence(now, observed)
-	own := observed.Record.Holder == observed.Self
+	own := observed.Record.Holder == observed.Self && !observed.CutOff
 	if !own && now.Sub(c.availableSince(now, observed)) < observed.totalTakeoverDelay() {
 		return DeferToOthers
 	}
@@ -131,7 +141,7 @@
 	if c.heartbeatEndedSince.IsZero() || c.heartbeatEndedRevision != observed.Revision {
 		c.heartbeatEndedRevision, c.heartbeatEndedSince = observed.Revision, now
 	}
-	if now.Sub(c.heartbeatEndedSince) < observed.TakeoverDelay {
+	if now.Sub(c.heartbeatEndedSince) < observed.totalTakeoverDelay() {
 		return DeferToOthers
 	}
 	return Take
--- a/services/entry/lease/takeover_delay_test.go
+++ b/services/entry/lease/takeover_delay_test.go
@@ -27,3 +27,30 @@
 	assert.Equal(t, lease.DeferToOthers, candidate.Decide(silentAt.Add(takeoverDelay-step), delayed))
 	assert.Equal(t, lease.TakeIfHeartbeatEnded, candidate.Decide(silentAt.Add(takeoverDelay), delayed))
 }
+
+// TestInstanceThatReachesNoEndpointLeavesRecordToOthers guards against a planner whose orders do not arrive.
+func TestInstanceThatReachesNoEndpointLeavesRecordToOthers(t *testing.T) {
+	const delay = 2 * time.Second
+	vacant := lease.Observation{
+		Self: "self", Record: lease.Record{Holder: "peer", Term: 4, Ordering: true, Released: true}, Revision: 7, Found: true, CutOff: true,
+	}
+	own := vacant
+	own.Record.Holder = "self"
+	for name, test := range map[string]struct {
+		observed lease.Observation
+		delay    time.Duration
+	}{
+		"record released by another instance": {vacant, delay},
+		"record released by itself":           {own, delay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var candidate lease.Candidate
+			assert.Equal(t, lease.DeferToOthers, candidate.Decide(start, test.observed))
+			assert.Equal(t, lease.DeferToOthers, candidate.Decide(start.Add(test.delay-step), test.observed))
+			assert.Equal(t, lease.Take, candidate.Decide(start.Add(test.delay), test.observed), "no other instance took it")
+			reached := test.observed
+			reached.CutOff = false
+			assert.Equal(t, lease.Take, candidate.Decide(start.Add(test.delay), reached))
+		})
+	}
+}
