Test cuts that come and go, and a stop of the instance that carries requests

All tests of cut instances also check now that no unsafe request runs twice and that no refused one runs.

--- a/tests/platform/cut_instances_test.go
+++ b/tests/platform/cut_instances_test.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -48,6 +50,33 @@
 	}
 }
 
+// promises are requests of which the answer, or the route, promises how often they run.
+type promises struct {
+	once, never []string
+}
+
+// record records a request and its answer.
+func (p *promises) record(sent call, answer standin.Answer) {
+	if strings.HasPrefix(sent.path, standin.UnsafePrefix) {
+		p.once = append(p.once, answer.ID)
+	}
+	if answer.Err == nil && answer.Status == http.StatusServiceUnavailable {
+		p.never = append(p.never, answer.ID)
+	}
+}
+
+// assertKept checks that unsafe requests ran at most once, and that refused ones did not run.
+func (p *promises) assertKept(s *site) {
+	s.t.Helper()
+	runs := standin.RunCounts(append(slices.Clone(s.models), s.plain...)...)
+	for _, id := range p.once {
+		assert.LessOrEqual(s.t, runs[id], 1, "an unsafe request ran more than once")
+	}
+	for _, id := range p.never {
+		assert.Zero(s.t, runs[id], "a refused request ran")
+	}
+}
+
 // try sends a request of a caller that waits for patience.
 func (s *site) try(c call) standin.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -58,6 +87,7 @@
 // tryUntil lets callers send requests of all kinds to all instances until the end, and counts by instance those that were sent from begin on.
 func (s *site) tryUntil(callersPerKind int, begin, end time.Time) []firstTries {
 	counts := make([]firstTries, len(s.entries))
+	var promises promises
 	var mutex sync.Mutex
 	var callers sync.WaitGroup
 	for entry := range s.entries {
@@ -68,6 +98,9 @@
 					for time.Now().Before(end) {
 						sent := time.Now()
 						answer := s.try(class.call)
+						mutex.Lock()
+						promises.record(class.call, answer)
+						mutex.Unlock()
 						if !sent.Before(begin) {
 							mutex.Lock()
 							counts[entry].sent++
@@ -83,6 +116,7 @@
 		}
 	}
 	callers.Wait()
+	promises.assertKept(s)
 	return counts
 }
 
@@ -174,3 +208,62 @@
 		})
 	}
 }
+
+// TestCutsThatComeAndGoLeaveCallersServed guards against instances that lose the requests of each change while the path to the workers is
+// cut and restored again and again.
+func TestCutsThatComeAndGoLeaveCallersServed(t *testing.T) {
+	for name, how := range map[string]workerCut{"connections hang": hangingCut, "connections are reset": resettingCut} {
+		t.Run(name, func(t *testing.T) {
+			s := newCuttableSite(t, 3)
+			for adapter := range adaptersBeforeCut {
+				require.True(t, s.serves(0, fmt.Sprintf("a%d", adapter)))
+			}
+			cut := map[int]bool{s.planner(): true, s.otherEntry(s.planner()): true}
+			begin := time.Now().Add(contactTime)
+			end := begin.Add(2 * measuredTime)
+			go func() {
+				for how, next := how, noCut; time.Now().Before(end); how, next = next, how {
+					for entry := range cut {
+						s.entries[entry].network.set(how)
+					}
+					time.Sleep(time.Second)
+				}
+			}()
+			s.assertServedAlike(s.tryUntil(adaptersBeforeCut, begin, end), cut)
+		})
+	}
+}
+
+// TestStopOfInstanceThatCarriesRequestsCutsNothing guards against a planned stop that breaks off the requests of other instances.
+func TestStopOfInstanceThatCarriesRequestsCutsNothing(t *testing.T) {
+	s := newCuttableSite(t, 3)
+	require.True(t, s.serves(0, "a0"))
+	cut := s.otherEntry(s.planner())
+	s.entries[cut].network.set(resettingCut)
+	s.waitFor("the instance is served through others", func() bool {
+		return s.try(call{entry: cut, path: "/chat/x", adapter: "a0"}).Status == http.StatusOK
+	})
+	const streams, events = 6, 30
+	var callers sync.WaitGroup
+	var mutex sync.Mutex
+	for range streams {
+		callers.Go(func() {
+			answer := s.do(call{entry: cut, path: fmt.Sprintf("/chat/x?events=%d&pause_ms=100", events), adapter: "a0"})
+			mutex.Lock()
+			defer mutex.Unlock()
+			assert.NoError(t, answer.Err)
+			assert.Equal(t, http.StatusOK, answer.Status)
+			assert.Contains(t, answer.Body, standin.Event(events, answer.ID, "a0"))
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	var stops sync.WaitGroup
+	for entry, e := range s.entries {
+		if entry != cut {
+			stops.Go(e.process.Stop)
+			e.ended = true
+		}
+	}
+	callers.Wait()
+	stops.Wait()
+}
