Let the stand-in store come back from a copy as the platform describes it

By the users' pages a store may come back from a copy some seconds old: what was written since is gone, leases and their keys too, revisions are given out again, a watch from one that it does not have gets 410, and the header Store-Era in all its answers rises by one. The stand-in told no era and could not go back.

--- a/tests/platformstandin/store.go
+++ b/tests/platformstandin/store.go
@@ -5,8 +5,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"time"
 )
@@ -42,6 +44,8 @@
 	nextLease   int64
 	changed     chan struct{}
 	faults      StoreFaults
+	// era is how often the store came back from a copy; it is told in all answers.
+	era int64
 	// second is the Unix time of the second in which callsInSecond are counted.
 	second        int64
 	callsInSecond int
@@ -113,6 +117,32 @@
 	s.compacted = s.revision
 }
 
+// Copy is a copy of a store's items at a moment.
+type Copy struct {
+	revision int64
+	items    map[string]item
+	history  []item
+}
+
+// Copy copies the present items, with their revisions and the history of changes.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history)}
+}
+
+// ReturnFrom replaces everything by a copy, as a store that comes back from one: what was written since is lost, leases and their keys too,
+// and the revisions after the copy are given out again. Open watches are cut.
+func (s *Store) ReturnFrom(earlier Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.revision, s.items, s.history = earlier.revision, maps.Clone(earlier.items), slices.Clone(earlier.history)
+	s.leases = make(map[int64]*lease)
+	maps.DeleteFunc(s.items, func(_ string, stored item) bool { return stored.Lease != 0 })
+	s.notifyWatches()
+}
+
 // RevokeLeases removes all keys with leases without notifying the lease holders.
 func (s *Store) RevokeLeases() {
 	s.mutex.Lock()
--- a/tests/platformstandin/store_calls.go
+++ b/tests/platformstandin/store_calls.go
@@ -15,11 +15,15 @@
 // ServeHTTP serves one call, or fails it according to the faults.
 func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
-	faults, limited := s.faults, s.exceedsRate()
+	faults, limited, era := s.faults, s.exceedsRate(), s.era
 	s.mutex.Unlock()
 	switch {
 	case faults.Silent:
 		<-request.Context().Done()
+		return
+	}
+	setEra(writer, era)
+	switch {
 	case faults.Down:
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	case limited:
@@ -29,6 +33,11 @@
 	}
 }
 
+// setEra tells the era in an answer. It replaces an era that was told before, since the store may have come back meanwhile.
+func setEra(writer http.ResponseWriter, era int64) {
+	writer.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+}
+
 func (s *Store) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/-/kv-key", s.handler(s.getKey))
@@ -47,6 +56,7 @@
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		status, body := call(request)
+		setEra(writer, s.era)
 		reply(writer, status, body)
 	}
 }
@@ -95,8 +105,21 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	// A watch that was open while StoreFaults.Deaf was set receives no events until it ends.
 	deaf := false
+	s.mutex.Lock()
+	era := s.era
+	s.mutex.Unlock()
+	setEra(writer, era)
 	for {
 		s.mutex.Lock()
+		if s.era != era {
+			s.mutex.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after > s.revision {
+			s.mutex.Unlock()
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
 		deaf = deaf || s.faults.Deaf
 		if after < s.compacted && !deaf {
 			s.mutex.Unlock()
