Compare positions of a store that comes back older by era and revision

Cause: a revision was compared as a place in one history; the store had gone back and gave revisions out again. The class: an order that holds within one history is used across two.

Change: a position in the history of the store is its era (the header Store-Era of each answer) above the revision, in one number (modules/entry/store, Position); platform/ translates both ways, so that every comparison, message and record stays as it is. A watch or a transaction from a position of another era is not sent: the one counts as compacted, the other as a conflict; a transaction that is answered in another era has an unknown result; pages of two eras are read again. Keys of the first era, 0, have the positions that they had before, as at stores that tell no era.

The planner's record goes back with the store: a planner's term ends when it hears of a new era; a term is above all that are known to have been in use, a stored record below them counts as released by its holder, and where the record is of another era or missing, the next planner waits as long as if it didn't know who gave orders before (MaxWait, 3 s on the sites so far). The record names its era, which former versions neither write nor read. An endpoint that was gone and is listed again only because the store came back gets no requests until it writes its entry again. A log line and shelfledge_store_era tell the era.

--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -42,6 +42,7 @@
 	Resting              float64
 	CutOff               float64
 	TunnelsOpened        float64
+	StoreEra             float64
 	Quarantined          float64
 	ResidentCopies       float64
 	Waiting              float64
@@ -226,6 +227,7 @@
 	describe("endpoints_limited", "Endpoints that take a limited number of requests a second.", func(g Gauges) float64 { return g.Limited }),
 	describe("cut_off", "1 while this instance reaches no endpoint over its own links.", func(g Gauges) float64 { return g.CutOff }),
 	describe("tunnels_opened", "Tunnels to endpoints opened for other instances.", func(g Gauges) float64 { return g.TunnelsOpened }),
+	describe("store_era", "How often the store came back from a copy, as far as this instance knows.", func(g Gauges) float64 { return g.StoreEra }),
 	describe("endpoints_resting", "Endpoints that asked this instance for rest.", func(g Gauges) float64 { return g.Resting }),
 	describe("quarantined_requests", "Requests that are held back since they crash endpoints.", func(g Gauges) float64 { return g.Quarantined }),
 	describe("resident_copies", "Copies of adapters that take requests.", func(g Gauges) float64 { return g.ResidentCopies }),
--- a/modules/entry/store/store.go
+++ b/modules/entry/store/store.go
@@ -12,7 +12,7 @@
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision of the key's last change. The revision of the store grows with each change of any key.
+	// Revision is the position of the key's last change in the history of the store, see Position. It grows with each change of any key.
 	Revision int64
 	// Lease is the lease whose end deletes the key; 0 for a key without a lease.
 	Lease int64
@@ -23,7 +23,7 @@
 	Items []Item
 	// HasMore reports whether further keys follow the last one.
 	HasMore bool
-	// Revision is the store's revision when the page was read.
+	// Revision is the store's position when the page was read.
 	Revision int64
 }
 
@@ -70,6 +70,16 @@
 	GrantLease func(ctx context.Context, ttl time.Duration) (int64, error)
 	// RenewLease renews a lease for its full time. It returns ErrLeaseExpired if the lease has expired.
 	RenewLease func(ctx context.Context, lease int64) error
+	// Era returns the highest era that the store has told so far; nil if the store never comes back from a copy.
+	Era func() int64
+}
+
+// CurrentEra returns the highest era that the store has told so far.
+func (c *Client) CurrentEra() int64 {
+	if c.Era == nil {
+		return 0
+	}
+	return c.Era()
 }
 
 // ReadAll reads all pages of a prefix and returns the revision of the first page, from which a watch misses no change. The timeout applies
@@ -78,6 +88,7 @@
 	var items []Item
 	var at int64
 	after := ""
+	era := int64(-1)
 	for {
 		page, err := c.readPage(ctx, prefix, after, timeout)
 		if err != nil {
@@ -86,6 +97,11 @@
 		if at == 0 {
 			at = page.Revision
 		}
+		if known := EraOf(page.Revision); era >= 0 && known != era {
+			// The pages belong to different histories.
+			return nil, 0, ErrCompacted
+		}
+		era = EraOf(page.Revision)
 		items = append(items, page.Items...)
 		if !page.HasMore || len(page.Items) == 0 {
 			return items, at, nil
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -105,6 +105,10 @@
 	keysLag member.Lag
 	// knownRecord is the planner's lease record as last read or received.
 	knownRecord lease.Record
+	// highestTerm is the highest term that is known to have been in use.
+	highestTerm int64
+	// storeEra is the era of the store, as noticed by reviewEra.
+	storeEra int64
 	// storeReadAt is the time of the last successful read of the lease record.
 	storeReadAt time.Time
 	// storeFailingSince is the time since which reads of the lease record have failed. It is zero after a successful read.
@@ -198,6 +202,7 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
+	c.reviewEra(now)
 	c.recallOverdue(now)
 	c.reviewLimits(now)
 	c.reviewSuspects(now)
--- a/services/entry/coordinator/follower.go
+++ b/services/entry/coordinator/follower.go
@@ -124,6 +124,7 @@
 		return
 	}
 	c.follower.viewReceived = true
+	c.recordTerm(v.Term)
 	if v.Bare {
 		c.applyBareView(now, v)
 		return
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -79,6 +79,7 @@
 func (c *Coordinator) confirm() bool {
 	confirmation, err := c.leases.Confirm(c.context)
 	c.loop.Call(func(now time.Time) {
+		c.reviewEra(now)
 		if c.planner == nil {
 			return
 		}
@@ -125,6 +126,7 @@
 func (c *Coordinator) beginOrdering() {
 	var change *rewrite
 	c.loop.Call(func(now time.Time) {
+		c.reviewEra(now)
 		if c.planner != nil && !c.planner.steppingDown && c.planner.lease.WaitOver(now) && !c.planner.lease.Record().Ordering {
 			change = newRewrite(c.planner.lease)
 			change.record.Ordering = true
@@ -243,14 +245,17 @@
 	return l.candidate.DecideHeartbeatEnded(now, sighting)
 }
 
-// applyRecord applies the record that was read from the store. It reports whether its holder resigned, and whether this
-// instance reaches no endpoint. If the read was requested, it sends a report at once, which shows that the store answers
+// applyRecord applies the record that was read from the store. It reports whether its holder sends no more orders, because it
+// resigned or the record is outdated, and whether this instance reaches no endpoint. If the read was requested, it sends a report at once, which shows that the store answers
 // this instance.
 func (c *Coordinator) applyRecord(stored leasestore.Stored, requested bool) (resigned, cutOff bool) {
 	c.loop.Call(func(now time.Time) {
 		c.storeReadAt, c.storeFailingSince = now, time.Time{}
-		c.setKnownRecord(stored.Record)
-		resigned = stored.Found && stored.Record.Term == c.follower.ResignedTerm
+		outdated := c.isOutdated(stored)
+		if !outdated {
+			c.setKnownRecord(stored.Record)
+		}
+		resigned = outdated || (stored.Found && stored.Record.Term == c.follower.ResignedTerm)
 		cutOff = c.isCutOff()
 		if requested {
 			c.sendReport(now)
@@ -309,6 +314,12 @@
 	former := replaced.Record
 	former.Released = former.Released || resigned
 	wait := c.options.Lease.Wait(c.options.Instance, former, replaced.Found)
+	c.loop.Call(func(time.Time) {
+		basis, certain := c.takeoverBasis(replaced)
+		if replaced = basis; !certain {
+			wait = c.options.Lease.MaxWait()
+		}
+	})
 	taken, err := c.leases.Take(c.context, replaced)
 	var lost *leasestore.LostRaceError
 	switch {
@@ -325,6 +336,7 @@
 // setKnownRecord stores the record of the present planner. A link to a former planner is closed after a message that names
 // the successor.
 func (c *Coordinator) setKnownRecord(record lease.Record) {
+	c.recordTerm(record.Term)
 	c.knownRecord = record
 	if stream := c.follower.stream; stream != nil && record.Term > c.follower.Term {
 		// The link is closed even if the former planner cannot receive the message. Another member informs it of its
@@ -341,6 +353,7 @@
 	if successor.Term <= c.knownRecord.Term || !successor.Address.IsValid() {
 		return
 	}
+	c.recordTerm(successor.Term)
 	c.options.Log.WithFields(map[string]any{"term": successor.Term, "address": successor.Address.String()}).Info("a peer named a new planner")
 	c.knownRecord = lease.Record{Term: successor.Term, Address: successor.Address}
 	if c.planner != nil && successor.Term > c.planner.lease.Record().Term {
@@ -360,6 +373,7 @@
 // beginPlanning makes this instance the planner, with the record that it wrote in place of another. It sends no order
 // before wait is over.
 func (c *Coordinator) beginPlanning(now time.Time, taken leasestore.Taken, wait time.Duration, replaced lease.Record) {
+	c.recordTerm(taken.Record.Term)
 	held := lease.Begin(c.options.Lease, taken.Record, taken.Revision, taken.Sent, now, wait)
 	if c.follower.stream != nil {
 		c.follower.stream.Close()
--- a/services/entry/coordinator/leasestore/store.go
+++ b/services/entry/coordinator/leasestore/store.go
@@ -134,7 +134,7 @@
 	if err := s.grant(ctx); err != nil {
 		return Taken{}, err
 	}
-	record := lease.Successor(lease.Record{Holder: s.Instance, Address: s.Address}, replaced.Record)
+	record := lease.Successor(lease.Record{Holder: s.Instance, Address: s.Address, Era: s.Client.CurrentEra()}, replaced.Record)
 	value, err := record.Encode()
 	if err != nil {
 		return Taken{}, err
--- a/services/entry/coordinator/seeds.go
+++ b/services/entry/coordinator/seeds.go
@@ -34,6 +34,7 @@
 	}
 	c.options.Log.WithField("configuration_at", v.ConfigurationRevision).Info("starting with the state of a peer, since the store does not answer")
 	if v.Address.IsValid() && v.Term > c.knownRecord.Term {
+		c.recordTerm(v.Term)
 		c.knownRecord.Address, c.knownRecord.Term = v.Address.AddrPort, v.Term
 	}
 	for i, endpoint := range v.Descriptions() {
--- a/services/entry/coordinator/status.go
+++ b/services/entry/coordinator/status.go
@@ -26,6 +26,8 @@
 	// PeerQueueBytes is the size of the messages that are queued for peers, in bytes. A message for several peers counts
 	// once for each.
 	PeerQueueBytes int64
+	// StoreEra is how often the store came back from a copy, as far as this instance knows.
+	StoreEra int64
 	// EndpointsAge is how long ago the endpoints in use were read; later changes are not known. It is 0 before any are known.
 	EndpointsAge time.Duration
 	// OthersInFlight is the known number of in-flight requests of the other instances, and CountsAge is the mean age of
@@ -49,6 +51,7 @@
 		if c.planner != nil {
 			status.Planner, status.Term = c.options.Instance, c.planner.lease.Record().Term
 		}
+		status.StoreEra = c.storeEra
 		status.Limited = len(c.endpointLimits.known)
 		status.Quarantined = len(c.crashes.AllHeld(now))
 		if !c.othersInFlightAt.IsZero() {
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/store"
 )
 
 // Directory holds the status of all endpoints. It is not safe for concurrent use.
@@ -29,6 +30,8 @@
 type removal struct {
 	// revision is the store revision as of which the endpoint was gone.
 	revision int64
+	// returned is the position of the description by which the endpoint came back in a later era of the store; 0 if it did not.
+	returned int64
 	// firstSweep is when sweep first processed the removal; zero before that.
 	firstSweep time.Time
 }
@@ -63,6 +66,9 @@
 		endpoint.Born = status.Born
 	}
 	endpoint.State = d.effectiveState(&endpoint)
+	if d.cameBackFromCopy(endpoint.ID, revision) {
+		endpoint.State = deployment.Draining
+	}
 	if !ok {
 		status = newEndpointStatus(endpoint, revision, d.reachabilityOf(endpoint.Hall))
 		d.endpoints[endpoint.ID] = status
@@ -85,6 +91,20 @@
 	return true
 }
 
+// cameBackFromCopy reports whether a description is of an endpoint that was gone, and is there again only because the store came back from a
+// copy. An endpoint that lives writes its description again, at another position.
+func (d *Directory) cameBackFromCopy(id deployment.EndpointID, position int64) bool {
+	gone, ok := d.removed[id]
+	if !ok || store.EraOf(position) <= store.EraOf(gone.revision) {
+		return false
+	}
+	if gone.returned == 0 {
+		gone.returned = position
+		d.removed[id] = gone
+	}
+	return gone.returned == position
+}
+
 // effectiveState returns the state to use for a described endpoint: draining is final for an incarnation, whatever later descriptions
 // contain.
 func (d *Directory) effectiveState(endpoint *deployment.Endpoint) deployment.EndpointState {
@@ -117,7 +137,7 @@
 	if ok && status.Revision > revision {
 		return false
 	}
-	d.removed[id] = removal{revision: max(d.removed[id].revision, revision)}
+	d.removed[id] = removal{revision: max(d.removed[id].revision, revision), returned: d.removed[id].returned}
 	if !ok {
 		return false
 	}
--- a/services/entry/directory/directory_test.go
+++ b/services/entry/directory/directory_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/modules/entry/store"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
@@ -211,3 +212,18 @@
 	exchange("far-4", directory.Succeeded)
 	assert.False(t, d.Endpoint("far-4").Avoided(now))
 }
+
+// TestEndpointThatWasGoneGetsNoRequestsBecauseStoreCameBack guards against requests to endpoints that left, and that are listed again only
+// because the store came back from a copy.
+func TestEndpointThatWasGoneGetsNoRequestsBecauseStoreCameBack(t *testing.T) {
+	d := directory.New()
+	endpoint := deployment.Endpoint{ID: "i-1", Service: "models", State: deployment.Ready}
+	d.Put(endpoint, store.Position(0, 10))
+	d.Remove("i-1", store.Position(0, 20))
+	d.Put(endpoint, store.Position(1, 10))
+	assert.Equal(t, deployment.Draining, d.Endpoint("i-1").State)
+	d.Put(endpoint, store.Position(1, 10))
+	assert.Equal(t, deployment.Draining, d.Endpoint("i-1").State, "the same description is read again")
+	d.Put(endpoint, store.Position(1, 21))
+	assert.Equal(t, deployment.Ready, d.Endpoint("i-1").State, "it lives: it wrote its description again")
+}
--- a/services/entry/lease/record.go
+++ b/services/entry/lease/record.go
@@ -28,6 +28,9 @@
 	// Earlier lists the holders before Former that may have sent orders recently, latest first, at most
 	// maxEarlierHolders. Previous versions of the program neither write nor preserve it.
 	Earlier []string `msgpack:",omitempty"`
+	// Era is the era of the store in which the holder took the lease. In a later era the record is from before the store came
+	// back from a copy. Previous versions of the program neither write nor preserve it.
+	Era int64 `msgpack:",omitempty"`
 }
 
 // maxEarlierHolders is the number of holders before the former one in a record. A higher number covers more hand-overs
@@ -80,6 +83,11 @@
 	restartWaitDivisor = 2
 )
 
+// MaxWait returns how long a new holder must send no orders if it is not known who sent orders before.
+func (o Options) MaxWait() time.Duration {
+	return max(o.MinReturnDelay, o.Window+lateOrderTimeouts*o.OrderTimeout)
+}
+
 // Wait returns how long a new holder must send no orders, depending on the record that it replaced.
 func (o Options) Wait(self string, replaced Record, found bool) time.Duration {
 	full := o.Window + lateOrderTimeouts*o.OrderTimeout
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -268,6 +268,7 @@
 			PeerQueueBytes: float64(status.PeerQueueBytes), EndpointsAgeSeconds: status.EndpointsAge.Seconds(),
 			CountsAgeSeconds: status.CountsAge.Seconds(),
 		}
+		gauges.StoreEra = float64(status.StoreEra)
 		gauges.TunnelsOpened = float64(tunnels.Opened())
 		if status.Planning {
 			gauges.Planning = 1
--- a/tests/pinned/entry/encoded_test.go
+++ b/tests/pinned/entry/encoded_test.go
@@ -114,7 +114,7 @@
 // TestPlannerRecord compares the planner's record in the store with the golden file.
 func TestPlannerRecord(t *testing.T) {
 	t.Parallel()
-	run := buildDriver(t, "record", findType(t, "Holder", "Address", "Term", "Ordering", "Released", "Former", "RecentLoads", "Earlier"))
+	run := buildDriver(t, "record", findType(t, "Holder", "Address", "Term", "Ordering", "Released", "Former", "RecentLoads", "Earlier", "Era"))
 	checkGolden(t, "planner_record.txt", run())
 	checkRoundTrip(t, "planner_record.txt", run)
 }
--- a/tests/platform/request_log_test.go
+++ b/tests/platform/request_log_test.go
@@ -154,7 +154,7 @@
 		"../../services/entry/coordinator/planner.go", "../../services/entry/coordinator/lease.go", "../../services/entry/coordinator/status.go",
 		"../../services/entry/coordinator/configuration.go", "../../services/entry/coordinator/endpoints.go", "../../services/entry/process/process.go",
 		"../../services/entry/coordinator/coordinator.go", "../../services/entry/coordinator/handover.go", "../../services/entry/loading/order.go",
-		"../../services/entry/coordinator/seeds.go", "../../services/entry/coordinator/reporting.go",
+		"../../services/entry/coordinator/seeds.go", "../../services/entry/coordinator/reporting.go", "../../services/entry/coordinator/era.go",
 		"../../services/entry/coordinator/views.go", "../../services/entry/coordinator/viewround.go", "../../services/entry/coordinator/gathering.go",
 		"../../services/entry/coordinator/begin.go", "../../services/entry/coordinator/crashes.go", "../../services/entry/coordinator/limits.go",
 		"../../services/entry/coordinator/draining.go", "../../services/entry/coordinator/resting.go",
--- a/tests/platform/store_return_test.go
+++ b/tests/platform/store_return_test.go
@@ -53,6 +53,37 @@
 	assert.Equal(t, first+1, s.Put("op/c", 3), "a revision is given out again")
 }
 
+// TestClientComparesPositionsOfOneHistoryOnly guards against watches and transactions that go on from a revision which the store has again.
+func TestClientComparesPositionsOfOneHistoryOnly(t *testing.T) {
+	s := standin.NewStore()
+	defer s.Close()
+	client := platform.NewStore(netip.MustParseAddrPort(s.Address()))
+	_, err := client.Commit(t.Context(), store.Transaction{Writes: []store.Write{{Key: "own", Value: []byte("1")}}})
+	require.NoError(t, err)
+	earlier := s.Copy()
+	lost, err := client.Commit(t.Context(), store.Transaction{Writes: []store.Write{{Key: "own", Value: []byte("2")}}})
+	require.NoError(t, err)
+	s.ReturnFrom(earlier)
+	other := platform.NewStore(netip.MustParseAddrPort(s.Address()))
+	_, err = other.Get(t.Context(), "own")
+	require.NoError(t, err)
+	again, err := other.Commit(t.Context(), store.Transaction{Writes: []store.Write{{Key: "own", Value: []byte("3")}}})
+	require.NoError(t, err)
+	require.Equal(t, store.RevisionOf(lost), store.RevisionOf(again), "the revision is given out again")
+	assert.Greater(t, again, lost)
+	t.Run("watch", func(t *testing.T) {
+		_, _, err := client.Watch(t.Context(), "own", lost, time.Millisecond)
+		require.ErrorIs(t, err, store.ErrCompacted)
+	})
+	t.Run("transaction", func(t *testing.T) {
+		overwrite := store.Transaction{Conditions: []store.Condition{{Key: "own", Revision: lost}}, Writes: []store.Write{{Key: "own", Value: []byte("4")}}}
+		_, err := client.Commit(t.Context(), overwrite)
+		require.True(t, store.IsConflict(err), "got %v", err)
+		value, _ := s.Value("own")
+		assert.Equal(t, "3", string(value))
+	})
+}
+
 // putConfiguration writes a version of the configuration, with one more route in each version, and returns the path of the newest route.
 func (s *site) putConfiguration(version int) string {
 	more := make(map[string]string)
@@ -150,10 +181,13 @@
 				time.Sleep(leavingTime / 2)
 			}
 			s.store.ReturnFrom(earlier)
-			s.putConfiguration(version)
 			if !before {
 				leaving.Drain()
 			}
+			// The store soon has the revisions again from which the instances watch, with other changes before them.
+			for range 2 * changesBeforeReturn {
+				s.putConfiguration(version)
+			}
 			time.Sleep(leavingTime)
 			arrived := len(leaving.Arrivals())
 			for range 20 {
--- a/tests/platformstandin/store_calls.go
+++ b/tests/platformstandin/store_calls.go
@@ -17,8 +17,7 @@
 	s.mutex.Lock()
 	faults, limited, era := s.faults, s.exceedsRate(), s.era
 	s.mutex.Unlock()
-	switch {
-	case faults.Silent:
+	if faults.Silent {
 		<-request.Context().Done()
 		return
 	}
