--- a/services/entry/coordinator/views.go
+++ b/services/entry/coordinator/views.go
@@ -221,7 +221,9 @@
 	v.Unreachable = &wire.EndpointList{IDs: slices.Collect(maps.Keys(p.unreachable))}
 	v.Tunnels = &wire.TunnelList{Tunnels: p.tunnels}
 	v.Limits = &wire.LimitList{Limits: p.currentLimits(now)}
-	v.EndpointsRevision = p.endpointsRevision
+	// A member removes what the snapshot does not list. Its endpoints may have been removed before this instance knew them, so that no view
+	// tells of it.
+	v.EndpointsRevision = max(p.endpointsRevision, p.coordinator.describedRevision)
 	v.Crashes, v.CrashDetails = wireCrashes(p.coordinator.crashes.Snapshot(now))
 	return v
 }
