Tell the end of a cut-off after its beginning

Found by reading: two connections may begin and end a cut-off at the same time, and the one that began it told so last. The coordinator would then have taken this instance for cut off until the next cut: a planner would have handed over, and no tunnels would have led through it. Now the calls are made one after the other, and each tells the present state.

--- a/services/entry/connect/connector.go
+++ b/services/entry/connect/connector.go
@@ -42,6 +42,8 @@
 	options Options
 	// cutOffChanged is called when this instance begins or ceases to count as cut off from all endpoints.
 	cutOffChanged func(cutOff bool)
+	// notifying is held while cutOffChanged is called, so that its last call tells the last state.
+	notifying sync.Mutex
 	// context ends when the connector is stopped.
 	context context.Context
 	stop    context.CancelFunc
@@ -165,5 +167,7 @@
 	} else {
 		c.options.Log.Info("no longer cut off from all endpoints")
 	}
-	c.cutOffChanged(after)
+	c.notifying.Lock()
+	defer c.notifying.Unlock()
+	c.cutOffChanged(c.CutOff())
 }
