Log how the end of an endpoint's answer was known, and which way it came

Change: package upstream names the framing of an answer and the instance that it came through, and each attempt in the log line has until_close and via where they apply. Nothing is decided by them yet. A connection after an answer to HEAD without a length is reused.

--- a/modules/entry/upstream/exchange.go
+++ b/modules/entry/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -32,6 +33,7 @@
 	conn          *connection
 	written       <-chan error
 	detachContext func() bool
+	framing       Framing
 	bodyRead      bool
 	once          sync.Once
 }
@@ -65,7 +67,7 @@
 		answer.discard()
 		return nil, &ExchangeError{Stage: Sent, Cause: err}
 	}
-	answer.Response = response
+	answer.Response, answer.framing = response, framingOf(response)
 	return answer, nil
 }
 
@@ -132,7 +134,12 @@
 	return nil, ErrForeignAnswer
 }
 
-// Read reads the body; io.EOF means that it was complete.
+// Peer returns the address of the instance through which the answer came; not valid for an answer over an own link.
+func (a *Answer) Peer() netip.AddrPort {
+	return a.conn.peer
+}
+
+// Read reads the body. io.EOF means that it was complete, or, with the framing ByClose, that the endpoint closed the connection.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.Response.Body.Read(buffer)
 	a.conn.recordActivity()
@@ -170,7 +177,7 @@
 	if !a.bodyRead || a.Response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if a.Response.ContentLength < 0 && len(a.Response.TransferEncoding) == 0 {
+	if a.framing == ByClose {
 		return false
 	}
 	return a.requestWritten()
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -42,6 +43,10 @@
 	buffered []byte
 	// status is the status code of the endpoint's response; 0 if there is none.
 	status int
+	// untilClose is set if the endpoint's response ends with its connection; via is the address of the instance through which the
+	// response came, not valid for an own link.
+	untilClose bool
+	via        netip.AddrPort
 	// notice is the notice in the head of the endpoint's response.
 	notice deployment.Notice
 	// running is set when the response shows that the endpoint has started to run the request.
@@ -154,6 +159,7 @@
 	httpResponse := e.response.Response
 	dialect := e.inflight.service.dialect
 	e.status = httpResponse.StatusCode
+	e.untilClose, e.via = e.response.Framing() == upstream.ByClose, e.response.Peer()
 	e.lastReceived = e.inflight.service.options.Now()
 	e.readNotice(httpResponse)
 	e.handling, verdict = attempt.JudgeHead(attempt.Head{
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -91,6 +92,10 @@
 	// endpoint to hold when it was chosen; 0 for none. The endpoint's response states only the version of the base model.
 	VersionDemanded int64 `json:"version_demanded,omitempty"`
 	VersionHeld     int64 `json:"version_held,omitempty"`
+	// UntilClose is set if the endpoint's answer had neither a length nor chunks, so that it ended with its connection.
+	UntilClose bool `json:"until_close,omitempty"`
+	// Via is the address of the instance through which the answer came; not valid for an answer over an own link.
+	Via netip.AddrPort `json:"via,omitzero"`
 	// Ended is how an attempt without a complete response ended; nil for other attempts.
 	Ended *AttemptEnd `json:"ended,omitempty"`
 	// FormerLeftMS is for how much longer a former version was allowed when an endpoint was chosen that holds no newer one, and
