Tell callers the end of an answer as its endpoint told it

Cause: package upstream reports the close as io.EOF, and the proxy took io.EOF for a proof of completeness: it counted a length itself or wrote the last chunk. It read no event boundaries at the end of a stream, and elsewhere only LF LF.

Change: such an answer has the same framing for the caller: neither length nor chunks, ended by the connection. Since a plain close says "whole" there, and the kernel closes plainly for a process that is killed, the caller's connection is set to end with a reset when the head is written, and set back only once the whole answer was handed to the kernel. So do chunks for a caller of HTTP 1.0. A stream that ends inside an event (LF, CR LF, CR; comments belong to none) was broken off, whatever its framing: it is resumed, or ends without its end. A stream that ends with its connection before any event is no answer, and is sent elsewhere or answered with 502.

--- a/modules/callerconn/conn.go
+++ b/modules/callerconn/conn.go
@@ -18,6 +18,8 @@
 	// firstRequestWindow is how long, during a shutdown, a newly accepted connection may still send its first request. A longer window
 	// serves callers that the load balancer sent just before the shutdown; a shorter one completes the shutdown sooner.
 	firstRequestWindow = 250 * time.Millisecond
+	// defaultLinger is the value for net.TCPConn.SetLinger that makes the system send what is left after a close.
+	defaultLinger = -1
 )
 
 // Conn is an accepted connection of a caller.
@@ -185,6 +187,18 @@
 	c.completed++
 }
 
+// SetResetOnClose sets whether the connection ends with a reset when it is closed, also by the end of the process, and then discards bytes that
+// were not sent yet. A nil Conn, as of a connection that another listener accepted, is left unchanged.
+func (c *Conn) SetResetOnClose(enabled bool) error {
+	if c == nil {
+		return nil
+	}
+	if enabled {
+		return c.SetLinger(0)
+	}
+	return c.SetLinger(defaultLinger)
+}
+
 // report returns the report of a connection that has ended.
 func (c *Conn) report() Report {
 	c.mutex.Lock()
--- a/services/entry/proxy/event_buffer.go
+++ b/services/entry/proxy/event_buffer.go
@@ -9,6 +9,7 @@
 // events of the next endpoint start at an event boundary.
 type eventBuffer struct {
 	wholeOnly   bool
+	scanner     eventScanner
 	pending     []byte
 	lastEventID string
 }
@@ -26,33 +27,27 @@
 	return &eventBuffer{wholeOnly: wholeOnly}
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+var idField = []byte("id:")
 
 // add adds bytes of the stream and returns those that may be forwarded; the result is valid until the next call.
 func (b *eventBuffer) add(content []byte) []byte {
+	end := b.scanner.scan(content)
 	if !b.wholeOnly {
 		return content
 	}
-	// The pending bytes contain no event end, but may end with the first byte of one.
-	searched := max(0, len(b.pending)-len(eventEnd)+1)
-	b.pending = append(b.pending, content...)
-	end := bytes.LastIndex(b.pending[searched:], eventEnd)
-	if end < 0 {
+	if end == 0 {
+		b.pending = append(b.pending, content...)
 		return nil
 	}
-	end += searched + len(eventEnd)
-	whole := append([]byte(nil), b.pending[:end]...)
-	b.pending = append(b.pending[:0], b.pending[end:]...)
+	whole := append(b.pending, content[:end]...)
+	b.pending = append([]byte(nil), content[end:]...)
 	b.recordID(whole)
 	return whole
 }
 
 // recordID records the id of the last event that has one.
 func (b *eventBuffer) recordID(whole []byte) {
-	for _, line := range bytes.Split(whole, []byte("\n")) {
+	for _, line := range bytes.FieldsFunc(whole, isLineEnd) {
 		if bytes.HasPrefix(line, idField) {
 			b.lastEventID = string(bytes.TrimSpace(line[len(idField):]))
 		}
@@ -67,7 +62,12 @@
 	return b.lastEventID
 }
 
-// incompleteEvent returns the bytes that followed the last complete event.
-func (b *eventBuffer) incompleteEvent() []byte {
+// incomplete returns the bytes that followed the last complete event and were not returned by add.
+func (b *eventBuffer) incomplete() []byte {
 	return b.pending
 }
+
+// insideEvent reports whether the stream so far ends inside an event, so that it was interrupted if nothing follows.
+func (b *eventBuffer) insideEvent() bool {
+	return b.scanner.insideEvent()
+}
--- a/services/entry/proxy/forwarding.go
+++ b/services/entry/proxy/forwarding.go
@@ -49,18 +49,31 @@
 	return attempt.Undelivered()
 }
 
+// bodyEnd returns how the caller is told the end of the response's body: as the endpoint told it, so that the caller gets no proof of
+// completeness that the endpoint did not give.
+func (e *exchange) bodyEnd() bodyEnd {
+	return bodyEnd{length: e.response.Response.ContentLength, untilClose: e.untilClose}
+}
+
 // forwardBuffered forwards a response that was buffered completely.
 func (e *exchange) forwardBuffered() {
-	e.inflight.response.writeHead(e.response.Response, int64(len(e.buffered)))
-	// A write error is ignored: the caller has disconnected, but the endpoint's response was complete.
-	_ = e.inflight.response.write(e.buffered)
+	end := e.bodyEnd()
+	if !end.untilClose {
+		end.length = int64(len(e.buffered))
+	}
+	response := e.inflight.response
+	response.writeHead(e.response.Response, end)
+	// Errors are ignored: the caller has disconnected, but the endpoint's response was complete.
+	if response.write(e.buffered) == nil && end.untilClose {
+		_ = response.finish()
+	}
 	e.discard()
 }
 
 // forwardLarge forwards a response whose buffered beginning is content.
 func (e *exchange) forwardLarge(content []byte) attempt.Verdict {
 	defer e.discard()
-	e.inflight.response.writeHead(e.response.Response, e.response.Response.ContentLength)
+	e.inflight.response.writeHead(e.response.Response, e.bodyEnd())
 	if err := e.inflight.response.write(content); err != nil {
 		return e.endUndelivered()
 	}
@@ -74,8 +87,7 @@
 			e.lastReceived = e.inflight.service.options.Now()
 		}
 		if errors.Is(err, io.EOF) {
-			// Flush while the write deadline still applies.
-			if e.inflight.response.flush() != nil {
+			if e.inflight.response.finish() != nil {
 				return e.endUndelivered()
 			}
 			return attempt.Delivered()
--- a/services/entry/proxy/response_writer.go
+++ b/services/entry/proxy/response_writer.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/shelfledge/shelfledge/modules/callerconn"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
@@ -18,12 +19,35 @@
 type responseWriter struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
-	now        func() time.Time
+	incoming   *http.Request
+	// resetOnClose makes the caller's connection end with a reset, or no longer.
+	resetOnClose func(enabled bool) error
+	now          func() time.Time
 	// timer returns the time at which a Go timer must fire for a time on the clock of now.
 	timer func(at time.Time) time.Time
 	// status is the status code of the response; 0 before the head was written.
 	status        int
 	headWrittenAt time.Time
+	// untilClose is set if the end of the response is told by the end of the connection.
+	untilClose bool
+}
+
+// bodyEnd is how the end of a response's body is told to the caller.
+type bodyEnd struct {
+	// length is the length of the body in bytes, or unknownLength.
+	length int64
+	// untilClose is set if neither a length nor chunks are sent, and the body ends with the connection.
+	untilClose bool
+}
+
+const unknownLength = -1
+
+func newResponseWriter(writer http.ResponseWriter, incoming *http.Request, options Options) *responseWriter {
+	conn := callerconn.FromContext(incoming.Context())
+	return &responseWriter{
+		writer: writer, controller: http.NewResponseController(writer), incoming: incoming, resetOnClose: conn.SetResetOnClose,
+		now: options.Now, timer: options.Timer,
+	}
 }
 
 // refuse writes an error response that this instance generates itself.
@@ -101,8 +125,8 @@
 	_, _ = io.CopyN(io.Discard, body, maxLingerBytes)
 }
 
-// writeHead writes the head of an endpoint's response to the caller; length is -1 if it is unknown.
-func (w *responseWriter) writeHead(response *http.Response, length int64) {
+// writeHead writes the head of an endpoint's response to the caller.
+func (w *responseWriter) writeHead(response *http.Response, end bodyEnd) {
 	header := w.writer.Header()
 	copyEndToEndHeaders(header, response.Header)
 	for _, added := range []string{"Date", "Content-Type"} {
@@ -112,12 +136,35 @@
 		}
 	}
 	header.Del("Content-Length")
-	if length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	if end.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(end.length, 10))
 	}
+	w.beginUntilClose(response, end)
 	w.writeStatus(response.StatusCode)
 }
 
+// beginUntilClose prepares a response whose end is told by the end of the connection. Any end but the proper one must then be a reset, also
+// the end of the process, or the caller would take what it has for the whole response.
+func (w *responseWriter) beginUntilClose(response *http.Response, end bodyEnd) {
+	chunked := !end.untilClose && w.incoming.ProtoAtLeast(1, 1)
+	if response.Body == http.NoBody || end.length >= 0 || chunked {
+		return
+	}
+	w.untilClose = true
+	// On this value, net/http sends neither a length nor chunks, and closes the connection after the response.
+	w.writer.Header().Set("Transfer-Encoding", "identity")
+	// An error means that the connection has ended, which the next write reports.
+	_ = w.resetOnClose(true)
+}
+
+// finish ends a response that was written completely. It is flushed while the write deadline still applies.
+func (w *responseWriter) finish() error {
+	if err := w.flush(); err != nil || !w.untilClose {
+		return err
+	}
+	return w.resetOnClose(false)
+}
+
 func (w *responseWriter) writeStatus(status int) {
 	w.status = status
 	w.headWrittenAt = w.now()
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -92,7 +92,7 @@
 	if s.options.Leaving() {
 		writer.Header().Set("Connection", "close")
 	}
-	response := &responseWriter{writer: writer, controller: http.NewResponseController(writer), now: s.options.Now, timer: s.options.Timer}
+	response := newResponseWriter(writer, incoming, s.options)
 	defer s.recoverPanic(response)
 	configuration := s.control.Configuration()
 	if configuration == nil {
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"io"
+	"net/http"
+	"strings"
 
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
@@ -16,13 +18,28 @@
 	events   *eventBuffer
 	// headPending is set if the response head must be written before the first bytes; for a resumed stream it was written before.
 	headPending bool
+	// opaque is set if the body is no stream of events, so that only its framing shows whether it is complete.
+	opaque bool
+}
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isOpaque reports whether a response names another media type than that of events.
+func isOpaque(header http.Header) bool {
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType != "" && !strings.EqualFold(mediaType, eventStreamType)
 }
 
 // forwardStream forwards the events of a stream as they arrive, and writes the head right before the first of them if headPending is
 // set. While a write to a slow caller blocks, hedging is paused: the endpoint is not silent then.
 func (e *exchange) forwardStream(headPending bool, hedging *hedge) attempt.Verdict {
 	defer e.discard()
-	s := &stream{exchange: e, events: newEventBuffer(e.inflight.request.Route.Resumable), headPending: headPending}
+	s := &stream{
+		exchange: e, events: newEventBuffer(e.inflight.request.Route.Resumable), headPending: headPending,
+		opaque: isOpaque(e.response.Response.Header),
+	}
 	buffer := make([]byte, readBufferSize)
 	hedging.resume()
 	for {
@@ -54,11 +71,11 @@
 	}
 	s.headPending = false
 	httpResponse := s.exchange.response.Response
-	length := httpResponse.ContentLength
+	body := s.exchange.bodyEnd()
 	if s.events.wholeOnly {
-		length = -1
+		body.length = unknownLength
 	}
-	s.exchange.inflight.response.writeHead(httpResponse, length)
+	s.exchange.inflight.response.writeHead(httpResponse, body)
 }
 
 // forward forwards the received bytes, or only complete events if the stream may be resumed. It returns false if the caller accepts
@@ -78,12 +95,20 @@
 	return true
 }
 
-// finish forwards the bytes after the last complete event of a stream that ended regularly.
+// finish ends a stream whose endpoint ended it, and forwards the bytes after the last complete event. A stream that ends inside an event
+// was interrupted, whatever its framing, and so was one that ended with its connection before any event.
 func (s *stream) finish() attempt.Verdict {
+	e := s.exchange
+	if (s.events.insideEvent() && !s.opaque) || (s.headPending && e.untilClose && len(s.events.incomplete()) == 0) {
+		return attempt.JudgeInterrupted(e.situation())
+	}
 	s.forwardHead()
-	incompleteEvent := s.events.incompleteEvent()
-	if len(incompleteEvent) > 0 && (s.exchange.inflight.response.write(incompleteEvent) != nil || s.exchange.inflight.response.flush() != nil) {
-		return s.exchange.endUndelivered()
+	rest := s.events.incomplete()
+	if len(rest) > 0 && e.inflight.response.write(rest) != nil {
+		return e.endUndelivered()
+	}
+	if e.inflight.response.finish() != nil {
+		return e.endUndelivered()
 	}
 	return attempt.Delivered()
 }
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -93,6 +93,8 @@
 	BreakAfter int
 	// Breaks is how many of the next streams are interrupted.
 	Breaks int
+	// UntilClose makes answers end with their connection, with neither a length nor chunks.
+	UntilClose bool
 	// Extras is how many of the next answers are sent twice on their connection.
 	Extras int
 	// Unsealed is how many of the next answers lack the seal header of the worker.
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -220,8 +220,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.mutex.Lock()
-	extra, unsealed := take(&w.faults.Extras), take(&w.faults.Unsealed)
+	extra, unsealed, untilClose := take(&w.faults.Extras), take(&w.faults.Unsealed), w.faults.UntilClose
 	w.mutex.Unlock()
+	if untilClose {
+		// On this value, net/http writes neither a length nor chunks, and closes the connection after the answer.
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
 	writer.Header().Set(HeaderRequestID, run.ID)
 	if !unsealed {
 		writer.Header().Set(HeaderSeal, w.options.ID+"."+run.ID)
