Log which stream a request takes up

Change: the platform's dialect reads Last-Event-Id and Resumes, and the line of such a request has after_event and begun_as. Nothing is decided by them yet.

Measured: tests/pinned has one more shape of the line, that of a request that takes a stream up; no other one changed.

--- a/services/entry/proxy/dialect.go
+++ b/services/entry/proxy/dialect.go
@@ -18,6 +18,10 @@
 	Adapter deployment.Adapter
 	// PromptTokens is the declared length of the prompt in tokens; 0 if the caller did not specify it.
 	PromptTokens int
+	// LastEvent is the id of the last event that the caller has of a stream that it takes up; empty for a new request. BegunAs is the ID of the
+	// caller's attempt that got the first event; empty if the caller did not specify it.
+	LastEvent string
+	BegunAs   string
 	// Timeout is how long the caller waits after the request's arrival; 0 if the caller did not specify it.
 	Timeout time.Duration
 }
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -24,6 +24,9 @@
 	Adapter string
 	// Fingerprint identifies the content of the request; a repeated request has the same fingerprint.
 	Fingerprint fingerprint.Fingerprint
+	// LastEvent and BegunAs are those of the caller's header; empty for a request that takes up no stream.
+	LastEvent string
+	BegunAs   string
 	// Status is 0 if the connection was closed without a response; CallerAddress is then the address of the caller, and empty otherwise.
 	Status        int
 	CallerAddress string
@@ -126,6 +129,7 @@
 func (s *Service) observe(r *inflight) {
 	observation := Observation{
 		ID: r.request.ID, Fingerprint: r.request.Fingerprint, Route: r.request.Route.Name, Service: r.request.Service, Adapter: r.request.Adapter.String(),
+		LastEvent: r.caller.LastEvent, BegunAs: r.caller.BegunAs,
 		Status: r.response.status, Reason: string(r.reason), Attempts: r.records, Whole: s.options.Now().Sub(r.request.Arrived),
 	}
 	if r.response.status == 0 {
@@ -163,6 +167,9 @@
 	if o.CallerAddress != "" {
 		fields["caller"] = o.CallerAddress
 	}
+	if o.LastEvent != "" {
+		fields["after_event"], fields["begun_as"] = truncateForLog(o.LastEvent), truncateForLog(o.BegunAs)
+	}
 	if o.CrashedEndpoint() {
 		fields["fingerprint"] = o.Fingerprint.String()
 	}
