--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -25,7 +25,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
-	"github.com/shelfledge/shelfledge/modules/callerconn"
 	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
@@ -120,20 +119,6 @@
 	return p, startServer(t, service)
 }
 
-// startServer serves callers over connections of package callerconn, as the program does.
-func startServer(t *testing.T, handler http.Handler) *httptest.Server {
-	t.Helper()
-	server := httptest.NewUnstartedServer(handler)
-	listener := callerconn.NewListener(server.Listener.(*net.TCPListener), callerconn.Options{
-		MaxIdleTime: func() time.Duration { return time.Minute }, OnClose: func(callerconn.Report) {}, Now: time.Now,
-	})
-	server.Listener = listener
-	server.Config.ConnContext, server.Config.ConnState = callerconn.WithConn, listener.StateChanged
-	server.Start()
-	t.Cleanup(server.Close)
-	return server
-}
-
 // testDialect returns the dialect of the tests, with a call of onHead for each response head.
 func (p *testProxy) testDialect() proxy.Dialect {
 	d := testDialect()
