Test that the events of a stream do not depend on where its reads end

Cause: the scanner of event boundaries was tested by whole answers only, not by line ends that two reads share.

--- /dev/null
+++ b/services/entry/proxy/export_test.go
@@ -0,0 +1,34 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+// EventBuffer gives tests access to the splitting of a stream into events.
+type EventBuffer struct {
+	events *eventBuffer
+}
+
+// NewEventBuffer returns a buffer for a stream that may be resumed if wholeOnly is set.
+func NewEventBuffer(wholeOnly bool) EventBuffer {
+	return EventBuffer{events: newEventBuffer(wholeOnly)}
+}
+
+// Add adds bytes of the stream and returns a copy of those that may be forwarded.
+func (b EventBuffer) Add(content []byte) string {
+	return string(b.events.add(content))
+}
+
+// Incomplete returns the bytes that were not returned by Add.
+func (b EventBuffer) Incomplete() string {
+	return string(b.events.incomplete())
+}
+
+// InsideEvent reports whether the stream so far ends inside an event.
+func (b EventBuffer) InsideEvent() bool {
+	return b.events.insideEvent()
+}
+
+// LastID returns the id of the last complete event that had one.
+func (b EventBuffer) LastID() string {
+	return b.events.lastEventID
+}
