Show that answers to HEAD state the length 0, failing

Cause: a buffered answer states the length of the body that was read, which an answer to HEAD doesn't have.

--- a/services/entry/proxy/framing_test.go
+++ b/services/entry/proxy/framing_test.go
@@ -31,6 +31,8 @@
 type framedResponse struct {
 	framing callerFraming
 	body    string
+	// length is the length of the body that the head states, or -1.
+	length int64
 	// looksComplete is set if the caller has to take the body for the whole one.
 	looksComplete bool
 }
@@ -53,7 +55,7 @@
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	return framedResponse{framing: framingOf(response), body: string(content), looksComplete: err == nil}
+	return framedResponse{framing: framingOf(response), body: string(content), length: response.ContentLength, looksComplete: err == nil}
 }
 
 func framingOf(response *http.Response) callerFraming {
@@ -81,32 +83,32 @@
 		scripts        []string
 		want           framedResponse
 	}{
-		"small answer":                 {"/unsafe", http11, []string{untilClose("whole")}, framedResponse{framedByClose, "whole", true}},
-		"large answer":                 {"/safe", http11, []string{untilClose(large)}, framedResponse{framedByClose, large, true}},
-		"small answer with a length":   {"/safe", http11, []string{fixedResponse(200, endpointMarkHeader, "whole")}, framedResponse{framedByLength, "whole", true}},
-		"stream":                       {"/stream", http11, []string{untilClose(firstEvent, secondEvent)}, framedResponse{framedByClose, firstEvent + secondEvent, true}},
-		"stream with a comment at end": {"/stream", http11, []string{untilClose(firstEvent, ": end\n")}, framedResponse{framedByClose, firstEvent + ": end\n", true}},
-		"stream, lines end with CR LF": {"/stream", http11, []string{untilClose(crlf(firstEvent))}, framedResponse{framedByClose, crlf(firstEvent), true}},
-		"stream, lines end with CR":    {"/stream", http11, []string{untilClose(cr(firstEvent))}, framedResponse{framedByClose, cr(firstEvent), true}},
-		"resumable, CR LF":             {"/resumable", http11, []string{untilClose(crlf(firstEvent + secondEvent))}, framedResponse{framedByClose, crlf(firstEvent + secondEvent), true}},
-		"resumable, CR":                {"/resumable", http11, []string{untilClose(cr(firstEvent + secondEvent))}, framedResponse{framedByClose, cr(firstEvent + secondEvent), true}},
-		"broken inside an event":       {"/stream", http11, []string{untilClose(firstEvent, "id: 2\ndata: ha")}, framedResponse{framedByClose, "", false}},
-		"broken before the empty line": {"/stream", http11, []string{untilClose(firstEvent, "id: 2\ndata: b\n")}, framedResponse{framedByClose, "", false}},
-		"broken inside a CR LF event":  {"/stream", http11, []string{untilClose(crlf(firstEvent + "id: 2\ndata: b\n"))}, framedResponse{framedByClose, "", false}},
+		"small answer":                 {"/unsafe", http11, []string{untilClose("whole")}, framedResponse{framing: framedByClose, body: "whole", looksComplete: true}},
+		"large answer":                 {"/safe", http11, []string{untilClose(large)}, framedResponse{framing: framedByClose, body: large, looksComplete: true}},
+		"small answer with a length":   {"/safe", http11, []string{fixedResponse(200, endpointMarkHeader, "whole")}, framedResponse{framing: framedByLength, body: "whole", looksComplete: true}},
+		"stream":                       {"/stream", http11, []string{untilClose(firstEvent, secondEvent)}, framedResponse{framing: framedByClose, body: firstEvent + secondEvent, looksComplete: true}},
+		"stream with a comment at end": {"/stream", http11, []string{untilClose(firstEvent, ": end\n")}, framedResponse{framing: framedByClose, body: firstEvent + ": end\n", looksComplete: true}},
+		"stream, lines end with CR LF": {"/stream", http11, []string{untilClose(crlf(firstEvent))}, framedResponse{framing: framedByClose, body: crlf(firstEvent), looksComplete: true}},
+		"stream, lines end with CR":    {"/stream", http11, []string{untilClose(cr(firstEvent))}, framedResponse{framing: framedByClose, body: cr(firstEvent), looksComplete: true}},
+		"resumable, CR LF":             {"/resumable", http11, []string{untilClose(crlf(firstEvent + secondEvent))}, framedResponse{framing: framedByClose, body: crlf(firstEvent + secondEvent), looksComplete: true}},
+		"resumable, CR":                {"/resumable", http11, []string{untilClose(cr(firstEvent + secondEvent))}, framedResponse{framing: framedByClose, body: cr(firstEvent + secondEvent), looksComplete: true}},
+		"broken inside an event":       {"/stream", http11, []string{untilClose(firstEvent, "id: 2\ndata: ha")}, framedResponse{framing: framedByClose, body: "", looksComplete: false}},
+		"broken before the empty line": {"/stream", http11, []string{untilClose(firstEvent, "id: 2\ndata: b\n")}, framedResponse{framing: framedByClose, body: "", looksComplete: false}},
+		"broken inside a CR LF event":  {"/stream", http11, []string{untilClose(crlf(firstEvent + "id: 2\ndata: b\n"))}, framedResponse{framing: framedByClose, body: "", looksComplete: false}},
 		"broken inside an event, with the last chunk": {
-			"/stream", http11, []string{chunkedResponse(firstEvent, "id: 2\ndata: ha") + lastChunk}, framedResponse{framedByChunks, "", false},
+			"/stream", http11, []string{chunkedResponse(firstEvent, "id: 2\ndata: ha") + lastChunk}, framedResponse{framing: framedByChunks, body: "", looksComplete: false},
 		},
 		"resumable, broken inside an event": {
 			"/resumable", http11, []string{untilClose(firstEvent, "id: 2\nda"), chunkedResponse(secondEvent) + lastChunk},
-			framedResponse{framedByClose, firstEvent + secondEvent, true},
+			framedResponse{framing: framedByClose, body: firstEvent + secondEvent, looksComplete: true},
 		},
 		"resumable, broken inside a CR LF event": {
 			"/resumable", http11, []string{untilClose(crlf(firstEvent), "id: 2\r\nda"), chunkedResponse(crlf(secondEvent)) + lastChunk},
-			framedResponse{framedByClose, crlf(firstEvent + secondEvent), true},
+			framedResponse{framing: framedByClose, body: crlf(firstEvent + secondEvent), looksComplete: true},
 		},
-		"resumable, broken again":            {"/resumable", http11, []string{untilClose(firstEvent, "id: 2"), untilClose("id: 2\n")}, framedResponse{framedByClose, "", false}},
-		"chunks cut off, caller of HTTP 1.0": {"/stream", http10, []string{chunkedResponse(firstEvent)}, framedResponse{framedByClose, "", false}},
-		"chunks, caller of HTTP 1.0":         {"/stream", http10, []string{chunkedResponse(firstEvent) + lastChunk}, framedResponse{framedByClose, firstEvent, true}},
+		"resumable, broken again":            {"/resumable", http11, []string{untilClose(firstEvent, "id: 2"), untilClose("id: 2\n")}, framedResponse{framing: framedByClose, body: "", looksComplete: false}},
+		"chunks cut off, caller of HTTP 1.0": {"/stream", http10, []string{chunkedResponse(firstEvent)}, framedResponse{framing: framedByClose, body: "", looksComplete: false}},
+		"chunks, caller of HTTP 1.0":         {"/stream", http10, []string{chunkedResponse(firstEvent) + lastChunk}, framedResponse{framing: framedByClose, body: firstEvent, looksComplete: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, server := newTestProxy(t, test.scripts...)
@@ -120,3 +122,27 @@
 		})
 	}
 }
+
+// TestHeadTellsLengthOfEndpoint guards against answers to HEAD that state the length of the body that was not sent, which is 0.
+func TestHeadTellsLengthOfEndpoint(t *testing.T) {
+	const unknownLength = -1
+	for name, test := range map[string]struct {
+		head   string
+		length int64
+	}{
+		"length":    {"HTTP/1.1 200 OK\r\nMark: 1\r\nContent-Length: 123456\r\n\r\n", 123456},
+		"empty":     {"HTTP/1.1 200 OK\r\nMark: 1\r\nContent-Length: 0\r\n\r\n", 0},
+		"no length": {untilClose(), unknownLength},
+		"chunks":    {"HTTP/1.1 200 OK\r\nMark: 1\r\nTransfer-Encoding: chunked\r\n\r\n", unknownLength},
+		"error":     {"HTTP/1.1 500 Error\r\nMark: 1\r\nContent-Length: 12\r\n\r\n", 12},
+	} {
+		for _, path := range []string{"/safe", "/unsafe", "/stream"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				_, server := newTestProxy(t, test.head)
+				got := sendRaw(t, server, http.MethodHead, path, "HTTP/1.1")
+				assert.Equal(t, test.length, got.length)
+				assert.Equal(t, framedNoBody, got.framing)
+			})
+		}
+	}
+}
