State the endpoint's length in answers to HEAD

Cause: forwardBuffered stated the length of the body that it had read, which is 0 for HEAD. Change: the length is counted only for a body in chunks, whose last chunk was read. In all other cases the head already tells it, or doesn't. Measured: TestHeadTellsLengthOfEndpoint failed in 9 of 15 cases and passes, as does the rest of the package.

--- a/services/entry/proxy/forwarding.go
+++ b/services/entry/proxy/forwarding.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 
+	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
@@ -58,7 +59,7 @@
 // forwardBuffered forwards a response that was buffered completely.
 func (e *exchange) forwardBuffered() {
 	end := e.bodyEnd()
-	if !end.untilClose {
+	if e.response.Framing() == upstream.ByChunks {
 		end.length = int64(len(e.buffered))
 	}
 	response := e.inflight.response
