Don't take a reset during a request for the end of an answer

Cause: an answer without a length ends with its connection, and Answer.Read took io.EOF for the endpoint's close. If the request is still being written, its write may have got the error of the connection before. Change: after io.EOF in such an answer, while the request isn't written completely, the state of the connection decides: a proper end closes one direction, a reset or a time-out both. Package tcpstate reads it.

--- a/modules/entry/upstream/exchange.go
+++ b/modules/entry/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/shelfledge/shelfledge/modules/tcpstate"
 )
 
 // maxForeignAnswers is how many answers to other requests, or interim answers, are skipped before a connection is closed. A higher value
@@ -146,12 +148,29 @@
 	if n > 0 {
 		a.client.recordReceived(a.conn)
 	}
-	if err == io.EOF {
-		a.bodyRead = true
+	if err != io.EOF {
+		return n, err
+	}
+	if a.framing == ByClose && a.endedDuringRequest() {
+		return n, io.ErrUnexpectedEOF
 	}
+	a.bodyRead = true
 	return n, err
 }
 
+// endedDuringRequest reports whether the connection ended otherwise than by a proper end while the request was being written. The write may
+// have got the error instead of the read.
+func (a *Answer) endedDuringRequest() bool {
+	select {
+	case err := <-a.written:
+		if err == nil {
+			return false
+		}
+	default:
+	}
+	return tcpstate.IsClosed(a.conn.Conn)
+}
+
 // Buffered reports whether more of the answer has arrived than was read.
 func (a *Answer) Buffered() bool {
 	return a.conn.reader.Buffered() > 0
