Pass on a reset over a tunnel as a reset while a request is written

Cause: each direction of a tunnel passed on io.EOF as a proper end. If the endpoint resets its connection while the other direction writes to it, the write may get the error and the read io.EOF. Change: io.EOF is passed on only if no write to that connection is under way or has failed, or if the system still holds the connection half open.

--- a/modules/entry/tunnel/splice.go
+++ b/modules/entry/tunnel/splice.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shelfledge/shelfledge/modules/entry/tcp"
+	"github.com/shelfledge/shelfledge/modules/tcpstate"
 )
 
 const (
@@ -23,7 +25,30 @@
 
 // splice connects a connection from another instance with one to an endpoint.
 type splice struct {
-	caller, endpoint net.Conn
+	caller, endpoint *side
+}
+
+// side is one of the two connections of a splice.
+type side struct {
+	net.Conn
+	// unwritten is set while a write is under way, and after one that failed.
+	unwritten atomic.Bool
+}
+
+// Write implements net.Conn.
+func (s *side) Write(content []byte) (int, error) {
+	s.unwritten.Store(true)
+	n, err := s.Conn.Write(content)
+	if err == nil {
+		s.unwritten.Store(false)
+	}
+	return n, err
+}
+
+// endedProperly reports whether the end of the connection, which a read has reported, was a proper one. After a reset, the write of the other
+// direction may have got the error instead of the read.
+func (s *side) endedProperly() bool {
+	return !s.unwritten.Load() || !tcpstate.IsClosed(s.Conn)
 }
 
 // newSplice returns a splice that copies nothing until run is called. The connections are reset when they are closed, also by the end of
@@ -36,7 +61,7 @@
 			_ = tcp.EnableKeepAlive(tcpConn, probeTimeout)
 		}
 	}
-	return &splice{caller: caller, endpoint: endpoint}
+	return &splice{caller: &side{Conn: caller}, endpoint: &side{Conn: endpoint}}
 }
 
 // run copies bytes in both directions and returns at once; ended is called when both directions have ended.
@@ -52,10 +77,10 @@
 }
 
 // copy copies one direction. A proper end is passed on, and any other end resets both connections.
-func (s *splice) copy(to, from net.Conn) {
+func (s *splice) copy(to, from *side) {
 	// The wrappers hide the methods by which io would copy inside the kernel, which takes a pipe for each direction.
 	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBytes))
-	if err != nil || closeWrite(to) != nil {
+	if err != nil || !from.endedProperly() || closeWrite(to.Conn) != nil {
 		s.reset()
 	}
 }
