Don't take a bare head for the rest of a resumed stream

Seen by callers: a stream that had been broken off looked whole if the endpoint that resumed it closed its connection right after a head without a length or chunks.

Cause: such an end was taken for an interruption only before the first event of the stream, not before the first byte of a resumed part.

Change: an answer without a length or chunks that ends before its first byte is an interruption in both cases, since it is what an endpoint that breaks off right after its head looks like.

--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -18,6 +18,8 @@
 	events   *eventBuffer
 	// headPending is set if the response head must be written before the first bytes; for a resumed stream it was written before.
 	headPending bool
+	// received is set once a byte of the body was received.
+	received bool
 	// opaque is set if the body is no stream of events, so that only its framing shows whether it is complete.
 	opaque bool
 }
@@ -81,6 +83,7 @@
 // forward forwards the received bytes, or only complete events if the stream may be resumed. It returns false if the caller accepts
 // no more data.
 func (s *stream) forward(content []byte) bool {
+	s.received = true
 	whole := s.events.add(content)
 	if len(whole) == 0 {
 		return true
@@ -96,10 +99,10 @@
 }
 
 // finish ends a stream whose endpoint ended it, and forwards the bytes after the last complete event. A stream that ends inside an event
-// was interrupted, whatever its framing, and so was one that ended with its connection before any event.
+// was interrupted, whatever its framing, and so was one that ended with its connection right after its head.
 func (s *stream) finish() attempt.Verdict {
 	e := s.exchange
-	if (s.events.insideEvent() && !s.opaque) || (s.headPending && e.untilClose && len(s.events.incomplete()) == 0) {
+	if (s.events.insideEvent() && !s.opaque) || (e.untilClose && !s.received) {
 		return attempt.JudgeInterrupted(e.situation())
 	}
 	s.forwardHead()
