Tell all instances the software of each endpoint

Cause: endpoints of several software versions may serve side by side, and a stream may go on only at the software that began it. An endpoint's entry names its software, but only the presence of the field was checked. Change: a description holds the software. The pinned messages gain the two fields, without other changes. Measured: unit tests of platform, directory, wire, coordinator and the pinned messages pass.

--- a/models/entry/deployment/endpoint.go
+++ b/models/entry/deployment/endpoint.go
@@ -50,6 +50,8 @@
 	Address netip.AddrPort
 	// Hall is the part of the site where the endpoint is located.
 	Hall string
+	// Software is the version of the endpoint's software; empty if unknown. It is the same for the whole life of an incarnation.
+	Software string
 	// Slots is how many requests the endpoint runs concurrently; 0 if it did not report a number.
 	Slots int
 	State EndpointState
--- a/services/entry/coordinator/descriptions_test.go
+++ b/services/entry/coordinator/descriptions_test.go
@@ -51,8 +51,10 @@
 			if test.known {
 				assert.Empty(t, v.Endpoints)
 				assert.Equal(t, []wire.KnownEndpoints{{Models: []string{"base"}, IDs: []deployment.EndpointID{"e1"}}}, v.DescribedEndpoints)
+				assert.Equal(t, []string{software}, v.DescribedSoftware, "a member may have the descriptions without the software")
 			} else {
 				assert.Len(t, v.Endpoints, 1)
+				assert.Equal(t, []wire.SoftwareEndpoints{{Software: software, IDs: []deployment.EndpointID{"e1"}}}, v.Software)
 				assert.Empty(t, v.DescribedEndpoints)
 			}
 			awaitMessage(t, stream, func(m wire.Message) bool { return m.View != nil && m.View.Probe == 1 })
--- a/services/entry/coordinator/fixture_test.go
+++ b/services/entry/coordinator/fixture_test.go
@@ -209,13 +209,16 @@
 // endpointWithoutModel is the value of the key of an endpoint that has never held the base model.
 const endpointWithoutModel = "empty"
 
+// software is the software of each endpoint in the store.
+const software = "v1"
+
 func parseEndpoint(item store.Item) (deployment.Endpoint, error) {
 	if string(item.Value) == invalidEntry {
 		return deployment.Endpoint{}, errInvalidEntry
 	}
 	endpoint := deployment.Endpoint{
 		ID: deployment.EndpointID(strings.TrimPrefix(item.Key, endpointPrefix)), Service: service, Hall: "hall",
-		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Adapters: make(map[deployment.Adapter]int64),
+		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Software: software, Adapters: make(map[deployment.Adapter]int64),
 	}
 	if string(item.Value) != endpointWithoutModel {
 		endpoint.Models, endpoint.CachedModels = []string{"base"}, []string{"base"}
--- a/services/entry/coordinator/follower.go
+++ b/services/entry/coordinator/follower.go
@@ -314,11 +314,11 @@
 	}
 }
 
-// applyKnownEndpoints applies the models on offer at endpoints that a snapshot lists without descriptions, because the
+// applyKnownEndpoints applies the software and the models on offer at endpoints that a snapshot lists without descriptions, because the
 // planner assumes that this instance has them. The copies are applied afterwards. If an endpoint is not known here, a
 // snapshot that describes all endpoints is requested.
 func (c *Coordinator) applyKnownEndpoints(v *wire.View) {
-	for _, known := range v.DescribedEndpoints {
+	for i, known := range v.DescribedEndpoints {
 		for _, id := range known.IDs {
 			if c.directory.Endpoint(id) == nil {
 				c.describedRevision = 0
@@ -326,6 +326,7 @@
 			}
 			if !c.hasNewerDescription(v, id) {
 				c.directory.SetOffered(id, known.Models, nil)
+				c.directory.LearnSoftware(id, v.DescribedSoftwareOf(i))
 			}
 		}
 	}
--- a/services/entry/coordinator/sentendpoints.go
+++ b/services/entry/coordinator/sentendpoints.go
@@ -22,6 +22,7 @@
 	status   *directory.EndpointStatus
 	revision int64
 	state    deployment.EndpointState
+	software string
 	models   []string
 	offered  map[deployment.Adapter]int64
 }
@@ -33,17 +34,24 @@
 	}
 	for _, status := range changed {
 		former, ok := t[status.ID]
-		if ok && former.status == status && former.revision == status.Revision && former.state == status.State && slices.Equal(former.models, status.OfferedModels) {
+		if ok && former.describes(status) {
 			v.CopyChanges = append(v.CopyChanges, former.copyChanges(status)...)
 		} else {
 			v.AddEndpoints(slices.Values([]*directory.EndpointStatus{status}))
 		}
 		t[status.ID] = sentEndpoint{
-			status: status, revision: status.Revision, state: status.State, models: slices.Clone(status.OfferedModels), offered: maps.Clone(status.Offered),
+			status: status, revision: status.Revision, state: status.State, software: status.Software,
+			models: slices.Clone(status.OfferedModels), offered: maps.Clone(status.Offered),
 		}
 	}
 }
 
+// describes reports whether the endpoint, apart from its copies, is as it was last sent.
+func (e *sentEndpoint) describes(status *directory.EndpointStatus) bool {
+	return e.status == status && e.revision == status.Revision && e.state == status.State && e.software == status.Software &&
+		slices.Equal(e.models, status.OfferedModels)
+}
+
 // copyChanges returns the copies that were loaded or unloaded since the endpoint was last sent.
 func (e sentEndpoint) copyChanges(status *directory.EndpointStatus) []wire.CopyChange {
 	var changes []wire.CopyChange
--- a/services/entry/coordinator/viewround.go
+++ b/services/entry/coordinator/viewround.go
@@ -149,7 +149,7 @@
 // formerView returns the changes in the form for members of the previous version: endpoints with all of their copies.
 func formerView(round *viewRound) *wire.View {
 	former := *round.changes
-	former.CopyChanges, former.Endpoints, former.Starts = nil, nil, nil
+	former.CopyChanges, former.Endpoints, former.Starts, former.Software = nil, nil, nil, nil
 	former.AddEndpoints(slices.Values(round.changed))
 	return &former
 }
@@ -242,28 +242,36 @@
 }
 
 // knownSnapshot returns a snapshot for members that have the endpoints' descriptions up to a store revision. For an endpoint
-// without a later description it lists only the base models and the copies on offer, a tenth of the full size.
+// without a later description it lists only the software, the base models and the copies on offer, a tenth of the full size. A member
+// may have the descriptions from a planner of a version that does not tell the software.
 func (p *planner) knownSnapshot(now time.Time, describedUpTo int64) *wire.View {
 	v := p.snapshotWithoutEndpoints(now)
-	byModels := make(map[string]*wire.KnownEndpoints)
+	groups := make(map[describedGroup]*wire.KnownEndpoints)
 	for id, status := range p.coordinator.directory.Endpoints() {
 		if status.Revision > describedUpTo || status.State != deployment.Ready {
 			v.AddEndpoints(slices.Values([]*directory.EndpointStatus{status}))
 			continue
 		}
-		key := strings.Join(status.OfferedModels, " ")
-		if byModels[key] == nil {
-			byModels[key] = &wire.KnownEndpoints{Models: status.OfferedModels}
+		key := describedGroup{models: strings.Join(status.OfferedModels, " "), software: status.Software}
+		if groups[key] == nil {
+			groups[key] = &wire.KnownEndpoints{Models: status.OfferedModels}
 		}
-		byModels[key].IDs = append(byModels[key].IDs, id)
+		groups[key].IDs = append(groups[key].IDs, id)
 		v.CopyChanges = append(v.CopyChanges, sentEndpoint{}.copyChanges(status)...)
 	}
-	for _, known := range byModels {
+	for key, known := range groups {
 		v.DescribedEndpoints = append(v.DescribedEndpoints, *known)
+		v.DescribedSoftware = append(v.DescribedSoftware, key.software)
 	}
 	return v
 }
 
+// describedGroup is what endpoints have in common that a snapshot without their descriptions lists together.
+type describedGroup struct {
+	models   string
+	software string
+}
+
 // snapshotFor returns the shortest snapshot that is sufficient for a member.
 func (p *planner) snapshotFor(now time.Time, m *member.Member, round *viewRound) *wire.View {
 	switch {
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -229,6 +229,8 @@
 	KeysAge time.Duration `msgpack:"r,omitempty"`
 	// Starts are the start times of the processes of Endpoints, as far as known. Earlier versions neither send nor read them.
 	Starts []Start `msgpack:"s,omitempty"`
+	// Software lists Endpoints by their software, as far as known. Earlier versions neither send nor read it.
+	Software []SoftwareEndpoints `msgpack:"sw,omitempty"`
 	// TotalsAge is the mean age of the members' counts of requests in flight when the view was built. Earlier versions neither send
 	// nor read it.
 	TotalsAge time.Duration `msgpack:"ta,omitempty"`
@@ -246,6 +248,8 @@
 	// DescribedEndpoints are, in a snapshot for an instance that knows the descriptions of these endpoints, the endpoints that offer only the
 	// copies in the view's CopyChanges. Earlier versions neither send nor read it.
 	DescribedEndpoints []KnownEndpoints `msgpack:"kn,omitempty"`
+	// DescribedSoftware is the software of each element of DescribedEndpoints; empty if unknown. Earlier versions neither send nor read it.
+	DescribedSoftware []string `msgpack:"ks,omitempty"`
 	// Bare marks a view that the planner sends directly to an instance whose other views a gatherer forwards. It carries only keys
 	// and the answer to a probe.
 	Bare bool `msgpack:"ba,omitempty"`
@@ -378,6 +382,14 @@
 	IDs []deployment.EndpointID `msgpack:"e,omitempty"`
 }
 
+// SoftwareEndpoints are endpoints that run the same software.
+type SoftwareEndpoints struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+
+	Software string
+	IDs      []deployment.EndpointID
+}
+
 // KnownEndpoints are endpoints that hold the same base models.
 type KnownEndpoints struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
@@ -413,14 +425,36 @@
 	return deployment.ServiceAdapter{Service: f.Service, Adapter: deployment.Adapter{Model: f.Model, Name: f.Name}}
 }
 
-// AddEndpoints adds the descriptions and start times of endpoints.
+// AddEndpoints adds the descriptions, start times and software of endpoints.
 func (v *View) AddEndpoints(endpoints iter.Seq[*directory.EndpointStatus]) {
 	for status := range endpoints {
 		v.Endpoints = append(v.Endpoints, EndpointFromStatus(status))
 		if !status.Born.IsZero() {
 			v.Starts = append(v.Starts, Start{ID: status.ID, Born: status.Born.UnixMilli()})
 		}
+		if status.Software != "" {
+			v.addSoftware(status.ID, status.Software)
+		}
+	}
+}
+
+// addSoftware adds the software of an endpoint.
+func (v *View) addSoftware(id deployment.EndpointID, software string) {
+	for i := range v.Software {
+		if v.Software[i].Software == software {
+			v.Software[i].IDs = append(v.Software[i].IDs, id)
+			return
+		}
 	}
+	v.Software = append(v.Software, SoftwareEndpoints{Software: software, IDs: []deployment.EndpointID{id}})
+}
+
+// DescribedSoftwareOf returns the software of an element of DescribedEndpoints; empty if unknown.
+func (v *View) DescribedSoftwareOf(position int) string {
+	if position >= len(v.DescribedSoftware) {
+		return ""
+	}
+	return v.DescribedSoftware[position]
 }
 
 // Descriptions returns the descriptions of the endpoints in the view.
@@ -429,10 +463,16 @@
 	for _, start := range v.Starts {
 		born[start.ID] = time.UnixMilli(start.Born)
 	}
+	software := make(map[deployment.EndpointID]string, len(v.Endpoints))
+	for _, group := range v.Software {
+		for _, id := range group.IDs {
+			software[id] = group.Software
+		}
+	}
 	endpoints := make([]deployment.Endpoint, 0, len(v.Endpoints))
 	for i := range v.Endpoints {
 		endpoint := v.Endpoints[i].Endpoint()
-		endpoint.Born = born[endpoint.ID]
+		endpoint.Born, endpoint.Software = born[endpoint.ID], software[endpoint.ID]
 		endpoints = append(endpoints, endpoint)
 	}
 	return endpoints
--- a/services/entry/coordinator/wire/message_test.go
+++ b/services/entry/coordinator/wire/message_test.go
@@ -4,6 +4,7 @@
 package wire_test
 
 import (
+	"maps"
 	"net/netip"
 	"testing"
 	"time"
@@ -118,3 +119,47 @@
 	assert.Equal(t, []string{"m", "n"}, endpoint.Models)
 	assert.Equal(t, map[deployment.Adapter]int64{{Model: "m", Name: "a"}: 3, {Model: "n", Name: "b"}: 4}, endpoint.Adapters, "an adapter is included only with its base model")
 }
+
+// TestViewTellsSoftwareOfEndpoints checks that a view has the software of its endpoints, as far as known, apart from their descriptions: these
+// have no field names, so that earlier versions could not read a longer one.
+func TestViewTellsSoftwareOfEndpoints(t *testing.T) {
+	known := directory.New()
+	for id, software := range map[deployment.EndpointID]string{"e1": "v1", "e2": "v2", "e3": "v2", "e4": ""} {
+		known.Put(deployment.Endpoint{ID: id, Service: "s", Address: address, Software: software}, 6)
+	}
+	var sent wire.View
+	sent.AddEndpoints(maps.Values(known.Endpoints()))
+	sent.DescribedSoftware = []string{"v3"}
+
+	untyped := decodeUntyped(t, wire.Message{View: &sent})["v"].(map[string]any)
+	assert.Len(t, untyped["sw"], 2)
+	assert.Equal(t, []any{"v3"}, untyped["ks"])
+	for _, endpoint := range untyped["e"].([]any) {
+		assert.Len(t, endpoint, 8)
+	}
+	software := make(map[deployment.EndpointID]string)
+	for _, endpoint := range received(t, &sent).Descriptions() {
+		software[endpoint.ID] = endpoint.Software
+	}
+	assert.Equal(t, map[deployment.EndpointID]string{"e1": "v1", "e2": "v2", "e3": "v2", "e4": ""}, software)
+}
+
+// TestViewOfEarlierVersionTellsNoSoftware checks that the software is unknown then, not wrong.
+func TestViewOfEarlierVersionTellsNoSoftware(t *testing.T) {
+	earlier := received(t, &wire.View{
+		Endpoints: []wire.Endpoint{{ID: "e", Service: "s", Address: address}}, DescribedEndpoints: []wire.KnownEndpoints{{IDs: []deployment.EndpointID{"e"}}},
+	})
+	require.Len(t, earlier.Descriptions(), 1)
+	assert.Empty(t, earlier.Descriptions()[0].Software)
+	assert.Empty(t, earlier.DescribedSoftwareOf(0))
+}
+
+// received returns a view as its receiver decodes it.
+func received(t *testing.T, v *wire.View) *wire.View {
+	t.Helper()
+	encoded, err := msgpack.Marshal(wire.Message{View: v})
+	require.NoError(t, err)
+	var message wire.Message
+	require.NoError(t, msgpack.Unmarshal(encoded, &message))
+	return message.View
+}
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -65,6 +65,9 @@
 	if ok && endpoint.Born.IsZero() {
 		endpoint.Born = status.Born
 	}
+	if ok && endpoint.Software == "" {
+		endpoint.Software = status.Software
+	}
 	endpoint.State = d.effectiveState(&endpoint)
 	if d.cameBackFromCopy(endpoint.ID, revision) {
 		endpoint.State = deployment.Draining
@@ -280,6 +283,13 @@
 	}
 }
 
+// LearnSoftware sets the software of an endpoint whose software is not known yet.
+func (d *Directory) LearnSoftware(id deployment.EndpointID, software string) {
+	if status, ok := d.endpoints[id]; ok && status.Software == "" {
+		status.Software = software
+	}
+}
+
 // SetCopy sets the version at which an endpoint offers an adapter; version 0 withdraws the offer.
 func (d *Directory) SetCopy(id deployment.EndpointID, adapter deployment.Adapter, version int64) {
 	status, ok := d.endpoints[id]
--- a/services/entry/directory/incarnation_test.go
+++ b/services/entry/directory/incarnation_test.go
@@ -115,3 +115,23 @@
 	assert.InDelta(t, 2, d.MeanInFlightTime("s").Seconds(), 0.01)
 	assert.Equal(t, time.Second, d.MeanInFlightTime("other"))
 }
+
+// TestSoftwareIsKeptWithinIncarnation: a planner of an earlier version describes an endpoint without its software, which is the same for the
+// whole life of a process and may differ in the next one.
+func TestSoftwareIsKeptWithinIncarnation(t *testing.T) {
+	d := directory.New()
+	told := incarnation(1, deployment.Ready)
+	told.Software = "v1"
+	d.Put(told, 1)
+	d.Put(incarnation(1, deployment.Ready), 2)
+	assert.Equal(t, "v1", d.Endpoint("e").Software)
+	d.LearnSoftware("e", "v2")
+	assert.Equal(t, "v1", d.Endpoint("e").Software, "it is known already")
+
+	d.Put(incarnation(2, deployment.Ready), 3)
+	assert.Empty(t, d.Endpoint("e").Software)
+	d.LearnSoftware("e", "v2")
+	assert.Equal(t, "v2", d.Endpoint("e").Software)
+	d.LearnSoftware("unknown", "v2")
+	assert.Nil(t, d.Endpoint("unknown"))
+}
--- a/services/entry/loading/restart.go
+++ b/services/entry/loading/restart.go
@@ -40,7 +40,7 @@
 // planner's last load.
 func (e *endpointPlan) planAfterRestart(now time.Time, born time.Time) *endpointPlan {
 	endpoint := e.endpoint
-	endpoint.Born, endpoint.Models, endpoint.CachedModels, endpoint.Adapters = born, nil, nil, nil
+	endpoint.Born, endpoint.Software, endpoint.Models, endpoint.CachedModels, endpoint.Adapters = born, "", nil, nil, nil
 	plan := newEndpointPlan(endpoint)
 	plan.previousBorn = e.endpoint.Born
 	plan.revision = e.revision
--- a/tests/pinned/entry/peer_test.go
+++ b/tests/pinned/entry/peer_test.go
@@ -108,6 +108,14 @@
 			}
 			return fields
 		})
+	case "sw":
+		return sortedElements(value, func(element any) any {
+			fields, _ := element.([]any)
+			if len(fields) == 2 {
+				fields[1] = sortedElements(fields[1], func(id any) any { return id })
+			}
+			return fields
+		})
 	case "tu":
 		return maskTunnelAddresses(value)
 	case "o":
