Choose only endpoints of the software that a request names

Cause: nothing kept a stream that goes on from an endpoint of another software version. Change: a request may name the only software that may run it. An endpoint of any other or of unknown software is then no candidate, and as few endpoints may be left, the request may use all of their slots.

--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -29,6 +29,9 @@
 	Fingerprint fingerprint.Fingerprint
 	// OnlyEndpoint is the one endpoint that may run the request, because it has the state of the request so far; empty if any endpoint may.
 	OnlyEndpoint EndpointID
+	// Software is the only software whose endpoints may run the request, because the stream that it continues began there; empty if endpoints
+	// of any software may.
+	Software string
 }
 
 // UsesModel reports whether the request runs on a base model.
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -29,13 +29,15 @@
 	PlainHallPenalty float64
 	// Limit is the limit at which an endpoint with models is saturated.
 	Limit SlotLimit
+	// ResumeLimit is the limit at which an endpoint with models accepts no requests that only one software may run.
+	ResumeLimit SlotLimit
 	// Random returns a number in [0, 1), by which the endpoint is drawn.
 	Random func() float64
 }
 
 // NewOptions returns the settings of an instance in a hall.
 func NewOptions(hall string, random func() float64) Options {
-	return Options{Hall: hall, HallPenalty: hallPenalty, PlainHallPenalty: plainHallPenalty, Limit: RequestLimit(), Random: random}
+	return Options{Hall: hall, HallPenalty: hallPenalty, PlainHallPenalty: plainHallPenalty, Limit: RequestLimit(), ResumeLimit: ResumeLimit(), Random: random}
 }
 
 // Requirement describes what a request needs of an endpoint.
@@ -65,7 +67,7 @@
 const (
 	// Chosen means that an endpoint was found.
 	Chosen Verdict = iota
-	// NoEndpoint means that no endpoint of the service accepts requests.
+	// NoEndpoint means that no endpoint of the service that may run the request accepts requests.
 	NoEndpoint
 	// NotResident means that endpoints accept requests, but none holds the adapter.
 	NotResident
@@ -83,7 +85,7 @@
 	verdict := NoEndpoint
 	var preferred, avoided []candidate
 	for _, endpoint := range endpoints {
-		if endpoint.State != deployment.Ready || !required.allowsEndpoint(endpoint.ID) {
+		if endpoint.State != deployment.Ready || !required.allowsEndpoint(endpoint) {
 			continue
 		}
 		verdict = max(verdict, NotResident)
@@ -93,8 +95,7 @@
 		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.requiredVersion(now, endpoint)) {
 			continue
 		}
-		// A stream that is resumed at its endpoint may exceed the limit: waiting requests would otherwise take the place that it had.
-		if required.Request.UsesModel() && required.Request.OnlyEndpoint == "" && options.Limit.Reached(endpoint) {
+		if required.Request.UsesModel() && options.limitReached(required.Request, endpoint) {
 			verdict = Saturated
 			continue
 		}
@@ -122,12 +123,28 @@
 	return drawCandidate(preferred, unknownRequests(preferred, required.OthersAge, required.MeanInFlightTime), options.Random()), Chosen
 }
 
-// allowsEndpoint reports whether the request may be sent to an endpoint, considering where it was sent before.
-func (r *Requirement) allowsEndpoint(id deployment.EndpointID) bool {
+// allowsEndpoint reports whether the request may be sent to an endpoint, considering its software and where the request was sent before.
+func (r *Requirement) allowsEndpoint(endpoint *directory.EndpointStatus) bool {
+	if r.Request.Software != "" && endpoint.Software != r.Request.Software {
+		return false
+	}
 	if r.Request.OnlyEndpoint != "" {
-		return id == r.Request.OnlyEndpoint
+		return endpoint.ID == r.Request.OnlyEndpoint
+	}
+	return !slices.Contains(r.Tried, endpoint.ID)
+}
+
+// limitReached reports whether an endpoint has too many requests in flight for one more. A stream that is resumed at its endpoint may exceed
+// the limit: waiting requests would otherwise take the place that it had.
+func (o *Options) limitReached(request *deployment.Request, endpoint *directory.EndpointStatus) bool {
+	switch {
+	case request.OnlyEndpoint != "":
+		return false
+	case request.Software != "":
+		return o.ResumeLimit.Reached(endpoint)
+	default:
+		return o.Limit.Reached(endpoint)
 	}
-	return !slices.Contains(r.Tried, id)
 }
 
 // requiredVersion returns the lowest version that may run the request at an endpoint. Older versions are not allowed if the wait at
--- a/services/entry/balance/limit.go
+++ b/services/entry/balance/limit.go
@@ -15,6 +15,9 @@
 	// slots: batches this small hardly slow each other down. A higher value serves more at once.
 	minCopySlotLimit    = 10
 	minRequestSlotLimit = 12
+	// resumeSlotShare is the share of a model endpoint's slots in flight at which it gets no requests that only the endpoints of one software
+	// may run. A lower value serves each faster, but leaves streams without room to go on where few endpoints run their software.
+	resumeSlotShare = 1.0
 )
 
 // SlotLimit limits the requests in flight at an endpoint with models. Beyond the limit, every request takes longer than its caller
@@ -36,6 +39,11 @@
 	return SlotLimit{Share: requestSlotShare, Min: minRequestSlotLimit}
 }
 
+// ResumeLimit returns the limit at which an endpoint gets no requests that only the endpoints of one software may run.
+func ResumeLimit() SlotLimit {
+	return SlotLimit{Share: resumeSlotShare}
+}
+
 // Reached reports whether an endpoint has as many requests in flight as the limit allows, by this instance's own count and the other
 // instances' counts as of the planner's last view. An endpoint with an unknown number of slots has no limit.
 func (l SlotLimit) Reached(endpoint *directory.EndpointStatus) bool {
