Decide where a stream may go on that another attempt takes up

Cause: endpoints of two software versions may serve one service side by side, and a caller that takes a stream up comes to any instance, which knows nothing of the first attempt.

Nothing uses it yet.

--- /dev/null
+++ b/services/entry/origin/decision.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+// Verdict is what is known about a stream that is taken up.
+type Verdict int
+
+// The verdicts. Unknown and Ambiguous allow no endpoint.
+const (
+	// Unknown means that no instance that was reached knows where the stream began.
+	Unknown Verdict = iota
+	// Known means that the stream began at the origin.
+	Known
+	// SoleSoftware means that the origin is the only one that this instance and those that answered know at all.
+	SoleSoftware
+	// Unrestricted means that only one software has served for as long as the stream can have existed.
+	Unrestricted
+	// Ambiguous means that different origins are known for the same key.
+	Ambiguous
+)
+
+// Result is a verdict, and the origin for Known and SoleSoftware.
+type Result struct {
+	Verdict Verdict
+	Origin  Origin
+}
+
+// Answer is what another instance knows about a stream.
+type Answer struct {
+	// Found is Known, Ambiguous or Unknown.
+	Found Result
+	// Sightings are the softwares of the services in question that the instance knows.
+	Sightings []Sighting
+}
+
+// DecideLocally decides from what this instance knows itself: what its table has, which softwares have been known within the window, and
+// whether they were observed for all of it. It reports false if other instances have to be asked.
+func DecideLocally(found Result, known []Sighting, proven bool) (Result, bool) {
+	switch {
+	case found.Verdict != Unknown:
+		return found, true
+	case proven && len(known) == 1:
+		return Result{Verdict: Unrestricted}, true
+	default:
+		return Result{Verdict: Unknown}, false
+	}
+}
+
+// Decide decides from the answers of other instances and the softwares that this one knows, all of them known within the window.
+func Decide(known []Sighting, answers []Answer) Result {
+	found := Result{Verdict: Unknown}
+	for _, answer := range answers {
+		found = combine(found, answer.Found)
+	}
+	if found.Verdict != Unknown {
+		return found
+	}
+	return decideSole(known, answers)
+}
+
+// combine returns what two instances know together.
+func combine(one, other Result) Result {
+	switch {
+	case one.Verdict == Unknown:
+		return other
+	case other.Verdict == Unknown, one == other:
+		return one
+	default:
+		return Result{Verdict: Ambiguous}
+	}
+}
+
+// decideSole decides about a stream whose origin nobody knows: it is plain if only one is known at all.
+func decideSole(known []Sighting, answers []Answer) Result {
+	origins := make(map[Origin]bool)
+	for _, seen := range known {
+		origins[seen.Origin] = true
+	}
+	for _, answer := range answers {
+		for _, seen := range answer.Sightings {
+			origins[seen.Origin] = true
+		}
+	}
+	if len(origins) != 1 {
+		return Result{Verdict: Unknown}
+	}
+	for sole := range origins {
+		return Result{Verdict: SoleSoftware, Origin: sole}
+	}
+	return Result{Verdict: Unknown}
+}
--- /dev/null
+++ b/services/entry/origin/table.go
@@ -0,0 +1,140 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package origin
+
+import (
+	"slices"
+	"time"
+	"unique"
+)
+
+// maxRecords bounds the records of a table. A higher value remembers more streams, a lower one takes less memory.
+const maxRecords = 32768
+
+// Record is what an instance knows about the origin of one stream.
+type Record struct {
+	Key    Key
+	Origin Origin
+	// Until is when the stream can no longer be taken up.
+	Until time.Time
+	// Ambiguous is set if different origins were recorded under the key.
+	Ambiguous bool
+	// Own is set if this instance forwarded the first event of the stream.
+	Own bool
+}
+
+// entry is a record as the table keeps it. Equal origins share their memory.
+type entry struct {
+	origin    unique.Handle[Origin]
+	until     time.Time
+	ambiguous bool
+	own       bool
+}
+
+// Table keeps the origins of streams, the newest maxRecords of them at most.
+type Table struct {
+	entries map[Key]entry
+	// order has the keys of entries, the oldest first.
+	order []Key
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: make(map[Key]entry)}
+}
+
+// Len returns the number of records, including those that have expired since the last Sweep.
+func (t *Table) Len() int {
+	return len(t.order)
+}
+
+// Add adds a record. It removes the oldest one if the table is full. A record of the same stream is extended, and made ambiguous if its
+// origin differs.
+func (t *Table) Add(now time.Time, added Record) {
+	until := added.Until
+	if latest := now.Add(MaxLifetime); until.After(latest) {
+		until = latest
+	}
+	if !until.After(now) {
+		return
+	}
+	present := entry{origin: unique.Make(added.Origin), until: until, ambiguous: added.Ambiguous, own: added.Own}
+	former, exists := t.entries[added.Key]
+	if exists && former.until.After(now) {
+		present = merge(former, present)
+	}
+	if !exists {
+		t.makeRoom()
+		t.order = append(t.order, added.Key)
+	}
+	t.entries[added.Key] = present
+}
+
+// merge returns the record of a stream of which two are known.
+func merge(former, added entry) entry {
+	if added.origin != former.origin || added.ambiguous {
+		former.ambiguous = true
+	}
+	if added.until.After(former.until) {
+		former.until = added.until
+	}
+	former.own = former.own || added.own
+	return former
+}
+
+// makeRoom removes the oldest record if the table is full.
+func (t *Table) makeRoom() {
+	if len(t.order) < maxRecords {
+		return
+	}
+	delete(t.entries, t.order[0])
+	t.order = t.order[1:]
+}
+
+// Get returns the record of a stream that has not expired.
+func (t *Table) Get(now time.Time, key Key) (Record, bool) {
+	found, exists := t.entries[key]
+	if !exists || !found.until.After(now) {
+		return Record{}, false
+	}
+	return Record{Key: key, Origin: found.origin.Value(), Until: found.until, Ambiguous: found.ambiguous, Own: found.own}, true
+}
+
+// Lookup returns what the table knows about a stream: Known, Ambiguous or Unknown.
+func (t *Table) Lookup(now time.Time, key Key) Result {
+	found, exists := t.Get(now, key)
+	switch {
+	case !exists:
+		return Result{Verdict: Unknown}
+	case found.Ambiguous:
+		return Result{Verdict: Ambiguous}
+	default:
+		return Result{Verdict: Known, Origin: found.Origin}
+	}
+}
+
+// OwnKeys returns the keys of the streams of a service that this instance began and that have not expired, the newest first.
+func (t *Table) OwnKeys(now time.Time, service string) []Key {
+	var keys []Key
+	for _, key := range slices.Backward(t.order) {
+		found := t.entries[key]
+		if found.own && found.until.After(now) && found.origin.Value().Service == service {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Sweep removes the records that have expired.
+func (t *Table) Sweep(now time.Time) {
+	kept := make([]Key, 0, len(t.order))
+	for _, key := range t.order {
+		if t.entries[key].until.After(now) {
+			kept = append(kept, key)
+		} else {
+			delete(t.entries, key)
+		}
+	}
+	t.order = kept
+}
--- /dev/null
+++ b/services/entry/origin/table_test.go
@@ -0,0 +1,143 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package origin_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+const maxRecords = 32768
+
+var (
+	start = time.Unix(1_000_000, 0)
+	one   = origin.Origin{Service: "chat", Software: "1.0"}
+	two   = origin.Origin{Service: "chat", Software: "2.0"}
+)
+
+// after returns a time after the start of a test.
+func after(span time.Duration) time.Time {
+	return start.Add(span)
+}
+
+// record returns a record that lives for a minute after the start.
+func record(key origin.Key, began origin.Origin) origin.Record {
+	return origin.Record{Key: key, Origin: began, Until: after(time.Minute)}
+}
+
+// TestKeyIsTheSameInAllVersions pins a key, since instances of several versions of the program must agree on it.
+func TestKeyIsTheSameInAllVersions(t *testing.T) {
+	assert.Equal(t, origin.Key(0xda51c083808cf457), origin.KeyOf("route", "attempt"))
+	assert.NotEqual(t, origin.KeyOf("ab", "c"), origin.KeyOf("a", "bc"))
+}
+
+func TestRecordIsKnownUntilItExpires(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	assert.Equal(t, origin.Result{Verdict: origin.Known, Origin: one}, table.Lookup(after(time.Minute-1), 1))
+	assert.Equal(t, origin.Result{}, table.Lookup(after(time.Minute), 1))
+	assert.Equal(t, origin.Result{}, table.Lookup(start, 2))
+}
+
+func TestRecordToldTwiceIsExtended(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	table.Add(start, origin.Record{Key: 1, Origin: one, Until: after(2 * time.Minute)})
+	table.Add(start, record(1, one))
+	assert.Equal(t, origin.Result{Verdict: origin.Known, Origin: one}, table.Lookup(after(2*time.Minute-1), 1))
+	assert.Equal(t, 1, table.Len())
+}
+
+func TestTwoOriginsAreAmbiguous(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	table.Add(start, record(1, two))
+	table.Add(start, record(1, one))
+	assert.Equal(t, origin.Result{Verdict: origin.Ambiguous}, table.Lookup(start, 1))
+}
+
+func TestServiceIsPartOfOrigin(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	table.Add(start, record(1, origin.Origin{Service: "other", Software: one.Software}))
+	assert.Equal(t, origin.Result{Verdict: origin.Ambiguous}, table.Lookup(start, 1))
+}
+
+func TestAmbiguityIsTold(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	table.Add(start, origin.Record{Key: 1, Origin: one, Until: after(time.Minute), Ambiguous: true})
+	assert.Equal(t, origin.Result{Verdict: origin.Ambiguous}, table.Lookup(start, 1))
+}
+
+func TestExpiredRecordDoesNotMakeNextOneAmbiguous(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	now := after(2 * time.Minute)
+	table.Add(now, origin.Record{Key: 1, Origin: two, Until: now.Add(time.Second)})
+	assert.Equal(t, origin.Result{Verdict: origin.Known, Origin: two}, table.Lookup(now, 1))
+	assert.Equal(t, 1, table.Len())
+}
+
+func TestLifetimeIsBounded(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, origin.Record{Key: 1, Origin: one, Until: after(time.Hour)})
+	assert.Equal(t, origin.Known, table.Lookup(after(origin.MaxLifetime-1), 1).Verdict)
+	assert.Equal(t, origin.Unknown, table.Lookup(after(origin.MaxLifetime), 1).Verdict)
+}
+
+func TestRecordThatHasExpiredIsNotAdded(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, origin.Record{Key: 1, Origin: one, Until: start})
+	assert.Zero(t, table.Len())
+}
+
+func TestOldestRecordsGoFirst(t *testing.T) {
+	table := origin.NewTable()
+	for key := range origin.Key(maxRecords + 10) {
+		table.Add(start, record(key, one))
+	}
+	assert.Equal(t, maxRecords, table.Len())
+	assert.Equal(t, origin.Unknown, table.Lookup(start, 9).Verdict)
+	assert.Equal(t, origin.Known, table.Lookup(start, 10).Verdict)
+	assert.Equal(t, origin.Known, table.Lookup(start, maxRecords+9).Verdict)
+}
+
+func TestSweepRemovesExpiredRecords(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, record(1, one))
+	table.Add(start, origin.Record{Key: 2, Origin: one, Until: after(2 * time.Minute)})
+	table.Sweep(after(time.Minute))
+	assert.Equal(t, 1, table.Len())
+	assert.Equal(t, origin.Known, table.Lookup(after(time.Minute), 2).Verdict)
+	table.Add(after(time.Minute), origin.Record{Key: 1, Origin: two, Until: after(2 * time.Minute)})
+	assert.Equal(t, origin.Result{Verdict: origin.Known, Origin: two}, table.Lookup(after(time.Minute), 1))
+}
+
+func TestOwnKeysAreThoseOfOneServiceNewestFirst(t *testing.T) {
+	table := origin.NewTable()
+	own := func(key origin.Key, service string, until time.Time) {
+		table.Add(start, origin.Record{Key: key, Origin: origin.Origin{Service: service}, Until: until, Own: true})
+	}
+	own(1, "chat", after(time.Minute))
+	own(2, "chat", after(time.Second))
+	own(3, "other", after(time.Minute))
+	own(4, "chat", after(time.Minute))
+	table.Add(start, record(5, one))
+	assert.Equal(t, []origin.Key{4, 1}, table.OwnKeys(after(time.Second), "chat"))
+}
+
+func TestGetReturnsRecord(t *testing.T) {
+	table := origin.NewTable()
+	added := origin.Record{Key: 1, Origin: one, Until: after(time.Minute), Own: true}
+	table.Add(start, added)
+	got, exists := table.Get(start, 1)
+	require.True(t, exists)
+	assert.Equal(t, added, got)
+}
