Tell and ask other instances where streams began

It sends nothing while one software serves alone. A second software lets it tell all own streams that still live; a change of the list only those whose holders change. Nothing uses it yet.

--- /dev/null
+++ b/services/entry/origin/exchange/find.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+const (
+	// askTimeout bounds the wait for answers. A higher value waits for slower links, a lower one delays the streams of callers less.
+	askTimeout = 150 * time.Millisecond
+	// resendAfter is when those that have not answered are asked again, and from when one answer with an origin is enough. A higher value
+	// sends fewer questions twice, a lower one finds out a lost datagram sooner.
+	resendAfter = 50 * time.Millisecond
+	// maxInquiries bounds the streams that are asked about at the same time. A higher value takes up more streams at once, a lower one
+	// takes less memory.
+	maxInquiries = 1024
+)
+
+// inquiry is a question that waits for answers.
+type inquiry struct {
+	id       uint64
+	key      origin.Key
+	services []string
+	window   time.Duration
+	known    []origin.Sighting
+	// asked is the number of instances that were asked, silent those that have not answered. The service's mutex guards silent.
+	asked   int
+	silent  map[netip.AddrPort]bool
+	answers chan origin.Answer
+}
+
+// Find returns what is known about a stream that is taken up at a route with some services. The stream can have begun within the window at
+// most. It asks other instances for up to askTimeout if this instance does not know.
+func (s *Service) Find(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
+	window = min(window, origin.MaxLifetime)
+	s.mutex.Lock()
+	found := s.table.Lookup(now, key)
+	known := s.history.Known(now, services, window)
+	decided, final := origin.DecideLocally(found, known, s.history.IsProven(now, window))
+	if final {
+		s.mutex.Unlock()
+		return decided
+	}
+	if len(s.inquiries) >= maxInquiries {
+		s.mutex.Unlock()
+		return origin.Result{Verdict: origin.Unknown}
+	}
+	asked := s.addInquiry(key, services, window, known)
+	s.mutex.Unlock()
+	answers := s.ask(ctx, asked)
+	s.removeInquiry(asked)
+	result := origin.Decide(known, answers)
+	if ctx.Err() != nil && result.Verdict == origin.SoleSoftware {
+		return origin.Result{Verdict: origin.Unknown}
+	}
+	return result
+}
+
+// addInquiry adds an inquiry at the instances that may know a stream; at none without a transport.
+func (s *Service) addInquiry(key origin.Key, services []string, window time.Duration, known []origin.Sighting) *inquiry {
+	var addresses []netip.AddrPort
+	if s.online {
+		addresses = s.holders.Asked(key)
+	}
+	added := &inquiry{
+		id: rand.Uint64(), key: key, services: services, window: window, known: known, asked: len(addresses),
+		silent: make(map[netip.AddrPort]bool, len(addresses)), answers: make(chan origin.Answer, len(addresses)),
+	}
+	for _, address := range addresses {
+		added.silent[address] = true
+	}
+	s.inquiries[added.id] = added
+	return added
+}
+
+// removeInquiry ends an inquiry.
+func (s *Service) removeInquiry(ended *inquiry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.inquiries, ended.id)
+}
+
+// ask asks and returns the answers, until all have come or the time is over.
+func (s *Service) ask(ctx context.Context, asking *inquiry) []origin.Answer {
+	var answers []origin.Answer
+	if asking.asked == 0 {
+		return nil
+	}
+	resend := time.NewTimer(resendAfter)
+	defer resend.Stop()
+	timeout := time.NewTimer(askTimeout)
+	defer timeout.Stop()
+	s.sendQuestion(asking)
+	resent, found := false, false
+	for len(answers) < asking.asked && (!resent || !found) {
+		select {
+		case received := <-asking.answers:
+			answers = append(answers, received)
+			found = found || received.Found.Verdict != origin.Unknown
+		case <-resend.C:
+			resent = true
+			if !found {
+				s.sendQuestion(asking)
+			}
+		case <-timeout.C:
+			return answers
+		case <-ctx.Done():
+			return answers
+		case <-s.stopped:
+			return answers
+		}
+	}
+	return answers
+}
+
+// sendQuestion asks the instances that have not answered.
+func (s *Service) sendQuestion(asking *inquiry) {
+	payload, fits := encodeFitting(toSightings(asking.known), 0, func(known []sighting) *message {
+		return &message{Question: &question{ID: asking.id, Key: uint64(asking.key), Services: asking.services, Known: known}}
+	})
+	if !fits {
+		s.countOversized()
+		return
+	}
+	for _, address := range s.silentOnes(asking) {
+		if s.send(address, payload) {
+			s.mutex.Lock()
+			s.counters.Asked++
+			s.mutex.Unlock()
+		}
+	}
+}
+
+// silentOnes returns the instances that have not answered an inquiry.
+func (s *Service) silentOnes(asking *inquiry) []netip.AddrPort {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(asking.silent))
+	for address := range asking.silent {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/services/entry/origin/exchange/message.go
@@ -0,0 +1,165 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shelfledge/shelfledge/modules/entry/datagram"
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+// version is the first byte of each datagram. A new field needs no other version: those that do not know it ignore it, and its zero value
+// must mean the same as a message that lacks it.
+const version = 1
+
+// errUnknownVersion and errMalformed are returned for datagrams that cannot be read.
+var (
+	errUnknownVersion = errors.New("exchange: unknown version")
+	errMalformed      = errors.New("exchange: malformed datagram")
+)
+
+// message is the content of a datagram. Exactly one field is set; none in a message of a kind that is not known here.
+type message struct {
+	Records  []record  `msgpack:"r,omitempty"`
+	Question *question `msgpack:"q,omitempty"`
+	Answer   *answer   `msgpack:"a,omitempty"`
+}
+
+// encodedRecords is a message with records that are encoded already, since each record is sent to several holders.
+type encodedRecords struct {
+	Records []msgpack.RawMessage `msgpack:"r"`
+}
+
+// record tells the origin of a stream.
+type record struct {
+	Key      uint64 `msgpack:"k"`
+	Service  string `msgpack:"s"`
+	Software string `msgpack:"w,omitempty"`
+	// Remaining is the number of milliseconds for which the stream can still be taken up.
+	Remaining uint32 `msgpack:"u"`
+	Ambiguous bool   `msgpack:"x,omitempty"`
+}
+
+// question asks for the origin of a stream, and for the softwares of the services where it may have begun.
+type question struct {
+	ID       uint64     `msgpack:"i"`
+	Key      uint64     `msgpack:"k"`
+	Services []string   `msgpack:"s,omitempty"`
+	Known    []sighting `msgpack:"w,omitempty"`
+}
+
+// answer is what an instance knows about the stream of a question.
+type answer struct {
+	ID       uint64     `msgpack:"i"`
+	Found    int        `msgpack:"f,omitempty"`
+	Service  string     `msgpack:"s,omitempty"`
+	Software string     `msgpack:"v,omitempty"`
+	Known    []sighting `msgpack:"w,omitempty"`
+}
+
+// The values of answer.Found.
+const (
+	foundNothing = iota
+	foundOrigin
+	foundSeveral
+)
+
+// sighting tells when a software was last known. Age is in milliseconds.
+type sighting struct {
+	Service  string `msgpack:"s"`
+	Software string `msgpack:"w,omitempty"`
+	Age      uint32 `msgpack:"g,omitempty"`
+}
+
+// encode returns the datagram of a message.
+func encode(content any) ([]byte, error) {
+	encoded, err := msgpack.Marshal(content)
+	if err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	return append([]byte{version}, encoded...), nil
+}
+
+// decode returns the message of a datagram.
+func decode(payload []byte) (*message, error) {
+	if len(payload) == 0 {
+		return nil, errMalformed
+	}
+	if payload[0] != version {
+		return nil, errUnknownVersion
+	}
+	var decoded message
+	if err := msgpack.Unmarshal(payload[1:], &decoded); err != nil {
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	return &decoded, nil
+}
+
+// encodeFitting returns the datagram of the message that build makes with as many sightings as fit, and false if it does not fit with the
+// fewest that it needs.
+func encodeFitting(known []sighting, fewest int, build func(known []sighting) *message) ([]byte, bool) {
+	for {
+		payload, err := encode(build(known))
+		if err == nil && len(payload) <= datagram.MaxBytes {
+			return payload, true
+		}
+		if err != nil || len(known) <= fewest {
+			return nil, false
+		}
+		known = known[:max(len(known)-1, fewest)]
+	}
+}
+
+// milliseconds returns a duration in milliseconds, rounded up, as far as the field reaches.
+func milliseconds(span time.Duration) uint32 {
+	rounded := (span + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(max(rounded, 0), math.MaxUint32))
+}
+
+// toSightings returns sightings as they are sent.
+func toSightings(known []origin.Sighting) []sighting {
+	sent := make([]sighting, 0, len(known))
+	for _, seen := range known {
+		sent = append(sent, sighting{Service: seen.Origin.Service, Software: seen.Origin.Software, Age: milliseconds(seen.Age)})
+	}
+	return sent
+}
+
+// toOrigin returns a sighting as it was sent.
+func (s sighting) toOrigin() origin.Sighting {
+	return origin.Sighting{
+		Origin: origin.Origin{Service: s.Service, Software: s.Software},
+		Age:    time.Duration(s.Age) * time.Millisecond,
+	}
+}
+
+// setFound sets what was found.
+func (a *answer) setFound(found origin.Result) {
+	switch found.Verdict {
+	case origin.Known:
+		a.Found, a.Service, a.Software = foundOrigin, found.Origin.Service, found.Origin.Software
+	case origin.Ambiguous:
+		a.Found = foundSeveral
+	}
+}
+
+// result returns what was found, and false for a value that is not known here.
+func (a *answer) result() (origin.Result, bool) {
+	switch a.Found {
+	case foundNothing:
+		return origin.Result{Verdict: origin.Unknown}, true
+	case foundOrigin:
+		return origin.Result{Verdict: origin.Known, Origin: origin.Origin{Service: a.Service, Software: a.Software}}, true
+	case foundSeveral:
+		return origin.Result{Verdict: origin.Ambiguous}, true
+	default:
+		return origin.Result{}, false
+	}
+}
--- /dev/null
+++ b/services/entry/origin/exchange/network_test.go
@@ -0,0 +1,194 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+	"github.com/shelfledge/shelfledge/services/entry/origin/exchange"
+)
+
+// latency is the time that a datagram takes in a network of a test.
+const latency = time.Millisecond
+
+// queueLength is the number of datagrams that wait at an address at most.
+const queueLength = 4096
+
+// datagram is one that is under way.
+type datagram struct {
+	from, to netip.AddrPort
+	payload  []byte
+}
+
+// network carries datagrams in memory. It loses those to addresses where nobody listens.
+type network struct {
+	mutex sync.Mutex
+	nodes map[netip.AddrPort]*node
+	// loses reports whether a datagram is lost; none is if it is nil.
+	loses func(sent datagram) bool
+	sent  []datagram
+}
+
+// node is an address where datagrams arrive.
+type node struct {
+	arrived chan datagram
+	closed  chan struct{}
+}
+
+func newNetwork() *network {
+	return &network{nodes: make(map[netip.AddrPort]*node)}
+}
+
+// listen opens the transport of an address.
+func (n *network) listen(address netip.AddrPort) (exchange.Transport, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	here := &node{arrived: make(chan datagram, queueLength), closed: make(chan struct{})}
+	n.nodes[address] = here
+	return exchange.Transport{
+		Send: func(to netip.AddrPort, payload []byte) error {
+			n.send(datagram{from: address, to: to, payload: slices.Clone(payload)})
+			return nil
+		},
+		Receive: here.receive,
+		Close: func() error {
+			close(here.closed)
+			n.mutex.Lock()
+			defer n.mutex.Unlock()
+			delete(n.nodes, address)
+			return nil
+		},
+	}, nil
+}
+
+// receive waits for a datagram.
+func (n *node) receive(buffer []byte) ([]byte, netip.AddrPort, error) {
+	select {
+	case received := <-n.arrived:
+		return buffer[:copy(buffer, received.payload)], received.from, nil
+	case <-n.closed:
+		return nil, netip.AddrPort{}, fmt.Errorf("network: %w", net.ErrClosed)
+	}
+}
+
+// send carries a datagram unless it is lost.
+func (n *network) send(sent datagram) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.sent = append(n.sent, sent)
+	if n.loses != nil && n.loses(sent) {
+		return
+	}
+	time.AfterFunc(latency, func() { n.arrive(sent) })
+}
+
+// arrive lets a datagram arrive.
+func (n *network) arrive(sent datagram) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if target, exists := n.nodes[sent.to]; exists {
+		target.arrived <- sent
+	}
+}
+
+// lose sets which datagrams are lost.
+func (n *network) lose(loses func(sent datagram) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.loses = loses
+}
+
+// takeSent returns the datagrams that were sent since the last call.
+func (n *network) takeSent() []datagram {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	sent := n.sent
+	n.sent = nil
+	return sent
+}
+
+// list returns instances in halls, in turn.
+func list(count, halls int) []origin.Instance {
+	var instances []origin.Instance
+	for i := range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7100)
+		instances = append(instances, origin.Instance{Hall: fmt.Sprintf("hall-%d", i%halls), Address: address})
+	}
+	return instances
+}
+
+// startInstance starts an instance that knows a list of instances.
+func startInstance(t testing.TB, n *network, self origin.Instance, instances []origin.Instance) *exchange.Service {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	service := exchange.New(exchange.Options{
+		Hall: self.Hall, Address: self.Address, Now: time.Now, Log: logrus.NewEntry(log), Listen: n.listen,
+	})
+	require.NoError(t, service.Start())
+	service.SetInstances(instances)
+	return service
+}
+
+// fleet is a number of instances in a network.
+type fleet struct {
+	network   *network
+	instances []origin.Instance
+	services  []*exchange.Service
+}
+
+// startFleet starts a fleet whose instances all know the same softwares.
+func startFleet(t testing.TB, count, halls int, softwares ...string) *fleet {
+	t.Helper()
+	f := &fleet{network: newNetwork(), instances: list(count, halls)}
+	for _, instance := range f.instances {
+		f.services = append(f.services, startInstance(t, f.network, instance, f.instances))
+	}
+	f.observe(softwares...)
+	return f
+}
+
+// observe lets all instances see which softwares serve.
+func (f *fleet) observe(softwares ...string) {
+	for _, service := range f.services {
+		service.ObserveEndpoints(time.Now(), chat(softwares...))
+	}
+}
+
+// close ends all instances.
+func (f *fleet) close() {
+	for _, service := range f.services {
+		service.Close()
+	}
+}
+
+// knows reports whether an instance knows a stream that another one, or itself, began.
+func (f *fleet) knows(i, began int, key origin.Key) bool {
+	told := origin.NewHolders(f.instances[began], f.instances).Told(key)
+	return i == began || slices.Contains(told, f.instances[i].Address)
+}
+
+// restart replaces an instance by one that knows nothing but the softwares that serve.
+func (f *fleet) restart(t *testing.T, i int, softwares ...string) {
+	t.Helper()
+	f.services[i].Close()
+	f.services[i] = startInstance(t, f.network, f.instances[i], f.instances)
+	f.services[i].ObserveEndpoints(time.Now(), chat(softwares...))
+}
+
+// chat returns the softwares that serve one service.
+func chat(softwares ...string) map[string][]string {
+	return map[string][]string{"chat": softwares}
+}
--- /dev/null
+++ b/services/entry/origin/exchange/receive.go
@@ -0,0 +1,147 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/shelfledge/shelfledge/modules/entry/datagram"
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+const (
+	// receivePause is the pause after an error of the system. A higher value costs less while the error lasts, a lower one goes on sooner.
+	receivePause = 100 * time.Millisecond
+	// fewestSightings is how many sightings an answer needs at least, if there are as many: enough to show that there are several.
+	fewestSightings = 2
+)
+
+// runReceiver handles datagrams until the transport is closed.
+func (s *Service) runReceiver() {
+	buffer := make([]byte, datagram.MaxBytes+1)
+	failing := false
+	for {
+		payload, from, err := s.transport.Receive(buffer)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, datagram.ErrTooLarge):
+			s.countUnreadable(errMalformed)
+		case err != nil:
+			if !failing {
+				s.options.Log.WithError(err).Warn("origins of streams cannot be received from other instances")
+			}
+			if !s.pauseReceiver() {
+				return
+			}
+		default:
+			s.receive(s.options.Now(), from, payload)
+		}
+		failing = err != nil
+	}
+}
+
+// pauseReceiver waits after an error and reports whether the service goes on.
+func (s *Service) pauseReceiver() bool {
+	select {
+	case <-s.stopped:
+		return false
+	case <-time.After(receivePause):
+		return true
+	}
+}
+
+// receive handles one datagram.
+func (s *Service) receive(now time.Time, from netip.AddrPort, payload []byte) {
+	received, err := decode(payload)
+	if err != nil {
+		s.countUnreadable(err)
+		return
+	}
+	s.receiveRecords(now, received.Records)
+	if received.Question != nil {
+		s.receiveQuestion(now, from, received.Question)
+	}
+	if received.Answer != nil {
+		s.receiveAnswer(now, from, received.Answer)
+	}
+}
+
+// countUnreadable counts a datagram that could not be read.
+func (s *Service) countUnreadable(err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if errors.Is(err, errUnknownVersion) {
+		s.counters.UnknownVersion++
+		return
+	}
+	s.counters.Malformed++
+}
+
+// receiveRecords records what this instance is told as a holder.
+func (s *Service) receiveRecords(now time.Time, records []record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, told := range records {
+		began := origin.Origin{Service: told.Service, Software: told.Software}
+		until := now.Add(time.Duration(told.Remaining) * time.Millisecond)
+		s.table.Add(now, origin.Record{Key: origin.Key(told.Key), Origin: began, Until: until, Ambiguous: told.Ambiguous})
+		s.learn(now, origin.Sighting{Origin: began})
+	}
+}
+
+// receiveQuestion answers a question. What the instance that asks has seen is learnt as well.
+func (s *Service) receiveQuestion(now time.Time, from netip.AddrPort, asked *question) {
+	s.mutex.Lock()
+	for _, seen := range asked.Known {
+		s.learn(now, seen.toOrigin())
+	}
+	found := s.table.Lookup(now, origin.Key(asked.Key))
+	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
+	s.mutex.Unlock()
+	payload, fits := encodeFitting(toSightings(known), fewestSightings, func(known []sighting) *message {
+		answered := &answer{ID: asked.ID, Known: known}
+		answered.setFound(found)
+		return &message{Answer: answered}
+	})
+	if !fits {
+		s.countOversized()
+		return
+	}
+	if s.send(from, payload) {
+		s.mutex.Lock()
+		s.counters.Answered++
+		s.mutex.Unlock()
+	}
+}
+
+// receiveAnswer hands an answer to the inquiry that waits for it.
+func (s *Service) receiveAnswer(now time.Time, from netip.AddrPort, received *answer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	waiting, exists := s.inquiries[received.ID]
+	if !exists || !waiting.silent[from] {
+		s.counters.UnexpectedAnswers++
+		return
+	}
+	found, valid := received.result()
+	if !valid {
+		s.counters.Malformed++
+		return
+	}
+	delete(waiting.silent, from)
+	answered := origin.Answer{Found: found}
+	for _, sent := range received.Known {
+		seen := sent.toOrigin()
+		s.learn(now, seen)
+		if seen.Age < waiting.window {
+			answered.Sightings = append(answered.Sightings, seen)
+		}
+	}
+	// The channel has room for one answer of each instance that was asked.
+	waiting.answers <- answered
+}
--- /dev/null
+++ b/services/entry/origin/exchange/tell.go
@@ -0,0 +1,184 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shelfledge/shelfledge/modules/entry/datagram"
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+const (
+	// maxPending bounds the streams whose holders are not told yet. A higher value bridges a longer standstill, a lower one takes less
+	// memory.
+	maxPending = 4096
+	// tellBatch is the number of streams that are told at once, with a pause of tellPause after it if there are more. A higher number tells
+	// all streams sooner once a second software appears, a lower one leaves more of the link to requests.
+	tellBatch = 128
+	tellPause = 10 * time.Millisecond
+	// sweepInterval is how often expired records are removed. A higher value costs less, a lower one frees memory sooner.
+	sweepInterval = 10 * time.Second
+	// listBytes is the size of a datagram without its records.
+	listBytes = 8
+)
+
+// addPending lets a stream be told next. The stream that has waited longest is dropped if there are too many.
+func (s *Service) addPending(key origin.Key) {
+	if len(s.pending) >= maxPending {
+		s.pending = s.pending[1:]
+		s.counters.Dropped++
+	}
+	s.pending = append(s.pending, key)
+	s.wakeTeller()
+}
+
+// tellAgain lets all streams that this instance began be told, except to the holders that the former choice names and that were told before.
+func (s *Service) tellAgain(now time.Time, former *origin.Holders) {
+	if len(s.told) == 0 {
+		return
+	}
+	if len(s.backlog) > 0 {
+		former = nil
+	}
+	s.backlog = s.backlog[:0]
+	for service := range s.told {
+		s.backlog = append(s.backlog, s.table.OwnKeys(now, service)...)
+	}
+	s.backlogHolders = former
+	s.wakeTeller()
+}
+
+// wakeTeller wakes the teller unless it is about to wake.
+func (s *Service) wakeTeller() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runTeller tells holders, and removes what has expired, until the service is closed.
+func (s *Service) runTeller() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stopped:
+			return
+		case <-ticker.C:
+			s.sweep(s.options.Now())
+		case <-s.wake:
+			s.tellAll()
+		}
+	}
+}
+
+// tellAll tells all streams that wait, in batches.
+func (s *Service) tellAll() {
+	for s.tellSome(s.options.Now()) {
+		select {
+		case <-s.stopped:
+			return
+		case <-time.After(tellPause):
+		}
+	}
+}
+
+// tellSome tells one batch of streams and reports whether more are left.
+func (s *Service) tellSome(now time.Time) bool {
+	records, holders, former, more := s.takeBatch(now)
+	lists := make(map[netip.AddrPort][]msgpack.RawMessage)
+	for i, told := range records {
+		encoded, err := msgpack.Marshal(toRecord(now, told))
+		if err != nil || len(encoded)+listBytes > datagram.MaxBytes {
+			s.countOversized()
+			continue
+		}
+		chosen := holders.Told(told.Key)
+		if former[i] != nil {
+			chosen = without(chosen, former[i].Told(told.Key))
+		}
+		for _, holder := range chosen {
+			lists[holder] = append(lists[holder], encoded)
+		}
+	}
+	for holder, list := range lists {
+		s.tellHolder(holder, list)
+	}
+	return more
+}
+
+// without returns the addresses that are not among others.
+func without(addresses, others []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(addresses, func(address netip.AddrPort) bool {
+		return slices.Contains(others, address)
+	})
+}
+
+// takeBatch takes the streams that are told next, with the holders and, for each stream, the former choice whose holders know it.
+func (s *Service) takeBatch(now time.Time) (records []origin.Record, holders *origin.Holders, former []*origin.Holders, more bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	take := func(queue []origin.Key, told *origin.Holders) []origin.Key {
+		count := min(len(queue), tellBatch-len(records))
+		for _, key := range queue[:count] {
+			if found, exists := s.table.Get(now, key); exists {
+				records = append(records, found)
+				former = append(former, told)
+			}
+		}
+		return queue[count:]
+	}
+	s.pending = take(s.pending, nil)
+	s.backlog = take(s.backlog, s.backlogHolders)
+	return records, s.holders, former, len(s.pending)+len(s.backlog) > 0
+}
+
+// toRecord returns a record as it is sent.
+func toRecord(now time.Time, told origin.Record) *record {
+	return &record{
+		Key: uint64(told.Key), Service: told.Origin.Service, Software: told.Origin.Software,
+		Remaining: milliseconds(told.Until.Sub(now)), Ambiguous: told.Ambiguous,
+	}
+}
+
+// tellHolder sends records to a holder, as many in each datagram as fit.
+func (s *Service) tellHolder(holder netip.AddrPort, records []msgpack.RawMessage) {
+	for len(records) > 0 {
+		count, size := 0, listBytes
+		for count < len(records) && size+len(records[count]) <= datagram.MaxBytes {
+			size += len(records[count])
+			count++
+		}
+		s.sendRecords(holder, records[:count])
+		records = records[count:]
+	}
+}
+
+// sendRecords sends records in one datagram.
+func (s *Service) sendRecords(holder netip.AddrPort, records []msgpack.RawMessage) {
+	payload, err := encode(&encodedRecords{Records: records})
+	if err != nil {
+		s.countOversized()
+		return
+	}
+	if !s.send(holder, payload) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counters.Told++
+	s.counters.ToldRecords += uint64(len(records))
+}
+
+// countOversized counts a message that cannot be sent.
+func (s *Service) countOversized() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counters.Oversized++
+}
