--- a/services/entry/origin/table_test.go
+++ b/services/entry/origin/table_test.go
@@ -4,6 +4,8 @@
 package origin_test
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -141,3 +143,35 @@
 	require.True(t, exists)
 	assert.Equal(t, added, got)
 }
+
+// BenchmarkTableMemory reports what a record takes in a full table, whose oldest records have been replaced several times.
+func BenchmarkTableMemory(b *testing.B) {
+	for range b.N {
+		before := heap()
+		table := origin.NewTable()
+		for i := range 5 * maxRecords {
+			table.Add(start, origin.Record{Key: origin.KeyOf("route", strconv.Itoa(i)), Origin: one, Until: after(time.Minute)})
+		}
+		b.ReportMetric(float64(heap()-before)/maxRecords, "B/record")
+		runtime.KeepAlive(table)
+	}
+}
+
+// heap returns the bytes that cannot be freed.
+func heap() uint64 {
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return memory.HeapAlloc
+}
+
+// BenchmarkSweep sweeps a full table of which nothing has expired.
+func BenchmarkSweep(b *testing.B) {
+	table := origin.NewTable()
+	for i := range maxRecords {
+		table.Add(start, origin.Record{Key: origin.KeyOf("route", strconv.Itoa(i)), Origin: one, Until: after(time.Minute)})
+	}
+	for b.Loop() {
+		table.Sweep(start)
+	}
+}
--- a/tests/constants/constants_test.go
+++ b/tests/constants/constants_test.go
@@ -30,7 +30,7 @@
 var decidingPackages = []string{
 	"services/entry/admission", "services/entry/balance", "services/entry/retry", "services/entry/proxy/attempt",
 	"services/entry/directory", "services/entry/limit", "services/entry/loading", "services/quarantine",
-	"services/entry/reach", "services/entry/lease", "services/entry/coordinator/forecast", "services/entry/coordinator/report", "services/entry/coordinator/view",
+	"services/entry/reach", "services/entry/origin", "services/entry/origin/exchange", "services/entry/lease", "services/entry/coordinator/forecast", "services/entry/coordinator/report", "services/entry/coordinator/view",
 	"services/entry/coordinator/follow", "services/entry/coordinator/gather", "services/entry/coordinator/member", "services/entry/coordinator/tree", "services/entry/coordinator/recall",
 	"services/daemon/placement", "services/daemon/placement/backoff", "services/daemon/placement/popularity",
 	"services/daemon/placement/queue", "services/daemon/routing", "services/daemon/membership", "services/daemon/budget",
