Let a stream that is taken up go on only where it began

Cause: a caller takes a stream up at any instance, which placed it like a new request. No instance told another where its streams began, and Resumes was read by nobody.

Change: the instance that forwards the first event of a stream that may be resumed records its service and software, and tells holders while several softwares serve. A request with Last-Event-Id on such a route asks for the origin of the attempt that Resumes names, and is restricted to it; what nobody knows is refused with 503 and a time to come back, unless only one software is known at all. The coordinator passes on which softwares serve before each choice of an endpoint.

--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -163,6 +163,7 @@
 
 // tryAssign assigns an endpoint if one can accept the request now, and reports whether it did.
 func (c *Coordinator) tryAssign(now time.Time, w *waiter) bool {
+	c.observeSoftware(now)
 	named := c.versions.Latest(w.Adapter)
 	former, formerWait := c.versions.FormerVersion(now, w.Adapter, c.options.VersionLimit)
 	required := balance.Requirement{
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -237,6 +237,9 @@
 		return
 	}
 	c.current.Store(configuration)
+	if c.options.ObserveConfiguration != nil {
+		c.options.ObserveConfiguration(now, configuration)
+	}
 	c.options.Log.WithFields(map[string]any{
 		"version": configuration.Version, "revision": item.Revision, "bytes": len(item.Value),
 	}).Info("configuration in force")
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -119,6 +119,8 @@
 	cutOffSince time.Time
 	// tunnels are the instances through which endpoints can be reached, as last passed to ObserveTunnels.
 	tunnels []wire.Tunnel
+	// observedSoftware is what was last passed to ObserveSoftware.
+	observedSoftware softwareObservation
 	// recordReadRequested reports whether the lease record is to be read without delay.
 	recordReadRequested bool
 	// deferredRecordReadAt is the time at which a deferred read of the lease record is due. It is zero if none is
@@ -203,6 +205,7 @@
 
 func (c *Coordinator) tick(now time.Time) {
 	c.reviewEra(now)
+	c.observeSoftware(now)
 	c.recallOverdue(now)
 	c.reviewLimits(now)
 	c.reviewSuspects(now)
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -68,6 +68,12 @@
 	ObserveRecall func()
 	// ObserveTunnels receives the instances through which endpoints can be reached, when they have changed.
 	ObserveTunnels func(tunnels []wire.Tunnel)
+	// ObserveSoftware receives which softwares the endpoints of each service run, when that has changed; an empty software is not known.
+	// InterruptSoftware is called when changes may be missed until the next call of ObserveSoftware.
+	ObserveSoftware   func(now time.Time, software map[string][]string)
+	InterruptSoftware func()
+	// ObserveConfiguration receives each configuration that is put in force.
+	ObserveConfiguration func(now time.Time, configuration *deployment.Configuration)
 }
 
 // Environment holds the external calls of a Coordinator as function fields.
--- /dev/null
+++ b/services/entry/coordinator/software.go
@@ -0,0 +1,34 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package coordinator
+
+import "time"
+
+// maxSoftwareAge is the age of what is known about the endpoints from which on a software may have come and left unseen. A higher value bridges
+// longer outages of the store, a lower one assumes less.
+const maxSoftwareAge = 5 * time.Second
+
+// softwareObservation is what the observer of softwares was told last.
+type softwareObservation struct {
+	// revision is that of the directory, interrupted that its softwares are too old to be relied on.
+	revision    uint64
+	interrupted bool
+}
+
+// observeSoftware passes on which softwares the endpoints run if that has changed. It is called before an endpoint is chosen, so that no
+// request reaches an endpoint whose software was not passed on.
+func (c *Coordinator) observeSoftware(now time.Time) {
+	if !c.endpointsKnown || c.options.ObserveSoftware == nil {
+		return
+	}
+	observed := softwareObservation{revision: c.directory.SoftwareRevision(), interrupted: c.endpointsAge(now) > maxSoftwareAge}
+	if observed == c.observedSoftware {
+		return
+	}
+	c.observedSoftware = observed
+	c.options.ObserveSoftware(now, c.directory.Software())
+	if observed.interrupted {
+		c.options.InterruptSoftware()
+	}
+}
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -24,6 +24,8 @@
 	halls map[string]*hallReachability
 	// inFlightTimes is the mean time in flight of the requests of each service. Entries of removed services are kept, at a few bytes each.
 	inFlightTimes map[string]time.Duration
+	// softwareRevision counts the changes of which endpoints there are and of their software.
+	softwareRevision uint64
 }
 
 // removal describes when an endpoint was removed.
@@ -68,6 +70,9 @@
 	if ok && endpoint.Software == "" {
 		endpoint.Software = status.Software
 	}
+	if !ok || endpoint.Software != status.Software {
+		d.softwareRevision++
+	}
 	endpoint.State = d.effectiveState(&endpoint)
 	if d.cameBackFromCopy(endpoint.ID, revision) {
 		endpoint.State = deployment.Draining
@@ -150,6 +155,7 @@
 
 // dropStatus removes a status, so that a later description of its endpoint creates a new one.
 func (d *Directory) dropStatus(status *EndpointStatus) {
+	d.softwareRevision++
 	delete(d.endpoints, status.ID)
 	list := d.byService[status.Service]
 	for i, other := range list {
@@ -285,8 +291,9 @@
 
 // LearnSoftware sets the software of an endpoint whose software is not known yet.
 func (d *Directory) LearnSoftware(id deployment.EndpointID, software string) {
-	if status, ok := d.endpoints[id]; ok && status.Software == "" {
+	if status, ok := d.endpoints[id]; ok && status.Software == "" && software != "" {
 		status.Software = software
+		d.softwareRevision++
 	}
 }
 
--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -20,7 +20,7 @@
 	Ambiguous
 )
 
-// Result is a verdict, and the origin for Known and SoleSoftware.
+// Result is a verdict, and the origin for Known, SoleSoftware and Unrestricted.
 type Result struct {
 	Verdict Verdict
 	Origin  Origin
@@ -41,7 +41,7 @@
 	case found.Verdict != Unknown:
 		return found, true
 	case proven && len(known) == 1:
-		return Result{Verdict: Unrestricted}, true
+		return Result{Verdict: Unrestricted, Origin: known[0].Origin}, true
 	default:
 		return Result{Verdict: Unknown}, false
 	}
--- a/services/entry/origin/decision_test.go
+++ b/services/entry/origin/decision_test.go
@@ -29,7 +29,8 @@
 }
 
 func TestDecideLocally(t *testing.T) {
-	unrestricted := origin.Result{Verdict: origin.Unrestricted}
+	unrestricted := origin.Result{Verdict: origin.Unrestricted, Origin: one}
+	unstated := origin.Result{Verdict: origin.Unrestricted, Origin: origin.Origin{Service: "chat"}}
 	for name, test := range map[string]struct {
 		found    origin.Result
 		known    []origin.Sighting
@@ -43,7 +44,7 @@
 		"one software, not proven":   {unknown, sightings(one), false, unknown, false},
 		"several softwares":          {unknown, sightings(one, two), true, unknown, false},
 		"no software, proven":        {unknown, nil, true, unknown, false},
-		"unstated software, proven":  {unknown, sightings(origin.Origin{Service: "chat"}), true, unrestricted, true},
+		"unstated software, proven":  {unknown, sightings(origin.Origin{Service: "chat"}), true, unstated, true},
 		"unstated software, another": {unknown, sightings(origin.Origin{Service: "chat"}, one), true, unknown, false},
 	} {
 		result, final := origin.DecideLocally(test.found, test.known, test.proven)
--- a/services/entry/origin/exchange/service_test.go
+++ b/services/entry/origin/exchange/service_test.go
@@ -75,7 +75,7 @@
 			begin(f.services[0], key, one)
 		}
 		time.Sleep(settling)
-		assert.Equal(t, origin.Result{Verdict: origin.Unrestricted}, f.services[1].Find(t.Context(), time.Now(), 1, []string{"chat"}, window))
+		assert.Equal(t, origin.Result{Verdict: origin.Unrestricted, Origin: one}, f.services[1].Find(t.Context(), time.Now(), 1, []string{"chat"}, window))
 		assertFound(t, known(one), f.services[0], 1)
 		assert.Empty(t, f.network.takeSent())
 	})
@@ -184,7 +184,7 @@
 		assertFound(t, unknown, f.services[0], 1)
 		time.Sleep(window)
 		f.network.takeSent()
-		assertFound(t, origin.Result{Verdict: origin.Unrestricted}, f.services[0], 1)
+		assertFound(t, origin.Result{Verdict: origin.Unrestricted, Origin: two}, f.services[0], 1)
 		begin(f.services[0], 2, two)
 		time.Sleep(settling)
 		assert.NotEmpty(t, f.network.takeSent(), "it tells its streams, too, since it has learnt that there were several")
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -28,6 +28,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/connect"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
+	"github.com/shelfledge/shelfledge/services/entry/origin/exchange"
 	"github.com/shelfledge/shelfledge/services/entry/proxy"
 )
 
@@ -84,6 +85,7 @@
 	client   *upstream.Client
 	links    *connect.Connector
 	tunnels  *tunnel.Acceptor
+	origins  *exchange.Service
 	control  *coordinator.Coordinator
 	clock    *clock.Clock
 	server   *gateway.Server
@@ -106,7 +108,12 @@
 	options.Coordinator.ObserveLinkClosed = func() { metrics.ObserveLinkClosed() }
 	options.Coordinator.ObserveFormerVersion = func(age time.Duration, overdue bool) { metrics.ObserveFormerVersion(age, overdue) }
 	options.Coordinator.ObserveRecall = func() { metrics.ObserveRecall() }
-	options.Coordinator.ObserveTunnels = func(tunnels []wire.Tunnel) { links.SetPeers(peersOf(tunnels)) }
+	origins := newOrigins(options, clock, log)
+	observeOrigins(&options.Coordinator, origins)
+	options.Coordinator.ObserveTunnels = func(tunnels []wire.Tunnel) {
+		links.SetPeers(peersOf(tunnels))
+		origins.SetInstances(instancesOf(tunnels))
+	}
 	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) {
 		client.Retire(string(id))
 		links.Forget(id)
@@ -116,7 +123,7 @@
 	metrics = newMetrics(control, client, writer, links, tunnels)
 	return &Process{
 		options: options, log: log, writer: writer, client: client, control: control, clock: clock, links: links, tunnels: tunnels,
-		server: newServer(options, log, clock, control, client, metrics, links), stopping: make(chan struct{}),
+		origins: origins, server: newServer(options, log, clock, control, origins, client, metrics, links), stopping: make(chan struct{}),
 	}
 }
 
@@ -125,6 +132,9 @@
 	if err := p.startTunnels(); err != nil {
 		return err
 	}
+	if err := p.origins.Start(); err != nil {
+		p.log.WithError(err).Warn("no port for where streams began: this instance tells and asks no other one")
+	}
 	if err := p.control.Start(); err != nil {
 		return err
 	}
@@ -142,6 +152,7 @@
 	p.server.Close()
 	p.tunnels.Close()
 	p.links.Stop()
+	p.origins.Close()
 	p.control.Stop()
 	close(p.stopping)
 	p.writer.Close(logCloseTimeout)
@@ -161,6 +172,7 @@
 	p.tunnels.Drain(ctx)
 	p.tunnels.Close()
 	p.links.Stop()
+	p.origins.Close()
 	p.log.WithField("in_flight", p.server.InFlight()).Info("stopped")
 	p.control.Stop()
 	close(p.stopping)
@@ -280,7 +292,7 @@
 	})
 }
 
-func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, client *upstream.Client, metrics *metric.Metrics, links *connect.Connector) *gateway.Server {
+func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, origins *exchange.Service, client *upstream.Client, metrics *metric.Metrics, links *connect.Connector) *gateway.Server {
 	var server *gateway.Server
 	service := proxy.New(proxy.Options{
 		Now: clock.Now, Timer: clock.TimerTime, WithDeadline: clock.WithDeadline, Random: rand.Float64, Log: log,
@@ -293,6 +305,7 @@
 		RecordCrash: control.RecordCrash, RecordUnanswered: control.RecordUnanswered, RecordAnswered: control.RecordAnswered,
 		ApplyNotice:  control.ApplyNotice,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
+		Origins: proxy.Origins{Begin: origins.Begin, Find: origins.Find},
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -76,6 +76,9 @@
 	// stoppingRetryAfter applies while the instance stops: another instance can serve the request immediately. A longer time reduces
 	// the load on the instances; a shorter one serves sooner.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// originRetryAfter applies to streams that are taken up and of which it is not known where they began: an instance that knows it may be
+	// reached again soon. A longer time reduces the load on the instances; a shorter one serves sooner.
+	originRetryAfter = 250 * time.Millisecond
 	// notRunRetryAfter applies to requests that no endpoint ran. A longer time reduces the load on the instances; a shorter one serves
 	// sooner.
 	notRunRetryAfter = 250 * time.Millisecond
@@ -98,6 +101,8 @@
 	BodyUnreadable = Ending{Status: http.StatusBadRequest, Reason: "body cannot be read"}
 	// ProgramFault means that a panic ended the request; it may have run.
 	ProgramFault = Ending{Status: http.StatusInternalServerError, Reason: "fault of the program"}
+	// OriginUnknown means that a stream was to go on and it is not known where it began, so that no endpoint may continue it.
+	OriginUnknown = Ending{Status: http.StatusServiceUnavailable, Reason: "beginning of the stream unknown", RetryAfter: originRetryAfter}
 	// Stopping means that the process would end before it could complete the response.
 	Stopping = Ending{Status: http.StatusServiceUnavailable, Reason: "stopping", RetryAfter: stoppingRetryAfter}
 )
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -78,7 +78,7 @@
 		ExpectedMS: e.assignment.Expected.Milliseconds(), RanAfterMS: e.timeToRun.Milliseconds(),
 		VersionDemanded: e.assignment.Version, VersionHeld: e.assignment.HeldVersion, Ended: e.attemptEnd(verdict.Result),
 		FormerLeftMS: e.assignment.FormerVersion.Remaining.Milliseconds(), FormerExpectedMS: e.assignment.FormerVersion.Expected.Milliseconds(),
-		UntilClose: e.untilClose, Via: e.via,
+		UntilClose: e.untilClose, Via: e.via, Software: e.request.Software,
 		LimitPerSecond: e.notice.Limit, Draining: e.notice.Draining, RestMS: e.notice.Rest.Milliseconds(),
 	}
 }
--- a/services/entry/proxy/observation.go
+++ b/services/entry/proxy/observation.go
@@ -99,6 +99,8 @@
 	UntilClose bool `json:"until_close,omitempty"`
 	// Via is the address of the instance through which the answer came; not valid for an answer over an own link.
 	Via netip.AddrPort `json:"via,omitzero"`
+	// Software is the software of the endpoint if only endpoints of one software could run the request.
+	Software string `json:"software,omitempty"`
 	// Ended is how an attempt without a complete response ended; nil for other attempts.
 	Ended *AttemptEnd `json:"ended,omitempty"`
 	// FormerLeftMS is for how much longer a former version was allowed when an endpoint was chosen that holds no newer one, and
--- a/services/entry/proxy/service.go
+++ b/services/entry/proxy/service.go
@@ -45,6 +45,8 @@
 	// CountRequest adds a request to the basis of the retry budget. TakeRetry reports whether the budget grants a retry, which it then counts.
 	CountRequest func(service string)
 	TakeRetry    func(service string) bool
+	// Origins are nil if all endpoints run the same software.
+	Origins Origins
 }
 
 // Options are the settings of a Service.
@@ -152,6 +154,7 @@
 		ID: truncateForLog(caller.ID), Route: route, Service: balance.ChooseBackend(route, s.options.Random()), Adapter: caller.Adapter,
 		PromptTokens: caller.PromptTokens, Arrived: arrived, Deadline: attempt.Deadline(arrived, route, caller.Timeout),
 	}
+	originKnown := s.restrictToOrigin(incoming.Context(), request, caller)
 	if service := configuration.Services[request.Service]; service == nil || service.Engine == nil {
 		request.Adapter = deployment.Adapter{}
 		request.PromptTokens = 0
@@ -169,6 +172,10 @@
 	inflight := &inflight{service: s, response: response, incoming: incoming, request: request, caller: caller, body: body, context: ctx}
 	// An interrupted response ends with the panic http.ErrAbortHandler, on which net/http closes the connection.
 	defer s.observe(inflight)
+	if !originKnown {
+		inflight.refuseUnknownOrigin()
+		return
+	}
 	inflight.serve()
 }
 
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -72,6 +72,7 @@
 		return
 	}
 	s.headPending = false
+	s.exchange.recordOrigin()
 	httpResponse := s.exchange.response.Response
 	body := s.exchange.bodyEnd()
 	if s.events.wholeOnly {
