Let a stream go on only at the software that began it

Cause: an interrupted stream was resumed, and a silent one hedged, at any endpoint with its adapter, also at one of another software version. Change: the position in an answer holds the software whose events were forwarded first. Whatever continues the stream from there asks for an endpoint of this software; where it is unknown, only the endpoint that served before continues, within the bounds that hold for it. Before the first event any endpoint may be tried, as before.

--- a/services/entry/proxy/acquire.go
+++ b/services/entry/proxy/acquire.go
@@ -29,11 +29,13 @@
 	return placement{assignment: assignment, request: r.request}, err
 }
 
-// acquireToResume acquires an endpoint that continues a request: any endpoint not in tried, or only the given one if it is not empty.
-// The request is passed to the coordinator as one that has just arrived, because its wait starts now.
-func (r *inflight) acquireToResume(ctx context.Context, tried []deployment.EndpointID, only deployment.EndpointID) (placement, error) {
+// acquireToResume acquires an endpoint that continues a request from a position: any endpoint not in tried, or only the given one if it is
+// not empty, as far as the position allows it. The request is passed to the coordinator as one that has just arrived, because its wait
+// starts now.
+func (r *inflight) acquireToResume(ctx context.Context, from position, tried []deployment.EndpointID, only deployment.EndpointID) (placement, error) {
 	resumed := *r.request
 	resumed.Arrived, resumed.OnlyEndpoint = r.service.options.Now(), only
+	from.bind(&resumed)
 	assignment, err := r.service.control.Acquire(ctx, &resumed, tried)
 	return placement{assignment: assignment, request: &resumed}, err
 }
@@ -65,7 +67,7 @@
 			return found, err
 		}
 	}
-	return r.acquireToResume(r.context, r.tried, "")
+	return r.acquireToResume(r.context, r.position(), r.tried, "")
 }
 
 // acquireElsewhereOrInPlace acquires an endpoint that can continue a stream soon: another endpoint if elsewhere is set, otherwise or
@@ -100,7 +102,7 @@
 func (r *inflight) acquireWithTimeout(tried []deployment.EndpointID, only deployment.EndpointID) (placement, error) {
 	ctx, cancel := context.WithTimeout(r.context, attempt.OtherEndpointsTimeout())
 	defer cancel()
-	return r.acquireToResume(ctx, tried, only)
+	return r.acquireToResume(ctx, r.position(), tried, only)
 }
 
 // acquireRetry asks the fleet's budget for a retry. For an interrupted stream it keeps asking for as long as the caller is expected
--- a/services/entry/proxy/attempt/retry.go
+++ b/services/entry/proxy/attempt/retry.go
@@ -58,7 +58,7 @@
 
 // CanResumeElsewhere reports whether a stream may be resumed at an endpoint that was not sent the request yet.
 func CanResumeElsewhere(s Situation) bool {
-	return s.Sent < s.Route.MaxAttempts
+	return s.Sent < s.Route.MaxAttempts && !s.OnlyInPlace
 }
 
 // NextStep decides what follows the end of an attempt.
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -52,6 +52,8 @@
 
 func refused(s *attempt.Situation) { s.Refused = true }
 
+func onlyInPlace(s *attempt.Situation) { s.OnlyInPlace = true }
+
 func processEnds(s *attempt.Situation) { s.ProcessEnds = true }
 
 // callerLeft also ends the request's context.
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -55,6 +55,9 @@
 	HeadForwarded bool
 	// EventForwarded is set if the caller has received a complete event with an id, after which the stream can be resumed.
 	EventForwarded bool
+	// OnlyInPlace is set if the caller has received events and no other endpoint is known to run the software of the one that sent them, from
+	// the endpoints' descriptions.
+	OnlyInPlace bool
 	// BodyTooLarge is set if the body turned out to be larger than the settings allow after a part of it was sent.
 	BodyTooLarge bool
 	// Recalled is set if this instance recalled the request from the current endpoint.
--- a/services/entry/proxy/attempt/timeout.go
+++ b/services/entry/proxy/attempt/timeout.go
@@ -59,7 +59,7 @@
 // HedgeDelay returns the silence of its endpoint after which a request is sent to another endpoint as well; false if that is not
 // allowed or there is no time left. The current exchange continues until the other endpoint has started to respond.
 func HedgeDelay(now time.Time, s Situation) (after time.Duration, searches bool) {
-	if !s.Route.Retryable() || s.Sent >= s.Route.MaxAttempts || !s.BodyBuffered {
+	if !s.Route.Retryable() || !CanResumeElsewhere(s) || !s.BodyBuffered {
 		return 0, false
 	}
 	left := s.Deadline.Sub(now)
--- a/services/entry/proxy/attempt/timeout_test.go
+++ b/services/entry/proxy/attempt/timeout_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// TestStreamThatNoOtherEndpointMayContinue checks that such a stream is resumed in place only, and sent to no other endpoint meanwhile.
+func TestStreamThatNoOtherEndpointMayContinue(t *testing.T) {
+	s := after(resumable, eventForwarded, headForwarded, onlyInPlace)
+	assert.True(t, attempt.CanResumeInPlace(s))
+	assert.False(t, attempt.CanResumeElsewhere(s))
+	_, searches := attempt.HedgeDelay(now, s)
+	assert.False(t, searches)
+	assert.Equal(t, attempt.RetryWithinBudget, attempt.NextStep(now, attempt.Interrupted, s))
+	inPlace(5)(&s)
+	assert.Equal(t, attempt.GiveUp, attempt.NextStep(now, attempt.Interrupted, s))
+}
+
 func TestCanResumeInPlace(t *testing.T) {
 	assert.True(t, attempt.CanResumeInPlace(after(resumable, eventForwarded)))
 	assert.True(t, attempt.CanResumeInPlace(after(resumable, eventForwarded, inPlace(1))))
--- a/services/entry/proxy/hedge.go
+++ b/services/entry/proxy/hedge.go
@@ -156,7 +156,7 @@
 	}
 	defer h.finishSearch(ctx)
 	inflight := h.primary.inflight
-	placed, err := inflight.acquireToResume(ctx, h.tried(), "")
+	placed, err := inflight.acquireToResume(ctx, from, h.tried(), "")
 	if err != nil {
 		return
 	}
--- a/services/entry/proxy/inflight.go
+++ b/services/entry/proxy/inflight.go
@@ -39,8 +39,10 @@
 	inPlaceCount   int
 	// lastRefused is set if the endpoint of the last attempt refused the request.
 	lastRefused bool
-	// lastServed is the endpoint whose events were forwarded last; empty for none.
+	// lastServed is the endpoint whose events were forwarded last; empty for none. software is that of the endpoint whose events were
+	// forwarded first; empty if unknown.
 	lastServed deployment.EndpointID
+	software   string
 	// successor is an exchange whose response started while the former endpoint was silent; nil for none.
 	successor *exchange
 	// mayHaveRun is set when an attempt ended without proof that the request did not run.
@@ -128,11 +130,39 @@
 	headForwarded bool
 	// lastEvent is the id of the last complete event that was forwarded; empty for none.
 	lastEvent string
+	// lastServed is the endpoint whose events were forwarded last; empty for none. software is that of all endpoints whose events were
+	// forwarded; empty if unknown.
+	lastServed deployment.EndpointID
+	software   string
+}
+
+// onlyInPlace reports whether no other endpoint than the last one may continue the stream: of none is it known that it runs the software
+// that began the stream.
+func (p position) onlyInPlace() bool {
+	return p.lastServed != "" && p.software == ""
+}
+
+// bind restricts a request that continues a stream at the position to the endpoints that may do so. Before any event, all may.
+func (p position) bind(request *deployment.Request) {
+	if p.onlyInPlace() {
+		request.OnlyEndpoint = p.lastServed
+	}
+	if p.software != "" {
+		request.Software = p.software
+	}
 }
 
 // position returns the current position; it may be called only on the goroutine that serves the request.
 func (r *inflight) position() position {
-	return position{headForwarded: r.response.status != 0, lastEvent: r.lastEvent}
+	return position{headForwarded: r.response.status != 0, lastEvent: r.lastEvent, lastServed: r.lastServed, software: r.software}
+}
+
+// recordServed records that an endpoint's events were forwarded.
+func (r *inflight) recordServed(endpoint deployment.Endpoint) {
+	if r.lastServed == "" {
+		r.software = endpoint.Software
+	}
+	r.lastServed = endpoint.ID
 }
 
 // situation returns the input for the decisions of package attempt on the request.
@@ -145,7 +175,7 @@
 	return attempt.Situation{
 		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sentCount, Unreached: r.unreachedCount, InPlace: r.inPlaceCount, Refused: r.lastRefused, MayHaveRun: r.mayHaveRun,
 		BodyBuffered: r.body.remainder == nil, HeadForwarded: received.headForwarded, EventForwarded: received.lastEvent != "",
-		BodyTooLarge: r.body.tooLarge(), Recalled: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
+		OnlyInPlace: received.onlyInPlace(), BodyTooLarge: r.body.tooLarge(), Recalled: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
 		ProcessEnds: r.processEnds(),
 	}
 }
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -56,6 +56,9 @@
 // refusalRetryAfter is the time after which the coordinator of a test asks refused callers to retry.
 const refusalRetryAfter = 1500 * time.Millisecond
 
+// testSoftware is the software of all endpoints, unless a test sets another one.
+const testSoftware = "v1"
+
 // testProxy is a proxy in front of endpoints that respond with scripts.
 type testProxy struct {
 	configuration *deployment.Configuration
@@ -102,7 +105,7 @@
 		if strings.HasPrefix(script, scriptQueued) {
 			p.addRecall(id)
 		}
-		p.endpoints = append(p.endpoints, deployment.Endpoint{ID: id, Address: p.listen(t, script, p.recalls[id])})
+		p.endpoints = append(p.endpoints, deployment.Endpoint{ID: id, Address: p.listen(t, script, p.recalls[id]), Software: testSoftware})
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -176,7 +179,12 @@
 	if p.acquireHook != nil {
 		return p.acquireHook(ctx, request, tried)
 	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	for _, endpoint := range p.endpoints {
+		if request.Software != "" && endpoint.Software != request.Software {
+			continue
+		}
 		if endpoint.ID == request.OnlyEndpoint || (request.OnlyEndpoint == "" && !slices.Contains(tried, endpoint.ID)) {
 			return coordinator.Assignment{Endpoint: endpoint, Recall: p.recalls[endpoint.ID]}, nil
 		}
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -91,7 +91,7 @@
 		return false
 	}
 	r.lastEvent = s.events.lastIDOr(r.lastEvent)
-	r.lastServed = s.exchange.assignment.Endpoint.ID
+	r.recordServed(s.exchange.assignment.Endpoint)
 	return true
 }
 
