--- a/tests/platformstandin/caller.go
+++ b/tests/platformstandin/caller.go
@@ -47,19 +47,18 @@
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialer.DialContext}}
 }
 
-// Send sends the call to the entry instance at HOST:PORT and reads the complete answer.
-func (c Call) Send(ctx context.Context, address string) Answer {
+// request returns the call as a request to the entry instance at HOST:PORT, and its ID.
+func (c Call) request(ctx context.Context, address string) (*http.Request, string, error) {
 	if c.Method == "" {
 		c.Method = http.MethodPost
 	}
-	answer := Answer{ID: fmt.Sprintf("id-%d", requestCount.Add(1))}
+	id := fmt.Sprintf("id-%d", requestCount.Add(1))
 	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+address+c.Path, strings.NewReader(c.Body))
 	if err != nil {
-		answer.Err = err
-		return answer
+		return nil, id, err
 	}
 	request.Host = Host
-	request.Header.Set(HeaderRequestID, answer.ID)
+	request.Header.Set(HeaderRequestID, id)
 	request.Header.Set(headerDeadline, defaultDeadline)
 	if c.Adapter != "" {
 		request.Header.Set(headerModel, Model+"/"+c.Adapter)
@@ -68,15 +67,22 @@
 	for name, value := range c.Header {
 		request.Header.Set(name, value)
 	}
+	return request, id, nil
+}
+
+// Send sends the call to the entry instance at HOST:PORT and reads the complete answer.
+func (c Call) Send(ctx context.Context, address string) Answer {
+	request, id, err := c.request(ctx, address)
+	if err != nil {
+		return Answer{ID: id, Err: err}
+	}
 	response, err := clientFrom(c.From).Do(request)
 	if err != nil {
-		answer.Err = err
-		return answer
+		return Answer{ID: id, Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	answer.Status, answer.Header, answer.Body, answer.Err = response.StatusCode, response.Header, string(body), err
-	return answer
+	return Answer{ID: id, Status: response.StatusCode, Header: response.Header, Body: string(body), Err: err}
 }
 
 // RequestHead is the head of a request that a caller writes to the connection itself.
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -20,6 +20,8 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Software is the software version in the worker's store entry; empty for DefaultSoftware.
+	Software string
 	// Model is the base model of the worker; empty for a worker of a plain service.
 	Model    string
 	Capacity int
@@ -35,6 +37,9 @@
 	Journal func(RunEvent)
 }
 
+// DefaultSoftware is the software version of workers whose options have none.
+const DefaultSoftware = "v1"
+
 // Registry writes and removes the store entry of a worker.
 type Registry struct {
 	Put    func(key string, value any)
@@ -66,8 +71,9 @@
 type RunEvent struct {
 	At    time.Time `json:"at"`
 	Phase RunPhase  `json:"phase"`
-	// Endpoint is the ID of the worker. ID, Adapter, Version and Resumed are those of the run.
+	// Endpoint is the ID of the worker, and Software its software version. ID, Adapter, Version and Resumed are those of the run.
 	Endpoint string `json:"endpoint"`
+	Software string `json:"software,omitempty"`
 	ID       string `json:"id"`
 	Adapter  string `json:"adapter,omitempty"`
 	Version  int    `json:"version,omitempty"`
@@ -109,9 +115,11 @@
 
 // Run is one request that a worker began to run.
 type Run struct {
-	ID       string
-	Adapter  string
+	ID      string
+	Adapter string
+	// Version is the version of the adapter, and Software that of the worker's software.
 	Version  int
+	Software string
 	Deadline string
 	Resumed  string
 	Canceled bool
@@ -170,6 +178,9 @@
 
 // NewRegisteredWorker starts a worker and writes its entry to the registry.
 func NewRegisteredWorker(registry Registry, options WorkerOptions) *Worker {
+	if options.Software == "" {
+		options.Software = DefaultSoftware
+	}
 	w := &Worker{
 		options: options, registry: registry, adapters: make(map[string]int), pending: make(map[string]time.Time),
 		versions: make(map[string]int), inUse: make(map[string]int), state: "ready", stop: make(chan struct{}),
@@ -271,7 +282,7 @@
 	w.finishLoads()
 	w.describedSequence = w.sequence
 	entry := map[string]any{
-		"service": w.options.Service, "address": w.server.Listener.Addr().String(), "zone": w.options.Zone, "version": "v1",
+		"service": w.options.Service, "address": w.server.Listener.Addr().String(), "zone": w.options.Zone, "version": w.options.Software,
 		"slots": w.options.Slots, "state": w.state, "cold_remaining_ms": 0, "sequence": 0, "models": w.models(),
 	}
 	w.mutex.Unlock()
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -140,7 +140,7 @@
 		return
 	}
 	run := &Run{
-		ID: request.Header.Get(HeaderRequestID), Adapter: adapter, Version: version,
+		ID: request.Header.Get(HeaderRequestID), Adapter: adapter, Version: version, Software: w.options.Software,
 		Deadline: request.Header.Get("X-Deadline-Ms"), Resumed: request.Header.Get("Last-Event-Id"), Began: time.Now(),
 	}
 	w.runs = append(w.runs, run)
@@ -169,7 +169,8 @@
 		return
 	}
 	w.options.Journal(RunEvent{
-		At: time.Now(), Phase: phase, Endpoint: w.options.ID, ID: run.ID, Adapter: run.Adapter, Version: run.Version, Resumed: run.Resumed,
+		At: time.Now(), Phase: phase, Endpoint: w.options.ID, Software: run.Software, ID: run.ID, Adapter: run.Adapter, Version: run.Version,
+		Resumed: run.Resumed,
 	})
 }
 
@@ -307,13 +308,16 @@
 	w.mutex.Unlock()
 	writer.Header().Set("Content-Type", "text/event-stream")
 	events, pause := queryNumber(request, "events", w.options.Events), queryMilliseconds(request, "pause_ms", w.options.Pause)
-	padding := queryNumber(request, "padding", 0)
+	padding, isSigned := queryNumber(request, "padding", 0), request.URL.Query().Has(SignedParameter)
 	for id := first; id <= events; id++ {
 		if breakAfter > 0 && id > breakAfter {
 			_, _ = fmt.Fprintf(writer, "id: %d\ndata: half", id)
 			_ = http.NewResponseController(writer).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if isSigned {
+			_, _ = io.WriteString(writer, Maker{Event: id, Worker: w.options.ID, Software: run.Software}.comment())
+		}
 		_, _ = io.WriteString(writer, PaddedEvent(id, run.ID, run.Adapter, padding))
 		_ = http.NewResponseController(writer).Flush()
 		select {
