Ask silent holders again until the time is over

Cause: TestThirdOfDatagramsLostLeavesStreamsKnown failed in 3 of 15 runs with 268 to 270 of 300 streams known, where it demands more than 270: with a third of all datagrams lost, two questions to two holders are too few.

Change: those that are silent are asked again each 50 ms, so twice within the 150 ms, in place of once. The test stays as strict, and logs its share.

--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -15,9 +15,9 @@
 const (
 	// askTimeout bounds the wait for answers. A higher value waits for slower links, a lower one delays the streams of callers less.
 	askTimeout = 150 * time.Millisecond
-	// resendAfter is when those that have not answered are asked again, and from when one answer with an origin is enough. A higher value
-	// sends fewer questions twice, a lower one finds out a lost datagram sooner.
-	resendAfter = 50 * time.Millisecond
+	// resendInterval is the time after which those that have not answered are asked again, and from when on one answer with an origin is
+	// enough. A higher value sends fewer questions twice, a lower one makes up for a lost datagram sooner.
+	resendInterval = 50 * time.Millisecond
 	// maxInquiries bounds the streams that are asked about at the same time. A higher value takes up more streams at once, a lower one
 	// takes less memory.
 	maxInquiries = 1024
@@ -30,8 +30,8 @@
 	services []string
 	window   time.Duration
 	known    []origin.Sighting
-	// asked is the number of instances that were asked, silent those that have not answered. The service's mutex guards silent.
-	asked   int
+	// asked are the instances that are asked, silent those of them that have not answered. The service's mutex guards silent.
+	asked   []netip.AddrPort
 	silent  map[netip.AddrPort]bool
 	answers chan origin.Answer
 }
@@ -70,7 +70,7 @@
 		addresses = s.holders.Asked(key)
 	}
 	added := &inquiry{
-		id: rand.Uint64(), key: key, services: services, window: window, known: known, asked: len(addresses),
+		id: rand.Uint64(), key: key, services: services, window: window, known: known, asked: addresses,
 		silent: make(map[netip.AddrPort]bool, len(addresses)), answers: make(chan origin.Answer, len(addresses)),
 	}
 	for _, address := range addresses {
@@ -90,16 +90,16 @@
 // ask asks and returns the answers, until all have come or the time is over.
 func (s *Service) ask(ctx context.Context, asking *inquiry) []origin.Answer {
 	var answers []origin.Answer
-	if asking.asked == 0 {
+	if len(asking.asked) == 0 {
 		return nil
 	}
-	resend := time.NewTimer(resendAfter)
+	resend := time.NewTicker(resendInterval)
 	defer resend.Stop()
 	timeout := time.NewTimer(askTimeout)
 	defer timeout.Stop()
 	s.sendQuestion(asking)
 	resent, found := false, false
-	for len(answers) < asking.asked && (!resent || !found) {
+	for len(answers) < len(asking.asked) && (!resent || !found) {
 		select {
 		case received := <-asking.answers:
 			answers = append(answers, received)
@@ -143,8 +143,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	addresses := make([]netip.AddrPort, 0, len(asking.silent))
-	for address := range asking.silent {
-		addresses = append(addresses, address)
+	for _, address := range asking.asked {
+		if asking.silent[address] {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
--- a/services/entry/origin/exchange/service_test.go
+++ b/services/entry/origin/exchange/service_test.go
@@ -24,9 +24,9 @@
 	// window is how long streams of the tests live, settling a time after which all datagrams have arrived.
 	window   = time.Minute
 	settling = 3 * time.Second
-	// askTimeout and resendAfter are those of the package.
-	askTimeout  = 150 * time.Millisecond
-	resendAfter = 50 * time.Millisecond
+	// askTimeout and resendInterval are those of the package.
+	askTimeout     = 150 * time.Millisecond
+	resendInterval = 50 * time.Millisecond
 )
 
 var (
@@ -212,7 +212,7 @@
 			for key := range origin.Key(50) {
 				result, took := find(t, f.services[(i+1)%6], key)
 				assert.Equal(t, known(one), result)
-				assert.LessOrEqual(t, took, resendAfter, "one answer is enough once the others had time")
+				assert.LessOrEqual(t, took, resendInterval, "one answer is enough once the others had time")
 			}
 			_, took := find(t, f.services[(i+1)%6], 99)
 			assert.LessOrEqual(t, took, askTimeout)
@@ -243,7 +243,7 @@
 		})
 		result, took := find(t, f.services[0], 1)
 		assert.Equal(t, unknown, result)
-		assert.Equal(t, resendAfter+2*latency, took)
+		assert.Equal(t, resendInterval+2*latency, took)
 		assert.Equal(t, uint64(3), f.services[0].Counters().Asked, "two instances, and one of them again")
 	})
 }
@@ -255,13 +255,13 @@
 		begin(f.services[0], 1, two)
 		time.Sleep(settling)
 		began := time.Now()
-		f.network.lose(func(datagram) bool { return time.Since(began) < resendAfter })
+		f.network.lose(func(datagram) bool { return time.Since(began) < resendInterval })
 		asking := slices.IndexFunc(f.instances, func(instance origin.Instance) bool {
 			return !f.knows(slices.Index(f.instances, instance), 0, 1)
 		})
 		result, took := find(t, f.services[asking], 1)
 		assert.Equal(t, known(two), result)
-		assert.Equal(t, resendAfter+2*latency, took)
+		assert.Equal(t, resendInterval+2*latency, took)
 	})
 }
 
@@ -289,6 +289,7 @@
 				found++
 			}
 		}
+		t.Logf("%d of %d streams were known", found, streams)
 		assert.Greater(t, found, streams*9/10)
 	})
 }
