--- a/services/entry/coordinator/fixture_test.go
+++ b/services/entry/coordinator/fixture_test.go
@@ -195,8 +195,14 @@
 	aroundCommit func(commit commitFunc) commitFunc
 	// recalled counts the requests that were recalled.
 	recalled atomic.Int64
+	// software receives the softwares that the instance observes, interrupted when it may miss some.
+	software    chan map[string][]string
+	interrupted chan struct{}
 }
 
+// maxObservations is the number of observed softwares that a test may leave unread.
+const maxObservations = 1000
+
 // formerUse is an observed request that began on a former version. age is how long a newer version had been known.
 type formerUse struct {
 	age     time.Duration
@@ -250,7 +256,8 @@
 func newFixture() *fixture {
 	f := &fixture{
 		store: newMemoryStore(), engine: &engine{adapters: make(map[deployment.Adapter]int64)},
-		network:    &network{nextDial: make(chan net.Conn), incoming: make(chan net.Conn), closed: make(chan struct{})},
+		network:  &network{nextDial: make(chan net.Conn), incoming: make(chan net.Conn), closed: make(chan struct{})},
+		software: make(chan map[string][]string, maxObservations), interrupted: make(chan struct{}, maxObservations),
 		formerUses: make(chan formerUse, 10), now: time.Now, loadWindow: time.Second, aroundCommit: func(commit commitFunc) commitFunc { return commit },
 	}
 	f.store.put(configurationKey, "3")
@@ -270,6 +277,8 @@
 		Now: f.now, Random: func() float64 { return 0.5 }, Log: logrus.NewEntry(log), LinkRate: f.linkRate, TakeoverDelay: f.takeoverDelay,
 		ObserveFormerVersion: func(age time.Duration, overdue bool) { f.formerUses <- formerUse{age, overdue} },
 		ObserveRecall:        func() { f.recalled.Add(1) },
+		ObserveSoftware:      func(_ time.Time, software map[string][]string) { f.software <- software },
+		InterruptSoftware:    func() { f.interrupted <- struct{}{} },
 	}
 	client := f.store.client()
 	client.Commit = f.aroundCommit(client.Commit)
--- a/services/entry/proxy/proxy_test.go
+++ b/services/entry/proxy/proxy_test.go
@@ -84,6 +84,12 @@
 // newTestProxy starts endpoints, each with the script that it writes for a request before it closes the connection, and a proxy with
 // a route of each kind.
 func newTestProxy(t *testing.T, scripts ...string) (*testProxy, *httptest.Server) {
+	t.Helper()
+	return newTestProxyWithOrigins(t, proxy.Origins{}, scripts...)
+}
+
+// newTestProxyWithOrigins is newTestProxy with functions that know where streams began.
+func newTestProxyWithOrigins(t *testing.T, origins proxy.Origins, scripts ...string) (*testProxy, *httptest.Server) {
 	t.Helper()
 	p := &testProxy{
 		observations: make(chan proxy.Observation, 1), recalls: make(map[deployment.EndpointID]*recall.Recall),
@@ -117,7 +123,7 @@
 		RecordCrash: func(*deployment.Request, coordinator.Assignment) {}, RecordUnanswered: func(*deployment.Request, coordinator.Assignment) {},
 		RecordAnswered: func(*deployment.Request) {},
 		ApplyNotice:    func(coordinator.Assignment, time.Time, deployment.Notice) {},
-		CountRequest:   func(string) {}, TakeRetry: p.takeRetry,
+		CountRequest:   func(string) {}, TakeRetry: p.takeRetry, Origins: origins,
 	}, upstream.NewClient(upstream.Options{MaxIdle: time.Minute, DialTimeout: dialTimeout, Now: time.Now}), p.testDialect())
 	return p, startServer(t, service)
 }
@@ -146,20 +152,6 @@
 	assert.Equal(t, callerResponse{200, "yes", "", true}, sendRequest(t, server, "/safe", "question"))
 }
 
-// testDialect has a header for each item that endpoints report.
-func testDialect() proxy.Dialect {
-	return proxy.Dialect{
-		ReadRequest: func(header http.Header) proxy.CallerHeader { return proxy.CallerHeader{ID: header.Get("Id")} },
-		WriteForward: func(header http.Header, forward proxy.ForwardHeader) {
-			header.Set("Resume", forward.ResumeAfter)
-		},
-		AnswersRequest: func(string, http.Header) bool { return true },
-		NotRun:         func(_ int, header http.Header) bool { return header.Get("Not-Run") != "" },
-		FromEndpoint:   func(header http.Header) bool { return header.Get("Mark") != "" },
-		ReadNotice:     func(int, http.Header) (deployment.Notice, error) { return deployment.Notice{}, nil },
-	}
-}
-
 func (p *testProxy) acquire(ctx context.Context, request *deployment.Request, tried []deployment.EndpointID) (coordinator.Assignment, error) {
 	if p.acquireHook != nil {
 		return p.acquireHook(ctx, request, tried)
