Load adapters at the software that waiting streams need

Cause: the planner takes all copies of an adapter for equal. A stream that only one software may continue waited in vain beside a copy at another software, and counted on loads that were announced for other endpoints. Change: reports tell the demand of such requests apart from the other demand, as an addition that former builds ignore. The copy that such a request waits for is not evicted, and these loads count in the backlog. The request itself counts on a load that has yet to begin. The pinned messages gain one field, without other changes.

--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -248,7 +248,7 @@
 		return true
 	}
 	if decision.Reason == admission.AdapterNotLoaded {
-		c.demand.ExpectRetry(w.Key(), now.Add(decision.RetryAfter), w.Route.TargetLatency)
+		c.demand.ExpectRetry(w.Key(), w.Software, now.Add(decision.RetryAfter), w.Route.TargetLatency)
 	}
 	if decision.Reason == admission.Limited {
 		c.recordLimitRefusal(now, w)
@@ -258,9 +258,14 @@
 }
 
 // expectedLoad returns when the adapter that a request waits for is expected to be resident, according to the planner's
-// last view.
+// last view. That does not tell where a load is under way: a request that only one software may run counts on none of them,
+// but on one that has yet to begin.
 func (c *Coordinator) expectedLoad(now time.Time, w *waiter) forecast.Expected {
-	return forecast.Expect(now, c.plannerKnowledge(now), c.forecasts.Load(w.Key()))
+	load := c.forecasts.Load(w.Key())
+	if w.Software != "" {
+		load = forecast.Load{Backlog: load.Backlog}
+	}
+	return forecast.Expect(now, c.plannerKnowledge(now), load)
 }
 
 // plannerKnowledge returns what this instance knows about the planner.
--- a/services/entry/coordinator/fixture_test.go
+++ b/services/entry/coordinator/fixture_test.go
@@ -209,9 +209,12 @@
 // endpointWithoutModel is the value of the key of an endpoint that has never held the base model.
 const endpointWithoutModel = "empty"
 
-// software is the software of each endpoint in the store.
+// software is the software of an endpoint in the store whose key names no other.
 const software = "v1"
 
+// softwarePrefix is the beginning of the value of the key of an endpoint that runs the software that follows.
+const softwarePrefix = "software "
+
 func parseEndpoint(item store.Item) (deployment.Endpoint, error) {
 	if string(item.Value) == invalidEntry {
 		return deployment.Endpoint{}, errInvalidEntry
@@ -220,6 +223,9 @@
 		ID: deployment.EndpointID(strings.TrimPrefix(item.Key, endpointPrefix)), Service: service, Hall: "hall",
 		Address: netip.MustParseAddrPort("127.0.0.1:2001"), Slots: 16, Software: software, Adapters: make(map[deployment.Adapter]int64),
 	}
+	if other, ok := strings.CutPrefix(string(item.Value), softwarePrefix); ok {
+		endpoint.Software = other
+	}
 	if string(item.Value) != endpointWithoutModel {
 		endpoint.Models, endpoint.CachedModels = []string{"base"}, []string{"base"}
 	}
@@ -300,10 +306,15 @@
 }
 
 func (f *fixture) acquire(name string, timeout time.Duration) (coordinator.Assignment, *deployment.Request, error) {
+	return f.acquireAtSoftware(name, "", timeout)
+}
+
+// acquireAtSoftware is acquire for a request that only the endpoints of a software may run, or any if that is empty.
+func (f *fixture) acquireAtSoftware(name, only string, timeout time.Duration) (coordinator.Assignment, *deployment.Request, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	now := time.Now()
-	request := &deployment.Request{Route: route, Service: service, Adapter: adapter(name), Arrived: now, Deadline: now.Add(10 * time.Second)}
+	request := &deployment.Request{Route: route, Service: service, Adapter: adapter(name), Arrived: now, Deadline: now.Add(10 * time.Second), Software: only}
 	assignment, err := f.instance.Acquire(ctx, request, nil)
 	return assignment, request, err
 }
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -213,6 +213,7 @@
 		if planner, ok := p.planners[status.Service]; ok {
 			limited := status.Allowance.HasLimit() && !p.allEndpointsLimited(status.Service)
 			planner.SetBacklog(id, status.Backlog(), status.Speed)
+			planner.SetFull(id, balance.ResumeLimit().Reached(status))
 			planner.SetSaturation(id, limited || balance.CopyLimit().Reached(status), limited || balance.RequestLimit().Reached(status))
 		}
 	}
--- a/services/entry/coordinator/plan/reports.go
+++ b/services/entry/coordinator/plan/reports.go
@@ -33,6 +33,7 @@
 // ApplyDemand applies the demand of a report, which replaces the earlier demand of the instance.
 func (p *Plans) ApplyDemand(now time.Time, r *wire.Report) {
 	demands := demandsByService(r.Demands)
+	addPinnedDemands(demands, r.Pinned)
 	for name, planner := range p.planners {
 		planner.Report(now, r.Instance, demands[name])
 	}
@@ -85,6 +86,16 @@
 	return byService
 }
 
+// addPinnedDemands adds the demand of requests that only the endpoints of one software may run.
+func addPinnedDemands(byService map[string][]loading.Demand, list []wire.PinnedDemand) {
+	for _, demand := range list {
+		byService[demand.Service] = append(byService[demand.Service], loading.Demand{
+			Adapter: deployment.Adapter{Model: demand.Model, Name: demand.Name}, Software: demand.Software,
+			Waiting: demand.Waiting, InTime: demand.InTime,
+		})
+	}
+}
+
 func ratesByService(list []wire.Rate) map[string]map[deployment.Adapter]float64 {
 	byService := make(map[string]map[deployment.Adapter]float64)
 	for _, rate := range list {
--- a/services/entry/coordinator/report/demand.go
+++ b/services/entry/coordinator/report/demand.go
@@ -41,9 +41,11 @@
 // expectedRetry is a refused caller whose response named the time to retry. Its adapter is requested from shortly before until shortly
 // after that time.
 type expectedRetry struct {
-	key    deployment.ServiceAdapter
-	at     time.Time
-	target time.Duration
+	key deployment.ServiceAdapter
+	// software is the only software whose endpoints may run the request; empty if any may.
+	software string
+	at       time.Time
+	target   time.Duration
 }
 
 // NewCounter returns a counter without requests.
@@ -57,10 +59,10 @@
 	ct.arrivals[key] = arrivals{requests: known.requests + 1, promptTokens: known.promptTokens + prompt}
 }
 
-// ExpectRetry records that a refused caller was asked to retry at a time. After the retry, its answer is in time within the target
-// of its route.
-func (ct *Counter) ExpectRetry(key deployment.ServiceAdapter, at time.Time, target time.Duration) {
-	ct.expectedRetries = append(ct.expectedRetries, expectedRetry{key: key, at: at, target: target})
+// ExpectRetry records that a refused caller was asked to retry at a time, with a request that only the endpoints of a software may run, or any
+// if that is empty. After the retry, its answer is in time within the target of its route.
+func (ct *Counter) ExpectRetry(key deployment.ServiceAdapter, software string, at time.Time, target time.Duration) {
+	ct.expectedRetries = append(ct.expectedRetries, expectedRetry{key: key, software: software, at: at, target: target})
 }
 
 // TakeArrivals returns the arrivals since they were last collected, without waiting requests, and resets them.
@@ -77,12 +79,22 @@
 	counter *Counter
 	now     time.Time
 	demands map[deployment.ServiceAdapter]*wire.Demand
+	pinned  map[pinnedKey]*wire.PinnedDemand
+}
+
+// pinnedKey identifies an adapter of a service at the endpoints of one software.
+type pinnedKey struct {
+	deployment.ServiceAdapter
+	software string
 }
 
 // Collect starts the demand of a report with the arrivals since the last one, and resets them. waiting is the expected number of
 // calls of AddWaiting.
 func (ct *Counter) Collect(now time.Time, waiting int) *Collection {
-	c := &Collection{counter: ct, now: now, demands: make(map[deployment.ServiceAdapter]*wire.Demand, len(ct.arrivals)+waiting)}
+	c := &Collection{
+		counter: ct, now: now, demands: make(map[deployment.ServiceAdapter]*wire.Demand, len(ct.arrivals)+waiting),
+		pinned: make(map[pinnedKey]*wire.PinnedDemand),
+	}
 	for key, arrived := range ct.arrivals {
 		if !key.Adapter.IsZero() {
 			demand := c.demandOf(key)
@@ -97,20 +109,14 @@
 // AddWaiting counts a request that is waiting now.
 func (c *Collection) AddWaiting(key deployment.ServiceAdapter, request *deployment.Request) {
 	if !key.Adapter.IsZero() {
-		c.addWaiting(key, request.Arrived.Add(request.Route.TargetLatency).Sub(c.now))
+		c.addWaiting(key, request.Software, request.Arrived.Add(request.Route.TargetLatency).Sub(c.now))
 	}
 }
 
 // List adds the refused callers that are expected to retry soon, removes those whose time has passed, and returns the whole
-// demand.
+// demand, apart from that of requests that only the endpoints of one software may run.
 func (c *Collection) List() []wire.Demand {
-	ct := c.counter
-	ct.removeExpiredRetries(c.now)
-	for _, caller := range ct.expectedRetries {
-		if caller.at.Sub(c.now) <= RetryNotice {
-			c.addWaiting(caller.key, caller.at.Add(caller.target).Sub(c.now))
-		}
-	}
+	c.addRetries(func(caller expectedRetry) bool { return caller.software == "" })
 	list := make([]wire.Demand, 0, len(c.demands))
 	for _, demand := range c.demands {
 		list = append(list, *demand)
@@ -118,13 +124,53 @@
 	return list
 }
 
-// addWaiting counts a waiting request that can be answered in time within a duration from now. The longest such duration is reported.
-func (c *Collection) addWaiting(key deployment.ServiceAdapter, inTime time.Duration) {
+// Pinned is List for the requests that only the endpoints of one software may run.
+func (c *Collection) Pinned() []wire.PinnedDemand {
+	c.addRetries(func(caller expectedRetry) bool { return caller.software != "" })
+	list := make([]wire.PinnedDemand, 0, len(c.pinned))
+	for _, demand := range c.pinned {
+		list = append(list, *demand)
+	}
+	return list
+}
+
+// addRetries adds those of the selected refused callers that are expected to retry soon.
+func (c *Collection) addRetries(selected func(expectedRetry) bool) {
+	ct := c.counter
+	ct.removeExpiredRetries(c.now)
+	for _, caller := range ct.expectedRetries {
+		if selected(caller) && caller.at.Sub(c.now) <= RetryNotice {
+			c.addWaiting(caller.key, caller.software, caller.at.Add(caller.target).Sub(c.now))
+		}
+	}
+}
+
+// addWaiting counts a waiting request that can be answered in time within a duration from now.
+func (c *Collection) addWaiting(key deployment.ServiceAdapter, software string, inTime time.Duration) {
+	if software != "" {
+		demand := c.pinnedDemandOf(pinnedKey{ServiceAdapter: key, software: software})
+		demand.Waiting, demand.InTime = addWaiting(demand.Waiting, demand.InTime, inTime)
+		return
+	}
 	demand := c.demandOf(key)
-	demand.Waiting++
-	if demand.Waiting == 1 || inTime > demand.InTime {
-		demand.InTime = inTime
+	demand.Waiting, demand.InTime = addWaiting(demand.Waiting, demand.InTime, inTime)
+}
+
+// addWaiting adds a request that can be answered in time within a duration to a number of others. The longest duration of all is reported.
+func addWaiting(others int, longest, inTime time.Duration) (int, time.Duration) {
+	if others == 0 || inTime > longest {
+		longest = inTime
 	}
+	return others + 1, longest
+}
+
+func (c *Collection) pinnedDemandOf(key pinnedKey) *wire.PinnedDemand {
+	demand, ok := c.pinned[key]
+	if !ok {
+		demand = &wire.PinnedDemand{Service: key.Service, Model: key.Adapter.Model, Name: key.Adapter.Name, Software: key.software}
+		c.pinned[key] = demand
+	}
+	return demand
 }
 
 func (c *Collection) demandOf(key deployment.ServiceAdapter) *wire.Demand {
--- a/services/entry/coordinator/report/growth_test.go
+++ b/services/entry/coordinator/report/growth_test.go
@@ -30,7 +30,7 @@
 		key := adapterKey
 		key.Adapter = deployment.Adapter{Model: "base", Name: fmt.Sprint("new-", i)}
 		counter.AddArrival(key, 0)
-		counter.ExpectRetry(key, now.Add(time.Second), route.TargetLatency)
+		counter.ExpectRetry(key, "", now.Add(time.Second), route.TargetLatency)
 		counter.FlushToRates(now)
 		counter.Sweep(now)
 	}
@@ -52,7 +52,7 @@
 
 func TestExpectedRetryIsKeptWithoutPlanner(t *testing.T) {
 	counter := report.NewCounter()
-	counter.ExpectRetry(adapterKey, start.Add(time.Second), route.TargetLatency)
+	counter.ExpectRetry(adapterKey, "", start.Add(time.Second), route.TargetLatency)
 	counter.FlushToRates(start)
 	list := counter.Collect(start.Add(time.Second), 0).List()
 	assert.Len(t, list, 1)
--- a/services/entry/coordinator/report/report_test.go
+++ b/services/entry/coordinator/report/report_test.go
@@ -137,7 +137,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			demand := report.NewCounter()
-			demand.ExpectRetry(adapterKey, back, route.TargetLatency)
+			demand.ExpectRetry(adapterKey, "", back, route.TargetLatency)
 			list := demand.Collect(c.now, 0).List()
 			require.Equal(t, c.asked, len(list) == 1)
 			if c.asked {
@@ -151,8 +151,8 @@
 
 func TestExpiredRetryIsRemoved(t *testing.T) {
 	demand := report.NewCounter()
-	demand.ExpectRetry(adapterKey, start, route.TargetLatency)
-	demand.ExpectRetry(otherKey, start.Add(time.Hour), route.TargetLatency)
+	demand.ExpectRetry(adapterKey, "", start, route.TargetLatency)
+	demand.ExpectRetry(otherKey, "", start.Add(time.Hour), route.TargetLatency)
 	assert.Empty(t, demand.Collect(start.Add(time.Second), 0).List())
 	assert.Empty(t, demand.Collect(start, 0).List(), "an earlier time does not restore it")
 	assert.Contains(t, byName(demand.Collect(start.Add(time.Hour), 0).List()), "a2")
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -37,10 +37,11 @@
 func (c *Coordinator) buildReport(now time.Time) *wire.Report {
 	r := &wire.Report{
 		Instance: c.options.Instance, WithdrawalsSeen: c.follower.Withdrawals, ConfigurationRevision: c.keys.Revision(),
-		Demands: c.buildDemands(now), Missing: c.missing, Leaving: c.leaving.Load(),
+		Missing: c.missing, Leaving: c.leaving.Load(),
 		CutOff:       c.isCutOff(),
 		StoreReadAge: now.Sub(c.storeReadAt), Forwarder: c.gathering.forwarder, NeedsSnapshot: c.takeSnapshotRequest(now),
 	}
+	r.Demands, r.Pinned = c.buildDemands(now)
 	if r.NeedsSnapshot || c.follower.ratesDue {
 		r.DescribedUpTo = c.describedRevision
 	}
@@ -108,10 +109,11 @@
 	return true
 }
 
-func (c *Coordinator) buildDemands(now time.Time) []wire.Demand {
+// buildDemands returns the demand for adapters, and that of requests that only the endpoints of one software may run.
+func (c *Coordinator) buildDemands(now time.Time) ([]wire.Demand, []wire.PinnedDemand) {
 	collection := c.demand.Collect(now, c.waiters.Len())
 	for _, w := range c.waiters.All() {
 		collection.AddWaiting(w.Key(), w.Request)
 	}
-	return collection.List()
+	return collection.List(), collection.Pinned()
 }
--- a/services/entry/coordinator/software_test.go
+++ b/services/entry/coordinator/software_test.go
@@ -4,12 +4,16 @@
 package coordinator_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
+	"github.com/shelfledge/shelfledge/services/entry/admission"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
@@ -56,6 +60,56 @@
 	f.awaitSoftware(t, "v2")
 }
 
+// TestAdapterIsLoadedAtSoftwareOfRequest checks the whole way from a waiting request over the report and the plan to the load: each request gets an
+// endpoint of its software, whatever the others hold.
+func TestAdapterIsLoadedAtSoftwareOfRequest(t *testing.T) {
+	f := newFixture()
+	f.store.put(endpointPrefix+"e2", softwarePrefix+"v2")
+	f.start(t)
+	f.waitForStatus(t, "becomes planner", func(status coordinator.Status) bool { return status.Planning && status.Endpoints == 2 })
+	for _, only := range []string{"v1", "v2", "v1"} {
+		assignment, _, err := f.acquireAtSoftware("a1", only, waitLimit)
+		require.NoError(t, err, only)
+		assert.Equal(t, only, assignment.Endpoint.Software)
+	}
+}
+
+func TestRequestForUnknownSoftwareIsRefusedSoon(t *testing.T) {
+	f := newFixture()
+	f.start(t)
+	f.waitForStatus(t, "becomes planner", func(status coordinator.Status) bool { return status.Planning && status.Endpoints == 1 })
+	_, _, err := f.acquireAtSoftware("a1", "v2", waitLimit)
+	var refused *coordinator.Refusal
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, admission.NoEndpoint, refused.Reason)
+}
+
+// TestLoadElsewhereIsNoLoadForOneSoftware checks that a request that only one software may run does not count on a load of its adapter that the
+// planner announces: that may be at another software's endpoint.
+func TestLoadElsewhereIsNoLoadForOneSoftware(t *testing.T) {
+	f := newFixture()
+	planner, gatherer := f.followWithGatherer(t)
+	go drainWire(gatherer)
+	v := snapshotView(11)
+	v.Forecasts = []wire.Forecast{{Service: service, Model: "base", Name: "a9", Remaining: time.Second}}
+	v.Backlogs = map[string]time.Duration{service: time.Minute}
+	require.NoError(t, planner.Send(wire.Message{View: v}))
+	go func() {
+		_, _, _ = f.acquireAtSoftware("a9", software, waitLimit)
+	}()
+	awaitMessage(t, planner, func(m wire.Message) bool {
+		return m.Report != nil && len(m.Report.Pinned) == 1 && m.Report.Pinned[0].Software == software && m.Report.Pinned[0].Waiting == 1
+	})
+	go drainWire(planner)
+	_, _, err := f.acquireAtSoftware("a9", software, waitLimit)
+	var refused *coordinator.Refusal
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, admission.AdapterNotLoaded, refused.Reason)
+	assert.Greater(t, refused.RetryAfter, 50*time.Second, "a load for it has yet to begin")
+	_, _, err = f.acquire("a9", 500*time.Millisecond)
+	assert.ErrorIs(t, err, context.DeadlineExceeded, "any other request waits for the load that is announced")
+}
+
 // awaitSoftware waits until a request for adapter a1 gets an endpoint of a software.
 func (f *fixture) awaitSoftware(t *testing.T, software string) {
 	t.Helper()
--- a/services/entry/coordinator/wire/message.go
+++ b/services/entry/coordinator/wire/message.go
@@ -111,6 +111,9 @@
 	DrainingEndpoints []Start `msgpack:"sl,omitempty"`
 	// CrashDetails supplements Crashes. Earlier versions neither send nor read it.
 	CrashDetails *CrashDetails `msgpack:"xd,omitempty"`
+	// Pinned is the demand of requests that only the endpoints of one software may run, which Demands does not include. Like Demands, the list
+	// is complete. Earlier versions neither send nor read it.
+	Pinned []PinnedDemand `msgpack:"pd,omitempty"`
 	// Recalled lists copies on which requests of the instance have not begun in time, since the last report, so that it recalled them,
 	// or had lost or ended their exchange before.
 	// Earlier versions neither send nor read it.
@@ -153,6 +156,18 @@
 	PromptTokens int `msgpack:"p,omitempty"`
 }
 
+// PinnedDemand is the demand of an instance for one adapter of a service at the endpoints of one software.
+type PinnedDemand struct {
+	Service string `msgpack:"s"`
+	Model   string `msgpack:"m"`
+	Name    string `msgpack:"a"`
+	// Software is the software whose endpoints may run the requests.
+	Software string `msgpack:"v"`
+	// Waiting and InTime are as in Demand.
+	Waiting int           `msgpack:"w,omitempty"`
+	InTime  time.Duration `msgpack:"t,omitempty"`
+}
+
 // Copy identifies an adapter on an endpoint.
 type Copy struct {
 	ID    deployment.EndpointID `msgpack:"e"`
--- a/services/entry/coordinator/wire/message_test.go
+++ b/services/entry/coordinator/wire/message_test.go
@@ -154,6 +154,22 @@
 	assert.Empty(t, earlier.DescribedSoftwareOf(0))
 }
 
+// TestReportNamesSoftwareOfPinnedDemandApart checks that earlier versions, which ignore the list, do not take the demand for one that any endpoint
+// may serve.
+func TestReportNamesSoftwareOfPinnedDemandApart(t *testing.T) {
+	sent := wire.Report{Pinned: []wire.PinnedDemand{{Service: "s", Model: "m", Name: "a", Software: "v1", Waiting: 2, InTime: time.Second}}}
+	untyped := decodeUntyped(t, sent)
+	assert.ElementsMatch(t, []string{"i", "w", "c", "k", "pd"}, keys(untyped))
+	assert.ElementsMatch(t, []string{"s", "m", "a", "v", "w", "t"}, keys(untyped["pd"].([]any)[0].(map[string]any)))
+
+	encoded, err := msgpack.Marshal(sent)
+	require.NoError(t, err)
+	var decoded wire.Report
+	require.NoError(t, msgpack.Unmarshal(encoded, &decoded))
+	assert.Equal(t, sent.Pinned, decoded.Pinned)
+	assert.Empty(t, decoded.Demands)
+}
+
 // received returns a view as its receiver decodes it.
 func received(t *testing.T, v *wire.View) *wire.View {
 	t.Helper()
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -118,6 +118,9 @@
 	// saturated endpoints have so many requests in flight that they receive no more. Nearly saturated endpoints
 	// receive only copies that they held before. Package balance computes both flags.
 	nearlySaturated, saturated bool
+	// full endpoints have so many requests in flight that they receive none of those either that only their software may
+	// run, nor copies for these.
+	full bool
 	// backlog is the time the endpoint needs to read the prompts queued there; speed is how fast it reads prompts.
 	backlog time.Duration
 	speed   work.Speed
--- a/services/entry/loading/demand.go
+++ b/services/entry/loading/demand.go
@@ -14,6 +14,8 @@
 // Demand is one instance's demand for one adapter.
 type Demand struct {
 	Adapter deployment.Adapter
+	// Software is the only software whose endpoints may run the waiting requests; empty if any may. Arrivals are counted without it.
+	Software string
 	// Waiting is the number of requests that currently wait for the adapter.
 	Waiting int
 	// InTime is how much longer the newest waiting request can wait and still be answered in time.
@@ -70,15 +72,30 @@
 	promptTokens Rate
 	// burst is the most recent demand, averaged over burstTimeConstant.
 	burst   burst
-	waiting map[string]waitingRequests
+	waiting waitingByInstance
 	version int64
 }
 
+// waitingByInstance are the waiting requests of each instance that has some.
+type waitingByInstance map[string]waitingRequests
+
 type waitingRequests struct {
 	count           int
 	answerableUntil time.Time
 }
 
+// count returns the number of waiting requests, and the number of instances whose newest waiting request can still be
+// answered in time after a load that takes loadTime.
+func (w waitingByInstance) count(now time.Time, loadTime time.Duration) (waiting, inTime int) {
+	for _, part := range w {
+		waiting += part.count
+		if part.answerableUntil.Sub(now) > loadTime {
+			inTime++
+		}
+	}
+	return waiting, inTime
+}
+
 // rates returns the arrival rates of requests and of prompt tokens, a second: the average over rateTimeConstant or
 // the recent burst, whichever is higher.
 func (d *adapterDemand) rates(now time.Time) (requests, tokens float64) {
@@ -103,18 +120,6 @@
 	return time.Duration(d.promptTokens.PerSecond(now) / speed / rate * float64(time.Second))
 }
 
-// countWaiting returns the number of waiting requests, and the number of instances whose newest waiting request can
-// still be answered in time after a load that takes loadTime.
-func (d *adapterDemand) countWaiting(now time.Time, loadTime time.Duration) (waiting, inTime int) {
-	for _, part := range d.waiting {
-		waiting += part.count
-		if part.answerableUntil.Sub(now) > loadTime {
-			inTime++
-		}
-	}
-	return waiting, inTime
-}
-
 // AddRates adds one instance's arrival rates from before this plan, in requests a second.
 func (p *Planner) AddRates(now time.Time, rates map[deployment.Adapter]float64) {
 	for adapter, rate := range rates {
@@ -129,10 +134,16 @@
 	p.ForgetInstance(instance)
 	p.AddArrivals(now, demands)
 	for _, demand := range demands {
-		if demand.Waiting > 0 {
-			p.demandFor(now, demand.Adapter).waiting[instance] = waitingRequests{count: demand.Waiting, answerableUntil: now.Add(demand.InTime)}
-			p.waitingAdapters[instance] = append(p.waitingAdapters[instance], demand.Adapter)
+		if demand.Waiting == 0 {
+			continue
+		}
+		waiting := waitingRequests{count: demand.Waiting, answerableUntil: now.Add(demand.InTime)}
+		if demand.Software != "" {
+			p.addPinned(instance, wantedCopy{adapter: demand.Adapter, software: demand.Software}, waiting)
+			continue
 		}
+		p.demandFor(now, demand.Adapter).waiting[instance] = waiting
+		p.waitingAdapters[instance] = append(p.waitingAdapters[instance], demand.Adapter)
 	}
 }
 
@@ -153,6 +164,7 @@
 		delete(p.demand[adapter].waiting, instance)
 	}
 	delete(p.waitingAdapters, instance)
+	p.forgetPinned(instance)
 }
 
 // SetVersion sets the version of an adapter that is to be served, unless a newer one was set before.
@@ -164,7 +176,7 @@
 func (p *Planner) demandFor(now time.Time, adapter deployment.Adapter) *adapterDemand {
 	known, ok := p.demand[adapter]
 	if !ok {
-		known = &adapterDemand{Rate: Rate{updated: now}, waiting: make(map[string]waitingRequests)}
+		known = &adapterDemand{Rate: Rate{updated: now}, waiting: make(waitingByInstance)}
 		p.demand[adapter] = known
 	}
 	return known
--- a/services/entry/loading/doc.go
+++ b/services/entry/loading/doc.go
@@ -17,6 +17,6 @@
 // late, lost or reordered. TestInvariantHoldsInExhaustiveSearch searches for violations.
 //
 // Each rule has its own file: the priority of orders (next.go), base models (model.go), the value of a copy
-// (value.go), the choice of an endpoint for a load (placement.go), eviction (eviction.go), the expected end of loads
-// (forecast.go), and the handling of replies (result.go).
+// (value.go), the demand that only the endpoints of one software satisfy (pinned.go), the choice of an endpoint for a load
+// (placement.go), eviction (eviction.go), the expected end of loads (forecast.go), and the handling of replies (result.go).
 package loading
--- a/services/entry/loading/eviction.go
+++ b/services/entry/loading/eviction.go
@@ -75,7 +75,10 @@
 	var victim *copyPlan
 	least := evictionValueLimit
 	for adapter, c := range plan.copies {
-		if c.state != copyResident || now.Sub(c.loadedAt) < evictionProtection || p.hasWaitingRequests(now, adapter) || p.uses(id, adapter) > 0 {
+		if c.state != copyResident || now.Sub(c.loadedAt) < evictionProtection || p.uses(id, adapter) > 0 {
+			continue
+		}
+		if p.hasWaitingRequests(now, adapter) || p.hasPinnedRequests(adapter, plan) {
 			continue
 		}
 		if value := p.residentValue(now, adapter); value < least {
@@ -91,7 +94,7 @@
 	if !ok {
 		return false
 	}
-	waiting, _ := known.countWaiting(now, 0)
+	waiting, _ := known.waiting.count(now, 0)
 	return waiting > 0
 }
 
--- a/services/entry/loading/forecast.go
+++ b/services/entry/loading/forecast.go
@@ -36,13 +36,14 @@
 func (p *Planner) Forecasts(now time.Time) (list []Forecast, backlog time.Duration) {
 	list = p.loadingForecasts(now)
 	queued := p.queuedAdapters(now)
-	interval := p.loadInterval(now, len(queued))
+	count := len(queued) + p.queuedPinned()
+	interval := p.loadInterval(now, count)
 	for i, adapter := range queued {
 		if i < maxQueuedForecasts {
 			list = append(list, Forecast{Adapter: adapter, Remaining: p.loadLimiter.typicalLoadTime + time.Duration(i)*interval})
 		}
 	}
-	return list, p.loadLimiter.typicalLoadTime + time.Duration(len(queued))*interval
+	return list, p.loadLimiter.typicalLoadTime + time.Duration(count)*interval
 }
 
 // loadInterval returns the expected time between the starts of two loads while the given number of adapters is
--- a/services/entry/loading/placement.go
+++ b/services/entry/loading/placement.go
@@ -80,35 +80,39 @@
 func (p *Planner) bestPlacement(now time.Time, coldAllowed bool) (placement, bool) {
 	distribution := p.distributeWork(now)
 	var best placement
-	found := false
 	for adapter, known := range p.demand {
 		known.decay(now)
-		if p.loadHeldBack(now, adapter, known.version) {
-			continue
-		}
 		value := p.copyNeed(now, adapter, known, distribution).Value()
-		if value <= 0 || (found && value <= best.value) {
-			continue
-		}
-		chosen, ok := p.chooseEndpoint(now, adapter, distribution, coldAllowed)
-		if !ok {
-			continue
-		}
-		best = placement{adapter: adapter, destination: chosen, value: value}
-		found = true
+		best = p.betterPlacement(now, best, wantedCopy{adapter: adapter}, value, distribution, coldAllowed)
 	}
-	return best, found
+	for wanted, known := range p.pinned {
+		best = p.betterPlacement(now, best, wanted, p.pinnedNeed(now, known).Value(), distribution, coldAllowed)
+	}
+	return best, best.plan != nil
+}
+
+// betterPlacement returns a load of the wanted copy if it can start now and has a higher value than the best load so far,
+// and that load otherwise.
+func (p *Planner) betterPlacement(now time.Time, best placement, wanted wantedCopy, value float64, distribution *workDistribution, coldAllowed bool) placement {
+	if value <= best.value || p.loadHeldBack(now, wanted.adapter, p.wantedVersion(wanted.adapter)) {
+		return best
+	}
+	chosen, ok := p.chooseEndpoint(now, wanted, distribution, coldAllowed)
+	if !ok {
+		return best
+	}
+	return placement{adapter: wanted.adapter, destination: chosen, value: value}
 }
 
 // chooseEndpoint returns the endpoint with a free place and the lowest cost. It prefers an endpoint that held the
 // adapter before, because the load takes a tenth of the time there and does not use the weight store. If such an
 // endpoint may become available soon, it returns none rather than an endpoint that would load from the weight store.
-func (p *Planner) chooseEndpoint(now time.Time, adapter deployment.Adapter, distribution *workDistribution, coldAllowed bool) (destination, bool) {
+func (p *Planner) chooseEndpoint(now time.Time, wanted wantedCopy, distribution *workDistribution, coldAllowed bool) (destination, bool) {
 	var best destination
 	bestCost, warmSoon := 0.0, false
 	for id, plan := range p.endpoints {
-		_, warm := plan.previouslyHeld[adapter]
-		if !plan.isEligibleFor(adapter, warm) {
+		_, warm := plan.previouslyHeld[wanted.adapter]
+		if !plan.isEligibleFor(wanted, warm) {
 			continue
 		}
 		if !p.canOrderLoad(now, plan) {
@@ -163,7 +167,7 @@
 	seconds := 0.0
 	for adapter, c := range plan.copies {
 		if known, ok := p.demand[adapter]; ok && c.state == copyLoading {
-			waiting, _ := known.countWaiting(now, 0)
+			waiting, _ := known.waiting.count(now, 0)
 			seconds += float64(waiting) * known.meanReadTime(now, plan.speed.PerSecond()).Seconds()
 		}
 	}
@@ -186,11 +190,18 @@
 	return !now.Before(e.unresponsiveUntil) && (outgoing > 0 || e.orderInFlight || e.pendingLoads() > 0)
 }
 
-// isEligibleFor reports whether a copy of an adapter may be loaded on an endpoint. A nearly saturated endpoint is
-// eligible only for adapters that it held before, because loading them does not use the weight store.
-func (e *endpointPlan) isEligibleFor(adapter deployment.Adapter, warm bool) bool {
-	_, has := e.copies[adapter]
-	return !has && !e.suspect && !e.saturated && (warm || !e.nearlySaturated) && e.endpoint.State == deployment.Ready && e.endpoint.HasModel(adapter.Model)
+// isEligibleFor reports whether a wanted copy may be loaded on an endpoint. A nearly saturated endpoint is eligible only
+// for adapters that it held before, because loading them does not use the weight store. A copy for requests that only the
+// endpoint's software may run needs an endpoint that still takes these requests.
+func (e *endpointPlan) isEligibleFor(wanted wantedCopy, warm bool) bool {
+	_, has := e.copies[wanted.adapter]
+	if has || e.suspect || e.endpoint.State != deployment.Ready || !e.endpoint.HasModel(wanted.adapter.Model) {
+		return false
+	}
+	if wanted.software != "" {
+		return e.endpoint.Software == wanted.software && !e.full
+	}
+	return !e.saturated && (warm || !e.nearlySaturated)
 }
 
 // coldLoads returns the number of loads in progress from the weight store.
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -37,6 +37,10 @@
 	// waitingAdapters holds, for each instance, the adapters that its requests wait for. With it, the cost of a
 	// demand report depends on its length and not on the number of adapters in demand.
 	waitingAdapters map[string][]deployment.Adapter
+	// pinned is the demand for adapters at the endpoints of one software; pinnedCopies holds, for each instance, those
+	// that its requests wait for.
+	pinned       map[wantedCopy]*pinnedDemand
+	pinnedCopies map[string][]wantedCopy
 	// modelLimiter limits the rate of base model loads.
 	modelLimiter *windowLimiter
 	// loadLimiter limits the number of adapter loads.
@@ -66,6 +70,8 @@
 		unregistered:    make(map[deployment.EndpointID]*endpointPlan),
 		demand:          make(map[deployment.Adapter]*adapterDemand),
 		waitingAdapters: make(map[string][]deployment.Adapter),
+		pinned:          make(map[wantedCopy]*pinnedDemand),
+		pinnedCopies:    make(map[string][]wantedCopy),
 		modelLimiter:    newWindowLimiter(options.Rate),
 		loadLimiter:     newLoadLimiter(),
 		changed:         make(map[deployment.EndpointID]bool),
@@ -129,6 +135,14 @@
 	}
 }
 
+// SetFull sets whether an endpoint has so many requests in flight that it receives no more, even of those that only its
+// software may run.
+func (p *Planner) SetFull(id deployment.EndpointID, full bool) {
+	if plan, ok := p.endpoints[id]; ok {
+		plan.full = full
+	}
+}
+
 // SetBacklog sets the time an endpoint needs to read the prompts queued there, and its reading speed.
 func (p *Planner) SetBacklog(id deployment.EndpointID, backlog time.Duration, speed work.Speed) {
 	if plan, ok := p.endpoints[id]; ok {
--- a/services/entry/loading/value.go
+++ b/services/entry/loading/value.go
@@ -43,28 +43,38 @@
 // countCopies counts the copies of all adapters on endpoints that accept requests.
 func (p *Planner) countCopies() {
 	clear(p.copyCounts)
+	for _, known := range p.pinned {
+		known.copies = copyCount{}
+	}
 	for _, plan := range p.endpoints {
 		if plan.endpoint.State != deployment.Ready || plan.suspect {
 			continue
 		}
 		for adapter, c := range plan.copies {
-			count := p.copyCounts[adapter]
-			switch {
-			case c.state == copyLoading:
-				count.loading++
-			case c.state == copyResident && c.version >= p.wantedVersion(adapter):
-				count.usable++
-				if !plan.saturated {
-					count.free++
-				}
-			case c.state == copyResident:
-				count.outdated++
+			p.copyCounts[adapter] = p.countCopy(p.copyCounts[adapter], adapter, c, !plan.saturated)
+			if known, ok := p.pinned[wantedCopy{adapter: adapter, software: plan.endpoint.Software}]; ok {
+				known.copies = p.countCopy(known.copies, adapter, c, !plan.full)
 			}
-			p.copyCounts[adapter] = count
 		}
 	}
 }
 
+// countCopy returns the count with one more copy; free reports whether its endpoint can take the requests in question.
+func (p *Planner) countCopy(count copyCount, adapter deployment.Adapter, c *copyPlan, free bool) copyCount {
+	switch {
+	case c.state == copyLoading:
+		count.loading++
+	case c.state == copyResident && c.version >= p.wantedVersion(adapter):
+		count.usable++
+		if free {
+			count.free++
+		}
+	case c.state == copyResident:
+		count.outdated++
+	}
+	return count
+}
+
 // wantedVersion returns the version of an adapter that is to be served; 0 means any version.
 func (p *Planner) wantedVersion(adapter deployment.Adapter) int64 {
 	if known, ok := p.demand[adapter]; ok {
@@ -116,7 +126,7 @@
 // copyNeed returns the demand for one more copy of an adapter. known must have been decayed to now.
 func (p *Planner) copyNeed(now time.Time, adapter deployment.Adapter, known *adapterDemand, distribution *workDistribution) CopyNeed {
 	count := p.copyCounts[adapter]
-	waiting, inTime := known.countWaiting(now, p.loadLimiter.typicalLoadTime)
+	waiting, inTime := known.waiting.count(now, p.loadLimiter.typicalLoadTime)
 	return CopyNeed{
 		Usable: count.usable, Loading: count.loading, Free: count.free, Outdated: count.outdated, Waiting: waiting, InTime: inTime,
 		Rate: known.perSecond, Relief: distribution.relief(now, adapter, known, count),
