Wait only for limits and rests of endpoints that may run a request

Cause: a request that only one software may run counted on the rests and limits of all endpoints with its adapter, so that it waited on for an endpoint that rests for long, or was told to come back when another software's rest ended. Change: whether an endpoint may run a request, by its ID and its software, is one rule, which the choice of an endpoint and both of these use. Measured: the new test of package coordinator fails without either restriction and passes with both.

--- a/models/entry/deployment/request.go
+++ b/models/entry/deployment/request.go
@@ -39,6 +39,11 @@
 	return r.Adapter.Model != ""
 }
 
+// MayRunAt reports whether an endpoint is one of those that may run the request, by its ID and its software.
+func (r *Request) MayRunAt(endpoint *Endpoint) bool {
+	return (r.OnlyEndpoint == "" || endpoint.ID == r.OnlyEndpoint) && (r.Software == "" || endpoint.Software == r.Software)
+}
+
 // StartIsVisible reports whether the answer shows when an endpoint starts to run the request: a stream does so by its first event, any other
 // answer only at its end.
 func (r *Request) StartIsVisible() bool {
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -125,13 +125,10 @@
 
 // allowsEndpoint reports whether the request may be sent to an endpoint, considering its software and where the request was sent before.
 func (r *Requirement) allowsEndpoint(endpoint *directory.EndpointStatus) bool {
-	if r.Request.Software != "" && endpoint.Software != r.Request.Software {
+	if !r.Request.MayRunAt(&endpoint.Endpoint) {
 		return false
 	}
-	if r.Request.OnlyEndpoint != "" {
-		return endpoint.ID == r.Request.OnlyEndpoint
-	}
-	return !slices.Contains(r.Tried, endpoint.ID)
+	return r.Request.OnlyEndpoint != "" || !slices.Contains(r.Tried, endpoint.ID)
 }
 
 // limitReached reports whether an endpoint has too many requests in flight for one more. A stream that is resumed at its endpoint may exceed
--- a/services/entry/coordinator/limits.go
+++ b/services/entry/coordinator/limits.go
@@ -163,7 +163,7 @@
 
 // couldRun reports whether an endpoint could run a request, regardless of whether it accepts one now.
 func (c *Coordinator) couldRun(now time.Time, status *directory.EndpointStatus, w *waiter) bool {
-	if status.Service != w.Service || status.State != deployment.Ready || slices.Contains(w.Tried, status.ID) {
+	if status.Service != w.Service || status.State != deployment.Ready || slices.Contains(w.Tried, status.ID) || !w.MayRunAt(&status.Endpoint) {
 		return false
 	}
 	return !w.UsesModel() || status.Holds(now, w.Adapter, c.versions.Latest(w.Adapter))
@@ -181,10 +181,10 @@
 	return list
 }
 
-// allLimitedOrResting reports whether each ready endpoint of a service has a request limit or asked for a rest.
-func (c *Coordinator) allLimitedOrResting(now time.Time, service string) bool {
-	return !slices.ContainsFunc(c.directory.Service(service), func(status *directory.EndpointStatus) bool {
-		return status.State == deployment.Ready && !status.Allowance.HasLimit() && !status.IsResting(now)
+// allLimitedOrResting reports whether each ready endpoint that may run a request has a request limit or asked for a rest.
+func (c *Coordinator) allLimitedOrResting(now time.Time, w *waiter) bool {
+	return !slices.ContainsFunc(c.directory.Service(w.Service), func(status *directory.EndpointStatus) bool {
+		return status.State == deployment.Ready && w.MayRunAt(&status.Endpoint) && !status.Allowance.HasLimit() && !status.IsResting(now)
 	})
 }
 
@@ -192,7 +192,7 @@
 // the limits and the number of requests ahead, or on the first end of a rest. It is zero if another endpoint may become able to run
 // the request before.
 func (c *Coordinator) earliestSend(now time.Time, w *waiter) time.Time {
-	if w.UsesModel() && !c.allLimitedOrResting(now, w.Service) {
+	if w.UsesModel() && !c.allLimitedOrResting(now, w) {
 		return time.Time{}
 	}
 	byLimits, byRest := c.earliestSendByLimits(now, w), c.earliestRestEnd(now, w)
--- a/services/entry/coordinator/software_test.go
+++ b/services/entry/coordinator/software_test.go
@@ -15,6 +15,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/admission"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
+	"github.com/shelfledge/shelfledge/services/entry/directory"
 )
 
 // viewWithSoftware returns a snapshot that describes the endpoint e1, and tells its software if it is not empty.
@@ -110,6 +111,30 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded, "any other request waits for the load that is announced")
 }
 
+// TestRestOfOtherSoftwareDoesNotConcernRequest checks that a request that only one software may run waits for the rests of its endpoints alone.
+func TestRestOfOtherSoftwareDoesNotConcernRequest(t *testing.T) {
+	const rest = 30 * time.Second
+	for name, otherRest := range map[string]time.Duration{"the other endpoint does not rest": 0, "the other endpoint rests for less": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.store.put(endpointPrefix+"e2", softwarePrefix+"v2")
+			f.start(t)
+			f.waitForStatus(t, "becomes planner", func(status coordinator.Status) bool { return status.Planning && status.Endpoints == 2 })
+			for only, span := range map[string]time.Duration{"v1": otherRest, "v2": rest} {
+				assignment, request, err := f.acquireAtSoftware("a1", only, waitLimit)
+				require.NoError(t, err, only)
+				f.instance.ApplyNotice(assignment, time.Now(), deployment.Notice{Rest: span})
+				f.instance.Finish(request, assignment, directory.Refused, false)
+			}
+			_, _, err := f.acquireAtSoftware("a1", "v2", waitLimit)
+			var refused *coordinator.Refusal
+			require.ErrorAs(t, err, &refused)
+			assert.Equal(t, admission.Resting, refused.Reason)
+			assert.Greater(t, refused.RetryAfter, rest-waitLimit)
+		})
+	}
+}
+
 // awaitSoftware waits until a request for adapter a1 gets an endpoint of a software.
 func (f *fixture) awaitSoftware(t *testing.T, software string) {
 	t.Helper()
