Don't ask an endpoint again whose process has ended

Seen by callers: a resumable stream whose endpoint ended, and whose adapter another endpoint had yet to load, was closed at once: after 100 ms for others it was sent to the ended endpoint again, three times within a millisecond, and given up.

Cause: whether a stream is resumed in place was decided without what the exchange had just found out, that the endpoint's process has ended.

Change: attempt.Situation tells it; then the stream waits for another endpoint, as long as admission lets it.

The two new cases of TestNextStep pass.

--- a/services/entry/proxy/attempt/retry.go
+++ b/services/entry/proxy/attempt/retry.go
@@ -45,7 +45,7 @@
 	if s.Refused {
 		limit = maxRefusedInPlace
 	}
-	return s.EventForwarded && s.Route.Resumable && s.InPlace < limit
+	return s.EventForwarded && s.Route.Resumable && !s.ServedGone && s.InPlace < limit
 }
 
 // ResumeBackoff returns how long a stream waits before it is resumed at the same endpoint; 0 the first time after an event.
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -52,6 +52,8 @@
 
 func refused(s *attempt.Situation) { s.Refused = true }
 
+func servedGone(s *attempt.Situation) { s.ServedGone = true }
+
 func onlyInPlace(s *attempt.Situation) { s.OnlyInPlace = true }
 
 func processEnds(s *attempt.Situation) { s.ProcessEnds = true }
@@ -105,28 +107,30 @@
 		"not run, but an earlier attempt may have run":                   {attempt.NotRun, after(unsafe, mayHaveRun), attempt.GiveUp},
 		"not run, but an earlier attempt of a safe request may have run": {attempt.NotRun, after(safe, mayHaveRun), attempt.RetryWithinBudget},
 
-		"uncertain, safe":                             {attempt.Uncertain, after(safe, mayHaveRun), attempt.RetryWithinBudget},
-		"uncertain, unsafe":                           {attempt.Uncertain, after(unsafe, mayHaveRun), attempt.GiveUp},
-		"uncertain, a stream":                         {attempt.Uncertain, after(stream, mayHaveRun), attempt.GiveUp},
-		"uncertain, a resumable stream":               {attempt.Uncertain, after(resumable, mayHaveRun), attempt.RetryWithinBudget},
-		"recalled, a stream":                          {attempt.Recalled, after(stream, mayHaveRun, recalled), attempt.GiveUp},
-		"recalled, a resumable stream":                {attempt.Recalled, after(resumable, mayHaveRun, recalled), attempt.RetryWithinBudget},
-		"recalled, the last attempt":                  {attempt.Recalled, after(resumable, mayHaveRun, recalled, sent(2)), attempt.GiveUp},
-		"recalled, deadline has passed":               {attempt.Recalled, after(resumable, mayHaveRun, recalled, withDeadline(now)), attempt.GiveUp},
-		"server error, safe":                          {attempt.ServerError, after(safe, mayHaveRun), attempt.RetryWithinBudget},
-		"server error, unsafe":                        {attempt.ServerError, after(unsafe, mayHaveRun), attempt.GiveUp},
-		"interrupted, safe":                           {attempt.Interrupted, after(safe, mayHaveRun, headForwarded), attempt.GiveUp},
-		"interrupted, a stream":                       {attempt.Interrupted, after(stream, mayHaveRun, headForwarded, eventForwarded), attempt.GiveUp},
-		"interrupted, a resumable stream":             {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded), attempt.RetryWithinBudget},
-		"interrupted before the first event":          {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded), attempt.GiveUp},
-		"interrupted, no other endpoint left":         {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2)), attempt.RetryWithinBudget},
-		"interrupted four times in place":             {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(4)), attempt.RetryWithinBudget},
-		"interrupted five times in place":             {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(5)), attempt.GiveUp},
-		"refused once in place":                       {attempt.NotRun, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(1), refused), attempt.RetryWithinBudget},
-		"refused twice in place":                      {attempt.NotRun, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(2), refused), attempt.GiveUp},
-		"interrupted because the caller disconnected": {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, callerLeft), attempt.GiveUp},
-		"interrupted, body not buffered":              {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, bodyNotBuffered), attempt.GiveUp},
-		"interrupted, deadline has passed":            {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, withDeadline(now)), attempt.GiveUp},
+		"uncertain, safe":                                         {attempt.Uncertain, after(safe, mayHaveRun), attempt.RetryWithinBudget},
+		"uncertain, unsafe":                                       {attempt.Uncertain, after(unsafe, mayHaveRun), attempt.GiveUp},
+		"uncertain, a stream":                                     {attempt.Uncertain, after(stream, mayHaveRun), attempt.GiveUp},
+		"uncertain, a resumable stream":                           {attempt.Uncertain, after(resumable, mayHaveRun), attempt.RetryWithinBudget},
+		"recalled, a stream":                                      {attempt.Recalled, after(stream, mayHaveRun, recalled), attempt.GiveUp},
+		"recalled, a resumable stream":                            {attempt.Recalled, after(resumable, mayHaveRun, recalled), attempt.RetryWithinBudget},
+		"recalled, the last attempt":                              {attempt.Recalled, after(resumable, mayHaveRun, recalled, sent(2)), attempt.GiveUp},
+		"recalled, deadline has passed":                           {attempt.Recalled, after(resumable, mayHaveRun, recalled, withDeadline(now)), attempt.GiveUp},
+		"server error, safe":                                      {attempt.ServerError, after(safe, mayHaveRun), attempt.RetryWithinBudget},
+		"server error, unsafe":                                    {attempt.ServerError, after(unsafe, mayHaveRun), attempt.GiveUp},
+		"interrupted, safe":                                       {attempt.Interrupted, after(safe, mayHaveRun, headForwarded), attempt.GiveUp},
+		"interrupted, a stream":                                   {attempt.Interrupted, after(stream, mayHaveRun, headForwarded, eventForwarded), attempt.GiveUp},
+		"interrupted, a resumable stream":                         {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded), attempt.RetryWithinBudget},
+		"interrupted before the first event":                      {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded), attempt.GiveUp},
+		"interrupted, no other endpoint left":                     {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2)), attempt.RetryWithinBudget},
+		"interrupted four times in place":                         {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(4)), attempt.RetryWithinBudget},
+		"interrupted, the endpoint has gone":                      {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, servedGone), attempt.RetryWithinBudget},
+		"interrupted, the endpoint has gone and no other is left": {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, servedGone, sent(2)), attempt.GiveUp},
+		"interrupted five times in place":                         {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(5)), attempt.GiveUp},
+		"refused once in place":                                   {attempt.NotRun, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(1), refused), attempt.RetryWithinBudget},
+		"refused twice in place":                                  {attempt.NotRun, after(resumable, mayHaveRun, headForwarded, eventForwarded, sent(2), inPlace(2), refused), attempt.GiveUp},
+		"interrupted because the caller disconnected":             {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, callerLeft), attempt.GiveUp},
+		"interrupted, body not buffered":                          {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, bodyNotBuffered), attempt.GiveUp},
+		"interrupted, deadline has passed":                        {attempt.Interrupted, after(resumable, mayHaveRun, headForwarded, eventForwarded, withDeadline(now)), attempt.GiveUp},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, test.step, attempt.NextStep(now, test.result, test.situation))
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -45,6 +45,8 @@
 	// InPlace is how many times in a row, without a further event, the request was sent again to the endpoint that sent the caller's
 	// events, as counted by this instance.
 	InPlace int
+	// ServedGone is set if the process of the endpoint that sent the caller's events has ended.
+	ServedGone bool
 	// Refused is set if the endpoint of the last attempt refused the request.
 	Refused bool
 	// MayHaveRun is set if any attempt ended without proof that the request did not run.
--- a/services/entry/proxy/inflight.go
+++ b/services/entry/proxy/inflight.go
@@ -43,6 +43,8 @@
 	// forwarded first; empty if unknown.
 	lastServed deployment.EndpointID
 	software   string
+	// lastGone is the endpoint of the last attempt during which an endpoint's process ended; empty for none.
+	lastGone deployment.EndpointID
 	// successor is an exchange whose response started while the former endpoint was silent; nil for none.
 	successor *exchange
 	// mayHaveRun is set when an attempt ended without proof that the request did not run.
@@ -66,6 +68,9 @@
 		r.recall = next.assignment.Recall
 		result := next.do()
 		r.recordResult(result, first)
+		if next.endpointGone {
+			r.lastGone = next.assignment.Endpoint.ID
+		}
 		if r.lastEvent != next.startPosition.lastEvent {
 			r.inPlaceCount = 0
 		}
@@ -173,7 +178,7 @@
 // situationAt returns the situation for a caller that has received the response up to a position.
 func (r *inflight) situationAt(received position) attempt.Situation {
 	return attempt.Situation{
-		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sentCount, Unreached: r.unreachedCount, InPlace: r.inPlaceCount, Refused: r.lastRefused, MayHaveRun: r.mayHaveRun,
+		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sentCount, Unreached: r.unreachedCount, InPlace: r.inPlaceCount, ServedGone: r.lastGone != "" && r.lastGone == r.lastServed, Refused: r.lastRefused, MayHaveRun: r.mayHaveRun,
 		BodyBuffered: r.body.remainder == nil, HeadForwarded: received.headForwarded, EventForwarded: received.lastEvent != "",
 		OnlyInPlace: received.onlyInPlace(), BodyTooLarge: r.body.tooLarge(), Recalled: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
 		ProcessEnds: r.processEnds(),
