Let the planner apply its own suspicion of an endpoint

Seen by callers: where only the planner had found out that an endpoint ended, adapters that were resident there were loaded nowhere else until the store no longer listed it; streams that waited for them ended.

Cause: whether an endpoint is suspect was computed anew only when a member's report or a description named it, not when the planner itself ejected it.

Change: each review of the plans compares the planner's own suspicion with that of the last one.

Measured: TestPlannerAppliesItsOwnSuspicion failed before.

--- a/services/entry/coordinator/plan/plan_test.go
+++ b/services/entry/coordinator/plan/plan_test.go
@@ -222,6 +222,20 @@
 	assert.Len(t, f.loads(), 1, "one suspicion of three instances is not enough")
 }
 
+// TestPlannerAppliesItsOwnSuspicion guards against a planner that ejects an endpoint and still counts the copies there until it is described again.
+func TestPlannerAppliesItsOwnSuspicion(t *testing.T) {
+	f := newFixture()
+	f.directory.MarkEnded(start, "e1")
+	f.plans.Review(start, time.Second)
+	f.plans.ApplyDemand(start, demandReport())
+	f.order(start)
+	assert.Empty(t, f.loads(), "the only instance suspects the endpoint")
+	later := start.Add(time.Minute)
+	f.plans.Review(later, time.Second)
+	f.order(later)
+	assert.Len(t, f.loads(), 1, "the ejection is over")
+}
+
 func TestFullEndpointGetsNoNewCopies(t *testing.T) {
 	for inFlight, loads := range map[int]int{9: 1, 10: 0, 11: 0} {
 		f := newFixture()
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -55,6 +55,8 @@
 	usesKnown bool
 	// withdrawals is the number of the last withdrawal announcement of all services.
 	withdrawals uint64
+	// ownSuspects are the endpoints that this instance itself suspects, as of the last review.
+	ownSuspects map[deployment.EndpointID]bool
 }
 
 // termShift is the number of bits below the term in the numbers of withdrawals. The numbers of a later term are thus higher than
@@ -68,6 +70,7 @@
 		options: options, directory: known, members: members, assumed: assumed,
 		ratesApplied: make(map[string]bool),
 		withdrawals:  uint64(options.Term) << termShift,
+		ownSuspects:  make(map[deployment.EndpointID]bool),
 		planners:     make(map[string]*loading.Planner), changes: Changes{Endpoints: make(map[deployment.EndpointID]bool)},
 	}
 }
@@ -190,7 +193,25 @@
 // isSuspect reports whether enough instances suspect an endpoint.
 func (p *Plans) isSuspect(now time.Time, id deployment.EndpointID) bool {
 	status := p.directory.Endpoint(id)
-	return p.members.IsSuspect(id, status != nil && (status.Health.Ejected(now) || status.IsResting(now)))
+	return p.members.IsSuspect(id, status != nil && isOwnSuspect(now, status))
+}
+
+// isOwnSuspect reports whether this instance itself suspects an endpoint.
+func isOwnSuspect(now time.Time, status *directory.EndpointStatus) bool {
+	return status.Health.Ejected(now) || status.IsResting(now)
+}
+
+// reviewOwnSuspicion applies that this instance itself has begun or ceased to suspect an endpoint.
+func (p *Plans) reviewOwnSuspicion(now time.Time, status *directory.EndpointStatus) {
+	suspect := isOwnSuspect(now, status)
+	if suspect == p.ownSuspects[status.ID] {
+		return
+	}
+	delete(p.ownSuspects, status.ID)
+	if suspect {
+		p.ownSuspects[status.ID] = true
+	}
+	p.refreshSuspicion(now, status.ID)
 }
 
 // Sweep removes outdated state of the service plans.
@@ -210,6 +231,7 @@
 		}
 	}
 	for id, status := range p.directory.Endpoints() {
+		p.reviewOwnSuspicion(now, status)
 		if planner, ok := p.planners[status.Service]; ok {
 			limited := status.Allowance.HasLimit() && !p.allEndpointsLimited(status.Service)
 			planner.SetBacklog(id, status.Backlog(), status.Speed)
