Don't take comments or empty lines for a stream

Seen by callers: a stream that ended with its connection after a comment or an empty line, before any event, was a whole answer.

Cause: the check for an answer that ends before its first event asked for a byte, not for an event. Found by a review.

Change: the scanner remembers whether an event has ended. A body of another media type still needs a byte only.

--- a/services/entry/proxy/event_buffer.go
+++ b/services/entry/proxy/event_buffer.go
@@ -67,6 +67,11 @@
 	return b.pending
 }
 
+// hasEvent reports whether an event has ended.
+func (b *eventBuffer) hasEvent() bool {
+	return b.scanner.hasEvent
+}
+
 // insideEvent reports whether the stream so far ends inside an event, so that it was interrupted if nothing follows.
 func (b *eventBuffer) insideEvent() bool {
 	return b.scanner.insideEvent()
--- a/services/entry/proxy/event_scanner.go
+++ b/services/entry/proxy/event_scanner.go
@@ -9,6 +9,8 @@
 	line lineContent
 	// eventOpen is set if a line of the current event has ended.
 	eventOpen bool
+	// hasEvent is set once an event has ended.
+	hasEvent bool
 	// afterCR is set if the last byte was a CR, so that an LF belongs to the same line end.
 	afterCR bool
 }
@@ -52,6 +54,7 @@
 func (s *eventScanner) endLine() {
 	switch s.line {
 	case lineEmpty:
+		s.hasEvent = s.hasEvent || s.eventOpen
 		s.eventOpen = false
 	case lineField:
 		s.eventOpen = true
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -100,10 +100,10 @@
 }
 
 // finish ends a stream whose endpoint ended it, and forwards the bytes after the last complete event. A stream that ends inside an event
-// was interrupted, whatever its framing, and so was one that ended with its connection right after its head.
+// was interrupted, whatever its framing, and so was one that ended with its connection before any event.
 func (s *stream) finish() attempt.Verdict {
 	e := s.exchange
-	if (s.events.insideEvent() && !s.opaque) || (e.untilClose && !s.received) {
+	if (s.events.insideEvent() && !s.opaque) || (e.untilClose && !s.hasContent()) {
 		return attempt.JudgeInterrupted(e.situation())
 	}
 	s.forwardHead()
@@ -116,3 +116,8 @@
 	}
 	return attempt.Delivered()
 }
+
+// hasContent reports whether the endpoint sent a part of an answer: an event, or any byte of a body that is no stream of events.
+func (s *stream) hasContent() bool {
+	return s.events.hasEvent() || (s.opaque && s.received)
+}
