Tell no length for a stream of events

Seen by callers: a stream with a length that ended inside an event had all bytes of that length, and looked whole.

Cause: the endpoint's length was passed on for streams that may not be resumed, and bytes up to it were forwarded as they came; that the last event was cut off was found out after them. Found by a review.

Change: a stream of events goes out in chunks, so that the last one can be kept back. A body of another media type keeps its length, and so does an answer without a body.

--- a/services/entry/proxy/framing_test.go
+++ b/services/entry/proxy/framing_test.go
@@ -98,6 +98,13 @@
 		"broken inside an event, with the last chunk": {
 			"/stream", http11, []string{chunkedResponse(firstEvent, "id: 2\ndata: ha") + lastChunk}, framedResponse{framing: framedByChunks, body: "", looksComplete: false},
 		},
+		"broken inside an event, with the length": {
+			"/stream", http11, []string{fixedResponse(200, endpointMarkHeader, firstEvent+"id: 2\ndata: ha")}, framedResponse{framing: framedByChunks, looksComplete: false},
+		},
+		"other media type with a length": {
+			"/stream", http11, []string{fixedResponse(200, endpointMarkHeader+"Content-Type: text/plain\r\n", "whole")},
+			framedResponse{framing: framedByLength, body: "whole", looksComplete: true},
+		},
 		"resumable, broken inside an event": {
 			"/resumable", http11, []string{untilClose(firstEvent, "id: 2\nda"), chunkedResponse(secondEvent) + lastChunk},
 			framedResponse{framing: framedByClose, body: firstEvent + secondEvent, looksComplete: true},
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/shelfledge/shelfledge/modules/entry/upstream"
 	"github.com/shelfledge/shelfledge/services/entry/proxy/attempt"
 )
 
@@ -65,8 +66,8 @@
 	}
 }
 
-// forwardHead writes the head if it is still pending. For a stream that may be resumed the length is left out, because the next
-// endpoint need not keep it.
+// forwardHead writes the head if it is still pending. For a stream of events the length is left out: the next endpoint need not keep it, and
+// a stream of that length may still end inside an event.
 func (s *stream) forwardHead() {
 	if !s.headPending {
 		return
@@ -75,7 +76,7 @@
 	s.exchange.recordOrigin()
 	httpResponse := s.exchange.response.Response
 	body := s.exchange.bodyEnd()
-	if s.events.wholeOnly {
+	if s.exchange.response.Framing() == upstream.ByLength && (s.events.wholeOnly || !s.opaque) {
 		body.length = unknownLength
 	}
 	s.exchange.inflight.response.writeHead(httpResponse, body)
