Let a whole answer that ends with its connection arrive beside a next request

Seen by callers: one that had sent its next request while such an answer came got a reset in place of the end, and lost bytes that were not sent yet.

Cause: the system resets a connection that is closed with unread bytes, whatever its linger option. Found by a review.

Change: after the proper end the connection is closed for writing, and what the caller sends is read and discarded until it closes, for 1 s and 1 MiB at most.

--- a/modules/callerconn/conn.go
+++ b/modules/callerconn/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -18,6 +19,10 @@
 	// firstRequestWindow is how long, during a shutdown, a newly accepted connection may still send its first request. A longer window
 	// serves callers that the load balancer sent just before the shutdown; a shorter one completes the shutdown sooner.
 	firstRequestWindow = 250 * time.Millisecond
+	// maxDrainTime and maxDrainBytes bound what is read from a caller after a response that ended with its connection. Higher values let slower
+	// callers receive the end of the response, lower ones free the connections sooner.
+	maxDrainTime  = time.Second
+	maxDrainBytes = 1 << 20
 	// defaultLinger is the value for net.TCPConn.SetLinger that makes the system send what is left after a close.
 	defaultLinger = -1
 )
@@ -38,6 +43,8 @@
 	// does so to end a read at once.
 	readDeadline time.Time
 	interrupted  bool
+	// drainOnClose is set if the connection is drained before it is closed.
+	drainOnClose bool
 	// finalRead is set once a read was repeated for finalReadWindow after its deadline.
 	finalRead bool
 	// reason is why the connection ends; empty until a reason is recorded.
@@ -193,12 +200,42 @@
 	if c == nil {
 		return nil
 	}
+	c.mutex.Lock()
+	c.drainOnClose = !enabled
+	c.mutex.Unlock()
 	if enabled {
 		return c.SetLinger(0)
 	}
 	return c.SetLinger(defaultLinger)
 }
 
+// Close closes the connection. After SetResetOnClose was disabled again, what the caller still sends is read first: the system would reset a
+// connection with unread bytes, and the caller would lose the end of its response.
+func (c *Conn) Close() error {
+	if c.takeDrain() {
+		c.drain()
+	}
+	return c.TCPConn.Close()
+}
+
+// takeDrain reports whether the connection is to be drained, and that only once.
+func (c *Conn) takeDrain() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	drain := c.drainOnClose
+	c.drainOnClose = false
+	return drain
+}
+
+// drain ends the own direction, and reads until the caller ends its direction or a limit is reached. Errors are ignored because the connection is
+// closed afterwards in any case.
+func (c *Conn) drain() {
+	if c.CloseWrite() != nil || c.TCPConn.SetReadDeadline(c.listener.options.Now().Add(maxDrainTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.TCPConn, maxDrainBytes)
+}
+
 // report returns the report of a connection that has ended.
 func (c *Conn) report() Report {
 	c.mutex.Lock()
