Submit the request of a release test once the service owns the pool

Cause: a fault of the test's set-up. It submitted its request as soon as the pool's key existed in the key-value service. The service learns that it owns the pool only from the answer, and may process the request first. Then it has never held the lease, so no endpoint accepts the request, which is refused as no_endpoint, and no unload is ever ordered. Advancing the clock does not help, since the request is no longer there.

Change: the test also waits until the service itself may unload from the endpoint, within the same bound. All else that is checked stays, with its bounds.

--- a/services/daemon/control/release_test.go
+++ b/services/daemon/control/release_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 	"github.com/shelfledge/shelfledge/modules/daemon/engine"
 	"github.com/shelfledge/shelfledge/services/daemon/control"
+	"github.com/shelfledge/shelfledge/services/daemon/node"
+	"github.com/shelfledge/shelfledge/services/daemon/placement"
 )
 
 // TestFailedReleaseIsRepeated releases pool x while the key-value service fails, and continues to own pool y. The renewals
@@ -64,6 +67,20 @@
 	require.True(t, held(leaseOfY))
 }
 
+// mayUnload reports whether the service has processed both answers that permit it to unload adapters from an endpoint without fences: the
+// endpoint's to the takeover, and the key-value service's to the request for the pool. The pool's key exists before the latter arrives.
+func (w *harness) mayUnload(endpoint string) bool {
+	may := false
+	w.View(func(now time.Time, n *node.Node) {
+		for _, pool := range n.Pools(now) {
+			may = may || slices.ContainsFunc(pool.Endpoints, func(e placement.EndpointView) bool {
+				return e.Endpoint == endpoint && e.Up && !e.Frozen
+			})
+		}
+	})
+	return may
+}
+
 // TestPoolIsReleasedOnceItsUnloadIsAnswered guards against an unload that arrives at an endpoint without fences beside a request to which
 // the next owner of the pool granted the adapter.
 func TestPoolIsReleasedOnceItsUnloadIsAnswered(t *testing.T) {
@@ -84,7 +101,7 @@
 		return err == nil && found
 	}
 	w.advance(takeoverDelay)
-	require.Eventually(t, held, timeout, time.Millisecond)
+	require.Eventually(t, func() bool { return held() && w.mayUnload("e1") }, timeout, time.Millisecond)
 	w.Submit(fleet.Request{ID: "q", Base: "x", Adapter: a})
 	select {
 	case <-unloading:
