Build the capacity benchmarks again

Cause: a call of report.Counter in tests/capacity kept the former arguments, so that its tests did not build.

Change: the call.

Measured: go vet of tests/capacity.

--- a/tests/capacity/entry_test.go
+++ b/tests/capacity/entry_test.go
@@ -241,7 +241,7 @@
 func refusedCallers(count int) *report.Counter {
 	counter := report.NewCounter()
 	for i := range count {
-		counter.ExpectRetry(serviceAdapter(i), baseTime, time.Second)
+		counter.ExpectRetry(serviceAdapter(i), "", baseTime, time.Second)
 	}
 	return counter
 }
