Tell callers of the daemon the end of a plain answer as its service told it

Cause: the relay took io.EOF for a proof of completeness and stated the length it had read, also where only the service's close ends the answer. Change: over HTTP/1 such an answer has neither a length nor chunks for the caller. Its connection is set to end with a reset before the head is written, and set back once the whole answer was handed to the kernel, as in the entry program. A model's answer with status 200 keeps its length, since its JSON was decoded. The flush of the router's writer returns its error, which was lost.

--- a/routers/daemon/caller/router.go
+++ b/routers/daemon/caller/router.go
@@ -156,6 +156,7 @@
 
 func (r *Router) relayJob(w http.ResponseWriter, q *http.Request, job relay.Job) {
 	tracked := &trackedWriter{ResponseWriter: w}
+	job.CanEndByClose = q.ProtoMajor == 1
 	err := r.options.Relay.Serve(q.Context(), tracked, job)
 	if err == nil || q.Context().Err() != nil {
 		return
@@ -191,11 +192,14 @@
 	return w.ResponseWriter.Write(p)
 }
 
-// Flush implements http.Flusher.
+// Flush implements http.Flusher. Errors are ignored, since the next write reports them.
 func (w *trackedWriter) Flush() {
-	if f, ok := w.ResponseWriter.(http.Flusher); ok {
-		f.Flush()
-	}
+	_ = w.FlushError()
+}
+
+// FlushError is Flush for http.ResponseController.
+func (w *trackedWriter) FlushError() error {
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // Unwrap returns the underlying writer, for http.ResponseController.
--- a/services/daemon/relay/exchange.go
+++ b/services/daemon/relay/exchange.go
@@ -92,13 +92,22 @@
 	if err != nil {
 		return err
 	}
+	untilClose := endsWithConnection(resp) && r.job.CanEndByClose
 	if !r.job.Plain && resp.StatusCode == http.StatusOK {
 		if err := r.checkModel(body); err != nil {
 			return err
 		}
+		// JSON that can be decoded is complete.
+		untilClose = false
 	}
 	r.setHeaders(resp)
-	return r.out.whole(resp.StatusCode, body)
+	return r.out.whole(resp.StatusCode, body, untilClose)
+}
+
+// endsWithConnection reports whether only the end of its connection tells the end of an answer, so that the endpoint alone knows whether the
+// answer was complete.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
 // setHeaders sets the headers of the answer, unless the answer has started already.
--- a/services/daemon/relay/service.go
+++ b/services/daemon/relay/service.go
@@ -109,6 +109,9 @@
 	SingleAttempt bool
 	// Plain is true for services that are not model engines.
 	Plain bool
+	// CanEndByClose is true if the caller can be told the end of an answer by the end of its connection, as in HTTP/1. It is then told so where
+	// the endpoint tells it no other way.
+	CanEndByClose bool
 	// Headers is called once, before the first byte of the answer, to set the answer's headers.
 	Headers func(h http.Header, t fleet.Ticket)
 }
@@ -126,7 +129,7 @@
 	defer cancel()
 	stop := context.AfterFunc(s.stopping, cancel)
 	defer stop()
-	run := &run{service: s, job: j, out: newWriter(w, s.options), arrived: s.options.Now(), fingerprint: j.fingerprint()}
+	run := &run{service: s, job: j, out: newWriter(ctx, w, s.options), arrived: s.options.Now(), fingerprint: j.fingerprint()}
 	err := run.serve(ctx)
 	run.observe(err)
 	return err
--- a/services/daemon/relay/writer.go
+++ b/services/daemon/relay/writer.go
@@ -4,9 +4,12 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/shelfledge/shelfledge/modules/callerconn"
 )
 
 // writer writes an answer to the caller and counts the written events.
@@ -19,16 +22,22 @@
 	now      func() time.Time
 	timer    func(at time.Time) time.Time
 	deadline time.Time
-	started  bool
-	events   int
-	first    time.Time
-	last     time.Time
+	// resetOnClose makes the caller's connection end with a reset, or no longer.
+	resetOnClose func(enabled bool) error
+	started      bool
+	events       int
+	first        time.Time
+	last         time.Time
 }
 
-func newWriter(w http.ResponseWriter, options Options) *writer {
+// newWriter returns a writer to the caller whose connection ctx holds, if any.
+func newWriter(ctx context.Context, w http.ResponseWriter, options Options) *writer {
 	// If w does not implement http.Flusher, as in some tests, flusher is nil and nothing is flushed.
 	flusher, _ := w.(http.Flusher)
-	return &writer{w: w, controller: http.NewResponseController(w), flusher: flusher, timeout: options.SlowReader, now: options.Now, timer: options.Timer}
+	return &writer{
+		w: w, controller: http.NewResponseController(w), flusher: flusher, timeout: options.SlowReader, now: options.Now, timer: options.Timer,
+		resetOnClose: callerconn.FromContext(ctx).SetResetOnClose,
+	}
 }
 
 func (o *writer) header() http.Header {
@@ -76,15 +85,43 @@
 	return nil
 }
 
-func (o *writer) whole(status int, body []byte) error {
+// whole writes an answer whose end is told by its length, or, if untilClose is set, by the end of the connection.
+func (o *writer) whole(status int, body []byte, untilClose bool) error {
 	now := o.now()
 	o.extend(now)
 	o.started = true
 	o.first, o.last = now, now
-	o.header().Set("Content-Length", strconv.Itoa(len(body)))
+	if untilClose {
+		o.beginUntilClose()
+	} else {
+		o.header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	o.w.WriteHeader(status)
 	if _, err := o.w.Write(body); err != nil {
 		return errCallerGone{reason: err.Error()}
 	}
+	if untilClose {
+		return o.finishUntilClose()
+	}
+	return nil
+}
+
+// beginUntilClose prepares an answer whose end is told by the end of the connection. Any end but the proper one must then be a reset, also the
+// end of the process, or the caller would take what it has for the whole answer.
+func (o *writer) beginUntilClose() {
+	// On this value, net/http sends neither a length nor chunks, and closes the connection after the answer.
+	o.header().Set("Transfer-Encoding", "identity")
+	// An error means that the connection has ended, which the next write reports.
+	_ = o.resetOnClose(true)
+}
+
+// finishUntilClose makes the connection end properly, once the whole answer was handed to the system.
+func (o *writer) finishUntilClose() error {
+	if err := o.flush(); err != nil {
+		return err
+	}
+	if err := o.resetOnClose(false); err != nil {
+		return errCallerGone{reason: err.Error()}
+	}
 	return nil
 }
--- a/tests/pinned/daemon/caller_test.go
+++ b/tests/pinned/daemon/caller_test.go
@@ -105,7 +105,7 @@
 		if x.ResumeFrom > 0 {
 			answer = ""
 		}
-		return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: -1, Body: io.NopCloser(strings.NewReader(answer))}, nil
+		return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: int64(len(answer)), Body: io.NopCloser(strings.NewReader(answer))}, nil
 	}
 	claim := c.claim
 	if claim == "" {
