Show that requests which their caller ends are answered as if complete, failing

Cause: net/http ends the context of a request when its caller closes its direction of the connection. The router then returned without an answer, which net/http completes: status 200 and the length 0, or the last chunk of a stream that has begun.

--- a/routers/daemon/caller/framing_test.go
+++ b/routers/daemon/caller/framing_test.go
@@ -5,7 +5,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -171,3 +173,50 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.Error(t, err)
 }
+
+// TestRequestEndedByCallerGetsNoCompleteAnswer guards against answers that look complete to a caller which closes its own direction only: its
+// request is ended as for a caller that left, but it still reads.
+func TestRequestEndedByCallerGetsNoCompleteAnswer(t *testing.T) {
+	const (
+		head  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		event = "data: {\"model\":\"a@1\"}\n\n"
+		body  = `{"model":"a","stream":true}`
+	)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	stream := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for name, test := range map[string]struct {
+		request, answer string
+		// received is what the caller reads before it closes its direction.
+		received string
+	}{
+		"before an answer": {request: "GET /plain/x HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"inside an answer": {request: "GET /plain/x HTTP/1.1\r\nHost: h\r\n\r\n", answer: head + chunk},
+		"before a stream":  {request: stream},
+		"inside a stream":  {request: stream, answer: head + chunk, received: event},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, ended := make(chan struct{}), make(chan struct{})
+			defer close(ended)
+			_, address := startRouter(t, startRawEndpoint(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, test.answer)
+				close(begun)
+				<-ended
+			}))
+			conn := dialRouter(t, address, test.request)
+			<-begun
+			var got bytes.Buffer
+			for !strings.Contains(got.String(), test.received) {
+				_, err := io.CopyN(&got, conn, 1)
+				require.NoError(t, err)
+			}
+			require.NoError(t, conn.CloseWrite())
+			_, _ = io.Copy(&got, conn)
+			response, err := http.ReadResponse(bufio.NewReader(&got), nil)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			assert.Error(t, err, "no whole answer is known")
+		})
+	}
+}
