Abort the connection of a caller whose request was ended

Cause: the router returned without an answer if the context of the request had ended, since it took the caller to be gone, and net/http completed what was there. Change: such a request is aborted, as one whose answer breaks off: no head, or no last chunk. Over HTTP/2 its stream is reset.

--- a/routers/daemon/caller/router.go
+++ b/routers/daemon/caller/router.go
@@ -158,20 +158,22 @@
 	tracked := &trackedWriter{ResponseWriter: w}
 	job.CanEndByClose = q.ProtoMajor == 1
 	err := r.options.Relay.Serve(q.Context(), tracked, job)
-	if err == nil || q.Context().Err() != nil {
+	if err == nil {
 		return
 	}
 	f := errorResponseFor(err)
-	if !tracked.started {
+	switch {
+	case q.Context().Err() != nil:
+		// The caller has left, or closed its own direction only and still reads: it must not get a response that looks complete.
+		panic(http.ErrAbortHandler)
+	case !tracked.started:
 		f.write(w, job.Request.ID)
-		return
-	}
-	if job.Stream {
+	case job.Stream:
 		f.writeEvent(w, job.Request.ID)
-		return
+	default:
+		// The connection is aborted, so that the caller does not take a truncated response for a complete one.
+		panic(http.ErrAbortHandler)
 	}
-	// The connection is aborted, so that the caller does not take a truncated response for a complete one.
-	panic(http.ErrAbortHandler)
 }
 
 // trackedWriter is a http.ResponseWriter that records whether the response has started.
