Show that a broken metrics page makes running adapters look idle, failing

Cause: the daemon reads an endpoint's metrics page up to io.EOF. Without a length or chunks that is any close of the connection, also before or inside the line that names the running adapters. What is missing from the list loses its protection from unloads, and orphaned tickets on it are dropped (placement.markForeign).

--- a/modules/daemon/engine/vllm_test.go
+++ b/modules/daemon/engine/vllm_test.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -257,3 +259,55 @@
 	require.WithinDuration(t, time.Now().Add(time.Minute), engine.StartBefore(now.Add(time.Minute), clock), 10*time.Second)
 	require.Zero(t, engine.StartBefore(time.Time{}, clock))
 }
+
+// TestBrokenMetricsPageIsNoStatus guards against a metrics page that ended early and showed running adapters as idle, so that they were unloaded
+// and their tickets returned: the endpoint closed the connection of a page without a length or chunks, and what had arrived was taken for all.
+func TestBrokenMetricsPageIsNoStatus(t *testing.T) {
+	const (
+		page      = "# HELP x\nvllm:lora_requests_info{max_lora=\"4\",running_lora_adapters=\"a@1,b@12\",waiting_lora_adapters=\"\"} 1\n"
+		untilEnd  = "HTTP/1.1 200 OK\r\n\r\n"
+		chunkHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	)
+	// beforeDigit ends inside the version of the second adapter.
+	beforeDigit, _, _ := strings.Cut(page, "2\",waiting")
+	length := func(bytes int) string { return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", bytes) }
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for name, test := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"length":                       {length(len(page)) + page, true},
+		"length, empty":                {length(0), true},
+		"length, broken":               {length(len(page)) + page[:10], false},
+		"chunks":                       {chunkHead + chunk(page) + "0\r\n\r\n", true},
+		"chunks, broken":               {chunkHead + chunk(page[:10]), false},
+		"close, before the page":       {untilEnd, false},
+		"close, between lines":         {untilEnd + page[:9], false},
+		"close, inside an adapter":     {untilEnd + beforeDigit, false},
+		"close, after the whole lines": {untilEnd + page, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, fleet.KindEngine, func(w http.ResponseWriter, q *http.Request) {
+				if q.URL.Path == "/v1/models" {
+					_, _ = io.WriteString(w, `{"data": []}`)
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, test.answer)
+				_ = conn.Close()
+			})
+			s, err := newDialect().Status(context.Background(), e)
+			if !test.whole {
+				require.True(t, isUnknown(err), "%v, running %v", err, s.Running)
+				return
+			}
+			require.NoError(t, err)
+			if name != "length, empty" {
+				require.Equal(t, []fleet.AdapterRef{testAdapter, {Name: "b", Version: 12}}, s.Running)
+			}
+		})
+	}
+}
