Take no status from a metrics page that ends with its connection

Cause: the scanner reports io.EOF as the end of the page, and only the endpoint knows whether a page without a length or chunks was whole. The relay's test for such answers moves to package engine.

--- a/modules/daemon/engine/transport.go
+++ b/modules/daemon/engine/transport.go
@@ -120,3 +120,9 @@
 	c := p.conn.Load()
 	return c != nil && c.written.Load() > p.start.Load()
 }
+
+// EndsWithConnection reports whether only the end of its connection tells the end of a response, so that the endpoint alone knows whether it
+// was complete.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
--- a/modules/daemon/engine/vllm_status.go
+++ b/modules/daemon/engine/vllm_status.go
@@ -93,6 +93,10 @@
 	}
 	// A read error is reported by the scanner, so that an error of Close is ignored.
 	defer func() { _ = resp.Body.Close() }()
+	if EndsWithConnection(resp) {
+		// An adapter that is missing from the page may be unloaded.
+		return nil, ErrOutcomeUnknown{Operation: "metrics", Reason: "the page has neither a length nor chunks, so that it may be incomplete"}
+	}
 	lines := bufio.NewScanner(resp.Body)
 	var out []fleet.AdapterRef
 	for lines.Scan() {
--- a/services/daemon/relay/exchange.go
+++ b/services/daemon/relay/exchange.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	untilClose := endsWithConnection(resp) && r.job.CanEndByClose
+	untilClose := engine.EndsWithConnection(resp) && r.job.CanEndByClose
 	if !r.job.Plain && resp.StatusCode == http.StatusOK {
 		if err := r.checkModel(body); err != nil {
 			return err
@@ -104,12 +104,6 @@
 	return r.out.whole(resp.StatusCode, body, untilClose)
 }
 
-// endsWithConnection reports whether only the end of its connection tells the end of an answer, so that the endpoint alone knows whether the
-// answer was complete.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 // setHeaders sets the headers of the answer, unless the answer has started already.
 func (r *run) setHeaders(resp *http.Response) {
 	if r.out.started {
