Test that the end of a connection is no end of a model's answer

Cause: no test ended the connection properly before the last event, only with an error. Change: streams that end before, between and inside events, also inside [DONE], are unknown and forwarded up to their last event; an answer in JSON that is cut at any byte is not forwarded.

--- a/services/daemon/relay/relay_test.go
+++ b/services/daemon/relay/relay_test.go
@@ -149,6 +149,46 @@
 	require.Equal(t, 1, b.calls[1].ResumeFrom)
 }
 
+// TestStreamEndsOnlyWithItsLastEvent guards against streams whose connection ended properly and that would be told as whole: the end of the
+// connection proves nothing, only the event [DONE] does.
+func TestStreamEndsOnlyWithItsLastEvent(t *testing.T) {
+	for name, c := range map[string]struct{ body, forwarded string }{
+		"nothing":                        {"", ""},
+		"between events":                 {one + two, one + two},
+		"inside an event":                {one + "data: {\"model\":\"a@1\",\"n\":2}", one},
+		"before the empty line":          {one + "data: {\"model\":\"a@1\",\"n\":2}\n", one},
+		"inside the last event":          {one + "data: [DO", one},
+		"before the last event's line":   {one + "data: [DONE]\n", one},
+		"before an empty line of CR LF":  {one + "data: [DONE]\r\n", one},
+		"last event only inside another": {one + "data: {\"model\":\"a@1\",\"t\":\"data: [DONE]\"}\n\n", one + "data: {\"model\":\"a@1\",\"t\":\"data: [DONE]\"}\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rest := attempt{body: ""}
+			b := newTestRelay(attempt{body: c.body}, rest, rest)
+			text, err := b.serve(true)
+			require.True(t, relay.IsErrUnknown(err), "%v", err)
+			require.Equal(t, c.forwarded, text)
+		})
+	}
+}
+
+// TestCutOffModelAnswerIsNotForwarded cuts an answer that is not a stream at each byte: its proof of completeness is its JSON.
+func TestCutOffModelAnswerIsNotForwarded(t *testing.T) {
+	const answer = `{"model":"a@1","choices":[{"text":"x"}]}`
+	job := relay.Job{Request: fleet.Request{ID: "q", Adapter: fleet.AdapterRef{Name: "a", Version: 1}, Once: true}, Method: http.MethodPost, CanEndByClose: true}
+	for cut := range len(answer) {
+		b := newTestRelay(attempt{body: answer[:cut]})
+		w := httptest.NewRecorder()
+		err := b.relay.Serve(context.Background(), w, job)
+		b.relay.Wait()
+		require.True(t, relay.IsErrUnknown(err), "%q: %v", answer[:cut], err)
+		require.Empty(t, w.Body.String())
+	}
+	w := httptest.NewRecorder()
+	require.NoError(t, newTestRelay(attempt{body: answer}).relay.Serve(context.Background(), w, job))
+	require.Equal(t, answer, w.Body.String())
+}
+
 // TestOnlyFirstExchangeMustStartBeforeTicketLapses guards against a request that reaches its endpoint after its ticket has lapsed: the time
 // was compared only before the connection is set up. A resumed stream keeps its ticket.
 func TestOnlyFirstExchangeMustStartBeforeTicketLapses(t *testing.T) {
