Show that the daemon's answers to HEAD state the length 0, failing

Cause: the relay states the length of the body that it has read, which an answer to HEAD doesn't have.

--- a/routers/daemon/caller/framing_test.go
+++ b/routers/daemon/caller/framing_test.go
@@ -220,3 +220,26 @@
 		})
 	}
 }
+
+// TestHeadTellsLengthOfPlainService guards against answers to HEAD that state the length of the body that was not sent, which is 0.
+func TestHeadTellsLengthOfPlainService(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		length int64
+	}{
+		"length":    {"HTTP/1.1 200 OK\r\nContent-Length: 123456\r\n\r\n", 123456},
+		"empty":     {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0},
+		"no length": {"HTTP/1.1 200 OK\r\n\r\n", -1},
+		"chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", -1},
+		"error":     {"HTTP/1.1 404 Not Found\r\nContent-Length: 12\r\n\r\n", 12},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := startRouter(t, startRawEndpoint(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, test.answer) }))
+			conn := dialRouter(t, address, "HEAD /plain/x HTTP/1.1\r\nHost: h\r\n\r\n")
+			response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodHead})
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			assert.Equal(t, test.length, response.ContentLength)
+		})
+	}
+}
