State the plain service's length in the daemon's answers to HEAD

Cause: the writer stated the length of the body that was read, which is 0 for HEAD. Change: an answer to HEAD states the length of the endpoint's head, or none.

--- a/services/daemon/relay/exchange.go
+++ b/services/daemon/relay/exchange.go
@@ -92,16 +92,27 @@
 	if err != nil {
 		return err
 	}
-	untilClose := engine.EndsWithConnection(resp) && r.job.CanEndByClose
 	if !r.job.Plain && resp.StatusCode == http.StatusOK {
 		if err := r.checkModel(body); err != nil {
 			return err
 		}
-		// JSON that can be decoded is complete.
-		untilClose = false
 	}
 	r.setHeaders(resp)
-	return r.out.whole(resp.StatusCode, body, untilClose)
+	return r.out.whole(resp.StatusCode, body, r.bodyEnd(resp, body))
+}
+
+// bodyEnd returns how the caller is told the end of an answer's body, so that it gets no proof of completeness that the endpoint did not give.
+func (r *run) bodyEnd(resp *http.Response, body []byte) bodyEnd {
+	// JSON that was decoded is complete.
+	decoded := !r.job.Plain && resp.StatusCode == http.StatusOK
+	switch {
+	case r.job.Method == http.MethodHead:
+		return bodyEnd{length: resp.ContentLength}
+	case engine.EndsWithConnection(resp) && !decoded && r.job.CanEndByClose:
+		return bodyEnd{length: resp.ContentLength, untilClose: true}
+	default:
+		return bodyEnd{length: int64(len(body))}
+	}
 }
 
 // setHeaders sets the headers of the answer, unless the answer has started already.
--- a/services/daemon/relay/writer.go
+++ b/services/daemon/relay/writer.go
@@ -85,22 +85,31 @@
 	return nil
 }
 
-// whole writes an answer whose end is told by its length, or, if untilClose is set, by the end of the connection.
-func (o *writer) whole(status int, body []byte, untilClose bool) error {
+// bodyEnd is how the end of an answer's body is told to the caller.
+type bodyEnd struct {
+	// length is the length that the head states, in bytes; none if it is negative.
+	length int64
+	// untilClose is set if the body ends with the connection.
+	untilClose bool
+}
+
+// whole writes an answer that is not streamed.
+func (o *writer) whole(status int, body []byte, end bodyEnd) error {
 	now := o.now()
 	o.extend(now)
 	o.started = true
 	o.first, o.last = now, now
-	if untilClose {
+	if end.length >= 0 {
+		o.header().Set("Content-Length", strconv.FormatInt(end.length, 10))
+	}
+	if end.untilClose {
 		o.beginUntilClose()
-	} else {
-		o.header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	o.w.WriteHeader(status)
 	if _, err := o.w.Write(body); err != nil {
 		return errCallerGone{reason: err.Error()}
 	}
-	if untilClose {
+	if end.untilClose {
 		return o.finishUntilClose()
 	}
 	return nil
