Don't take a reset while the daemon writes a request for the end of the answer

Cause: net/http reads the answer while the request is written, and takes io.EOF from the connection for the end of an answer without a length, also if the write got a reset. Change: after io.EOF while a write is under way or has failed, the state of the connection decides, as in the entry program.

--- a/modules/daemon/engine/transport.go
+++ b/modules/daemon/engine/transport.go
@@ -6,11 +6,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/shelfledge/shelfledge/modules/tcpstate"
 )
 
 // TransportOptions are the settings of the connections to endpoints.
@@ -60,6 +63,8 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// unwritten is set while a write is under way, and after one that failed.
+	unwritten atomic.Bool
 	// startBefore is the time limit for the first byte of the current request; nil if there is none or the byte was written.
 	startBefore atomic.Pointer[time.Time]
 }
@@ -70,7 +75,9 @@
 	if limit := c.startBefore.Load(); limit != nil && !time.Now().Before(*limit) {
 		return 0, ErrStartTooLate
 	}
+	c.unwritten.Store(true)
 	n, err := c.Conn.Write(p)
+	c.unwritten.Store(err != nil)
 	if n == 0 && err != nil {
 		return n, err
 	}
@@ -79,6 +86,15 @@
 	return n, err
 }
 
+// Read implements net.Conn. After a reset, the write of the request may have got the error, and the read io.EOF, which would be a proper end.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.unwritten.Load() && tcpstate.IsClosed(c.Conn) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // limitStart sets the time limit for the first byte of the next request; the zero time sets none.
 func (c *countingConn) limitStart(limit time.Time) {
 	if limit.IsZero() {
