--- a/routers/daemon/caller/router.go
+++ b/routers/daemon/caller/router.go
@@ -156,21 +156,24 @@
 
 func (r *Router) relayJob(w http.ResponseWriter, q *http.Request, job relay.Job) {
 	tracked := &trackedWriter{ResponseWriter: w}
+	job.CanEndByClose = q.ProtoMajor == 1
 	err := r.options.Relay.Serve(q.Context(), tracked, job)
-	if err == nil || q.Context().Err() != nil {
+	if err == nil {
 		return
 	}
 	f := errorResponseFor(err)
-	if !tracked.started {
+	switch {
+	case q.Context().Err() != nil:
+		// The caller has left, or closed its own direction only and still reads: it must not get a response that looks complete.
+		panic(http.ErrAbortHandler)
+	case !tracked.started:
 		f.write(w, job.Request.ID)
-		return
-	}
-	if job.Stream {
+	case job.Stream:
 		f.writeEvent(w, job.Request.ID)
-		return
+	default:
+		// The connection is aborted, so that the caller does not take a truncated response for a complete one.
+		panic(http.ErrAbortHandler)
 	}
-	// The connection is aborted, so that the caller does not take a truncated response for a complete one.
-	panic(http.ErrAbortHandler)
 }
 
 // trackedWriter is a http.ResponseWriter that records whether the response has started.
@@ -191,11 +194,14 @@
 	return w.ResponseWriter.Write(p)
 }
 
-// Flush implements http.Flusher.
+// Flush implements http.Flusher. Errors are ignored, since the next write reports them.
 func (w *trackedWriter) Flush() {
-	if f, ok := w.ResponseWriter.(http.Flusher); ok {
-		f.Flush()
-	}
+	_ = w.FlushError()
+}
+
+// FlushError is Flush for http.ResponseController.
+func (w *trackedWriter) FlushError() error {
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // Unwrap returns the underlying writer, for http.ResponseController.
