Don't take a software for the only one before the others are known

Cause: an instance that starts knows no other ones until a planner's view names them. Asking nobody, it took the only software that it saw for the only one.

Change: that verdict needs the answer of another instance, or the knowledge that there is none, and a list of instances that is a second old; a request waits for that for up to 2 s. Observation counts as interrupted from 20 s on instead of 5 s: an endpoint of another software is not started and gone within an outage of the store.

--- a/services/entry/coordinator/software.go
+++ b/services/entry/coordinator/software.go
@@ -7,7 +7,7 @@
 
 // maxSoftwareAge is the age of what is known about the endpoints from which on a software may have come and left unseen. A higher value bridges
 // longer outages of the store, a lower one assumes less.
-const maxSoftwareAge = 5 * time.Second
+const maxSoftwareAge = 20 * time.Second
 
 // softwareObservation is what the observer of softwares was told last.
 type softwareObservation struct {
--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -18,6 +18,11 @@
 	// resendInterval is the time after which those that have not answered are asked again, and from when on one answer with an origin is
 	// enough. A higher value sends fewer questions twice, a lower one makes up for a lost datagram sooner.
 	resendInterval = 50 * time.Millisecond
+	// settleTime is for how long the first list of instances after a start may lack some. A higher value knows them more surely, a lower one serves
+	// streams sooner after a start.
+	settleTime = time.Second
+	// maxSettleWait bounds the wait for that. A higher value serves more streams after a start, a lower one refuses in time for another attempt.
+	maxSettleWait = 2 * time.Second
 	// maxInquiries bounds the streams that are asked about at the same time. A higher value takes up more streams at once, a lower one
 	// takes less memory.
 	maxInquiries = 1024
@@ -37,30 +42,71 @@
 }
 
 // Find returns what is known about a stream that is taken up at a route with some services. The stream can have begun within the window at
-// most. It asks other instances for up to askTimeout if this instance does not know.
+// most. It asks other instances for up to askTimeout if this instance does not know, and soon after the start waits until it knows them.
 func (s *Service) Find(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
 	window = min(window, origin.MaxLifetime)
+	result, rulesOutOthers := s.findOnce(ctx, now, key, services, window)
+	if result.Verdict != origin.SoleSoftware || s.isSettled() {
+		return withoutGuess(result, rulesOutOthers)
+	}
+	if !s.awaitSettled(ctx) {
+		return origin.Result{Verdict: origin.Unknown}
+	}
+	return withoutGuess(s.findOnce(ctx, s.options.Now(), key, services, window))
+}
+
+// withoutGuess returns a result in which a software counts as the only one only if others were ruled out.
+func withoutGuess(result origin.Result, rulesOutOthers bool) origin.Result {
+	if result.Verdict == origin.SoleSoftware && !rulesOutOthers {
+		return origin.Result{Verdict: origin.Unknown}
+	}
+	return result
+}
+
+// findOnce decides from what this instance knows, or from the answers of others. It reports whether these rule out other softwares than the
+// known ones: one of them answered, or there is nobody to ask.
+func (s *Service) findOnce(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) (origin.Result, bool) {
 	s.mutex.Lock()
 	found := s.table.Lookup(now, key)
 	known := s.history.Known(now, services, window)
 	decided, final := origin.DecideLocally(found, known, s.history.IsProven(now, window))
 	if final {
 		s.mutex.Unlock()
-		return decided
+		return decided, true
 	}
 	if len(s.inquiries) >= maxInquiries {
 		s.mutex.Unlock()
-		return origin.Result{Verdict: origin.Unknown}
+		return origin.Result{Verdict: origin.Unknown}, false
 	}
 	asked := s.addInquiry(key, services, window, known)
 	s.mutex.Unlock()
 	answers := s.ask(ctx, asked)
 	s.removeInquiry(asked)
-	result := origin.Decide(known, answers)
-	if ctx.Err() != nil && result.Verdict == origin.SoleSoftware {
-		return origin.Result{Verdict: origin.Unknown}
+	return origin.Decide(known, answers), ctx.Err() == nil && (len(answers) > 0 || len(asked.asked) == 0)
+}
+
+// isSettled reports whether this instance has known the others for settleTime, or can tell and ask nobody.
+func (s *Service) isSettled() bool {
+	select {
+	case <-s.settled:
+		return true
+	default:
+		return false
 	}
-	return result
+}
+
+// awaitSettled waits until this instance has known the others for settleTime. It returns false if that takes too long.
+func (s *Service) awaitSettled(ctx context.Context) bool {
+	timeout := time.NewTimer(maxSettleWait)
+	defer timeout.Stop()
+	select {
+	case <-s.settled:
+		return true
+	case <-timeout.C:
+	case <-ctx.Done():
+	case <-s.stopped:
+	}
+	return false
 }
 
 // addInquiry adds an inquiry at the instances that may know a stream; at none without a transport.
--- a/services/entry/origin/exchange/message_test.go
+++ b/services/entry/origin/exchange/message_test.go
@@ -133,6 +133,7 @@
 		service, self, other := startWithPeer(t)
 		defer service.Close()
 		service.ObserveEndpoints(time.Now(), chat("1.0"))
+		time.Sleep(settling)
 		for age, expected := range map[time.Duration]origin.Result{
 			window - time.Second: unknown,
 			window:               {Verdict: origin.SoleSoftware, Origin: one},
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -23,6 +23,10 @@
 	stopped chan struct{}
 	running sync.WaitGroup
 
+	// settled is closed once this instance knows the others.
+	settled    chan struct{}
+	settleOnce sync.Once
+
 	mutex     sync.Mutex
 	transport Transport
 	online    bool
@@ -50,7 +54,7 @@
 		options.Listen = listenUDP
 	}
 	return &Service{
-		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}),
+		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
 	}
@@ -60,10 +64,12 @@
 func (s *Service) Start() error {
 	s.running.Go(s.runTeller)
 	if !s.options.Address.IsValid() {
+		s.settle()
 		return nil
 	}
 	transport, err := s.options.Listen(s.options.Address)
 	if err != nil {
+		s.settle()
 		return err
 	}
 	s.mutex.Lock()
@@ -88,6 +94,11 @@
 	s.running.Wait()
 }
 
+// settle records that this instance knows the others.
+func (s *Service) settle() {
+	s.settleOnce.Do(func() { close(s.settled) })
+}
+
 // SetInstances sets the instances that can be told and asked, this one included. Streams whose holders change by it are told again.
 func (s *Service) SetInstances(list []origin.Instance) {
 	list = slices.Clone(list[:min(len(list), maxInstances)])
@@ -97,6 +108,9 @@
 	if slices.Equal(list, s.instances) {
 		return
 	}
+	if len(s.instances) == 0 && len(list) > 0 {
+		time.AfterFunc(settleTime, s.settle)
+	}
 	former := s.holders
 	s.instances = list
 	s.holders = origin.NewHolders(origin.Instance{Hall: s.options.Hall, Address: s.options.Address}, list)
