Treat streams like other requests where one software serves alone

Cause: a request that names the software that began its stream was given all slots of an endpoint, a demand of its own and no forecast, also where that software is the only one: the origin is known there, too, and streams that go on within one answer name it as well.

Change: the software counts as a bound only while the endpoints of the service run several. Which endpoint may run the request is decided as before.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -56,6 +56,8 @@
 	// they indicate how much the counts may have changed since.
 	OthersAge        time.Duration
 	MeanInFlightTime time.Duration
+	// Bound is set if endpoints of the service are excluded because they run another software than the request requires.
+	Bound bool
 	// Tried are the endpoints to which this instance already sent the request.
 	Tried []deployment.EndpointID
 }
@@ -95,7 +97,7 @@
 		if required.Request.UsesModel() && !endpoint.Holds(now, required.Request.Adapter, required.requiredVersion(now, endpoint)) {
 			continue
 		}
-		if required.Request.UsesModel() && options.limitReached(required.Request, endpoint) {
+		if required.Request.UsesModel() && options.limitReached(&required, endpoint) {
 			verdict = Saturated
 			continue
 		}
@@ -133,11 +135,11 @@
 
 // limitReached reports whether an endpoint has too many requests in flight for one more. A stream that is resumed at its endpoint may exceed
 // the limit: waiting requests would otherwise take the place that it had.
-func (o *Options) limitReached(request *deployment.Request, endpoint *directory.EndpointStatus) bool {
+func (o *Options) limitReached(required *Requirement, endpoint *directory.EndpointStatus) bool {
 	switch {
-	case request.OnlyEndpoint != "":
+	case required.Request.OnlyEndpoint != "":
 		return false
-	case request.Software != "":
+	case required.Bound:
 		return o.ResumeLimit.Reached(endpoint)
 	default:
 		return o.Limit.Reached(endpoint)
--- a/services/entry/balance/software_test.go
+++ b/services/entry/balance/software_test.go
@@ -23,7 +23,7 @@
 
 // chooseSoftware chooses an endpoint with the limits of an instance for a request that only one software may run.
 func chooseSoftware(d *directory.Directory, software string, tried ...deployment.EndpointID) (*directory.EndpointStatus, balance.Verdict) {
-	required := balance.Requirement{Request: &deployment.Request{Adapter: adapter, Software: software}, Tried: tried}
+	required := balance.Requirement{Request: &deployment.Request{Adapter: adapter, Software: software}, Bound: software != "", Tried: tried}
 	return balance.Choose(start, d.Service("service"), required, balance.NewOptions("near", options.Random))
 }
 
@@ -67,5 +67,8 @@
 		assert.Equal(t, expected.any, verdict, "%d in flight", load)
 		_, verdict = chooseSoftware(d, "v1")
 		assert.Equal(t, expected.pinned, verdict, "%d in flight, one software", load)
+		alone := balance.Requirement{Request: &deployment.Request{Adapter: adapter, Software: "v1"}}
+		_, verdict = balance.Choose(start, d.Service("service"), alone, balance.NewOptions("near", options.Random))
+		assert.Equal(t, expected.any, verdict, "%d in flight, the only software", load)
 	}
 }
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -168,6 +168,7 @@
 	former, formerWait := c.versions.FormerVersion(now, w.Adapter, c.options.VersionLimit)
 	required := balance.Requirement{
 		Request: w.Request, Tried: w.Tried, Version: named, FormerVersion: former, FormerWait: formerWait,
+		Bound:       c.boundSoftware(w.Request) != "",
 		OthersKnown: c.planner != nil || c.follower.Fresh(now), OthersAge: now.Sub(c.othersInFlightAt), MeanInFlightTime: c.directory.MeanInFlightTime(w.Service),
 	}
 	status, verdict := balance.Choose(now, c.directory.Service(w.Service), required, balance.NewOptions(c.options.Hall, c.options.Random))
@@ -249,7 +250,7 @@
 		return true
 	}
 	if decision.Reason == admission.AdapterNotLoaded {
-		c.demand.ExpectRetry(w.Key(), w.Software, now.Add(decision.RetryAfter), w.Route.TargetLatency)
+		c.demand.ExpectRetry(w.Key(), c.boundSoftware(w.Request), now.Add(decision.RetryAfter), w.Route.TargetLatency)
 	}
 	if decision.Reason == admission.Limited {
 		c.recordLimitRefusal(now, w)
@@ -263,7 +264,7 @@
 // but on one that has yet to begin.
 func (c *Coordinator) expectedLoad(now time.Time, w *waiter) forecast.Expected {
 	load := c.forecasts.Load(w.Key())
-	if w.Software != "" {
+	if c.boundSoftware(w.Request) != "" {
 		load = forecast.Load{Backlog: load.Backlog}
 	}
 	return forecast.Expect(now, c.plannerKnowledge(now), load)
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -113,7 +113,9 @@
 func (c *Coordinator) buildDemands(now time.Time) ([]wire.Demand, []wire.PinnedDemand) {
 	collection := c.demand.Collect(now, c.waiters.Len())
 	for _, w := range c.waiters.All() {
-		collection.AddWaiting(w.Key(), w.Request)
+		request := *w.Request
+		request.Software = c.boundSoftware(w.Request)
+		collection.AddWaiting(w.Key(), &request)
 	}
 	return collection.List(), collection.Pinned()
 }
--- a/services/entry/coordinator/software.go
+++ b/services/entry/coordinator/software.go
@@ -3,7 +3,11 @@
 
 package coordinator
 
-import "time"
+import (
+	"time"
+
+	"github.com/shelfledge/shelfledge/models/entry/deployment"
+)
 
 // maxSoftwareAge is the age of what is known about the endpoints from which on a software may have come and left unseen. A higher value bridges
 // longer outages of the store, a lower one assumes less.
@@ -32,3 +36,12 @@
 		c.options.InterruptSoftware()
 	}
 }
+
+// boundSoftware returns the only software that may run a request, or an empty one where that excludes no endpoint: the request is then like any
+// other.
+func (c *Coordinator) boundSoftware(request *deployment.Request) string {
+	if !c.directory.RunsSeveral(request.Service) {
+		return ""
+	}
+	return request.Software
+}
--- a/services/entry/directory/software.go
+++ b/services/entry/directory/software.go
@@ -23,3 +23,14 @@
 	}
 	return running
 }
+
+// RunsSeveral reports whether the endpoints of a service run several softwares.
+func (d *Directory) RunsSeveral(service string) bool {
+	if d.several == nil || d.severalRevision != d.softwareRevision {
+		d.several, d.severalRevision = make(map[string]bool), d.softwareRevision
+		for name, softwares := range d.Software() {
+			d.several[name] = len(softwares) > 1
+		}
+	}
+	return d.several[service]
+}
