Bind a request to its software unless that software serves alone

Change: a request is bound unless all endpoints run exactly its software. That test now describes a second software, which it is about: it checks the same.

Measured: it passes, as do the tests of softwares of the coordinator twice in a row, and those of package directory.

--- a/services/entry/coordinator/software.go
+++ b/services/entry/coordinator/software.go
@@ -40,7 +40,7 @@
 // boundSoftware returns the only software that may run a request, or an empty one where that excludes no endpoint: the request is then like any
 // other.
 func (c *Coordinator) boundSoftware(request *deployment.Request) string {
-	if !c.directory.RunsSeveral(request.Service) {
+	if c.directory.RunsOnly(request.Service, request.Software) {
 		return ""
 	}
 	return request.Software
--- a/services/entry/coordinator/software_test.go
+++ b/services/entry/coordinator/software_test.go
@@ -92,6 +92,10 @@
 	planner, gatherer := f.followWithGatherer(t)
 	go drainWire(gatherer)
 	v := snapshotView(11)
+	other := v.Endpoints[0]
+	other.ID = "e2"
+	v.Endpoints = append(v.Endpoints, other)
+	v.Software = []wire.SoftwareEndpoints{{Software: software, IDs: []deployment.EndpointID{"e1"}}, {Software: "v2", IDs: []deployment.EndpointID{"e2"}}}
 	v.Forecasts = []wire.Forecast{{Service: service, Model: "base", Name: "a9", Remaining: time.Second}}
 	v.Backlogs = map[string]time.Duration{service: time.Minute}
 	require.NoError(t, planner.Send(wire.Message{View: v}))
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -26,9 +26,9 @@
 	inFlightTimes map[string]time.Duration
 	// softwareRevision counts the changes of which endpoints there are and of their software.
 	softwareRevision uint64
-	// several has the services whose endpoints run several softwares, as of severalRevision.
-	several         map[string]bool
-	severalRevision uint64
+	// software is the result of Software as of knownSoftwareRevision.
+	software              map[string][]string
+	knownSoftwareRevision uint64
 }
 
 // removal describes when an endpoint was removed.
--- a/services/entry/directory/software.go
+++ b/services/entry/directory/software.go
@@ -24,13 +24,11 @@
 	return running
 }
 
-// RunsSeveral reports whether the endpoints of a service run several softwares.
-func (d *Directory) RunsSeveral(service string) bool {
-	if d.several == nil || d.severalRevision != d.softwareRevision {
-		d.several, d.severalRevision = make(map[string]bool), d.softwareRevision
-		for name, softwares := range d.Software() {
-			d.several[name] = len(softwares) > 1
-		}
+// RunsOnly reports whether all endpoints of a service run a software, and there are any.
+func (d *Directory) RunsOnly(service, software string) bool {
+	if d.software == nil || d.knownSoftwareRevision != d.softwareRevision {
+		d.software, d.knownSoftwareRevision = d.Software(), d.softwareRevision
 	}
-	return d.several[service]
+	running := d.software[service]
+	return len(running) == 1 && running[0] == software
 }
