Let the soak's endpoints answer without a length or chunks

Cause: the soak's endpoints framed all answers by a length or chunks, so that it could not see broken answers that reach callers as whole.

Change: endpoints send a share of their answers until the close of the connection, and break some of these off: streams inside an event by a close or a reset, plain answers by a reset. The ledger compares also what came of a broken answer, and takes a stream that ends between two events for whole only if its endpoint was ended by the soak, since nobody can tell then. Kept cases of before have no such answers.

--- a/tests/platformstandin/caller.go
+++ b/tests/platformstandin/caller.go
@@ -135,6 +135,11 @@
 	return ": " + strings.Repeat("x", padding) + "\n" + Event(number, id, adapter)
 }
 
+// HalfEvent returns the begin of an event after which a worker breaks a stream off.
+func HalfEvent(number int) string {
+	return fmt.Sprintf("id: %d\ndata: half", number)
+}
+
 // RunCounts returns how often each request ran at the given workers, by request ID.
 func RunCounts(workers ...*Worker) map[string]int {
 	counts := make(map[string]int)
--- a/tests/platformstandin/stallable_conn.go
+++ b/tests/platformstandin/stallable_conn.go
@@ -88,3 +88,12 @@
 		return false
 	}
 }
+
+// resetConnection resets a connection of a worker.
+func resetConnection(conn net.Conn) {
+	if stallable, ok := conn.(*stallableConn); ok {
+		// A connection that has already ended needs no reset.
+		_ = stallable.Conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -29,6 +29,9 @@
 	// Events is the number of events of a stream, and Pause the time between them. The query of a request overrides them.
 	Events int
 	Pause  time.Duration
+	// UntilClose is the share of answers, from 0 to 1, that end with their connection, with neither a length nor chunks. CutOff is the share
+	// of these that the worker breaks off: streams inside an event by a close or a reset, plain answers in their middle by a reset.
+	UntilClose, CutOff float64
 	// Address is the address on which the worker listens; empty for a free port of 127.0.0.1.
 	Address string
 	// Crash is called before Worker.Crash if a request crashes the worker, and may end the process; nil for none.
@@ -78,6 +81,8 @@
 	Adapter  string `json:"adapter,omitempty"`
 	Version  int    `json:"version,omitempty"`
 	Resumed  string `json:"resumed,omitempty"`
+	// UntilClose reports whether the answer had neither a length nor chunks. It is set at the end of a run.
+	UntilClose bool `json:"until_close,omitempty"`
 	// SentNotice is the notice of the worker in the answer.
 	SentNotice Notice `json:"said,omitzero"`
 }
@@ -123,6 +128,8 @@
 	Deadline string
 	Resumed  string
 	Canceled bool
+	// UntilClose reports whether the answer has neither a length nor chunks.
+	UntilClose bool
 	// Began is when the worker began to run the request.
 	Began time.Time
 }
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -170,7 +171,7 @@
 	}
 	w.options.Journal(RunEvent{
 		At: time.Now(), Phase: phase, Endpoint: w.options.ID, Software: run.Software, ID: run.ID, Adapter: run.Adapter, Version: run.Version,
-		Resumed: run.Resumed,
+		Resumed: run.Resumed, UntilClose: run.UntilClose,
 	})
 }
 
@@ -223,9 +224,10 @@
 	w.mutex.Lock()
 	extra, unsealed, untilClose := take(&w.faults.Extras), take(&w.faults.Unsealed), w.faults.UntilClose
 	w.mutex.Unlock()
-	if untilClose {
-		// On this value, net/http writes neither a length nor chunks, and closes the connection after the answer.
-		writer.Header().Set("Transfer-Encoding", "identity")
+	sent := w.drawFraming()
+	sent.untilClose = sent.untilClose || untilClose
+	if !extra {
+		w.setFraming(writer, run, sent)
 	}
 	writer.Header().Set(HeaderRequestID, run.ID)
 	if !unsealed {
@@ -240,13 +242,17 @@
 		return RunCompleted
 	}
 	if w.options.Model != "" {
-		w.stream(writer, request, run)
+		w.stream(writer, request, run, sent.cut)
 		return RunCompleted
 	}
 	if work := queryMilliseconds(request, "work_ms", 0); work > 0 {
 		time.Sleep(work)
 	}
-	_, _ = fmt.Fprintf(writer, "%s answers %s %s %s %q", w.options.ID, run.ID, request.Method, request.RequestURI, body)
+	text := fmt.Sprintf("%s answers %s %s %s %q", w.options.ID, run.ID, request.Method, request.RequestURI, body)
+	if sent.cut != noCut {
+		cutPlain(writer, text)
+	}
+	_, _ = io.WriteString(writer, text)
 	return RunCompleted
 }
 
@@ -294,26 +300,21 @@
 }
 
 // stream sends events with increasing IDs, beginning after the last event that the caller has received.
-func (w *Worker) stream(writer http.ResponseWriter, request *http.Request, run *Run) {
+func (w *Worker) stream(writer http.ResponseWriter, request *http.Request, run *Run, cut cutKind) {
 	first := 1
 	if run.Resumed != "" {
 		last, _ := strconv.Atoi(run.Resumed)
 		first = last + 1
 	}
-	w.mutex.Lock()
-	breakAfter := 0
-	if take(&w.faults.Breaks) {
-		breakAfter = w.faults.BreakAfter
-	}
-	w.mutex.Unlock()
 	writer.Header().Set("Content-Type", "text/event-stream")
 	events, pause := queryNumber(request, "events", w.options.Events), queryMilliseconds(request, "pause_ms", w.options.Pause)
 	padding, isSigned := queryNumber(request, "padding", 0), request.URL.Query().Has(SignedParameter)
+	cutAfter, cut := w.cutPosition(first, events, cut)
 	for id := first; id <= events; id++ {
-		if breakAfter > 0 && id > breakAfter {
-			_, _ = fmt.Fprintf(writer, "id: %d\ndata: half", id)
+		if cut != noCut && id > cutAfter {
+			_, _ = io.WriteString(writer, HalfEvent(id))
 			_ = http.NewResponseController(writer).Flush()
-			panic(http.ErrAbortHandler)
+			breakConnection(writer, cut)
 		}
 		if isSigned {
 			_, _ = io.WriteString(writer, Maker{Event: id, Worker: w.options.ID, Software: run.Software}.comment())
@@ -327,3 +328,13 @@
 		}
 	}
 }
+
+// cutPosition returns after which event of a stream the worker breaks it off, and how. A fault of the worker precedes the drawn cut.
+func (w *Worker) cutPosition(first, events int, drawn cutKind) (int, cutKind) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if take(&w.faults.Breaks) && w.faults.BreakAfter > 0 {
+		return w.faults.BreakAfter, closingCut
+	}
+	return first - 1 + rand.IntN(max(1, events-first+1)), drawn
+}
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -80,6 +80,7 @@
 	arguments := []string{
 		"endpoint", "--control", control, "--store", e.site.storeControl(), "--id", id, "--hall", hall(e.index),
 		"--journal", filepath.Join(e.site.folder, id+".runs.jsonl"),
+		"--until-close", fmt.Sprint(e.site.args.UntilClose), "--cut-off", fmt.Sprint(e.site.args.CutOff),
 	}
 	if e.index%plainServiceInterval == plainServiceInterval-1 {
 		arguments = append(arguments, "--slots", fmt.Sprint(plainSlots))
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -129,16 +129,29 @@
 	return findings
 }
 
+// checkWhole finds answers that their caller took for whole and that are not, and broken ones with other bytes than those of their request.
 func checkWhole(r *Record) []Finding {
 	var findings []Finding
+	byRequest := r.runsByRequest()
 	for _, a := range r.Attempts {
-		if a.Defect != "" {
-			findings = append(findings, Finding{CheckWhole, a.ID, fmt.Sprintf("%d from %s: %s", a.Status, a.Instance, a.Defect)})
+		if a.Defect != "" && !r.endUnknowable(a, byRequest[a.ID]) {
+			findings = append(findings, Finding{CheckWhole, a.ID, fmt.Sprintf("%d from %s, framed by %s: %s", a.Status, a.Instance, a.Framing, a.Defect)})
 		}
 	}
 	return findings
 }
 
+// endUnknowable reports whether nobody could tell the end of an answer from a break: its endpoint was ended between two events of a stream
+// with neither a length nor chunks.
+func (r *Record) endUnknowable(a Attempt, run *runs) bool {
+	if a.Framing != FramedByClose || !a.EndsEarly || run == nil {
+		return false
+	}
+	return slices.ContainsFunc(run.began, func(began platformstandin.RunEvent) bool {
+		return r.disrupted(began.Endpoint, a.Began.Add(-noticeSlack), a.Ended, EndpointEnds, LinkBroken)
+	})
+}
+
 // heldSlack is how long after its deadline a request may still be open. The platform allows this time.
 const heldSlack = 500 * time.Millisecond
 
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// endEarly returns a change that ends the answer between two events, as if it were whole.
+func endEarly(framing ledger.Framing) func(*ledger.Record) {
+	return func(r *ledger.Record) {
+		r.Attempts[0].Kind, r.Attempts[0].Framing = ledger.Streaming, framing
+		r.Attempts[0].Defect, r.Attempts[0].EndsEarly = "8 bytes in place of 16", true
+	}
+}
+
 func setIdleTime(span time.Duration) func(*ledger.Record) {
 	return func(r *ledger.Record) { r.Attempts[0].IdleTime = span }
 }
@@ -138,6 +146,14 @@
 		{"unsafe request ran twice", []change{func(r *ledger.Record) { r.Runs = append(r.Runs, r.Runs[0]) }}, ledger.CheckOnce},
 		{"safe request ran twice", []change{func(r *ledger.Record) { r.Runs, r.Attempts[0].Kind = append(r.Runs, r.Runs[0]), ledger.Safe }}, ""},
 		{"answer to another request", []change{func(r *ledger.Record) { r.Attempts[0].Defect = "it answers another" }}, ledger.CheckWhole},
+		{"stream ends early", []change{endEarly(ledger.FramedByClose)}, ledger.CheckWhole},
+		{"stream ends early, endpoint ended", []change{endEarly(ledger.FramedByClose), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second)}, ""},
+		{"stream ends early, other endpoint ended", []change{endEarly(ledger.FramedByClose), addDisruption(ledger.EndpointEnds, "f", 10*second, 11*second)}, ledger.CheckWhole},
+		{"stream ends early with its last chunk, endpoint ended", []change{endEarly(ledger.FramedByChunks), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second)}, ledger.CheckWhole},
+		{"stream ends inside an event, endpoint ended", []change{
+			endEarly(ledger.FramedByClose), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second),
+			func(r *ledger.Record) { r.Attempts[0].EndsEarly = false },
+		}, ledger.CheckWhole},
 		{"open after deadline", []change{func(r *ledger.Record) {
 			r.Attempts[0].Outcome, r.Attempts[0].Ended = ledger.Abandoned, at(14600*time.Millisecond)
 		}}, ledger.CheckHeld},
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -44,6 +44,16 @@
 	return k == Streaming || k == Unsafe
 }
 
+// Framing is how an answer tells its caller where it ends.
+type Framing string
+
+// The framings of an answer.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	FramedByClose  Framing = "close"
+)
+
 // Attempt is one request as observed by its caller.
 type Attempt struct {
 	ID       string    `json:"id"`
@@ -70,6 +80,9 @@
 	Cause string `json:"cause,omitempty"`
 	// Defect describes the error in the content of an answer. It is empty for a correct answer.
 	Defect string `json:"wrong,omitempty"`
+	// Framing is the framing of the answer. EndsEarly reports whether the answer is a stream that ends between two events.
+	Framing   Framing `json:"framing,omitempty"`
+	EndsEarly bool    `json:"ends_early,omitempty"`
 	// PlannedClose reports whether the caller closed the connection as planned.
 	PlannedClose bool `json:"on_plan,omitempty"`
 	// Malformed reports whether the request was deliberately malformed.
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -24,27 +24,29 @@
 
 // arguments are the command-line arguments of a soak run.
 type arguments struct {
-	Bin       string  `help:"Folder with the built programs." default:"bin" type:"path"`
-	Seconds   int     `help:"How long callers send." default:"60"`
-	Seed      uint64  `help:"Seed of the plan and of all callers." default:"1"`
-	Instances int     `help:"How many instances." default:"6"`
-	Endpoints int     `help:"How many endpoints." default:"9"`
-	Callers   int     `help:"How many callers, each with a connection that it keeps." default:"300"`
-	Blind     float64 `help:"Share of callers that do not look whether their connection was closed." default:"0.1"`
-	Long      float64 `help:"Share of callers that rest for seconds." default:"0.4"`
-	Edge      float64 `help:"Share of callers that come back at the idle limit." default:"0.2"`
-	Odd       float64 `help:"Share of requests in pieces, malformed, or left by their callers." default:"0.1"`
-	Patient   float64 `help:"Share of requests whose callers stay to their deadline: streams with long pauses, and large ones that are read slowly." default:"0.03"`
-	Crashers  int     `help:"How many requests come again and again that crash each endpoint which runs them." default:"0"`
-	Together  int     `help:"How many callers send such a request at the same moment, each to another instance if there are as many." default:"1"`
-	Notices   bool    `help:"Have endpoints say of themselves that they take a limited number of requests, leave or want to rest."`
-	Only      string  `help:"Kinds of step that may be drawn, separated by commas; empty for all, none for no step."`
-	Cases     string  `help:"Play kept cases in place of a run: all, short, or a case's name."`
-	Plant     string  `help:"Put a fault into the record of the run, which a check must find: ${plants}."`
-	NoCut     bool    `help:"Take a stream that may be resumed and ended in its middle for broken: for plans whose endpoints all live."`
-	Folder    string  `help:"Where folders of runs go." default:"" type:"path"`
-	Keep      bool    `help:"Keep the folder of a run that broke nothing."`
-	Debug     bool    `help:"Log each step."`
+	Bin        string  `help:"Folder with the built programs." default:"bin" type:"path"`
+	Seconds    int     `help:"How long callers send." default:"60"`
+	Seed       uint64  `help:"Seed of the plan and of all callers." default:"1"`
+	Instances  int     `help:"How many instances." default:"6"`
+	Endpoints  int     `help:"How many endpoints." default:"9"`
+	Callers    int     `help:"How many callers, each with a connection that it keeps." default:"300"`
+	Blind      float64 `help:"Share of callers that do not look whether their connection was closed." default:"0.1"`
+	Long       float64 `help:"Share of callers that rest for seconds." default:"0.4"`
+	Edge       float64 `help:"Share of callers that come back at the idle limit." default:"0.2"`
+	Odd        float64 `help:"Share of requests in pieces, malformed, or left by their callers." default:"0.1"`
+	Patient    float64 `help:"Share of requests whose callers stay to their deadline: streams with long pauses, and large ones that are read slowly." default:"0.03"`
+	UntilClose float64 `help:"Share of the answers of endpoints that end with their connection, with neither a length nor chunks." default:"0.2"`
+	CutOff     float64 `help:"Share of these that their endpoint breaks off." default:"0.15"`
+	Crashers   int     `help:"How many requests come again and again that crash each endpoint which runs them." default:"0"`
+	Together   int     `help:"How many callers send such a request at the same moment, each to another instance if there are as many." default:"1"`
+	Notices    bool    `help:"Have endpoints say of themselves that they take a limited number of requests, leave or want to rest."`
+	Only       string  `help:"Kinds of step that may be drawn, separated by commas; empty for all, none for no step."`
+	Cases      string  `help:"Play kept cases in place of a run: all, short, or a case's name."`
+	Plant      string  `help:"Put a fault into the record of the run, which a check must find: ${plants}."`
+	NoCut      bool    `help:"Take a stream that may be resumed and ended in its middle for broken: for plans whose endpoints all live."`
+	Folder     string  `help:"Where folders of runs go." default:"" type:"path"`
+	Keep       bool    `help:"Keep the folder of a run that broke nothing."`
+	Debug      bool    `help:"Log each step."`
 }
 
 // command is the whole command line: the soak run and the hidden subcommands with which the soak starts its own child processes.
--- a/tools/soak/outside/child.go
+++ b/tools/soak/outside/child.go
@@ -24,17 +24,19 @@
 
 // EndpointOptions are the command-line options of an endpoint process.
 type EndpointOptions struct {
-	Control  string        `help:"IP:PORT at which the soak steers this process." required:""`
-	Store    string        `help:"IP:PORT at which the store's process is steered." required:""`
-	ID       string        `help:"The endpoint's identifier." required:""`
-	Hall     string        `help:"The hall that it stands in." required:""`
-	Model    string        `help:"Its base model; empty for a plain service." default:""`
-	Slots    int           `help:"Requests at once." default:"16"`
-	Capacity int           `help:"Places for adapters." default:"8"`
-	LoadTime time.Duration `help:"How long a load takes." default:"60ms"`
-	Events   int           `help:"Events of a stream." default:"8"`
-	Pause    time.Duration `help:"Pause between two events." default:"4ms"`
-	Journal  string        `help:"The file that takes a line for each begin and end of a run." required:""`
+	Control    string        `help:"IP:PORT at which the soak steers this process." required:""`
+	Store      string        `help:"IP:PORT at which the store's process is steered." required:""`
+	ID         string        `help:"The endpoint's identifier." required:""`
+	Hall       string        `help:"The hall that it stands in." required:""`
+	Model      string        `help:"Its base model; empty for a plain service." default:""`
+	Slots      int           `help:"Requests at once." default:"16"`
+	Capacity   int           `help:"Places for adapters." default:"8"`
+	LoadTime   time.Duration `help:"How long a load takes." default:"60ms"`
+	Events     int           `help:"Events of a stream." default:"8"`
+	Pause      time.Duration `help:"Pause between two events." default:"4ms"`
+	UntilClose float64       `help:"Share of answers with neither a length nor chunks." default:"0"`
+	CutOff     float64       `help:"Share of these that are broken off." default:"0"`
+	Journal    string        `help:"The file that takes a line for each begin and end of a run." required:""`
 }
 
 // headerTimeout is the time-out for reading the header of a control request.
@@ -88,7 +90,7 @@
 		Remove: func(key string) { logFailure("remove", store.Remove(key)) },
 	}, platformstandin.WorkerOptions{
 		ID: o.ID, Service: service, Zone: o.Hall, Slots: o.Slots, Model: o.Model, Capacity: o.Capacity, LoadTime: o.LoadTime,
-		Events: o.Events, Pause: o.Pause, Journal: journal.write,
+		Events: o.Events, Pause: o.Pause, Journal: journal.write, UntilClose: o.UntilClose, CutOff: o.CutOff,
 		Crash: func() { os.Exit(crashExitStatus) },
 	})
 	mux := http.NewServeMux()
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -127,6 +127,7 @@
 		ledger.CountCutStreams(r))
 	fmt.Fprintf(&b, "; most memory %d MB, most descriptors after the last caller %d", maxUsage(r, func(u ledger.Usage) int { return u.PeakKB })/kbPerMB,
 		maxUsage(r, func(u ledger.Usage) int { return u.Descriptors }))
+	b.WriteString(framingText(r))
 	kinds := make(map[string]int)
 	for _, step := range steps {
 		kinds[string(step.Kind)]++
@@ -143,6 +144,27 @@
 	return b.String()
 }
 
+// framingText returns how whole answers told their callers where they end, and how many answers their endpoints sent until the close of their
+// connection and broke off.
+func framingText(r *ledger.Record) string {
+	framings := make(map[string]int)
+	for _, a := range r.Attempts {
+		if a.Outcome == ledger.Whole {
+			framings[string(a.Framing)]++
+		}
+	}
+	untilClose, cut := 0, 0
+	for _, event := range r.Runs {
+		if event.UntilClose {
+			untilClose++
+			if event.Phase == platformstandin.RunFailed {
+				cut++
+			}
+		}
+	}
+	return fmt.Sprintf("; whole answers framed by %s; endpoints sent %d until the close and broke %d of them off", formatCounts(framings), untilClose, cut)
+}
+
 // kbPerMB converts the kilobytes of /proc to megabytes.
 const kbPerMB = 1024
 
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -47,7 +47,10 @@
 	report(a.Instances < 1 || a.Instances > maxInstances, "--instances: %d is not within 1 and %d", a.Instances, maxInstances)
 	report(a.Endpoints < plainServiceInterval || a.Endpoints > maxEndpoints, "--endpoints: %d is not within %d and %d", a.Endpoints, plainServiceInterval, maxEndpoints)
 	report(a.Callers < 1 || a.Callers > maxCallers, "--callers: %d is not within 1 and %d", a.Callers, maxCallers)
-	for name, share := range map[string]float64{"--blind": a.Blind, "--long": a.Long, "--edge": a.Edge, "--odd": a.Odd, "--patient": a.Patient} {
+	for name, share := range map[string]float64{
+		"--blind": a.Blind, "--long": a.Long, "--edge": a.Edge, "--odd": a.Odd, "--patient": a.Patient, "--until-close": a.UntilClose,
+		"--cut-off": a.CutOff,
+	} {
 		report(share < 0 || share > 1, "%s: %g is no share", name, share)
 	}
 	report(a.Plant != "" && plants[a.Plant] == nil, "--plant: no fault %q, only %s", a.Plant, strings.Join(plantNames(), ", "))
--- a/tools/soak/traffic/caller.go
+++ b/tools/soak/traffic/caller.go
@@ -230,12 +230,15 @@
 	body, err := io.ReadAll(response.Body)
 	// The body has been read to its end or to an error, so that an error of closing it does not matter.
 	_ = response.Body.Close()
-	a.Status = response.StatusCode
+	a.Status, a.Framing = response.StatusCode, framingOf(response)
+	seal := response.Header.Get(platformstandin.HeaderSeal)
 	if err != nil {
+		if a.Status < http.StatusMultipleChoices {
+			a.Defect = q.partDefect(seal, string(body))
+		}
 		c.recordFailure(a, err)
 		return 0
 	}
-	seal := response.Header.Get(platformstandin.HeaderSeal)
 	wait := c.classify(q, a, response, seal, string(body))
 	if response.Close || a.Malformed {
 		c.closeConnection()
@@ -260,6 +263,7 @@
 	case response.StatusCode < http.StatusMultipleChoices:
 		a.Outcome = ledger.Whole
 		a.Defect = q.answerDefect(seal, response.Header.Get(platformstandin.HeaderRequestID), body)
+		a.EndsEarly = a.Defect != "" && q.endsBetweenEvents(body)
 		return 0
 	case seal == "" && guaranteesNotRun(response.StatusCode):
 		a.Outcome, a.Cause = ledger.Refused, strings.TrimSpace(body)
@@ -270,6 +274,17 @@
 	}
 }
 
+// framingOf returns how an answer tells where it ends.
+func framingOf(response *http.Response) ledger.Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return ledger.FramedByChunks
+	case response.ContentLength >= 0:
+		return ledger.FramedByLength
+	}
+	return ledger.FramedByClose
+}
+
 // guaranteesNotRun reports whether a status guarantees that the request did not run.
 func guaranteesNotRun(status int) bool {
 	switch status {
--- a/tools/soak/traffic/export_test.go
+++ b/tools/soak/traffic/export_test.go
@@ -11,3 +11,10 @@
 	q := &request{id: id, kind: kind, events: events}
 	return q.answerDefect("endpoint."+id, id, body)
 }
+
+// PartDefect describes the error in the part that came of a broken stream with the given number of events. It returns an empty string for a
+// correct part.
+func PartDefect(id string, events int, body string) string {
+	q := &request{id: id, kind: ledger.Streaming, events: events}
+	return q.partDefect("endpoint."+id, body)
+}
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -116,6 +116,9 @@
 	return text + "0\r\n\r\n"
 }
 
+// eventEnd ends each event of a stream.
+const eventEnd = "\n\n"
+
 // repeatedAnswer is the body that an endpoint which answers twice sends.
 const repeatedAnswer = "twice"
 
@@ -126,7 +129,7 @@
 	if !ok || before == "" {
 		return ok
 	}
-	return q.kind == ledger.Resumable && strings.HasPrefix(expected, before) && strings.HasSuffix(before, "\n\n")
+	return q.kind == ledger.Resumable && strings.HasPrefix(expected, before) && strings.HasSuffix(before, eventEnd)
 }
 
 // answerDefect describes the error in a whole successful answer. It returns an empty string for a correct answer.
@@ -138,16 +141,44 @@
 	if !ok {
 		return fmt.Sprintf("its mark is %q", seal)
 	}
-	expected := fmt.Sprintf("%s answers %s POST %s %q", endpoint, q.id, q.path, q.body)
-	if q.events > 0 {
-		var all strings.Builder
-		for number := 1; number <= q.events; number++ {
-			all.WriteString(platformstandin.PaddedEvent(number, q.id, q.adapter, q.padding))
-		}
-		expected = all.String()
-	}
+	expected := q.expectedBody(endpoint)
 	if body != expected && !q.isRepeatedAnswer(body, expected) {
 		return fmt.Sprintf("%d bytes in place of %d", len(body), len(expected))
 	}
 	return ""
 }
+
+// expectedBody returns the whole body that an endpoint answers with.
+func (q *request) expectedBody(endpoint string) string {
+	if q.events == 0 {
+		return fmt.Sprintf("%s answers %s POST %s %q", endpoint, q.id, q.path, q.body)
+	}
+	var all strings.Builder
+	for number := 1; number <= q.events; number++ {
+		all.WriteString(platformstandin.PaddedEvent(number, q.id, q.adapter, q.padding))
+	}
+	return all.String()
+}
+
+// partDefect describes the error in the part that came of a successful answer whose connection broke. It returns an empty string if the
+// answer could go on correctly, or ends in the event within which its endpoint broke off.
+func (q *request) partDefect(seal, body string) string {
+	expected := q.expectedBody(strings.TrimSuffix(seal, "."+q.id))
+	if strings.HasPrefix(expected, body) || q.isRepeatedAnswer(body, expected) {
+		return ""
+	}
+	whole := ""
+	if end := strings.LastIndex(body, eventEnd); end >= 0 {
+		whole = body[:end+len(eventEnd)]
+	}
+	next := 1 + strings.Count(whole, eventEnd)
+	if strings.HasPrefix(expected, whole) && strings.HasPrefix(platformstandin.HalfEvent(next), body[len(whole):]) {
+		return ""
+	}
+	return fmt.Sprintf("the %d bytes before it broke are not the first of its %d", len(body), len(expected))
+}
+
+// endsBetweenEvents reports whether a body is the begin of the stream of the request up to the end of an event.
+func (q *request) endsBetweenEvents(body string) bool {
+	return q.events > 0 && strings.HasSuffix(body, eventEnd) && strings.HasPrefix(q.expectedBody(""), body)
+}
--- a/tools/soak/traffic/request_test.go
+++ b/tools/soak/traffic/request_test.go
@@ -38,3 +38,26 @@
 		})
 	}
 }
+
+// TestBrokenStreamDefects guards against broken streams with events twice, missing or of others, and against correct ones being reported.
+func TestBrokenStreamDefects(t *testing.T) {
+	first, second := platformstandin.Event(1, "r", ""), platformstandin.Event(2, "r", "")
+	for name, test := range map[string]struct {
+		body    string
+		correct bool
+	}{
+		"nothing":                  {"", true},
+		"first event":              {first, true},
+		"inside second event":      {first + second[:9], true},
+		"event of its endpoint":    {first + platformstandin.HalfEvent(2), true},
+		"inside event of endpoint": {platformstandin.HalfEvent(1)[:12], true},
+		"half event, then another": {platformstandin.HalfEvent(1) + "\n\n" + second, false},
+		"event twice":              {first + first, false},
+		"event missing":            {second, false},
+		"half event twice":         {first + platformstandin.HalfEvent(1), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.correct, traffic.PartDefect("r", 2, test.body) == "")
+		})
+	}
+}
