Judge the end of an answer by the endpoint that ran it last

Cause: the soak excused a stream that ends between two events only if its caller got neither length nor chunks. A stream that begins in chunks and goes on at an endpoint that sends until the close is ended in chunks, and its end can't be known either if that endpoint is killed between two events.

Change: the excuse holds if the endpoint that ran the request last sent until the close and was ended by the soak, whatever the framing for the caller. An end of another endpoint of the same request no longer excuses.

--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -81,7 +81,7 @@
 	Adapter  string `json:"adapter,omitempty"`
 	Version  int    `json:"version,omitempty"`
 	Resumed  string `json:"resumed,omitempty"`
-	// UntilClose reports whether the answer had neither a length nor chunks. It is set at the end of a run.
+	// UntilClose reports whether the answer has neither a length nor chunks.
 	UntilClose bool `json:"until_close,omitempty"`
 	// SentNotice is the notice of the worker in the answer.
 	SentNotice Notice `json:"said,omitzero"`
--- a/tests/platformstandin/worker_framing.go
+++ b/tests/platformstandin/worker_framing.go
@@ -26,10 +26,11 @@
 	cut        cutKind
 }
 
-// drawFraming draws the framing of an answer from the shares in the worker's options.
+// drawFraming draws the framing of an answer from the shares in the worker's options. A fault of the worker precedes them.
+// The caller holds the mutex.
 func (w *Worker) drawFraming() framing {
 	if rand.Float64() >= w.options.UntilClose {
-		return framing{}
+		return framing{untilClose: w.faults.UntilClose}
 	}
 	drawn := framing{untilClose: true}
 	if rand.Float64() < w.options.CutOff {
@@ -38,16 +39,12 @@
 	return drawn
 }
 
-// setFraming prepares the head of an answer for its framing and keeps the framing in the run.
-func (w *Worker) setFraming(writer http.ResponseWriter, run *Run, sent framing) {
-	if !sent.untilClose {
-		return
+// set prepares the head of an answer for the framing.
+func (f framing) set(writer http.ResponseWriter) {
+	if f.untilClose {
+		// On this value, net/http writes neither a length nor chunks, and closes the connection after the answer.
+		writer.Header().Set("Transfer-Encoding", "identity")
 	}
-	// On this value, net/http writes neither a length nor chunks, and closes the connection after the answer.
-	writer.Header().Set("Transfer-Encoding", "identity")
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	run.UntilClose = true
 }
 
 // cutPlain writes the first half of a plain answer and resets the connection. A close would make the half a whole answer.
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -140,9 +140,10 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	sent := w.drawFraming()
 	run := &Run{
 		ID: request.Header.Get(HeaderRequestID), Adapter: adapter, Version: version, Software: w.options.Software,
-		Deadline: request.Header.Get("X-Deadline-Ms"), Resumed: request.Header.Get("Last-Event-Id"), Began: time.Now(),
+		Deadline: request.Header.Get("X-Deadline-Ms"), Resumed: request.Header.Get("Last-Event-Id"), Began: time.Now(), UntilClose: sent.untilClose,
 	}
 	w.runs = append(w.runs, run)
 	w.inUse[adapter]++
@@ -161,7 +162,7 @@
 			w.recordPhase(run, phase)
 		}
 	}()
-	phase = w.answer(writer, request, fault, run, body)
+	phase = w.answer(writer, request, fault, sent, run, body)
 }
 
 // recordPhase writes a phase of a run to the journal, if set.
@@ -210,7 +211,7 @@
 }
 
 // answer answers a request that runs, and returns how the run ended. A panic aborts the answer.
-func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, fault requestFault, run *Run, body []byte) RunPhase {
+func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, fault requestFault, sent framing, run *Run, body []byte) RunPhase {
 	if request.URL.Query().Has(CrashParameter) {
 		return w.crashByRequest(request, run)
 	}
@@ -222,12 +223,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.mutex.Lock()
-	extra, unsealed, untilClose := take(&w.faults.Extras), take(&w.faults.Unsealed), w.faults.UntilClose
+	extra, unsealed := take(&w.faults.Extras), take(&w.faults.Unsealed)
 	w.mutex.Unlock()
-	sent := w.drawFraming()
-	sent.untilClose = sent.untilClose || untilClose
 	if !extra {
-		w.setFraming(writer, run, sent)
+		sent.set(writer)
 	}
 	writer.Header().Set(HeaderRequestID, run.ID)
 	if !unsealed {
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -141,15 +141,14 @@
 	return findings
 }
 
-// endUnknowable reports whether nobody could tell the end of an answer from a break: its endpoint was ended between two events of a stream
-// with neither a length nor chunks.
+// endUnknowable reports whether nobody could tell the end of an answer from a break: the endpoint that ran it last sent it with neither a
+// length nor chunks, and was ended between two events.
 func (r *Record) endUnknowable(a Attempt, run *runs) bool {
-	if a.Framing != FramedByClose || !a.EndsEarly || run == nil {
+	if !a.EndsEarly || run == nil || len(run.began) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(run.began, func(began platformstandin.RunEvent) bool {
-		return r.disrupted(began.Endpoint, a.Began.Add(-noticeSlack), a.Ended, EndpointEnds, LinkBroken)
-	})
+	last := slices.MaxFunc(run.began, func(a, b platformstandin.RunEvent) int { return a.At.Compare(b.At) })
+	return last.UntilClose && r.disrupted(last.Endpoint, last.At, a.Ended, EndpointEnds, LinkBroken)
 }
 
 // heldSlack is how long after its deadline a request may still be open. The platform allows this time.
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -63,9 +63,9 @@
 }
 
 // endEarly returns a change that ends the answer between two events, as if it were whole.
-func endEarly(framing ledger.Framing) func(*ledger.Record) {
+func endEarly(untilClose bool) func(*ledger.Record) {
 	return func(r *ledger.Record) {
-		r.Attempts[0].Kind, r.Attempts[0].Framing = ledger.Streaming, framing
+		r.Attempts[0].Kind, r.Runs[0].UntilClose = ledger.Streaming, untilClose
 		r.Attempts[0].Defect, r.Attempts[0].EndsEarly = "8 bytes in place of 16", true
 	}
 }
@@ -146,12 +146,18 @@
 		{"unsafe request ran twice", []change{func(r *ledger.Record) { r.Runs = append(r.Runs, r.Runs[0]) }}, ledger.CheckOnce},
 		{"safe request ran twice", []change{func(r *ledger.Record) { r.Runs, r.Attempts[0].Kind = append(r.Runs, r.Runs[0]), ledger.Safe }}, ""},
 		{"answer to another request", []change{func(r *ledger.Record) { r.Attempts[0].Defect = "it answers another" }}, ledger.CheckWhole},
-		{"stream ends early", []change{endEarly(ledger.FramedByClose)}, ledger.CheckWhole},
-		{"stream ends early, endpoint ended", []change{endEarly(ledger.FramedByClose), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second)}, ""},
-		{"stream ends early, other endpoint ended", []change{endEarly(ledger.FramedByClose), addDisruption(ledger.EndpointEnds, "f", 10*second, 11*second)}, ledger.CheckWhole},
-		{"stream ends early with its last chunk, endpoint ended", []change{endEarly(ledger.FramedByChunks), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second)}, ledger.CheckWhole},
+		{"stream ends early", []change{endEarly(true)}, ledger.CheckWhole},
+		{"stream ends early, endpoint ended", []change{endEarly(true), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second)}, ""},
+		{"stream ends early, other endpoint ended", []change{endEarly(true), addDisruption(ledger.EndpointEnds, "f", 10*second, 11*second)}, ledger.CheckWhole},
+		{"stream ends early, endpoint that frames answers ended", []change{endEarly(false), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second)}, ledger.CheckWhole},
+		{"stream ends early, former endpoint ended", []change{
+			endEarly(true), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second), func(r *ledger.Record) {
+				r.Attempts[0].Kind = ledger.Resumable
+				r.Runs = append(r.Runs, platformstandin.RunEvent{ID: "r", Endpoint: "f", Phase: platformstandin.RunBegan, UntilClose: true, At: at(11 * second)})
+			},
+		}, ledger.CheckWhole},
 		{"stream ends inside an event, endpoint ended", []change{
-			endEarly(ledger.FramedByClose), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second),
+			endEarly(true), addDisruption(ledger.EndpointEnds, "e", 10*second, 11*second),
 			func(r *ledger.Record) { r.Attempts[0].EndsEarly = false },
 		}, ledger.CheckWhole},
 		{"open after deadline", []change{func(r *ledger.Record) {
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -155,11 +155,11 @@
 	}
 	untilClose, cut := 0, 0
 	for _, event := range r.Runs {
-		if event.UntilClose {
+		switch {
+		case event.UntilClose && event.Phase == platformstandin.RunBegan:
 			untilClose++
-			if event.Phase == platformstandin.RunFailed {
-				cut++
-			}
+		case event.UntilClose && event.Phase == platformstandin.RunFailed:
+			cut++
 		}
 	}
 	return fmt.Sprintf("; whole answers framed by %s; endpoints sent %d until the close and broke %d of them off", formatCounts(framings), untilClose, cut)
