Let the soak's callers take broken streams up at any instance

Cause: the soak's callers never took a broken stream up, and all endpoints had one software version, so that it could not see streams of two versions.

Change: callers of the resumable route lose their link in the middle of a share of their streams, and take up each that breaks, with Last-Event-Id and Resumes. Endpoints can have two or three software versions side by side, and are then replaced one after another by the next version. The ledger counts streams with the events of two versions (two are allowed) and compares the share of taken-up streams that go on with that of new ones that begin.

--- a/tests/platformstandin/caller.go
+++ b/tests/platformstandin/caller.go
@@ -92,6 +92,9 @@
 	Deadline time.Duration
 	// Framing is the header line with the length or the transfer encoding of the body.
 	Framing string
+	// LastEvent is the last event that a caller has of a stream that it takes up, and Resumes the ID of the try that brought the first one.
+	LastEvent int
+	Resumes   string
 }
 
 // String returns the encoded head.
@@ -104,6 +107,9 @@
 	if h.Adapter != "" {
 		fmt.Fprintf(&b, "%s: %s/%s\r\n%s: %s\r\n", headerModel, Model, h.Adapter, headerTokens, defaultTokens)
 	}
+	if h.LastEvent > 0 {
+		fmt.Fprintf(&b, "%s: %d\r\n%s: %s\r\n", headerLastEvent, h.LastEvent, headerResumes, h.Resumes)
+	}
 	b.WriteString(h.Framing + "\r\n\r\n")
 	return b.String()
 }
@@ -113,6 +119,8 @@
 	headerDeadline  = "X-Deadline-Ms"
 	headerModel     = "X-Model"
 	headerTokens    = "X-Token-Usage"
+	headerLastEvent = "Last-Event-Id"
+	headerResumes   = "Resumes"
 	defaultTokens   = "100,20"
 	defaultDeadline = "5000"
 )
--- a/tests/platformstandin/signed_event.go
+++ b/tests/platformstandin/signed_event.go
@@ -20,7 +20,7 @@
 
 // comment returns the comment before an event of the maker.
 func (m Maker) comment() string {
-	return fmt.Sprintf(": from %s %s\n", m.Worker, m.Software)
+	return fmt.Sprintf("%s%s %s\n", makerPrefix, m.Worker, m.Software)
 }
 
 // Makers returns the makers of the complete events in the body of a signed stream, in the order of the body.
@@ -30,7 +30,7 @@
 		var maker Maker
 		var data string
 		for line := range strings.SplitSeq(text, "\n") {
-			if comment, ok := strings.CutPrefix(line, ": from "); ok {
+			if comment, ok := strings.CutPrefix(line, makerPrefix); ok {
 				maker.Worker, maker.Software, _ = strings.Cut(comment, " ")
 			}
 			if id, ok := strings.CutPrefix(line, "id: "); ok {
@@ -47,3 +47,17 @@
 	}
 	return makers
 }
+
+// makerPrefix begins the comment before a signed event.
+const makerPrefix = ": from "
+
+// WithoutMakers returns the body of a signed stream without the comments that name the makers, also if it ends inside such a comment.
+func WithoutMakers(body string) string {
+	var text strings.Builder
+	for line := range strings.SplitAfterSeq(body, "\n") {
+		if !strings.HasPrefix(line, makerPrefix) && (line == "" || !strings.HasPrefix(makerPrefix, line)) {
+			text.WriteString(line)
+		}
+	}
+	return text.String()
+}
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -44,6 +44,8 @@
 	mutex   sync.Mutex
 	count   int
 	running *endpointProcess
+	// releases is the number of newer software versions since the begin.
+	releases int
 }
 
 // endpointProcess is one process of an endpoint.
@@ -82,10 +84,11 @@
 		"--journal", filepath.Join(e.site.folder, id+".runs.jsonl"),
 		"--until-close", fmt.Sprint(e.site.args.UntilClose), "--cut-off", fmt.Sprint(e.site.args.CutOff),
 	}
-	if e.index%plainServiceInterval == plainServiceInterval-1 {
+	software := e.software()
+	if e.servesPlain() {
 		arguments = append(arguments, "--slots", fmt.Sprint(plainSlots))
 	} else {
-		arguments = append(arguments, "--slots", fmt.Sprint(modelSlots), "--model", platformstandin.Model)
+		arguments = append(arguments, "--slots", fmt.Sprint(modelSlots), "--model", platformstandin.Model, "--software", software)
 	}
 	process, err := processes.Start(processes.Command{Name: id, Program: e.site.self, Folder: e.site.folder, Arguments: arguments})
 	if err != nil {
@@ -99,9 +102,31 @@
 	if !processes.Poll(startTimeout, up) {
 		return nil, fmt.Errorf("endpoint %s does not come up", id)
 	}
+	if !e.servesPlain() {
+		e.site.recorder.addEndpoint(id, software)
+	}
 	return e.running, nil
 }
 
+// servesPlain reports whether the endpoint serves the plain service.
+func (e *endpoint) servesPlain() bool {
+	return e.index%plainServiceInterval == plainServiceInterval-1
+}
+
+// software returns the software version of the next process. The caller holds the mutex.
+func (e *endpoint) software() string {
+	rank := e.index - e.index/plainServiceInterval
+	return fmt.Sprintf("v1.%d", rank%e.site.args.Software+e.releases)
+}
+
+// release replaces the current process by one of the next software version.
+func (e *endpoint) release() error {
+	e.mutex.Lock()
+	e.releases++
+	e.mutex.Unlock()
+	return e.drain(func(one *endpointProcess) error { return one.Drain() })
+}
+
 func (e *endpoint) current() *endpointProcess {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -112,6 +137,7 @@
 // drainTime + drainExtra after its departure.
 func (e *endpoint) drain(leave func(*endpointProcess) error) error {
 	leaving := e.current()
+	e.site.recorder.endEndpoint(leaving.id)
 	if err := leave(leaving); err != nil {
 		return err
 	}
@@ -123,6 +149,7 @@
 // leaveByAnswers makes the current process announce its departure in its answers, answerOnlyNotice before it updates the store.
 func (e *endpoint) leaveByAnswers() error {
 	leaving := e.current()
+	e.site.recorder.endEndpoint(leaving.id)
 	if err := leaving.SetFaults(platformstandin.WorkerFaults{Says: platformstandin.Notice{Leaving: true}}); err != nil {
 		return err
 	}
@@ -149,6 +176,7 @@
 // end kills a process of the endpoint, unless it has exited, and records the disruption.
 func (e *endpoint) end(one *endpointProcess) error {
 	one.ending.Store(true)
+	e.site.recorder.endEndpoint(one.id)
 	if one.process.HasExited() {
 		return nil
 	}
--- a/tools/soak/execute.go
+++ b/tools/soak/execute.go
@@ -129,6 +129,8 @@
 		return true, e.current().SetFaults(platformstandin.WorkerFaults{Hangs: step.Count})
 	case plan.EndpointDrains:
 		return true, e.drain(func(one *endpointProcess) error { return one.Drain() })
+	case plan.EndpointReleased:
+		return true, e.release()
 	case plan.EndpointVanishes:
 		return true, e.drain(func(one *endpointProcess) error { return one.Vanish() })
 	case plan.EndpointKilled:
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -33,6 +33,8 @@
 	CheckLeaving     = "an endpoint that said that it leaves got work"
 	CheckRest        = "an endpoint that asked for rest got none"
 	CheckEndpoint    = "an endpoint saw a promise broken"
+	CheckSoftware    = "streams hold events of two software versions"
+	CheckGoesOn      = "streams that callers take up do not go on"
 )
 
 // Checks holds the checks of a record by name.
@@ -41,7 +43,7 @@
 	CheckHeld: checkHeld, CheckDenied: checkDenied, CheckDeparted: checkDeparted, CheckVersion: checkVersion, CheckPlaces: checkPlaces,
 	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget, CheckLeak: checkLeak,
 	CheckCrashing: checkCrashing, CheckHeldBack: checkHeldBack, CheckLimit: checkLimit, CheckLeaving: checkLeaving, CheckRest: checkRest,
-	CheckEndpoint: checkEndpoint,
+	CheckEndpoint: checkEndpoint, CheckSoftware: checkSoftware, CheckGoesOn: checkGoesOn,
 }
 
 // RunChecks runs all checks and returns their findings, ordered by the name of the check.
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -74,6 +74,9 @@
 	return func(r *ledger.Record) { r.Attempts[0].IdleTime = span }
 }
 
+// findingCounts holds how many findings a check has in its cases, where it is not one.
+var findingCounts = map[string]int{ledger.CheckSoftware: 3}
+
 // TestChecksFindFaults applies changes to a valid record: a fault alone, which its check must find, and the fault with a reason that
 // excuses it, which no check may report.
 func TestChecksFindFaults(t *testing.T) {
@@ -226,6 +229,12 @@
 		}}, ledger.CheckRest},
 		{"caller connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", CallerSockets: 1}} }}, ledger.CheckLeak},
 		{"no caller connection left open", []change{func(r *ledger.Record) { r.Usages = []ledger.Usage{{Instance: "a", Descriptors: 100}} }}, ""},
+		{"streams of two software versions", []change{func(r *ledger.Record) {
+			*r = *takenUpStreams{count: 3, goingOn: 3, goesOnAt: "v2", serving: 2}.record()
+		}}, ledger.CheckSoftware},
+		{"taken-up streams do not go on", []change{func(r *ledger.Record) {
+			*r = *takenUpStreams{count: 12, serving: 2}.record()
+		}}, ledger.CheckGoesOn},
 		{"retries beyond the budget", []change{func(r *ledger.Record) {
 			r.Attempts[0].Kind = ledger.Safe
 			r.Runs = slices.Repeat(r.Runs, 5)
@@ -247,7 +256,7 @@
 				assert.Empty(t, checks)
 				return
 			}
-			assert.Equal(t, []string{test.check}, checks)
+			assert.Equal(t, slices.Repeat([]string{test.check}, max(1, findingCounts[test.check])), checks)
 		})
 	}
 	for name := range ledger.Checks {
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -83,6 +83,13 @@
 	// Framing is the framing of the answer. EndsEarly reports whether the answer is a stream that ends between two events.
 	Framing   Framing `json:"framing,omitempty"`
 	EndsEarly bool    `json:"ends_early,omitempty"`
+	// Stream is the ID of the first try of a stream that its caller takes up where it breaks; empty for other requests. LastEvent is the last
+	// event that the caller had before this try, Events is how many whole events the try brought, and Software are the software versions of
+	// the endpoints that made them.
+	Stream    string   `json:"stream,omitempty"`
+	LastEvent int      `json:"last_event,omitempty"`
+	Events    int      `json:"events,omitempty"`
+	Software  []string `json:"software,omitempty"`
 	// PlannedClose reports whether the caller closed the connection as planned.
 	PlannedClose bool `json:"on_plan,omitempty"`
 	// Malformed reports whether the request was deliberately malformed.
@@ -128,6 +135,14 @@
 	Acknowledged time.Time `json:"acknowledged"`
 }
 
+// EndpointSpan is the time in which an endpoint served streams. To is zero for an endpoint that served until the end of the run.
+type EndpointSpan struct {
+	Endpoint string    `json:"endpoint"`
+	Software string    `json:"software"`
+	From     time.Time `json:"from"`
+	To       time.Time `json:"to"`
+}
+
 // Naming is a newer version of an adapter and the time at which the store acknowledged it.
 type Naming struct {
 	Adapter      string    `json:"adapter"`
@@ -220,13 +235,15 @@
 	Notices     []platformstandin.RunEvent
 	Disruptions []Disruption
 	Departures  []Departure
-	Namings     []Naming
-	Additions   []Addition
-	Limits      []Limit
-	Exits       []Exit
-	Crashers    []Crasher
-	Usages      []Usage
-	Bounds      Bounds
+	// Endpoints are the endpoints that serve streams.
+	Endpoints []EndpointSpan
+	Namings   []Naming
+	Additions []Addition
+	Limits    []Limit
+	Exits     []Exit
+	Crashers  []Crasher
+	Usages    []Usage
+	Bounds    Bounds
 	// Overfull is the number of orders that exceeded the places of their endpoint.
 	Overfull int
 	// EndpointViolations are the violations that endpoints detected themselves, such as the unload of an adapter in use.
--- a/tools/soak/outside/child.go
+++ b/tools/soak/outside/child.go
@@ -28,6 +28,7 @@
 	Store      string        `help:"IP:PORT at which the store's process is steered." required:""`
 	ID         string        `help:"The endpoint's identifier." required:""`
 	Hall       string        `help:"The hall that it stands in." required:""`
+	Software   string        `help:"The version of its software." default:"v1"`
 	Model      string        `help:"Its base model; empty for a plain service." default:""`
 	Slots      int           `help:"Requests at once." default:"16"`
 	Capacity   int           `help:"Places for adapters." default:"8"`
@@ -89,7 +90,7 @@
 		Put:    func(key string, value any) { logFailure("put", store.Put(key, value)) },
 		Remove: func(key string) { logFailure("remove", store.Remove(key)) },
 	}, platformstandin.WorkerOptions{
-		ID: o.ID, Service: service, Zone: o.Hall, Slots: o.Slots, Model: o.Model, Capacity: o.Capacity, LoadTime: o.LoadTime,
+		ID: o.ID, Service: service, Zone: o.Hall, Software: o.Software, Slots: o.Slots, Model: o.Model, Capacity: o.Capacity, LoadTime: o.LoadTime,
 		Events: o.Events, Pause: o.Pause, Journal: journal.write, UntilClose: o.UntilClose, CutOff: o.CutOff,
 		Crash: func() { os.Exit(crashExitStatus) },
 	})
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -52,6 +52,8 @@
 	EndpointLimits      Kind = "endpoint-limits"
 	EndpointSaysLeaving Kind = "endpoint-says-leaving"
 	EndpointRests       Kind = "endpoint-rests"
+	// EndpointReleased replaces an endpoint by one of a newer software version. It leaves with an announcement.
+	EndpointReleased Kind = "endpoint-released"
 	// The following kinds silence the open connections to an endpoint permanently, or close them.
 	EndpointLinksSilent Kind = "endpoint-links-silent"
 	EndpointLinksReset  Kind = "endpoint-links-reset"
@@ -131,6 +133,9 @@
 	noticeGap = 1500 * time.Millisecond
 	// noticeStream is added to the stream number of the random generator, so that notices get random numbers of their own.
 	noticeStream = 1 << 40
+	// releaseStream is the same for releases, and releaseGap the time between the replacements of two endpoints.
+	releaseStream = 1 << 41
+	releaseGap    = 1200 * time.Millisecond
 	// quietBegin and quietEnd are times without steps at the begin and the end of a run, so that caches are filled before the first step and
 	// the effects of the last steps are observed.
 	quietBegin = 3 * time.Second
@@ -237,3 +242,17 @@
 	}
 	return kinds
 }
+
+// DrawReleases returns a plan that replaces all endpoints, one after another, by ones of a newer software version, ordered by time. It draws
+// from random numbers of its own.
+func DrawReleases(seed uint64, o Options) []Step {
+	random := rand.New(rand.NewPCG(seed, releaseStream+uint64(o.Span)))
+	last := max(quietBegin, o.Span-quietEnd)
+	at := quietBegin + time.Duration(random.Float64()*float64(last-quietBegin)/2)
+	var steps []Step
+	for _, target := range random.Perm(o.Endpoints) {
+		steps = append(steps, Step{Kind: EndpointReleased, Target: target, At: at})
+		at += releaseGap
+	}
+	return steps
+}
--- a/tools/soak/plant.go
+++ b/tools/soak/plant.go
@@ -48,6 +48,13 @@
 	"limit":   func(r *ledger.Record) { plantNotices(r, platformstandin.Notice{Limit: "0.5"}) },
 	"leaving": func(r *ledger.Record) { plantNotices(r, platformstandin.Notice{Leaving: true}) },
 	"rest":    func(r *ledger.Record) { plantNotices(r, platformstandin.Notice{Rest: "9"}) },
+	"two-versions": func(r *ledger.Record) {
+		for i := range r.Attempts {
+			if r.Attempts[i].Events > 0 {
+				r.Attempts[i].Software = append(r.Attempts[i].Software, plantedName)
+			}
+		}
+	},
 	"own-end": func(r *ledger.Record) {
 		r.Exits = append(r.Exits, ledger.Exit{Instance: plantedName, At: time.Now(), Lifetime: time.Minute})
 	},
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -46,7 +46,7 @@
 // record combines the records of callers, endpoints and the soak itself.
 func (s *site) record(attempts []ledger.Attempt, lag *lagMeter) (*ledger.Record, error) {
 	r := &ledger.Record{
-		Attempts: attempts, Disruptions: s.recorder.disruptions, Departures: s.recorder.departures, Namings: s.recorder.namings,
+		Attempts: attempts, Disruptions: s.recorder.disruptions, Departures: s.recorder.departures, Endpoints: s.recorder.endpoints, Namings: s.recorder.namings,
 		Crashers: s.crasherRecords(), Additions: s.operator.additions(), Limits: s.operator.limits(), Exits: s.recorder.exits, Overfull: s.recorder.overfull, Lag: lag.maxLag,
 		Bounds: ledger.Bounds{
 			Grace: grace, GraceMargin: graceMargin, Drain: drainTime, Apply: applyTime, Version: versionTime,
@@ -128,6 +128,7 @@
 	fmt.Fprintf(&b, "; most memory %d MB, most descriptors after the last caller %d", maxUsage(r, func(u ledger.Usage) int { return u.PeakKB })/kbPerMB,
 		maxUsage(r, func(u ledger.Usage) int { return u.Descriptors }))
 	b.WriteString(framingText(r))
+	b.WriteString(ledger.CountTakenUp(r).String())
 	kinds := make(map[string]int)
 	for _, step := range steps {
 		kinds[string(step.Kind)]++
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -46,10 +46,11 @@
 	report(a.Seconds < 1, "--seconds: %d is below 1", a.Seconds)
 	report(a.Instances < 1 || a.Instances > maxInstances, "--instances: %d is not within 1 and %d", a.Instances, maxInstances)
 	report(a.Endpoints < plainServiceInterval || a.Endpoints > maxEndpoints, "--endpoints: %d is not within %d and %d", a.Endpoints, plainServiceInterval, maxEndpoints)
+	report(a.Software < 1 || a.Software > maxSoftware, "--software: %d is not within 1 and %d", a.Software, maxSoftware)
 	report(a.Callers < 1 || a.Callers > maxCallers, "--callers: %d is not within 1 and %d", a.Callers, maxCallers)
 	for name, share := range map[string]float64{
 		"--blind": a.Blind, "--long": a.Long, "--edge": a.Edge, "--odd": a.Odd, "--patient": a.Patient, "--until-close": a.UntilClose,
-		"--cut-off": a.CutOff,
+		"--cut-off": a.CutOff, "--take-up": a.TakeUp,
 	} {
 		report(share < 0 || share > 1, "%s: %g is no share", name, share)
 	}
@@ -69,6 +70,7 @@
 	maxInstances = 80
 	maxEndpoints = 60
 	maxCallers   = 12000
+	maxSoftware  = 3
 )
 
 // kinds returns the kinds of step that may be drawn. An empty result allows all kinds.
@@ -135,6 +137,9 @@
 	if a.Notices {
 		steps = plan.Merge(steps, plan.DrawNotices(a.Seed, options))
 	}
+	if a.Software > 1 {
+		steps = plan.Merge(steps, plan.DrawReleases(a.Seed, options))
+	}
 	return steps
 }
 
@@ -155,6 +160,7 @@
 	options := traffic.Options{
 		Balancer: balancer, IdleLimit: s.operator.idleLimit, AddedPrefixes: s.operator.addedPrefixes,
 		LongPauses: s.args.Long, EdgePauses: s.args.Edge, Blind: s.args.Blind, Odd: s.args.Odd, Patient: s.args.Patient,
+		TakeUp: s.args.TakeUp,
 		Record: func(a ledger.Attempt) {
 			mutex.Lock()
 			defer mutex.Unlock()
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -181,6 +181,7 @@
 	mutex       sync.Mutex
 	disruptions []ledger.Disruption
 	departures  []ledger.Departure
+	endpoints   []ledger.EndpointSpan
 	namings     []ledger.Naming
 	exits       []ledger.Exit
 	overfull    int
@@ -198,6 +199,24 @@
 	n.departures = append(n.departures, ledger.Departure{Endpoint: id, Acknowledged: acknowledged})
 }
 
+// addEndpoint records that an endpoint serves streams from now on.
+func (n *recorder) addEndpoint(id, software string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.endpoints = append(n.endpoints, ledger.EndpointSpan{Endpoint: id, Software: software, From: time.Now()})
+}
+
+// endEndpoint records that an endpoint serves no further streams.
+func (n *recorder) endEndpoint(id string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for i := range n.endpoints {
+		if one := &n.endpoints[i]; one.Endpoint == id && one.To.IsZero() {
+			one.To = time.Now()
+		}
+	}
+}
+
 func (n *recorder) addNaming(naming ledger.Naming) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/tools/soak/traffic/caller.go
+++ b/tools/soak/traffic/caller.go
@@ -36,6 +36,9 @@
 	// Patient is the share of requests whose callers wait until their deadline: streams with long pauses, and large streams that are read
 	// slowly. With 0, no random numbers are drawn for these requests, so that the other requests of a seed stay the same.
 	Patient float64
+	// TakeUp is the share of resumable streams whose callers lose their connection in the middle. Callers take up these and all others that
+	// break. With 0, callers take up none, and no random numbers are drawn for it.
+	TakeUp float64
 }
 
 // pauseKind is the kind of a caller's pauses between two requests.
@@ -87,12 +90,17 @@
 func (c *Caller) Run(ctx context.Context) {
 	defer c.closeConnection()
 	for c.pause(ctx, c.nextPause()) {
-		attempt, wait := c.sendRequest()
+		q := c.draw()
+		if c.takesUp(q) {
+			c.followStream(ctx, q)
+			continue
+		}
+		attempt, wait := c.sendRequest(q, c.random.Float64() < c.options.Odd)
 		c.options.Record(attempt)
 		if wait <= 0 || !c.pause(ctx, wait) {
 			continue
 		}
-		again, _ := c.sendRequest()
+		again, _ := c.sendRequest(c.draw(), c.random.Float64() < c.options.Odd)
 		c.options.Record(again)
 	}
 }
@@ -130,12 +138,12 @@
 	}
 }
 
-// sendRequest sends one request and reads the answer. It returns the attempt and the time after which a refused caller retries, or 0
+// sendRequest sends a request and reads the answer. It returns the attempt and the time after which a refused caller retries, or 0
 // if the caller does not retry.
-func (c *Caller) sendRequest() (ledger.Attempt, time.Duration) {
-	q := c.draw()
-	odd := c.random.Float64() < c.options.Odd
-	a := ledger.Attempt{ID: q.id, Kind: q.kind, Path: q.path, Adapter: q.adapter, Timeout: q.callTimeout, Began: time.Now()}
+func (c *Caller) sendRequest(q *request, odd bool) (ledger.Attempt, time.Duration) {
+	a := ledger.Attempt{
+		ID: q.id, Kind: q.kind, Path: q.path, Adapter: q.adapter, Timeout: q.callTimeout, Began: time.Now(), Stream: q.firstTry, LastEvent: q.lastEvent,
+	}
 	if err := c.connect(&a); err != nil {
 		a.Outcome, a.Cause, a.Ended = ledger.Unreached, err.Error(), time.Now()
 		return a, maxShortPause
@@ -227,19 +235,25 @@
 		return 0
 	}
 	time.Sleep(q.readDelay)
-	body, err := io.ReadAll(response.Body)
+	body, err := q.readBody(response.Body)
+	if errors.Is(err, errDropped) {
+		c.closeConnection()
+	}
 	// The body has been read to its end or to an error, so that an error of closing it does not matter.
 	_ = response.Body.Close()
 	a.Status, a.Framing = response.StatusCode, framingOf(response)
 	seal := response.Header.Get(platformstandin.HeaderSeal)
+	if a.Status < http.StatusMultipleChoices {
+		body = q.takeMakers(a, body)
+	}
 	if err != nil {
 		if a.Status < http.StatusMultipleChoices {
-			a.Defect = q.partDefect(seal, string(body))
+			a.Defect = q.partDefect(seal, body)
 		}
 		c.recordFailure(a, err)
 		return 0
 	}
-	wait := c.classify(q, a, response, seal, string(body))
+	wait := c.classify(q, a, response, seal, body)
 	if response.Close || a.Malformed {
 		c.closeConnection()
 	}
@@ -250,6 +264,9 @@
 // closes the connection.
 func (c *Caller) recordFailure(a *ledger.Attempt, err error) {
 	a.Outcome, a.Cause = ledger.Closed, err.Error()
+	if errors.Is(err, errDropped) {
+		a.Outcome, a.PlannedClose = ledger.Abandoned, true
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		a.Outcome = ledger.Abandoned
--- a/tools/soak/traffic/patient.go
+++ b/tools/soak/traffic/patient.go
@@ -32,7 +32,7 @@
 
 // drawPatient returns a random request whose caller waits until its deadline even if no bytes arrive for a long time.
 func drawPatient(random *rand.Rand) *request {
-	q := &request{id: fmt.Sprintf("s-%d", requestCounter.Add(1)), callTimeout: patientTimeout}
+	q := &request{id: nextID(), callTimeout: patientTimeout}
 	q.body = strings.Repeat("x", random.IntN(maxBody))
 	kind, prefix := ledger.Streaming, platformstandin.PausePrefix
 	if random.IntN(2) == 0 {
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -27,6 +27,12 @@
 	// padding is the number of additional bytes of each event. readDelay is how long the caller reads nothing after the head of the answer.
 	padding   int
 	readDelay time.Duration
+	// firstTry is the ID of the first try of a stream that its caller takes up, lastEvent the last event that the caller has, and resumes the
+	// ID of the try that brought the first one. dropAfter is after how many events the caller loses its connection, or 0.
+	firstTry  string
+	lastEvent int
+	resumes   string
+	dropAfter int
 	// chunked selects chunked transfer encoding.
 	chunked bool
 	// malformed replaces the chunks with an invalid chunk size.
@@ -50,7 +56,7 @@
 
 // draw returns a random request. added are the prefixes of routes that were added during the soak.
 func draw(random *rand.Rand, added []string) *request {
-	q := &request{id: fmt.Sprintf("s-%d", requestCounter.Add(1)), callTimeout: callTimeout, chunked: random.IntN(4) == 0}
+	q := &request{id: nextID(), callTimeout: callTimeout, chunked: random.IntN(4) == 0}
 	q.body = strings.Repeat("x", random.IntN(maxBody))
 	switch share := random.IntN(100); {
 	case share < 22:
@@ -93,7 +99,7 @@
 	if q.chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	return platformstandin.RequestHead{Path: q.path, ID: q.id, Adapter: q.adapter, Deadline: q.callTimeout, Framing: framing}.String()
+	return platformstandin.RequestHead{Path: q.path, ID: q.id, Adapter: q.adapter, Deadline: q.callTimeout, Framing: framing, LastEvent: q.lastEvent, Resumes: q.resumes}.String()
 }
 
 // payload returns the body of the request as it is sent.
@@ -154,7 +160,7 @@
 		return fmt.Sprintf("%s answers %s POST %s %q", endpoint, q.id, q.path, q.body)
 	}
 	var all strings.Builder
-	for number := 1; number <= q.events; number++ {
+	for number := q.lastEvent + 1; number <= q.events; number++ {
 		all.WriteString(platformstandin.PaddedEvent(number, q.id, q.adapter, q.padding))
 	}
 	return all.String()
@@ -171,7 +177,7 @@
 	if end := strings.LastIndex(body, eventEnd); end >= 0 {
 		whole = body[:end+len(eventEnd)]
 	}
-	next := 1 + strings.Count(whole, eventEnd)
+	next := q.lastEvent + 1 + strings.Count(whole, eventEnd)
 	if strings.HasPrefix(expected, whole) && strings.HasPrefix(platformstandin.HalfEvent(next), body[len(whole):]) {
 		return ""
 	}
