--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -33,6 +33,8 @@
 	CheckLeaving     = "an endpoint that said that it leaves got work"
 	CheckRest        = "an endpoint that asked for rest got none"
 	CheckEndpoint    = "an endpoint saw a promise broken"
+	CheckSoftware    = "streams hold events of two software versions"
+	CheckGoesOn      = "streams that callers take up do not go on"
 )
 
 // Checks holds the checks of a record by name.
@@ -41,7 +43,7 @@
 	CheckHeld: checkHeld, CheckDenied: checkDenied, CheckDeparted: checkDeparted, CheckVersion: checkVersion, CheckPlaces: checkPlaces,
 	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget, CheckLeak: checkLeak,
 	CheckCrashing: checkCrashing, CheckHeldBack: checkHeldBack, CheckLimit: checkLimit, CheckLeaving: checkLeaving, CheckRest: checkRest,
-	CheckEndpoint: checkEndpoint,
+	CheckEndpoint: checkEndpoint, CheckSoftware: checkSoftware, CheckGoesOn: checkGoesOn,
 }
 
 // RunChecks runs all checks and returns their findings, ordered by the name of the check.
@@ -129,16 +131,28 @@
 	return findings
 }
 
+// checkWhole finds answers that their caller took for whole and that are not, and broken ones with other bytes than those of their request.
 func checkWhole(r *Record) []Finding {
 	var findings []Finding
+	byRequest := r.runsByRequest()
 	for _, a := range r.Attempts {
-		if a.Defect != "" {
-			findings = append(findings, Finding{CheckWhole, a.ID, fmt.Sprintf("%d from %s: %s", a.Status, a.Instance, a.Defect)})
+		if a.Defect != "" && !r.endUnknowable(a, byRequest[a.ID]) {
+			findings = append(findings, Finding{CheckWhole, a.ID, fmt.Sprintf("%d from %s, framed by %s: %s", a.Status, a.Instance, a.Framing, a.Defect)})
 		}
 	}
 	return findings
 }
 
+// endUnknowable reports whether nobody could tell the end of an answer from a break: the endpoint that ran it last sent it with neither a
+// length nor chunks, and was ended between two events.
+func (r *Record) endUnknowable(a Attempt, run *runs) bool {
+	if !a.EndsEarly || run == nil || len(run.began) == 0 {
+		return false
+	}
+	last := slices.MaxFunc(run.began, func(a, b platformstandin.RunEvent) int { return a.At.Compare(b.At) })
+	return last.UntilClose && r.disrupted(last.Endpoint, last.At, a.Ended, EndpointEnds, LinkBroken)
+}
+
 // heldSlack is how long after its deadline a request may still be open. The platform allows this time.
 const heldSlack = 500 * time.Millisecond
 
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -27,6 +27,12 @@
 	// padding is the number of additional bytes of each event. readDelay is how long the caller reads nothing after the head of the answer.
 	padding   int
 	readDelay time.Duration
+	// firstTry is the ID of the first try of a stream that its caller takes up, lastEvent the last event that the caller has, and resumes the
+	// ID of the try that brought the first one. dropAfter is after how many events the caller loses its connection, or 0.
+	firstTry  string
+	lastEvent int
+	resumes   string
+	dropAfter int
 	// chunked selects chunked transfer encoding.
 	chunked bool
 	// malformed replaces the chunks with an invalid chunk size.
@@ -50,7 +56,7 @@
 
 // draw returns a random request. added are the prefixes of routes that were added during the soak.
 func draw(random *rand.Rand, added []string) *request {
-	q := &request{id: fmt.Sprintf("s-%d", requestCounter.Add(1)), callTimeout: callTimeout, chunked: random.IntN(4) == 0}
+	q := &request{id: nextID(), callTimeout: callTimeout, chunked: random.IntN(4) == 0}
 	q.body = strings.Repeat("x", random.IntN(maxBody))
 	switch share := random.IntN(100); {
 	case share < 22:
@@ -93,7 +99,7 @@
 	if q.chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	return platformstandin.RequestHead{Path: q.path, ID: q.id, Adapter: q.adapter, Deadline: q.callTimeout, Framing: framing}.String()
+	return platformstandin.RequestHead{Path: q.path, ID: q.id, Adapter: q.adapter, Deadline: q.callTimeout, Framing: framing, LastEvent: q.lastEvent, Resumes: q.resumes}.String()
 }
 
 // payload returns the body of the request as it is sent.
@@ -116,6 +122,9 @@
 	return text + "0\r\n\r\n"
 }
 
+// eventEnd ends each event of a stream.
+const eventEnd = "\n\n"
+
 // repeatedAnswer is the body that an endpoint which answers twice sends.
 const repeatedAnswer = "twice"
 
@@ -126,7 +135,7 @@
 	if !ok || before == "" {
 		return ok
 	}
-	return q.kind == ledger.Resumable && strings.HasPrefix(expected, before) && strings.HasSuffix(before, "\n\n")
+	return q.kind == ledger.Resumable && strings.HasPrefix(expected, before) && strings.HasSuffix(before, eventEnd)
 }
 
 // answerDefect describes the error in a whole successful answer. It returns an empty string for a correct answer.
@@ -138,16 +147,44 @@
 	if !ok {
 		return fmt.Sprintf("its mark is %q", seal)
 	}
-	expected := fmt.Sprintf("%s answers %s POST %s %q", endpoint, q.id, q.path, q.body)
-	if q.events > 0 {
-		var all strings.Builder
-		for number := 1; number <= q.events; number++ {
-			all.WriteString(platformstandin.PaddedEvent(number, q.id, q.adapter, q.padding))
-		}
-		expected = all.String()
-	}
+	expected := q.expectedBody(endpoint)
 	if body != expected && !q.isRepeatedAnswer(body, expected) {
 		return fmt.Sprintf("%d bytes in place of %d", len(body), len(expected))
 	}
 	return ""
 }
+
+// expectedBody returns the whole body that an endpoint answers with.
+func (q *request) expectedBody(endpoint string) string {
+	if q.events == 0 {
+		return fmt.Sprintf("%s answers %s POST %s %q", endpoint, q.id, q.path, q.body)
+	}
+	var all strings.Builder
+	for number := q.lastEvent + 1; number <= q.events; number++ {
+		all.WriteString(platformstandin.PaddedEvent(number, q.id, q.adapter, q.padding))
+	}
+	return all.String()
+}
+
+// partDefect describes the error in the part that came of a successful answer whose connection broke. It returns an empty string if the
+// answer could go on correctly, or ends in the event within which its endpoint broke off.
+func (q *request) partDefect(seal, body string) string {
+	expected := q.expectedBody(strings.TrimSuffix(seal, "."+q.id))
+	if strings.HasPrefix(expected, body) || q.isRepeatedAnswer(body, expected) {
+		return ""
+	}
+	whole := ""
+	if end := strings.LastIndex(body, eventEnd); end >= 0 {
+		whole = body[:end+len(eventEnd)]
+	}
+	next := q.lastEvent + 1 + strings.Count(whole, eventEnd)
+	if strings.HasPrefix(expected, whole) && strings.HasPrefix(platformstandin.HalfEvent(next), body[len(whole):]) {
+		return ""
+	}
+	return fmt.Sprintf("the %d bytes before it broke are not the first of its %d", len(body), len(expected))
+}
+
+// endsBetweenEvents reports whether a body is the begin of the stream of the request up to the end of an event.
+func (q *request) endsBetweenEvents(body string) bool {
+	return q.events > 0 && strings.HasSuffix(body, eventEnd) && strings.HasPrefix(q.expectedBody(""), body)
+}
