Keep a silent endpoint until another one has sent a byte of the rest

Seen by callers: a stream whose endpoint was silent after its last event was closed with a reset: another endpoint had been asked as well, and its head alone ended the first exchange.

Cause: a hedge took the head for the beginning of an answer. An empty rest that ends with its connection shows nothing.

Change: where the other answer resumes the stream and ends with its connection, its first byte is awaited; if it ends before, the former endpoint goes on.

--- a/modules/entry/upstream/framing.go
+++ b/modules/entry/upstream/framing.go
@@ -25,6 +25,16 @@
 	return a.framing
 }
 
+// EndsAtHead waits for the first byte of an answer with the framing ByClose, and reports whether its connection ended before. It must be called
+// before the body is read.
+func (a *Answer) EndsAtHead() bool {
+	if a.framing != ByClose {
+		return false
+	}
+	_, err := a.conn.reader.Peek(1)
+	return err != nil
+}
+
 // framingOf returns the framing of a response whose body was not replaced.
 func framingOf(response *http.Response) Framing {
 	switch {
--- a/services/entry/proxy/hedge.go
+++ b/services/entry/proxy/hedge.go
@@ -228,11 +228,19 @@
 	release := context.AfterFunc(ctx, next.cancelFunc(attempt.EndedByFormerEndpoint))
 	defer release()
 	verdict, begun = next.requestHead()
-	if !begun || !attempt.IsServerError(next.status) {
-		return verdict, begun
+	switch {
+	case !begun:
+		return verdict, false
+	case attempt.IsServerError(next.status):
+		next.discard()
+		return attempt.JudgeWhole(next.status), false
+	case next.handling == attempt.ResumeStream && next.response.EndsAtHead():
+		// Such an answer does not show whether the stream is over.
+		next.discard()
+		return attempt.Verdict{Result: attempt.Uncertain, Outcome: directory.Neutral}, false
+	default:
+		return verdict, true
 	}
-	next.discard()
-	return attempt.JudgeWhole(next.status), false
 }
 
 // takeOver gives up the primary exchange in favor of next, unless the search was canceled.
--- a/services/entry/proxy/resume_test.go
+++ b/services/entry/proxy/resume_test.go
@@ -45,6 +45,9 @@
 		"silence, another endpoint continues": {
 			[]string{chunkedResponse(firstEvent) + strings.Repeat(searchSilence, 6), chunkedResponse(secondEvent) + lastChunk}, 1, 0, bothEvents, []string{"", "1"},
 		},
+		"silence, another endpoint ends right after its head": {
+			[]string{chunkedResponse(firstEvent) + strings.Repeat(searchSilence, 2) + encodeChunk(secondEvent) + lastChunk, untilClose()}, 1, 0, bothEvents, []string{"", "1"},
+		},
 		"interruption by the only endpoint": {
 			[]string{chunkedResponse(firstEvent) + nextConnection + chunkedResponse(secondEvent) + lastChunk}, 1, 0, bothEvents, []string{"", "1"},
 		},
