Run the tests of software versions at the same time

Cause: tests/platform comes near the ten minutes after which go test ends a package; the nine tests took about 65 s of it one after the other.

Change: they and their cases run in parallel, each with a site of its own.

--- a/tests/platform/software_versions_test.go
+++ b/tests/platform/software_versions_test.go
@@ -118,6 +118,7 @@
 
 // TestBrokenStreamGoesOnAtSoftwareThatBeganIt guards against an answer that holds the events of two software versions.
 func TestBrokenStreamGoesOnAtSoftwareThatBeganIt(t *testing.T) {
+	t.Parallel()
 	const events, perTurn, turns = 8, 8, 8
 	s := newSite(t, 1)
 	s.addOtherSoftware()
@@ -143,6 +144,7 @@
 // TestAdapterIsLoadedAtSoftwareThatBeganStream guards against a stream that goes on at another software version, or not at all, since only
 // endpoints of another version have its adapter.
 func TestAdapterIsLoadedAtSoftwareThatBeganStream(t *testing.T) {
+	t.Parallel()
 	const events, adapters = 12, 6
 	s := newSite(t, 1)
 	s.addOtherSoftware()
@@ -199,6 +201,7 @@
 
 // TestBrokenStreamEndsIfItsSoftwareHasGone guards against a stream that goes on at the only software version that is left.
 func TestBrokenStreamEndsIfItsSoftwareHasGone(t *testing.T) {
+	t.Parallel()
 	const events, streams = 12, 8
 	s := newSite(t, 1)
 	answers := make([]standin.Answer, streams)
--- a/tests/platform/taken_up_test.go
+++ b/tests/platform/taken_up_test.go
@@ -186,6 +186,7 @@
 }
 
 func (c takenUpTest) run(t *testing.T) {
+	t.Parallel()
 	s := newCuttableSite(t, 3)
 	for adapter := range adaptersBeforeCut {
 		require.True(t, s.serves(0, fmt.Sprintf("a%d", adapter)))
@@ -211,6 +212,7 @@
 // TestTakenUpStreamGoesOnAtSoftwareThatBeganIt guards against a stream that its caller takes up at another instance and that goes on at
 // another software version.
 func TestTakenUpStreamGoesOnAtSoftwareThatBeganIt(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]takenUpTest{
 		"the caller's link breaks":    {breaks: func(*site, int) {}},
 		"the instance is killed":      {breaks: (*site).kill},
@@ -262,6 +264,7 @@
 
 // TestStreamTakenUpTwiceGoesOnAtSoftwareThatBeganIt guards against an instance that takes the first try of its own for that of the stream.
 func TestStreamTakenUpTwiceGoesOnAtSoftwareThatBeganIt(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	s.addOtherSoftware()
 	streams := s.beginStreams(0)
@@ -275,6 +278,7 @@
 // TestAdapterIsLoadedAtSoftwareOfTakenUpStream guards against a taken-up stream that does not go on since only endpoints of another software
 // version have its adapter.
 func TestAdapterIsLoadedAtSoftwareOfTakenUpStream(t *testing.T) {
+	t.Parallel()
 	const adapters = 4
 	s := newSite(t, 2)
 	s.addOtherSoftware()
@@ -303,10 +307,12 @@
 
 // TestTakenUpStreamOfOnlySoftwareGoesOnAnywhere guards against streams that are refused although they can hold only one software version.
 func TestTakenUpStreamOfOnlySoftwareGoesOnAnywhere(t *testing.T) {
+	t.Parallel()
 	for name, resumes := range map[string]func(*takenUpStream) string{
 		"named": namingFirst, "not named": func(*takenUpStream) string { return "" },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t, 2)
 			streams := s.beginStreams(0)
 			continued := s.takeUp(streams, []int{0, 1}, takenUpEvents-eventsPerTry, resumes)
@@ -318,6 +324,7 @@
 
 // TestStreamOfUnknownSoftwareIsRefused guards against a stream that goes on at a guessed software version.
 func TestStreamOfUnknownSoftwareIsRefused(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	s.addOtherSoftware()
 	for name, resumes := range map[string]string{"unknown try": "never-seen", "no try": ""} {
@@ -339,12 +346,14 @@
 
 // TestTakenUpStreamIsRefusedIfItsSoftwareHasGone guards against a stream that goes on at the only software version that is left.
 func TestTakenUpStreamIsRefusedIfItsSoftwareHasGone(t *testing.T) {
+	t.Parallel()
 	for name, breaks := range map[string]func(s *site, entry int){
 		"the caller's link breaks":    func(*site, int) {},
 		"the instance is killed":      (*site).kill,
 		"the other instances restart": (*site).restartOthers,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t, 3)
 			streams := s.beginStreams(0)
 			s.addOtherSoftware()
