--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -37,7 +37,7 @@
 	Patient    float64 `help:"Share of requests whose callers stay to their deadline: streams with long pauses, and large ones that are read slowly." default:"0.03"`
 	UntilClose float64 `help:"Share of the answers of endpoints that end with their connection, with neither a length nor chunks." default:"0.2"`
 	CutOff     float64 `help:"Share of these that their endpoint breaks off." default:"0.15"`
-	Software   int     `help:"How many software versions of endpoints serve side by side. With more than one, endpoints change to newer ones one after another." default:"1"`
+	Software   int     `help:"How many software versions of endpoints serve side by side. With more than one, endpoints change to newer ones one after another." default:"2"`
 	TakeUp     float64 `help:"Share of resumable streams whose callers lose their connection in the middle. Callers take up all broken ones. With 0, they take up none." default:"0.3"`
 	Crashers   int     `help:"How many requests come again and again that crash each endpoint which runs them." default:"0"`
 	Together   int     `help:"How many callers send such a request at the same moment, each to another instance if there are as many." default:"1"`
