Look for the lines of package exchange where the operators' page is checked

Cause: TestOperationsPageNamesOnlyExistingMetricsAndMessages reads a list of sources, which lacked the new package's file with a line that docs/OPERATIONS.md names.

Change: the file is in the list.

Measured: the test passes.

--- a/tests/platform/request_log_test.go
+++ b/tests/platform/request_log_test.go
@@ -159,7 +159,7 @@
 		"../../services/entry/coordinator/begin.go", "../../services/entry/coordinator/crashes.go", "../../services/entry/coordinator/limits.go",
 		"../../services/entry/coordinator/draining.go", "../../services/entry/coordinator/resting.go",
 		"../../services/entry/proxy/exchange.go", "../../routers/entry/gateway/server.go", "../../services/entry/connect/connector.go",
-		"../../modules/entry/tunnel/acceptor.go",
+		"../../modules/entry/tunnel/acceptor.go", "../../services/entry/origin/exchange/receive.go",
 	} {
 		content, err := os.ReadFile(path)
 		require.NoError(t, err)
