Limit the number of tags that the queue keeps

What callers saw: each ticket of an instance that places a pool waited while one scan of all tags held the control goroutine. Where each customer comes once, all start at the same tag, and where requests leave without a start, virtual time stands still: then age alone (10 minutes) ends a tag, so that their number is the rate of new names times 600 s. A class without tags loses its virtual time in the same scan. Why it works: the check follows each insertion, so no tick is needed, and a reduction follows at least 8,192 insertions. TestTagsOfOneTimeCustomersStayLimited failed before in both cases (100,001 and 100,000 entries, 32,768 allowed).

--- a/services/daemon/placement/prune_test.go
+++ b/services/daemon/placement/prune_test.go
@@ -16,6 +16,13 @@
 	"github.com/shelfledge/shelfledge/services/daemon/placement/queue"
 )
 
+const (
+	// oneTimeKeys is a number of keys used once that a flood may bring within the retention times.
+	oneTimeKeys = 100_000
+	// maxRetained is a number of entries that takes a small part of the 32 MB that a node may use for control.
+	maxRetained = 1 << 15
+)
+
 // keyCount is the number of customers or adapters that are used once.
 const keyCount = 200
 
@@ -87,7 +94,8 @@
 	return p
 }
 
-// TestPrunesLoadCountsOfIdleCustomers checks that the decaying load counts of idle customers are dropped.
+// TestPrunesLoadCountsOfIdleCustomers guards against a placer that keeps the decaying count of loads of every customer for whom it ever
+// loaded an adapter.
 func TestPrunesLoadCountsOfIdleCustomers(t *testing.T) {
 	o := placement.DefaultOptions()
 	// Without fair queuing, the queue keeps no state of customers without waiting requests.
@@ -121,8 +129,8 @@
 	}
 }
 
-// TestPrunesFailuresOfIdleAdapters compares a placer whose last load of each adapter failed with one whose loads succeeded.
-// Their other state is the same.
+// TestPrunesFailuresOfIdleAdapters guards against a placer that keeps the failures of every adapter whose last load failed. It
+// compares one whose last load of each adapter failed with one whose loads succeeded; their other state is the same.
 func TestPrunesFailuresOfIdleAdapters(t *testing.T) {
 	after := func(outcome placement.LoadOutcome) int {
 		p := newPlacer(endpoint(1))
@@ -147,8 +155,9 @@
 	require.Less(t, after(placement.LoadFailed)-after(placement.LoadDone), keyCount/2)
 }
 
-// TestPrunesTagsPassedByVirtualTime lets the virtual time of the class pass the tags of customers that send one request each.
-func TestPrunesTagsPassedByVirtualTime(t *testing.T) {
+// TestTagsOfCustomersLongGoneAreForgotten guards against a queue that keeps the last tag of each customer who sent one request, although
+// virtual time has passed it.
+func TestTagsOfCustomersLongGoneAreForgotten(t *testing.T) {
 	q := queue.New(false)
 	class := fleet.Class{Name: "c"}
 	serve := func(r fleet.Request) {
@@ -169,6 +178,57 @@
 	require.Less(t, retainedEntries(q), keyCount/2, "virtual time has passed every tag")
 }
 
+// TestTagsOfOneTimeCustomersStayLimited guards against tags that are kept for their retention time however many there are. Each customer
+// starts at the same tag, so virtual time passes none.
+func TestTagsOfOneTimeCustomersStayLimited(t *testing.T) {
+	for name, leave := range map[string]func(*queue.Queue, *queue.Waiter){
+		"after it started":  (*queue.Queue).Dispatch,
+		"before it started": (*queue.Queue).Remove,
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := queue.New(false)
+			for i := range oneTimeKeys {
+				r := request(fmt.Sprint("q", i), "a")
+				r.Caller = fmt.Sprint("customer", i)
+				q.Push(at(i), r, fleet.Class{Name: "c"}, 0)
+				w, ok := q.Find(r.ID)
+				require.True(t, ok)
+				leave(q, w)
+			}
+			require.Less(t, retainedEntries(q), maxRetained)
+		})
+	}
+}
+
+// TestLimitOfTagsKeepsThoseThatDelayMost checks that neither a customer with a waiting request nor one after a burst is forgotten because
+// many others come once.
+func TestLimitOfTagsKeepsThoseThatDelayMost(t *testing.T) {
+	class := fleet.Class{Name: "c"}
+	q := queue.New(false)
+	push := func(id, customer string) *queue.Waiter {
+		r := request(id, "a")
+		r.Caller = customer
+		q.Push(begin, r, class, 0)
+		w, ok := q.Find(id)
+		require.True(t, ok)
+		return w
+	}
+	for i := range 3 {
+		push(fmt.Sprint("waits", i), "waits")
+		push(fmt.Sprint("burst", i), "burst")
+	}
+	for i := range 3 {
+		w, _ := q.Find(fmt.Sprint("burst", i))
+		q.Remove(w)
+	}
+	for i := range oneTimeKeys {
+		q.Remove(push(fmt.Sprint("q", i), fmt.Sprint("customer", i)))
+	}
+	burst, waits, fresh := push("burst3", "burst"), push("waits3", "waits"), push("fresh", "fresh")
+	require.True(t, fresh.Before(waits, begin, time.Hour), "the tag of a waiting customer is kept")
+	require.True(t, fresh.Before(burst, begin, time.Hour), "the tag after a burst is kept")
+}
+
 // TestPrunesTagsOfOneTimeCustomers covers the case in which the virtual time does not advance, since each customer starts at the same tag.
 func TestPrunesTagsOfOneTimeCustomers(t *testing.T) {
 	o := placement.DefaultOptions()
--- a/services/daemon/placement/queue/queue.go
+++ b/services/daemon/placement/queue/queue.go
@@ -73,6 +73,7 @@
 	if !r.Deadline.IsZero() {
 		heap.Push(&q.deadlines, w)
 	}
+	q.fair.limitTags(q.hasWaiting)
 }
 
 // Remove removes a waiter from the queue. Removing it again has no effect.
