Limit the number of customers whose loads are counted

What callers saw: each ticket of an instance that places a pool waited while one scan of all counts held the control goroutine. Evidence: one placer in 15 minutes of simulated time on, a load a second for 400 new customers each: 545,143 entries and a tick of 80 ms; for 100 each 143,443 and 19 ms. Change: above 16,384 counts the lowest are dropped, down to half. They lower the value of a load least. Why it works: the check follows each insertion; a customer with many loads has a high count and stays held back (TestLimitOfLoadCountsKeepsHighestCounts). TestLoadCountsOfOneTimeCustomersStayLimited failed before (100,507 entries, 32,768 allowed).

--- a/services/daemon/placement/customer_loads.go
+++ b/services/daemon/placement/customer_loads.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/shelfledge/shelfledge/modules/daemon/sizelimit"
 )
 
 // customerLoadHalfLife is the half-life of the count of loads made for a customer. A longer
@@ -17,8 +19,19 @@
 // then divides the value of a load by less than 1.000001. A higher limit frees memory sooner, a lower one is more exact.
 const minCustomerLoads = 1e-6
 
+// maxCountedCustomers is the number of customers above which those with the lowest counts are dropped. A higher limit still holds back more
+// customers after their loads, a lower one uses less memory and ends a scan sooner.
+const maxCountedCustomers = 16384
+
 // customerLoads holds, by customer name, the decaying count of loads for which the customer's requests waited.
-type customerLoads map[string]decayingCount
+type customerLoads struct {
+	byCustomer map[string]decayingCount
+	limit      sizelimit.Limit
+}
+
+func newCustomerLoads() customerLoads {
+	return customerLoads{byCustomer: make(map[string]decayingCount), limit: sizelimit.New(maxCountedCustomers)}
+}
 
 // decayingCount is a decaying count of loads as of updatedAt.
 type decayingCount struct {
@@ -27,25 +40,33 @@
 }
 
 // current returns a customer's count at the given time.
-func (c customerLoads) current(now time.Time, customer string) float64 {
-	r, ok := c[customer]
+func (c *customerLoads) current(now time.Time, customer string) float64 {
+	r, ok := c.byCustomer[customer]
 	if !ok {
 		return 0
 	}
-	dt := now.Sub(r.updatedAt).Seconds()
-	return r.count * math.Exp2(-dt/customerLoadHalfLife.Seconds())
+	return r.at(now)
+}
+
+// at returns the count at the given time.
+func (d decayingCount) at(now time.Time) float64 {
+	dt := now.Sub(d.updatedAt).Seconds()
+	return d.count * math.Exp2(-dt/customerLoadHalfLife.Seconds())
 }
 
 // add adds a share of a load to a customer's count.
-func (c customerLoads) add(now time.Time, customer string, part float64) {
-	c[customer] = decayingCount{count: c.current(now, customer) + part, updatedAt: now}
+func (c *customerLoads) add(now time.Time, customer string, part float64) {
+	c.byCustomer[customer] = decayingCount{count: c.current(now, customer) + part, updatedAt: now}
+	if c.limit.Exceeded(len(c.byCustomer)) {
+		sizelimit.Reduce(&c.limit, c.byCustomer, func(_ string, d decayingCount) (float64, bool) { return d.at(now), true })
+	}
 }
 
 // prune drops the customers whose counts have decayed, which limits the memory.
-func (c customerLoads) prune(now time.Time) {
-	for customer := range c {
-		if c.current(now, customer) < minCustomerLoads {
-			delete(c, customer)
+func (c *customerLoads) prune(now time.Time) {
+	for customer, d := range c.byCustomer {
+		if d.at(now) < minCustomerLoads {
+			delete(c.byCustomer, customer)
 		}
 	}
 }
--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -65,7 +65,7 @@
 		ticketByRequest: make(map[string]*grantedTicket),
 		failures:        backoff.New(backoff.Options{Base: o.BackoffBase, Max: o.BackoffMax, GiveUp: o.GiveUpFailures}),
 		pinned:          make(map[fleet.AdapterRef]bool),
-		loadsByCustomer: make(customerLoads),
+		loadsByCustomer: newCustomerLoads(),
 		prefixes:        newPrefixHints(),
 		baseByAdapter:   make(map[fleet.AdapterRef]string),
 	}
--- a/services/daemon/placement/prune_test.go
+++ b/services/daemon/placement/prune_test.go
@@ -94,15 +94,65 @@
 	return p
 }
 
-// TestPrunesLoadCountsOfIdleCustomers guards against a placer that keeps the decaying count of loads of every customer for whom it ever
+// TestLoadsOfCustomersLongGoneAreForgotten guards against a placer that keeps the decaying count of loads of every customer for whom it ever
 // loaded an adapter.
-func TestPrunesLoadCountsOfIdleCustomers(t *testing.T) {
+func TestLoadsOfCustomersLongGoneAreForgotten(t *testing.T) {
 	o := placement.DefaultOptions()
 	// Without fair queuing, the queue keeps no state of customers without waiting requests.
 	o.DisableFairQueue = true
 	require.Less(t, retainedEntries(placerAfterServing(t, keyCount, o))-retainedEntries(placerAfterServing(t, 1, o)), keyCount/2)
 }
 
+// TestLoadCountsOfOneTimeCustomersStayLimited guards against load counts that are kept until they decay however many there are.
+func TestLoadCountsOfOneTimeCustomersStayLimited(t *testing.T) {
+	const customersPerLoad = 400
+	o := placement.DefaultOptions()
+	// Without fair queuing, the queue keeps no state of customers without waiting requests.
+	o.DisableFairQueue = true
+	p := placement.NewPlacer("h1/base", "i1", []fleet.Endpoint{endpoint(1)}, o)
+	p.TakeOverEndpoint(begin, inspection(0), 1, begin)
+	for load := range oneTimeKeys / customersPerLoad {
+		now, adapter := at(load+1), fmt.Sprint("a", load)
+		for i := range customersPerLoad {
+			r := request(fmt.Sprint("q", i), adapter)
+			r.Caller = fmt.Sprint("customer", load, "/", i)
+			p.Submit(now, r)
+		}
+		orderLoad(t, p, now)
+		for i := range customersPerLoad {
+			p.Withdraw(now, fmt.Sprint("q", i))
+		}
+		p.HandleLoadResult(now, "e1", "e1-1", ref(adapter), placement.LoadDone, "")
+	}
+	require.Less(t, retainedEntries(p), maxRetained)
+}
+
+// TestLimitOfLoadCountsKeepsHighestCounts checks that a customer with many loads is still held back after as many loads for others.
+func TestLimitOfLoadCountsKeepsHighestCounts(t *testing.T) {
+	p := newPlacer(endpoint(1))
+	load := func(customer string) {
+		r := request("q", customer)
+		r.Caller = customer
+		p.Submit(at(1), r)
+		orderLoad(t, p, at(1))
+		p.Withdraw(at(1), "q")
+		p.HandleLoadResult(at(1), "e1", "e1-1", ref(customer), placement.LoadDone, "")
+	}
+	load("many")
+	load("other")
+	load("many")
+	for i := range maxRetained {
+		load(fmt.Sprint("customer", i))
+	}
+	held, fresh := request("q1", "a"), request("q2", "b")
+	held.Caller, fresh.Caller = "many", "fresh"
+	p.Submit(at(1), held)
+	p.Submit(at(1), fresh)
+	bid, found := p.BestBid(at(1))
+	require.True(t, found)
+	require.Equal(t, ref("b"), bid.Adapter)
+}
+
 // TestCustomerLoadCountLowersBidUntilItDecays lets a customer with a recent load request a, and another customer request b.
 // The bid is for b while the recent load counts; after that both values are equal and a precedes b by name.
 func TestCustomerLoadCountLowersBidUntilItDecays(t *testing.T) {
