Limit the number of adapters whose failures are kept

What callers saw: nothing that is known. Change: above 16,384 the adapters whose delay ended first are dropped, down to half; one whose next load is still delayed stays. Why it works: the check follows each failure. An adapter with waiting requests is tried, and fails, each minute at least, and so is among the latest; no delay is cut short (TestLimitEndsNoDelay, 50,000 at once). Measured: TestFailuresOfOneTimeAdaptersStayLimited failed before (100,000 entries, 32,768 allowed) and passes.

--- a/services/daemon/placement/backoff/failures.go
+++ b/services/daemon/placement/backoff/failures.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/daemon/sizelimit"
 )
 
 const (
@@ -21,6 +22,10 @@
 	// saves the weight store loads that are likely to fail, a shorter one frees memory sooner. While requests wait for the adapter, a load
 	// is tried at least once per Max.
 	failureRetention = time.Hour
+	// maxFailures is the number of adapters above which those are dropped whose delay ended first. An adapter whose next load is still
+	// delayed is kept. A higher limit saves the weight store more loads that are likely to fail, a lower one uses less memory and ends a
+	// scan sooner.
+	maxFailures = 16384
 )
 
 // Options configures the delay after failed loads.
@@ -43,11 +48,12 @@
 type Failures struct {
 	options   Options
 	byAdapter map[fleet.AdapterRef]Failure
+	limit     sizelimit.Limit
 }
 
 // New returns an empty record of failures.
 func New(o Options) *Failures {
-	return &Failures{options: o, byAdapter: make(map[fleet.AdapterRef]Failure)}
+	return &Failures{options: o, byAdapter: make(map[fleet.AdapterRef]Failure), limit: sizelimit.New(maxFailures)}
 }
 
 // RecordFailure counts a failed load and returns the adapter's new state.
@@ -58,9 +64,19 @@
 	wait := float64(f.options.Base) * float64(int64(1)<<doublings) * jitterFactor(ref, failure.Count)
 	failure.RetryAt = now.Add(min(time.Duration(wait), f.options.Max))
 	f.byAdapter[ref] = failure
+	if f.limit.Exceeded(len(f.byAdapter)) {
+		f.dropEarliest(now)
+	}
 	return failure
 }
 
+// dropEarliest drops the adapters whose delay ended first.
+func (f *Failures) dropEarliest(now time.Time) {
+	sizelimit.Reduce(&f.limit, f.byAdapter, func(_ fleet.AdapterRef, failure Failure) (float64, bool) {
+		return -now.Sub(failure.RetryAt).Seconds(), !now.Before(failure.RetryAt)
+	})
+}
+
 // RecordSuccess drops an adapter's failures after a successful load.
 func (f *Failures) RecordSuccess(ref fleet.AdapterRef) {
 	delete(f.byAdapter, ref)
--- a/services/daemon/placement/backoff/failures_test.go
+++ b/services/daemon/placement/backoff/failures_test.go
@@ -4,6 +4,7 @@
 package backoff_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -92,3 +93,18 @@
 	_, refused := f.Refuses(until.Add(-1), a)
 	require.True(t, refused)
 }
+
+// TestLimitEndsNoDelay lets so many adapters fail at once that their number exceeds the limit of the record.
+func TestLimitEndsNoDelay(t *testing.T) {
+	const adapters = 50_000
+	f := backoff.New(options)
+	refOf := func(i int) fleet.AdapterRef { return fleet.AdapterRef{Name: strconv.Itoa(i), Version: 1} }
+	for i := range adapters {
+		f.RecordFailure(begin, refOf(i))
+	}
+	for i := range adapters {
+		require.True(t, f.Delayed(begin.Add(options.Base/2-1), refOf(i)))
+	}
+	f.RecordFailure(begin, a)
+	require.Equal(t, 2, f.RecordFailure(begin.Add(time.Minute), a).Count)
+}
--- a/services/daemon/placement/prune_test.go
+++ b/services/daemon/placement/prune_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 	"github.com/shelfledge/shelfledge/services/daemon/placement"
+	"github.com/shelfledge/shelfledge/services/daemon/placement/backoff"
 	"github.com/shelfledge/shelfledge/services/daemon/placement/queue"
 )
 
@@ -179,9 +180,9 @@
 	}
 }
 
-// TestPrunesFailuresOfIdleAdapters guards against a placer that keeps the failures of every adapter whose last load failed. It
+// TestFailuresOfAdaptersLongGoneAreForgotten guards against a placer that keeps the failures of every adapter whose last load failed. It
 // compares one whose last load of each adapter failed with one whose loads succeeded; their other state is the same.
-func TestPrunesFailuresOfIdleAdapters(t *testing.T) {
+func TestFailuresOfAdaptersLongGoneAreForgotten(t *testing.T) {
 	after := func(outcome placement.LoadOutcome) int {
 		p := newPlacer(endpoint(1))
 		for i := range keyCount {
@@ -205,6 +206,16 @@
 	require.Less(t, after(placement.LoadFailed)-after(placement.LoadDone), keyCount/2)
 }
 
+// TestFailuresOfOneTimeAdaptersStayLimited guards against failures that are kept for their retention time however many there are.
+func TestFailuresOfOneTimeAdaptersStayLimited(t *testing.T) {
+	const loadsPerSecond = 40
+	f := backoff.New(backoff.Options{Base: 2 * time.Second, Max: time.Minute, GiveUp: 5})
+	for i := range oneTimeKeys {
+		f.RecordFailure(begin.Add(time.Duration(i)*time.Second/loadsPerSecond), ref(fmt.Sprint("a", i)))
+	}
+	require.Less(t, retainedEntries(f), maxRetained)
+}
+
 // TestTagsOfCustomersLongGoneAreForgotten guards against a queue that keeps the last tag of each customer who sent one request, although
 // virtual time has passed it.
 func TestTagsOfCustomersLongGoneAreForgotten(t *testing.T) {
