Expect no endpoint to have an adapter cached for good

What callers saw: no case is known; a load that the planner takes for a fast one, and is not, starts later and waits longer. Cause: previouslyHeld of the plan got an entry with each load and unload, and lost none while the endpoint lived. The users' page speaks of adapters held lately, and the directory keeps the same fact for 10 minutes. A copy that is still held keeps its time (TestRetentionTimeOfHeldAdapterStartsWhenItIsDropped). Measured: the tests of loading, directory and plan pass.

--- a/models/entry/deployment/endpoint.go
+++ b/models/entry/deployment/endpoint.go
@@ -12,6 +12,10 @@
 // EndpointID identifies an endpoint. An endpoint that restarts has a new ID, or the same ID and another start time, see Endpoint.Born.
 type EndpointID string
 
+// HeldRetention is how long an endpoint that dropped an adapter is expected to load it fast, from its own cache. A higher value prefers endpoints
+// that may no longer have the adapter cached, a lower one loads from the weight store what an endpoint still has.
+const HeldRetention = 10 * time.Minute
+
 // EndpointState is whether an endpoint accepts new work.
 type EndpointState int
 
--- a/services/entry/directory/directory.go
+++ b/services/entry/directory/directory.go
@@ -318,10 +318,6 @@
 	status.Offered = offered
 }
 
-// heldRetention is how long an endpoint that dropped an adapter is expected to reload it fast. A higher value prefers endpoints that may no
-// longer have it cached, a lower one loads from the weight store what an endpoint still has.
-const heldRetention = 10 * time.Minute
-
 // goneRetention is how long removed endpoints are remembered. A higher value tolerates descriptions that arrive later (a peer or the
 // store's watch delays them by seconds at most), a lower one takes less memory where endpoints come and go.
 const goneRetention = 10 * time.Minute
@@ -353,7 +349,7 @@
 			status.Held[adapter] = now
 		}
 		for adapter, at := range status.Held {
-			if now.Sub(at) > heldRetention {
+			if now.Sub(at) > deployment.HeldRetention {
 				delete(status.Held, adapter)
 			}
 		}
--- a/services/entry/loading/copy.go
+++ b/services/entry/loading/copy.go
@@ -93,7 +93,7 @@
 	modelLoadedAt time.Time
 	// modelsUnconfirmed is set while the description in the store lacks a base model that is in the plan.
 	modelsUnconfirmed bool
-	// previouslyHeld holds adapters that the endpoint held before and can therefore load fast.
+	// previouslyHeld holds the adapters that the endpoint can load fast, with the time at which it last held each of them.
 	previouslyHeld map[deployment.Adapter]time.Time
 	// unloaded records when orders of this plan unloaded an adapter. A description that still lists the adapter is
 	// outdated.
@@ -181,6 +181,20 @@
 	}
 }
 
+// updateHeld records the copies that the endpoint still holds, and removes the adapters that it has not held for
+// deployment.HeldRetention.
+func (e *endpointPlan) updateHeld(now time.Time) {
+	for adapter, at := range e.previouslyHeld {
+		if c, ok := e.copies[adapter]; ok && c.state != copyLoading {
+			e.previouslyHeld[adapter] = now
+			continue
+		}
+		if now.Sub(at) > deployment.HeldRetention {
+			delete(e.previouslyHeld, adapter)
+		}
+	}
+}
+
 // pendingLoads returns the number of loads in progress.
 func (e *endpointPlan) pendingLoads() int {
 	return e.countCopies(copyLoading)
--- a/services/entry/loading/planner.go
+++ b/services/entry/loading/planner.go
@@ -220,7 +220,7 @@
 	}
 }
 
-// Sweep removes adapters that are no longer requested and endpoints that are gone.
+// Sweep removes adapters that are no longer requested or no longer cached by an endpoint, and endpoints that are gone.
 func (p *Planner) Sweep(now time.Time) {
 	p.pruneUnregistered(now)
 	p.pruneFailingLoads(now)
@@ -232,6 +232,7 @@
 		}
 	}
 	for _, plan := range p.endpoints {
+		plan.updateHeld(now)
 		for adapter, at := range plan.unloaded {
 			if now.Sub(at) > descriptionLag {
 				delete(plan.unloaded, adapter)
--- a/services/entry/loading/polls_test.go
+++ b/services/entry/loading/polls_test.go
@@ -42,6 +42,43 @@
 	}
 }
 
+// TestHeldAdapterCountsForRetentionTime guards against a plan that expects an endpoint to load an adapter fast for good. The first poll shows
+// what the plan expects.
+func TestHeldAdapterCountsForRetentionTime(t *testing.T) {
+	const warm, cold = 30 * time.Millisecond, 200 * time.Millisecond
+	for _, row := range []struct {
+		after time.Duration
+		first time.Duration
+	}{{0, warm}, {deployment.HeldRetention, warm}, {deployment.HeldRetention + 1, cold}} {
+		p := newPlanner(1)
+		p.SetEndpoint(start, described("e"), nextRevision(), false)
+		p.RememberHeld("e", map[deployment.Adapter]time.Time{adapter(1): start})
+		now := start.Add(row.after)
+		p.Sweep(now)
+		p.Report(now, "i", waitingDemand(adapter(1)))
+		p.Done(now, resultOf(nextOrder(t, p, now, loading.Load), loading.Accepted))
+		assert.Equal(t, now.Add(row.first), p.NextPoll(), "after %s", row.after)
+	}
+}
+
+// TestRetentionTimeOfHeldAdapterStartsWhenItIsDropped lets an endpoint drop a copy by itself after it held the copy for long.
+func TestRetentionTimeOfHeldAdapterStartsWhenItIsDropped(t *testing.T) {
+	p, load := plannerWithLoadOrder(t)
+	p.Done(start, resultOf(load, loading.Holds))
+	now := start
+	for range 60 {
+		now = now.Add(time.Minute)
+		p.Sweep(now)
+	}
+	p.SetEndpoint(now, described("e"), nextRevision(), false)
+	answerInspection(t, p, now, &loading.Report{Sequence: 1})
+	now = now.Add(deployment.HeldRetention)
+	p.Sweep(now)
+	p.Report(now, "i", waitingDemand(adapter(1)))
+	p.Done(now, resultOf(nextOrder(t, p, now, loading.Load), loading.Accepted))
+	assert.Equal(t, now.Add(30*time.Millisecond), p.NextPoll())
+}
+
 // TestBaseModelPollAndInspectionTimes: the first poll is at 400 ms; after 5 s the endpoint is inspected.
 func TestBaseModelPollAndInspectionTimes(t *testing.T) {
 	for after, inspected := range map[time.Duration]bool{5 * time.Second: false, 5*time.Second + 1: true} {
