Drop the planner's suspicion with its endpoint

What callers saw: no case is known; loads may be ordered from an endpoint that has ended. Cause: Plans keeps which endpoints its own instance suspects, to apply each change once, and removed no entry with its endpoint. Where the ID comes back as another incarnation and is suspected before the next review, that looked like no change. Evidence: TestSuspicionOfRemovedEndpointIsNotKept failed before: a load was ordered from the suspected endpoint; it also checks that the endpoint gets the load if it isn't suspected again. Change: RemoveEndpoint drops the entry. Measured: the test and the package's others pass.

--- a/services/entry/coordinator/plan/plan_test.go
+++ b/services/entry/coordinator/plan/plan_test.go
@@ -236,6 +236,31 @@
 	assert.Len(t, f.loads(), 1, "the ejection is over")
 }
 
+// TestSuspicionOfRemovedEndpointIsNotKept guards against a planner that takes its suspicion of a removed endpoint for one of the next
+// incarnation under the same ID, and so does not apply the latter.
+func TestSuspicionOfRemovedEndpointIsNotKept(t *testing.T) {
+	for _, suspectAgain := range []bool{false, true} {
+		f := newFixture()
+		described := f.directory.Endpoint("e1").Endpoint
+		f.directory.MarkEnded(start, "e1")
+		f.plans.Review(start, time.Second)
+		f.directory.Remove("e1", 7)
+		f.plans.RemoveEndpoint("e1", 7)
+		f.plans.Sweep(start)
+		later := start.Add(time.Minute)
+		f.plans.Sweep(later)
+		require.True(t, f.directory.Put(described, 8))
+		f.plans.SetEndpoint(later, described, 8)
+		if suspectAgain {
+			f.directory.MarkEnded(later, "e1")
+		}
+		f.plans.Review(later, time.Second)
+		f.plans.ApplyDemand(later, demandReport())
+		f.order(later)
+		assert.Equal(t, suspectAgain, len(f.loads()) == 0, "suspect again: %v", suspectAgain)
+	}
+}
+
 func TestFullEndpointGetsNoNewCopies(t *testing.T) {
 	for inFlight, loads := range map[int]int{9: 1, 10: 0, 11: 0} {
 		f := newFixture()
--- a/services/entry/coordinator/plan/plans.go
+++ b/services/entry/coordinator/plan/plans.go
@@ -179,6 +179,7 @@
 	for _, planner := range p.planners {
 		planner.RemoveEndpoint(id)
 	}
+	delete(p.ownSuspects, id)
 	delete(p.changes.Endpoints, id)
 	p.changes.Removed = append(p.changes.Removed, wire.RemovedEndpoint{ID: id, Revision: revision})
 }
