Drop gatherers that are not avoided any more

Cause: an instance keeps until when it avoids each gatherer that did not answer, and dropped no entry; each name of an instance that was ever lost as gatherer stayed. Change: avoid, which replaces two equal lines, drops the entries whose time has passed. They decided nothing any more. Evidence: by reading; the state is not visible from outside the package, so that no test of its own shows it.

--- a/services/entry/coordinator/gathering.go
+++ b/services/entry/coordinator/gathering.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
@@ -47,6 +48,12 @@
 	return gathering{avoidedUntil: make(map[string]time.Time), group: gather.NewGroup(), members: make(map[*member.Link]string)}
 }
 
+// avoid avoids a gatherer that did not answer, and drops those that are not avoided any more.
+func (g *gathering) avoid(now time.Time, gatherer string) {
+	maps.DeleteFunc(g.avoidedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	g.avoidedUntil[gatherer] = now.Add(gathererAvoidTime)
+}
+
 // currentGatherer returns the instance that gathers for this one. It returns false if none does.
 func (c *Coordinator) currentGatherer(now time.Time) (tree.Instance, bool) {
 	if c.planner != nil {
@@ -94,7 +101,7 @@
 	cancel()
 	if err != nil {
 		// Not logged: like a broken link, this is visible in the age of the totals.
-		c.loop.Call(func(now time.Time) { c.gathering.avoidedUntil[gatherer.Name] = now.Add(gathererAvoidTime) })
+		c.loop.Call(func(now time.Time) { c.gathering.avoid(now, gatherer.Name) })
 		return
 	}
 	stream := peerstream.New[wire.Message](conn)
@@ -107,7 +114,7 @@
 		unchanged := false
 		c.loop.Call(func(now time.Time) {
 			if err != nil {
-				c.gathering.avoidedUntil[gatherer.Name] = now.Add(gathererAvoidTime)
+				c.gathering.avoid(now, gatherer.Name)
 				return
 			}
 			if received.Totals != nil {
