Order adapters for a preload by ranks, and limit their number

What callers saw: no case is known; tickets of an instance with free permits waited for a scan of all rates, once a second. Cause: the scan computed two exponentials and two look-ups for each adapter asked for in the last hours; rates and base models went by age alone, 7.6 hours after a single request. Change: slow rates decay alike, so a rank from the last arrival orders them at any time; the scan compares ranks, and looks at copies and failures of a new best only. Why it works: the rank is the logarithm of the rate in seconds of its decay (TestSlowRanksOrderAdaptersBySlowRate). The test of pruned adapters reads the recorded adapters from SlowRanks now, since nothing else used Adapters.

--- a/services/daemon/placement/placer.go
+++ b/services/daemon/placement/placer.go
@@ -5,11 +5,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/daemon/sizelimit"
 	"github.com/shelfledge/shelfledge/services/daemon/placement/backoff"
 	"github.com/shelfledge/shelfledge/services/daemon/placement/popularity"
 	"github.com/shelfledge/shelfledge/services/daemon/placement/queue"
@@ -43,6 +45,7 @@
 	requestedPreloads []fleet.AdapterRef
 	// baseByAdapter holds the base model of each adapter that may be worth loading.
 	baseByAdapter    map[fleet.AdapterRef]string
+	baseLimit        sizelimit.Limit
 	lastInteractive  time.Time
 	preloadCandidate Bid
 	preloadScannedAt time.Time
@@ -68,6 +71,7 @@
 		loadsByCustomer: newCustomerLoads(),
 		prefixes:        newPrefixHints(),
 		baseByAdapter:   make(map[fleet.AdapterRef]string),
+		baseLimit:       sizelimit.New(maxBases),
 	}
 	for _, spec := range endpoints {
 		e := newEndpointState(spec)
@@ -95,7 +99,7 @@
 func (p *Placer) SetPreload(refs []fleet.AdapterRef, base func(fleet.AdapterRef) string) {
 	p.requestedPreloads = refs
 	for _, ref := range refs {
-		p.baseByAdapter[ref] = base(ref)
+		p.setBase(ref, base(ref))
 	}
 }
 
@@ -140,18 +144,34 @@
 	p.pruneBases()
 }
 
-// pruneBases drops the base models of adapters that are not worth loading: no request waits for them, none is expected and no
-// operator requested a preload.
+// maxBases is the number of adapters above which the base models of those that are not worth loading are dropped before the next prune.
+const maxBases = 32768
+
+// setBase stores the base model of an adapter that may be worth loading.
+func (p *Placer) setBase(ref fleet.AdapterRef, base string) {
+	if p.baseLimit.Exceeded(len(p.baseByAdapter)) {
+		worthLoading := p.worthLoading()
+		sizelimit.Reduce(&p.baseLimit, p.baseByAdapter, func(ref fleet.AdapterRef, _ string) (float64, bool) { return 0, !worthLoading(ref) })
+	}
+	p.baseByAdapter[ref] = base
+}
+
+// pruneBases drops the base models of adapters that are not worth loading.
 func (p *Placer) pruneBases() {
+	worthLoading := p.worthLoading()
+	maps.DeleteFunc(p.baseByAdapter, func(ref fleet.AdapterRef, _ string) bool { return !worthLoading(ref) })
+}
+
+// worthLoading returns a function that reports whether an adapter may be worth loading: a request waits for it, one is expected or an
+// operator requested a preload.
+func (p *Placer) worthLoading() func(fleet.AdapterRef) bool {
 	requested := make(map[fleet.AdapterRef]bool, len(p.requestedPreloads))
 	for _, ref := range p.requestedPreloads {
 		requested[ref] = true
 	}
-	for ref := range p.baseByAdapter {
+	return func(ref fleet.AdapterRef) bool {
 		_, waits := p.queue.Adapter(ref)
-		if !waits && !requested[ref] && !p.arrivalRates.Contains(ref) {
-			delete(p.baseByAdapter, ref)
-		}
+		return waits || requested[ref] || p.arrivalRates.Contains(ref)
 	}
 }
 
--- a/services/daemon/placement/popularity/estimates.go
+++ b/services/daemon/placement/popularity/estimates.go
@@ -5,17 +5,21 @@
 
 import (
 	"iter"
-	"maps"
 	"math"
 	"time"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/daemon/sizelimit"
 )
 
 // minRate is the rate in weighted arrivals per second below which an adapter is dropped: one arrival in 116 days. A higher rate frees memory
 // sooner but drops adapters that were requested only once.
 const minRate = 1e-7
 
+// maxAdapters is the number of adapters above which those with the lowest slow rates are dropped. A higher limit preloads more of the adapters
+// that are rarely requested, a lower one uses less memory and ends a scan sooner.
+const maxAdapters = 32768
+
 // Options configures the estimates.
 type Options struct {
 	// FastHalfLife and SlowHalfLife are the half-lives of the two rates.
@@ -30,12 +34,17 @@
 	fastMeanLife, slowMeanLife float64
 	slowWeight                 float64
 	rates                      map[fleet.AdapterRef]*rates
+	limit                      sizelimit.Limit
+	// origin is the time of the first arrival, from which the ranks count.
+	origin time.Time
 }
 
 // rates are in weighted arrivals per second, as of updatedAt.
 type rates struct {
 	fast, slow float64
 	updatedAt  time.Time
+	// slowRank orders the slow rates of all adapters at the same time. It changes with an arrival only, since all slow rates decay alike.
+	slowRank float64
 }
 
 // New returns estimates without arrivals.
@@ -45,11 +54,15 @@
 		slowMeanLife: o.SlowHalfLife.Seconds() / math.Ln2,
 		slowWeight:   o.SlowWeight,
 		rates:        make(map[fleet.AdapterRef]*rates),
+		limit:        sizelimit.New(maxAdapters),
 	}
 }
 
 // Add counts an arrival of the given weight.
 func (e *Estimates) Add(now time.Time, ref fleet.AdapterRef, weight float64) {
+	if e.origin.IsZero() {
+		e.origin = now
+	}
 	r, ok := e.rates[ref]
 	if !ok {
 		r = &rates{updatedAt: now}
@@ -58,6 +71,10 @@
 	e.decay(now, r)
 	r.fast += weight / e.fastMeanLife
 	r.slow += weight / e.slowMeanLife
+	r.slowRank = math.Log(r.slow)*e.slowMeanLife + r.updatedAt.Sub(e.origin).Seconds()
+	if e.limit.Exceeded(len(e.rates)) {
+		sizelimit.Reduce(&e.limit, e.rates, func(_ fleet.AdapterRef, r *rates) (float64, bool) { return r.slowRank, true })
+	}
 }
 
 // decay updates the rates to the given time. A time before the last update leaves them unchanged.
@@ -92,9 +109,16 @@
 	return r.slow
 }
 
-// Adapters returns all recorded adapters in no particular order.
-func (e *Estimates) Adapters() iter.Seq[fleet.AdapterRef] {
-	return maps.Keys(e.rates)
+// SlowRanks returns all recorded adapters in no particular order, each with a number that is higher for a higher slow rate. It costs much less
+// than the rates of all adapters.
+func (e *Estimates) SlowRanks() iter.Seq2[fleet.AdapterRef, float64] {
+	return func(yield func(fleet.AdapterRef, float64) bool) {
+		for ref, r := range e.rates {
+			if !yield(ref, r.slowRank) {
+				return
+			}
+		}
+	}
 }
 
 // Contains reports whether the adapter has recorded rates.
--- a/services/daemon/placement/popularity/estimates_test.go
+++ b/services/daemon/placement/popularity/estimates_test.go
@@ -4,8 +4,12 @@
 package popularity_test
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -34,6 +38,11 @@
 	return popularity.New(popularity.Options{FastHalfLife: fast, SlowHalfLife: slow, SlowWeight: 1})
 }
 
+// adaptersOf returns all recorded adapters.
+func adaptersOf(p *popularity.Estimates) []fleet.AdapterRef {
+	return slices.Collect(maps.Keys(maps.Collect(p.SlowRanks())))
+}
+
 func TestRateHalvesAfterHalfLife(t *testing.T) {
 	p := newEstimates()
 	p.Add(begin, a, 1)
@@ -74,10 +83,39 @@
 	p.Add(begin, a, 1)
 	p.Add(after(5*time.Hour), b, 1)
 	p.Prune(after(5 * time.Hour))
-	require.ElementsMatch(t, []fleet.AdapterRef{a, b}, slices.Collect(p.Adapters()), "at 1.6e-6 per second adapter a is kept")
+	require.ElementsMatch(t, []fleet.AdapterRef{a, b}, adaptersOf(p), "at 1.6e-6 per second adapter a is kept")
 	p.Prune(after(10 * time.Hour))
-	require.Equal(t, []fleet.AdapterRef{b}, slices.Collect(p.Adapters()), "below 1e-7 per second adapter a is dropped")
+	require.Equal(t, []fleet.AdapterRef{b}, adaptersOf(p), "below 1e-7 per second adapter a is dropped")
 	require.False(t, p.Contains(a))
 	require.True(t, p.Contains(b))
 	require.Zero(t, p.Rate(after(10*time.Hour), a))
 }
+
+// TestSlowRanksOrderAdaptersBySlowRate compares the ranks, which are computed at the last arrival, with the rates some time later.
+func TestSlowRanksOrderAdaptersBySlowRate(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	p := newEstimates()
+	for i := range 2000 {
+		ref := fleet.AdapterRef{Name: strconv.Itoa(random.IntN(50)), Version: 1}
+		p.Add(after(time.Duration(i)*7*time.Second), ref, float64(1+random.IntN(3)))
+	}
+	later := after(5 * time.Hour)
+	ranks := maps.Collect(p.SlowRanks())
+	require.Len(t, ranks, 50)
+	byRank := slices.SortedFunc(maps.Keys(ranks), func(x, y fleet.AdapterRef) int { return cmp.Compare(ranks[x], ranks[y]) })
+	require.True(t, slices.IsSortedFunc(byRank, func(x, y fleet.AdapterRef) int {
+		return cmp.Compare(p.SlowRate(later, x), p.SlowRate(later, y))
+	}))
+}
+
+// TestLimitKeepsAdaptersWithHighestSlowRates lets many adapters be requested once after one that was requested often.
+func TestLimitKeepsAdaptersWithHighestSlowRates(t *testing.T) {
+	const adapters = 100_000
+	p := newEstimates()
+	p.Add(begin, a, 10)
+	for i := range adapters {
+		p.Add(after(time.Duration(i)*10*time.Millisecond), fleet.AdapterRef{Name: strconv.Itoa(i), Version: 1}, 1)
+	}
+	require.True(t, p.Contains(a))
+	require.Less(t, len(adaptersOf(p)), adapters/2)
+}
--- a/services/daemon/placement/preload.go
+++ b/services/daemon/placement/preload.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 )
 
 const (
@@ -56,17 +58,27 @@
 		}
 		return best
 	}
-	best = Bid{}
-	for ref := range p.arrivalRates.Adapters() {
-		rate := p.arrivalRates.SlowRate(now, ref)
-		if rate < minPreloadRate || rate < best.Value || len(p.copies[ref]) > 0 || p.failures.Delayed(now, ref) {
+	best = p.scanForPreload(now)
+	p.preloadCandidate, p.preloadScannedAt = best, now
+	return best
+}
+
+// scanForPreload returns the adapter with the highest slow rate among all known adapters that are not loaded, the first by name among equals.
+func (p *Placer) scanForPreload(now time.Time) Bid {
+	var best fleet.AdapterRef
+	bestRank := math.Inf(-1)
+	for ref, rank := range p.arrivalRates.SlowRanks() {
+		if rank < bestRank || (rank == bestRank && ref.String() > best.String()) {
 			continue
 		}
-		if rate == best.Value && ref.String() > best.Adapter.String() {
+		if len(p.copies[ref]) > 0 || p.failures.Delayed(now, ref) {
 			continue
 		}
-		best = Bid{Adapter: ref, Value: rate, Preload: true}
+		best, bestRank = ref, rank
 	}
-	p.preloadCandidate, p.preloadScannedAt = best, now
-	return best
+	rate := p.arrivalRates.SlowRate(now, best)
+	if rate < minPreloadRate {
+		return Bid{}
+	}
+	return Bid{Adapter: best, Value: rate, Preload: true}
 }
--- a/services/daemon/placement/prune_test.go
+++ b/services/daemon/placement/prune_test.go
@@ -334,6 +334,19 @@
 	require.Less(t, retainedEntries(p), before+2, "state of a was added, that of b was pruned")
 }
 
+// TestRatesOfOneTimeAdaptersStayLimited guards against rates and base models that are kept until they decay however many there are. A placer
+// keeps both for each adapter.
+func TestRatesOfOneTimeAdaptersStayLimited(t *testing.T) {
+	const maxRetainedOfBoth = 4 * maxRetained
+	p := newPlacer(endpoint(1))
+	for i := range 2 * oneTimeKeys {
+		id := fmt.Sprint("q", i)
+		p.Submit(at(i), request(id, fmt.Sprint("a", i)))
+		p.Withdraw(at(i), id)
+	}
+	require.Less(t, retainedEntries(p), maxRetainedOfBoth)
+}
+
 // TestPrunesBasesOfIdleAdapters compares many adapters with one request each with one adapter that has the same number of requests.
 func TestPrunesBasesOfIdleAdapters(t *testing.T) {
 	after := func(adapters int) int {
--- a/services/daemon/placement/submit.go
+++ b/services/daemon/placement/submit.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	if !r.Adapter.IsZero() {
-		p.baseByAdapter[r.Adapter] = r.Base
+		p.setBase(r.Adapter, r.Base)
 	}
 	if !r.Adapter.IsZero() && r.Attempt == 0 {
 		p.arrivalRates.Add(now, r.Adapter, class.StallWeight)
