--- a/services/daemon/placement/prune_test.go
+++ b/services/daemon/placement/prune_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"reflect"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/shelfledge/shelfledge/services/daemon/placement"
 	"github.com/shelfledge/shelfledge/services/daemon/placement/backoff"
 	"github.com/shelfledge/shelfledge/services/daemon/placement/queue"
+	"github.com/shelfledge/shelfledge/tests/retained"
 )
 
 const (
@@ -29,38 +29,7 @@
 
 // retainedEntries counts the entries of all maps, slices and arrays that are reachable from v.
 func retainedEntries(v any) int {
-	seen := make(map[uintptr]bool)
-	return countEntries(reflect.ValueOf(v), seen)
-}
-
-func countEntries(v reflect.Value, seen map[uintptr]bool) int {
-	switch v.Kind() {
-	case reflect.Pointer, reflect.Map:
-		if v.IsNil() || seen[v.Pointer()] {
-			return 0
-		}
-		seen[v.Pointer()] = true
-	default:
-	}
-	sum := 0
-	switch v.Kind() {
-	case reflect.Pointer, reflect.Interface:
-		return countEntries(v.Elem(), seen)
-	case reflect.Struct:
-		for i := range v.NumField() {
-			sum += countEntries(v.Field(i), seen)
-		}
-	case reflect.Map:
-		for entries := v.MapRange(); entries.Next(); {
-			sum += 1 + countEntries(entries.Value(), seen)
-		}
-	case reflect.Slice, reflect.Array:
-		for i := range v.Len() {
-			sum += 1 + countEntries(v.Index(i), seen)
-		}
-	default:
-	}
-	return sum
+	return retained.Entries(v)
 }
 
 // tickForOneDay calls Tick every second for a day without requests.
