Answer streams twice with whole streams of events

The endpoint was told to answer twice, and answered two streams with the text "twice", which is no event. Since streams that end inside an event count as broken off, the instances reset both, rightly: their log has "broken off" by the endpoint, 33 ms after it began, and the endpoint ended both runs together 200 ms later, its pause after a repeated answer. Change: the stand-in answers a stream twice with a whole stream of one event and its content type.

--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -125,19 +125,24 @@
 // eventEnd ends each event of a stream.
 const eventEnd = "\n\n"
 
-// repeatedAnswer is the body that an endpoint which answers twice sends.
-const repeatedAnswer = "twice"
-
 // isRepeatedAnswer reports whether a body is that of an endpoint which answers twice. In a resumable stream, whole events of another
-// endpoint may precede secondAnswer.
+// endpoint may precede it.
 func (q *request) isRepeatedAnswer(body, expected string) bool {
-	before, ok := strings.CutSuffix(body, repeatedAnswer)
+	before, ok := strings.CutSuffix(body, q.repeatedAnswer())
 	if !ok || before == "" {
 		return ok
 	}
 	return q.kind == ledger.Resumable && strings.HasPrefix(expected, before) && strings.HasSuffix(before, eventEnd)
 }
 
+// repeatedAnswer returns the body that an endpoint which answers twice sends.
+func (q *request) repeatedAnswer() string {
+	if q.kind == ledger.Streaming || q.kind == ledger.Resumable {
+		return platformstandin.RepeatedEvent
+	}
+	return platformstandin.RepeatedAnswer
+}
+
 // answerDefect describes the error in a whole successful answer. It returns an empty string for a correct answer.
 func (q *request) answerDefect(seal, id, body string) string {
 	if id != q.id {
