--- a/review/1/driver/main.go
+++ b/review/1/driver/main.go
@@ -29,11 +29,12 @@
 	eventsPerStream      = 30
 	callersDeadline      = 15 * time.Second
 	// normalStep is a pause between events that is within itl_target_ms. slowness and slowFor are the largest dose of srv_slow in the site
-	// file, and one of seven engines is a share of 0.14, below its 0.16.
+	// file, and one of seven engines is a share of 0.14, below its 0.16. A slow step that has begun ends up to a second after
+	// slowFor, which is still within the 6.5 s of the site file.
 	normalStep = 200 * time.Millisecond
 	stepJitter = 300 * time.Microsecond
 	slowness   = 5
-	slowFor    = 6500 * time.Millisecond
+	slowFor    = 5400 * time.Millisecond
 	slowPause  = time.Second
 	perSecond  = 32
 	playFor    = 90 * time.Second
--- a/review/2/driver/main.go
+++ b/review/2/driver/main.go
@@ -24,10 +24,11 @@
 const (
 	exitHeld, exitBroken, exitNotRun = 0, 1, 2
 
-	host, service   = "site.example", "api"
-	servers         = 6
-	faultyServers   = 3
-	earlyShare      = 0.02
+	host, service = "site.example", "api"
+	servers       = 6
+	faultyServers = 3
+	// earlyEvery makes one of so many requests at a faulty server an early one: a share of 0.02 at most.
+	earlyEvery      = 50
 	callersPerEntry = 6
 	callersDeadline = 4 * time.Second
 	playFor         = 40 * time.Second
@@ -200,6 +201,8 @@
 	play     *play
 	id       string
 	isFaulty bool
+	// faulty counts the requests that came while the server was faulty.
+	faulty   atomic.Int64
 	listener net.Listener
 }
 
@@ -247,7 +250,7 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 2\r\n\r\n{}", s.id)
 		return err == nil
 	}
-	isEarly := s.isFaulty && time.Since(s.play.started)%spellEvery < faultyFor && rand.Float64() < earlyShare
+	isEarly := s.isFaulty && time.Since(s.play.started)%spellEvery < faultyFor && s.faulty.Add(1)%earlyEvery == 0
 	status := "200 OK"
 	if isEarly && s.play.early.Add(1)%2 == 0 {
 		status = "413 Content Too Large"
