--- a/review/1/driver/main.go
+++ b/review/1/driver/main.go
@@ -25,18 +25,19 @@
 	exitHeld, exitBroken, exitNotRun = 0, 1, 2
 
 	host, model, service = "site.example", "m0", "llm"
-	engineCount          = 7
+	engineCount          = 13
+	slowEngines          = 2
 	eventsPerStream      = 30
 	callersDeadline      = 15 * time.Second
 	// normalStep is a pause between events that is within itl_target_ms. slowness and slowFor are the largest dose of srv_slow in the site
-	// file, and one of seven engines is a share of 0.14, below its 0.16. A slow step that has begun ends up to a second after
+	// file, and two of 13 engines are a share of 0.154, below its 0.16. A slow step that has begun ends up to a second after
 	// slowFor, which is still within the 6.5 s of the site file.
 	normalStep = 200 * time.Millisecond
 	stepJitter = 300 * time.Microsecond
 	slowness   = 5
 	slowFor    = 5400 * time.Millisecond
 	slowPause  = time.Second
-	perSecond  = 32
+	perSecond  = 60
 	playFor    = 90 * time.Second
 )
 
@@ -131,20 +132,25 @@
 	}
 }
 
-// slowDown makes one engine after another slow, each for 6.5 s.
+// slowDown makes some engines at a time slow, one pair after the other.
 func slowDown(ctx context.Context, engines []*standin.Engine, record *standin.Record) {
-	for i := 0; ; i++ {
+	for first := 0; ; first += slowEngines {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(slowPause):
 		}
-		e := engines[i%len(engines)]
-		record.Linef("trouble %s works %d times as long, %d streams run there", e.ID(), slowness, e.Running())
-		e.SetSlowness(slowness)
+		for i := range slowEngines {
+			e := engines[(first+i)%len(engines)]
+			record.Linef("trouble %s works %d times as long, %d streams run there", e.ID(), slowness, e.Running())
+			e.SetSlowness(slowness)
+		}
 		time.Sleep(slowFor)
-		e.SetSlowness(1)
-		record.Linef("trouble %s works as before", e.ID())
+		for i := range slowEngines {
+			e := engines[(first+i)%len(engines)]
+			e.SetSlowness(1)
+			record.Linef("trouble %s works as before", e.ID())
+		}
 	}
 }
 
