Tell an instance's own limits from refusals of endpoints

What an instance's own bound on connections turned away was logged as "refused by the endpoint", ended by "endpoint": nothing told it from an endpoint's refusal, nor a lack of descriptors from a failed connection. Attempts now end by "connection limit" or "descriptors", the request by "limit of the instance". Gauges show open connections of callers and to endpoints, the idle ones of the latter, the limit of descriptors, and for how long operators' keys lag behind the planner's; a histogram has the waits for the control goroutine; "configuration in force" tells its source and age. Nothing is decided otherwise.

--- a/modules/callerconn/listener.go
+++ b/modules/callerconn/listener.go
@@ -53,6 +53,13 @@
 	return c, nil
 }
 
+// OpenCount returns the number of open connections.
+func (l *Listener) OpenCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.open)
+}
+
 // Close implements net.Listener. Further calls have no effect and return the error of the first call: the listener is closed by
 // a shutdown and again by the HTTP code that serves it.
 func (l *Listener) Close() error {
--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -56,6 +56,12 @@
 	// CountsAgeSeconds is the mean age of the other instances' counts of requests in flight.
 	CountsAgeSeconds    float64
 	EndpointsAgeSeconds float64
+	// ConfigurationLagSeconds is for how long the operators' keys have lacked changes that the planner has.
+	ConfigurationLagSeconds float64
+	// CallersConnections and EndpointConnections are open connections, IdleEndpointConnections those of the latter that carry no request.
+	CallersConnections, EndpointConnections, IdleEndpointConnections float64
+	// DescriptorLimit is the number of descriptors that the process may have open.
+	DescriptorLimit float64
 }
 
 // Metrics holds the counters and histograms of a process.
@@ -81,6 +87,7 @@
 	unanswered       *prometheus.CounterVec
 	// attemptsEnded counts attempts without a complete response by what ended them.
 	attemptsEnded *prometheus.CounterVec
+	controlWait   prometheus.Histogram
 }
 
 // buckets are the upper bounds of the histograms, in seconds. More buckets give a finer resolution, fewer take less memory for each class.
@@ -94,6 +101,10 @@
 // begin on a former version. More buckets show more closely how near requests come to that limit, fewer take less memory.
 var ageBuckets = []float64{.25, .5, 1, 1.5, 2, 2.5, 3, 3.5, 4, 4.5, 5, 5.5, 6, 8, 15, 60}
 
+// controlWaitBuckets are the upper bounds of the waits for the control goroutine, in seconds, up to the time in which a change must be in
+// force. More buckets give a finer resolution, fewer take less memory.
+var controlWaitBuckets = []float64{.001, .01, .1, .5, 1, 3}
+
 // New returns metrics that read gauges at each scrape.
 func New(gauges func() Gauges) *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
@@ -132,9 +143,12 @@
 		unanswered: counter("requests_unanswered_total",
 			"Requests that were read and ended without a whole answer, by the reason for which their connection ended.", "reason"),
 		attemptsEnded: counter("attempts_ended_total", "Attempts that brought no whole answer, by who ended them.", "by"),
+		controlWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "shelfledge", Name: "control_wait_seconds", Buckets: controlWaitBuckets, Help: "Wait of functions for the control goroutine.",
+		}),
 	}
 	m.registry.MustRegister(m.requests, m.failures, m.retries, m.orders, m.storeFailures, m.relayedBytes, m.linksClosed, m.recalled, m.waitSeconds, m.firstByteSeconds, m.requestSeconds, m.startRatios,
-		m.formerVersionAge, m.overdue, m.connectionsEnded, m.unanswered, m.attemptsEnded, &gaugeCollector{read: gauges})
+		m.formerVersionAge, m.overdue, m.connectionsEnded, m.unanswered, m.attemptsEnded, m.controlWait, &gaugeCollector{read: gauges})
 	return m
 }
 
@@ -205,6 +219,11 @@
 	m.recalled.Inc()
 }
 
+// ObserveControlWait records for how long a function waited for the control goroutine.
+func (m *Metrics) ObserveControlWait(waited time.Duration) {
+	m.controlWait.Observe(waited.Seconds())
+}
+
 // gaugeCollector collects all gauges with a single read.
 type gaugeCollector struct {
 	read func() Gauges
@@ -240,6 +259,11 @@
 	describe("peer_queue_bytes", "Bytes that wait to be written to peers.", func(g Gauges) float64 { return g.PeerQueueBytes }),
 	describe("counts_age_seconds", "How old the other instances' requests in flight are on the mean, as this one knows them.", func(g Gauges) float64 { return g.CountsAgeSeconds }),
 	describe("endpoints_age_seconds", "For how long the endpoints in use may have changed unnoticed.", func(g Gauges) float64 { return g.EndpointsAgeSeconds }),
+	describe("configuration_lag_seconds", "For how long this instance has lacked operators' keys that the planner has.", func(g Gauges) float64 { return g.ConfigurationLagSeconds }),
+	describe("callers_connections", "Open connections of callers.", func(g Gauges) float64 { return g.CallersConnections }),
+	describe("endpoint_connections", "Open connections to endpoints.", func(g Gauges) float64 { return g.EndpointConnections }),
+	describe("endpoint_connections_idle", "Open connections to endpoints that carry no request.", func(g Gauges) float64 { return g.IdleEndpointConnections }),
+	describe("descriptor_limit", "Descriptors that the process may have open.", func(g Gauges) float64 { return g.DescriptorLimit }),
 	describe("log_lines_suppressed", "Log lines that were not written.", func(g Gauges) float64 { return g.LogSuppressed }),
 }
 
--- a/modules/entry/upstream/client.go
+++ b/modules/entry/upstream/client.go
@@ -97,6 +97,17 @@
 	return c.dialed
 }
 
+// OpenCount returns the number of open connections, and how many of them carry no request.
+func (c *Client) OpenCount() (open, idle int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, h := range c.hosts {
+		open += h.open
+		idle += len(h.idle)
+	}
+	return open, idle
+}
+
 // Retire closes the idle connections of a key, and those in use after their exchange.
 func (c *Client) Retire(key string) {
 	c.mutex.Lock()
--- a/routers/entry/gateway/server.go
+++ b/routers/entry/gateway/server.go
@@ -243,6 +243,14 @@
 	}
 }
 
+// ConnectionCount returns the number of open connections of callers.
+func (s *Server) ConnectionCount() int {
+	if s.listener == nil {
+		return 0
+	}
+	return s.listener.OpenCount()
+}
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -207,7 +207,7 @@
 		}
 		changed = true
 		if item.Key == c.environment.ConfigurationKey {
-			c.applyConfiguration(now, item)
+			c.applyConfiguration(now, origin, item)
 			continue
 		}
 		c.applyVersion(now, origin, item)
@@ -227,7 +227,7 @@
 
 // applyConfiguration puts a configuration in force. One that cannot be parsed is logged. One with a lower version than the
 // configuration in force is ignored without a log line.
-func (c *Coordinator) applyConfiguration(now time.Time, item store.Item) {
+func (c *Coordinator) applyConfiguration(now time.Time, origin follow.Origin, item store.Item) {
 	configuration, err := c.environment.ParseConfiguration(item.Value)
 	if err != nil {
 		c.options.Log.WithError(err).WithField("revision", item.Revision).Error("the configuration cannot be read; the former one stays")
@@ -240,9 +240,9 @@
 	if c.options.ObserveConfiguration != nil {
 		c.options.ObserveConfiguration(now, configuration)
 	}
-	c.options.Log.WithFields(map[string]any{
-		"version": configuration.Version, "revision": item.Revision, "bytes": len(item.Value),
-	}).Info("configuration in force")
+	fields := originFields(now, origin)
+	fields["version"], fields["revision"], fields["bytes"] = configuration.Version, item.Revision, len(item.Value)
+	c.options.Log.WithFields(fields).Info("configuration in force")
 	if c.planner != nil {
 		c.planner.plans.SetConfiguration(now, configuration, c.versions.All())
 	}
@@ -262,15 +262,22 @@
 	}
 }
 
-// logVersion logs which version was named, from which source this instance received it, for how long it may already have
-// been acknowledged to operators, and the age that is assumed for it.
+// logVersion logs which version was named, and where this instance received it.
 func (c *Coordinator) logVersion(now time.Time, origin follow.Origin, adapter deployment.Adapter, version int64) {
-	fields := logrus.Fields{"adapter": adapter.String(), "version": version, "source": origin.Source}
+	fields := originFields(now, origin)
+	fields["adapter"], fields["version"] = adapter.String(), version
+	c.options.Log.WithFields(fields).Info("version named")
+}
+
+// originFields returns the fields of a log line on operators' keys: from which source this instance received them, for how long they may
+// already have been acknowledged to operators, and the age that is assumed for them.
+func originFields(now time.Time, origin follow.Origin) logrus.Fields {
+	fields := logrus.Fields{"source": origin.Source}
 	if silence, known := origin.TimeSinceProof(now); known {
 		fields["silence_ms"] = silence.Milliseconds()
 	}
 	if !origin.Since.IsZero() {
 		fields["age_ms"] = now.Sub(origin.Since).Milliseconds()
 	}
-	c.options.Log.WithFields(fields).Info("version named")
+	return fields
 }
--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -160,6 +160,7 @@
 		brittle:           newBrittleness(),
 		announcedDraining: make(map[deployment.EndpointID]bool),
 	}
+	c.loop.ObserveWait = options.ObserveControlWait
 	c.leases = &leasestore.Store{
 		Client: environment.Store, Instance: options.Instance, Address: options.PeerAddress,
 		Timeout: options.StoreTimeout, Now: options.Now, Failed: c.recordStoreFailure,
--- a/services/entry/coordinator/loop/loop.go
+++ b/services/entry/coordinator/loop/loop.go
@@ -10,14 +10,23 @@
 
 // Loop runs functions one after the other. It passes to each the current time at which it starts.
 type Loop struct {
-	calls chan func(now time.Time)
+	// ObserveWait is called for each function with the time for which it was queued; nil for no call. It must be set before Run.
+	ObserveWait func(time.Duration)
+
+	calls chan queued
 	done  chan struct{}
 	now   func() time.Time
 }
 
+// queued is a function that waits to run.
+type queued struct {
+	call  func(now time.Time)
+	since time.Time
+}
+
 // New returns a loop that is not running; now returns the current time.
 func New(now func() time.Time) *Loop {
-	return &Loop{calls: make(chan func(time.Time), queueSize), done: make(chan struct{}), now: now}
+	return &Loop{calls: make(chan queued, queueSize), done: make(chan struct{}), now: now}
 }
 
 // Run executes queued functions, and tick at each interval, until stop is closed.
@@ -29,19 +38,28 @@
 		select {
 		case <-stop:
 			return
-		case call := <-l.calls:
-			call(l.now())
+		case next := <-l.calls:
+			l.run(next)
 		case <-ticker.C:
 			tick(l.now())
 		}
 	}
 }
 
+// run runs a queued function.
+func (l *Loop) run(next queued) {
+	now := l.now()
+	if l.ObserveWait != nil {
+		l.ObserveWait(now.Sub(next.since))
+	}
+	next.call(now)
+}
+
 // Post queues a function without waiting for it to run. It blocks while the queue is full. After the loop has ended, the function
 // never runs.
 func (l *Loop) Post(call func(now time.Time)) {
 	select {
-	case l.calls <- call:
+	case l.calls <- queued{call: call, since: l.now()}:
 	case <-l.done:
 	}
 }
--- a/services/entry/coordinator/options.go
+++ b/services/entry/coordinator/options.go
@@ -64,6 +64,8 @@
 	// ObserveFormerVersion is called for each request that begins on a former version. It receives the time since the
 	// first newer version was named, and whether this time exceeds VersionLimit.
 	ObserveFormerVersion func(age time.Duration, overdue bool)
+	// ObserveControlWait is called for each function that the control goroutine runs, with the time for which the function was queued.
+	ObserveControlWait func(time.Duration)
 	// ObserveRecall is called for each request that is recalled from its endpoint because it has not begun in time.
 	ObserveRecall func()
 	// ObserveTunnels receives the instances through which endpoints can be reached, when they have changed.
--- a/services/entry/coordinator/status.go
+++ b/services/entry/coordinator/status.go
@@ -34,6 +34,8 @@
 	// their counts.
 	OthersInFlight int
 	CountsAge      time.Duration
+	// ConfigurationLag is for how long this instance has lacked operators' keys that the planner has.
+	ConfigurationLag time.Duration
 }
 
 // Status returns the present state. It is zero after the coordinator has stopped.
@@ -52,6 +54,7 @@
 			status.Planner, status.Term = c.options.Instance, c.planner.lease.Record().Term
 		}
 		status.StoreEra = c.storeEra
+		status.ConfigurationLag = c.situation(now).KeysLag
 		status.Limited = len(c.endpointLimits.known)
 		status.Quarantined = len(c.crashes.AllHeld(now)) + len(c.parts.AllHeld(now))
 		if !c.othersInFlightAt.IsZero() {
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -110,6 +110,7 @@
 	options.Coordinator.ObserveLinkClosed = func() { metrics.ObserveLinkClosed() }
 	options.Coordinator.ObserveFormerVersion = func(age time.Duration, overdue bool) { metrics.ObserveFormerVersion(age, overdue) }
 	options.Coordinator.ObserveRecall = func() { metrics.ObserveRecall() }
+	options.Coordinator.ObserveControlWait = func(waited time.Duration) { metrics.ObserveControlWait(waited) }
 	origins := newOrigins(options, clock, log)
 	observeOrigins(&options.Coordinator, origins)
 	options.Coordinator.ObserveTunnels = func(tunnels []wire.Tunnel) {
@@ -122,11 +123,13 @@
 	}))
 	links.OnCutOff(control.SetCutOff)
 	tunnels := newTunnelAcceptor(options, control, links, log)
-	metrics = newMetrics(control, client, writer, links, tunnels)
-	return &Process{
+	process := &Process{
 		options: options, log: log, writer: writer, client: client, control: control, clock: clock, links: links, tunnels: tunnels,
-		origins: origins, server: newServer(options, log, clock, control, origins, client, metrics, links), stopping: make(chan struct{}),
+		origins: origins, stopping: make(chan struct{}),
 	}
+	metrics = newMetrics(process)
+	process.server = newServer(options, log, clock, control, origins, client, metrics, links)
+	return process
 }
 
 // Start starts the coordinator and the gateway.
@@ -268,30 +271,42 @@
 }
 
 // newMetrics returns the metrics of a process.
-func newMetrics(control *coordinator.Coordinator, client *upstream.Client, writer *asynclog.Writer, links *connect.Connector, tunnels *tunnel.Acceptor) *metric.Metrics {
-	return metric.New(func() metric.Gauges {
-		status := control.Status()
-		gauges := metric.Gauges{
-			ConfigurationVersion: float64(status.Configuration), Endpoints: float64(status.Endpoints), Ejected: float64(status.Ejected),
-			Quarantined:    float64(status.Quarantined),
-			Resting:        float64(status.Resting),
-			Limited:        float64(status.Limited),
-			ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
-			Term: float64(status.Term), Members: float64(status.Members),
-			Connections: float64(client.DialCount()), LogSuppressed: float64(writer.Suppressed()),
-			PeerQueueBytes: float64(status.PeerQueueBytes), EndpointsAgeSeconds: status.EndpointsAge.Seconds(),
-			CountsAgeSeconds: status.CountsAge.Seconds(),
-		}
-		gauges.StoreEra = float64(status.StoreEra)
-		gauges.TunnelsOpened = float64(tunnels.Opened())
-		if status.Planning {
-			gauges.Planning = 1
-		}
-		if links.CutOff() {
-			gauges.CutOff = 1
-		}
-		return gauges
-	})
+func newMetrics(p *Process) *metric.Metrics {
+	return metric.New(func() metric.Gauges { return p.gauges() })
+}
+
+// gauges returns the values of the gauges.
+func (p *Process) gauges() metric.Gauges {
+	status := p.control.Status()
+	open, idle := p.client.OpenCount()
+	gauges := metric.Gauges{
+		ConfigurationVersion: float64(status.Configuration), Endpoints: float64(status.Endpoints), Ejected: float64(status.Ejected),
+		Quarantined: float64(status.Quarantined), Resting: float64(status.Resting), Limited: float64(status.Limited),
+		ResidentCopies: float64(status.ResidentCopies), Waiting: float64(status.Waiting), InFlight: float64(status.InFlight),
+		Term: float64(status.Term), Members: float64(status.Members),
+		Connections: float64(p.client.DialCount()), LogSuppressed: float64(p.writer.Suppressed()),
+		PeerQueueBytes: float64(status.PeerQueueBytes), EndpointsAgeSeconds: status.EndpointsAge.Seconds(),
+		CountsAgeSeconds: status.CountsAge.Seconds(), ConfigurationLagSeconds: status.ConfigurationLag.Seconds(),
+		CallersConnections: float64(p.server.ConnectionCount()), EndpointConnections: float64(open), IdleEndpointConnections: float64(idle),
+		DescriptorLimit: float64(descriptorLimit()), StoreEra: float64(status.StoreEra), TunnelsOpened: float64(p.tunnels.Opened()),
+	}
+	if status.Planning {
+		gauges.Planning = 1
+	}
+	if p.links.CutOff() {
+		gauges.CutOff = 1
+	}
+	return gauges
+}
+
+// descriptorLimit returns how many descriptors the process may have open; 0 if that is not known.
+func descriptorLimit() uint64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		// Only a gauge lacks its value.
+		return 0
+	}
+	return limit.Cur
 }
 
 func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, origins *exchange.Service, client *upstream.Client, metrics *metric.Metrics, links *connect.Connector) *gateway.Server {
--- a/services/entry/proxy/attempt/end_cause.go
+++ b/services/entry/proxy/attempt/end_cause.go
@@ -24,4 +24,8 @@
 	EndedByRecall EndCause = "take back"
 	// EndedByBodyLimit means that the request's body turned out to be too large.
 	EndedByBodyLimit EndCause = "body"
+	// EndedByConnectionLimit means that nothing was sent, since this instance has as many connections to the endpoint as it may have.
+	EndedByConnectionLimit EndCause = "connection limit"
+	// EndedByDescriptorLimit means that nothing was sent, since this process or its host has no free descriptor.
+	EndedByDescriptorLimit EndCause = "descriptors"
 )
--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -26,6 +26,9 @@
 	StreamInterrupted Reason = "stream broke off"
 	// RefusedByEndpoint means that the request certainly did not run: the endpoint reported so, or nothing could be sent.
 	RefusedByEndpoint Reason = "refused by the endpoint"
+	// LimitOfInstance means that the request certainly did not run: a limit of this instance, on its connections or descriptors, prevented the
+	// last attempt.
+	LimitOfInstance Reason = "limit of the instance"
 	// TimedOut means that the request may have run, and that its deadline has passed.
 	TimedOut Reason = "timed out"
 	// NotStartedInTime means that the request was recalled from an endpoint with a former adapter version, because it had not started
@@ -142,6 +145,8 @@
 		return Ending{Closing: Abort, Reason: StreamInterrupted}
 	case s.BodyTooLarge:
 		return BodyTooLarge
+	case !s.MayHaveRun && s.OwnLimit:
+		return Ending{Status: http.StatusServiceUnavailable, Reason: LimitOfInstance, RetryAfter: notRunRetryAfter}
 	case !s.MayHaveRun:
 		return Ending{Status: http.StatusServiceUnavailable, Reason: RefusedByEndpoint, RetryAfter: notRunRetryAfter}
 	case s.ProcessEnds:
--- a/services/entry/proxy/attempt/ending_test.go
+++ b/services/entry/proxy/attempt/ending_test.go
@@ -43,6 +43,7 @@
 		"resumed stream refused":                       {attempt.NotRun, after(resumable, mayHaveRun, headForwarded, eventForwarded), abortEnding(attempt.StreamInterrupted)},
 		"not run":                                      {attempt.NotRun, after(unsafe), refuseEnding(http.StatusServiceUnavailable, attempt.RefusedByEndpoint, notRunRetryAfter)},
 		"not run, deadline has passed":                 {attempt.NotRun, after(unsafe, withDeadline(now), contextEnded), refuseEnding(http.StatusServiceUnavailable, attempt.RefusedByEndpoint, notRunRetryAfter)},
+		"nothing sent for a limit of the instance":     {attempt.NotSent, after(unsafe, unreached(3), ownLimit), refuseEnding(http.StatusServiceUnavailable, attempt.LimitOfInstance, notRunRetryAfter)},
 		"nothing sent":                                 {attempt.NotSent, after(unsafe, unreached(3)), refuseEnding(http.StatusServiceUnavailable, attempt.RefusedByEndpoint, notRunRetryAfter)},
 		"not run, but an earlier attempt may have run": {attempt.NotRun, after(unsafe, mayHaveRun), refuseEnding(http.StatusBadGateway, attempt.NoAnswer, 0)},
 		"recalled":                             {attempt.Recalled, after(stream, mayHaveRun, recalled), refuseEnding(http.StatusBadGateway, attempt.NotStartedInTime, 0)},
--- a/services/entry/proxy/attempt/retry_test.go
+++ b/services/entry/proxy/attempt/retry_test.go
@@ -52,6 +52,8 @@
 
 func refused(s *attempt.Situation) { s.Refused = true }
 
+func ownLimit(s *attempt.Situation) { s.OwnLimit = true }
+
 func servedGone(s *attempt.Situation) { s.ServedGone = true }
 
 func onlyInPlace(s *attempt.Situation) { s.OnlyInPlace = true }
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -49,6 +49,8 @@
 	ServedGone bool
 	// Refused is set if the endpoint of the last attempt refused the request.
 	Refused bool
+	// OwnLimit is set if nothing was sent in the last attempt because of a limit of this instance.
+	OwnLimit bool
 	// MayHaveRun is set if any attempt ended without proof that the request did not run.
 	MayHaveRun bool
 	// BodyBuffered is set if the whole body is in memory, so that it can be sent again.
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -24,8 +24,12 @@
 
 // The failures of exchanges, derived from the errors of package upstream.
 const (
+	// NoFailure means that the exchange has not failed so.
+	NoFailure Failure = iota
 	// NoConnectionFree means that all allowed connections to the endpoint are in use.
-	NoConnectionFree Failure = iota
+	NoConnectionFree
+	// NoDescriptorFree means that no connection was established for want of a free descriptor at this instance.
+	NoDescriptorFree
 	// NothingWritten means that no connection was established, or that no byte of the request was written.
 	NothingWritten
 	// ConnectionRefused means that nothing listens at the endpoint's address.
@@ -34,6 +38,23 @@
 	NoHead
 )
 
+// IsOwnLimit reports whether a limit of this instance prevented the exchange, which shows nothing about the endpoint.
+func (f Failure) IsOwnLimit() bool {
+	return f == NoConnectionFree || f == NoDescriptorFree
+}
+
+// EndCause returns what ended an exchange that failed so; empty if that depends on how the exchange ended.
+func (f Failure) EndCause() EndCause {
+	switch f {
+	case NoConnectionFree:
+		return EndedByConnectionLimit
+	case NoDescriptorFree:
+		return EndedByDescriptorLimit
+	default:
+		return ""
+	}
+}
+
 // JudgeFailure returns the verdict on an exchange that failed before a response head was received.
 func JudgeFailure(failure Failure, s Situation) Verdict {
 	verdict := Verdict{Result: NotSent, Outcome: failureOutcome(s)}
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -37,6 +37,8 @@
 	// that time; both are zero before.
 	endCause  attempt.EndCause
 	silentFor time.Duration
+	// failure is how an exchange without a head failed.
+	failure attempt.Failure
 	// endpointGone is set if the endpoint ended the exchange and has refused connections since then: its process has ended.
 	endpointGone bool
 	// buffered is a complete response body that was read before any part of it was forwarded.
@@ -114,7 +116,8 @@
 	})
 	if err != nil {
 		defer e.discard()
-		return attempt.JudgeFailure(failureOf(err), e.situationAt(e.startPosition)), false
+		e.failure = failureOf(err)
+		return attempt.JudgeFailure(e.failure, e.situationAt(e.startPosition)), false
 	}
 	e.response = response
 	return e.judgeHead()
@@ -145,6 +148,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrNoConnection):
 		return attempt.NoConnectionFree
+	case upstream.NotSent(err) && isDescriptorShortage(err):
+		return attempt.NoDescriptorFree
 	case upstream.NotSent(err) && errors.Is(err, syscall.ECONNREFUSED):
 		return attempt.ConnectionRefused
 	case upstream.NotSent(err):
@@ -154,6 +159,11 @@
 	}
 }
 
+// isDescriptorShortage reports whether a system call failed because this process, or its host, has no free descriptor.
+func isDescriptorShortage(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // judgeHead evaluates the head of a response. If no part of the response can be forwarded, begun is false and the verdict applies.
 func (e *exchange) judgeHead() (verdict attempt.Verdict, begun bool) {
 	httpResponse := e.response.Response
--- a/services/entry/proxy/exchange_end.go
+++ b/services/entry/proxy/exchange_end.go
@@ -55,6 +55,8 @@
 	switch {
 	case errors.As(cause, &ended):
 		return ended.by
+	case e.failure.EndCause() != "":
+		return e.failure.EndCause()
 	case errors.Is(cause, ErrProcessEnds):
 		return attempt.EndedByShutdown
 	case !now.Before(e.inflight.request.Deadline):
--- a/services/entry/proxy/inflight.go
+++ b/services/entry/proxy/inflight.go
@@ -37,8 +37,8 @@
 	sentCount      int
 	unreachedCount int
 	inPlaceCount   int
-	// lastRefused is set if the endpoint of the last attempt refused the request.
-	lastRefused bool
+	// lastRefused is set if the endpoint of the last attempt refused the request, lastLimited if a limit of this instance prevented that attempt.
+	lastRefused, lastLimited bool
 	// lastServed is the endpoint whose events were forwarded last; empty for none. software is that of the endpoint whose events were
 	// forwarded first; empty if unknown.
 	lastServed deployment.EndpointID
@@ -68,6 +68,7 @@
 		r.recall = next.assignment.Recall
 		result := next.do()
 		r.recordResult(result, first)
+		r.lastLimited = next.failure.IsOwnLimit()
 		if next.endpointGone {
 			r.lastGone = next.assignment.Endpoint.ID
 		}
@@ -178,7 +179,7 @@
 // situationAt returns the situation for a caller that has received the response up to a position.
 func (r *inflight) situationAt(received position) attempt.Situation {
 	return attempt.Situation{
-		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sentCount, Unreached: r.unreachedCount, InPlace: r.inPlaceCount, ServedGone: r.lastGone != "" && r.lastGone == r.lastServed, Refused: r.lastRefused, MayHaveRun: r.mayHaveRun,
+		Route: r.request.Route, Deadline: r.request.Deadline, Sent: r.sentCount, Unreached: r.unreachedCount, InPlace: r.inPlaceCount, ServedGone: r.lastGone != "" && r.lastGone == r.lastServed, Refused: r.lastRefused, OwnLimit: r.lastLimited, MayHaveRun: r.mayHaveRun,
 		BodyBuffered: r.body.remainder == nil, HeadForwarded: received.headForwarded, EventForwarded: received.lastEvent != "",
 		OnlyInPlace: received.onlyInPlace(), BodyTooLarge: r.body.tooLarge(), Recalled: r.recall.Fired(), CallerLeft: r.callerLeft(), ContextEnded: r.context.Err() != nil,
 		ProcessEnds: r.processEnds(),
