--- a/services/entry/coordinator/configuration.go
+++ b/services/entry/coordinator/configuration.go
@@ -240,9 +240,7 @@
 	if c.options.ObserveConfiguration != nil {
 		c.options.ObserveConfiguration(now, configuration)
 	}
-	fields := originFields(now, origin)
-	fields["version"], fields["revision"], fields["bytes"] = configuration.Version, item.Revision, len(item.Value)
-	c.options.Log.WithFields(fields).Info("configuration in force")
+	c.logConfiguration(now, origin, configuration.Version, item)
 	if c.planner != nil {
 		c.planner.plans.SetConfiguration(now, configuration, c.versions.All())
 	}
@@ -262,22 +260,28 @@
 	}
 }
 
-// logVersion logs which version was named, and where this instance received it.
-func (c *Coordinator) logVersion(now time.Time, origin follow.Origin, adapter deployment.Adapter, version int64) {
-	fields := originFields(now, origin)
-	fields["adapter"], fields["version"] = adapter.String(), version
-	c.options.Log.WithFields(fields).Info("version named")
+// logConfiguration logs which configuration is in force, from which source this instance received it, for how long it may already have
+// been acknowledged to operators, and the age that is assumed for it.
+func (c *Coordinator) logConfiguration(now time.Time, origin follow.Origin, version int64, item store.Item) {
+	fields := logrus.Fields{"version": version, "revision": item.Revision, "bytes": len(item.Value), "source": origin.Source}
+	if silence, known := origin.TimeSinceProof(now); known {
+		fields["silence_ms"] = silence.Milliseconds()
+	}
+	if !origin.Since.IsZero() {
+		fields["age_ms"] = now.Sub(origin.Since).Milliseconds()
+	}
+	c.options.Log.WithFields(fields).Info("configuration in force")
 }
 
-// originFields returns the fields of a log line on operators' keys: from which source this instance received them, for how long they may
-// already have been acknowledged to operators, and the age that is assumed for them.
-func originFields(now time.Time, origin follow.Origin) logrus.Fields {
-	fields := logrus.Fields{"source": origin.Source}
+// logVersion logs which version was named, from which source this instance received it, for how long it may already have
+// been acknowledged to operators, and the age that is assumed for it.
+func (c *Coordinator) logVersion(now time.Time, origin follow.Origin, adapter deployment.Adapter, version int64) {
+	fields := logrus.Fields{"adapter": adapter.String(), "version": version, "source": origin.Source}
 	if silence, known := origin.TimeSinceProof(now); known {
 		fields["silence_ms"] = silence.Milliseconds()
 	}
 	if !origin.Since.IsZero() {
 		fields["age_ms"] = now.Sub(origin.Since).Milliseconds()
 	}
-	return fields
+	c.options.Log.WithFields(fields).Info("version named")
 }
