Test that few instances with most connections serve their callers

Thirty instances before twelve endpoints that accept 60 connections each and reset what is beyond; 100 callers of streams keep some nine tenths of the slots busy, and from a moment on nine in ten of them go to three instances.

--- a/tests/platform/skewed_connections_test.go
+++ b/tests/platform/skewed_connections_test.go
@@ -21,6 +21,13 @@
 	// skewedCallers is the number of callers of each kind, skewedShare the part of them that goes to one instance.
 	skewedCallers = 20
 	skewedShare   = 0.9
+	// manyInstances is the size of a site where each instance's part of an endpoint's connections is small, and fewInstances the number of
+	// instances that skewedShare of the connections go to.
+	manyInstances, fewInstances = 30, 3
+	// endpointConnections is how many connections an endpoint accepts.
+	endpointConnections = 60
+	// busyCallers is how many callers keep the endpoints of a service busy, with some nine tenths of their slots in use.
+	busyCallers = 100
 	// minSkewedShare is how often requests must be served at the first attempt, compared with before.
 	minSkewedShare = 0.75
 )
@@ -78,3 +85,44 @@
 		})
 	}
 }
+
+// TestFewInstancesWithMostConnectionsServeTheirCallers guards against an instance that refuses callers for want of its part of an endpoint's
+// connections while the other instances use none of theirs.
+func TestFewInstancesWithMostConnectionsServeTheirCallers(t *testing.T) {
+	t.Parallel()
+	c := newCrashSite(t, manyInstances, 12)
+	c.store.Put(standin.ConfigurationKey, standin.WithMaxConnections(standin.Configuration(2, nil), endpointConnections))
+	c.waitForInitialWorkersGone()
+	for _, worker := range c.restarting {
+		worker.setRoom(standin.Room{MaxConnections: endpointConnections})
+	}
+	var isSkewed atomic.Bool
+	var requests soundRequests
+	for range busyCallers {
+		c.repeatRandomly(80*time.Millisecond, func() {
+			request := call{path: standin.StreamPrefix + "x?events=5&pause_ms=40", header: map[string]string{"X-Model": standin.Model}}
+			request.entry = rand.IntN(len(c.entries))
+			if isSkewed.Load() && rand.Float64() < skewedShare {
+				request.entry = rand.IntN(fewInstances)
+			}
+			status := c.try(request).Status
+			requests.sent.Add(1)
+			if status == http.StatusOK {
+				requests.served.Add(1)
+			}
+		})
+	}
+	time.Sleep(contactTime)
+	before := requests.during(measuredTime)
+	isSkewed.Store(true)
+	time.Sleep(contactTime)
+	during := requests.during(measuredTime)
+	c.end()
+	resets := 0
+	for _, worker := range c.restarting {
+		resets += worker.current().ResetConnections()
+	}
+	t.Logf("served at the first attempt: %.3f before, %.3f while most go to few instances; %d connections reset by endpoints", before, during, resets)
+	assert.GreaterOrEqual(t, during, minSkewedShare*before)
+	assert.Zero(t, resets, "connections beyond those that an endpoint accepts")
+}
--- a/tests/platformstandin/site.go
+++ b/tests/platformstandin/site.go
@@ -82,6 +82,14 @@
 	return configuration
 }
 
+// WithMaxConnections sets in a configuration how many connections each worker accepts.
+func WithMaxConnections(configuration map[string]any, limit int) map[string]any {
+	for _, service := range configuration["services"].([]map[string]any) {
+		service["max_connections"] = limit
+	}
+	return configuration
+}
+
 // WithPausingRoutes adds two routes to a configuration, one that may be resumed and one that may not. With the given timeout, the streams of
 // the routes may pause for longer than callers usually wait at the target latency of the routes.
 func WithPausingRoutes(configuration map[string]any, timeout time.Duration) map[string]any {
--- a/tests/platformstandin/stallable_conn.go
+++ b/tests/platformstandin/stallable_conn.go
@@ -14,6 +14,8 @@
 
 	mutex sync.Mutex
 	open  map[*stallableConn]bool
+	// limit is the number of connections that may be open; 0 means no limit. resets counts those beyond it.
+	limit, resets int
 }
 
 func newStallableListener(listener net.Listener) *stallableListener {
@@ -22,15 +24,43 @@
 
 // Accept implements net.Listener.
 func (l *stallableListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if accepted := l.add(conn); accepted != nil {
+			return accepted, nil
+		}
+		resetConnection(conn)
 	}
-	stallable := &stallableConn{Conn: conn, listener: l, stalled: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// add returns a new connection, or nil if too many are open.
+func (l *stallableListener) add(conn net.Conn) net.Conn {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.limit > 0 && len(l.open) >= l.limit {
+		l.resets++
+		return nil
+	}
+	stallable := &stallableConn{Conn: conn, listener: l, stalled: make(chan struct{}), closed: make(chan struct{})}
 	l.open[stallable] = true
-	return stallable, nil
+	return stallable
+}
+
+// setLimit sets how many connections may be open; 0 means no limit.
+func (l *stallableListener) setLimit(limit int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.limit = limit
+}
+
+// resetCount returns how many connections were reset because too many were open.
+func (l *stallableListener) resetCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.resets
 }
 
 // stallOpen stalls all open connections permanently.
@@ -91,9 +121,13 @@
 
 // resetConnection resets a connection of a worker.
 func resetConnection(conn net.Conn) {
+	direct := conn
 	if stallable, ok := conn.(*stallableConn); ok {
+		direct = stallable.Conn
+	}
+	if tcp, ok := direct.(*net.TCPConn); ok {
 		// A connection that has already ended needs no reset.
-		_ = stallable.Conn.(*net.TCPConn).SetLinger(0)
+		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
 }
--- a/tests/platformstandin/worker_room.go
+++ b/tests/platformstandin/worker_room.go
@@ -13,6 +13,8 @@
 type Room struct {
 	// Slots is the number of requests that run at once, and Queue the number of those that wait for a slot.
 	Slots, Queue int
+	// MaxConnections is the number of connections that are open at once; any beyond it is reset. 0 means no limit.
+	MaxConnections int
 	// Brittle is the value of the header that all answers have, the number of requests that the worker can reject in a second; 0 for no
 	// header.
 	Brittle int
@@ -45,9 +47,15 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.room.Room = room
+	w.connections.setLimit(room.MaxConnections)
 	w.announceFreeSlot()
 }
 
+// ResetConnections returns how many connections were reset because too many were open.
+func (w *Worker) ResetConnections() int {
+	return w.connections.resetCount()
+}
+
 // Rejected returns how many requests were rejected for want of room.
 func (w *Worker) Rejected() int {
 	w.mutex.Lock()
