Let connections to endpoints follow demand instead of the number of instances

Callers of instances that most new connections go to got 503 ("refused by the endpoint", now "limit of the instance") within milliseconds, though they had seconds and the endpoints had free slots.

Cause: an instance might have max_connections / members open to an endpoint, idle or in use, whoever had the callers: 2 of 60 at each endpoint with thirty instances. Three endpoints at this bound in a row ended the request.

Change: what needs a share is only what is kept without a request. Each instance keeps the same few (half of what the endpoint accepts, over all instances); connections with requests may be as many as the others neither use, by the planner's counts, nor keep. The bound is part of the choice of an endpoint: a request waits, as it does for a slot, and is refused as "endpoints crowded" at the end of its wait.

TestCheckRespectsConnectionLimit names the connection that it wants kept.

--- a/modules/entry/upstream/client.go
+++ b/modules/entry/upstream/client.go
@@ -62,6 +62,9 @@
 type host struct {
 	idle []*connection
 	open int
+	// maxKept is how many connections may be open when one is kept after its exchange; unlimited reports that all are.
+	maxKept   int
+	unlimited bool
 	// retired hosts close each connection after its exchange.
 	retired bool
 }
@@ -73,6 +76,8 @@
 	Address netip.AddrPort
 	// MaxConnections bounds the open connections of the key; 0 means no bound.
 	MaxConnections int
+	// MaxKept is how many connections of the key may be open when one of them is kept after its exchange; only used with MaxConnections.
+	MaxKept int
 }
 
 // unacknowledgedTimeout is how long sent bytes may stay unacknowledged by the endpoint's kernel: a link that loses packets needs some
@@ -160,6 +165,7 @@
 	now := c.options.Now()
 	c.mutex.Lock()
 	h := c.host(target.Key)
+	h.maxKept, h.unlimited = target.MaxKept, target.MaxConnections == 0
 	for len(h.idle) > 0 {
 		last := len(h.idle) - 1
 		conn := h.idle[last]
@@ -243,11 +249,11 @@
 	return newConnection(conn), nil
 }
 
-// release returns a connection to the idle connections.
+// release returns a connection to the idle connections, or closes it if too many are open.
 func (c *Client) release(h *host, conn *connection) {
 	conn.idleSince = c.options.Now()
 	c.mutex.Lock()
-	if h.retired {
+	if h.retired || (!h.unlimited && h.open > h.maxKept) {
 		c.mutex.Unlock()
 		c.discard(h, conn)
 		return
--- a/modules/entry/upstream/refusal_check_test.go
+++ b/modules/entry/upstream/refusal_check_test.go
@@ -99,7 +99,7 @@
 	defer func() { _ = listener.Close() }()
 	var dials atomic.Int64
 	client := newCountingClient(&dials)
-	target := upstream.Target{Key: "k", Address: listener.Addr().(*net.TCPAddr).AddrPort(), MaxConnections: 1}
+	target := upstream.Target{Key: "k", Address: listener.Addr().(*net.TCPAddr).AddrPort(), MaxConnections: 1, MaxKept: 1}
 	assert.False(t, client.Refuses(t.Context(), target))
 	assert.EqualValues(t, 1, client.DialCount())
 	client.CloseIdle(time.Now().Add(time.Second))
--- a/modules/entry/upstream/upstream_test.go
+++ b/modules/entry/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -280,3 +281,23 @@
 	exchange(t, client, upstream.Call{Target: e.target(), Request: request("")})
 	assert.Equal(t, int64(2), e.accepted.Load())
 }
+
+func TestConnectionsBeyondKeptOnesAreClosed(t *testing.T) {
+	release := make(chan struct{})
+	e := newEndpoint(t, func(int64) string { <-release; return okResponse("", "x") })
+	client := newClient()
+	target := e.target()
+	target.MaxConnections, target.MaxKept = 10, 2
+	var exchanges sync.WaitGroup
+	for range 5 {
+		exchanges.Go(func() { exchange(t, client, upstream.Call{Target: target, Request: request("")}) })
+	}
+	for e.requests.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	exchanges.Wait()
+	open, idle := client.OpenCount()
+	assert.Equal(t, 2, open)
+	assert.Equal(t, 2, idle)
+}
--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -60,6 +60,8 @@
 	// Brittle is set if the endpoints of the service fall over if they reject too many requests. Members is the number of instances then.
 	Brittle bool
 	Members int
+	// Connections bounds this instance's connections to each endpoint of the service.
+	Connections limit.Connections
 	// Bound is set if endpoints of the service are excluded because they run another software than the request requires.
 	Bound bool
 	// Tried are the endpoints to which this instance already sent the request.
@@ -154,10 +156,16 @@
 	}
 }
 
-// hasRoom reports whether this instance may send a request to an endpoint as far as that must not reject too many. A stream that is resumed at
-// its endpoint has had a place there.
+// hasRoom reports whether this instance may send a request to an endpoint as far as that must not reject too many, and accepts only so many
+// connections. A stream that is resumed at its endpoint has had a place and a connection there.
 func (o *Options) hasRoom(now time.Time, required *Requirement, endpoint *directory.EndpointStatus) bool {
-	if !required.Brittle || required.Request.OnlyEndpoint != "" {
+	if required.Request.OnlyEndpoint != "" {
+		return true
+	}
+	if !required.Connections.Admits(endpoint.OwnRequests, endpoint.OthersRequests) {
+		return false
+	}
+	if !required.Brittle {
 		return true
 	}
 	load := limit.Load{
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -17,6 +17,7 @@
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/waiting"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/directory"
+	"github.com/shelfledge/shelfledge/services/entry/limit"
 	"github.com/shelfledge/shelfledge/services/entry/work"
 )
 
@@ -40,8 +41,9 @@
 	// Version is the version that the endpoint must hold: the one that the endpoint offers, which is the named version or
 	// a newer one. 0 requires none.
 	Version int64
-	// MaxConnections bounds this instance's connections to the endpoint.
-	MaxConnections int
+	// MaxConnections bounds this instance's connections to the endpoint, MaxKept those that are open while one is kept without a request. Without
+	// MaxConnections neither is bounded.
+	MaxConnections, MaxKept int
 	// Urgency is the priority level that the endpoint is to give the request; the lowest level is served first.
 	Urgency int
 	// Expected is the expected time until the endpoint's first event, computed from the prompts that wait there and the
@@ -166,10 +168,11 @@
 	c.observeSoftware(now)
 	named := c.versions.Latest(w.Adapter)
 	former, formerWait := c.versions.FormerVersion(now, w.Adapter, c.options.VersionLimit)
+	connections := c.connectionLimit(w.Service)
 	required := balance.Requirement{
 		Request: w.Request, Tried: w.Tried, Version: named, FormerVersion: former, FormerWait: formerWait,
 		Bound:   c.boundSoftware(w.Request) != "",
-		Brittle: c.isBrittle(w.Service), Members: c.fleetSize(),
+		Brittle: c.isBrittle(w.Service), Members: c.fleetSize(), Connections: connections,
 		OthersKnown: c.planner != nil || c.follower.Fresh(now), OthersAge: now.Sub(c.othersInFlightAt), MeanInFlightTime: c.directory.MeanInFlightTime(w.Service),
 	}
 	status, verdict := balance.Choose(now, c.directory.Service(w.Service), required, balance.NewOptions(c.options.Hall, c.options.Random))
@@ -182,7 +185,7 @@
 	c.directory.Begin(now, status.ID, w.Request)
 	c.crashes.RecordSent(w.Fingerprint)
 	assignment := Assignment{
-		Endpoint: status.Endpoint, MaxConnections: c.connectionShare(w.Service), Waited: now.Sub(w.Since), Assigned: now,
+		Endpoint: status.Endpoint, MaxConnections: connections.Accepted, MaxKept: connections.Kept(), Waited: now.Sub(w.Since), Assigned: now,
 		Urgency: c.urgency(now, w.Request, status), HeldVersion: held, FormerVersion: formerUse, Recall: c.trackPendingStart(w.Request, status.ID, held),
 		status: status,
 	}
@@ -219,17 +222,13 @@
 	return rank.Urgency(slack)
 }
 
-// connectionShare returns this instance's share of the connections that an endpoint accepts.
-func (c *Coordinator) connectionShare(service string) int {
-	configuration := c.current.Load()
-	if configuration == nil {
-		return 0
-	}
-	description, ok := configuration.Services[service]
-	if !ok || description.MaxConnections == 0 {
-		return 0
+// connectionLimit returns what bounds this instance's connections to each endpoint of a service.
+func (c *Coordinator) connectionLimit(service string) limit.Connections {
+	connections := limit.Connections{Members: max(c.follower.Members, defaultMembers)}
+	if configuration := c.current.Load(); configuration != nil && configuration.Services[service] != nil {
+		connections.Accepted = configuration.Services[service].MaxConnections
 	}
-	return max(1, description.MaxConnections/max(c.follower.Members, defaultMembers))
+	return connections
 }
 
 // keepWaiting reports whether a request continues to wait. If it does not, the request was refused.
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -123,10 +123,12 @@
 	return e.judgeHead()
 }
 
-// target returns the endpoint's address and connection limit for package upstream.
+// target returns the endpoint's address and connection limits for package upstream.
 func (e *exchange) target() upstream.Target {
 	endpoint := e.assignment.Endpoint
-	return upstream.Target{Key: string(endpoint.ID), Address: endpoint.Address, MaxConnections: e.assignment.MaxConnections}
+	return upstream.Target{
+		Key: string(endpoint.ID), Address: endpoint.Address, MaxConnections: e.assignment.MaxConnections, MaxKept: e.assignment.MaxKept,
+	}
 }
 
 // situation returns the input for the decisions of package attempt on the request and this exchange.
