Bound callers' connections so that an instance keeps descriptors

Cause: nothing bounded callers' connections, which may rest for 15 s, and nothing read how many descriptors the platform allows (limits.max_fds, of which 200 are for files). Whoever opened a connection took the last descriptor from all others of the process.

Change: callers' connections may use half of the descriptors beside a reserve of an eighth, at least 32; the other half is for the connection that each request needs to its endpoint. From three quarters of that on, connections end with their answers. At the bound, idle ones end, the longest idle first, as they do at a stop (a request that has arrived is served); where none is idle, new ones wait to be accepted. An attempt that got no descriptor counts no longer against its endpoint.

Why it works: only callers' connections grow with where the callers are; what the reserve is for does not.

The stand-in store: a call whose body was not read was left waiting for good where the store was silent, since net/http then does not notice the end of its connection; httptest's Close waited for it.

--- a/modules/callerconn/conn.go
+++ b/modules/callerconn/conn.go
@@ -39,6 +39,8 @@
 	idleSince time.Time
 	// shuttingDown makes the connection end as soon as no received bytes are left to read.
 	shuttingDown bool
+	// endingEarly makes an idle connection end in the same way, to make room for others.
+	endingEarly bool
 	// readDeadline is the read deadline set by net/http. interrupted is set if that deadline had already passed when it was set: net/http
 	// does so to end a read at once.
 	readDeadline time.Time
@@ -83,7 +85,7 @@
 	if c.idle && c.reused && deadline.IsZero() {
 		deadline = now.Add(c.listener.options.MaxIdleTime())
 	}
-	c.idle = false
+	c.idle, c.endingEarly = false, false
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
@@ -95,7 +97,7 @@
 		return false
 	}
 	next := now.Add(finalReadWindow)
-	if end := c.idleSince.Add(c.listener.options.MaxIdleTime()); c.idle && c.reused && !c.shuttingDown && now.Before(end) {
+	if end := c.idleSince.Add(c.listener.options.MaxIdleTime()); c.idle && c.reused && !c.endsSoon() && now.Before(end) {
 		// The idle timeout was raised while the connection was idle.
 		next = end
 	} else if c.finalRead {
@@ -111,6 +113,8 @@
 func (c *Conn) recordIdleEnd() {
 	switch {
 	case !c.idle || c.reason != "":
+	case c.endingEarly:
+		c.reason = ReasonConnectionLimit
 	case c.shuttingDown:
 		c.reason = ReasonShutdown
 	case c.reused:
@@ -142,7 +146,7 @@
 	switch {
 	case !c.idle:
 		return c.readDeadline
-	case c.shuttingDown && c.reused:
+	case c.endingEarly, c.shuttingDown && c.reused:
 		return now.Add(finalReadWindow)
 	case c.shuttingDown:
 		return now.Add(firstRequestWindow)
@@ -153,6 +157,11 @@
 	}
 }
 
+// endsSoon reports whether the connection ends before its idle timeout; the caller holds the mutex.
+func (c *Conn) endsSoon() bool {
+	return c.shuttingDown || c.endingEarly
+}
+
 // startIdle marks the connection as idle after a response. net/http then sets the read deadline.
 func (c *Conn) startIdle(now time.Time) {
 	c.mutex.Lock()
--- a/modules/callerconn/listener.go
+++ b/modules/callerconn/listener.go
@@ -15,6 +15,8 @@
 type Options struct {
 	// MaxIdleTime returns how long a connection may be idle after a response; the value may change at any time.
 	MaxIdleTime func() time.Duration
+	// MaxOpen is how many connections may be open; 0 means no limit.
+	MaxOpen int
 	// OnClose is called with the report of each connection that has ended, and must not block.
 	OnClose func(Report)
 	Now     func() time.Time
@@ -28,6 +30,10 @@
 	mutex        sync.Mutex
 	open         map[*Conn]bool
 	shuttingDown bool
+	// changed is signaled when a connection ends or becomes idle, and when the listener is closed.
+	changed *sync.Cond
+	// closed is set once the listener is closed.
+	closed bool
 	// drained is closed once the listener is shutting down and no connection is open.
 	drained chan struct{}
 	// closeOnce closes the listener once; closeErr is the error of that call.
@@ -37,11 +43,14 @@
 
 // NewListener returns a Listener that accepts connections from listener.
 func NewListener(listener *net.TCPListener, options Options) *Listener {
-	return &Listener{TCPListener: listener, options: options, open: make(map[*Conn]bool), drained: make(chan struct{})}
+	l := &Listener{TCPListener: listener, options: options, open: make(map[*Conn]bool), drained: make(chan struct{})}
+	l.changed = sync.NewCond(&l.mutex)
+	return l
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. While as many connections are open as allowed, it ends idle ones and accepts none.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.waitForRoom()
 	conn, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
@@ -63,7 +72,13 @@
 // Close implements net.Listener. Further calls have no effect and return the error of the first call: the listener is closed by
 // a shutdown and again by the HTTP code that serves it.
 func (l *Listener) Close() error {
-	l.closeOnce.Do(func() { l.closeErr = l.TCPListener.Close() })
+	l.closeOnce.Do(func() {
+		l.closeErr = l.TCPListener.Close()
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.closed = true
+		l.changed.Broadcast()
+	})
 	return l.closeErr
 }
 
@@ -113,6 +128,7 @@
 	switch state {
 	case http.StateIdle:
 		c.startIdle(l.options.Now())
+		l.signalChange()
 	case http.StateClosed, http.StateHijacked:
 		l.remove(c)
 	}
@@ -122,6 +138,7 @@
 func (l *Listener) remove(c *Conn) {
 	l.mutex.Lock()
 	delete(l.open, c)
+	l.changed.Broadcast()
 	l.signalIfDrained()
 	l.mutex.Unlock()
 	l.options.OnClose(c.report())
--- a/modules/callerconn/report.go
+++ b/modules/callerconn/report.go
@@ -14,6 +14,8 @@
 	ReasonIdleTimeout Reason = "idle limit"
 	// ReasonShutdown means that the connection was idle when the process shut down, or that the shutdown cut off a request.
 	ReasonShutdown Reason = "stopping"
+	// ReasonConnectionLimit means that the connection was idle and was ended since too many were open.
+	ReasonConnectionLimit Reason = "connection limit"
 	// ReasonClosedByCaller means that the caller closed or reset the connection.
 	ReasonClosedByCaller Reason = "caller"
 	// ReasonAborted means that a handler aborted its response on purpose.
--- a/modules/entry/metric/metrics.go
+++ b/modules/entry/metric/metrics.go
@@ -105,16 +105,19 @@
 // force. More buckets give a finer resolution, fewer take less memory.
 var controlWaitBuckets = []float64{.001, .01, .1, .5, 1, 3}
 
+// namespace is the prefix of the names of all metrics.
+const namespace = "shelfledge"
+
 // New returns metrics that read gauges at each scrape.
 func New(gauges func() Gauges) *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "shelfledge", Name: name, Help: help}, labels)
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
 	plain := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "shelfledge", Name: name, Help: help})
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
 	}
 	histogram := func(name, help string) *prometheus.HistogramVec {
-		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "shelfledge", Name: name, Help: help, Buckets: buckets}, []string{"class"})
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, []string{"class"})
 	}
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
@@ -131,11 +134,11 @@
 		firstByteSeconds: histogram("first_byte_seconds", "Time to the head of the answer."),
 		requestSeconds:   histogram("request_seconds", "Time to the end of the answer."),
 		startRatios: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "shelfledge", Name: "start_ratio", Buckets: ratioBuckets,
+			Namespace: namespace, Name: "start_ratio", Buckets: ratioBuckets,
 			Help: "Time until a request with a declared prompt ran at its endpoint, over the time that was expected.",
 		}, []string{"class"}),
 		formerVersionAge: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "shelfledge", Name: "former_version_age_seconds", Buckets: ageBuckets,
+			Namespace: namespace, Name: "former_version_age_seconds", Buckets: ageBuckets,
 			Help: "How long a newer version had been known when a request began on a former one.",
 		}),
 		overdue:          plain("former_version_overdue_total", "Requests that began on a former version after its time."),
@@ -144,7 +147,7 @@
 			"Requests that were read and ended without a whole answer, by the reason for which their connection ended.", "reason"),
 		attemptsEnded: counter("attempts_ended_total", "Attempts that brought no whole answer, by who ended them.", "by"),
 		controlWait: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "shelfledge", Name: "control_wait_seconds", Buckets: controlWaitBuckets, Help: "Wait of functions for the control goroutine.",
+			Namespace: namespace, Name: "control_wait_seconds", Buckets: controlWaitBuckets, Help: "Wait of functions for the control goroutine.",
 		}),
 	}
 	m.registry.MustRegister(m.requests, m.failures, m.retries, m.orders, m.storeFailures, m.relayedBytes, m.linksClosed, m.recalled, m.waitSeconds, m.firstByteSeconds, m.requestSeconds, m.startRatios,
@@ -236,7 +239,7 @@
 }
 
 func describe(name, help string, value func(Gauges) float64) gauge {
-	return gauge{description: prometheus.NewDesc("shelfledge_"+name, help, nil, nil), value: value}
+	return gauge{description: prometheus.NewDesc(namespace+"_"+name, help, nil, nil), value: value}
 }
 
 var allGauges = []gauge{
--- a/routers/entry/gateway/server.go
+++ b/routers/entry/gateway/server.go
@@ -28,6 +28,8 @@
 	// Handler serves callers, MetricsHandler serves metrics.
 	Handler        http.Handler
 	MetricsHandler http.Handler
+	// MaxConnections is how many connections of callers may be open; 0 means no limit.
+	MaxConnections int
 	// IsReady reports whether the instance is ready for requests, for the load balancer's check.
 	IsReady func() bool
 	// Limits returns the limits in force; nil before a configuration is known.
@@ -128,7 +130,7 @@
 // was unanswered.
 func (s *Server) connectionEnded(report callerconn.Report) {
 	s.options.ObserveConnection(string(report.Reason), report.Unanswered)
-	if report.Unanswered == 0 || (report.Reason != callerconn.ReasonIdleTimeout && report.Reason != callerconn.ReasonShutdown) {
+	if report.Unanswered == 0 || !isOwnClose(report.Reason) {
 		return
 	}
 	s.options.Log.WithFields(logrus.Fields{
@@ -136,6 +138,11 @@
 	}).Error("a caller's connection was closed before all its requests were answered")
 }
 
+// isOwnClose reports whether this instance ended a connection that seemed to be idle.
+func isOwnClose(reason callerconn.Reason) bool {
+	return reason == callerconn.ReasonIdleTimeout || reason == callerconn.ReasonShutdown || reason == callerconn.ReasonConnectionLimit
+}
+
 // Start starts to listen on all addresses.
 func (s *Server) Start() error {
 	callers, err := net.Listen("tcp4", s.options.Callers.String())
@@ -144,7 +151,7 @@
 	}
 	// net.Listen returns a TCPListener for the network tcp4.
 	s.listener = callerconn.NewListener(callers.(*net.TCPListener), callerconn.Options{
-		MaxIdleTime: s.idleLimit, OnClose: s.connectionEnded, Now: s.options.Now,
+		MaxIdleTime: s.idleLimit, MaxOpen: s.options.MaxConnections, OnClose: s.connectionEnded, Now: s.options.Now,
 	})
 	go s.serve(s.callers, s.listener)
 	ready := &http.Server{Handler: http.HandlerFunc(s.serveReadiness), ReadHeaderTimeout: headerTimeout}
@@ -183,11 +190,16 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// Leaving reports whether a shutdown has started, so that connections close after their response.
+// Leaving reports whether a shutdown has started.
 func (s *Server) Leaving() bool {
 	return s.stopping.Load() != 0
 }
 
+// ClosesConnections reports whether each connection closes after its response: during a shutdown, and while too many are open.
+func (s *Server) ClosesConnections() bool {
+	return s.Leaving() || s.listener.Crowded()
+}
+
 // ShouldRefuse reports whether a new request of a kind is refused because it could not be answered completely before the process ends.
 func (s *Server) ShouldRefuse(kind deployment.RouteKind) bool {
 	began := s.stopping.Load()
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -47,6 +47,8 @@
 	// Tunnels is where the process opens tunnels to endpoints for other instances; not valid if it opens none.
 	Tunnels netip.AddrPort
 	Metrics netip.AddrPort
+	// MaxSockets is how many sockets the process may have open; 0 if the platform does not tell it.
+	MaxSockets int
 	// Grace is the time from the termination signal to the kill.
 	Grace    time.Duration
 	LogLevel logrus.Level
@@ -299,22 +301,12 @@
 	return gauges
 }
 
-// descriptorLimit returns how many descriptors the process may have open; 0 if that is not known.
-func descriptorLimit() uint64 {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		// Only a gauge lacks its value.
-		return 0
-	}
-	return limit.Cur
-}
-
 func newServer(options Options, log *logrus.Entry, clock *clock.Clock, control *coordinator.Coordinator, origins *exchange.Service, client *upstream.Client, metrics *metric.Metrics, links *connect.Connector) *gateway.Server {
 	var server *gateway.Server
 	service := proxy.New(proxy.Options{
 		Now: clock.Now, Timer: clock.TimerTime, WithDeadline: clock.WithDeadline, Random: rand.Float64, Log: log,
 		ShouldRefuse: func(kind deployment.RouteKind) bool { return server.ShouldRefuse(kind) },
-		Leaving:      func() bool { return server.Leaving() },
+		Leaving:      func() bool { return server.ClosesConnections() },
 		LinkBroken:   links.LinkBroken,
 		Observe:      func(o proxy.Observation) { metrics.ObserveRequest(metricRequest(o)) },
 	}, proxy.Control{
@@ -327,6 +319,7 @@
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
 		MetricsHandler: withQuarantineRoutes(metrics.Handler(), control, log),
+		MaxConnections: callerConnectionLimit(options.MaxSockets, descriptorLimit()),
 		IsReady:        control.Ready, Now: time.Now, Log: log, ObserveConnection: metrics.ObserveConnection,
 		CutOffCause: proxy.ErrProcessEnds,
 		Limits: func() *deployment.Limits {
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -66,7 +66,7 @@
 	switch {
 	case failure == NoHead:
 		verdict.Result = unansweredResult(s)
-	case failure == NoConnectionFree:
+	case failure.IsOwnLimit():
 		verdict.Outcome = directory.Neutral
 	case failure == ConnectionRefused && verdict.Outcome == directory.Broken:
 		verdict.Outcome = directory.Unreachable
--- a/services/entry/proxy/attempt/verdict_test.go
+++ b/services/entry/proxy/attempt/verdict_test.go
@@ -22,6 +22,7 @@
 		verdict   attempt.Verdict
 	}{
 		"no connection free":                                {attempt.NoConnectionFree, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
+		"no descriptor free":                                {attempt.NoDescriptorFree, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"no connection free, caller disconnected":           {attempt.NoConnectionFree, after(safe, callerLeft), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Neutral}},
 		"nothing written":                                   {attempt.NothingWritten, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Broken}},
 		"connection refused":                                {attempt.ConnectionRefused, after(safe), attempt.Verdict{Result: attempt.NotSent, Outcome: directory.Unreachable}},
--- a/tests/platformstandin/store_calls.go
+++ b/tests/platformstandin/store_calls.go
@@ -18,7 +18,11 @@
 	faults, limited, era := s.faults, s.exceedsRate(), s.era
 	s.mutex.Unlock()
 	if faults.Silent {
-		<-request.Context().Done()
+		// While the body is not read, the end of the connection does not end the context.
+		select {
+		case <-request.Context().Done():
+		case <-s.closed:
+		}
 		return
 	}
 	setEra(writer, era)
