Make the handler the only reader of a body that is uploaded

An endpoint that answered before it had read a long body got the rest with up to 256 KiB missing, mostly ended as complete: wrong data, stored for good.

Cause: the upload and net/http's server read from one body. When a head is written before the body's end, net/http drops up to 256 KiB of it first, unless it is told that the handler goes on reading.

Change: it is told so where a body is not held whole (EnableFullDuplex). After the handler net/http may drain the rest; by then the connection to the endpoint is closed unless the whole request was written on it.

--- a/services/entry/proxy/response_writer.go
+++ b/services/entry/proxy/response_writer.go
@@ -79,6 +79,12 @@
 	_ = w.controller.SetReadDeadline(w.timerAt(deadline))
 }
 
+// takeBody makes the handler the only reader of the caller's body: otherwise net/http also reads from it when a response is written before
+// the end of the body, and drops what it reads. After the handler net/http may drain the body, when no attempt reads it any more.
+func (w *responseWriter) takeBody() error {
+	return w.controller.EnableFullDuplex()
+}
+
 const (
 	// writeMargin is the time after the request's deadline during which its response may still be written, so that a time-out response
 	// reaches the caller. A longer time tolerates slower connections; a shorter one releases sooner a request whose caller does not
--- a/services/entry/proxy/unread_body.go
+++ b/services/entry/proxy/unread_body.go
@@ -27,6 +27,9 @@
 		return requestBody{}, err
 	}
 	if body.remainder != nil {
+		if err := response.takeBody(); err != nil {
+			return requestBody{}, err
+		}
 		response.setReadDeadline(deadline.Add(remainderReadMargin))
 		return body, nil
 	}
