Search for another endpoint only while its silence lasts

A caller of a stream that may be resumed got one event twice within one answer, the second time from another endpoint.

Cause: a hedge's timer that had fired as the endpoint's next event came could no longer be stopped; its search began after the event, from the position before it, nothing canceled it, and the other endpoint's answer took over. Besides, a search that was canceled and ended late swallowed the timer of the next silence, which then had no hedge.

Change: a small state (silence) under the hedge's mutex says what may begin. No search begins, and none takes over, once the silence that it was for has ended; positions change only between silences. A timer that fires while a canceled search ends is remembered.

--- a/services/entry/proxy/export_test.go
+++ b/services/entry/proxy/export_test.go
@@ -3,6 +3,8 @@
 
 package proxy
 
+import "context"
+
 // EventBuffer gives tests access to the splitting of a stream into events.
 type EventBuffer struct {
 	events *eventBuffer
@@ -32,3 +34,12 @@
 func (b EventBuffer) LastID() string {
 	return b.events.lastEventID
 }
+
+// BeginsSearchAfterPause reports whether a hedge begins a search whose timer fired before the endpoint sent data, but which takes its turn
+// only after that.
+func BeginsSearchAfterPause() bool {
+	h := &hedge{primary: &exchange{inflight: &inflight{context: context.Background()}}}
+	h.pause()
+	_, _, begun := h.beginSearch()
+	return begun
+}
--- a/services/entry/proxy/hedge.go
+++ b/services/entry/proxy/hedge.go
@@ -31,8 +31,10 @@
 	// cancelSearch cancels the active search, and searchDone is closed when it has ended; both are nil if no search is active.
 	cancelSearch context.CancelFunc
 	searchDone   chan struct{}
-	// sending is set while the request is being sent to another endpoint; closed is set when no further search may start.
-	sending, closed bool
+	// sending is set while the request is being sent to another endpoint.
+	sending bool
+	// silence decides whether a search may begin.
+	silence silence
 	// winner is the exchange at another endpoint whose response has started; nil for none. failed are the attempts that did not lead
 	// to a response.
 	winner *exchange
@@ -57,6 +59,7 @@
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.silence.end()
 	h.stopLocked()
 	return h.winner == nil
 }
@@ -69,6 +72,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.resumePosition = h.primary.inflight.position()
+	h.silence.begin()
 	h.armLocked()
 }
 
@@ -76,7 +80,7 @@
 func (h *hedge) armLocked() {
 	after, ok := attempt.HedgeDelay(h.primary.inflight.service.options.Now(), h.situation())
 	switch {
-	case !ok || h.closed:
+	case !ok || !h.silence.maySearch():
 	case h.timer == nil:
 		h.timer = time.AfterFunc(after, h.search)
 	default:
@@ -121,7 +125,7 @@
 func (h *hedge) close(wait bool) <-chan struct{} {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.closed = true
+	h.silence.close()
 	if !wait || !h.sending {
 		h.stopLocked()
 	}
@@ -139,7 +143,7 @@
 func (h *hedge) beginSearch() (ctx context.Context, resumePosition position, begun bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.closed || h.winner != nil || h.cancelSearch != nil {
+	if h.winner != nil || !h.silence.beginSearch() {
 		return nil, position{}, false
 	}
 	ctx, h.cancelSearch = context.WithCancel(h.primary.inflight.context)
@@ -168,7 +172,7 @@
 }
 
 // finishSearch marks the active search as ended. If the search found no successor and was not canceled, the timer for the next one is
-// started.
+// started. If the timer fired for a later silence meanwhile, the search for that one follows at once.
 func (h *hedge) finishSearch(ctx context.Context) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -177,7 +181,12 @@
 	h.cancelSearch, h.sending = nil, false
 	close(h.searchDone)
 	h.searchDone = nil
-	if h.winner == nil && !canceled {
+	due := h.silence.endSearch()
+	switch {
+	case h.winner != nil:
+	case due:
+		go h.search()
+	case !canceled:
 		h.armLocked()
 	}
 }
@@ -247,7 +256,7 @@
 func (h *hedge) takeOver(ctx context.Context, next *exchange) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || h.silence.ended {
 		return false
 	}
 	h.winner = next
