Use no connection again whose answer did not tell its request

A request on a route that may run once got 503 and had run, where an endpoint sent a refusal without the request's id a second time, late: the copy came in the place of the next request's answer.

Cause: an answer without an id counted as one to whatever request was on the connection.

Change: such an answer is the last one of its connection (upstream.Call.Identified), so that none that comes later can be its copy. What an answer without an id proves stays as it was, since it is the first one of its kind on its connection: a refusal is retried at once.

Evidence: TestLateCopyOfAnswerWithoutIDIsNotTakenForNextAnswer failed 3 of 3 before, passed 3 of 3 after.

--- a/modules/entry/upstream/exchange.go
+++ b/modules/entry/upstream/exchange.go
@@ -26,6 +26,9 @@
 	Request *http.Request
 	// AnswersRequest reports whether the head of an answer belongs to this request; nil accepts every answer.
 	AnswersRequest func(http.Header) bool
+	// Identified reports whether the head of an answer tells its request; nil means that each does. A copy of an answer that does not may arrive
+	// late and be taken for the next one, so that nothing may follow on its connection.
+	Identified func(http.Header) bool
 }
 
 // Answer is the head of an endpoint's answer. Close must be called on it.
@@ -38,7 +41,9 @@
 	detachContext func() bool
 	framing       Framing
 	bodyRead      bool
-	once          sync.Once
+	// identified is set if the head tells which request the answer belongs to.
+	identified bool
+	once       sync.Once
 }
 
 // Do sends a request once and waits for the head of the answer. The exchange ends with the context, also while the body is read. Do returns
@@ -71,6 +76,7 @@
 		return nil, &ExchangeError{Stage: Sent, Cause: err}
 	}
 	answer.Response, answer.framing = response, framingOf(response)
+	answer.identified = call.Identified == nil || call.Identified(response.Header)
 	return answer, nil
 }
 
@@ -183,8 +189,8 @@
 	return a.conn.reader.Buffered() > 0
 }
 
-// Close ends the exchange. The connection is reused only if the answer was read to its end, no further bytes followed, and the whole
-// request was written.
+// Close ends the exchange. The connection is reused only if the answer was read to its end and tells its request, no further bytes followed, and
+// the whole request was written.
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		a.client.endExchange(a.conn)
@@ -203,7 +209,7 @@
 	if !a.bodyRead || a.Response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if a.framing == ByClose {
+	if a.framing == ByClose || !a.identified {
 		return false
 	}
 	return a.requestWritten()
--- a/modules/entry/upstream/upstream_test.go
+++ b/modules/entry/upstream/upstream_test.go
@@ -301,3 +301,31 @@
 	assert.Equal(t, 2, open)
 	assert.Equal(t, 2, idle)
 }
+
+// TestLateCopyOfAnswerWithoutIDIsNotTakenForNextAnswer guards against a request that is told not to have run by the copy of a refusal of the
+// request before.
+func TestLateCopyOfAnswerWithoutIDIsNotTakenForNextAnswer(t *testing.T) {
+	var e *endpoint
+	e = newEndpoint(t, func(number int64) string {
+		switch {
+		case number == 1:
+			return okResponse("", "refused")
+		case e.accepted.Load() == 1:
+			return okResponse("", "refused") + okResponse("mine", "ran")
+		default:
+			return okResponse("mine", "ran")
+		}
+	})
+	client := newClient()
+	call := upstream.Call{
+		Target: e.target(), Request: request(""),
+		AnswersRequest: func(header http.Header) bool { return header.Get("Id") == "" || header.Get("Id") == "mine" },
+		Identified:     func(header http.Header) bool { return header.Get("Id") != "" },
+	}
+	assert.Equal(t, "refused", exchange(t, client, call))
+	for range 3 {
+		call.Request = request("")
+		assert.Equal(t, "ran", exchange(t, client, call))
+	}
+	assert.Equal(t, int64(2), e.accepted.Load(), "connections whose answers tell their request are kept")
+}
--- a/services/entry/proxy/dialect.go
+++ b/services/entry/proxy/dialect.go
@@ -53,6 +53,8 @@
 	// AnswersRequest reports whether a response belongs to the request with the given id; a connection may still deliver the response
 	// to an earlier request.
 	AnswersRequest func(id string, header http.Header) bool
+	// Identified reports whether a response tells which request it belongs to.
+	Identified func(header http.Header) bool
 	// NotRun reports whether a response proves that the request did not run and will not run.
 	NotRun func(status int, header http.Header) bool
 	// FromEndpoint reports whether a successful response carries the endpoint's identifying header; otherwise an intermediary sent
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -113,6 +113,7 @@
 		AnswersRequest: func(header http.Header) bool {
 			return r.service.dialect.AnswersRequest(r.caller.ID, header)
 		},
+		Identified: r.service.dialect.Identified,
 	})
 	if err != nil {
 		defer e.discard()
