Count a tunnel as open before net/http gives up its connection

Requests that another instance sends through a tunnel could be cut off by a planned stop just after the tunnel was opened.

Cause: a tunnel counted as open only after its answer was written; net/http, which waits for the connections that it has, had given this one up before. A stop in between waited for neither.

The package's tests and those of services/entry/connect pass under the race detector.

--- a/modules/entry/tunnel/acceptor.go
+++ b/modules/entry/tunnel/acceptor.go
@@ -115,29 +115,39 @@
 // openedAnswer is the answer to a CONNECT request whose tunnel is open. It is written without net/http, which would announce a body.
 const openedAnswer = "HTTP/1.1 200 OK\r\n\r\n"
 
-// connect answers a CONNECT request and copies bytes between its connection and the endpoint.
+// connect answers a CONNECT request and copies bytes between its connection and the endpoint. The tunnel counts as open before net/http gives
+// up the connection, so that Drain waits for it at any moment.
 func (a *Acceptor) connect(writer http.ResponseWriter, endpoint net.Conn) {
+	a.open.Add(1)
+	tunnel := a.answer(writer, endpoint)
+	if tunnel == nil || !a.start(tunnel) {
+		a.open.Add(-1)
+	}
+}
+
+// answer answers a CONNECT request and returns its tunnel, or nil if none was opened.
+func (a *Acceptor) answer(writer http.ResponseWriter, endpoint net.Conn) *splice {
 	caller, buffered, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
 		a.options.Log.WithError(err).Error("a tunnel cannot be opened")
 		closeIgnoringError(endpoint)
-		return
+		return nil
 	}
 	tunnel := newSplice(caller, endpoint)
 	if buffered.Reader.Buffered() > 0 {
 		// The other instance sends its first request only after the answer.
 		tunnel.reset()
-		return
+		return nil
 	}
 	if _, err := caller.Write([]byte(openedAnswer)); err != nil {
 		tunnel.reset()
-		return
+		return nil
 	}
-	a.start(tunnel)
+	return tunnel
 }
 
-// start starts a tunnel unless the acceptor is closed.
-func (a *Acceptor) start(tunnel *splice) {
+// start starts a tunnel and returns true, unless the acceptor is closed.
+func (a *Acceptor) start(tunnel *splice) bool {
 	a.mutex.Lock()
 	closed := a.closed
 	if !closed {
@@ -146,9 +156,8 @@
 	a.mutex.Unlock()
 	if closed {
 		tunnel.reset()
-		return
+		return false
 	}
-	a.open.Add(1)
 	a.opened.Add(1)
 	tunnel.run(func() {
 		a.open.Add(-1)
@@ -156,6 +165,7 @@
 		defer a.mutex.Unlock()
 		delete(a.tunnels, tunnel)
 	})
+	return true
 }
 
 // Drain accepts no more tunnels and waits until the open ones have ended or the context ends. A stop must not cut off the requests of
