Test what the loss of all instances does to streams, crash evidence and limits

The users report streams that were joined from two software versions after all instances were killed at once.

Cause: what all instances know is gone when all are lost at once.

--- a/tests/platform/taken_up_test.go
+++ b/tests/platform/taken_up_test.go
@@ -351,6 +351,7 @@
 		"the caller's link breaks":    func(*site, int) {},
 		"the instance is killed":      (*site).kill,
 		"the other instances restart": (*site).restartOthers,
+		"all instances restart":       func(s *site, _ int) { s.restartAll() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/platformstandin/site.go
+++ b/tests/platformstandin/site.go
@@ -88,6 +88,16 @@
 	return configuration
 }
 
+// WithLoadRate sets in a configuration how many loads a second the weight store allows.
+func WithLoadRate(configuration map[string]any, perSecond float64) map[string]any {
+	for _, service := range configuration["services"].([]map[string]any) {
+		if engine, ok := service["engine"].(map[string]any); ok {
+			engine["loads_per_s"] = perSecond
+		}
+	}
+	return configuration
+}
+
 // WithPausingRoutes adds two routes to a configuration, one that may be resumed and one that may not. With the given timeout, the streams of
 // the routes may pause for longer than callers usually wait at the target latency of the routes.
 func WithPausingRoutes(configuration map[string]any, timeout time.Duration) map[string]any {
