--- a/modules/daemon/kv/client.go
+++ b/modules/daemon/kv/client.go
@@ -60,7 +60,7 @@
 }
 
 const (
-	// maxResponseBytes bounds a response, in bytes, so that a faulty service cannot exhaust the memory.
+	// maxResponseBytes bounds a response and each message of a watch, in bytes, so that a faulty service cannot exhaust the memory.
 	maxResponseBytes = 32 << 20
 	// defaultTimeout bounds a call if the options set no timeout.
 	defaultTimeout = 2 * time.Second
@@ -165,9 +165,11 @@
 	return readWatch(resp.Body, onEvent)
 }
 
-func readWatch(in io.Reader, onEvent func(WatchEvent) bool) error {
+func readWatch(body io.Reader, onEvent func(WatchEvent) bool) error {
+	in := &messageReader{body: body}
 	d := json.NewDecoder(in)
 	for {
+		in.left = maxResponseBytes
 		var m WatchResponse
 		if err := d.Decode(&m); err != nil {
 			return ErrNotDone{Call: "watch", Reason: err.Error()}
@@ -183,6 +185,23 @@
 	}
 }
 
+// messageReader reads a body of several messages, each of which is bounded.
+type messageReader struct {
+	body io.Reader
+	// left is how many bytes may still be read for the present message.
+	left int
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(buffer []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, bounded.ErrTooLong
+	}
+	n, err := r.body.Read(buffer[:min(len(buffer), r.left)])
+	r.left -= n
+	return n, err
+}
+
 func (c *Client) read(ctx context.Context, path string, in, out any) error {
 	c.counts.reads.Add(1)
 	return c.call(ctx, path, c.reads, in, out)
--- a/modules/daemon/peerlink/codec.go
+++ b/modules/daemon/peerlink/codec.go
@@ -8,6 +8,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/grpc/encoding"
+
+	"github.com/shelfledge/shelfledge/modules/messagepack"
 )
 
 // codecName is the gRPC content subtype of all calls and streams between instances.
@@ -26,7 +28,7 @@
 
 // Unmarshal implements encoding.Codec.
 func (codec) Unmarshal(data []byte, v any) error {
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	if err := messagepack.Unmarshal(data, v); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
 	return nil
--- a/modules/daemon/peerlink/link.go
+++ b/modules/daemon/peerlink/link.go
@@ -32,6 +32,8 @@
 	ClientCredentials credentials.TransportCredentials
 	// Blocked, if set, reports whether messages to an address are dropped, for tests of network partitions.
 	Blocked func(to netip.AddrPort) bool
+	// MaxSilence is how long the next whole message of an open stream may take; zero means defaultMaxSilence.
+	MaxSilence time.Duration
 	// Now returns the current time, by which the age of queued envelopes is measured; nil means time.Now.
 	Now func() time.Time
 }
@@ -67,6 +69,9 @@
 	maxMessageBytes = 33554432
 	// peerIdleTimeout is how long the connection to a peer is kept after the last envelope was sent to it.
 	peerIdleTimeout = 2 * time.Minute
+	// defaultMaxSilence is how long a receiver waits for the next whole message of a stream: as long as a sender may be idle and then take for two
+	// of the largest messages. A longer time tolerates other senders, a shorter one frees the memory of a message that does not end sooner.
+	defaultMaxSilence = 11 * time.Minute
 	// reconnectDelay is the delay before the first attempt to reconnect. Each further delay is backoffGrowth times longer, up to maxBackoff,
 	// and is varied at random by the fraction backoffJitter, so that peers do not all reconnect at once.
 	reconnectDelay = 100 * time.Millisecond
@@ -84,6 +89,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.MaxSilence <= 0 {
+		o.MaxSilence = defaultMaxSilence
+	}
 	l := &Links{options: o, peers: make(map[netip.AddrPort]*peer)}
 	creds := o.ServerCredentials
 	if creds == nil {
@@ -104,6 +112,10 @@
 	l.options.Receive(e)
 }
 
+func (l *Links) maxSilence() time.Duration {
+	return l.options.MaxSilence
+}
+
 func (l *Links) answer(ctx context.Context, q Question) (Answer, error) {
 	return l.options.Answer(ctx, q)
 }
--- a/modules/daemon/peerlink/service.go
+++ b/modules/daemon/peerlink/service.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 )
@@ -39,6 +42,8 @@
 // handler receives the messages of the service.
 type handler interface {
 	receive(fleet.Envelope)
+	// maxSilence is how long the next whole message of a stream may take.
+	maxSilence() time.Duration
 	answer(ctx context.Context, q Question) (Answer, error)
 }
 
@@ -49,13 +54,35 @@
 	Methods:     []grpc.MethodDesc{{MethodName: "Ask", Handler: serveAsk}},
 }
 
+// servePush receives until the stream ends, or until no whole message has come for the maximum silence. gRPC then ends the stream, and with it the
+// goroutine that reads.
 func servePush(srv any, stream grpc.ServerStream) error {
+	h := srv.(handler)
+	silent := make(chan struct{})
+	timer := time.AfterFunc(h.maxSilence(), func() { close(silent) })
+	defer timer.Stop()
+	ended := make(chan error, 1)
+	go func() { ended <- receiveAll(h, stream, timer) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-silent:
+		return status.Errorf(codes.DeadlineExceeded, "no whole message within %s", h.maxSilence())
+	}
+}
+
+// receiveAll receives messages until the stream ends, and starts the timer anew after each. A timer that has expired is not started again.
+func receiveAll(h handler, stream grpc.ServerStream, timer *time.Timer) error {
 	for {
 		var e fleet.Envelope
 		if err := stream.RecvMsg(&e); err != nil {
 			return err
 		}
-		srv.(handler).receive(e)
+		running := timer.Stop()
+		h.receive(e)
+		if running {
+			timer.Reset(h.maxSilence())
+		}
 	}
 }
 
--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shelfledge/shelfledge/modules/messagepack"
 )
 
 const (
@@ -156,7 +158,7 @@
 	if _, err := io.ReadFull(s.reader, body); err != nil {
 		return message, err
 	}
-	err := msgpack.Unmarshal(body, &message)
+	err := messagepack.Unmarshal(body, &message)
 	return message, err
 }
 
--- a/modules/entry/peerstream/stream_test.go
+++ b/modules/entry/peerstream/stream_test.go
@@ -4,6 +4,7 @@
 package peerstream_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/modules/entry/peerstream"
+	"github.com/shelfledge/shelfledge/modules/messagepack"
 )
 
 type testMessage struct {
@@ -103,6 +105,20 @@
 	assert.ErrorIs(t, err, peerstream.ErrTooLarge)
 }
 
+// TestMessageNestedWithoutEndEndsOnlyItsStream guards against a message that ends the process that receives it.
+func TestMessageNestedWithoutEndEndsOnlyItsStream(t *testing.T) {
+	const nested = 8<<20 - 10
+	left, right := connPair(t)
+	stream := peerstream.New[testMessage](right)
+	defer stream.Close()
+	message := append([]byte("\x81\xa5Other"), bytes.Repeat([]byte{0x91}, nested)...)
+	go func() {
+		_, _ = left.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(message))), message...))
+	}()
+	_, err := stream.Receive(5*time.Second, time.Now)
+	assert.ErrorIs(t, err, messagepack.ErrTooDeep)
+}
+
 // TestQueueIsBoundedInBytes queues few but large messages, so that the limit of messages does not apply.
 func TestQueueIsBoundedInBytes(t *testing.T) {
 	left, _ := net.Pipe()
--- a/services/entry/lease/record.go
+++ b/services/entry/lease/record.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shelfledge/shelfledge/modules/messagepack"
 )
 
 // Record is the stored record of the lease.
@@ -60,7 +62,7 @@
 // DecodeRecord decodes the stored form of a record.
 func DecodeRecord(value []byte) (Record, error) {
 	var record Record
-	err := msgpack.Unmarshal(value, &record)
+	err := messagepack.Unmarshal(value, &record)
 	return record, err
 }
 
