Keep in the store which softwares served lately and where streams began

Callers saw, after a kill of all instances: every stream that was taken up was refused (LOST) where two softwares served, and joined in silence with the other software, answered 200 (ORDER), where its own had just left.

Cause: the places where streams began were known to instances alone, and all of them were lost at once; and instances that had just started took what they had never seen for a proof that one software had served.

One software counts as the only one only where an instance has read that since its start and observes the endpoints. A stream that is sent on before its first event keeps to its first software. Nobody who cannot prove one software joins: it refuses, not run.

--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -32,6 +32,8 @@
 	Found Result
 	// Sightings are the softwares of the services in question that the instance knows.
 	Sightings []Sighting
+	// Complete is set if the instance has read the archive since it started, and has observed the endpoints since.
+	Complete bool
 }
 
 // DecideLocally decides from what this instance knows itself: what its table has, which softwares have been known within the window, and
@@ -47,8 +49,10 @@
 	}
 }
 
-// Decide decides from the answers of other instances and the softwares that this one knows, all of them known within the window.
-func Decide(known []Sighting, answers []Answer) Result {
+// Decide decides from the answers of other instances and the softwares that this one knows, all of them known within the window. Complete is set if
+// this instance has read the archive since it started, and has observed the endpoints since. A software is taken for the only one only if an
+// instance has: the others may all have started after another software left, or be cut off from where another one serves.
+func Decide(known []Sighting, complete bool, answers []Answer) Result {
 	found := Result{Verdict: Unknown}
 	for _, answer := range answers {
 		found = combine(found, answer.Found)
@@ -56,6 +60,12 @@
 	if found.Verdict != Unknown {
 		return found
 	}
+	for _, answer := range answers {
+		complete = complete || answer.Complete
+	}
+	if !complete {
+		return found
+	}
 	return decideSole(known, answers)
 }
 
--- a/services/entry/origin/doc.go
+++ b/services/entry/origin/doc.go
@@ -8,7 +8,11 @@
 // instances, the holders, and an instance that lacks the origin of a stream asks the holders. Both choose them by rendezvous hashing over
 // the same list of instances, so that they agree although the list changes. What no instance knows is not guessed.
 //
+// All instances can be lost at once. Package archive keeps in the store which softwares served lately and, while several do, where streams began;
+// few instances (Holders.Archiver) write for all. A software is taken for the only one only where an instance has read the archive since it started.
+//
 // The package has the records of an instance (Table), which softwares have been known (History), the choice of instances to tell and to ask
 // (Holders), and the decision over what is known (DecideLocally, Decide). It has no input or output, starts no goroutine, takes the present
-// time as an argument and is not safe for concurrent use, except for Holders, which never changes. Package exchange carries its messages.
+// time as an argument and is not safe for concurrent use, except for Holders, which never changes. Package exchange carries its messages, and reads
+// and writes the archive.
 package origin
--- /dev/null
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -0,0 +1,157 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+	"github.com/shelfledge/shelfledge/services/entry/origin/archive"
+)
+
+const (
+	// minReadInterval is the shortest time between the starts of two readings. It grows by readIntervalFactor with each reading that brings
+	// nothing new, up to maxReadInterval. A higher value spares the store, a lower one serves more streams that are taken up.
+	minReadInterval    = 250 * time.Millisecond
+	maxReadInterval    = 4 * time.Second
+	readIntervalFactor = 2
+)
+
+// archiveReader is the state of the readings of the archive. The service's mutex guards it.
+type archiveReader struct {
+	wake chan struct{}
+	// done is closed at the end of the reading that is under way, nil if none is.
+	done chan struct{}
+	// nextAt is when the next reading may start, interval the time to wait from the start of the next one.
+	nextAt   time.Time
+	interval time.Duration
+	// requestedAt is when a reading was last asked for, readAt when the last one that succeeded began.
+	requestedAt time.Time
+	readAt      time.Time
+	// learned is the revision up to which the softwares have been learned. They would count as younger if they were learned again.
+	learned int64
+	failing bool
+}
+
+func newArchiveReader() archiveReader {
+	return archiveReader{wake: make(chan struct{}, 1), interval: minReadInterval}
+}
+
+// request lets the archive be read as soon as that is allowed.
+func (r *archiveReader) request(now time.Time) {
+	r.requestedAt = now
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runArchiveReader reads the archive at each request, until that succeeds.
+func (s *Service) runArchiveReader() {
+	for {
+		select {
+		case <-s.stopped:
+			return
+		case <-s.reader.wake:
+		}
+		pause := minReadInterval
+		for s.readArchive(s.context, s.options.Now()); !s.hasRead(); s.readArchive(s.context, s.options.Now()) {
+			select {
+			case <-s.stopped:
+				return
+			case <-time.After(pause):
+			}
+			pause = min(readIntervalFactor*pause, maxReadInterval)
+		}
+	}
+}
+
+// readArchive waits for a reading of the archive. It returns at once if the last one was too short ago.
+func (s *Service) readArchive(ctx context.Context, now time.Time) {
+	if s.options.Archive == nil {
+		return
+	}
+	s.mutex.Lock()
+	done := s.reader.done
+	switch {
+	case done != nil:
+	case now.Before(s.reader.nextAt):
+		s.mutex.Unlock()
+		return
+	default:
+		done = make(chan struct{})
+		s.reader.done, s.reader.nextAt = done, now.Add(s.reader.interval)
+		go s.readOnce(now, done)
+	}
+	s.mutex.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-s.stopped:
+	}
+}
+
+// readOnce reads the archive and closes done.
+func (s *Service) readOnce(now time.Time, done chan struct{}) {
+	content, err := s.options.Archive.Read(s.context, now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reader.done = nil
+	close(done)
+	s.counters.ArchiveReads++
+	changed := s.reader.failing != (err != nil)
+	s.reader.failing = err != nil
+	if err != nil {
+		s.counters.ArchiveErrors++
+		if changed && s.context.Err() == nil {
+			s.options.Log.WithError(err).Warn("where streams began cannot be read from the store")
+		}
+		return
+	}
+	s.reader.readAt = now
+	s.addContent(s.options.Now(), content)
+}
+
+// addContent adds what the archive knows to what this instance knows.
+func (s *Service) addContent(now time.Time, content archive.Content) {
+	if content.Unreadable > 0 {
+		s.options.Log.WithField("entries", content.Unreadable).Warn("the store has entries on streams that this version cannot read")
+	}
+	s.complete = content.IsComplete() && s.hasReadSinceObserved()
+	s.writer.request()
+	for _, stated := range content.Served {
+		if stated.Revision > s.reader.learned {
+			s.learnAll(now, stated.Softwares)
+		}
+	}
+	s.reader.learned = max(s.reader.learned, content.Revision)
+	s.reader.interval = min(readIntervalFactor*s.reader.interval, maxReadInterval)
+	for _, record := range content.Begun {
+		if _, exists := s.table.Get(now, record.Key); !exists {
+			s.reader.interval = minReadInterval
+		}
+		s.table.Add(now, record)
+		s.learn(now, origin.Sighting{Origin: record.Origin})
+	}
+}
+
+// learnAll records what another process has seen.
+func (s *Service) learnAll(now time.Time, learned []origin.Sighting) {
+	for _, seen := range learned {
+		s.learn(now, seen)
+	}
+}
+
+// hasReadSinceObserved reports whether the archive has been read since the endpoints are observed.
+func (s *Service) hasReadSinceObserved() bool {
+	return !s.observedSince.IsZero() && !s.reader.readAt.Before(s.observedSince)
+}
+
+// hasRead reports whether the archive has been read since that was asked for.
+func (s *Service) hasRead() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.reader.readAt.IsZero() && !s.reader.readAt.Before(s.reader.requestedAt)
+}
--- a/services/entry/origin/exchange/counters.go
+++ b/services/entry/origin/exchange/counters.go
@@ -13,6 +13,12 @@
 	// Asked are the questions that were sent, Answered the answers.
 	Asked    uint64
 	Answered uint64
+	// Archived are the streams that were written to the archive. ArchiveWrites, ArchiveReads and ArchiveErrors are the writes and readings of it,
+	// and those of them that failed.
+	Archived      uint64
+	ArchiveWrites uint64
+	ArchiveReads  uint64
+	ArchiveErrors uint64
 	// SendErrors are datagrams that the system did not take.
 	SendErrors uint64
 	// Oversized are messages that fit into no datagram.
--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -23,6 +23,9 @@
 	settleTime = time.Second
 	// maxSettleWait bounds the wait for that. A higher value serves more streams after a start, a lower one refuses in time for another attempt.
 	maxSettleWait = 2 * time.Second
+	// archiveTimeout bounds the wait for a reading of the archive. A higher value waits for a slower store, a lower one refuses in time for another
+	// attempt.
+	archiveTimeout = 400 * time.Millisecond
 	// maxInquiries bounds the streams that are asked about at the same time. A higher value takes up more streams at once, a lower one
 	// takes less memory.
 	maxInquiries = 1024
@@ -45,7 +48,7 @@
 // most. It asks other instances for up to askTimeout if this instance does not know, and soon after the start waits until it knows them.
 func (s *Service) Find(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
 	window = min(window, origin.MaxLifetime)
-	result, rulesOutOthers := s.findOnce(ctx, now, key, services, window)
+	result, rulesOutOthers := s.findBeyondArchive(ctx, now, key, services, window)
 	if result.Verdict != origin.SoleSoftware || s.isSettled() {
 		return withoutGuess(result, rulesOutOthers)
 	}
@@ -55,6 +58,41 @@
 	return withoutGuess(s.findOnce(ctx, s.options.Now(), key, services, window))
 }
 
+// findBeyondArchive decides once. It reads the archive before that if this instance has not read it since it started, and after it if nobody
+// knows the stream.
+func (s *Service) findBeyondArchive(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) (origin.Result, bool) {
+	if !s.isComplete() && s.lookup(key).Verdict == origin.Unknown {
+		s.awaitArchive(ctx)
+	}
+	result, rulesOutOthers := s.findOnce(ctx, now, key, services, window)
+	if result.Verdict != origin.Unknown {
+		return result, rulesOutOthers
+	}
+	s.awaitArchive(ctx)
+	return s.lookup(key), true
+}
+
+// awaitArchive lets the archive be read if that is allowed, and waits for it.
+func (s *Service) awaitArchive(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, archiveTimeout)
+	defer cancel()
+	s.readArchive(ctx, s.options.Now())
+}
+
+// lookup returns what this instance itself knows about a stream.
+func (s *Service) lookup(key origin.Key) origin.Result {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.Lookup(s.options.Now(), key)
+}
+
+// isComplete reports whether the archive has been read since the start.
+func (s *Service) isComplete() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.complete
+}
+
 // withoutGuess returns a result in which a software counts as the only one only if others were ruled out.
 func withoutGuess(result origin.Result, rulesOutOthers bool) origin.Result {
 	if result.Verdict == origin.SoleSoftware && !rulesOutOthers {
@@ -78,11 +116,11 @@
 		s.mutex.Unlock()
 		return origin.Result{Verdict: origin.Unknown}, false
 	}
-	asked := s.addInquiry(key, services, window, known)
+	asked, complete := s.addInquiry(key, services, window, known), s.knowsAll()
 	s.mutex.Unlock()
 	answers := s.ask(ctx, asked)
 	s.removeInquiry(asked)
-	return origin.Decide(known, answers), ctx.Err() == nil && (len(answers) > 0 || len(asked.asked) == 0)
+	return origin.Decide(known, complete, answers), ctx.Err() == nil && (len(answers) > 0 || len(asked.asked) == 0)
 }
 
 // isSettled reports whether this instance has known the others for settleTime, or can tell and ask nobody.
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/shelfledge/shelfledge/modules/entry/datagram"
+	"github.com/shelfledge/shelfledge/modules/messagepack"
 	"github.com/shelfledge/shelfledge/services/entry/origin"
 )
 
@@ -25,16 +26,21 @@
 	errMalformed      = errors.New("exchange: malformed datagram")
 )
 
-// message is the content of a datagram. Exactly one field is set; none in a message of a kind that is not known here.
+// message is the content of a datagram. Exactly one of records, question and answer is set; none in a message of a kind that is not known here.
 type message struct {
 	Records  []record  `msgpack:"r,omitempty"`
 	Question *question `msgpack:"q,omitempty"`
 	Answer   *answer   `msgpack:"a,omitempty"`
+	// Again asks for all records once more, since the sender writes into the archive and has just started.
+	Again bool `msgpack:"g,omitempty"`
+	// Write is set with records that the sender could not write into the archive.
+	Write bool `msgpack:"w,omitempty"`
 }
 
 // encodedRecords is a message with records that are encoded already, since each record is sent to several holders.
 type encodedRecords struct {
 	Records []msgpack.RawMessage `msgpack:"r"`
+	Write   bool                 `msgpack:"w,omitempty"`
 }
 
 // record tells the origin of a stream.
@@ -45,6 +51,8 @@
 	// Remaining is the number of milliseconds for which the stream can still be taken up.
 	Remaining uint32 `msgpack:"u"`
 	Ambiguous bool   `msgpack:"x,omitempty"`
+	// Expected is set before the first event of the stream is forwarded.
+	Expected bool `msgpack:"e,omitempty"`
 }
 
 // question asks for the origin of a stream, and for the softwares of the services where it may have begun.
@@ -62,6 +70,7 @@
 	Service  string     `msgpack:"s,omitempty"`
 	Software string     `msgpack:"v,omitempty"`
 	Known    []sighting `msgpack:"w,omitempty"`
+	Complete bool       `msgpack:"c,omitempty"`
 }
 
 // The values of answer.Found.
@@ -96,7 +105,7 @@
 		return nil, errUnknownVersion
 	}
 	var decoded message
-	if err := msgpack.Unmarshal(payload[1:], &decoded); err != nil {
+	if err := messagepack.Unmarshal(payload[1:], &decoded); err != nil {
 		return nil, fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	return &decoded, nil
--- a/services/entry/origin/exchange/message_test.go
+++ b/services/entry/origin/exchange/message_test.go
@@ -200,6 +200,17 @@
 	})
 }
 
+// TestDatagramThatStatesManyRecordsIsUnreadable guards against one datagram that ends the instance that receives it.
+func TestDatagramThatStatesManyRecordsIsUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service, self, other := startWithPeer(t)
+		defer service.Close()
+		other.send(self, append([]byte{version}, "\x81\xa1r\xdd\x7f\xff\xff\xff"...))
+		time.Sleep(2 * latency)
+		assert.Equal(t, uint64(1), service.Counters().Malformed)
+	})
+}
+
 func TestDatagramsStayWithinTheirSize(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 6, 3)
@@ -210,6 +221,7 @@
 			softwares = append(softwares, fmt.Sprintf("%s-%d", long, i))
 		}
 		f.observe(softwares...)
+		time.Sleep(settling)
 		for key := range origin.Key(200) {
 			begin(f.services[0], key, origin.Origin{Service: "chat", Software: softwares[key%12]})
 		}
--- a/services/entry/origin/exchange/options.go
+++ b/services/entry/origin/exchange/options.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/modules/entry/datagram"
+	"github.com/shelfledge/shelfledge/services/entry/origin/archive"
 )
 
 // Options configure a Service.
@@ -21,6 +22,8 @@
 	Address netip.AddrPort
 	Now     func() time.Time
 	Log     *logrus.Entry
+	// Archive keeps what has to outlive all instances. Without it nothing does, and no software is taken for the only one.
+	Archive *archive.Archive
 	// Listen opens the transport at the address; a UDP socket if it is nil.
 	Listen func(address netip.AddrPort) (Transport, error)
 }
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -62,7 +62,10 @@
 		s.countUnreadable(err)
 		return
 	}
-	s.receiveRecords(now, received.Records)
+	s.receiveRecords(now, received.Records, received.Write)
+	if received.Again {
+		s.tellOnceMore(now)
+	}
 	if received.Question != nil {
 		s.receiveQuestion(now, from, received.Question)
 	}
@@ -82,18 +85,31 @@
 	s.counters.Malformed++
 }
 
-// receiveRecords records what this instance is told as a holder.
-func (s *Service) receiveRecords(now time.Time, records []record) {
+// receiveRecords records what this instance is told as a holder, and lets it be written if that is its part.
+func (s *Service) receiveRecords(now time.Time, records []record, write bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, told := range records {
 		began := origin.Origin{Service: told.Service, Software: told.Software}
 		until := now.Add(time.Duration(told.Remaining) * time.Millisecond)
-		s.table.Add(now, origin.Record{Key: origin.Key(told.Key), Origin: began, Until: until, Ambiguous: told.Ambiguous})
+		s.table.Add(now, origin.Record{Key: origin.Key(told.Key), Origin: began, Until: until, Ambiguous: told.Ambiguous, Expected: told.Expected})
+		switch {
+		case write:
+			s.addEntrusted(origin.Key(told.Key))
+		case s.writes(now, origin.Key(told.Key)):
+			s.addUnwritten(origin.Key(told.Key))
+		}
 		s.learn(now, origin.Sighting{Origin: began})
 	}
 }
 
+// tellOnceMore lets all streams of this instance be told again, to an instance that may have missed them.
+func (s *Service) tellOnceMore(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tellAgain(now, nil)
+}
+
 // receiveQuestion answers a question. What the instance that asks has seen is learnt as well.
 func (s *Service) receiveQuestion(now time.Time, from netip.AddrPort, asked *question) {
 	s.mutex.Lock()
@@ -102,9 +118,10 @@
 	}
 	found := s.table.Lookup(now, origin.Key(asked.Key))
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
+	complete := s.knowsAll()
 	s.mutex.Unlock()
 	payload, fits := encodeFitting(toSightings(known), fewestSightings, func(known []sighting) *message {
-		answered := &answer{ID: asked.ID, Known: known}
+		answered := &answer{ID: asked.ID, Known: known, Complete: complete}
 		answered.setFound(found)
 		return &message{Answer: answered}
 	})
@@ -134,7 +151,7 @@
 		return
 	}
 	delete(waiting.silent, from)
-	answered := origin.Answer{Found: found}
+	answered := origin.Answer{Found: found, Complete: received.Complete}
 	for _, sent := range received.Known {
 		seen := sent.toOrigin()
 		s.learn(now, seen)
--- /dev/null
+++ b/services/entry/origin/exchange/restarted_archiver_test.go
@@ -0,0 +1,42 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+// TestStreamsBegunWhileAnInstanceWasDownOutliveAllInstances guards against streams that the one that writes them never hears of, since it was
+// down when they were told and is back under its address.
+func TestStreamsBegunWhileAnInstanceWasDownOutliveAllInstances(t *testing.T) {
+	for down := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, 6, 3, "1.0", "2.0")
+			defer func() { f.close() }()
+			time.Sleep(settling)
+			f.services[down].Close()
+			for key := range origin.Key(20) {
+				begin(f.services[(down+1)%6], key, one)
+				time.Sleep(50 * time.Millisecond)
+			}
+			f.services[down] = startInstance(t, f.network, f.instances[down], f.instances)
+			f.services[down].ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
+			time.Sleep(2 * time.Second)
+			f.restartAll(t, "1.0", "2.0")
+			lost := 0
+			for key := range origin.Key(20) {
+				if result, _ := find(t, f.services[0], key); result != known(one) {
+					lost++
+				}
+			}
+			assert.Zero(t, lost, "of 20, instance %d was down", down)
+		})
+	}
+}
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 	"sync"
@@ -27,13 +28,28 @@
 	settled    chan struct{}
 	settleOnce sync.Once
 
-	mutex     sync.Mutex
+	// context ends with the service.
+	context context.Context
+	cancel  context.CancelFunc
+
+	writer archiveWriter
+	reader archiveReader
+
+	mutex sync.Mutex
+	// startedAt is when the service was started, complete is set once the archive has been read since the observation of the endpoints began.
+	startedAt time.Time
+	complete  bool
 	transport Transport
 	online    bool
-	table     *origin.Table
-	history   *origin.History
-	instances []origin.Instance
-	holders   *origin.Holders
+	// observing is set while this instance learns of changes of the endpoints, observedSince is since when. interrupted is set while it has
+	// observed them and cannot at present.
+	observing     bool
+	observedSince time.Time
+	interrupted   bool
+	table         *origin.Table
+	history       *origin.History
+	instances     []origin.Instance
+	holders       *origin.Holders
 	// shared has the services that share a route with another one.
 	shared map[string]bool
 	// told has the services whose streams are told: those of several softwares, and the shared ones.
@@ -44,8 +60,10 @@
 	// if none has been.
 	backlog        []origin.Key
 	backlogHolders *origin.Holders
-	inquiries      map[uint64]*inquiry
-	counters       Counters
+	// asksAgain is set when the others are to be asked for their records, if this instance writes into the archive.
+	asksAgain bool
+	inquiries map[uint64]*inquiry
+	counters  Counters
 }
 
 // New returns a service that knows nothing yet.
@@ -53,7 +71,9 @@
 	if options.Listen == nil {
 		options.Listen = listenUDP
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
+		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(),
 		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
@@ -62,7 +82,14 @@
 
 // Start opens the transport and starts the goroutines. After an error the service goes on without other instances.
 func (s *Service) Start() error {
+	s.mutex.Lock()
+	s.startedAt = s.options.Now()
+	s.mutex.Unlock()
 	s.running.Go(s.runTeller)
+	if s.options.Archive != nil {
+		s.running.Go(s.runArchiveReader)
+		s.running.Go(s.runArchiveWriter)
+	}
 	if !s.options.Address.IsValid() {
 		s.settle()
 		return nil
@@ -82,6 +109,7 @@
 // Close ends the goroutines and the calls of Find. It may be called once.
 func (s *Service) Close() {
 	close(s.stopped)
+	s.cancel()
 	s.mutex.Lock()
 	online, transport := s.online, s.transport
 	s.online = false
@@ -110,11 +138,14 @@
 	}
 	if len(s.instances) == 0 && len(list) > 0 {
 		time.AfterFunc(settleTime, s.settle)
+		s.asksAgain = true
+		s.wakeTeller()
 	}
 	former := s.holders
 	s.instances = list
 	s.holders = origin.NewHolders(origin.Instance{Hall: s.options.Hall, Address: s.options.Address}, list)
 	s.tellAgain(now, former)
+	s.writer.request()
 }
 
 // ObserveEndpoints records which softwares serve at present, ready or draining, by service. An empty software is one that an endpoint did
@@ -126,13 +157,29 @@
 	for service := range softwares {
 		s.reviewTold(now, service)
 	}
+	if !s.observing {
+		s.observing, s.observedSince, s.interrupted, s.complete = true, now, false, false
+		s.reader.request(now)
+	}
+	s.writer.request()
 }
 
-// InterruptObservation records that this instance cannot learn of changes at present, until the next call of ObserveEndpoints.
+// InterruptObservation records that this instance cannot learn of changes at present, until the next call of ObserveEndpoints. Until then it tells
+// where all streams begin: softwares that it does not see may serve as well.
 func (s *Service) InterruptObservation() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.history.Interrupt()
+	s.observing, s.interrupted, s.complete = false, true, false
+	now := s.options.Now()
+	for _, service := range s.history.Services() {
+		s.reviewTold(now, service)
+	}
+}
+
+// knowsAll reports whether this instance has read which softwares served before it started, and has observed them since.
+func (s *Service) knowsAll() bool {
+	return s.complete && s.observing
 }
 
 // SetSharedServices sets the services that share a route with another service, so that a stream may have begun at either.
@@ -146,20 +193,33 @@
 	}
 }
 
-// Begin records that this instance forwarded the first event of a stream, which can be taken up until a time. It does not block.
+// Expect records that this instance sends a stream that has no event yet to an endpoint, so that others are told before the first event comes. The
+// stream may then be sent to no endpoint of another origin: what others were told counts, even if this instance is lost. It does not block.
+func (s *Service) Expect(now time.Time, key origin.Key, expected origin.Origin, until time.Time) {
+	s.record(now, origin.Record{Key: key, Origin: expected, Until: until, Own: true, Expected: true})
+}
+
+// Begin records that this instance forwards the first event of a stream, which can be taken up until a time. It does not block.
 func (s *Service) Begin(now time.Time, key origin.Key, began origin.Origin, until time.Time) {
+	s.record(now, origin.Record{Key: key, Origin: began, Until: until, Own: true})
+}
+
+// record adds a record of this instance's own, and tells others if it is news to them.
+func (s *Service) record(now time.Time, added origin.Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.table.Add(now, origin.Record{Key: key, Origin: began, Until: until, Own: true})
-	s.learn(now, origin.Sighting{Origin: began})
-	if s.online && s.told[began.Service] {
-		s.addPending(key)
+	former, exists := s.table.Get(now, added.Key)
+	s.table.Add(now, added)
+	s.learn(now, origin.Sighting{Origin: added.Origin})
+	isNews := !exists || former.Ambiguous || former.Origin != added.Origin
+	if s.told[added.Origin.Service] && isNews {
+		s.addPending(added.Key)
 	}
 }
 
 // isTold reports whether the streams of a service are told at present.
 func (s *Service) isTold(now time.Time, service string) bool {
-	return s.shared[service] || s.history.HasSeveral(now, service)
+	return s.interrupted || s.shared[service] || s.history.HasSeveral(now, service)
 }
 
 // reviewTold tells all streams of a service once that is needed.
--- a/services/entry/origin/exchange/tell.go
+++ b/services/entry/origin/exchange/tell.go
@@ -73,11 +73,35 @@
 		case <-ticker.C:
 			s.sweep(s.options.Now())
 		case <-s.wake:
+			s.askAgain()
 			s.tellAll()
 		}
 	}
 }
 
+// askAgain asks the other instances for their records once after the start, if this one writes into the archive and streams are told: it may have
+// been down while they told it, without them noticing.
+func (s *Service) askAgain() {
+	s.mutex.Lock()
+	asks := s.asksAgain && s.holders.IsArchiver() && len(s.told) > 0
+	others := s.instances
+	s.asksAgain = s.asksAgain && !asks
+	s.mutex.Unlock()
+	if !asks {
+		return
+	}
+	payload, err := encode(&message{Again: true})
+	if err != nil {
+		s.countOversized()
+		return
+	}
+	for _, other := range others {
+		if other.Address != s.options.Address {
+			s.send(other.Address, payload)
+		}
+	}
+}
+
 // tellAll tells all streams that wait, in batches.
 func (s *Service) tellAll() {
 	for s.tellSome(s.options.Now()) {
@@ -94,25 +118,45 @@
 	records, holders, former, more := s.takeBatch(now)
 	lists := make(map[netip.AddrPort][]msgpack.RawMessage)
 	for i, told := range records {
-		encoded, err := msgpack.Marshal(toRecord(now, told))
-		if err != nil || len(encoded)+listBytes > datagram.MaxBytes {
-			s.countOversized()
+		encoded, fits := s.encodeRecord(now, told)
+		if !fits {
 			continue
 		}
-		chosen := holders.Told(told.Key)
+		chosen := targets(holders, told.Key)
 		if former[i] != nil {
-			chosen = without(chosen, former[i].Told(told.Key))
+			chosen = without(chosen, targets(former[i], told.Key))
 		}
 		for _, holder := range chosen {
 			lists[holder] = append(lists[holder], encoded)
 		}
 	}
+	s.archiveTold(now, records)
+	delete(lists, s.options.Address)
 	for holder, list := range lists {
-		s.tellHolder(holder, list)
+		s.tellHolder(holder, list, false)
 	}
 	return more
 }
 
+// encodeRecord returns a record as it is sent, and counts one that does not fit into a datagram.
+func (s *Service) encodeRecord(now time.Time, told origin.Record) (msgpack.RawMessage, bool) {
+	encoded, err := msgpack.Marshal(toRecord(now, told))
+	if err != nil || len(encoded)+listBytes > datagram.MaxBytes {
+		s.countOversized()
+		return nil, false
+	}
+	return encoded, true
+}
+
+// targets returns the instances that are told about a stream: its holders, and the one that writes into the archive.
+func targets(holders *origin.Holders, key origin.Key) []netip.AddrPort {
+	chosen := holders.Told(key)
+	if archiver, exists := holders.Archiver(key); exists && !slices.Contains(chosen, archiver) {
+		chosen = append(chosen, archiver)
+	}
+	return chosen
+}
+
 // without returns the addresses that are not among others.
 func without(addresses, others []netip.AddrPort) []netip.AddrPort {
 	return slices.DeleteFunc(addresses, func(address netip.AddrPort) bool {
@@ -143,26 +187,26 @@
 func toRecord(now time.Time, told origin.Record) *record {
 	return &record{
 		Key: uint64(told.Key), Service: told.Origin.Service, Software: told.Origin.Software,
-		Remaining: milliseconds(told.Until.Sub(now)), Ambiguous: told.Ambiguous,
+		Remaining: milliseconds(told.Until.Sub(now)), Ambiguous: told.Ambiguous, Expected: told.Expected,
 	}
 }
 
-// tellHolder sends records to a holder, as many in each datagram as fit.
-func (s *Service) tellHolder(holder netip.AddrPort, records []msgpack.RawMessage) {
+// tellHolder sends records to a holder, as many in each datagram as fit. With write it has to write them into the archive.
+func (s *Service) tellHolder(holder netip.AddrPort, records []msgpack.RawMessage, write bool) {
 	for len(records) > 0 {
 		count, size := 0, listBytes
 		for count < len(records) && size+len(records[count]) <= datagram.MaxBytes {
 			size += len(records[count])
 			count++
 		}
-		s.sendRecords(holder, records[:count])
+		s.sendRecords(holder, &encodedRecords{Records: records[:count], Write: write})
 		records = records[count:]
 	}
 }
 
 // sendRecords sends records in one datagram.
-func (s *Service) sendRecords(holder netip.AddrPort, records []msgpack.RawMessage) {
-	payload, err := encode(&encodedRecords{Records: records})
+func (s *Service) sendRecords(holder netip.AddrPort, records *encodedRecords) {
+	payload, err := encode(records)
 	if err != nil {
 		s.countOversized()
 		return
@@ -173,7 +217,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.counters.Told++
-	s.counters.ToldRecords += uint64(len(records))
+	s.counters.ToldRecords += uint64(len(records.Records))
 }
 
 // countOversized counts a message that cannot be sent.
--- a/services/entry/origin/history.go
+++ b/services/entry/origin/history.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -128,6 +129,16 @@
 	return known
 }
 
+// All returns the softwares of all services that have been known within MaxLifetime, sorted.
+func (h *History) All(now time.Time) []Sighting {
+	return h.Known(now, h.Services(), MaxLifetime)
+}
+
+// Services returns the services that have softwares, sorted.
+func (h *History) Services() []string {
+	return slices.Sorted(maps.Keys(h.services))
+}
+
 // age returns the time since the software was last known.
 func (s sighting) age(now time.Time) time.Duration {
 	if s.present {
--- a/services/entry/origin/holders.go
+++ b/services/entry/origin/holders.go
@@ -20,6 +20,14 @@
 	// askedDepth bounds the depth of the instances that are asked. It is one above the depth of those that are told, and each further one
 	// allows for another change of the list of instances; a lower value sends less.
 	askedDepth = 2
+	// archiverKey is the key by which the instances that write into the archive are chosen.
+	archiverKey Key = 0
+	// instancesPerArchiver is the number of instances of the list of which one writes into the archive. A higher value writes to the store less
+	// often, a lower one spreads the records over more instances.
+	instancesPerArchiver = 16
+	// softwareWriters is how many instances write which softwares served. A higher value survives more of them that do not reach the store, a
+	// lower one writes less.
+	softwareWriters = 3
 	// askedOwnHall is how many instances of the own hall are asked: one more than are told.
 	askedOwnHall = 2
 )
@@ -35,6 +43,10 @@
 	self    Instance
 	members []member
 	halls   int
+	// archivers write into the archive, each a share of the streams.
+	archivers []netip.AddrPort
+	// statesSoftwares is set if this instance writes the softwares.
+	statesSoftwares bool
 }
 
 // member is an instance of the list. The fields below the hall are set for a key.
@@ -63,6 +75,8 @@
 		h.members = append(h.members, member{Instance: instance, seed: hashAddress(instance.Address), hall: halls[instance.Hall]})
 	}
 	h.halls = len(halls)
+	h.archivers = h.chooseArchivers()
+	h.statesSoftwares = slices.Contains(h.bestArchivers(softwareWriters), self.Address)
 	return h
 }
 
@@ -98,6 +112,43 @@
 	return h.addOwnHall(asked, ranked, askedOwnHall)
 }
 
+// Archiver returns the instance that writes a stream into the archive, the same for all instances with the same list. It returns false if the list
+// is empty.
+func (h *Holders) Archiver(key Key) (netip.AddrPort, bool) {
+	if len(h.archivers) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return h.archivers[key%Key(len(h.archivers))], true
+}
+
+// IsArchiver reports whether this instance writes a share of the streams into the archive.
+func (h *Holders) IsArchiver() bool {
+	return slices.Contains(h.archivers, h.self.Address)
+}
+
+// chooseArchivers returns the instances that write into the archive.
+func (h *Holders) chooseArchivers() []netip.AddrPort {
+	if len(h.members) == 0 {
+		return nil
+	}
+	return h.bestArchivers(max(len(h.members)/instancesPerArchiver, 1))
+}
+
+// bestArchivers returns the first instances in the order of the archive.
+func (h *Holders) bestArchivers(count int) []netip.AddrPort {
+	ranked := h.rank(archiverKey)
+	best := make([]netip.AddrPort, 0, count)
+	for _, instance := range ranked[:min(count, len(ranked))] {
+		best = append(best, instance.Address)
+	}
+	return best
+}
+
+// StatesSoftwares reports whether this instance is one of those that write into the archive which softwares served lately.
+func (h *Holders) StatesSoftwares() bool {
+	return h.statesSoftwares
+}
+
 // addOwnHall adds the first instances of the own hall that are not chosen yet; those that are count.
 func (h *Holders) addOwnHall(chosen []netip.AddrPort, ranked []member, count int) []netip.AddrPort {
 	for _, instance := range ranked {
--- a/services/entry/origin/table.go
+++ b/services/entry/origin/table.go
@@ -20,7 +20,9 @@
 	Until time.Time
 	// Ambiguous is set if different origins were recorded under the key.
 	Ambiguous bool
-	// Own is set if this instance forwarded the first event of the stream.
+	// Expected is set if the first event of the stream has not been forwarded yet: the stream is about to run at the origin.
+	Expected bool
+	// Own is set if this instance forwards the stream.
 	Own bool
 }
 
@@ -29,6 +31,7 @@
 	origin    unique.Handle[Origin]
 	until     time.Time
 	ambiguous bool
+	expected  bool
 	own       bool
 }
 
@@ -59,7 +62,7 @@
 	if !until.After(now) {
 		return
 	}
-	present := entry{origin: unique.Make(added.Origin), until: until, ambiguous: added.Ambiguous, own: added.Own}
+	present := entry{origin: unique.Make(added.Origin), until: until, ambiguous: added.Ambiguous, expected: added.Expected, own: added.Own}
 	former, exists := t.entries[added.Key]
 	if exists && former.until.After(now) {
 		present = merge(former, present)
@@ -71,16 +74,22 @@
 	t.entries[added.Key] = present
 }
 
-// merge returns the record of a stream of which two are known.
+// merge adds a record to a former one of the same key. What was forwarded counts more than what was expected.
 func merge(former, added entry) entry {
-	if added.origin != former.origin || added.ambiguous {
-		former.ambiguous = true
+	merged := former
+	switch {
+	case former.expected && !added.expected:
+		merged = added
+	case former.expected == added.expected:
+		merged.ambiguous = former.ambiguous || added.ambiguous || added.origin != former.origin
 	}
-	if added.until.After(former.until) {
-		former.until = added.until
+	if former.until.After(added.until) {
+		merged.until = former.until
+	} else {
+		merged.until = added.until
 	}
-	former.own = former.own || added.own
-	return former
+	merged.own = former.own || added.own
+	return merged
 }
 
 // makeRoom removes the oldest record if the table is full.
@@ -98,7 +107,7 @@
 	if !exists || !found.until.After(now) {
 		return Record{}, false
 	}
-	return Record{Key: key, Origin: found.origin.Value(), Until: found.until, Ambiguous: found.ambiguous, Own: found.own}, true
+	return Record{Key: key, Origin: found.origin.Value(), Until: found.until, Ambiguous: found.ambiguous, Expected: found.expected, Own: found.own}, true
 }
 
 // Lookup returns what the table knows about a stream: Known, Ambiguous or Unknown.
@@ -126,6 +135,17 @@
 	return keys
 }
 
+// Keys returns the keys of all streams, the oldest first.
+func (t *Table) Keys(now time.Time) []Key {
+	keys := make([]Key, 0, len(t.order))
+	for _, key := range t.order {
+		if t.entries[key].until.After(now) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Sweep removes the records that have expired.
 func (t *Table) Sweep(now time.Time) {
 	kept := make([]Key, 0, len(t.order))
--- a/services/entry/origin/table_test.go
+++ b/services/entry/origin/table_test.go
@@ -78,6 +78,30 @@
 	assert.Equal(t, origin.Result{Verdict: origin.Ambiguous}, table.Lookup(start, 1))
 }
 
+func TestForwardedOriginCountsMoreThanExpectedOne(t *testing.T) {
+	for name, test := range map[string]struct {
+		added    []origin.Record
+		expected origin.Result
+	}{
+		"expected":                          {[]origin.Record{{Origin: one, Expected: true}}, knownOne},
+		"expected, then forwarded":          {[]origin.Record{{Origin: one, Expected: true}, {Origin: one}}, knownOne},
+		"sent on before the first event":    {[]origin.Record{{Origin: one, Expected: true}, {Origin: two, Expected: true}}, ambiguous},
+		"sent on, then forwarded":           {[]origin.Record{{Origin: one, Expected: true}, {Origin: two, Expected: true}, {Origin: two}}, knownTwo},
+		"forwarded, and expected told late": {[]origin.Record{{Origin: two}, {Origin: one, Expected: true}}, knownTwo},
+		"forwarded, and ambiguity told late": {
+			[]origin.Record{{Origin: two}, {Origin: one, Expected: true, Ambiguous: true}}, knownTwo,
+		},
+		"forwarded twice": {[]origin.Record{{Origin: one, Expected: true}, {Origin: one}, {Origin: two}}, ambiguous},
+	} {
+		table := origin.NewTable()
+		for _, added := range test.added {
+			added.Key, added.Until = 1, start.Add(time.Minute)
+			table.Add(start, added)
+		}
+		assert.Equal(t, test.expected, table.Lookup(start, 1), name)
+	}
+}
+
 func TestExpiredRecordDoesNotMakeNextOneAmbiguous(t *testing.T) {
 	table := origin.NewTable()
 	table.Add(start, record(1, one))
--- a/services/entry/process/origins.go
+++ b/services/entry/process/origins.go
@@ -4,21 +4,28 @@
 package process
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/clock"
+	"github.com/shelfledge/shelfledge/modules/entry/store"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 	"github.com/shelfledge/shelfledge/services/entry/origin"
+	"github.com/shelfledge/shelfledge/services/entry/origin/archive"
 	"github.com/shelfledge/shelfledge/services/entry/origin/exchange"
 )
 
-// newOrigins returns the service that knows where streams began. It uses the UDP port with the number of the port for tunnels.
-func newOrigins(options Options, clock *clock.Clock, log *logrus.Entry) *exchange.Service {
-	return exchange.New(exchange.Options{Hall: options.Coordinator.Hall, Address: options.Tunnels, Now: clock.Now, Log: log})
+// newOrigins returns the service that knows where streams began. It uses the UDP port with the number of the port for tunnels, and keeps in the
+// store what has to outlive all instances.
+func newOrigins(options Options, client store.Client, clock *clock.Clock, log *logrus.Entry) *exchange.Service {
+	return exchange.New(exchange.Options{
+		Hall: options.Coordinator.Hall, Address: options.Tunnels, Now: clock.Now, Log: log,
+		Archive: &archive.Archive{Store: client, Writer: rand.Uint64()},
+	})
 }
 
 // observeOrigins passes on what the coordinator learns of softwares and of routes.
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -113,16 +113,17 @@
 	options.Coordinator.ObserveFormerVersion = func(age time.Duration, overdue bool) { metrics.ObserveFormerVersion(age, overdue) }
 	options.Coordinator.ObserveRecall = func() { metrics.ObserveRecall() }
 	options.Coordinator.ObserveControlWait = func(waited time.Duration) { metrics.ObserveControlWait(waited) }
-	origins := newOrigins(options, clock, log)
+	environment := options.Environment(func(id deployment.EndpointID) {
+		client.Retire(string(id))
+		links.Forget(id)
+	})
+	origins := newOrigins(options, environment.Store, clock, log)
 	observeOrigins(&options.Coordinator, origins)
 	options.Coordinator.ObserveTunnels = func(tunnels []wire.Tunnel) {
 		links.SetPeers(peersOf(tunnels))
 		origins.SetInstances(instancesOf(tunnels))
 	}
-	control := coordinator.New(options.Coordinator, options.Environment(func(id deployment.EndpointID) {
-		client.Retire(string(id))
-		links.Forget(id)
-	}))
+	control := coordinator.New(options.Coordinator, environment)
 	links.OnCutOff(control.SetCutOff)
 	tunnels := newTunnelAcceptor(options, control, links, log)
 	process := &Process{
@@ -314,7 +315,7 @@
 		RecordCrash: control.RecordCrash, RecordUnanswered: control.RecordUnanswered, RecordAnswered: control.RecordAnswered,
 		ApplyNotice:  control.ApplyNotice,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
-		Origins: proxy.Origins{Begin: origins.Begin, Find: origins.Find},
+		Origins: proxy.Origins{Expect: origins.Expect, Begin: origins.Begin, GoOn: origins.Begin, Find: origins.Find},
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
--- a/services/entry/proxy/acquire.go
+++ b/services/entry/proxy/acquire.go
@@ -25,8 +25,14 @@
 
 // acquireEndpoint acquires an endpoint to which the request was not sent yet.
 func (r *inflight) acquireEndpoint(ctx context.Context) (placement, error) {
-	assignment, err := r.service.control.Acquire(ctx, r.request, r.tried)
-	return placement{assignment: assignment, request: r.request}, err
+	request := r.request
+	if r.expected != "" {
+		bound := *r.request
+		r.position().bind(&bound)
+		request = &bound
+	}
+	assignment, err := r.service.control.Acquire(ctx, request, r.tried)
+	return placement{assignment: assignment, request: request}, err
 }
 
 // acquireToResume acquires an endpoint that continues a request from a position: any endpoint not in tried, or only the given one if it is
@@ -52,6 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.expectSoftware(placed.assignment.Endpoint.Software)
 	return r.newExchange(placed, r.position()), nil
 }
 
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -107,6 +107,7 @@
 func (e *exchange) requestHead() (verdict attempt.Verdict, begun bool) {
 	r := e.inflight
 	e.assignment.Recall.Arm(e.cancelFunc(attempt.EndedByRecall))
+	e.expectOrigin()
 	response, err := r.service.upstream.Do(e.context, upstream.Call{
 		Target:  e.target(),
 		Request: r.newOutgoingRequest(e.assignment, r.service.options.Now(), e.startPosition.lastEvent, e.cancelFunc(attempt.EndedByBodyLimit)),
--- a/services/entry/proxy/inflight.go
+++ b/services/entry/proxy/inflight.go
@@ -43,6 +43,9 @@
 	// forwarded first; empty if unknown.
 	lastServed deployment.EndpointID
 	software   string
+	// expected is the software of the endpoint that a stream which can be taken up was first sent to; empty for other requests and if unknown. The
+	// stream keeps to it before its first event as well, since others were told that it begins there.
+	expected string
 	// lastGone is the endpoint of the last attempt during which an endpoint's process ended; empty for none.
 	lastGone deployment.EndpointID
 	// successor is an exchange whose response started while the former endpoint was silent; nil for none.
@@ -140,6 +143,8 @@
 	// forwarded; empty if unknown.
 	lastServed deployment.EndpointID
 	software   string
+	// expected is the software that a stream keeps to before its first event; empty if it may begin at any.
+	expected string
 }
 
 // onlyInPlace reports whether no other endpoint than the last one may continue the stream: of none is it known that it runs the software
@@ -148,19 +153,22 @@
 	return p.lastServed != "" && p.software == ""
 }
 
-// bind restricts a request that continues a stream at the position to the endpoints that may do so. Before any event, all may.
+// bind restricts a request that continues a stream at the position to the endpoints that may do so.
 func (p position) bind(request *deployment.Request) {
 	if p.onlyInPlace() {
 		request.OnlyEndpoint = p.lastServed
 	}
-	if p.software != "" {
+	switch {
+	case p.software != "":
 		request.Software = p.software
+	case p.expected != "" && p.lastServed == "":
+		request.Software = p.expected
 	}
 }
 
 // position returns the current position; it may be called only on the goroutine that serves the request.
 func (r *inflight) position() position {
-	return position{headForwarded: r.response.status != 0, lastEvent: r.lastEvent, lastServed: r.lastServed, software: r.software}
+	return position{headForwarded: r.response.status != 0, lastEvent: r.lastEvent, lastServed: r.lastServed, software: r.software, expected: r.expected}
 }
 
 // recordServed records that an endpoint's events were forwarded.
--- a/services/entry/proxy/stream.go
+++ b/services/entry/proxy/stream.go
@@ -74,7 +74,7 @@
 		return
 	}
 	s.headPending = false
-	s.exchange.recordOrigin()
+	s.exchange.recordOrigin(s.exchange.inflight.service.control.Origins.Begin)
 	httpResponse := s.exchange.response.Response
 	body := s.exchange.bodyEnd()
 	if s.exchange.response.Framing() == upstream.ByLength && (s.events.wholeOnly || !s.opaque) {
--- a/services/entry/proxy/taken_up.go
+++ b/services/entry/proxy/taken_up.go
@@ -14,8 +14,12 @@
 
 // Origins holds the functions that know where streams began.
 type Origins struct {
-	// Begin records that the first event of a stream is forwarded, which callers can take up until a time. It must not block.
-	Begin func(now time.Time, key origin.Key, began origin.Origin, until time.Time)
+	// Expect records that a stream without an event is sent to an endpoint, Begin that its first event is forwarded; callers can take it up until
+	// a time. Of one stream only one origin may be expected, and it may begin nowhere else. They must not block.
+	Expect func(now time.Time, key origin.Key, expected origin.Origin, until time.Time)
+	Begin  func(now time.Time, key origin.Key, began origin.Origin, until time.Time)
+	// GoOn records where a stream goes on of which nobody knew where it began, since one software alone has served. It must not block.
+	GoOn func(now time.Time, key origin.Key, at origin.Origin, until time.Time)
 	// Find returns where a stream began that can have begun within the window, at one of the services.
 	Find func(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result
 }
@@ -49,12 +53,20 @@
 			return false
 		}
 	case origin.SoleSoftware, origin.Unrestricted:
+		s.recordTakenUp(request, caller, found.Origin)
 	default:
 		return false
 	}
 	return restrictTo(request, services, found.Origin)
 }
 
+// recordTakenUp records where a stream goes on of which nobody knew where it began, for the case that its caller takes it up again.
+func (s *Service) recordTakenUp(request *deployment.Request, caller CallerHeader, at origin.Origin) {
+	if s.control.Origins.GoOn != nil && caller.BegunAs != "" && at.Software != "" {
+		s.recordAt(s.control.Origins.GoOn, request, caller, caller.BegunAs, at)
+	}
+}
+
 func restrictTo(request *deployment.Request, services []string, began origin.Origin) bool {
 	for _, service := range services {
 		if service == began.Service {
@@ -65,15 +77,39 @@
 	return false
 }
 
-// recordOrigin records where a stream begins whose first event is about to be forwarded.
-func (e *exchange) recordOrigin() {
+// canBeTakenUp reports whether the caller can take up the stream of this request later, naming it.
+func (r *inflight) canBeTakenUp() bool {
+	return r.request.Route.Resumable && r.caller.LastEvent == "" && r.caller.ID != ""
+}
+
+// expectSoftware lets a stream that can be taken up keep to the software of the endpoint that it is first sent to.
+func (r *inflight) expectSoftware(software string) {
+	if r.expected == "" && r.canBeTakenUp() && r.service.control.Origins.Expect != nil {
+		r.expected = software
+	}
+}
+
+// expectOrigin records where a stream is about to run that has no event yet.
+func (e *exchange) expectOrigin() {
+	if e.startPosition.lastEvent == "" && e.startPosition.expected != "" {
+		e.recordOrigin(e.inflight.service.control.Origins.Expect)
+	}
+}
+
+// recordOrigin records the endpoint of the exchange for a stream that its caller can take up.
+func (e *exchange) recordOrigin(record func(now time.Time, key origin.Key, at origin.Origin, until time.Time)) {
 	r := e.inflight
-	if r.service.control.Origins.Begin == nil || !r.request.Route.Resumable || r.caller.LastEvent != "" || r.caller.ID == "" {
+	if record == nil || !r.canBeTakenUp() {
 		return
 	}
-	began := origin.Origin{Service: r.request.Service, Software: e.assignment.Endpoint.Software}
-	until := r.request.Arrived.Add(streamLifetime(r.request.Route, r.caller))
-	r.service.control.Origins.Begin(r.service.options.Now(), origin.KeyOf(r.request.Route.Name, r.caller.ID), began, until)
+	at := origin.Origin{Service: r.request.Service, Software: e.assignment.Endpoint.Software}
+	r.service.recordAt(record, r.request, r.caller, r.caller.ID, at)
+}
+
+// recordAt records an origin of the stream that an attempt of a caller began.
+func (s *Service) recordAt(record func(now time.Time, key origin.Key, at origin.Origin, until time.Time), request *deployment.Request, caller CallerHeader, attempt string, at origin.Origin) {
+	until := request.Arrived.Add(streamLifetime(request.Route, caller))
+	record(s.options.Now(), origin.KeyOf(request.Route.Name, attempt), at, until)
 }
 
 // refuseUnknownOrigin ends a request that takes up a stream of which it is not known where it began.
--- a/tests/pinned/entry/programrun_test.go
+++ b/tests/pinned/entry/programrun_test.go
@@ -14,6 +14,7 @@
 	"net/http/httputil"
 	"net/url"
 	"os/exec"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -172,19 +173,37 @@
 		if (name == "revision" || name == "lease") && typed != 0 {
 			return strings.ToUpper(name)
 		}
+		if name == "ttl_ms" && typed != fixedLease && typed != longestLease {
+			return "AS LONG AS STREAMS"
+		}
 	case string:
 		if name == "value" {
 			return decodeStoredValue(typed)
 		}
+		return archiveKey.ReplaceAllString(typed, "$1/WRITER-NUMBER")
 	}
 	return value
 }
 
+const (
+	// fixedLease and longestLease are leases, in milliseconds, that do not depend on streams.
+	fixedLease   = 1200
+	longestLease = 600000
+	// archiveVersion is the first byte of the values of the archive, whose form TestArchivedValues pins.
+	archiveVersion = 1
+)
+
+// archiveKey matches keys of the archive.
+var archiveKey = regexp.MustCompile(`^(shelfledge/streams/[a-z]+)/[0-9a-f]{16}-[0-9a-f]{8}$`)
+
 func decodeStoredValue(text string) any {
 	var decoded []byte
 	if err := json.Unmarshal([]byte(`"`+text+`"`), &decoded); err != nil {
 		return text
 	}
+	if len(decoded) > 0 && decoded[0] == archiveVersion {
+		return "ARCHIVED"
+	}
 	var record map[string]any
 	if err := msgpack.Unmarshal(decoded, &record); err != nil {
 		return string(decoded)
--- a/tests/platform/request_log_test.go
+++ b/tests/platform/request_log_test.go
@@ -160,6 +160,7 @@
 		"../../services/entry/coordinator/draining.go", "../../services/entry/coordinator/resting.go", "../../services/entry/coordinator/brittle.go",
 		"../../services/entry/proxy/exchange.go", "../../routers/entry/gateway/server.go", "../../services/entry/connect/connector.go",
 		"../../modules/entry/tunnel/acceptor.go", "../../services/entry/origin/exchange/receive.go",
+		"../../services/entry/origin/exchange/archive_reader.go", "../../services/entry/origin/exchange/archive_writer.go",
 	} {
 		content, err := os.ReadFile(path)
 		require.NoError(t, err)
