Keep crash evidence and named limits in the store

Callers saw, after each kill of all instances: a request that ends endpoints ended three more (18 to 26 over three losses), and limits that endpoints had named late were passed (41 requests in 4 s of 12 allowed).

Cause: the ends that prove a request guilty, brittle services and named limits were told from instance to instance only.

Change: the planner writes them under shelfledge/crashes and shelfledge/limits with leases of 10 min; each instance reads the evidence before it is ready (0.4 s at most).

--- a/services/entry/coordinator/coordinator.go
+++ b/services/entry/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 
 	"github.com/shelfledge/shelfledge/models/entry/deployment"
 	"github.com/shelfledge/shelfledge/modules/fingerprint"
+	"github.com/shelfledge/shelfledge/services/entry/coordinator/evidence"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/follow"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/forecast"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/leasestore"
@@ -44,11 +45,13 @@
 	environment Environment
 	loop        *loop.Loop
 	// leases is used only by the goroutine of holdLease and by Release. seeds may be used by any goroutine.
-	leases  *leasestore.Store
-	seeds   *seed.Requester
-	context context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	leases *leasestore.Store
+	// evidenceStore is used by one goroutine at a time, see evidenceKeeper.
+	evidenceStore *evidence.Store
+	seeds         *seed.Requester
+	context       context.Context
+	cancel        context.CancelFunc
+	tasks         sync.WaitGroup
 
 	current atomic.Pointer[deployment.Configuration]
 	ready   atomic.Bool
@@ -82,6 +85,7 @@
 	parts *quarantine.Table
 	// quarantined and quarantinedParts hold the requests and the parts of prompts that were quarantined at the last review.
 	quarantined, quarantinedParts map[fingerprint.Fingerprint]quarantine.Hold
+	evidence                      evidenceKeeper
 	waiters                       waiting.Queue[acquireResult]
 	// suspects holds the requests that wait for the decision whether they may be sent although endpoints ended under them. They are not
 	// in waiters, since no adapter is to be loaded for them.
@@ -165,6 +169,7 @@
 		Client: environment.Store, Instance: options.Instance, Address: options.PeerAddress,
 		Timeout: options.StoreTimeout, Now: options.Now, Failed: c.recordStoreFailure,
 	}
+	c.evidenceStore = &evidence.Store{Client: environment.Store, Timeout: evidenceReadTimeout}
 	c.seeds = &seed.Requester{
 		Instance: options.Instance, Own: options.PeerAddress, Seeds: options.Seeds, Dial: environment.Dial, Now: options.Now,
 	}
@@ -181,6 +186,7 @@
 	c.startTask(func() { c.servePeers(listener) })
 	c.startTask(c.followConfiguration)
 	c.startTask(c.readVersions)
+	c.loop.Post(c.keepEvidence)
 	c.startTask(c.followEndpoints)
 	c.startTask(c.followPlanner)
 	c.startTask(c.followGatherer)
@@ -220,6 +226,7 @@
 	c.reviewSuspects(now)
 	c.reviewWaiters(now)
 	c.publishCrashes(now)
+	c.keepEvidence(now)
 	c.cancelUnreliableWatch(now)
 	c.requestDeferredRecordRead(now)
 	if c.planner != nil {
@@ -266,10 +273,10 @@
 	}
 }
 
-// updateReady marks this instance as ready once the configuration and the endpoints are known. It never becomes unready
-// again.
+// updateReady marks this instance as ready once the configuration and the endpoints are known, and the store was asked which requests end
+// endpoints. It never becomes unready again.
 func (c *Coordinator) updateReady() {
-	if !c.ready.Load() && c.current.Load() != nil && c.endpointsKnown {
+	if !c.ready.Load() && c.current.Load() != nil && c.endpointsKnown && c.evidence.asked {
 		c.ready.Store(true)
 		c.options.Log.WithFields(map[string]any{
 			"configuration": c.current.Load().Version, "endpoints": c.directory.Size(),
--- a/services/entry/coordinator/lease.go
+++ b/services/entry/coordinator/lease.go
@@ -239,6 +239,8 @@
 	c.planner = newPlanner(c, now, held, c.loadsBeforeTerm(now, replaced))
 	c.planner.endpointsFromStoreOnly = c.endpointsReadRevision > 0
 	c.markCopiesFromPeers()
+	// A former planner may have written other evidence since this instance read it.
+	c.evidence.known = false
 	c.follower.ratesDue = true
 	c.sendReport(now)
 }
--- a/services/entry/coordinator/planner.go
+++ b/services/entry/coordinator/planner.go
@@ -64,6 +64,7 @@
 	tunnels         []wire.Tunnel
 	tunnelsChanged  bool
 	limitAllocation limitAllocation
+	limitKeeper     limitKeeper
 	// plannedAt is when the last plan was made. planDeferred reports that a plan waits for the pause between plans to end.
 	plannedAt    time.Time
 	planDeferred bool
@@ -148,6 +149,7 @@
 	p.plans.Order(now, mayOrder, c.startOrder, noteForecast)
 	p.chooseGatherers(now)
 	p.allocateLimits(now)
+	p.keepLimits(now)
 	p.broadcast(now, p.views.TotalsDue(now, c.follower.Members))
 	p.sendTotals(now)
 	c.reviewWaiters(now)
--- a/services/quarantine/table.go
+++ b/services/quarantine/table.go
@@ -74,6 +74,8 @@
 	// unsent are the records that changed on this instance and were not sent yet.
 	unsent []unsent
 	size   int
+	// changes counts changes of the records.
+	changes uint64
 }
 
 // unsent is a record to be sent to the other instances, with the time of the recorded event.
@@ -124,6 +126,7 @@
 			continue
 		}
 		known.records[i].answered = true
+		t.changes++
 		t.publish(known.records[i].crash(now, request), known.records[i].at)
 	}
 }
@@ -171,6 +174,9 @@
 	r.answeredBefore = r.answeredBefore || crash.AnsweredBefore || answeredBefore
 	r.own = r.own || own
 	changed = changed || r.answered != former.answered || r.answeredBefore != former.answeredBefore
+	if changed {
+		t.changes++
+	}
 	added = changed && (r.answered && !crash.Answered || r.answeredBefore && !crash.AnsweredBefore)
 	return *r, changed, added
 }
@@ -321,6 +327,7 @@
 		t.size--
 	}
 	delete(t.suspects, request)
+	t.changes++
 }
 
 // Size returns the number of records.
