--- a/tools/soak/daemons.go
+++ b/tools/soak/daemons.go
@@ -81,8 +81,8 @@
 // start starts the stand-ins and all daemons, and creates the adapters.
 func (d *daemonSite) start() error {
 	var names []string
-	for i := range min(hallCount, d.args.Instances) {
-		names = append(names, hall(i))
+	for i := range min(d.args.Halls, d.args.Instances) {
+		names = append(names, hall(i, d.args.Halls))
 	}
 	var err error
 	d.cluster, err = standin.StartCluster(standin.ClusterOptions{
@@ -114,7 +114,7 @@
 		return err
 	}
 	for i, ip := range ips {
-		one, err := d.newDaemon(place{name: fmt.Sprintf("daemon-%d", i), hall: hall(i), ip: ip, ports: ports})
+		one, err := d.newDaemon(place{name: fmt.Sprintf("daemon-%d", i), hall: hall(i, d.args.Halls), ip: ip, ports: ports})
 		if err != nil {
 			return err
 		}
--- a/tools/soak/endpoint.go
+++ b/tools/soak/endpoint.go
@@ -80,7 +80,7 @@
 	id := fmt.Sprintf("i-%d-%d", e.index, e.count)
 	control := fmt.Sprintf("%s:%d", e.ip, ports.Callers)
 	arguments := []string{
-		"endpoint", "--control", control, "--store", e.site.storeControl(), "--id", id, "--hall", hall(e.index),
+		"endpoint", "--control", control, "--store", e.site.storeControl(), "--id", id, "--hall", hall(e.index, e.site.args.Halls),
 		"--journal", filepath.Join(e.site.folder, id+".runs.jsonl"),
 		"--until-close", fmt.Sprint(e.site.args.UntilClose), "--cut-off", fmt.Sprint(e.site.args.CutOff),
 	}
@@ -115,16 +115,28 @@
 
 // software returns the software version of the next process. The caller holds the mutex.
 func (e *endpoint) software() string {
+	return fmt.Sprintf("v1.%d", e.softwareNumber())
+}
+
+// generation returns the number of the present software version.
+func (e *endpoint) generation() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.softwareNumber()
+}
+
+// softwareNumber returns the number of the software version of the next process. The caller holds the mutex.
+func (e *endpoint) softwareNumber() int {
 	rank := e.index - e.index/plainServiceInterval
-	return fmt.Sprintf("v1.%d", rank%e.site.args.Software+e.releases)
+	return rank%e.site.args.Software + e.releases
 }
 
 // release replaces the current process by one of the next software version.
-func (e *endpoint) release() error {
+func (e *endpoint) release(leave func(*endpointProcess) error) error {
 	e.mutex.Lock()
 	e.releases++
 	e.mutex.Unlock()
-	return e.drain(func(one *endpointProcess) error { return one.Drain() })
+	return e.drain(leave)
 }
 
 func (e *endpoint) current() *endpointProcess {
--- a/tools/soak/execute.go
+++ b/tools/soak/execute.go
@@ -66,6 +66,11 @@
 		return s.operator.addNaming(number)
 	case plan.Busy:
 		return s.keepBusy(ctx, step)
+	case plan.HerdKill:
+		s.killHerd(step.Targets)
+		return nil
+	case plan.SoftwareLeaves:
+		return s.retireSoftware(step.Count)
 	}
 	if s.disturbInstance(step, number) || s.disturbStoreLink(step) {
 		return nil
@@ -130,7 +135,7 @@
 	case plan.EndpointDrains:
 		return true, e.drain(func(one *endpointProcess) error { return one.Drain() })
 	case plan.EndpointReleased:
-		return true, e.release()
+		return true, e.release(func(one *endpointProcess) error { return one.Drain() })
 	case plan.EndpointVanishes:
 		return true, e.drain(func(one *endpointProcess) error { return one.Vanish() })
 	case plan.EndpointKilled:
--- a/tools/soak/instance.go
+++ b/tools/soak/instance.go
@@ -58,6 +58,8 @@
 	startedAt time.Time
 	// stopSignaled is when the current process was first sent a signal that ends it. It is zero if none was sent.
 	stopSignaled time.Time
+	// restartDelay is the pause before the next start if it is longer than restartPause.
+	restartDelay time.Duration
 	// killed reports whether the first such signal was SIGKILL.
 	killed bool
 	// earlySignals are sent to the next process after its start, each after its own delay.
@@ -134,6 +136,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.process, i.startedAt, i.stopSignaled, i.killed = process, startedAt, time.Time{}, false
+	i.restartDelay = 0
 	for _, one := range i.earlySignals {
 		time.AfterFunc(one.after, func() { i.signal(one.signal) })
 	}
@@ -150,7 +153,7 @@
 		if i.isClosing() {
 			return
 		}
-		time.Sleep(restartPause)
+		time.Sleep(i.pauseBeforeStart())
 		next, err := i.launch()
 		if err != nil {
 			i.site.log.WithError(err).WithField("instance", i.name).Error("an instance cannot be started")
@@ -215,6 +218,21 @@
 	_ = process.Signal(syscall.SIGKILL)
 }
 
+// killFor kills the current process. The next one starts after the pause.
+func (i *instance) killFor(pause time.Duration) {
+	i.mutex.Lock()
+	i.restartDelay = pause
+	i.mutex.Unlock()
+	i.signal(syscall.SIGKILL)
+}
+
+// pauseBeforeStart returns the pause between the end of the former process and the next start.
+func (i *instance) pauseBeforeStart() time.Duration {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return max(restartPause, i.restartDelay)
+}
+
 // freeze suspends the current process for the span.
 func (i *instance) freeze(span time.Duration) {
 	from := time.Now()
--- a/tools/soak/ledger/check.go
+++ b/tools/soak/ledger/check.go
@@ -36,6 +36,9 @@
 	CheckSoftware    = "streams hold events of two software versions"
 	CheckMemory      = "an instance took more memory than it may"
 	CheckGoesOn      = "streams that callers take up do not go on"
+	CheckHerdMixed   = "streams hold events of two software versions after several instances were killed at once"
+	CheckHerdGoesOn  = "streams do not go on after several instances were killed at once"
+	CheckHerdUnknown = "a stream refused as unknown ran"
 )
 
 // Checks holds the checks of a record by name.
@@ -44,6 +47,7 @@
 	CheckHeld: checkHeld, CheckDenied: checkDenied, CheckDeparted: checkDeparted, CheckVersion: checkVersion, CheckPlaces: checkPlaces,
 	CheckExit: checkExit, CheckGrace: checkGrace, CheckBudget: checkBudget, CheckLeak: checkLeak,
 	CheckCrashing: checkCrashing, CheckHeldBack: checkHeldBack, CheckLimit: checkLimit, CheckLeaving: checkLeaving, CheckRest: checkRest,
+	CheckHerdMixed: checkHerdMixed, CheckHerdGoesOn: checkHerdGoesOn, CheckHerdUnknown: checkHerdUnknown,
 	CheckEndpoint: checkEndpoint, CheckSoftware: checkSoftware, CheckGoesOn: checkGoesOn, CheckMemory: checkMemory,
 }
 
--- a/tools/soak/ledger/check_test.go
+++ b/tools/soak/ledger/check_test.go
@@ -259,6 +259,16 @@
 		{"taken-up streams do not go on", []change{func(r *ledger.Record) {
 			*r = *takenUpStreams{count: 12, serving: 2}.record()
 		}}, ledger.CheckGoesOn},
+		{"streams of two software versions after herd kill", []change{func(r *ledger.Record) {
+			*r = *herdStreams{count: 1, goingOn: 1, goesOnAt: "v2"}.record()
+		}}, ledger.CheckHerdMixed},
+		{"streams do not go on after herd kill", []change{func(r *ledger.Record) {
+			*r = *herdStreams{count: 12, goingOn: 11}.record()
+		}}, ledger.CheckHerdGoesOn},
+		{"stream refused as unknown after herd kill ran", []change{func(r *ledger.Record) {
+			*r = *herdStreams{count: 1}.record()
+			r.Runs = append(r.Runs, platformstandin.RunEvent{ID: "t-0", Endpoint: "e-0", Phase: platformstandin.RunBegan, At: at(herdKilled)})
+		}}, ledger.CheckHerdUnknown},
 		{"retries beyond the budget", []change{func(r *ledger.Record) {
 			r.Attempts[0].Kind = ledger.Safe
 			r.Runs = slices.Repeat(r.Runs, 5)
--- a/tools/soak/ledger/record.go
+++ b/tools/soak/ledger/record.go
@@ -113,6 +113,8 @@
 	// StoreFault is the time in which the store is down, silent or frozen. With an empty target it affects the store itself, else
 	// the store link of the instance that is the target.
 	StoreFault Fault = "store-troubled"
+	// HerdKill is the kill of several instances at the same moment. Each of them has a Kill as well.
+	HerdKill Fault = "herd-kill"
 	// Configured is a change of the configuration.
 	Configured Fault = "configured"
 )
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -43,6 +43,9 @@
 	Together   int     `help:"How many callers send such a request at the same moment, each to another instance if there are as many." default:"1"`
 	Notices    bool    `help:"Have endpoints say of themselves that they take a limited number of requests, leave or want to rest."`
 	Endless    bool    `help:"Have endpoints send bytes without end in place of their answers."`
+	Herd       string  `help:"Which instances are killed at the same moment, again and again, among callers with streams of seconds and software versions that leave: all, most, hall, separated by commas; empty for none."`
+	HerdShare  float64 `help:"Share of the instances that are killed at once with most, rounded up." default:"0.6"`
+	Halls      int     `help:"Over how many halls instances and endpoints are spread." default:"3"`
 	Only       string  `help:"Kinds of step that may be drawn, separated by commas; empty for all, none for no step."`
 	Cases      string  `help:"Play kept cases in place of a run: all, short, or a case's name."`
 	Plant      string  `help:"Put a fault into the record of the run, which a check must find: ${plants}."`
--- a/tools/soak/plan/plan.go
+++ b/tools/soak/plan/plan.go
@@ -77,6 +77,11 @@
 	StoreLinksSilent Kind = "store-links-silent"
 	StoreFreezes     Kind = "store-freezes"
 	StoreThrottles   Kind = "store-throttles"
+	// HerdKill kills the instances with the numbers Targets at the same moment, after which they are restarted. SoftwareLeaves replaces the
+	// endpoints of the oldest software version, at most half of all that serve a model, by ones of the next version; with Count 1 they leave
+	// with an announcement, with 2 without one.
+	HerdKill       Kind = "herd-kill"
+	SoftwareLeaves Kind = "software-leaves"
 	// Busy keeps Count processors of the host busy.
 	Busy Kind = "busy"
 )
@@ -88,6 +93,8 @@
 	Target int           `json:"target"`
 	For    time.Duration `json:"for,omitempty"`
 	Count  int           `json:"count,omitempty"`
+	// Targets are the instances of a step on several of them.
+	Targets []int `json:"targets,omitempty"`
 }
 
 // Options are the options of a plan.
@@ -96,6 +103,11 @@
 	Instances, Endpoints int
 	// Only lists the kinds that may be drawn. If it is empty, all kinds may be drawn.
 	Only []Kind
+	// Herds lists the choices of herd kills; without any there is none. HerdShare is the share of the instances that HerdMost kills, and Halls
+	// the number of halls over which instances are spread in turn.
+	Herds     []Herd
+	HerdShare float64
+	Halls     int
 }
 
 // kindSpec describes how steps of a kind are drawn. A kind is drawn with a probability proportional to its weight.
--- a/tools/soak/plan/plan_test.go
+++ b/tools/soak/plan/plan_test.go
@@ -4,6 +4,7 @@
 package plan_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -56,3 +57,44 @@
 		assert.True(t, drawn[kind], kind)
 	}
 }
+
+func TestHerdKillsLeaveOtherStepsAsTheyAre(t *testing.T) {
+	herd := options
+	herd.Herds, herd.HerdShare, herd.Halls = plan.Herds(), 0.6, 3
+	assert.Equal(t, plan.Draw(7, options), plan.Draw(7, herd))
+	assert.Equal(t, plan.DrawReleases(7, options), plan.DrawReleases(7, herd))
+	assert.Equal(t, plan.DrawHerd(7, herd), plan.DrawHerd(7, herd))
+	assert.Empty(t, plan.DrawHerd(7, options))
+}
+
+func TestHerdKillsKillWhatWasChosen(t *testing.T) {
+	herd := options
+	herd.Instances, herd.HerdShare, herd.Halls = 8, 0.6, 3
+	for choice, expected := range map[plan.Herd][][]int{
+		plan.HerdAll: {{0, 1, 2, 3, 4, 5, 6, 7}}, plan.HerdHall: {{0, 3, 6}, {1, 4, 7}, {2, 5}}, plan.HerdMost: nil,
+	} {
+		herd.Herds = []plan.Herd{choice}
+		seen := make(map[string]bool)
+		pairs, before := 0, time.Duration(0)
+		for _, step := range plan.DrawHerd(7, herd) {
+			if step.Kind != plan.HerdKill {
+				assert.Equal(t, plan.SoftwareLeaves, step.Kind)
+				continue
+			}
+			if before > 0 && step.At-before <= 3*time.Second {
+				pairs++
+			}
+			before = step.At
+			seen[fmt.Sprint(step.Targets)] = true
+			if expected == nil {
+				assert.Len(t, step.Targets, 5, "0.6 of 8, rounded up")
+				continue
+			}
+			assert.Contains(t, expected, step.Targets)
+		}
+		assert.Positive(t, pairs, "some kills follow within 3 s")
+		if expected != nil {
+			assert.Len(t, seen, len(expected))
+		}
+	}
+}
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -134,6 +134,7 @@
 		maxUsage(r, func(u ledger.Usage) int { return u.Descriptors }))
 	b.WriteString(framingText(r))
 	b.WriteString(ledger.CountTakenUp(r).String())
+	b.WriteString(ledger.CountAfterHerds(r).String())
 	kinds := make(map[string]int)
 	for _, step := range steps {
 		kinds[string(step.Kind)]++
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,11 +51,15 @@
 	report(a.Callers < 1 || a.Callers > maxCallers, "--callers: %d is not within 1 and %d", a.Callers, maxCallers)
 	for name, share := range map[string]float64{
 		"--blind": a.Blind, "--long": a.Long, "--edge": a.Edge, "--odd": a.Odd, "--patient": a.Patient, "--until-close": a.UntilClose,
-		"--cut-off": a.CutOff, "--take-up": a.TakeUp,
+		"--cut-off": a.CutOff, "--take-up": a.TakeUp, "--herd-share": a.HerdShare,
 	} {
 		report(share < 0 || share > 1, "%s: %g is no share", name, share)
 	}
 	report(a.Plant != "" && plants[a.Plant] == nil, "--plant: no fault %q, only %s", a.Plant, strings.Join(plantNames(), ", "))
+	report(a.Halls < 1 || a.Halls > maxInstances, "--halls: %d is not within 1 and %d", a.Halls, maxInstances)
+	for _, herd := range a.herds() {
+		report(!slices.Contains(plan.Herds(), herd), "--herd: no choice %q, only %v", herd, plan.Herds())
+	}
 	for _, kind := range a.kinds() {
 		known := false
 		for _, one := range plan.Kinds() {
@@ -73,6 +78,9 @@
 	maxSoftware  = 3
 )
 
+// lastingShare is the share of requests that are streams of seconds, in runs that kill several instances at once.
+const lastingShare = 0.2
+
 // kinds returns the kinds of step that may be drawn. An empty result allows all kinds.
 func (a arguments) kinds() []plan.Kind {
 	if a.Only == "" || a.Only == noSteps {
@@ -85,6 +93,15 @@
 	return kinds
 }
 
+// herds returns the choices of herd kills.
+func (a arguments) herds() []plan.Herd {
+	var herds []plan.Herd
+	for _, name := range strings.FieldsFunc(a.Herd, func(r rune) bool { return r == ',' }) {
+		herds = append(herds, plan.Herd(name))
+	}
+	return herds
+}
+
 // newSite validates the arguments and returns a site without processes. The site gets a new folder whose name contains soak and the
 // seed.
 func newSite(args arguments, soak string) (*site, error) {
@@ -130,6 +147,7 @@
 // drawPlan draws the plan of a run from the seed.
 func (a arguments) drawPlan() []plan.Step {
 	options := plan.Options{Span: time.Duration(a.Seconds) * time.Second, Instances: a.Instances, Endpoints: a.Endpoints, Only: a.kinds()}
+	options.Herds, options.HerdShare, options.Halls = a.herds(), a.HerdShare, a.Halls
 	var steps []plan.Step
 	if a.Only != noSteps {
 		steps = plan.Draw(a.Seed, options)
@@ -140,6 +158,7 @@
 	if a.Endless {
 		steps = plan.Merge(steps, plan.DrawEndless(a.Seed, options))
 	}
+	steps = plan.Merge(steps, plan.DrawHerd(a.Seed, options))
 	if a.Software > 1 {
 		steps = plan.Merge(steps, plan.DrawReleases(a.Seed, options))
 	}
@@ -170,6 +189,9 @@
 			attempts = append(attempts, a)
 		},
 	}
+	if s.args.Herd != "" {
+		options.Lasting = lastingShare
+	}
 	background, end := context.WithCancel(context.Background())
 	defer end()
 	lag := newLagMeter()
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -28,8 +28,6 @@
 	// startTimeout bounds the start of a process and stopTimeout its planned stop. Observed starts and stops are far shorter.
 	startTimeout = 30 * time.Second
 	stopTimeout  = 12 * time.Second
-	// hallCount is the number of halls over which instances and endpoints are spread.
-	hallCount = 3
 	// plainServiceInterval makes every third endpoint a plain service; the other endpoints serve a model.
 	plainServiceInterval = 3
 )
@@ -49,8 +47,9 @@
 	activeCrashers []*crasher
 }
 
-func hall(i int) string {
-	return fmt.Sprintf("h%d", 1+i%hallCount)
+// hall returns the hall of an instance or endpoint, of the given number of halls.
+func hall(i, halls int) string {
+	return fmt.Sprintf("h%d", 1+i%halls)
 }
 
 // start starts all processes and returns when all instances are ready.
@@ -123,7 +122,7 @@
 		return err
 	}
 	for i, ip := range ips {
-		one, err := newEntry(s, place{name: fmt.Sprintf("instance-%d", i), hall: hall(i), ip: ip, ports: ports}, seeds, store)
+		one, err := newEntry(s, place{name: fmt.Sprintf("instance-%d", i), hall: hall(i, s.args.Halls), ip: ip, ports: ports}, seeds, store)
 		if err != nil {
 			return err
 		}
--- a/tools/soak/traffic/caller.go
+++ b/tools/soak/traffic/caller.go
@@ -39,6 +39,9 @@
 	// TakeUp is the share of resumable streams whose callers lose their connection in the middle. Callers take up these and all others that
 	// break. With 0, callers take up none, and no random numbers are drawn for it.
 	TakeUp float64
+	// Lasting is the share of requests that are streams of seconds, which callers take up where they break. With 0, no random numbers are drawn
+	// for it.
+	Lasting float64
 }
 
 // pauseKind is the kind of a caller's pauses between two requests.
@@ -167,6 +170,9 @@
 	if c.options.Patient > 0 && c.random.Float64() < c.options.Patient {
 		return drawPatient(c.random)
 	}
+	if c.options.Lasting > 0 && c.random.Float64() < c.options.Lasting {
+		return drawLasting(c.random)
+	}
 	return draw(c.random, c.options.AddedPrefixes())
 }
 
--- a/tools/soak/traffic/request.go
+++ b/tools/soak/traffic/request.go
@@ -33,6 +33,8 @@
 	lastEvent int
 	resumes   string
 	dropAfter int
+	// lasting reports whether the request is a stream of seconds.
+	lasting bool
 	// chunked selects chunked transfer encoding.
 	chunked bool
 	// malformed replaces the chunks with an invalid chunk size.
--- a/tools/soak/traffic/taking_up.go
+++ b/tools/soak/traffic/taking_up.go
@@ -30,19 +30,29 @@
 
 // takesUp reports whether the caller takes the request up if its connection breaks.
 func (c *Caller) takesUp(q *request) bool {
-	return c.options.TakeUp > 0 && strings.HasPrefix(q.path, platformstandin.ResumePrefix)
+	return q.lasting || c.options.TakeUp > 0 && strings.HasPrefix(q.path, platformstandin.ResumePrefix)
 }
 
 // followStream sends the request of a stream, and takes the stream up at any instance until it is whole, each try with a new ID.
 func (c *Caller) followStream(ctx context.Context, q *request) {
 	q.firstTry, q.path = q.id, q.path+"&"+platformstandin.SignedParameter
-	if q.events > 1 && c.random.Float64() < c.options.TakeUp {
+	if q.events > 1 && !q.lasting && c.random.Float64() < c.options.TakeUp {
 		q.dropAfter = 1 + c.random.IntN(q.events-1)
 	}
+	if q.lasting {
+		// The end of the run is no reason to leave such a stream.
+		ctx = context.WithoutCancel(ctx)
+	}
 	deadline := time.Now().Add(q.callTimeout)
-	for range maxTries {
+	for tries := 0; tries < maxTries; {
 		attempt, wait := c.sendRequest(q, false)
 		c.options.Record(attempt)
+		if q.lasting && attempt.Status == 0 {
+			// The instance is down: the caller comes back a little later, and keeps its tries for answers.
+			wait = time.Duration(c.random.Float64() * float64(maxShortPause))
+		} else {
+			tries++
+		}
 		if !q.advance(&attempt) || time.Until(deadline) < wait+minTimeLeft || !c.pause(ctx, wait) {
 			return
 		}
