--- /dev/null
+++ b/tests/integration/all_restart_test.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/tests/standin"
+)
+
+// TestReadyInstanceKnowsAdaptersAfterAllInstancesRestarted guards against requests for adapters that exist being answered as unknown, since every
+// instance that knew the configuration was lost.
+func TestReadyInstanceKnowsAdaptersAfterAllInstancesRestarted(t *testing.T) {
+	const observation = 3 * time.Second
+	ids := []string{"h1-i1", "h1-i2"}
+	for name, faults := range map[string]standin.KVFaults{
+		"the key-value service answers": {},
+		"the key-value service is down": {Down: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, oneHallOptions(), nil, ids...)
+			f.createAdapters("h1-i1", 2)
+			f.cluster.KV.SetFaults(faults)
+			for _, id := range ids {
+				f.killDaemon(id)
+			}
+			for _, id := range ids {
+				f.startDaemon(id)
+			}
+			f.publishList()
+			unknown, sent := 0, 0
+			for begin := time.Now(); time.Since(begin) < observation; time.Sleep(20 * time.Millisecond) {
+				for _, id := range ids {
+					if !f.daemons[id].Ready() {
+						continue
+					}
+					sent++
+					c := standin.Call{ID: fmt.Sprintf("r-%d", sent), Model: "a-1@1", Class: "kiosk", Caller: "test", Tokens: 3}
+					if f.sendCall(context.Background(), id, c).Status == http.StatusNotFound {
+						unknown++
+					}
+				}
+			}
+			assert.Zero(t, unknown, "of %d requests", sent)
+		})
+	}
+}
