Let streams go on whose software is the only one left by exclusion

Cause: only the instances that were lost knew that these streams had begun while one software served. The log has the new software in the first view of every instance after the loss, so nobody can have seen it come.

Change: each process states in the store at which softwares it begins streams (shelfledge/streams/used/), before the first one where several are known. A stream that nobody knows is decided by exclusion: all instances of the list and all that stated a use are asked, and a software counts as impossible if all processes that used it answer that they did not begin the stream.

An instance that lags learns of a second software from the three that state the softwares. A table holds 131,072 streams in place of 32,768.

Evidence: TestStreamsOfOnlySoftwareGoOnIfAnotherComesAfterLossOfAll, TestInstanceBehindOthersAsksThem and TestFleetWithMoreStreamsThanATableGoesOn failed before and leave the list of known failures. The first one now lets its instances state their use, as the proxy does, and expects the verdict of the exclusion; what it demands of the origin is unchanged. Three tests of messages pass over the announcement, whose form is pinned as well. TestStreamThatAnyLostInstanceMayHaveBegunIsNotJoined joins in each of its cases if the lost instance states nothing.

--- a/services/entry/origin/archive/archive.go
+++ b/services/entry/origin/archive/archive.go
@@ -49,6 +49,9 @@
 	begunLease int64
 	begunUntil time.Time
 	batches    uint32
+	// usedLease is the lease of what this process uses, 0 for none, and usedKeys counts the keys of it.
+	usedLease int64
+	usedKeys  uint32
 	// era is that of the store as last seen.
 	era int64
 }
@@ -61,6 +64,8 @@
 	Served []Statement
 	// Begun are streams that began while several softwares were known, of this process as well.
 	Begun []origin.Record
+	// Uses are the softwares at which processes begin streams, this one included.
+	Uses []origin.Use
 	// Unreadable counts the entries that were not understood.
 	Unreadable int
 	// Kept is set if the archive was written before, perhaps so long ago that nothing of it is left.
@@ -130,6 +135,8 @@
 			return err
 		}
 		c.Begun = append(c.Begun, records...)
+	case strings.HasPrefix(item.Key, usedPrefix):
+		return c.addUse(item)
 	}
 	return nil
 }
@@ -156,9 +163,7 @@
 
 // RenewServed lets the softwares stay for origin.MaxLifetime from now on. After store.ErrLeaseExpired they have to be written again.
 func (a *Archive) RenewServed(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := a.Store.RenewLease(ctx, a.servedLease)
+	err := a.renew(ctx, a.servedLease)
 	if errors.Is(err, store.ErrLeaseExpired) {
 		a.servedLease = 0
 	}
@@ -205,7 +210,7 @@
 	if era == a.era {
 		return false
 	}
-	a.era, a.servedLease, a.begunUntil = era, 0, time.Time{}
+	a.era, a.servedLease, a.usedLease, a.begunUntil = era, 0, 0, time.Time{}
 	return true
 }
 
@@ -225,6 +230,12 @@
 	return a.Store.GrantLease(ctx, ttl)
 }
 
+func (a *Archive) renew(ctx context.Context, lease int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.Store.RenewLease(ctx, lease)
+}
+
 func (a *Archive) write(ctx context.Context, written ...store.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -3,6 +3,8 @@
 
 package origin
 
+import "net/netip"
+
 // Verdict is what is known about a stream that is taken up.
 type Verdict int
 
@@ -16,11 +18,13 @@
 	SoleSoftware
 	// Unrestricted means that only one software has served for as long as the stream can have existed.
 	Unrestricted
+	// OnlyPossible means that the stream can have begun at no other origin, since those who used the others did not begin it.
+	OnlyPossible
 	// Ambiguous means that different origins are known for the same key.
 	Ambiguous
 )
 
-// Result is a verdict, and the origin for Known, SoleSoftware and Unrestricted.
+// Result is a verdict, and the origin for all but Unknown and Ambiguous.
 type Result struct {
 	Verdict Verdict
 	Origin  Origin
@@ -28,12 +32,16 @@
 
 // Answer is what another instance knows about a stream.
 type Answer struct {
+	// From is the address of the instance.
+	From netip.AddrPort
 	// Found is Known, Ambiguous or Unknown.
 	Found Result
 	// Sightings are the softwares of the services in question that the instance knows.
 	Sightings []Sighting
 	// Complete is set if the instance has read the archive since it started, and has observed the endpoints since.
 	Complete bool
+	// Process is the number of the instance's process if that knows of each stream that it began, otherwise 0.
+	Process uint64
 }
 
 // DecideLocally decides from what this instance knows itself: what its table has, which softwares have been known within the window, and
--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -32,6 +32,8 @@
 	readAt      time.Time
 	// learned is the revision up to which the softwares have been learned. They would count as younger if they were learned again.
 	learned int64
+	// uses are where processes begin streams, as last read.
+	uses    []origin.Use
 	failing bool
 }
 
@@ -120,6 +122,7 @@
 		s.options.Log.WithField("entries", content.Unreadable).Warn("the store has entries on streams that this version cannot read")
 	}
 	s.complete = content.IsComplete() && s.hasReadSinceObserved()
+	s.reader.uses = content.Uses
 	s.writer.request()
 	for _, stated := range content.Served {
 		if stated.Revision > s.reader.learned {
@@ -155,3 +158,34 @@
 	defer s.mutex.Unlock()
 	return !s.reader.readAt.IsZero() && !s.reader.readAt.Before(s.reader.requestedAt)
 }
+
+// awaitReading waits until a reading of the archive has succeeded that began at a time or later. It returns false if none may begin within
+// archiveTimeout.
+func (s *Service) awaitReading(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, archiveTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		s.readArchive(ctx, s.options.Now())
+		s.mutex.Lock()
+		isRead, nextAt := !s.reader.readAt.Before(since), s.reader.nextAt
+		s.mutex.Unlock()
+		if isRead {
+			return true
+		}
+		select {
+		case <-time.After(max(nextAt.Sub(s.options.Now()), time.Millisecond)):
+		case <-ctx.Done():
+		case <-s.stopped:
+			return false
+		}
+	}
+	return false
+}
+
+// readSooner lets the archive be read again as soon as at first, since the last reading helped.
+func (r *archiveReader) readSooner() {
+	r.interval = minReadInterval
+	if soonest := r.readAt.Add(minReadInterval); soonest.Before(r.nextAt) {
+		r.nextAt = soonest
+	}
+}
--- a/services/entry/origin/exchange/archive_writer.go
+++ b/services/entry/origin/exchange/archive_writer.go
@@ -30,7 +30,7 @@
 	// store when a fleet starts, a lower one loses fewer streams of an instance that is cut off.
 	aloneAfter = 3 * time.Second
 	// maxUnwritten bounds the streams that wait to be written. A higher value bridges a longer outage of the store, a lower one takes less memory.
-	maxUnwritten = 32768
+	maxUnwritten = 131072
 )
 
 // archiveWriter is what waits to be written into the archive. The service's mutex guards it.
@@ -152,6 +152,7 @@
 		return
 	}
 	s.writer.holders = nil
+	s.uses.restate()
 	s.complete = false
 	s.reader.request(now)
 }
@@ -206,7 +207,10 @@
 func (s *Service) writeDue(now time.Time) error {
 	s.reviewEra(now)
 	s.reviewArchivers(now)
-	err := s.writeServed(now)
+	err := s.writeUses(now)
+	if servedErr := s.writeServed(now); err == nil {
+		err = servedErr
+	}
 	if batchErr := s.writeBatch(now); err == nil {
 		err = batchErr
 	}
@@ -224,6 +228,9 @@
 	if s.statesSoftwares(now) && !s.writer.renewAt.IsZero() {
 		pause = min(pause, s.writer.renewAt.Sub(now))
 	}
+	if len(s.uses.wanted) > 0 {
+		pause = min(pause, s.uses.renewAt.Sub(now))
+	}
 	if s.writer.waiting() > 0 {
 		pause = min(pause, s.writer.batchAt().Sub(now))
 	}
--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -69,7 +69,10 @@
 		return result, rulesOutOthers
 	}
 	s.awaitArchive(ctx)
-	return s.lookup(key), true
+	if result := s.lookup(key); result.Verdict != origin.Unknown {
+		return result, true
+	}
+	return s.findRemaining(ctx, now, key, services, window), true
 }
 
 // awaitArchive lets the archive be read if that is allowed, and waits for it.
@@ -116,7 +119,7 @@
 		s.mutex.Unlock()
 		return origin.Result{Verdict: origin.Unknown}, false
 	}
-	asked, complete := s.addInquiry(key, services, window, known), s.knowsAll()
+	asked, complete := s.addInquiry(s.holdersOf(key), key, services, window, known), s.knowsAll()
 	s.mutex.Unlock()
 	answers := s.ask(ctx, asked)
 	s.removeInquiry(asked)
@@ -147,12 +150,16 @@
 	return false
 }
 
-// addInquiry adds an inquiry at the instances that may know a stream; at none without a transport.
-func (s *Service) addInquiry(key origin.Key, services []string, window time.Duration, known []origin.Sighting) *inquiry {
-	var addresses []netip.AddrPort
-	if s.online {
-		addresses = s.holders.Asked(key)
+// holdersOf returns the instances that may know a stream; none without a transport.
+func (s *Service) holdersOf(key origin.Key) []netip.AddrPort {
+	if !s.online {
+		return nil
 	}
+	return s.holders.Asked(key)
+}
+
+// addInquiry adds an inquiry at some instances.
+func (s *Service) addInquiry(addresses []netip.AddrPort, key origin.Key, services []string, window time.Duration, known []origin.Sighting) *inquiry {
 	added := &inquiry{
 		id: rand.Uint64(), key: key, services: services, window: window, known: known, asked: addresses,
 		silent: make(map[netip.AddrPort]bool, len(addresses)), answers: make(chan origin.Answer, len(addresses)),
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -33,6 +33,8 @@
 	Answer   *answer   `msgpack:"a,omitempty"`
 	// Again asks for all records once more, since the sender writes into the archive and has just started.
 	Again bool `msgpack:"g,omitempty"`
+	// Seen are softwares of services that several serve.
+	Seen []sighting `msgpack:"n,omitempty"`
 	// Write is set with records that the sender could not write into the archive.
 	Write bool `msgpack:"w,omitempty"`
 }
@@ -71,6 +73,8 @@
 	Software string     `msgpack:"v,omitempty"`
 	Known    []sighting `msgpack:"w,omitempty"`
 	Complete bool       `msgpack:"c,omitempty"`
+	// Process is the number of the process if it knows of each stream that it began.
+	Process uint64 `msgpack:"p,omitempty"`
 }
 
 // The values of answer.Found.
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -66,6 +66,7 @@
 	if received.Again {
 		s.tellOnceMore(now)
 	}
+	s.receiveSightings(now, received.Seen)
 	if received.Question != nil {
 		s.receiveQuestion(now, from, received.Question)
 	}
@@ -103,6 +104,15 @@
 	}
 }
 
+// receiveSightings learns which softwares another instance knows.
+func (s *Service) receiveSightings(now time.Time, seen []sighting) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, each := range seen {
+		s.learn(now, each.toOrigin())
+	}
+}
+
 // tellOnceMore lets all streams of this instance be told again, to an instance that may have missed them.
 func (s *Service) tellOnceMore(now time.Time) {
 	s.mutex.Lock()
@@ -118,10 +128,10 @@
 	}
 	found := s.table.Lookup(now, origin.Key(asked.Key))
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
-	complete := s.knowsAll()
+	complete, process := s.knowsAll(), s.process(now)
 	s.mutex.Unlock()
 	payload, fits := encodeFitting(toSightings(known), fewestSightings, func(known []sighting) *message {
-		answered := &answer{ID: asked.ID, Known: known, Complete: complete}
+		answered := &answer{ID: asked.ID, Known: known, Complete: complete, Process: process}
 		answered.setFound(found)
 		return &message{Answer: answered}
 	})
@@ -151,7 +161,7 @@
 		return
 	}
 	delete(waiting.silent, from)
-	answered := origin.Answer{Found: found, Complete: received.Complete}
+	answered := origin.Answer{From: from, Found: found, Complete: received.Complete, Process: received.Process}
 	for _, sent := range received.Known {
 		seen := sent.toOrigin()
 		s.learn(now, seen)
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -33,6 +33,7 @@
 	cancel  context.CancelFunc
 
 	writer archiveWriter
+	uses   useWriter
 	reader archiveReader
 
 	mutex sync.Mutex
@@ -62,6 +63,8 @@
 	backlogHolders *origin.Holders
 	// asksAgain is set when the others are to be asked for their records, if this instance writes into the archive.
 	asksAgain bool
+	// announced are services with several softwares that the other instances are to be told of.
+	announced []string
 	inquiries map[uint64]*inquiry
 	counters  Counters
 }
@@ -73,7 +76,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
-		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(),
+		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: useWriter{attempted: make(chan struct{})},
 		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
@@ -155,6 +158,9 @@
 	defer s.mutex.Unlock()
 	s.history.Observe(now, softwares)
 	for service := range softwares {
+		if !s.told[service] && s.history.HasSeveral(now, service) && s.statesSoftwares(now) {
+			s.announced = append(s.announced, service)
+		}
 		s.reviewTold(now, service)
 	}
 	if !s.observing {
--- a/services/entry/origin/exchange/tell.go
+++ b/services/entry/origin/exchange/tell.go
@@ -74,6 +74,7 @@
 			s.sweep(s.options.Now())
 		case <-s.wake:
 			s.askAgain()
+			s.announce(s.options.Now())
 			s.tellAll()
 		}
 	}
@@ -95,7 +96,33 @@
 		s.countOversized()
 		return
 	}
-	for _, other := range others {
+	s.sendToOthers(others, payload)
+}
+
+// announce tells the other instances of services that several softwares are known to serve: one that lags would take a single one for proven.
+// Only those do that state the softwares in the archive.
+func (s *Service) announce(now time.Time) {
+	s.mutex.Lock()
+	var known [][]sighting
+	for _, service := range s.announced {
+		known = append(known, toSightings(s.history.Known(now, []string{service}, origin.MaxLifetime)))
+	}
+	others := s.instances
+	s.announced = nil
+	s.mutex.Unlock()
+	for _, seen := range known {
+		payload, fits := encodeFitting(seen, fewestSightings, func(seen []sighting) *message { return &message{Seen: seen} })
+		if !fits {
+			s.countOversized()
+			continue
+		}
+		s.sendToOthers(others, payload)
+	}
+}
+
+// sendToOthers sends a datagram to the instances of a list but this one.
+func (s *Service) sendToOthers(list []origin.Instance, payload []byte) {
+	for _, other := range list {
 		if other.Address != s.options.Address {
 			s.send(other.Address, payload)
 		}
--- /dev/null
+++ b/services/entry/origin/exchange/use.go
@@ -0,0 +1,201 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+const (
+	// useTimeout bounds the wait until a use is stated. A higher value waits for a slower store, a lower one delays streams less while it is slow.
+	useTimeout = 200 * time.Millisecond
+	// useRenewInterval is the time after which the uses are renewed. A higher value costs fewer calls, a lower one bridges longer outages of the
+	// store.
+	useRenewInterval = 150 * time.Second
+	// maxUses bounds the origins that this instance states to use. A higher value serves more services, a lower one keeps values small.
+	maxUses = 1024
+)
+
+// useWriter is where this instance begins streams, and what of it is stated in the archive. The service's mutex guards it.
+type useWriter struct {
+	wanted []origin.Origin
+	// stated is how many of wanted have been stated, renewAt when they are renewed.
+	stated  int
+	renewAt time.Time
+	// pausedUntil is when they may be stated again after an error.
+	pausedUntil time.Time
+	// attempted is closed at the end of the next attempt to state them.
+	attempted chan struct{}
+}
+
+// isStated reports whether the archive states the use of an origin.
+func (w *useWriter) isStated(at origin.Origin) bool {
+	return slices.Contains(w.wanted[:w.stated], at)
+}
+
+// want lets the use of an origin be stated. It reports false if there are too many.
+func (w *useWriter) want(at origin.Origin) bool {
+	if slices.Contains(w.wanted, at) {
+		return true
+	}
+	if len(w.wanted) >= maxUses {
+		return false
+	}
+	w.wanted = append(w.wanted, at)
+	return true
+}
+
+// restate lets all uses be stated again, which the store may have lost.
+func (w *useWriter) restate() {
+	w.stated = 0
+}
+
+// finish ends an attempt to state the first uses of wanted.
+func (w *useWriter) finish(now time.Time, stated int, err error) {
+	close(w.attempted)
+	w.attempted = make(chan struct{})
+	if err != nil {
+		w.pausedUntil = now.Add(writePause)
+		w.restate()
+		return
+	}
+	w.stated, w.renewAt = stated, now.Add(useRenewInterval)
+}
+
+// Prepare lets the archive state that this instance begins streams at an origin, and waits for that if several softwares of the service are known:
+// after the loss of all instances it tells that streams can have begun there. It waits for useTimeout at most, and not while the store fails.
+func (s *Service) Prepare(ctx context.Context, at origin.Origin) {
+	s.mutex.Lock()
+	now := s.options.Now()
+	if s.options.Archive == nil || s.uses.isStated(at) || !s.uses.want(at) || now.Before(s.uses.pausedUntil) {
+		s.mutex.Unlock()
+		return
+	}
+	attempted, waits := s.uses.attempted, s.history.HasSeveral(now, at.Service)
+	s.writer.request()
+	s.mutex.Unlock()
+	if !waits {
+		return
+	}
+	timeout := time.NewTimer(useTimeout)
+	defer timeout.Stop()
+	select {
+	case <-attempted:
+	case <-timeout.C:
+	case <-ctx.Done():
+	case <-s.stopped:
+	}
+}
+
+// writeUses states or renews where this instance begins streams, if that is due.
+func (s *Service) writeUses(now time.Time) error {
+	s.mutex.Lock()
+	w := &s.uses
+	wanted := slices.Clone(w.wanted)
+	changed := w.stated < len(wanted)
+	due := changed || (len(wanted) > 0 && !now.Before(w.renewAt))
+	if !due || now.Before(w.pausedUntil) {
+		s.mutex.Unlock()
+		return nil
+	}
+	s.mutex.Unlock()
+	var err error
+	if changed {
+		err = s.options.Archive.WriteUsed(s.context, s.options.Address, wanted)
+	} else {
+		err = s.options.Archive.RenewUsed(s.context)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.finishWrite(err)
+	w.finish(now, len(wanted), err)
+	return err
+}
+
+// findRemaining decides about a stream that nobody knows by asking all instances that may have begun it. It has to be known at which softwares each
+// process begins streams, by a reading that began when the stream was taken up or later.
+func (s *Service) findRemaining(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
+	unknown := origin.Result{Verdict: origin.Unknown}
+	if !s.hasUses(services) || !s.awaitReading(ctx, now) {
+		return unknown
+	}
+	s.mutex.Lock()
+	now = s.options.Now()
+	process := s.process(now)
+	if !s.knowsAll() || process == 0 || len(s.inquiries) >= maxInquiries {
+		s.mutex.Unlock()
+		return unknown
+	}
+	known, uses, list := s.history.Known(now, services, window), s.reader.uses, s.instances
+	asked := s.addInquiry(s.everyone(uses), key, services, window, known)
+	s.mutex.Unlock()
+	answers := s.ask(ctx, asked)
+	s.removeInquiry(asked)
+	if found := origin.Decide(known, false, answers); found.Verdict != origin.Unknown || !s.stateUses(list, uses, answers) {
+		return found
+	}
+	denied := map[uint64]bool{process: true}
+	for _, answer := range answers {
+		denied[answer.Process] = true
+		known = append(known, answer.Sightings...)
+	}
+	remaining := origin.FindRemaining(known, uses, denied)
+	if remaining.Verdict == origin.OnlyPossible {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.reader.readSooner()
+	}
+	return remaining
+}
+
+// stateUses reports whether all instances of a list are known to state their uses: those of a former build don't, and neither answer with the number
+// of a process.
+func (s *Service) stateUses(list []origin.Instance, uses []origin.Use, answers []origin.Answer) bool {
+	stating := map[netip.AddrPort]bool{s.options.Address: true}
+	for _, use := range uses {
+		stating[use.Address] = true
+	}
+	for _, answer := range answers {
+		stating[answer.From] = answer.Process != 0
+	}
+	return !slices.ContainsFunc(list, func(instance origin.Instance) bool { return !stating[instance.Address] })
+}
+
+// hasUses reports whether a process is known to begin streams at one of the services.
+func (s *Service) hasUses(services []string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.ContainsFunc(s.reader.uses, func(use origin.Use) bool { return slices.Contains(services, use.Origin.Service) })
+}
+
+// everyone returns the other instances of the list, and those that have stated to begin streams.
+func (s *Service) everyone(uses []origin.Use) []netip.AddrPort {
+	if !s.online {
+		return nil
+	}
+	var addresses []netip.AddrPort
+	for _, instance := range s.instances {
+		addresses = append(addresses, instance.Address)
+	}
+	for _, use := range uses {
+		if use.Address.IsValid() {
+			addresses = append(addresses, use.Address)
+		}
+	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return without(slices.Compact(addresses), []netip.AddrPort{s.options.Address})
+}
+
+// process returns the number of this process if it knows of each stream that it began, otherwise 0.
+func (s *Service) process(now time.Time) uint64 {
+	if s.options.Archive == nil || !s.table.IsWhole(now) {
+		return 0
+	}
+	return s.options.Archive.Writer
+}
--- a/services/entry/origin/table.go
+++ b/services/entry/origin/table.go
@@ -10,7 +10,7 @@
 )
 
 // maxRecords bounds the records of a table. A higher value remembers more streams, a lower one takes less memory.
-const maxRecords = 32768
+const maxRecords = 131072
 
 // Record is what an instance knows about the origin of one stream.
 type Record struct {
@@ -40,6 +40,8 @@
 	entries map[Key]entry
 	// order has the keys of entries, the oldest first.
 	order []Key
+	// wholeFrom is when the last stream can no longer be taken up that was removed before that.
+	wholeFrom time.Time
 }
 
 // NewTable returns an empty table.
@@ -97,10 +99,18 @@
 	if len(t.order) < maxRecords {
 		return
 	}
+	if until := t.entries[t.order[0]].until; until.After(t.wholeFrom) {
+		t.wholeFrom = until
+	}
 	delete(t.entries, t.order[0])
 	t.order = t.order[1:]
 }
 
+// IsWhole reports whether the table has each record that was added and has not expired.
+func (t *Table) IsWhole(now time.Time) bool {
+	return !t.wholeFrom.After(now)
+}
+
 // Get returns the record of a stream that has not expired.
 func (t *Table) Get(now time.Time, key Key) (Record, bool) {
 	found, exists := t.entries[key]
--- a/services/entry/process/process.go
+++ b/services/entry/process/process.go
@@ -315,7 +315,7 @@
 		RecordCrash: control.RecordCrash, RecordUnanswered: control.RecordUnanswered, RecordAnswered: control.RecordAnswered,
 		ApplyNotice:  control.ApplyNotice,
 		CountRequest: control.CountRequest, TakeRetry: control.TakeRetry,
-		Origins: proxy.Origins{Expect: origins.Expect, Begin: origins.Begin, GoOn: origins.Begin, Find: origins.Find},
+		Origins: proxy.Origins{Prepare: origins.Prepare, Expect: origins.Expect, Begin: origins.Begin, GoOn: origins.Begin, Find: origins.Find},
 	}, client, options.Dialect)
 	server = gateway.New(gateway.Options{
 		Callers: options.Callers, Ready: options.Ready, Metrics: options.Metrics, Handler: service,
--- a/services/entry/proxy/taken_up.go
+++ b/services/entry/proxy/taken_up.go
@@ -14,6 +14,8 @@
 
 // Origins holds the functions that know where streams began.
 type Origins struct {
+	// Prepare is called before a stream that can be taken up is sent to an endpoint of an origin. It may wait for a moment.
+	Prepare func(ctx context.Context, at origin.Origin)
 	// Expect records that a stream without an event is sent to an endpoint, Begin that its first event is forwarded; callers can take it up until
 	// a time. Of one stream only one origin may be expected, and it may begin nowhere else. They must not block.
 	Expect func(now time.Time, key origin.Key, expected origin.Origin, until time.Time)
@@ -52,7 +54,7 @@
 		if found.Origin.Software == "" {
 			return false
 		}
-	case origin.SoleSoftware, origin.Unrestricted:
+	case origin.SoleSoftware, origin.Unrestricted, origin.OnlyPossible:
 		s.recordTakenUp(request, caller, found.Origin)
 	default:
 		return false
@@ -91,9 +93,19 @@
 
 // expectOrigin records where a stream is about to run that has no event yet.
 func (e *exchange) expectOrigin() {
-	if e.startPosition.lastEvent == "" && e.startPosition.expected != "" {
-		e.recordOrigin(e.inflight.service.control.Origins.Expect)
+	if e.startPosition.lastEvent != "" || e.startPosition.expected == "" {
+		return
+	}
+	origins := e.inflight.service.control.Origins
+	if origins.Prepare != nil && e.inflight.canBeTakenUp() {
+		origins.Prepare(e.context, e.origin())
 	}
+	e.recordOrigin(origins.Expect)
+}
+
+// origin returns the service and the software of the endpoint.
+func (e *exchange) origin() origin.Origin {
+	return origin.Origin{Service: e.inflight.request.Service, Software: e.assignment.Endpoint.Software}
 }
 
 // recordOrigin records the endpoint of the exchange for a stream that its caller can take up.
@@ -102,8 +114,7 @@
 	if record == nil || !r.canBeTakenUp() {
 		return
 	}
-	at := origin.Origin{Service: r.request.Service, Software: e.assignment.Endpoint.Software}
-	r.service.recordAt(record, r.request, r.caller, r.caller.ID, at)
+	r.service.recordAt(record, r.request, r.caller, r.caller.ID, e.origin())
 }
 
 // recordAt records an origin of the stream that an attempt of a caller began.
