Tell other instances of uses that the store did not take

Callers could see a stream joined from two softwares: an instance that the store turns away begins streams at a software without stating it. If it is lost together with what it told of a stream, the exclusion takes the stream for one of the other software.

Cause: a use that was not stated counted as none.

Change: an instance tells the others of the list what it could not state.

--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -35,6 +35,8 @@
 	Again bool `msgpack:"g,omitempty"`
 	// Seen are softwares of services that several serve.
 	Seen []sighting `msgpack:"n,omitempty"`
+	// Uses are where the sender begins streams and could not state it in the archive.
+	Uses *usesOf `msgpack:"u,omitempty"`
 	// Write is set with records that the sender could not write into the archive.
 	Write bool `msgpack:"w,omitempty"`
 }
@@ -84,6 +86,12 @@
 	foundSeveral
 )
 
+// usesOf tells at which softwares a process begins streams.
+type usesOf struct {
+	Process   uint64     `msgpack:"p"`
+	Softwares []sighting `msgpack:"w"`
+}
+
 // sighting tells when a software was last known. Age is in milliseconds.
 type sighting struct {
 	Service  string `msgpack:"s"`
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -67,6 +67,7 @@
 		s.tellOnceMore(now)
 	}
 	s.receiveSightings(now, received.Seen)
+	s.receiveUses(now, from, received.Uses)
 	if received.Question != nil {
 		s.receiveQuestion(now, from, received.Question)
 	}
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -34,7 +34,9 @@
 
 	writer archiveWriter
 	uses   useWriter
-	reader archiveReader
+	// toldUses are what others could not state in the archive.
+	toldUses toldUses
+	reader   archiveReader
 
 	mutex sync.Mutex
 	// startedAt is when the service was started, complete is set once the archive has been read since the observation of the endpoints began.
@@ -77,7 +79,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
 		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: useWriter{attempted: make(chan struct{})},
-		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
+		toldUses: toldUses{until: make(map[origin.Use]time.Time)},
+		options:  options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
 	}
@@ -249,6 +252,7 @@
 	defer s.mutex.Unlock()
 	s.table.Sweep(now)
 	s.history.Sweep(now)
+	s.toldUses.sweep(now)
 	for service := range s.told {
 		if !s.isTold(now, service) {
 			delete(s.told, service)
--- /dev/null
+++ b/services/entry/origin/exchange/told_use.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+// maxToldUses bounds the uses that an instance was told. A higher value serves larger fleets while the store fails, a lower one takes less memory.
+const maxToldUses = 4096
+
+// toldUses are the uses of other instances that these could not state in the archive. The service's mutex guards it.
+type toldUses struct {
+	// until is for how long each one counts.
+	until map[origin.Use]time.Time
+	// missed is until when more uses may exist than there was room for.
+	missed time.Time
+}
+
+// add adds a use that another instance told.
+func (t *toldUses) add(now time.Time, told origin.Use) {
+	if _, exists := t.until[told]; !exists && len(t.until) >= maxToldUses {
+		t.missed = now.Add(origin.MaxLifetime)
+		return
+	}
+	t.until[told] = now.Add(origin.MaxLifetime)
+}
+
+// all returns the uses that count, and false if there are others.
+func (t *toldUses) all(now time.Time) ([]origin.Use, bool) {
+	uses := make([]origin.Use, 0, len(t.until))
+	for told, until := range t.until {
+		if until.After(now) {
+			uses = append(uses, told)
+		}
+	}
+	return uses, !t.missed.After(now)
+}
+
+// sweep removes the uses that no longer count.
+func (t *toldUses) sweep(now time.Time) {
+	for told, until := range t.until {
+		if !until.After(now) {
+			delete(t.until, told)
+		}
+	}
+}
+
+// tellUses tells the other instances of the list the uses that the store did not take, so that they know of them if this instance is lost.
+func (s *Service) tellUses(untold []origin.Origin) {
+	s.mutex.Lock()
+	list := s.instances
+	s.mutex.Unlock()
+	for chunk := range slices.Chunk(untold, usesPerDatagram) {
+		sent := &usesOf{Process: s.options.Archive.Writer}
+		for _, at := range chunk {
+			sent.Softwares = append(sent.Softwares, sighting{Service: at.Service, Software: at.Software})
+		}
+		payload, err := encode(&message{Uses: sent})
+		if err != nil {
+			s.countOversized()
+			continue
+		}
+		s.sendToOthers(list, payload)
+	}
+}
+
+// usesPerDatagram is how many uses a datagram has, so that it fits into a packet with names of usual length.
+const usesPerDatagram = 8
+
+// receiveUses records what another instance could not state in the archive.
+func (s *Service) receiveUses(now time.Time, from netip.AddrPort, told *usesOf) {
+	if told == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	user := origin.User{Process: told.Process, Address: from}
+	for _, used := range told.Softwares {
+		s.toldUses.add(now, origin.Use{User: user, Origin: origin.Origin{Service: used.Service, Software: used.Software}})
+	}
+}
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -111,6 +111,9 @@
 	} else {
 		err = s.options.Archive.RenewUsed(s.context)
 	}
+	if err != nil {
+		s.tellUses(wanted)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.finishWrite(err)
@@ -128,11 +131,13 @@
 	s.mutex.Lock()
 	now = s.options.Now()
 	process := s.process(now)
-	if !s.knowsAll() || process == 0 || len(s.inquiries) >= maxInquiries {
+	known, list := s.history.Known(now, services, window), s.instances
+	told, areAll := s.toldUses.all(now)
+	uses := slices.Concat(s.reader.uses, told)
+	if !s.knowsAll() || process == 0 || !areAll || len(s.inquiries) >= maxInquiries {
 		s.mutex.Unlock()
 		return unknown
 	}
-	known, uses, list := s.history.Known(now, services, window), s.reader.uses, s.instances
 	asked := s.addInquiry(s.everyone(uses), key, services, window, known)
 	s.mutex.Unlock()
 	answers := s.ask(ctx, asked)
--- a/services/entry/origin/exchange/use_test.go
+++ b/services/entry/origin/exchange/use_test.go
@@ -158,3 +158,21 @@
 		assert.Zero(t, prepare(origin.Origin{Service: "chat", Software: "3.0"}), "the store fails")
 	})
 }
+
+// TestUseThatStoreDidNotTakeIsKnownToOthers guards against streams of an instance that the store turned away, and that was lost after it.
+func TestUseThatStoreDidNotTakeIsKnownToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.network.turnAway(f.instances[3].Address, errDown)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(settledAge)
+		f.network.lose(func(datagram) bool { return true })
+		begin(f.services[3], 1000, two)
+		f.services[3].Close()
+		f.services[3] = f.services[0]
+		f.network.lose(nil)
+		time.Sleep(settledAge)
+		assertNotJoined(t, two, f.services[0], 1000)
+		f.closeOnce()
+	})
+}
