State softwares again only where the list makes an instance a writer anew

Cause: a change of the list took what had been written for lost, though the key stays under its lease.

--- a/services/entry/origin/exchange/archive_test.go
+++ b/services/entry/origin/exchange/archive_test.go
@@ -403,3 +403,23 @@
 		assert.LessOrEqual(t, looks.Load(), int64(100*minutes))
 	})
 }
+
+// TestSoftwaresAreNotStatedAgainWhenListChanges guards against a store that is called by each writer whenever an instance comes or goes.
+func TestSoftwaresAreNotStatedAgainWhenListChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12, 3, "1.0")
+		defer f.close()
+		time.Sleep(settling)
+		other := slices.IndexFunc(f.instances, func(instance origin.Instance) bool {
+			return !origin.NewHolders(instance, f.instances).StatesSoftwares()
+		})
+		before := f.network.store.Counts().Writes
+		for _, list := range [][]origin.Instance{slices.Delete(slices.Clone(f.instances), other, other+1), f.instances} {
+			for _, service := range f.services {
+				service.SetInstances(list)
+			}
+			time.Sleep(settledAge)
+		}
+		assert.Equal(t, before, f.network.store.Counts().Writes)
+	})
+}
--- a/services/entry/origin/exchange/archive_writer.go
+++ b/services/entry/origin/exchange/archive_writer.go
@@ -167,7 +167,9 @@
 	}
 	former := w.holders
 	w.holders, w.alone = s.holders, s.isAlone(now)
-	w.served, w.renewAt = nil, time.Time{}
+	if former == nil {
+		w.served, w.renewAt = nil, time.Time{}
+	}
 	if len(s.told) == 0 {
 		return
 	}
