Keep daemons without a configuration from being ready

Cause: a daemon's configuration begins empty, and readiness looked at placers only. Daemons that start while the key-value service is down became ready without a configuration and answered 404 model_not_found for models that exist; rules that refuse counted as absent too. The class: what was never read counts as empty.

Change: followed.Configuration tells whether it is known: a revision above zero, from the key-value service or a peer, or the service's answer that none was ever stored, which the follower now publishes. Until then the daemon is not ready and refuses completions, plain services and the list of models with 503 no_configuration, not run, Retry-After 2. An instance that is not its hall's speaker reads the service itself until it knows the configuration or a peer announces one. A peer at revision zero is not believed, since it may not have read it either, so that the wire stays as it is. What is known stays known: a hall that is cut off serves as before.

With the service back both daemons become ready (TestInstanceWithoutConfigurationRefusesRequests); one that starts in a hall that knows the configuration is ready during the outage, each of three instances (TestInstanceLearnsConfigurationFromPeerDuringKVOutage, which guards against waiting and passes before as well). TestReadyOnceAllPoolsOfHallHavePlacers now says that nothing was ever stored before it asks for readiness.

--- a/routers/daemon/caller/framing_test.go
+++ b/routers/daemon/caller/framing_test.go
@@ -79,7 +79,7 @@
 	adapters, _, err := catalog.New().Apply(1, []catalog.Change{{Kind: catalog.CreateAdapter, Name: "a", Base: "base", Version: 1}})
 	require.NoError(t, err)
 	router := caller.New(caller.Options{
-		Relay: service, Catalog: func() *catalog.Catalog { return adapters }, Endpoints: []fleet.Endpoint{endpoint}, Now: time.Now,
+		Relay: service, Catalog: func() *catalog.Catalog { return adapters }, Configured: isConfigured, Endpoints: []fleet.Endpoint{endpoint}, Now: time.Now,
 		MaxBodyBytes: 1 << 12, MaxRequests: 10, BytesPerToken: 4, OutputTokens: 16, DefaultWait: testTimeout,
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/routers/daemon/caller/request_test.go
+++ b/routers/daemon/caller/request_test.go
@@ -24,8 +24,14 @@
 	"github.com/shelfledge/shelfledge/services/daemon/relay"
 )
 
+func isConfigured() bool { return true }
+
 // newRouter returns a router whose placer refuses every request with ReasonQueueFull.
 func newRouter(t testing.TB) *caller.Router {
+	return newRouterOf(t, isConfigured)
+}
+
+func newRouterOf(t testing.TB, configured func() bool) *caller.Router {
 	c, _, err := catalog.New().Apply(1, []catalog.Change{
 		{Kind: catalog.CreateAdapter, Name: "a", Base: "base", Version: 1}, {Kind: catalog.CreateVersion, Name: "a", Version: 2},
 		{Kind: catalog.SetService, Name: "s", Shares: []catalog.Share{{Adapter: "a", Version: 2, Percent: 100}}},
@@ -45,7 +51,7 @@
 		Dialect: engine.Dialect{}, Metrics: metric.New(metric.Options{MaxCallers: 5, MaxClasses: 5}), MaxAttempts: 1, Now: time.Now,
 	})
 	return caller.New(caller.Options{
-		Relay: r, Catalog: func() *catalog.Catalog { return c }, Now: time.Now, MaxBodyBytes: 1 << 12, MaxRequests: 10, BytesPerToken: 4,
+		Relay: r, Catalog: func() *catalog.Catalog { return c }, Configured: configured, Now: time.Now, MaxBodyBytes: 1 << 12, MaxRequests: 10, BytesPerToken: 4,
 		OutputTokens: 16, DefaultWait: time.Minute,
 	})
 }
@@ -102,6 +108,21 @@
 	}
 }
 
+func TestRouterWithoutConfigurationRefusesRequests(t *testing.T) {
+	configured := false
+	r := newRouterOf(t, func() bool { return configured })
+	for _, body := range []string{`{"model":"x"}`, `{"model":"a"}`, `{"model":"s"}`} {
+		w, f := post(t, r, body, nil)
+		require.Equal(t, http.StatusServiceUnavailable, w.Code, body)
+		require.Equal(t, "no_configuration", f.Error.Code)
+		require.Equal(t, "not_run", f.Error.Outcome)
+		require.Equal(t, "2", w.Header().Get("Retry-After"))
+	}
+	configured = true
+	w, _ := post(t, r, `{"model":"x"}`, nil)
+	require.Equal(t, http.StatusNotFound, w.Code)
+}
+
 func FuzzBody(f *testing.F) {
 	f.Add(`{"model":"a","stream":true,"metadata":{"once":true,"request_id":"1"}}`)
 	f.Add(`{"model":"a@1","messages":[{"role":"user","content":"x"}],"max_tokens":-5}`)
--- a/routers/daemon/caller/router.go
+++ b/routers/daemon/caller/router.go
@@ -21,13 +21,15 @@
 
 // Options contains the dependencies and the settings of a Router.
 type Options struct {
-	Relay     *relay.Service
-	Catalog   func() *catalog.Catalog
-	Ready     func() bool
-	Alive     func() bool
-	Classes   []fleet.Class
-	Endpoints []fleet.Endpoint
-	Now       func() time.Time
+	Relay   *relay.Service
+	Catalog func() *catalog.Catalog
+	// Configured reports whether Catalog has been read. Until then requests are refused, since neither adapters nor rules are known.
+	Configured func() bool
+	Ready      func() bool
+	Alive      func() bool
+	Classes    []fleet.Class
+	Endpoints  []fleet.Endpoint
+	Now        func() time.Time
 
 	MaxBodyBytes  int64
 	MaxRequests   int64
@@ -90,8 +92,28 @@
 	})
 }
 
-// admit counts a new open request and reports whether the limit of this instance allows it. Otherwise it writes the error response.
+// retryAfterNoConfiguration is the retry delay that callers get from an instance that has not read the configuration yet. A longer one
+// spares the instance, a shorter one serves sooner.
+const retryAfterNoConfiguration = 2 * time.Second
+
+// requireConfiguration reports whether the configuration is known. Otherwise it writes the error response.
+func (r *Router) requireConfiguration(w http.ResponseWriter) bool {
+	if r.options.Configured() {
+		return true
+	}
+	(&errorResponse{
+		status: http.StatusServiceUnavailable, kind: "server_error", code: "no_configuration", message: "this instance has not read the configuration yet",
+		outcome: fleet.OutcomeNotRun, retryAfter: retryAfterNoConfiguration,
+	}).write(w, "")
+	return false
+}
+
+// admit counts a new open request and reports whether the configuration is known and the limit of this instance allows the request.
+// Otherwise it writes the error response.
 func (r *Router) admit(w http.ResponseWriter) bool {
+	if !r.requireConfiguration(w) {
+		return false
+	}
 	if r.openRequests.Add(1) <= r.options.MaxRequests {
 		return true
 	}
@@ -273,6 +295,9 @@
 }
 
 func (r *Router) handleModels(w http.ResponseWriter, q *http.Request) {
+	if !r.requireConfiguration(w) {
+		return
+	}
 	c := r.options.Catalog()
 	body := modelsBody{Object: "list", Data: make([]modelEntry, 0, len(c.Adapters)+len(c.Services))}
 	for name, a := range c.Adapters {
--- a/services/daemon/configuration/configuration_test.go
+++ b/services/daemon/configuration/configuration_test.go
@@ -311,3 +311,12 @@
 		return after != reads || len(f.published) > 0
 	}, 100*time.Millisecond, 5*time.Millisecond)
 }
+
+func TestFollowerPublishesThatNothingWasEverStored(t *testing.T) {
+	kvs := newKVService(t)
+	f := newTestFollower(t, kvs)
+	f.SetWatching(true)
+	require.Equal(t, fleet.Records{}, f.next(t))
+	encoded := commit(t, kvs.store(), proposal("a")).Encoded
+	require.Equal(t, fleet.Records{Head: 1, Records: [][]byte{encoded}}, f.next(t))
+}
--- a/services/daemon/configuration/follower.go
+++ b/services/daemon/configuration/follower.go
@@ -122,10 +122,11 @@
 }
 
 // catchUp publishes the records between the revision in force and the head. It also publishes a head that is older than the
-// revision in force, without records, so that the receiver can raise an alarm.
+// revision in force, without records, so that the receiver can raise an alarm, and revision zero, so that it learns that no configuration
+// was ever stored.
 func (f *Follower) catchUp(ctx context.Context, h head) error {
 	current := f.currentRevision()
-	if h.Revision == current {
+	if h.Revision == current && current > 0 {
 		return nil
 	}
 	records, err := f.reader.recordsSince(ctx, h, current)
--- a/services/daemon/control/executor.go
+++ b/services/daemon/control/executor.go
@@ -41,6 +41,7 @@
 			s.ownership.renew()
 		case node.PublishCatalog:
 			s.catalog.Store(e.Catalog)
+			s.configured.Store(true)
 			s.options.Metrics.Revision.Set(float64(e.Catalog.Revision))
 		case node.WatchConfiguration:
 			s.follower.SetWatching(e.On)
--- a/services/daemon/control/service.go
+++ b/services/daemon/control/service.go
@@ -48,6 +48,7 @@
 	answerChannels map[string]chan Answer
 	inspecting     map[string]bool
 	catalog        atomic.Pointer[catalog.Catalog]
+	configured     atomic.Bool
 	follower       *configuration.Follower
 	ownership      *ownershipManager
 	unloads        unloads
@@ -173,6 +174,11 @@
 	return s.catalog.Load()
 }
 
+// Configured reports whether the configuration is known here. While it is not, Catalog is empty and says nothing about what exists.
+func (s *Service) Configured() bool {
+	return s.configured.Load()
+}
+
 // Revision returns the revision in force here.
 func (s *Service) Revision() int64 {
 	return s.catalog.Load().Revision
--- a/services/daemon/node/configuration.go
+++ b/services/daemon/node/configuration.go
@@ -70,8 +70,12 @@
 	}
 }
 
-// ApplyRecords applies configuration records of a peer or of the key-value service. Older configuration is never applied.
+// ApplyRecords applies configuration records of the key-value service. Older configuration is never applied.
 func (n *Node) ApplyRecords(now time.Time, r fleet.Records) []Effect {
+	if r.Head == 0 && !n.config.Known() {
+		n.config.RecordNeverStored()
+		n.emit(PublishCatalog{Catalog: n.config.Catalog()})
+	}
 	n.applyRecords(now, r)
 	return n.takeEffects()
 }
@@ -134,9 +138,10 @@
 	})
 }
 
-// updateWatch starts or stops watching the key-value service, so that in each hall only the speaker watches it.
+// updateWatch starts or stops watching the key-value service, so that in each hall only the speaker watches it, and each instance that
+// knows neither the configuration nor a peer that has one.
 func (n *Node) updateWatch() {
-	on := n.isSpeaker()
+	on := n.isSpeaker() || (!n.config.Known() && n.config.Head() == 0)
 	if on == n.watching {
 		return
 	}
--- a/services/daemon/node/effect.go
+++ b/services/daemon/node/effect.go
@@ -72,7 +72,7 @@
 // RenewLease renews this node's lease at the key-value service.
 type RenewLease struct{}
 
-// PublishCatalog makes the traffic path use a new configuration.
+// PublishCatalog makes the traffic path use a new configuration. The first one shows that the configuration is known.
 type PublishCatalog struct {
 	Catalog *catalog.Catalog
 }
--- a/services/daemon/node/followed/configuration.go
+++ b/services/daemon/node/followed/configuration.go
@@ -31,6 +31,8 @@
 	catalog *catalog.Catalog
 	history *catalog.History
 	head    int64
+	// read is set once the key-value service has answered that no configuration was ever stored.
+	read bool
 	// nextRequestAt is the time of the next request; requestWait is the time between the last two requests.
 	nextRequestAt time.Time
 	requestWait   time.Duration
@@ -56,6 +58,17 @@
 	return c.head
 }
 
+// RecordNeverStored records an answer of the key-value service that no configuration was ever stored.
+func (c *Configuration) RecordNeverStored() {
+	c.read = true
+}
+
+// Known reports whether the catalog in force was read: from the key-value service, which may have none, or from a peer. While it was not,
+// an adapter that the catalog lacks may exist.
+func (c *Configuration) Known() bool {
+	return c.read || c.Revision() > 0
+}
+
 // RecordRevision records an announced revision.
 func (c *Configuration) RecordRevision(revision int64) {
 	c.head = max(c.head, revision)
--- a/services/daemon/node/view.go
+++ b/services/daemon/node/view.go
@@ -117,9 +117,9 @@
 	return out
 }
 
-// Ready reports whether every pool of the hall has a known placer and this instance is not leaving.
+// Ready reports whether the configuration is known, every pool of the hall has a known placer and this instance is not leaving.
 func (n *Node) Ready() bool {
-	if n.leaving {
+	if n.leaving || !n.config.Known() {
 		return false
 	}
 	for _, ps := range n.poolList {
--- a/services/daemon/node/view_test.go
+++ b/services/daemon/node/view_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/shelfledge/shelfledge/models/daemon/catalog"
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
 	"github.com/shelfledge/shelfledge/services/daemon/node"
 	"github.com/shelfledge/shelfledge/services/daemon/placement"
@@ -70,17 +71,59 @@
 
 func TestReadyOnceAllPoolsOfHallHavePlacers(t *testing.T) {
 	n := newNode()
+	n.ApplyRecords(begin, fleet.Records{})
 	require.False(t, n.Ready())
 	n.Handle(begin, peerHeartbeat(heldByPeer))
 	n.Tick(begin)
 	require.True(t, n.Ready(), "another instance holds the pool")
 	solePlacer, now, _ := solePlacer(t)
+	solePlacer.ApplyRecords(now, fleet.Records{})
 	require.True(t, solePlacer.Ready(), "the node holds the pool itself")
 	solePlacer.Leave(now)
 	require.False(t, solePlacer.Ready())
 	require.True(t, solePlacer.Idle())
 }
 
+func TestReadyOnceConfigurationIsKnown(t *testing.T) {
+	record, err := catalog.EncodeRecord(catalog.Record{Revision: 1, Changes: []catalog.Change{{Kind: catalog.CreateAdapter, Name: "a", Base: "base"}}})
+	require.NoError(t, err)
+	records := fleet.Records{Head: 1, Records: [][]byte{record}}
+	for _, row := range []struct {
+		name    string
+		receive func(n *node.Node, now time.Time) []node.Effect
+		ready   bool
+	}{
+		{"nothing", func(*node.Node, time.Time) []node.Effect { return nil }, false},
+		{"the store has none", func(n *node.Node, now time.Time) []node.Effect { return n.ApplyRecords(now, fleet.Records{}) }, true},
+		{"the store has one", func(n *node.Node, now time.Time) []node.Effect { return n.ApplyRecords(now, records) }, true},
+		{"the store has one that cannot be read", func(n *node.Node, now time.Time) []node.Effect { return n.ApplyRecords(now, fleet.Records{Head: 1}) }, false},
+		{"a peer has one", func(n *node.Node, now time.Time) []node.Effect {
+			return n.Handle(now, fleet.Envelope{From: "i2", Boot: 1, Records: &records})
+		}, true},
+		{"a peer has none and may not have read it", func(n *node.Node, now time.Time) []node.Effect {
+			return n.Handle(now, fleet.Envelope{From: "i2", Boot: 1, Records: &fleet.Records{}})
+		}, false},
+	} {
+		n, now, _ := solePlacer(t)
+		effects := row.receive(n, now)
+		require.Equal(t, row.ready, n.Ready(), row.name)
+		require.Equal(t, row.ready, len(effectsOf[node.PublishCatalog](effects)) > 0, row.name)
+	}
+}
+
+func TestInstanceWithoutConfigurationReadsStoreUntilPeerHasOne(t *testing.T) {
+	n := newNode()
+	smallest := fleet.Envelope{From: "i0", Boot: 1, Heartbeat: &fleet.Heartbeat{Instance: instance("i0", 3), Stamp: 1}}
+	require.Equal(t, []node.WatchConfiguration{{On: true}}, effectsOf[node.WatchConfiguration](n.Tick(begin)))
+	n.Handle(begin, smallest)
+	n.Handle(begin, peerHeartbeat())
+	require.NotEqual(t, "i1", n.Halls(begin)[0].Speaker.ID, "another instance is the speaker")
+	require.Empty(t, effectsOf[node.WatchConfiguration](n.Tick(begin)), "the speaker may not have read it either")
+	smallest.Heartbeat.Revision, smallest.Heartbeat.Stamp = 1, 2
+	n.Handle(begin, smallest)
+	require.Equal(t, []node.WatchConfiguration{{}}, effectsOf[node.WatchConfiguration](n.Tick(begin)), "a peer has it")
+}
+
 func TestPoolViewsShowOnlyPoolsOfThisPlacer(t *testing.T) {
 	n, now, take := solePlacer(t)
 	pools := n.Pools(now)
--- a/services/daemon/process/build.go
+++ b/services/daemon/process/build.go
@@ -202,7 +202,7 @@
 func (d *Daemon) buildCallers(l listeners) error {
 	s := d.settings
 	router := caller.New(caller.Options{
-		Relay: d.relay, Catalog: d.control.Catalog, Ready: d.Ready, Alive: func() bool { return true }, Classes: s.FleetClasses(),
+		Relay: d.relay, Catalog: d.control.Catalog, Configured: d.control.Configured, Ready: d.Ready, Alive: func() bool { return true }, Classes: s.FleetClasses(),
 		Endpoints: s.FleetEndpoints(), Now: d.clock.Now, MaxBodyBytes: s.Limits.MaxBodyBytes, MaxRequests: int64(s.Limits.MaxRequests),
 		BytesPerToken: s.Limits.BytesPerToken, OutputTokens: s.Limits.OutputTokens, DefaultWait: s.Limits.DefaultWait.Duration(),
 	})
--- a/tests/integration/all_restart_test.go
+++ b/tests/integration/all_restart_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/shelfledge/shelfledge/tests/standin"
 )
@@ -52,3 +53,47 @@
 		})
 	}
 }
+
+// TestInstanceWithoutConfigurationRefusesRequests guards against an instance that never read the configuration answering for it.
+func TestInstanceWithoutConfigurationRefusesRequests(t *testing.T) {
+	ids := []string{"h1-i1", "h1-i2"}
+	f := newFleet(t, oneHallOptions(), nil, ids...)
+	f.createAdapters("h1-i1", 2)
+	f.cluster.KV.SetFaults(standin.KVFaults{Down: true})
+	for _, id := range ids {
+		f.killDaemon(id)
+	}
+	for _, id := range ids {
+		f.startDaemon(id)
+	}
+	f.publishList()
+	c := standin.Call{ID: "r", Model: "a-1@1", Class: "kiosk", Caller: "test", Tokens: 3}
+	for _, id := range ids {
+		require.Equal(t, http.StatusServiceUnavailable, f.sendCall(context.Background(), id, c).Status)
+		require.False(t, f.daemons[id].Ready())
+	}
+	f.cluster.KV.SetFaults(standin.KVFaults{})
+	for _, id := range ids {
+		f.waitReady(id)
+		require.NotEqual(t, http.StatusNotFound, f.sendCall(context.Background(), id, c).Status)
+	}
+}
+
+// TestInstanceLearnsConfigurationFromPeerDuringKVOutage guards against an instance that waits for the key-value service though its hall knows
+// the configuration.
+func TestInstanceLearnsConfigurationFromPeerDuringKVOutage(t *testing.T) {
+	ids := []string{"h1-i1", "h1-i2", "h1-i3"}
+	for _, id := range ids {
+		t.Run(id, func(t *testing.T) {
+			f := newFleet(t, oneHallOptions(), nil, ids...)
+			f.createAdapters(id, 2)
+			f.cluster.KV.SetFaults(standin.KVFaults{Down: true})
+			f.killDaemon(id)
+			f.startDaemon(id)
+			f.publishList()
+			f.waitReady(id)
+			c := standin.Call{ID: "r", Model: "a-1@1", Class: "kiosk", Caller: "test", Tokens: 3}
+			require.Equal(t, http.StatusOK, f.sendCall(context.Background(), id, c).Status)
+		})
+	}
+}
--- a/tests/pinned/daemon/caller_test.go
+++ b/tests/pinned/daemon/caller_test.go
@@ -39,6 +39,8 @@
 	answer string
 	// overloaded makes the instance report itself as neither ready nor alive, with no room for requests.
 	overloaded bool
+	// unconfigured makes the instance one that has not read its configuration.
+	unconfigured bool
 }
 
 // callerResponse is the response that a caller receives, with the call to the endpoint and the request to the placer.
@@ -126,7 +128,8 @@
 			Endpoints: []fleet.Endpoint{plain}, Metrics: metric.New(metric.Options{MaxCallers: 5, MaxClasses: 5}), MaxAttempts: 1, RetryShare: 0.1,
 			SlowReader: time.Minute, EndpointSilent: time.Minute, CancelLife: time.Millisecond, Now: now,
 		}),
-		Catalog: func() *catalog.Catalog { return configuration }, Ready: func() bool { return !c.overloaded }, Alive: func() bool { return !c.overloaded },
+		Catalog: func() *catalog.Catalog { return configuration }, Configured: func() bool { return !c.unconfigured },
+		Ready: func() bool { return !c.overloaded }, Alive: func() bool { return !c.overloaded },
 		Classes: []fleet.Class{{Name: "kiosk", Priority: 10}}, Endpoints: []fleet.Endpoint{plain}, Now: now, MaxBodyBytes: 400, MaxRequests: most,
 		BytesPerToken: 4, OutputTokens: 256, DefaultWait: time.Minute, DefaultClass: "traveller",
 	})
@@ -179,6 +182,8 @@
 		"healthz, not alive":    {line: "GET /healthz", overloaded: true},
 		"readyz, not ready":     {line: "GET /readyz", overloaded: true},
 		"no such path":          {line: "GET /v2/models"},
+		"no configuration":      {line: completionRequest, body: plainBody, unconfigured: true},
+		"models, unconfigured":  {line: "GET /v1/models", unconfigured: true},
 		"instance full":         {line: completionRequest, body: plainBody, overloaded: true},
 		"malformed json":        {line: completionRequest, body: `[`},
 		"malformed field":       {line: completionRequest, body: `{"model":7}`},
