Bound the time of requests to the listeners for readiness and metrics

Cause: the two listeners of the entry program that callers do not use had a time-out for the head of a request only. net/http drops the body before it answers, so that a body that trickles kept its connection and its goroutine for as long as it went on.

Change: a request with its body takes internalReadTimeout (5 s) at most, its head 32 KiB as at the listener for callers. Idle connections stay open as before: net/http would otherwise end them after the same time, and a check of readiness could meet one that is being closed.

Measured: TestBodyThatTricklesAtInternalListenerIsGivenUp, a byte each 50 ms: neither listener had closed the connection after 15.1 s; now both do within it. TestIdleConnectionToInternalListenerStays passes before and after.

--- a/routers/entry/gateway/server.go
+++ b/routers/entry/gateway/server.go
@@ -48,6 +48,9 @@
 	// slower and larger headers, lower ones bound what idle or hostile callers occupy.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 32 << 10
+	// internalReadTimeout bounds the time of a request, with its body, to the listeners for readiness and metrics, whose requests need no body.
+	// A higher value accepts slower requests, a lower one frees the connections of hostile ones sooner.
+	internalReadTimeout = 5 * time.Second
 	// readinessNoticeTime is how long the load balancer needs to notice that this instance is not ready. A higher value makes it less
 	// likely that a caller meets a closed listener, a lower one leaves more of the grace to requests in flight.
 	readinessNoticeTime = 2500 * time.Millisecond
@@ -154,7 +157,7 @@
 		MaxIdleTime: s.idleLimit, MaxOpen: s.options.MaxConnections, OnClose: s.connectionEnded, Now: s.options.Now,
 	})
 	go s.serve(s.callers, s.listener)
-	ready := &http.Server{Handler: http.HandlerFunc(s.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	ready := newInternalServer(http.HandlerFunc(s.serveReadiness))
 	if err := s.listen(ready, s.options.Ready); err != nil {
 		return err
 	}
@@ -162,11 +165,17 @@
 	if !s.options.Metrics.IsValid() || s.options.MetricsHandler == nil {
 		return nil
 	}
-	metrics := &http.Server{Handler: s.options.MetricsHandler, ReadHeaderTimeout: headerTimeout}
+	metrics := newInternalServer(s.options.MetricsHandler)
 	s.internalHTTP = append(s.internalHTTP, metrics)
 	return s.listen(metrics, s.options.Metrics)
 }
 
+// newInternalServer returns a server of a listener that callers do not use. Its idle connections stay open, so that no check meets one that is
+// being closed.
+func newInternalServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadTimeout: internalReadTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: -1}
+}
+
 func (s *Server) listen(server *http.Server, address netip.AddrPort) error {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
