Bound the time for the text of an engine's refusal

Cause: the daemon read up to 1 KiB of the body of a refusal to put it into the error, without a bound of time but the request's deadline. An engine whose refusal trickles, or whose body does not begin, held a request that was surely not run, and could have been sent elsewhere, until then.

Change: what has arrived within refusalTextTimeout (100 ms, as for refusals at the entry program) is taken, and the connection is closed. Status and headers say that the request was not run and when to come back.

--- a/modules/daemon/engine/vllm.go
+++ b/modules/daemon/engine/vllm.go
@@ -35,6 +35,10 @@
 // maxReasonBytes bounds the part of an error response's body that is copied into an error, in bytes.
 const maxReasonBytes = 1 << 10
 
+// refusalTextTimeout bounds the time for the part of a refusal's body that explains it. A higher value shows more of the reason of a slow
+// endpoint, a lower one lets the request be sent elsewhere sooner.
+const refusalTextTimeout = 100 * time.Millisecond
+
 // vllm holds the state shared by the functions of the dialect.
 type vllm struct {
 	service     httpc.Service
--- a/modules/daemon/engine/vllm_call.go
+++ b/modules/daemon/engine/vllm_call.go
@@ -39,17 +39,25 @@
 		return nil, transportError("request", probe, err)
 	}
 	if refusedBeforeRun(c.Endpoint, resp) {
-		// The body only explains the refusal, which is certain from status and headers, so that a read error is ignored.
-		defer func() { _ = resp.Body.Close() }()
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
 		return nil, ErrNotRun{
-			Operation: "request", Reason: fmt.Sprintf("%s: %s", resp.Status, bytes.TrimSpace(text)), Status: resp.StatusCode,
+			Operation: "request", Reason: fmt.Sprintf("%s: %s", resp.Status, refusalText(resp.Body)), Status: resp.StatusCode,
 			RetryAfter: retryAfter(resp.Header),
 		}
 	}
 	return resp, nil
 }
 
+// refusalText returns what arrives of the body of a refusal within refusalTextTimeout, and closes it. The body only explains the refusal,
+// which is certain from status and headers, so that errors are ignored.
+func refusalText(body io.ReadCloser) []byte {
+	timer := time.AfterFunc(refusalTextTimeout, func() { _ = body.Close() })
+	text, _ := io.ReadAll(io.LimitReader(body, maxReasonBytes))
+	if timer.Stop() {
+		_ = body.Close()
+	}
+	return bytes.TrimSpace(text)
+}
+
 // refusedBeforeRun reports whether the response states that the request was not run.
 func refusedBeforeRun(e fleet.Endpoint, resp *http.Response) bool {
 	if resp.Header.Get(HeaderNotRun) != "" || resp.StatusCode == http.StatusPreconditionFailed {
--- a/modules/daemon/engine/vllm_test.go
+++ b/modules/daemon/engine/vllm_test.go
@@ -336,3 +336,44 @@
 		})
 	}
 }
+
+// TestRefusalThatTricklesIsNotWaitedFor guards against a refusal, which is certain from its head, that holds its request until the deadline.
+func TestRefusalThatTricklesIsNotWaitedFor(t *testing.T) {
+	const (
+		deadline  = 5 * time.Second
+		bytePause = 20 * time.Millisecond
+	)
+	for name, firstText := range map[string]string{"a reason that goes on": "full", "no byte of a reason": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan struct{})
+			endpoint := newEndpoint(t, fleet.KindEngine, func(w http.ResponseWriter, q *http.Request) {
+				defer close(ended)
+				w.Header().Set("Retry-After", "3")
+				w.WriteHeader(http.StatusTooManyRequests)
+				_, _ = io.WriteString(w, firstText)
+				for q.Context().Err() == nil {
+					if firstText != "" {
+						_, _ = io.WriteString(w, ".")
+					}
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(bytePause)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			_, err := newDialect().Start(ctx, engine.Call{Endpoint: endpoint, Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}")})
+			require.NoError(t, ctx.Err(), "the refusal came before the deadline")
+			var refused engine.ErrNotRun
+			require.ErrorAs(t, err, &refused)
+			require.Equal(t, http.StatusTooManyRequests, refused.Status)
+			require.Equal(t, 3*time.Second, refused.RetryAfter)
+			require.Contains(t, refused.Reason, firstText)
+			select {
+			case <-ended:
+			case <-ctx.Done():
+				require.Fail(t, "the connection stays open")
+			}
+		})
+	}
+}
