Bound the streams that a daemon's peer has open

Cause: the server between daemons kept the library's default, no limit of streams over one connection. Each stream takes goroutines, and memory for a message under way.

Change: maxPeerStreams, 64: one for envelopes and one for each operators' query that is asked at the moment. Further streams wait at the peer; one that opens them nevertheless has them refused by the library.

--- a/modules/daemon/peerlink/link.go
+++ b/modules/daemon/peerlink/link.go
@@ -67,6 +67,10 @@
 	minSendRate     = 125_000
 	// maxMessageBytes bounds a message, in bytes: 32 MiB. The largest messages are snapshots of the configuration.
 	maxMessageBytes = 33554432
+	// maxPeerStreams bounds the streams that a peer has open over one connection: one for its envelopes and one for each operators' query that
+	// it asks at the moment. A peer's further streams wait at the peer. A higher limit answers more queries at once; a lower one bounds the
+	// goroutines and the messages under way that one peer causes.
+	maxPeerStreams = 64
 	// peerIdleTimeout is how long the connection to a peer is kept after the last envelope was sent to it.
 	peerIdleTimeout = 2 * time.Minute
 	// defaultMaxSilence is how long a receiver waits for the next whole message of a stream: as long as a sender may be idle and then take for two
@@ -98,7 +102,7 @@
 		creds = insecure.NewCredentials()
 	}
 	l.server = grpc.NewServer(
-		grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxPeerStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	)
 	l.server.RegisterService(&serviceDescription, l)
