Leave requests that were not taken out of the mean time in flight

What callers saw: at a service whose endpoints had rejected many requests, most of them before it was known to be brittle, instances sent additional requests faster than the share of the free places that they mean to take. Cause: the mean time in flight of a service, by which that rate is divided, counted requests that the endpoint rejected or whose connection it refused, with the few milliseconds that this took. A rejection so raised the rate, and with it the rejections. Change: RecordInFlightTime gets the outcome and leaves these two out. TestMeanInFlightTimeLeavesOutRequestsNotTaken fails without the condition (1 ms instead of 1 s, and instead of 4 s). Why it works: a request that was not taken holds no place for any time.

--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -308,7 +308,7 @@
 	if !c.sameIncarnation(assignment) {
 		return
 	}
-	c.directory.RecordInFlightTime(request.Service, now.Sub(assignment.Assigned))
+	c.directory.RecordInFlightTime(request.Service, now.Sub(assignment.Assigned), outcome)
 	c.directory.LeaveQueue(now, assignment.Endpoint.ID, assignment.Assigned, request)
 	c.directory.End(now, assignment.Endpoint.ID, request.Adapter, outcome)
 	if (outcome == directory.Unreachable || outcome == directory.Ended) && assignment.status.Health.Unreachable(now) {
--- a/services/entry/directory/in_flight_time.go
+++ b/services/entry/directory/in_flight_time.go
@@ -22,8 +22,12 @@
 	return mean
 }
 
-// RecordInFlightTime records how long a request of a service was in flight.
-func (d *Directory) RecordInFlightTime(service string, duration time.Duration) {
+// RecordInFlightTime records how long a request of a service was in flight that ended with an outcome. A request that the endpoint did not take
+// does not count: its short time would make the others seem to end sooner.
+func (d *Directory) RecordInFlightTime(service string, duration time.Duration, outcome Outcome) {
+	if outcome == Refused || outcome == Unreachable {
+		return
+	}
 	known, ok := d.inFlightTimes[service]
 	if !ok {
 		d.inFlightTimes[service] = duration
--- a/services/entry/directory/incarnation_test.go
+++ b/services/entry/directory/incarnation_test.go
@@ -107,15 +107,32 @@
 func TestMeanInFlightTimeByService(t *testing.T) {
 	d := directory.New()
 	assert.Equal(t, time.Second, d.MeanInFlightTime("s"))
-	d.RecordInFlightTime("s", 4*time.Second)
+	d.RecordInFlightTime("s", 4*time.Second, directory.Succeeded)
 	assert.Equal(t, 4*time.Second, d.MeanInFlightTime("s"))
 	for range 200 {
-		d.RecordInFlightTime("s", 2*time.Second)
+		d.RecordInFlightTime("s", 2*time.Second, directory.Succeeded)
 	}
 	assert.InDelta(t, 2, d.MeanInFlightTime("s").Seconds(), 0.01)
 	assert.Equal(t, time.Second, d.MeanInFlightTime("other"))
 }
 
+// TestMeanInFlightTimeLeavesOutRequestsNotTaken guards against requests that were rejected at once and make the others seem to end sooner.
+func TestMeanInFlightTimeLeavesOutRequestsNotTaken(t *testing.T) {
+	d := directory.New()
+	for _, outcome := range []directory.Outcome{directory.Refused, directory.Unreachable} {
+		d.RecordInFlightTime("s", time.Millisecond, outcome)
+	}
+	assert.Equal(t, time.Second, d.MeanInFlightTime("s"), "nothing is known yet")
+	d.RecordInFlightTime("s", 4*time.Second, directory.Succeeded)
+	for range 20 {
+		d.RecordInFlightTime("s", time.Millisecond, directory.Refused)
+		d.RecordInFlightTime("s", time.Millisecond, directory.Unreachable)
+	}
+	assert.Equal(t, 4*time.Second, d.MeanInFlightTime("s"))
+	d.RecordInFlightTime("s", 2*time.Second, directory.Errored)
+	assert.Less(t, d.MeanInFlightTime("s"), 4*time.Second, "an error takes a place until it is answered")
+}
+
 // TestSoftwareIsKeptWithinIncarnation: a planner of an earlier version describes an endpoint without its software, which is the same for the
 // whole life of a process and may differ in the next one.
 func TestSoftwareIsKeptWithinIncarnation(t *testing.T) {
