Do not let all instances send together after a count that is low by chance

What callers saw: where more instances than places share brittle endpoints and requests are shorter than the counts are old, requests waited 230 to 816 ms or were refused as endpoints crowded while few places were in use. Cause: all instances see the same number of others' requests at the same time, and send additional requests at a rate by the places that it leaves free.

Change: as far as requests have ended since the others' were counted (OthersAge against the mean time in flight), the rate goes by the mean of the taken places over a second (takenMeanTime), if that is higher. That a place must be free by the present counts stays as it is, and so does what is replaced. Why it works: what is the same at all instances at the same time no longer sets a higher rate where it is chance.

--- a/services/entry/balance/choose.go
+++ b/services/entry/balance/choose.go
@@ -170,7 +170,7 @@
 	}
 	load := limit.Load{
 		Places: o.places(required, endpoint), Own: endpoint.OwnRequests, Reported: endpoint.ReportedRequests, Others: endpoint.OthersRequests,
-		Members: required.Members, InFlightTime: required.MeanInFlightTime,
+		OthersAge: required.OthersAge, Members: required.Members, InFlightTime: required.MeanInFlightTime,
 	}
 	return endpoint.Room.Admits(now, load, o.Random())
 }
--- a/services/entry/limit/room.go
+++ b/services/entry/limit/room.go
@@ -12,6 +12,9 @@
 	// additionalShare is the share of the free places that the additional requests of all instances take on average until the counts are
 	// renewed. A higher value fills an endpoint sooner, a lower one risks fewer rejections.
 	additionalShare = 0.4
+	// takenMeanTime is the time over which the taken places are averaged for the rate of additional requests. A higher value lets the instances
+	// send together less often, a lower one uses places sooner that have become free.
+	takenMeanTime = time.Second
 	// lingerTime is how long an endpoint may go on with a request whose connection was closed. A higher value risks fewer rejections, a lower
 	// one loses fewer places.
 	lingerTime = 1500 * time.Millisecond
@@ -35,6 +38,8 @@
 	// Places is how many requests the endpoint can have in flight. Own is the number of this instance's requests in flight, Reported the number
 	// that it last reported, which the other instances count. Others is the number of theirs as of the planner's last view.
 	Places, Own, Reported, Others int
+	// OthersAge is how old Others is.
+	OthersAge time.Duration
 	// Members is the number of instances, at least 1.
 	Members int
 	// InFlightTime is how long requests of the service are in flight on average; 0 if unknown.
@@ -51,6 +56,9 @@
 	lingering []time.Time
 	// additional counts the additional requests that this instance may send.
 	additional tokenBucket
+	// taken is the mean number of taken places over takenMeanTime, as of takenAt.
+	taken   float64
+	takenAt time.Time
 	// rejectedAt is when the endpoint last rejected a request; zero for never. lowered is the number of places that it seemed to have then,
 	// at least half of those known before, since the other instances' requests may be counted late.
 	rejectedAt time.Time
@@ -64,17 +72,35 @@
 		r.started, r.additional = true, tokenBucket{tokens: random}
 	}
 	r.expire(now)
-	free := r.places(now, load) - max(load.Own, load.Reported) - len(r.lingering) - load.Others
-	r.additional.refill(now, r.additionalRate(now, load, free))
+	taken := max(load.Own, load.Reported) + len(r.lingering) + load.Others
+	free := r.places(now, load) - taken
+	r.additional.refill(now, r.additionalRate(now, load, r.usualTaken(now, load, taken)))
 	if load.Own < load.Reported {
 		return free >= 0
 	}
 	return free > 0 && !r.IsFull(now) && r.additional.hasToken()
 }
 
-// additionalRate returns how many additional requests per second this instance may send. While the endpoint is full there are none, also none
+// usualTaken returns how many places are to be counted as taken for the rate of additional requests. All instances see the same number at the
+// same time. As far as requests have ended since it was counted, it is chance: after a low number all instances would send at a higher rate. To
+// that extent the mean counts instead, if it is higher.
+func (r *Room) usualTaken(now time.Time, load Load, taken int) float64 {
+	weight := 1.0
+	if !r.takenAt.IsZero() {
+		weight = min(1, now.Sub(r.takenAt).Seconds()/takenMeanTime.Seconds())
+	}
+	r.taken += weight * (float64(taken) - r.taken)
+	r.takenAt = now
+	ended := 0.0
+	if load.OthersAge > load.InFlightTime {
+		ended = 1 - load.InFlightTime.Seconds()/load.OthersAge.Seconds()
+	}
+	return float64(taken) + ended*max(0, r.taken-float64(taken))
+}
+
+// additionalRate returns how many additional requests per second this instance may send, given the number of taken places. While the endpoint is full there are none, also none
 // to be saved up: the instances would send them together.
-func (r *Room) additionalRate(now time.Time, load Load, free int) float64 {
+func (r *Room) additionalRate(now time.Time, load Load, taken float64) float64 {
 	if r.IsFull(now) {
 		return 0
 	}
@@ -82,7 +108,8 @@
 	if inFlightTime == 0 {
 		inFlightTime = defaultInFlightTime
 	}
-	return additionalShare * float64(max(0, free)) / float64(load.Members) / max(inFlightTime, minInFlightTime).Seconds()
+	free := max(0, float64(r.places(now, load))-taken)
+	return additionalShare * free / float64(load.Members) / max(inFlightTime, minInFlightTime).Seconds()
 }
 
 // places returns the number of places that the endpoint is assumed to have.
--- a/services/entry/limit/room_test.go
+++ b/services/entry/limit/room_test.go
@@ -4,6 +4,7 @@
 package limit_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -30,6 +31,8 @@
 	fullDelay time.Duration
 
 	now time.Time
+	// countedAt is when the counts were taken that the instances know.
+	countedAt time.Time
 	// rooms, own, others and reported are by instance and endpoint; history holds own of each step.
 	rooms                 [][]limit.Room
 	own, others, reported [][]int
@@ -41,7 +44,9 @@
 	// rejected are the rejections of each endpoint within the last second.
 	rejected [][]time.Time
 
-	served, rejections, falls int
+	served, refused, rejections, falls int
+	// seed selects the random numbers.
+	seed uint64
 }
 
 // fleetRun is a request in flight.
@@ -66,13 +71,15 @@
 	rejectionTime = 2 * time.Millisecond
 	// minServedPart is the part of the requests that could be served that must be.
 	minServedPart = 0.75
+	// sentTogetherSeeds is the number of fleets for which TestInstancesDoNotSendTogether draws random numbers.
+	sentTogetherSeeds = 12
 	// bearableRejections is how many requests an endpoint can reject in a second without falling over.
 	bearableRejections = 3
 )
 
 // run simulates the fleet for simulatedSpan.
 func (f *roomFleet) run() {
-	f.random = rand.New(rand.NewPCG(7, 11))
+	f.random = rand.New(rand.NewPCG(7+f.seed, 11))
 	f.now = start
 	for range f.instances {
 		f.rooms = append(f.rooms, make([]limit.Room, f.endpoints))
@@ -117,6 +124,7 @@
 
 // learnCounts makes the counts of a step of the history known to all instances.
 func (f *roomFleet) learnCounts(at int) {
+	f.countedAt = start.Add(time.Duration(at) * simulationStep)
 	for e := range f.endpoints {
 		total := 0
 		for i := range f.instances {
@@ -150,6 +158,7 @@
 func (f *roomFleet) load(instance, endpoint int) limit.Load {
 	return limit.Load{
 		Places: f.places, Own: f.own[instance][endpoint], Reported: f.reported[instance][endpoint], Others: f.others[instance][endpoint], Members: f.instances, InFlightTime: f.work,
+		OthersAge: f.now.Sub(f.countedAt),
 	}
 }
 
@@ -182,6 +191,7 @@
 	}
 	if best < 0 {
 		if f.now.Sub(f.since[caller]) >= maxCallerWait {
+			f.refused++
 			f.since[caller] = time.Time{}
 			f.callerAt[caller] = f.now.Add(time.Duration(f.random.Int64N(int64(f.pause))))
 		}
@@ -257,3 +267,22 @@
 		})
 	}
 }
+
+// TestInstancesDoNotSendTogether guards against endpoints that fall over since all instances that see the same low counts send at a higher rate
+// at the same time, while requests take less time than the counts are old.
+func TestInstancesDoNotSendTogether(t *testing.T) {
+	for seed := range uint64(sentTogetherSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			fleet := &roomFleet{
+				instances: 30, endpoints: 3, places: 6, work: 60 * time.Millisecond, callers: 60, pause: 900 * time.Millisecond,
+				viewInterval: 400 * time.Millisecond, viewLag: 250 * time.Millisecond, fullDelay: 50 * time.Millisecond, seed: seed,
+			}
+			fleet.run()
+			sent := fleet.served + fleet.refused
+			t.Logf("served %d of %d sent, %d rejections, %d falls", fleet.served, sent, fleet.rejections, fleet.falls)
+			assert.LessOrEqual(t, fleet.falls, 2+fleet.endpoints/10, "endpoints that fell over")
+			assert.GreaterOrEqual(t, float64(fleet.served), minServedPart*float64(sent), "requests served")
+		})
+	}
+}
