State the use of endpoints that state no software

An endpoint without a software is one where streams begin as well, but no instance stated that: Prepare was called only where a software was expected. Beside an endpoint of another software, a stream of a lost instance at the one without was decided by exclusion: only the other one could have begun it, so callers got 200 and a stream joined from both. And where exclusion left the endpoints without a software, the stream went on at any endpoint, as an empty software restricts to none.

Prepare is now called for each stream that can be taken up, and what is only possible at endpoints without a software is refused, as what is known of them is.

TestStreamOfEndpointWithoutSoftwareIsPrepared failed before (nothing was prepared), and the exchange's case without the statement joined chat 2.0 to a stream of an endpoint without one (verdict 4). The proxy's tests see Prepare, that it comes before Expect, and the verdict OnlyPossible, which none did; a table of FindRemaining is added, which had no test of its own.

--- /dev/null
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+// lateKey is a stream that only a lost instance knew.
+const lateKey = 1000
+
+// loseStream lets an instance begin a stream of which no other one hears, be lost and leave the list.
+func (f *fleet) loseStream(i int, at origin.Origin, lifetime time.Duration) {
+	f.network.lose(func(datagram) bool { return true })
+	f.services[i].Begin(time.Now(), lateKey, at, time.Now().Add(lifetime))
+	f.services[i].Close()
+	f.network.lose(nil)
+	f.instances = slices.Delete(slices.Clone(f.instances), i, i+1)
+	f.services = slices.Delete(f.services, i, i+1)
+	for _, service := range f.services {
+		service.SetInstances(f.instances)
+	}
+}
+
+// TestStreamOfEndpointWithoutSoftwareIsNotJoined guards against streams of endpoints that state no software beside others that do.
+func TestStreamOfEndpointWithoutSoftwareIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3, "", "2.0")
+		time.Sleep(settling)
+		prepareAndBegin(t, f.services[3], 1, two)
+		f.services[3].Prepare(t.Context(), origin.Origin{Service: "chat"})
+		time.Sleep(settledAge)
+		f.loseStream(3, origin.Origin{Service: "chat"}, window)
+		time.Sleep(settledAge)
+		assertNotJoined(t, origin.Origin{Service: "chat"}, f.services[0], lateKey)
+		f.close()
+	})
+}
--- a/services/entry/origin/exchange/network_test.go
+++ b/services/entry/origin/exchange/network_test.go
@@ -44,9 +44,17 @@
 	// loses reports whether a datagram is lost; none is if it is nil.
 	loses func(sent datagram) bool
 	sent  []datagram
-	// store is where the instances archive, away has the errors of the commits of those that it turns away.
-	store *memorystore.Store
-	away  map[netip.AddrPort]error
+	// store is where the instances archive, away has the errors of the commits of those that it turns away, delays how long those of others take.
+	store  *memorystore.Store
+	away   map[netip.AddrPort]error
+	delays map[netip.AddrPort]time.Duration
+}
+
+// delay lets the store take a time for each write of an instance.
+func (n *network) delay(address netip.AddrPort, delay time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.delays[address] = delay
 }
 
 // turnAway lets the store refuse what an instance writes, or accept it again if the error is nil.
@@ -62,8 +70,15 @@
 	commit := client.Commit
 	client.Commit = func(ctx context.Context, transaction store.Transaction) (int64, error) {
 		n.mutex.Lock()
-		err := n.away[address]
+		err, delay := n.away[address], n.delays[address]
 		n.mutex.Unlock()
+		if delay > 0 {
+			select {
+			case <-time.After(delay):
+			case <-ctx.Done():
+				return 0, ctx.Err()
+			}
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -79,7 +94,10 @@
 }
 
 func newNetwork() *network {
-	return &network{nodes: make(map[netip.AddrPort]*node), store: memorystore.New(time.Now), away: make(map[netip.AddrPort]error)}
+	return &network{
+		nodes: make(map[netip.AddrPort]*node), store: memorystore.New(time.Now),
+		away: make(map[netip.AddrPort]error), delays: make(map[netip.AddrPort]time.Duration),
+	}
 }
 
 // listen opens the transport of an address.
--- /dev/null
+++ b/services/entry/origin/use_test.go
@@ -0,0 +1,43 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package origin_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+func TestFindRemaining(t *testing.T) {
+	const first, second = 1, 2
+	unstated := origin.Origin{Service: "chat"}
+	use := func(process uint64, at origin.Origin) origin.Use {
+		return origin.Use{User: origin.User{Process: process}, Origin: at}
+	}
+	sole := func(at origin.Origin) origin.Sighting { return origin.Sighting{Origin: at, WasSole: true} }
+	seen := func(at origin.Origin) origin.Sighting { return origin.Sighting{Origin: at} }
+	onlyOne := origin.Result{Verdict: origin.OnlyPossible, Origin: one}
+	deniedByFirst := map[uint64]bool{first: true}
+	for name, test := range map[string]struct {
+		known    []origin.Sighting
+		uses     []origin.Use
+		denied   map[uint64]bool
+		expected origin.Result
+	}{
+		"one was sole":                                      {[]origin.Sighting{sole(one), seen(two)}, nil, deniedByFirst, onlyOne},
+		"both were sole":                                    {[]origin.Sighting{sole(one), sole(two)}, nil, deniedByFirst, unknown},
+		"a process that denies used the other":              {[]origin.Sighting{sole(one), seen(two)}, []origin.Use{use(first, two)}, deniedByFirst, onlyOne},
+		"another process used the other":                    {[]origin.Sighting{sole(one), seen(two)}, []origin.Use{use(second, two)}, deniedByFirst, unknown},
+		"another process used one":                          {[]origin.Sighting{seen(one), seen(two)}, []origin.Use{use(second, one)}, deniedByFirst, onlyOne},
+		"another process used both":                         {[]origin.Sighting{seen(one), seen(two)}, []origin.Use{use(second, one), use(second, two)}, deniedByFirst, unknown},
+		"nobody used any":                                   {[]origin.Sighting{seen(one), seen(two)}, nil, deniedByFirst, unknown},
+		"known twice":                                       {[]origin.Sighting{sole(one), seen(two), seen(one)}, nil, deniedByFirst, onlyOne},
+		"an endpoint states no software":                    {[]origin.Sighting{sole(one), seen(unstated)}, nil, deniedByFirst, onlyOne},
+		"another process used an endpoint without software": {[]origin.Sighting{sole(one), seen(unstated)}, []origin.Use{use(second, unstated)}, deniedByFirst, unknown},
+	} {
+		assert.Equal(t, test.expected, origin.FindRemaining(test.known, test.uses, test.denied), name)
+	}
+}
--- a/services/entry/proxy/taken_up.go
+++ b/services/entry/proxy/taken_up.go
@@ -50,15 +50,18 @@
 	key := origin.KeyOf(request.Route.Name, caller.BegunAs)
 	found := s.control.Origins.Find(ctx, request.Arrived, key, services, streamLifetime(request.Route, caller))
 	switch found.Verdict {
-	case origin.Known:
+	case origin.Known, origin.OnlyPossible:
 		if found.Origin.Software == "" {
+			// Others may serve beside it, and no endpoint tells whether it is of the same one.
 			return false
 		}
-	case origin.SoleSoftware, origin.Unrestricted, origin.OnlyPossible:
-		s.recordTakenUp(request, caller, found.Origin)
+	case origin.SoleSoftware, origin.Unrestricted:
 	default:
 		return false
 	}
+	if found.Verdict != origin.Known {
+		s.recordTakenUp(request, caller, found.Origin)
+	}
 	return restrictTo(request, services, found.Origin)
 }
 
@@ -91,16 +94,18 @@
 	}
 }
 
-// expectOrigin records where a stream is about to run that has no event yet.
+// expectOrigin records where a stream is about to run that has no event yet. Where endpoints state no software, one may begin at any of them.
 func (e *exchange) expectOrigin() {
-	if e.startPosition.lastEvent != "" || e.startPosition.expected == "" {
+	if e.startPosition.lastEvent != "" || !e.inflight.canBeTakenUp() {
 		return
 	}
 	origins := e.inflight.service.control.Origins
-	if origins.Prepare != nil && e.inflight.canBeTakenUp() {
+	if origins.Prepare != nil {
 		origins.Prepare(e.context, e.origin())
 	}
-	e.recordOrigin(origins.Expect)
+	if e.startPosition.expected != "" {
+		e.recordOrigin(origins.Expect)
+	}
 }
 
 // origin returns the service and the software of the endpoint.
--- a/services/entry/proxy/taken_up_test.go
+++ b/services/entry/proxy/taken_up_test.go
@@ -31,6 +31,7 @@
 type originCalls struct {
 	begun    []origin.Origin
 	expected []origin.Origin
+	prepared []origin.Origin
 	wentOn   map[origin.Key]origin.Origin
 	keys     []origin.Key
 	asked    []origin.Key
@@ -44,7 +45,11 @@
 	t.Helper()
 	calls := &originCalls{wentOn: make(map[origin.Key]origin.Origin)}
 	p, server := newTestProxyWithOrigins(t, proxy.Origins{
+		Prepare: func(_ context.Context, at origin.Origin) {
+			calls.prepared = append(calls.prepared, at)
+		},
 		Expect: func(_ time.Time, _ origin.Key, expected origin.Origin, _ time.Time) {
+			assert.Contains(t, calls.prepared, expected, "where the stream may begin is stated first")
 			calls.expected = append(calls.expected, expected)
 		},
 		GoOn: func(_ time.Time, key origin.Key, at origin.Origin, _ time.Time) { calls.wentOn[key] = at },
@@ -91,6 +96,8 @@
 		"only software":                    {found: origin.Result{Verdict: origin.SoleSoftware, Origin: began("s", "v1")}, software: "v1"},
 		"only software, not stated":        {found: origin.Result{Verdict: origin.SoleSoftware, Origin: began("s", "")}},
 		"only software for all that time":  {found: origin.Result{Verdict: origin.Unrestricted, Origin: began("s", "v1")}, software: "v1"},
+		"only possible one":                {found: origin.Result{Verdict: origin.OnlyPossible, Origin: began("s", "v1")}, software: "v1"},
+		"only possible one, not stated":    {found: origin.Result{Verdict: origin.OnlyPossible, Origin: began("s", "")}, refused: true},
 		"unknown":                          {found: origin.Result{Verdict: origin.Unknown}, refused: true},
 		"ambiguous":                        {found: origin.Result{Verdict: origin.Ambiguous}, refused: true},
 		"known, endpoint told no software": {found: origin.Result{Verdict: origin.Known, Origin: began("s", "")}, refused: true},
@@ -103,7 +110,8 @@
 			assert.Equal(t, []time.Duration{20 * time.Second}, calls.windows, "twice the time-out of the route")
 			assert.Empty(t, calls.begun, "the stream began before")
 			assert.Empty(t, calls.expected, "the stream began before")
-			if verdict := test.found.Verdict; test.software != "" && (verdict == origin.SoleSoftware || verdict == origin.Unrestricted) {
+			assert.Empty(t, calls.prepared, "the stream began before")
+			if verdict := test.found.Verdict; test.software != "" && verdict != origin.Known {
 				assert.Equal(t, map[origin.Key]origin.Origin{origin.KeyOf("resumable", "first"): test.found.Origin}, calls.wentOn)
 			} else {
 				assert.Empty(t, calls.wentOn)
@@ -137,6 +145,7 @@
 			assert.Equal(t, 200, response.status)
 			assert.Equal(t, test.begun, calls.begun)
 			assert.Equal(t, test.begun, calls.expected, "as soon as it is sent")
+			assert.Equal(t, test.begun, calls.prepared)
 			assert.Empty(t, calls.asked, "nothing is taken up")
 			require.Len(t, calls.acquired, 1)
 			assert.Empty(t, calls.acquired[0].Software)
@@ -153,3 +162,12 @@
 	assert.Equal(t, 200, response.status)
 	assert.Empty(t, calls.wentOn, "all streams without a name would have the same key")
 }
+
+// TestStreamOfEndpointWithoutSoftwareIsPrepared guards against streams that are taken for those of another software, since nothing tells that they
+// can have begun at an endpoint without one.
+func TestStreamOfEndpointWithoutSoftwareIsPrepared(t *testing.T) {
+	response, calls := takeUp{path: "/resumable", header: map[string]string{"Id": "first"}}.serve(t, "")
+	assert.Equal(t, 200, response.status)
+	assert.Equal(t, []origin.Origin{{Service: "s"}}, calls.prepared)
+	assert.Equal(t, []origin.Origin{{Service: "s"}}, calls.begun)
+}
