Decide nothing by exclusion where a history may lack a software

A history keeps 16 softwares of a service. A stream of a lost instance at one that 16 others had replaced since was decided by exclusion over those that were left, though its use was stated: what is used counted only if the history still named it. Callers got 200 and a stream joined from two.

Where a service has as many softwares as a history keeps, nothing is decided by exclusion until they are forgotten in time. FindRemaining is parted: which origins are possible, and whether there is one.

TestStreamOfForgottenSoftwareIsNotJoined failed before (began at 2.0, goes on at 1.0, verdict 4), and a row of TestFindRemaining; the row with one software less goes on as before.

--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -4,6 +4,7 @@
 package exchange_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -42,3 +43,20 @@
 		f.close()
 	})
 }
+
+// TestStreamOfForgottenSoftwareIsNotJoined guards against streams of a software that many others have replaced since.
+func TestStreamOfForgottenSoftwareIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(settledAge)
+		f.loseStream(3, two, window)
+		for i := range 16 {
+			f.observe("1.0", fmt.Sprintf("3.%d", i))
+			time.Sleep(10 * latency)
+		}
+		time.Sleep(settledAge)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
--- a/services/entry/origin/use.go
+++ b/services/entry/origin/use.go
@@ -3,7 +3,10 @@
 
 package origin
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+)
 
 // User is a process that begins streams.
 type User struct {
@@ -23,26 +26,45 @@
 // are among them: the stream can then have begun at that one only. Each process states its use before it begins a stream, unless the software is
 // the only one, and those that are gone don't answer for what they began.
 func FindRemaining(known []Sighting, uses []Use, denied map[uint64]bool) Result {
-	possible := make(map[Origin]bool)
+	if mayLackSoftwares(known) {
+		return Result{Verdict: Unknown}
+	}
+	possible := possibleOrigins(known, uses, denied)
+	if len(possible) != 1 {
+		return Result{Verdict: Unknown}
+	}
+	return Result{Verdict: OnlyPossible, Origin: possible[0]}
+}
+
+// possibleOrigins returns the known origins at which a stream can have begun that the processes in denied did not begin.
+func possibleOrigins(known []Sighting, uses []Use, denied map[uint64]bool) []Origin {
+	used := make(map[Origin]bool)
 	for _, use := range uses {
 		if !denied[use.Process] {
-			possible[use.Origin] = true
+			used[use.Origin] = true
 		}
 	}
-	remaining := Result{Verdict: Unknown}
+	var possible []Origin
 	for _, seen := range known {
-		if seen.WasSole {
-			possible[seen.Origin] = true
+		if (seen.WasSole || used[seen.Origin]) && !slices.Contains(possible, seen.Origin) {
+			possible = append(possible, seen.Origin)
 		}
 	}
+	return possible
+}
+
+// mayLackSoftwares reports whether a history may have forgotten a software of a service, since as many came after it as it keeps.
+func mayLackSoftwares(known []Sighting) bool {
+	softwares := make(map[string]map[string]bool)
 	for _, seen := range known {
-		switch {
-		case !possible[seen.Origin], remaining.Origin == seen.Origin && remaining.Verdict == OnlyPossible:
-		case remaining.Verdict == OnlyPossible:
-			return Result{Verdict: Unknown}
-		default:
-			remaining = Result{Verdict: OnlyPossible, Origin: seen.Origin}
+		service := seen.Origin.Service
+		if softwares[service] == nil {
+			softwares[service] = make(map[string]bool)
+		}
+		softwares[service][seen.Origin.Software] = true
+		if len(softwares[service]) >= maxSoftwares {
+			return true
 		}
 	}
-	return remaining
+	return false
 }
--- a/services/entry/origin/use_test.go
+++ b/services/entry/origin/use_test.go
@@ -4,6 +4,7 @@
 package origin_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -21,6 +22,10 @@
 	seen := func(at origin.Origin) origin.Sighting { return origin.Sighting{Origin: at} }
 	onlyOne := origin.Result{Verdict: origin.OnlyPossible, Origin: one}
 	deniedByFirst := map[uint64]bool{first: true}
+	many := []origin.Sighting{sole(one)}
+	for i := range 15 {
+		many = append(many, seen(origin.Origin{Service: "chat", Software: fmt.Sprint(i)}))
+	}
 	for name, test := range map[string]struct {
 		known    []origin.Sighting
 		uses     []origin.Use
@@ -37,6 +42,8 @@
 		"known twice":                                       {[]origin.Sighting{sole(one), seen(two), seen(one)}, nil, deniedByFirst, onlyOne},
 		"an endpoint states no software":                    {[]origin.Sighting{sole(one), seen(unstated)}, nil, deniedByFirst, onlyOne},
 		"another process used an endpoint without software": {[]origin.Sighting{sole(one), seen(unstated)}, []origin.Use{use(second, unstated)}, deniedByFirst, unknown},
+		"so many softwares that some are forgotten":         {many, nil, deniedByFirst, unknown},
+		"one less": {many[:15], nil, deniedByFirst, onlyOne},
 	} {
 		assert.Equal(t, test.expected, origin.FindRemaining(test.known, test.uses, test.denied), name)
 	}
