Tell others of a use as soon as a stream begins without its statement

A stream waits 200 ms for the store to take the statement that its instance begins streams at a software, and not at all while the store fails. The other instances were told of the use only at the end of an attempt that failed: where the store was slow after up to 4 s, while it failed after the pause of 500 ms. And a use that was wanted while the statement of another one was under way counted as attempted at the end of that one. Instances that were lost in that time left streams that were decided by exclusion without the use: answered 200 and joined from two softwares.

Prepare now waits for an attempt that has the use, and where there is none in time it tells the other instances before the stream is sent, once between two attempts.

--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -60,3 +60,45 @@
 		f.close()
 	})
 }
+
+// TestUseThatStoreTakesSlowlyIsKnownToOthers guards against streams of an instance that was lost while it waited for the store.
+func TestUseThatStoreTakesSlowlyIsKnownToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.network.delay(f.instances[3].Address, time.Second)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(10 * latency)
+		f.loseStream(3, two, window)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
+
+// TestUseWhileStoreFailsIsKnownToOthers guards against streams of an instance that was lost before it tried the store again.
+func TestUseWhileStoreFailsIsKnownToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.network.turnAway(f.instances[3].Address, errDown)
+		f.services[3].Prepare(t.Context(), one)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(10 * latency)
+		f.loseStream(3, two, window)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
+
+// TestUseWantedDuringAttemptIsKnownToOthers guards against streams that begin since the statement of another use ended.
+func TestUseWantedDuringAttemptIsKnownToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.network.delay(f.instances[3].Address, 150*time.Millisecond)
+		go f.services[3].Prepare(t.Context(), one)
+		time.Sleep(10 * latency)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(10 * latency)
+		f.loseStream(3, two, window)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
--- a/services/entry/origin/exchange/told_use.go
+++ b/services/entry/origin/exchange/told_use.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// tellUse tells the other instances of a use that the store has not taken yet, unless they were told since the last attempt.
+func (s *Service) tellUse(at origin.Origin) {
+	s.mutex.Lock()
+	tells := s.uses.tell(at)
+	s.mutex.Unlock()
+	if tells {
+		s.tellUses([]origin.Origin{at})
+	}
+}
+
 // usesPerDatagram is how many uses a datagram has, so that it fits into a packet with names of usual length.
 const usesPerDatagram = 8
 
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -32,6 +32,8 @@
 	pausedUntil time.Time
 	// attempted is closed at the end of the next attempt to state them.
 	attempted chan struct{}
+	// told are those that others were told of since the last attempt.
+	told []origin.Origin
 }
 
 // isStated reports whether the archive states the use of an origin.
@@ -39,15 +41,19 @@
 	return slices.Contains(w.wanted[:w.stated], at)
 }
 
-// want lets the use of an origin be stated. It reports false if there are too many.
-func (w *useWriter) want(at origin.Origin) bool {
-	if slices.Contains(w.wanted, at) {
-		return true
+// want lets the use of an origin be stated.
+func (w *useWriter) want(at origin.Origin) {
+	if !slices.Contains(w.wanted, at) && len(w.wanted) < maxUses {
+		w.wanted = append(w.wanted, at)
 	}
-	if len(w.wanted) >= maxUses {
+}
+
+// tell reports whether others are to be told of the use of an origin: once between two attempts.
+func (w *useWriter) tell(at origin.Origin) bool {
+	if slices.Contains(w.told, at) {
 		return false
 	}
-	w.wanted = append(w.wanted, at)
+	w.told = append(w.told, at)
 	return true
 }
 
@@ -56,11 +62,13 @@
 	w.stated = 0
 }
 
-// finish ends an attempt to state the first uses of wanted.
+// finish ends an attempt to state the first uses of wanted, of which others were told after an error.
 func (w *useWriter) finish(now time.Time, stated int, err error) {
 	close(w.attempted)
 	w.attempted = make(chan struct{})
+	w.told = nil
 	if err != nil {
+		w.told = slices.Clone(w.wanted[:stated])
 		w.pausedUntil = now.Add(writePause)
 		w.restate()
 		return
@@ -69,25 +77,46 @@
 }
 
 // Prepare lets the archive state that this instance begins streams at an origin, and waits for that, unless its software is the only one of the
-// service: after the loss of instances it tells that streams can have begun there. It waits for useTimeout at most, and not while the store fails.
+// service: after the loss of instances it tells that streams can have begun there. It waits for useTimeout at most, and not while the store fails;
+// then it tells the other instances.
 func (s *Service) Prepare(ctx context.Context, at origin.Origin) {
+	attempted, stated := s.wantUse(at)
+	if stated {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, useTimeout)
+	defer cancel()
+	for attempted != nil {
+		select {
+		case <-attempted:
+			// The attempt may have begun before the use was wanted.
+			if attempted, stated = s.wantUse(at); stated {
+				return
+			}
+		case <-ctx.Done():
+			attempted = nil
+		case <-s.stopped:
+			return
+		}
+	}
+	s.tellUse(at)
+}
+
+// wantUse lets the use of an origin be stated. It reports whether it need not be, or is, and returns what is closed at the end of the next attempt;
+// nil while the store fails.
+func (s *Service) wantUse(at origin.Origin) (attempted <-chan struct{}, stated bool) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	now := s.options.Now()
-	if s.options.Archive == nil || s.uses.isStated(at) || s.isSole(now, at) || !s.uses.want(at) || now.Before(s.uses.pausedUntil) {
-		s.mutex.Unlock()
-		return
+	if s.options.Archive == nil || s.uses.isStated(at) || s.isSole(now, at) {
+		return nil, true
 	}
-	attempted := s.uses.attempted
-	s.writer.request()
-	s.mutex.Unlock()
-	timeout := time.NewTimer(useTimeout)
-	defer timeout.Stop()
-	select {
-	case <-attempted:
-	case <-timeout.C:
-	case <-ctx.Done():
-	case <-s.stopped:
+	s.uses.want(at)
+	if now.Before(s.uses.pausedUntil) {
+		return nil, false
 	}
+	s.writer.request()
+	return s.uses.attempted, false
 }
 
 // isSole reports whether the software of an origin is the only one of the service, as an instance knows that knows of all.
