State that an instance uses more softwares than it can name

An instance states 1,024 softwares at which it begins streams.

The last place now states the use of any software, which leaves all known ones possible.

--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -10,11 +10,17 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"github.com/shelfledge/shelfledge/services/entry/origin"
 )
 
-// lateKey is a stream that only a lost instance knew.
-const lateKey = 1000
+const (
+	// lateKey is a stream that only a lost instance knew.
+	lateKey = 1000
+	// maxUses is that of the package.
+	maxUses = 1024
+)
 
 // loseStream lets an instance begin a stream of which no other one hears, be lost and leave the list.
 func (f *fleet) loseStream(i int, at origin.Origin, lifetime time.Duration) {
@@ -102,3 +108,22 @@
 		f.close()
 	})
 }
+
+// TestUsesBeyondLimitAreKnownToOthers guards against streams at a software that an instance had no room to state.
+func TestUsesBeyondLimitAreKnownToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		for i := range maxUses {
+			f.services[3].Prepare(t.Context(), origin.Origin{Service: fmt.Sprint(i), Software: "1.0"})
+		}
+		time.Sleep(settledAge)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(settledAge)
+		began := time.Now()
+		f.services[3].Prepare(t.Context(), two)
+		assert.Zero(t, time.Since(began), "no stream waits for what cannot be stated")
+		f.loseStream(3, two, window)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -38,12 +38,17 @@
 
 // isStated reports whether the archive states the use of an origin.
 func (w *useWriter) isStated(at origin.Origin) bool {
-	return slices.Contains(w.wanted[:w.stated], at)
+	stated := w.wanted[:w.stated]
+	return slices.Contains(stated, at) || slices.Contains(stated, origin.Any)
 }
 
-// want lets the use of an origin be stated.
+// want lets the use of an origin be stated; that of any beyond maxUses.
 func (w *useWriter) want(at origin.Origin) {
-	if !slices.Contains(w.wanted, at) && len(w.wanted) < maxUses {
+	switch {
+	case slices.Contains(w.wanted, at) || len(w.wanted) >= maxUses:
+	case len(w.wanted) == maxUses-1:
+		w.wanted = append(w.wanted, origin.Any)
+	default:
 		w.wanted = append(w.wanted, at)
 	}
 }
--- a/services/entry/origin/use.go
+++ b/services/entry/origin/use.go
@@ -16,6 +16,9 @@
 	Address netip.AddrPort
 }
 
+// Any is the origin of a use of more softwares than a process can state one by one.
+var Any = Origin{}
+
 // Use states that a process begins streams at an origin, or may.
 type Use struct {
 	User
@@ -46,7 +49,7 @@
 	}
 	var possible []Origin
 	for _, seen := range known {
-		if (seen.WasSole || used[seen.Origin]) && !slices.Contains(possible, seen.Origin) {
+		if (seen.WasSole || used[Any] || used[seen.Origin]) && !slices.Contains(possible, seen.Origin) {
 			possible = append(possible, seen.Origin)
 		}
 	}
--- a/services/entry/origin/use_test.go
+++ b/services/entry/origin/use_test.go
@@ -39,6 +39,7 @@
 		"another process used one":                          {[]origin.Sighting{seen(one), seen(two)}, []origin.Use{use(second, one)}, deniedByFirst, onlyOne},
 		"another process used both":                         {[]origin.Sighting{seen(one), seen(two)}, []origin.Use{use(second, one), use(second, two)}, deniedByFirst, unknown},
 		"nobody used any":                                   {[]origin.Sighting{seen(one), seen(two)}, nil, deniedByFirst, unknown},
+		"another process used more than it states":          {[]origin.Sighting{sole(one), seen(two)}, []origin.Use{use(second, origin.Any)}, deniedByFirst, unknown},
 		"known twice":                                       {[]origin.Sighting{sole(one), seen(two), seen(one)}, nil, deniedByFirst, onlyOne},
 		"an endpoint states no software":                    {[]origin.Sighting{sole(one), seen(unstated)}, nil, deniedByFirst, onlyOne},
 		"another process used an endpoint without software": {[]origin.Sighting{sole(one), seen(unstated)}, []origin.Use{use(second, unstated)}, deniedByFirst, unknown},
