Decide by exclusion only about streams whose statements last

An instance renews every 150 s the lease of what it states to use, which lasts for 10 min, the longest that the platform's store grants. If it was lost just before a renewal, its statement ended 450 s later, while a stream can be taken up for up to 10 min: from then on nothing told that it can have begun there, and it was joined with what was left. An instance that stood still relied on a statement that was about to end, for streams that it began afterwards.

Exclusion now decides about streams of at most 420 s of age, and a statement counts for another stream until 30 s after its renewal was due.

--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -127,3 +127,38 @@
 		f.close()
 	})
 }
+
+// TestStreamThatOutlivesStatementOfUseIsNotJoined guards against a stream that is taken up when the lease of its instance's use has ended.
+func TestStreamThatOutlivesStatementOfUseIsNotJoined(t *testing.T) {
+	for _, lifetime := range []time.Duration{5 * time.Minute, 7 * time.Minute, 8 * time.Minute, origin.MaxLifetime} {
+		t.Run(lifetime.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleetThatLostStreams(t, "1.0", "2.0")
+				f.services[3].Prepare(t.Context(), two)
+				time.Sleep(149 * time.Second)
+				f.loseStream(3, two, lifetime)
+				time.Sleep(lifetime - time.Second)
+				result := f.services[0].Find(t.Context(), time.Now(), lateKey, []string{"chat"}, lifetime)
+				assert.Equal(t, unknown, result)
+				f.close()
+			})
+		})
+	}
+}
+
+// TestStreamOfInstanceThatStoodStillIsNotJoined guards against a stream that begins while the lease of its instance's use is about to end.
+func TestStreamOfInstanceThatStoodStillIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.services[3].Prepare(t.Context(), two)
+		f.network.holdRenewals(f.instances[3].Address, origin.MaxLifetime)
+		time.Sleep(origin.MaxLifetime - 30*time.Second)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(10 * latency)
+		f.network.holdRenewals(f.instances[3].Address, 0)
+		f.loseStream(3, two, window)
+		time.Sleep(window - time.Second)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
--- a/services/entry/origin/exchange/network_test.go
+++ b/services/entry/origin/exchange/network_test.go
@@ -44,10 +44,12 @@
 	// loses reports whether a datagram is lost; none is if it is nil.
 	loses func(sent datagram) bool
 	sent  []datagram
-	// store is where the instances archive, away has the errors of the commits of those that it turns away, delays how long those of others take.
+	// store is where the instances archive, away has the errors of the commits of those that it turns away, delays how long those of others take,
+	// and held for how long some stand still when they renew a lease.
 	store  *memorystore.Store
 	away   map[netip.AddrPort]error
 	delays map[netip.AddrPort]time.Duration
+	held   map[netip.AddrPort]time.Duration
 }
 
 // delay lets the store take a time for each write of an instance.
@@ -84,9 +86,24 @@
 		}
 		return commit(ctx, transaction)
 	}
+	renew := client.RenewLease
+	client.RenewLease = func(ctx context.Context, lease int64) error {
+		n.mutex.Lock()
+		held := n.held[address]
+		n.mutex.Unlock()
+		time.Sleep(held)
+		return renew(ctx, lease)
+	}
 	return client
 }
 
+// holdRenewals lets an instance stand still for a time when it renews a lease.
+func (n *network) holdRenewals(address netip.AddrPort, held time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.held[address] = held
+}
+
 // node is an address where datagrams arrive.
 type node struct {
 	arrived chan datagram
@@ -97,6 +114,7 @@
 	return &network{
 		nodes: make(map[netip.AddrPort]*node), store: memorystore.New(time.Now),
 		away: make(map[netip.AddrPort]error), delays: make(map[netip.AddrPort]time.Duration),
+		held: make(map[netip.AddrPort]time.Duration),
 	}
 }
 
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -18,6 +18,12 @@
 	// useRenewInterval is the time after which the uses are renewed. A higher value costs fewer calls, a lower one bridges longer outages of the
 	// store.
 	useRenewInterval = 150 * time.Second
+	// useGrace is for how long after that a statement still counts, while its renewal is under way. A higher value waits for a slower store, a lower
+	// one decides by exclusion about older streams.
+	useGrace = 30 * time.Second
+	// maxRemainingWindow bounds the age of streams that are decided about by exclusion: the statements of a lost instance last for
+	// origin.MaxLifetime from their last renewal, and are kept at least as long after the last stream that it began.
+	maxRemainingWindow = origin.MaxLifetime - useRenewInterval - useGrace
 	// maxUses bounds the origins that this instance states to use. A higher value serves more services, a lower one keeps values small.
 	maxUses = 1024
 )
@@ -36,9 +42,12 @@
 	told []origin.Origin
 }
 
-// isStated reports whether the archive states the use of an origin.
-func (w *useWriter) isStated(at origin.Origin) bool {
+// isStated reports whether the archive states the use of an origin, for maxRemainingWindow from now on even if this instance is lost.
+func (w *useWriter) isStated(now time.Time, at origin.Origin) bool {
 	stated := w.wanted[:w.stated]
+	if now.After(w.renewAt.Add(useGrace)) {
+		return false
+	}
 	return slices.Contains(stated, at) || slices.Contains(stated, origin.Any)
 }
 
@@ -113,7 +122,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
-	if s.options.Archive == nil || s.uses.isStated(at) || s.isSole(now, at) {
+	if s.options.Archive == nil || s.uses.isStated(now, at) || s.isSole(now, at) {
 		return nil, true
 	}
 	s.uses.want(at)
@@ -161,7 +170,7 @@
 // process begins streams, by a reading that began when the stream was taken up or later.
 func (s *Service) findRemaining(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
 	unknown := origin.Result{Verdict: origin.Unknown}
-	if !s.mayRemain(now, services, window) || !s.awaitReading(ctx, now) {
+	if window > maxRemainingWindow || !s.mayRemain(now, services, window) || !s.awaitReading(ctx, now) {
 		return unknown
 	}
 	s.mutex.Lock()
