Answer with the uses that an instance was told

What the store did not take of a lost instance's uses was known to the instances of its time only: one that started afterwards, such as the lost one when it was back, decided by exclusion without it, and joined a stream of the lost instance with another software's.

An answer now has the uses of the services in question that the instance was told, and says so if there are more of them than it has room for; then nothing is decided. Both are additions: builds without them send none and leave them unread. The decision is parted from the asking, as findRemaining did both.

--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -42,6 +42,9 @@
 	Complete bool
 	// Process is the number of the instance's process if that knows of each stream that it began, otherwise 0.
 	Process uint64
+	// Uses are those of others that it was told since the archive may lack them. LacksUses is set if there are more of them.
+	Uses      []Use
+	LacksUses bool
 }
 
 // DecideLocally decides from what this instance knows itself: what its table has, which softwares have been known within the window, and
--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -162,3 +162,39 @@
 		f.close()
 	})
 }
+
+// TestUseThatOthersWereToldIsKnownToInstanceThatStarts guards against streams that go on at the wrong software since who decides has just started.
+func TestUseThatOthersWereToldIsKnownToInstanceThatStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.network.turnAway(f.instances[3].Address, errDown)
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(settledAge)
+		f.loseStream(3, two, window)
+		f.restart(t, 0, "1.0", "2.0")
+		time.Sleep(settling)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		assertNotJoined(t, two, f.services[1], lateKey)
+		f.close()
+	})
+}
+
+// TestUsesThatDoNotFitIntoAnswerProveNothing guards against streams that go on at the wrong software since an answer had no room for a use.
+func TestUsesThatDoNotFitIntoAnswerProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.network.turnAway(f.instances[3].Address, errDown)
+		for i := range 60 {
+			f.services[3].Prepare(t.Context(), origin.Origin{Service: "chat", Software: fmt.Sprintf("a software with a long name %d", i)})
+		}
+		f.services[3].Prepare(t.Context(), two)
+		time.Sleep(settledAge)
+		f.loseStream(3, two, window)
+		f.restart(t, 0, "1.0", "2.0")
+		for range 3 {
+			time.Sleep(settling)
+			assertNotJoined(t, two, f.services[0], lateKey)
+		}
+		f.close()
+	})
+}
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -77,6 +77,9 @@
 	Complete bool       `msgpack:"c,omitempty"`
 	// Process is the number of the process if it knows of each stream that it began.
 	Process uint64 `msgpack:"p,omitempty"`
+	// Uses are those of other processes that the instance was told, of the services in question. LacksUses is set if there are more.
+	Uses      []usesOf `msgpack:"u,omitempty"`
+	LacksUses bool     `msgpack:"l,omitempty"`
 }
 
 // The values of answer.Found.
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -129,13 +129,12 @@
 	}
 	found := s.table.Lookup(now, origin.Key(asked.Key))
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
-	complete, process := s.knowsAll(), s.process(now)
+	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now)}
+	uses, areAll := s.toldUses.ofServices(now, asked.Services)
 	s.mutex.Unlock()
-	payload, fits := encodeFitting(toSightings(known), fewestSightings, func(known []sighting) *message {
-		answered := &answer{ID: asked.ID, Known: known, Complete: complete, Process: process}
-		answered.setFound(found)
-		return &message{Answer: answered}
-	})
+	answered.Uses, answered.LacksUses = uses, !areAll
+	answered.setFound(found)
+	payload, fits := encodeAnswer(answered, known)
 	if !fits {
 		s.countOversized()
 		return
@@ -147,6 +146,19 @@
 	}
 }
 
+// encodeAnswer returns the datagram of an answer with as many sightings as fit. One whose uses don't fit says that it lacks them.
+func encodeAnswer(answered answer, known []origin.Sighting) ([]byte, bool) {
+	build := func(known []sighting) *message {
+		answered.Known = known
+		return &message{Answer: &answered}
+	}
+	if payload, fits := encodeFitting(toSightings(known), fewestSightings, build); fits || len(answered.Uses) == 0 {
+		return payload, fits
+	}
+	answered.Uses, answered.LacksUses = nil, true
+	return encodeFitting(toSightings(known), fewestSightings, build)
+}
+
 // receiveAnswer hands an answer to the inquiry that waits for it.
 func (s *Service) receiveAnswer(now time.Time, from netip.AddrPort, received *answer) {
 	s.mutex.Lock()
@@ -162,7 +174,12 @@
 		return
 	}
 	delete(waiting.silent, from)
-	answered := origin.Answer{From: from, Found: found, Complete: received.Complete, Process: received.Process}
+	answered := origin.Answer{
+		From: from, Found: found, Complete: received.Complete, Process: received.Process, LacksUses: received.LacksUses,
+	}
+	for i := range received.Uses {
+		answered.Uses = append(answered.Uses, received.Uses[i].toOrigin(netip.AddrPort{})...)
+	}
 	for _, sent := range received.Known {
 		seen := sent.toOrigin()
 		s.learn(now, seen)
--- a/services/entry/origin/exchange/told_use.go
+++ b/services/entry/origin/exchange/told_use.go
@@ -42,6 +42,32 @@
 	return uses, !t.missed.After(now)
 }
 
+// ofServices returns the uses at some services by process, as they are sent, and false if there are others.
+func (t *toldUses) ofServices(now time.Time, services []string) ([]usesOf, bool) {
+	uses, areAll := t.all(now)
+	softwares := make(map[uint64][]sighting)
+	for _, use := range uses {
+		if use.Origin == origin.Any || slices.Contains(services, use.Origin.Service) {
+			softwares[use.Process] = append(softwares[use.Process], sighting{Service: use.Origin.Service, Software: use.Origin.Software})
+		}
+	}
+	sent := make([]usesOf, 0, len(softwares))
+	for process, used := range softwares {
+		sent = append(sent, usesOf{Process: process, Softwares: used})
+	}
+	return sent, areAll
+}
+
+// toOrigin returns uses as they were sent, of processes at an address.
+func (u *usesOf) toOrigin(address netip.AddrPort) []origin.Use {
+	user := origin.User{Process: u.Process, Address: address}
+	uses := make([]origin.Use, 0, len(u.Softwares))
+	for _, used := range u.Softwares {
+		uses = append(uses, origin.Use{User: user, Origin: origin.Origin{Service: used.Service, Software: used.Software}})
+	}
+	return uses
+}
+
 // sweep removes the uses that no longer count.
 func (t *toldUses) sweep(now time.Time) {
 	for told, until := range t.until {
@@ -90,8 +116,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	user := origin.User{Process: told.Process, Address: from}
-	for _, used := range told.Softwares {
-		s.toldUses.add(now, origin.Use{User: user, Origin: origin.Origin{Service: used.Service, Software: used.Software}})
+	for _, use := range told.toOrigin(from) {
+		s.toldUses.add(now, use)
 	}
 }
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -173,29 +173,16 @@
 	if window > maxRemainingWindow || !s.mayRemain(now, services, window) || !s.awaitReading(ctx, now) {
 		return unknown
 	}
-	s.mutex.Lock()
-	now = s.options.Now()
-	process := s.process(now)
-	known, list := s.history.Known(now, services, window), s.instances
-	told, areAll := s.toldUses.all(now)
-	uses := slices.Concat(s.reader.uses, told)
-	if !s.knowsAll() || process == 0 || !areAll || len(s.inquiries) >= maxInquiries {
-		s.mutex.Unlock()
+	asked, exclusion := s.startExclusion(key, services, window)
+	if asked == nil {
 		return unknown
 	}
-	asked := s.addInquiry(s.everyone(uses), key, services, window, known)
-	s.mutex.Unlock()
 	answers := s.ask(ctx, asked)
 	s.removeInquiry(asked)
-	if found := origin.Decide(known, false, answers); found.Verdict != origin.Unknown || !s.stateUses(list, uses, answers) {
+	if found := origin.Decide(exclusion.known, false, answers); found.Verdict != origin.Unknown {
 		return found
 	}
-	denied := map[uint64]bool{process: true}
-	for _, answer := range answers {
-		denied[answer.Process] = true
-		known = append(known, answer.Sightings...)
-	}
-	remaining := origin.FindRemaining(known, uses, denied)
+	remaining := exclusion.decide(answers)
 	if remaining.Verdict == origin.OnlyPossible {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -204,17 +191,65 @@
 	return remaining
 }
 
-// stateUses reports whether all instances of a list are known to state their uses: those of a former build don't, and neither answer with the number
+// exclusion is what an instance knows for a decision by exclusion before others have answered.
+type exclusion struct {
+	// self is where this instance is asked, process the number of its process.
+	self    netip.AddrPort
+	process uint64
+	list    []origin.Instance
+	known   []origin.Sighting
+	uses    []origin.Use
+}
+
+// startExclusion returns what this instance knows for a decision by exclusion, and the inquiry at all others. It returns no inquiry if what it knows
+// does not suffice.
+func (s *Service) startExclusion(key origin.Key, services []string, window time.Duration) (*inquiry, *exclusion) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.options.Now()
+	process := s.process(now)
+	told, areAll := s.toldUses.all(now)
+	if !s.knowsAll() || process == 0 || !areAll || len(s.inquiries) >= maxInquiries {
+		return nil, nil
+	}
+	own := &exclusion{
+		self: s.options.Address, process: process, list: s.instances,
+		known: s.history.Known(now, services, window), uses: slices.Concat(s.reader.uses, told),
+	}
+	return s.addInquiry(s.everyone(own.uses), key, services, window, own.known), own
+}
+
+// decide decides from the answers of others, none of which knows the stream.
+func (e *exclusion) decide(answers []origin.Answer) origin.Result {
+	known, uses := slices.Clone(e.known), slices.Clone(e.uses)
+	denied := map[uint64]bool{e.process: true}
+	for _, answer := range answers {
+		if answer.LacksUses {
+			return origin.Result{Verdict: origin.Unknown}
+		}
+		if answer.Process != 0 {
+			denied[answer.Process] = true
+		}
+		known = append(known, answer.Sightings...)
+		uses = append(uses, answer.Uses...)
+	}
+	if !e.allState(answers) {
+		return origin.Result{Verdict: origin.Unknown}
+	}
+	return origin.FindRemaining(known, uses, denied)
+}
+
+// allState reports whether all instances of the list are known to state their uses: those of a former build don't, and neither answer with the number
 // of a process.
-func (s *Service) stateUses(list []origin.Instance, uses []origin.Use, answers []origin.Answer) bool {
-	stating := map[netip.AddrPort]bool{s.options.Address: true}
-	for _, use := range uses {
+func (e *exclusion) allState(answers []origin.Answer) bool {
+	stating := map[netip.AddrPort]bool{e.self: true}
+	for _, use := range e.uses {
 		stating[use.Address] = true
 	}
 	for _, answer := range answers {
 		stating[answer.From] = answer.Process != 0
 	}
-	return !slices.ContainsFunc(list, func(instance origin.Instance) bool { return !stating[instance.Address] })
+	return !slices.ContainsFunc(e.list, func(instance origin.Instance) bool { return !stating[instance.Address] })
 }
 
 // mayRemain reports whether it is known of any software of the services that streams may have begun there.
