Rely on no use for a time after the store came back from a copy

A store that comes back from a copy lacks what was stated after the copy was made. Instances that live state their uses again; what a lost one stated is gone, and for up to 10 min its streams were decided by exclusion as if it had not used the software: joined from two.

An instance that sees a higher era of the store decides nothing by exclusion for 10 min, and says in its answers that uses may be missing. For those that start in that time the key that tells that an archive is kept names the last era of which all uses are there, in bytes after those that it had (nothing in the first era); builds without it ignore them.

--- a/services/entry/origin/archive/archive.go
+++ b/services/entry/origin/archive/archive.go
@@ -68,8 +68,10 @@
 	Uses []origin.Use
 	// Unreadable counts the entries that were not understood.
 	Unreadable int
-	// Kept is set if the archive was written before, perhaps so long ago that nothing of it is left.
-	Kept bool
+	// Kept is set if the archive was written before, perhaps so long ago that nothing of it is left. WholeEra is the era of the store up to which
+	// all uses are there: those of processes that are gone may be missing in a copy of the store.
+	Kept     bool
+	WholeEra int64
 }
 
 // IsComplete reports whether the archive names all softwares that served within origin.MaxLifetime.
@@ -116,7 +118,7 @@
 func (c *Content) add(now time.Time, item store.Item) error {
 	switch {
 	case item.Key == keptKey:
-		c.Kept = true
+		c.Kept, c.WholeEra = true, decodeEra(item.Value)
 	case strings.HasPrefix(item.Key, servedPrefix):
 		var value servedValue
 		if err := decode(item.Value, &value); err != nil {
@@ -141,9 +143,10 @@
 	return nil
 }
 
-// WriteServed replaces the softwares that this process knows to have served lately. Complete states that these are all. They stay for origin.MaxLifetime unless they are renewed. After an
+// WriteServed replaces the softwares that this process knows to have served lately. Complete states that these are all,
+// and wholeEra up to which era of the store it is known that all uses are there. They stay for origin.MaxLifetime unless they are renewed. After an
 // error another key is used, since a write without an answer may still be done, after later ones. The error is one of package store.
-func (a *Archive) WriteServed(ctx context.Context, served []origin.Sighting, complete bool) error {
+func (a *Archive) WriteServed(ctx context.Context, served []origin.Sighting, complete bool, wholeEra int64) error {
 	value, err := encode(newServedValue(served, complete))
 	if err != nil {
 		return err
@@ -154,7 +157,9 @@
 		}
 		a.servedKeys++
 	}
-	err = a.write(ctx, store.Write{Key: a.key(servedPrefix, a.servedKeys), Value: value, Lease: a.servedLease}, store.Write{Key: keptKey, Value: []byte{version}})
+	err = a.write(ctx,
+		store.Write{Key: a.key(servedPrefix, a.servedKeys), Value: value, Lease: a.servedLease},
+		store.Write{Key: keptKey, Value: encodeEra(wholeEra)})
 	if err != nil {
 		a.servedLease = 0
 	}
--- a/services/entry/origin/archive/archive_test.go
+++ b/services/entry/origin/archive/archive_test.go
@@ -93,7 +93,7 @@
 func TestSoftwaresStayWhileTheyAreRenewed(t *testing.T) {
 	f := newFixture(t)
 	served := []origin.Sighting{{Origin: one, Age: time.Second}, {Origin: two}}
-	require.NoError(t, f.written.WriteServed(t.Context(), served, true))
+	require.NoError(t, f.written.WriteServed(t.Context(), served, true, 0))
 	f.now = f.now.Add(origin.MaxLifetime - time.Millisecond)
 	require.NoError(t, f.written.RenewServed(t.Context()))
 	f.now = f.now.Add(origin.MaxLifetime - time.Millisecond)
@@ -104,7 +104,7 @@
 	f.now = f.now.Add(time.Millisecond)
 	assert.Empty(t, f.read().Served)
 	assert.ErrorIs(t, f.written.RenewServed(t.Context()), store.ErrLeaseExpired)
-	require.NoError(t, f.written.WriteServed(t.Context(), served, true))
+	require.NoError(t, f.written.WriteServed(t.Context(), served, true, 0))
 	assert.Len(t, f.read().Served, 1)
 }
 
@@ -112,14 +112,14 @@
 func TestWriteAfterErrorHasItsOwnKey(t *testing.T) {
 	f := newFixture(t)
 	served := []origin.Sighting{{Origin: one}}
-	require.NoError(t, f.written.WriteServed(t.Context(), served, true))
+	require.NoError(t, f.written.WriteServed(t.Context(), served, true, 0))
 	require.NoError(t, f.written.WriteBegun(t.Context(), f.now, f.begun(time.Minute, 1)))
 	before := f.store.Keys()
 	f.store.Fail(&store.UnknownError{Cause: t.Context().Err()})
-	require.Error(t, f.written.WriteServed(t.Context(), served, true))
+	require.Error(t, f.written.WriteServed(t.Context(), served, true, 0))
 	require.Error(t, f.written.WriteBegun(t.Context(), f.now, f.begun(time.Minute, 2)))
 	f.store.Fail(nil)
-	require.NoError(t, f.written.WriteServed(t.Context(), served, true))
+	require.NoError(t, f.written.WriteServed(t.Context(), served, true, 0))
 	require.NoError(t, f.written.WriteBegun(t.Context(), f.now, f.begun(time.Minute, 2)))
 	assert.Len(t, f.store.Keys(), 2+len(before))
 	assert.Contains(t, f.store.Keys(), "shelfledge/streams/begun/0000000000000001-00000003", "2 is the one without an answer")
@@ -127,7 +127,7 @@
 
 func TestOwnStatementsAreNotRead(t *testing.T) {
 	f := newFixture(t)
-	require.NoError(t, f.other.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, true))
+	require.NoError(t, f.other.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, true, 0))
 	require.NoError(t, f.other.WriteBegun(t.Context(), f.now, f.begun(time.Minute, 1)))
 	content := f.read()
 	assert.Len(t, content.Served, 1)
@@ -143,7 +143,7 @@
 	f.store.Put("shelfledge/streams/begun/broken", []byte{1, 0xff})
 	f.store.Put("shelfledge/streams/another/kind", []byte{9})
 	f.store.Put("shelfledge/planner", []byte{1})
-	require.NoError(t, f.written.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, true))
+	require.NoError(t, f.written.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, true, 0))
 	content := f.read()
 	assert.Equal(t, 3, content.Unreadable)
 	assert.Len(t, content.Served, 1)
@@ -153,10 +153,10 @@
 	f := newFixture(t)
 	content := f.read()
 	assert.True(t, content.IsComplete(), "never written")
-	require.NoError(t, f.written.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, false))
+	require.NoError(t, f.written.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, false, 0))
 	content = f.read()
 	assert.False(t, content.IsComplete(), "its writer did not know all")
-	require.NoError(t, f.written.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, true))
+	require.NoError(t, f.written.WriteServed(t.Context(), []origin.Sighting{{Origin: one}}, true, 0))
 	content = f.read()
 	assert.True(t, content.IsComplete())
 	f.now = f.now.Add(origin.MaxLifetime)
@@ -173,3 +173,15 @@
 	f.store.Put("shelfledge/streams/begun/nested", []byte("\x01\x81\xa1z"+strings.Repeat("\x91", 8<<20)))
 	assert.Equal(t, 3, f.read().Unreadable)
 }
+
+func TestEraOfUsesIsRead(t *testing.T) {
+	f := newFixture(t)
+	assert.Zero(t, f.read().WholeEra)
+	for _, era := range []int64{0, 1, 300, 2} {
+		require.NoError(t, f.written.WriteServed(t.Context(), nil, true, era))
+		assert.Equal(t, era, f.read().WholeEra)
+		assert.True(t, f.read().Kept)
+	}
+	f.store.Put("shelfledge/streams/kept", []byte{1})
+	assert.Zero(t, f.read().WholeEra, "of a build that states none")
+}
--- a/services/entry/origin/archive/content.go
+++ b/services/entry/origin/archive/content.go
@@ -74,6 +74,24 @@
 	return append([]byte{version}, encoded...), nil
 }
 
+// encodeEra returns the value that states an era. The first one, 0, is not named.
+func encodeEra(era int64) []byte {
+	value := []byte{version}
+	if era == 0 {
+		return value
+	}
+	return binary.AppendVarint(value, era)
+}
+
+// decodeEra returns the era of a value, 0 if it names none.
+func decodeEra(value []byte) int64 {
+	if len(value) <= 1 {
+		return 0
+	}
+	era, _ := binary.Varint(value[1:])
+	return era
+}
+
 // decode reads a value into content.
 func decode(value []byte, content any) error {
 	if len(value) == 0 || value[0] != version {
--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -42,7 +42,7 @@
 	Complete bool
 	// Process is the number of the instance's process if that knows of each stream that it began, otherwise 0.
 	Process uint64
-	// Uses are those of others that it was told since the archive may lack them. LacksUses is set if there are more of them.
+	// Uses are those of others that it was told since the archive may lack them. LacksUses is set if there may be more.
 	Uses      []Use
 	LacksUses bool
 }
--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/shelfledge/shelfledge/modules/entry/store"
 	"github.com/shelfledge/shelfledge/services/entry/origin"
 	"github.com/shelfledge/shelfledge/services/entry/origin/archive"
 )
@@ -32,13 +33,48 @@
 	readAt      time.Time
 	// learned is the revision up to which the softwares have been learned. They would count as younger if they were learned again.
 	learned int64
-	// uses are where processes begin streams, as last read.
-	uses    []origin.Use
-	failing bool
+	// uses are where processes begin streams, as last read. Until lacksUsesUntil there may be others.
+	uses           []origin.Use
+	lacksUsesUntil time.Time
+	// era is that of the store at the last reading, noEra before the first one, and formerEra the last one before lacksUsesUntil was set.
+	era       int64
+	formerEra int64
+	failing   bool
 }
 
+// noEra is lower than all eras.
+const noEra = -1
+
 func newArchiveReader() archiveReader {
-	return archiveReader{wake: make(chan struct{}, 1), interval: minReadInterval}
+	return archiveReader{wake: make(chan struct{}, 1), interval: minReadInterval, era: noEra}
+}
+
+// setEra sets the era of the store. A store that came back from a copy may lack what processes that are gone stated after the copy was made.
+func (r *archiveReader) setEra(now time.Time, era int64) {
+	if era <= r.era {
+		return
+	}
+	if r.era != noEra {
+		r.formerEra = r.wholeEra(now)
+		r.lacksUsesUntil = now.Add(origin.MaxLifetime)
+	}
+	r.era = era
+}
+
+// wholeEra returns the last era of which it is known that the archive has all uses that count.
+func (r *archiveReader) wholeEra(now time.Time) int64 {
+	if now.Before(r.lacksUsesUntil) {
+		return r.formerEra
+	}
+	return r.era
+}
+
+// lacksUses reports whether the archive may lack uses that count.
+func (s *Service) lacksUses(now time.Time) bool {
+	if s.options.Archive != nil && s.reader.era != noEra {
+		s.reader.setEra(now, s.options.Archive.Store.CurrentEra())
+	}
+	return now.Before(s.reader.lacksUsesUntil)
 }
 
 // request lets the archive be read as soon as that is allowed.
@@ -123,6 +159,10 @@
 	}
 	s.complete = content.IsComplete() && s.hasReadSinceObserved()
 	s.reader.uses = content.Uses
+	if s.reader.era == noEra {
+		s.reader.setEra(now, content.WholeEra)
+	}
+	s.reader.setEra(now, store.EraOf(content.Revision))
 	s.writer.request()
 	for _, stated := range content.Served {
 		if stated.Revision > s.reader.learned {
--- a/services/entry/origin/exchange/archive_writer.go
+++ b/services/entry/origin/exchange/archive_writer.go
@@ -44,10 +44,11 @@
 	pausedUntil time.Time
 	// deputy counts the instances that were entrusted with streams.
 	deputy int
-	// served are the softwares as last written, and complete is set once they were stated to be all. renewAt is when they are written again or
-	// renewed; zero if none have been written.
+	// served are the softwares as last written, wholeEra the era that was written with them, and complete is set once they were stated to be all.
+	// renewAt is when they are written again or renewed; zero if none have been written.
 	served   []origin.Sighting
 	complete bool
+	wholeEra int64
 	renewAt  time.Time
 	// holders and alone are those for which the share of this instance was last reviewed.
 	holders *origin.Holders
@@ -249,7 +250,8 @@
 	s.markSole(now)
 	known := s.history.All(now)
 	complete := w.complete || s.knowsAll() || s.history.IsProven(now, origin.MaxLifetime)
-	changed := !slices.EqualFunc(known, w.served, isSameSighting) || complete != w.complete
+	wholeEra := s.reader.wholeEra(now)
+	changed := !slices.EqualFunc(known, w.served, isSameSighting) || complete != w.complete || wholeEra != w.wholeEra
 	due := !now.Before(w.renewAt)
 	if !s.statesSoftwares(now) || !s.hasReadSinceObserved() || (!changed && !due) {
 		s.mutex.Unlock()
@@ -258,7 +260,7 @@
 	s.mutex.Unlock()
 	var err error
 	if changed || slices.ContainsFunc(known, hasLeft) {
-		err = s.options.Archive.WriteServed(s.context, known, complete)
+		err = s.options.Archive.WriteServed(s.context, known, complete, wholeEra)
 	} else {
 		err = s.options.Archive.RenewServed(s.context)
 	}
@@ -269,7 +271,7 @@
 		w.served = nil
 		return err
 	}
-	w.served, w.complete, w.renewAt = known, complete, now.Add(renewInterval)
+	w.served, w.complete, w.wholeEra, w.renewAt = known, complete, wholeEra, now.Add(renewInterval)
 	return nil
 }
 
--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -198,3 +198,41 @@
 		f.close()
 	})
 }
+
+// TestUseThatCopyOfStoreLacksIsNotJoined guards against streams of an instance that was lost when the store came back from a copy without its use.
+func TestUseThatCopyOfStoreLacksIsNotJoined(t *testing.T) {
+	for name, restarts := range map[string]int{"none restarts": 0, "who asks restarts": 1, "all restart": 5} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleetThatLostStreams(t, "1.0", "2.0")
+				former := f.network.store.Copy()
+				f.services[3].Prepare(t.Context(), two)
+				time.Sleep(settledAge)
+				f.network.store.Return(former)
+				f.loseStream(3, two, window)
+				for i := range restarts {
+					f.restart(t, i, "1.0", "2.0")
+				}
+				for range 3 {
+					time.Sleep(settling)
+					assertNotJoined(t, two, f.services[0], lateKey)
+				}
+				f.close()
+			})
+		})
+	}
+}
+
+// TestUsesAreReliedOnAgainSomeTimeAfterCopy guards against streams that are refused since the store came back from a copy long ago.
+func TestUsesAreReliedOnAgainSomeTimeAfterCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3, "1.0")
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		f.network.store.Return(f.network.store.Copy())
+		time.Sleep(origin.MaxLifetime + 20*time.Second)
+		f.restartAll(t, "1.0", "2.0")
+		time.Sleep(settledAge)
+		assertFound(t, onlyPossible(one), f.services[0], 1)
+	})
+}
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -77,7 +77,8 @@
 	Complete bool       `msgpack:"c,omitempty"`
 	// Process is the number of the process if it knows of each stream that it began.
 	Process uint64 `msgpack:"p,omitempty"`
-	// Uses are those of other processes that the instance was told, of the services in question. LacksUses is set if there are more.
+	// Uses are those of other processes that the instance was told, of the services in question. LacksUses is set if there are more,
+	// or the archive may lack some.
 	Uses      []usesOf `msgpack:"u,omitempty"`
 	LacksUses bool     `msgpack:"l,omitempty"`
 }
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -131,8 +131,8 @@
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
 	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now)}
 	uses, areAll := s.toldUses.ofServices(now, asked.Services)
+	answered.Uses, answered.LacksUses = uses, !areAll || s.lacksUses(now)
 	s.mutex.Unlock()
-	answered.Uses, answered.LacksUses = uses, !areAll
 	answered.setFound(found)
 	payload, fits := encodeAnswer(answered, known)
 	if !fits {
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -209,7 +209,7 @@
 	now := s.options.Now()
 	process := s.process(now)
 	told, areAll := s.toldUses.all(now)
-	if !s.knowsAll() || process == 0 || !areAll || len(s.inquiries) >= maxInquiries {
+	if !s.knowsAll() || process == 0 || !areAll || s.lacksUses(now) || len(s.inquiries) >= maxInquiries {
 		return nil, nil
 	}
 	own := &exclusion{
--- a/tests/pinned/entry/archive_test.go
+++ b/tests/pinned/entry/archive_test.go
@@ -34,7 +34,7 @@
 		{Key: 1, Origin: former, Until: until}, {Key: 2, Origin: present, Until: until}, {Key: 3, Origin: former, Until: until},
 		{Key: 4, Origin: present, Until: until, Ambiguous: true},
 	}
-	require.NoError(t, written.WriteServed(t.Context(), served, true))
+	require.NoError(t, written.WriteServed(t.Context(), served, true, 0))
 	require.NoError(t, written.WriteBegun(t.Context(), archivedAt, begun))
 	page, err := written.Store.Range(t.Context(), "", "")
 	require.NoError(t, err)
