Ask all instances about a stream that the store can't tell of

Callers could see a stream refused although an instance that was left knew where it began: while the store is down and several instances are lost, holders alone are asked, and the one that was told for the hall of a lost instance is none of these to instances of other halls. Asking all of them was tied to a reading of the store.

--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -199,6 +199,13 @@
 	return !s.reader.readAt.IsZero() && !s.reader.readAt.Before(s.reader.requestedAt)
 }
 
+// hasReadSince reports whether a reading of the archive has succeeded that began at a time or later.
+func (s *Service) hasReadSince(since time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.reader.readAt.Before(since)
+}
+
 // awaitReading waits until a reading of the archive has succeeded that began at a time or later. It returns false if none may begin within
 // archiveTimeout.
 func (s *Service) awaitReading(ctx context.Context, since time.Time) bool {
@@ -206,12 +213,12 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		s.readArchive(ctx, s.options.Now())
-		s.mutex.Lock()
-		isRead, nextAt := !s.reader.readAt.Before(since), s.reader.nextAt
-		s.mutex.Unlock()
-		if isRead {
+		if s.hasReadSince(since) {
 			return true
 		}
+		s.mutex.Lock()
+		nextAt := s.reader.nextAt
+		s.mutex.Unlock()
 		select {
 		case <-time.After(max(nextAt.Sub(s.options.Now()), time.Millisecond)):
 		case <-ctx.Done():
--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -72,7 +72,35 @@
 	if result := s.lookup(key); result.Verdict != origin.Unknown {
 		return result, true
 	}
-	return s.findRemaining(ctx, now, key, services, window), true
+	remaining := s.findRemaining(ctx, now, key, services, window)
+	if remaining.Verdict != origin.Unknown || s.hasReadSince(now) {
+		return remaining, true
+	}
+	return s.findAmongAll(ctx, key, services, window), true
+}
+
+// findAmongAll asks the instances that have not been asked where a stream began, since the archive does not tell: one that was told of it for the
+// hall of a lost instance is not asked otherwise. What they don't know proves nothing.
+func (s *Service) findAmongAll(ctx context.Context, key origin.Key, services []string, window time.Duration) origin.Result {
+	s.mutex.Lock()
+	if len(s.inquiries) >= maxInquiries {
+		s.mutex.Unlock()
+		return origin.Result{Verdict: origin.Unknown}
+	}
+	known := s.history.Known(s.options.Now(), services, window)
+	asked := s.addInquiry(without(s.everyone(nil), s.holdersOf(key)), key, services, window, known)
+	s.mutex.Unlock()
+	answers := s.ask(ctx, asked)
+	s.removeInquiry(asked)
+	return origin.Decide(known, false, withoutProof(answers))
+}
+
+// withoutProof returns answers that tell of the stream alone.
+func withoutProof(answers []origin.Answer) []origin.Answer {
+	for i := range answers {
+		answers[i].Complete = false
+	}
+	return answers
 }
 
 // awaitArchive lets the archive be read if that is allowed, and waits for it.
--- /dev/null
+++ b/services/entry/origin/exchange/store_outage_test.go
@@ -0,0 +1,43 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+// TestStreamThatAnySurvivorKnowsGoesOnDuringStoreOutage guards against streams that are refused during an outage of the store, since the instance
+// that knows them holds them for the hall of a lost one and is not asked.
+func TestStreamThatAnySurvivorKnowsGoesOnDuringStoreOutage(t *testing.T) {
+	const count, lost = 6, 4
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, count, 3, "1.0", "2.0")
+		time.Sleep(settling)
+		f.network.store.Fail(errDown)
+		f.beginAll(archivedStreams)
+		time.Sleep(settledAge)
+		for _, service := range f.services[:lost] {
+			service.Close()
+		}
+		defer func() {
+			for _, service := range f.services[lost:] {
+				service.Close()
+			}
+		}()
+		for key := range origin.Key(archivedStreams) {
+			began, software := int(key)%count, one
+			if key%3 == 0 {
+				software = two
+			}
+			if f.knows(lost, began, key) || f.knows(lost+1, began, key) {
+				assertFound(t, known(software), f.services[lost], key)
+				assertFound(t, known(software), f.services[lost+1], key)
+			}
+		}
+	})
+}
