List streams of a store outage that end with all instances

Callers see their streams refused where all instances are lost while the store is down: what began since the store was last written is known to instances alone.

--- a/services/entry/origin/exchange/archive_test.go
+++ b/services/entry/origin/exchange/archive_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// countKnown returns how many streams of beginAll an instance knows. None may be taken for one of the other software.
+func (f *fleet) countKnown(t *testing.T, i int, streams origin.Key) int {
+	t.Helper()
+	count := 0
+	for key := range streams {
+		began := one
+		if key%3 == 0 {
+			began = two
+		}
+		if result, _ := find(t, f.services[i], key); result == known(began) {
+			count++
+		}
+		assertNotJoined(t, began, f.services[i], key)
+	}
+	return count
+}
+
 // assertAllKnown checks that streams of beginAll are known to an instance.
 func (f *fleet) assertAllKnown(t *testing.T, i int, streams origin.Key) {
 	t.Helper()
--- a/services/entry/origin/exchange/store_outage_test.go
+++ b/services/entry/origin/exchange/store_outage_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"github.com/shelfledge/shelfledge/services/entry/origin"
 )
 
@@ -63,3 +65,21 @@
 		})
 	}
 }
+
+// TestStreamsBegunDuringStoreOutageOutliveAllInstances guards against streams of two softwares that are refused, since all instances were lost before
+// the store was back.
+func TestStreamsBegunDuringStoreOutageOutliveAllInstances(t *testing.T) {
+	const leastStreams = archivedStreams * 97 / 100
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3, "1.0", "2.0")
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		f.network.store.Fail(errDown)
+		f.beginAll(archivedStreams)
+		time.Sleep(settledAge)
+		f.restartAll(t, "1.0", "2.0")
+		f.network.store.Fail(nil)
+		time.Sleep(settling)
+		assert.GreaterOrEqual(t, f.countKnown(t, 0, archivedStreams), leastStreams, "of %d", archivedStreams)
+	})
+}
