Let a restarted instance's streams be stated in the test of a software that left

TestRestartedInstanceLearnsSoftwareThatLeft failed in 3 of 60 plays: all of it happens before the softwares are stated in the store, so that the restarted instance sometimes knows of no other one. Nobody had begun a stream at either software, so that exclusion left the one that serves, which is right for a stream that nobody began.

Change: the instance that is restarted begins streams at both softwares before, as the proxy states them, so that both stay possible.

--- a/services/entry/origin/exchange/service_test.go
+++ b/services/entry/origin/exchange/service_test.go
@@ -179,6 +179,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 6, 3, "1.0", "2.0")
 		defer f.close()
+		prepareAndBegin(t, f.services[0], 3, one)
+		prepareAndBegin(t, f.services[0], 4, two)
 		f.observe("2.0")
 		f.restart(t, 0, "2.0")
 		assertFound(t, unknown, f.services[0], 1)
