Deny no stream whose record has expired

An instance keeps the record of a stream for twice the time-out of its route, or for the time of the caller's first attempt.

An instance now keeps the keys of its own streams for at least 10 min after their records, and neither denies such a stream nor decides about it by exclusion; nor for 10 min after it had no room. Its table's overflow counts only for its own streams, and for as long.

--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -40,7 +40,7 @@
 	Sightings []Sighting
 	// Complete is set if the instance has read the archive since it started, and has observed the endpoints since.
 	Complete bool
-	// Process is the number of the instance's process if that knows of each stream that it began, otherwise 0.
+	// Process is the number of the instance's process, and 0 if that may have begun the stream and forgotten it.
 	Process uint64
 	// Uses are those of others that it was told since the archive may lack them. LacksUses is set if there may be more.
 	Uses      []Use
--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -236,3 +236,22 @@
 		assertFound(t, onlyPossible(one), f.services[0], 1)
 	})
 }
+
+// TestStreamThatIsTakenUpLateIsNotDenied guards against streams that are older than their instance's record of them, and go on elsewhere.
+func TestStreamThatIsTakenUpLateIsNotDenied(t *testing.T) {
+	const lifetime = 20 * time.Second
+	for _, late := range []time.Duration{time.Second, window, origin.MaxLifetime - time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleetThatLostStreams(t, "1.0", "2.0")
+				defer func() { f.close() }()
+				f.services[3].Prepare(t.Context(), two)
+				f.services[3].Begin(time.Now(), lateKey, two, time.Now().Add(lifetime))
+				time.Sleep(lifetime + late)
+				for _, service := range f.services {
+					assertNotJoined(t, two, service, lateKey)
+				}
+			})
+		})
+	}
+}
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -75,7 +75,7 @@
 	Software string     `msgpack:"v,omitempty"`
 	Known    []sighting `msgpack:"w,omitempty"`
 	Complete bool       `msgpack:"c,omitempty"`
-	// Process is the number of the process if it knows of each stream that it began.
+	// Process is the number of the process, and 0 if that may have begun the stream and forgotten it.
 	Process uint64 `msgpack:"p,omitempty"`
 	// Uses are those of other processes that the instance was told, of the services in question. LacksUses is set if there are more,
 	// or the archive may lack some.
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -129,7 +129,7 @@
 	}
 	found := s.table.Lookup(now, origin.Key(asked.Key))
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
-	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now)}
+	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now, origin.Key(asked.Key))}
 	uses, areAll := s.toldUses.ofServices(now, asked.Services)
 	answered.Uses, answered.LacksUses = uses, !areAll || s.lacksUses(now)
 	s.mutex.Unlock()
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -207,7 +207,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
-	process := s.process(now)
+	process := s.process(now, key)
 	told, areAll := s.toldUses.all(now)
 	if !s.knowsAll() || process == 0 || !areAll || s.lacksUses(now) || len(s.inquiries) >= maxInquiries {
 		return nil, nil
@@ -279,9 +279,9 @@
 	return without(slices.Compact(addresses), []netip.AddrPort{s.options.Address})
 }
 
-// process returns the number of this process if it knows of each stream that it began, otherwise 0.
-func (s *Service) process(now time.Time) uint64 {
-	if s.options.Archive == nil || !s.table.IsWhole(now) {
+// process returns the number of this process, and 0 if it may have begun a stream of which it has no record any more.
+func (s *Service) process(now time.Time, key origin.Key) uint64 {
+	if s.options.Archive == nil || s.table.MayHaveForgotten(now, key) {
 		return 0
 	}
 	return s.options.Archive.Writer
--- a/services/entry/origin/table.go
+++ b/services/entry/origin/table.go
@@ -40,8 +40,10 @@
 	entries map[Key]entry
 	// order has the keys of entries, the oldest first.
 	order []Key
-	// wholeFrom is when the last stream can no longer be taken up that was removed before that.
+	// wholeFrom is when the last stream of this instance can no longer be taken up that was forgotten.
 	wholeFrom time.Time
+	// expired are the streams of this instance whose records have expired.
+	expired expiredKeys
 }
 
 // NewTable returns an empty table.
@@ -99,16 +101,19 @@
 	if len(t.order) < maxRecords {
 		return
 	}
-	if until := t.entries[t.order[0]].until; until.After(t.wholeFrom) {
+	oldest := t.entries[t.order[0]]
+	if until := oldest.until.Add(MaxLifetime); oldest.own && until.After(t.wholeFrom) {
 		t.wholeFrom = until
 	}
 	delete(t.entries, t.order[0])
 	t.order = t.order[1:]
 }
 
-// IsWhole reports whether the table has each record that was added and has not expired.
-func (t *Table) IsWhole(now time.Time) bool {
-	return !t.wholeFrom.After(now)
+// MayHaveForgotten reports whether this instance may have begun a stream of which it has no record any more.
+func (t *Table) MayHaveForgotten(now time.Time, key Key) bool {
+	found := t.entries[key]
+	hasExpired := found.own && !found.until.After(now)
+	return hasExpired || t.expired.has(key) || t.wholeFrom.After(now)
 }
 
 // Get returns the record of a stream that has not expired.
@@ -158,13 +163,18 @@
 
 // Sweep removes the records that have expired.
 func (t *Table) Sweep(now time.Time) {
+	t.expired.rotate(now)
 	kept := make([]Key, 0, len(t.order))
 	for _, key := range t.order {
-		if t.entries[key].until.After(now) {
+		found := t.entries[key]
+		if found.until.After(now) {
 			kept = append(kept, key)
-		} else {
-			delete(t.entries, key)
+			continue
+		}
+		if found.own && !t.expired.add(key) {
+			t.wholeFrom = now.Add(MaxLifetime)
 		}
+		delete(t.entries, key)
 	}
 	t.order = kept
 }
--- a/services/entry/origin/table_test.go
+++ b/services/entry/origin/table_test.go
@@ -199,3 +199,21 @@
 		table.Sweep(start)
 	}
 }
+
+func TestExpiredStreamsOfThisInstanceAreNotDenied(t *testing.T) {
+	table := origin.NewTable()
+	table.Add(start, origin.Record{Key: 1, Origin: one, Until: after(time.Minute), Own: true})
+	table.Add(start, origin.Record{Key: 2, Origin: one, Until: after(time.Minute)})
+	assert.False(t, table.MayHaveForgotten(start, 1), "it knows it")
+	for _, age := range []time.Duration{time.Minute, 2 * time.Minute, origin.MaxLifetime} {
+		assert.True(t, table.MayHaveForgotten(after(age), 1), age)
+		assert.False(t, table.MayHaveForgotten(after(age), 2), age)
+		table.Sweep(after(age))
+		assert.True(t, table.MayHaveForgotten(after(age), 1), age)
+		assert.Equal(t, unknown, table.Lookup(after(age), 1), age)
+	}
+	for age := origin.MaxLifetime; age <= 4*origin.MaxLifetime; age += time.Minute {
+		table.Sweep(after(age))
+	}
+	assert.False(t, table.MayHaveForgotten(after(4*origin.MaxLifetime), 1))
+}
