List what decision by exclusion still joins

Three tests that fail land with their entries: streams of an instance of a former build that is lost and off the list, streams of one that saw one of two softwares only, and a software that a copy of the store lacks when all instances are lost as well.

--- /dev/null
+++ b/services/entry/origin/exchange/exclusion_open_test.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The shelfledge Authors. All rights reserved.
+// SPDX-License-Identifier: MIT
+
+package exchange_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shelfledge/shelfledge/services/entry/origin"
+)
+
+// TestStreamOfInstanceOfFormerBuildThatLeftIsNotJoined guards against streams of an instance that stated no use and is no longer in the list.
+func TestStreamOfInstanceOfFormerBuildThatLeftIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.services[3].Close()
+		f.services[3] = startWithoutArchive(t, f.network, f.instances[3], f.instances)
+		f.services[3].ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
+		time.Sleep(settling)
+		f.services[3].Prepare(t.Context(), two)
+		f.loseStream(3, two, window)
+		time.Sleep(settledAge)
+		assertNotJoined(t, two, f.services[0], lateKey)
+		f.close()
+	})
+}
+
+// TestStreamOfInstanceThatLagsBehindIsNotJoined guards against streams of an instance that has not seen a second software yet, and states no use.
+func TestStreamOfInstanceThatLagsBehindIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3)
+		f.network.lose(func(sent datagram) bool { return sent.to == f.instances[3].Address })
+		f.services[3].ObserveEndpoints(time.Now(), chat("1.0"))
+		time.Sleep(settledAge)
+		for i, service := range f.services {
+			if i != 3 {
+				service.ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
+			}
+		}
+		time.Sleep(settledAge)
+		f.services[4].Prepare(t.Context(), two)
+		f.services[3].Prepare(t.Context(), one)
+		time.Sleep(settledAge)
+		f.loseStream(4, two, window)
+		f.loseStream(3, one, window)
+		time.Sleep(settledAge)
+		assertNotJoined(t, one, f.services[0], lateKey)
+		f.close()
+	})
+}
+
+// TestSoftwareThatCopyOfStoreLacksIsNotRuledOut guards against streams of a software that came and left after the copy from which the store came
+// back, when all instances were lost as well.
+func TestSoftwareThatCopyOfStoreLacksIsNotRuledOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3, "1.0")
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		former := f.network.store.Copy()
+		f.observe("1.0", "2.0")
+		for key, service := range f.services {
+			prepareAndBegin(t, service, origin.Key(key), two)
+		}
+		time.Sleep(settling)
+		f.observe("1.0")
+		time.Sleep(settledAge)
+		f.close()
+		f.network.store.Return(former)
+		for i, instance := range f.instances {
+			f.services[i] = startInstance(t, f.network, instance, f.instances)
+			f.services[i].ObserveEndpoints(time.Now(), chat("1.0"))
+		}
+		time.Sleep(settling)
+		for key, service := range f.services {
+			assertNotJoined(t, two, service, origin.Key(key))
+		}
+	})
+}
