Rule out no software that a lost instance knew of and could not state to use

Cause: an instance that first uses a software while the store is down tells the others of it. Once all are lost nothing names the use, and the exclusion took it for none.

Change: what the archive states of softwares that served names the process that wrote it. A process that does not answer may have used each software that it knew of. A software that came after the loss was known to none of those that are lost, and can be ruled out as before.

--- a/services/entry/origin/archive/archive.go
+++ b/services/entry/origin/archive/archive.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,6 +25,9 @@
 	keptKey = prefix + "kept"
 )
 
+// writerBase is the base in which keys have the number of a process.
+const writerBase = 16
+
 const (
 	// callTimeout bounds a call to the store, and the reading of each page. A higher value tolerates a slower store, a lower one tries again
 	// sooner.
@@ -90,7 +94,35 @@
 	Softwares []origin.Sighting
 	// Complete is set if the process knew all softwares that had served.
 	Complete bool
-	key      string
+	// Process is the number of the process, Known what it named, also if that is this process.
+	Process uint64
+	Known   []origin.Origin
+	key     string
+}
+
+// newStatement returns what a value of a process states.
+func newStatement(item store.Item, value *servedValue) (Statement, error) {
+	process, _, _ := strings.Cut(strings.TrimPrefix(item.Key, servedPrefix), "-")
+	number, err := strconv.ParseUint(process, writerBase, 64)
+	if err != nil {
+		return Statement{}, fmt.Errorf("%w: %w", errUnreadable, err)
+	}
+	stated := Statement{
+		Revision: item.Revision, Softwares: value.sightings(), Complete: value.Complete, Process: number, key: item.Key,
+	}
+	for _, seen := range stated.Softwares {
+		stated.Known = append(stated.Known, seen.Origin)
+	}
+	return stated, nil
+}
+
+// MayUse returns the uses that a process may not have been able to state before it was gone: it knew of the softwares.
+func (s *Statement) MayUse() []origin.Use {
+	uses := make([]origin.Use, 0, len(s.Known))
+	for _, known := range s.Known {
+		uses = append(uses, origin.Use{User: origin.User{Process: s.Process}, Origin: known})
+	}
+	return uses
 }
 
 // Read reads the archive. The error is one of package store.
@@ -124,9 +156,11 @@
 		if err := decode(item.Value, &value); err != nil {
 			return err
 		}
-		c.Served = append(c.Served, Statement{
-			Revision: item.Revision, Softwares: value.sightings(), Complete: value.Complete, key: item.Key,
-		})
+		stated, err := newStatement(item, &value)
+		if err != nil {
+			return err
+		}
+		c.Served = append(c.Served, stated)
 	case strings.HasPrefix(item.Key, begunPrefix):
 		var value begunValue
 		if err := decode(item.Value, &value); err != nil {
--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -33,8 +33,9 @@
 	readAt      time.Time
 	// learned is the revision up to which the softwares have been learned. They would count as younger if they were learned again.
 	learned int64
-	// uses are where processes begin streams, as last read. Until lacksUsesUntil there may be others.
+	// uses are where processes begin streams, as last read, and unstated where they may. Until lacksUsesUntil there may be others.
 	uses           []origin.Use
+	unstated       []origin.Use
 	lacksUsesUntil time.Time
 	// era is that of the store at the last reading, noEra before the first one, and formerEra the last one before lacksUsesUntil was set.
 	era       int64
@@ -158,7 +159,7 @@
 		s.options.Log.WithField("entries", content.Unreadable).Warn("the store has entries on streams that this version cannot read")
 	}
 	s.complete = content.IsComplete() && s.hasReadSinceObserved()
-	s.reader.uses = content.Uses
+	s.reader.uses, s.reader.unstated = content.Uses, unstatedUses(&content)
 	if s.reader.era == noEra {
 		s.reader.setEra(now, content.WholeEra)
 	}
@@ -236,3 +237,13 @@
 		r.nextAt = soonest
 	}
 }
+
+// unstatedUses returns the uses that processes may not have been able to state, since the store was down: they knew of the softwares. Those of
+// processes that deny a stream do not count.
+func unstatedUses(content *archive.Content) []origin.Use {
+	var uses []origin.Use
+	for i := range content.Served {
+		uses = append(uses, content.Served[i].MayUse()...)
+	}
+	return uses
+}
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -214,7 +214,7 @@
 	}
 	own := &exclusion{
 		self: s.options.Address, process: process, list: s.instances,
-		known: s.history.Known(now, services, window), uses: slices.Concat(s.reader.uses, told),
+		known: s.history.Known(now, services, window), uses: slices.Concat(s.reader.uses, s.reader.unstated, told),
 	}
 	return s.addInquiry(s.everyone(own.uses), key, services, window, own.known), own
 }
