Bound what the elements of an encoding take in memory

Cause: the library allocates a list by the size of its Go type, and twice, before it reads the first element.

Change: the walk over an encoding knows the Go type that it is decoded into (shape), follows fields by name and by place, pointers, maps and values of any type, and counts what the elements take besides their bytes. Beyond maxDecodedBytes, 32 MiB, the value is unreadable like any broken one, and nothing is allocated.

TestManyElementsAreDecoded decodes 80,000 elements with as many pairs. Open: several values that are decoded at once add up.

--- a/modules/messagepack/decode.go
+++ b/modules/messagepack/decode.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"math"
+	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
@@ -14,35 +15,102 @@
 // maxDepth is how deep arrays and maps may be nested. A higher value allows messages with more levels, a lower one takes less of the stack.
 const maxDepth = 32
 
-// ErrInvalid is returned for an encoding that has fewer bytes or elements than it states, and ErrTooDeep for one that is nested too deep.
+// maxDecodedBytes bounds what an encoding takes in memory besides its own bytes, as far as Go types tell: 32 MiB, half of what an instance may take.
+// A higher value allows messages with more elements, a lower one takes less.
+const maxDecodedBytes = 33554432
+
+// ErrInvalid is returned for an encoding that has fewer bytes or elements than it states, ErrTooDeep for one that is nested too deep,
+// and ErrTooLarge for one whose elements take too much memory.
 var (
-	ErrInvalid = errors.New("messagepack: invalid encoding")
-	ErrTooDeep = errors.New("messagepack: nested too deep")
+	ErrInvalid  = errors.New("messagepack: invalid encoding")
+	ErrTooDeep  = errors.New("messagepack: nested too deep")
+	ErrTooLarge = errors.New("messagepack: too many elements")
 )
 
-// Unmarshal decodes an encoding into a value like msgpack.Unmarshal. The errors are ErrInvalid, ErrTooDeep and those of the library.
+// Unmarshal decodes an encoding into a value like msgpack.Unmarshal. The errors are ErrInvalid, ErrTooDeep, ErrTooLarge and those of the
+// library.
 func Unmarshal(encoding []byte, value any) error {
-	if err := check(encoding); err != nil {
+	if err := check(encoding, shapeOf(reflect.TypeOf(value))); err != nil {
 		return err
 	}
 	return msgpack.Unmarshal(encoding, value)
 }
 
-// check walks over one encoded value. Bytes that follow it are ignored, as by the library.
-func check(encoding []byte) error {
-	// pending is how many values are still to come at each level.
-	var pending [maxDepth + 1]int
-	pending[0] = 1
+// level is a list or a map that an encoding is in, or the encoding itself.
+type level struct {
+	// pending is how many values are still to come, passed how many have come.
+	pending, passed int
+	shape           *shape
+	isMap           bool
+	// named is the shape of the value that the last key of a map names.
+	named *shape
+}
+
+// next returns the shape of the next value, which the encoding begins with.
+func (l *level) next(encoding []byte) *shape {
+	l.pending--
+	l.passed++
+	switch {
+	case l.shape == nil:
+		return nil
+	case l.isMap && l.passed%pairElements == 0:
+		return l.named
+	case l.isMap:
+		l.named = l.shape.value(encoding)
+		return nil
+	case l.shape.fields == nil:
+		return l.shape.element
+	case l.passed <= len(l.shape.ordered):
+		return l.shape.ordered[l.passed-1]
+	}
+	return nil
+}
+
+// value returns the shape of the value whose key the encoding begins with.
+func (s *shape) value(encoding []byte) *shape {
+	if s.fields == nil {
+		return s.element
+	}
+	bytes, _, ok := measure(encoding)
+	if !ok || bytes > len(encoding) {
+		return nil
+	}
+	return s.fields[string(encoding[codeBytes+layouts[encoding[0]].lengthBytes:bytes])]
+}
+
+// resolve follows pointers to a value that begins with a code, and returns the shape that they end at, with the bytes of the values on the way.
+func (s *shape) resolve(code byte) (*shape, int) {
+	if code == msgpcode.Nil {
+		return nil, 0
+	}
+	bytes := 0
+	for s != nil && s.ownBytes > 0 {
+		bytes += s.ownBytes
+		s = s.element
+	}
+	return s, bytes
+}
+
+// check walks over one encoded value of a shape. Bytes that follow it are ignored, as by the library.
+func check(encoding []byte, root *shape) error {
+	var levels [maxDepth + 1]level
+	levels[0] = level{pending: 1, shape: &shape{element: root}}
+	decodedBytes := 0
 	for depth := 0; depth >= 0; {
-		if pending[depth] == 0 {
+		if levels[depth].pending == 0 {
 			depth--
 			continue
 		}
-		pending[depth]--
+		next := levels[depth].next(encoding)
 		bytes, elements, ok := measure(encoding)
 		if !ok || bytes > len(encoding) || elements > len(encoding)-bytes {
 			return ErrInvalid
 		}
+		of, ownBytes := next.resolve(encoding[0])
+		if decodedBytes += ownBytes + of.bytesOf(elements); decodedBytes > maxDecodedBytes {
+			return ErrTooLarge
+		}
+		isMap := isMapCode(encoding[0])
 		encoding = encoding[bytes:]
 		if elements == 0 {
 			continue
@@ -51,11 +119,24 @@
 			return ErrTooDeep
 		}
 		depth++
-		pending[depth] = elements
+		levels[depth] = level{pending: elements, shape: of, isMap: isMap}
 	}
 	return nil
 }
 
+// bytesOf returns what elements of a value of the shape take.
+func (s *shape) bytesOf(elements int) int {
+	if s == nil {
+		return 0
+	}
+	return s.elementBytes * elements
+}
+
+// isMapCode reports whether a value that begins with a code is a map.
+func isMapCode(code byte) bool {
+	return msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32
+}
+
 // layout is how a value begins whose first byte has a certain code.
 type layout struct {
 	// bytes is the length of the value without the bytes that state a length and what they count; 0 for an unknown code.
--- a/modules/messagepack/decode_test.go
+++ b/modules/messagepack/decode_test.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"math"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -81,6 +83,68 @@
 	}
 }
 
+// TestManyElementsAreDecoded guards against a bound that refuses long messages.
+func TestManyElementsAreDecoded(t *testing.T) {
+	given := record{Map: make(map[string]int64)}
+	for i := range 80_000 {
+		given.List = append(given.List, record{Ok: i%2 == 0})
+		given.Map[strconv.Itoa(i)] = int64(i)
+	}
+	encoding, err := msgpack.Marshal(given)
+	require.NoError(t, err)
+	var got record
+	require.NoError(t, messagepack.Unmarshal(encoding, &got))
+	assert.Len(t, got.List, len(given.List))
+	assert.Equal(t, given.Map, got.Map)
+}
+
+// TestElementsOfOneByteTakeBoundedMemory guards against a message of few bytes whose elements take many in memory.
+func TestElementsOfOneByteTakeBoundedMemory(t *testing.T) {
+	const (
+		encodedBytes = 8 << 20
+		maxAllocated = 32 << 20
+		halfOfLength = 4
+	)
+	list := func(prefix []byte, code byte, count int, element ...byte) []byte {
+		head := append(prefix, code, byte(count>>24), byte(count>>16), byte(count>>8), byte(count))
+		return append(head, bytes.Repeat(element, count)...)
+	}
+	field := func(name string) []byte { return append([]byte{0x81, 0xa0 | byte(len(name))}, name...) }
+	type embedding struct{ record }
+	type placed struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads this tag by the name of its field.
+		Number   int
+		List     []record
+	}
+	for name, test := range map[string]struct {
+		encoding []byte
+		value    any
+	}{
+		"nothing":                 {list(field("List"), 0xdd, encodedBytes, 0xc0), new(record)},
+		"maps without a field":    {list(field("List"), 0xdd, encodedBytes, 0x80), new(record)},
+		"numbers":                 {list(field("List"), 0xdd, encodedBytes, 0x01), new(record)},
+		"in a nested value":       {list(append(field("Next"), field("List")...), 0xdd, encodedBytes, 0xc0), new(record)},
+		"in an element":           {list(append(append(field("List"), 0x91), field("List")...), 0xdd, encodedBytes, 0xc0), new(record)},
+		"many pointers":           {list(nil, 0xdd, encodedBytes, 0x80), new([]*record)},
+		"any values":              {list(field("Any"), 0xdd, encodedBytes, 0xc0), new(record)},
+		"maps of any values":      {list(list(field("Any"), 0xdd, 1), 0xdf, encodedBytes/2, 0xa0, 0xc0), new(record)},
+		"pairs":                   {list(field("Map"), 0xdf, encodedBytes/2, 0xa0, 0x01), new(record)},
+		"a name with its length":  {list([]byte{0x81, 0xd9, halfOfLength, 'L', 'i', 's', 't'}, 0xdd, encodedBytes, 0xc0), new(record)},
+		"a name as bytes":         {list([]byte{0x81, 0xc4, halfOfLength, 'L', 'i', 's', 't'}, 0xdd, encodedBytes, 0xc0), new(record)},
+		"in an embedded value":    {list(field("List"), 0xdd, encodedBytes, 0xc0), new(embedding)},
+		"in a field by its place": {list([]byte{0x92, 0x01}, 0xdd, encodedBytes, 0xc0), new(placed)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			err := messagepack.Unmarshal(test.encoding, test.value)
+			runtime.ReadMemStats(&after)
+			assert.ErrorIs(t, err, messagepack.ErrTooLarge)
+			assert.LessOrEqual(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocated))
+		})
+	}
+}
+
 func BenchmarkUnmarshal(b *testing.B) {
 	given := record{List: make([]record, 5000)}
 	for i := range given.List {
@@ -98,3 +162,16 @@
 		})
 	}
 }
+
+func FuzzUnmarshal(f *testing.F) {
+	whole, err := msgpack.Marshal(record{List: []record{{Text: "a", Any: []any{1}, Next: &record{}}}, Map: map[string]int64{"b": 1}})
+	require.NoError(f, err)
+	for cut := range len(whole) + 1 {
+		f.Add(whole[:cut])
+	}
+	f.Fuzz(func(t *testing.T, encoding []byte) {
+		if messagepack.Unmarshal(encoding, new(record)) == nil {
+			require.NoError(t, msgpack.Unmarshal(encoding, new(record)), "what is accepted is what the library accepts")
+		}
+	})
+}
