Let brittle workers state the slots that they have

The instances filled 8 places of 6, were rejected, and left places free after that. Change: workers state the slots that they run. The former case stays beside it under a name that says so, with the same bounds, as endpoints with fewer places than they state. No bound changes.

--- a/tests/platform/brittle_test.go
+++ b/tests/platform/brittle_test.go
@@ -31,7 +31,8 @@
 
 // brittleTest is a site whose workers become brittle.
 type brittleTest struct {
-	entries, workers, slots int
+	// slots is how many requests a worker runs at once; it states statedSlots if that is more.
+	entries, workers, slots, statedSlots int
 	// request is what the callers send, and work how long it takes a worker.
 	request call
 	work    time.Duration
@@ -70,7 +71,7 @@
 
 // run makes the workers of the requests' service brittle while callers send, and checks how often workers fall over.
 func (b brittleTest) run(t *testing.T) {
-	c := newCrashSite(t, b.entries, b.workers)
+	c := newCrashSiteOf(t, b.entries, b.workers, workerKind{slots: max(b.slots, b.statedSlots)})
 	c.waitForInitialWorkersGone()
 	for caller := range b.adapters {
 		require.Equal(t, http.StatusOK, c.sendWithRetry(b.call(caller)).Status)
@@ -168,6 +169,10 @@
 			entries: 30, workers: 3, slots: 6, request: call{path: standin.UnsafePrefix + "x?work_ms=60"}, work: 60 * time.Millisecond,
 			callers: 60, pause: 900 * time.Millisecond,
 		},
+		"plain service with more instances than places and fewer places than stated": {
+			entries: 30, workers: 3, slots: 6, statedSlots: 8, request: call{path: standin.UnsafePrefix + "x?work_ms=60"}, work: 60 * time.Millisecond,
+			callers: 60, pause: 900 * time.Millisecond,
+		},
 		"plain service with more callers than places at many instances": {
 			entries: 30, workers: 12, slots: 8, request: call{path: standin.SafePrefix + "x?work_ms=400"}, work: 400 * time.Millisecond,
 			callers: 160, pause: 100 * time.Millisecond,
--- a/tests/platform/crashing_test.go
+++ b/tests/platform/crashing_test.go
@@ -115,6 +115,22 @@
 
 // newCrashSiteWithPart is newCrashSite with workers that crash under requests whose prompts have a part.
 func newCrashSiteWithPart(t *testing.T, entries, restarting int, killingPart string) *crashSite {
+	t.Helper()
+	return newCrashSiteOf(t, entries, restarting, workerKind{slots: restartingSlots, killingPart: killingPart})
+}
+
+// restartingSlots is how many requests restarting workers state that they run at once.
+const restartingSlots = 8
+
+// workerKind is what the restarting workers of both services have in common.
+type workerKind struct {
+	// slots is how many requests a worker states that it runs at once. It crashes under requests whose prompts have killingPart, if any.
+	slots       int
+	killingPart string
+}
+
+// newCrashSiteOf is newCrashSite with workers of a kind.
+func newCrashSiteOf(t *testing.T, entries, restarting int, kind workerKind) *crashSite {
 	t.Helper()
 	c := &crashSite{site: newSite(t, entries), stop: make(chan struct{})}
 	for _, worker := range append(c.models, c.plain...) {
@@ -122,10 +138,10 @@
 	}
 	for number := range restarting {
 		c.restarting = append(c.restarting, c.newRestartingWorker(standin.WorkerOptions{
-			Service: standin.ModelService, Zone: "h1", Slots: 8, Model: standin.Model, Capacity: 8, LoadTime: 30 * time.Millisecond, Events: 5,
-			Pause: 5 * time.Millisecond, KillingPart: killingPart,
+			Service: standin.ModelService, Zone: "h1", Slots: kind.slots, Model: standin.Model, Capacity: 8, LoadTime: 30 * time.Millisecond, Events: 5,
+			Pause: 5 * time.Millisecond, KillingPart: kind.killingPart,
 		}, number))
-		c.restarting = append(c.restarting, c.newRestartingWorker(standin.WorkerOptions{Service: standin.PlainService, Zone: "h1", Slots: 8, KillingPart: killingPart}, number))
+		c.restarting = append(c.restarting, c.newRestartingWorker(standin.WorkerOptions{Service: standin.PlainService, Zone: "h1", Slots: kind.slots, KillingPart: kind.killingPart}, number))
 	}
 	for number, r := range c.restarting {
 		c.tasks.Go(func() { r.restartAfterCrashes(number, c.stop) })
