--- a/services/entry/origin/exchange/cost_test.go
+++ b/services/entry/origin/exchange/cost_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -147,3 +148,34 @@
 	}
 	b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
 }
+
+// fewCalls are those of the instances that state the softwares and write streams.
+const fewCalls = 8
+
+// TestCallsToStateUses counts the calls to the store once a second software serves and every instance begins streams at both: a lease of each, and
+// a write for each of the two.
+func TestCallsToStateUses(t *testing.T) {
+	for _, count := range []int{6, 32, 320} {
+		t.Run(strconv.Itoa(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, count, min(count/2, 8), "1.0")
+				defer f.close()
+				time.Sleep(settling)
+				for i, service := range f.services {
+					prepareAndBegin(t, service, origin.Key(i), one)
+				}
+				time.Sleep(settling)
+				before := f.network.store.Counts()
+				f.observe("1.0", "2.0")
+				for _, service := range f.services {
+					service.Prepare(t.Context(), one)
+					service.Prepare(t.Context(), two)
+				}
+				after := f.network.store.Counts()
+				t.Logf("%d instances: %d grants, %d writes", count, after.Grants-before.Grants, after.Writes-before.Writes)
+				assert.LessOrEqual(t, after.Grants-before.Grants, count+fewCalls)
+				assert.LessOrEqual(t, after.Writes-before.Writes, 2*count+fewCalls)
+			})
+		})
+	}
+}
