--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -37,29 +37,27 @@
 	uses           []origin.Use
 	unstated       []origin.Use
 	lacksUsesUntil time.Time
-	// era is that of the store at the last reading, noEra before the first one, and formerEra the last one before lacksUsesUntil was set.
+	// era is that of the store at the last reading, which knowsEra tells of, and formerEra the last one before lacksUsesUntil was set.
+	knowsEra  bool
 	era       int64
 	formerEra int64
 	failing   bool
 }
 
-// noEra is lower than all eras.
-const noEra = -1
-
 func newArchiveReader() archiveReader {
-	return archiveReader{wake: make(chan struct{}, 1), interval: minReadInterval, era: noEra}
+	return archiveReader{wake: make(chan struct{}, 1), interval: minReadInterval}
 }
 
 // setEra sets the era of the store. A store that came back from a copy may lack what processes that are gone stated after the copy was made.
 func (r *archiveReader) setEra(now time.Time, era int64) {
-	if era <= r.era {
+	if r.knowsEra && era <= r.era {
 		return
 	}
-	if r.era != noEra {
+	if r.knowsEra {
 		r.formerEra = r.wholeEra(now)
 		r.lacksUsesUntil = now.Add(origin.MaxLifetime)
 	}
-	r.era = era
+	r.era, r.knowsEra = era, true
 }
 
 // wholeEra returns the last era of which it is known that the archive has all uses that count.
@@ -72,7 +70,7 @@
 
 // lacksUses reports whether the archive may lack uses that count.
 func (s *Service) lacksUses(now time.Time) bool {
-	if s.options.Archive != nil && s.reader.era != noEra {
+	if s.options.Archive != nil && s.reader.knowsEra {
 		s.reader.setEra(now, s.options.Archive.Store.CurrentEra())
 	}
 	return now.Before(s.reader.lacksUsesUntil)
@@ -160,7 +158,7 @@
 	}
 	s.complete = content.IsComplete() && s.hasReadSinceObserved()
 	s.reader.uses, s.reader.unstated = content.Uses, unstatedUses(&content)
-	if s.reader.era == noEra {
+	if !s.reader.knowsEra {
 		s.reader.setEra(now, content.WholeEra)
 	}
 	s.reader.setEra(now, store.EraOf(content.Revision))
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -21,9 +21,9 @@
 	// useGrace is for how long after that a statement still counts, while its renewal is under way. A higher value waits for a slower store, a lower
 	// one decides by exclusion about older streams.
 	useGrace = 30 * time.Second
-	// maxRemainingWindow bounds the age of streams that are decided about by exclusion: the statements of a lost instance last for
-	// origin.MaxLifetime from their last renewal, and are kept at least as long after the last stream that it began.
-	maxRemainingWindow = origin.MaxLifetime - useRenewInterval - useGrace
+	// maxRemainingWindow bounds the age of streams that are decided about by exclusion: origin.MaxLifetime less useRenewInterval and useGrace, since the
+	// statements of a lost instance last for origin.MaxLifetime from their last renewal. A higher value would take streams for those of another software.
+	maxRemainingWindow = 420 * time.Second
 	// maxUses bounds the origins that this instance states to use. A higher value serves more services, a lower one keeps values small.
 	maxUses = 1024
 )
