Give restarting workers of tests ports that no connection of the host takes

Cause: a worker that crashes starts again at the port that it had, which the system had given it from 32768 on. While it is down any connection of the host may get that port, and keeps it for longer than the 2 s for which the stand-in tries.

Change: restarting workers listen at a port below that range, which is reserved until the process ends, as the sites' ports are.

--- a/tests/platform/crashing_test.go
+++ b/tests/platform/crashing_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	standin "github.com/shelfledge/shelfledge/tests/platformstandin"
 )
@@ -40,8 +41,11 @@
 	workers []*standin.Worker
 }
 
-// newRestartingWorker starts the first worker at a new address. Run restartAfterCrashes to start the next one after each crash.
+// newRestartingWorker starts the first worker at an address of its own, which no connection of this host takes while no worker listens. Run restartAfterCrashes to start the next one after each crash.
 func (s *site) newRestartingWorker(options standin.WorkerOptions, number int) *restartingWorker {
+	address, err := standin.FreeAddress()
+	require.NoError(s.t, err)
+	options.Address = address.String()
 	r := &restartingWorker{site: s, options: options}
 	r.start(number)
 	return r
@@ -52,9 +56,6 @@
 	defer r.mutex.Unlock()
 	options := r.options
 	options.ID = fmt.Sprintf("i-%s-%d-%d", options.Service, number, len(r.workers))
-	if len(r.workers) > 0 {
-		options.Address = r.workers[0].Address()
-	}
 	r.workers = append(r.workers, standin.NewWorker(r.site.store, options))
 }
 
--- a/tests/platformstandin/ports.go
+++ b/tests/platformstandin/ports.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 )
 
@@ -48,6 +49,13 @@
 	return Ports{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics}, nil
 }
 
+// FreeAddress returns an address on the loopback interface at which a server can listen again and again until this process ends.
+func FreeAddress() (netip.AddrPort, error) {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	port, err := reservePorts([]string{loopback.String()}, 1)
+	return netip.AddrPortFrom(loopback, port), err
+}
+
 // reservePorts reserves consecutive ports that are free on all the IPs, and returns the first one.
 func reservePorts(ips []string, count uint16) (uint16, error) {
 	for range maxPortTries {
--- a/tests/platformstandin/ports_test.go
+++ b/tests/platformstandin/ports_test.go
@@ -45,3 +45,21 @@
 		}
 	}
 }
+
+// TestFreeAddressStaysFreeWhileNobodyListens guards against a worker that cannot start again, since a connection of the host has its port.
+func TestFreeAddressStaysFreeWhileNobodyListens(t *testing.T) {
+	const others = 2000
+	address, err := platformstandin.FreeAddress()
+	require.NoError(t, err)
+	for range 2 {
+		listener, err := net.Listen("tcp4", address.String())
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		for range others {
+			other, err := net.Listen("tcp4", address.Addr().String()+":0")
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = other.Close() })
+		}
+	}
+	assert.Less(t, address.Port(), uint16(32768), "the system gives no port of this range to connections")
+}
