Decide by exclusion only about named attempts that a lost process may have begun

Cause: the exclusion asks instances whether they began the attempt that the caller names. An attempt without a name was begun by nobody, and one that nobody began, while no process is gone, was taken for one of the software that had been the only one.

Change: without a name nothing is decided by exclusion; and it needs a process that used a software, or knew of it, and that does not deny: where all answer, nobody can have begun the stream.

--- a/services/entry/origin/use.go
+++ b/services/entry/origin/use.go
@@ -32,6 +32,10 @@
 	if mayLackSoftwares(known) {
 		return Result{Verdict: Unknown}
 	}
+	if !hasOthers(uses, denied) {
+		// Nobody who may have begun the stream is gone.
+		return Result{Verdict: Unknown}
+	}
 	possible := possibleOrigins(known, uses, denied)
 	if len(possible) != 1 {
 		return Result{Verdict: Unknown}
@@ -39,6 +43,11 @@
 	return Result{Verdict: OnlyPossible, Origin: possible[0]}
 }
 
+// hasOthers reports whether processes use softwares, or may, that did not deny to have begun the stream.
+func hasOthers(uses []Use, denied map[uint64]bool) bool {
+	return slices.ContainsFunc(uses, func(use Use) bool { return !denied[use.Process] })
+}
+
 // possibleOrigins returns the known origins at which a stream can have begun that the processes in denied did not begin.
 func possibleOrigins(known []Sighting, uses []Use, denied map[uint64]bool) []Origin {
 	used := make(map[Origin]bool)
--- a/services/entry/proxy/taken_up.go
+++ b/services/entry/proxy/taken_up.go
@@ -59,6 +59,10 @@
 	default:
 		return false
 	}
+	if found.Verdict == origin.OnlyPossible && caller.BegunAs == "" {
+		// Instances deny to have begun an attempt, and none is named.
+		return false
+	}
 	if found.Verdict != origin.Known {
 		s.recordTakenUp(request, caller, found.Origin)
 	}
--- a/services/entry/proxy/taken_up_test.go
+++ b/services/entry/proxy/taken_up_test.go
@@ -81,6 +81,15 @@
 	return callerResponse{status: response.StatusCode, body: string(content), retryAfter: response.Header.Get("Retry-After"), complete: true}, calls
 }
 
+// TestStreamThatNamesNoAttemptIsNotDecidedByExclusion guards against a stream that goes on at another software, since no instance began an attempt that
+// its caller does not name.
+func TestStreamThatNamesNoAttemptIsNotDecidedByExclusion(t *testing.T) {
+	found := origin.Result{Verdict: origin.OnlyPossible, Origin: origin.Origin{Service: "s", Software: "v1"}}
+	response, calls := takeUp{path: "/resumable", header: map[string]string{"Id": "second", "Last": "1"}, found: found}.serve(t, "v1")
+	assert.Equal(t, callerResponse{503, "beginning of the stream unknown\n", "0.25", true}, response)
+	assert.Empty(t, calls.acquired)
+}
+
 // TestTakenUpStreamIsRestrictedToItsOrigin guards against streams that go on at another service or software than the one that began them.
 func TestTakenUpStreamIsRestrictedToItsOrigin(t *testing.T) {
 	header := map[string]string{"Id": "second", "Last": "1", "Begun-As": "first"}
