Let the race detector survive the test of bounded inquiries

The stack shows a timer of a synctest bubble that expires within a select (runtime.(*timer).maybeRunChan below exchange.ask): 1,024 inquiries begin at the same time of the bubble, so their timers of 50 and 150 ms expire at the same time in as many goroutines, in several threads at once.

Ruled out: a fault of this package.

Change: the inquiries end by their context, before their timers expire. The test still fills the bound with 1,024 inquiries at the same time, wants the next one to be refused at once, and wants the bound to be free when they have ended. That an inquiry ends by its timers is seen in the other tests, one at a time.

--- a/services/entry/origin/exchange/service_test.go
+++ b/services/entry/origin/exchange/service_test.go
@@ -419,13 +419,16 @@
 		f := startFleet(t, 3, 3, "1.0")
 		defer f.close()
 		f.network.lose(func(datagram) bool { return true })
+		ctx, cancel := context.WithCancel(t.Context())
 		for key := range origin.Key(1024) {
-			go f.services[0].Find(t.Context(), time.Now(), key, []string{"chat"}, window)
+			go f.services[0].Find(ctx, time.Now(), key, []string{"chat"}, window)
 		}
 		synctest.Wait()
 		result, took := find(t, f.services[0], 5000)
 		assert.Equal(t, unknown, result, "not even the only software is taken for sure")
 		assert.Zero(t, took)
+		// Their timers must not expire in several threads at once, at which the race detector itself fails.
+		cancel()
 		time.Sleep(settling)
 		f.network.lose(func(datagram) bool { return false })
 		assertFound(t, origin.Result{Verdict: origin.SoleSoftware, Origin: one}, f.services[0], 5000)
