Reach silent members of a hall at the address of the newest list

Cause: each had read the other's former address in a list that lagged, and State.AddInstance leaves an instance that is known already as it is, so that newer lists changed nothing and the two never met. Both owned both pools, and the endpoints refused the orders and requests under the lower fence (412 on every attempt, seen in a trial with traces in the relay).

Ruled out: the router's choice and the placer's admission (neither refused in the trial), and two owners at the endpoints (the fences held).

Change: the listed address of a member that is not alive replaces the known one, and a heartbeat is due at once. A member that is alive tells its own.

Measured: TestSilentMemberIsReachedAtAddressOfNewerList failed before. TestInstancesServeTogetherAfterAllRestartedAtOtherAddresses failed in two of two plays before (a refusal after both served; not both served within 30 s), and held in six of six since.

--- a/services/daemon/membership/member.go
+++ b/services/daemon/membership/member.go
@@ -33,6 +33,15 @@
 	formerBoots []uint64
 }
 
+// moveTo sets where a member that is not alive is to be reached. A heartbeat to a new address is due at once.
+func (m *Member) moveTo(listed fleet.Instance) {
+	if m.Alive || m.Instance == listed {
+		return
+	}
+	m.Instance = listed
+	m.Sent = time.Time{}
+}
+
 // maxFormerBoots is the number of earlier boot numbers that are stored for each member to distinguish late messages from messages after
 // a new restart. Messages from before that many restarts are assumed to have been delivered or lost.
 const maxFormerBoots = 8
--- a/services/daemon/membership/members.go
+++ b/services/daemon/membership/members.go
@@ -29,12 +29,15 @@
 	return &State{self: self, options: o, members: make(map[string]*Member), forgotten: make(map[string]time.Time)}
 }
 
-// SetListed applies the platform's list of the hall's instances. The list may be out of date.
+// SetListed applies the platform's list of the hall's instances. The list may be out of date: a member that is alive tells its address itself.
 func (s *State) SetListed(now time.Time, list []fleet.Instance) {
 	listed := make(map[string]bool, len(list))
 	for _, instance := range list {
 		listed[instance.ID] = true
 		s.AddInstance(now, instance)
+		if m := s.members[instance.ID]; m != nil {
+			m.moveTo(instance)
+		}
 	}
 	for id, m := range s.members {
 		m.Listed = listed[id]
--- a/services/daemon/membership/members_test.go
+++ b/services/daemon/membership/members_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -168,3 +169,23 @@
 	same.AddInstance(start, instance("a"))
 	require.Equal(t, s.Hash(), same.Hash(), "the hash must not depend on the order of addition")
 }
+
+func TestSilentMemberIsReachedAtAddressOfNewerList(t *testing.T) {
+	former, newer, own := netip.MustParseAddrPort("10.0.0.1:7200"), netip.MustParseAddrPort("10.0.0.2:7200"), netip.MustParseAddrPort("10.0.0.3:7200")
+	listed := func(address netip.AddrPort) []fleet.Instance {
+		return []fleet.Instance{{ID: "a", Hall: hall, Address: address}}
+	}
+	s := newState()
+	s.SetListed(start, listed(former))
+	s.SetListed(start, listed(newer))
+	require.Equal(t, newer, s.Member("a").Instance.Address)
+	alive := heartbeat("a", time.Second)
+	alive.Instance.Address = own
+	s.Received(start, 1, alive)
+	s.SetListed(start, listed(newer))
+	require.Equal(t, own, s.Member("a").Instance.Address, "a member knows its address better than the list")
+	sweepUntil(s, start, start.Add(time.Minute))
+	require.False(t, s.Member("a").Alive)
+	s.SetListed(start.Add(time.Minute), listed(newer))
+	require.Equal(t, newer, s.Member("a").Instance.Address)
+}
--- a/tests/integration/all_restart_test.go
+++ b/tests/integration/all_restart_test.go
@@ -54,6 +54,42 @@
 	}
 }
 
+// TestInstancesServeTogetherAfterAllRestartedAtOtherAddresses guards against instances that know each other's former addresses alone, and own the same
+// pools.
+func TestInstancesServeTogetherAfterAllRestartedAtOtherAddresses(t *testing.T) {
+	const observation = 3 * time.Second
+	ids := []string{"h1-i1", "h1-i2"}
+	f := newFleet(t, oneHallOptions(), nil, ids...)
+	f.createAdapters("h1-i1", 2)
+	for _, id := range ids {
+		f.killDaemon(id)
+	}
+	for _, id := range ids {
+		f.startDaemon(id)
+	}
+	time.Sleep(formerListTime)
+	f.publishList()
+	for _, id := range ids {
+		f.waitReady(id)
+	}
+	f.waitFor(func() bool { return f.serves(ids[0]) && f.serves(ids[1]) }, "not served by all instances")
+	for begin := time.Now(); time.Since(begin) < observation; time.Sleep(20 * time.Millisecond) {
+		for _, id := range ids {
+			require.True(t, f.serves(id), "instance %s", id)
+		}
+	}
+}
+
+// formerListTime is how long the platform's list still has the former addresses of restarted instances.
+const formerListTime = time.Second
+
+// serves reports whether an instance serves a request.
+func (f *testFleet) serves(id string) bool {
+	f.sent++
+	c := standin.Call{ID: fmt.Sprintf("s-%d", f.sent), Model: "a-1@1", Class: "kiosk", Caller: "test", Tokens: 3}
+	return f.sendCall(context.Background(), id, c).Status == http.StatusOK
+}
+
 // TestInstanceWithoutConfigurationRefusesRequests guards against an instance that never read the configuration answering for it.
 func TestInstanceWithoutConfigurationRefusesRequests(t *testing.T) {
 	ids := []string{"h1-i1", "h1-i2"}
--- a/tests/integration/fleet_test.go
+++ b/tests/integration/fleet_test.go
@@ -33,6 +33,8 @@
 	addresses map[string]standin.InstanceAddresses
 	// settingsChanges replaces parts of the daemons' default settings.
 	settingsChanges map[string]any
+	// sent is the number of requests that serves has sent.
+	sent int
 }
 
 // waitTimeout bounds every wait of a test, so that a test that hangs fails. No result depends on its value otherwise.
