--- a/tools/soak/instance.go
+++ b/tools/soak/instance.go
@@ -74,8 +74,8 @@
 	after  time.Duration
 }
 
-// newEntry returns an instance that runs shelfledge-entry.
-func newEntry(s *site, at place, seeds []string, store string) (*instance, error) {
+// newEntry returns an instance that runs shelfledge-entry from a folder of programs.
+func newEntry(s *site, programs string, at place, seeds []string, store string) (*instance, error) {
 	one, err := newInstance(s, at, store)
 	if err != nil {
 		return nil, err
@@ -84,7 +84,7 @@
 	one.command = func(at place, store string) (processes.Command, error) {
 		settings, err := json.Marshal(platformstandin.Settings(at.name, at.hall, at.ip, at.ports, seeds, store))
 		return processes.Command{
-			Name: at.name, Program: filepath.Join(s.args.Bin, "shelfledge-entry"), Folder: s.folder, Settings: settings,
+			Name: at.name, Program: filepath.Join(programs, "shelfledge-entry"), Folder: s.folder, Settings: settings,
 			Arguments: []string{"--metrics-port", fmt.Sprint(at.ports.Metrics)},
 		}, err
 	}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -25,6 +25,7 @@
 // arguments are the command-line arguments of a soak run.
 type arguments struct {
 	Bin        string  `help:"Folder with the built programs." default:"bin" type:"path"`
+	Former     string  `help:"Folder with the programs of a former build, which every second instance runs; empty for none." default:""`
 	Seconds    int     `help:"How long callers send." default:"60"`
 	Seed       uint64  `help:"Seed of the plan and of all callers." default:"1"`
 	Instances  int     `help:"How many instances." default:"6"`
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	for i, ip := range ips {
-		one, err := newEntry(s, place{name: fmt.Sprintf("instance-%d", i), hall: hall(i, s.args.Halls), ip: ip, ports: ports}, seeds, store)
+		one, err := newEntry(s, s.programs(i), place{name: fmt.Sprintf("instance-%d", i), hall: hall(i, s.args.Halls), ip: ip, ports: ports}, seeds, store)
 		if err != nil {
 			return err
 		}
@@ -134,6 +134,14 @@
 	return s.awaitReady()
 }
 
+// programs returns the folder with the programs that an instance runs.
+func (s *site) programs(i int) string {
+	if s.args.Former != "" && i%2 == 1 {
+		return s.args.Former
+	}
+	return s.args.Bin
+}
+
 // awaitReady waits until all instances are ready.
 func (s *site) awaitReady() error {
 	// An idle keep-alive connection would be counted as an open connection of a caller.
