Give up answers at the listeners for figures that are not read

Cause: the listeners for readiness and for figures, and the operators' at shelfledged, bounded the time of reading only. A client that reads nothing kept its connection and goroutine for as long as it stayed.

Change: 10 s from the head of a request to the end of its answer at shelfledge-entry; 30 s for each write at shelfledged, whose operators may wait before the answer begins.

Evidence: TestUnreadFiguresAreGivenUp and TestUnreadResponseIsGivenUp failed with the bounds taken out. TestSlowHandlerAndIdleConnection- AreNotCutOff keeps what must go on.

--- a/modules/daemon/httpserver/server.go
+++ b/modules/daemon/httpserver/server.go
@@ -30,6 +30,8 @@
 	TLS *tls.Config
 	// BodyTimeout is how long a handler may read the body of a request; 0 for the default.
 	BodyTimeout time.Duration
+	// WriteTimeout is how long one write of a response may take; 0 means that the handlers bound it themselves.
+	WriteTimeout time.Duration
 }
 
 // ErrNotBuilt reports routes or a listener from which no server can be built.
@@ -101,8 +103,12 @@
 	if o.TLS != nil {
 		s.listener = tls.NewListener(s.listener, o.TLS)
 	}
+	serve := boundBody(serverless.Serve, o.BodyTimeout)
+	if o.WriteTimeout > 0 {
+		serve = boundWrites(serve, o.WriteTimeout)
+	}
 	s.http = &http.Server{
-		Handler: s.closeAfterResponse(boundBody(serverless.Serve, o.BodyTimeout)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.closeAfterResponse(serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		// Package callerconn closes idle connections.
 		IdleTimeout: -1, ConnState: s.connListener.StateChanged, ConnContext: callerconn.WithConn,
 	}
--- a/routers/entry/gateway/server.go
+++ b/routers/entry/gateway/server.go
@@ -51,6 +51,9 @@
 	// internalReadTimeout bounds the time of a request, with its body, to the listeners for readiness and metrics, whose requests need no body.
 	// A higher value accepts slower requests, a lower one frees the connections of hostile ones sooner.
 	internalReadTimeout = 5 * time.Second
+	// internalWriteTimeout bounds the time from the head of a request to these listeners to the last byte of its answer that the system takes.
+	// A higher value accepts clients that read more slowly, a lower one frees the connections of those that do not read sooner.
+	internalWriteTimeout = 10 * time.Second
 	// readinessNoticeTime is how long the load balancer needs to notice that this instance is not ready. A higher value makes it less
 	// likely that a caller meets a closed listener, a lower one leaves more of the grace to requests in flight.
 	readinessNoticeTime = 2500 * time.Millisecond
@@ -173,7 +176,9 @@
 // newInternalServer returns a server of a listener that callers do not use. Its idle connections stay open, so that no check meets one that is
 // being closed.
 func newInternalServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadTimeout: internalReadTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: -1}
+	return &http.Server{
+		Handler: handler, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: -1,
+	}
 }
 
 func (s *Server) listen(server *http.Server, address netip.AddrPort) error {
--- a/services/daemon/process/build.go
+++ b/services/daemon/process/build.go
@@ -235,7 +235,9 @@
 	if err != nil {
 		return err
 	}
-	d.operators, err = httpserver.New(httpserver.Options{Name: "operators", Listener: l.operators, Routes: router.Routes(), TLS: tlsConfig})
+	d.operators, err = httpserver.New(httpserver.Options{
+		Name: "operators", Listener: l.operators, Routes: router.Routes(), TLS: tlsConfig, WriteTimeout: operatorWriteTimeout,
+	})
 	return err
 }
 
--- a/services/daemon/process/daemon.go
+++ b/services/daemon/process/daemon.go
@@ -98,6 +98,9 @@
 	cancelRetryPeriod = 10 * time.Minute
 	// statusTimeout limits the calls that list the state of an endpoint and short orders to an endpoint.
 	statusTimeout = 2 * time.Second
+	// operatorWriteTimeout limits one write of a response to an operator or of a metrics page. It is as long as shelfctl waits for one at
+	// most; a longer timeout reaches slower clients, a shorter one frees the connections of those that do not read sooner.
+	operatorWriteTimeout = 30 * time.Second
 	// permitMargin is the time after the load timeout at which a permit that was not returned expires.
 	permitMargin = 15 * time.Second
 )
