Bound the connections of peers and the bytes they have under way

Cause: neither program bounded the connections that peers open. gRPC bounds a message (32 MiB) and the streams of a connection (64) only: 2 GiB a connection. An entry's peer took 8 MiB a connection.

Change: a listener that closes connections beyond 1,024 (shelfledged) and 512 (shelfledge-entry), 256 of them from one host, at once, so that others are still accepted. shelfledged counts the data frames of all peers' connections against the messages that were decoded; beyond 64 MiB it closes the connection that has most under way. An aborted message counts until its connection ends. shelfledge-entry receives 32 MiB of frames over 64 KiB at once over accepted links, and closes the link of a further one. Each has a log line. A connection to shelfledged that sends nothing is given up after 10 s, not 120 s.

--- a/modules/daemon/peerlink/link.go
+++ b/modules/daemon/peerlink/link.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/shelfledge/shelfledge/models/daemon/fleet"
+	"github.com/shelfledge/shelfledge/modules/bounded"
 )
 
 // Options are the settings of Links.
@@ -34,6 +35,10 @@
 	Blocked func(to netip.AddrPort) bool
 	// MaxSilence is how long the next whole message of an open stream may take; zero means defaultMaxSilence.
 	MaxSilence time.Duration
+	// Refused, if set, is called when a connection of a peer was refused because too many are open, at most once a second, with how many were so far.
+	Refused func(from netip.Addr, refused int)
+	// Ended, if set, is called when a connection of a peer was closed because too many bytes of messages were under way, most of them there.
+	Ended func(from net.Addr, bytes int64)
 	// Now returns the current time, by which the age of queued envelopes is measured; nil means time.Now.
 	Now func() time.Time
 }
@@ -71,6 +76,16 @@
 	// it asks at the moment. A peer's further streams wait at the peer. A higher limit answers more queries at once; a lower one bounds the
 	// goroutines and the messages under way that one peer causes.
 	maxPeerStreams = 64
+	// maxConnections and maxConnectionsOfHost bound the connections that peers have opened, of which each instance needs one. Higher values
+	// allow larger fleets, lower ones bound what peers take that do not close theirs, and what one of them takes from the others.
+	maxConnections       = 1024
+	maxConnectionsOfHost = 256
+	// connectionTimeout is how long the set-up of a connection from a peer may take. A longer timeout tolerates slower peers, a shorter one frees
+	// the connections that send nothing sooner.
+	connectionTimeout = 10 * time.Second
+	// maxBytesUnderWay bounds the bytes of messages that have arrived from all peers and are not decoded yet, 64 MiB: two of the largest. A higher
+	// value receives more large messages at once, a lower one takes less memory.
+	maxBytesUnderWay = 67108864
 	// peerIdleTimeout is how long the connection to a peer is kept after the last envelope was sent to it.
 	peerIdleTimeout = 2 * time.Minute
 	// defaultMaxSilence is how long a receiver waits for the next whole message of a stream: as long as a sender may be idle and then take for two
@@ -96,19 +111,30 @@
 	if o.MaxSilence <= 0 {
 		o.MaxSilence = defaultMaxSilence
 	}
+	if o.Refused == nil {
+		o.Refused = func(netip.Addr, int) {}
+	}
+	if o.Ended == nil {
+		o.Ended = func(net.Addr, int64) {}
+	}
 	l := &Links{options: o, peers: make(map[netip.AddrPort]*peer)}
 	creds := o.ServerCredentials
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
+	received := newMeter(o.Ended)
 	l.server = grpc.NewServer(
-		grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxPeerStreams),
+		grpc.Creds(meteredCredentials{TransportCredentials: creds, meter: received}), grpc.StatsHandler(received), grpc.ConnectionTimeout(connectionTimeout),
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxPeerStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	)
 	l.server.RegisterService(&serviceDescription, l)
 	// Serve returns an error only if the listener fails. Peers that reconnect are then not received from any more, and package membership
 	// treats them as lost, so that the error is ignored here.
-	go func() { _ = l.server.Serve(listener) }()
+	accepting := bounded.NewListener(listener, bounded.ListenerOptions{
+		MaxOpen: maxConnections, MaxOpenFrom: maxConnectionsOfHost, OnRefuse: o.Refused, Now: o.Now,
+	})
+	go func() { _ = l.server.Serve(accepting) }()
 	return l
 }
 
--- a/modules/entry/peerstream/stream.go
+++ b/modules/entry/peerstream/stream.go
@@ -36,6 +36,9 @@
 	// minBytesPerSecond is the assumed minimum throughput of a link, so that a large message gets more time than a small one: three
 	// quarters of the users' slowest links of 10 Mbit/s.
 	minBytesPerSecond = 900_000
+	// freeMessageBytes is up to how many bytes a message needs no place in a Room. A higher value lets more messages pass while a Room is full, a
+	// lower one bounds what they take together.
+	freeMessageBytes = 64 << 10
 	// lengthBytes is the size of the length prefix of each message; part of the wire format.
 	lengthBytes = 4
 )
@@ -49,9 +52,13 @@
 // ErrTooLarge is returned for a received message of more than maxMessageBytes.
 var ErrTooLarge = errors.New("peerstream: message too large")
 
+// ErrNoRoom is returned for a received message that finds no place in the Room.
+var ErrNoRoom = errors.New("peerstream: too many bytes are being received")
+
 // Stream sends and receives messages of one type.
 type Stream[M any] struct {
 	conn     net.Conn
+	room     *Room
 	reader   *bufio.Reader
 	outgoing chan Frame
 	// queued counts the bytes of the frames that are queued or being written.
@@ -63,10 +70,16 @@
 	finishOnce sync.Once
 }
 
-// New returns a stream over a connection and starts its writer; Close ends it.
+// New returns a stream over a connection and starts its writer; Close ends it. What other streams receive does not bound what it receives.
 func New[M any](conn net.Conn) *Stream[M] {
+	return NewWithin[M](conn, nil)
+}
+
+// NewWithin returns a stream like New, whose large messages take their place in a Room while they are received.
+func NewWithin[M any](conn net.Conn, room *Room) *Stream[M] {
 	s := &Stream[M]{
 		conn:     conn,
+		room:     room,
 		reader:   bufio.NewReader(conn),
 		outgoing: make(chan Frame, maxQueuedMessages),
 		closed:   make(chan struct{}),
@@ -136,7 +149,7 @@
 }
 
 // Receive returns the next message. It waits for the start of a message for at most the given silence; a message that has begun gets its
-// transfer time on a slow link in addition. Receive returns ErrTooLarge, or an error of the connection or of decoding. The stream cannot be
+// transfer time on a slow link in addition. Receive returns ErrTooLarge, ErrNoRoom, or an error of the connection or of decoding. The stream cannot be
 // used after any of them.
 func (s *Stream[M]) Receive(silence time.Duration, now func() time.Time) (M, error) {
 	var message M
@@ -151,6 +164,10 @@
 	if size > maxMessageBytes {
 		return message, ErrTooLarge
 	}
+	if !s.room.take(int(size)) {
+		return message, ErrNoRoom
+	}
+	defer s.room.release(int(size))
 	if err := s.setReadDeadline(now().Add(silence + transferTime(int(size)))); err != nil {
 		return message, err
 	}
--- a/modules/entry/peerstream/stream_test.go
+++ b/modules/entry/peerstream/stream_test.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -105,6 +106,35 @@
 	assert.ErrorIs(t, err, peerstream.ErrTooLarge)
 }
 
+// TestLargeMessagesShareRoom guards against many peers whose large messages do not end.
+func TestLargeMessagesShareRoom(t *testing.T) {
+	const largeBytes, roomBytes = 1 << 20, 3 << 19
+	room := peerstream.NewRoom(roomBytes)
+	begin := func(bytes uint32) chan error {
+		left, right := connPair(t)
+		stream := peerstream.NewWithin[testMessage](right, room)
+		t.Cleanup(stream.Close)
+		_, err := left.Write(binary.BigEndian.AppendUint32(nil, bytes))
+		require.NoError(t, err)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := stream.Receive(time.Second, time.Now)
+			ended <- err
+		}()
+		return ended
+	}
+	results := []chan error{begin(largeBytes), begin(largeBytes)}
+	var refused int
+	for _, result := range results {
+		if err := <-result; errors.Is(err, peerstream.ErrNoRoom) {
+			refused++
+		}
+	}
+	assert.Equal(t, 1, refused)
+	assert.NotErrorIs(t, <-begin(largeBytes), peerstream.ErrNoRoom, "the place of a message that was given up")
+	assert.NotErrorIs(t, <-begin(1<<10), peerstream.ErrNoRoom)
+}
+
 // TestMessageNestedWithoutEndEndsOnlyItsStream guards against a message that ends the process that receives it.
 func TestMessageNestedWithoutEndEndsOnlyItsStream(t *testing.T) {
 	const nested = 8<<20 - 10
--- a/services/daemon/process/build.go
+++ b/services/daemon/process/build.go
@@ -117,7 +117,7 @@
 	links := peerlink.Options{
 		Receive: func(e fleet.Envelope) { d.control.Receive(e) },
 		Answer:  func(ctx context.Context, q peerlink.Question) (peerlink.Answer, error) { return d.query.Answer(ctx, q) },
-		Blocked: o.Blocked,
+		Blocked: o.Blocked, Refused: d.logRefusedPeer, Ended: d.logEndedPeer,
 	}
 	if t := d.settings.Listen.Peers.TLS; t.Enabled() {
 		r, err := newCertificateReloader(t)
@@ -149,6 +149,16 @@
 	return nil
 }
 
+// logRefusedPeer logs that a connection of a peer was refused.
+func (d *Daemon) logRefusedPeer(from netip.Addr, refused int) {
+	d.log.WithFields(logrus.Fields{"from": from, "refused": refused}).Warn("a connection of a peer was refused, since too many are open")
+}
+
+// logEndedPeer logs that a connection of a peer was closed.
+func (d *Daemon) logEndedPeer(from net.Addr, bytes int64) {
+	d.log.WithFields(logrus.Fields{"from": from, "bytes": bytes}).Warn("a connection of a peer was closed, since too much is being received from peers")
+}
+
 func newCertificateReloader(t setting.TLS) (*certificate.Reloader, error) {
 	r, err := certificate.New(certificate.Files{Cert: t.Cert, Key: t.Key, CA: t.ClientCA}, time.Now)
 	if err != nil {
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -5,17 +5,44 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
+	"net/netip"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/shelfledge/shelfledge/modules/bounded"
 	"github.com/shelfledge/shelfledge/modules/entry/peerstream"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/member"
 	"github.com/shelfledge/shelfledge/services/entry/coordinator/wire"
 )
 
+const (
+	// maxPeerConnections and maxPeerConnectionsOfHost bound the connections that peers have opened. Higher values allow larger fleets,
+	// lower ones bound what peers take that do not close theirs, and what one of them takes from the others.
+	maxPeerConnections       = 512
+	maxPeerConnectionsOfHost = 256
+	// maxReceivedBytes bounds the bytes of large messages that are being received over these connections: four of the largest. A higher value
+	// receives more of them at once, a lower one takes less memory.
+	maxReceivedBytes = 32 << 20
+)
+
+// boundPeers returns a listener that accepts a bounded number of connections.
+func (c *Coordinator) boundPeers(listener net.Listener) net.Listener {
+	return bounded.NewListener(listener, bounded.ListenerOptions{
+		MaxOpen: maxPeerConnections, MaxOpenFrom: maxPeerConnectionsOfHost, Now: c.options.TimerNow,
+		OnRefuse: func(from netip.Addr, refused int) {
+			c.options.Log.WithFields(logrus.Fields{"from": from, "refused": refused}).Warn("a connection of a peer was refused, since too many are open")
+		},
+	})
+}
+
 // servePeers accepts the connections of peers until the coordinator stops.
 func (c *Coordinator) servePeers(listener net.Listener) {
+	listener = c.boundPeers(listener)
+	room := peerstream.NewRoom(maxReceivedBytes)
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
@@ -36,13 +63,13 @@
 			c.sleep(dialPause)
 			continue
 		}
-		c.startTask(func() { c.servePeer(conn) })
+		c.startTask(func() { c.servePeer(conn, room) })
 	}
 }
 
 // servePeer reads the messages of one peer until it falls silent.
-func (c *Coordinator) servePeer(conn net.Conn) {
-	stream := peerstream.New[wire.Message](conn)
+func (c *Coordinator) servePeer(conn net.Conn, room *peerstream.Room) {
+	stream := peerstream.NewWithin[wire.Message](conn, room)
 	defer stream.Close()
 	stop := context.AfterFunc(c.context, stream.Close)
 	defer stop()
@@ -50,6 +77,10 @@
 		silence := member.MinSilence
 		c.loop.Call(func(time.Time) { silence = c.memberSilence() })
 		received, err := stream.Receive(silence, c.options.TimerNow)
+		if errors.Is(err, peerstream.ErrNoRoom) {
+			c.options.Log.WithField("from", conn.RemoteAddr().String()).Warn("the link of a peer was closed, since too much is being received from peers")
+			break
+		}
 		if err != nil {
 			// Not logged: the link of a peer that leaves ends in the same way. A lost peer is removed by the age of its
 			// reports.
