Give up questions between daemons that do not end in time

Cause: gRPC calls the handler of a method once its question has come whole, so that only the asker's own time bounded the coming, and an answer that the asker does not read.

Change: the method is served as a stream, whose bytes are the same: 5 s for the question, 30 s from then until its answer is sent.

The pinned messages of daemons are unchanged.

--- a/modules/daemon/peerlink/link.go
+++ b/modules/daemon/peerlink/link.go
@@ -91,6 +91,11 @@
 	// defaultMaxSilence is how long a receiver waits for the next whole message of a stream: as long as a sender may be idle and then take for two
 	// of the largest messages. A longer time tolerates other senders, a shorter one frees the memory of a message that does not end sooner.
 	defaultMaxSilence = 11 * time.Minute
+	// questionTimeout is how long a question of a peer may take to arrive, a few hundred bytes at most. answerTimeout is how long the answer to it may
+	// take from then on until it is sent, as far as the peer reads it. Longer times tolerate slower peers, shorter ones free what peers hold
+	// that send or read nothing sooner.
+	questionTimeout = 5 * time.Second
+	answerTimeout   = 30 * time.Second
 	// reconnectDelay is the delay before the first attempt to reconnect. Each further delay is backoffGrowth times longer, up to maxBackoff,
 	// and is varied at random by the fraction backoffJitter, so that peers do not all reconnect at once.
 	reconnectDelay = 100 * time.Millisecond
--- a/modules/daemon/peerlink/service.go
+++ b/modules/daemon/peerlink/service.go
@@ -50,8 +50,10 @@
 var serviceDescription = grpc.ServiceDesc{
 	ServiceName: serviceName,
 	HandlerType: (*handler)(nil),
-	Streams:     []grpc.StreamDesc{{StreamName: "Push", Handler: servePush, ClientStreams: true}},
-	Methods:     []grpc.MethodDesc{{MethodName: "Ask", Handler: serveAsk}},
+	Streams: []grpc.StreamDesc{
+		{StreamName: "Push", Handler: servePush, ClientStreams: true},
+		{StreamName: "Ask", Handler: serveAsk, ServerStreams: true},
+	},
 }
 
 // servePush receives until the stream ends, or until no whole message has come for the maximum silence. gRPC then ends the stream, and with it the
@@ -86,11 +88,35 @@
 	}
 }
 
-func serveAsk(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+// serveAsk answers one question. The method is served as a stream, whose handler runs before the question has arrived as a whole, so that a question
+// that does not end, or an answer that is not read, is given up; what is sent is the same as with a method of gRPC.
+func serveAsk(srv any, stream grpc.ServerStream) error {
+	h := srv.(handler)
+	late := make(chan struct{})
+	timer := time.AfterFunc(questionTimeout, func() { close(late) })
+	defer timer.Stop()
+	ended := make(chan error, 1)
+	go func() { ended <- exchange(h, stream, timer) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-late:
+		return status.Error(codes.DeadlineExceeded, "the question or its answer took too long")
+	}
+}
+
+// exchange receives a question, then starts the timer for the answer and sends it. A timer that has expired is not started again.
+func exchange(h handler, stream grpc.ServerStream, timer *time.Timer) error {
 	var q Question
-	if err := decode(&q); err != nil {
-		return nil, err
+	if err := stream.RecvMsg(&q); err != nil {
+		return err
+	}
+	if timer.Stop() {
+		timer.Reset(answerTimeout)
+	}
+	a, err := h.answer(stream.Context(), q)
+	if err != nil {
+		return err
 	}
-	a, err := srv.(handler).answer(ctx, q)
-	return &a, err
+	return stream.SendMsg(&a)
 }
--- a/modules/daemon/peerlink/trickle_test.go
+++ b/modules/daemon/peerlink/trickle_test.go
@@ -49,6 +49,13 @@
 
 // openPush opens a stream of messages over a trickling connection.
 func openPush(t *testing.T, to netip.AddrPort, trickling *atomic.Bool) grpc.ClientStream {
+	t.Helper()
+	stream, err := dialTrickling(t, to, trickling).NewStream(t.Context(), &grpc.StreamDesc{ClientStreams: true}, "/shelfledge.Peer/Push")
+	require.NoError(t, err)
+	return stream
+}
+
+func dialTrickling(t *testing.T, to netip.AddrPort, trickling *atomic.Bool) *grpc.ClientConn {
 	t.Helper()
 	conn, err := grpc.NewClient("passthrough:///"+to.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDefaultCallOptions(grpc.CallContentSubtype("msgpack")),
@@ -59,9 +66,7 @@
 		}))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	stream, err := conn.NewStream(t.Context(), &grpc.StreamDesc{ClientStreams: true}, "/shelfledge.Peer/Push")
-	require.NoError(t, err)
-	return stream
+	return conn
 }
 
 // TestMessageThatTricklesIsGivenUp guards against a peer that keeps a stream and its memory for good by a message that does not end.
@@ -87,3 +92,27 @@
 	}
 	require.Empty(t, to.received)
 }
+
+// TestQuestionThatTricklesIsGivenUp guards against a peer that keeps a question and its memory for good by setting itself no deadline.
+func TestQuestionThatTricklesIsGivenUp(t *testing.T) {
+	t.Parallel()
+	to := startNode(t, loopbackAddress, peerlink.Options{Answer: func(context.Context, peerlink.Question) (peerlink.Answer, error) {
+		return peerlink.Answer{Rows: []byte("[]")}, nil
+	}})
+	var trickling atomic.Bool
+	conn := dialTrickling(t, to.address, &trickling)
+	ask := func(q peerlink.Question) error {
+		var a peerlink.Answer
+		return conn.Invoke(t.Context(), "/shelfledge.Peer/Ask", &q, &a)
+	}
+	require.NoError(t, ask(peerlink.Question{Table: "pools"}))
+	trickling.Store(true)
+	ended := make(chan error, 1)
+	go func() { ended <- ask(peerlink.Question{Table: "pools", Key: string(make([]byte, 1<<20))}) }()
+	select {
+	case err := <-ended:
+		require.ErrorContains(t, err, "took too long")
+	case <-time.After(testTimeout):
+		require.Fail(t, "the question goes on")
+	}
+}
