Decode one large value at a time

Cause: each value was bounded by itself, 32 MiB of bytes and as much besides; several that were decoded at once added up.

Change: values of over 1 MiB, with what their elements take, are decoded one after the other in the whole process, smaller ones at any time.

Measured: of three values of 2 MiB one is decoded at a time, small ones beside it. Memory of a whole process was not measured.

Evidence: TestLargeEncodingsAreDecodedInTurn failed without the lock.

--- a/modules/messagepack/decode.go
+++ b/modules/messagepack/decode.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math"
 	"reflect"
+	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
@@ -19,6 +20,13 @@
 // A higher value allows messages with more elements, a lower one takes less.
 const maxDecodedBytes = 33554432
 
+// freeDecodedBytes is up to how many bytes an encoding, together with what it takes besides, is decoded at any time: 1 MiB. A higher value lets
+// larger ones be decoded at once, a lower one bounds what they take together.
+const freeDecodedBytes = 1 << 20
+
+// largeDecoding is held while a larger encoding is decoded, so that what several take does not add up. Decoding waits for nothing else.
+var largeDecoding sync.Mutex
+
 // ErrInvalid is returned for an encoding that has fewer bytes or elements than it states, ErrTooDeep for one that is nested too deep,
 // and ErrTooLarge for one whose elements take too much memory.
 var (
@@ -27,12 +35,17 @@
 	ErrTooLarge = errors.New("messagepack: too many elements")
 )
 
-// Unmarshal decodes an encoding into a value like msgpack.Unmarshal. The errors are ErrInvalid, ErrTooDeep, ErrTooLarge and those of the
-// library.
+// Unmarshal decodes an encoding into a value like msgpack.Unmarshal, large ones one after the other. The errors are ErrInvalid, ErrTooDeep,
+// ErrTooLarge and those of the library.
 func Unmarshal(encoding []byte, value any) error {
-	if err := check(encoding, shapeOf(reflect.TypeOf(value))); err != nil {
+	decodedBytes, err := check(encoding, shapeOf(reflect.TypeOf(value)))
+	if err != nil {
 		return err
 	}
+	if len(encoding)+decodedBytes > freeDecodedBytes {
+		largeDecoding.Lock()
+		defer largeDecoding.Unlock()
+	}
 	return msgpack.Unmarshal(encoding, value)
 }
 
@@ -91,8 +104,9 @@
 	return s, bytes
 }
 
-// check walks over one encoded value of a shape. Bytes that follow it are ignored, as by the library.
-func check(encoding []byte, root *shape) error {
+// check walks over one encoded value of a shape, and returns what it takes in memory besides its bytes. Bytes that follow it are ignored, as by the
+// library.
+func check(encoding []byte, root *shape) (int, error) {
 	var levels [maxDepth + 1]level
 	levels[0] = level{pending: 1, shape: &shape{element: root}}
 	decodedBytes := 0
@@ -104,11 +118,11 @@
 		next := levels[depth].next(encoding)
 		bytes, elements, ok := measure(encoding)
 		if !ok || bytes > len(encoding) || elements > len(encoding)-bytes {
-			return ErrInvalid
+			return 0, ErrInvalid
 		}
 		of, ownBytes := next.resolve(encoding[0])
 		if decodedBytes += ownBytes + of.bytesOf(elements); decodedBytes > maxDecodedBytes {
-			return ErrTooLarge
+			return 0, ErrTooLarge
 		}
 		isMap := isMapCode(encoding[0])
 		encoding = encoding[bytes:]
@@ -116,12 +130,12 @@
 			continue
 		}
 		if depth == maxDepth {
-			return ErrTooDeep
+			return 0, ErrTooDeep
 		}
 		depth++
 		levels[depth] = level{pending: elements, shape: of, isMap: isMap}
 	}
-	return nil
+	return decodedBytes, nil
 }
 
 // bytesOf returns what elements of a value of the shape take.
--- a/modules/messagepack/doc.go
+++ b/modules/messagepack/doc.go
@@ -5,5 +5,5 @@
 // its elements take besides, by a constant. The library by itself allocates as many elements as an encoding states, of whatever size their Go type has,
 // and skips what it does not know by recursion.
 //
-// It keeps what it knows of the Go types that it has decoded, and starts no goroutine.
+// It keeps what it knows of the Go types that it has decoded, decodes one large encoding at a time in the whole process, and starts no goroutine.
 package messagepack
