Give up requests for tunnels whose body trickles

Cause: the listener for tunnels bounded the time of a head only. net/http reads up to 256 KiB of a body that the handler leaves, for as long as bytes come, and nothing bounded a refusal that is not read.

Change: 2 s for the request with its body, and until a refusal is taken. An open tunnel has no such bound: net/http lifts it with the connection.

Evidence: the case "slow body" of TestRequestForTunnelWithoutEndIsGivenUp failed before. TestOpenTunnelStaysWhileNothingIsSent keeps a tunnel that is silent for 3 s.

--- a/modules/entry/tunnel/acceptor.go
+++ b/modules/entry/tunnel/acceptor.go
@@ -24,8 +24,8 @@
 	// dialTimeout bounds the connection set-up to an endpoint. It is shorter than the time for which the other instance waits, so that it
 	// gets the result. A higher value tolerates a lossy link, a lower one lets it try another instance sooner.
 	dialTimeout = 350 * time.Millisecond
-	// headTimeout bounds the wait for the head of a CONNECT request. A higher value tolerates a slow link, a lower one frees idle
-	// connections sooner.
+	// headTimeout bounds the wait for a CONNECT request, also for the body of one that has any, and the writing of a refusal. An open tunnel
+	// has no such bound. A higher value tolerates a slow link, a lower one frees idle connections sooner.
 	headTimeout = 2 * time.Second
 	// drainPollInterval is how often Drain looks whether the tunnels have ended.
 	drainPollInterval = 20 * time.Millisecond
@@ -58,7 +58,7 @@
 // NewAcceptor returns an acceptor; Serve starts it.
 func NewAcceptor(options Options) *Acceptor {
 	a := &Acceptor{options: options, tunnels: make(map[*splice]bool)}
-	a.http = &http.Server{Handler: http.HandlerFunc(a.serveConnect), ReadHeaderTimeout: headTimeout}
+	a.http = &http.Server{Handler: http.HandlerFunc(a.serveConnect), ReadTimeout: headTimeout, WriteTimeout: headTimeout}
 	return a
 }
 
--- a/modules/entry/tunnel/endless_test.go
+++ b/modules/entry/tunnel/endless_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -52,6 +53,7 @@
 		"header line":      {Begin: begin + "X: ", Repeated: strings.Repeat("a", 16<<10)},
 		"header lines":     {Begin: begin, Repeated: strings.Repeat("X: 1\r\n", 2<<10)},
 		"slow header line": {Begin: begin + "X: ", Repeated: "a", Pause: 10 * time.Millisecond},
+		"slow body":        {Begin: "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n", Repeated: "a", Pause: 10 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -66,3 +68,18 @@
 		})
 	}
 }
+
+// TestOpenTunnelStaysWhileNothingIsSent guards against a bound of time that ends tunnels whose endpoint works for long before it answers.
+func TestOpenTunnelStaysWhileNothingIsSent(t *testing.T) {
+	t.Parallel()
+	// silence is longer than a request for a tunnel may take.
+	const silence = 3 * time.Second
+	caller, endpoint := newFixture(t, nil).openPair()
+	time.Sleep(silence)
+	for _, pair := range [][2]net.Conn{{caller, endpoint}, {endpoint, caller}} {
+		_, err := pair[0].Write([]byte("a"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(pair[1], make([]byte, 1))
+		require.NoError(t, err)
+	}
+}
