Ask each instance for its streams once it is in the list of the one that writes

Cause: an instance that writes into the archive and is back asked the others once, with the first list that it had. One that plans again knows itself alone at first and learns of the others one by one, so that it asked nobody. The others, in whose lists it had been all the time, told it only what was new to it by their lists: what began while it was down was never written.

Change: it asks each instance that it has not asked yet while that is in its list.

TestStreamsOfInstancesThatArchiverLearnsOfOneByOneOutliveAllInstances failed before: 0 of 20 streams were known. Nothing more is sent or written while one software serves.

--- a/services/entry/origin/exchange/restarted_archiver_test.go
+++ b/services/entry/origin/exchange/restarted_archiver_test.go
@@ -40,3 +40,43 @@
 		})
 	}
 }
+
+// TestStreamsOfInstancesThatArchiverLearnsOfOneByOneOutliveAllInstances guards against an instance that writes, is back, and asks for what it has missed
+// while it knows itself alone, as one that plans does.
+func TestStreamsOfInstancesThatArchiverLearnsOfOneByOneOutliveAllInstances(t *testing.T) {
+	for down := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, 6, 3, "1.0", "2.0")
+			defer func() { f.close() }()
+			time.Sleep(settling)
+			f.services[down].Close()
+			for key := range origin.Key(20) {
+				begin(f.services[(down+1)%6], key, one)
+				time.Sleep(50 * time.Millisecond)
+			}
+			f.services[down] = startInstance(t, f.network, f.instances[down], f.instances[down:down+1])
+			f.services[down].ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
+			seen := []origin.Instance{f.instances[down]}
+			for i := range 5 {
+				time.Sleep(50 * time.Millisecond)
+				seen = append(seen, f.instances[(down+1+i)%6])
+				f.services[down].SetInstances(seen)
+			}
+			time.Sleep(settledAge)
+			f.restartAll(t, "1.0", "2.0")
+			assert.Equal(t, 20, f.countOfOne(t, 20), "instance %d was down", down)
+		})
+	}
+}
+
+// countOfOne returns how many streams of the software one are known.
+func (f *fleet) countOfOne(t *testing.T, streams origin.Key) int {
+	t.Helper()
+	count := 0
+	for key := range streams {
+		if result, _ := find(t, f.services[0], key); result == known(one) {
+			count++
+		}
+	}
+	return count
+}
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -63,8 +63,8 @@
 	// if none has been.
 	backlog        []origin.Key
 	backlogHolders *origin.Holders
-	// asksAgain is set when the others are to be asked for their records, if this instance writes into the archive.
-	asksAgain bool
+	// askedAgain are the instances of the list that have been asked for their records, since this one writes into the archive.
+	askedAgain []origin.Instance
 	// announced are services with several softwares that the other instances are to be told of.
 	announced []string
 	inquiries map[uint64]*inquiry
@@ -144,8 +144,6 @@
 	}
 	if len(s.instances) == 0 && len(list) > 0 {
 		time.AfterFunc(settleTime, s.settle)
-		s.asksAgain = true
-		s.wakeTeller()
 	}
 	former := s.holders
 	s.instances = list
--- a/services/entry/origin/exchange/tell.go
+++ b/services/entry/origin/exchange/tell.go
@@ -84,15 +84,11 @@
 	}
 }
 
-// askAgain asks the other instances for their records once after the start, if this one writes into the archive and streams are told: it may have
-// been down while they told it, without them noticing.
+// askAgain asks each other instance for its records once while both are in the list, if this one writes into the archive and streams are told: it may
+// have been down while they told it, without them noticing. The list of an instance that has just started may name them one by one.
 func (s *Service) askAgain() {
-	s.mutex.Lock()
-	asks := s.asksAgain && s.holders.IsArchiver() && len(s.told) > 0
-	others := s.instances
-	s.asksAgain = s.asksAgain && !asks
-	s.mutex.Unlock()
-	if !asks {
+	unasked := s.takeUnasked()
+	if len(unasked) == 0 {
 		return
 	}
 	payload, err := encode(&message{Again: true})
@@ -100,7 +96,19 @@
 		s.countOversized()
 		return
 	}
-	s.sendToOthers(others, payload)
+	s.sendToOthers(unasked, payload)
+}
+
+// takeUnasked returns the instances that have to be asked for their records, which count as asked from now on.
+func (s *Service) takeUnasked() []origin.Instance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.holders.IsArchiver() || len(s.told) == 0 {
+		return nil
+	}
+	unasked := slices.DeleteFunc(s.others(), func(other origin.Instance) bool { return slices.Contains(s.askedAgain, other) })
+	s.askedAgain = s.instances
+	return unasked
 }
 
 // announce tells the other instances of services that several softwares are known to serve: one that lags would take a single one for proven.
