Tell an instance that writes what others hold for instances that are lost

Cause: what an instance begins is written up to 0.3 s later by another one. Where both are lost in that time, the holders know the stream, but nobody tells the one that writes of it once that is back: asked once more, an instance told what it had begun itself. If all were lost after that, the stream was refused.

Change: an instance that is asked once more also tells the one that asks the streams of others that it holds. These say so in a new field (`h`), and the receiver writes those of which it has no record yet, so that what is in the archive is not written again. A former build ignores the field and writes them.

TestStreamsThatOthersHoldOfLostInstanceOutliveAllInstances failed before: 0 of 7 streams were known.

--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -39,12 +39,15 @@
 	Uses *usesOf `msgpack:"u,omitempty"`
 	// Write is set with records that the sender could not write into the archive.
 	Write bool `msgpack:"w,omitempty"`
+	// Held is set with records of streams that the sender did not begin: they may have been written already.
+	Held bool `msgpack:"h,omitempty"`
 }
 
 // encodedRecords is a message with records that are encoded already, since each record is sent to several holders.
 type encodedRecords struct {
 	Records []msgpack.RawMessage `msgpack:"r"`
 	Write   bool                 `msgpack:"w,omitempty"`
+	Held    bool                 `msgpack:"h,omitempty"`
 }
 
 // record tells the origin of a stream.
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/shelfledge/shelfledge/modules/entry/datagram"
@@ -62,9 +63,12 @@
 		s.countUnreadable(err)
 		return
 	}
+	if received.Held {
+		received.Records = s.withoutKnown(now, received.Records)
+	}
 	s.receiveRecords(now, received.Records, received.Write)
 	if received.Again {
-		s.tellOnceMore(now)
+		s.tellOnceMore(now, from)
 	}
 	s.receiveSightings(now, received.Seen)
 	s.receiveUses(now, from, received.Uses)
@@ -114,11 +118,23 @@
 	}
 }
 
-// tellOnceMore lets all streams of this instance be told again, to an instance that may have missed them.
-func (s *Service) tellOnceMore(now time.Time) {
+// withoutKnown returns the records of streams of which this instance has no record: it writes the others, or has read that they are written.
+func (s *Service) withoutKnown(now time.Time, records []record) []record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.DeleteFunc(records, func(told record) bool {
+		_, exists := s.table.Get(now, origin.Key(told.Key))
+		return exists
+	})
+}
+
+// tellOnceMore lets all streams of this instance be told again, to an instance that may have missed them, and those that it holds for others: these may
+// have been lost meanwhile.
+func (s *Service) tellOnceMore(now time.Time, missing netip.AddrPort) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.tellAgain(now, nil)
+	s.addHeld(now, missing)
 }
 
 // receiveQuestion answers a question. What the instance that asks has seen is learnt as well.
--- a/services/entry/origin/exchange/restarted_archiver_test.go
+++ b/services/entry/origin/exchange/restarted_archiver_test.go
@@ -69,6 +69,31 @@
 	}
 }
 
+// TestStreamsThatOthersHoldOfLostInstanceOutliveAllInstances guards against streams that are not written before the instance that began them and the
+// one that writes them are lost together: the latter is back, and others know the streams.
+func TestStreamsThatOthersHoldOfLostInstanceOutliveAllInstances(t *testing.T) {
+	for down := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, 6, 3, "1.0", "2.0")
+			defer func() { f.close() }()
+			time.Sleep(settling)
+			lost := (down + 1) % 6
+			// The next batch is due some time after this one.
+			begin(f.services[lost], 100, one)
+			time.Sleep(2 * latency)
+			for key := range origin.Key(7) {
+				begin(f.services[lost], key, one)
+			}
+			time.Sleep(2 * latency)
+			f.restart(t, lost, "1.0", "2.0")
+			f.restart(t, down, "1.0", "2.0")
+			time.Sleep(settledAge)
+			f.restartAll(t, "1.0", "2.0")
+			assert.Equal(t, 7, f.countOfOne(t, 7), "instance %d was down", down)
+		})
+	}
+}
+
 // countOfOne returns how many streams of the software one are known.
 func (f *fleet) countOfOne(t *testing.T, streams origin.Key) int {
 	t.Helper()
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -65,6 +65,8 @@
 	backlogHolders *origin.Holders
 	// askedAgain are the instances of the list that have been asked for their records, since this one writes into the archive.
 	askedAgain []origin.Instance
+	// held are streams of other instances that are told next to one that writes into the archive and has asked for them.
+	held []heldStream
 	// announced are services with several softwares that the other instances are to be told of.
 	announced []string
 	inquiries map[uint64]*inquiry
--- a/services/entry/origin/exchange/tell.go
+++ b/services/entry/origin/exchange/tell.go
@@ -57,6 +57,45 @@
 	s.wakeTeller()
 }
 
+// heldStream is a stream of another instance that a third one is told of.
+type heldStream struct {
+	key origin.Key
+	to  netip.AddrPort
+}
+
+// addHeld lets an instance be told of the streams that others began. Those that have waited longest are dropped if there are too many.
+func (s *Service) addHeld(now time.Time, to netip.AddrPort) {
+	s.held = slices.DeleteFunc(s.held, func(waiting heldStream) bool { return waiting.to == to })
+	for _, key := range s.table.Keys(now) {
+		if found, exists := s.table.Get(now, key); exists && !found.Own && s.told[found.Origin.Service] {
+			s.held = append(s.held, heldStream{key: key, to: to})
+		}
+	}
+	s.held = s.held[max(len(s.held)-maxUnwritten, 0):]
+	s.wakeTeller()
+}
+
+// tellHeld tells a batch of the streams that others began and reports whether more are left.
+func (s *Service) tellHeld(now time.Time) bool {
+	s.mutex.Lock()
+	batch := s.held[:min(len(s.held), tellBatch)]
+	s.held = s.held[len(batch):]
+	more := len(s.held) > 0
+	keys := make(map[netip.AddrPort][]origin.Key)
+	for _, waiting := range batch {
+		keys[waiting.to] = append(keys[waiting.to], waiting.key)
+	}
+	records := make(map[netip.AddrPort][]origin.Record, len(keys))
+	for to, waiting := range keys {
+		records[to] = s.recordsOf(now, waiting)
+	}
+	s.mutex.Unlock()
+	for to, list := range records {
+		s.sendInParts(to, encodedRecords{Records: s.encodeRecords(now, list), Held: true})
+	}
+	return more
+}
+
 // wakeTeller wakes the teller unless it is about to wake.
 func (s *Service) wakeTeller() {
 	select {
@@ -181,7 +220,7 @@
 
 // tellAll tells all streams that wait, in batches.
 func (s *Service) tellAll() {
-	for s.tellSome(s.options.Now()) {
+	for s.tellNext(s.options.Now()) {
 		select {
 		case <-s.stopped:
 			return
@@ -190,6 +229,13 @@
 	}
 }
 
+// tellNext tells one batch of the streams of this instance and one of those of others. It reports whether more are left.
+func (s *Service) tellNext(now time.Time) bool {
+	hasOwn := s.tellSome(now)
+	hasHeld := s.tellHeld(now)
+	return hasOwn || hasHeld
+}
+
 // tellSome tells one batch of streams and reports whether more are left.
 func (s *Service) tellSome(now time.Time) bool {
 	records, holders, former, more := s.takeBatch(now)
@@ -268,15 +314,22 @@
 	}
 }
 
-// tellHolder sends records to a holder, as many in each datagram as fit. With write it has to write them into the archive.
+// tellHolder sends records to a holder. With write it has to write them into the archive.
 func (s *Service) tellHolder(holder netip.AddrPort, records []msgpack.RawMessage, write bool) {
-	for len(records) > 0 {
+	s.sendInParts(holder, encodedRecords{Records: records, Write: write})
+}
+
+// sendInParts sends a message, as many of its records in each datagram as fit.
+func (s *Service) sendInParts(to netip.AddrPort, whole encodedRecords) {
+	for records := whole.Records; len(records) > 0; {
 		count, size := 0, listBytes
 		for count < len(records) && size+len(records[count]) <= datagram.MaxBytes {
 			size += len(records[count])
 			count++
 		}
-		s.sendRecords(holder, &encodedRecords{Records: records[:count], Write: write})
+		part := whole
+		part.Records = records[:count]
+		s.sendRecords(to, &part)
 		records = records[count:]
 	}
 }
