Count the whole head of a datagram that tells streams

Cause: the size of a datagram without its records was counted as 8 bytes, while with 16 or more records and a field that tells what to do with them it is 10: one byte each for the version and the map, two for the name of the records, three for their number, three for the field. A datagram that was filled to within two bytes was too large to be sent, and its records were not told (counted as errors of sending).

Change: listBytes is 10.

Measured: TestNoDatagramIsTooLarge found one of 1201 bytes, 1200 allowed, of streams that are held for others; none with the change. That streams that another instance has to write were ever lost by it was not seen.

--- a/services/entry/origin/exchange/tell.go
+++ b/services/entry/origin/exchange/tell.go
@@ -28,7 +28,7 @@
 	// during an outage of the store, a lower one leaves more of the link to requests.
 	toldInOutage = 4
 	// listBytes is the size of a datagram without its records.
-	listBytes = 8
+	listBytes = 10
 )
 
 // addPending lets a stream be told next. The stream that has waited longest is dropped if there are too many.
