Count peers' connections by host whatever their address type, 1,024 in all

A connection whose address is no *net.TCPAddr counted for one host, so that all peers behind another kind of transport shared 256 places. The host is read from the address's text now.

--- a/modules/bounded/listener.go
+++ b/modules/bounded/listener.go
@@ -72,10 +72,11 @@
 
 // hostOf returns the address of a connection's other end; all those without an address count as one host.
 func hostOf(conn net.Conn) netip.Addr {
-	if address, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
-		return address.AddrPort().Addr().Unmap()
+	address, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
 	}
-	return netip.Addr{}
+	return address.Addr().Unmap()
 }
 
 // take counts a connection, unless too many are open.
--- a/services/entry/coordinator/peers.go
+++ b/services/entry/coordinator/peers.go
@@ -22,7 +22,7 @@
 const (
 	// maxPeerConnections and maxPeerConnectionsOfHost bound the connections that peers have opened. Higher values allow larger fleets,
 	// lower ones bound what peers take that do not close theirs, and what one of them takes from the others.
-	maxPeerConnections       = 512
+	maxPeerConnections       = 1024
 	maxPeerConnectionsOfHost = 256
 	// maxReceivedBytes bounds the bytes of large messages that are being received over these connections: four of the largest. A higher value
 	// receives more of them at once, a lower one takes less memory.
