Keep streams to the services that their route had before it changed

Cause: where a stream is taken up, the services of its route at that time are asked for. A route whose backends had changed since the stream began asked for the new service alone, whose only software counted as proven, without any question to another instance. A stream that began under another name of its route was denied by the instance that began it, so that exclusion took it for another software's.

Change: each instance keeps for MaxLifetime which services the routes whose streams can be taken up had before. The softwares of these count as possible origins, and streams of both are told and stated as those of services that share a route. After a route came, or got streams that can be taken up, a process denies no stream for MaxLifetime.

What a route had before all instances were lost is not known.

--- a/models/entry/deployment/shared_services.go
+++ b/models/entry/deployment/shared_services.go
@@ -23,6 +23,19 @@
 	return slices.Sorted(maps.Keys(shared))
 }
 
+// StreamServices returns the services of each route whose streams can be taken up, by the name of the route.
+func (c *Configuration) StreamServices() map[string][]string {
+	services := make(map[string][]string)
+	for _, routes := range c.routes {
+		for _, route := range routes {
+			if route.Kind == Streaming && route.Resumable {
+				services[route.Name] = route.Services()
+			}
+		}
+	}
+	return services
+}
+
 // Services returns the services of the route's backends, sorted.
 func (r *Route) Services() []string {
 	services := make([]string, 0, len(r.Backends))
--- a/models/entry/deployment/shared_services_test.go
+++ b/models/entry/deployment/shared_services_test.go
@@ -27,3 +27,14 @@
 	assert.Equal(t, []string{"first", "second"}, routes[1].Services())
 	assert.Empty(t, deployment.NewConfiguration(1, routes[:1], nil, deployment.Limits{}).SharedServices())
 }
+
+func TestStreamServices(t *testing.T) {
+	backends := []deployment.Backend{{Service: "second", Weight: 1}, {Service: "first", Weight: 1}}
+	routes := []*deployment.Route{
+		{Name: "kept", Host: "a.example", PathPrefix: "/one/", Kind: deployment.Streaming, Resumable: true, Backends: backends},
+		{Name: "not resumed", Host: "a.example", PathPrefix: "/two/", Kind: deployment.Streaming, Backends: backends},
+		{Name: "no stream", Host: "b.example", PathPrefix: "/", Kind: deployment.Safe, Resumable: true, Backends: backends},
+	}
+	configuration := deployment.NewConfiguration(1, routes, nil, deployment.Limits{})
+	assert.Equal(t, map[string][]string{"kept": {"first", "second"}}, configuration.StreamServices())
+}
--- a/services/entry/origin/exchange/archive_writer.go
+++ b/services/entry/origin/exchange/archive_writer.go
@@ -284,7 +284,7 @@
 		return
 	}
 	for _, service := range s.history.Services() {
-		if !s.shared[service] {
+		if !s.isShared(now, service) {
 			s.history.MarkSole(now, service)
 		}
 	}
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -55,6 +55,8 @@
 	holders       *origin.Holders
 	// shared has the services that share a route with another one.
 	shared map[string]bool
+	// routes are the routes whose streams can be taken up, and their changes.
+	routes routeChanges
 	// told has the services whose streams are told: those of several softwares, and the shared ones.
 	told map[string]bool
 	// pending are the streams whose holders are told next.
@@ -82,6 +84,7 @@
 		toldUses: toldUses{until: make(map[origin.Use]time.Time)},
 		options:  options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
+		routes: routeChanges{former: make(map[string]map[string]time.Time)},
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
 	}
 }
@@ -228,7 +231,7 @@
 
 // isTold reports whether the streams of a service are told at present.
 func (s *Service) isTold(now time.Time, service string) bool {
-	return s.interrupted || s.shared[service] || s.history.HasSeveral(now, service)
+	return s.interrupted || s.isShared(now, service) || s.history.HasSeveral(now, service)
 }
 
 // reviewTold tells all streams of a service once that is needed.
@@ -253,6 +256,7 @@
 	s.table.Sweep(now)
 	s.history.Sweep(now)
 	s.toldUses.sweep(now)
+	s.routes.sweep(now)
 	for service := range s.told {
 		if !s.isTold(now, service) {
 			delete(s.told, service)
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -135,7 +135,7 @@
 
 // isSole reports whether the software of an origin is the only one of the service, as an instance knows that knows of all.
 func (s *Service) isSole(now time.Time, at origin.Origin) bool {
-	return s.knowsAll() && !s.shared[at.Service] && s.history.MarkSole(now, at.Service)
+	return s.knowsAll() && !s.isShared(now, at.Service) && s.history.MarkSole(now, at.Service)
 }
 
 // writeUses states or renews where this instance begins streams, if that is due.
@@ -279,9 +279,9 @@
 	return without(slices.Compact(addresses), []netip.AddrPort{s.options.Address})
 }
 
-// process returns the number of this process, and 0 if it may have begun a stream of which it has no record any more.
+// process returns the number of this process, and 0 if it may have begun a stream of which it has no record any more, or one under another name.
 func (s *Service) process(now time.Time, key origin.Key) uint64 {
-	if s.options.Archive == nil || s.table.MayHaveForgotten(now, key) {
+	if s.options.Archive == nil || s.table.MayHaveForgotten(now, key) || s.routes.renamedUntil.After(now) {
 		return 0
 	}
 	return s.options.Archive.Writer
--- a/services/entry/process/origins.go
+++ b/services/entry/process/origins.go
@@ -33,6 +33,7 @@
 	options.ObserveSoftware = origins.ObserveEndpoints
 	options.InterruptSoftware = origins.InterruptObservation
 	options.ObserveConfiguration = func(now time.Time, configuration *deployment.Configuration) {
+		origins.SetRoutes(now, configuration.StreamServices())
 		origins.SetSharedServices(now, configuration.SharedServices())
 	}
 }
