--- a/services/entry/origin/exchange/exclusion_open_test.go
+++ b/services/entry/origin/exchange/exclusion_open_test.go
@@ -78,3 +78,35 @@
 		}
 	})
 }
+
+// TestUseOfSoftwareThatNoStatementNamesIsNotRuledOut guards against streams of a software whose use is stated, but which those who state the softwares
+// could not write before all instances were lost and it left.
+func TestUseOfSoftwareThatNoStatementNamesIsNotRuledOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3, "1.0")
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		began := 0
+		for i, instance := range f.instances {
+			if origin.NewHolders(instance, f.instances).StatesSoftwares() {
+				f.network.turnAway(instance.Address, errDown)
+				continue
+			}
+			began = i
+		}
+		f.network.lose(func(datagram) bool { return true })
+		f.observe("1.0", "2.0")
+		prepareAndBegin(t, f.services[began], lateKey, two)
+		f.close()
+		f.network.lose(nil)
+		for i, instance := range f.instances {
+			f.network.turnAway(instance.Address, nil)
+			f.services[i] = startInstance(t, f.network, instance, f.instances)
+			f.services[i].ObserveEndpoints(time.Now(), chat("1.0"))
+		}
+		time.Sleep(settling)
+		for _, service := range f.services {
+			assertNotJoined(t, two, service, lateKey)
+		}
+	})
+}
--- a/services/entry/origin/exchange/routes_test.go
+++ b/services/entry/origin/exchange/routes_test.go
@@ -122,3 +122,24 @@
 	service.ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
 	return service
 }
+
+// TestStreamOfRouteThatMovedBeforeLossOfAllIsNotJoined guards against streams of a service that a route had before all instances were lost.
+func TestStreamOfRouteThatMovedBeforeLossOfAllIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetOfTwoServices(t, map[string][]string{"route": {"chat"}})
+		prepareAndBegin(t, f.services[3], lateKey, one)
+		f.setRoutes(map[string][]string{"route": {"talk"}})
+		f.close()
+		for i, instance := range f.instances {
+			f.services[i] = startInstance(t, f.network, instance, f.instances)
+			f.services[i].SetRoutes(time.Now(), map[string][]string{"route": {"talk"}})
+			f.services[i].ObserveEndpoints(time.Now(), map[string][]string{"chat": {"1.0"}, "talk": {"2.0"}})
+		}
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		for _, service := range f.services {
+			result, _ := findAmong(t, service, lateKey, "talk")
+			assert.True(t, result.Verdict == origin.Unknown || result.Origin == one, "goes on at %v", result.Origin)
+		}
+	})
+}
