Decide about no stream before an instance that stood still has caught up

Cause: a process that is paused and goes on may handle a caller's request before it reads the datagrams and views that wait since. Its observation of the endpoints counted as unbroken, so that the only software of before the pause counted as proven, for pauses of any length.

Change: a check each second tells whether the instance stood still for over 1.5 s; then streams that are taken up wait for 200 ms, in which it reads what others told and whether its view of the endpoints is too old.

Evidence: TestStreamIsNotJoinedByInstanceThatStoodStill joins the stream in each of its three cases (2 s, 5 s, 1 min) without the wait, in none with it. An announcement that is lost, or an instance that none of those that state softwares knows, remains as before. That a paused process is scheduled so was not played with real processes.

--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -48,6 +48,7 @@
 // most. It asks other instances for up to askTimeout if this instance does not know, and soon after the start waits until it knows them.
 func (s *Service) Find(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
 	window = min(window, origin.MaxLifetime)
+	s.awaitCatchUp(ctx)
 	services = s.withFormerServices(now, services)
 	result, rulesOutOthers := s.findBeyondArchive(ctx, now, key, services, window)
 	if result.Verdict != origin.SoleSoftware || s.isSettled() {
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -19,7 +19,7 @@
 // Service knows where streams began.
 type Service struct {
 	options Options
-	// wake wakes the teller, stopped ends both goroutines.
+	// wake wakes the teller, stopped ends the goroutines.
 	wake    chan struct{}
 	stopped chan struct{}
 	running sync.WaitGroup
@@ -54,7 +54,8 @@
 	instances     []origin.Instance
 	holders       *origin.Holders
 	// shared has the services that share a route with another one.
-	shared map[string]bool
+	shared     map[string]bool
+	standstill standstill
 	// routes are the routes whose streams can be taken up, and their changes.
 	routes routeChanges
 	// told has the services whose streams are told: those of several softwares, and the shared ones.
@@ -95,6 +96,7 @@
 	s.startedAt = s.options.Now()
 	s.mutex.Unlock()
 	s.running.Go(s.runTeller)
+	s.running.Go(s.runStandstillCheck)
 	if s.options.Archive != nil {
 		s.running.Go(s.runArchiveReader)
 		s.running.Go(s.runArchiveWriter)
