Send the softwares that were known last first

Cause: an answer that does not fit into a datagram drops softwares from the end of their order by name. What was left could be older than the stream that is asked about, so that an instance that knew of two softwares within that span seemed to know of one.

Change: sightings are sent in the order of their age, the latest first.

--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -4,9 +4,11 @@
 package exchange
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -149,10 +151,13 @@
 	return uint32(min(max(rounded, 0), math.MaxUint32))
 }
 
-// toSightings returns sightings as they are sent.
+// toSightings returns sightings as they are sent, those of the softwares that were known last first: what does not fit into a datagram is least likely
+// to be where a stream began.
 func toSightings(known []origin.Sighting) []sighting {
-	sent := make([]sighting, 0, len(known))
-	for _, seen := range known {
+	sorted := slices.Clone(known)
+	slices.SortStableFunc(sorted, func(a, b origin.Sighting) int { return cmp.Compare(a.Age, b.Age) })
+	sent := make([]sighting, 0, len(sorted))
+	for _, seen := range sorted {
 		sent = append(sent, sighting{Service: seen.Origin.Service, Software: seen.Origin.Software, Age: milliseconds(seen.Age), WasSole: seen.WasSole})
 	}
 	return sent
