Read the archive for each decision by exclusion, though others' readings bring nothing

Cause: a decision by exclusion needs a reading that began after the stream was taken up, within 0.4 s. Readings for streams that nobody knows let the time between two readings grow to 4 s, also those of other services, so that most tries met none and were refused.

Change: a decision by exclusion may read 0.5 s after the last reading. An instance reads twice a second at most, by the code, while streams are taken up that may be decided so.

--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -18,6 +18,9 @@
 	minReadInterval    = 250 * time.Millisecond
 	maxReadInterval    = 4 * time.Second
 	readIntervalFactor = 2
+	// exclusionReadInterval is the longest time between the starts of two readings while streams are decided about by exclusion, each of which needs
+	// a reading of its own time. A higher value spares the store, a lower one serves more streams that are taken up.
+	exclusionReadInterval = 500 * time.Millisecond
 )
 
 // archiveReader is the state of the readings of the archive. The service's mutex guards it.
@@ -28,6 +31,8 @@
 	// nextAt is when the next reading may start, interval the time to wait from the start of the next one.
 	nextAt   time.Time
 	interval time.Duration
+	// startedAt is when the last reading started.
+	startedAt time.Time
 	// requestedAt is when a reading was last asked for, readAt when the last one that succeeded began.
 	requestedAt time.Time
 	readAt      time.Time
@@ -119,7 +124,7 @@
 		return
 	default:
 		done = make(chan struct{})
-		s.reader.done, s.reader.nextAt = done, now.Add(s.reader.interval)
+		s.reader.done, s.reader.startedAt, s.reader.nextAt = done, now, now.Add(s.reader.interval)
 		go s.readOnce(now, done)
 	}
 	s.mutex.Unlock()
@@ -211,6 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
+		s.limitReadInterval()
 		s.readArchive(ctx, s.options.Now())
 		if s.hasReadSince(since) {
 			return true
@@ -228,6 +234,15 @@
 	return false
 }
 
+// limitReadInterval lets the archive be read exclusionReadInterval after the last time, however little other readings have brought.
+func (s *Service) limitReadInterval() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if latest := s.reader.startedAt.Add(exclusionReadInterval); latest.Before(s.reader.nextAt) {
+		s.reader.nextAt = latest
+	}
+}
+
 // readSooner lets the archive be read again as soon as at first, since the last reading helped.
 func (r *archiveReader) readSooner() {
 	r.interval = minReadInterval
