Decide by exclusion after the loss of an instance that had to state nothing

Cause: exclusion needs a process that used, or may have used, a software and does not answer. An instance that was lost while one software served has stated nothing, unless it is one of the three that state the softwares: once another one came, all streams that it had begun were refused, though those that used the other one deny them.

Change: an instance that left the list within MaxLifetime counts as such a process. Answers tell of it (HasLost), for instances that started later.

TestFindRemaining keeps its cases, with no instance lost, and has four more.

An instance that is back before the list drops it is not noticed.

--- a/services/entry/origin/decision.go
+++ b/services/entry/origin/decision.go
@@ -45,6 +45,8 @@
 	// Uses are those of others that it was told since the archive may lack them. LacksUses is set if there may be more.
 	Uses      []Use
 	LacksUses bool
+	// HasLost is set if an instance was in its list of instances lately and is gone.
+	HasLost bool
 }
 
 // DecideLocally decides from what this instance knows itself: what its table has, which softwares have been known within the window, and
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -83,6 +83,8 @@
 	// or the archive may lack some.
 	Uses      []usesOf `msgpack:"u,omitempty"`
 	LacksUses bool     `msgpack:"l,omitempty"`
+	// HasLost is set if an instance was in the list of instances lately and is gone.
+	HasLost bool `msgpack:"z,omitempty"`
 }
 
 // The values of answer.Found.
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -131,7 +131,7 @@
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
 	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now, origin.Key(asked.Key))}
 	uses, areAll := s.toldUses.ofServices(now, asked.Services)
-	answered.Uses, answered.LacksUses = uses, !areAll || s.lacksUses(now)
+	answered.Uses, answered.LacksUses, answered.HasLost = uses, !areAll || s.lacksUses(now), s.lostUntil.After(now)
 	s.mutex.Unlock()
 	answered.setFound(found)
 	payload, fits := encodeAnswer(answered, known)
@@ -176,6 +176,7 @@
 	delete(waiting.silent, from)
 	answered := origin.Answer{
 		From: from, Found: found, Complete: received.Complete, Process: received.Process, LacksUses: received.LacksUses,
+		HasLost: received.HasLost,
 	}
 	for i := range received.Uses {
 		answered.Uses = append(answered.Uses, received.Uses[i].toOrigin(netip.AddrPort{})...)
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -52,7 +52,9 @@
 	table         *origin.Table
 	history       *origin.History
 	instances     []origin.Instance
-	holders       *origin.Holders
+	// lostUntil is until when a stream may be taken up that an instance began which has left the list.
+	lostUntil time.Time
+	holders   *origin.Holders
 	// shared has the services that share a route with another one.
 	shared     map[string]bool
 	standstill standstill
@@ -153,6 +155,9 @@
 		s.wakeTeller()
 	}
 	former := s.holders
+	if slices.ContainsFunc(s.instances, func(instance origin.Instance) bool { return !slices.Contains(list, instance) }) {
+		s.lostUntil = now.Add(origin.MaxLifetime)
+	}
 	s.instances = list
 	s.holders = origin.NewHolders(origin.Instance{Hall: s.options.Hall, Address: s.options.Address}, list)
 	s.tellAgain(now, former)
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -199,6 +199,8 @@
 	list    []origin.Instance
 	known   []origin.Sighting
 	uses    []origin.Use
+	// hasLost is set if an instance was in the list lately and is gone.
+	hasLost bool
 }
 
 // startExclusion returns what this instance knows for a decision by exclusion, and the inquiry at all others. It returns no inquiry if what it knows
@@ -213,7 +215,7 @@
 		return nil, nil
 	}
 	own := &exclusion{
-		self: s.options.Address, process: process, list: s.instances,
+		self: s.options.Address, process: process, list: s.instances, hasLost: s.lostUntil.After(now),
 		known: s.history.Known(now, services, window), uses: slices.Concat(s.reader.uses, s.reader.unstated, told),
 	}
 	return s.addInquiry(s.everyone(own.uses), key, services, window, own.known), own
@@ -223,6 +225,7 @@
 func (e *exclusion) decide(answers []origin.Answer) origin.Result {
 	known, uses := slices.Clone(e.known), slices.Clone(e.uses)
 	denied := map[uint64]bool{e.process: true}
+	hasLost := e.hasLost
 	for _, answer := range answers {
 		if answer.LacksUses {
 			return origin.Result{Verdict: origin.Unknown}
@@ -232,11 +235,12 @@
 		}
 		known = append(known, answer.Sightings...)
 		uses = append(uses, answer.Uses...)
+		hasLost = hasLost || answer.HasLost
 	}
 	if !e.allState(answers) {
 		return origin.Result{Verdict: origin.Unknown}
 	}
-	return origin.FindRemaining(known, uses, denied)
+	return origin.FindRemaining(known, uses, denied, hasLost)
 }
 
 // allState reports whether all instances of the list are known to state their uses: those of a former build don't, and neither answer with the number
--- a/services/entry/origin/use.go
+++ b/services/entry/origin/use.go
@@ -27,12 +27,12 @@
 
 // FindRemaining decides about a stream that none of some processes began. It is plain if all who used the known softwares, but for one of these,
 // are among them: the stream can then have begun at that one only. Each process states its use before it begins a stream, unless the software is
-// the only one, and those that are gone don't answer for what they began.
-func FindRemaining(known []Sighting, uses []Use, denied map[uint64]bool) Result {
+// the only one, and those that are gone don't answer for what they began. Lost is set if an instance is known to be gone, which may have stated nothing.
+func FindRemaining(known []Sighting, uses []Use, denied map[uint64]bool, lost bool) Result {
 	if mayLackSoftwares(known) {
 		return Result{Verdict: Unknown}
 	}
-	if !hasOthers(uses, denied) {
+	if !lost && !hasOthers(uses, denied) {
 		// Nobody who may have begun the stream is gone.
 		return Result{Verdict: Unknown}
 	}
--- a/services/entry/origin/use_test.go
+++ b/services/entry/origin/use_test.go
@@ -48,6 +48,11 @@
 		"so many softwares that some are forgotten":         {many, []origin.Use{use(second, one)}, deniedByFirst, unknown},
 		"one less": {many[:15], []origin.Use{use(second, one)}, deniedByFirst, onlyOne},
 	} {
-		assert.Equal(t, test.expected, origin.FindRemaining(test.known, test.uses, test.denied), name)
+		assert.Equal(t, test.expected, origin.FindRemaining(test.known, test.uses, test.denied, false), name)
 	}
+	known := []origin.Sighting{sole(one), seen(two)}
+	assert.Equal(t, onlyOne, origin.FindRemaining(known, nil, deniedByFirst, true), "one was sole, and an instance is gone")
+	assert.Equal(t, onlyOne, origin.FindRemaining(known, []origin.Use{use(first, two)}, deniedByFirst, true), "the other is used by one that denies")
+	assert.Equal(t, unknown, origin.FindRemaining(known, []origin.Use{use(second, two)}, deniedByFirst, true), "the other may be used by the one that is gone")
+	assert.Equal(t, unknown, origin.FindRemaining([]origin.Sighting{seen(one), seen(two)}, nil, deniedByFirst, true), "none was sole")
 }
