--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -19,7 +19,7 @@
 // Service knows where streams began.
 type Service struct {
 	options Options
-	// wake wakes the teller, stopped ends both goroutines.
+	// wake wakes the teller, stopped ends the goroutines.
 	wake    chan struct{}
 	stopped chan struct{}
 	running sync.WaitGroup
@@ -52,9 +52,14 @@
 	table         *origin.Table
 	history       *origin.History
 	instances     []origin.Instance
-	holders       *origin.Holders
+	// lostUntil is until when a stream may be taken up that an instance began which has left the list.
+	lostUntil time.Time
+	holders   *origin.Holders
 	// shared has the services that share a route with another one.
-	shared map[string]bool
+	shared     map[string]bool
+	standstill standstill
+	// routes are the routes whose streams can be taken up, and their changes.
+	routes routeChanges
 	// told has the services whose streams are told: those of several softwares, and the shared ones.
 	told map[string]bool
 	// pending are the streams whose holders are told next.
@@ -84,6 +89,7 @@
 		toldUses: toldUses{until: make(map[origin.Use]time.Time)},
 		options:  options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
+		routes: routeChanges{former: make(map[string]map[string]time.Time)},
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
 	}
 }
@@ -94,6 +100,7 @@
 	s.startedAt = s.options.Now()
 	s.mutex.Unlock()
 	s.running.Go(s.runTeller)
+	s.running.Go(s.runStandstillCheck)
 	if s.options.Archive != nil {
 		s.running.Go(s.runArchiveReader)
 		s.running.Go(s.runArchiveWriter)
@@ -148,6 +155,9 @@
 		time.AfterFunc(settleTime, s.settle)
 	}
 	former := s.holders
+	if slices.ContainsFunc(s.instances, func(instance origin.Instance) bool { return !slices.Contains(list, instance) }) {
+		s.lostUntil = now.Add(origin.MaxLifetime)
+	}
 	s.instances = list
 	s.holders = origin.NewHolders(origin.Instance{Hall: s.options.Hall, Address: s.options.Address}, list)
 	s.tellAgain(now, former)
@@ -228,7 +238,7 @@
 
 // isTold reports whether the streams of a service are told at present.
 func (s *Service) isTold(now time.Time, service string) bool {
-	return s.interrupted || s.shared[service] || s.history.HasSeveral(now, service)
+	return s.interrupted || s.isShared(now, service) || s.history.HasSeveral(now, service)
 }
 
 // reviewTold tells all streams of a service once that is needed.
@@ -253,6 +263,7 @@
 	s.table.Sweep(now)
 	s.history.Sweep(now)
 	s.toldUses.sweep(now)
+	s.routes.sweep(now)
 	for service := range s.told {
 		if !s.isTold(now, service) {
 			delete(s.told, service)
