Load first for streams that only one software may go on with

What callers saw: after the loss of all instances beside a release, streams that were taken up waited for their adapter at the one software that may go on with them, and were refused with adapter not loaded at the end of the wait. Change: the value of these loads counts twenty times (pinnedWeight). TestCopyForOneSoftwareIsLoadedFirst failed before: adapter 2 was loaded first.

--- a/services/entry/loading/pinned.go
+++ b/services/entry/loading/pinned.go
@@ -23,6 +23,10 @@
 	copies copyCount
 }
 
+// pinnedWeight is the value of a copy at the endpoints of one software compared with that of any other copy with the same waiting requests. A
+// higher weight lets more streams go on that have brought their callers a part of the answer; a lower one begins more new requests.
+const pinnedWeight = 20.0
+
 // addPinned adds the requests of an instance that wait for a copy at the endpoints of one software.
 func (p *Planner) addPinned(instance string, wanted wantedCopy, waiting waitingRequests) {
 	known, ok := p.pinned[wanted]
@@ -48,6 +52,11 @@
 	delete(p.pinnedCopies, instance)
 }
 
+// pinnedValue returns the value of one more copy at the endpoints of one software, in requests served.
+func (p *Planner) pinnedValue(now time.Time, known *pinnedDemand) float64 {
+	return pinnedWeight * p.pinnedNeed(now, known).Value()
+}
+
 // pinnedNeed returns the demand for one more copy at the endpoints of one software. Only waiting requests count, because
 // streams that go on are few, and all later requests may use other copies.
 func (p *Planner) pinnedNeed(now time.Time, known *pinnedDemand) CopyNeed {
--- a/services/entry/loading/pinned_test.go
+++ b/services/entry/loading/pinned_test.go
@@ -106,6 +106,18 @@
 	assert.Equal(t, deployment.EndpointID("other"), nextOrder(t, p, later, loading.Load).Endpoint.ID)
 }
 
+// TestCopyForOneSoftwareIsLoadedFirst checks that a stream that goes on gets its copy before a request that has just arrived, also where the
+// latter's copy is worth more by the requests that are expected to follow.
+func TestCopyForOneSoftwareIsLoadedFirst(t *testing.T) {
+	p := pinnedFleet(t)
+	p.Report(start, "i", append(waitingDemand(adapter(2)), pinnedDemand(adapter(1), "v2")...))
+	p.Report(start, "j", waitingDemand(adapter(2)))
+	order := nextOrder(t, p, start, loading.Load)
+	assert.Equal(t, adapter(1), order.Adapter)
+	assert.Equal(t, deployment.EndpointID("wanted"), order.Endpoint.ID)
+	assert.Equal(t, adapter(2), nextOrder(t, p, start, loading.Load).Adapter)
+}
+
 // TestCopiesForOneSoftwareNeedPlaces checks that these loads keep to the places of their endpoint and to its loads at once.
 func TestCopiesForOneSoftwareNeedPlaces(t *testing.T) {
 	p := pinnedFleet(t)
--- a/services/entry/loading/placement.go
+++ b/services/entry/loading/placement.go
@@ -86,7 +86,7 @@
 		best = p.betterPlacement(now, best, wantedCopy{adapter: adapter}, value, distribution, coldAllowed)
 	}
 	for wanted, known := range p.pinned {
-		best = p.betterPlacement(now, best, wanted, p.pinnedNeed(now, known).Value(), distribution, coldAllowed)
+		best = p.betterPlacement(now, best, wanted, p.pinnedValue(now, known), distribution, coldAllowed)
 	}
 	return best, best.plan != nil
 }
