Count a stream that goes on as in time until its deadline

What callers saw: streams that were taken up just after the loss of all instances were refused with adapter not loaded although places became free. Cause: a waiting request counts fully for a load only while its first event can come within the route's target. A stream that goes on had that event from another endpoint; 0.35 s after its caller came back it counted 0.15, also where one software serves alone. Change: such a request is in time until its deadline. TestStreamThatGoesOnIsInTimeUntilItsDeadline is new; by the former rule the stream would count as late. AddWaiting gets the software for which a request is reported; TestRequestsForOneSoftwareAreReportedApart passes it there instead of in the request, with the same expectations.

--- a/services/entry/coordinator/report/demand.go
+++ b/services/entry/coordinator/report/demand.go
@@ -106,13 +106,22 @@
 	return c
 }
 
-// AddWaiting counts a request that is waiting now.
-func (c *Collection) AddWaiting(key deployment.ServiceAdapter, request *deployment.Request) {
+// AddWaiting counts a request that is waiting now, for the endpoints of a software, or any if that is empty.
+func (c *Collection) AddWaiting(key deployment.ServiceAdapter, request *deployment.Request, software string) {
 	if !key.Adapter.IsZero() {
-		c.addWaiting(key, request.Software, request.Arrived.Add(request.Route.TargetLatency).Sub(c.now))
+		c.addWaiting(key, software, answerableUntil(request).Sub(c.now))
 	}
 }
 
+// answerableUntil returns until when a request can be answered in time. The target of the route is for the first event: a stream that goes on
+// has had that, and loses all that it has brought if it ends here.
+func answerableUntil(request *deployment.Request) time.Time {
+	if request.Software != "" {
+		return request.Deadline
+	}
+	return request.Arrived.Add(request.Route.TargetLatency)
+}
+
 // List adds the refused callers that are expected to retry soon, removes those whose time has passed, and returns the whole
 // demand, apart from that of requests that only the endpoints of one software may run.
 func (c *Collection) List() []wire.Demand {
--- a/services/entry/coordinator/report/pinned_test.go
+++ b/services/entry/coordinator/report/pinned_test.go
@@ -19,12 +19,10 @@
 	counter := report.NewCounter()
 	collection := counter.Collect(start, 2)
 	for _, age := range []time.Duration{300 * time.Millisecond, 100 * time.Millisecond} {
-		request := waitingSince(start.Add(-age))
-		request.Software = "v1"
-		collection.AddWaiting(adapterKey, request)
-		collection.AddWaiting(baseModelKey, request)
+		collection.AddWaiting(adapterKey, waitingSince(start.Add(-age)), "v1")
+		collection.AddWaiting(baseModelKey, waitingSince(start.Add(-age)), "v1")
 	}
-	collection.AddWaiting(adapterKey, waitingSince(start))
+	collection.AddWaiting(adapterKey, waitingSince(start), "")
 	assert.Equal(t, []wire.PinnedDemand{
 		{Service: "chat", Model: "base", Name: "a1", Software: "v1", Waiting: 2, InTime: 700 * time.Millisecond},
 	}, collection.Pinned())
@@ -38,3 +36,15 @@
 	}, collection.Pinned())
 	assert.Empty(t, counter.Collect(start.Add(time.Minute), 0).Pinned(), "the caller should have come back by now")
 }
+
+// TestStreamThatGoesOnIsInTimeUntilItsDeadline checks that a stream that goes on is in time beyond its route's target, which is for the first event,
+// whether other software serves beside its own or not.
+func TestStreamThatGoesOnIsInTimeUntilItsDeadline(t *testing.T) {
+	request := waitingSince(start.Add(-time.Second))
+	request.Software, request.Deadline = "v1", start.Add(4*time.Second)
+	collection := report.NewCounter().Collect(start, 2)
+	collection.AddWaiting(adapterKey, request, "v1")
+	collection.AddWaiting(otherKey, request, "")
+	assert.Equal(t, []wire.PinnedDemand{{Service: "chat", Model: "base", Name: "a1", Software: "v1", Waiting: 1, InTime: 4 * time.Second}}, collection.Pinned())
+	assert.Equal(t, []wire.Demand{{Service: "chat", Model: "base", Name: "a2", Waiting: 1, InTime: 4 * time.Second}}, collection.List())
+}
--- a/services/entry/coordinator/report/report_test.go
+++ b/services/entry/coordinator/report/report_test.go
@@ -101,15 +101,15 @@
 	demand.AddArrival(adapterKey, 0)
 	demand.AddArrival(baseModelKey, 0)
 	first := demand.Collect(start, 2)
-	first.AddWaiting(adapterKey, waitingSince(start.Add(-300*time.Millisecond)))
-	first.AddWaiting(adapterKey, waitingSince(start.Add(-100*time.Millisecond)))
-	first.AddWaiting(baseModelKey, waitingSince(start))
+	first.AddWaiting(adapterKey, waitingSince(start.Add(-300*time.Millisecond)), "")
+	first.AddWaiting(adapterKey, waitingSince(start.Add(-100*time.Millisecond)), "")
+	first.AddWaiting(baseModelKey, waitingSince(start), "")
 	assert.Equal(t, []wire.Demand{{
 		Service: "chat", Model: "base", Name: "a1", Waiting: 2, InTime: 700 * time.Millisecond, Arrivals: 2,
 	}}, first.List(), "the newest request decides how long an answer is in time; base models are not requested")
 
 	second := demand.Collect(start, 1)
-	second.AddWaiting(otherKey, waitingSince(start.Add(-time.Second)))
+	second.AddWaiting(otherKey, waitingSince(start.Add(-time.Second)), "")
 	assert.Equal(t, []wire.Demand{{Service: "chat", Model: "base", Name: "a2", Waiting: 1, InTime: -200 * time.Millisecond}}, second.List())
 	assert.Empty(t, demand.Collect(start, 0).List())
 }
@@ -117,8 +117,8 @@
 func TestLeastLateRequestIsReported(t *testing.T) {
 	demand := report.NewCounter()
 	collection := demand.Collect(start, 2)
-	collection.AddWaiting(adapterKey, waitingSince(start.Add(-time.Second)))
-	collection.AddWaiting(adapterKey, waitingSince(start.Add(-2*time.Second)))
+	collection.AddWaiting(adapterKey, waitingSince(start.Add(-time.Second)), "")
+	collection.AddWaiting(adapterKey, waitingSince(start.Add(-2*time.Second)), "")
 	assert.Equal(t, -200*time.Millisecond, collection.List()[0].InTime)
 }
 
--- a/services/entry/coordinator/reporting.go
+++ b/services/entry/coordinator/reporting.go
@@ -115,9 +115,7 @@
 func (c *Coordinator) buildDemands(now time.Time) ([]wire.Demand, []wire.PinnedDemand) {
 	collection := c.demand.Collect(now, c.waiters.Len())
 	for _, w := range c.waiters.All() {
-		request := *w.Request
-		request.Software = c.boundSoftware(w.Request)
-		collection.AddWaiting(w.Key(), &request)
+		collection.AddWaiting(w.Key(), w.Request, c.boundSoftware(w.Request))
 	}
 	return collection.List(), collection.Pinned()
 }
