Do not refuse a stream by a backlog that it does not stand in

What callers saw: two seconds after all instances had been lost and started again, many streams that were taken up were refused with adapter not loaded at the same moment, within milliseconds of a view of the planner. Most came once only. Cause: a request that only one software may run counts on no load that is announced, and took the end of the planner's backlog for its time, which is when an adapter could come that nobody has asked for yet. The planner loads for it before others, and at endpoints that are too busy for others. Change: such a request is not refused by that forecast before the end of its wait. The time to retry still follows the backlog, and where no planner can order it is refused as before. TestLongBacklogDoesNotRefuseRequestForOneSoftware failed before (refused at once), and TestRequestIsNotRefusedEarlyIfAdapterMayComeSooner needs the new field.

--- a/services/entry/admission/decide.go
+++ b/services/entry/admission/decide.go
@@ -64,6 +64,9 @@
 	// AdapterExpectedAt is when the adapter is expected to be resident; zero if unknown. It comes from the planner's last view (which is
 	// updated with its heartbeats) or, while no planner is active, from the usual duration of a planner handover.
 	AdapterExpectedAt time.Time
+	// AdapterMayComeSooner is set if the adapter may be resident long before AdapterExpectedAt. The request then waits as long as any: a
+	// refusal may spend its caller's last try just before the adapter is resident.
+	AdapterMayComeSooner bool
 	// NoActivePlanner is set while no planner can order loads, so that no forecast can arrive that would change AdapterExpectedAt.
 	NoActivePlanner bool
 }
@@ -170,6 +173,9 @@
 	if situation.Route.Kind != deployment.Streaming || situation.AdapterExpectedAt.IsZero() || situation.NoEndpoint || situation.Saturated {
 		return false
 	}
+	if situation.AdapterMayComeSooner {
+		return false
+	}
 	if waited < forecastDelay && !situation.NoActivePlanner {
 		return false
 	}
--- a/services/entry/admission/decide_test.go
+++ b/services/entry/admission/decide_test.go
@@ -71,6 +71,18 @@
 	assert.False(t, admission.Decide(start, situation).Wait, "without a planner no forecast can be under way")
 }
 
+// TestRequestIsNotRefusedEarlyIfAdapterMayComeSooner guards against streams that are refused a moment before their adapter is resident.
+func TestRequestIsNotRefusedEarlyIfAdapterMayComeSooner(t *testing.T) {
+	situation := admission.Situation{Route: stream, Arrived: start, Deadline: start.Add(15 * time.Second)}
+	situation.AdapterExpectedAt, situation.AdapterMayComeSooner = start.Add(10*time.Second), true
+	assert.True(t, admission.Decide(start.Add(150*time.Millisecond), situation).Wait)
+	assert.True(t, admission.Decide(start.Add(2*time.Second), situation).Wait, "it waits as long as any request")
+
+	late := admission.Decide(start.Add(admission.SilenceTimeout(stream)), situation)
+	assert.Equal(t, admission.AdapterNotLoaded, late.Reason)
+	assert.Greater(t, late.RetryAfter, 6*time.Second, "the caller must retry when the adapter is expected")
+}
+
 func TestSilenceTimeoutIsLongestOfThreeLimits(t *testing.T) {
 	assert.Equal(t, 3200*time.Millisecond, admission.SilenceTimeout(stream))
 	assert.Equal(t, 2*time.Second, admission.SilenceTimeout(plain))
--- a/services/entry/coordinator/acquire.go
+++ b/services/entry/coordinator/acquire.go
@@ -242,6 +242,7 @@
 	case balance.NotResident:
 		expectedLoad := c.expectedLoad(now, w)
 		situation.AdapterExpectedAt, situation.NoActivePlanner = expectedLoad.At, expectedLoad.Reason.NoActivePlanner()
+		situation.AdapterMayComeSooner = expectedLoad.Reason.MayComeSooner()
 	case balance.Limited, balance.Resting:
 		situation.Limited, situation.Resting = w.Verdict == balance.Limited, w.Verdict == balance.Resting
 		situation.SendableAt = c.earliestSend(now, w)
@@ -262,12 +263,11 @@
 
 // expectedLoad returns when the adapter that a request waits for is expected to be resident, according to the planner's
 // last view. That does not tell where a load is under way: a request that only one software may run counts on none of them,
-// but on one that has yet to begin.
+// but on one that has yet to begin. Its place in the backlog is not known either: the planner loads for it before others, and
+// also at endpoints that are too busy for these.
 func (c *Coordinator) expectedLoad(now time.Time, w *waiter) forecast.Expected {
 	load := c.forecasts.Load(w.Key())
-	if c.boundSoftware(w.Request) != "" {
-		load = forecast.Load{Backlog: load.Backlog}
-	}
+	load.BySoftware = c.boundSoftware(w.Request) != ""
 	return forecast.Expect(now, c.plannerKnowledge(now), load)
 }
 
--- a/services/entry/coordinator/forecast/expect.go
+++ b/services/entry/coordinator/forecast/expect.go
@@ -33,6 +33,9 @@
 	UnderWay Reason = iota
 	// Queued means that the planner has not started the load, and its backlog gives the time.
 	Queued
+	// QueuedBySoftware means that the planner is to load the adapter at the endpoints of one software. Its backlog is too late a
+	// time: it loads these adapters before others.
+	QueuedBySoftware
 	// Late means that the announced time or the end of the backlog has passed.
 	Late
 	// FormerHolder means that this instance is the planner, but the former holder of the lease may still issue orders.
@@ -51,6 +54,11 @@
 	return r == LostPlanner || r == LostStore
 }
 
+// MayComeSooner reports whether the adapter may be resident long before the expected time.
+func (r Reason) MayComeSooner() bool {
+	return r == QueuedBySoftware
+}
+
 // Planner is what an instance knows about the planner. Durations are measured by the clock of this instance.
 type Planner struct {
 	// HoldsLease means that this instance holds the planner's lease and is not releasing it.
@@ -87,6 +95,9 @@
 	At        time.Time
 	// Backlog is the expected time from now until an adapter of the service that has not been requested yet could be resident.
 	Backlog time.Duration
+	// BySoftware means that only the endpoints of one software may run the request. A load that is announced may be at an endpoint of
+	// another software, and does not count.
+	BySoftware bool
 }
 
 // Expected is the time at which an adapter is expected to be resident, and the case of the rule that gave it.
@@ -102,6 +113,9 @@
 		timeUntilOrders, reason := planner.timeUntilOrders()
 		return Expected{At: now.Add(timeUntilOrders), Reason: reason}
 	}
+	if load.BySoftware {
+		return Expected{At: now.Add(load.Backlog), Reason: QueuedBySoftware}
+	}
 	expected := Expected{At: load.At, Reason: UnderWay}
 	if !load.Announced {
 		expected = Expected{At: now.Add(load.Backlog), Reason: Queued}
--- a/services/entry/coordinator/forecast/forecast_test.go
+++ b/services/entry/coordinator/forecast/forecast_test.go
@@ -87,13 +87,18 @@
 		"load not started":           {orders, forecast.Load{Backlog: 3 * time.Second}, 3 * time.Second, forecast.Queued},
 		"unknown service":            {orders, forecast.Load{}, 0, forecast.Queued},
 		"announced load and backlog": {orders, forecast.Load{Announced: true, At: now.Add(time.Second), Backlog: time.Minute}, time.Second, forecast.UnderWay},
-		"no planner ever known":      {forecast.Planner{OrderWindow: window, ViewAge: time.Hour}, forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
-		"silent planner":             {silent(nil), forecast.Load{}, 2500 * time.Millisecond, forecast.LostPlanner},
-		"record of a later term":     {silent(func(p *forecast.Planner) { p.RecordTerm = 5 }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
-		"record of an earlier term":  {silent(func(p *forecast.Planner) { p.RecordTerm = 3 }), forecast.Load{}, 2500 * time.Millisecond, forecast.LostPlanner},
-		"resigned planner":           {silent(func(p *forecast.Planner) { p.ResignedTerm = 4 }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
-		"released record":            {silent(func(p *forecast.Planner) { p.RecordReleased = true }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
-		"forecast of a lost planner": {silent(nil), forecast.Load{Announced: true, At: now.Add(time.Second)}, 2500 * time.Millisecond, forecast.LostPlanner},
+		"load at one software":       {orders, forecast.Load{Backlog: 3 * time.Second, BySoftware: true}, 3 * time.Second, forecast.QueuedBySoftware},
+		"announced load at any software": {
+			orders, forecast.Load{Announced: true, At: now.Add(time.Second), Backlog: time.Minute, BySoftware: true}, time.Minute, forecast.QueuedBySoftware,
+		},
+		"load at one software, silent planner": {silent(nil), forecast.Load{BySoftware: true}, 2500 * time.Millisecond, forecast.LostPlanner},
+		"no planner ever known":                {forecast.Planner{OrderWindow: window, ViewAge: time.Hour}, forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
+		"silent planner":                       {silent(nil), forecast.Load{}, 2500 * time.Millisecond, forecast.LostPlanner},
+		"record of a later term":               {silent(func(p *forecast.Planner) { p.RecordTerm = 5 }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
+		"record of an earlier term":            {silent(func(p *forecast.Planner) { p.RecordTerm = 3 }), forecast.Load{}, 2500 * time.Millisecond, forecast.LostPlanner},
+		"resigned planner":                     {silent(func(p *forecast.Planner) { p.ResignedTerm = 4 }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
+		"released record":                      {silent(func(p *forecast.Planner) { p.RecordReleased = true }), forecast.Load{}, 400 * time.Millisecond, forecast.NewPlanner},
+		"forecast of a lost planner":           {silent(nil), forecast.Load{Announced: true, At: now.Add(time.Second)}, 2500 * time.Millisecond, forecast.LostPlanner},
 		"holder waits for the former holder": {
 			forecast.Planner{HoldsLease: true, FormerHolderTime: time.Second}, forecast.Load{}, 1400 * time.Millisecond, forecast.FormerHolder,
 		},
@@ -137,9 +142,15 @@
 	assert.Equal(t, forecast.Load{}, announcements.Load(key))
 }
 
+func TestOnlyLoadAtOneSoftwareMayComeSooner(t *testing.T) {
+	for reason := forecast.UnderWay; reason <= forecast.LostStore; reason++ {
+		assert.Equal(t, reason == forecast.QueuedBySoftware, reason.MayComeSooner(), "reason %d", reason)
+	}
+}
+
 func TestNoActivePlanner(t *testing.T) {
 	for reason, expected := range map[forecast.Reason]bool{
-		forecast.UnderWay: false, forecast.Queued: false, forecast.Late: false, forecast.FormerHolder: false, forecast.NewPlanner: false,
+		forecast.UnderWay: false, forecast.Queued: false, forecast.QueuedBySoftware: false, forecast.Late: false, forecast.FormerHolder: false, forecast.NewPlanner: false,
 		forecast.LostPlanner: true, forecast.LostStore: true,
 	} {
 		assert.Equal(t, expected, reason.NoActivePlanner(), "reason %d", reason)
--- a/services/entry/coordinator/software_test.go
+++ b/services/entry/coordinator/software_test.go
@@ -98,7 +98,7 @@
 	v.Software = []wire.SoftwareEndpoints{{Software: software, IDs: []deployment.EndpointID{"e1"}}, {Software: "v2", IDs: []deployment.EndpointID{"e2"}}}
 	v.Forecasts = []wire.Forecast{{Service: service, Model: "base", Name: "a9", Remaining: time.Second}}
 	v.Backlogs = map[string]time.Duration{service: time.Minute}
-	require.NoError(t, planner.Send(wire.Message{View: v}))
+	repeatView(t, planner, v)
 	go func() {
 		_, _, _ = f.acquireAtSoftware("a9", software, waitLimit)
 	}()
@@ -115,6 +115,56 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded, "any other request waits for the load that is announced")
 }
 
+// repeatView sends a snapshot again and again until the test ends, so that the planner does not fall silent.
+func repeatView(t *testing.T, planner *wirePeer, v *wire.View) {
+	t.Helper()
+	require.NoError(t, planner.Send(wire.Message{View: v}))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() {
+		close(stop)
+		<-stopped
+	})
+	go func() {
+		defer close(stopped)
+		for sequence := v.Sequence + 1; ; sequence++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(viewInterval):
+			}
+			next := *v
+			next.Sequence = sequence
+			if planner.Send(wire.Message{View: &next}) != nil {
+				return
+			}
+		}
+	}()
+}
+
+// TestLongBacklogDoesNotRefuseRequestForOneSoftware checks that a request that only one software may run waits although the planner's backlog is
+// longer than its wait: the planner loads for it before the others.
+func TestLongBacklogDoesNotRefuseRequestForOneSoftware(t *testing.T) {
+	f := newFixture()
+	planner, gatherer := f.followWithGatherer(t)
+	go drainWire(gatherer)
+	go drainWire(planner)
+	v := snapshotView(11)
+	other := v.Endpoints[0]
+	other.ID = "e2"
+	v.Endpoints = append(v.Endpoints, other)
+	v.Software = []wire.SoftwareEndpoints{{Software: software, IDs: []deployment.EndpointID{"e1"}}, {Software: "v2", IDs: []deployment.EndpointID{"e2"}}}
+	v.Backlogs = map[string]time.Duration{service: time.Minute}
+	repeatView(t, planner, v)
+	f.awaitSoftware(t, software)
+
+	_, _, err := f.acquireAtSoftware("a9", "v2", 500*time.Millisecond)
+	require.ErrorIs(t, err, context.DeadlineExceeded, "it waits")
+	_, _, err = f.acquire("a9", waitLimit)
+	var refused *coordinator.Refusal
+	require.ErrorAs(t, err, &refused, "any other request is refused")
+	assert.Equal(t, admission.AdapterNotLoaded, refused.Reason)
+}
+
 // TestRestOfOtherSoftwareDoesNotConcernRequest checks that a request that only one software may run waits for the rests of its endpoints alone.
 func TestRestOfOtherSoftwareDoesNotConcernRequest(t *testing.T) {
 	const rest = 30 * time.Second
