Notice while waiting that the archive may be read sooner

What callers saw: streams of one software that were taken up just after the loss of all instances, beside a release, were refused after 0.4 s with beginning of the stream unknown, while others that came within the same 50 ms went on. Cause: a decision by exclusion needs a reading of the archive that began after the stream was taken up. Readings that bring nothing new put the next one off, by up to 4 s; the first decision that succeeds brings it forward, but those that were waiting had computed their time before that and slept until their 0.4 s were over. Change: bringing the next reading forward wakes them. The store is read no oftener than before while no decision succeeds, and then at most each 250 ms, as before.

--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -28,6 +28,8 @@
 	// nextAt is when the next reading may start, interval the time to wait from the start of the next one.
 	nextAt   time.Time
 	interval time.Duration
+	// sooner is closed, and replaced, when nextAt is brought forward.
+	sooner chan struct{}
 	// requestedAt is when a reading was last asked for, readAt when the last one that succeeded began.
 	requestedAt time.Time
 	readAt      time.Time
@@ -45,7 +47,7 @@
 }
 
 func newArchiveReader() archiveReader {
-	return archiveReader{wake: make(chan struct{}, 1), interval: minReadInterval}
+	return archiveReader{wake: make(chan struct{}, 1), sooner: make(chan struct{}), interval: minReadInterval}
 }
 
 // setEra sets the era of the store. A store that came back from a copy may lack what processes that are gone stated after the copy was made.
@@ -216,9 +218,10 @@
 			return true
 		}
 		s.mutex.Lock()
-		nextAt := s.reader.nextAt
+		nextAt, sooner := s.reader.nextAt, s.reader.sooner
 		s.mutex.Unlock()
 		select {
+		case <-sooner:
 		case <-time.After(max(nextAt.Sub(s.options.Now()), time.Millisecond)):
 		case <-ctx.Done():
 		case <-s.stopped:
@@ -228,11 +231,14 @@
 	return false
 }
 
-// readSooner lets the archive be read again as soon as at first, since the last reading helped.
+// readSooner lets the archive be read again as soon as at first, since the last reading helped. Those that wait for a reading wait only until
+// then.
 func (r *archiveReader) readSooner() {
 	r.interval = minReadInterval
 	if soonest := r.readAt.Add(minReadInterval); soonest.Before(r.nextAt) {
 		r.nextAt = soonest
+		close(r.sooner)
+		r.sooner = make(chan struct{})
 	}
 }
 
