Tell others at which software streams begin as the only one

Cause: an instance that sees one of two softwares takes it for the only one and states no use of it. If it is lost, its streams are decided by exclusion as if nobody had begun any at that software, and go on at the other one. Only what it had seen itself told of it.

Change: Prepare tells the instances of the list, before the first stream and each 150 s (soleInterval), that it begins streams at the only software of a service. They learn it as a software that can't be ruled out, answer with it, and those that write which softwares served write it.

Open: an instance that lags while no datagram gets through in either direction, and is lost.

--- a/services/entry/origin/exchange/exclusion_open_test.go
+++ b/services/entry/origin/exchange/exclusion_open_test.go
@@ -27,30 +27,6 @@
 	})
 }
 
-// TestStreamOfInstanceThatLagsBehindIsNotJoined guards against streams of an instance that has not seen a second software yet, and states no use.
-func TestStreamOfInstanceThatLagsBehindIsNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t, 6, 3)
-		f.network.lose(func(sent datagram) bool { return sent.to == f.instances[3].Address })
-		f.services[3].ObserveEndpoints(time.Now(), chat("1.0"))
-		time.Sleep(settledAge)
-		for i, service := range f.services {
-			if i != 3 {
-				service.ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
-			}
-		}
-		time.Sleep(settledAge)
-		f.services[4].Prepare(t.Context(), two)
-		f.services[3].Prepare(t.Context(), one)
-		time.Sleep(settledAge)
-		f.loseStream(4, two, window)
-		f.loseStream(3, one, window)
-		time.Sleep(settledAge)
-		assertNotJoined(t, one, f.services[0], lateKey)
-		f.close()
-	})
-}
-
 // TestSoftwareThatCopyOfStoreLacksIsNotRuledOut guards against streams of a software that came and left after the copy from which the store came
 // back, when all instances were lost as well.
 func TestSoftwareThatCopyOfStoreLacksIsNotRuledOut(t *testing.T) {
--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -255,3 +255,45 @@
 		})
 	}
 }
+
+// TestStreamOfInstanceThatLagsBehindIsNotJoined guards against streams of an instance that has not seen a second software yet, and states no use.
+func TestStreamOfInstanceThatLagsBehindIsNotJoined(t *testing.T) {
+	for name, forget := range map[string]func(t *testing.T, f *fleet){
+		"others live on":     func(*testing.T, *fleet) {},
+		"who asks restarts":  func(t *testing.T, f *fleet) { f.restart(t, 0, "1.0", "2.0") },
+		"all others restart": func(t *testing.T, f *fleet) { f.restartAll(t, "1.0", "2.0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleetWithLaggard(t)
+				forget(t, f)
+				time.Sleep(settledAge)
+				assertNotJoined(t, one, f.services[0], lateKey)
+				f.close()
+			})
+		})
+	}
+}
+
+// startFleetWithLaggard starts a fleet of which one instance saw only one of two softwares, and no datagram reached it. It and one at the other
+// software are lost, each with a stream.
+func startFleetWithLaggard(t *testing.T) *fleet {
+	t.Helper()
+	f := startFleet(t, 6, 3)
+	f.network.lose(func(sent datagram) bool { return sent.to == f.instances[3].Address })
+	f.services[3].ObserveEndpoints(time.Now(), chat("1.0"))
+	time.Sleep(settledAge)
+	for i, service := range f.services {
+		if i != 3 {
+			service.ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
+		}
+	}
+	time.Sleep(settledAge)
+	f.services[4].Prepare(t.Context(), two)
+	f.services[3].Prepare(t.Context(), one)
+	time.Sleep(settledAge)
+	f.loseStream(4, two, window)
+	f.loseStream(3, one, window)
+	time.Sleep(settledAge)
+	return f
+}
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -33,7 +33,7 @@
 	Answer   *answer   `msgpack:"a,omitempty"`
 	// Again asks for all records once more, since the sender writes into the archive and has just started.
 	Again bool `msgpack:"g,omitempty"`
-	// Seen are softwares of services that several serve.
+	// Seen are softwares of services that several serve, or one at which the sender begins streams as the only one of its service.
 	Seen []sighting `msgpack:"n,omitempty"`
 	// Uses are where the sender begins streams and could not state it in the archive.
 	Uses *usesOf `msgpack:"u,omitempty"`
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -105,13 +105,17 @@
 	}
 }
 
-// receiveSightings learns which softwares another instance knows.
+// receiveSightings learns which softwares another instance knows, and lets them be written into the archive if that is its part.
 func (s *Service) receiveSightings(now time.Time, seen []sighting) {
+	if len(seen) == 0 {
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, each := range seen {
 		s.learn(now, each.toOrigin())
 	}
+	s.writer.request()
 }
 
 // tellOnceMore lets all streams of this instance be told again, to an instance that may have missed them.
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -78,7 +78,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
-		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: useWriter{attempted: make(chan struct{})},
+		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: newUseWriter(),
 		toldUses: toldUses{until: make(map[origin.Use]time.Time)},
 		options:  options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
@@ -253,6 +253,7 @@
 	s.table.Sweep(now)
 	s.history.Sweep(now)
 	s.toldUses.sweep(now)
+	s.uses.sweep(now)
 	for service := range s.told {
 		if !s.isTold(now, service) {
 			delete(s.told, service)
--- a/services/entry/origin/exchange/told_use.go
+++ b/services/entry/origin/exchange/told_use.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// tellSole tells the instances of a list that streams begin at the only software of a service. For one that knows several it can then not be ruled
+// out.
+func (s *Service) tellSole(list []origin.Instance, at origin.Origin) {
+	payload, err := encode(&message{Seen: []sighting{{Service: at.Service, Software: at.Software, WasSole: true}}})
+	if err != nil {
+		s.countOversized()
+		return
+	}
+	s.sendToOthers(list, payload)
+}
+
 // usesPerDatagram is how many uses a datagram has, so that it fits into a packet with names of usual length.
 const usesPerDatagram = 8
 
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,6 +25,9 @@
 	// maxRemainingWindow bounds the age of streams that are decided about by exclusion: origin.MaxLifetime less useRenewInterval and useGrace, since the
 	// statements of a lost instance last for origin.MaxLifetime from their last renewal. A higher value would take streams for those of another software.
 	maxRemainingWindow = 420 * time.Second
+	// soleInterval is the time after which others are told again that streams begin at the only software of a service. It has to be shorter than
+	// origin.MaxLifetime, for which they remember it. A higher value sends less, a lower one makes up for lost datagrams sooner.
+	soleInterval = 150 * time.Second
 	// maxUses bounds the origins that this instance states to use. A higher value serves more services, a lower one keeps values small.
 	maxUses = 1024
 )
@@ -40,6 +44,12 @@
 	attempted chan struct{}
 	// told are those that others were told of since the last attempt.
 	told []origin.Origin
+	// soles are when others were last told that streams begin at the only software of a service, which is not stated.
+	soles map[origin.Origin]time.Time
+}
+
+func newUseWriter() useWriter {
+	return useWriter{attempted: make(chan struct{}), soles: make(map[origin.Origin]time.Time)}
 }
 
 // isStated reports whether the archive states the use of an origin, for maxRemainingWindow from now on even if this instance is lost.
@@ -71,6 +81,21 @@
 	return true
 }
 
+// tellSole reports whether others are to be told that streams begin at the only software of a service: once in soleInterval.
+func (w *useWriter) tellSole(now time.Time, at origin.Origin) bool {
+	toldAt, exists := w.soles[at]
+	if exists && now.Sub(toldAt) < soleInterval {
+		return false
+	}
+	w.soles[at] = now
+	return true
+}
+
+// sweep forgets the softwares that others would be told of again.
+func (w *useWriter) sweep(now time.Time) {
+	maps.DeleteFunc(w.soles, func(_ origin.Origin, toldAt time.Time) bool { return now.Sub(toldAt) >= soleInterval })
+}
+
 // restate lets all uses be stated again, which the store may have lost.
 func (w *useWriter) restate() {
 	w.stated = 0
@@ -94,6 +119,9 @@
 // service: after the loss of instances it tells that streams can have begun there. It waits for useTimeout at most, and not while the store fails;
 // then it tells the other instances.
 func (s *Service) Prepare(ctx context.Context, at origin.Origin) {
+	if s.options.Archive == nil || s.prepareSole(at) {
+		return
+	}
 	attempted, stated := s.wantUse(at)
 	if stated {
 		return
@@ -116,13 +144,28 @@
 	s.tellUse(at)
 }
 
-// wantUse lets the use of an origin be stated. It reports whether it need not be, or is, and returns what is closed at the end of the next attempt;
-// nil while the store fails.
+// prepareSole reports whether the software of an origin is the only one of the service, so that its use is not stated. It tells the other instances of
+// that: one that sees several softwares may decide about the streams of this one when it is lost.
+func (s *Service) prepareSole(at origin.Origin) bool {
+	s.mutex.Lock()
+	now := s.options.Now()
+	isSole := s.isSole(now, at)
+	tells := isSole && s.uses.tellSole(now, at)
+	list := s.instances
+	s.mutex.Unlock()
+	if tells {
+		s.tellSole(list, at)
+	}
+	return isSole
+}
+
+// wantUse lets the use of an origin be stated. It reports whether it is, and returns what is closed at the end of the next attempt; nil while the
+// store fails.
 func (s *Service) wantUse(at origin.Origin) (attempted <-chan struct{}, stated bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
-	if s.options.Archive == nil || s.uses.isStated(now, at) || s.isSole(now, at) {
+	if s.uses.isStated(now, at) {
 		return nil, true
 	}
 	s.uses.want(at)
--- a/services/entry/origin/exchange/use_test.go
+++ b/services/entry/origin/exchange/use_test.go
@@ -186,3 +186,27 @@
 		f.closeOnce()
 	})
 }
+
+// TestOnlySoftwareIsToldOnceInItsInterval guards against datagrams that each stream sends while one software serves.
+func TestOnlySoftwareIsToldOnceInItsInterval(t *testing.T) {
+	const soleInterval = 150 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 6, 3, "1.0")
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		writes := f.network.store.Counts().Writes
+		for range 2 {
+			f.network.takeSent()
+			for range 100 {
+				f.services[0].Prepare(t.Context(), one)
+			}
+			cost := f.takeCost()
+			assert.Equal(t, 5, cost.datagrams, "one to each other instance")
+			t.Logf("%d bytes", cost.bytes)
+			time.Sleep(settling)
+			assert.Equal(t, writes, f.network.store.Counts().Writes)
+			time.Sleep(soleInterval)
+			writes = f.network.store.Counts().Writes
+		}
+	})
+}
