Remember instances of a former build that left

Cause: an instance of a former build states no use. While it is in the list its answer, or its silence, lets nothing be decided by exclusion; once it is off the list, or an instance of this build serves at its address, its streams were decided as if it had begun none, and went on at the other software. The same held while it was listed and silent, if an instance of this build had stated a use at its address before.

Change: the three instances that state the softwares ask those of the list each 2 s (checkInterval) for the number of their process, while streams are told. Who answers without one is of a former build. While it is listed, and for origin.MaxLifetime after it left or another build answers at its address, they decide nothing by exclusion and say so in their answers. Only an answer counts: an instance that is gone without one proves nothing, so that kills and restarts of this build let nothing be refused (TestInstanceThatLeftListLeavesStreamsOfOthers as before). An instance that states its uses and has forgotten streams says that, with a field more in its answer (TestInstanceThatForgotStreamsIsOfNoFormerBuild).

The upgrade from a build that states nothing refuses for 10 minutes what only exclusion could decide; that build refused it as well. Later upgrades refuse nothing.

TestInstancesAreToldWhenTheyJoin expected that no datagram is sent at all for 3 s after an instance has lost its list. The others now ask each other in that time: exactly these questions, which name no service, and their answers are left out; all else is still expected to be absent.

Open: an instance that answers no question, serves less than 2 s, is beyond the list, or is lost together with all three that ask.

--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -68,12 +68,12 @@
 	return r.era
 }
 
-// lacksUses reports whether the archive may lack uses that count.
+// lacksUses reports whether the archive may lack uses that count: it is back from a copy, or an instance states none.
 func (s *Service) lacksUses(now time.Time) bool {
 	if s.options.Archive != nil && s.reader.knowsEra {
 		s.reader.setEra(now, s.options.Archive.Store.CurrentEra())
 	}
-	return now.Before(s.reader.lacksUsesUntil)
+	return now.Before(s.reader.lacksUsesUntil) || s.formerBuilds.mayHaveBegun(now)
 }
 
 // request lets the archive be read as soon as that is allowed.
--- a/services/entry/origin/exchange/doc.go
+++ b/services/entry/origin/exchange/doc.go
@@ -11,7 +11,7 @@
 // What has to outlive all instances goes through package archive: every instance reads it at the start and where nobody knows a stream, and few
 // of the list write for all, who are told streams like a holder (archive_reader.go, archive_writer.go).
 //
-// Start starts four goroutines, which Close ends: runReceiver handles what other instances send, runTeller tells holders and removes what has
-// expired, runArchiveReader and runArchiveWriter call the store. Find waits in the goroutine of its caller; a reading of the archive that it
+// Start starts five goroutines, which Close ends: runReceiver handles what other instances send, runTeller tells holders and removes what has
+// expired, runArchiveReader and runArchiveWriter call the store, runBuildCheck finds instances that state no uses. Find waits in the goroutine of its caller; a reading of the archive that it
 // begins goes on in a goroutine of its own, since others may wait for it. All methods are safe for concurrent use.
 package exchange
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -77,6 +77,8 @@
 	Complete bool       `msgpack:"c,omitempty"`
 	// Process is the number of the process, and 0 if that may have begun the stream and forgotten it.
 	Process uint64 `msgpack:"p,omitempty"`
+	// HasForgotten is set if the process states its uses, but may have forgotten the stream. A former build states none and does not set it.
+	HasForgotten bool `msgpack:"o,omitempty"`
 	// Uses are those of other processes that the instance was told, of the services in question. LacksUses is set if there are more,
 	// or the archive may lack some.
 	Uses      []usesOf `msgpack:"u,omitempty"`
--- a/services/entry/origin/exchange/network_test.go
+++ b/services/entry/origin/exchange/network_test.go
@@ -186,6 +186,24 @@
 	return sent
 }
 
+// withoutChecks returns datagrams but for those by which instances find out who is of a former build: questions without services, and their answers.
+func withoutChecks(t *testing.T, sent []datagram) []datagram {
+	t.Helper()
+	checks := make(map[any]bool)
+	return slices.DeleteFunc(sent, func(each datagram) bool {
+		decoded := decode(t, each.payload)
+		if answered, isAnswer := decoded["a"].(fields); isAnswer {
+			return checks[answered["i"]]
+		}
+		asked, isQuestion := decoded["q"].(fields)
+		if !isQuestion || asked["s"] != nil {
+			return false
+		}
+		checks[asked["i"]] = true
+		return true
+	})
+}
+
 // list returns instances in halls, in turn.
 func list(count, halls int) []origin.Instance {
 	var instances []origin.Instance
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -134,6 +134,7 @@
 	found := s.table.Lookup(now, origin.Key(asked.Key))
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
 	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now, origin.Key(asked.Key))}
+	answered.HasForgotten = answered.Process == 0 && s.options.Archive != nil
 	uses, areAll := s.toldUses.ofServices(now, asked.Services)
 	answered.Uses, answered.LacksUses = uses, !areAll || s.lacksUses(now)
 	s.mutex.Unlock()
@@ -167,6 +168,12 @@
 func (s *Service) receiveAnswer(now time.Time, from netip.AddrPort, received *answer) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if isListed(s.instances, from) {
+		s.formerBuilds.add(now, from, received)
+	}
+	if received.ID == s.formerBuilds.question {
+		return
+	}
 	waiting, exists := s.inquiries[received.ID]
 	if !exists || !waiting.silent[from] {
 		s.counters.UnexpectedAnswers++
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -36,7 +36,9 @@
 	uses   useWriter
 	// toldUses are what others could not state in the archive.
 	toldUses toldUses
-	reader   archiveReader
+	// formerBuilds are the instances that state no uses.
+	formerBuilds formerBuilds
+	reader       archiveReader
 
 	mutex sync.Mutex
 	// startedAt is when the service was started, complete is set once the archive has been read since the observation of the endpoints began.
@@ -79,8 +81,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
 		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: newUseWriter(),
-		toldUses: toldUses{until: make(map[origin.Use]time.Time)},
-		options:  options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
+		toldUses: toldUses{until: make(map[origin.Use]time.Time)}, formerBuilds: newFormerBuilds(),
+		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
 	}
@@ -109,6 +111,7 @@
 	s.transport, s.online = transport, true
 	s.mutex.Unlock()
 	s.running.Go(s.runReceiver)
+	s.running.Go(s.runBuildCheck)
 	return nil
 }
 
@@ -147,6 +150,7 @@
 		s.asksAgain = true
 		s.wakeTeller()
 	}
+	s.formerBuilds.setList(now, list)
 	former := s.holders
 	s.instances = list
 	s.holders = origin.NewHolders(origin.Instance{Hall: s.options.Hall, Address: s.options.Address}, list)
