--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -211,17 +211,16 @@
 
 // findRemaining decides about a stream that nobody knows by asking all instances that may have begun it. It has to be known at which softwares each
 // process begins streams, by a reading that began when the stream was taken up or later.
-func (s *Service) findRemaining(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
+func (s *Service) findRemaining(ctx context.Context, now time.Time, wanted stream) origin.Result {
 	unknown := origin.Result{Verdict: origin.Unknown}
-	if window > maxRemainingWindow || !s.mayRemain(now, services, window) || !s.awaitReading(ctx, now) {
+	if wanted.window > maxRemainingWindow || !s.mayRemain(now, wanted) || !s.awaitReading(ctx, now) {
 		return unknown
 	}
-	asked, exclusion := s.startExclusion(key, services, window)
-	if asked == nil {
+	asking, exclusion := s.startExclusion(wanted)
+	if asking == nil {
 		return unknown
 	}
-	answers := s.ask(ctx, asked)
-	s.removeInquiry(asked)
+	answers := s.inquire(ctx, asking)
 	if found := origin.Decide(exclusion.known, false, answers); found.Verdict != origin.Unknown {
 		return found
 	}
@@ -246,20 +245,20 @@
 
 // startExclusion returns what this instance knows for a decision by exclusion, and the inquiry at all others. It returns no inquiry if what it knows
 // does not suffice.
-func (s *Service) startExclusion(key origin.Key, services []string, window time.Duration) (*inquiry, *exclusion) {
+func (s *Service) startExclusion(wanted stream) (*inquiry, *exclusion) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
-	process := s.process(now, key)
+	process := s.process(now, wanted.key)
 	told, areAll := s.toldUses.all(now)
 	if !s.knowsAll() || process == 0 || !areAll || s.lacksUses(now) || len(s.inquiries) >= maxInquiries {
 		return nil, nil
 	}
 	own := &exclusion{
 		self: s.options.Address, process: process, list: s.instances,
-		known: s.history.Known(now, services, window), uses: slices.Concat(s.reader.uses, s.reader.unstated, told),
+		known: s.history.Known(now, wanted.services, wanted.window), uses: slices.Concat(s.reader.uses, s.reader.unstated, told),
 	}
-	return s.addInquiry(s.everyone(own.uses), key, services, window, own.known), own
+	return s.addInquiry(s.everyone(own.uses), wanted, own.known), own
 }
 
 // decide decides from the answers of others, none of which knows the stream.
@@ -296,12 +295,12 @@
 }
 
 // mayRemain reports whether it is known of any software of the services that streams may have begun there.
-func (s *Service) mayRemain(now time.Time, services []string, window time.Duration) bool {
+func (s *Service) mayRemain(now time.Time, wanted stream) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	isOfServices := func(use origin.Use) bool { return slices.Contains(services, use.Origin.Service) }
+	isOfServices := func(use origin.Use) bool { return slices.Contains(wanted.services, use.Origin.Service) }
 	wasSole := func(seen origin.Sighting) bool { return seen.WasSole }
-	return slices.ContainsFunc(s.reader.uses, isOfServices) || slices.ContainsFunc(s.history.Known(now, services, window), wasSole)
+	return slices.ContainsFunc(s.reader.uses, isOfServices) || slices.ContainsFunc(s.history.Known(now, wanted.services, wanted.window), wasSole)
 }
 
 // everyone returns the other instances of the list, and those that have stated to begin streams.
