Let all survivors decide in the tests of streams of a lost instance

No test failed when answers stated neither the uses that an instance was told nor that it lacks some.

Change: the frame is testLostStream; what happens before and after the loss is as before. In the end each survivor is asked about the stream, not one.

--- a/services/entry/origin/exchange/exclusion_limits_test.go
+++ b/services/entry/origin/exchange/exclusion_limits_test.go
@@ -46,8 +46,7 @@
 
 // TestMoreToldUsesThanThereIsRoomForProveNothing guards against streams that go on at the wrong software since a told use was dropped.
 func TestMoreToldUsesThanThereIsRoomForProveNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		for i := range maxToldUses {
 			f.services[3].Prepare(t.Context(), origin.Origin{Service: "other", Software: fmt.Sprint(i)})
@@ -55,10 +54,7 @@
 		}
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestInstanceThatListDoesNotNameIsAsked guards against streams that are refused since an instance beyond the list has begun others.
--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -28,6 +28,11 @@
 	f.services[i].Begin(time.Now(), lateKey, at, time.Now().Add(lifetime))
 	f.services[i].Close()
 	f.network.lose(nil)
+	f.removeFromList(i)
+}
+
+// removeFromList lets a lost instance leave the list.
+func (f *fleet) removeFromList(i int) {
 	f.instances = slices.Delete(slices.Clone(f.instances), i, i+1)
 	f.services = slices.Delete(f.services, i, i+1)
 	for _, service := range f.services {
@@ -35,6 +40,25 @@
 	}
 }
 
+// testLostStream checks that a stream at software 2.0 goes on nowhere else, of which only an instance knew that was lost. What happens before is done
+// by one function, what happens afterwards by another one.
+func testLostStream(t *testing.T, before, after func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		before(t, f)
+		f.loseStream(3, two, window)
+		after(t, f)
+		for _, service := range f.services {
+			assertNotJoined(t, two, service, lateKey)
+		}
+		f.close()
+	})
+}
+
+// atOnce lets nothing happen.
+func atOnce(*testing.T, *fleet) {}
+
 // TestStreamOfEndpointWithoutSoftwareIsNotJoined guards against streams of endpoints that state no software beside others that do.
 func TestStreamOfEndpointWithoutSoftwareIsNotJoined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -52,67 +76,51 @@
 
 // TestStreamOfForgottenSoftwareIsNotJoined guards against streams of a software that many others have replaced since.
 func TestStreamOfForgottenSoftwareIsNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
-		f.loseStream(3, two, window)
+	}, func(_ *testing.T, f *fleet) {
 		for i := range 16 {
 			f.observe("1.0", fmt.Sprintf("3.%d", i))
 			time.Sleep(10 * latency)
 		}
 		time.Sleep(settledAge)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
 	})
 }
 
 // TestUseThatStoreTakesSlowlyIsKnownToOthers guards against streams of an instance that was lost while it waited for the store.
 func TestUseThatStoreTakesSlowlyIsKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.delay(f.instances[3].Address, time.Second)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestUseWhileStoreFailsIsKnownToOthers guards against streams of an instance that was lost before it tried the store again.
 func TestUseWhileStoreFailsIsKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		f.services[3].Prepare(t.Context(), one)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestUseWantedDuringAttemptIsKnownToOthers guards against streams that begin since the statement of another use ended.
 func TestUseWantedDuringAttemptIsKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.delay(f.instances[3].Address, 150*time.Millisecond)
 		go f.services[3].Prepare(t.Context(), one)
 		time.Sleep(10 * latency)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestUsesBeyondLimitAreKnownToOthers guards against streams at a software that an instance had no room to state.
 func TestUsesBeyondLimitAreKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		for i := range maxUses {
 			f.services[3].Prepare(t.Context(), origin.Origin{Service: fmt.Sprint(i), Software: "1.0"})
 		}
@@ -122,10 +130,7 @@
 		began := time.Now()
 		f.services[3].Prepare(t.Context(), two)
 		assert.Zero(t, time.Since(began), "no stream waits for what cannot be stated")
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestStreamThatOutlivesStatementOfUseIsNotJoined guards against a stream that is taken up when the lease of its instance's use has ended.
@@ -148,54 +153,45 @@
 
 // TestStreamOfInstanceThatStoodStillIsNotJoined guards against a stream that begins while the lease of its instance's use is about to end.
 func TestStreamOfInstanceThatStoodStillIsNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.services[3].Prepare(t.Context(), two)
 		f.network.holdRenewals(f.instances[3].Address, origin.MaxLifetime)
 		time.Sleep(origin.MaxLifetime - 30*time.Second)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
 		f.network.holdRenewals(f.instances[3].Address, 0)
-		f.loseStream(3, two, window)
+	}, func(*testing.T, *fleet) {
 		time.Sleep(window - time.Second)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
 	})
 }
 
 // TestUseThatOthersWereToldIsKnownToInstanceThatStarts guards against streams that go on at the wrong software since who decides has just started.
 func TestUseThatOthersWereToldIsKnownToInstanceThatStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
-		f.loseStream(3, two, window)
+	}, func(t *testing.T, f *fleet) {
 		f.restart(t, 0, "1.0", "2.0")
 		time.Sleep(settling)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		assertNotJoined(t, two, f.services[1], lateKey)
-		f.close()
 	})
 }
 
 // TestUsesThatDoNotFitIntoAnswerProveNothing guards against streams that go on at the wrong software since an answer had no room for a use.
 func TestUsesThatDoNotFitIntoAnswerProveNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		for i := range 60 {
 			f.services[3].Prepare(t.Context(), origin.Origin{Service: "chat", Software: fmt.Sprintf("a software with a long name %d", i)})
 		}
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
-		f.loseStream(3, two, window)
+	}, func(t *testing.T, f *fleet) {
 		f.restart(t, 0, "1.0", "2.0")
 		for range 3 {
 			time.Sleep(settling)
 			assertNotJoined(t, two, f.services[0], lateKey)
 		}
-		f.close()
 	})
 }
 
--- a/services/entry/origin/exchange/former_build_test.go
+++ b/services/entry/origin/exchange/former_build_test.go
@@ -4,7 +4,6 @@
 package exchange_test
 
 import (
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,15 +23,12 @@
 
 // TestStreamOfInstanceOfFormerBuildThatLeftIsNotJoined guards against streams of an instance that stated no use and is no longer in the list.
 func TestStreamOfInstanceOfFormerBuildThatLeftIsNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.replaceByFormerBuild(t, 3)
 		time.Sleep(settling)
 		f.services[3].Prepare(t.Context(), two)
-		f.loseStream(3, two, window)
+	}, func(*testing.T, *fleet) {
 		time.Sleep(settledAge)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
 	})
 }
 
@@ -60,7 +56,9 @@
 				lose(t, f)
 				for range 3 {
 					time.Sleep(settling)
-					assertNotJoined(t, two, f.services[0], lateKey)
+					for _, service := range f.services {
+						assertNotJoined(t, two, service, lateKey)
+					}
 				}
 			})
 		})
@@ -93,10 +91,7 @@
 		}
 		time.Sleep(settling)
 		f.services[3].Close()
-		f.instances, f.services = slices.Delete(slices.Clone(f.instances), 3, 4), slices.Delete(f.services, 3, 4)
-		for _, service := range f.services {
-			service.SetInstances(f.instances)
-		}
+		f.removeFromList(3)
 		time.Sleep(settledAge)
 		assertFound(t, onlyPossible(one), f.services[0], 1)
 	})
