Let tests of exclusion have a software that could be taken instead

Cause: since exclusion decides nothing unless a process that used a software is gone, some tests of it passed whatever the code did: nobody else was gone by the time of the decision, or who restarted was one of those that write which softwares served, which counts as a user of all. Mutations of the package showed it: without the grace of statements, the longest window, or the silent instances of the list no test failed, and without the told uses in answers only those of former builds did.

Change: in the frame testLostStream, and in that of the statement that a stream outlives, a user of the other software is lost just before the decision; the instance that restarts is one that writes no softwares. A new test has an instance that never answers.

--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -20,6 +20,8 @@
 	lateKey = 1000
 	// maxUses is that of the package.
 	maxUses = 1024
+	// statesNothing is an instance that does not write which softwares served, whether the one that had its number is lost or not.
+	statesNothing = 3
 )
 
 // loseStream lets an instance begin a stream of which no other one hears, be lost and leave the list.
@@ -41,14 +43,17 @@
 }
 
 // testLostStream checks that a stream at software 2.0 goes on nowhere else, of which only an instance knew that was lost. What happens before is done
-// by one function, what happens afterwards by another one.
+// by one function, what happens afterwards by another one. A user of software 1.0 is lost at last, so that the stream may have begun there as well.
 func testLostStream(t *testing.T, before, after func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.services[5].Prepare(t.Context(), one)
 		before(t, f)
 		f.loseStream(3, two, window)
 		after(t, f)
+		f.services[4].Close()
+		f.removeFromList(4)
 		for _, service := range f.services {
 			assertNotJoined(t, two, service, lateKey)
 		}
@@ -140,9 +145,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := startFleetThatLostStreams(t, "1.0", "2.0")
 				f.services[3].Prepare(t.Context(), two)
+				f.services[5].Prepare(t.Context(), one)
 				time.Sleep(149 * time.Second)
 				f.loseStream(3, two, lifetime)
 				time.Sleep(lifetime - time.Second)
+				f.services[4].Close()
+				f.removeFromList(4)
 				result := f.services[0].Find(t.Context(), time.Now(), lateKey, []string{"chat"}, lifetime)
 				assert.Equal(t, unknown, result)
 				f.close()
@@ -172,7 +180,7 @@
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
 	}, func(t *testing.T, f *fleet) {
-		f.restart(t, 0, "1.0", "2.0")
+		f.restart(t, statesNothing, "1.0", "2.0")
 		time.Sleep(settling)
 	})
 }
@@ -187,10 +195,10 @@
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
 	}, func(t *testing.T, f *fleet) {
-		f.restart(t, 0, "1.0", "2.0")
+		f.restart(t, statesNothing, "1.0", "2.0")
 		for range 3 {
 			time.Sleep(settling)
-			assertNotJoined(t, two, f.services[0], lateKey)
+			assertNotJoined(t, two, f.services[statesNothing], lateKey)
 		}
 	})
 }
--- a/services/entry/origin/exchange/former_build_test.go
+++ b/services/entry/origin/exchange/former_build_test.go
@@ -116,3 +116,17 @@
 		assert.LessOrEqual(t, sent.datagrams, int(window/checkInterval+1)*checking*2*(count-1))
 	})
 }
+
+// TestInstanceThatNeverAnswersProvesNothing guards against streams of an instance that is silent and states no uses.
+func TestInstanceThatNeverAnswersProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		assertFound(t, onlyPossible(one), f.services[0], 1)
+		f.services[5].Close()
+		f.services = f.services[:5]
+		for _, service := range f.services {
+			assertFound(t, unknown, service, 1)
+		}
+		f.close()
+	})
+}
