Let the test of a use that no store took fail without what it guards

Cause: the test passed without the rule that softwares which a lost process knew of count as used: nobody else had stated a use, and an instance that is closed told its uses at the last moment, which one that loses power does not.

Change: another instance states its use before the outage, and no datagram gets through while all are lost.

--- a/services/entry/origin/exchange/use_outage_test.go
+++ b/services/entry/origin/exchange/use_outage_test.go
@@ -17,11 +17,15 @@
 		defer func() { f.close() }()
 		time.Sleep(2 * window)
 		f.observe("1.0", "2.0")
+		f.services[0].Prepare(t.Context(), one)
 		time.Sleep(settledAge)
 		f.network.store.Fail(errDown)
 		prepareAndBegin(t, f.services[3], 1000, two)
 		time.Sleep(settledAge)
+		// An instance that loses power tells nothing.
+		f.network.lose(func(datagram) bool { return true })
 		f.restartAll(t, "1.0", "2.0")
+		f.network.lose(nil)
 		f.network.store.Fail(nil)
 		time.Sleep(settling)
 		for _, service := range f.services {
