--- a/services/entry/origin/exchange/exclusion_test.go
+++ b/services/entry/origin/exchange/exclusion_test.go
@@ -20,6 +20,8 @@
 	lateKey = 1000
 	// maxUses is that of the package.
 	maxUses = 1024
+	// statesNothing is an instance that does not write which softwares served, whether the one that had its number is lost or not.
+	statesNothing = 3
 )
 
 // loseStream lets an instance begin a stream of which no other one hears, be lost and leave the list.
@@ -28,6 +30,11 @@
 	f.services[i].Begin(time.Now(), lateKey, at, time.Now().Add(lifetime))
 	f.services[i].Close()
 	f.network.lose(nil)
+	f.removeFromList(i)
+}
+
+// removeFromList lets a lost instance leave the list.
+func (f *fleet) removeFromList(i int) {
 	f.instances = slices.Delete(slices.Clone(f.instances), i, i+1)
 	f.services = slices.Delete(f.services, i, i+1)
 	for _, service := range f.services {
@@ -35,6 +42,28 @@
 	}
 }
 
+// testLostStream checks that a stream at software 2.0 goes on nowhere else, of which only an instance knew that was lost. What happens before is done
+// by one function, what happens afterwards by another one. A user of software 1.0 is lost at last, so that the stream may have begun there as well.
+func testLostStream(t *testing.T, before, after func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleetThatLostStreams(t, "1.0", "2.0")
+		f.services[5].Prepare(t.Context(), one)
+		before(t, f)
+		f.loseStream(3, two, window)
+		after(t, f)
+		f.services[4].Close()
+		f.removeFromList(4)
+		for _, service := range f.services {
+			assertNotJoined(t, two, service, lateKey)
+		}
+		f.close()
+	})
+}
+
+// atOnce lets nothing happen.
+func atOnce(*testing.T, *fleet) {}
+
 // TestStreamOfEndpointWithoutSoftwareIsNotJoined guards against streams of endpoints that state no software beside others that do.
 func TestStreamOfEndpointWithoutSoftwareIsNotJoined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -52,67 +81,51 @@
 
 // TestStreamOfForgottenSoftwareIsNotJoined guards against streams of a software that many others have replaced since.
 func TestStreamOfForgottenSoftwareIsNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
-		f.loseStream(3, two, window)
+	}, func(_ *testing.T, f *fleet) {
 		for i := range 16 {
 			f.observe("1.0", fmt.Sprintf("3.%d", i))
 			time.Sleep(10 * latency)
 		}
 		time.Sleep(settledAge)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
 	})
 }
 
 // TestUseThatStoreTakesSlowlyIsKnownToOthers guards against streams of an instance that was lost while it waited for the store.
 func TestUseThatStoreTakesSlowlyIsKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.delay(f.instances[3].Address, time.Second)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestUseWhileStoreFailsIsKnownToOthers guards against streams of an instance that was lost before it tried the store again.
 func TestUseWhileStoreFailsIsKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		f.services[3].Prepare(t.Context(), one)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestUseWantedDuringAttemptIsKnownToOthers guards against streams that begin since the statement of another use ended.
 func TestUseWantedDuringAttemptIsKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.delay(f.instances[3].Address, 150*time.Millisecond)
 		go f.services[3].Prepare(t.Context(), one)
 		time.Sleep(10 * latency)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestUsesBeyondLimitAreKnownToOthers guards against streams at a software that an instance had no room to state.
 func TestUsesBeyondLimitAreKnownToOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		for i := range maxUses {
 			f.services[3].Prepare(t.Context(), origin.Origin{Service: fmt.Sprint(i), Software: "1.0"})
 		}
@@ -122,10 +135,7 @@
 		began := time.Now()
 		f.services[3].Prepare(t.Context(), two)
 		assert.Zero(t, time.Since(began), "no stream waits for what cannot be stated")
-		f.loseStream(3, two, window)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
-	})
+	}, atOnce)
 }
 
 // TestStreamThatOutlivesStatementOfUseIsNotJoined guards against a stream that is taken up when the lease of its instance's use has ended.
@@ -135,9 +145,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := startFleetThatLostStreams(t, "1.0", "2.0")
 				f.services[3].Prepare(t.Context(), two)
+				f.services[5].Prepare(t.Context(), one)
 				time.Sleep(149 * time.Second)
 				f.loseStream(3, two, lifetime)
 				time.Sleep(lifetime - time.Second)
+				f.services[4].Close()
+				f.removeFromList(4)
 				result := f.services[0].Find(t.Context(), time.Now(), lateKey, []string{"chat"}, lifetime)
 				assert.Equal(t, unknown, result)
 				f.close()
@@ -148,54 +161,45 @@
 
 // TestStreamOfInstanceThatStoodStillIsNotJoined guards against a stream that begins while the lease of its instance's use is about to end.
 func TestStreamOfInstanceThatStoodStillIsNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.services[3].Prepare(t.Context(), two)
 		f.network.holdRenewals(f.instances[3].Address, origin.MaxLifetime)
 		time.Sleep(origin.MaxLifetime - 30*time.Second)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(10 * latency)
 		f.network.holdRenewals(f.instances[3].Address, 0)
-		f.loseStream(3, two, window)
+	}, func(*testing.T, *fleet) {
 		time.Sleep(window - time.Second)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		f.close()
 	})
 }
 
 // TestUseThatOthersWereToldIsKnownToInstanceThatStarts guards against streams that go on at the wrong software since who decides has just started.
 func TestUseThatOthersWereToldIsKnownToInstanceThatStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
-		f.loseStream(3, two, window)
-		f.restart(t, 0, "1.0", "2.0")
+	}, func(t *testing.T, f *fleet) {
+		f.restart(t, statesNothing, "1.0", "2.0")
 		time.Sleep(settling)
-		assertNotJoined(t, two, f.services[0], lateKey)
-		assertNotJoined(t, two, f.services[1], lateKey)
-		f.close()
 	})
 }
 
 // TestUsesThatDoNotFitIntoAnswerProveNothing guards against streams that go on at the wrong software since an answer had no room for a use.
 func TestUsesThatDoNotFitIntoAnswerProveNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleetThatLostStreams(t, "1.0", "2.0")
+	testLostStream(t, func(t *testing.T, f *fleet) {
 		f.network.turnAway(f.instances[3].Address, errDown)
 		for i := range 60 {
 			f.services[3].Prepare(t.Context(), origin.Origin{Service: "chat", Software: fmt.Sprintf("a software with a long name %d", i)})
 		}
 		f.services[3].Prepare(t.Context(), two)
 		time.Sleep(settledAge)
-		f.loseStream(3, two, window)
-		f.restart(t, 0, "1.0", "2.0")
+	}, func(t *testing.T, f *fleet) {
+		f.restart(t, statesNothing, "1.0", "2.0")
 		for range 3 {
 			time.Sleep(settling)
-			assertNotJoined(t, two, f.services[0], lateKey)
+			assertNotJoined(t, two, f.services[statesNothing], lateKey)
 		}
-		f.close()
 	})
 }
 
@@ -255,3 +259,45 @@
 		})
 	}
 }
+
+// TestStreamOfInstanceThatLagsBehindIsNotJoined guards against streams of an instance that has not seen a second software yet, and states no use.
+func TestStreamOfInstanceThatLagsBehindIsNotJoined(t *testing.T) {
+	for name, forget := range map[string]func(t *testing.T, f *fleet){
+		"others live on":     func(*testing.T, *fleet) {},
+		"who asks restarts":  func(t *testing.T, f *fleet) { f.restart(t, 0, "1.0", "2.0") },
+		"all others restart": func(t *testing.T, f *fleet) { f.restartAll(t, "1.0", "2.0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleetWithLaggard(t)
+				forget(t, f)
+				time.Sleep(settledAge)
+				assertNotJoined(t, one, f.services[0], lateKey)
+				f.close()
+			})
+		})
+	}
+}
+
+// startFleetWithLaggard starts a fleet of which one instance saw only one of two softwares, and no datagram reached it. It and one at the other
+// software are lost, each with a stream.
+func startFleetWithLaggard(t *testing.T) *fleet {
+	t.Helper()
+	f := startFleet(t, 6, 3)
+	f.network.lose(func(sent datagram) bool { return sent.to == f.instances[3].Address })
+	f.services[3].ObserveEndpoints(time.Now(), chat("1.0"))
+	time.Sleep(settledAge)
+	for i, service := range f.services {
+		if i != 3 {
+			service.ObserveEndpoints(time.Now(), chat("1.0", "2.0"))
+		}
+	}
+	time.Sleep(settledAge)
+	f.services[4].Prepare(t.Context(), two)
+	f.services[3].Prepare(t.Context(), one)
+	time.Sleep(settledAge)
+	f.loseStream(4, two, window)
+	f.loseStream(3, one, window)
+	time.Sleep(settledAge)
+	return f
+}
--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -35,7 +35,7 @@
 	Answer   *answer   `msgpack:"a,omitempty"`
 	// Again asks for all records once more, since the sender writes into the archive and has just started.
 	Again bool `msgpack:"g,omitempty"`
-	// Seen are softwares of services that several serve.
+	// Seen are softwares of services that several serve, or one at which the sender begins streams as the only one of its service.
 	Seen []sighting `msgpack:"n,omitempty"`
 	// Uses are where the sender begins streams and could not state it in the archive.
 	Uses *usesOf `msgpack:"u,omitempty"`
@@ -82,6 +82,8 @@
 	Complete bool       `msgpack:"c,omitempty"`
 	// Process is the number of the process, and 0 if that may have begun the stream and forgotten it.
 	Process uint64 `msgpack:"p,omitempty"`
+	// HasForgotten is set if the process states its uses, but may have forgotten the stream. A former build states none and does not set it.
+	HasForgotten bool `msgpack:"o,omitempty"`
 	// Uses are those of other processes that the instance was told, of the services in question. LacksUses is set if there are more,
 	// or the archive may lack some.
 	Uses      []usesOf `msgpack:"u,omitempty"`
--- a/services/entry/origin/exchange/receive.go
+++ b/services/entry/origin/exchange/receive.go
@@ -109,13 +109,17 @@
 	}
 }
 
-// receiveSightings learns which softwares another instance knows.
+// receiveSightings learns which softwares another instance knows, and lets them be written into the archive if that is its part.
 func (s *Service) receiveSightings(now time.Time, seen []sighting) {
+	if len(seen) == 0 {
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, each := range seen {
 		s.learn(now, each.toOrigin())
 	}
+	s.writer.request()
 }
 
 // withoutKnown returns the records of streams of which this instance has no record: it writes the others, or has read that they are written.
@@ -146,6 +150,7 @@
 	found := s.table.Lookup(now, origin.Key(asked.Key))
 	known := s.history.Known(now, asked.Services, origin.MaxLifetime)
 	answered := answer{ID: asked.ID, Complete: s.knowsAll(), Process: s.process(now, origin.Key(asked.Key))}
+	answered.HasForgotten = answered.Process == 0 && s.options.Archive != nil
 	uses, areAll := s.toldUses.ofServices(now, asked.Services)
 	answered.Uses, answered.LacksUses, answered.HasLost = uses, !areAll || s.lacksUses(now), s.lostUntil.After(now)
 	s.mutex.Unlock()
@@ -179,6 +184,12 @@
 func (s *Service) receiveAnswer(now time.Time, from netip.AddrPort, received *answer) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if isListed(s.instances, from) {
+		s.formerBuilds.add(now, from, received)
+	}
+	if received.ID == s.formerBuilds.question {
+		return
+	}
 	waiting, exists := s.inquiries[received.ID]
 	if !exists || !waiting.silent[from] {
 		s.counters.UnexpectedAnswers++
--- a/services/entry/origin/exchange/service.go
+++ b/services/entry/origin/exchange/service.go
@@ -36,7 +36,9 @@
 	uses   useWriter
 	// toldUses are what others could not state in the archive.
 	toldUses toldUses
-	reader   archiveReader
+	// formerBuilds are the instances that state no uses.
+	formerBuilds formerBuilds
+	reader       archiveReader
 
 	mutex sync.Mutex
 	// startedAt is when the service was started, complete is set once the archive has been read since the observation of the endpoints began.
@@ -85,9 +87,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
-		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: useWriter{attempted: make(chan struct{})},
-		toldUses: toldUses{until: make(map[origin.Use]time.Time)},
-		options:  options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
+		context: ctx, cancel: cancel, writer: newArchiveWriter(), reader: newArchiveReader(), uses: newUseWriter(),
+		toldUses: toldUses{until: make(map[origin.Use]time.Time)}, formerBuilds: newFormerBuilds(),
+		options: options, wake: make(chan struct{}, 1), stopped: make(chan struct{}), settled: make(chan struct{}),
 		table: origin.NewTable(), history: origin.NewHistory(), holders: origin.NewHolders(origin.Instance{}, nil),
 		routes: routeChanges{former: make(map[string]map[string]time.Time)},
 		shared: make(map[string]bool), told: make(map[string]bool), inquiries: make(map[uint64]*inquiry),
@@ -118,6 +120,7 @@
 	s.transport, s.online = transport, true
 	s.mutex.Unlock()
 	s.running.Go(s.runReceiver)
+	s.running.Go(s.runBuildCheck)
 	return nil
 }
 
@@ -154,6 +157,7 @@
 	if len(s.instances) == 0 && len(list) > 0 {
 		time.AfterFunc(settleTime, s.settle)
 	}
+	s.formerBuilds.setList(now, list)
 	former := s.holders
 	if slices.ContainsFunc(s.instances, func(instance origin.Instance) bool { return !slices.Contains(list, instance) }) {
 		s.lostUntil = now.Add(origin.MaxLifetime)
@@ -264,6 +268,7 @@
 	s.history.Sweep(now)
 	s.toldUses.sweep(now)
 	s.routes.sweep(now)
+	s.uses.sweep(now)
 	for service := range s.told {
 		if !s.isTold(now, service) {
 			delete(s.told, service)
--- a/services/entry/origin/exchange/use.go
+++ b/services/entry/origin/exchange/use.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"net/netip"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +24,9 @@
 	// maxRemainingWindow bounds the age of streams that are decided about by exclusion: origin.MaxLifetime less useRenewInterval and useGrace, since the
 	// statements of a lost instance last for origin.MaxLifetime from their last renewal. A higher value would take streams for those of another software.
 	maxRemainingWindow = 420 * time.Second
+	// soleInterval is the time after which others are told again that streams begin at the only software of a service. It has to be shorter than
+	// origin.MaxLifetime, for which they remember it. A higher value sends less, a lower one makes up for lost datagrams sooner.
+	soleInterval = 150 * time.Second
 	// maxUses bounds the origins that this instance states to use. A higher value serves more services, a lower one keeps values small.
 	maxUses = 1024
 )
@@ -40,6 +43,12 @@
 	attempted chan struct{}
 	// told are those that others were told of since the last attempt.
 	told []origin.Origin
+	// soles are when others were last told that streams begin at the only software of a service, which is not stated.
+	soles map[origin.Origin]time.Time
+}
+
+func newUseWriter() useWriter {
+	return useWriter{attempted: make(chan struct{}), soles: make(map[origin.Origin]time.Time)}
 }
 
 // isStated reports whether the archive states the use of an origin, for maxRemainingWindow from now on even if this instance is lost.
@@ -71,6 +80,21 @@
 	return true
 }
 
+// tellSole reports whether others are to be told that streams begin at the only software of a service: once in soleInterval.
+func (w *useWriter) tellSole(now time.Time, at origin.Origin) bool {
+	toldAt, exists := w.soles[at]
+	if exists && now.Sub(toldAt) < soleInterval {
+		return false
+	}
+	w.soles[at] = now
+	return true
+}
+
+// sweep forgets the softwares that others would be told of again.
+func (w *useWriter) sweep(now time.Time) {
+	maps.DeleteFunc(w.soles, func(_ origin.Origin, toldAt time.Time) bool { return now.Sub(toldAt) >= soleInterval })
+}
+
 // restate lets all uses be stated again, which the store may have lost.
 func (w *useWriter) restate() {
 	w.stated = 0
@@ -94,6 +118,9 @@
 // service: after the loss of instances it tells that streams can have begun there. It waits for useTimeout at most, and not while the store fails;
 // then it tells the other instances.
 func (s *Service) Prepare(ctx context.Context, at origin.Origin) {
+	if s.options.Archive == nil || s.prepareSole(at) {
+		return
+	}
 	attempted, stated := s.wantUse(at)
 	if stated {
 		return
@@ -116,13 +143,28 @@
 	s.tellUse(at)
 }
 
-// wantUse lets the use of an origin be stated. It reports whether it need not be, or is, and returns what is closed at the end of the next attempt;
-// nil while the store fails.
+// prepareSole reports whether the software of an origin is the only one of the service, so that its use is not stated. It tells the other instances of
+// that: one that sees several softwares may decide about the streams of this one when it is lost.
+func (s *Service) prepareSole(at origin.Origin) bool {
+	s.mutex.Lock()
+	now := s.options.Now()
+	isSole := s.isSole(now, at)
+	tells := isSole && s.uses.tellSole(now, at)
+	list := s.instances
+	s.mutex.Unlock()
+	if tells {
+		s.tellSole(list, at)
+	}
+	return isSole
+}
+
+// wantUse lets the use of an origin be stated. It reports whether it is, and returns what is closed at the end of the next attempt; nil while the
+// store fails.
 func (s *Service) wantUse(at origin.Origin) (attempted <-chan struct{}, stated bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
-	if s.options.Archive == nil || s.uses.isStated(now, at) || s.isSole(now, at) {
+	if s.uses.isStated(now, at) {
 		return nil, true
 	}
 	s.uses.want(at)
@@ -165,128 +207,3 @@
 	w.finish(now, len(wanted), err)
 	return err
 }
-
-// findRemaining decides about a stream that nobody knows by asking all instances that may have begun it. It has to be known at which softwares each
-// process begins streams, by a reading that began when the stream was taken up or later.
-func (s *Service) findRemaining(ctx context.Context, now time.Time, key origin.Key, services []string, window time.Duration) origin.Result {
-	unknown := origin.Result{Verdict: origin.Unknown}
-	if window > maxRemainingWindow || !s.mayRemain(now, services, window) || !s.awaitReading(ctx, now) {
-		return unknown
-	}
-	asked, exclusion := s.startExclusion(key, services, window)
-	if asked == nil {
-		return unknown
-	}
-	answers := s.ask(ctx, asked)
-	s.removeInquiry(asked)
-	if found := origin.Decide(exclusion.known, false, answers); found.Verdict != origin.Unknown {
-		return found
-	}
-	remaining := exclusion.decide(answers)
-	if remaining.Verdict == origin.OnlyPossible {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		s.reader.readSooner()
-	}
-	return remaining
-}
-
-// exclusion is what an instance knows for a decision by exclusion before others have answered.
-type exclusion struct {
-	// self is where this instance is asked, process the number of its process.
-	self    netip.AddrPort
-	process uint64
-	list    []origin.Instance
-	known   []origin.Sighting
-	uses    []origin.Use
-	// hasLost is set if an instance was in the list lately and is gone.
-	hasLost bool
-}
-
-// startExclusion returns what this instance knows for a decision by exclusion, and the inquiry at all others. It returns no inquiry if what it knows
-// does not suffice.
-func (s *Service) startExclusion(key origin.Key, services []string, window time.Duration) (*inquiry, *exclusion) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := s.options.Now()
-	process := s.process(now, key)
-	told, areAll := s.toldUses.all(now)
-	if !s.knowsAll() || process == 0 || !areAll || s.lacksUses(now) || len(s.inquiries) >= maxInquiries {
-		return nil, nil
-	}
-	own := &exclusion{
-		self: s.options.Address, process: process, list: s.instances, hasLost: s.lostUntil.After(now),
-		known: s.history.Known(now, services, window), uses: slices.Concat(s.reader.uses, s.reader.unstated, told),
-	}
-	return s.addInquiry(s.everyone(own.uses), key, services, window, own.known), own
-}
-
-// decide decides from the answers of others, none of which knows the stream.
-func (e *exclusion) decide(answers []origin.Answer) origin.Result {
-	known, uses := slices.Clone(e.known), slices.Clone(e.uses)
-	denied := map[uint64]bool{e.process: true}
-	hasLost := e.hasLost
-	for _, answer := range answers {
-		if answer.LacksUses {
-			return origin.Result{Verdict: origin.Unknown}
-		}
-		if answer.Process != 0 {
-			denied[answer.Process] = true
-		}
-		known = append(known, answer.Sightings...)
-		uses = append(uses, answer.Uses...)
-		hasLost = hasLost || answer.HasLost
-	}
-	if !e.allState(answers) {
-		return origin.Result{Verdict: origin.Unknown}
-	}
-	return origin.FindRemaining(known, uses, denied, hasLost)
-}
-
-// allState reports whether all instances of the list are known to state their uses: those of a former build don't, and neither answer with the number
-// of a process.
-func (e *exclusion) allState(answers []origin.Answer) bool {
-	stating := map[netip.AddrPort]bool{e.self: true}
-	for _, use := range e.uses {
-		stating[use.Address] = true
-	}
-	for _, answer := range answers {
-		stating[answer.From] = answer.Process != 0
-	}
-	return !slices.ContainsFunc(e.list, func(instance origin.Instance) bool { return !stating[instance.Address] })
-}
-
-// mayRemain reports whether it is known of any software of the services that streams may have begun there.
-func (s *Service) mayRemain(now time.Time, services []string, window time.Duration) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	isOfServices := func(use origin.Use) bool { return slices.Contains(services, use.Origin.Service) }
-	wasSole := func(seen origin.Sighting) bool { return seen.WasSole }
-	return slices.ContainsFunc(s.reader.uses, isOfServices) || slices.ContainsFunc(s.history.Known(now, services, window), wasSole)
-}
-
-// everyone returns the other instances of the list, and those that have stated to begin streams.
-func (s *Service) everyone(uses []origin.Use) []netip.AddrPort {
-	if !s.online {
-		return nil
-	}
-	var addresses []netip.AddrPort
-	for _, instance := range s.instances {
-		addresses = append(addresses, instance.Address)
-	}
-	for _, use := range uses {
-		if use.Address.IsValid() {
-			addresses = append(addresses, use.Address)
-		}
-	}
-	slices.SortFunc(addresses, netip.AddrPort.Compare)
-	return without(slices.Compact(addresses), []netip.AddrPort{s.options.Address})
-}
-
-// process returns the number of this process, and 0 if it may have begun a stream of which it has no record any more, or one under another name.
-func (s *Service) process(now time.Time, key origin.Key) uint64 {
-	if s.options.Archive == nil || s.table.MayHaveForgotten(now, key) || s.routes.renamedUntil.After(now) {
-		return 0
-	}
-	return s.options.Archive.Writer
-}
