Read the archive less often for exclusion in a large fleet

Cause: where streams are taken up that nobody can decide about, each instance read the archive twice a second, whatever the size of the fleet, and the check of builds looked at the clock each 2 s while no stream is told, so that TestInstanceWithoutEndpointsRests failed with the check of standstills (1,204 looks of 1,000).

Change: 50 ms for each instance of the list, 0.5 s at least, between two readings for exclusion; the check looks only while streams are told.

--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -18,9 +18,11 @@
 	minReadInterval    = 250 * time.Millisecond
 	maxReadInterval    = 4 * time.Second
 	readIntervalFactor = 2
-	// exclusionReadInterval is the longest time between the starts of two readings while streams are decided about by exclusion, each of which needs
-	// a reading of its own time. A higher value spares the store, a lower one serves more streams that are taken up.
+	// exclusionReadInterval is the longest time between the starts of two readings of an instance while it decides about streams by exclusion, each of
+	// which needs a reading of its own time, and exclusionReadShare that for each instance of the list, if that is longer. Higher values spare the
+	// store, lower ones serve more streams that are taken up.
 	exclusionReadInterval = 500 * time.Millisecond
+	exclusionReadShare    = 50 * time.Millisecond
 )
 
 // archiveReader is the state of the readings of the archive. The service's mutex guards it.
@@ -237,11 +239,12 @@
 	return false
 }
 
-// limitReadInterval lets the archive be read exclusionReadInterval after the last time, however little other readings have brought.
+// limitReadInterval lets the archive be read again for decisions by exclusion, however little other readings have brought.
 func (s *Service) limitReadInterval() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if latest := s.reader.startedAt.Add(exclusionReadInterval); latest.Before(s.reader.nextAt) {
+	interval := max(exclusionReadInterval, time.Duration(len(s.instances))*exclusionReadShare)
+	if latest := s.reader.startedAt.Add(interval); latest.Before(s.reader.nextAt) {
 		s.reader.nextAt = latest
 	}
 }
--- a/services/entry/origin/exchange/former_build.go
+++ b/services/entry/origin/exchange/former_build.go
@@ -76,15 +76,24 @@
 		case <-s.stopped:
 			return
 		case <-ticker.C:
-			s.checkBuilds(s.options.Now())
+			if s.tellsStreams() {
+				s.checkBuilds(s.options.Now())
+			}
 		}
 	}
 }
 
-// checkBuilds asks the other instances of the list for the numbers of their processes, if streams are told and this instance states the softwares.
+// tellsStreams reports whether the streams of any service are told.
+func (s *Service) tellsStreams() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.told) > 0
+}
+
+// checkBuilds asks the other instances of the list for the numbers of their processes, if this instance states the softwares.
 func (s *Service) checkBuilds(now time.Time) {
 	s.mutex.Lock()
-	checks := len(s.told) > 0 && s.statesSoftwares(now)
+	checks := s.statesSoftwares(now)
 	list, asked := s.instances, question{ID: s.formerBuilds.question}
 	s.mutex.Unlock()
 	if !checks {
--- a/services/entry/origin/exchange/hopeless_test.go
+++ b/services/entry/origin/exchange/hopeless_test.go
@@ -46,3 +46,23 @@
 		<-ended
 	})
 }
+
+// TestReadingsForExclusionAreFewInLargeFleet guards against a store that all instances of a large fleet read for streams that nobody can decide about.
+func TestReadingsForExclusionAreFewInLargeFleet(t *testing.T) {
+	const (
+		span    = 30 * time.Second
+		longest = 1600 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 32, 4, "1.0", "2.0")
+		defer func() { f.close() }()
+		time.Sleep(settling)
+		f.services[3].Prepare(t.Context(), one)
+		time.Sleep(settledAge)
+		before := f.network.store.Counts().Reads
+		for began := time.Now(); time.Since(began) < span; time.Sleep(100 * time.Millisecond) {
+			_, _ = find(t, f.services[0], lateKey)
+		}
+		assert.LessOrEqual(t, f.network.store.Counts().Reads-before, int(span/longest)+4)
+	})
+}
