Bound the metadata of streams between daemons

Cause: the library's default allows 16 MiB a stream, which are held for as long as it is open, and the bound of bytes under way counts messages only.

Change: 32 KiB.

Measured: a question with 1 MiB of metadata is refused; before, it was answered.

Evidence: TestLongMetadataOfPeerIsRefused failed with the default.

--- a/modules/daemon/peerlink/link.go
+++ b/modules/daemon/peerlink/link.go
@@ -86,6 +86,9 @@
 	// maxBytesUnderWay bounds the bytes of messages that have arrived from all peers and are not decoded yet, 64 MiB: two of the largest. A higher
 	// value receives more large messages at once, a lower one takes less memory.
 	maxBytesUnderWay = 67108864
+	// maxHeaderBytes bounds the metadata of a stream from a peer, in bytes: 32 KiB. Peers send a few hundred. A higher value accepts more, a lower
+	// one bounds what the streams of a connection hold for as long as they are open.
+	maxHeaderBytes = 32768
 	// peerIdleTimeout is how long the connection to a peer is kept after the last envelope was sent to it.
 	peerIdleTimeout = 2 * time.Minute
 	// defaultMaxSilence is how long a receiver waits for the next whole message of a stream: as long as a sender may be idle and then take for two
@@ -130,6 +133,7 @@
 	received := newMeter(o.Ended)
 	l.server = grpc.NewServer(
 		grpc.Creds(meteredCredentials{TransportCredentials: creds, meter: received}), grpc.StatsHandler(received), grpc.ConnectionTimeout(connectionTimeout),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxPeerStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	)
--- a/modules/daemon/peerlink/streams_test.go
+++ b/modules/daemon/peerlink/streams_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 
 	"github.com/shelfledge/shelfledge/modules/daemon/peerlink"
 )
@@ -48,3 +50,21 @@
 	_, err = push(t.Context())
 	require.NoError(t, err, "a stream in the place of one that ended")
 }
+
+// TestLongMetadataOfPeerIsRefused guards against a peer whose streams hold long metadata for as long as they are open.
+func TestLongMetadataOfPeerIsRefused(t *testing.T) {
+	t.Parallel()
+	const metadataBytes = 1 << 20
+	to := startNode(t, loopbackAddress, peerlink.Options{Answer: func(context.Context, peerlink.Question) (peerlink.Answer, error) {
+		return peerlink.Answer{}, nil
+	}})
+	conn, err := grpc.NewClient("passthrough:///"+to.address.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDefaultCallOptions(grpc.CallContentSubtype("msgpack")))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	ask := func(ctx context.Context) error {
+		return conn.Invoke(ctx, "/shelfledge.Peer/Ask", &peerlink.Question{}, &peerlink.Answer{})
+	}
+	require.NoError(t, ask(t.Context()))
+	require.Error(t, ask(metadata.AppendToOutgoingContext(t.Context(), "x", strings.Repeat("a", metadataBytes))))
+}
