Say in the message what is asked for once more

An instance that writes into the archive asks each other one that comes into its list, not at its start alone, and is told what others hold as well. A comment; no behaviour changes.

--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -31,7 +31,7 @@
 	Records  []record  `msgpack:"r,omitempty"`
 	Question *question `msgpack:"q,omitempty"`
 	Answer   *answer   `msgpack:"a,omitempty"`
-	// Again asks for all records once more, since the sender writes into the archive and has just started.
+	// Again asks for all records once more, also those held for others, since the sender writes into the archive and may have missed them.
 	Again bool `msgpack:"g,omitempty"`
 	// Seen are softwares of services that several serve.
 	Seen []sighting `msgpack:"n,omitempty"`
