--- a/services/entry/origin/exchange/message.go
+++ b/services/entry/origin/exchange/message.go
@@ -33,7 +33,7 @@
 	Records  []record  `msgpack:"r,omitempty"`
 	Question *question `msgpack:"q,omitempty"`
 	Answer   *answer   `msgpack:"a,omitempty"`
-	// Again asks for all records once more, since the sender writes into the archive and has just started.
+	// Again asks for all records once more, also those held for others, since the sender writes into the archive and may have missed them.
 	Again bool `msgpack:"g,omitempty"`
 	// Seen are softwares of services that several serve, or one at which the sender begins streams as the only one of its service.
 	Seen []sighting `msgpack:"n,omitempty"`
