--- a/tests/platform/request_log_test.go
+++ b/tests/platform/request_log_test.go
@@ -158,6 +158,7 @@
 		"../../services/entry/coordinator/views.go", "../../services/entry/coordinator/viewround.go", "../../services/entry/coordinator/gathering.go",
 		"../../services/entry/coordinator/begin.go", "../../services/entry/coordinator/crashes.go", "../../services/entry/coordinator/limits.go",
 		"../../services/entry/coordinator/draining.go", "../../services/entry/coordinator/resting.go", "../../services/entry/coordinator/brittle.go",
+		"../../services/entry/coordinator/peers.go",
 		"../../services/entry/proxy/exchange.go", "../../routers/entry/gateway/server.go", "../../services/entry/connect/connector.go",
 		"../../modules/entry/tunnel/acceptor.go", "../../services/entry/origin/exchange/receive.go",
 		"../../services/entry/origin/exchange/archive_reader.go", "../../services/entry/origin/exchange/archive_writer.go",
