--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -151,7 +151,8 @@
 type play func(s *site, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"own503": playOwn503,
+	"own503":   playOwn503,
+	"lastbyte": playLastByte,
 }
 
 func main() {
