--- a/review/standin-2/own503.go
+++ b/review/standin-2/own503.go
@@ -32,7 +32,7 @@
 	bookings map[string]int
 }
 
-// greyShare is the share of its requests that a grey worker fails: the largest of the deployment's sheet.
+// greyShare is the share of its requests that a grey worker fails, as in the list of troubles of the site.
 const greyShare = 0.45
 
 func (w *holdWorker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
