--- a/review/standin-2/lastbyte.go
+++ b/review/standin-2/lastbyte.go
@@ -57,12 +57,12 @@
 }
 
 func (w *streamWorker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if request.URL.Path == "/-/report" {
+	if request.URL.Path == names.Report {
 		_, _ = io.WriteString(writer, `{"phase":"mixed","models":[{"name":"base","version":1,"adapters":[]}],"utilization":false,"sequence":0,"queued":0,"active":0,"kv_used":0,"kv_total":0,"handles":0}`)
 		return
 	}
-	id := request.Header.Get("X-Attempt-Id")
-	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
+	id := request.Header.Get(names.Attempt)
+	if expected := request.Header.Get(names.Expect); expected != "" && expected != w.id {
 		writer.Header().Set("X-Instance-Id", w.id)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -74,8 +74,8 @@
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	answer := wholeStream(after, id)
 	writer.Header().Set("Content-Type", "text/event-stream")
-	writer.Header().Set("X-Attempt-Id", id)
-	writer.Header().Set("X-Server-Seal", w.id+"."+id)
+	writer.Header().Set(names.Attempt, id)
+	writer.Header().Set(names.Seal, w.id+"."+id)
 	controller := http.NewResponseController(writer)
 	if len(answer) > 1 && w.breaksOff() {
 		_, _ = io.WriteString(writer, answer[:len(answer)-1])
@@ -116,7 +116,7 @@
 				at := s.entries[c%len(s.entries)]
 				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 				a := platformstandin.Call{
-					Path: platformstandin.ResumePrefix + "x", Body: "prompt", Header: map[string]string{"X-Model": platformstandin.Model, "X-Token-Usage": "100,20"},
+					Path: platformstandin.ResumePrefix + "x", Body: "prompt", Header: map[string]string{"X-Model": platformstandin.Model, names.Tokens: "100,20"},
 				}.Send(ctx, at.callers)
 				cancel()
 				mutex.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -94,7 +94,7 @@
 			return err
 		}
 		e.command = exec.Command(s.program, "--metrics-port", fmt.Sprint(ports.Metrics))
-		e.command.Env = append(os.Environ(), "SHELFLEDGE_CONFIG="+file)
+		e.command.Env = append(os.Environ(), names.Settings+"="+file)
 		e.command.Stdout, e.command.Stderr = log, log
 		e.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		if err := e.command.Start(); err != nil {
--- a/review/standin-2/own503.go
+++ b/review/standin-2/own503.go
@@ -36,12 +36,12 @@
 const greyShare = 0.45
 
 func (w *holdWorker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if request.URL.Path == "/-/report" {
+	if request.URL.Path == names.Report {
 		_, _ = io.WriteString(writer, `{"phase":"mixed","models":[],"utilization":false,"sequence":0,"queued":0,"active":0,"kv_used":0,"kv_total":0,"handles":0}`)
 		return
 	}
-	id := request.Header.Get("X-Attempt-Id")
-	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
+	id := request.Header.Get(names.Attempt)
+	if expected := request.Header.Get(names.Expect); expected != "" && expected != w.id {
 		writer.Header().Set("X-Instance-Id", w.id)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -56,10 +56,10 @@
 	fails := w.grey && w.random.Float64() < greyShare
 	w.mutex.Unlock()
 	time.Sleep(30 * time.Millisecond)
-	writer.Header().Set("X-Attempt-Id", id)
-	writer.Header().Set("X-Server-Seal", w.id+"."+id)
+	writer.Header().Set(names.Attempt, id)
+	writer.Header().Set(names.Seal, w.id+"."+id)
 	if fails {
-		w.site.record.printf("worker %s ran %s (%s) and answers 503 of its own, without X-Not-Executed", w.id, id, body)
+		w.site.record.printf("worker %s ran %s (%s) and answers 503 of its own, without the proof that it has not run", w.id, id, body)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(writer, "booked, but the confirmation could not be printed\n")
 		return
@@ -114,7 +114,7 @@
 			Path: platformstandin.UnsafePrefix + "x", Body: thing, Header: map[string]string{"X-Deadline-Ms": "1500"},
 		}.Send(ctx, at.callers)
 		cancel()
-		s.record.printf("client got %d for %s (%s) from %s, seal %q, error %v", a.Status, a.ID, thing, at.name, a.Header.Get("X-Server-Seal"), a.Err)
+		s.record.printf("client got %d for %s (%s) from %s, seal %q, error %v", a.Status, a.ID, thing, at.name, a.Header.Get(names.Seal), a.Err)
 		got(a)
 		if !promisesNotRun(a.Status) {
 			return
