Do not pass on an endpoint's refusal without proof where a request must not run twice

Cause: an answer without the proof counts as one that may have run, so that it is not sent elsewhere, but the status still went to the caller, who sends the request elsewhere. 503 went out as the endpoint's error, 408 and 429 as any other answer, and a body of 64 KiB or more past every verdict. The same answers (but a small 503), and any large error, counted as success of the endpoint, so that one that fails so was never ejected.

Change: decided at the head of the answer, whatever the size of its body: 408, 421, 429 and 503 without proof end a request that must not run twice with 502 "refusal without proof", without the endpoint's mark, body or Retry-After. What may run twice is retried as after a 500, or gets the endpoint's answer. Such answers and large errors count as errors of the endpoint, and do not win a hedge. The log line has the endpoint's status in attempts and the caller's in status. The stand-in's errors take a status and a size.

Its callers took a status for a promise only without an endpoint's mark; that hid this fault, and they go by the status now.

--- a/services/entry/proxy/attempt/ending.go
+++ b/services/entry/proxy/attempt/ending.go
@@ -16,8 +16,12 @@
 
 // The reasons with which End and EndWithoutEndpoint end a request.
 const (
-	// EndpointError means that the endpoint responded with a server error, and no retry was allowed.
+	// EndpointError means that the endpoint responded with a server error, or refused without proof, and that its response was forwarded,
+	// since no retry was allowed.
 	EndpointError Reason = "error of the endpoint"
+	// UnprovenRefusal means that the endpoint refused a request, which must not run again, without proof that it has not run. The caller
+	// must not get the endpoint's status, which would promise that.
+	UnprovenRefusal Reason = "refusal without proof"
 	// CallerLeft means that the caller closed its connection.
 	CallerLeft Reason = "caller left"
 	// StreamInterrupted means that the endpoint ended a response after a part of it was forwarded, and that the response could not be
@@ -149,6 +153,8 @@
 		return Ending{Status: http.StatusServiceUnavailable, Reason: LimitOfInstance, RetryAfter: notRunRetryAfter}
 	case !s.MayHaveRun:
 		return Ending{Status: http.StatusServiceUnavailable, Reason: RefusedByEndpoint, RetryAfter: notRunRetryAfter}
+	case last == RefusedWithoutProof:
+		return Ending{Status: http.StatusBadGateway, Reason: UnprovenRefusal}
 	case s.ProcessEnds:
 		return Ending{Status: http.StatusBadGateway, Reason: ProcessEnded}
 	case s.timedOut(now):
--- a/services/entry/proxy/attempt/retry.go
+++ b/services/entry/proxy/attempt/retry.go
@@ -104,5 +104,5 @@
 
 // HasCompleteResponse reports whether an attempt with this result got a complete response, including a refusal.
 func HasCompleteResponse(result Result) bool {
-	return result == Finished || result == NotRun || result == ServerError
+	return result == Finished || result == NotRun || result == ServerError || result == RefusedWithoutProof
 }
--- a/services/entry/proxy/attempt/situation.go
+++ b/services/entry/proxy/attempt/situation.go
@@ -24,6 +24,9 @@
 	Uncertain Result = "uncertain"
 	// ServerError means that the endpoint responded with an error that may justify a retry.
 	ServerError Result = "server error"
+	// RefusedWithoutProof means that the endpoint refused with a status that promises callers that the request did not run, but without the
+	// proof of it, and that the request must not run again. It may have run.
+	RefusedWithoutProof Result = "refused without proof"
 	// Recalled means that the request was recalled from the endpoint because it had not started to run in time, and that no part
 	// of a response was forwarded. It may have run nevertheless: its start may not have been observed yet, or the endpoint may not
 	// drop it.
--- a/services/entry/proxy/attempt/verdict.go
+++ b/services/entry/proxy/attempt/verdict.go
@@ -109,8 +109,9 @@
 	FromEndpoint bool
 	// Resumes is set if the caller already has the head and some events of another endpoint's response.
 	Resumes bool
-	// Kind is the kind of the route, from the settings.
-	Kind deployment.RouteKind
+	// Kind is the kind of the route, and Retryable is set if a request that may have run may be sent again, from the settings.
+	Kind      deployment.RouteKind
+	Retryable bool
 }
 
 // Handling is how a response is processed after its head.
@@ -138,6 +139,8 @@
 	case success && !head.FromEndpoint:
 		// An intermediary responded instead of the endpoint.
 		return Reject, Verdict{Result: Uncertain, Outcome: directory.Broken}
+	case !head.Retryable && PromisesNotRun(head.Status):
+		return Reject, Verdict{Result: RefusedWithoutProof, Outcome: directory.Errored}
 	case head.Resumes && !success:
 		return Reject, Verdict{Result: Interrupted, Outcome: directory.Errored}
 	case head.Resumes:
@@ -151,15 +154,35 @@
 
 // JudgeWhole returns the verdict on a response that was read completely before any part of it was forwarded.
 func JudgeWhole(status int) Verdict {
-	if IsServerError(status) {
+	if IsFailure(status) {
 		return Verdict{Result: ServerError, Outcome: directory.Errored}
 	}
 	return Delivered()
 }
 
-// IsServerError reports whether a response status means that the endpoint failed.
-func IsServerError(status int) bool {
-	return status >= http.StatusInternalServerError
+// JudgeForwarded returns the verdict on a response of which no other endpoint's could take the place, after it was forwarded completely.
+func JudgeForwarded(status int) Verdict {
+	if IsFailure(status) {
+		return Verdict{Result: Finished, Outcome: directory.Errored}
+	}
+	return Delivered()
+}
+
+// IsFailure reports whether the status of a response, which gives no proof that the request did not run, means that the endpoint failed: a
+// server error, or a status with which an endpoint only refuses what it has not run.
+func IsFailure(status int) bool {
+	return status >= http.StatusInternalServerError || PromisesNotRun(status)
+}
+
+// PromisesNotRun reports whether a response status promises a caller that its request has not run and will not run, so that the caller may
+// send again even what must not run twice.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
 }
 
 // Delivered returns the verdict on a response that was delivered completely.
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -84,7 +84,7 @@
 		}
 	}
 	// If the endpoint failed, the other endpoint of a hedged request may still respond.
-	if !attempt.IsServerError(e.status) && !hedging.pause() {
+	if !attempt.IsFailure(e.status) && !hedging.pause() {
 		defer e.discard()
 		return attempt.JudgeInterrupted(e.situation())
 	}
@@ -182,12 +182,12 @@
 	e.readNotice(httpResponse)
 	e.handling, verdict = attempt.JudgeHead(attempt.Head{
 		Status: e.status, NotRun: dialect.NotRun(e.status, httpResponse.Header), FromEndpoint: dialect.FromEndpoint(httpResponse.Header),
-		Resumes: e.startPosition.headForwarded, Kind: e.inflight.request.Route.Kind,
+		Resumes: e.startPosition.headForwarded, Kind: e.inflight.request.Route.Kind, Retryable: e.inflight.request.Route.Retryable(),
 	})
 	if e.handling != attempt.Reject {
 		return attempt.Verdict{}, true
 	}
-	if verdict.Result == attempt.NotRun {
+	if verdict.Result == attempt.NotRun || verdict.Result == attempt.RefusedWithoutProof {
 		e.drainRefusal()
 	}
 	e.discard()
--- a/services/entry/proxy/forwarding.go
+++ b/services/entry/proxy/forwarding.go
@@ -75,6 +75,15 @@
 	e.discard()
 }
 
+// judgeForwarded returns the verdict on a large response that was forwarded completely. The log line of an error has its reason, as that of
+// one that was buffered.
+func (e *exchange) judgeForwarded() attempt.Verdict {
+	if attempt.IsFailure(e.status) {
+		e.inflight.reason = attempt.EndpointError
+	}
+	return attempt.JudgeForwarded(e.status)
+}
+
 // forwardLarge forwards a response whose buffered beginning is content.
 func (e *exchange) forwardLarge(content []byte) attempt.Verdict {
 	defer e.discard()
@@ -95,7 +104,7 @@
 			if e.inflight.response.finish() != nil {
 				return e.endUndelivered()
 			}
-			return attempt.Delivered()
+			return e.judgeForwarded()
 		}
 		if err != nil {
 			return attempt.JudgeInterrupted(e.situation())
--- a/services/entry/proxy/hedge.go
+++ b/services/entry/proxy/hedge.go
@@ -240,7 +240,7 @@
 	switch {
 	case !begun:
 		return verdict, false
-	case attempt.IsServerError(next.status):
+	case attempt.IsFailure(next.status):
 		next.discard()
 		return attempt.JudgeWhole(next.status), false
 	case next.handling == attempt.ResumeStream && next.response.EndsAtHead():
--- a/tests/platform/request_log_test.go
+++ b/tests/platform/request_log_test.go
@@ -80,6 +80,8 @@
 		Result   string `json:"result"`
 		WaitedMS int64  `json:"waited_ms"`
 		TookMS   int64  `json:"took_ms"`
+		Status   int    `json:"status"`
+		Via      string `json:"via"`
 
 		VersionDemanded int64 `json:"version_demanded"`
 		VersionHeld     int64 `json:"version_held"`
--- a/tests/platformstandin/worker.go
+++ b/tests/platformstandin/worker.go
@@ -58,6 +58,8 @@
 	// Errors is how many of the next requests run and are answered with 500, and Resets how many run and have their connection
 	// reset. Sheds is how many are rejected without a run, and Hangs how many are never answered.
 	Errors, Resets, Sheds, Hangs int
+	// ErrorStatus replaces the status 500 of Errors unless it is 0. ErrorBytes is the size of their bodies.
+	ErrorStatus, ErrorBytes int
 	// BreakAfter is the number of complete events of an interrupted stream, which ends in the middle of the next event.
 	BreakAfter int
 	// Breaks is how many of the next streams are interrupted.
--- a/tests/platformstandin/worker_requests.go
+++ b/tests/platformstandin/worker_requests.go
@@ -4,6 +4,7 @@
 package platformstandin
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -214,6 +215,16 @@
 	w.queued--
 }
 
+// answerWithError answers a request that ran with an error under the seal of the worker.
+func (w *Worker) answerWithError(writer http.ResponseWriter) {
+	w.mutex.Lock()
+	status, size := cmp.Or(w.faults.ErrorStatus, http.StatusInternalServerError), w.faults.ErrorBytes
+	w.mutex.Unlock()
+	writer.WriteHeader(status)
+	// A write error means that the sender has closed the connection.
+	_, _ = io.WriteString(writer, strings.Repeat("x", size))
+}
+
 // answer answers a request that runs, and returns how the run ended. A panic aborts the answer.
 func (w *Worker) answer(writer http.ResponseWriter, request *http.Request, fault requestFault, sent framing, run *Run, body []byte) RunPhase {
 	if request.URL.Query().Has(CrashParameter) {
@@ -246,7 +257,7 @@
 		writer.Header().Set(HeaderSeal, w.options.ID+"."+run.ID)
 	}
 	if fault == faultError {
-		writer.WriteHeader(http.StatusInternalServerError)
+		w.answerWithError(writer)
 		return RunFailed
 	}
 	if extra {
--- a/tools/soak/execute.go
+++ b/tools/soak/execute.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -113,6 +114,16 @@
 	return true
 }
 
+// errorStatuses are the statuses with which endpoints answer requests that they have run.
+var errorStatuses = []int{
+	http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
+}
+
+// errorStatus returns the status of a step's errors. It follows from the count, so that a plan plays the same statuses again.
+func errorStatus(step plan.Step) int {
+	return errorStatuses[step.Count%len(errorStatuses)]
+}
+
 // disturbEndpoint executes a step on an endpoint. It returns false if the kind of the step does not apply to endpoints.
 func (s *site) disturbEndpoint(step plan.Step) (bool, error) {
 	if step.Target >= len(s.endpoints) {
@@ -127,7 +138,7 @@
 	case plan.EndpointSheds:
 		return true, e.current().SetFaults(platformstandin.WorkerFaults{Sheds: step.Count})
 	case plan.EndpointErrors:
-		return true, e.current().SetFaults(platformstandin.WorkerFaults{Errors: step.Count})
+		return true, e.current().SetFaults(platformstandin.WorkerFaults{Errors: step.Count, ErrorStatus: errorStatus(step)})
 	case plan.EndpointTwice:
 		return true, e.current().SetFaults(platformstandin.WorkerFaults{Extras: step.Count})
 	case plan.EndpointHangs:
--- a/tools/soak/traffic/caller.go
+++ b/tools/soak/traffic/caller.go
@@ -288,7 +288,8 @@
 		a.Defect = q.answerDefect(seal, response.Header.Get(platformstandin.HeaderRequestID), body)
 		a.EndsEarly = a.Defect != "" && q.endsBetweenEvents(body)
 		return 0
-	case seal == "" && guaranteesNotRun(response.StatusCode):
+	case guaranteesNotRun(response.StatusCode):
+		// Also under the seal of an endpoint: callers go by the status.
 		a.Outcome, a.Cause = ledger.Refused, strings.TrimSpace(body)
 		return retryAfter(response.Header)
 	default:
