Take a 421 for a proof only if it has the proof or comes from another endpoint

Cause: 421 counted as proof that a request has not run, whoever sent it. The platform says that every other worker than the one named in X-Expect-Instance answers 421 and does not run, and that only X-Not-Executed says so of the named one. A named worker that runs a request and answers 421 under its mark was thus believed: callers of requests that must not run twice got the instance's own 503, and a route that allows two attempts sent them to a second endpoint.

Ruled out: that the named one refuses so in earnest.

Dialect.NotRun gets that endpoint.

--- a/services/entry/proxy/dialect.go
+++ b/services/entry/proxy/dialect.go
@@ -55,8 +55,8 @@
 	AnswersRequest func(id string, header http.Header) bool
 	// Identified reports whether a response tells which request it belongs to.
 	Identified func(header http.Header) bool
-	// NotRun reports whether a response proves that the request did not run and will not run.
-	NotRun func(status int, header http.Header) bool
+	// NotRun reports whether a response to a request that was sent to an endpoint proves that the request did not run and will not run.
+	NotRun func(endpoint deployment.EndpointID, status int, header http.Header) bool
 	// FromEndpoint reports whether a successful response carries the endpoint's identifying header; otherwise an intermediary sent
 	// it.
 	FromEndpoint func(header http.Header) bool
--- a/services/entry/proxy/exchange.go
+++ b/services/entry/proxy/exchange.go
@@ -181,7 +181,7 @@
 	e.lastReceived = e.inflight.service.options.Now()
 	e.readNotice(httpResponse)
 	e.handling, verdict = attempt.JudgeHead(attempt.Head{
-		Status: e.status, NotRun: dialect.NotRun(e.status, httpResponse.Header), FromEndpoint: dialect.FromEndpoint(httpResponse.Header),
+		Status: e.status, NotRun: e.provesNotRun(httpResponse), FromEndpoint: dialect.FromEndpoint(httpResponse.Header),
 		Resumes: e.startPosition.headForwarded, Kind: e.inflight.request.Route.Kind, Retryable: e.inflight.request.Route.Retryable(),
 	})
 	if e.handling != attempt.Reject {
@@ -194,6 +194,11 @@
 	return verdict, false
 }
 
+// provesNotRun reports whether a response proves that the request did not run and will not run.
+func (e *exchange) provesNotRun(response *http.Response) bool {
+	return e.inflight.service.dialect.NotRun(e.assignment.Endpoint.ID, response.StatusCode, response.Header)
+}
+
 // readNotice reads the endpoint's notice. It is called for every response: complete responses, streams, errors, refusals, resumed
 // streams and the responses of a successor.
 func (e *exchange) readNotice(response *http.Response) {
@@ -201,7 +206,7 @@
 	if err != nil {
 		e.inflight.service.options.Log.WithError(err).WithField("endpoint", e.assignment.Endpoint.ID).Warn("an endpoint's header for its limit, rest or draining cannot be decoded and is ignored")
 	}
-	notice.Rejected = e.status == http.StatusServiceUnavailable && notice.Rest == 0 && e.inflight.service.dialect.NotRun(e.status, response.Header)
+	notice.Rejected = e.status == http.StatusServiceUnavailable && notice.Rest == 0 && e.provesNotRun(response)
 	e.notice = notice
 	e.inflight.service.control.ApplyNotice(e.assignment, e.started, notice)
 }
--- a/services/entry/proxy/server_test.go
+++ b/services/entry/proxy/server_test.go
@@ -39,7 +39,7 @@
 			header.Set("Resume", forward.ResumeAfter)
 		},
 		AnswersRequest: func(string, http.Header) bool { return true },
-		NotRun:         func(_ int, header http.Header) bool { return header.Get("Not-Run") != "" },
+		NotRun:         func(_ deployment.EndpointID, _ int, header http.Header) bool { return header.Get("Not-Run") != "" },
 		FromEndpoint:   func(header http.Header) bool { return header.Get("Mark") != "" },
 		ReadNotice:     func(int, http.Header) (deployment.Notice, error) { return deployment.Notice{}, nil },
 	}
--- a/tests/platform/unproven_refusal_test.go
+++ b/tests/platform/unproven_refusal_test.go
@@ -16,7 +16,9 @@
 )
 
 // promisingStatuses are the statuses by which the platform promises callers that their request has not run and will not run.
-var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+var promisingStatuses = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
 
 // TestFailureAfterRunIsNoPromise guards against a caller that books twice, since a worker that failed after it had run the request answered with
 // a status that promises that it had not. The worker is reached over an own link and through another instance.
@@ -70,7 +72,7 @@
 // failures count as answers.
 func TestWorkerThatFailsWithPromisesIsFoundOut(t *testing.T) {
 	for _, faults := range []standin.WorkerFaults{
-		{ErrorStatus: http.StatusTooManyRequests}, {ErrorStatus: http.StatusRequestTimeout},
+		{ErrorStatus: http.StatusTooManyRequests}, {ErrorStatus: http.StatusRequestTimeout}, {ErrorStatus: http.StatusMisdirectedRequest},
 		{ErrorStatus: http.StatusServiceUnavailable, ErrorBytes: 100 << 10}, {ErrorStatus: http.StatusInternalServerError, ErrorBytes: 100 << 10},
 	} {
 		t.Run(fmt.Sprintf("%d with %d bytes", faults.ErrorStatus, faults.ErrorBytes), func(t *testing.T) {
@@ -91,3 +93,24 @@
 		})
 	}
 }
+
+// TestRequestForEndpointWhoseAddressAnotherHasIsRefused checks that the 421 of an endpoint which has the address of a former one is a proof: it is
+// retried where the route allows two attempts, and promised to the caller elsewhere.
+func TestRequestForEndpointWhoseAddressAnotherHasIsRefused(t *testing.T) {
+	s := newSite(t, 1)
+	s.store.Put(standin.EndpointKey("i-plain-former"), map[string]any{
+		"service": standin.PlainService, "address": s.plain[0].Address(), "zone": "h1", "version": standin.DefaultSoftware, "slots": 8,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+	})
+	refused := 0
+	s.waitFor("the former endpoint is asked", func() bool {
+		assert.Equal(t, http.StatusOK, s.do(call{method: http.MethodGet, path: "/status/x"}).Status)
+		answer := s.do(call{path: "/hold/x"})
+		if answer.Status != http.StatusOK {
+			assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+			assert.Zero(t, s.runCount(answer.ID))
+			refused++
+		}
+		return refused > 2
+	})
+}
