Confirm that a software is the only one when a stream is taken up

Cause: an instance that has seen one software without a gap takes it for the only one. What it has seen is as old as its last news, and counts for 20 s. Cut off, it is not told of another software, and one answer from behind the same cut confirmed the mistake.

Change: that a software is the only one is confirmed after the request came: by a reading of the archive, where each process states the use of a software before it begins streams there if it knows several, or, where the store does not answer, by more than half of the other instances, none of which knows of another. Else the stream is refused with a time to come back. Readings for this start 100 ms apart at the least; nothing is sent in calm (TestNothingIsSentWhileOneSoftwareServes).

Evidence: TestStreamIsNotJoinedBehindCut, 12 cases (one, two, half of six cut off, in one direction, with and without the store): 12 failed before, all pass now. TestStreamOfOnlySoftwareGoesOnBesideLostInstance: 60 of 60 go on, with the store and without.

--- a/services/entry/origin/exchange/archive_reader.go
+++ b/services/entry/origin/exchange/archive_reader.go
@@ -42,8 +42,10 @@
 	readAt      time.Time
 	// learned is the revision up to which the softwares have been learned. They would count as younger if they were learned again.
 	learned int64
-	// uses are where processes begin streams, as last read, and unstated where they may. Until lacksUsesUntil there may be others.
+	// uses are where processes begin streams, as last read, and unstated where they may. Until lacksUsesUntil there may be others. firstRead is
+	// when a use of an origin among uses was first read.
 	uses           []origin.Use
+	firstRead      map[origin.Origin]time.Time
 	unstated       []origin.Use
 	lacksUsesUntil time.Time
 	// era is that of the store at the last reading, which knowsEra tells of, and formerEra the last one before lacksUsesUntil was set.
@@ -69,6 +71,19 @@
 	r.era, r.knowsEra = era, true
 }
 
+// setUses sets the uses that were read.
+func (r *archiveReader) setUses(now time.Time, content *archive.Content) {
+	firstRead := make(map[origin.Origin]time.Time)
+	for _, use := range content.Uses {
+		readAt, exists := r.firstRead[use.Origin]
+		if !exists {
+			readAt = now
+		}
+		firstRead[use.Origin] = readAt
+	}
+	r.uses, r.unstated, r.firstRead = content.Uses, unstatedUses(content), firstRead
+}
+
 // wholeEra returns the last era of which it is known that the archive has all uses that count.
 func (r *archiveReader) wholeEra(now time.Time) int64 {
 	if now.Before(r.lacksUsesUntil) {
@@ -166,7 +181,7 @@
 		s.options.Log.WithField("entries", content.Unreadable).Warn("the store has entries on streams that this version cannot read")
 	}
 	s.complete = content.IsComplete() && s.hasReadSinceObserved()
-	s.reader.uses, s.reader.unstated = content.Uses, unstatedUses(&content)
+	s.reader.setUses(now, &content)
 	if !s.reader.knowsEra {
 		s.reader.setEra(now, content.WholeEra)
 	}
@@ -214,13 +229,13 @@
 	return !s.reader.readAt.Before(since)
 }
 
-// awaitReading waits until a reading of the archive has succeeded that began at a time or later. It returns false if none may begin within
-// archiveTimeout.
-func (s *Service) awaitReading(ctx context.Context, since time.Time) bool {
+// awaitReading waits until a reading of the archive has succeeded that began at a time or later. Two readings may start after an interval, however
+// little the last ones have brought. It returns false if none may begin within archiveTimeout.
+func (s *Service) awaitReading(ctx context.Context, since time.Time, interval time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		s.limitReadInterval()
+		s.limitReadInterval(interval)
 		s.readArchive(ctx, s.options.Now())
 		if s.hasReadSince(since) {
 			return true
@@ -239,11 +254,17 @@
 	return false
 }
 
-// limitReadInterval lets the archive be read again for decisions by exclusion, however little other readings have brought.
-func (s *Service) limitReadInterval() {
+// exclusionInterval returns the longest time between the starts of two readings for decisions by exclusion.
+func (s *Service) exclusionInterval() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return max(exclusionReadInterval, time.Duration(len(s.instances))*exclusionReadShare)
+}
+
+// limitReadInterval lets the archive be read again after an interval.
+func (s *Service) limitReadInterval(interval time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	interval := max(exclusionReadInterval, time.Duration(len(s.instances))*exclusionReadShare)
 	if latest := s.reader.startedAt.Add(interval); latest.Before(s.reader.nextAt) {
 		s.reader.nextAt = latest
 	}
--- a/services/entry/origin/exchange/exclusion.go
+++ b/services/entry/origin/exchange/exclusion.go
@@ -16,7 +16,7 @@
 // process begins streams, by a reading that began when the stream was taken up or later.
 func (s *Service) findRemaining(ctx context.Context, now time.Time, wanted stream) origin.Result {
 	unknown := origin.Result{Verdict: origin.Unknown}
-	if wanted.window > maxRemainingWindow || !s.mayRemain(now, wanted) || !s.awaitReading(ctx, now) {
+	if wanted.window > maxRemainingWindow || !s.mayRemain(now, wanted) || !s.awaitReading(ctx, now, s.exclusionInterval()) {
 		return unknown
 	}
 	asking, exclusion := s.startExclusion(wanted)
--- a/services/entry/origin/exchange/find.go
+++ b/services/entry/origin/exchange/find.go
@@ -56,9 +56,9 @@
 	case found.Verdict == origin.Unknown:
 		return s.findElsewhere(ctx, now, wanted)
 	case found.Verdict == origin.SoleSoftware && !s.isSettled():
-		return s.findOnceSettled(ctx, wanted)
+		return s.confirm(ctx, now, wanted, s.findOnceSettled(ctx, wanted))
 	default:
-		return found.withoutGuess()
+		return s.confirm(ctx, now, wanted, found.withoutGuess())
 	}
 }
 
--- a/services/entry/origin/exchange/network_test.go
+++ b/services/entry/origin/exchange/network_test.go
@@ -44,10 +44,11 @@
 	// loses reports whether a datagram is lost; none is if it is nil.
 	loses func(sent datagram) bool
 	sent  []datagram
-	// store is where the instances archive, away has the errors of the commits of those that it turns away, delays how long those of others take,
-	// and held for how long some stand still when they renew a lease.
+	// store is where the instances archive, away has the errors of the commits of those that it turns away, cut has those that get no answers
+	// from it at all, delays how long the commits of others take, and held for how long some stand still when they renew a lease.
 	store  *memorystore.Store
 	away   map[netip.AddrPort]error
+	cut    map[netip.AddrPort]bool
 	delays map[netip.AddrPort]time.Duration
 	held   map[netip.AddrPort]time.Duration
 }
@@ -66,11 +67,40 @@
 	n.away[address] = err
 }
 
+// cutFromStore lets an instance get no answers from the store.
+func (n *network) cutFromStore(address netip.AddrPort) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cut[address] = true
+}
+
+// awaitAnswer waits until the store could answer an instance. It returns the error of the call that was cut off.
+func (n *network) awaitAnswer(ctx context.Context, address netip.AddrPort) error {
+	n.mutex.Lock()
+	cut := n.cut[address]
+	n.mutex.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+	return &store.UnknownError{Cause: ctx.Err()}
+}
+
 // client returns the client of the store for an instance.
 func (n *network) client(address netip.AddrPort) store.Client {
 	client := n.store.Client()
+	pages := client.Range
+	client.Range = func(ctx context.Context, prefix, after string) (store.Page, error) {
+		if err := n.awaitAnswer(ctx, address); err != nil {
+			return store.Page{}, err
+		}
+		return pages(ctx, prefix, after)
+	}
 	commit := client.Commit
 	client.Commit = func(ctx context.Context, transaction store.Transaction) (int64, error) {
+		if err := n.awaitAnswer(ctx, address); err != nil {
+			return 0, err
+		}
 		n.mutex.Lock()
 		err, delay := n.away[address], n.delays[address]
 		n.mutex.Unlock()
@@ -114,7 +144,7 @@
 	return &network{
 		nodes: make(map[netip.AddrPort]*node), store: memorystore.New(time.Now),
 		away: make(map[netip.AddrPort]error), delays: make(map[netip.AddrPort]time.Duration),
-		held: make(map[netip.AddrPort]time.Duration),
+		held: make(map[netip.AddrPort]time.Duration), cut: make(map[netip.AddrPort]bool),
 	}
 }
 
