Play odd entries among those of the endpoints, all at once and while they stay

Report of other operators: one odd entry among the workers' (deep nesting, numbers too large, ports out of range), and the machines ended again and again or stopped following the list.

--- a/tests/platformstandin/store.go
+++ b/tests/platformstandin/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -162,14 +163,32 @@
 	if err != nil {
 		panic(err)
 	}
+	return s.PutBytes(key, encoded)
+}
+
+// PutBytes writes any value of another writer, and returns its revision.
+func (s *Store) PutBytes(key string, value []byte) int64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	s.put(key, encoded, 0)
+	s.put(key, value, 0)
 	s.notifyWatches()
 	return s.revision
 }
 
+// Keys returns the keys that begin with a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Remove removes a key, as the platform does with the entry of a worker that stopped its heartbeats.
 func (s *Store) Remove(key string) {
 	s.mutex.Lock()
