--- a/services/entry/proxy/unproven_refusal_test.go
+++ b/services/entry/proxy/unproven_refusal_test.go
@@ -64,13 +64,20 @@
 	assert.Equal(t, attempt.RefusedWithoutProof, observation.Attempts[1].Result)
 }
 
-// TestUnprovenRefusalIsAnsweredWithoutItsBody guards against a caller that waits for a body that it does not get.
+// TestUnprovenRefusalIsAnsweredWithoutItsBody guards against a caller that waits for a body that it does not get, since that is silent or has no
+// end.
 func TestUnprovenRefusalIsAnsweredWithoutItsBody(t *testing.T) {
-	silent := "HTTP/1.1 503 X\r\n" + endpointMarkHeader + "Content-Length: 10\r\n\r\nx" + strings.Repeat(pauseMark, 20)
-	_, server := newTestProxy(t, silent)
-	begun := time.Now()
-	assert.Equal(t, http.StatusBadGateway, sendRequest(t, server, "/unsafe", "").status)
-	assert.Less(t, time.Since(begun), 10*scriptPause)
+	head := "HTTP/1.1 503 X\r\n" + endpointMarkHeader + "Content-Length: 1000000000\r\n\r\n"
+	for name, body := range map[string]string{
+		"silent": "x" + strings.Repeat(pauseMark, 20), "without end": strings.Repeat(strings.Repeat("x", 1<<20)+pauseMark, 20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, server := newTestProxy(t, head+body)
+			begun := time.Now()
+			assert.Equal(t, http.StatusBadGateway, sendRequest(t, server, "/unsafe", "").status)
+			assert.Less(t, time.Since(begun), 10*scriptPause)
+		})
+	}
 }
 
 // TestUnprovenRefusalOfRepeatableRequestIsForwarded checks that a request that may run again is sent elsewhere, and that its caller gets the
