--- a/services/entry/origin/exchange/confirm.go
+++ b/services/entry/origin/exchange/confirm.go
@@ -40,17 +40,14 @@
 // awaitConfirmingReading waits for a reading of the archive that began at a time or later: each process states its use of a software there before it
 // begins streams, if it knows several. It returns false if there is none, at once while the store fails.
 func (s *Service) awaitConfirmingReading(ctx context.Context, since time.Time) bool {
-	if s.options.Archive == nil {
-		return false
-	}
-	if s.isFailing(since) {
+	if s.options.Archive == nil || s.requestIfFailing(since) {
 		return false
 	}
 	return s.awaitReading(ctx, since, confirmReadInterval)
 }
 
-// isFailing reports whether the last reading of the archive failed, and lets it be read again then.
-func (s *Service) isFailing(now time.Time) bool {
+// requestIfFailing reports whether the last reading of the archive failed. It then lets the archive be read until that succeeds, without waiting.
+func (s *Service) requestIfFailing(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.reader.failing {
