Exclude only softwares that left when an only software is confirmed

Found by reading: what this instance had seen just before it read the archive counted as known to have left, so that a software that it was told of between its own decision and the confirmation was ignored. Only what it last knew to serve before the stream can have begun counts so now.

--- a/services/entry/origin/exchange/confirm.go
+++ b/services/entry/origin/exchange/confirm.go
@@ -27,11 +27,11 @@
 	if found.Verdict != origin.Unrestricted && found.Verdict != origin.SoleSoftware {
 		return found
 	}
-	seen := s.seenSoftwares(wanted)
+	excluded := append(s.leftSoftwares(wanted), found.Origin)
 	if !s.awaitConfirmingReading(ctx, now) {
 		return s.confirmByOthers(ctx, wanted, found)
 	}
-	if s.mayHaveBegunElsewhere(wanted, seen) {
+	if s.mayHaveBegunElsewhere(wanted, excluded) {
 		return s.findElsewhere(ctx, now, wanted)
 	}
 	return found
@@ -56,31 +56,33 @@
 	return s.reader.failing
 }
 
-// seenSoftwares returns the softwares of a stream's services that this instance knows, as old as any.
-func (s *Service) seenSoftwares(wanted stream) []origin.Origin {
+// leftSoftwares returns the softwares that this instance knew before a stream can have begun.
+func (s *Service) leftSoftwares(wanted stream) []origin.Origin {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var seen []origin.Origin
+	var left []origin.Origin
 	for _, known := range s.history.Known(s.options.Now(), wanted.services, origin.MaxLifetime) {
-		seen = append(seen, known.Origin)
+		if known.Age >= wanted.window {
+			left = append(left, known.Origin)
+		}
 	}
-	return seen
+	return left
 }
 
-// mayHaveBegunElsewhere reports whether a stream may have begun at a software that this instance had not seen before it read the archive: others
-// have seen it, or a process states to use it. Those that it had seen are known to have left.
-func (s *Service) mayHaveBegunElsewhere(wanted stream, seen []origin.Origin) bool {
-	learned := s.seenSoftwares(wanted)
-	if slices.ContainsFunc(learned, func(each origin.Origin) bool { return !slices.Contains(seen, each) }) {
-		return true
-	}
+// mayHaveBegunElsewhere reports whether a stream may have begun at a software that is not excluded: this instance has learned of one by now, or a
+// process states to use it. A statement of its use that was read some time ago is that of a software which left before this instance started.
+func (s *Service) mayHaveBegunElsewhere(wanted stream, excluded []origin.Origin) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.options.Now()
+	known := s.history.Known(now, wanted.services, origin.MaxLifetime)
+	if slices.ContainsFunc(known, func(each origin.Sighting) bool { return !slices.Contains(excluded, each.Origin) }) {
+		return true
+	}
 	return slices.ContainsFunc(s.reader.uses, func(use origin.Use) bool {
 		isOfServices := use.Origin == origin.Any || slices.Contains(wanted.services, use.Origin.Service)
 		isYoung := now.Sub(s.reader.firstRead[use.Origin]) < unseenUseTime
-		return isOfServices && isYoung && !slices.Contains(seen, use.Origin)
+		return isOfServices && isYoung && !slices.Contains(excluded, use.Origin)
 	})
 }
 
