--- a/tests/pinned/entry/programrun_test.go
+++ b/tests/pinned/entry/programrun_test.go
@@ -277,6 +277,9 @@
 	writer.Header().Set("X-Server-Seal", "seal")
 	switch {
 	case request.URL.Path == "/shed/moved":
+		// Another endpoint has the address: it names itself, and seals nothing.
+		writer.Header().Del("X-Server-Seal")
+		writer.Header().Set("X-Instance-Id", "e-other")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 	case request.URL.Path == "/unsealed/other":
 		writer.Header().Set("X-Attempt-Id", "id-of-another")
